Lay out the workspace and the core types

Cause: an empty repository. Change: seven packages, two of them binaries; lints and formatting after the Linux kernel's; names, times, units and the organisation's document in foxtide-core. Conclusion: the parts can be built side by side on these types.

--- /dev/null
+++ b/crates/foxtide-core/src/lib.rs
@@ -0,0 +1,13 @@
+//! Types and decisions of foxtide.
+//!
+//! Everything here is pure: a decision takes its state, an input and the
+//! current time, and returns what is to be done. Clocks, randomness and I/O
+//! belong to the callers.
+
+pub mod errors;
+pub mod ids;
+pub mod organisation;
+pub mod time;
+pub mod units;
+
+pub use errors::{Error, Result};
--- /dev/null
+++ b/crates/foxtide-mesh/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/foxtidectl/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
