Add the store's trait and the measuring example

Cause: configuration, leases and fakes all need one small store interface, and every figure one place that prints it with its limit. Change: foxtide_core::store with the outcomes of a write told apart (not sent, unknown, refused); examples/measure with a first module; paths are compared by whole segments before a request counts as idempotent.

--- a/crates/foxtide-core/src/lib.rs
+++ b/crates/foxtide-core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod errors;
 pub mod ids;
 pub mod organisation;
+pub mod store;
 pub mod time;
 pub mod units;
 
--- a/crates/foxtide-core/src/organisation.rs
+++ b/crates/foxtide-core/src/organisation.rs
@@ -260,8 +260,35 @@
     /// `path` is what follows `/{organisation}/{service}` in the request.
     pub fn is_idempotent(&self, method: &str, path: &str) -> bool {
         let same_method = |known: &String| known.eq_ignore_ascii_case(method);
-        let same_path = |prefix: &String| path.starts_with(prefix.as_str());
+        let same_path = |prefix: &String| is_below(path, prefix);
         self.idempotent_methods.iter().any(same_method)
             || self.idempotent_path_prefixes.iter().any(same_path)
     }
 }
+
+/// Tells whether a path lies at or below a prefix, whole segments compared.
+///
+/// A path that an upstream may read as another one (dot segments, empty
+/// segments, escapes; RFC 3986, section 6.2.2) lies below no prefix, so that
+/// it can never make a request idempotent that is not.
+fn is_below(path: &str, prefix: &str) -> bool {
+    let path = path.split(['?', '#']).next().unwrap_or_default();
+    let plain = !path.contains("//") && !path.contains("/.") && !path.contains(['%', '\\', ';']);
+    let rest = path.strip_prefix(prefix.trim_end_matches('/'));
+    plain && rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn verify_paths_below_a_prefix() {
+        assert!(is_below("/status/7", "/status"));
+        assert!(is_below("/status?locker=7", "/status/"));
+        assert!(!is_below("/statuses", "/status"));
+        assert!(!is_below("/status/../unlock", "/status"));
+        assert!(!is_below("/status/%2e%2e/unlock", "/status"));
+        assert!(!is_below("/status//unlock", "/status"));
+    }
+}
--- /dev/null
+++ b/crates/foxtide/examples/measure/main.rs
@@ -0,0 +1,40 @@
+//! Prints measured figures, one a line: `name value unit limit held`.
+//!
+//! `cargo run --release --example measure -- decisions` or `-- fleet`, with
+//! the name of a single module after it to run just that one.
+
+mod document;
+mod report;
+
+use report::Report;
+use std::process::ExitCode;
+
+/// One group of figures.
+type Module = (&'static str, fn(&mut Report));
+
+/// What each instance decides, against simpler baselines.
+const DECISIONS: &[Module] = &[];
+
+/// What a fleet of instances costs and how fast it agrees.
+const FLEET: &[Module] = &[("document", document::run)];
+
+const USAGE: &str = "usage: measure decisions|fleet [MODULE]";
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let modules = match arguments.first().map(String::as_str) {
+        Some("decisions") => DECISIONS,
+        Some("fleet") => FLEET,
+        _ => {
+            eprintln!("{USAGE}");
+            return ExitCode::from(2);
+        }
+    };
+    let mut report = Report::default();
+    for (name, run) in modules {
+        if arguments.get(1).is_none_or(|wanted| wanted == name) {
+            run(&mut report);
+        }
+    }
+    report.exit_code()
+}
