Remember the latest changes inside an organisation's document

A writer whose answer was lost settles the write by looking for its change id. Without a history it cannot tell once another change has been built on top. A sibling key cannot be written in the same compare-and-swap. The field is left out of the JSON while it is empty.

--- a/crates/foxtide-core/src/organisation.rs
+++ b/crates/foxtide-core/src/organisation.rs
@@ -15,6 +15,9 @@
 /// The version of the document's form that this build writes.
 pub const SCHEMA_VERSION: u32 = 1;
 
+/// The most changes that a document remembers.
+pub const HISTORY_MAX: usize = 20;
+
 /// The whole configuration of one organisation, as the store holds it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -42,6 +45,28 @@
     /// The announced drains.
     #[serde(default)]
     pub drains: Vec<Drain>,
+    /// The latest accepted changes, the oldest first; at most [`HISTORY_MAX`].
+    ///
+    /// It stands inside the document so that a writer whose answer was lost
+    /// finds its change also after others have built on it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub history: Vec<ChangeSummary>,
+}
+
+/// One accepted change, as the document remembers it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ChangeSummary {
+    /// The change's identity.
+    pub change_id: ChangeId,
+    /// The revision that it made.
+    pub revision: Revision,
+    /// Who made it.
+    pub author: String,
+    /// When it was written, by the writer's clock.
+    pub written_us: WallTime,
+    /// What it did, in one line.
+    pub summary: String,
 }
 
 /// The template and the parameters that a document was made from.
