Add the numbered events, their clock and their recorder

Every process needs one vocabulary for what it does, and a time line over all of them. The core gets the catalogue, a hybrid logical clock, a bounded ring with room apart for notable events, filters and the merge; the new package foxtide-events holds the recorder, since the core has no locks and no clocks. docs/EVENTS.md is written from the code and a test compares it.

--- /dev/null
+++ b/crates/foxtide-core/src/events/code.rs
@@ -0,0 +1,245 @@
+//! The numbered catalogue of events.
+//!
+//! A new event is one line here; then run
+//! `cargo run -p foxtide-core --example events_page > docs/EVENTS.md`.
+
+use crate::{Error, Result};
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::str::FromStr;
+
+/// How much an event matters; also the level at which it is logged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Level {
+    /// Something that was promised is not kept.
+    Error,
+    /// Something is wrong that the fleet copes with.
+    Warn,
+    /// A change that an operator may ask about later.
+    Info,
+    /// Detail of single requests and messages.
+    Debug,
+}
+
+impl fmt::Display for Level {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Error => "error",
+            Self::Warn => "warn",
+            Self::Info => "info",
+            Self::Debug => "debug",
+        })
+    }
+}
+
+macro_rules! define_codes {
+    ($($number:literal $code:ident $name:literal $level:ident $description:literal)*) => {
+        /// A numbered kind of event.
+        #[derive(
+            Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(try_from = "String", into = "String")]
+        #[repr(u16)]
+        pub enum EventCode {
+            $(#[doc = $description] $code = $number,)*
+        }
+
+        impl EventCode {
+            /// Every code, in the order of their numbers.
+            pub const ALL: &[Self] = &[$(Self::$code),*];
+
+            /// Returns the number.
+            pub const fn number(self) -> u16 {
+                match self {
+                    $(Self::$code => $number,)*
+                }
+            }
+
+            /// Returns the name, in kebab case.
+            pub const fn name(self) -> &'static str {
+                match self {
+                    $(Self::$code => $name,)*
+                }
+            }
+
+            /// Returns the level at which it is logged.
+            pub const fn level(self) -> Level {
+                match self {
+                    $(Self::$code => Level::$level,)*
+                }
+            }
+
+            /// Returns what it means, in one sentence.
+            pub const fn description(self) -> &'static str {
+                match self {
+                    $(Self::$code => $description,)*
+                }
+            }
+        }
+    };
+}
+
+define_codes! {
+    1001 ProcessStarted "process-started" Info "The process has started; the detail names its version and addresses."
+    1002 ProcessReady "process-ready" Info "The instance has its configuration and serves."
+    1003 ProcessStopping "process-stopping" Info "A planned stop began: the instance leaves the look-ups and ends what is in flight."
+    1004 ProcessDrained "process-drained" Info "Nothing is in flight any more on the stopping instance."
+    1005 ProcessStopped "process-stopped" Info "The process ends."
+    1006 DrainWindowExceeded "drain-window-exceeded" Warn "A planned stop took longer than its drain window; the detail tells what is still in flight."
+    1007 SettingsRejected "settings-rejected" Error "The settings cannot be used; the detail names file, field and what is valid."
+    1008 ListenerFailed "listener-failed" Error "A listening socket cannot be opened or accepts no more connections."
+    1009 WallClockSkewed "wall-clock-skewed" Warn "A peer's clock is ahead by more than clocks may differ; its times are not followed."
+    1010 WorkerStalled "worker-stalled" Warn "A worker was not scheduled for longer than a lease or heartbeat allows."
+    1011 MemoryLimitReached "memory-limit-reached" Warn "A bounded table is full; its oldest entries are dropped."
+
+    2001 ConfigurationAccepted "configuration-accepted" Info "The store took a change: it is accepted and goes into force."
+    2002 ConfigurationApplied "configuration-applied" Info "This instance works by a newer revision."
+    2003 ConfigurationRejected "configuration-rejected" Warn "A change failed its validation; nothing was written."
+    2004 ConfigurationConflict "configuration-conflict" Warn "Two operators changed the same organisation; the later write was refused."
+    2005 ConfigurationOutcomeUnknown "configuration-outcome-unknown" Warn "The answer to a write was lost; it is settled by reading again."
+    2006 ConfigurationSettled "configuration-settled" Info "A write of unknown outcome was settled; the detail tells how."
+    2007 ConfigurationStale "configuration-stale" Warn "A revision older than the one in force arrived and was ignored."
+    2008 ConfigurationUnreadable "configuration-unreadable" Error "A stored document cannot be read; the last good revision stays in force."
+    2009 ConfigurationFetched "configuration-fetched" Info "A starting instance took the newest configuration from store or peers."
+    2010 ConfigurationUnconfirmed "configuration-unconfirmed" Warn "The configuration could not be compared with the store for a long time."
+    2011 ConfigurationRemoved "configuration-removed" Info "An organisation was removed and is no longer served."
+    2012 WatcherElected "watcher-elected" Info "This instance now holds a watch on the store for its availability zone."
+    2013 WatcherReleased "watcher-released" Info "This instance gave up its watch on the store."
+    2014 ClientBlocksApplied "client-blocks-applied" Info "A newer table of client blocks is in force."
+    2015 ClientBlocksRejected "client-blocks-rejected" Error "A table of client blocks failed its checks; the last good one stays in force."
+
+    3001 MemberJoined "member-joined" Info "An instance joined the members."
+    3002 MemberSuspected "member-suspected" Warn "A member did not answer probes and is suspected to have failed."
+    3003 MemberRefuted "member-refuted" Info "A suspected member proved to be alive."
+    3004 MemberFailed "member-failed" Warn "A suspected member did not refute in time and is taken for dead."
+    3005 MemberLeaving "member-leaving" Info "A member announced a planned stop."
+    3006 MemberLeft "member-left" Info "A member ended its planned stop."
+    3007 MemberReplaced "member-replaced" Info "A member's name came back with a newer incarnation."
+    3008 PeerConnected "peer-connected" Debug "A connection to a peer was opened."
+    3009 PeerDisconnected "peer-disconnected" Debug "A connection to a peer ended."
+    3010 PeerMessageRejected "peer-message-rejected" Warn "A message of a peer could not be read and was dropped."
+    3011 RegionUnreachable "region-unreachable" Warn "No member of a region can be reached."
+    3012 RegionReachable "region-reachable" Info "A region can be reached again."
+    3013 ZoneUnreachable "zone-unreachable" Warn "No member of an availability zone can be reached."
+    3014 ZoneReachable "zone-reachable" Info "An availability zone can be reached again."
+    3015 DelegateElected "delegate-elected" Info "This instance now exchanges digests with other availability zones."
+    3016 DelegateReleased "delegate-released" Info "This instance no longer exchanges digests with other availability zones."
+    3017 InstanceListRead "instance-list-read" Debug "The platform's list of instances was read."
+    3018 InstanceListUnavailable "instance-list-unavailable" Warn "The platform's list of instances cannot be read."
+    3019 ControlBudgetReached "control-budget-reached" Warn "Control traffic reached its budget and is held back."
+    3020 TimeLineCopied "time-line-copied" Debug "Events were copied to peers, which keep them for a replaced instance."
+    3021 TimeLineCopyLost "time-line-copy-lost" Warn "Events were overwritten before a peer had a copy."
+
+    4001 WeightsShifted "weights-shifted" Info "The weights of regions changed; the detail gives them."
+    4002 ShiftCapped "shift-capped" Info "A shift is held at its cap."
+    4003 MoveStarted "move-started" Info "A planned move of traffic started."
+    4004 MovePaused "move-paused" Info "A planned move was paused."
+    4005 MoveCompleted "move-completed" Info "A planned move reached its position."
+    4006 RegionLimitReached "region-limit-reached" Warn "This instance's part of a region's sold rate is used up."
+    4007 LinkLimitReached "link-limit-reached" Warn "This instance's part of a link's sold rate is used up."
+    4008 SpillStarted "spill-started" Info "Requests spill over to another region of the contract."
+    4009 SpillStopped "spill-stopped" Info "Requests no longer spill over."
+    4010 SpillLimitReached "spill-limit-reached" Warn "The contract's spill-over limit is reached."
+    4011 MeasurementsStale "measurements-stale" Warn "Measurements are too old; the instance falls back to its floor."
+    4012 MeasurementsFresh "measurements-fresh" Info "Measurements arrive again."
+    4013 AdmissionRefused "admission-refused" Debug "A request was refused because there is no room for it."
+    4014 RegionFailed "region-failed" Warn "A region has no usable upstreams; its traffic goes elsewhere within the limits."
+    4015 RegionRecovered "region-recovered" Info "A region has usable upstreams again; its traffic returns under the shift cap."
+    4016 RampStarted "ramp-started" Info "A region or upstream with a cold cache takes traffic slowly."
+    4017 RampCompleted "ramp-completed" Info "A region or upstream takes its whole part."
+    4018 RegionDraining "region-draining" Info "A region or availability zone is drained."
+    4019 LimitShareChanged "limit-share-changed" Info "This instance's part of a sold rate changed."
+    4020 ReceiverRefused "receiver-refused" Info "The receiving region refused requests; this instance sends less there."
+    4021 WeightsInherited "weights-inherited" Info "A restarted instance took the positions of shifts from its peers."
+    4022 SheddingStarted "shedding-started" Warn "Demand is above what the contract's regions may take; requests are refused."
+    4023 SheddingStopped "shedding-stopped" Info "Requests are no longer refused for want of room."
+
+    5001 UpstreamAdded "upstream-added" Info "An upstream became part of a service."
+    5002 UpstreamRemoved "upstream-removed" Info "An upstream is no longer part of a service."
+    5003 UpstreamEjected "upstream-ejected" Warn "An upstream failed requests and gets none until it recovers (circuit breaker)."
+    5004 UpstreamReinstated "upstream-reinstated" Info "An ejected upstream gets requests again."
+    5005 UpstreamDraining "upstream-draining" Info "An upstream is leaving and gets no new requests."
+    5006 UpstreamDrained "upstream-drained" Info "Nothing is in flight any more to a leaving upstream."
+    5007 UpstreamOverloaded "upstream-overloaded" Warn "An upstream sheds load; it gets fewer requests."
+    5008 UpstreamReportDistrusted "upstream-report-distrusted" Warn "An upstream's own load report contradicts what was seen and is ignored."
+    5009 RequestRetried "request-retried" Debug "A request was sent to another upstream after a failed attempt."
+    5010 RequestHedged "request-hedged" Debug "A second attempt was started beside a slow one."
+    5011 RetryBudgetExhausted "retry-budget-exhausted" Warn "There were too many retries lately; failed attempts are answered as they are."
+    5012 RequestNotRun "request-not-run" Debug "A request was given up and surely did not run."
+    5013 RequestUnknown "request-unknown" Warn "A request was given up and may have run; it is not resent."
+    5014 RequestTimedOut "request-timed-out" Debug "A request's deadline passed."
+    5015 RequestCancelled "request-cancelled" Debug "The caller went away; the attempt was cancelled."
+    5016 RequestRejected "request-rejected" Debug "A request is malformed or names nothing that is served."
+    5017 RequestRouted "request-routed" Debug "A request was routed; the detail tells where and why."
+    5018 LookupAnswered "lookup-answered" Debug "A look-up was answered; the detail tells with what and why."
+    5019 PoolExhausted "pool-exhausted" Warn "All connections to a service's upstreams are in use."
+    5020 UpstreamUnreachable "upstream-unreachable" Warn "No connection to an upstream can be opened."
+    5021 ResponseTruncated "response-truncated" Warn "An upstream ended an answer early; the caller was told."
+    5022 ServiceEmpty "service-empty" Error "A service has no usable upstream at all."
+    5023 ServiceUsable "service-usable" Info "A service has usable upstreams again."
+
+    6001 LeaseAcquired "lease-acquired" Info "This instance holds the lease of a range of idempotency keys."
+    6002 LeaseRenewed "lease-renewed" Debug "A lease was renewed."
+    6003 LeaseLost "lease-lost" Warn "A lease was lost or lapsed; no request runs under it any more."
+    6004 LeaseReleased "lease-released" Info "A lease was given back."
+    6005 LeaseTakenOver "lease-taken-over" Info "A lapsed lease of another instance was taken over."
+    6006 HolderPaused "holder-paused" Warn "The process was paused beyond its lease; requests under it are refused."
+    6007 DuplicateSuppressed "duplicate-suppressed" Info "A request with a known idempotency key got the first one's answer."
+    6008 KeyTooOld "key-too-old" Info "An idempotency key is older than the take-over; the outcome is unknown."
+    6009 KeyFromFuture "key-from-future" Warn "An idempotency key's time is beyond the clock skew; the request was refused."
+    6010 KeyMalformed "key-malformed" Debug "An idempotency key is not a UUIDv7."
+    6011 KeyConflict "key-conflict" Warn "An idempotency key was used again for another request."
+    6012 KeyTableFull "key-table-full" Warn "The table of idempotency keys is full; new keys are refused."
+    6013 KeyForwarded "key-forwarded" Debug "A request went to the instance that holds its key's lease."
+
+    7001 StoreUnreachable "store-unreachable" Warn "The store does not answer; the last configuration stays in force."
+    7002 StoreReachable "store-reachable" Info "The store answers again."
+    7003 StoreSlow "store-slow" Warn "The store answers slowly."
+    7004 StoreOutcomeUnknown "store-outcome-unknown" Warn "A write may have taken effect; it is settled by reading."
+    7005 StoreRefused "store-refused" Warn "The store refused a call."
+    7006 StoreBudgetReached "store-budget-reached" Warn "The instance used up its part of the store's rate."
+    7007 StoreSessionLost "store-session-lost" Warn "The store dropped this instance's session."
+    7008 StoreSessionOpened "store-session-opened" Info "The store gave this instance a session."
+
+    8001 OperatorChange "operator-change" Info "An operator changed an organisation's parameters."
+    8002 OperatorDrain "operator-drain" Info "An operator announced a drain."
+    8003 OperatorMove "operator-move" Info "An operator announced a move."
+    8004 OperatorCancelled "operator-cancelled" Info "An operator took back a drain or a move."
+    8005 PromiseBroken "promise-broken" Error "A promise to an organisation is not kept; the detail says which."
+    8006 PromiseKept "promise-kept" Info "A promise is kept again."
+    8007 OrganisationCreated "organisation-created" Info "An operator created an organisation from a template."
+}
+
+impl fmt::Display for EventCode {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "F{:04} {}", self.number(), self.name())
+    }
+}
+
+impl FromStr for EventCode {
+    type Err = Error;
+
+    /// Takes the number (`F5003`), the name, or both as displayed.
+    fn from_str(text: &str) -> Result<Self> {
+        let matches = |code: &Self| {
+            let number = format!("F{:04}", code.number());
+            text == number || text == code.name() || text == code.to_string()
+        };
+        let found = Self::ALL.iter().copied().find(matches);
+        found.ok_or_else(|| Error::parse(text, "the number or name of an event, see EVENTS.md"))
+    }
+}
+
+impl TryFrom<String> for EventCode {
+    type Error = Error;
+
+    fn try_from(text: String) -> Result<Self> {
+        text.parse()
+    }
+}
+
+impl From<EventCode> for String {
+    fn from(code: EventCode) -> Self {
+        code.to_string()
+    }
+}
--- /dev/null
+++ b/crates/foxtide-core/src/events/event.rs
@@ -0,0 +1,163 @@
+//! One event of one process.
+
+use super::{EventCode, HybridTime};
+use crate::ids::{InstanceId, OrganisationId, RegionId, ServiceId, UpstreamId};
+use crate::{Error, Result};
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+/// The longest detail that is kept, in bytes; longer ones are cut.
+pub const DETAIL_MAX_BYTES: usize = 256;
+
+const REQUEST_ID_MAX_BYTES: usize = 64;
+
+/// The identity of one request, sent on in `foxtide-request-id`.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct RequestId(Arc<str>);
+
+impl RequestId {
+    /// Returns the text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl FromStr for RequestId {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let allowed = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
+        let sized = (1..=REQUEST_ID_MAX_BYTES).contains(&text.len());
+        if !sized || !text.bytes().all(allowed) {
+            let expected = "1 to 64 letters, digits, `-`, `_` and `.`";
+            return Err(Error::parse(text, expected));
+        }
+        Ok(Self(text.into()))
+    }
+}
+
+impl TryFrom<String> for RequestId {
+    type Error = Error;
+
+    fn try_from(text: String) -> Result<Self> {
+        text.parse()
+    }
+}
+
+impl From<RequestId> for String {
+    fn from(id: RequestId) -> Self {
+        id.0.as_ref().to_owned()
+    }
+}
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// What an event is about; all that does not apply is left out.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EventFields {
+    /// The organisation.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub organisation: Option<OrganisationId>,
+    /// The service.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub service: Option<ServiceId>,
+    /// The region.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub region: Option<RegionId>,
+    /// The upstream.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub upstream: Option<UpstreamId>,
+    /// The other instance.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peer: Option<InstanceId>,
+    /// The request.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub request: Option<RequestId>,
+    /// The figures and reasons, for people.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub detail: String,
+}
+
+impl EventFields {
+    /// Returns fields that hold nothing but a detail.
+    pub fn detail(detail: impl Into<String>) -> Self {
+        Self {
+            detail: detail.into(),
+            ..Self::default()
+        }
+    }
+
+    /// Cuts the detail to [`DETAIL_MAX_BYTES`], at the end of a character.
+    pub(super) fn bounded(mut self) -> Self {
+        let end = self.detail.floor_char_boundary(DETAIL_MAX_BYTES);
+        self.detail.truncate(end);
+        self
+    }
+}
+
+impl fmt::Display for EventFields {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        show(f, "organisation", self.organisation.as_ref())?;
+        show(f, "service", self.service.as_ref())?;
+        show(f, "region", self.region.as_ref())?;
+        show(f, "upstream", self.upstream.as_ref())?;
+        show(f, "peer", self.peer.as_ref())?;
+        show(f, "request", self.request.as_ref())?;
+        if self.detail.is_empty() {
+            return Ok(());
+        }
+        write!(f, " {}", self.detail)
+    }
+}
+
+fn show(f: &mut fmt::Formatter<'_>, name: &str, value: Option<&impl fmt::Display>) -> fmt::Result {
+    match value {
+        Some(value) => write!(f, " {name}={value}"),
+        None => Ok(()),
+    }
+}
+
+/// One event of one process.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Event {
+    /// When it happened.
+    pub clock: HybridTime,
+    /// The instance at which it happened.
+    pub instance: InstanceId,
+    /// What happened.
+    pub code: EventCode,
+    /// What it is about.
+    #[serde(flatten)]
+    pub fields: EventFields,
+}
+
+impl Event {
+    /// Returns an event, its detail cut to [`DETAIL_MAX_BYTES`].
+    pub fn new(
+        clock: HybridTime,
+        instance: InstanceId,
+        code: EventCode,
+        fields: EventFields,
+    ) -> Self {
+        Self {
+            clock,
+            instance,
+            code,
+            fields: fields.bounded(),
+        }
+    }
+}
+
+impl fmt::Display for Event {
+    /// Writes the form of a log line: `F5003 upstream-ejected service=…`.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}{}", self.code, self.fields)
+    }
+}
--- /dev/null
+++ b/crates/foxtide-core/src/events/filter.rs
@@ -0,0 +1,60 @@
+//! Which events a reader asks for.
+
+use super::{Event, EventCode, Level, RequestId};
+use crate::ids::{InstanceId, OrganisationId, RegionId, ServiceId};
+use crate::time::WallTime;
+
+/// A choice of events; the default passes all.
+#[derive(Clone, Debug, Default)]
+pub struct EventFilter {
+    /// Only events of this code.
+    pub code: Option<EventCode>,
+    /// Only events of this level or worse.
+    pub level: Option<Level>,
+    /// Only events at this instance.
+    pub instance: Option<InstanceId>,
+    /// Only events of this organisation.
+    pub organisation: Option<OrganisationId>,
+    /// Only events of this service.
+    pub service: Option<ServiceId>,
+    /// Only events of this region.
+    pub region: Option<RegionId>,
+    /// Only events of this request.
+    pub request: Option<RequestId>,
+    /// Only events at this time or later.
+    pub since_us: Option<WallTime>,
+    /// At most this many, the latest.
+    pub limit: Option<usize>,
+}
+
+impl EventFilter {
+    /// Tells whether an event is asked for.
+    pub fn passes(&self, event: &Event) -> bool {
+        let fields = &event.fields;
+        self.passes_kind(event)
+            && wanted(&self.instance, Some(&event.instance))
+            && wanted(&self.organisation, fields.organisation.as_ref())
+            && wanted(&self.service, fields.service.as_ref())
+            && wanted(&self.region, fields.region.as_ref())
+            && wanted(&self.request, fields.request.as_ref())
+    }
+
+    fn passes_kind(&self, event: &Event) -> bool {
+        wanted(&self.code, Some(&event.code))
+            && self.level.is_none_or(|least| event.code.level() <= least)
+            && self.since_us.is_none_or(|at| event.clock.wall_us >= at)
+    }
+
+    /// Drops all but the latest [`EventFilter::limit`] of sorted events.
+    pub fn keep_latest(&self, events: &mut Vec<Event>) {
+        let limit = self.limit.unwrap_or(usize::MAX);
+        events.drain(..events.len().saturating_sub(limit));
+    }
+}
+
+fn wanted<T: PartialEq>(wanted: &Option<T>, value: Option<&T>) -> bool {
+    match wanted {
+        Some(wanted) => value == Some(wanted),
+        None => true,
+    }
+}
--- /dev/null
+++ b/crates/foxtide-core/src/events/mod.rs
@@ -0,0 +1,22 @@
+//! Numbered events and the time line that they form over all processes.
+//!
+//! Every process stamps its events with a [`HybridClock`], keeps them in an
+//! [`EventRing`] and shows them on request; [`merge`] puts the events of
+//! several processes into one order that never shows an effect before its
+//! cause. `foxtide-events` holds the thread-safe recorder over these parts.
+
+mod catalogue;
+mod clock;
+mod code;
+mod event;
+mod filter;
+mod merge;
+mod ring;
+
+pub use catalogue::catalogue_page;
+pub use clock::{AHEAD_MAX, HybridClock, HybridTime};
+pub use code::{EventCode, Level};
+pub use event::{DETAIL_MAX_BYTES, Event, EventFields, RequestId};
+pub use filter::EventFilter;
+pub use merge::merge;
+pub use ring::{EventRing, EventRingOptions, RingEntry};
--- a/crates/foxtide-core/src/lib.rs
+++ b/crates/foxtide-core/src/lib.rs
@@ -5,6 +5,7 @@
 //! belong to the callers.
 
 pub mod errors;
+pub mod events;
 pub mod ids;
 pub mod organisation;
 pub mod store;
--- /dev/null
+++ b/crates/foxtide-events/src/recorder.rs
@@ -0,0 +1,131 @@
+//! The recorder.
+//!
+//! Locks: one, around clock and ring. It is held for a stamp and a push, or
+//! for a copy; never while a line is logged and never together with another.
+
+use crate::WallClock;
+use foxtide_core::events::{
+    Event, EventCode, EventFields, EventFilter, EventRing, EventRingOptions, HybridClock,
+    HybridTime, Level, RingEntry,
+};
+use foxtide_core::ids::InstanceId;
+use parking_lot::Mutex;
+use std::sync::Arc;
+
+const LOG_TARGET: &str = "foxtide";
+
+/// How a recorder works.
+#[derive(Clone, Debug, Default)]
+pub struct RecorderOptions {
+    /// How many events are kept.
+    pub ring: EventRingOptions,
+    /// The wall clock; the system's by default.
+    pub clock: WallClock,
+}
+
+#[derive(Debug)]
+struct State {
+    clock: HybridClock,
+    ring: EventRing,
+}
+
+#[derive(Debug)]
+struct Shared {
+    instance: InstanceId,
+    wall: WallClock,
+    state: Mutex<State>,
+}
+
+/// Stamps, keeps and logs the events of one process.
+///
+/// Clones record into the same ring.
+#[derive(Clone, Debug)]
+pub struct Recorder {
+    shared: Arc<Shared>,
+}
+
+impl Recorder {
+    /// Returns a recorder for the instance of this process.
+    pub fn new(instance: InstanceId, options: RecorderOptions) -> Self {
+        let state = State {
+            clock: HybridClock::default(),
+            ring: EventRing::new(options.ring),
+        };
+        let shared = Shared {
+            instance,
+            wall: options.clock,
+            state: Mutex::new(state),
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// Returns the instance whose events are recorded.
+    pub fn instance(&self) -> &InstanceId {
+        &self.shared.instance
+    }
+
+    /// Records and logs an event; returns its time.
+    pub fn record(&self, code: EventCode, fields: EventFields) -> HybridTime {
+        let wall = self.shared.wall.now();
+        let mut state = self.shared.state.lock();
+        let clock = state.clock.tick(wall);
+        let event = Event::new(clock, self.shared.instance.clone(), code, fields);
+        let line = wants_log(code).then(|| event.to_string());
+        state.ring.push(event);
+        drop(state);
+        if let Some(line) = line {
+            log::log!(target: LOG_TARGET, log_level(code), "{line}");
+        }
+        clock
+    }
+
+    /// Returns the time to send along with a message to a peer.
+    pub fn stamp(&self) -> HybridTime {
+        let wall = self.shared.wall.now();
+        self.shared.state.lock().clock.tick(wall)
+    }
+
+    /// Notes the time that came with a peer's message, so that later events
+    /// here are placed after the sending.
+    pub fn observe(&self, remote: HybridTime) -> HybridTime {
+        let wall = self.shared.wall.now();
+        self.shared.state.lock().clock.observe(remote, wall)
+    }
+
+    /// Tells whether a peer's time lies too far ahead of this clock.
+    pub fn is_ahead(&self, remote: HybridTime) -> bool {
+        remote.is_ahead(self.shared.wall.now())
+    }
+
+    /// Returns the kept events that pass a filter, oldest first.
+    pub fn select(&self, filter: &EventFilter) -> Vec<Event> {
+        self.shared.state.lock().ring.select(filter)
+    }
+
+    /// Returns the oldest `limit` events above [`Level::Debug`] that were
+    /// recorded after `sequence`, to be copied to peers.
+    pub fn notable_after(&self, sequence: u64, limit: usize) -> Vec<RingEntry> {
+        let state = self.shared.state.lock();
+        state.ring.notable_after(sequence, limit)
+    }
+
+    /// Returns how many events were dropped for want of room.
+    pub fn dropped(&self) -> u64 {
+        self.shared.state.lock().ring.dropped()
+    }
+}
+
+fn wants_log(code: EventCode) -> bool {
+    log::log_enabled!(target: LOG_TARGET, log_level(code))
+}
+
+fn log_level(code: EventCode) -> log::Level {
+    match code.level() {
+        Level::Error => log::Level::Error,
+        Level::Warn => log::Level::Warn,
+        Level::Info => log::Level::Info,
+        Level::Debug => log::Level::Debug,
+    }
+}
--- /dev/null
+++ b/crates/foxtide-events/tests/recorder.rs
@@ -0,0 +1,42 @@
+//! The recorder stamps, keeps and is shared.
+
+use foxtide_core::events::{EventCode, EventFields, EventFilter};
+use foxtide_events::{Recorder, RecorderOptions, WallClock};
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+
+fn recorder(instance: &str, wall_us: u64) -> Recorder {
+    let options = RecorderOptions {
+        clock: WallClock::Manual(Arc::new(AtomicU64::new(wall_us))),
+        ..RecorderOptions::default()
+    };
+    Recorder::new(instance.parse().unwrap(), options)
+}
+
+#[test]
+fn verify_clones_record_into_one_ring() {
+    let recorder = recorder("k-1", 5);
+    let threads: Vec<_> = (0..4)
+        .map(|_| {
+            let clone = recorder.clone();
+            let work = move || clone.record(EventCode::MoveStarted, EventFields::default());
+            std::thread::spawn(work)
+        })
+        .collect();
+    for thread in threads {
+        thread.join().unwrap();
+    }
+    let events = recorder.select(&EventFilter::default());
+    assert_eq!(events.len(), 4);
+    assert!(events.is_sorted_by(|a, b| a.clock < b.clock));
+}
+
+#[test]
+fn verify_events_after_a_message_come_after_its_sending() {
+    let ahead = recorder("k-1", 900);
+    let behind = recorder("k-2", 5);
+    let cause = ahead.record(EventCode::MemberLeaving, EventFields::default());
+    behind.observe(ahead.stamp());
+    let effect = behind.record(EventCode::MemberLeft, EventFields::default());
+    assert!(effect > cause);
+}
