Add the choice of an upstream, retries and their budget

Cause: the request path needs to know where to send a request and what to do after each attempt's result. Change: core::choice (Balancer), core::retry (RetryBudget, Attempts, HedgeDelay) and core::outcome, pure and without I/O. The choice scores each upstream by its own requests in flight, its latency and an estimate of the other instances' requests that fades within one latency. Conclusion: the interfaces stand; the score is to be compared with simpler ways next.

--- /dev/null
+++ b/crates/foxtide-core/src/choice/balancer.rs
@@ -0,0 +1,438 @@
+//! The choice itself.
+
+use super::candidate::{Candidate, Common, UpstreamStatus};
+use super::{BalancerOptions, Completion, PollResult};
+use crate::ids::UpstreamId;
+use crate::organisation::Upstream;
+use crate::time::MonotonicTime;
+use std::sync::Arc;
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// The shortest wait that a pick asks for.
+const WAIT_MIN: Duration = Duration::from_millis(1);
+
+/// The wait where only an answer can free a slot.
+const WAIT_FOR_ANSWER: Duration = Duration::from_millis(20);
+
+/// How far a draw moves the score, so that equals are taken in turn.
+const DRAW_WEIGHT: f64 = 0.02;
+
+/// What to do with a request.
+#[derive(Debug)]
+pub enum Pick {
+    /// Send it to the ticket's upstream.
+    Take(Ticket),
+    /// Every upstream is full: ask again after this time or after the next
+    /// completion, whichever comes first.
+    Wait {
+        /// The time until an upstream is expected to have room.
+        retry_in: Duration,
+    },
+    /// No upstream is able to serve at all.
+    Empty,
+}
+
+/// The right to send one request to one upstream.
+///
+/// It has to be given back to [`Balancer::finish`], also when the request is
+/// cancelled.
+#[derive(Debug)]
+#[must_use = "a ticket has to be finished"]
+pub struct Ticket {
+    upstream: Arc<Upstream>,
+    incarnation: u64,
+    connection_limit: u32,
+}
+
+impl Ticket {
+    /// Returns the upstream to which the request is sent.
+    pub fn upstream(&self) -> &Upstream {
+        &self.upstream
+    }
+
+    /// Returns how many connections this instance may keep to the upstream.
+    pub fn connection_limit(&self) -> u32 {
+        self.connection_limit
+    }
+}
+
+/// The task to ask one upstream's load endpoint.
+///
+/// It has to be given back to [`Balancer::finish_poll`].
+#[derive(Debug)]
+#[must_use = "a poll has to be finished"]
+pub struct Poll {
+    upstream: Arc<Upstream>,
+    incarnation: u64,
+}
+
+impl Poll {
+    /// Returns the upstream to be asked.
+    pub fn upstream(&self) -> &Upstream {
+        &self.upstream
+    }
+}
+
+/// A change of what an instance makes of an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StatusChange {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// What it was.
+    pub from: UpstreamStatus,
+    /// What it is now.
+    pub to: UpstreamStatus,
+}
+
+/// Chooses upstreams for one service in one region.
+#[derive(Clone, Debug)]
+pub struct Balancer {
+    options: BalancerOptions,
+    seed: u64,
+    candidates: Vec<Candidate>,
+    common: Common,
+    sharing_instances: u32,
+    next_incarnation: u64,
+}
+
+impl Balancer {
+    /// Returns a balancer without upstreams. The seed has to differ between
+    /// instances and is best derived from the instance's name.
+    pub fn new(options: BalancerOptions, seed: u64) -> Self {
+        Self {
+            options,
+            seed,
+            candidates: Vec::new(),
+            common: Common::default(),
+            sharing_instances: 1,
+            next_incarnation: 0,
+        }
+    }
+
+    /// Puts a list of upstreams in force, which `sharing_instances` instances
+    /// use together. What is known of upstreams that stay is kept; upstreams
+    /// that come later than the first list start small.
+    pub fn configure(
+        &mut self,
+        upstreams: &[Upstream],
+        sharing_instances: u32,
+        now: MonotonicTime,
+    ) {
+        self.sharing_instances = sharing_instances.max(1);
+        let is_first = self.candidates.is_empty();
+        let mut known = std::mem::take(&mut self.candidates);
+        for upstream in upstreams {
+            let same = |known: &Candidate| {
+                known.id() == &upstream.upstream && known.upstream.address == upstream.address
+            };
+            let candidate = match known.iter().position(same) {
+                Some(index) => with_settings(known.swap_remove(index), upstream),
+                None => self.new_candidate(upstream, is_first, now),
+            };
+            self.candidates.push(candidate);
+        }
+        self.share_out(now);
+    }
+
+    fn new_candidate(
+        &mut self,
+        upstream: &Upstream,
+        is_first: bool,
+        now: MonotonicTime,
+    ) -> Candidate {
+        self.next_incarnation += 1;
+        let mut candidate = Candidate::new(upstream.clone(), self.next_incarnation, now);
+        if !is_first {
+            candidate.start_ramp(now);
+        }
+        candidate
+    }
+
+    /// Takes an upstream out of service: it gets no new request from now on.
+    pub fn leave(&mut self, upstream: &UpstreamId, now: MonotonicTime) {
+        self.set_leaving(upstream, true, now);
+    }
+
+    /// Takes an upstream that had left back into service; it starts small.
+    pub fn rejoin(&mut self, upstream: &UpstreamId, now: MonotonicTime) {
+        self.set_leaving(upstream, false, now);
+    }
+
+    fn set_leaving(&mut self, upstream: &UpstreamId, leaving: bool, now: MonotonicTime) {
+        let found = self.candidates.iter_mut().find(|c| c.id() == upstream);
+        let Some(candidate) = found.filter(|c| c.leaving != leaving) else {
+            return;
+        };
+        candidate.leaving = leaving;
+        if !leaving {
+            candidate.start_ramp(now);
+        }
+        self.share_out(now);
+    }
+
+    /// Chooses an upstream for a request. `draw` is a random number.
+    pub fn pick(&mut self, now: MonotonicTime, draw: u64) -> Pick {
+        self.pick_other(now, draw, &[])
+    }
+
+    /// Chooses an upstream for a request that has been to `tried` already;
+    /// those are taken again only where no other has room.
+    pub fn pick_other(&mut self, now: MonotonicTime, draw: u64, tried: &[UpstreamId]) -> Pick {
+        let best = self
+            .best(now, draw, |c| !tried.contains(c.id()))
+            .or_else(|| self.best(now, draw, |_| true));
+        let Some(index) = best else {
+            return self.wait_or_empty(now);
+        };
+        let candidate = &mut self.candidates[index];
+        candidate.sent(now);
+        Pick::Take(Ticket {
+            upstream: Arc::clone(&candidate.upstream),
+            incarnation: candidate.incarnation,
+            connection_limit: candidate.connection_limit,
+        })
+    }
+
+    /// Returns the index of the best upstream that has room.
+    fn best(
+        &self,
+        now: MonotonicTime,
+        draw: u64,
+        allowed: impl Fn(&Candidate) -> bool,
+    ) -> Option<usize> {
+        let mut best = None;
+        let mut best_score = f64::INFINITY;
+        for (index, candidate) in self.candidates.iter().enumerate() {
+            let has_room = candidate.free_from(now).is_some_and(|from| from <= now);
+            if !has_room || !self.is_open(candidate, now) || !allowed(candidate) {
+                continue;
+            }
+            let jitter = DRAW_WEIGHT * unit_draw(draw, index);
+            let score = candidate.score(&self.options, &self.common, now) + jitter;
+            if score < best_score {
+                best_score = score;
+                best = Some(index);
+            }
+        }
+        best
+    }
+
+    /// Tells whether an upstream gets new requests, room set aside.
+    fn is_open(&self, candidate: &Candidate, now: MonotonicTime) -> bool {
+        let status = candidate.status(&self.options, now);
+        matches!(status, UpstreamStatus::Serving | UpstreamStatus::Ramping)
+    }
+
+    fn wait_or_empty(&self, now: MonotonicTime) -> Pick {
+        let open = self.candidates.iter().filter(|c| self.is_open(c, now));
+        let wait_for = |candidate: &Candidate| match candidate.free_from(now) {
+            Some(from) => from - now,
+            None => WAIT_FOR_ANSWER,
+        };
+        match open.map(wait_for).min() {
+            Some(retry_in) => Pick::Wait {
+                retry_in: retry_in.max(WAIT_MIN),
+            },
+            None => Pick::Empty,
+        }
+    }
+
+    /// Takes a ticket back and learns from what became of the request.
+    pub fn finish(&mut self, ticket: Ticket, completion: Completion, now: MonotonicTime) {
+        let Some(index) = self.position(ticket.incarnation) else {
+            return;
+        };
+        let candidate = &mut self.candidates[index];
+        let stayed = candidate.stays();
+        candidate.finished(&completion, &self.options, &mut self.common, now);
+        if candidate.stays() != stayed {
+            self.share_out(now);
+        }
+        self.eject_if_outlier(index, now);
+    }
+
+    fn eject_if_outlier(&mut self, index: usize, now: MonotonicTime) {
+        let options = &self.options.ejection;
+        let candidate = &self.candidates[index];
+        let outlier = candidate
+            .failures
+            .is_outlier(&self.common.failures, options);
+        if !outlier || !self.is_open(candidate, now) || self.out_count(now) >= self.out_limit() {
+            return;
+        }
+        self.candidates[index].failures.eject(options, now);
+    }
+
+    /// Returns how many upstreams of the subset are dead or ejected.
+    fn out_count(&self, now: MonotonicTime) -> usize {
+        let is_out = |candidate: &&Candidate| {
+            let status = candidate.status(&self.options, now);
+            matches!(status, UpstreamStatus::Dead | UpstreamStatus::Ejected)
+        };
+        self.candidates.iter().filter(is_out).count()
+    }
+
+    /// Returns how many upstreams may be out before ejections stop.
+    fn out_limit(&self) -> usize {
+        let in_use = self.candidates.iter().filter(|c| c.used && c.stays());
+        (in_use.count() as f64 * self.options.ejection.ejected_max.get()) as usize
+    }
+
+    /// Returns the next upstream that is to be polled, if any is.
+    pub fn next_poll(&mut self, now: MonotonicTime) -> Option<Poll> {
+        let options = &self.options.liveness;
+        let is_due =
+            |c: &&mut Candidate| (c.used || c.draining) && c.liveness.poll_is_due(options, now);
+        let candidate = self.candidates.iter_mut().find(is_due)?;
+        candidate.liveness.poll_sent(now);
+        Some(Poll {
+            upstream: Arc::clone(&candidate.upstream),
+            incarnation: candidate.incarnation,
+        })
+    }
+
+    /// Takes a poll back and learns from its answer.
+    pub fn finish_poll(&mut self, poll: Poll, result: PollResult, now: MonotonicTime) {
+        let Some(index) = self.position(poll.incarnation) else {
+            return;
+        };
+        let candidate = &mut self.candidates[index];
+        let stayed = candidate.stays();
+        candidate.polled(&result, &self.options, &mut self.common, now);
+        if candidate.stays() != stayed {
+            self.share_out(now);
+        }
+    }
+
+    /// Returns what has changed since the last call, for the time line.
+    pub fn status_changes(&mut self, now: MonotonicTime) -> Vec<StatusChange> {
+        let mut changes = Vec::new();
+        for candidate in &mut self.candidates {
+            if let Some(until) = candidate.failures.take_return(now) {
+                candidate.start_ramp(until);
+            }
+            let to = candidate.status(&self.options, now);
+            let from = std::mem::replace(&mut candidate.told, to);
+            if from != to {
+                changes.push(StatusChange {
+                    upstream: candidate.id().clone(),
+                    from,
+                    to,
+                });
+            }
+        }
+        changes
+    }
+
+    /// Returns each upstream with what the instance makes of it.
+    pub fn statuses(
+        &self,
+        now: MonotonicTime,
+    ) -> impl Iterator<Item = (&Upstream, UpstreamStatus)> {
+        let status = move |candidate: &Candidate| candidate.status(&self.options, now);
+        self.candidates
+            .iter()
+            .map(move |c| (&*c.upstream, status(c)))
+    }
+
+    /// Returns the part of the upstreams that can serve now.
+    pub fn healthy_share(&self, now: MonotonicTime) -> crate::units::Share {
+        let open = self.candidates.iter().filter(|c| {
+            !matches!(
+                c.status(&self.options, now),
+                UpstreamStatus::Dead | UpstreamStatus::Ejected | UpstreamStatus::Leaving
+            )
+        });
+        let all = self.candidates.len().max(1);
+        crate::units::Share::clamped(open.count() as f64 / all as f64)
+    }
+
+    /// Returns the number of requests in flight from this instance.
+    pub fn in_flight(&self) -> u32 {
+        self.candidates.iter().map(|c| c.in_flight).sum()
+    }
+
+    fn position(&self, incarnation: u64) -> Option<usize> {
+        self.candidates
+            .iter()
+            .position(|c| c.incarnation == incarnation)
+    }
+
+    /// Shares the connections out among the instances, and keeps to a subset
+    /// where the instance's part of an upstream would be too small.
+    fn share_out(&mut self, now: MonotonicTime) {
+        let subset = self.subset();
+        let own_zone = self.options.availability_zone.clone();
+        let out_before = self.out_limit();
+        let all = self.candidates.iter().filter(|c| c.stays()).count().max(1);
+        for (index, candidate) in self.candidates.iter_mut().enumerate() {
+            candidate.used = subset.contains(&index);
+            let users = (u64::from(self.sharing_instances) * subset.len() as u64)
+                .div_ceil(all as u64)
+                .max(1);
+            let part = u64::from(candidate.upstream.connections) / users;
+            candidate.connection_limit = u32::try_from(part).unwrap_or(u32::MAX).max(1);
+            let zone = &candidate.upstream.availability_zone;
+            candidate.in_other_zone = own_zone.as_ref().is_some_and(|own| own != zone);
+        }
+        if self.out_limit() < out_before {
+            self.return_surplus(now);
+        }
+    }
+
+    /// Ends ejections until no more upstreams are out than may be.
+    fn return_surplus(&mut self, now: MonotonicTime) {
+        while self.out_count(now) > self.out_limit() {
+            let ejected = |c: &&mut Candidate| c.used && c.failures.is_ejected(now);
+            let Some(candidate) = self.candidates.iter_mut().find(ejected) else {
+                return;
+            };
+            candidate.failures.end_ejection();
+            candidate.start_ramp(now);
+        }
+    }
+
+    /// Returns the indices of the upstreams that this instance uses: those of
+    /// the highest rendezvous hash with its seed.
+    fn subset(&self) -> Vec<usize> {
+        let hash = |index: &usize| {
+            let name = self.candidates[*index].id().as_str();
+            xxh3_64_with_seed(name.as_bytes(), self.seed)
+        };
+        let staying = |index: &usize| self.candidates[*index].stays();
+        let mut indices: Vec<usize> = (0..self.candidates.len()).filter(staying).collect();
+        indices.sort_by_key(hash);
+        indices.truncate(self.subset_size(indices.len()));
+        indices
+    }
+
+    /// Returns the largest number of upstreams of which each still leaves this
+    /// instance `connections_min` connections.
+    fn subset_size(&self, staying: usize) -> usize {
+        let in_all: u64 = self
+            .candidates
+            .iter()
+            .filter(|c| c.stays())
+            .map(|c| u64::from(c.upstream.connections))
+            .sum();
+        let wanted_each = u64::from(self.options.connections_min.max(1));
+        let affordable = in_all / u64::from(self.sharing_instances) / wanted_each;
+        let size = usize::try_from(affordable).unwrap_or(usize::MAX);
+        size.max(self.options.subset_min).min(staying)
+    }
+}
+
+fn with_settings(mut candidate: Candidate, upstream: &Upstream) -> Candidate {
+    if *candidate.upstream != *upstream {
+        candidate.upstream = Arc::new(upstream.clone());
+    }
+    candidate
+}
+
+/// Returns a number from 0 to 1 that differs between candidates and draws.
+fn unit_draw(draw: u64, index: usize) -> f64 {
+    const MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
+    let mixed = (draw ^ index as u64).wrapping_mul(MULTIPLIER);
+    (mixed >> 32) as f64 / f64::from(u32::MAX)
+}
--- /dev/null
+++ b/crates/foxtide-core/src/choice/candidate.rs
@@ -0,0 +1,320 @@
+//! One upstream as the balancer of one instance sees it.
+
+use super::BalancerOptions;
+use super::completion::{Completion, CompletionKind, PollResult};
+use super::ejection::FailureRecord;
+use super::liveness::Liveness;
+use super::occupancy::Occupancy;
+use crate::ids::UpstreamId;
+use crate::organisation::Upstream;
+use crate::time::MonotonicTime;
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The weight of a new latency in the smoothed one.
+const LATENCY_WEIGHT: f64 = 0.1;
+
+/// How far an upstream's latency may move its score, up or down.
+const LATENCY_FACTOR_MAX: f64 = 8.0;
+
+/// The longest time for which a refusal alone keeps an upstream out.
+const HOLD_MAX: Duration = Duration::from_millis(100);
+
+/// What an instance makes of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum UpstreamStatus {
+    /// It gets its full part of the requests.
+    Serving,
+    /// It is new or has come back and gets a growing part.
+    Ramping,
+    /// It leaves and gets no new request.
+    Leaving,
+    /// It does not answer and gets polls alone.
+    Dead,
+    /// It fails far more often than the rest and rests for a time.
+    Ejected,
+    /// It is outside this instance's subset.
+    Unused,
+}
+
+impl fmt::Display for UpstreamStatus {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Serving => "serving",
+            Self::Ramping => "ramping",
+            Self::Leaving => "leaving",
+            Self::Dead => "dead",
+            Self::Ejected => "ejected",
+            Self::Unused => "unused",
+        })
+    }
+}
+
+/// What all candidates of a balancer have in common.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Common {
+    /// The smoothed latency over all upstreams.
+    pub(crate) latency_us: f64,
+    /// What other instances use of the average slot, from reports.
+    pub(crate) others_per_slot: f64,
+    /// The failures over all upstreams.
+    pub(crate) failures: FailureRecord,
+}
+
+/// The state of one upstream.
+#[derive(Clone, Debug)]
+pub(crate) struct Candidate {
+    pub(crate) upstream: Arc<Upstream>,
+    /// Tells this entry from an earlier one of the same name.
+    pub(crate) incarnation: u64,
+    pub(crate) in_other_zone: bool,
+    pub(crate) connection_limit: u32,
+    /// Whether it belongs to this instance's subset.
+    pub(crate) used: bool,
+    /// Whether its leaving was announced to foxtide.
+    pub(crate) leaving: bool,
+    /// Whether it said itself that it is draining.
+    pub(crate) draining: bool,
+    pub(crate) in_flight: u32,
+    pub(crate) liveness: Liveness,
+    pub(crate) failures: FailureRecord,
+    /// The status that was last told to the caller.
+    pub(crate) told: UpstreamStatus,
+    occupancy: Occupancy,
+    ramp_from: Option<MonotonicTime>,
+    full_until: MonotonicTime,
+    latency_us: f64,
+}
+
+impl Candidate {
+    /// Returns the state of an upstream of which nothing is known yet.
+    pub(crate) fn new(upstream: Upstream, incarnation: u64, now: MonotonicTime) -> Self {
+        Self {
+            upstream: Arc::new(upstream),
+            incarnation,
+            in_other_zone: false,
+            connection_limit: 1,
+            used: true,
+            leaving: false,
+            draining: false,
+            in_flight: 0,
+            liveness: Liveness::new(now),
+            failures: FailureRecord::default(),
+            told: UpstreamStatus::Serving,
+            occupancy: Occupancy::new(),
+            ramp_from: None,
+            full_until: MonotonicTime::ZERO,
+            latency_us: 0.0,
+        }
+    }
+
+    /// Returns the upstream's name.
+    pub(crate) fn id(&self) -> &UpstreamId {
+        &self.upstream.upstream
+    }
+
+    /// Starts the growth of the upstream's part.
+    pub(crate) fn start_ramp(&mut self, now: MonotonicTime) {
+        self.ramp_from = Some(now);
+    }
+
+    /// Tells whether the upstream may belong to a subset.
+    pub(crate) fn stays(&self) -> bool {
+        !self.leaving && !self.draining
+    }
+
+    /// Returns what the instance makes of the upstream now.
+    pub(crate) fn status(&self, options: &BalancerOptions, now: MonotonicTime) -> UpstreamStatus {
+        if !self.stays() {
+            return UpstreamStatus::Leaving;
+        }
+        if !self.used {
+            return UpstreamStatus::Unused;
+        }
+        if self.liveness.is_dead(&options.liveness, now) {
+            return UpstreamStatus::Dead;
+        }
+        if self.failures.is_ejected(now) {
+            return UpstreamStatus::Ejected;
+        }
+        if self.weight(options, now) < 1.0 {
+            return UpstreamStatus::Ramping;
+        }
+        UpstreamStatus::Serving
+    }
+
+    /// Returns the most requests that this instance may have in flight here.
+    fn in_flight_limit(&self) -> u32 {
+        self.upstream.slots.min(self.connection_limit).max(1)
+    }
+
+    /// Returns when the upstream can take a request, as far as is known;
+    /// `None` where an answer must free a slot first.
+    pub(crate) fn free_from(&self, now: MonotonicTime) -> Option<MonotonicTime> {
+        (self.in_flight < self.in_flight_limit()).then_some(self.full_until.max(now))
+    }
+
+    /// Returns the part of its slots that the upstream may use while it ramps.
+    fn weight(&self, options: &BalancerOptions, now: MonotonicTime) -> f64 {
+        let Some(from) = self.ramp_from else {
+            return 1.0;
+        };
+        let passed = (now - from).as_secs_f64() / options.ramp.as_secs_f64().max(1e-3);
+        passed.clamp(options.ramp_floor.get(), 1.0)
+    }
+
+    /// Returns how long sights of the other instances' requests are of use.
+    fn sight_life(&self, options: &BalancerOptions, common: &Common) -> Duration {
+        let latency_us = common.latency_us.max(1.0);
+        Duration::from_secs_f64(latency_us * options.report_life_latencies / 1e6)
+    }
+
+    /// Returns what the other instances usually use of this upstream.
+    fn usual_others(&self, common: &Common) -> f64 {
+        common.others_per_slot * f64::from(self.upstream.slots)
+    }
+
+    /// Returns the expected load after one more request; the lowest is best.
+    pub(crate) fn score(
+        &self,
+        options: &BalancerOptions,
+        common: &Common,
+        now: MonotonicTime,
+    ) -> f64 {
+        let life = self.sight_life(options, common);
+        let others = self
+            .occupancy
+            .estimate(self.usual_others(common), life, now);
+        let requests = others.max(0.0) + f64::from(self.in_flight) + 1.0;
+        let slots = f64::from(self.upstream.slots.max(1)) * self.weight(options, now);
+        let load = requests / slots * self.latency_factor(common);
+        if self.in_other_zone {
+            load + options.other_zone_penalty
+        } else {
+            load
+        }
+    }
+
+    /// Returns how much slower the upstream is than the average one.
+    fn latency_factor(&self, common: &Common) -> f64 {
+        if self.latency_us == 0.0 || common.latency_us == 0.0 {
+            return 1.0;
+        }
+        let factor = self.latency_us / common.latency_us;
+        factor.clamp(1.0 / LATENCY_FACTOR_MAX, LATENCY_FACTOR_MAX)
+    }
+
+    /// Notes that a request was sent.
+    pub(crate) fn sent(&mut self, now: MonotonicTime) {
+        self.in_flight += 1;
+        self.liveness.sent(now);
+    }
+
+    /// Notes what became of a request.
+    pub(crate) fn finished(
+        &mut self,
+        completion: &Completion,
+        options: &BalancerOptions,
+        common: &mut Common,
+        now: MonotonicTime,
+    ) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.draining |= completion.draining;
+        self.note_life(completion.kind, options, now);
+        if let Some(failed) = completion.kind.failure() {
+            self.failures.record(failed);
+            common.failures.record(failed);
+        }
+        match completion.kind {
+            CompletionKind::Answered => self.answered(completion, common, now),
+            CompletionKind::Refused => self.refused(options, common, now),
+            _ => {}
+        }
+    }
+
+    fn note_life(&mut self, kind: CompletionKind, options: &BalancerOptions, now: MonotonicTime) {
+        if kind.is_sign_of_life() {
+            self.heard(options, now);
+        } else if kind == CompletionKind::NotSent {
+            self.liveness.unreachable(&options.liveness);
+        } else if kind != CompletionKind::Cancelled {
+            self.liveness.unanswered(&options.liveness, now);
+        }
+    }
+
+    /// Notes any answer; an upstream that was dead starts to ramp.
+    pub(crate) fn heard(&mut self, options: &BalancerOptions, now: MonotonicTime) {
+        let was_dead = self.liveness.heard(&options.liveness, now);
+        if was_dead {
+            self.start_ramp(now);
+        }
+    }
+
+    fn answered(&mut self, completion: &Completion, common: &mut Common, now: MonotonicTime) {
+        let sample_us = completion.latency.as_micros() as f64;
+        smooth(&mut self.latency_us, sample_us);
+        smooth(&mut common.latency_us, sample_us);
+        self.full_until = MonotonicTime::ZERO;
+        self.occupancy.served();
+        if let Some(load) = &completion.load {
+            self.reported(load.utilization, common, now);
+        }
+    }
+
+    /// Notes what became of a poll; its answer alone tells whether an upstream
+    /// that was draining takes requests again.
+    pub(crate) fn polled(
+        &mut self,
+        result: &PollResult,
+        options: &BalancerOptions,
+        common: &mut Common,
+        now: MonotonicTime,
+    ) {
+        self.liveness.poll_ended();
+        match result {
+            PollResult::Answered { load, draining } => {
+                self.heard(options, now);
+                if self.draining && !draining {
+                    self.start_ramp(now);
+                }
+                self.draining = *draining;
+                if let Some(load) = load {
+                    self.reported(load.utilization, common, now);
+                }
+            }
+            PollResult::Unreachable => self.liveness.unreachable(&options.liveness),
+            PollResult::TimedOut => self.liveness.unanswered(&options.liveness, now),
+        }
+    }
+
+    /// Notes a load report.
+    fn reported(&mut self, utilization: f64, common: &mut Common, now: MonotonicTime) {
+        let slots = f64::from(self.upstream.slots);
+        let others = (utilization * slots - f64::from(self.in_flight)).max(0.0);
+        common.others_per_slot +=
+            LATENCY_WEIGHT * (others / slots.max(1.0) - common.others_per_slot);
+        self.occupancy
+            .reported(others, self.usual_others(common), now);
+    }
+
+    /// Notes a refusal: every slot was in use, and one of them frees after
+    /// about a latency divided by the slots.
+    fn refused(&mut self, options: &BalancerOptions, common: &Common, now: MonotonicTime) {
+        let slots = f64::from(self.upstream.slots.max(1));
+        let others = (slots - f64::from(self.in_flight)).max(0.0);
+        let life = self.sight_life(options, common);
+        self.occupancy.refused(others, life, now);
+        let frees_in = Duration::from_secs_f64(common.latency_us / slots / 1e6);
+        self.full_until = now + frees_in.min(HOLD_MAX);
+    }
+}
+
+/// Moves a smoothed value towards a sample; the first sample is taken whole.
+fn smooth(value: &mut f64, sample: f64) {
+    if *value == 0.0 {
+        *value = sample;
+    } else {
+        *value += LATENCY_WEIGHT * (sample - *value);
+    }
+}
--- /dev/null
+++ b/crates/foxtide-core/src/choice/liveness.rs
@@ -0,0 +1,87 @@
+//! Detection of an upstream that no longer answers.
+//!
+//! Any answer, also a refusal or an answered poll, is a sign of life. An
+//! upstream from which nothing is heard is polled; when a request or a poll
+//! stays unanswered for the silence limit with no other sign, the upstream is
+//! dead and gets no request until a poll or an old request is answered.
+
+use super::LivenessOptions;
+use crate::time::MonotonicTime;
+
+/// What one instance knows of the life of one upstream.
+#[derive(Clone, Debug)]
+pub(crate) struct Liveness {
+    heard_at: MonotonicTime,
+    /// When the oldest attempt or poll since the last sign was sent.
+    waiting_since: Option<MonotonicTime>,
+    unreachable_in_row: u32,
+    dead: bool,
+    polled_at: MonotonicTime,
+    poll_open: bool,
+}
+
+impl Liveness {
+    /// Returns the state of an upstream that is taken for alive.
+    pub(crate) const fn new(now: MonotonicTime) -> Self {
+        Self {
+            heard_at: now,
+            waiting_since: None,
+            unreachable_in_row: 0,
+            dead: false,
+            polled_at: now,
+            poll_open: false,
+        }
+    }
+
+    /// Tells whether the upstream is taken for dead.
+    pub(crate) fn is_dead(&self, options: &LivenessOptions, now: MonotonicTime) -> bool {
+        let silent = |since: MonotonicTime| now - since >= options.silence_limit;
+        self.dead || self.waiting_since.is_some_and(silent)
+    }
+
+    /// Notes that an attempt or a poll was sent.
+    pub(crate) fn sent(&mut self, now: MonotonicTime) {
+        self.waiting_since.get_or_insert(now);
+    }
+
+    /// Notes an answer of any kind; tells whether the upstream was dead.
+    pub(crate) fn heard(&mut self, options: &LivenessOptions, now: MonotonicTime) -> bool {
+        let was_dead = self.is_dead(options, now);
+        self.heard_at = now;
+        self.waiting_since = None;
+        self.unreachable_in_row = 0;
+        self.dead = false;
+        was_dead
+    }
+
+    /// Notes that no connection could be had.
+    pub(crate) fn unreachable(&mut self, options: &LivenessOptions) {
+        self.unreachable_in_row += 1;
+        self.dead |= self.unreachable_in_row >= options.unreachable_limit;
+    }
+
+    /// Notes that an attempt or a poll ended without an answer, so that its
+    /// silence counts on even though nothing is open any more.
+    pub(crate) fn unanswered(&mut self, options: &LivenessOptions, now: MonotonicTime) {
+        self.dead |= self.is_dead(options, now);
+    }
+
+    /// Tells whether the upstream is to be polled now.
+    pub(crate) fn poll_is_due(&self, options: &LivenessOptions, now: MonotonicTime) -> bool {
+        let quiet = now - self.heard_at >= options.poll_after;
+        let rested = now - self.polled_at >= options.poll_after;
+        quiet && rested && !self.poll_open
+    }
+
+    /// Notes that a poll was sent.
+    pub(crate) fn poll_sent(&mut self, now: MonotonicTime) {
+        self.sent(now);
+        self.polled_at = now;
+        self.poll_open = true;
+    }
+
+    /// Notes that the open poll has ended.
+    pub(crate) fn poll_ended(&mut self) {
+        self.poll_open = false;
+    }
+}
--- /dev/null
+++ b/crates/foxtide-core/src/choice/load_report.rs
@@ -0,0 +1,89 @@
+//! Load that an upstream reports in the ORCA form.
+//!
+//! Source: the Open Request Cost Aggregation (ORCA) load report of xDS, as
+//! sent in the header `endpoint-load-metrics`: `TEXT` and a list of
+//! `name=value`, or `JSON` and an object. The binary form is not read.
+
+use crate::{Error, Result};
+use serde::Deserialize;
+use std::str::FromStr;
+
+const REPORT_EXPECTED: &str =
+    "an ORCA load report, such as `TEXT application_utilization=0.5` or `JSON {..}`";
+
+/// The highest utilization that is believed; above it a report is a mistake.
+const UTILIZATION_MAX: f64 = 100.0;
+
+/// The load of an upstream as it reports it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LoadReport {
+    /// The part of the upstream's slots that is in use; above 1 where requests
+    /// wait.
+    pub utilization: f64,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct OrcaReport {
+    application_utilization: Option<f64>,
+    cpu_utilization: Option<f64>,
+}
+
+impl OrcaReport {
+    /// Returns the report where it holds a utilization that can be true.
+    fn utilization(&self) -> Option<f64> {
+        let stated = self.application_utilization.or(self.cpu_utilization);
+        stated.filter(|value| (0.0..=UTILIZATION_MAX).contains(value))
+    }
+
+    fn from_text(text: &str) -> Self {
+        let mut report = Self::default();
+        for (name, value) in text.split(',').filter_map(|pair| pair.split_once('=')) {
+            let value = value.trim().parse().ok();
+            match name.trim() {
+                "application_utilization" => report.application_utilization = value,
+                "cpu_utilization" => report.cpu_utilization = value,
+                _ => {}
+            }
+        }
+        report
+    }
+}
+
+impl FromStr for LoadReport {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let mistake = || Error::parse(text, REPORT_EXPECTED);
+        let trimmed = text.trim();
+        let json = trimmed.strip_prefix("JSON").unwrap_or(trimmed).trim();
+        let report = if json.starts_with('{') {
+            serde_json::from_str(json).map_err(|_| mistake())?
+        } else {
+            OrcaReport::from_text(trimmed.strip_prefix("TEXT").unwrap_or(trimmed))
+        };
+        let utilization = report.utilization().ok_or_else(mistake)?;
+        Ok(Self { utilization })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn verify_orca_forms_are_read() {
+        let text = "TEXT cpu_utilization=0.2, application_utilization=0.75,eps=1";
+        let json = r#"JSON {"application_utilization": 0.75, "rps_fractional": 3}"#;
+        for report in [text, json] {
+            assert_eq!(report.parse::<LoadReport>().unwrap().utilization, 0.75);
+        }
+    }
+
+    #[test]
+    fn verify_impossible_reports_are_refused() {
+        for report in ["", "TEXT", "TEXT cpu_utilization=-1", "JSON {", "BIN aa"] {
+            assert!(report.parse::<LoadReport>().is_err(), "{report}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxtide-core/src/choice/mod.rs
@@ -0,0 +1,28 @@
+//! Choice of an upstream for one service in one region, by one instance.
+//!
+//! A [`Balancer`] estimates how busy each upstream is from what this instance
+//! saw itself (requests in flight, latency, refusals) and, with less weight,
+//! from load reports. It keeps upstreams out that leave, that have stopped
+//! answering or that fail far more often than the rest.
+//!
+//! ```text
+//! pick() -> Ticket -> the request is sent -> finish(ticket, completion)
+//! next_poll() -> Poll -> the load endpoint is asked -> finish_poll(poll, ..)
+//! ```
+//!
+//! Every ticket and every poll has to be given back, whatever became of it.
+
+mod balancer;
+mod candidate;
+mod completion;
+mod ejection;
+mod liveness;
+mod load_report;
+mod occupancy;
+mod options;
+
+pub use balancer::{Balancer, Pick, Poll, StatusChange, Ticket};
+pub use candidate::UpstreamStatus;
+pub use completion::{Completion, CompletionKind, PollResult};
+pub use load_report::LoadReport;
+pub use options::{BalancerOptions, EjectionOptions, LivenessOptions};
--- a/crates/foxtide-core/src/lib.rs
+++ b/crates/foxtide-core/src/lib.rs
@@ -4,10 +4,13 @@
 //! current time, and returns what is to be done. Clocks, randomness and I/O
 //! belong to the callers.
 
+pub mod choice;
 pub mod errors;
 pub mod events;
 pub mod ids;
 pub mod organisation;
+pub mod outcome;
+pub mod retry;
 pub mod store;
 pub mod time;
 pub mod units;
