Add explanations of look-ups and requests

Every look-up and request is to be asked why it went where it did, at a bounded cost. The figures a decision rests on are the same for all requests of a service for a while, so they are kept once as a view, at most one a second a service; a decision is 128 bytes at most and names its view. Decisions that did not go as planned have room apart. The default log stays under 4 MB (asserted by a test). The event ring no longer grows past its capacity either.

--- a/crates/foxtide-core/src/events/ring.rs
+++ b/crates/foxtide-core/src/events/ring.rs
@@ -60,11 +60,11 @@
             Level::Debug => (&mut self.routine, self.options.routine),
             Level::Error | Level::Warn | Level::Info => (&mut self.notable, self.options.notable),
         };
-        queue.push_back(RingEntry { sequence, event });
-        if queue.len() > capacity {
-            queue.pop_front();
+        // Room is made first, so that the queue never grows past its capacity.
+        if queue.len() >= capacity && queue.pop_front().is_some() {
             self.dropped += 1;
         }
+        queue.push_back(RingEntry { sequence, event });
     }
 
     /// Returns how many events were ever recorded.
--- /dev/null
+++ b/crates/foxtide-core/src/explain/log.rs
@@ -0,0 +1,184 @@
+//! The bounded memory of decisions and of the views they rest on.
+
+use super::decision::hash;
+use super::{Attempt, Decision, DecisionKind, Rule, View, ViewId};
+use crate::events::RequestId;
+use crate::ids::{OrganisationId, RegionId, ServiceId};
+use crate::time::WallTime;
+use serde::Serialize;
+use std::collections::VecDeque;
+use std::mem::size_of;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How much is kept.
+#[derive(Clone, Copy, Debug)]
+pub struct ExplainOptions {
+    /// How many decisions that went as planned; 16,384 by default.
+    pub usual: usize,
+    /// How many others; 4,096 by default.
+    pub unusual: usize,
+    /// How many views; 512 by default.
+    pub views: usize,
+    /// The shortest time between two views of a service; 1 s by default.
+    pub view_interval: Duration,
+}
+
+impl Default for ExplainOptions {
+    fn default() -> Self {
+        Self {
+            usual: 16_384,
+            unusual: 4_096,
+            views: 512,
+            view_interval: Duration::from_secs(1),
+        }
+    }
+}
+
+/// The answer to why a look-up or request went where it did.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Explanation {
+    /// What was decided.
+    pub kind: DecisionKind,
+    /// The rule that decided.
+    pub rule: Rule,
+    /// The rule, for people.
+    pub because: &'static str,
+    /// When.
+    pub at_us: WallTime,
+    /// The region chosen, if any.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub region: Option<RegionId>,
+    /// The first attempts, in their order.
+    pub attempts: Vec<Attempt>,
+    /// How many attempts were made in all.
+    pub attempts_made: u8,
+    /// How old the view was at the decision, in milliseconds; each figure was
+    /// older by its own age.
+    pub view_age_ms: u64,
+    /// The figures; none where they are no longer kept.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub view: Option<Arc<View>>,
+}
+
+/// The latest decisions of one process.
+#[derive(Clone, Debug, Default)]
+pub struct ExplainLog {
+    options: ExplainOptions,
+    usual: VecDeque<Decision>,
+    unusual: VecDeque<Decision>,
+    views: VecDeque<Arc<View>>,
+    published: u32,
+}
+
+impl ExplainLog {
+    /// Returns an empty log.
+    pub fn new(options: ExplainOptions) -> Self {
+        Self {
+            options,
+            ..Self::default()
+        }
+    }
+
+    /// Tells whether a view of the service is due, so that building one can be
+    /// left out otherwise.
+    pub fn wants_view(
+        &self,
+        organisation: &OrganisationId,
+        service: &ServiceId,
+        now: WallTime,
+    ) -> bool {
+        let same = |v: &&Arc<View>| v.organisation == *organisation && v.service == *service;
+        let latest = self.views.iter().rev().find(same);
+        latest.is_none_or(|view| now.since(view.taken_us) >= self.options.view_interval)
+    }
+
+    /// Keeps a view; returns the number that decisions name it by.
+    pub fn publish(&mut self, view: View) -> ViewId {
+        self.published = self.published.wrapping_add(1);
+        push_bounded(&mut self.views, Arc::new(view), self.options.views);
+        ViewId(self.published)
+    }
+
+    /// Keeps a decision.
+    pub fn note(&mut self, decision: Decision) {
+        if decision.is_unusual() {
+            push_bounded(&mut self.unusual, decision, self.options.unusual);
+        } else {
+            push_bounded(&mut self.usual, decision, self.options.usual);
+        }
+    }
+
+    /// Explains the kept decisions of a request, the latest first. The id is
+    /// compared by a 64-bit hash.
+    pub fn by_request(&self, request: &RequestId) -> Vec<Explanation> {
+        let wanted = hash(request);
+        let all = self.usual.iter().chain(&self.unusual);
+        self.explain_latest(all.filter(|d| d.request_hash == wanted), usize::MAX)
+    }
+
+    /// Explains the latest decisions, the latest first.
+    pub fn latest(&self, limit: usize) -> Vec<Explanation> {
+        let usual = self.usual.iter().rev().take(limit);
+        let unusual = self.unusual.iter().rev().take(limit);
+        self.explain_latest(usual.chain(unusual), limit)
+    }
+
+    /// Explains the latest decisions that did not go as planned, the latest
+    /// first.
+    pub fn latest_unusual(&self, limit: usize) -> Vec<Explanation> {
+        self.explain_latest(self.unusual.iter().rev().take(limit), limit)
+    }
+
+    /// Returns the memory in use, in bytes, names aside.
+    pub fn size_bytes(&self) -> usize {
+        let decisions = self.usual.capacity() + self.unusual.capacity();
+        let views: usize = self.views.iter().map(|view| view.size_bytes()).sum();
+        decisions * size_of::<Decision>() + views
+    }
+
+    fn explain_latest<'a>(
+        &self,
+        decisions: impl Iterator<Item = &'a Decision>,
+        limit: usize,
+    ) -> Vec<Explanation> {
+        let mut found: Vec<&Decision> = decisions.collect();
+        found.sort_by_key(|decision| std::cmp::Reverse(decision.at_us));
+        found.truncate(limit);
+        found.into_iter().map(|d| self.explain(d)).collect()
+    }
+
+    fn explain(&self, decision: &Decision) -> Explanation {
+        let view = self.find_view(decision.view);
+        let age = view.map(|view| decision.at_us.since(view.taken_us));
+        Explanation {
+            kind: decision.kind,
+            rule: decision.rule,
+            because: decision.rule.text(),
+            at_us: decision.at_us,
+            region: decision.region.clone(),
+            attempts: decision.attempts.iter().flatten().cloned().collect(),
+            attempts_made: decision.attempts_made,
+            view_age_ms: age.map_or(0, duration_ms),
+            view: view.cloned(),
+        }
+    }
+
+    fn find_view(&self, id: ViewId) -> Option<&Arc<View>> {
+        let behind = usize::try_from(self.published.wrapping_sub(id.0)).ok()?;
+        let place = self.views.len().checked_sub(behind.checked_add(1)?)?;
+        self.views.get(place)
+    }
+}
+
+fn push_bounded<T>(queue: &mut VecDeque<T>, item: T, capacity: usize) {
+    // Room is made first, so that the queue never grows past its capacity.
+    if queue.len() >= capacity {
+        queue.pop_front();
+    }
+    queue.push_back(item);
+}
+
+fn duration_ms(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/foxtide-core/src/explain/rule.rs
@@ -0,0 +1,79 @@
+//! The rules by which traffic is directed.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// The rule that decided.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Rule {
+    /// The caller's region is a home of the service and serves its own.
+    OwnRegion,
+    /// Drawn by the weights of the homes.
+    Weighted,
+    /// A planned move directs this part of the traffic.
+    PlannedMove,
+    /// The planned region was at a limit; another home took it within the
+    /// contract's spill-over limit.
+    Spilled,
+    /// The planned region has no usable upstream.
+    RegionFailed,
+    /// Sent on to the instance that holds the lease of the idempotency key.
+    KeyHolder,
+    /// The idempotency key is known: the first request's answer was given.
+    KeyReplayed,
+    /// Refused: this instance's part of a region's sold rate is used up.
+    RegionLimit,
+    /// Refused: this instance's part of a link's sold rate is used up.
+    LinkLimit,
+    /// Refused: the contract's spill-over limit is reached.
+    SpillLimit,
+    /// Refused: it would have waited beyond its deadline.
+    Deadline,
+    /// Refused: no upstream is usable.
+    NoUpstream,
+    /// Refused: the idempotency key cannot be accepted here and now.
+    KeyRefused,
+    /// Refused: the request is malformed or names nothing that is served.
+    Malformed,
+    /// Look-up: the instances of the client's region.
+    ClientRegion,
+    /// Look-up: the client's block of addresses belongs to a site.
+    ClientBlock,
+    /// Look-up: no instance lives in the client's region; the next one's.
+    NextRegion,
+    /// Look-up: nothing is known of the client; any live instances.
+    AnyInstance,
+}
+
+impl Rule {
+    /// Returns what the rule says, for people.
+    pub const fn text(self) -> &'static str {
+        match self {
+            Self::OwnRegion => "the caller's region is a home and serves its own traffic",
+            Self::Weighted => "drawn by the weights of the home regions",
+            Self::PlannedMove => "a planned move directs this part of the traffic",
+            Self::Spilled => "the planned region is at a limit, spilled over within the contract",
+            Self::RegionFailed => "the planned region has no usable upstream",
+            Self::KeyHolder => "sent to the instance that holds the lease of the idempotency key",
+            Self::KeyReplayed => "the idempotency key is known, the first answer was given again",
+            Self::RegionLimit => "refused: the region's sold rate is used up",
+            Self::LinkLimit => "refused: the link's sold rate is used up",
+            Self::SpillLimit => "refused: the contract's spill-over limit is reached",
+            Self::Deadline => "refused: it would have waited beyond its deadline",
+            Self::NoUpstream => "refused: no upstream is usable",
+            Self::KeyRefused => "refused: the idempotency key cannot be accepted",
+            Self::Malformed => "refused: malformed, or names nothing that is served",
+            Self::ClientRegion => "the live instances of the client's region",
+            Self::ClientBlock => "the client's block of addresses belongs to a site",
+            Self::NextRegion => "no live instance in the client's region, those of the next one",
+            Self::AnyInstance => "nothing is known of the client, any live instances",
+        }
+    }
+}
+
+impl fmt::Display for Rule {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.text())
+    }
+}
--- a/crates/foxtide-core/src/lib.rs
+++ b/crates/foxtide-core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod choice;
 pub mod errors;
 pub mod events;
+pub mod explain;
 pub mod ids;
 pub mod organisation;
 pub mod outcome;
--- /dev/null
+++ b/crates/foxtide-core/tests/explain.rs
@@ -0,0 +1,117 @@
+//! Why a look-up or request went where it did.
+
+use foxtide_core::events::RequestId;
+use foxtide_core::explain::{
+    AttemptResult, Candidate, CandidateName, Decision, DecisionKind, Exclusion, ExplainLog,
+    ExplainOptions, Figure, FigureKind, Rule, View, ViewId,
+};
+use foxtide_core::time::WallTime;
+
+fn view(taken_us: WallTime) -> View {
+    let erongo = Candidate {
+        name: CandidateName::Region("erongo".parse().unwrap()),
+        excluded: Some(Exclusion::Draining),
+        figures: vec![Figure {
+            kind: FigureKind::WeightShare,
+            value: 0.25,
+            age_ms: 40,
+        }],
+    };
+    View {
+        organisation: "hamutenya".parse().unwrap(),
+        service: "viewer".parse().unwrap(),
+        revision: 7,
+        taken_us,
+        candidates: vec![erongo],
+    }
+}
+
+fn decision(rule: Rule, view: ViewId, at_ms: u64, request: &str) -> Decision {
+    let region = Some("khomas".parse().unwrap());
+    let at = WallTime::from_ms(at_ms);
+    let request: RequestId = request.parse().unwrap();
+    Decision::new(DecisionKind::Request, rule, view, region, at).of_request(&request)
+}
+
+fn small_log() -> ExplainLog {
+    ExplainLog::new(ExplainOptions {
+        usual: 4,
+        unusual: 2,
+        views: 2,
+        ..ExplainOptions::default()
+    })
+}
+
+#[test]
+fn verify_request_is_explained() {
+    let mut log = small_log();
+    let id = log.publish(view(WallTime::from_ms(1_000)));
+    let mut spilled = decision(Rule::Weighted, id, 1_300, "r-1");
+    spilled.attempt("viewer-3".parse().unwrap(), AttemptResult::Refused);
+    spilled.redirect(Rule::Spilled, Some("oshana".parse().unwrap()));
+    spilled.attempt("viewer-5".parse().unwrap(), AttemptResult::Answered);
+    log.note(spilled);
+    let explanations = log.by_request(&"r-1".parse().unwrap());
+    insta::assert_snapshot!(serde_json::to_string_pretty(&explanations).unwrap());
+}
+
+#[test]
+fn verify_flood_of_usual_requests_keeps_the_unusual() {
+    let mut log = small_log();
+    let id = log.publish(view(WallTime::ZERO));
+    log.note(decision(Rule::NoUpstream, id, 1, "r-1"));
+    for at_ms in 2..100 {
+        log.note(decision(Rule::OwnRegion, id, at_ms, "r-2"));
+    }
+    assert_eq!(log.by_request(&"r-1".parse().unwrap()).len(), 1);
+    assert_eq!(log.by_request(&"r-2".parse().unwrap()).len(), 4);
+    assert_eq!(log.latest(3).len(), 3);
+    assert_eq!(log.latest_unusual(3).len(), 1);
+}
+
+#[test]
+fn verify_view_that_is_gone_is_not_mistaken() {
+    let mut log = small_log();
+    let first = log.publish(view(WallTime::from_ms(1)));
+    let second = log.publish(view(WallTime::from_ms(2)));
+    log.publish(view(WallTime::from_ms(3)));
+    log.note(decision(Rule::Weighted, first, 5, "r-1"));
+    log.note(decision(Rule::Weighted, second, 5, "r-2"));
+    assert_eq!(log.by_request(&"r-1".parse().unwrap())[0].view, None);
+    let kept = log.by_request(&"r-2".parse().unwrap());
+    let taken = kept[0].view.as_ref().unwrap().taken_us;
+    assert_eq!(taken, WallTime::from_ms(2));
+    log.note(decision(Rule::Weighted, ViewId::default(), 6, "r-3"));
+    assert_eq!(log.by_request(&"r-3".parse().unwrap())[0].view, None);
+}
+
+#[test]
+fn verify_views_are_due_once_an_interval() {
+    let mut log = small_log();
+    let first = view(WallTime::from_ms(1_000));
+    let (organisation, service) = (first.organisation.clone(), first.service.clone());
+    let is_due =
+        |log: &ExplainLog, ms| log.wants_view(&organisation, &service, WallTime::from_ms(ms));
+    assert!(is_due(&log, 1_000));
+    log.publish(first);
+    assert!(!is_due(&log, 1_900));
+    assert!(is_due(&log, 2_000));
+}
+
+#[test]
+fn verify_default_memory_is_bounded() {
+    let mut log = ExplainLog::default();
+    for number in 0..40_000u64 {
+        if number % 10 == 0 {
+            log.publish(view(WallTime::from_ms(number)));
+        }
+        let rule = if number % 2 == 0 {
+            Rule::Weighted
+        } else {
+            Rule::Spilled
+        };
+        log.note(decision(rule, ViewId::default(), number, "r-1"));
+    }
+    assert!(log.size_bytes() < 4 << 20, "{}", log.size_bytes());
+    assert!(std::mem::size_of::<Decision>() <= 128);
+}
--- /dev/null
+++ b/crates/foxtide-events/src/explainer.rs
@@ -0,0 +1,70 @@
+//! The explain log that all workers of a process share.
+//!
+//! Locks: one, around the log, held for a push or a copy and never together
+//! with another.
+
+use foxtide_core::events::RequestId;
+use foxtide_core::explain::{Decision, ExplainLog, ExplainOptions, Explanation, View, ViewId};
+use foxtide_core::ids::{OrganisationId, ServiceId};
+use foxtide_core::time::WallTime;
+use parking_lot::Mutex;
+use std::sync::Arc;
+
+/// Keeps why look-ups and requests went where they did; see
+/// [`foxtide_core::explain`] for who calls what.
+///
+/// Clones share one log.
+#[derive(Clone, Debug, Default)]
+pub struct Explainer {
+    log: Arc<Mutex<ExplainLog>>,
+}
+
+impl Explainer {
+    /// Returns an empty one.
+    pub fn new(options: ExplainOptions) -> Self {
+        Self {
+            log: Arc::new(Mutex::new(ExplainLog::new(options))),
+        }
+    }
+
+    /// Tells whether a view of the service is due.
+    pub fn wants_view(
+        &self,
+        organisation: &OrganisationId,
+        service: &ServiceId,
+        now: WallTime,
+    ) -> bool {
+        self.log.lock().wants_view(organisation, service, now)
+    }
+
+    /// Keeps a view; returns the number that decisions name it by.
+    pub fn publish(&self, view: View) -> ViewId {
+        self.log.lock().publish(view)
+    }
+
+    /// Keeps a decision.
+    pub fn note(&self, decision: Decision) {
+        self.log.lock().note(decision);
+    }
+
+    /// Explains the kept decisions of a request, the latest first.
+    pub fn by_request(&self, request: &RequestId) -> Vec<Explanation> {
+        self.log.lock().by_request(request)
+    }
+
+    /// Explains the latest decisions, the latest first.
+    pub fn latest(&self, limit: usize) -> Vec<Explanation> {
+        self.log.lock().latest(limit)
+    }
+
+    /// Explains the latest decisions that did not go as planned, the latest
+    /// first.
+    pub fn latest_unusual(&self, limit: usize) -> Vec<Explanation> {
+        self.log.lock().latest_unusual(limit)
+    }
+
+    /// Returns the memory in use, in bytes.
+    pub fn size_bytes(&self) -> usize {
+        self.log.lock().size_bytes()
+    }
+}
