Add settings, the store's client, the watch and the change flow

Settings, templates and stored documents are read strictly: JSON with comments, no duplicate or unknown fields, errors with the field's path. The store's client speaks Consul's published API with a connection a call, so that it can tell exactly whether a byte went out. A change is accepted by one compare-and-swap; a lost answer is settled by writing the same value again with the same index, of which at most one can take effect. base64, percent-encoding and serde_path_to_error come as libraries.

--- /dev/null
+++ b/crates/foxtide-config/src/change/accept.rs
@@ -0,0 +1,260 @@
+//! The compare-and-swap of a change, and settling one whose answer was lost.
+
+use super::codec::{ORGANISATION_PREFIX, decode, encode, key_of};
+use super::diff::{contested, diff};
+use super::error::{ChangeError, Conflict};
+use foxtide_core::ids::{ChangeId, OrganisationId};
+use foxtide_core::organisation::{ChangeSummary, HISTORY_MAX, Organisation};
+use foxtide_core::store::{Store, StoreEntry, StoreError, StoreIndex};
+use foxtide_core::time::WallTime;
+use foxtide_core::units::Revision;
+use serde_json::Value;
+use smol::Timer;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// How often an unknown write is read back and tried again.
+const SETTLE_TRIES: u32 = 5;
+
+/// The wait before the first of these; each further one is twice as long.
+const SETTLE_WAIT: Duration = Duration::from_millis(100);
+
+/// A document as it was read, the base of a change.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Stored {
+    /// The document.
+    pub document: Organisation,
+    /// The index to compare with when it is written.
+    pub index: StoreIndex,
+}
+
+/// A change that is to be accepted.
+#[derive(Clone, Debug)]
+pub struct ChangeRequest {
+    /// What the change started from; nothing for a new organisation.
+    pub base: Option<Stored>,
+    /// The whole document after the change.
+    pub document: Organisation,
+    /// Who makes it.
+    pub author: String,
+    /// What it does, in one line.
+    pub summary: String,
+}
+
+/// An accepted change.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Accepted {
+    /// The document as it is stored now, or was when the change was accepted.
+    pub document: Organisation,
+    /// Whether the answer was lost and the change was found by reading.
+    pub settled: bool,
+}
+
+/// Reads an organisation's document.
+///
+/// # Errors
+///
+/// Fails where the store does, or where the stored value is invalid.
+pub async fn load<S: Store>(
+    store: &S,
+    organisation: &OrganisationId,
+) -> Result<Option<Stored>, ChangeError> {
+    let key = key_of(organisation);
+    let entry = store.read(&key).await.map_err(ChangeError::Store)?;
+    entry.map(|entry| stored(&entry)).transpose()
+}
+
+/// Reads all organisations' documents.
+///
+/// # Errors
+///
+/// Fails where the store does, or where a stored value is invalid.
+pub async fn load_all<S: Store>(store: &S) -> Result<Vec<Stored>, ChangeError> {
+    let listing = store.list(ORGANISATION_PREFIX).await;
+    let entries = listing.map_err(ChangeError::Store)?.entries;
+    entries.iter().map(stored).collect()
+}
+
+fn stored(entry: &StoreEntry) -> Result<Stored, ChangeError> {
+    Ok(Stored {
+        document: decode(&entry.key, &entry.value)?,
+        index: entry.index,
+    })
+}
+
+/// Checks a change and writes it if its base still is what is stored.
+///
+/// # Errors
+///
+/// Fails with [`ChangeError::Conflict`] where another change came first, and
+/// with [`ChangeError::Unsettled`] where the outcome stayed unknown; after all
+/// other errors nothing was written.
+pub async fn accept<S: Store>(store: &S, request: ChangeRequest) -> Result<Accepted, ChangeError> {
+    let attempt = Attempt::new(request)?;
+    match attempt.write(store).await {
+        Ok(true) => Ok(attempt.accepted(false)),
+        Ok(false) => attempt.superseded(store).await,
+        Err(error @ StoreError::Unknown { .. }) => attempt.settle(store, error).await,
+        Err(error) => Err(ChangeError::Store(error)),
+    }
+}
+
+/// One change on its way into the store.
+struct Attempt {
+    base: Option<Stored>,
+    document: Organisation,
+    key: String,
+    value: Vec<u8>,
+}
+
+impl Attempt {
+    fn new(request: ChangeRequest) -> Result<Self, ChangeError> {
+        let document = stamped(&request)?;
+        let value = encode(&document)?;
+        Ok(Self {
+            key: key_of(&document.organisation),
+            base: request.base,
+            document,
+            value,
+        })
+    }
+
+    async fn write<S: Store>(&self, store: &S) -> Result<bool, StoreError> {
+        let expected = self
+            .base
+            .as_ref()
+            .map_or(StoreIndex::ABSENT, |base| base.index);
+        store.write(&self.key, self.value.clone(), expected).await
+    }
+
+    fn accepted(&self, settled: bool) -> Accepted {
+        Accepted {
+            document: self.document.clone(),
+            settled,
+        }
+    }
+
+    fn unsettled(&self, cause: StoreError) -> ChangeError {
+        ChangeError::Unsettled {
+            change_id: self.document.change_id.clone(),
+            cause,
+        }
+    }
+
+    /// Settles a write whose answer was lost.
+    ///
+    /// Writing the same value again is safe: both writes compare with the same
+    /// index, so at most one of them takes effect. Once one is answered, the
+    /// other can no longer change anything.
+    async fn settle<S: Store>(
+        &self,
+        store: &S,
+        lost_answer: StoreError,
+    ) -> Result<Accepted, ChangeError> {
+        let mut wait = SETTLE_WAIT;
+        let mut latest = lost_answer;
+        for _ in 0..SETTLE_TRIES {
+            Timer::after(wait).await;
+            wait *= 2;
+            match self.write(store).await {
+                Ok(true) => return Ok(self.accepted(true)),
+                Ok(false) => return self.superseded(store).await.map_err(|e| self.doubt(e)),
+                Err(error) => latest = error,
+            }
+        }
+        Err(self.unsettled(latest))
+    }
+
+    /// Finds out why the key's index is not the base's: because this change
+    /// took effect earlier, or because of somebody else's.
+    async fn superseded<S: Store>(&self, store: &S) -> Result<Accepted, ChangeError> {
+        let current = load(store, &self.document.organisation).await?;
+        let Some(current) = current else {
+            return Err(ChangeError::Absent(self.document.organisation.clone()));
+        };
+        if holds(&current.document, &self.document.change_id) {
+            return Ok(self.accepted(true));
+        }
+        let conflict = self.conflict(&current.document);
+        Err(ChangeError::Conflict(Box::new(conflict)))
+    }
+
+    /// Takes back the claim that nothing was written, which an error of the
+    /// reading makes, where a write of this change may have taken effect.
+    fn doubt(&self, error: ChangeError) -> ChangeError {
+        match error {
+            ChangeError::Conflict(_) | ChangeError::Unsettled { .. } => error,
+            ChangeError::Store(cause) => self.unsettled(cause),
+            ChangeError::Invalid(_) | ChangeError::Absent(_) => {
+                self.unsettled(StoreError::Unknown {
+                    step: "settle",
+                    peer: self.key.clone(),
+                    cause: error.to_string(),
+                })
+            }
+        }
+    }
+
+    fn conflict(&self, current: &Organisation) -> Conflict {
+        let base = self.base.as_ref().map(|base| &base.document);
+        let base_value = base.map_or(Value::Null, value_of);
+        let theirs = diff(&base_value, &value_of(current));
+        let ours = diff(&base_value, &value_of(&self.document));
+        let latest = current.history.last();
+        Conflict {
+            base: base.map_or(Revision::ZERO, |base| base.revision),
+            accepted: current.revision,
+            accepted_by: latest.map_or_else(String::new, |change| {
+                format!("{}: {}", change.author, change.summary)
+            }),
+            contested: contested(&ours, &theirs),
+            theirs,
+            ours,
+        }
+    }
+}
+
+/// Returns a document as a plain value, for comparing.
+pub(crate) fn value_of(document: &Organisation) -> Value {
+    serde_json::to_value(document).unwrap_or(Value::Null)
+}
+
+/// Tells whether a change took effect, be it the latest or an earlier one.
+fn holds(document: &Organisation, change: &ChangeId) -> bool {
+    let remembered = |past: &ChangeSummary| past.change_id == *change;
+    document.change_id == *change || document.history.iter().any(remembered)
+}
+
+/// Returns the document with its revision, change id and history set.
+fn stamped(request: &ChangeRequest) -> Result<Organisation, ChangeError> {
+    let base = request.base.as_ref().map(|base| &base.document);
+    let revision = base.map_or(Revision::ZERO, |base| base.revision).next();
+    let change_id = new_change_id()?;
+    let mut history = base.map_or_else(Vec::new, |base| base.history.clone());
+    history.push(ChangeSummary {
+        change_id: change_id.clone(),
+        revision,
+        author: request.author.clone(),
+        written_us: wall_now(),
+        summary: request.summary.clone(),
+    });
+    let surplus = history.len().saturating_sub(HISTORY_MAX);
+    history.drain(..surplus);
+    Ok(Organisation {
+        revision,
+        change_id,
+        history,
+        ..request.document.clone()
+    })
+}
+
+fn new_change_id() -> Result<ChangeId, ChangeError> {
+    let text = uuid::Uuid::now_v7().to_string();
+    let parsed = text.parse::<ChangeId>();
+    parsed.map_err(|error| crate::Error::found_in("change_id", error).into())
+}
+
+fn wall_now() -> WallTime {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let us = since_epoch.unwrap_or_default().as_micros();
+    WallTime::from_us(u64::try_from(us).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/foxtide-config/src/change/diff.rs
@@ -0,0 +1,233 @@
+//! What differs between two documents, by path.
+//!
+//! Lists of named things (regions, services, upstreams, moves, drains …) are
+//! compared by name, so that an added entry is one difference and not a change
+//! of all behind it.
+
+use serde::Serialize;
+use serde_json::{Map, Value};
+use std::collections::BTreeSet;
+use std::fmt;
+
+/// The fields that name an entry of a list, the more telling first.
+const NAME_FIELDS: &[&str] = &[
+    "upstream",
+    "service",
+    "move",
+    "drain",
+    "change_id",
+    "region",
+];
+
+/// Fields that every change sets anew.
+const BOOKKEEPING_FIELDS: &[&str] = &["revision", "change_id", "history"];
+
+/// One field that differs.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Difference {
+    /// The field's path, such as `services[viewer].contract.deadline_ms`.
+    pub path: String,
+    /// What stood there before, if anything.
+    pub before: Option<Value>,
+    /// What stands there after, if anything.
+    pub after: Option<Value>,
+    /// The path's parts.
+    #[serde(skip)]
+    steps: Vec<Step>,
+}
+
+impl fmt::Display for Difference {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match (&self.before, &self.after) {
+            (Some(before), Some(after)) => write!(f, "~ {}: {before} -> {after}", self.path),
+            (None, Some(after)) => write!(f, "+ {}: {after}", self.path),
+            (Some(before), None) => write!(f, "- {}: {before}", self.path),
+            (None, None) => write!(f, "  {}", self.path),
+        }
+    }
+}
+
+/// One part of a path.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Step {
+    /// A field of an object.
+    Field(String),
+    /// The entry of a list that has this name.
+    Entry(String),
+}
+
+/// Returns the fields in which two documents differ, bookkeeping left out.
+pub fn diff(before: &Value, after: &Value) -> Vec<Difference> {
+    let mut found = Vec::new();
+    let mut steps = Vec::new();
+    compare(Some(before), Some(after), &mut steps, &mut found);
+    found
+}
+
+fn compare(
+    before: Option<&Value>,
+    after: Option<&Value>,
+    steps: &mut Vec<Step>,
+    found: &mut Vec<Difference>,
+) {
+    match (before, after) {
+        (one, other) if one == other => {}
+        (Some(Value::Object(one)), Some(Value::Object(other))) => {
+            compare_objects(one, other, steps, found);
+        }
+        (Some(Value::Array(one)), Some(Value::Array(other))) if named(one) && named(other) => {
+            compare_lists(one, other, steps, found);
+        }
+        _ => found.push(Difference {
+            path: path_text(steps),
+            before: before.cloned(),
+            after: after.cloned(),
+            steps: steps.clone(),
+        }),
+    }
+}
+
+fn compare_objects(
+    before: &Map<String, Value>,
+    after: &Map<String, Value>,
+    steps: &mut Vec<Step>,
+    found: &mut Vec<Difference>,
+) {
+    let keys: BTreeSet<&String> = before.keys().chain(after.keys()).collect();
+    for key in keys {
+        if steps.is_empty() && BOOKKEEPING_FIELDS.contains(&key.as_str()) {
+            continue;
+        }
+        steps.push(Step::Field(key.clone()));
+        compare(before.get(key), after.get(key), steps, found);
+        steps.pop();
+    }
+}
+
+fn compare_lists(
+    before: &[Value],
+    after: &[Value],
+    steps: &mut Vec<Step>,
+    found: &mut Vec<Difference>,
+) {
+    let names = before.iter().chain(after).filter_map(name_of);
+    let names: BTreeSet<String> = names.collect();
+    for name in names {
+        let one = find(before, &name);
+        let other = find(after, &name);
+        steps.push(Step::Entry(name));
+        compare(one, other, steps, found);
+        steps.pop();
+    }
+}
+
+/// Returns the name of a list's entry: a link's is made of both its ends.
+fn name_of(entry: &Value) -> Option<String> {
+    let text = |field: &str| entry.get(field).and_then(Value::as_str);
+    let plain = NAME_FIELDS.iter().find_map(|field| text(field));
+    match (plain, text("from"), text("to")) {
+        (Some(name), _, _) => Some(name.to_owned()),
+        (None, Some(from), Some(to)) => Some(format!("{from}->{to}")),
+        _ => None,
+    }
+}
+
+fn named(list: &[Value]) -> bool {
+    let names: BTreeSet<String> = list.iter().filter_map(name_of).collect();
+    names.len() == list.len()
+}
+
+fn find<'a>(list: &'a [Value], name: &str) -> Option<&'a Value> {
+    list.iter()
+        .find(|entry| name_of(entry).as_deref() == Some(name))
+}
+
+fn path_text(steps: &[Step]) -> String {
+    let mut text = String::new();
+    for step in steps {
+        match step {
+            Step::Field(name) if text.is_empty() => text.push_str(name),
+            Step::Field(name) => text.push_str(&format!(".{name}")),
+            Step::Entry(name) => text.push_str(&format!("[{name}]")),
+        }
+    }
+    text
+}
+
+/// Returns the paths that both changes touch: the same field, or one a part of
+/// the other.
+pub(crate) fn contested(ours: &[Difference], theirs: &[Difference]) -> Vec<String> {
+    let mut paths = Vec::new();
+    for our in ours {
+        let touches = |their: &Difference| overlaps(&our.steps, &their.steps);
+        let agreed = theirs.contains(our);
+        if !agreed && theirs.iter().any(touches) {
+            paths.push(our.path.clone());
+        }
+    }
+    paths
+}
+
+fn overlaps(one: &[Step], other: &[Step]) -> bool {
+    let common = one.len().min(other.len());
+    one[..common] == other[..common]
+}
+
+/// Returns the document that holds both changes, if no field is changed by
+/// both.
+pub fn rebase(ours: &[Difference], theirs: &[Difference], accepted: &Value) -> Option<Value> {
+    if !contested(ours, theirs).is_empty() {
+        return None;
+    }
+    let mut merged = accepted.clone();
+    for difference in ours {
+        apply(&mut merged, &difference.steps, difference.after.as_ref())?;
+    }
+    Some(merged)
+}
+
+/// Sets or removes what stands at a path.
+fn apply(target: &mut Value, steps: &[Step], after: Option<&Value>) -> Option<()> {
+    let (step, rest) = steps.split_first()?;
+    match step {
+        Step::Field(name) => apply_field(target.as_object_mut()?, name, rest, after),
+        Step::Entry(name) => apply_entry(target.as_array_mut()?, name, rest, after),
+    }
+}
+
+fn apply_field(
+    object: &mut Map<String, Value>,
+    name: &str,
+    rest: &[Step],
+    after: Option<&Value>,
+) -> Option<()> {
+    if !rest.is_empty() {
+        return apply(object.get_mut(name)?, rest, after);
+    }
+    match after {
+        Some(value) => object.insert(name.to_owned(), value.clone()),
+        None => object.remove(name),
+    };
+    Some(())
+}
+
+fn apply_entry(
+    list: &mut Vec<Value>,
+    name: &str,
+    rest: &[Step],
+    after: Option<&Value>,
+) -> Option<()> {
+    let position = list
+        .iter()
+        .position(|entry| name_of(entry).as_deref() == Some(name));
+    if !rest.is_empty() {
+        return apply(list.get_mut(position?)?, rest, after);
+    }
+    match (position, after) {
+        (Some(position), Some(value)) => list[position] = value.clone(),
+        (Some(position), None) => drop(list.remove(position)),
+        (None, Some(value)) => list.push(value.clone()),
+        (None, None) => {}
+    }
+    Some(())
+}
--- /dev/null
+++ b/crates/foxtide-config/src/document.rs
@@ -0,0 +1,148 @@
+//! JSON with comments, read strictly: no duplicate keys, no unknown fields,
+//! and every complaint with its place.
+
+use crate::{Error, Result};
+use foxtide_core::store::VALUE_MAX_BYTES;
+use jsonc_parser::ast::{Object, Value as Node};
+use jsonc_parser::common::Ranged;
+use jsonc_parser::errors::ParseError;
+use jsonc_parser::{CollectOptions, ParseOptions};
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use std::collections::BTreeSet;
+use std::path::Path;
+
+/// What a file may hold beside plain JSON: comments and trailing commas.
+const PARSE_OPTIONS: ParseOptions = ParseOptions {
+    allow_comments: true,
+    allow_loose_object_property_names: false,
+    allow_trailing_commas: true,
+    allow_missing_commas: false,
+    allow_single_quoted_strings: false,
+    allow_hexadecimal_numbers: false,
+    allow_unary_plus_numbers: false,
+    allow_bare_decimal_point_numbers: false,
+    allow_non_finite_numbers: false,
+    allow_extended_string_escapes: false,
+};
+
+/// Reads a file's text.
+///
+/// # Errors
+///
+/// Fails where the file cannot be read, is larger than a value of the store
+/// may be, or is not UTF-8.
+pub fn read_text(path: &Path) -> Result<String> {
+    let name = path.display().to_string();
+    let bytes = std::fs::read(path).map_err(|error| Error::read(&name, error))?;
+    text_of(&name, bytes)
+}
+
+/// Takes bytes as a text of acceptable size.
+pub(crate) fn text_of(name: &str, bytes: Vec<u8>) -> Result<String> {
+    if bytes.len() > VALUE_MAX_BYTES {
+        let size = format!("{} bytes, more than {VALUE_MAX_BYTES}", bytes.len());
+        return Err(Error::read(name, size));
+    }
+    String::from_utf8(bytes).map_err(|error| {
+        let at = error.utf8_error().valid_up_to();
+        Error::read(name, format!("not UTF-8 at byte {at}"))
+    })
+}
+
+/// Parses a text of JSON with comments into a value.
+///
+/// # Errors
+///
+/// Fails with the line and column of a fault of syntax or of a key that
+/// stands twice in the same object.
+pub fn parse_value(name: &str, text: &str) -> Result<Value> {
+    let collected = jsonc_parser::parse_to_ast(text, &CollectOptions::default(), &PARSE_OPTIONS)
+        .map_err(|error| syntax(name, &error))?;
+    let Some(root) = collected.value else {
+        return Err(fault_at(name, text, 0, "the text is empty".to_owned()));
+    };
+    refuse_duplicates(name, text, &root)?;
+    jsonc_parser::parse_to_serde_value(text, &PARSE_OPTIONS).map_err(|error| syntax(name, &error))
+}
+
+/// Parses a text of JSON with comments into a typed value.
+///
+/// # Errors
+///
+/// Fails as [`parse_value`] does, and with the path of a field that is
+/// unknown, missing or out of its range.
+pub fn parse<T: DeserializeOwned>(name: &str, text: &str) -> Result<T> {
+    typed(name, parse_value(name, text)?)
+}
+
+/// Takes a plain value as a typed one.
+///
+/// # Errors
+///
+/// Fails with the path of a field that is unknown, missing or out of range.
+pub fn typed<T: DeserializeOwned>(name: &str, value: Value) -> Result<T> {
+    serde_path_to_error::deserialize(value).map_err(|error| {
+        let field = error.path().to_string();
+        let message = error.into_inner().to_string();
+        let (problem, expected) = split_message(&message);
+        Error::field(name, field, problem, expected)
+    })
+}
+
+/// Splits a message of serde's into the problem and what would be valid.
+fn split_message(message: &str) -> (&str, &str) {
+    for separator in [", expected ", " is not "] {
+        if let Some((problem, expected)) = message.split_once(separator) {
+            return (problem, expected);
+        }
+    }
+    if message.starts_with("missing field") {
+        return (message, "the field with a value");
+    }
+    (message, "see docs/SETTINGS.md")
+}
+
+fn syntax(name: &str, error: &ParseError) -> Error {
+    Error::Syntax {
+        file: name.to_owned(),
+        line: error.line_display(),
+        column: error.column_display(),
+        problem: error.kind().to_string(),
+    }
+}
+
+fn fault_at(name: &str, text: &str, offset: usize, problem: String) -> Error {
+    let before = &text[..offset];
+    let line_start = before.rfind('\n').map_or(0, |at| at + 1);
+    Error::Syntax {
+        file: name.to_owned(),
+        line: before.matches('\n').count() + 1,
+        column: before[line_start..].chars().count() + 1,
+        problem,
+    }
+}
+
+fn refuse_duplicates(name: &str, text: &str, node: &Node<'_>) -> Result<()> {
+    match node {
+        Node::Object(object) => refuse_duplicates_of(name, text, object),
+        Node::Array(array) => array
+            .elements
+            .iter()
+            .try_for_each(|element| refuse_duplicates(name, text, element)),
+        _ => Ok(()),
+    }
+}
+
+fn refuse_duplicates_of(name: &str, text: &str, object: &Object<'_>) -> Result<()> {
+    let mut seen = BTreeSet::new();
+    for property in &object.properties {
+        let key = property.name.as_str();
+        if !seen.insert(key) {
+            let problem = format!("duplicate key `{key}`; each may stand once in an object");
+            return Err(fault_at(name, text, property.start(), problem));
+        }
+        refuse_duplicates(name, text, &property.value)?;
+    }
+    Ok(())
+}
--- a/crates/foxtide-config/src/lib.rs
+++ b/crates/foxtide-config/src/lib.rs
@@ -1,1 +1,24 @@
-//! Placeholder.
+//! Settings, templates, validation, the store's client and the change flow.
+//!
+//! - [`settings`]: the settings file of an instance.
+//! - [`document`]: JSON with comments, read strictly.
+//! - [`store`]: the store's client.
+//! - [`template`]: templates and their parameters.
+//! - [`watch`]: how an instance learns of accepted changes from the store.
+//! - [`change`]: how a change is checked and accepted.
+
+mod backoff;
+pub mod change;
+pub mod document;
+mod errors;
+pub mod settings;
+pub mod store;
+pub mod template;
+pub mod watch;
+
+pub use backoff::{Backoff, BackoffOptions};
+pub use errors::{Error, Result};
+pub use settings::Settings;
+pub use store::{HttpStore, HttpStoreOptions};
+pub use template::Template;
+pub use watch::{ConfigurationWatch, WatchOptions, WatchReport};
--- /dev/null
+++ b/crates/foxtide-config/src/settings/check.rs
@@ -0,0 +1,165 @@
+//! Values that have the right type and still cannot be meant.
+
+use super::{Limits, Listener, Settings};
+use crate::{Error, Result};
+use foxtide_core::ids::InstanceId;
+use std::fmt::Display;
+
+/// The most worker threads that an instance may be given.
+const WORKERS_MAX: usize = 256;
+
+/// The longest watch that the store grants, in seconds (Consul's limit on
+/// blocking queries).
+const WATCH_WAIT_MAX_S: u32 = 600;
+
+impl Settings {
+    /// Checks what the types alone do not.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the first field that cannot be meant.
+    pub(super) fn check(&self, name: &str) -> Result<()> {
+        let check = Check { name };
+        check.cluster(&self.cluster)?;
+        check.listener("caller", &self.caller)?;
+        check.listener("admin", &self.admin)?;
+        check.listener("peer", &self.peer)?;
+        check.apart("admin.listen", &self.admin, "caller", &self.caller)?;
+        check.apart("peer.listen", &self.peer, "caller", &self.caller)?;
+        check.apart("peer.listen", &self.peer, "admin", &self.admin)?;
+        check.peers(self)?;
+        check.range("workers", self.workers, 1, WORKERS_MAX)?;
+        check.limits(&self.limits)
+    }
+}
+
+/// The checks, all of the same file.
+struct Check<'a> {
+    name: &'a str,
+}
+
+impl Check<'_> {
+    fn fail<T>(
+        &self,
+        field: impl Display,
+        problem: impl Display,
+        expected: impl Display,
+    ) -> Result<T> {
+        Err(Error::field(self.name, field, problem, expected))
+    }
+
+    /// A cluster's name has the form of all other names.
+    fn cluster(&self, cluster: &str) -> Result<()> {
+        match cluster.parse::<InstanceId>() {
+            Ok(_) => Ok(()),
+            Err(error) => self.fail("cluster", error, "a name such as `north-1`"),
+        }
+    }
+
+    fn listener(&self, field: &str, listener: &Listener) -> Result<()> {
+        if listener.advertised().ip().is_unspecified() {
+            let problem = format!("`{}` reaches nobody", listener.advertised());
+            let expected = "an address that callers and peers can connect to";
+            return self.fail(format!("{field}.advertise"), problem, expected);
+        }
+        if listener
+            .advertise
+            .is_some_and(|address| address.port() == 0)
+        {
+            let expected = "a port from 1 to 65535";
+            return self.fail(format!("{field}.advertise"), "port 0", expected);
+        }
+        Ok(())
+    }
+
+    fn apart(&self, field: &str, one: &Listener, other_name: &str, other: &Listener) -> Result<()> {
+        let same_port = one.listen.port() == other.listen.port() && one.listen.port() != 0;
+        let any = one.listen.ip().is_unspecified() || other.listen.ip().is_unspecified();
+        if same_port && (any || one.listen.ip() == other.listen.ip()) {
+            let problem = format!("`{}` is taken by `{other_name}`", one.listen);
+            return self.fail(field, problem, "an address of its own");
+        }
+        Ok(())
+    }
+
+    fn peers(&self, settings: &Settings) -> Result<()> {
+        let expected = "an address of a peer with its port, such as `10.0.1.4:7400`";
+        for (position, peer) in settings.seed_peers.iter().enumerate() {
+            if peer.port() == 0 || peer.ip().is_unspecified() {
+                let problem = format!("`{peer}` cannot be connected to");
+                return self.fail(format!("seed_peers[{position}]"), problem, expected);
+            }
+        }
+        if settings.store_address.port() == 0 {
+            return self.fail("store_address", "port 0", "a port from 1 to 65535");
+        }
+        Ok(())
+    }
+
+    fn range<T: PartialOrd + Display>(
+        &self,
+        field: &str,
+        value: T,
+        least: T,
+        most: T,
+    ) -> Result<()> {
+        if value < least || value > most {
+            return self.fail(field, value, format!("from {least} to {most}"));
+        }
+        Ok(())
+    }
+
+    fn limits(&self, limits: &Limits) -> Result<()> {
+        self.requests(limits)?;
+        let lookups = &limits.lookups;
+        self.range("limits.lookups.ttl_s", lookups.ttl_s, 1, 300)?;
+        self.range("limits.lookups.instances_max", lookups.instances_max, 1, 16)?;
+        let upstreams = &limits.upstreams;
+        let connect = upstreams.connect_timeout_ms;
+        self.range("limits.upstreams.connect_timeout_ms", connect, 1, 60_000)?;
+        let least = upstreams.connections_min;
+        self.range("limits.upstreams.connections_min", least, 1, 1_000)?;
+        self.store(limits)?;
+        self.range("limits.events.kept_max", limits.events.kept_max, 16, 65_536)
+    }
+
+    fn requests(&self, limits: &Limits) -> Result<()> {
+        let requests = &limits.requests;
+        let most = u32::MAX;
+        let connections = requests.connections_max;
+        self.range("limits.requests.connections_max", connections, 1, most)?;
+        self.range(
+            "limits.requests.in_flight_max",
+            requests.in_flight_max,
+            1,
+            most,
+        )?;
+        let in_flight = requests.in_flight_max;
+        self.range(
+            "limits.requests.waiting_max",
+            requests.waiting_max,
+            0,
+            in_flight,
+        )?;
+        let deadline = requests.deadline_max_ms;
+        self.range("limits.requests.deadline_max_ms", deadline, 1, 600_000)?;
+        let head = requests.head_timeout_ms;
+        self.range("limits.requests.head_timeout_ms", head, 1, 600_000)?;
+        let idle = requests.idle_timeout_ms;
+        self.range("limits.requests.idle_timeout_ms", idle, 1, 3_600_000)?;
+        let drain = limits.shutdown.drain_max_ms;
+        self.range("limits.shutdown.drain_max_ms", drain, deadline, 3_600_000)
+    }
+
+    fn store(&self, limits: &Limits) -> Result<()> {
+        let store = &limits.store;
+        let timeout = store.call_timeout_ms;
+        self.range("limits.store.call_timeout_ms", timeout, 10, 60_000)?;
+        let wait = store.watch_wait_s;
+        self.range("limits.store.watch_wait_s", wait, 1, WATCH_WAIT_MAX_S)?;
+        let reads = store.fleet_reads_per_s;
+        self.range("limits.store.fleet_reads_per_s", reads, 1.0, 100_000.0)?;
+        let writes = store.fleet_writes_per_s;
+        self.range("limits.store.fleet_writes_per_s", writes, 1.0, 100_000.0)
+    }
+}
--- /dev/null
+++ b/crates/foxtide-config/src/settings/limits.rs
@@ -0,0 +1,166 @@
+//! Bounds on what an instance takes on, all with defaults.
+
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// All bounds of an instance.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Limits {
+    /// Bounds on callers' requests.
+    pub requests: RequestLimits,
+    /// Bounds on the answers to look-ups.
+    pub lookups: LookupLimits,
+    /// Bounds on the connections to upstreams.
+    pub upstreams: UpstreamLimits,
+    /// Bounds on the calls to the store.
+    pub store: StoreLimits,
+    /// Bounds on the events kept.
+    pub events: EventLimits,
+    /// Bounds on a planned stop.
+    pub shutdown: ShutdownLimits,
+}
+
+/// Bounds on callers' requests.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct RequestLimits {
+    /// The most connections of callers at the same time.
+    pub connections_max: u32,
+    /// The most requests in work at the same time, waiting ones included.
+    pub in_flight_max: u32,
+    /// The most requests that wait for room at the same time.
+    pub waiting_max: u32,
+    /// The largest body of a request, in bytes.
+    pub body_max_bytes: u64,
+    /// The longest deadline that a caller may name, in milliseconds.
+    pub deadline_max_ms: u32,
+    /// How long a caller may take to send a request's head, in milliseconds.
+    pub head_timeout_ms: u32,
+    /// How long an idle connection is kept, in milliseconds.
+    pub idle_timeout_ms: u32,
+}
+
+impl Default for RequestLimits {
+    fn default() -> Self {
+        Self {
+            connections_max: 4_000,
+            in_flight_max: 2_000,
+            waiting_max: 1_000,
+            body_max_bytes: 8 * 1_024 * 1_024,
+            deadline_max_ms: 60_000,
+            head_timeout_ms: 10_000,
+            idle_timeout_ms: 60_000,
+        }
+    }
+}
+
+/// Bounds on the answers to look-ups.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LookupLimits {
+    /// How long a caller may use an answer, in seconds.
+    pub ttl_s: u32,
+    /// The most instances that an answer names.
+    pub instances_max: u32,
+}
+
+impl Default for LookupLimits {
+    fn default() -> Self {
+        Self {
+            ttl_s: 5,
+            instances_max: 3,
+        }
+    }
+}
+
+/// Bounds on the connections to upstreams.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct UpstreamLimits {
+    /// How long a connection may take to be made, in milliseconds.
+    pub connect_timeout_ms: u32,
+    /// How long an idle connection is kept, in milliseconds.
+    pub idle_timeout_ms: u32,
+    /// The least connections that an instance may make to an upstream,
+    /// however many instances share it.
+    pub connections_min: u32,
+}
+
+impl Default for UpstreamLimits {
+    fn default() -> Self {
+        Self {
+            connect_timeout_ms: 500,
+            idle_timeout_ms: 30_000,
+            connections_min: 2,
+        }
+    }
+}
+
+/// Bounds on the calls to the store.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct StoreLimits {
+    /// How long a call may take, in milliseconds.
+    pub call_timeout_ms: u32,
+    /// How long a watch waits for a change, in seconds.
+    pub watch_wait_s: u32,
+    /// The most read calls that all instances together make, in calls a second.
+    pub fleet_reads_per_s: f64,
+    /// The most write calls that all instances together make, in calls a second.
+    pub fleet_writes_per_s: f64,
+}
+
+impl Default for StoreLimits {
+    fn default() -> Self {
+        Self {
+            call_timeout_ms: 3_000,
+            watch_wait_s: 55,
+            fleet_reads_per_s: 400.0,
+            fleet_writes_per_s: 60.0,
+        }
+    }
+}
+
+impl StoreLimits {
+    /// Returns how long a call may take.
+    pub fn call_timeout(&self) -> Duration {
+        Duration::from_millis(self.call_timeout_ms.into())
+    }
+
+    /// Returns how long a watch waits for a change.
+    pub fn watch_wait(&self) -> Duration {
+        Duration::from_secs(self.watch_wait_s.into())
+    }
+}
+
+/// Bounds on the events kept.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EventLimits {
+    /// The most events kept for the time line.
+    pub kept_max: u32,
+}
+
+impl Default for EventLimits {
+    fn default() -> Self {
+        Self { kept_max: 4_096 }
+    }
+}
+
+/// Bounds on a planned stop.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ShutdownLimits {
+    /// The longest that a planned stop waits for requests in flight, in
+    /// milliseconds; it should exceed the longest deadline.
+    pub drain_max_ms: u32,
+}
+
+impl Default for ShutdownLimits {
+    fn default() -> Self {
+        Self {
+            drain_max_ms: 75_000,
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxtide-config/src/store/exchange.rs
@@ -0,0 +1,213 @@
+//! One HTTP exchange with the store, and exactly how far it got.
+//!
+//! Each call uses a connection of its own. An instance makes few calls, a
+//! connection costs one round trip, and a call over a kept connection that the
+//! store has closed meanwhile would count as `Unknown` although it never ran.
+
+use async_h1::client;
+use foxtide_core::store::{StoreError, StoreResult};
+use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
+use http_types::headers::CONTENT_LENGTH;
+use http_types::{Body, Method, Request, Response, Url};
+use smol::Timer;
+use smol::net::TcpStream;
+use std::fmt::Display;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+/// The answer's header that names the index to wait on.
+const INDEX_HEADER: &str = "x-consul-index";
+
+/// One call as HTTP has it.
+#[derive(Debug)]
+pub(super) struct Call {
+    /// The step's name, for errors and metrics.
+    pub(super) step: &'static str,
+    /// The method.
+    pub(super) method: Method,
+    /// The path and the query, already percent-encoded.
+    pub(super) target: String,
+    /// The body.
+    pub(super) body: Vec<u8>,
+    /// How long the call may take.
+    pub(super) timeout: Duration,
+}
+
+/// An answer that arrived whole.
+#[derive(Debug)]
+pub(super) struct Answer {
+    /// The status.
+    pub(super) status: u16,
+    /// The index to wait on, where the answer names one.
+    pub(super) index: Option<u64>,
+    /// The body.
+    pub(super) body: Vec<u8>,
+}
+
+/// Makes errors that name the step, the peer and how far the call got.
+#[derive(Clone, Debug)]
+pub(super) struct Progress {
+    step: &'static str,
+    peer: SocketAddr,
+    written_bytes: Arc<AtomicU64>,
+}
+
+impl Progress {
+    fn new(step: &'static str, peer: SocketAddr) -> Self {
+        Self {
+            step,
+            peer,
+            written_bytes: Arc::default(),
+        }
+    }
+
+    /// Returns the error of a call that ended here without an answer.
+    ///
+    /// As long as no byte was handed to the kernel, the store cannot have run
+    /// the call. From the first byte on it may have.
+    fn failed(&self, cause: impl Display) -> StoreError {
+        let peer = self.peer.to_string();
+        let cause = cause.to_string();
+        let step = self.step;
+        if self.written_bytes.load(Ordering::Relaxed) == 0 {
+            return StoreError::NotSent { step, peer, cause };
+        }
+        StoreError::Unknown { step, peer, cause }
+    }
+
+    /// Returns the error of a call whose answer cannot be understood.
+    pub(super) fn unknown(&self, cause: impl Display) -> StoreError {
+        StoreError::Unknown {
+            step: self.step,
+            peer: self.peer.to_string(),
+            cause: cause.to_string(),
+        }
+    }
+
+    /// Returns the error of a call that the store answered with a status
+    /// beside success.
+    ///
+    /// A status of the class 5xx may come from a server that has passed the
+    /// write on and did not hear back, so the outcome is unknown.
+    pub(super) fn rejected(&self, answer: &Answer) -> StoreError {
+        let cause = String::from_utf8_lossy(&answer.body).trim().to_owned();
+        if answer.status >= 500 {
+            return self.unknown(format!("status {}: {cause}", answer.status));
+        }
+        StoreError::Refused {
+            step: self.step,
+            peer: self.peer.to_string(),
+            status: answer.status,
+            cause,
+        }
+    }
+}
+
+/// Makes one call and reads the whole answer.
+///
+/// # Errors
+///
+/// Fails as the contract of [`foxtide_core::store::Store`] says.
+pub(super) async fn run(peer: SocketAddr, call: Call) -> (Progress, StoreResult<Answer>) {
+    let progress = Progress::new(call.step, peer);
+    let timeout = call.timeout;
+    let expired = async {
+        Timer::after(timeout).await;
+        Err(progress.failed(format!("no answer within {} ms", timeout.as_millis())))
+    };
+    let result = exchange(call, &progress).or(expired).await;
+    (progress, result)
+}
+
+async fn exchange(call: Call, progress: &Progress) -> StoreResult<Answer> {
+    let request = request(call, progress)?;
+    let stream = TcpStream::connect(progress.peer)
+        .await
+        .map_err(|error| progress.failed(format!("connect: {error}")))?;
+    let stream = CountingStream {
+        stream,
+        written_bytes: Arc::clone(&progress.written_bytes),
+    };
+    let response = client::connect(stream, request)
+        .await
+        .map_err(|error| progress.failed(error))?;
+    read_whole(response, progress).await
+}
+
+fn request(call: Call, progress: &Progress) -> StoreResult<Request> {
+    let url = Url::parse(&format!("http://{}{}", progress.peer, call.target))
+        .map_err(|error| progress.failed(format!("{}: {error}", call.target)))?;
+    let mut request = Request::new(call.method, url);
+    request.insert_header("connection", "close");
+    request.set_body(Body::from_bytes(call.body));
+    Ok(request)
+}
+
+/// Reads the body and checks that nothing of it is missing: the library ends
+/// a body early without an error where the connection closes.
+async fn read_whole(mut response: Response, progress: &Progress) -> StoreResult<Answer> {
+    let stated_bytes = response
+        .header(CONTENT_LENGTH)
+        .and_then(|values| values.as_str().parse::<usize>().ok());
+    let index = response
+        .header(INDEX_HEADER)
+        .and_then(|values| values.as_str().parse::<u64>().ok());
+    let body = response
+        .body_bytes()
+        .await
+        .map_err(|error| progress.failed(format!("read answer: {error}")))?;
+    if stated_bytes.is_some_and(|stated| stated != body.len()) {
+        let cause = format!("answer cut off after {} bytes", body.len());
+        return Err(progress.failed(cause));
+    }
+    Ok(Answer {
+        status: response.status().into(),
+        index,
+        body,
+    })
+}
+
+/// A connection that counts the bytes it took for sending.
+#[derive(Clone, Debug)]
+struct CountingStream {
+    stream: TcpStream,
+    written_bytes: Arc<AtomicU64>,
+}
+
+impl AsyncRead for CountingStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for CountingStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        if let Poll::Ready(Ok(bytes)) = written {
+            self.written_bytes
+                .fetch_add(bytes as u64, Ordering::Relaxed);
+        }
+        written
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(cx)
+    }
+}
--- /dev/null
+++ b/crates/foxtide-config/src/store/http.rs
@@ -0,0 +1,236 @@
+//! [`Store`] over the published HTTP API of Consul's key-value store and
+//! sessions (developer.hashicorp.com/consul/api-docs/kv and /session).
+
+use super::exchange::{self, Answer, Call, Progress};
+use super::wire::{KeyForm, SessionForm, SessionRequest, duration_text, key_path};
+use foxtide_core::store::{
+    SessionId, Store, StoreEntry, StoreError, StoreIndex, StoreListing, StoreResult,
+    VALUE_MAX_BYTES,
+};
+use http_types::Method;
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+const OK: u16 = 200;
+const NOT_FOUND: u16 = 404;
+
+/// A watch may be answered this part of its wait late: the store spreads the
+/// ends of waits over a sixteenth.
+const WATCH_SPREAD_DIVISOR: u32 = 16;
+
+/// How the store is reached.
+#[derive(Clone, Copy, Debug)]
+pub struct HttpStoreOptions {
+    /// The store's address.
+    pub address: SocketAddr,
+    /// How long a call may take; a watch may wait longer by what was asked.
+    pub call_timeout: Duration,
+}
+
+impl Default for HttpStoreOptions {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from(([127, 0, 0, 1], 8_500)),
+            call_timeout: Duration::from_secs(3),
+        }
+    }
+}
+
+/// The store, over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpStore {
+    options: HttpStoreOptions,
+}
+
+impl HttpStore {
+    /// Returns a client; it connects with each call.
+    pub fn new(options: HttpStoreOptions) -> Self {
+        Self { options }
+    }
+
+    /// Returns the store's address.
+    pub fn address(&self) -> SocketAddr {
+        self.options.address
+    }
+
+    async fn call(
+        &self,
+        step: &'static str,
+        method: Method,
+        target: String,
+        body: Vec<u8>,
+    ) -> (Progress, StoreResult<Answer>) {
+        let timeout = self.options.call_timeout;
+        let call = Call {
+            step,
+            method,
+            target,
+            body,
+            timeout,
+        };
+        self.run(call).await
+    }
+
+    async fn run(&self, call: Call) -> (Progress, StoreResult<Answer>) {
+        let step = call.step;
+        let started = Instant::now();
+        let (progress, result) = exchange::run(self.options.address, call).await;
+        count(step, started.elapsed(), result.as_ref().err());
+        (progress, result)
+    }
+
+    /// Makes a call that answers `true` or `false`.
+    async fn decide(
+        &self,
+        step: &'static str,
+        method: Method,
+        target: String,
+        body: Vec<u8>,
+    ) -> StoreResult<bool> {
+        if body.len() > VALUE_MAX_BYTES {
+            return Err(self.too_large(step, body.len()));
+        }
+        let (progress, result) = self.call(step, method, target, body).await;
+        decode(&progress, result?)
+    }
+
+    fn too_large(&self, step: &'static str, size_bytes: usize) -> StoreError {
+        StoreError::NotSent {
+            step,
+            peer: self.options.address.to_string(),
+            cause: format!("{size_bytes} bytes, more than {VALUE_MAX_BYTES}"),
+        }
+    }
+}
+
+/// Counts a call for the metrics.
+fn count(step: &'static str, took: Duration, error: Option<&StoreError>) {
+    let outcome = match error {
+        None => "answered",
+        Some(StoreError::NotSent { .. }) => "not_sent",
+        Some(StoreError::Unknown { .. }) => "unknown",
+        Some(StoreError::Refused { .. }) => "refused",
+        Some(StoreError::OverBudget { .. }) => "over_budget",
+    };
+    metrics::counter!("foxtide_store_calls_total", "kind" => step, "outcome" => outcome)
+        .increment(1);
+    metrics::histogram!("foxtide_store_call_seconds", "kind" => step).record(took.as_secs_f64());
+}
+
+/// Takes the body of a successful answer apart.
+fn decode<T: DeserializeOwned>(progress: &Progress, answer: Answer) -> StoreResult<T> {
+    if answer.status != OK {
+        return Err(progress.rejected(&answer));
+    }
+    serde_json::from_slice(&answer.body)
+        .map_err(|error| progress.unknown(format!("answer: {error}")))
+}
+
+/// Takes a listing apart; no keys are answered as "not found".
+fn decode_listing(progress: &Progress, answer: Answer) -> StoreResult<StoreListing> {
+    let index = StoreIndex::new(answer.index.unwrap_or_default());
+    if answer.status == NOT_FOUND {
+        return Ok(StoreListing {
+            entries: Vec::new(),
+            index,
+        });
+    }
+    let forms: Vec<KeyForm> = decode(progress, answer)?;
+    let entries: Result<Vec<StoreEntry>, String> =
+        forms.into_iter().map(KeyForm::into_entry).collect();
+    let mut entries = entries.map_err(|cause| progress.unknown(cause))?;
+    entries.sort_by(|one, other| one.key.cmp(&other.key));
+    Ok(StoreListing { entries, index })
+}
+
+impl Store for HttpStore {
+    async fn read(&self, key: &str) -> StoreResult<Option<StoreEntry>> {
+        // A read settles writes whose answer was lost, so that it may not be
+        // served by a server that has just lost its leadership.
+        let target = format!("{}?consistent", key_path(key));
+        let (progress, result) = self.call("read", Method::Get, target, Vec::new()).await;
+        let listing = decode_listing(&progress, result?)?;
+        Ok(listing.entries.into_iter().next())
+    }
+
+    async fn list(&self, prefix: &str) -> StoreResult<StoreListing> {
+        let target = format!("{}?recurse", key_path(prefix));
+        let (progress, result) = self.call("list", Method::Get, target, Vec::new()).await;
+        decode_listing(&progress, result?)
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: StoreIndex,
+        wait: Duration,
+    ) -> StoreResult<StoreListing> {
+        let path = key_path(prefix);
+        let wait_text = duration_text(wait);
+        let call = Call {
+            step: "watch",
+            method: Method::Get,
+            target: format!("{path}?recurse&index={after}&wait={wait_text}"),
+            body: Vec::new(),
+            timeout: wait + wait / WATCH_SPREAD_DIVISOR + self.options.call_timeout,
+        };
+        let (progress, result) = self.run(call).await;
+        decode_listing(&progress, result?)
+    }
+
+    async fn write(&self, key: &str, value: Vec<u8>, expected: StoreIndex) -> StoreResult<bool> {
+        let target = format!("{}?cas={expected}", key_path(key));
+        self.decide("write", Method::Put, target, value).await
+    }
+
+    async fn delete(&self, key: &str, expected: StoreIndex) -> StoreResult<bool> {
+        let target = format!("{}?cas={expected}", key_path(key));
+        self.decide("delete", Method::Delete, target, Vec::new())
+            .await
+    }
+
+    async fn open_session(&self, name: &str, ttl: Duration) -> StoreResult<SessionId> {
+        let request = SessionRequest {
+            name: name.to_owned(),
+            ttl: duration_text(ttl),
+            behavior: "release",
+            lock_delay: "0s",
+        };
+        let target = "/v1/session/create".to_owned();
+        let body = serde_json::to_vec(&request).unwrap_or_default();
+        let (progress, result) = self.call("open_session", Method::Put, target, body).await;
+        let form: SessionForm = decode(&progress, result?)?;
+        Ok(SessionId::new(form.id))
+    }
+
+    async fn renew_session(&self, session: &SessionId) -> StoreResult<bool> {
+        let target = format!("/v1/session/renew/{session}");
+        let (progress, result) = self
+            .call("renew_session", Method::Put, target, Vec::new())
+            .await;
+        let answer = result?;
+        match answer.status {
+            OK => Ok(true),
+            NOT_FOUND => Ok(false),
+            _ => Err(progress.rejected(&answer)),
+        }
+    }
+
+    async fn close_session(&self, session: &SessionId) -> StoreResult<()> {
+        let target = format!("/v1/session/destroy/{session}");
+        self.decide("close_session", Method::Put, target, Vec::new())
+            .await
+            .map(drop)
+    }
+
+    async fn acquire(&self, key: &str, value: Vec<u8>, session: &SessionId) -> StoreResult<bool> {
+        let target = format!("{}?acquire={session}", key_path(key));
+        self.decide("acquire", Method::Put, target, value).await
+    }
+
+    async fn release(&self, key: &str, value: Vec<u8>, session: &SessionId) -> StoreResult<bool> {
+        let target = format!("{}?release={session}", key_path(key));
+        self.decide("release", Method::Put, target, value).await
+    }
+}
--- /dev/null
+++ b/crates/foxtide-config/src/template/fill.rs
@@ -0,0 +1,71 @@
+//! Filling a template's holes.
+
+use super::{Parameters, Template};
+use crate::{Error, Result};
+use serde_json::{Map, Value};
+
+/// The one field of the object that stands for a parameter's value.
+const HOLE_FIELD: &str = "$parameter";
+
+/// Returns the name of the parameter that an object stands for.
+fn hole(object: &Map<String, Value>) -> Option<&str> {
+    object.get(HOLE_FIELD).and_then(Value::as_str)
+}
+
+/// Returns the document with every hole filled.
+pub(super) fn filled(document: &Map<String, Value>, values: &Parameters) -> Map<String, Value> {
+    let fields = document
+        .iter()
+        .map(|(key, value)| (key.clone(), filled_value(value, values)));
+    fields.collect()
+}
+
+fn filled_value(value: &Value, values: &Parameters) -> Value {
+    match value {
+        Value::Object(object) => match hole(object).and_then(|name| values.get(name)) {
+            Some(value) => value.clone(),
+            None => Value::Object(filled(object, values)),
+        },
+        Value::Array(list) => list
+            .iter()
+            .map(|entry| filled_value(entry, values))
+            .collect(),
+        plain => plain.clone(),
+    }
+}
+
+/// Checks that every hole names a parameter and every parameter fills a hole.
+pub(super) fn check_holes(file: &str, template: &Template) -> Result<()> {
+    let mut used = Vec::new();
+    collect(&Value::Object(template.document.clone()), &mut used);
+    let known: Vec<&str> = template.parameters.keys().map(String::as_str).collect();
+    for name in &used {
+        if !template.parameters.contains_key(name) {
+            let problem = format!("`{name}` is no parameter");
+            return Err(Error::field(file, "document", problem, known.join(", ")));
+        }
+    }
+    let unused = known
+        .into_iter()
+        .find(|name| !used.iter().any(|one| one == name));
+    match unused {
+        Some(name) => Err(Error::field(
+            file,
+            format!("parameters.{name}"),
+            "stands nowhere in the document",
+            format!("{{\"{HOLE_FIELD}\": \"{name}\"}} in the document, or no such parameter"),
+        )),
+        None => Ok(()),
+    }
+}
+
+fn collect(value: &Value, used: &mut Vec<String>) {
+    match value {
+        Value::Object(object) => match hole(object) {
+            Some(name) => used.push(name.to_owned()),
+            None => object.values().for_each(|value| collect(value, used)),
+        },
+        Value::Array(list) => list.iter().for_each(|value| collect(value, used)),
+        _ => {}
+    }
+}
