Add the table of idempotency keys

A caller that retries a non-idempotent request at another instance, or after an instance died, must not have it run twice. Each key names the one process that may run it, so that ownership is never moved, leased or written to the store. The table keeps what became of each key in bounded memory, refuses what it can no longer tell, and gives whole answers again.

--- /dev/null
+++ b/crates/foxtide-core/src/idempotency/key.rs
@@ -0,0 +1,191 @@
+//! Keys that name the process which may run them.
+
+use crate::ids::InstanceId;
+use crate::time::WallTime;
+use std::fmt;
+use std::str::FromStr;
+use uuid::{Builder, Uuid};
+
+const OWNER_SEPARATOR: char = ':';
+const PROCESS_SEPARATOR: char = '.';
+const PROCESS_DIGITS: usize = 16;
+const UUID_RANDOM_BYTES: usize = 10;
+const UUID_TIME_SHIFT: u32 = 80;
+const UUID_VERSION_TIME_ORDERED: usize = 7;
+
+/// Why a text is no key that can be run.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum KeyError {
+    /// The key names no owner, such as a plain UUID.
+    #[error("the key `{text}` names no owner; valid: OWNER:UUID, with the owner from an answer")]
+    NoOwner {
+        /// The text that was given.
+        text: String,
+    },
+    /// The part before the separator is not an owner's name.
+    #[error("`{text}` is no owner; valid: INSTANCE.PROCESS, such as entry-3.9f2c8a7b6d5e4f30")]
+    Owner {
+        /// The part that was given.
+        text: String,
+    },
+    /// The part after the separator is not a UUID of version 7.
+    #[error("`{text}` is no UUID of version 7 (RFC 9562, section 5.7)")]
+    Unique {
+        /// The part that was given.
+        text: String,
+    },
+}
+
+impl KeyError {
+    fn no_owner(text: &str) -> Self {
+        let text = text.to_owned();
+        Self::NoOwner { text }
+    }
+
+    fn owner(text: &str) -> Self {
+        let text = text.to_owned();
+        Self::Owner { text }
+    }
+
+    fn unique(text: &str) -> Self {
+        let text = text.to_owned();
+        Self::Unique { text }
+    }
+}
+
+/// A number that an instance draws at random each time its process starts.
+///
+/// It tells the processes of one instance apart: each starts with an empty
+/// table. Written as 16 hexadecimal digits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ProcessNumber(u64);
+
+impl ProcessNumber {
+    /// Returns the number, which the caller draws from the system's randomness.
+    pub const fn new(number: u64) -> Self {
+        Self(number)
+    }
+}
+
+impl fmt::Display for ProcessNumber {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for ProcessNumber {
+    type Err = KeyError;
+
+    fn from_str(text: &str) -> Result<Self, KeyError> {
+        let is_digit = |b: u8| b.is_ascii_digit() || (b'a'..=b'f').contains(&b);
+        if text.len() != PROCESS_DIGITS || !text.bytes().all(is_digit) {
+            return Err(KeyError::owner(text));
+        }
+        let number = u64::from_str_radix(text, 16);
+        number.map(Self).map_err(|_| KeyError::owner(text))
+    }
+}
+
+/// The name of one process of one instance, the only one that runs the keys
+/// which carry it. Written as `INSTANCE.PROCESS`.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct OwnerId {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Its process.
+    pub process: ProcessNumber,
+}
+
+impl fmt::Display for OwnerId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}{PROCESS_SEPARATOR}{}", self.instance, self.process)
+    }
+}
+
+impl FromStr for OwnerId {
+    type Err = KeyError;
+
+    fn from_str(text: &str) -> Result<Self, KeyError> {
+        let parts = text.split_once(PROCESS_SEPARATOR);
+        let (instance, process) = parts.ok_or_else(|| KeyError::owner(text))?;
+        let instance = instance.parse().map_err(|_| KeyError::owner(text))?;
+        let process = process.parse()?;
+        Ok(Self { instance, process })
+    }
+}
+
+/// The value of an `Idempotency-Key` header
+/// (draft-ietf-httpapi-idempotency-key-header): `OWNER:UUID`.
+///
+/// The UUID is of version 7 (RFC 9562, section 5.7): its time says when the
+/// caller minted the key, and keys are ordered by it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct IdempotencyKey {
+    owner: OwnerId,
+    unique: Uuid,
+}
+
+impl IdempotencyKey {
+    /// Returns a new key for `owner`, minted at `now` with the given randomness.
+    pub fn mint(owner: OwnerId, now: WallTime, random: [u8; UUID_RANDOM_BYTES]) -> Self {
+        let unique = Builder::from_unix_timestamp_millis(now.as_ms(), &random).into_uuid();
+        Self { owner, unique }
+    }
+
+    /// Returns the process that may run the key.
+    pub fn owner(&self) -> &OwnerId {
+        &self.owner
+    }
+
+    /// Returns the part that tells the key from others of the same owner.
+    pub(crate) fn unique(&self) -> Uuid {
+        self.unique
+    }
+
+    /// Returns when the caller minted the key, by the caller's clock.
+    pub fn minted_at(&self) -> WallTime {
+        minted_at(self.unique)
+    }
+}
+
+/// Returns the time in a UUID of version 7, which is its first 48 bits.
+pub(super) fn minted_at(unique: Uuid) -> WallTime {
+    let ms = unique.as_u128() >> UUID_TIME_SHIFT;
+    WallTime::from_ms(u64::try_from(ms).unwrap_or(u64::MAX))
+}
+
+impl fmt::Display for IdempotencyKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}{OWNER_SEPARATOR}{}", self.owner, self.unique)
+    }
+}
+
+impl FromStr for IdempotencyKey {
+    type Err = KeyError;
+
+    /// Reads a key, with or without the quotes that a structured field has
+    /// (RFC 9651, section 3.3.3).
+    fn from_str(text: &str) -> Result<Self, KeyError> {
+        let text = unquoted(text.trim());
+        let parts = text.rsplit_once(OWNER_SEPARATOR);
+        let (owner, unique) = parts.ok_or_else(|| KeyError::no_owner(text))?;
+        let owner = owner.parse()?;
+        let unique = parse_time_ordered(unique)?;
+        Ok(Self { owner, unique })
+    }
+}
+
+fn unquoted(text: &str) -> &str {
+    let inner = text.strip_prefix('"');
+    inner
+        .and_then(|inner| inner.strip_suffix('"'))
+        .unwrap_or(text)
+}
+
+fn parse_time_ordered(text: &str) -> Result<Uuid, KeyError> {
+    let unique = Uuid::try_parse(text).map_err(|_| KeyError::unique(text))?;
+    if unique.get_version_num() != UUID_VERSION_TIME_ORDERED {
+        return Err(KeyError::unique(text));
+    }
+    Ok(unique)
+}
--- /dev/null
+++ b/crates/foxtide-core/src/idempotency/table.rs
@@ -0,0 +1,302 @@
+//! What became of each key that a process owns.
+
+use super::key::minted_at;
+use super::{Fingerprint, IdempotencyKey, OwnerId, Refusal, RefusalReason, TableOptions};
+use crate::outcome::Outcome;
+use crate::time::WallTime;
+use crate::units::ByteSize;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+use uuid::Uuid;
+
+/// How many old keys one call forgets at most, so that none takes long.
+const FORGOTTEN_PER_CALL_MAX: usize = 16;
+
+/// An answer that can be given again. Clones are to be cheap.
+pub trait KeptAnswer: Clone {
+    /// Returns the memory that the answer takes.
+    fn size(&self) -> ByteSize;
+}
+
+/// What is to be done with a request that carries a key.
+#[derive(Debug)]
+#[must_use]
+pub enum Begin<A> {
+    /// The request is to be run; the claim goes back to the table by
+    /// [`Table::finish`] or [`Table::abandon`], whatever happens.
+    Run(Claim),
+    /// The same request is running; its caller is to ask again later.
+    InProgress {
+        /// When.
+        retry_after: Duration,
+    },
+    /// The request was run; this is its answer.
+    Replay(A),
+    /// Another instance owns the key. Its caller is to be sent there, or told
+    /// [`RefusalReason::OwnerGone`] where that instance is no longer a member.
+    Elsewhere,
+    /// The request is not run.
+    Refuse(Refusal),
+}
+
+/// The right to run one key, given out once.
+#[derive(Debug, PartialEq, Eq)]
+#[must_use = "a claim that is lost leaves its key running for ever"]
+pub struct Claim {
+    unique: Uuid,
+}
+
+/// What a table holds at the moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TableUsage {
+    /// Keys that are running.
+    pub running: usize,
+    /// Keys whose run has ended.
+    pub ended: usize,
+    /// Answers that can be given again.
+    pub answers: usize,
+    /// What these answers take.
+    pub answers_size: ByteSize,
+}
+
+/// The keys of one process.
+#[derive(Clone, Debug)]
+pub struct Table<A> {
+    owner: OwnerId,
+    options: TableOptions,
+    running: HashMap<Uuid, Running>,
+    ended: BTreeMap<Uuid, Ended<A>>,
+    /// The newest key that was forgotten: none up to it is ever run again.
+    forgotten_through: Uuid,
+    /// The keys whose answers are kept, the oldest first.
+    answered: BTreeSet<Uuid>,
+    answers_bytes: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    fingerprint: Fingerprint,
+    /// Whether a byte may have gone out to an upstream.
+    written: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Ended<A> {
+    fingerprint: Fingerprint,
+    result: RunResult<A>,
+}
+
+#[derive(Clone, Debug)]
+enum RunResult<A> {
+    Answered(A),
+    AnswerDropped,
+    AnswerLost,
+}
+
+impl<A: KeptAnswer> Table<A> {
+    /// Returns the empty table of a process that has just started.
+    pub fn new(owner: OwnerId, options: TableOptions) -> Self {
+        Self {
+            owner,
+            options,
+            running: HashMap::new(),
+            ended: BTreeMap::new(),
+            forgotten_through: Uuid::nil(),
+            answered: BTreeSet::new(),
+            answers_bytes: 0,
+        }
+    }
+
+    /// Returns the name that callers put into keys for this process.
+    pub fn owner(&self) -> &OwnerId {
+        &self.owner
+    }
+
+    /// Decides about a request that came with a key, at `now`.
+    pub fn begin(
+        &mut self,
+        key: &IdempotencyKey,
+        fingerprint: Fingerprint,
+        now: WallTime,
+    ) -> Begin<A> {
+        self.forget_expired(now);
+        if *key.owner() != self.owner {
+            return self.begin_of_other(key);
+        }
+        if let Some(known) = self.begin_known(key.unique(), fingerprint) {
+            return known;
+        }
+        if let Some(refusal) = self.refuse_new(key, now) {
+            return Begin::Refuse(refusal);
+        }
+        let unique = key.unique();
+        let written = false;
+        let running = Running {
+            fingerprint,
+            written,
+        };
+        self.running.insert(unique, running);
+        Begin::Run(Claim { unique })
+    }
+
+    /// Notes that the request's first byte is about to go to an upstream. To
+    /// be called before it does.
+    pub fn written(&mut self, claim: &Claim) {
+        self.note_written(claim, true);
+    }
+
+    /// Notes that the upstream provably ran nothing: it said so itself, or no
+    /// byte went out after all. The claim may be used for another attempt.
+    pub fn proved_not_run(&mut self, claim: &Claim) {
+        self.note_written(claim, false);
+    }
+
+    /// Keeps the whole answer of a request that was run.
+    pub fn finish(&mut self, claim: Claim, answer: A) {
+        let size_bytes = answer.size().get();
+        if size_bytes > self.options.answer_max.get() {
+            self.end(&claim, RunResult::AnswerDropped);
+            return;
+        }
+        if self.end(&claim, RunResult::Answered(answer)) {
+            self.answered.insert(claim.unique);
+            self.answers_bytes += size_bytes;
+            self.drop_oldest_answers();
+        }
+    }
+
+    /// Gives up a request without a whole answer, and tells what is known.
+    ///
+    /// Where nothing was written the key may be begun again.
+    pub fn abandon(&mut self, claim: Claim) -> Outcome {
+        let running = self.running.get(&claim.unique);
+        if running.is_some_and(|running| !running.written) {
+            self.running.remove(&claim.unique);
+            return Outcome::NotRun;
+        }
+        self.end(&claim, RunResult::AnswerLost);
+        Outcome::Unknown
+    }
+
+    /// Returns what the table holds.
+    pub fn usage(&self) -> TableUsage {
+        TableUsage {
+            running: self.running.len(),
+            ended: self.ended.len(),
+            answers: self.answered.len(),
+            answers_size: ByteSize::from_bytes(self.answers_bytes),
+        }
+    }
+
+    fn begin_of_other(&self, key: &IdempotencyKey) -> Begin<A> {
+        if key.owner().instance == self.owner.instance {
+            return Begin::Refuse(Refusal::lasting(RefusalReason::OwnerGone));
+        }
+        Begin::Elsewhere
+    }
+
+    fn begin_known(&self, unique: Uuid, fingerprint: Fingerprint) -> Option<Begin<A>> {
+        let reused = Begin::Refuse(Refusal::lasting(RefusalReason::KeyReused));
+        if let Some(running) = self.running.get(&unique) {
+            let same = running.fingerprint == fingerprint;
+            let retry_after = self.options.in_progress_retry;
+            return Some(if same {
+                Begin::InProgress { retry_after }
+            } else {
+                reused
+            });
+        }
+        let ended = self.ended.get(&unique)?;
+        let same = ended.fingerprint == fingerprint;
+        Some(if same { ended.begin() } else { reused })
+    }
+
+    fn refuse_new(&self, key: &IdempotencyKey, now: WallTime) -> Option<Refusal> {
+        let minted_at = key.minted_at();
+        let expired = minted_at + self.options.validity < now;
+        if expired || key.unique() <= self.forgotten_through {
+            return Some(Refusal::lasting(RefusalReason::KeyExpired));
+        }
+        let ahead = minted_at.since(now + self.options.clock_skew_max);
+        if ahead > Duration::ZERO {
+            return Some(Refusal::passing(RefusalReason::KeyFromFuture, ahead));
+        }
+        if self.running.len() + self.ended.len() >= self.options.keys_max {
+            let retry_after = self.room_in(now);
+            return Some(Refusal::passing(RefusalReason::TableFull, retry_after));
+        }
+        None
+    }
+
+    /// Returns the time until the oldest key is forgotten.
+    fn room_in(&self, now: WallTime) -> Duration {
+        let oldest = self.ended.first_key_value();
+        let room_at = oldest.map(|(unique, _)| minted_at(*unique) + self.options.validity);
+        let room_in = room_at.map_or(Duration::ZERO, |room_at| room_at.since(now));
+        room_in.max(self.options.in_progress_retry)
+    }
+
+    fn note_written(&mut self, claim: &Claim, written: bool) {
+        if let Some(running) = self.running.get_mut(&claim.unique) {
+            running.written = written;
+        }
+    }
+
+    /// Ends a run. Tells whether it was running.
+    fn end(&mut self, claim: &Claim, result: RunResult<A>) -> bool {
+        let Some(running) = self.running.remove(&claim.unique) else {
+            return false;
+        };
+        let fingerprint = running.fingerprint;
+        let ended = Ended {
+            fingerprint,
+            result,
+        };
+        self.ended.insert(claim.unique, ended);
+        true
+    }
+
+    fn forget_expired(&mut self, now: WallTime) {
+        for _ in 0..FORGOTTEN_PER_CALL_MAX {
+            let Some(oldest) = self.ended.first_entry() else {
+                return;
+            };
+            if minted_at(*oldest.key()) + self.options.validity >= now {
+                return;
+            }
+            let (unique, ended) = oldest.remove_entry();
+            self.forgotten_through = self.forgotten_through.max(unique);
+            if let RunResult::Answered(answer) = ended.result {
+                self.answers_bytes -= answer.size().get();
+                self.answered.remove(&unique);
+            }
+        }
+    }
+
+    fn drop_oldest_answers(&mut self) {
+        while self.answers_bytes > self.options.answers_max.get() {
+            let Some(unique) = self.answered.pop_first() else {
+                return;
+            };
+            let Some(ended) = self.ended.get_mut(&unique) else {
+                continue;
+            };
+            let dropped = std::mem::replace(&mut ended.result, RunResult::AnswerDropped);
+            if let RunResult::Answered(answer) = dropped {
+                self.answers_bytes -= answer.size().get();
+            }
+        }
+    }
+}
+
+impl<A: KeptAnswer> Ended<A> {
+    fn begin(&self) -> Begin<A> {
+        match &self.result {
+            RunResult::Answered(answer) => Begin::Replay(answer.clone()),
+            RunResult::AnswerDropped => {
+                Begin::Refuse(Refusal::lasting(RefusalReason::AnswerDropped))
+            }
+            RunResult::AnswerLost => Begin::Refuse(Refusal::lasting(RefusalReason::AnswerLost)),
+        }
+    }
+}
--- a/crates/foxtide-core/src/lib.rs
+++ b/crates/foxtide-core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod errors;
 pub mod events;
 pub mod explain;
+pub mod idempotency;
 pub mod ids;
 pub mod organisation;
 pub mod outcome;
--- /dev/null
+++ b/crates/foxtide-core/tests/idempotency_table.rs
@@ -0,0 +1,228 @@
+//! What a table answers, case by case.
+
+use foxtide_core::idempotency::{
+    Begin, Claim, Fingerprint, IdempotencyKey, KeptAnswer, OwnerId, RefusalReason, Table,
+    TableOptions,
+};
+use foxtide_core::outcome::Outcome;
+use foxtide_core::time::WallTime;
+use foxtide_core::units::ByteSize;
+use std::time::Duration;
+
+const START: WallTime = WallTime::from_ms(1_000_000);
+const VALIDITY: Duration = Duration::from_secs(300);
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Text(&'static str);
+
+impl KeptAnswer for Text {
+    fn size(&self) -> ByteSize {
+        ByteSize::from_bytes(self.0.len() as u64)
+    }
+}
+
+fn owner() -> OwnerId {
+    "entry-1.00000000000000aa".parse().unwrap()
+}
+
+fn key(number: u8) -> IdempotencyKey {
+    key_at(START, number)
+}
+
+fn key_at(minted_at: WallTime, number: u8) -> IdempotencyKey {
+    IdempotencyKey::mint(owner(), minted_at, [number; 10])
+}
+
+fn request() -> Fingerprint {
+    Fingerprint::of([b"unlock".as_slice(), b"locker=7"])
+}
+
+fn table(options: TableOptions) -> Table<Text> {
+    Table::new(owner(), options)
+}
+
+fn run(table: &mut Table<Text>, key: &IdempotencyKey) -> Claim {
+    run_at(table, key, START)
+}
+
+fn run_at(table: &mut Table<Text>, key: &IdempotencyKey, now: WallTime) -> Claim {
+    match table.begin(key, request(), now) {
+        Begin::Run(claim) => claim,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn refusal_at(table: &mut Table<Text>, key: &IdempotencyKey, now: WallTime) -> RefusalReason {
+    match table.begin(key, request(), now) {
+        Begin::Refuse(refusal) => refusal.reason,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn is_replay(table: &mut Table<Text>, key: &IdempotencyKey, answer: &Text) -> bool {
+    matches!(table.begin(key, request(), START), Begin::Replay(kept) if kept == *answer)
+}
+
+#[test]
+fn verify_a_whole_answer_is_given_again() {
+    let mut table = table(TableOptions::default());
+    let claim = run(&mut table, &key(1));
+    let again = table.begin(&key(1), request(), START);
+    assert!(matches!(again, Begin::InProgress { .. }), "{again:?}");
+    table.written(&claim);
+    table.finish(claim, Text("opened"));
+    assert!(is_replay(&mut table, &key(1), &Text("opened")));
+}
+
+#[test]
+fn verify_an_attempt_without_a_byte_is_not_run() {
+    let mut table = table(TableOptions::default());
+    let claim = run(&mut table, &key(1));
+    assert_eq!(table.abandon(claim), Outcome::NotRun);
+    let claim = run(&mut table, &key(1));
+    table.written(&claim);
+    table.proved_not_run(&claim);
+    assert_eq!(table.abandon(claim), Outcome::NotRun);
+}
+
+#[test]
+fn verify_a_lost_answer_is_unknown_for_ever() {
+    let mut table = table(TableOptions::default());
+    let claim = run(&mut table, &key(1));
+    table.written(&claim);
+    assert_eq!(table.abandon(claim), Outcome::Unknown);
+    let reason = refusal_at(&mut table, &key(1), START);
+    assert_eq!(reason, RefusalReason::AnswerLost);
+    assert_eq!(reason.outcome(), Outcome::Unknown);
+}
+
+#[test]
+fn verify_a_reused_key_is_refused() {
+    let mut table = table(TableOptions::default());
+    let other = Fingerprint::of([b"unlock".as_slice(), b"locker=8"]);
+    let claim = run(&mut table, &key(1));
+    for _ in 0..2 {
+        let begin = table.begin(&key(1), other, START);
+        let Begin::Refuse(refusal) = begin else {
+            panic!("{begin:?}");
+        };
+        assert_eq!(refusal.reason, RefusalReason::KeyReused);
+    }
+    table.finish(claim, Text("opened"));
+    let begin = table.begin(&key(1), other, START);
+    assert!(matches!(begin, Begin::Refuse(_)), "{begin:?}");
+}
+
+#[test]
+fn verify_fingerprints_count_the_lengths_of_parts() {
+    let left = Fingerprint::of([b"ab".as_slice(), b"c"]);
+    let right = Fingerprint::of([b"a".as_slice(), b"bc"]);
+    assert_ne!(left, right);
+}
+
+#[test]
+fn verify_only_the_owning_process_runs_a_key() {
+    let mut elsewhere: Table<Text> = Table::new(
+        "entry-2.00000000000000bb".parse().unwrap(),
+        TableOptions::default(),
+    );
+    let begin = elsewhere.begin(&key(1), request(), START);
+    assert!(matches!(begin, Begin::Elsewhere), "{begin:?}");
+
+    let mut restarted: Table<Text> = Table::new(
+        "entry-1.00000000000000ab".parse().unwrap(),
+        TableOptions::default(),
+    );
+    let reason = refusal_at(&mut restarted, &key(1), START);
+    assert_eq!(reason, RefusalReason::OwnerGone);
+    assert_eq!(reason.outcome(), Outcome::Unknown);
+}
+
+#[test]
+fn verify_a_forgotten_key_is_refused_also_when_the_clock_goes_back() {
+    let mut table = table(TableOptions::default());
+    for number in [1, 3] {
+        let claim = run(&mut table, &key(number));
+        table.finish(claim, Text("opened"));
+    }
+    let later = START + VALIDITY + Duration::from_millis(1);
+    let claim = run_at(&mut table, &key_at(later, 1), later);
+    assert_eq!(table.usage().ended, 0, "both were forgotten");
+    for number in 1..=3 {
+        let reason = refusal_at(&mut table, &key(number), START);
+        assert_eq!(reason, RefusalReason::KeyExpired);
+    }
+    // A newer one than any that was forgotten is still good.
+    let newer = run_at(&mut table, &key(4), START);
+    assert_eq!(table.abandon(newer), Outcome::NotRun);
+    assert_eq!(table.abandon(claim), Outcome::NotRun);
+}
+
+#[test]
+fn verify_a_running_key_outlives_its_validity() {
+    let mut table = table(TableOptions::default());
+    let claim = run(&mut table, &key(1));
+    table.written(&claim);
+    let later = START + VALIDITY * 2;
+    let begin = table.begin(&key(1), request(), later);
+    assert!(matches!(begin, Begin::InProgress { .. }), "{begin:?}");
+    table.finish(claim, Text("opened"));
+    let reason = refusal_at(&mut table, &key(1), later);
+    assert_eq!(reason, RefusalReason::KeyExpired);
+}
+
+#[test]
+fn verify_a_key_from_the_future_is_refused_until_its_time() {
+    let mut table = table(TableOptions::default());
+    let key = key_at(START + Duration::from_millis(700), 1);
+    let begin = table.begin(&key, request(), START);
+    let Begin::Refuse(refusal) = begin else {
+        panic!("{begin:?}");
+    };
+    assert_eq!(refusal.reason, RefusalReason::KeyFromFuture);
+    let wait = refusal.retry_after.unwrap();
+    assert_eq!(wait, Duration::from_millis(200));
+    let claim = run_at(&mut table, &key, START + wait);
+    assert_eq!(table.abandon(claim), Outcome::NotRun);
+}
+
+#[test]
+fn verify_a_full_table_refuses_new_keys_and_keeps_the_known() {
+    let mut table = table(TableOptions {
+        keys_max: 2,
+        ..TableOptions::default()
+    });
+    let first = run(&mut table, &key(1));
+    table.finish(first, Text("opened"));
+    let second = run(&mut table, &key(2));
+    let begin = table.begin(&key(3), request(), START);
+    let Begin::Refuse(refusal) = begin else {
+        panic!("{begin:?}");
+    };
+    assert_eq!(refusal.outcome(), Outcome::NotRun);
+    assert_eq!(refusal.retry_after, Some(VALIDITY));
+    assert!(is_replay(&mut table, &key(1), &Text("opened")));
+    assert_eq!(table.abandon(second), Outcome::NotRun);
+    let third = run(&mut table, &key(3));
+    table.finish(third, Text("opened"));
+}
+
+#[test]
+fn verify_answers_are_dropped_but_their_keys_stay() {
+    let mut table = table(TableOptions {
+        answers_max: ByteSize::from_bytes(10),
+        answer_max: ByteSize::from_bytes(8),
+        ..TableOptions::default()
+    });
+    for (number, text) in [(1, "sixsix"), (2, "fours"), (3, "far too long")] {
+        let claim = run(&mut table, &key(number));
+        table.finish(claim, Text(text));
+    }
+    assert_eq!(table.usage().answers_size, ByteSize::from_bytes(5));
+    assert!(is_replay(&mut table, &key(2), &Text("fours")));
+    for number in [1, 3] {
+        let reason = refusal_at(&mut table, &key(number), START);
+        assert_eq!(reason, RefusalReason::AnswerDropped);
+        assert_eq!(reason.outcome(), Outcome::Done);
+    }
+}
