Add the stand-ins for store, instance list and upstream

Tests and trials need the platform's services on loopback, with their faults at run time. The store's stand-in speaks the part of Consul's published HTTP API that foxtide uses; the upstream's one records each run, so that a doubled run can be counted.

--- /dev/null
+++ b/crates/foxtide-testing/src/http/listener.rs
@@ -0,0 +1,228 @@
+//! Listening, refusing to listen, and the set of open connections.
+//!
+//! Lock order: `connections` is the only lock here and is never held across
+//! an await.
+
+use super::connection::{Endpoint, serve};
+use super::{Availability, Call};
+use parking_lot::Mutex;
+use smol::channel::{Receiver, Sender, bounded, unbounded};
+use smol::future::FutureExt;
+use smol::net::{TcpListener, TcpStream};
+use smol::{Task, Timer};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+/// How long to wait before an address that is still in use is tried again.
+const REBIND_PAUSE: Duration = Duration::from_millis(10);
+
+/// A running server; dropping it ends its connections.
+pub(crate) struct Server<E> {
+    address: SocketAddr,
+    shared: Arc<Shared<E>>,
+    gate: Sender<GateChange>,
+    _accepting: Task<()>,
+}
+
+/// What the accepting task, the connections and the handle share.
+pub(crate) struct Shared<E> {
+    pub(crate) endpoint: Arc<E>,
+    availability: Mutex<Availability>,
+    connections: Mutex<Connections>,
+    open_connections: AtomicUsize,
+}
+
+/// The tasks that serve the open connections.
+#[derive(Default)]
+struct Connections {
+    tasks: Vec<Task<()>>,
+    /// Set when the handle is dropped; no task is kept from then on.
+    closed: bool,
+}
+
+/// Tells the accepting task to listen or not to, and hears when it is done.
+struct GateChange {
+    listen: bool,
+    done: Sender<()>,
+}
+
+/// What the accepting task woke up for.
+enum Wake {
+    Connection(TcpStream, SocketAddr),
+    Gate(GateChange),
+    AcceptFailed,
+    HandleDropped,
+}
+
+impl<E: Endpoint> Server<E> {
+    /// Binds the address and starts to accept connections.
+    pub(crate) async fn start(address: SocketAddr, endpoint: Arc<E>) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            endpoint,
+            availability: Mutex::default(),
+            connections: Mutex::default(),
+            open_connections: AtomicUsize::new(0),
+        });
+        let (gate, changes) = unbounded();
+        let accepting = smol::spawn(run(listener, address, shared.clone(), changes));
+        Ok(Self {
+            address,
+            shared,
+            gate,
+            _accepting: accepting,
+        })
+    }
+
+    /// Returns the address that it listens on.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the number of open connections.
+    pub(crate) fn open_connections(&self) -> usize {
+        self.shared.open_connections.load(Ordering::SeqCst)
+    }
+
+    /// Closes all open connections, whatever they are doing.
+    pub(crate) fn cut_connections(&self) {
+        self.shared.connections.lock().tasks.clear();
+    }
+
+    /// Changes what it does with connections; done when the call returns.
+    pub(crate) async fn set_availability(&self, availability: Availability) {
+        *self.shared.availability.lock() = availability;
+        let (done, finished) = bounded(1);
+        let listen = availability != Availability::Refusing;
+        let change = GateChange { listen, done };
+        if self.gate.send(change).await.is_ok() {
+            finished.recv().await.ok();
+        }
+    }
+}
+
+impl<E> Drop for Server<E> {
+    fn drop(&mut self) {
+        let mut connections = self.shared.connections.lock();
+        connections.closed = true;
+        connections.tasks.clear();
+    }
+}
+
+impl<E: Endpoint> Shared<E> {
+    /// Returns what is to be done with connections and requests now.
+    pub(crate) fn availability(&self) -> Availability {
+        *self.availability.lock()
+    }
+
+    fn open(self: &Arc<Self>, stream: TcpStream, peer: SocketAddr) {
+        let open_connections = self.open_connections.fetch_add(1, Ordering::SeqCst);
+        let guard = OpenConnection(self.clone());
+        if !self.endpoint.accepts(peer.ip(), open_connections) {
+            return;
+        }
+        stream.set_nodelay(true).ok();
+        let task = smol::spawn(async move {
+            serve(&guard.0, stream, peer).await;
+        });
+        let mut connections = self.connections.lock();
+        connections.tasks.retain(|task| !task.is_finished());
+        if !connections.closed {
+            connections.tasks.push(task);
+        }
+    }
+}
+
+/// Counts a connection for as long as it is open.
+struct OpenConnection<E>(Arc<Shared<E>>);
+
+impl<E> Drop for OpenConnection<E> {
+    fn drop(&mut self) {
+        self.0.open_connections.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+async fn run<E: Endpoint>(
+    mut listener: TcpListener,
+    address: SocketAddr,
+    shared: Arc<Shared<E>>,
+    changes: Receiver<GateChange>,
+) {
+    while let Some(closed) = accept_until_closed(&listener, &shared, &changes).await {
+        drop(listener);
+        closed.send(()).await.ok();
+        let Some(opened) = wait_until_opened(&changes).await else {
+            return;
+        };
+        listener = bind_again(address).await;
+        opened.send(()).await.ok();
+    }
+}
+
+async fn accept_until_closed<E: Endpoint>(
+    listener: &TcpListener,
+    shared: &Arc<Shared<E>>,
+    changes: &Receiver<GateChange>,
+) -> Option<Sender<()>> {
+    loop {
+        match next_wake(listener, changes).await {
+            Wake::Connection(stream, peer) => shared.open(stream, peer),
+            Wake::AcceptFailed => drop(Timer::after(REBIND_PAUSE).await),
+            Wake::Gate(change) if change.listen => {
+                change.done.send(()).await.ok();
+            }
+            Wake::Gate(change) => return Some(change.done),
+            Wake::HandleDropped => return None,
+        }
+    }
+}
+
+async fn next_wake(listener: &TcpListener, changes: &Receiver<GateChange>) -> Wake {
+    let connection = async {
+        match listener.accept().await {
+            Ok((stream, peer)) => Wake::Connection(stream, peer),
+            Err(_) => Wake::AcceptFailed,
+        }
+    };
+    let change = async {
+        match changes.recv().await {
+            Ok(change) => Wake::Gate(change),
+            Err(_) => Wake::HandleDropped,
+        }
+    };
+    change.or(connection).await
+}
+
+async fn wait_until_opened(changes: &Receiver<GateChange>) -> Option<Sender<()>> {
+    loop {
+        let change = changes.recv().await.ok()?;
+        if change.listen {
+            return Some(change.done);
+        }
+        change.done.send(()).await.ok();
+    }
+}
+
+async fn bind_again(address: SocketAddr) -> TcpListener {
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => return listener,
+            Err(error) => log::warn!("stand-in cannot listen on {address} again: {error}"),
+        }
+        Timer::after(REBIND_PAUSE).await;
+    }
+}
+
+impl Call {
+    /// Waits until the caller has closed its connection.
+    pub(crate) async fn hung_up(&self) {
+        let mut byte = [0];
+        while let Ok(1) = self.stream.peek(&mut byte).await {
+            Timer::after(REBIND_PAUSE).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxtide-testing/src/store/server.rs
@@ -0,0 +1,183 @@
+//! The store's handle, its options and its faults.
+
+use super::calls::CallStats;
+use super::endpoint::StoreEndpoint;
+use super::state::{Condition, Selection};
+use crate::http::{Availability, Server};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use smol::{Task, Timer};
+use std::collections::BTreeSet;
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// How often sessions that have lapsed are looked for.
+const LAPSE_CHECK_PERIOD: Duration = Duration::from_millis(20);
+
+/// How a [`StoreServer`] starts.
+#[derive(Clone, Debug)]
+pub struct StoreOptions {
+    /// Where it listens; port 0, the default, lets the system choose.
+    pub address: SocketAddr,
+    /// How much faster sessions lapse than their callers ask; 1 by default.
+    pub clock_scale: f64,
+    /// The seed of the faults that come by chance; 1 by default.
+    pub seed: u64,
+}
+
+impl Default for StoreOptions {
+    fn default() -> Self {
+        Self {
+            address: (Ipv4Addr::LOCALHOST, 0).into(),
+            clock_scale: 1.0,
+            seed: 1,
+        }
+    }
+}
+
+/// The faults that are in force.
+pub(super) struct Faults {
+    /// How long each call waits before it takes effect.
+    pub(super) delay: Duration,
+    answers_to_lose: u32,
+    answer_loss_probability: f64,
+    cut_off: BTreeSet<IpAddr>,
+    chance: StdRng,
+}
+
+impl Faults {
+    fn new(seed: u64) -> Self {
+        Self {
+            delay: Duration::ZERO,
+            answers_to_lose: 0,
+            answer_loss_probability: 0.0,
+            cut_off: BTreeSet::new(),
+            chance: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Tells whether this caller gets no answers.
+    pub(super) fn is_cut(&self, caller: IpAddr) -> bool {
+        self.cut_off.contains(&caller)
+    }
+
+    /// Tells whether the answer to the change that just took effect is lost.
+    pub(super) fn loses_answer(&mut self) -> bool {
+        if self.answers_to_lose > 0 {
+            self.answers_to_lose -= 1;
+            return true;
+        }
+        self.chance.random_bool(self.answer_loss_probability)
+    }
+}
+
+/// A running stand-in for the store.
+pub struct StoreServer {
+    server: Server<StoreEndpoint>,
+    endpoint: Arc<StoreEndpoint>,
+    _lapsing: Task<()>,
+}
+
+impl StoreServer {
+    /// Starts an empty store.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the address cannot be bound.
+    pub async fn start(options: StoreOptions) -> io::Result<Self> {
+        let faults = Faults::new(options.seed);
+        let endpoint = Arc::new(StoreEndpoint::new(options.clock_scale, faults));
+        let server = Server::start(options.address, endpoint.clone()).await?;
+        Ok(Self {
+            server,
+            _lapsing: smol::spawn(end_lapsed_sessions(endpoint.clone())),
+            endpoint,
+        })
+    }
+
+    /// Returns the address that it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Changes whether it answers.
+    pub async fn set_availability(&self, availability: Availability) {
+        self.server.set_availability(availability).await;
+    }
+
+    /// Makes each call wait this long before it takes effect.
+    pub fn set_delay(&self, delay: Duration) {
+        self.endpoint.faults.lock().delay = delay;
+    }
+
+    /// Loses the answers to the next `count` changes: they take effect, then
+    /// the connection is closed.
+    pub fn lose_answers(&self, count: u32) {
+        self.endpoint.faults.lock().answers_to_lose = count;
+    }
+
+    /// Loses the answer to each change with this probability, from 0 to 1.
+    pub fn set_answer_loss_probability(&self, probability: f64) {
+        self.endpoint.faults.lock().answer_loss_probability = probability.clamp(0.0, 1.0);
+    }
+
+    /// Stops to answer this caller; its connections stay open.
+    pub fn cut_off(&self, caller: IpAddr) {
+        self.endpoint.faults.lock().cut_off.insert(caller);
+    }
+
+    /// Answers this caller again.
+    pub fn restore(&self, caller: IpAddr) {
+        self.endpoint.faults.lock().cut_off.remove(&caller);
+    }
+
+    /// Closes all connections.
+    pub fn cut_connections(&self) {
+        self.server.cut_connections();
+    }
+
+    /// Ends a session as if its time had run out.
+    pub fn expire_session(&self, session: &str) {
+        let mut state = self.endpoint.state.lock();
+        state.end_session(session, Instant::now());
+        drop(state);
+        self.endpoint.wake_all();
+    }
+
+    /// Returns what a key holds, without a call.
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        let selection = Selection::Key(key.to_owned());
+        let entries = self.endpoint.state.lock().read(&selection);
+        entries.into_iter().next().map(|entry| entry.value)
+    }
+
+    /// Writes a key, without a call.
+    pub fn set_value(&self, key: &str, value: impl Into<Vec<u8>>) {
+        let mut state = self.endpoint.state.lock();
+        let written = state.write(key, value.into(), &Condition::None, Instant::now());
+        drop(state);
+        debug_assert_eq!(written, Ok(true));
+        self.endpoint.wake_all();
+    }
+
+    /// Returns the calls so far.
+    pub fn calls(&self) -> CallStats {
+        self.endpoint.calls.lock().stats()
+    }
+
+    /// Returns the number of open connections.
+    pub fn open_connections(&self) -> usize {
+        self.server.open_connections()
+    }
+}
+
+async fn end_lapsed_sessions(endpoint: Arc<StoreEndpoint>) {
+    loop {
+        Timer::after(LAPSE_CHECK_PERIOD).await;
+        if endpoint.state.lock().end_lapsed_sessions(Instant::now()) {
+            endpoint.wake_all();
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxtide-testing/src/store/state.rs
@@ -0,0 +1,183 @@
+//! The keys of the store and the rules by which they change.
+
+use super::sessions::{OnLapse, Sessions};
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+/// The index of a state in which nothing below a prefix ever changed.
+///
+/// Consul's indices begin at 1: 0 means "do not wait" in a query.
+const FIRST_INDEX: u64 = 1;
+
+/// A key's value and what the store knows of it.
+#[derive(Clone, Debug)]
+pub(super) struct Entry {
+    pub(super) key: String,
+    pub(super) value: Vec<u8>,
+    pub(super) create_index: u64,
+    pub(super) modify_index: u64,
+    pub(super) lock_index: u64,
+    pub(super) session: Option<String>,
+}
+
+/// What a read selects.
+#[derive(Clone, Debug)]
+pub(super) enum Selection {
+    Key(String),
+    Prefix(String),
+}
+
+impl Selection {
+    fn holds(&self, key: &str) -> bool {
+        match self {
+            Self::Key(wanted) => wanted == key,
+            Self::Prefix(prefix) => key.starts_with(prefix),
+        }
+    }
+}
+
+/// The condition under which a key is changed.
+#[derive(Clone, Debug)]
+pub(super) enum Condition {
+    None,
+    /// Its index is this; 0 means that there is no such key.
+    Index(u64),
+    /// The session takes it, or holds it already.
+    Acquire(String),
+    /// The session holds it and gives it back.
+    Release(String),
+}
+
+/// The store names a session that does not exist.
+#[derive(Debug, PartialEq, Eq)]
+pub(super) struct InvalidSession;
+
+/// Everything that the store holds.
+#[derive(Debug, Default)]
+pub(super) struct State {
+    index: u64,
+    entries: BTreeMap<String, Entry>,
+    /// The index at which a key that is gone was deleted.
+    deleted: BTreeMap<String, u64>,
+    pub(super) sessions: Sessions,
+}
+
+impl State {
+    /// Returns the selected entries in the order of their keys.
+    pub(super) fn read(&self, selection: &Selection) -> Vec<Entry> {
+        let entries = self.entries.values();
+        let selected = entries.filter(|entry| selection.holds(&entry.key));
+        selected.cloned().collect()
+    }
+
+    /// Returns the index of the last change to what is selected.
+    pub(super) fn index_of(&self, selection: &Selection) -> u64 {
+        let entries = self.entries.values();
+        let changed = entries.filter(|entry| selection.holds(&entry.key));
+        let deleted = self.deleted.iter().filter(|(key, _)| selection.holds(key));
+        let indices = changed.map(|entry| entry.modify_index);
+        let indices = indices.chain(deleted.map(|(_, index)| *index));
+        indices.max().unwrap_or(FIRST_INDEX)
+    }
+
+    /// Writes a key if the condition holds and tells whether it did.
+    pub(super) fn write(
+        &mut self,
+        key: &str,
+        value: Vec<u8>,
+        condition: &Condition,
+        now: Instant,
+    ) -> Result<bool, InvalidSession> {
+        let entry = self.entries.get(key);
+        let holder = entry.and_then(|entry| entry.session.clone());
+        let (allowed, holder) = match condition {
+            Condition::None => (true, holder),
+            Condition::Index(index) => {
+                let found = entry.map_or(0, |entry| entry.modify_index);
+                (found == *index, holder)
+            }
+            Condition::Acquire(session) => {
+                if !self.sessions.is_open(session) {
+                    return Err(InvalidSession);
+                }
+                let free = holder.is_none() && !self.sessions.is_delayed(key, now);
+                let allowed = free || holder.as_ref() == Some(session);
+                (allowed, Some(session.clone()))
+            }
+            Condition::Release(session) => (holder.as_ref() == Some(session), None),
+        };
+        if allowed {
+            self.put(key, value, holder);
+        }
+        Ok(allowed)
+    }
+
+    fn put(&mut self, key: &str, value: Vec<u8>, session: Option<String>) {
+        let index = self.next_index();
+        let old = self.entries.get(key);
+        let newly_locked = session.is_some() && old.and_then(|old| old.session.as_ref()).is_none();
+        let entry = Entry {
+            key: key.to_owned(),
+            value,
+            create_index: old.map_or(index, |old| old.create_index),
+            modify_index: index,
+            lock_index: old.map_or(0, |old| old.lock_index) + u64::from(newly_locked),
+            session,
+        };
+        self.deleted.remove(key);
+        self.entries.insert(key.to_owned(), entry);
+    }
+
+    /// Deletes what is selected, a single key only at the given index.
+    pub(super) fn delete(&mut self, selection: &Selection, expected: Option<u64>) -> bool {
+        let keys: Vec<String> = self.read(selection).into_iter().map(|e| e.key).collect();
+        if let (Some(expected), Selection::Key(key)) = (expected, selection) {
+            let found = self.entries.get(key).map(|entry| entry.modify_index);
+            if found != Some(expected) {
+                return false;
+            }
+        }
+        for key in keys {
+            self.remove(&key);
+        }
+        true
+    }
+
+    fn remove(&mut self, key: &str) {
+        let index = self.next_index();
+        self.entries.remove(key);
+        self.deleted.insert(key.to_owned(), index);
+    }
+
+    /// Ends a session and frees or deletes the keys that it holds. Tells
+    /// whether there was such a session.
+    pub(super) fn end_session(&mut self, id: &str, now: Instant) -> bool {
+        let Some(session) = self.sessions.close(id) else {
+            return false;
+        };
+        let held = |entry: &&Entry| entry.session.as_deref() == Some(id);
+        let entries: Vec<Entry> = self.entries.values().filter(held).cloned().collect();
+        for entry in entries {
+            self.sessions.delay(&entry.key, now + session.lock_delay);
+            match session.on_lapse {
+                OnLapse::Release => self.put(&entry.key, entry.value, None),
+                OnLapse::Delete => self.remove(&entry.key),
+            }
+        }
+        true
+    }
+
+    /// Ends the sessions whose time has run out. Tells whether there were any.
+    pub(super) fn end_lapsed_sessions(&mut self, now: Instant) -> bool {
+        let lapsed = self.sessions.lapsed(now);
+        for id in &lapsed {
+            self.end_session(id, now);
+        }
+        !lapsed.is_empty()
+    }
+
+    fn next_index(&mut self) -> u64 {
+        self.index = self.index.max(FIRST_INDEX) + 1;
+        self.index
+    }
+}
--- /dev/null
+++ b/crates/foxtide-testing/src/store/wire.rs
@@ -0,0 +1,126 @@
+//! The JSON forms of the store's API.
+
+use super::sessions::{OnLapse, Session};
+use super::state::Entry;
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use serde::{Deserialize, Serialize};
+use std::time::{Duration, Instant};
+
+/// An entry as an answer shows it.
+#[derive(Serialize)]
+#[serde(rename_all = "PascalCase")]
+pub(super) struct EntryForm {
+    lock_index: u64,
+    key: String,
+    flags: u64,
+    value: String,
+    create_index: u64,
+    modify_index: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    session: Option<String>,
+}
+
+impl From<&Entry> for EntryForm {
+    fn from(entry: &Entry) -> Self {
+        Self {
+            lock_index: entry.lock_index,
+            key: entry.key.clone(),
+            flags: 0,
+            value: STANDARD.encode(&entry.value),
+            create_index: entry.create_index,
+            modify_index: entry.modify_index,
+            session: entry.session.clone(),
+        }
+    }
+}
+
+/// The body of a request for a session.
+#[derive(Default, Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+pub(super) struct SessionRequest {
+    name: String,
+    #[serde(rename = "TTL")]
+    ttl: Option<String>,
+    behavior: Option<String>,
+    lock_delay: Option<String>,
+}
+
+impl SessionRequest {
+    /// Returns the session that is asked for, its times divided by the scale.
+    pub(super) fn session(self, clock_scale: f64, now: Instant) -> Result<Session, String> {
+        let duration = |text: Option<String>| match text {
+            Some(text) => {
+                let parsed = parse_duration(&text).ok_or(format!("bad duration `{text}`"))?;
+                Ok::<_, String>(Some(parsed.div_f64(clock_scale)))
+            }
+            None => Ok(None),
+        };
+        let mut session = Session::new(self.name, duration(self.ttl)?, now);
+        let lock_delay = duration(self.lock_delay)?;
+        session.lock_delay = lock_delay.unwrap_or(LOCK_DELAY_DEFAULT.div_f64(clock_scale));
+        session.on_lapse = match self.behavior.as_deref() {
+            None | Some("" | "release") => OnLapse::Release,
+            Some("delete") => OnLapse::Delete,
+            Some(other) => return Err(format!("bad behavior `{other}`")),
+        };
+        Ok(session)
+    }
+}
+
+/// How long a lapsed session's keys cannot be taken where nothing is said.
+const LOCK_DELAY_DEFAULT: Duration = Duration::from_secs(15);
+
+/// The answer to a request for a session.
+#[derive(Serialize)]
+pub(super) struct SessionCreated {
+    #[serde(rename = "ID")]
+    pub(super) id: String,
+}
+
+/// A session as the answer to a renewal shows it.
+#[derive(Serialize)]
+#[serde(rename_all = "PascalCase")]
+pub(super) struct SessionForm {
+    #[serde(rename = "ID")]
+    id: String,
+    name: String,
+    behavior: &'static str,
+    #[serde(rename = "TTL")]
+    ttl: String,
+    lock_delay: u64,
+}
+
+impl SessionForm {
+    /// Returns the form of a session.
+    pub(super) fn new(id: &str, session: &Session) -> Self {
+        Self {
+            id: id.to_owned(),
+            name: session.name.clone(),
+            behavior: match session.on_lapse {
+                OnLapse::Release => "release",
+                OnLapse::Delete => "delete",
+            },
+            ttl: match session.ttl {
+                Some(ttl) => format!("{}ms", ttl.as_millis()),
+                None => String::new(),
+            },
+            lock_delay: u64::try_from(session.lock_delay.as_nanos()).unwrap_or(u64::MAX),
+        }
+    }
+}
+
+/// Parses a duration in Go's form with one unit: `500ms`, `10s`, `2m`, `1h`.
+pub(super) fn parse_duration(text: &str) -> Option<Duration> {
+    let unit_at = text.find(|c: char| c.is_ascii_alphabetic())?;
+    let (number, unit) = text.split_at(unit_at);
+    let number: f64 = number.parse().ok()?;
+    let unit_s = match unit {
+        "ms" => 0.001,
+        "s" => 1.0,
+        "m" => 60.0,
+        "h" => 3_600.0,
+        _ => return None,
+    };
+    Duration::try_from_secs_f64(number * unit_s).ok()
+}
--- /dev/null
+++ b/crates/foxtide-testing/src/upstream/answer.rs
@@ -0,0 +1,135 @@
+//! The answers of an upstream and what a fault makes of them.
+
+use super::faults::AnswerFault;
+use super::load::LOAD_HEADER;
+use crate::http::{Call, Reply, encode, json, text};
+use http_types::{Method, Response, StatusCode};
+use serde::Serialize;
+use smol::Timer;
+
+const OUTCOME_HEADER: &str = "foxtide-outcome";
+const REQUEST_ID_HEADER: &str = "foxtide-request-id";
+const KEY_HEADER: &str = "idempotency-key";
+const STATE_HEADER: &str = "foxtide-upstream-state";
+
+/// How long a caller should wait after it was refused, in seconds.
+const RETRY_AFTER_S: &str = "1";
+
+/// The length that an answer tells beyond what it has, or less.
+const LENGTH_ERROR_BYTES: usize = 7;
+
+/// The body of an answer; it names the request that it belongs to.
+#[derive(Serialize)]
+struct AnswerBody<'a> {
+    upstream: &'a str,
+    method: String,
+    path: &'a str,
+    request_id: Option<&'a str>,
+    idempotency_key: Option<&'a str>,
+    body_bytes: usize,
+    padding: String,
+}
+
+/// Who a request says it is.
+pub(super) struct RequestIdentity {
+    pub(super) path: String,
+    pub(super) request_id: Option<String>,
+    pub(super) idempotency_key: Option<String>,
+}
+
+impl RequestIdentity {
+    /// Reads the identity from a request.
+    pub(super) fn of(call: &Call) -> Self {
+        let url = call.request.url();
+        let path = match url.query() {
+            Some(query) => format!("{}?{query}", url.path()),
+            None => url.path().to_owned(),
+        };
+        Self {
+            path,
+            request_id: call.header(REQUEST_ID_HEADER),
+            idempotency_key: call.header(KEY_HEADER),
+        }
+    }
+
+    /// Returns the answer to the request.
+    pub(super) fn answer(&self, upstream: &str, call: &Call, padding_bytes: usize) -> Response {
+        let mut response = json(&AnswerBody {
+            upstream,
+            method: call.request.method().to_string(),
+            path: &self.path,
+            request_id: self.request_id.as_deref(),
+            idempotency_key: self.idempotency_key.as_deref(),
+            body_bytes: call.body.len(),
+            padding: "x".repeat(padding_bytes),
+        });
+        if let Some(id) = &self.request_id {
+            response.insert_header(REQUEST_ID_HEADER, id);
+        }
+        response
+    }
+}
+
+/// Returns the answer to a request that was not run.
+pub(super) fn refusal(reason: &str) -> Response {
+    let mut response = text(StatusCode::ServiceUnavailable, reason);
+    response.insert_header(OUTCOME_HEADER, "not-run");
+    response.insert_header("retry-after", RETRY_AFTER_S);
+    response
+}
+
+/// Adds what an answer says of the upstream itself.
+pub(super) fn announce(response: &mut Response, load: Option<String>, drains: bool) {
+    if let Some(load) = load {
+        response.insert_header(LOAD_HEADER, load);
+    }
+    if drains {
+        response.insert_header(STATE_HEADER, "draining");
+    }
+}
+
+/// Returns the bytes of the answer that nobody asked for.
+pub(super) fn early_answer() -> Vec<u8> {
+    b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nearly".to_vec()
+}
+
+/// Returns what is sent in place of an answer when a fault is in force.
+pub(super) async fn spoil(response: Response, method: Method, fault: AnswerFault) -> Reply {
+    match fault {
+        AnswerFault::None => return Reply::Whole(response),
+        AnswerFault::Late(delay) => {
+            Timer::after(delay).await;
+            return Reply::Whole(response);
+        }
+        AnswerFault::LostAfterRun | AnswerFault::LostBeforeRun => return Reply::Close,
+        AnswerFault::Never => return Reply::Silence,
+        _ => {}
+    }
+    let Ok(bytes) = encode(response, method).await else {
+        return Reply::Close;
+    };
+    let close = fault == AnswerFault::Truncated;
+    let bytes = match fault {
+        AnswerFault::Truncated => bytes[..bytes.len() / 2].to_vec(),
+        AnswerFault::Doubled => bytes.repeat(2),
+        AnswerFault::LengthTooLong => with_length(&bytes, |n| n + LENGTH_ERROR_BYTES),
+        AnswerFault::LengthTooShort => {
+            with_length(&bytes, |n| n.saturating_sub(LENGTH_ERROR_BYTES))
+        }
+        _ => bytes,
+    };
+    Reply::Raw { bytes, close }
+}
+
+/// Rewrites the number in the `content-length` line.
+fn with_length(bytes: &[u8], change: impl Fn(usize) -> usize) -> Vec<u8> {
+    let message = String::from_utf8_lossy(bytes);
+    let lines = message.split("\r\n").map(|line| {
+        let number = line.strip_prefix("content-length: ");
+        match number.and_then(|number| number.parse().ok()) {
+            Some(length) => format!("content-length: {}", change(length)),
+            None => line.to_owned(),
+        }
+    });
+    lines.collect::<Vec<_>>().join("\r\n").into_bytes()
+}
--- /dev/null
+++ b/crates/foxtide-testing/src/upstream/endpoint.rs
@@ -0,0 +1,258 @@
+//! How an upstream takes, runs and answers a request.
+//!
+//! Lock order: `behaviour`, `records`, `chance`; no two are held at the same
+//! time, and none across an await.
+
+use super::answer::{RequestIdentity, announce, early_answer, refusal, spoil};
+use super::faults::{AnswerFault, Behaviour};
+use super::load::{LoadMetrics, LoadReport};
+use super::options::UpstreamOptions;
+use super::records::{Records, RunRecord};
+use crate::http::{Call, Endpoint, Reply, json, text};
+use http_types::{Response, StatusCode};
+use parking_lot::Mutex;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use smol::Timer;
+use smol::future::FutureExt;
+use smol::lock::{Semaphore, SemaphoreGuard};
+use std::net::IpAddr;
+use std::time::{Duration, Instant};
+
+/// The page that tells the load to those who ask.
+const LOAD_PATH: &str = "/load";
+
+/// The page that tells the health to those who ask.
+const HEALTH_PATH: &str = "/health";
+
+/// The header with the time that is left for a request, in milliseconds.
+const DEADLINE_HEADER: &str = "foxtide-deadline-ms";
+
+/// What the server, its connections and its handle share.
+pub(super) struct UpstreamEndpoint {
+    pub(super) options: UpstreamOptions,
+    pub(super) behaviour: Mutex<Behaviour>,
+    pub(super) records: Mutex<Records>,
+    chance: Mutex<StdRng>,
+    slots: Semaphore,
+}
+
+/// How the wait for a slot ended.
+enum SlotWait<'a> {
+    Taken(SemaphoreGuard<'a>),
+    DeadlinePassed,
+    HungUp,
+}
+
+/// How the run of a request ended.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum RunEnd {
+    Completed,
+    HungUp,
+}
+
+impl UpstreamEndpoint {
+    /// Returns an idle upstream.
+    pub(super) fn new(options: UpstreamOptions) -> Self {
+        Self {
+            behaviour: Mutex::new(Behaviour::new(options.service_time)),
+            records: Mutex::default(),
+            chance: Mutex::new(StdRng::seed_from_u64(options.seed)),
+            slots: Semaphore::new(options.slots as usize),
+            options,
+        }
+    }
+
+    async fn serve(&self, call: &Call) -> Reply {
+        let received_at = Instant::now();
+        self.records.lock().received(received_at);
+        let sheds = self.behaviour.lock().sheds;
+        if sheds || !self.has_room() {
+            return self.shed("no room");
+        }
+        let slot = match self.wait_for_slot(call).await {
+            SlotWait::Taken(slot) => slot,
+            SlotWait::DeadlinePassed => return self.shed("deadline passed while waiting"),
+            SlotWait::HungUp => return Reply::Close,
+        };
+        let fault = self.behaviour.lock().take_fault();
+        if fault == AnswerFault::LostBeforeRun {
+            return Reply::Close;
+        }
+        let identity = RequestIdentity::of(call);
+        let end = self.run(call, &identity, received_at).await;
+        drop(slot);
+        if end == RunEnd::HungUp {
+            return Reply::Close;
+        }
+        let padding_bytes = self.options.answer_bytes;
+        let mut response = identity.answer(&self.options.name, call, padding_bytes);
+        self.announce(&mut response);
+        spoil(response, call.request.method(), fault).await
+    }
+
+    fn has_room(&self) -> bool {
+        let stats = self.records.lock().stats;
+        let taken = stats.running + stats.waiting;
+        taken < self.options.slots + self.options.queue
+    }
+
+    fn shed(&self, reason: &str) -> Reply {
+        self.records.lock().stats.shed += 1;
+        let mut response = refusal(reason);
+        self.announce(&mut response);
+        Reply::Whole(response)
+    }
+
+    async fn wait_for_slot(&self, call: &Call) -> SlotWait<'_> {
+        self.records.lock().wait();
+        let waiting = Waiting(&self.records);
+        let taken = async { SlotWait::Taken(self.slots.acquire().await) };
+        let late = async {
+            Timer::after(deadline(call)).await;
+            SlotWait::DeadlinePassed
+        };
+        let hung_up = async {
+            call.hung_up().await;
+            SlotWait::HungUp
+        };
+        let end = taken.or(late).or(hung_up).await;
+        drop(waiting);
+        end
+    }
+
+    async fn run(&self, call: &Call, identity: &RequestIdentity, received_at: Instant) -> RunEnd {
+        let record = RunRecord {
+            idempotency_key: identity.idempotency_key.clone(),
+            request_id: identity.request_id.clone(),
+            method: call.request.method().to_string(),
+            path: identity.path.clone(),
+            caller: call.caller.ip(),
+            received_at,
+        };
+        let ran = self.records.lock().stats.ran;
+        self.records.lock().run(record, Instant::now());
+        let running = Running(&self.records);
+        let service_time = self.behaviour.lock().service_time;
+        let time = service_time.draw(&mut self.chance.lock());
+        let time = time.mul_f64(self.options.cold_start.factor(ran));
+        let completed = async {
+            Timer::after(time).await;
+            RunEnd::Completed
+        };
+        let hung_up = async {
+            call.hung_up().await;
+            RunEnd::HungUp
+        };
+        let end = completed.or(hung_up).await;
+        drop(running);
+        if end == RunEnd::HungUp {
+            self.records.lock().stats.cancelled += 1;
+        }
+        end
+    }
+
+    fn announce(&self, response: &mut Response) {
+        let behaviour = self.behaviour.lock();
+        let (report, drains) = (behaviour.load_report, behaviour.drains);
+        drop(behaviour);
+        let load = self.load(report);
+        let load = load.map(|load| load.header(self.options.load_format));
+        announce(response, load, drains);
+    }
+
+    fn load(&self, report: LoadReport) -> Option<LoadMetrics> {
+        let mut records = self.records.lock();
+        let stats = records.stats;
+        let used = f64::from(stats.running + stats.waiting) / f64::from(self.options.slots.max(1));
+        let application_utilization = match report {
+            LoadReport::Honest => used,
+            LoadReport::Lying(utilization) => utilization,
+            LoadReport::Missing => return None,
+        };
+        Some(LoadMetrics {
+            application_utilization,
+            rps_fractional: records.rate_rps(Instant::now()),
+        })
+    }
+
+    fn load_page(&self) -> Response {
+        let report = self.behaviour.lock().load_report;
+        match self.load(report) {
+            Some(load) => json(&load),
+            None => text(StatusCode::NotFound, "no load report"),
+        }
+    }
+
+    fn health_page(&self) -> Response {
+        let behaviour = self.behaviour.lock();
+        let healthy = behaviour.reports_healthy();
+        let drains = behaviour.drains;
+        drop(behaviour);
+        let mut response = if healthy {
+            text(StatusCode::Ok, "healthy")
+        } else {
+            text(StatusCode::ServiceUnavailable, "unhealthy")
+        };
+        announce(&mut response, None, drains);
+        response
+    }
+}
+
+impl Endpoint for UpstreamEndpoint {
+    fn accepts(&self, _caller: IpAddr, open_connections: usize) -> bool {
+        let accepts = open_connections < self.options.connections as usize;
+        if !accepts {
+            self.records.lock().stats.connections_refused += 1;
+        }
+        accepts
+    }
+
+    fn greeting(&self) -> Option<Vec<u8>> {
+        let early = self.behaviour.lock().answers_early;
+        early.then(early_answer)
+    }
+
+    async fn answer(&self, call: Call) -> Reply {
+        let delay = self.behaviour.lock().delay_to(call.caller.ip());
+        pause(delay).await;
+        let reply = match call.request.url().path() {
+            LOAD_PATH => Reply::Whole(self.load_page()),
+            HEALTH_PATH => Reply::Whole(self.health_page()),
+            _ => self.serve(&call).await,
+        };
+        pause(delay).await;
+        reply
+    }
+}
+
+/// Takes a request out of the count of those that wait.
+struct Waiting<'a>(&'a Mutex<Records>);
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.lock().waited();
+    }
+}
+
+/// Takes a request out of the count of those that run.
+struct Running<'a>(&'a Mutex<Records>);
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.lock().ran();
+    }
+}
+
+/// Returns the time that is left for a request; without end if it names none.
+fn deadline(call: &Call) -> Duration {
+    let left_ms = call.header(DEADLINE_HEADER);
+    let left_ms = left_ms.and_then(|text| text.parse().ok());
+    left_ms.map_or(Duration::MAX, Duration::from_millis)
+}
+
+async fn pause(delay: Duration) {
+    if !delay.is_zero() {
+        Timer::after(delay).await;
+    }
+}
