--- a/crates/foxtide-testing/src/http/connection.rs
+++ b/crates/foxtide-testing/src/http/connection.rs
@@ -39,7 +39,7 @@
 /// What a stand-in does about one request.
 pub(crate) enum Reply {
     /// Sends a whole answer.
-    Whole(Response),
+    Whole(Box<Response>),
     /// Sends these bytes as they are, then closes the connection if told to.
     Raw { bytes: Vec<u8>, close: bool },
     /// Never answers and keeps the connection.
@@ -48,6 +48,13 @@
     Close,
 }
 
+impl Reply {
+    /// Sends a whole answer.
+    pub(crate) fn whole(response: Response) -> Self {
+        Self::Whole(Box::new(response))
+    }
+}
+
 /// What stands behind a server.
 pub(crate) trait Endpoint: Send + Sync + 'static {
     /// Tells whether a new connection is kept.
@@ -104,7 +111,7 @@
     };
     let reply = match shared.availability() {
         Availability::Silent => Reply::Silence,
-        Availability::Failing => Reply::Whole(text(StatusCode::InternalServerError, "outage")),
+        Availability::Failing => Reply::whole(text(StatusCode::InternalServerError, "outage")),
         Availability::Serving | Availability::Refusing => shared.endpoint.answer(call).await,
     };
     // A stand-in that fell silent meanwhile does not answer either.
@@ -121,7 +128,7 @@
     close: bool,
 ) -> http_types::Result<Next> {
     let (bytes, close) = match reply {
-        Reply::Whole(response) => (encode(response, method).await?, close),
+        Reply::Whole(response) => (encode(*response, method).await?, close),
         Reply::Raw {
             bytes,
             close: ending,
--- a/crates/foxtide-testing/src/instance_list.rs
+++ b/crates/foxtide-testing/src/instance_list.rs
@@ -140,9 +140,9 @@
 impl Endpoint for ListEndpoint {
     async fn answer(&self, call: Call) -> Reply {
         if call.request.method() != Method::Get || call.request.url().path() != "/v1/instances" {
-            return Reply::Whole(text(StatusCode::NotFound, "no such page"));
+            return Reply::whole(text(StatusCode::NotFound, "no such page"));
         }
         let instances = self.0.lock().visible(Instant::now());
-        Reply::Whole(json(&instances))
+        Reply::whole(json(&instances))
     }
 }
--- a/crates/foxtide-testing/src/store/endpoint.rs
+++ b/crates/foxtide-testing/src/store/endpoint.rs
@@ -215,7 +215,7 @@
         if changes && self.faults.lock().loses_answer() {
             return Reply::Close;
         }
-        Reply::Whole(response)
+        Reply::whole(response)
     }
 }
 
--- a/crates/foxtide-testing/src/upstream/answer.rs
+++ b/crates/foxtide-testing/src/upstream/answer.rs
@@ -96,10 +96,10 @@
 /// Returns what is sent in place of an answer when a fault is in force.
 pub(super) async fn spoil(response: Response, method: Method, fault: AnswerFault) -> Reply {
     match fault {
-        AnswerFault::None => return Reply::Whole(response),
+        AnswerFault::None => return Reply::whole(response),
         AnswerFault::Late(delay) => {
             Timer::after(delay).await;
-            return Reply::Whole(response);
+            return Reply::whole(response);
         }
         AnswerFault::LostAfterRun | AnswerFault::LostBeforeRun => return Reply::Close,
         AnswerFault::Never => return Reply::Silence,
--- a/crates/foxtide-testing/src/upstream/endpoint.rs
+++ b/crates/foxtide-testing/src/upstream/endpoint.rs
@@ -101,7 +101,7 @@
         self.records.lock().stats.shed += 1;
         let mut response = refusal(reason);
         self.announce(&mut response);
-        Reply::Whole(response)
+        Reply::whole(response)
     }
 
     async fn wait_for_slot(&self, call: &Call) -> SlotWait<'_> {
@@ -217,8 +217,8 @@
         let delay = self.behaviour.lock().delay_to(call.caller.ip());
         pause(delay).await;
         let reply = match call.request.url().path() {
-            LOAD_PATH => Reply::Whole(self.load_page()),
-            HEALTH_PATH => Reply::Whole(self.health_page()),
+            LOAD_PATH => Reply::whole(self.load_page()),
+            HEALTH_PATH => Reply::whole(self.health_page()),
             _ => self.serve(&call).await,
         };
         pause(delay).await;
