Keep copies of an instance's events at peers

A replaced instance has no disk and takes its ring along. Each instance now streams its events above debug level to two peers in other zones and regions (rendezvous hash), acknowledged and within 256 B/s after a burst; peers keep them in at most 1 MiB. foxtide_events::TimeLine joins sender, holder and recorder for the mesh and the admin listener. Tests: lost answers, floods, changing members, unknown codes, bounded room.

--- a/crates/foxtide-core/src/events/code.rs
+++ b/crates/foxtide-core/src/events/code.rs
@@ -8,6 +8,8 @@
 use std::fmt;
 use std::str::FromStr;
 
+const EXPECTED: &str = "the number or name of an event, see EVENTS.md";
+
 /// How much an event matters; also the level at which it is logged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Level {
@@ -55,6 +57,18 @@
                 }
             }
 
+            /// Returns the code of this number.
+            ///
+            /// # Errors
+            ///
+            /// Fails where no event has the number.
+            pub fn from_number(number: u32) -> Result<Self> {
+                match number {
+                    $($number => Ok(Self::$code),)*
+                    _ => Err(Error::parse(&number.to_string(), EXPECTED)),
+                }
+            }
+
             /// Returns the name, in kebab case.
             pub const fn name(self) -> &'static str {
                 match self {
@@ -226,7 +240,7 @@
             text == number || text == code.name() || text == code.to_string()
         };
         let found = Self::ALL.iter().copied().find(matches);
-        found.ok_or_else(|| Error::parse(text, "the number or name of an event, see EVENTS.md"))
+        found.ok_or_else(|| Error::parse(text, EXPECTED))
     }
 }
 
--- a/crates/foxtide-core/src/events/event.rs
+++ b/crates/foxtide-core/src/events/event.rs
@@ -5,12 +5,16 @@
 use crate::{Error, Result};
 use serde::{Deserialize, Serialize};
 use std::fmt;
+use std::mem::size_of;
 use std::str::FromStr;
 use std::sync::Arc;
 
 /// The longest detail that is kept, in bytes; longer ones are cut.
 pub const DETAIL_MAX_BYTES: usize = 256;
 
+/// The two reference counts of a shared text.
+const SHARED_TEXT_OVERHEAD_BYTES: usize = 2 * size_of::<usize>();
+
 const REQUEST_ID_MAX_BYTES: usize = 64;
 
 /// The identity of one request, sent on in `foxtide-request-id`.
@@ -153,6 +157,24 @@
             fields: fields.bounded(),
         }
     }
+
+    /// Returns the memory that the event takes, in bytes, its names counted as
+    /// if it shared them with nothing.
+    pub fn size_bytes(&self) -> usize {
+        let fields = &self.fields;
+        let names = [
+            Some(self.instance.as_str()),
+            fields.organisation.as_ref().map(OrganisationId::as_str),
+            fields.service.as_ref().map(ServiceId::as_str),
+            fields.region.as_ref().map(RegionId::as_str),
+            fields.upstream.as_ref().map(UpstreamId::as_str),
+            fields.peer.as_ref().map(InstanceId::as_str),
+            fields.request.as_ref().map(RequestId::as_str),
+        ];
+        let shared = |name: &str| name.len() + SHARED_TEXT_OVERHEAD_BYTES;
+        let names_bytes: usize = names.into_iter().flatten().map(shared).sum();
+        size_of::<Self>() + fields.detail.capacity() + names_bytes
+    }
 }
 
 impl fmt::Display for Event {
--- a/crates/foxtide-core/src/events/filter.rs
+++ b/crates/foxtide-core/src/events/filter.rs
@@ -45,10 +45,15 @@
             && self.since_us.is_none_or(|at| event.clock.wall_us >= at)
     }
 
-    /// Drops all but the latest [`EventFilter::limit`] of sorted events.
-    pub fn keep_latest(&self, events: &mut Vec<Event>) {
+    /// Returns the events that pass, oldest first; the latest
+    /// [`EventFilter::limit`] of them.
+    pub fn select<'a>(&self, events: impl Iterator<Item = &'a Event>) -> Vec<Event> {
+        let passing = events.filter(|event| self.passes(event));
+        let mut selected: Vec<Event> = passing.cloned().collect();
+        selected.sort_by_key(|event| event.clock);
         let limit = self.limit.unwrap_or(usize::MAX);
-        events.drain(..events.len().saturating_sub(limit));
+        selected.drain(..selected.len().saturating_sub(limit));
+        selected
     }
 }
 
--- a/crates/foxtide-core/src/events/mod.rs
+++ b/crates/foxtide-core/src/events/mod.rs
@@ -5,6 +5,7 @@
 //! several processes into one order that never shows an effect before its
 //! cause. `foxtide-events` holds the thread-safe recorder over these parts.
 
+pub mod backup;
 mod catalogue;
 mod clock;
 mod code;
@@ -12,6 +13,7 @@
 mod filter;
 mod merge;
 mod ring;
+mod wire;
 
 pub use catalogue::catalogue_page;
 pub use clock::{AHEAD_MAX, HybridClock, HybridTime};
@@ -20,3 +22,4 @@
 pub use filter::EventFilter;
 pub use merge::merge;
 pub use ring::{EventRing, EventRingOptions, RingEntry};
+pub use wire::{EventCopies, EventCopiesAck, EventMessage};
--- a/crates/foxtide-core/src/events/ring.rs
+++ b/crates/foxtide-core/src/events/ring.rs
@@ -27,71 +27,98 @@
 /// An event and its place in the order of recording.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RingEntry {
-    /// Counts the process's events, from 1.
+    /// Counts the process's events of the same sort, from 1.
     pub sequence: u64,
     /// The event.
     pub event: Event,
 }
 
-/// The latest events of one process.
+/// The kept events of one sort.
 #[derive(Clone, Debug, Default)]
-pub struct EventRing {
-    options: EventRingOptions,
-    notable: VecDeque<RingEntry>,
-    routine: VecDeque<RingEntry>,
+struct Queue {
+    entries: VecDeque<RingEntry>,
+    capacity: usize,
     recorded: u64,
-    dropped: u64,
+}
+
+impl Queue {
+    fn new(capacity: usize) -> Self {
+        Self {
+            capacity,
+            ..Self::default()
+        }
+    }
+
+    fn push(&mut self, event: Event) {
+        // Room is made first, so that the queue never grows past its capacity.
+        if self.entries.len() >= self.capacity {
+            self.entries.pop_front();
+        }
+        self.recorded += 1;
+        self.entries.push_back(RingEntry {
+            sequence: self.recorded,
+            event,
+        });
+    }
+
+    fn dropped(&self) -> u64 {
+        self.recorded - self.entries.len() as u64
+    }
+}
+
+/// The latest events of one process.
+#[derive(Clone, Debug)]
+pub struct EventRing {
+    notable: Queue,
+    routine: Queue,
+}
+
+impl Default for EventRing {
+    fn default() -> Self {
+        Self::new(EventRingOptions::default())
+    }
 }
 
 impl EventRing {
     /// Returns an empty ring.
     pub fn new(options: EventRingOptions) -> Self {
         Self {
-            options,
-            ..Self::default()
+            notable: Queue::new(options.notable),
+            routine: Queue::new(options.routine),
         }
     }
 
     /// Adds an event and drops the oldest one of its sort where room is short.
     pub fn push(&mut self, event: Event) {
-        self.recorded += 1;
-        let sequence = self.recorded;
-        let (queue, capacity) = match event.code.level() {
-            Level::Debug => (&mut self.routine, self.options.routine),
-            Level::Error | Level::Warn | Level::Info => (&mut self.notable, self.options.notable),
-        };
-        // Room is made first, so that the queue never grows past its capacity.
-        if queue.len() >= capacity && queue.pop_front().is_some() {
-            self.dropped += 1;
+        match event.code.level() {
+            Level::Debug => self.routine.push(event),
+            Level::Error | Level::Warn | Level::Info => self.notable.push(event),
         }
-        queue.push_back(RingEntry { sequence, event });
     }
 
     /// Returns how many events were ever recorded.
     pub fn recorded(&self) -> u64 {
-        self.recorded
+        self.notable.recorded + self.routine.recorded
     }
 
     /// Returns how many events were dropped for want of room.
     pub fn dropped(&self) -> u64 {
-        self.dropped
+        self.notable.dropped() + self.routine.dropped()
     }
 
     /// Returns the events that pass a filter, oldest first; the latest
     /// [`EventFilter::limit`] of them.
     pub fn select(&self, filter: &EventFilter) -> Vec<Event> {
-        let entries = self.notable.iter().chain(&self.routine);
-        let passing = entries.map(|entry| &entry.event);
-        let mut events: Vec<Event> = passing.filter(|e| filter.passes(e)).cloned().collect();
-        events.sort_by_key(|event| event.clock);
-        filter.keep_latest(&mut events);
-        events
+        let entries = self.notable.entries.iter().chain(&self.routine.entries);
+        let events = entries.map(|entry| &entry.event);
+        filter.select(events)
     }
 
     /// Returns the oldest `limit` events above [`Level::Debug`] that were
     /// recorded after `sequence`.
     pub fn notable_after(&self, sequence: u64, limit: usize) -> Vec<RingEntry> {
-        let start = self.notable.partition_point(|e| e.sequence <= sequence);
-        self.notable.range(start..).take(limit).cloned().collect()
+        let entries = &self.notable.entries;
+        let start = entries.partition_point(|entry| entry.sequence <= sequence);
+        entries.range(start..).take(limit).cloned().collect()
     }
 }
--- a/crates/foxtide-events/src/lib.rs
+++ b/crates/foxtide-events/src/lib.rs
@@ -3,12 +3,15 @@
 //! The parts in `foxtide_core::events` are pure; this crate adds the clock,
 //! the lock and the log, which the core must not have.
 //!
-//! Public: [`Recorder`], [`RecorderOptions`], [`WallClock`], [`Explainer`].
+//! Public: [`Recorder`], [`RecorderOptions`], [`WallClock`], [`Explainer`],
+//! [`TimeLine`], [`TimeLineOptions`].
 
 mod explainer;
 mod recorder;
+mod time_line;
 mod wall;
 
 pub use explainer::Explainer;
 pub use recorder::{Recorder, RecorderOptions};
+pub use time_line::{TimeLine, TimeLineOptions};
 pub use wall::WallClock;
