--- /dev/null
+++ b/crates/foxtide-entry/src/admin.rs
@@ -0,0 +1,71 @@
+//! The listener for operators.
+
+use crate::answer::{Answer, Refusal};
+use crate::events::RequestEvent;
+use crate::parts::{Admin, Parts, Recorder};
+use crate::request_id::new_request_id;
+use crate::serve::{Handler, Received, ServeState};
+use http_types::{Method, StatusCode};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+const PLAIN: &str = "text/plain; charset=utf-8";
+
+/// Answers operators.
+#[derive(Debug)]
+pub(crate) struct AdminHandler<P> {
+    /// What the request path works with.
+    pub(crate) parts: Arc<P>,
+    /// The state of the caller listener.
+    pub(crate) callers: Arc<ServeState>,
+}
+
+impl<P: Parts> AdminHandler<P> {
+    fn page(&self, request: &Received) -> Answer {
+        if !matches!(request.head.method, Method::Get | Method::Head) {
+            return refused(StatusCode::MethodNotAllowed, "method-not-allowed");
+        }
+        let url = &request.head.url;
+        match url.path() {
+            "/healthz" => plain(StatusCode::Ok, "ok\n"),
+            "/readyz" => self.readiness(),
+            path => match self.parts.admin().page(path, url.query()) {
+                Some(page) => Answer::new(StatusCode::Ok, page.content_type, page.body),
+                None => refused(StatusCode::NotFound, "unknown-page"),
+            },
+        }
+    }
+
+    fn readiness(&self) -> Answer {
+        if self.callers.is_leaving() {
+            plain(StatusCode::ServiceUnavailable, "draining\n")
+        } else if !self.parts.admin().is_ready() {
+            plain(StatusCode::ServiceUnavailable, "no configuration\n")
+        } else {
+            plain(StatusCode::Ok, "ready\n")
+        }
+    }
+}
+
+fn plain(status: StatusCode, text: &str) -> Answer {
+    Answer::new(status, PLAIN, text.as_bytes().to_vec())
+}
+
+fn refused(status: StatusCode, reason: &'static str) -> Answer {
+    Refusal::not_run(status, reason).answer(&new_request_id())
+}
+
+impl<P: Parts> Handler for AdminHandler<P> {
+    async fn handle(&self, request: Received) -> Answer {
+        self.page(&request)
+    }
+
+    fn caller_gone(&self, _caller: SocketAddr) {}
+
+    fn bad_request(&self, caller: SocketAddr, refusal: &Refusal) -> String {
+        let reason = refusal.reason;
+        let event = RequestEvent::BadRequest { caller, reason };
+        self.parts.recorder().record(event);
+        new_request_id()
+    }
+}
--- /dev/null
+++ b/crates/foxtide-entry/src/answer.rs
@@ -0,0 +1,175 @@
+//! Answers to callers.
+
+use crate::http::{BodyLength, name, no_headers};
+use crate::outcome::Outcome;
+use async_h1::server::Encoder;
+use http_types::headers::{HeaderName, HeaderValue, Headers};
+use http_types::{Body, Method, Response, StatusCode};
+use serde::Serialize;
+use smol::io::AsyncReadExt;
+use std::io;
+use std::time::Duration;
+
+/// The type of JSON documents.
+pub(crate) const JSON: &str = "application/json";
+
+const CLOSE: &str = "close";
+
+/// The body of an answer.
+#[derive(Debug)]
+pub(crate) enum AnswerBody {
+    /// A whole body.
+    Whole(Vec<u8>),
+    /// None is sent, as for `HEAD`; the head may state the length it would have.
+    Absent {
+        /// The length that the head states.
+        stated: BodyLength,
+    },
+}
+
+/// An answer to a caller.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    /// The status.
+    pub(crate) status: StatusCode,
+    /// The headers, without those that frame the body.
+    pub(crate) headers: Headers,
+    /// The body.
+    pub(crate) body: AnswerBody,
+}
+
+/// Why foxtide itself answers a request, and what the caller may do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Refusal {
+    /// The status.
+    pub(crate) status: StatusCode,
+    /// What is known of the request.
+    pub(crate) outcome: Outcome,
+    /// Why.
+    pub(crate) reason: &'static str,
+    /// When the caller may try again.
+    pub(crate) retry_after: Duration,
+}
+
+#[derive(Serialize)]
+struct RefusalBody<'a> {
+    outcome: String,
+    reason: &'a str,
+    request: &'a str,
+}
+
+impl Refusal {
+    /// Returns the refusal of a request that did not run.
+    pub(crate) fn not_run(status: StatusCode, reason: &'static str) -> Self {
+        Self {
+            status,
+            outcome: Outcome::NotRun,
+            reason,
+            retry_after: Duration::from_secs(1),
+        }
+    }
+
+    /// Returns the refusal with what is known from elsewhere, where that is more.
+    pub(crate) fn with_outcome(self, known: Outcome) -> Self {
+        let outcome = self.outcome.max(known);
+        Self { outcome, ..self }
+    }
+
+    /// Returns the answer that tells the caller.
+    pub(crate) fn answer(&self, request: &str) -> Answer {
+        let body = RefusalBody {
+            outcome: self.outcome.to_string(),
+            reason: self.reason,
+            request,
+        };
+        let mut answer = Answer::json(self.status, &body);
+        answer.insert(name::OUTCOME, &self.outcome.to_string());
+        let retry_after_s = self.retry_after.as_secs_f64().ceil().max(1.0);
+        answer.insert(name::RETRY_AFTER, &format!("{retry_after_s}"));
+        answer
+    }
+}
+
+impl Answer {
+    /// Returns an answer with a body of this type.
+    pub(crate) fn new(status: StatusCode, content_type: &str, body: Vec<u8>) -> Self {
+        let mut answer = Self {
+            status,
+            headers: no_headers(),
+            body: AnswerBody::Whole(body),
+        };
+        answer.insert(name::CONTENT_TYPE, content_type);
+        answer
+    }
+
+    /// Returns an answer with a JSON document.
+    pub(crate) fn json(status: StatusCode, document: &impl Serialize) -> Self {
+        // The documents are made of strings and numbers, which always serialise.
+        let body = serde_json::to_vec(document).unwrap_or_default();
+        Self::new(status, JSON, body)
+    }
+
+    /// Sets a header.
+    pub(crate) fn insert(&mut self, header: &str, value: &str) {
+        if let Ok(value) = HeaderValue::from_bytes(value.as_bytes().to_vec()) {
+            self.headers.insert(HeaderName::from(header), value);
+        }
+    }
+
+    /// Tells the caller that the connection closes after this answer.
+    pub(crate) fn close(&mut self) {
+        self.insert(name::CONNECTION, CLOSE);
+    }
+
+    /// Returns the bytes to send in answer to a request of `method`.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the encoder does.
+    pub(crate) async fn encode(self, method: Method) -> io::Result<Vec<u8>> {
+        let mut response = Response::new(self.status);
+        let typed = self.headers.get(name::CONTENT_TYPE).is_some();
+        *response.as_mut() = self.headers;
+        let (body, method, unstated) = match self.body {
+            AnswerBody::Whole(bytes) => (Body::from_bytes(bytes), method, false),
+            AnswerBody::Absent { stated } => absent_body(stated),
+        };
+        response.set_body(body);
+        if !typed {
+            // `set_body` invents a type where the upstream gave none.
+            response.remove_header(name::CONTENT_TYPE);
+        }
+        let mut bytes = Vec::new();
+        Encoder::new(response, method)
+            .read_to_end(&mut bytes)
+            .await?;
+        if unstated {
+            remove_zero_length(&mut bytes);
+        }
+        Ok(bytes)
+    }
+}
+
+/// Returns a body of which the encoder writes the stated length alone, and
+/// whether even that is to be left out.
+fn absent_body(stated: BodyLength) -> (Body, Method, bool) {
+    let nothing = smol::io::empty();
+    match stated {
+        BodyLength::Fixed { size_bytes } => {
+            let length = usize::try_from(size_bytes).ok();
+            (Body::from_reader(nothing, length), Method::Head, false)
+        }
+        BodyLength::Chunked => (Body::from_reader(nothing, None), Method::Head, false),
+        BodyLength::None | BodyLength::UntilClose => (Body::empty(), Method::Head, true),
+    }
+}
+
+/// Removes the length that the encoder states for every empty body; an answer
+/// that has none must not state it (RFC 9110, section 8.6).
+fn remove_zero_length(bytes: &mut Vec<u8>) {
+    const LINE: &[u8] = b"content-length: 0\r\n";
+    let found = bytes.windows(LINE.len()).position(|window| window == LINE);
+    if let Some(start) = found {
+        bytes.drain(start..start + LINE.len());
+    }
+}
--- /dev/null
+++ b/crates/foxtide-entry/src/entry.rs
@@ -0,0 +1,167 @@
+//! The request path of an instance: both listeners, from start to drain.
+
+use crate::admin::AdminHandler;
+use crate::callers::CallerHandler;
+use crate::clock::Clock;
+use crate::errors::Result;
+use crate::events::RequestEvent;
+use crate::options::EntryOptions;
+use crate::parts::{Directory, Parts, Recorder};
+use crate::proxy::Proxy;
+use crate::serve::{Handler, ServeState, bind, serve_listener};
+use crate::time_limit::within;
+use crate::upstream::Pools;
+use smol::{Async, Executor, Task, Timer};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The running request path of an instance.
+///
+/// Dropping it stops both listeners; [`Entry::drain`] comes first where
+/// nothing is to be cut.
+#[derive(Debug)]
+pub struct Entry<P: Parts> {
+    parts: Arc<P>,
+    options: Arc<EntryOptions>,
+    callers: Arc<ServeState>,
+    operators: Arc<ServeState>,
+    caller_address: SocketAddr,
+    admin_address: SocketAddr,
+    _tasks: Vec<Task<()>>,
+}
+
+impl<P: Parts> Entry<P> {
+    /// Binds both listeners and starts to serve.
+    ///
+    /// # Errors
+    ///
+    /// Fails where an address cannot be bound.
+    pub fn start(
+        options: EntryOptions,
+        parts: Arc<P>,
+        executor: &Arc<Executor<'static>>,
+    ) -> Result<Self> {
+        let options = Arc::new(options);
+        let caller_listener = bind(options.caller_address)?;
+        let admin_listener = bind(options.admin_address)?;
+        let caller_address = local_address(&caller_listener, options.caller_address);
+        let admin_address = local_address(&admin_listener, options.admin_address);
+        let pools = Arc::new(Pools::new(options.pool.clone()));
+        let (callers, operators) = (ServeState::new(), ServeState::new());
+        let proxy = Proxy {
+            parts: Arc::clone(&parts),
+            options: Arc::clone(&options),
+            pools: Arc::clone(&pools),
+        };
+        let caller_handler = CallerHandler {
+            parts: Arc::clone(&parts),
+            options: Arc::clone(&options),
+            proxy,
+        };
+        let admin_handler = AdminHandler {
+            parts: Arc::clone(&parts),
+            callers: Arc::clone(&callers),
+        };
+        let mut entry = Self {
+            parts,
+            options,
+            callers,
+            operators,
+            caller_address,
+            admin_address,
+            _tasks: Vec::new(),
+        };
+        let callers = Arc::clone(&entry.callers);
+        let operators = Arc::clone(&entry.operators);
+        entry.serve(executor, caller_listener, caller_handler, callers);
+        entry.serve(executor, admin_listener, admin_handler, operators);
+        entry.prune(executor, pools);
+        Ok(entry)
+    }
+
+    fn serve(
+        &mut self,
+        executor: &Arc<Executor<'static>>,
+        listener: Async<TcpListener>,
+        handler: impl Handler,
+        state: Arc<ServeState>,
+    ) {
+        let parts = Arc::clone(&self.parts);
+        let limits = Arc::new(self.options.limits.clone());
+        let on_error = move |error: &std::io::Error| {
+            let cause = error.to_string();
+            let event = RequestEvent::AcceptFailed { cause: &cause };
+            parts.recorder().record(event);
+        };
+        let serving = serve_listener(
+            listener,
+            Arc::clone(executor),
+            Arc::new(handler),
+            limits,
+            state,
+            on_error,
+        );
+        self._tasks.push(executor.spawn(serving));
+    }
+
+    fn prune(&mut self, executor: &Arc<Executor<'static>>, pools: Arc<Pools>) {
+        let parts = Arc::clone(&self.parts);
+        let pruning = async move {
+            loop {
+                Timer::after(PRUNE_INTERVAL).await;
+                pools.prune(parts.clock().now());
+            }
+        };
+        self._tasks.push(executor.spawn(pruning));
+    }
+
+    /// Returns where callers connect.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.caller_address
+    }
+
+    /// Returns where operators connect.
+    pub fn admin_address(&self) -> SocketAddr {
+        self.admin_address
+    }
+
+    /// Returns how many connections of callers are open.
+    pub fn connections(&self) -> usize {
+        self.callers.connections()
+    }
+
+    /// Returns how many requests of callers are under way.
+    pub fn requests(&self) -> usize {
+        self.callers.requests()
+    }
+
+    /// Leaves: takes the instance out of look-ups, serves until callers'
+    /// answers have expired, then closes connections between answers and
+    /// returns once nothing is in flight.
+    ///
+    /// The admin listener serves on.
+    pub async fn drain(&self) {
+        self.parts.recorder().record(RequestEvent::Draining);
+        self.parts.directory().leave();
+        self.callers.leave();
+        Timer::after(self.options.lookup_ttl + self.options.drain.margin).await;
+        self.callers.close();
+        let finished = self.callers.finished();
+        let _ = within(self.options.drain.in_flight_time, finished).await;
+        self.parts.recorder().record(RequestEvent::Drained);
+    }
+}
+
+impl<P: Parts> Drop for Entry<P> {
+    fn drop(&mut self) {
+        self.callers.close();
+        self.operators.close();
+    }
+}
+
+fn local_address(listener: &Async<TcpListener>, asked: SocketAddr) -> SocketAddr {
+    listener.get_ref().local_addr().unwrap_or(asked)
+}
--- /dev/null
+++ b/crates/foxtide-entry/src/http/chunked.rs
@@ -0,0 +1,181 @@
+//! Decodes a body that comes in chunks (RFC 9112, section 7.1).
+
+/// The longest line that states a chunk's size, and the longest trailer line.
+const LINE_MAX_BYTES: usize = 256;
+
+/// What to do after a look at the bytes at hand.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Step {
+    /// More bytes are needed.
+    More,
+    /// The body has ended.
+    End,
+}
+
+/// The bytes are not a body in chunks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct BadChunk;
+
+#[derive(Clone, Copy, Debug)]
+enum State {
+    Size,
+    Data { left_bytes: u64 },
+    DataEnd,
+    Trailer,
+}
+
+/// Decodes chunks as their bytes come in.
+#[derive(Debug)]
+pub(super) struct ChunkDecoder {
+    state: State,
+}
+
+impl ChunkDecoder {
+    /// Returns a decoder at the beginning of a body.
+    pub(super) fn new() -> Self {
+        Self { state: State::Size }
+    }
+
+    /// Decodes what it can of `input` and appends the data to `body`.
+    ///
+    /// Returns how many bytes of `input` are used up, and what comes next.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the bytes do not have the form.
+    pub(super) fn decode(
+        &mut self,
+        input: &[u8],
+        body: &mut Vec<u8>,
+    ) -> Result<(usize, Step), BadChunk> {
+        let mut used = 0;
+        loop {
+            let rest = &input[used..];
+            let Some((size_bytes, end)) = self.decode_one(rest, body)? else {
+                return Ok((used, Step::More));
+            };
+            used += size_bytes;
+            if end {
+                return Ok((used, Step::End));
+            }
+        }
+    }
+
+    /// Decodes one element; returns its size and whether the body ended.
+    fn decode_one(
+        &mut self,
+        input: &[u8],
+        body: &mut Vec<u8>,
+    ) -> Result<Option<(usize, bool)>, BadChunk> {
+        match self.state {
+            State::Size => {
+                let Some(line) = line(input)? else {
+                    return Ok(None);
+                };
+                self.state = match chunk_size(line)? {
+                    0 => State::Trailer,
+                    left_bytes => State::Data { left_bytes },
+                };
+                Ok(Some((line.len() + 2, false)))
+            }
+            State::Data { left_bytes } => Ok(self.take_data(input, left_bytes, body)),
+            State::DataEnd => {
+                let Some(line) = line(input)? else {
+                    return Ok(None);
+                };
+                if !line.is_empty() {
+                    return Err(BadChunk);
+                }
+                self.state = State::Size;
+                Ok(Some((2, false)))
+            }
+            State::Trailer => {
+                let line = line(input)?;
+                Ok(line.map(|line| (line.len() + 2, line.is_empty())))
+            }
+        }
+    }
+
+    fn take_data(
+        &mut self,
+        input: &[u8],
+        left_bytes: u64,
+        body: &mut Vec<u8>,
+    ) -> Option<(usize, bool)> {
+        if input.is_empty() {
+            return None;
+        }
+        let size_bytes = input
+            .len()
+            .min(usize::try_from(left_bytes).unwrap_or(usize::MAX));
+        body.extend_from_slice(&input[..size_bytes]);
+        self.state = match left_bytes - size_bytes as u64 {
+            0 => State::DataEnd,
+            left_bytes => State::Data { left_bytes },
+        };
+        Some((size_bytes, false))
+    }
+}
+
+/// Returns the first line without its end, or nothing where it is not whole.
+fn line(input: &[u8]) -> Result<Option<&[u8]>, BadChunk> {
+    let Some(end) = input.iter().position(|&byte| byte == b'\n') else {
+        if input.len() > LINE_MAX_BYTES {
+            return Err(BadChunk);
+        }
+        return Ok(None);
+    };
+    input[..end].strip_suffix(b"\r").map(Some).ok_or(BadChunk)
+}
+
+fn chunk_size(line: &[u8]) -> Result<u64, BadChunk> {
+    let digits = line.split(|&byte| byte == b';').next().unwrap_or_default();
+    if digits.is_empty() || !digits.iter().all(u8::is_ascii_hexdigit) {
+        return Err(BadChunk);
+    }
+    let text = std::str::from_utf8(digits).map_err(|_| BadChunk)?;
+    u64::from_str_radix(text, 16).map_err(|_| BadChunk)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn decode_split(input: &[u8], at: usize) -> Result<(Vec<u8>, usize, Step), BadChunk> {
+        let mut decoder = ChunkDecoder::new();
+        let mut body = Vec::new();
+        let (first, step) = decoder.decode(&input[..at], &mut body)?;
+        if step == Step::End {
+            return Ok((body, first, step));
+        }
+        let (second, step) = decoder.decode(&input[first..], &mut body)?;
+        Ok((body, first + second, step))
+    }
+
+    #[test]
+    fn verify_chunks_decode_wherever_they_are_split() {
+        let input = b"4;x=y\r\nfoxt\r\n3\r\nide\r\n0\r\nt: v\r\n\r\nNEXT";
+        for at in 0..input.len() {
+            let (body, used, step) = decode_split(input, at).unwrap();
+            assert_eq!(body, b"foxtide", "split at {at}");
+            assert_eq!(&input[used..], b"NEXT", "split at {at}");
+            assert_eq!(step, Step::End);
+        }
+    }
+
+    #[test]
+    fn verify_bad_chunks_are_refused() {
+        for input in [
+            "x\r\n",
+            "\r\n",
+            "-1\r\n",
+            "1\nab",
+            "1\r\nabc\r\n",
+            "+1\r\na\r\n",
+        ] {
+            let mut body = Vec::new();
+            let decoded = ChunkDecoder::new().decode(input.as_bytes(), &mut body);
+            assert_eq!(decoded, Err(BadChunk), "{input:?}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxtide-entry/src/http/head.rs
@@ -0,0 +1,269 @@
+//! The head of a message and what it says about the body's length.
+
+use super::headers::{name, no_headers};
+use http_types::headers::{HeaderName, HeaderValue, Headers};
+use http_types::{Method, StatusCode, Url};
+use std::str::FromStr;
+
+/// The most header lines of a message.
+const HEADER_LINES_MAX: usize = 128;
+
+const CHUNKED: &str = "chunked";
+const CONTINUE: &str = "100-continue";
+
+/// How long a message's body is (RFC 9112, section 6.3).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BodyLength {
+    /// There is none.
+    None,
+    /// The head states the length.
+    Fixed {
+        /// The length.
+        size_bytes: u64,
+    },
+    /// The body comes in chunks and ends with an empty one.
+    Chunked,
+    /// The body ends with the connection, so that a cut cannot be seen.
+    UntilClose,
+}
+
+/// Why a head is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum HeadError {
+    /// The bytes are not a head.
+    #[error("the head is malformed")]
+    Malformed,
+    /// Two parties may see different ends of this message (RFC 9112, 11.2).
+    #[error("the length of the body is ambiguous")]
+    AmbiguousLength,
+    /// The version is not HTTP/1.1.
+    #[error("the version is not HTTP/1.1")]
+    Version,
+    /// The method or the status is not known.
+    #[error("the method or status is not known")]
+    Unknown,
+    /// The transfer coding is not `chunked`.
+    #[error("the transfer coding is not known")]
+    TransferCoding,
+}
+
+/// The parts common to the heads of requests and of answers.
+#[derive(Debug)]
+pub(crate) struct Head {
+    /// The header lines, without those that frame the body.
+    pub(crate) headers: Headers,
+    /// The body's length.
+    pub(crate) length: BodyLength,
+    /// Whether the peer closes the connection after this message.
+    pub(crate) close: bool,
+    /// Whether the peer waits for `100 Continue` before it sends the body.
+    pub(crate) expects_continue: bool,
+}
+
+/// The head of a request.
+#[derive(Debug)]
+pub(crate) struct RequestHead {
+    /// The method.
+    pub(crate) method: Method,
+    /// The target, with dot segments resolved (RFC 3986, section 6.2.2.3).
+    pub(crate) url: Url,
+    /// The rest.
+    pub(crate) head: Head,
+}
+
+/// The head of an answer.
+#[derive(Debug)]
+pub(crate) struct ResponseHead {
+    /// The status.
+    pub(crate) status: StatusCode,
+    /// The rest.
+    pub(crate) head: Head,
+}
+
+impl RequestHead {
+    /// Parses a whole head, the empty line included.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the head cannot be understood in just one way.
+    pub(crate) fn parse(bytes: &[u8]) -> Result<Self, HeadError> {
+        // Headers of http-types hold ASCII alone.
+        if !bytes.is_ascii() || has_bare_line_feed(bytes) {
+            return Err(HeadError::Malformed);
+        }
+        let mut lines = [httparse::EMPTY_HEADER; HEADER_LINES_MAX];
+        let mut parsed = httparse::Request::new(&mut lines);
+        let status = parsed.parse(bytes).map_err(|_| HeadError::Malformed)?;
+        let (Some(method), Some(target), Some(version)) =
+            (parsed.method, parsed.path, parsed.version)
+        else {
+            return Err(HeadError::Malformed);
+        };
+        if status.is_partial() {
+            return Err(HeadError::Malformed);
+        }
+        if version != 1 {
+            return Err(HeadError::Version);
+        }
+        let method = Method::from_str(method).map_err(|_| HeadError::Unknown)?;
+        let url = request_url(target, parsed.headers)?;
+        let head = Head::from_lines(parsed.headers, BodyLength::None)?;
+        Ok(Self { method, url, head })
+    }
+}
+
+impl ResponseHead {
+    /// Parses a whole head.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the head cannot be understood in just one way.
+    pub(crate) fn parse(bytes: &[u8]) -> Result<Self, HeadError> {
+        let mut lines = [httparse::EMPTY_HEADER; HEADER_LINES_MAX];
+        let mut parsed = httparse::Response::new(&mut lines);
+        let parsing = parsed.parse(bytes).map_err(|_| HeadError::Malformed)?;
+        let (Some(code), Some(version)) = (parsed.code, parsed.version) else {
+            return Err(HeadError::Malformed);
+        };
+        if parsing.is_partial() {
+            return Err(HeadError::Malformed);
+        }
+        if version != 1 {
+            return Err(HeadError::Version);
+        }
+        let status = StatusCode::try_from(code).map_err(|_| HeadError::Unknown)?;
+        let head = Head::from_lines(parsed.headers, BodyLength::UntilClose)?;
+        Ok(Self { status, head })
+    }
+
+    /// Returns the length of the body that follows in answer to a request of
+    /// `method`; the head may state that of a body that is not sent.
+    pub(crate) fn body_length(&self, method: Method) -> BodyLength {
+        if has_body(method, self.status) {
+            self.head.length
+        } else {
+            BodyLength::None
+        }
+    }
+
+    /// Tells whether the final answer is still to come.
+    pub(crate) fn is_interim(&self) -> bool {
+        self.status.is_informational()
+    }
+}
+
+impl Head {
+    fn from_lines(lines: &[httparse::Header<'_>], unframed: BodyLength) -> Result<Self, HeadError> {
+        let mut head = Self {
+            headers: no_headers(),
+            length: unframed,
+            close: false,
+            expects_continue: false,
+        };
+        let mut framed = false;
+        for line in lines {
+            if head.take_framing(line, &mut framed)? {
+                continue;
+            }
+            head.append(line)?;
+        }
+        Ok(head)
+    }
+
+    /// Takes a line that frames the message; `framed` tells of an earlier one.
+    fn take_framing(
+        &mut self,
+        line: &httparse::Header<'_>,
+        framed: &mut bool,
+    ) -> Result<bool, HeadError> {
+        let length = if line.name.eq_ignore_ascii_case(name::CONTENT_LENGTH) {
+            content_length(line.value)?
+        } else if line.name.eq_ignore_ascii_case(name::TRANSFER_ENCODING) {
+            transfer_coding(line.value)?
+        } else {
+            return Ok(false);
+        };
+        if std::mem::replace(framed, true) {
+            return Err(HeadError::AmbiguousLength);
+        }
+        self.length = length;
+        Ok(true)
+    }
+
+    fn append(&mut self, line: &httparse::Header<'_>) -> Result<(), HeadError> {
+        let header = HeaderName::from_str(line.name).map_err(|_| HeadError::Malformed)?;
+        // http-types holds ASCII alone; a line beyond it cannot be carried on.
+        let Ok(value) = HeaderValue::from_bytes(line.value.to_vec()) else {
+            return Ok(());
+        };
+        let text = value.as_str();
+        if line.name.eq_ignore_ascii_case(name::CONNECTION) {
+            self.close |= has_token(text, "close");
+        }
+        if line.name.eq_ignore_ascii_case(name::EXPECT) {
+            self.expects_continue |= text.eq_ignore_ascii_case(CONTINUE);
+        }
+        self.headers.append(header, value);
+        Ok(())
+    }
+}
+
+/// Tells whether a list of tokens parted by commas holds `token`.
+fn has_token(list: &str, token: &str) -> bool {
+    list.split(',')
+        .any(|part| part.trim().eq_ignore_ascii_case(token))
+}
+
+fn has_body(method: Method, status: StatusCode) -> bool {
+    let without = matches!(status, StatusCode::NoContent | StatusCode::NotModified);
+    method != Method::Head && !without && !status.is_informational()
+}
+
+fn has_bare_line_feed(bytes: &[u8]) -> bool {
+    let mut before = b' ';
+    for &byte in bytes {
+        if byte == b'\n' && before != b'\r' {
+            return true;
+        }
+        before = byte;
+    }
+    false
+}
+
+fn content_length(value: &[u8]) -> Result<BodyLength, HeadError> {
+    let text = std::str::from_utf8(value).map_err(|_| HeadError::Malformed)?;
+    if text.is_empty() || !text.bytes().all(|byte| byte.is_ascii_digit()) {
+        return Err(HeadError::AmbiguousLength);
+    }
+    let size_bytes = text.parse().map_err(|_| HeadError::AmbiguousLength)?;
+    Ok(BodyLength::Fixed { size_bytes })
+}
+
+fn transfer_coding(value: &[u8]) -> Result<BodyLength, HeadError> {
+    if value.eq_ignore_ascii_case(CHUNKED.as_bytes()) {
+        Ok(BodyLength::Chunked)
+    } else {
+        Err(HeadError::TransferCoding)
+    }
+}
+
+/// Returns the URL of an origin-form target under the request's host.
+fn request_url(target: &str, lines: &[httparse::Header<'_>]) -> Result<Url, HeadError> {
+    let mut hosts = lines
+        .iter()
+        .filter(|line| line.name.eq_ignore_ascii_case(name::HOST));
+    let (Some(host), None) = (hosts.next(), hosts.next()) else {
+        return Err(HeadError::Malformed);
+    };
+    if !host.value.iter().all(|&byte| is_host_byte(byte)) || !target.starts_with('/') {
+        return Err(HeadError::Malformed);
+    }
+    let host = String::from_utf8_lossy(host.value);
+    Url::parse(&format!("http://{host}{target}")).map_err(|_| HeadError::Malformed)
+}
+
+/// Tells whether a byte may stand in a host and port (RFC 3986, section 3.2.2),
+/// so that no part of a host can be read as part of the path.
+fn is_host_byte(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || matches!(byte, b'.' | b'-' | b'_' | b':' | b'[' | b']')
+}
--- /dev/null
+++ b/crates/foxtide-entry/src/http/headers.rs
@@ -0,0 +1,66 @@
+//! Names of headers, and those that end at each hop.
+
+use http_types::headers::Headers;
+use http_types::{Response, StatusCode};
+use std::sync::LazyLock;
+
+/// Names of the headers that foxtide reads or writes.
+pub(crate) mod name {
+    pub(crate) const CONNECTION: &str = "connection";
+    pub(crate) const CONTENT_LENGTH: &str = "content-length";
+    pub(crate) const CONTENT_TYPE: &str = "content-type";
+    pub(crate) const EXPECT: &str = "expect";
+    pub(crate) const HOST: &str = "host";
+    pub(crate) const RETRY_AFTER: &str = "retry-after";
+    pub(crate) const TRANSFER_ENCODING: &str = "transfer-encoding";
+
+    /// The time left for a request, in milliseconds.
+    pub(crate) const DEADLINE_MS: &str = "foxtide-deadline-ms";
+    /// What is known of a request that foxtide itself answers.
+    pub(crate) const OUTCOME: &str = "foxtide-outcome";
+    /// The identity of a request.
+    pub(crate) const REQUEST_ID: &str = "foxtide-request-id";
+    /// What an upstream says of itself.
+    pub(crate) const UPSTREAM_STATE: &str = "foxtide-upstream-state";
+    /// What an upstream says of its load (Open Request Cost Aggregation).
+    pub(crate) const LOAD_METRICS: &str = "endpoint-load-metrics";
+}
+
+/// The headers that are for the next hop alone (RFC 9110, section 7.6.1).
+const HOP_BY_HOP: [&str; 9] = [
+    name::CONNECTION,
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    name::TRANSFER_ENCODING,
+    "upgrade",
+];
+
+/// Returns an empty set of headers.
+pub(crate) fn no_headers() -> Headers {
+    // http-types makes headers together with a message only.
+    static EMPTY: LazyLock<Headers> =
+        LazyLock::new(|| AsRef::<Headers>::as_ref(&Response::new(StatusCode::Ok)).clone());
+    EMPTY.clone()
+}
+
+/// Removes the headers that must not be sent on, also those that `Connection`
+/// names.
+pub(crate) fn strip_hop_by_hop(headers: &mut Headers) {
+    let named: Vec<String> = headers
+        .get(name::CONNECTION)
+        .into_iter()
+        .flat_map(|values| values.iter())
+        .flat_map(|value| value.as_str().split(','))
+        .map(|token| token.trim().to_ascii_lowercase())
+        .collect();
+    for header in &named {
+        headers.remove(header.as_str());
+    }
+    for header in HOP_BY_HOP {
+        headers.remove(header);
+    }
+}
--- /dev/null
+++ b/crates/foxtide-entry/src/http/mod.rs
@@ -0,0 +1,15 @@
+//! HTTP/1.1 messages on a socket (RFC 9112): where they begin and end.
+//!
+//! A message is taken off a connection to its exact last byte, so that what
+//! follows belongs to the next message and to no other.
+
+mod chunked;
+mod head;
+mod headers;
+mod message;
+mod stream;
+
+pub(crate) use head::{BodyLength, HeadError, RequestHead, ResponseHead};
+pub(crate) use headers::{name, no_headers, strip_hop_by_hop};
+pub(crate) use message::{MessageError, read_body, read_head};
+pub(crate) use stream::{BufferedStream, Quiet};
--- /dev/null
+++ b/crates/foxtide-entry/src/http/stream.rs
@@ -0,0 +1,146 @@
+//! A socket with what was read from it beyond the last message.
+
+use smol::Async;
+use std::future::pending;
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+
+const READ_CHUNK_BYTES: usize = 16 * 1_024;
+
+/// What a look at an idle socket found, without taking anything off it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Quiet {
+    /// Nothing waits and the peer has not closed.
+    Yes,
+    /// Bytes wait that nobody asked for, or the peer has closed.
+    No,
+}
+
+/// A TCP connection that counts what it sends and keeps what it read ahead.
+///
+/// It holds no memory for reading while it waits, so that an idle connection
+/// is cheap.
+#[derive(Debug)]
+pub(crate) struct BufferedStream {
+    socket: Async<TcpStream>,
+    buffer: Vec<u8>,
+    sent_bytes: u64,
+}
+
+impl BufferedStream {
+    /// Wraps a connected socket.
+    pub(crate) fn new(socket: Async<TcpStream>) -> Self {
+        // Answers are written whole, so waiting to fill packets only delays them.
+        let _ = socket.get_ref().set_nodelay(true);
+        Self {
+            socket,
+            buffer: Vec::new(),
+            sent_bytes: 0,
+        }
+    }
+
+    /// Connects to `address`.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the peer does not take the connection.
+    pub(crate) async fn connect(address: SocketAddr) -> io::Result<Self> {
+        let socket = Async::<TcpStream>::connect(address).await?;
+        Ok(Self::new(socket))
+    }
+
+    /// Returns what was read and not yet consumed.
+    pub(crate) fn buffered(&self) -> &[u8] {
+        &self.buffer
+    }
+
+    /// Removes and returns the first `size_bytes` of what was read.
+    pub(crate) fn consume(&mut self, size_bytes: usize) -> Vec<u8> {
+        let rest = self.buffer.split_off(size_bytes);
+        std::mem::replace(&mut self.buffer, rest)
+    }
+
+    /// Returns how many bytes the system has taken for sending so far.
+    pub(crate) fn sent_bytes(&self) -> u64 {
+        self.sent_bytes
+    }
+
+    /// Reads more and returns how many bytes came; 0 at the end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the socket does.
+    pub(crate) async fn fill(&mut self) -> io::Result<usize> {
+        let buffer = &mut self.buffer;
+        let read = |mut socket: &TcpStream| {
+            let mut chunk = [0; READ_CHUNK_BYTES];
+            let size_bytes = socket.read(&mut chunk)?;
+            buffer.extend_from_slice(&chunk[..size_bytes]);
+            Ok(size_bytes)
+        };
+        // `Async` takes `FnMut(&T)`, and `Read` is there for `&TcpStream`.
+        self.socket.read_with(read).await
+    }
+
+    /// Writes all of `bytes`.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the socket does; [`Self::sent_bytes`] then tells how far it came.
+    pub(crate) async fn write_all(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let mut rest = bytes;
+        while !rest.is_empty() {
+            let written = self
+                .socket
+                .write_with(|mut socket: &TcpStream| socket.write(rest))
+                .await?;
+            if written == 0 {
+                return Err(io::ErrorKind::WriteZero.into());
+            }
+            self.sent_bytes += written as u64;
+            rest = &rest[written..];
+        }
+        Ok(())
+    }
+
+    /// Looks whether the connection is open with nothing waiting on it.
+    pub(crate) fn quiet(&self) -> Quiet {
+        if !self.buffer.is_empty() {
+            return Quiet::No;
+        }
+        match self.socket.get_ref().peek(&mut [0]) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Quiet::Yes,
+            _ => Quiet::No,
+        }
+    }
+
+    /// Waits until the peer has closed or reset the connection.
+    ///
+    /// Never returns where the peer sends more instead: it is still there.
+    pub(crate) async fn closed_by_peer(&self) {
+        let peeked = self.socket.read_with(|socket| socket.peek(&mut [0])).await;
+        if matches!(peeked, Ok(size_bytes) if size_bytes > 0) {
+            pending::<()>().await;
+        }
+    }
+
+    /// Ends the sending half: the peer reads the end after all that was sent.
+    pub(crate) fn finish_sending(&self) {
+        let _ = self.socket.get_ref().shutdown(Shutdown::Write);
+    }
+
+    /// Reads and drops what still comes, at most `limit_bytes`.
+    ///
+    /// A socket closed with unread bytes resets the connection, and the peer
+    /// may then lose the answer that was sent before.
+    pub(crate) async fn discard(&mut self, limit_bytes: usize) {
+        let mut discarded = 0;
+        while discarded < limit_bytes {
+            self.buffer.clear();
+            match self.fill().await {
+                Ok(0) | Err(_) => return,
+                Ok(size_bytes) => discarded += size_bytes,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxtide-entry/src/options.rs
@@ -0,0 +1,124 @@
+//! What can be set on the request path, with its defaults.
+
+use foxtide_core::ids::OrganisationId;
+use foxtide_core::units::ByteSize;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+/// The settings of an [`Entry`](crate::Entry).
+#[derive(Clone, Debug)]
+pub struct EntryOptions {
+    /// Where callers connect. Default: `127.0.0.1:8080`.
+    pub caller_address: SocketAddr,
+    /// Where operators connect. Default: `127.0.0.1:8081`.
+    pub admin_address: SocketAddr,
+    /// The only organisation that the caller listener serves, if it is bound
+    /// to one. Default: none, it serves all.
+    pub organisation: Option<OrganisationId>,
+    /// How long callers may keep the answer to a look-up. Default: 5 s.
+    pub lookup_ttl: Duration,
+    /// The longest deadline that a caller may ask for. Default: 60 s.
+    pub deadline_max: Duration,
+    /// What callers may use up. See [`Limits`].
+    pub limits: Limits,
+    /// How connections to upstreams are kept. See [`PoolOptions`].
+    pub pool: PoolOptions,
+    /// How an instance leaves. See [`DrainOptions`].
+    pub drain: DrainOptions,
+}
+
+impl Default for EntryOptions {
+    fn default() -> Self {
+        Self {
+            caller_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 8_080)),
+            admin_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 8_081)),
+            organisation: None,
+            lookup_ttl: Duration::from_secs(5),
+            deadline_max: Duration::from_secs(60),
+            limits: Limits::default(),
+            pool: PoolOptions::default(),
+            drain: DrainOptions::default(),
+        }
+    }
+}
+
+/// What a caller, or all callers together, may use up.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// The longest head of a request or an answer. Default: 16 KiB.
+    pub head: ByteSize,
+    /// The longest body of a request. Default: 1 MiB.
+    pub request_body: ByteSize,
+    /// The longest body of an answer. Default: 64 MiB.
+    pub answer_body: ByteSize,
+    /// The most connections open on a listener. Default: 10,000.
+    pub connections: usize,
+    /// The time to send a head, from its first byte on. Default: 5 s.
+    pub head_time: Duration,
+    /// The time to send a body. Default: 30 s.
+    pub body_time: Duration,
+    /// The time a caller may take to read an answer. Default: 60 s.
+    pub answer_time: Duration,
+    /// The time a connection may stay open between requests. Default: 75 s.
+    pub idle_time: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            head: ByteSize::from_kib(16),
+            request_body: ByteSize::from_kib(1_024),
+            answer_body: ByteSize::from_kib(64 * 1_024),
+            connections: 10_000,
+            head_time: Duration::from_secs(5),
+            body_time: Duration::from_secs(30),
+            answer_time: Duration::from_secs(60),
+            idle_time: Duration::from_secs(75),
+        }
+    }
+}
+
+/// How connections to upstreams are kept.
+#[derive(Clone, Debug)]
+pub struct PoolOptions {
+    /// The most idle connections kept for an upstream. Default: 16.
+    pub idle_connections: usize,
+    /// The longest time a connection is kept idle. Default: 30 s.
+    pub idle_time: Duration,
+    /// The longest time a connection may have been idle to carry a request
+    /// that must not run twice; the upstream may be about to close an older
+    /// one, and the outcome would be unknown. Default: 1 s.
+    pub idle_time_non_idempotent: Duration,
+    /// The time to connect. Default: 1 s.
+    pub connect_time: Duration,
+}
+
+impl Default for PoolOptions {
+    fn default() -> Self {
+        Self {
+            idle_connections: 16,
+            idle_time: Duration::from_secs(30),
+            idle_time_non_idempotent: Duration::from_secs(1),
+            connect_time: Duration::from_secs(1),
+        }
+    }
+}
+
+/// How an instance leaves.
+#[derive(Clone, Debug)]
+pub struct DrainOptions {
+    /// The time beyond the look-ups' time to live in which callers may still
+    /// come. Default: 1 s.
+    pub margin: Duration,
+    /// The longest wait for what is in flight after that. Default: 60 s.
+    pub in_flight_time: Duration,
+}
+
+impl Default for DrainOptions {
+    fn default() -> Self {
+        Self {
+            margin: Duration::from_secs(1),
+            in_flight_time: Duration::from_secs(60),
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxtide-entry/src/serve/listener.rs
@@ -0,0 +1,78 @@
+//! Accepts connections and keeps on when the system is short of something.
+
+use super::connection::{Handler, Wire, serve_connection};
+use super::state::ServeState;
+use crate::errors::{Error, Result, Step};
+use crate::http::BufferedStream;
+use crate::options::Limits;
+use futures_util::FutureExt;
+use smol::future::or;
+use smol::{Async, Executor, Timer};
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::panic::AssertUnwindSafe;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long to wait after a failed accept, such as for want of file
+/// descriptors (`EMFILE`), before the next one.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Binds a listener.
+///
+/// # Errors
+///
+/// Fails where the address cannot be bound.
+pub(crate) fn bind(address: SocketAddr) -> Result<Async<TcpListener>> {
+    Async::<TcpListener>::bind(address).map_err(|error| Error::io(Step::Bind, address, error))
+}
+
+/// Serves all connections of a listener until the state says to close.
+pub(crate) async fn serve_listener<H: Handler>(
+    listener: Async<TcpListener>,
+    executor: Arc<Executor<'static>>,
+    handler: Arc<H>,
+    limits: Arc<Limits>,
+    state: Arc<ServeState>,
+    on_error: impl Fn(&io::Error) + Send,
+) {
+    loop {
+        let accepted = async { Some(listener.accept().await) };
+        let closing = async {
+            state.closing().await;
+            None
+        };
+        match or(accepted, closing).await {
+            None => return,
+            Some(Ok((socket, peer))) => {
+                let wire = Wire {
+                    stream: BufferedStream::new(socket),
+                    peer,
+                    limits: Arc::clone(&limits),
+                    state: Arc::clone(&state),
+                };
+                spawn_connection(&executor, wire, Arc::clone(&handler));
+            }
+            Some(Err(error)) => {
+                on_error(&error);
+                Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn spawn_connection<H: Handler>(executor: &Executor<'static>, wire: Wire, handler: Arc<H>) {
+    // Beyond the limit the connection is closed before anything is read.
+    let Some(counted) = wire.state.open_connection(wire.limits.connections) else {
+        return;
+    };
+    let serve = async move {
+        let _counted = counted;
+        let serving = AssertUnwindSafe(serve_connection(wire, &*handler));
+        // A fault in one connection must not end the worker that runs others.
+        if serving.catch_unwind().await.is_err() {
+            log::error!("a connection's task panicked; the connection is closed");
+        }
+    };
+    executor.spawn(serve).detach();
+}
--- /dev/null
+++ b/crates/foxtide-entry/src/serve/request.rs
@@ -0,0 +1,92 @@
+//! A whole request as it was received.
+
+use crate::answer::Refusal;
+use crate::http::{BufferedStream, HeadError, MessageError, RequestHead, read_body, read_head};
+use crate::options::Limits;
+use crate::time_limit::{Elapsed, within};
+use http_types::StatusCode;
+use std::net::SocketAddr;
+
+const CONTINUE_ANSWER: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+/// A whole request.
+#[derive(Debug)]
+pub(crate) struct Received {
+    /// Its head.
+    pub(crate) head: RequestHead,
+    /// Its body.
+    pub(crate) body: Vec<u8>,
+    /// Who sent it.
+    pub(crate) peer: SocketAddr,
+}
+
+/// Why a connection brought no request.
+#[derive(Debug)]
+pub(crate) enum NoRequest {
+    /// The peer is gone; nothing can be answered.
+    Gone,
+    /// What came is answered with a refusal.
+    Refused(Refusal),
+}
+
+/// Reads one whole request.
+///
+/// Bodies are read whole before anything is sent on, so that a slow caller
+/// never holds a place at an upstream.
+///
+/// # Errors
+///
+/// Fails where the peer sends none that foxtide takes, in the time it has.
+pub(crate) async fn receive(
+    stream: &mut BufferedStream,
+    limits: &Limits,
+    peer: SocketAddr,
+) -> Result<Received, NoRequest> {
+    let limit_bytes = usize::try_from(limits.head.get()).unwrap_or(usize::MAX);
+    let bytes = within(limits.head_time, read_head(stream, limit_bytes)).await;
+    let bytes = or_too_slow(bytes)?.ok_or(NoRequest::Gone)?;
+    let head = RequestHead::parse(&bytes).map_err(|error| refused(&error.into()))?;
+    if head.head.expects_continue && stream.buffered().is_empty() {
+        let asked = within(limits.head_time, stream.write_all(CONTINUE_ANSWER)).await;
+        or_too_slow(asked.map(|written| written.map_err(MessageError::from)))?;
+    }
+    let limit_bytes = usize::try_from(limits.request_body.get()).unwrap_or(usize::MAX);
+    let body = read_body(stream, head.head.length, limit_bytes);
+    let body = or_too_slow(within(limits.body_time, body).await)?;
+    Ok(Received { head, body, peer })
+}
+
+fn or_too_slow<T>(read: Result<Result<T, MessageError>, Elapsed>) -> Result<T, NoRequest> {
+    match read {
+        Ok(read) => read.map_err(|error| refused(&error)),
+        Err(Elapsed) => Err(NoRequest::Refused(Refusal::not_run(
+            StatusCode::RequestTimeout,
+            "request-too-slow",
+        ))),
+    }
+}
+
+fn refused(error: &MessageError) -> NoRequest {
+    let (status, reason) = match error {
+        MessageError::Io(_) => return NoRequest::Gone,
+        MessageError::Truncated => (StatusCode::BadRequest, "request-cut"),
+        MessageError::HeadTooLong => {
+            let status = StatusCode::RequestHeaderFieldsTooLarge;
+            (status, "head-too-long")
+        }
+        MessageError::BodyTooLong => (StatusCode::PayloadTooLarge, "body-too-long"),
+        MessageError::BadChunk => (StatusCode::BadRequest, "malformed-chunk"),
+        MessageError::NoStatedEnd => (StatusCode::LengthRequired, "length-required"),
+        MessageError::Head(error) => match error {
+            HeadError::Malformed => (StatusCode::BadRequest, "malformed-head"),
+            HeadError::AmbiguousLength => (StatusCode::BadRequest, "ambiguous-length"),
+            HeadError::Version => {
+                let status = StatusCode::HttpVersionNotSupported;
+                (status, "version-not-supported")
+            }
+            HeadError::Unknown => (StatusCode::NotImplemented, "method-not-known"),
+            HeadError::TransferCoding => (StatusCode::NotImplemented, "transfer-coding-not-known"),
+        },
+    };
+    NoRequest::Refused(Refusal::not_run(status, reason))
+}
--- /dev/null
+++ b/crates/foxtide-entry/src/serve/state.rs
@@ -0,0 +1,109 @@
+//! What all connections of a listener share: how many there are, and whether
+//! the instance leaves.
+
+use smol::channel::{Receiver, Sender, bounded};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+const FINISH_POLL: Duration = Duration::from_millis(5);
+
+/// The shared state of a listener's connections.
+#[derive(Debug)]
+pub(crate) struct ServeState {
+    connections: AtomicUsize,
+    requests: AtomicUsize,
+    leaving: AtomicBool,
+    closing: Closing,
+}
+
+/// A signal to all connections; it is given by closing a channel.
+#[derive(Debug)]
+struct Closing {
+    sender: Sender<()>,
+    receiver: Receiver<()>,
+}
+
+/// One thing under way; it is counted until this is dropped.
+#[derive(Debug)]
+pub(crate) struct Counted {
+    state: Arc<ServeState>,
+    counter: fn(&ServeState) -> &AtomicUsize,
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        (self.counter)(&self.state).fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl ServeState {
+    /// Returns the state of a listener that serves.
+    pub(crate) fn new() -> Arc<Self> {
+        let (sender, receiver) = bounded(1);
+        Arc::new(Self {
+            connections: AtomicUsize::new(0),
+            requests: AtomicUsize::new(0),
+            leaving: AtomicBool::new(false),
+            closing: Closing { sender, receiver },
+        })
+    }
+
+    /// Counts a further connection, unless there are `limit` already.
+    pub(crate) fn open_connection(self: &Arc<Self>, limit: usize) -> Option<Counted> {
+        let counted = self.count(|state| &state.connections);
+        let within = self.connections.load(Ordering::Acquire) <= limit;
+        within.then_some(counted)
+    }
+
+    /// Counts a request until its answer was sent.
+    pub(crate) fn begin_request(self: &Arc<Self>) -> Counted {
+        self.count(|state| &state.requests)
+    }
+
+    fn count(self: &Arc<Self>, counter: fn(&Self) -> &AtomicUsize) -> Counted {
+        counter(self).fetch_add(1, Ordering::AcqRel);
+        Counted {
+            state: Arc::clone(self),
+            counter,
+        }
+    }
+
+    /// Returns how many connections are open.
+    pub(crate) fn connections(&self) -> usize {
+        self.connections.load(Ordering::Acquire)
+    }
+
+    /// Returns how many requests are under way.
+    pub(crate) fn requests(&self) -> usize {
+        self.requests.load(Ordering::Acquire)
+    }
+
+    /// Makes every further answer tell its caller to close the connection.
+    pub(crate) fn leave(&self) {
+        self.leaving.store(true, Ordering::Release);
+    }
+
+    /// Tells whether the instance leaves.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    /// Makes connections close as soon as no request is under way on them.
+    pub(crate) fn close(&self) {
+        self.closing.sender.close();
+    }
+
+    /// Waits until connections are to close.
+    pub(crate) async fn closing(&self) {
+        // Nothing is ever sent; receiving fails once the channel is closed.
+        let _ = self.closing.receiver.recv().await;
+    }
+
+    /// Waits until no connection is open.
+    pub(crate) async fn finished(&self) {
+        while self.connections() > 0 {
+            smol::Timer::after(FINISH_POLL).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxtide-entry/src/upstream/exchange.rs
@@ -0,0 +1,179 @@
+//! One request for one answer on one connection.
+
+use super::failure::{Failure, FailureKind};
+use super::pool::{Freshness, Pools};
+use crate::answer::{Answer, AnswerBody};
+use crate::errors::Step;
+use crate::http::{
+    BodyLength, BufferedStream, MessageError, Quiet, ResponseHead, name, read_body, read_head,
+    strip_hop_by_hop,
+};
+use crate::options::Limits;
+use crate::time_limit::within;
+use foxtide_core::time::MonotonicTime;
+use http_types::Method;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The most interim answers (1xx) before the final one.
+const INTERIM_ANSWERS_MAX: usize = 8;
+
+/// A request ready to be sent to an upstream.
+#[derive(Debug)]
+pub(crate) struct UpstreamRequest<'a> {
+    /// The upstream's address.
+    pub(crate) address: SocketAddr,
+    /// The method.
+    pub(crate) method: Method,
+    /// The identity of the request.
+    pub(crate) request: &'a str,
+    /// The bytes to send.
+    pub(crate) bytes: &'a [u8],
+    /// Which idle connections may carry it.
+    pub(crate) freshness: Freshness,
+    /// The time left.
+    pub(crate) time_left: Duration,
+}
+
+/// An upstream's whole answer.
+#[derive(Debug)]
+pub(crate) struct UpstreamAnswer {
+    /// The answer, ready for the caller.
+    pub(crate) answer: Answer,
+    /// The connection, where it can carry a further request.
+    pub(crate) connection: Option<BufferedStream>,
+}
+
+/// Sends a request and reads the whole answer.
+///
+/// Where the returned future is dropped, the connection is closed and the
+/// upstream can see that its answer is not wanted any more.
+///
+/// # Errors
+///
+/// Fails where no whole answer to this very request came in time.
+pub(crate) async fn exchange(
+    pools: &Pools,
+    limits: &Limits,
+    request: &UpstreamRequest<'_>,
+    now: MonotonicTime,
+) -> Result<UpstreamAnswer, Failure> {
+    let mut stream = open(pools, request, now).await?;
+    let before_bytes = stream.sent_bytes();
+    let conversation = converse(&mut stream, limits, request);
+    let conversed = within(request.time_left, conversation).await;
+    let conversed = conversed.unwrap_or(Err(FailureKind::TimedOut));
+    let sent_bytes = stream.sent_bytes() - before_bytes;
+    let (head, body) = conversed.map_err(|kind| request.failure(sent_bytes, kind))?;
+    let reusable = !head.head.close && stream.quiet() == Quiet::Yes;
+    Ok(UpstreamAnswer {
+        answer: into_answer(head, body),
+        connection: reusable.then_some(stream),
+    })
+}
+
+impl UpstreamRequest<'_> {
+    fn failure(&self, sent_bytes: u64, kind: FailureKind) -> Failure {
+        let whole = sent_bytes == self.bytes.len() as u64;
+        Failure {
+            step: if whole {
+                Step::ReadAnswer
+            } else {
+                Step::SendRequest
+            },
+            peer: self.address,
+            sent_bytes,
+            kind,
+        }
+    }
+}
+
+/// Returns an idle connection or a new one.
+async fn open(
+    pools: &Pools,
+    request: &UpstreamRequest<'_>,
+    now: MonotonicTime,
+) -> Result<BufferedStream, Failure> {
+    if let Some(stream) = pools.take(request.address, request.freshness, now) {
+        return Ok(stream);
+    }
+    connect(pools, request).await.map_err(|kind| Failure {
+        step: Step::Connect,
+        peer: request.address,
+        sent_bytes: 0,
+        kind,
+    })
+}
+
+async fn connect(
+    pools: &Pools,
+    request: &UpstreamRequest<'_>,
+) -> Result<BufferedStream, FailureKind> {
+    let limit = pools.options().connect_time.min(request.time_left);
+    let connected = within(limit, BufferedStream::connect(request.address)).await;
+    match connected {
+        Ok(connected) => Ok(connected?),
+        Err(_) => Err(FailureKind::TimedOut),
+    }
+}
+
+async fn converse(
+    stream: &mut BufferedStream,
+    limits: &Limits,
+    request: &UpstreamRequest<'_>,
+) -> Result<(ResponseHead, AnswerBody), FailureKind> {
+    stream.write_all(request.bytes).await?;
+    read_answer(stream, limits, request).await
+}
+
+async fn read_answer(
+    stream: &mut BufferedStream,
+    limits: &Limits,
+    request: &UpstreamRequest<'_>,
+) -> Result<(ResponseHead, AnswerBody), FailureKind> {
+    let head = read_final_head(stream, limits).await?;
+    if names_other_request(&head, request.request) {
+        return Err(FailureKind::OtherRequest);
+    }
+    let length = head.body_length(request.method);
+    if length == BodyLength::None {
+        let stated = head.head.length;
+        return Ok((head, AnswerBody::Absent { stated }));
+    }
+    let limit_bytes = usize::try_from(limits.answer_body.get()).unwrap_or(usize::MAX);
+    let body = read_body(stream, length, limit_bytes).await?;
+    Ok((head, AnswerBody::Whole(body)))
+}
+
+async fn read_final_head(
+    stream: &mut BufferedStream,
+    limits: &Limits,
+) -> Result<ResponseHead, FailureKind> {
+    let limit_bytes = usize::try_from(limits.head.get()).unwrap_or(usize::MAX);
+    for _ in 0..INTERIM_ANSWERS_MAX {
+        let bytes = read_head(stream, limit_bytes).await?;
+        let bytes = bytes.ok_or(FailureKind::Closed)?;
+        let head = ResponseHead::parse(&bytes).map_err(MessageError::from)?;
+        if !head.is_interim() {
+            return Ok(head);
+        }
+    }
+    Err(FailureKind::Closed)
+}
+
+/// Tells whether an upstream that names the request in its answer names
+/// another one: an answer that came late or twice.
+fn names_other_request(head: &ResponseHead, request: &str) -> bool {
+    let named = head.head.headers.get(name::REQUEST_ID);
+    named.is_some_and(|named| named.as_str() != request)
+}
+
+fn into_answer(head: ResponseHead, body: AnswerBody) -> Answer {
+    let mut headers = head.head.headers;
+    strip_hop_by_hop(&mut headers);
+    Answer {
+        status: head.status,
+        headers,
+        body,
+    }
+}
--- /dev/null
+++ b/crates/foxtide-entry/src/upstream/mod.rs
@@ -0,0 +1,9 @@
+//! Connections to upstreams and the exchange of one request for one answer.
+
+mod exchange;
+mod failure;
+mod pool;
+
+pub(crate) use exchange::{UpstreamRequest, exchange};
+pub(crate) use failure::{Failure, FailureKind};
+pub(crate) use pool::{Freshness, Pools};
--- /dev/null
+++ b/crates/foxtide-entry/src/upstream/pool.rs
@@ -0,0 +1,107 @@
+//! Idle connections to upstreams.
+//!
+//! Locks: the table of pools, then one pool; never two pools at a time, and
+//! none is held while a task waits.
+
+use crate::http::{BufferedStream, Quiet};
+use crate::options::PoolOptions;
+use foxtide_core::time::MonotonicTime;
+use parking_lot::{Mutex, RwLock};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// How long a connection may have been idle to be used again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Freshness {
+    /// As long as connections are kept.
+    Any,
+    /// Only a short time, so that the upstream is not about to close it.
+    Recent,
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    stream: BufferedStream,
+    since: MonotonicTime,
+}
+
+type Pool = Mutex<Vec<IdleConnection>>;
+
+/// The idle connections to all upstreams, by address.
+#[derive(Debug)]
+pub(crate) struct Pools {
+    options: PoolOptions,
+    by_address: RwLock<HashMap<SocketAddr, Arc<Pool>>>,
+}
+
+impl Pools {
+    /// Returns empty pools.
+    pub(crate) fn new(options: PoolOptions) -> Self {
+        Self {
+            options,
+            by_address: RwLock::default(),
+        }
+    }
+
+    /// Returns the options.
+    pub(crate) fn options(&self) -> &PoolOptions {
+        &self.options
+    }
+
+    /// Takes the most recently used connection that is open and quiet.
+    ///
+    /// One on which bytes wait may hold an answer to an earlier request; it is
+    /// closed.
+    pub(crate) fn take(
+        &self,
+        address: SocketAddr,
+        freshness: Freshness,
+        now: MonotonicTime,
+    ) -> Option<BufferedStream> {
+        let pool = Arc::clone(self.by_address.read().get(&address)?);
+        let idle_time = match freshness {
+            Freshness::Any => self.options.idle_time,
+            Freshness::Recent => self.options.idle_time_non_idempotent,
+        };
+        let mut idle = pool.lock();
+        while let Some(connection) = idle.pop_if(|last| now - last.since <= idle_time) {
+            if connection.stream.quiet() == Quiet::Yes {
+                return Some(connection.stream);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose last answer was read to its exact end.
+    pub(crate) fn put(&self, address: SocketAddr, stream: BufferedStream, now: MonotonicTime) {
+        let pool = self.pool(address);
+        let mut idle = pool.lock();
+        if idle.len() < self.options.idle_connections {
+            let since = now;
+            idle.push(IdleConnection { stream, since });
+        }
+    }
+
+    fn pool(&self, address: SocketAddr) -> Arc<Pool> {
+        if let Some(pool) = self.by_address.read().get(&address) {
+            return Arc::clone(pool);
+        }
+        let mut by_address = self.by_address.write();
+        Arc::clone(by_address.entry(address).or_default())
+    }
+
+    /// Closes connections that were idle for too long or have been closed by
+    /// their upstream.
+    pub(crate) fn prune(&self, now: MonotonicTime) {
+        let pools: Vec<Arc<Pool>> = self.by_address.read().values().cloned().collect();
+        for pool in pools {
+            pool.lock().retain(|connection| {
+                let recent = now - connection.since <= self.options.idle_time;
+                recent && connection.stream.quiet() == Quiet::Yes
+            });
+        }
+        let unused = |pool: &Arc<Pool>| Arc::strong_count(pool) == 1 && pool.lock().is_empty();
+        self.by_address.write().retain(|_, pool| !unused(pool));
+    }
+}
--- /dev/null
+++ b/crates/foxtide-entry/src/workers.rs
@@ -0,0 +1,74 @@
+//! The pool of threads that runs every task of the process.
+
+use crate::errors::{Error, Result};
+use smol::channel::{Receiver, Sender, bounded};
+use smol::{Executor, Task};
+use std::future::Future;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+
+/// A pool of worker threads over one queue of tasks.
+///
+/// The threads end when the pool is dropped.
+#[derive(Debug)]
+pub struct Workers {
+    executor: Arc<Executor<'static>>,
+    stop: Option<Sender<()>>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Workers {
+    /// Starts `threads` workers, at least one.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the system starts no more threads.
+    pub fn start(threads: usize) -> Result<Self> {
+        let executor = Arc::new(Executor::new());
+        let (stop, stopped) = bounded(1);
+        let mut workers = Self {
+            executor,
+            stop: Some(stop),
+            threads: Vec::new(),
+        };
+        for number in 0..threads.max(1) {
+            let thread = workers.start_one(number, stopped.clone())?;
+            workers.threads.push(thread);
+        }
+        Ok(workers)
+    }
+
+    fn start_one(&self, number: usize, stopped: Receiver<()>) -> Result<JoinHandle<()>> {
+        let executor = Arc::clone(&self.executor);
+        let work = move || {
+            // Receiving fails once the pool is dropped; that ends the worker.
+            let _ = smol::block_on(executor.run(stopped.recv()));
+        };
+        std::thread::Builder::new()
+            .name(format!("worker-{number}"))
+            .spawn(work)
+            .map_err(Error::worker)
+    }
+
+    /// Returns the queue of tasks.
+    pub fn executor(&self) -> Arc<Executor<'static>> {
+        Arc::clone(&self.executor)
+    }
+
+    /// Puts a task into the queue.
+    pub fn spawn<T: Send + 'static>(
+        &self,
+        future: impl Future<Output = T> + Send + 'static,
+    ) -> Task<T> {
+        self.executor.spawn(future)
+    }
+}
+
+impl Drop for Workers {
+    fn drop(&mut self) {
+        drop(self.stop.take());
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxtide-entry/tests/failures.rs
@@ -0,0 +1,290 @@
+//! Upstreams and callers that fail, each in one way.
+
+mod support;
+
+use foxtide_entry::{EntryOptions, Limits};
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::channel;
+use std::time::Duration;
+use support::{ANY_PORT, RawUpstream, World, assert_refused, get, post, read_message, wait_until};
+
+const HELLO: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello";
+
+fn short_limits() -> EntryOptions {
+    EntryOptions {
+        limits: Limits {
+            head_time: Duration::from_millis(100),
+            body_time: Duration::from_millis(100),
+            idle_time: Duration::from_millis(300),
+            ..Limits::default()
+        },
+        ..EntryOptions::default()
+    }
+}
+
+#[test]
+fn verify_a_cut_answer_is_never_shown_as_whole() {
+    let cuts: [&[u8]; 4] = [
+        b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhel",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\nhello",
+        b"HTTP/1.1 200 OK\r\ncontent-le",
+    ];
+    for cut in cuts {
+        let upstream = RawUpstream::start(move |mut stream, _| {
+            read_message(&mut stream);
+            stream.write_all(cut).unwrap();
+        });
+        let world = World::start(&[upstream.address]);
+        let answer = world.caller().ask(&post("/notes", "x"));
+        assert_refused(&answer, 502, "unknown");
+        assert_eq!(upstream.connections.load(Ordering::SeqCst), 1, "sent twice");
+    }
+}
+
+#[test]
+fn verify_an_idempotent_request_is_sent_again_after_a_cut() {
+    let upstream = RawUpstream::start(|mut stream, number| {
+        read_message(&mut stream);
+        if number > 1 {
+            stream.write_all(HELLO).unwrap();
+        }
+    });
+    let world = World::start(&[upstream.address]);
+    assert!(world.caller().ask(&get("/")).ends_with("hello"));
+}
+
+#[test]
+fn verify_a_doubled_answer_reaches_no_other_request() {
+    let upstream = RawUpstream::start(|mut stream, number| {
+        while read_message(&mut stream).is_some() {
+            let body = format!("from-{number}");
+            let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\n{body}");
+            stream.write_all(answer.repeat(2).as_bytes()).unwrap();
+        }
+    });
+    let world = World::start(&[upstream.address]);
+    let mut caller = world.caller();
+    for number in 1..=5 {
+        let answer = caller.ask(&get("/"));
+        assert!(answer.ends_with(&format!("from-{number}")), "{answer}");
+    }
+}
+
+#[test]
+fn verify_a_late_second_answer_reaches_no_other_request() {
+    let (sent, wait_sent) = channel();
+    let upstream = RawUpstream::start(move |mut stream, number| {
+        read_message(&mut stream);
+        stream.write_all(HELLO).unwrap();
+        if number == 1 {
+            std::thread::sleep(Duration::from_millis(20));
+            let late = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nlate";
+            stream.write_all(late).unwrap();
+            sent.send(()).unwrap();
+        }
+        let _ = stream.read(&mut [0]);
+    });
+    let world = World::start(&[upstream.address]);
+    let mut caller = world.caller();
+    assert!(caller.ask(&get("/")).ends_with("hello"));
+    wait_sent.recv().unwrap();
+    assert!(caller.ask(&get("/")).ends_with("hello"));
+}
+
+#[test]
+fn verify_an_answer_to_another_request_is_refused() {
+    let upstream = RawUpstream::answering(
+        b"HTTP/1.1 200 OK\r\nfoxtide-request-id: other\r\ncontent-length: 5\r\n\r\nhello",
+    );
+    let world = World::start(&[upstream.address]);
+    assert_refused(&world.caller().ask(&post("/", "x")), 502, "unknown");
+}
+
+#[test]
+fn verify_a_late_answer_is_given_up_at_the_deadline() {
+    let (release, released) = channel::<()>();
+    let released = parking_lot::Mutex::new(released);
+    let upstream = RawUpstream::start(move |mut stream, _| {
+        read_message(&mut stream);
+        let _ = released.lock().recv();
+        let _ = stream.write_all(HELLO);
+    });
+    let world = World::start(&[upstream.address]);
+    let mut caller = world.caller();
+    let answer = caller.ask(
+        "POST /hamutenya/viewer/ HTTP/1.1\r\nhost: x\r\nfoxtide-deadline-ms: 50\r\n\
+         content-length: 1\r\n\r\nx",
+    );
+    assert_refused(&answer, 504, "unknown");
+    drop(release);
+}
+
+#[test]
+fn verify_not_run_is_said_where_no_byte_went_out() {
+    let closed = TcpListener::bind(ANY_PORT).unwrap().local_addr().unwrap();
+    let world = World::start(&[closed]);
+    assert_refused(&world.caller().ask(&post("/", "x")), 503, "not-run");
+}
+
+#[test]
+fn verify_an_upstreams_own_refusal_is_not_run() {
+    let upstream = RawUpstream::answering(
+        b"HTTP/1.1 503 Service Unavailable\r\nfoxtide-outcome: not-run\r\ncontent-length: 0\r\n\r\n",
+    );
+    let world = World::start(&[upstream.address]);
+    assert_refused(&world.caller().ask(&post("/", "x")), 503, "not-run");
+}
+
+#[test]
+fn verify_a_caller_that_goes_away_cancels_its_work() {
+    let (cancelled, wait_cancelled) = channel();
+    let upstream = RawUpstream::start(move |mut stream, _| {
+        read_message(&mut stream);
+        // The end of the stream is how an upstream sees the cancellation.
+        let end = stream.read(&mut [0]);
+        cancelled.send(matches!(end, Ok(0) | Err(_))).unwrap();
+    });
+    let world = World::start(&[upstream.address]);
+    let mut caller = world.caller();
+    caller.send(&post("/", "x"));
+    wait_until("the request", || {
+        upstream.connections.load(Ordering::SeqCst) == 1
+    });
+    caller.stream.shutdown(Shutdown::Both).unwrap();
+    assert!(
+        wait_cancelled
+            .recv_timeout(Duration::from_secs(10))
+            .unwrap()
+    );
+    wait_until("the event", || world.recorded("CallerGone"));
+}
+
+#[test]
+fn verify_malformed_requests_get_a_clear_answer_and_others_are_served() {
+    let long = "a".repeat(20_000);
+    let cases = [
+        ("nonsense\r\n\r\n".to_owned(), 400),
+        ("GET / HTTP/1.0\r\nhost: x\r\n\r\n".to_owned(), 505),
+        ("GET / HTTP/1.1\r\n\r\n".to_owned(), 400),
+        ("GET / HTTP/1.1\r\nhost: a/b?\r\n\r\n".to_owned(), 400),
+        (
+            "GET / HTTP/1.1\r\nhost: x\r\nhost: y\r\n\r\n".to_owned(),
+            400,
+        ),
+        (
+            "GET / HTTP/1.1\r\nhost: x\r\nname: \u{e9}\r\n\r\n".to_owned(),
+            400,
+        ),
+        ("GET / HTTP/1.1\r\nhost: x\nname: y\r\n\r\n".to_owned(), 400),
+        (
+            "GET / HTTP/1.1\r\nhost: x\r\nname : y\r\n\r\n".to_owned(),
+            400,
+        ),
+        (
+            format!("GET / HTTP/1.1\r\nhost: x\r\nlong: {long}\r\n\r\n"),
+            431,
+        ),
+        ("BREW / HTTP/1.1\r\nhost: x\r\n\r\n".to_owned(), 501),
+    ];
+    let upstream = RawUpstream::answering(HELLO);
+    let world = World::start(&[upstream.address]);
+    let mut other = world.caller();
+    for (request, status) in cases {
+        let mut caller = world.caller();
+        assert_refused(&caller.ask(&request), status, "not-run");
+        assert!(caller.is_closed(), "{request}");
+        assert!(other.ask(&get("/")).ends_with("hello"));
+    }
+}
+
+#[test]
+fn verify_ambiguous_lengths_are_refused() {
+    let cases = [
+        ("content-length: 1\r\ncontent-length: 2", 400),
+        ("content-length: 1\r\ncontent-length: 1", 400),
+        ("content-length: 1\r\ntransfer-encoding: chunked", 400),
+        (
+            "transfer-encoding: chunked\r\ntransfer-encoding: chunked",
+            400,
+        ),
+        ("content-length: +1", 400),
+        ("content-length: 1, 1", 400),
+        ("transfer-encoding: gzip, chunked", 501),
+        ("content-length: 99999999", 413),
+    ];
+    let seen = std::sync::Arc::new(AtomicBool::new(false));
+    let upstream_seen = std::sync::Arc::clone(&seen);
+    let upstream = RawUpstream::start(move |_, _| upstream_seen.store(true, Ordering::SeqCst));
+    let world = World::start(&[upstream.address]);
+    for (lines, status) in cases {
+        let request =
+            format!("POST /hamutenya/viewer/ HTTP/1.1\r\nhost: x\r\n{lines}\r\n\r\n0\r\n\r\n");
+        assert_refused(&world.caller().ask(&request), status, "not-run");
+    }
+    assert!(!seen.load(Ordering::SeqCst), "an upstream was reached");
+}
+
+#[test]
+fn verify_a_body_shorter_or_longer_than_declared_reaches_no_upstream_whole() {
+    let upstream = RawUpstream::answering(HELLO);
+    let world = World::start_with(&[upstream.address], short_limits());
+    let mut short = world.caller();
+    short.send("POST /hamutenya/viewer/ HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\nabc");
+    short.stream.shutdown(Shutdown::Write).unwrap();
+    assert_refused(&short.answer().unwrap(), 400, "not-run");
+    assert_eq!(upstream.connections.load(Ordering::SeqCst), 0);
+    let mut long = world.caller();
+    long.send(
+        "POST /hamutenya/viewer/ HTTP/1.1\r\nhost: x\r\ncontent-length: 1\r\n\r\nabc\r\n\r\n",
+    );
+    let mut answers = String::new();
+    long.stream.read_to_string(&mut answers).unwrap();
+    assert!(answers.contains("hello"), "{answers}");
+    assert!(answers.contains("malformed-head"), "{answers}");
+}
+
+#[test]
+fn verify_slow_callers_are_given_up() {
+    let world = World::start_with(&[], short_limits());
+    let mut slow_head = world.caller();
+    assert_refused(&slow_head.ask("GET / HT"), 408, "not-run");
+    let mut slow_body = world.caller();
+    let head = "POST /hamutenya/viewer/ HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\n";
+    assert_refused(&slow_body.ask(head), 408, "not-run");
+    let mut idle = world.caller();
+    assert!(idle.is_closed());
+}
+
+#[test]
+fn verify_connections_beyond_the_limit_are_closed() {
+    let options = EntryOptions {
+        limits: Limits {
+            connections: 2,
+            ..Limits::default()
+        },
+        ..EntryOptions::default()
+    };
+    let upstream = RawUpstream::answering(HELLO);
+    let world = World::start_with(&[upstream.address], options);
+    let mut first = world.caller();
+    assert!(first.ask(&get("/")).ends_with("hello"));
+    let _second = world.caller();
+    wait_until("two connections", || world.entry.connections() == 2);
+    let mut third = TcpStream::connect(world.entry.caller_address()).unwrap();
+    assert_eq!(third.read(&mut [0]).unwrap_or(0), 0);
+    assert!(first.ask(&get("/")).ends_with("hello"));
+}
+
+#[test]
+fn verify_a_continue_is_sent_to_who_waits_for_it() {
+    let upstream = RawUpstream::answering(HELLO);
+    let world = World::start(&[upstream.address]);
+    let mut caller = world.caller();
+    let head = "POST /hamutenya/viewer/ HTTP/1.1\r\nhost: x\r\nexpect: 100-continue\r\n\
+                content-length: 1\r\n\r\n";
+    assert!(caller.ask(head).starts_with("HTTP/1.1 100 "));
+    assert!(caller.ask("x").ends_with("hello"));
+}
--- /dev/null
+++ b/crates/foxtide-entry/tests/path.rs
@@ -0,0 +1,168 @@
+//! Look-ups, requests and operators' pages when nothing fails.
+
+mod support;
+
+use foxtide_entry::EntryOptions;
+use std::io::Write;
+use std::sync::Arc;
+use support::{RawUpstream, World, assert_refused, get, post, read_message};
+
+const HELLO: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\nx-kept: 1\r\n\r\nhello";
+
+#[test]
+fn verify_lookup_names_instances_ttl_and_revision() {
+    let world = World::start(&[]);
+    let mut caller = world.caller();
+    let answer = caller
+        .ask("GET /v1/lookup?organisation=hamutenya&service=viewer HTTP/1.1\r\nhost: x\r\n\r\n");
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+    assert!(answer.contains(r#""instance":"entry-1""#), "{answer}");
+    assert!(answer.contains(r#""ttl_s":5,"revision":7"#), "{answer}");
+}
+
+#[test]
+fn verify_a_request_reaches_the_upstream_and_back() {
+    let (sender, seen) = std::sync::mpsc::channel();
+    let upstream = RawUpstream::start(move |mut stream, _| {
+        while let Some(request) = read_message(&mut stream) {
+            sender.send(request).unwrap();
+            stream.write_all(HELLO).unwrap();
+        }
+    });
+    let world = World::start(&[upstream.address]);
+    let mut caller = world.caller();
+    let answer = caller.ask(
+        "GET /hamutenya/viewer/maps/7?x=1 HTTP/1.1\r\nhost: x\r\nconnection: x-hop\r\n\
+         x-hop: 1\r\nte: trailers\r\nx-kept: 1\r\nfoxtide-request-id: r-1\r\n\r\n",
+    );
+    assert!(answer.starts_with("HTTP/1.1 200 OK\r\n"), "{answer}");
+    assert!(answer.ends_with("\r\n\r\nhello"), "{answer}");
+    assert!(answer.contains("x-kept: 1\r\n"), "{answer}");
+    let request = seen.recv().unwrap();
+    assert!(
+        request.starts_with("GET /maps/7?x=1 HTTP/1.1\r\n"),
+        "{request}"
+    );
+    assert!(request.contains("x-kept: 1\r\n"), "{request}");
+    assert!(request.contains("foxtide-request-id: r-1\r\n"), "{request}");
+    assert!(request.contains("foxtide-deadline-ms: "), "{request}");
+    assert!(!request.contains("x-hop"), "{request}");
+    assert!(!request.contains("te: trailers"), "{request}");
+}
+
+#[test]
+fn verify_connections_are_reused_on_both_sides() {
+    let upstream = RawUpstream::answering(HELLO);
+    let world = World::start(&[upstream.address]);
+    let mut caller = world.caller();
+    for _ in 0..10 {
+        caller.ask(&post("/notes", "text"));
+    }
+    let connections = upstream
+        .connections
+        .load(std::sync::atomic::Ordering::SeqCst);
+    assert_eq!(connections, 1);
+    assert_eq!(world.entry.connections(), 1);
+}
+
+#[test]
+fn verify_pipelined_requests_are_answered_in_order() {
+    let upstream = RawUpstream::start(|mut stream, _| {
+        while let Some(request) = read_message(&mut stream) {
+            let path = request.split(' ').nth(1).unwrap().to_owned();
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", path.len());
+            stream.write_all((head + &path).as_bytes()).unwrap();
+        }
+    });
+    let world = World::start(&[upstream.address]);
+    let mut caller = world.caller();
+    caller.send(&(post("/a", "body-of-a") + &get("/b")));
+    let mut answers = caller.answer().unwrap();
+    if !answers.contains("/b") {
+        answers += &caller.answer().unwrap();
+    }
+    assert!(answers.find("/a").unwrap() < answers.find("/b").unwrap());
+}
+
+#[test]
+fn verify_answers_in_chunks_come_whole() {
+    let upstream = RawUpstream::start(|mut stream, _| {
+        while read_message(&mut stream).is_some() {
+            let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nfoxt\r\n3\r";
+            stream.write_all(head.as_bytes()).unwrap();
+            // The end comes byte by byte: no split may lose it.
+            for byte in b"\nide\r\n0\r\n\r\n" {
+                stream.write_all(&[*byte]).unwrap();
+            }
+        }
+    });
+    let world = World::start(&[upstream.address]);
+    let mut caller = world.caller();
+    for _ in 0..2 {
+        assert!(caller.ask(&get("/")).ends_with("\r\n\r\nfoxtide"));
+    }
+}
+
+#[test]
+fn verify_head_requests_keep_the_stated_length() {
+    let upstream = RawUpstream::answering(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+    let world = World::start(&[upstream.address]);
+    let answer = world
+        .caller()
+        .ask("HEAD /hamutenya/viewer/x HTTP/1.1\r\nhost: x\r\n\r\n");
+    assert!(answer.contains("content-length: 0\r\n"), "{answer}");
+}
+
+#[test]
+fn verify_operators_pages_are_out_of_callers_reach() {
+    let world = World::start(&[]);
+    for path in ["/healthz", "/readyz", "/metrics"] {
+        let request = format!("GET {path} HTTP/1.1\r\nhost: x\r\n\r\n");
+        let answer = world.operator().ask(&request);
+        assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+        assert_refused(&world.caller().ask(&request), 404, "not-run");
+    }
+}
+
+#[test]
+fn verify_a_bound_listener_serves_no_other_organisation() {
+    let upstream = RawUpstream::answering(HELLO);
+    let options = EntryOptions {
+        organisation: Some("kluisdepot".parse().unwrap()),
+        ..EntryOptions::default()
+    };
+    let world = World::start_with(&[upstream.address], options);
+    let mut caller = world.caller();
+    assert_refused(&caller.ask(&get("/")), 404, "not-run");
+    let lookup = "GET /v1/lookup?organisation=hamutenya&service=viewer HTTP/1.1\r\nhost: x\r\n\r\n";
+    assert_refused(&caller.ask(lookup), 404, "not-run");
+}
+
+#[test]
+fn verify_drain_serves_until_lookups_expired_and_cuts_nothing() {
+    let upstream = RawUpstream::answering(HELLO);
+    let options = EntryOptions {
+        lookup_ttl: std::time::Duration::from_millis(200),
+        drain: foxtide_entry::DrainOptions {
+            margin: std::time::Duration::ZERO,
+            ..foxtide_entry::DrainOptions::default()
+        },
+        ..EntryOptions::default()
+    };
+    let world = World::start_with(&[upstream.address], options);
+    let mut idle = world.caller();
+    assert!(idle.ask(&get("/")).contains("hello"));
+    let entry = Arc::clone(&world.entry);
+    let drained = world.workers.spawn(async move { entry.drain().await });
+    support::wait_until("the drain", || world.recorded("Draining"));
+    let ready = world
+        .operator()
+        .ask("GET /readyz HTTP/1.1\r\nhost: x\r\n\r\n");
+    assert!(ready.starts_with("HTTP/1.1 503 "), "{ready}");
+    // A caller that still holds an old look-up is served and told to close.
+    let late = world.caller().ask(&get("/"));
+    assert!(late.contains("connection: close\r\n"), "{late}");
+    smol::block_on(drained);
+    assert!(idle.is_closed());
+    assert_eq!(world.entry.connections(), 0);
+}
