--- a/crates/foxtide-core/src/idempotency/table.rs
+++ b/crates/foxtide-core/src/idempotency/table.rs
@@ -5,7 +5,7 @@
 use crate::outcome::Outcome;
 use crate::time::WallTime;
 use crate::units::ByteSize;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use uuid::Uuid;
 
@@ -64,7 +64,7 @@
 pub struct Table<A> {
     owner: OwnerId,
     options: TableOptions,
-    running: HashMap<Uuid, Running>,
+    running: BTreeMap<Uuid, Running>,
     ended: BTreeMap<Uuid, Ended<A>>,
     /// The newest key that was forgotten: none up to it is ever run again.
     forgotten_through: Uuid,
@@ -99,7 +99,7 @@
         Self {
             owner,
             options,
-            running: HashMap::new(),
+            running: BTreeMap::new(),
             ended: BTreeMap::new(),
             forgotten_through: Uuid::nil(),
             answered: BTreeSet::new(),
--- a/crates/foxtide-core/tests/idempotency_key.rs
+++ b/crates/foxtide-core/tests/idempotency_key.rs
@@ -3,6 +3,7 @@
 use foxtide_core::idempotency::{IdempotencyKey, KeyError, OwnerId};
 use foxtide_core::time::WallTime;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 const OWNER: &str = "entry-3.9f2c8a7b6d5e4f30";
 const UUID_V4: &str = "936da01f-9abd-4d9d-80c7-02af85c822a8";
@@ -53,7 +54,17 @@
     }
 }
 
+fn seeded() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(6_010),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
 proptest! {
+    #![proptest_config(seeded())]
+
     #[test]
     fn verify_minted_keys_round_trip(ms in 0_u64..1 << 48, random: [u8; 10]) {
         let key = IdempotencyKey::mint(owner(), WallTime::from_ms(ms), random);
--- /dev/null
+++ b/crates/foxtide-core/tests/idempotency_model/mod.rs
@@ -0,0 +1,435 @@
+//! A small world in which copies of non-idempotent requests meet every fault:
+//! instances, what is under way to the upstream, and a caller that retries.
+//!
+//! A pause needs no step of its own: the steps of a copy may lie as far apart
+//! as the explorer or the random sequence puts them.
+
+use foxtide_core::idempotency::{
+    Begin, Claim, Fingerprint, IdempotencyKey, KeptAnswer, OwnerId, ProcessNumber, RefusalReason,
+    Table, TableOptions,
+};
+use foxtide_core::outcome::Outcome;
+use foxtide_core::time::WallTime;
+use foxtide_core::units::ByteSize;
+use std::time::Duration;
+
+const START: WallTime = WallTime::from_ms(10_000_000);
+const VALIDITY: Duration = Duration::from_secs(300);
+const JUMP: Duration = Duration::from_secs(301);
+
+#[derive(Clone, Debug)]
+struct Answer;
+
+impl KeptAnswer for Answer {
+    fn size(&self) -> ByteSize {
+        ByteSize::from_bytes(1)
+    }
+}
+
+/// A mistake that the checks have to find.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Mistake {
+    /// None: the checks must hold.
+    None,
+    /// Whichever instance is asked runs the key: affinity alone.
+    AnyInstanceRuns,
+    /// A process that starts again takes its predecessor's name.
+    SameNameAfterRestart,
+    /// A full table forgets its keys and goes on.
+    ForgetsWhenFull,
+    /// A table forgets expired keys without refusing them afterwards.
+    ForgetsWithoutBound,
+    /// A byte goes out before the table was told.
+    WriteNotNoted,
+    /// An attempt without an answer is sent once more.
+    ResendsAfterWrite,
+    /// An instance that cannot reach the owner says that nothing was run.
+    OwnerGoneIsNotRun,
+}
+
+/// What must never come about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Violation {
+    /// A key was run more than once.
+    DoubledRun,
+    /// Not-run was said of a key that was run or is under way to an upstream.
+    FalseNotRun,
+    /// Done was said of a key that was not run.
+    FalseDone,
+}
+
+/// The size of a world.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Bounds {
+    pub(crate) instances: usize,
+    pub(crate) keys: usize,
+    pub(crate) copies: usize,
+    pub(crate) restarts: usize,
+    pub(crate) jumps: usize,
+    pub(crate) keys_max: usize,
+}
+
+/// One thing that happens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Step {
+    /// The caller sends a copy of a request.
+    Send { key: usize, instance: usize },
+    /// A copy arrives.
+    Arrive { copy: usize },
+    /// The copy's first byte goes to the upstream.
+    Write { copy: usize },
+    /// Nothing could be sent: the connection was refused.
+    WriteFails { copy: usize },
+    /// The copy's deadline passes, or its caller goes.
+    GiveUp { copy: usize },
+    /// The upstream says that it does not run the copy.
+    UpstreamRefuses { copy: usize },
+    /// The upstream runs what reached it.
+    UpstreamRuns { sent: usize },
+    /// The upstream's whole answer arrives.
+    Answered { copy: usize },
+    /// A process dies and another starts in its place.
+    Restart { instance: usize },
+    /// An instance's clock jumps beyond the keys' validity.
+    ClockForward { instance: usize },
+    /// It jumps back.
+    ClockBack { instance: usize },
+}
+
+#[derive(Debug)]
+enum Stage {
+    Sent,
+    Claimed(Claim),
+    Written { claim: Claim, sent: usize },
+    Ended,
+}
+
+#[derive(Debug)]
+struct Copy {
+    key: usize,
+    instance: usize,
+    stage: Stage,
+}
+
+#[derive(Debug)]
+struct Instance {
+    table: Table<Answer>,
+    now: WallTime,
+}
+
+/// A request whose first byte went out: the upstream may run it at any time.
+#[derive(Debug, PartialEq, Eq)]
+struct SentRequest {
+    key: usize,
+    state: SentState,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SentState {
+    UnderWay,
+    Ran,
+    Refused,
+}
+
+/// The world and what it has come to.
+#[derive(Debug)]
+pub(crate) struct World {
+    bounds: Bounds,
+    mistake: Mistake,
+    keys: Vec<IdempotencyKey>,
+    instances: Vec<Instance>,
+    copies: Vec<Copy>,
+    sent: Vec<SentRequest>,
+    restarts: usize,
+    jumps: usize,
+    /// What came about and must not.
+    pub(crate) violations: Vec<Violation>,
+}
+
+impl World {
+    pub(crate) fn new(bounds: Bounds, mistake: Mistake) -> Self {
+        let owner = owner_of(0, 0);
+        let mint = |number: usize| {
+            let minted_at = START + Duration::from_millis(number as u64);
+            IdempotencyKey::mint(owner.clone(), minted_at, [0; 10])
+        };
+        let start = |number| Instance {
+            table: table_of(owner_of(number, 0), bounds),
+            now: START,
+        };
+        Self {
+            bounds,
+            mistake,
+            keys: (0..bounds.keys).map(mint).collect(),
+            instances: (0..bounds.instances).map(start).collect(),
+            copies: Vec::new(),
+            sent: Vec::new(),
+            restarts: 0,
+            jumps: 0,
+            violations: Vec::new(),
+        }
+    }
+
+    /// Returns all that may happen next.
+    pub(crate) fn steps(&self) -> Vec<Step> {
+        let mut steps = Vec::new();
+        self.caller_steps(&mut steps);
+        for (copy, state) in self.copies.iter().enumerate() {
+            self.copy_steps(copy, &state.stage, &mut steps);
+        }
+        for (sent, request) in self.sent.iter().enumerate() {
+            if request.state == SentState::UnderWay {
+                steps.push(Step::UpstreamRuns { sent });
+            }
+        }
+        self.instance_steps(&mut steps);
+        steps
+    }
+
+    fn caller_steps(&self, steps: &mut Vec<Step>) {
+        if self.copies.len() == self.bounds.copies {
+            return;
+        }
+        for key in 0..self.bounds.keys {
+            let to = |instance| Step::Send { key, instance };
+            steps.extend((0..self.bounds.instances).map(to));
+        }
+    }
+
+    fn copy_steps(&self, copy: usize, stage: &Stage, steps: &mut Vec<Step>) {
+        match stage {
+            Stage::Sent => steps.push(Step::Arrive { copy }),
+            Stage::Claimed(_) => {
+                steps.push(Step::Write { copy });
+                steps.push(Step::WriteFails { copy });
+                steps.push(Step::GiveUp { copy });
+            }
+            Stage::Written { sent, .. } => {
+                steps.push(Step::GiveUp { copy });
+                match self.sent[*sent].state {
+                    SentState::UnderWay => steps.push(Step::UpstreamRefuses { copy }),
+                    SentState::Ran => steps.push(Step::Answered { copy }),
+                    SentState::Refused => {}
+                }
+            }
+            Stage::Ended => {}
+        }
+    }
+
+    fn instance_steps(&self, steps: &mut Vec<Step>) {
+        for instance in 0..self.bounds.instances {
+            if self.restarts < self.bounds.restarts {
+                steps.push(Step::Restart { instance });
+            }
+            if self.jumps < self.bounds.jumps {
+                steps.push(Step::ClockForward { instance });
+                steps.push(Step::ClockBack { instance });
+            }
+        }
+    }
+
+    /// Takes one step.
+    pub(crate) fn take(&mut self, step: Step) {
+        match step {
+            Step::Send { key, instance } => self.copies.push(Copy {
+                key,
+                instance,
+                stage: Stage::Sent,
+            }),
+            Step::Arrive { copy } => self.arrive(copy),
+            Step::Write { copy } => self.write(copy),
+            Step::WriteFails { copy } => self.fail_write(copy),
+            Step::GiveUp { copy } => self.give_up(copy),
+            Step::UpstreamRefuses { copy } => self.refuse(copy),
+            Step::UpstreamRuns { sent } => self.run(sent),
+            Step::Answered { copy } => self.answer(copy),
+            Step::Restart { instance } => self.restart(instance),
+            Step::ClockForward { instance } => self.jump(instance, |now| now + JUMP),
+            Step::ClockBack { instance } => self.jump(instance, |now| now.saturating_sub(JUMP)),
+        }
+    }
+
+    fn arrive(&mut self, copy: usize) {
+        let Copy { key, instance, .. } = self.copies[copy];
+        let mut begin = self.begin(key, instance);
+        if self.mistake == Mistake::ForgetsWhenFull && is_full(&begin) {
+            let owner = self.instances[instance].table.owner().clone();
+            self.instances[instance].table = table_of(owner, self.bounds);
+            begin = self.begin(key, instance);
+        }
+        match begin {
+            Begin::Run(claim) => self.copies[copy].stage = Stage::Claimed(claim),
+            Begin::InProgress { .. } => self.end(copy, Outcome::Unknown),
+            Begin::Replay(Answer) => self.end(copy, Outcome::Done),
+            Begin::Refuse(refusal) => self.end(copy, refusal.outcome()),
+            Begin::Elsewhere => self.redirect(copy),
+        }
+    }
+
+    fn begin(&mut self, key: usize, instance: usize) -> Begin<Answer> {
+        let instance = &mut self.instances[instance];
+        let mut key = self.keys[key].clone();
+        if self.mistake == Mistake::AnyInstanceRuns {
+            let owner = instance.table.owner().clone();
+            key = IdempotencyKey::mint(owner, key.minted_at(), [0; 10]);
+        }
+        let fingerprint = Fingerprint::of([b"unlock".as_slice()]);
+        instance.table.begin(&key, fingerprint, instance.now)
+    }
+
+    /// Sends the caller to the owner or, where a process of that name no
+    /// longer is a member, tells it so.
+    fn redirect(&mut self, copy: usize) {
+        if self.restarts > 0 {
+            let outcome = if self.mistake == Mistake::OwnerGoneIsNotRun {
+                Outcome::NotRun
+            } else {
+                RefusalReason::OwnerGone.outcome()
+            };
+            self.end(copy, outcome);
+        } else {
+            self.copies[copy].instance = 0;
+        }
+    }
+
+    fn write(&mut self, copy: usize) {
+        let Stage::Claimed(claim) = self.take_stage(copy) else {
+            unreachable!("only a claimed copy is written");
+        };
+        let key = self.copies[copy].key;
+        if self.mistake != Mistake::WriteNotNoted {
+            self.table(copy).written(&claim);
+        }
+        let sent = self.send_upstream(key);
+        self.copies[copy].stage = Stage::Written { claim, sent };
+    }
+
+    fn send_upstream(&mut self, key: usize) -> usize {
+        let state = SentState::UnderWay;
+        self.sent.push(SentRequest { key, state });
+        self.sent.len() - 1
+    }
+
+    fn fail_write(&mut self, copy: usize) {
+        let Stage::Claimed(claim) = self.take_stage(copy) else {
+            unreachable!("only a claimed copy is written");
+        };
+        self.table(copy).written(&claim);
+        self.table(copy).proved_not_run(&claim);
+        let outcome = self.table(copy).abandon(claim);
+        self.end(copy, outcome);
+    }
+
+    fn give_up(&mut self, copy: usize) {
+        let stage = self.take_stage(copy);
+        let key = self.copies[copy].key;
+        if self.mistake == Mistake::ResendsAfterWrite && matches!(stage, Stage::Written { .. }) {
+            self.send_upstream(key);
+        }
+        if let Stage::Claimed(claim) | Stage::Written { claim, .. } = stage {
+            let outcome = self.table(copy).abandon(claim);
+            self.end(copy, outcome);
+        }
+    }
+
+    fn refuse(&mut self, copy: usize) {
+        let Stage::Written { claim, sent } = self.take_stage(copy) else {
+            unreachable!("only a written copy is refused");
+        };
+        self.sent[sent].state = SentState::Refused;
+        self.table(copy).proved_not_run(&claim);
+        let outcome = self.table(copy).abandon(claim);
+        self.end(copy, outcome);
+    }
+
+    fn run(&mut self, sent: usize) {
+        self.sent[sent].state = SentState::Ran;
+        if self.runs(self.sent[sent].key) > 1 {
+            self.violations.push(Violation::DoubledRun);
+        }
+    }
+
+    fn answer(&mut self, copy: usize) {
+        let Stage::Written { claim, .. } = self.take_stage(copy) else {
+            unreachable!("only a written copy is answered");
+        };
+        self.table(copy).finish(claim, Answer);
+        self.end(copy, Outcome::Done);
+    }
+
+    fn restart(&mut self, instance: usize) {
+        self.restarts += 1;
+        let process = if self.mistake == Mistake::SameNameAfterRestart {
+            0
+        } else {
+            self.restarts as u64
+        };
+        let owner = owner_of(instance, process);
+        self.instances[instance].table = table_of(owner, self.bounds);
+        let lost = |copy: &&mut Copy| copy.instance == instance;
+        for copy in self.copies.iter_mut().filter(lost) {
+            copy.stage = Stage::Ended;
+        }
+    }
+
+    fn jump(&mut self, instance: usize, change: fn(WallTime) -> WallTime) {
+        self.jumps += 1;
+        let instance = &mut self.instances[instance];
+        let before = instance.now;
+        instance.now = change(before);
+        if self.mistake == Mistake::ForgetsWithoutBound && instance.now > before {
+            let owner = instance.table.owner().clone();
+            instance.table = table_of(owner, self.bounds);
+        }
+    }
+
+    fn end(&mut self, copy: usize, outcome: Outcome) {
+        self.copies[copy].stage = Stage::Ended;
+        let key = self.copies[copy].key;
+        if outcome == Outcome::NotRun && self.may_run(key) {
+            self.violations.push(Violation::FalseNotRun);
+        }
+        if outcome == Outcome::Done && self.runs(key) == 0 {
+            self.violations.push(Violation::FalseDone);
+        }
+    }
+
+    fn runs(&self, key: usize) -> usize {
+        let ran = |sent: &&SentRequest| sent.key == key && sent.state == SentState::Ran;
+        self.sent.iter().filter(ran).count()
+    }
+
+    /// Tells whether a key was run or is under way to the upstream.
+    fn may_run(&self, key: usize) -> bool {
+        let may = |sent: &SentRequest| sent.key == key && sent.state != SentState::Refused;
+        self.sent.iter().any(may)
+    }
+
+    fn take_stage(&mut self, copy: usize) -> Stage {
+        std::mem::replace(&mut self.copies[copy].stage, Stage::Ended)
+    }
+
+    fn table(&mut self, copy: usize) -> &mut Table<Answer> {
+        &mut self.instances[self.copies[copy].instance].table
+    }
+}
+
+fn owner_of(instance: usize, process: u64) -> OwnerId {
+    OwnerId {
+        instance: format!("entry-{instance}").parse().unwrap(),
+        process: ProcessNumber::new(process),
+    }
+}
+
+fn table_of(owner: OwnerId, bounds: Bounds) -> Table<Answer> {
+    let options = TableOptions {
+        validity: VALIDITY,
+        keys_max: bounds.keys_max,
+        ..TableOptions::default()
+    };
+    Table::new(owner, options)
+}
+
+fn is_full(begin: &Begin<Answer>) -> bool {
+    matches!(begin, Begin::Refuse(refusal) if refusal.reason == RefusalReason::TableFull)
+}
