Steer requests between regions under the shift cap and the sold rates

Cause: the request path needs to know where each request goes and whether there is room for it. Change: rows of shares that follow the plan, the regions' health and the limits; the sold rates are split among the instances by claims, so that the sum of the parts stays under them for any mixture of views.

--- /dev/null
+++ b/crates/foxtide-core/src/limits/bucket.rs
@@ -0,0 +1,125 @@
+//! A token bucket whose output stays under its rate in every second.
+
+use crate::time::MonotonicTime;
+use crate::units::RequestRate;
+use std::time::Duration;
+
+/// The part of a second's tokens that may be spent at one moment.
+const BURST_SHARE: f64 = 0.05;
+
+/// The least burst, in tokens: below it nothing would ever pass.
+const BURST_MIN: f64 = 1.0;
+
+/// The part of a rate of less than [`BURST_MIN`] a second that is refilled.
+const SLOW_REFILL_SHARE: f64 = 0.5;
+
+/// A token bucket.
+///
+/// A plain bucket passes its rate plus its burst in one second. This one takes
+/// the burst out of the refill, so that no second holds more than the rate:
+/// burst + refill = rate. Rates below one request a second cannot be kept that
+/// way; they pass one request and then refill at half the rate.
+#[derive(Clone, Debug)]
+pub struct TokenBucket {
+    refill_per_s: f64,
+    burst: f64,
+    tokens: f64,
+    refilled_at: MonotonicTime,
+}
+
+impl TokenBucket {
+    /// Returns an empty bucket of this rate.
+    pub fn new(rate: RequestRate, now: MonotonicTime) -> Self {
+        let mut bucket = Self {
+            refill_per_s: 0.0,
+            burst: 0.0,
+            tokens: 0.0,
+            refilled_at: now,
+        };
+        bucket.set_rate(rate, now);
+        bucket
+    }
+
+    /// Sets the rate. What the bucket holds does not grow by it, and shrinks
+    /// with the burst.
+    pub fn set_rate(&mut self, rate: RequestRate, now: MonotonicTime) {
+        self.refill(now);
+        let rate = rate.get();
+        if rate <= 0.0 {
+            self.refill_per_s = 0.0;
+            self.burst = 0.0;
+        } else if rate <= BURST_MIN {
+            self.refill_per_s = rate * SLOW_REFILL_SHARE;
+            self.burst = BURST_MIN;
+        } else {
+            self.burst = (rate * BURST_SHARE).max(BURST_MIN);
+            self.refill_per_s = (rate - self.burst).max(rate * BURST_SHARE);
+        }
+        self.tokens = self.tokens.min(self.burst);
+    }
+
+    /// Tells whether a token is there, without taking it.
+    pub fn has_token(&mut self, now: MonotonicTime) -> bool {
+        self.refill(now);
+        self.tokens >= 1.0
+    }
+
+    /// Takes a token that [`Self::has_token`] has found.
+    pub fn take(&mut self) {
+        self.tokens -= 1.0;
+    }
+
+    /// Returns the time until the next token is there, or `None` where none
+    /// will come.
+    pub fn next_token_in(&self) -> Option<Duration> {
+        if self.refill_per_s <= 0.0 {
+            return None;
+        }
+        let missing = (1.0 - self.tokens).max(0.0);
+        Some(Duration::from_secs_f64(missing / self.refill_per_s))
+    }
+
+    fn refill(&mut self, now: MonotonicTime) {
+        let passed = now.since(self.refilled_at).as_secs_f64();
+        self.refilled_at = self.refilled_at.max(now);
+        self.tokens = (self.tokens + passed * self.refill_per_s).min(self.burst);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn sent_in_busiest_second(rate: f64) -> usize {
+        let mut bucket = TokenBucket::new(RequestRate::clamped(rate), MonotonicTime::ZERO);
+        let mut sent_ms = Vec::new();
+        for ms in 0..10_000 {
+            let now = MonotonicTime::from_ms(ms);
+            // Silence in every third second lets the bucket fill up.
+            while ms % 3_000 >= 1_000 && bucket.has_token(now) {
+                bucket.take();
+                sent_ms.push(ms);
+            }
+        }
+        let in_second_from = |start: &u64| {
+            let inside = |ms: &&u64| **ms >= *start && **ms < start + 1_000;
+            sent_ms.iter().filter(inside).count()
+        };
+        sent_ms.iter().map(in_second_from).max().unwrap_or(0)
+    }
+
+    #[test]
+    fn verify_no_second_holds_more_than_the_rate() {
+        for rate in [1.5, 2.0, 7.0, 25.0, 250.0] {
+            assert!(sent_in_busiest_second(rate) as f64 <= rate, "{rate}");
+        }
+        assert!(sent_in_busiest_second(250.0) >= 235);
+    }
+
+    #[test]
+    fn verify_a_rate_of_nothing_passes_nothing() {
+        let mut bucket = TokenBucket::new(RequestRate::ZERO, MonotonicTime::ZERO);
+        assert!(!bucket.has_token(MonotonicTime::from_ms(60_000)));
+        assert_eq!(bucket.next_token_in(), None);
+    }
+}
--- /dev/null
+++ b/crates/foxtide-core/src/limits/claim.rs
@@ -0,0 +1,104 @@
+//! What an instance claims of a limit, and the least that its peers may know
+//! of it.
+
+use crate::time::MonotonicTime;
+use crate::units::RequestRate;
+use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// How far below the published claim the need must fall before it is lowered.
+///
+/// Each change of a claim costs its growth window; noise must not cause it.
+const KEEP_DOWN_TO_SHARE: f64 = 0.7;
+
+/// What a raised claim adds to the need, so that noise does not raise it again.
+const RAISE_BY_SHARE: f64 = 1.1;
+
+/// What an instance, or all instances of a region, want to send to a region.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Claim {
+    /// What is planned to go there.
+    pub planned_rps: RequestRate,
+    /// What would go there because its planned region has no room.
+    pub spilled_rps: RequestRate,
+}
+
+impl Claim {
+    /// Returns the sum of two claims.
+    pub fn plus(self, other: Self) -> Self {
+        let planned = self.planned_rps.get() + other.planned_rps.get();
+        let spilled = self.spilled_rps.get() + other.spilled_rps.get();
+        Self {
+            planned_rps: RequestRate::clamped(planned),
+            spilled_rps: RequestRate::clamped(spilled),
+        }
+    }
+
+    fn least(self, other: Self) -> Self {
+        let planned = self.planned_rps.get().min(other.planned_rps.get());
+        let spilled = self.spilled_rps.get().min(other.spilled_rps.get());
+        Self {
+            planned_rps: RequestRate::clamped(planned),
+            spilled_rps: RequestRate::clamped(spilled),
+        }
+    }
+}
+
+/// The claims that an instance has published for one region, of late.
+#[derive(Clone, Debug, Default)]
+pub struct ClaimWindow {
+    published: VecDeque<(MonotonicTime, Claim)>,
+    usable: Claim,
+}
+
+impl ClaimWindow {
+    /// Returns the claim to publish for this need, and remembers it.
+    pub fn publish(&mut self, need: Claim, now: MonotonicTime) -> Claim {
+        let last = self.published.back().map(|(_, claim)| *claim);
+        let last = last.unwrap_or_default();
+        let claim = Claim {
+            planned_rps: steadied(last.planned_rps, need.planned_rps),
+            spilled_rps: steadied(last.spilled_rps, need.spilled_rps),
+        };
+        self.published.push_back((now, claim));
+        claim
+    }
+
+    /// Works out the claim that the instance may count itself with.
+    ///
+    /// That is the least published since `now - window`, and what was in force
+    /// at that time; before the first publication it is nothing. While `frozen`
+    /// it does not grow: a peer that is not heard may not hear it either.
+    pub fn settle(&mut self, window: Duration, frozen: bool, now: MonotonicTime) {
+        let is_known = |(at, _): &(MonotonicTime, Claim)| now.since(*at) >= window;
+        while self.published.get(1).is_some_and(is_known) {
+            self.published.pop_front();
+        }
+        let oldest_is_known = self.published.front().is_some_and(is_known);
+        let claims = self.published.iter().map(|(_, claim)| *claim);
+        let mut least = claims.reduce(Claim::least).unwrap_or_default();
+        if !oldest_is_known {
+            least = Claim::default();
+        }
+        self.usable = if frozen {
+            self.usable.least(least)
+        } else {
+            least
+        };
+    }
+
+    /// Returns what [`Self::settle`] worked out.
+    pub fn usable(&self) -> Claim {
+        self.usable
+    }
+}
+
+fn steadied(published: RequestRate, need: RequestRate) -> RequestRate {
+    let (published_rps, need_rps) = (published.get(), need.get());
+    let within = need_rps <= published_rps && need_rps >= published_rps * KEEP_DOWN_TO_SHARE;
+    if within {
+        return published;
+    }
+    RequestRate::clamped(need_rps * RAISE_BY_SHARE)
+}
--- /dev/null
+++ b/crates/foxtide-core/src/limits/mod.rs
@@ -0,0 +1,19 @@
+//! Keeps what is sent to regions and over links under what was sold.
+//!
+//! The sold rate of each region and of each link is split among the instances
+//! that send there. [`split`] holds the arithmetic that keeps the sum of the
+//! parts under the sold rate while views differ, [`claim`] what an instance
+//! asks for, [`bucket`] how it spends its part.
+
+mod attachment;
+mod bucket;
+mod claim;
+mod gate;
+mod split;
+
+pub use bucket::TokenBucket;
+pub use claim::{Claim, ClaimWindow};
+pub use split::{Claims, part};
+
+pub(crate) use attachment::Attachment;
+pub(crate) use gate::{Gate, GateInput};
--- /dev/null
+++ b/crates/foxtide-core/src/steering/decide.rs
@@ -0,0 +1,103 @@
+//! The decision on one attempt.
+
+use super::admission::{Admission, RefusalReason};
+use super::engine::Steering;
+use super::rooms::{Full, NoRoom};
+use super::service::Drawn;
+use crate::ids::{RegionId, ServiceId};
+use crate::time::MonotonicTime;
+use std::time::Duration;
+
+/// The least time that a refused caller is asked to wait.
+const RETRY_AFTER_MIN: Duration = Duration::from_secs(1);
+
+/// The longest time that a refused caller is asked to wait.
+const RETRY_AFTER_MAX: Duration = Duration::from_secs(30);
+
+/// The least time between two tries of a waiting request.
+const RETRY_IN_MIN: Duration = Duration::from_millis(1);
+
+impl Steering {
+    /// Decides on one attempt to send a request.
+    ///
+    /// Every attempt has to be admitted, retries and hedges too: each is a
+    /// request that the region receives. `draw` is uniform in `[0, 1)` and
+    /// stays the same while the request waits; `waited` is how long it has
+    /// waited so far, zero when it is new.
+    pub fn admit(
+        &mut self,
+        service: &ServiceId,
+        draw: f64,
+        waited: Duration,
+        now: MonotonicTime,
+    ) -> Admission {
+        let Some(index) = self.index_of(service) else {
+            return refuse(RefusalReason::UnknownService, RETRY_AFTER_MAX);
+        };
+        let state = &mut self.services[index];
+        if waited.is_zero() {
+            state.count_arrival();
+        }
+        if state.row.is_none() {
+            return refuse(RefusalReason::NotReady, self.options.startup_wait);
+        }
+        let Some(drawn) = state.draw(draw) else {
+            return self.refuse_unserved(index);
+        };
+        match self.rooms.take(drawn.index, now) {
+            Ok(()) => self.send(drawn),
+            Err(no_room) => self.wait_or_refuse(index, no_room, waited),
+        }
+    }
+
+    /// Cuts this instance's part in a region whose side refused a request.
+    pub fn refused_by(&mut self, region: &RegionId, now: MonotonicTime) {
+        self.rooms.refused(region, now);
+    }
+
+    fn send(&self, drawn: Drawn) -> Admission {
+        Admission::Send {
+            region: self.regions[drawn.index].clone(),
+            spilled: drawn.spilled,
+        }
+    }
+
+    fn refuse_unserved(&self, index: usize) -> Admission {
+        let state = &self.services[index];
+        let served_later = state.wanted.iter().any(|share| *share > 0.0);
+        let reason = if served_later {
+            RefusalReason::ShiftCap
+        } else {
+            RefusalReason::NoRegion
+        };
+        refuse(reason, state.until_whole())
+    }
+
+    fn wait_or_refuse(&self, index: usize, no_room: NoRoom, waited: Duration) -> Admission {
+        let queue_max = self.services[index].priority.queue_max;
+        let retry_in = no_room.next_in.map(|next| next.max(RETRY_IN_MIN));
+        match retry_in.filter(|next| waited + *next <= queue_max) {
+            Some(retry_in) => Admission::Wait { retry_in },
+            None => refuse(
+                no_room.full.into(),
+                no_room.next_in.unwrap_or(RETRY_AFTER_MAX),
+            ),
+        }
+    }
+}
+
+impl From<Full> for RefusalReason {
+    fn from(full: Full) -> Self {
+        match full {
+            Full::Region => Self::RegionLimit,
+            Full::Link => Self::LinkLimit,
+        }
+    }
+}
+
+fn refuse(reason: RefusalReason, retry_after: Duration) -> Admission {
+    Admission::Refuse {
+        reason,
+        retry_after: retry_after.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX),
+    }
+}
--- /dev/null
+++ b/crates/foxtide-core/src/steering/options.rs
@@ -0,0 +1,104 @@
+//! Settings of the steering decisions, with their defaults.
+
+use crate::organisation::Priority;
+use crate::time::CLOCK_SKEW_MAX;
+use std::time::Duration;
+
+/// The shortest time over which the shift cap is kept, in seconds.
+///
+/// Over a window of `W` the share of a region changes by at most `f * cap * W`
+/// (each instance's own pace) plus the spread between instances of the same
+/// origin, because demand may move from one to another at any moment. The
+/// spread is at most `f * cap * (skew + view)`. So `f = W / (W + skew + view)`.
+const SHIFT_WINDOW_S: f64 = 10.0;
+
+/// By how much two instances may differ in when they see the same event, in
+/// seconds.
+const VIEW_SPREAD_S: f64 = 1.5;
+
+/// The settings of [`super::Steering`].
+#[derive(Clone, Debug)]
+pub struct SteeringOptions {
+    /// The part of the contract's shift cap that each instance uses.
+    pub shift_cap_factor: f64,
+    /// The part of each sold rate that the instances use.
+    pub sold_rate_factor: f64,
+    /// How old a report may be for a peer to count as heard.
+    pub view_age_max: Duration,
+    /// How long a published claim must have been out before it counts.
+    pub growth_window: Duration,
+    /// How long a silent peer's claim is kept for it.
+    pub claim_hold: Duration,
+    /// The part of each sold rate that is kept for the floors of instances
+    /// whose view is stale.
+    pub floors_share: f64,
+    /// The part of a region's floors that is kept for the region's own
+    /// instances.
+    pub local_floors_share: f64,
+    /// The most instances that a region may ever hold. The floors count on it.
+    pub instances_per_region_max: u32,
+    /// How long a new instance waits for its peers' positions.
+    pub startup_wait: Duration,
+    /// The longest step between two ticks that counts for movement.
+    pub tick_max: Duration,
+    /// What a service with [`Priority::Latency`] gets.
+    pub latency: PriorityOptions,
+    /// What a service with [`Priority::Headroom`] gets.
+    pub headroom: PriorityOptions,
+}
+
+/// The settings that follow a contract's priority.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PriorityOptions {
+    /// How long a request may wait for room.
+    pub queue_max: Duration,
+    /// The use of the instance's part of a limit from which requests spill.
+    pub spill_at_share: f64,
+    /// What is claimed beyond the need, as a part of it, so that bursts find
+    /// room at once.
+    pub reserve_share: f64,
+}
+
+impl Default for SteeringOptions {
+    fn default() -> Self {
+        let spread_s = CLOCK_SKEW_MAX.as_secs_f64() + VIEW_SPREAD_S;
+        Self {
+            shift_cap_factor: SHIFT_WINDOW_S / (SHIFT_WINDOW_S + spread_s),
+            sold_rate_factor: 1.0,
+            view_age_max: Duration::from_secs(3),
+            growth_window: Duration::from_secs(4),
+            claim_hold: Duration::from_secs(15),
+            floors_share: 0.2,
+            local_floors_share: 0.8,
+            instances_per_region_max: 6,
+            startup_wait: Duration::from_secs(2),
+            tick_max: Duration::from_millis(200),
+            latency: PriorityOptions {
+                queue_max: Duration::from_millis(40),
+                spill_at_share: 0.85,
+                reserve_share: 0.1,
+            },
+            headroom: PriorityOptions {
+                queue_max: Duration::from_millis(250),
+                spill_at_share: 0.95,
+                reserve_share: 0.5,
+            },
+        }
+    }
+}
+
+impl SteeringOptions {
+    /// Returns the settings for a contract's priority.
+    pub fn priority(&self, priority: Priority) -> PriorityOptions {
+        match priority {
+            Priority::Latency => self.latency,
+            Priority::Headroom => self.headroom,
+        }
+    }
+
+    /// Returns how long an instance may count on its part after it last heard
+    /// the majority of a region: it must have given up before peers reuse it.
+    pub(crate) fn attachment_hold(&self) -> Duration {
+        self.claim_hold.saturating_sub(self.view_age_max * 2)
+    }
+}
--- /dev/null
+++ b/crates/foxtide-core/src/steering/shift.rs
@@ -0,0 +1,67 @@
+//! Moves a row of shares towards its target under the shift cap.
+
+/// The share of an instance's requests that goes to each region, in the order
+/// of the configuration. What is missing to 1 is refused.
+pub(crate) type Row = Vec<f64>;
+
+/// Shares closer than this are taken as equal.
+const SHARE_EPSILON: f64 = 1e-9;
+
+/// How far a region's share may move in one tick.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct StepLimit {
+    /// What the cap allows.
+    pub(crate) cap_share: f64,
+    /// What the plan has moved; followed even where that is more, as after a
+    /// pause of the process, because all others have moved as much.
+    pub(crate) planned_share: f64,
+}
+
+impl StepLimit {
+    fn up(self) -> f64 {
+        self.cap_share.max(self.planned_share)
+    }
+
+    fn down(self) -> f64 {
+        self.cap_share.max(-self.planned_share)
+    }
+}
+
+/// Takes a region out of a row at once: what went there is refused until the
+/// other regions may take it.
+pub(crate) fn drop_region(row: &mut Row, region: usize) {
+    row[region] = 0.0;
+}
+
+/// Moves `row` towards `target`, each region by no more than `limit` allows.
+///
+/// A share falls no faster than others take it, so that nothing is refused
+/// that could still be served where it was.
+pub(crate) fn follow(row: &mut Row, target: &[f64], limit: impl Fn(usize) -> StepLimit) {
+    let free = (1.0 - row.iter().sum::<f64>()).max(0.0);
+    let rise = |index: usize, share: f64| (target[index] - share).clamp(0.0, limit(index).up());
+    let fall = |index: usize, share: f64| (share - target[index]).clamp(0.0, limit(index).down());
+    let sum_of = |step: &dyn Fn(usize, f64) -> f64| -> f64 {
+        row.iter()
+            .enumerate()
+            .map(|(index, share)| step(index, *share))
+            .sum()
+    };
+    let (rising, falling) = (sum_of(&rise), sum_of(&fall));
+    let fallen = falling.min((rising - free).max(0.0));
+    let risen = rising.min(free + fallen);
+    let fall_scale = ratio(fallen, falling);
+    let rise_scale = ratio(risen, rising);
+    for (index, share) in row.iter_mut().enumerate() {
+        let change = rise(index, *share) * rise_scale - fall(index, *share) * fall_scale;
+        *share = (*share + change).clamp(0.0, 1.0);
+    }
+}
+
+fn ratio(part: f64, whole: f64) -> f64 {
+    if whole <= SHARE_EPSILON {
+        1.0
+    } else {
+        part / whole
+    }
+}
--- /dev/null
+++ b/crates/foxtide-core/src/steering/steps.rs
@@ -0,0 +1,196 @@
+//! Planned moves and drains as steps in time, and how far each has come.
+
+use crate::ids::{RegionId, ServiceId};
+use crate::organisation::{DrainTarget, Organisation, PlannedMove, Service, Upstream};
+use crate::time::WallTime;
+use std::time::Duration;
+
+/// The slowest pace that a whole region's leaving is planned with.
+const SLOWEST_PER_S: f64 = 1e-5;
+
+/// A planned change of a service's rows.
+#[derive(Clone, Debug)]
+pub(crate) struct Step {
+    /// What changes.
+    pub(crate) change: Change,
+    /// The part that has moved in the end.
+    pub(crate) share: f64,
+    /// How fast it moves when it is alone.
+    pub(crate) pace_per_s: f64,
+    /// When it starts.
+    pub(crate) start: WallTime,
+    /// When it was paused.
+    pub(crate) paused: Option<WallTime>,
+}
+
+/// What a step changes; regions by their place in the configuration.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Change {
+    /// A part of what one region has moves to another.
+    Move {
+        /// The region that gives.
+        from: usize,
+        /// The region that takes.
+        to: usize,
+    },
+    /// All of what a region has moves to the homes that stay.
+    Leave {
+        /// The region.
+        region: usize,
+    },
+}
+
+impl Change {
+    /// Tells whether this is a region's leaving.
+    pub(crate) fn leaves(self, index: usize) -> bool {
+        matches!(self, Self::Leave { region } if region == index)
+    }
+}
+
+/// Collects the steps of one service: its moves, then the regions that leave.
+pub(crate) fn steps(organisation: &Organisation, service: &Service, cap_per_s: f64) -> Vec<Step> {
+    let of_service = |planned: &&PlannedMove| planned.service == service.service;
+    let moves = organisation.moves.iter().filter(of_service);
+    let mut steps: Vec<Step> = moves
+        .filter_map(|planned| move_step(organisation, planned, cap_per_s))
+        .collect();
+    for (index, region) in organisation.regions.iter().enumerate() {
+        if let Some(start) = leave_start(organisation, service, &region.region, cap_per_s) {
+            steps.push(Step {
+                change: Change::Leave { region: index },
+                share: 1.0,
+                pace_per_s: cap_per_s,
+                start,
+                paused: None,
+            });
+        }
+    }
+    steps
+}
+
+fn move_step(organisation: &Organisation, planned: &PlannedMove, cap_per_s: f64) -> Option<Step> {
+    let place = |id: &RegionId| organisation.regions.iter().position(|r| r.region == *id);
+    Some(Step {
+        change: Change::Move {
+            from: place(&planned.from)?,
+            to: place(&planned.to)?,
+        },
+        share: planned.share.get(),
+        pace_per_s: planned.pace_share_per_s.get().min(cap_per_s),
+        start: planned.start_us,
+        paused: planned.paused_us,
+    })
+}
+
+/// Returns when a service starts to leave a region, by a drain of the region
+/// or because drains take the last of its upstreams there.
+///
+/// In the second case the traffic has left when the last upstream goes.
+fn leave_start(
+    organisation: &Organisation,
+    service: &Service,
+    region: &RegionId,
+    cap_per_s: f64,
+) -> Option<WallTime> {
+    let drained = organisation.drains.iter();
+    let drained = drained.filter(|drain| drain.target == DrainTarget::Region(region.clone()));
+    let announced = drained.map(|drain| drain.start_us).min();
+    let whole_move = Duration::from_secs_f64(1.0 / cap_per_s.max(SLOWEST_PER_S));
+    let emptied = emptied_at(organisation, service, region);
+    let emptied = emptied.map(|at| at.saturating_sub(whole_move));
+    announced.into_iter().chain(emptied).min()
+}
+
+/// Returns when the last of a service's upstreams in a region has left.
+fn emptied_at(
+    organisation: &Organisation,
+    service: &Service,
+    region: &RegionId,
+) -> Option<WallTime> {
+    let here = service.upstreams.iter().filter(|u| u.region == *region);
+    let mut last = None;
+    for upstream in here {
+        last = last.max(Some(leaves_at_us(
+            organisation,
+            &service.service,
+            upstream,
+        )?));
+    }
+    last
+}
+
+/// Returns when an upstream leaves by an announced drain of its own or of its
+/// availability zone.
+///
+/// A region's drain makes no upstream leave: the traffic moves away from it
+/// under the shift cap.
+pub fn leaves_at_us(
+    organisation: &Organisation,
+    service: &ServiceId,
+    upstream: &Upstream,
+) -> Option<WallTime> {
+    let takes = |target: &DrainTarget| match target {
+        DrainTarget::Upstream {
+            service: of,
+            upstream: id,
+        } => of == service && *id == upstream.upstream,
+        DrainTarget::AvailabilityZone(zone) => *zone == upstream.availability_zone,
+        DrainTarget::Region(_) | DrainTarget::Instance(_) => false,
+    };
+    let drains = organisation.drains.iter();
+    let drains = drains.filter(|drain| takes(&drain.target));
+    drains.map(|drain| drain.start_us).min()
+}
+
+/// Returns how much of each step has moved at `wall`.
+///
+/// Steps that run at the same time share the cap: all are slowed by the same
+/// factor where their paces sum to more.
+pub(crate) fn progress(steps: &[Step], cap_per_s: f64, wall: WallTime) -> Vec<f64> {
+    let mut moved = vec![0.0; steps.len()];
+    let Some(mut at) = steps.iter().map(|step| step.start).min() else {
+        return moved;
+    };
+    while at < wall {
+        let running = |(step, moved): &(&Step, &f64)| {
+            let paused = step.paused.is_some_and(|paused| paused <= at);
+            step.start <= at && !paused && **moved < step.share
+        };
+        let paces = steps.iter().zip(&moved).filter(running);
+        let sum: f64 = paces.map(|(step, _)| step.pace_per_s).sum();
+        let slowed = if sum > cap_per_s {
+            cap_per_s / sum
+        } else {
+            1.0
+        };
+        let until = next_change(steps, &moved, slowed, at).min(wall);
+        let passed_s = until.since(at).as_secs_f64();
+        for (step, moved) in steps.iter().zip(&mut moved) {
+            if running(&(step, &*moved)) {
+                let grown = *moved + step.pace_per_s * slowed * passed_s;
+                *moved = grown.min(step.share);
+            }
+        }
+        at = until;
+    }
+    moved
+}
+
+/// Returns the next time after `at` at which a step starts, pauses or ends.
+fn next_change(steps: &[Step], moved: &[f64], slowed: f64, at: WallTime) -> WallTime {
+    let mut next = WallTime::from_us(u64::MAX);
+    for (step, moved) in steps.iter().zip(moved) {
+        let left_s = (step.share - moved).max(0.0) / (step.pace_per_s * slowed);
+        // Rounded up, so that the step has ended and time goes on.
+        let end = Duration::from_secs_f64(left_s.min(1e9)) + Duration::from_micros(1);
+        let running = step.start <= at && *moved < step.share;
+        let ends = running.then(|| at + end);
+        let starts = Some(step.start).filter(|start| *start > at);
+        let pauses = step.paused.filter(|paused| *paused > at);
+        next = [ends, starts, pauses]
+            .into_iter()
+            .flatten()
+            .fold(next, WallTime::min);
+    }
+    next
+}
--- /dev/null
+++ b/crates/foxtide-core/src/steering/view.rs
@@ -0,0 +1,181 @@
+//! What instances tell one another, and what one of them knows of all.
+
+use crate::ids::{RegionId, ServiceId};
+use crate::limits::Claim;
+use crate::time::MonotonicTime;
+use crate::units::{RequestRate, Share};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// What an instance tells its peers, for one organisation.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct InstanceReport {
+    /// What it knows of each service.
+    pub services: BTreeMap<ServiceId, ServiceReport>,
+    /// What it claims of each region's limit.
+    pub claims: BTreeMap<RegionId, Claim>,
+}
+
+/// What an instance tells of one service.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ServiceReport {
+    /// What its callers ask for.
+    pub demand_rps: RequestRate,
+    /// The healthy part of the service's upstreams in the instance's own
+    /// region; `None` where it has seen none.
+    pub healthy_share: Option<Share>,
+    /// The share of its requests that it sends to each region.
+    pub row: BTreeMap<RegionId, Share>,
+}
+
+/// A report with where and when it came from.
+#[derive(Clone, Copy, Debug)]
+pub struct HeardReport<'a> {
+    /// The region of the instance that made it.
+    pub origin: &'a RegionId,
+    /// When it was made, on the reader's clock; later than true is unsafe.
+    pub made_at: MonotonicTime,
+    /// What it says.
+    pub report: &'a InstanceReport,
+}
+
+/// How old the reports of a view may be.
+#[derive(Clone, Copy, Debug)]
+pub struct ViewOptions {
+    /// Up to this age the maker counts as heard.
+    pub view_age_max: Duration,
+    /// Up to this age its claims are counted.
+    pub claim_hold: Duration,
+}
+
+impl Default for ViewOptions {
+    fn default() -> Self {
+        let options = super::SteeringOptions::default();
+        Self {
+            view_age_max: options.view_age_max,
+            claim_hold: options.claim_hold,
+        }
+    }
+}
+
+/// What one instance knows of all, itself included.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct FleetView {
+    /// When it was put together, on the reader's clock.
+    pub measured_at: MonotonicTime,
+    /// What is known of the instances of each region.
+    pub regions: BTreeMap<RegionId, RegionView>,
+}
+
+/// What is known of the instances of one region.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct RegionView {
+    /// When the oldest report counted in here was made, on the reader's clock.
+    pub oldest_at: MonotonicTime,
+    /// How many instances have their claims counted.
+    pub counted_instances: u32,
+    /// How many instances have been heard of late.
+    pub live_instances: u32,
+    /// How many instances are not known to have ended, heard or not.
+    pub known_instances: u32,
+    /// What they say of each service.
+    pub services: BTreeMap<ServiceId, ServiceView>,
+    /// The sum of their claims on each region's limit.
+    pub claims: BTreeMap<RegionId, Claim>,
+}
+
+/// What is known of one service in one origin region.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ServiceView {
+    /// How many instances the figures come from.
+    pub instances: u32,
+    /// What callers ask of all instances there.
+    pub demand_rps: RequestRate,
+    /// The healthy part of the service's upstreams in this region.
+    pub healthy_share: Option<Share>,
+    /// The mean row of the instances there, weighted by their demand.
+    pub row: BTreeMap<RegionId, Share>,
+}
+
+impl FleetView {
+    /// Puts a view together from the newest report of every instance, the
+    /// reader's own included.
+    ///
+    /// Silent instances' reports must be handed in until they are known to
+    /// have ended, or for [`ViewOptions::claim_hold`] at least; they count as
+    /// known all that time.
+    pub fn from_reports<'a>(
+        reports: impl IntoIterator<Item = HeardReport<'a>>,
+        options: ViewOptions,
+        now: MonotonicTime,
+    ) -> Self {
+        let mut view = Self {
+            measured_at: now,
+            regions: BTreeMap::new(),
+        };
+        for heard in reports {
+            let region = view.regions.entry(heard.origin.clone()).or_default();
+            region.add(heard, options, now);
+        }
+        view
+    }
+}
+
+impl RegionView {
+    fn add(&mut self, heard: HeardReport<'_>, options: ViewOptions, now: MonotonicTime) {
+        self.known_instances += 1;
+        let age = now.since(heard.made_at);
+        if age > options.claim_hold {
+            return;
+        }
+        if self.counted_instances == 0 || heard.made_at < self.oldest_at {
+            self.oldest_at = heard.made_at;
+        }
+        self.counted_instances += 1;
+        for (region, claim) in &heard.report.claims {
+            let sum = self.claims.entry(region.clone()).or_default();
+            *sum = sum.plus(*claim);
+        }
+        if age > options.view_age_max {
+            return;
+        }
+        self.live_instances += 1;
+        for (id, report) in &heard.report.services {
+            self.services.entry(id.clone()).or_default().add(report);
+        }
+    }
+}
+
+/// The weight of an idle instance's row, in requests a second.
+const IDLE_WEIGHT_RPS: f64 = 0.01;
+
+impl ServiceView {
+    fn add(&mut self, report: &ServiceReport) {
+        // One instance that sees an upstream healthy is proof; one that sees
+        // it broken may itself be cut off.
+        self.healthy_share = match (self.healthy_share, report.healthy_share) {
+            (Some(known), Some(new)) if new < known => Some(known),
+            (known, new) => new.or(known),
+        };
+        if !report.row.is_empty() {
+            self.add_row(report);
+        }
+        self.instances += 1;
+        let demand_rps = self.demand_rps.get() + report.demand_rps.get();
+        self.demand_rps = RequestRate::clamped(demand_rps);
+    }
+
+    fn add_row(&mut self, report: &ServiceReport) {
+        let weight_before = self.demand_rps.get() + f64::from(self.instances) * IDLE_WEIGHT_RPS;
+        let weight = report.demand_rps.get() + IDLE_WEIGHT_RPS;
+        let new_part = weight / (weight_before + weight);
+        for mean in self.row.values_mut() {
+            *mean = Share::clamped(mean.get() * (1.0 - new_part));
+        }
+        for (region, share) in &report.row {
+            let mean = self.row.entry(region.clone()).or_default();
+            *mean = Share::clamped(mean.get() + share.get() * new_part);
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxtide-core/tests/steering/rows.rs
@@ -0,0 +1,224 @@
+//! Tests of rows: plans, failures, new configurations, restarts.
+
+use crate::fixture::{OrganisationOptions, organisation, region, view};
+use foxtide_core::ids::ServiceId;
+use foxtide_core::organisation::{Drain, DrainTarget, Organisation, PlannedMove};
+use foxtide_core::steering::{Admission, PlannedRows, RefusalReason, Steering, SteeringOptions};
+use foxtide_core::time::{MonotonicTime, WallTime};
+use foxtide_core::units::{Share, ShareRate};
+use std::sync::Arc;
+use std::time::Duration;
+
+const WALL_START: WallTime = WallTime::from_ms(1_000_000);
+
+fn viewer() -> ServiceId {
+    "viewer".parse().unwrap()
+}
+
+fn with_move(share: f64, pace: f64) -> Organisation {
+    let mut organisation = organisation(&OrganisationOptions::default());
+    organisation.moves.push(PlannedMove {
+        id: "m1".parse().unwrap(),
+        service: viewer(),
+        from: region("khomas"),
+        to: region("erongo"),
+        share: Share::new(share).unwrap(),
+        pace_share_per_s: ShareRate::new(pace).unwrap(),
+        start_us: WALL_START,
+        paused_us: None,
+    });
+    organisation
+}
+
+fn planned(organisation: &Organisation, origin: &str, after_s: u64) -> Vec<f64> {
+    let rows = PlannedRows::new(organisation, &region(origin), 1.0);
+    let wall = WALL_START + Duration::from_secs(after_s);
+    rows.row(&viewer(), wall).unwrap()
+}
+
+fn assert_close(row: &[f64], expected: &[f64]) {
+    let close = |(a, b): (&f64, &f64)| (a - b).abs() < 1e-6;
+    assert!(
+        row.iter().zip(expected).all(close),
+        "{row:?} is not {expected:?}"
+    );
+}
+
+/// An instance in khomas with its clocks.
+struct Instance {
+    steering: Steering,
+    now: MonotonicTime,
+    wall: WallTime,
+}
+
+impl Instance {
+    fn new(organisation: Organisation) -> Self {
+        let options = SteeringOptions::default();
+        Self {
+            steering: Steering::new(Arc::new(organisation), region("khomas"), options),
+            now: MonotonicTime::ZERO,
+            wall: WALL_START,
+        }
+    }
+
+    fn run(&mut self, ticks: u32) {
+        for _ in 0..ticks {
+            self.now = self.now + Duration::from_millis(100);
+            self.wall = self.wall + Duration::from_millis(100);
+            self.steering.tick(self.now, self.wall);
+        }
+    }
+
+    fn share(&self, to: &str) -> f64 {
+        self.steering.row(&viewer()).unwrap()[&region(to)].get()
+    }
+}
+
+#[test]
+fn verify_a_home_serves_itself_and_others_split() {
+    let plain = organisation(&OrganisationOptions::default());
+    assert_close(&planned(&plain, "khomas", 0), &[1.0, 0.0, 0.0]);
+    assert_close(&planned(&plain, "elsewhere", 0), &[1.0 / 3.0; 3]);
+}
+
+#[test]
+fn verify_a_move_is_a_function_of_time() {
+    let moving = with_move(0.5, 0.01);
+    assert_close(&planned(&moving, "khomas", 0), &[1.0, 0.0, 0.0]);
+    assert_close(&planned(&moving, "khomas", 20), &[0.8, 0.2, 0.0]);
+    assert_close(&planned(&moving, "khomas", 500), &[0.5, 0.5, 0.0]);
+    assert_close(&planned(&moving, "oshana", 500), &[0.0, 0.0, 1.0]);
+}
+
+#[test]
+fn verify_a_paused_move_stays_where_it_was() {
+    let mut moving = with_move(0.5, 0.01);
+    moving.moves[0].paused_us = Some(WALL_START + Duration::from_secs(10));
+    assert_close(&planned(&moving, "khomas", 300), &[0.9, 0.1, 0.0]);
+}
+
+#[test]
+fn verify_moves_at_the_same_time_share_the_cap() {
+    let mut moving = with_move(1.0, 0.02);
+    let mut second = moving.moves[0].clone();
+    second.from = region("oshana");
+    moving.moves.push(second);
+    let late = PlannedRows::new(&moving, &region("elsewhere"), 1.0);
+    let mut before = late.row(&viewer(), WALL_START).unwrap();
+    for s in 1..200 {
+        let row = late
+            .row(&viewer(), WALL_START + Duration::from_secs(s))
+            .unwrap();
+        let fastest = row.iter().zip(&before).map(|(a, b)| (a - b).abs());
+        assert!(fastest.fold(0.0, f64::max) <= 0.02 + 1e-9);
+        before = row;
+    }
+    assert_close(&before, &[0.0, 1.0, 0.0]);
+}
+
+#[test]
+fn verify_a_zone_drain_that_empties_a_region_moves_traffic_before_it() {
+    let mut draining = organisation(&OrganisationOptions::default());
+    for zone in ["khomas-a", "khomas-b"] {
+        draining.drains.push(Drain {
+            id: zone.parse().unwrap(),
+            target: DrainTarget::AvailabilityZone(zone.parse().unwrap()),
+            start_us: WALL_START + Duration::from_secs(100),
+        });
+    }
+    assert_close(&planned(&draining, "khomas", 49), &[1.0, 0.0, 0.0]);
+    assert_close(&planned(&draining, "khomas", 75), &[0.5, 0.25, 0.25]);
+    assert_close(&planned(&draining, "khomas", 100), &[0.0, 0.5, 0.5]);
+}
+
+#[test]
+fn verify_a_failed_region_is_left_at_once_and_taken_over_under_the_cap() {
+    let mut instance = Instance::new(organisation(&OrganisationOptions::default()));
+    instance.run(30);
+    assert_close(&[instance.share("khomas")], &[1.0]);
+    let steering = &mut instance.steering;
+    steering.set_health(&viewer(), &region("khomas"), Some(Share::ZERO));
+    instance.run(1);
+    assert_close(&[instance.share("khomas")], &[0.0]);
+    assert!(instance.share("erongo") <= 0.002 + 1e-9);
+    let refused = instance
+        .steering
+        .admit(&viewer(), 0.9, Duration::ZERO, instance.now);
+    let by_cap = |refused| {
+        matches!(
+            refused,
+            Admission::Refuse {
+                reason: RefusalReason::ShiftCap,
+                ..
+            }
+        )
+    };
+    assert!(by_cap(refused));
+    instance.run(400);
+    assert_close(
+        &[instance.share("erongo"), instance.share("oshana")],
+        &[0.5, 0.5],
+    );
+    let steering = &mut instance.steering;
+    steering.set_health(&viewer(), &region("khomas"), Some(Share::ONE));
+    instance.run(10);
+    let back = instance.share("khomas");
+    assert!(back > 0.0 && back <= 0.02, "{back}");
+}
+
+#[test]
+fn verify_a_new_configuration_does_not_make_the_row_jump() {
+    let mut instance = Instance::new(organisation(&OrganisationOptions::default()));
+    instance.run(30);
+    let mut other = organisation(&OrganisationOptions::default());
+    other.services[0].contract.homes.remove(0);
+    instance.steering.configure(Arc::new(other), instance.now);
+    instance.run(10);
+    assert!(instance.share("khomas") >= 0.98);
+    instance.run(1_000);
+    assert_close(
+        &[instance.share("erongo"), instance.share("oshana")],
+        &[0.5, 0.5],
+    );
+}
+
+#[test]
+fn verify_a_restarted_instance_starts_where_its_peers_stand() {
+    let plain = organisation(&OrganisationOptions::default());
+    let mut peer = Instance::new(plain.clone());
+    peer.run(30);
+    let steering = &mut peer.steering;
+    steering.set_health(&viewer(), &region("khomas"), Some(Share::ZERO));
+    peer.run(100);
+    let report = peer.steering.report(peer.now);
+    let mut restarted = Instance::new(plain);
+    restarted.run(1);
+    let early = restarted
+        .steering
+        .admit(&viewer(), 0.0, Duration::ZERO, restarted.now);
+    let not_ready = |early| {
+        matches!(
+            early,
+            Admission::Refuse {
+                reason: RefusalReason::NotReady,
+                ..
+            }
+        )
+    };
+    assert!(not_ready(early));
+    let seen = view(&[(region("khomas"), report)], restarted.now);
+    restarted.steering.observe(&seen, restarted.now);
+    assert_close(&[restarted.share("erongo")], &[peer.share("erongo")]);
+    assert_close(&[restarted.share("khomas")], &[0.0]);
+}
+
+#[test]
+fn verify_a_paused_process_catches_up_with_the_plan_only() {
+    let mut instance = Instance::new(with_move(0.5, 0.01));
+    instance.run(30);
+    instance.now = instance.now + Duration::from_secs(20);
+    instance.wall = instance.wall + Duration::from_secs(20);
+    instance.run(1);
+    let planned = 0.01 * 23.1;
+    assert_close(&[instance.share("erongo")], &[planned]);
+}
