--- /dev/null
+++ b/crates/foxtide-core/src/membership/machine.rs
@@ -0,0 +1,425 @@
+//! The membership protocol of one instance as a pure state machine.
+
+use super::member::{Member, MemberState};
+use super::message::{
+    DATAGRAM_MAX_BYTES, Digest, HEADER_MAX_BYTES, Message, Output, Packet, ProbeId, Rumour,
+};
+use super::options::MembershipOptions;
+use super::probe::{Probe, ProbeSchedule};
+use super::queue::{RumourQueue, transmissions};
+use super::rendezvous::{Role, rank};
+use super::scope::Scope;
+use super::suspicion::Suspicions;
+use super::table::MemberTable;
+use crate::ids::InstanceId;
+use crate::time::MonotonicTime;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rand::seq::{IndexedRandom, IteratorRandom};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Rumours in one datagram take at most this, in bytes.
+const RUMOURS_MAX_BYTES: usize = DATAGRAM_MAX_BYTES - HEADER_MAX_BYTES;
+
+/// Fresh rumours go out at once, but not more often than this.
+const EAGER_INTERVAL: Duration = Duration::from_millis(20);
+
+/// How long a scope stands though the table did not change.
+const SCOPE_AGE_MAX: Duration = Duration::from_secs(1);
+
+/// How often things happened since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Probes started.
+    pub probes: u64,
+    /// Probes whose target stayed silent.
+    pub silent: u64,
+    /// Beliefs about this instance that it contradicted.
+    pub refutations: u64,
+    /// Pauses of this process that it noticed.
+    pub pauses: u64,
+}
+
+/// When each regular task is due next.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Due {
+    probe_at: MonotonicTime,
+    rumours_at: MonotonicTime,
+    digest_at: MonotonicTime,
+    reconnect_at: MonotonicTime,
+}
+
+/// The membership protocol of one instance.
+#[derive(Debug)]
+pub struct Membership {
+    pub(super) own: Member,
+    pub(super) options: MembershipOptions,
+    pub(super) table: MemberTable,
+    pub(super) suspicions: Suspicions,
+    pub(super) queue: RumourQueue,
+    pub(super) counts: Counts,
+    pub(super) unsent: bool,
+    scope: Scope,
+    scope_version: u64,
+    scope_at: MonotonicTime,
+    probes: ProbeSchedule,
+    due: Due,
+    told_at: MonotonicTime,
+    ticked_at: MonotonicTime,
+    configuration_hash: u64,
+    rng: StdRng,
+}
+
+impl Membership {
+    /// Returns the protocol of the instance `own`, alone so far.
+    pub fn new(own: Member, options: MembershipOptions, seed: u64, now: MonotonicTime) -> Self {
+        let mut table = MemberTable::default();
+        table.put(own.clone(), now);
+        let scope = Scope::new(&own, &table, options.delegates_per_zone, now);
+        let scope_version = table.version();
+        let due = Due {
+            probe_at: now + options.probe_interval,
+            rumours_at: now,
+            digest_at: now + options.digest_interval,
+            reconnect_at: now + options.reconnect_interval,
+        };
+        Self {
+            own,
+            options,
+            table,
+            suspicions: Suspicions::default(),
+            queue: RumourQueue::default(),
+            counts: Counts::default(),
+            unsent: false,
+            scope,
+            scope_version,
+            scope_at: now,
+            probes: ProbeSchedule::default(),
+            due,
+            told_at: MonotonicTime::ZERO,
+            ticked_at: now,
+            configuration_hash: 0,
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Returns this instance as it presents itself.
+    pub fn own(&self) -> &Member {
+        &self.own
+    }
+
+    /// Returns all members known, the dead of late included.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.table.members()
+    }
+
+    /// Returns one member.
+    pub fn member(&self, instance: &InstanceId) -> Option<&Member> {
+        self.table.get(instance)
+    }
+
+    /// Returns how often things happened.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Returns whether this instance is one of the first `count` usable ones
+    /// of its zone for `role`.
+    pub fn holds(&self, role: Role, count: usize) -> bool {
+        let zone = &self.own.availability_zone;
+        let usable = self
+            .table
+            .members()
+            .filter(|member| member.availability_zone == *zone && member.state.is_usable());
+        let ranked = rank(role, usable.map(|member| &member.instance));
+        ranked
+            .into_iter()
+            .take(count)
+            .any(|name| *name == self.own.instance)
+    }
+
+    /// Sets the hash that stands for the configuration held.
+    pub fn set_configuration_hash(&mut self, hash: u64) {
+        self.configuration_hash = hash;
+    }
+
+    /// Does what is due; to be called every few tens of milliseconds.
+    pub fn tick(&mut self, now: MonotonicTime) -> Vec<Output> {
+        let mut outputs = Vec::new();
+        self.notice_pause(now);
+        self.refresh_scope(now);
+        self.bury_expired(now, &mut outputs);
+        self.follow_probes(now, &mut outputs);
+        self.start_probe(now, &mut outputs);
+        self.compare(now, &mut outputs);
+        self.reconnect(now, &mut outputs);
+        if now >= self.due.rumours_at {
+            self.tell(now, &mut outputs);
+        }
+        outputs
+    }
+
+    /// Takes a packet in that `sender` sent from the address `from`.
+    pub fn receive(
+        &mut self,
+        sender: &InstanceId,
+        from: SocketAddr,
+        packet: Packet,
+        now: MonotonicTime,
+    ) -> Vec<Output> {
+        let mut outputs = Vec::new();
+        self.greet(sender, from, &mut outputs);
+        for rumour in packet.rumours {
+            self.hear(rumour, from, now, &mut outputs);
+        }
+        self.answer(from, packet.message, now, &mut outputs);
+        if self.unsent && now - self.told_at >= EAGER_INTERVAL {
+            self.tell(now, &mut outputs);
+        }
+        outputs
+    }
+
+    /// Spreads a rumour of this instance's own.
+    pub fn spread(&mut self, rumour: Rumour, now: MonotonicTime) -> Vec<Output> {
+        let mut outputs = Vec::new();
+        self.push(rumour);
+        self.tell(now, &mut outputs);
+        outputs
+    }
+
+    pub(super) fn push(&mut self, rumour: Rumour) {
+        self.queue.push(rumour);
+        self.unsent = true;
+    }
+
+    /// Answers what a packet asks for.
+    fn answer(
+        &mut self,
+        from: SocketAddr,
+        message: Message,
+        now: MonotonicTime,
+        outputs: &mut Vec<Output>,
+    ) {
+        match message {
+            Message::Ping { probe, target } if target == self.own.instance => {
+                let packet = self.packet(Message::Ack { probe });
+                outputs.push(Output::Send { to: from, packet });
+            }
+            Message::Ping { .. } | Message::Rumours => {}
+            Message::Ack { probe } => self.pass_on(probe, outputs),
+            Message::PingRequest {
+                probe,
+                target,
+                address,
+            } => {
+                let expires_at = now + self.options.far_timeout * 2;
+                let probe = self.probes.relay(from, probe, expires_at);
+                let packet = self.packet(Message::Ping { probe, target });
+                outputs.push(Output::Send {
+                    to: address,
+                    packet,
+                });
+            }
+            Message::Digest(theirs) => {
+                if theirs != self.digest() {
+                    outputs.push(Output::Synchronise { with: from });
+                }
+            }
+        }
+    }
+
+    fn pass_on(&mut self, probe: ProbeId, outputs: &mut Vec<Output>) {
+        if let Some((origin, probe)) = self.probes.answered(probe) {
+            let packet = self.packet(Message::Ack { probe });
+            outputs.push(Output::Send { to: origin, packet });
+        }
+    }
+
+    /// Returns the hashes over what this instance knows.
+    pub fn digest(&self) -> Digest {
+        Digest {
+            members_hash: self.table.hash(),
+            configuration_hash: self.configuration_hash,
+        }
+    }
+
+    fn packet(&mut self, message: Message) -> Packet {
+        let limit = transmissions(self.options.rumour_factor, self.scope.size());
+        let rumours = self.queue.take(RUMOURS_MAX_BYTES, limit);
+        Packet { message, rumours }
+    }
+
+    /// Waits that ran while this process stood still prove nothing.
+    fn notice_pause(&mut self, now: MonotonicTime) {
+        if now - self.ticked_at > self.options.pause_limit {
+            self.probes.restart();
+            self.suspicions.restart(now);
+            self.due.digest_at = now;
+            self.counts.pauses += 1;
+        }
+        self.ticked_at = now;
+    }
+
+    fn refresh_scope(&mut self, now: MonotonicTime) {
+        let fresh = self.scope_version == self.table.version();
+        if fresh && now - self.scope_at < SCOPE_AGE_MAX {
+            return;
+        }
+        self.scope = Scope::new(&self.own, &self.table, self.options.delegates_per_zone, now);
+        self.scope_version = self.table.version();
+        self.scope_at = now;
+    }
+
+    fn bury_expired(&mut self, now: MonotonicTime, outputs: &mut Vec<Output>) {
+        for subject in self.suspicions.expired(&self.options.suspicion, now) {
+            self.bury(&subject, now, outputs);
+        }
+    }
+
+    fn follow_probes(&mut self, now: MonotonicTime, outputs: &mut Vec<Output>) {
+        let overdue = self.probes.overdue(self.options.probe_attempts, now);
+        for probe in overdue.again {
+            self.send_ping(probe.id, &probe.target, outputs);
+            self.ask_helpers(&probe, outputs);
+        }
+        for target in overdue.silent {
+            self.counts.silent += 1;
+            self.found_silent(&target, now, outputs);
+        }
+    }
+
+    fn start_probe(&mut self, now: MonotonicTime, outputs: &mut Vec<Output>) {
+        if now < self.due.probe_at {
+            return;
+        }
+        self.due.probe_at = now + self.options.probe_interval;
+        let names = self.scope.peers().map(|member| member.instance.clone());
+        let Some(target) = self.probes.next_target(names, &mut self.rng) else {
+            return;
+        };
+        let Some(member) = self.table.get(&target) else {
+            return;
+        };
+        let near = member.availability_zone == self.own.availability_zone;
+        if !member.state.is_running() {
+            return;
+        }
+        let timeout = if near {
+            self.options.near_timeout
+        } else {
+            self.options.far_timeout
+        };
+        let probe = self.probes.start(target.clone(), timeout, now);
+        self.counts.probes += 1;
+        self.send_ping(probe, &target, outputs);
+    }
+
+    /// Pings `target`; one that is suspect is told so, that it can object.
+    fn send_ping(&mut self, probe: ProbeId, target: &InstanceId, outputs: &mut Vec<Output>) {
+        let Some(member) = self.table.get(target).cloned() else {
+            return;
+        };
+        let to = member.peer_address;
+        let mut packet = self.packet(Message::Ping {
+            probe,
+            target: target.clone(),
+        });
+        if member.state == MemberState::Suspect {
+            packet.rumours.insert(0, Rumour::Member(member));
+        }
+        outputs.push(Output::Send { to, packet });
+    }
+
+    fn ask_helpers(&mut self, probe: &Probe, outputs: &mut Vec<Output>) {
+        let Some(target) = self.table.get(&probe.target).cloned() else {
+            return;
+        };
+        let fit = |member: &&Member| {
+            member.instance != target.instance && member.state == MemberState::Alive
+        };
+        let helpers = self.scope.peers().filter(fit);
+        let count = self.options.indirect_probes;
+        let chosen = helpers.map(|member| member.peer_address);
+        for to in chosen.sample(&mut self.rng, count) {
+            let packet = self.packet(Message::PingRequest {
+                probe: probe.id,
+                target: target.instance.clone(),
+                address: target.peer_address,
+            });
+            outputs.push(Output::Send { to, packet });
+        }
+    }
+
+    /// Compares with one random peer of the zone, and a delegate also with one
+    /// of another zone.
+    fn compare(&mut self, now: MonotonicTime, outputs: &mut Vec<Output>) {
+        if now < self.due.digest_at {
+            return;
+        }
+        self.due.digest_at = now + self.options.digest_interval;
+        self.table.forget(self.options.dead_retention, now);
+        let mate = self.scope.mates.choose(&mut self.rng);
+        let foreign = self.scope.foreign_delegates.choose(&mut self.rng);
+        let peers = mate.into_iter().chain(foreign);
+        let addresses: Vec<_> = peers.map(|member| member.peer_address).collect();
+        for to in addresses {
+            let packet = self.packet(Message::Digest(self.digest()));
+            outputs.push(Output::Send { to, packet });
+        }
+    }
+
+    /// Tells one dead member that it is thought dead; it objects if it lives,
+    /// as after a partition.
+    fn reconnect(&mut self, now: MonotonicTime, outputs: &mut Vec<Output>) {
+        if now < self.due.reconnect_at {
+            return;
+        }
+        self.due.reconnect_at = now + self.options.reconnect_interval;
+        if !self.scope.is_delegate {
+            return;
+        }
+        if let Some(dead) = self.table.dead().choose(&mut self.rng) {
+            outputs.push(direct(dead.clone()));
+        }
+    }
+
+    /// Sends the waiting rumours to a few random members in scope.
+    pub(super) fn tell(&mut self, now: MonotonicTime, outputs: &mut Vec<Output>) {
+        self.due.rumours_at = now + self.options.rumour_interval;
+        self.told_at = now;
+        self.unsent = false;
+        if self.queue.is_empty() {
+            return;
+        }
+        let fanout = self.options.rumour_fanout;
+        let mates = self.scope.mates.iter().sample(&mut self.rng, fanout);
+        let foreign = &self.scope.foreign_delegates;
+        let delegates = foreign.iter().sample(&mut self.rng, fanout);
+        let chosen = mates.into_iter().chain(delegates);
+        let addresses: Vec<_> = chosen.map(|member| member.peer_address).collect();
+        for to in addresses {
+            let packet = self.packet(Message::Rumours);
+            if !packet.rumours.is_empty() {
+                outputs.push(Output::Send { to, packet });
+            }
+        }
+    }
+
+    /// Returns where everyone in scope listens.
+    pub(super) fn scope_addresses(&self) -> Vec<SocketAddr> {
+        let addresses = self.scope.peers().map(|member| member.peer_address);
+        addresses.collect()
+    }
+}
+
+/// Returns the sending of a belief to the very member that it is about.
+pub(super) fn direct(member: Member) -> Output {
+    Output::Send {
+        to: member.peer_address,
+        packet: Packet {
+            message: Message::Rumours,
+            rumours: vec![Rumour::Member(member)],
+        },
+    }
+}
--- /dev/null
+++ b/crates/foxtide-core/src/membership/mod.rs
@@ -0,0 +1,26 @@
+//! Which instances there are: probing, suspicion and spreading of news.
+//!
+//! After Das, Gupta and Motivala, "SWIM" (2002), with parts of "Lifeguard"
+//! (2018), within an availability zone; delegates connect the zones.
+
+mod beliefs;
+mod machine;
+mod member;
+mod message;
+mod options;
+mod probe;
+mod queue;
+mod rendezvous;
+mod scope;
+mod suspicion;
+mod table;
+
+pub use machine::{Counts, Membership};
+pub use member::{Incarnation, Member, MemberState};
+pub use message::{
+    Announcement, DATAGRAM_MAX_BYTES, Digest, HEADER_MAX_BYTES, Message, Output, Packet, ProbeId,
+    Rumour, Suspicion,
+};
+pub use options::MembershipOptions;
+pub use rendezvous::{Role, rank, weight};
+pub use suspicion::SuspicionBounds;
--- /dev/null
+++ b/crates/foxtide-core/src/membership/scope.rs
@@ -0,0 +1,96 @@
+//! Whom an instance probes and tells: its zone, and for delegates the
+//! delegates of other zones, so that the cost does not grow with the fleet.
+
+use super::member::Member;
+use super::rendezvous::{Role, rank};
+use super::table::MemberTable;
+use crate::ids::{AvailabilityZoneId, InstanceId};
+use crate::time::MonotonicTime;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// How long a death in another zone widens the scope towards it.
+const DEATH_WINDOW: Duration = Duration::from_secs(10);
+
+/// How many more members of a zone are probed for each recent death there,
+/// so that the loss of a whole zone is found in a few rounds.
+const WIDENING: usize = 2;
+
+/// The part of the fleet that one instance deals with directly.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Scope {
+    /// The other running members of the own availability zone.
+    pub(crate) mates: Vec<Member>,
+    /// The delegates of the other zones; empty where this is no delegate.
+    pub(crate) foreign_delegates: Vec<Member>,
+    /// Whether this instance speaks for its zone.
+    pub(crate) is_delegate: bool,
+}
+
+impl Scope {
+    /// Returns the scope of `own` in `table`.
+    pub(crate) fn new(
+        own: &Member,
+        table: &MemberTable,
+        delegates_per_zone: usize,
+        now: MonotonicTime,
+    ) -> Self {
+        let mut zones = by_zone(table);
+        let own_zone = zones.remove(&own.availability_zone).unwrap_or_default();
+        let is_delegate = picks(&own_zone, delegates_per_zone)
+            .iter()
+            .any(|member| member.instance == own.instance);
+        let mut foreign_delegates = Vec::new();
+        if is_delegate {
+            for (zone, members) in &zones {
+                let deaths = table.deaths(zone, DEATH_WINDOW, now);
+                let count = delegates_per_zone + deaths * WIDENING;
+                foreign_delegates.extend(picks(members, count).into_iter().cloned());
+            }
+        }
+        let mates = own_zone
+            .into_iter()
+            .filter(|member| member.instance != own.instance)
+            .cloned()
+            .collect();
+        Self {
+            mates,
+            foreign_delegates,
+            is_delegate,
+        }
+    }
+
+    /// Returns everyone in scope.
+    pub(crate) fn peers(&self) -> impl Iterator<Item = &Member> {
+        self.mates.iter().chain(&self.foreign_delegates)
+    }
+
+    /// Returns how many are in scope.
+    pub(crate) fn size(&self) -> usize {
+        self.mates.len() + self.foreign_delegates.len()
+    }
+}
+
+fn by_zone(table: &MemberTable) -> BTreeMap<&AvailabilityZoneId, Vec<&Member>> {
+    let mut zones: BTreeMap<_, Vec<_>> = BTreeMap::new();
+    for member in table.running() {
+        zones
+            .entry(&member.availability_zone)
+            .or_default()
+            .push(member);
+    }
+    zones
+}
+
+/// Returns the first `count` delegates among `members`; those that leave are
+/// picked last.
+fn picks<'a>(members: &[&'a Member], count: usize) -> Vec<&'a Member> {
+    let by_name: BTreeMap<&InstanceId, &'a Member> = members
+        .iter()
+        .map(|member| (&member.instance, *member))
+        .collect();
+    let mut ranked = rank(Role::Delegate, by_name.keys().copied());
+    ranked.sort_by_key(|name| !by_name[name].state.is_usable());
+    let first = ranked.into_iter().take(count);
+    first.map(|name| by_name[name]).collect()
+}
--- /dev/null
+++ b/crates/foxtide-core/src/membership/suspicion.rs
@@ -0,0 +1,101 @@
+//! How long a silent instance may object before it counts as dead.
+//!
+//! Dadgar, Phillips and Currey, "Lifeguard" (2018), section IV-B: the wait
+//! starts long and shrinks with each further instance that suspects the same.
+
+use crate::ids::InstanceId;
+use crate::membership::member::Incarnation;
+use crate::time::MonotonicTime;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Bounds of the wait.
+#[derive(Clone, Copy, Debug)]
+pub struct SuspicionBounds {
+    /// The wait when enough others agree.
+    pub shortest: Duration,
+    /// The wait while nobody else agrees.
+    pub longest: Duration,
+    /// How many others are enough.
+    pub confirmations: u32,
+}
+
+impl SuspicionBounds {
+    /// Returns the wait after `confirmations` others agreed.
+    fn wait(&self, confirmations: u32) -> Duration {
+        let enough = f64::from(self.confirmations.max(1));
+        let part = (f64::from(confirmations) + 1.0).ln() / (enough + 1.0).ln();
+        let range = self.longest.saturating_sub(self.shortest);
+        self.longest
+            .saturating_sub(range.mul_f64(part.clamp(0.0, 1.0)))
+    }
+}
+
+/// One running wait.
+#[derive(Clone, Debug)]
+struct Wait {
+    incarnation: Incarnation,
+    started_at: MonotonicTime,
+    confirmed_by: Vec<InstanceId>,
+}
+
+/// All running waits.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Suspicions {
+    running: BTreeMap<InstanceId, Wait>,
+}
+
+impl Suspicions {
+    /// Starts a wait, or counts `by` as agreeing with the one that runs;
+    /// returns whether that was new.
+    pub(crate) fn suspect(
+        &mut self,
+        subject: &InstanceId,
+        incarnation: Incarnation,
+        by: &InstanceId,
+        now: MonotonicTime,
+    ) -> bool {
+        let running = self.running.get_mut(subject);
+        let Some(running) = running.filter(|running| running.incarnation >= incarnation) else {
+            let started = Wait {
+                incarnation,
+                started_at: now,
+                confirmed_by: vec![by.clone()],
+            };
+            self.running.insert(subject.clone(), started);
+            return true;
+        };
+        let fresh = !running.confirmed_by.contains(by);
+        if fresh {
+            running.confirmed_by.push(by.clone());
+        }
+        fresh
+    }
+
+    /// Ends the wait for `subject`.
+    pub(crate) fn end(&mut self, subject: &InstanceId) {
+        self.running.remove(subject);
+    }
+
+    /// Takes out those whose wait is over.
+    pub(crate) fn expired(
+        &mut self,
+        bounds: &SuspicionBounds,
+        now: MonotonicTime,
+    ) -> Vec<InstanceId> {
+        let over = |running: &Wait| {
+            let others = running.confirmed_by.len().saturating_sub(1);
+            let wait = bounds.wait(u32::try_from(others).unwrap_or(u32::MAX));
+            now >= running.started_at + wait
+        };
+        let expired = self.running.extract_if(.., |_, running| over(running));
+        expired.map(|(subject, _)| subject).collect()
+    }
+
+    /// Lets all waits begin anew, as after a pause of this process.
+    pub(crate) fn restart(&mut self, now: MonotonicTime) {
+        for running in self.running.values_mut() {
+            running.started_at = now;
+        }
+    }
+}
