Add the mesh: membership and spreading of documents over UDP and TCP

Instances join through seed addresses, probe the members of their zone, connect zones through delegates, and fetch documents that peers announce.

--- /dev/null
+++ b/crates/foxtide-mesh/src/datagrams.rs
@@ -0,0 +1,71 @@
+//! Receiving datagrams and stepping the protocol.
+
+use crate::shared::{Shared, carry_out};
+use crate::traffic::Rejection;
+use crate::wire::{Datagram, read_datagram};
+use crate::{documents, join};
+use foxtide_core::ids::InstanceId;
+use foxtide_core::membership::Packet;
+use prost::Message as _;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Room for any datagram; larger ones than ours are read and rejected.
+const BUFFER_BYTES: usize = 65_536;
+
+/// Wait after a failed read, so that a broken socket does not spin.
+const FAILURE_PAUSE: Duration = Duration::from_millis(20);
+
+/// Receives datagrams for as long as the task lives.
+pub(crate) async fn receive(shared: Arc<Shared>) {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        match shared.socket.recv_from(&mut buffer).await {
+            Ok((size_bytes, from)) => {
+                shared.traffic.received_datagram(size_bytes);
+                take_in(&shared, from, &buffer[..size_bytes]);
+            }
+            Err(error) => {
+                log::debug!("receive at {}: {error}", shared.address);
+                smol::Timer::after(FAILURE_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn take_in(shared: &Arc<Shared>, from: SocketAddr, bytes: &[u8]) {
+    match admit(shared, bytes) {
+        Ok((sender, packet)) => {
+            let now = shared.now();
+            let mut state = shared.state.lock();
+            let outputs = state.membership.receive(&sender, from, packet, now);
+            drop(state);
+            carry_out(shared, outputs);
+        }
+        Err(rejection) => shared.reject(from, rejection),
+    }
+}
+
+/// Reads a datagram and checks that it is to be taken in.
+fn admit(shared: &Shared, bytes: &[u8]) -> Result<(InstanceId, Packet), Rejection> {
+    let datagram = Datagram::decode(bytes).map_err(|_| Rejection::Malformed)?;
+    let header = datagram.header.clone().ok_or(Rejection::Malformed)?;
+    shared.state.lock().guard.check(&header)?;
+    let sender = header.sender.parse().map_err(|_| Rejection::Malformed)?;
+    let packet = read_datagram(datagram).map_err(|_| Rejection::Malformed)?;
+    shared.state.lock().guard.check_once(&header)?;
+    Ok((sender, packet))
+}
+
+/// Steps the protocol for as long as the task lives.
+pub(crate) async fn tick(shared: Arc<Shared>) {
+    loop {
+        smol::Timer::after(shared.options.tick_interval).await;
+        let now = shared.now();
+        let outputs = shared.state.lock().membership.tick(now);
+        carry_out(&shared, outputs);
+        documents::start_fetches(&shared);
+        join::tidy(&shared);
+    }
+}
--- /dev/null
+++ b/crates/foxtide-mesh/src/shared.rs
@@ -0,0 +1,176 @@
+//! What the tasks of one instance share.
+//!
+//! Lock order: `state` before `subscribers`; neither is held over an await
+//! or while a socket is used.
+
+use crate::calls::IncomingCall;
+use crate::documents;
+use crate::guard::{Guard, MINIMUM_VERSION, VERSION, cluster_id};
+use crate::join::{self, Synchronisation};
+use crate::options::MeshOptions;
+use crate::traffic::{Rejection, Traffic};
+use crate::wire::Header;
+use foxtide_core::events::EventCode;
+use foxtide_core::ids::InstanceId;
+use foxtide_core::membership::{Member, MemberState, Membership, Output, Packet};
+use foxtide_core::spreading::{ConfigurationTable, Document, FetchQueue};
+use foxtide_core::time::MonotonicTime;
+use parking_lot::Mutex;
+use rand::rngs::{StdRng, SysRng};
+use rand::{SeedableRng, TryRng};
+use smol::channel::{Receiver, Sender};
+use std::collections::{BTreeSet, HashMap};
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// What one instance knows.
+#[derive(Debug)]
+pub(crate) struct State {
+    pub(crate) membership: Membership,
+    pub(crate) configurations: ConfigurationTable,
+    pub(crate) fetches: FetchQueue,
+    pub(crate) guard: Guard,
+    pub(crate) rng: StdRng,
+    pub(crate) seeds: BTreeSet<SocketAddr>,
+    pub(crate) synchronisation: Synchronisation,
+    /// When each peer was last asked for all it knows.
+    pub(crate) exchanged_at: HashMap<SocketAddr, MonotonicTime>,
+}
+
+/// What the tasks of one instance share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) options: MeshOptions,
+    pub(crate) instance: InstanceId,
+    pub(crate) address: SocketAddr,
+    pub(crate) socket: smol::Async<UdpSocket>,
+    pub(crate) state: Mutex<State>,
+    pub(crate) subscribers: Mutex<Vec<Sender<Document>>>,
+    pub(crate) calls: (Sender<IncomingCall>, Receiver<IncomingCall>),
+    pub(crate) traffic: Traffic,
+    pub(crate) epoch_us: u64,
+    sequence: AtomicU64,
+}
+
+/// Returns a seed that differs between instances.
+fn random_seed() -> u64 {
+    // Without the system's randomness all instances make the same choices,
+    // which costs speed alone.
+    SysRng.try_next_u64().unwrap_or_default()
+}
+
+/// Calls that wait to be taken by the program that uses the mesh.
+const CALLS_MAX: usize = 1_024;
+
+impl Shared {
+    pub(crate) fn new(
+        own: Member,
+        seeds: &[SocketAddr],
+        options: MeshOptions,
+        socket: smol::Async<UdpSocket>,
+        epoch_us: u64,
+    ) -> Self {
+        let now = MonotonicTime::ZERO + options.clock_origin.elapsed();
+        let seed = options.seed.unwrap_or_else(random_seed);
+        let instance = own.instance.clone();
+        let address = own.peer_address;
+        let state = State {
+            membership: Membership::new(own, options.membership, seed, now),
+            configurations: ConfigurationTable::default(),
+            fetches: FetchQueue::default(),
+            guard: Guard::new(cluster_id(&options.cluster)),
+            rng: StdRng::seed_from_u64(seed),
+            seeds: seeds.iter().copied().collect(),
+            synchronisation: Synchronisation::Joining,
+            exchanged_at: HashMap::new(),
+        };
+        Self {
+            options,
+            instance,
+            address,
+            socket,
+            state: Mutex::new(state),
+            subscribers: Mutex::default(),
+            calls: smol::channel::bounded(CALLS_MAX),
+            traffic: Traffic::default(),
+            epoch_us,
+            sequence: AtomicU64::new(0),
+        }
+    }
+
+    /// Returns the present time.
+    pub(crate) fn now(&self) -> MonotonicTime {
+        MonotonicTime::ZERO + self.options.clock_origin.elapsed()
+    }
+
+    /// Returns the header of the next message.
+    pub(crate) fn header(&self) -> Header {
+        Header {
+            version: VERSION,
+            minimum_version: MINIMUM_VERSION,
+            cluster: cluster_id(&self.options.cluster),
+            sender: self.instance.to_string(),
+            epoch_us: self.epoch_us,
+            sequence: self.sequence.fetch_add(1, Ordering::Relaxed) + 1,
+        }
+    }
+
+    /// Counts and logs a message that is dropped.
+    pub(crate) fn reject(&self, from: SocketAddr, rejection: Rejection) {
+        self.traffic.rejected(rejection);
+        let code = EventCode::PeerMessageRejected.number();
+        log::debug!("F{code} from={from} reason={}", rejection.name());
+    }
+}
+
+/// Does what a state machine decided.
+pub(crate) fn carry_out(shared: &Arc<Shared>, outputs: Vec<Output>) {
+    for output in outputs {
+        match output {
+            Output::Send { to, packet } => shared.send(to, packet),
+            Output::Synchronise { with } => join::exchange_soon(shared, with),
+            Output::Announced { announcement, by } => {
+                documents::announced(shared, &announcement, by);
+            }
+            Output::Changed(member) => log_change(&member),
+        }
+    }
+}
+
+impl Shared {
+    /// Sends a datagram; one that the system does not take is lost.
+    fn send(&self, to: SocketAddr, packet: Packet) {
+        use prost::Message as _;
+        let datagram = crate::wire::datagram(self.header(), packet);
+        let bytes = datagram.encode_to_vec();
+        if !self.options.faults.datagram_passes(self.address, to) {
+            self.traffic.sent_datagram(bytes.len());
+            return;
+        }
+        match self.socket.get_ref().send_to(&bytes, to) {
+            Ok(size_bytes) => self.traffic.sent_datagram(size_bytes),
+            Err(error) => {
+                self.traffic.unsent_datagram();
+                log::debug!("send to {to}: {error}");
+            }
+        }
+    }
+}
+
+fn log_change(member: &Member) {
+    let code = match member.state {
+        MemberState::Alive => EventCode::MemberJoined,
+        MemberState::Suspect => EventCode::MemberSuspected,
+        MemberState::Leaving => EventCode::MemberLeaving,
+        MemberState::Dead => EventCode::MemberFailed,
+    };
+    log::debug!(
+        "F{} {} member={} zone={} incarnation={}",
+        code.number(),
+        code.name(),
+        member.instance,
+        member.availability_zone,
+        member.incarnation.get()
+    );
+}
--- /dev/null
+++ b/crates/foxtide-mesh/src/streams.rs
@@ -0,0 +1,161 @@
+//! Requests to peers and answers to theirs, over streams.
+
+use crate::errors::{Error, Result};
+use crate::shared::Shared;
+use crate::traffic::Rejection;
+use crate::wire::{Request, Response, request, response};
+use crate::{calls, documents, join};
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use prost::Message as _;
+use smol::net::{TcpListener, TcpStream};
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Weak};
+use std::time::Duration;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::compat::{Compat, FuturesAsyncReadCompatExt};
+
+/// The largest message over a stream: a document and its surroundings.
+const FRAME_MAX_BYTES: usize = 2 * 1_024 * 1_024;
+
+/// A peer that asks for nothing for so long is disconnected.
+const IDLE_MAX: Duration = Duration::from_secs(60);
+
+/// Wait after a failed accept, so that a broken socket does not spin.
+const FAILURE_PAUSE: Duration = Duration::from_millis(20);
+
+/// A stream of messages.
+type Frames = Framed<Compat<TcpStream>, LengthDelimitedCodec>;
+
+fn frames(stream: TcpStream) -> Frames {
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(FRAME_MAX_BYTES)
+        .new_codec();
+    Framed::new(stream.compat(), codec)
+}
+
+/// Waits for `future`, but no longer than `limit`.
+pub(crate) async fn within<T>(
+    limit: Duration,
+    future: impl Future<Output = io::Result<T>>,
+) -> io::Result<T> {
+    let timer = async {
+        smol::Timer::after(limit).await;
+        Err(Error::timed_out())
+    };
+    smol::future::or(future, timer).await
+}
+
+/// Sends a request to a peer and returns its answer.
+///
+/// # Errors
+///
+/// Fails with [`Error::Connect`] where nothing was sent, and otherwise where
+/// no answer came that can be read.
+pub(crate) async fn ask(
+    shared: &Shared,
+    peer: SocketAddr,
+    body: request::Body,
+    limit: Duration,
+) -> Result<response::Body> {
+    if !shared.options.faults.connects(shared.address, peer) {
+        return Err(Error::connect(peer, Error::timed_out()));
+    }
+    let connect_limit = limit.min(shared.options.connect_timeout);
+    let stream = within(connect_limit, TcpStream::connect(peer)).await;
+    let stream = stream.map_err(|source| Error::connect(peer, source))?;
+    // Without it a small request may wait for the peer's delayed answer.
+    let _ = stream.set_nodelay(true);
+    let request = Request {
+        header: Some(shared.header()),
+        body: Some(body),
+    };
+    let mut frames = frames(stream);
+    let exchange = converse(shared, &mut frames, &request);
+    let response = within(limit, exchange).await;
+    let response = response.map_err(|source| Error::exchange(peer, source))?;
+    let header = response.header.ok_or(Error::answer(peer, "no header"))?;
+    let checked = shared.state.lock().guard.check(&header);
+    checked.map_err(|rejection| {
+        shared.reject(peer, rejection);
+        Error::answer(peer, rejection.name())
+    })?;
+    response.body.ok_or(Error::answer(peer, "refused"))
+}
+
+async fn converse(shared: &Shared, frames: &mut Frames, request: &Request) -> io::Result<Response> {
+    let bytes = request.encode_to_vec();
+    shared.traffic.sent_stream(bytes.len() as u64);
+    frames.send(Bytes::from(bytes)).await?;
+    let answer = frames.next().await;
+    let answer = answer.ok_or(io::ErrorKind::UnexpectedEof)??;
+    shared.traffic.received_stream(answer.len() as u64);
+    Ok(Response::decode(answer.freeze())?)
+}
+
+/// Accepts connections of peers for as long as the task lives.
+pub(crate) async fn accept(shared: Arc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                let shared = Arc::downgrade(&shared);
+                smol::spawn(serve(shared, stream, peer)).detach();
+            }
+            Err(error) => {
+                log::debug!("accept at {}: {error}", shared.address);
+                smol::Timer::after(FAILURE_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Answers the requests of one connection.
+async fn serve(shared: Weak<Shared>, stream: TcpStream, peer: SocketAddr) {
+    let _ = stream.set_nodelay(true);
+    let mut frames = frames(stream);
+    loop {
+        let next = within(IDLE_MAX, async { Ok(frames.next().await) }).await;
+        let Ok(Some(Ok(bytes))) = next else {
+            return;
+        };
+        let Some(shared) = shared.upgrade() else {
+            return;
+        };
+        shared.traffic.received_stream(bytes.len() as u64);
+        let response = match admit(&shared, &bytes) {
+            Ok(request) => answer(&shared, request).await,
+            Err(rejection) => {
+                shared.reject(peer, rejection);
+                None
+            }
+        };
+        let response = Response {
+            header: Some(shared.header()),
+            body: response,
+        };
+        let bytes = response.encode_to_vec();
+        shared.traffic.sent_stream(bytes.len() as u64);
+        if frames.send(Bytes::from(bytes)).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Reads a request and checks that it is to be answered.
+fn admit(shared: &Shared, bytes: &[u8]) -> std::result::Result<Request, Rejection> {
+    let request = Request::decode(bytes).map_err(|_| Rejection::Malformed)?;
+    let header = request.header.as_ref().ok_or(Rejection::Malformed)?;
+    shared.state.lock().guard.check(header)?;
+    Ok(request)
+}
+
+async fn answer(shared: &Arc<Shared>, request: Request) -> Option<response::Body> {
+    let sender = request.header?.sender;
+    match request.body? {
+        request::Body::Synchronise(theirs) => join::answer(shared, &sender, &theirs),
+        request::Body::Fetch(fetch) => documents::answer(shared, &fetch),
+        request::Body::Call(call) => calls::answer(shared, &sender, call).await,
+    }
+}
--- /dev/null
+++ b/crates/foxtide-mesh/src/wire/convert.rs
@@ -0,0 +1,219 @@
+//! Conversion between the encoded form and the core's types.
+
+use super::messages as wire;
+use super::messages::datagram::Body;
+use foxtide_core::membership as core;
+use foxtide_core::membership::{Message, Packet, ProbeId, Rumour};
+use foxtide_core::spreading;
+use foxtide_core::units::Revision;
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
+
+/// A message that cannot be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Unreadable;
+
+impl From<foxtide_core::Error> for Unreadable {
+    fn from(_: foxtide_core::Error) -> Self {
+        Self
+    }
+}
+
+impl From<prost::DecodeError> for Unreadable {
+    fn from(_: prost::DecodeError) -> Self {
+        Self
+    }
+}
+
+/// Returns a packet in its encoded form.
+pub(crate) fn datagram(header: wire::Header, packet: Packet) -> wire::Datagram {
+    let mut datagram = wire::Datagram {
+        header: Some(header),
+        body: Some(body(packet.message)),
+        ..wire::Datagram::default()
+    };
+    for rumour in packet.rumours {
+        match rumour {
+            Rumour::Member(member) => datagram.members.push((&member).into()),
+            Rumour::Suspicion(suspicion) => datagram.suspicions.push(wire::Suspicion {
+                member: Some((&suspicion.member).into()),
+                by: suspicion.by.into(),
+            }),
+            Rumour::Configuration(announcement) => {
+                datagram.announcements.push((&announcement).into());
+            }
+        }
+    }
+    datagram
+}
+
+fn body(message: Message) -> Body {
+    match message {
+        Message::Ping { probe, target } => Body::Ping(wire::Ping {
+            probe: probe.0,
+            target: target.into(),
+        }),
+        Message::Ack { probe } => Body::Ack(probe.0),
+        Message::PingRequest {
+            probe,
+            target,
+            address,
+        } => Body::PingRequest(wire::PingRequest {
+            probe: probe.0,
+            target: target.into(),
+            address: Some(address.into()),
+        }),
+        Message::Rumours => Body::Rumours(wire::Empty {}),
+        Message::Digest(digest) => Body::Digest(wire::Digest {
+            members_hash: digest.members_hash,
+            configuration_hash: digest.configuration_hash,
+        }),
+    }
+}
+
+/// Reads a packet from its encoded form.
+///
+/// A purpose that this program does not know leaves the rumours readable.
+pub(crate) fn read_datagram(datagram: wire::Datagram) -> Result<Packet, Unreadable> {
+    let message = match datagram.body {
+        Some(body) => read_body(body)?,
+        None => Message::Rumours,
+    };
+    let mut rumours = Vec::new();
+    for member in &datagram.members {
+        rumours.push(Rumour::Member(read_member(member)?));
+    }
+    for suspicion in datagram.suspicions {
+        let member = suspicion.member.ok_or(Unreadable)?;
+        rumours.push(Rumour::Suspicion(core::Suspicion {
+            member: read_member(&member)?,
+            by: suspicion.by.parse()?,
+        }));
+    }
+    for announcement in &datagram.announcements {
+        rumours.push(Rumour::Configuration(announcement.try_into()?));
+    }
+    Ok(Packet { message, rumours })
+}
+
+fn read_body(body: Body) -> Result<Message, Unreadable> {
+    Ok(match body {
+        Body::Ping(ping) => Message::Ping {
+            probe: ProbeId(ping.probe),
+            target: ping.target.parse()?,
+        },
+        Body::Ack(probe) => Message::Ack {
+            probe: ProbeId(probe),
+        },
+        Body::PingRequest(request) => Message::PingRequest {
+            probe: ProbeId(request.probe),
+            target: request.target.parse()?,
+            address: read_address(request.address.as_ref())?,
+        },
+        Body::Rumours(_) => Message::Rumours,
+        Body::Digest(digest) => Message::Digest(core::Digest {
+            members_hash: digest.members_hash,
+            configuration_hash: digest.configuration_hash,
+        }),
+    })
+}
+
+impl From<SocketAddr> for wire::Address {
+    fn from(address: SocketAddr) -> Self {
+        let ip = match address.ip() {
+            IpAddr::V4(ip) => ip.octets().to_vec(),
+            IpAddr::V6(ip) => ip.octets().to_vec(),
+        };
+        let port = u32::from(address.port());
+        Self { ip, port }
+    }
+}
+
+fn read_address(address: Option<&wire::Address>) -> Result<SocketAddr, Unreadable> {
+    let address = address.ok_or(Unreadable)?;
+    let port = u16::try_from(address.port).map_err(|_| Unreadable)?;
+    let ip = if let Ok(octets) = <[u8; 4]>::try_from(address.ip.as_slice()) {
+        IpAddr::V4(Ipv4Addr::from(octets))
+    } else {
+        let octets = <[u8; 16]>::try_from(address.ip.as_slice());
+        IpAddr::V6(Ipv6Addr::from(octets.map_err(|_| Unreadable)?))
+    };
+    Ok(SocketAddr::new(ip, port))
+}
+
+impl From<&core::Member> for wire::Member {
+    fn from(member: &core::Member) -> Self {
+        let state = match member.state {
+            core::MemberState::Alive => wire::State::Alive,
+            core::MemberState::Suspect => wire::State::Suspect,
+            core::MemberState::Leaving => wire::State::Leaving,
+            core::MemberState::Dead => wire::State::Dead,
+        };
+        Self {
+            instance: member.instance.to_string(),
+            region: member.region.to_string(),
+            availability_zone: member.availability_zone.to_string(),
+            peer_address: Some(member.peer_address.into()),
+            caller_address: Some(member.caller_address.into()),
+            incarnation: member.incarnation.get(),
+            state: state.into(),
+        }
+    }
+}
+
+/// Reads a member from its encoded form.
+pub(crate) fn read_member(member: &wire::Member) -> Result<core::Member, Unreadable> {
+    let state = match wire::State::try_from(member.state).map_err(|_| Unreadable)? {
+        wire::State::Alive => core::MemberState::Alive,
+        wire::State::Suspect => core::MemberState::Suspect,
+        wire::State::Leaving => core::MemberState::Leaving,
+        wire::State::Dead => core::MemberState::Dead,
+    };
+    Ok(core::Member {
+        instance: member.instance.parse()?,
+        region: member.region.parse()?,
+        availability_zone: member.availability_zone.parse()?,
+        peer_address: read_address(member.peer_address.as_ref())?,
+        caller_address: read_address(member.caller_address.as_ref())?,
+        incarnation: core::Incarnation::new(member.incarnation),
+        state,
+    })
+}
+
+impl From<&core::Announcement> for wire::Announcement {
+    fn from(announcement: &core::Announcement) -> Self {
+        Self {
+            organisation: announcement.organisation.to_string(),
+            revision: announcement.revision.get(),
+        }
+    }
+}
+
+impl TryFrom<&wire::Announcement> for core::Announcement {
+    type Error = Unreadable;
+
+    fn try_from(announcement: &wire::Announcement) -> Result<Self, Unreadable> {
+        Ok(Self {
+            organisation: announcement.organisation.parse()?,
+            revision: Revision::new(announcement.revision),
+        })
+    }
+}
+
+impl From<&spreading::Document> for wire::Document {
+    fn from(document: &spreading::Document) -> Self {
+        Self {
+            organisation: document.organisation.to_string(),
+            revision: document.revision.get(),
+            bytes: document.bytes.to_vec(),
+        }
+    }
+}
+
+/// Reads a document from its encoded form.
+pub(crate) fn read_document(document: wire::Document) -> Result<spreading::Document, Unreadable> {
+    Ok(spreading::Document {
+        organisation: document.organisation.parse()?,
+        revision: Revision::new(document.revision),
+        bytes: document.bytes.into(),
+    })
+}
--- /dev/null
+++ b/crates/foxtide-mesh/src/wire/messages.rs
@@ -0,0 +1,243 @@
+//! Messages in their encoded form.
+
+/// What each message begins with.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Header {
+    /// The version of the writing program.
+    #[prost(uint32, tag = "1")]
+    pub(crate) version: u32,
+    /// The oldest program that can read the message.
+    #[prost(uint32, tag = "2")]
+    pub(crate) minimum_version: u32,
+    /// The fleet.
+    #[prost(fixed64, tag = "3")]
+    pub(crate) cluster: u64,
+    /// The sending instance.
+    #[prost(string, tag = "4")]
+    pub(crate) sender: String,
+    /// When the sending process started, since the Unix epoch.
+    #[prost(uint64, tag = "5")]
+    pub(crate) epoch_us: u64,
+    /// The number of the datagram in its process.
+    #[prost(uint64, tag = "6")]
+    pub(crate) sequence: u64,
+}
+
+/// A datagram.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Datagram {
+    #[prost(message, optional, tag = "1")]
+    pub(crate) header: Option<Header>,
+    #[prost(oneof = "datagram::Body", tags = "2, 3, 4, 5, 6")]
+    pub(crate) body: Option<datagram::Body>,
+    #[prost(message, repeated, tag = "7")]
+    pub(crate) members: Vec<Member>,
+    #[prost(message, repeated, tag = "8")]
+    pub(crate) suspicions: Vec<Suspicion>,
+    #[prost(message, repeated, tag = "9")]
+    pub(crate) announcements: Vec<Announcement>,
+}
+
+/// What a datagram is for.
+pub(crate) mod datagram {
+    /// The purpose.
+    #[derive(Clone, PartialEq, prost::Oneof)]
+    pub(crate) enum Body {
+        #[prost(message, tag = "2")]
+        Ping(super::Ping),
+        #[prost(uint64, tag = "3")]
+        Ack(u64),
+        #[prost(message, tag = "4")]
+        PingRequest(super::PingRequest),
+        #[prost(message, tag = "5")]
+        Rumours(super::Empty),
+        #[prost(message, tag = "6")]
+        Digest(super::Digest),
+    }
+}
+
+/// Nothing.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub(crate) struct Empty {}
+
+/// Asks for an answer.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Ping {
+    #[prost(uint64, tag = "1")]
+    pub(crate) probe: u64,
+    #[prost(string, tag = "2")]
+    pub(crate) target: String,
+}
+
+/// Asks for a ping of another instance.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct PingRequest {
+    #[prost(uint64, tag = "1")]
+    pub(crate) probe: u64,
+    #[prost(string, tag = "2")]
+    pub(crate) target: String,
+    #[prost(message, optional, tag = "3")]
+    pub(crate) address: Option<Address>,
+}
+
+/// Hashes over what the sender knows.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub(crate) struct Digest {
+    #[prost(fixed64, tag = "1")]
+    pub(crate) members_hash: u64,
+    #[prost(fixed64, tag = "2")]
+    pub(crate) configuration_hash: u64,
+}
+
+/// An IP address with its port.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Address {
+    /// Four bytes for IPv4, sixteen for IPv6.
+    #[prost(bytes = "vec", tag = "1")]
+    pub(crate) ip: Vec<u8>,
+    #[prost(uint32, tag = "2")]
+    pub(crate) port: u32,
+}
+
+/// The encoded states of a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub(crate) enum State {
+    Alive = 0,
+    Suspect = 1,
+    Leaving = 2,
+    Dead = 3,
+}
+
+/// A member and what is believed of it.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Member {
+    #[prost(string, tag = "1")]
+    pub(crate) instance: String,
+    #[prost(string, tag = "2")]
+    pub(crate) region: String,
+    #[prost(string, tag = "3")]
+    pub(crate) availability_zone: String,
+    #[prost(message, optional, tag = "4")]
+    pub(crate) peer_address: Option<Address>,
+    #[prost(message, optional, tag = "5")]
+    pub(crate) caller_address: Option<Address>,
+    #[prost(uint64, tag = "6")]
+    pub(crate) incarnation: u64,
+    #[prost(enumeration = "State", tag = "7")]
+    pub(crate) state: i32,
+}
+
+/// A member and who found it silent.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Suspicion {
+    #[prost(message, optional, tag = "1")]
+    pub(crate) member: Option<Member>,
+    #[prost(string, tag = "2")]
+    pub(crate) by: String,
+}
+
+/// A revision that the sender holds.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Announcement {
+    #[prost(string, tag = "1")]
+    pub(crate) organisation: String,
+    #[prost(uint64, tag = "2")]
+    pub(crate) revision: u64,
+}
+
+/// A document of a configuration.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Document {
+    #[prost(string, tag = "1")]
+    pub(crate) organisation: String,
+    #[prost(uint64, tag = "2")]
+    pub(crate) revision: u64,
+    #[prost(bytes = "vec", tag = "3")]
+    pub(crate) bytes: Vec<u8>,
+}
+
+/// Everything that an instance knows, without the documents themselves.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Snapshot {
+    #[prost(message, repeated, tag = "1")]
+    pub(crate) members: Vec<Member>,
+    #[prost(message, repeated, tag = "2")]
+    pub(crate) announcements: Vec<Announcement>,
+}
+
+/// Asks for a document.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct FetchRequest {
+    #[prost(string, tag = "1")]
+    pub(crate) organisation: String,
+}
+
+/// A call to the program that uses the mesh.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct CallRequest {
+    /// Whom it is for.
+    #[prost(string, tag = "1")]
+    pub(crate) target: String,
+    #[prost(bytes = "vec", tag = "2")]
+    pub(crate) bytes: Vec<u8>,
+}
+
+/// The answer to a call.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct CallResponse {
+    /// Whether the call was taken; one that was not did not begin.
+    #[prost(bool, tag = "1")]
+    pub(crate) taken: bool,
+    /// Whether the call came to its end.
+    #[prost(bool, tag = "2")]
+    pub(crate) finished: bool,
+    #[prost(bytes = "vec", tag = "3")]
+    pub(crate) bytes: Vec<u8>,
+}
+
+/// A request over a stream.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Request {
+    #[prost(message, optional, tag = "1")]
+    pub(crate) header: Option<Header>,
+    #[prost(oneof = "request::Body", tags = "2, 3, 4")]
+    pub(crate) body: Option<request::Body>,
+}
+
+/// What a request asks for.
+pub(crate) mod request {
+    /// The purpose.
+    #[derive(Clone, PartialEq, prost::Oneof)]
+    pub(crate) enum Body {
+        #[prost(message, tag = "2")]
+        Synchronise(super::Snapshot),
+        #[prost(message, tag = "3")]
+        Fetch(super::FetchRequest),
+        #[prost(message, tag = "4")]
+        Call(super::CallRequest),
+    }
+}
+
+/// The answer to a request.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Response {
+    #[prost(message, optional, tag = "1")]
+    pub(crate) header: Option<Header>,
+    #[prost(oneof = "response::Body", tags = "2, 3, 4")]
+    pub(crate) body: Option<response::Body>,
+}
+
+/// What a response holds.
+pub(crate) mod response {
+    /// The content.
+    #[derive(Clone, PartialEq, prost::Oneof)]
+    pub(crate) enum Body {
+        #[prost(message, tag = "2")]
+        Synchronise(super::Snapshot),
+        #[prost(message, tag = "3")]
+        Document(super::Document),
+        #[prost(message, tag = "4")]
+        Call(super::CallResponse),
+    }
+}
--- /dev/null
+++ b/crates/foxtide-mesh/tests/mesh/main.rs
@@ -0,0 +1,6 @@
+//! Scenarios with several instances of the mesh in one process.
+
+mod calls;
+mod fleet;
+mod membership;
+mod spreading;
--- /dev/null
+++ b/crates/foxtide-mesh/tests/mesh/membership.rs
@@ -0,0 +1,115 @@
+//! Instances that join, leave, die and lose each other.
+
+use crate::fleet::{addresses, all_see, start, start_fleet, state_of, wait_until};
+use foxtide_core::membership::MemberState;
+use foxtide_mesh::{Faults, Synchronisation};
+use std::net::SocketAddr;
+
+#[test]
+fn verify_a_killed_instance_leaves_everywhere() {
+    let mut fleet = start_fleet(8, &Faults::default());
+    let killed = fleet.remove(3);
+    killed.stop();
+    wait_until("the killed one is gone", || all_see(&fleet, &fleet));
+}
+
+#[test]
+fn verify_two_killed_at_once_leave_everywhere() {
+    let mut fleet = start_fleet(8, &Faults::default());
+    // Both of one zone, so that none of their zone is left to probe them.
+    let killed = [fleet.remove(6), fleet.remove(0)];
+    for handle in &killed {
+        assert_eq!(handle.own().availability_zone.as_str(), "khomas-a");
+        handle.stop();
+    }
+    wait_until("both are gone", || all_see(&fleet, &fleet));
+}
+
+#[test]
+fn verify_a_leaving_instance_is_no_longer_used() {
+    let fleet = start_fleet(7, &Faults::default());
+    fleet[2].leave();
+    wait_until("all know that it leaves", || {
+        let states = fleet.iter().map(|handle| state_of(handle, &fleet[2]));
+        states
+            .into_iter()
+            .all(|state| state == Some(MemberState::Leaving))
+    });
+    assert!(!fleet[2].is_watcher());
+    fleet[2].stop();
+    wait_until("it is gone", || {
+        state_of(&fleet[0], &fleet[2]) == Some(MemberState::Dead)
+    });
+}
+
+#[test]
+fn verify_a_restarted_instance_takes_its_place() {
+    let faults = Faults::default();
+    let mut fleet = start_fleet(6, &faults);
+    let seeds = addresses(&fleet);
+    fleet.remove(4).stop();
+    let again = start(4, &seeds, &faults);
+    let address = again.peer_address();
+    fleet.push(again);
+    wait_until("all know the new address", || {
+        all_see(&fleet, &fleet)
+            && fleet.iter().all(|handle| {
+                let member = handle.member(&"i4".parse().unwrap()).unwrap();
+                member.peer_address == address
+            })
+    });
+}
+
+#[test]
+fn verify_a_fleet_joins_through_a_list_of_mostly_dead_seeds() {
+    let faults = Faults::default();
+    let first = start(0, &[], &faults);
+    let mut seeds: Vec<SocketAddr> = (1..20)
+        .map(|port| SocketAddr::from(([127, 0, 0, 1], port)))
+        .collect();
+    seeds.push(first.peer_address());
+    let second = start(1, &seeds, &faults);
+    wait_until("it joined", || second.synchronised());
+    assert_eq!(second.synchronisation(), Synchronisation::WithPeers(1));
+    let fleet = [first, second];
+    wait_until("both know both", || all_see(&fleet, &fleet));
+}
+
+#[test]
+fn verify_fleets_that_started_apart_find_each_other_by_later_hints() {
+    let faults = Faults::default();
+    let fleet = [start(0, &[], &faults), start(1, &[], &faults)];
+    wait_until("each is alone", || {
+        let mut states = fleet.iter().map(|handle| handle.synchronisation());
+        states.all(|state| state == Synchronisation::Alone)
+    });
+    fleet[0].add_seeds(&[fleet[1].peer_address()]);
+    wait_until("both know both", || all_see(&fleet, &fleet));
+}
+
+#[test]
+fn verify_a_healed_partition_leaves_all_alive() {
+    let faults = Faults::default();
+    let fleet = start_fleet(9, &faults);
+    let (cut, rest): (Vec<_>, Vec<_>) = fleet
+        .iter()
+        .cloned()
+        .partition(|handle| handle.own().region.as_str() == "khomas");
+    faults.partition(&[addresses(&cut), addresses(&rest)]);
+    wait_until("each side is by itself", || {
+        all_see(&cut, &cut) && all_see(&rest, &rest)
+    });
+    faults.heal();
+    wait_until("all know all again", || all_see(&fleet, &fleet));
+}
+
+#[test]
+fn verify_lost_packets_kill_nobody() {
+    let faults = Faults::default();
+    let fleet = start_fleet(8, &faults);
+    faults.lose(0.2);
+    let probes = |count: u64| fleet.iter().all(|handle| handle.counts().probes >= count);
+    wait_until("each probed 40 times", || probes(40));
+    faults.heal();
+    wait_until("all know all", || all_see(&fleet, &fleet));
+}
