--- a/crates/foxtide-config/src/change/accept.rs
+++ b/crates/foxtide-config/src/change/accept.rs
@@ -1,7 +1,7 @@
 //! The compare-and-swap of a change, and settling one whose answer was lost.
 
 use super::codec::{ORGANISATION_PREFIX, decode, encode, key_of};
-use super::diff::{contested, diff};
+use super::diff::{Difference, contested, diff};
 use super::error::{ChangeError, Conflict};
 use foxtide_core::ids::{ChangeId, OrganisationId};
 use foxtide_core::organisation::{ChangeSummary, HISTORY_MAX, Organisation};
@@ -109,6 +109,7 @@
 impl Attempt {
     fn new(request: ChangeRequest) -> Result<Self, ChangeError> {
         let document = stamped(&request)?;
+        crate::validate::check(&document)?;
         let value = encode(&document)?;
         Ok(Self {
             key: key_of(&document.organisation),
@@ -196,7 +197,7 @@
 
     fn conflict(&self, current: &Organisation) -> Conflict {
         let base = self.base.as_ref().map(|base| &base.document);
-        let base_value = base.map_or(Value::Null, value_of);
+        let base_value = base.map_or_else(empty, value_of);
         let theirs = diff(&base_value, &value_of(current));
         let ours = diff(&base_value, &value_of(&self.document));
         let latest = current.history.last();
@@ -213,6 +214,17 @@
     }
 }
 
+/// Returns what a document changes, bookkeeping left out.
+pub fn differences(base: Option<&Stored>, document: &Organisation) -> Vec<Difference> {
+    let before = base.map_or_else(empty, |base| value_of(&base.document));
+    diff(&before, &value_of(document))
+}
+
+/// Returns what a new organisation's document is compared with.
+fn empty() -> Value {
+    Value::Object(serde_json::Map::new())
+}
+
 /// Returns a document as a plain value, for comparing.
 pub(crate) fn value_of(document: &Organisation) -> Value {
     serde_json::to_value(document).unwrap_or(Value::Null)
--- a/crates/foxtide-config/src/change/diff.rs
+++ b/crates/foxtide-config/src/change/diff.rs
@@ -39,14 +39,29 @@
 impl fmt::Display for Difference {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match (&self.before, &self.after) {
-            (Some(before), Some(after)) => write!(f, "~ {}: {before} -> {after}", self.path),
-            (None, Some(after)) => write!(f, "+ {}: {after}", self.path),
-            (Some(before), None) => write!(f, "- {}: {before}", self.path),
+            (Some(before), Some(after)) => {
+                let (before, after) = (shortened(before), shortened(after));
+                write!(f, "~ {}: {before} -> {after}", self.path)
+            }
+            (None, Some(after)) => write!(f, "+ {}: {}", self.path, shortened(after)),
+            (Some(before), None) => write!(f, "- {}: {}", self.path, shortened(before)),
             (None, None) => write!(f, "  {}", self.path),
         }
     }
 }
 
+/// The most characters of a value that a line shows.
+const SHOWN_MAX_CHARS: usize = 120;
+
+/// Returns a value's text, or the beginning of it.
+fn shortened(value: &Value) -> String {
+    let text = value.to_string();
+    match text.char_indices().nth(SHOWN_MAX_CHARS) {
+        Some((end, _)) => format!("{}… ({} bytes)", &text[..end], text.len()),
+        None => text,
+    }
+}
+
 /// One part of a path.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Step {
@@ -57,7 +72,7 @@
 }
 
 /// Returns the fields in which two documents differ, bookkeeping left out.
-pub fn diff(before: &Value, after: &Value) -> Vec<Difference> {
+pub(crate) fn diff(before: &Value, after: &Value) -> Vec<Difference> {
     let mut found = Vec::new();
     let mut steps = Vec::new();
     compare(Some(before), Some(after), &mut steps, &mut found);
@@ -175,7 +190,11 @@
 
 /// Returns the document that holds both changes, if no field is changed by
 /// both.
-pub fn rebase(ours: &[Difference], theirs: &[Difference], accepted: &Value) -> Option<Value> {
+pub(crate) fn rebase(
+    ours: &[Difference],
+    theirs: &[Difference],
+    accepted: &Value,
+) -> Option<Value> {
     if !contested(ours, theirs).is_empty() {
         return None;
     }
--- /dev/null
+++ b/crates/foxtide-config/src/change/rebase.rs
@@ -0,0 +1,55 @@
+//! Applying a change on top of one that came first.
+
+use super::accept::{Accepted, ChangeRequest, accept, load, value_of};
+use super::diff::{Difference, diff, rebase};
+use super::error::ChangeError;
+use crate::document;
+use foxtide_core::organisation::Organisation;
+use foxtide_core::store::Store;
+
+/// How often a change is applied anew before its conflict is reported.
+const TRIES: u32 = 5;
+
+/// Has a change accepted, applying it on top of changes that came first as
+/// long as no field is changed by both.
+///
+/// The merged document is checked as any other before it is written.
+///
+/// # Errors
+///
+/// Fails as [`accept`] does.
+pub async fn accept_rebased<S: Store>(
+    store: &S,
+    request: ChangeRequest,
+) -> Result<Accepted, ChangeError> {
+    let mut request = request;
+    for _ in 1..TRIES {
+        let conflict = match accept(store, request.clone()).await {
+            Err(ChangeError::Conflict(conflict)) => conflict,
+            other => return other,
+        };
+        let current = load(store, &request.document.organisation).await?;
+        let merged = current
+            .as_ref()
+            .and_then(|current| merge(&conflict.ours, &request, &current.document));
+        let Some(document) = merged else {
+            return Err(ChangeError::Conflict(conflict));
+        };
+        request.base = current;
+        request.document = document;
+    }
+    accept(store, request).await
+}
+
+/// Returns the current document with the change applied, if that can be.
+fn merge(
+    ours: &[Difference],
+    request: &ChangeRequest,
+    current: &Organisation,
+) -> Option<Organisation> {
+    let base = value_of(&request.base.as_ref()?.document);
+    let current = value_of(current);
+    let theirs = diff(&base, &current);
+    let merged = rebase(ours, &theirs, &current)?;
+    document::typed("merged document", merged).ok()
+}
--- a/crates/foxtide-config/src/lib.rs
+++ b/crates/foxtide-config/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod settings;
 pub mod store;
 pub mod template;
+mod validate;
 pub mod watch;
 
 pub use backoff::{Backoff, BackoffOptions};
--- /dev/null
+++ b/crates/foxtide-config/src/validate/mod.rs
@@ -0,0 +1,100 @@
+//! What a document must fulfil before it is written.
+//!
+//! The types refuse what no document may hold. Here stand the rules between
+//! fields: names are unique and refer to something, homes sum to one, links
+//! join them, moves keep the shift cap, and a drain leaves something to serve.
+
+mod contracts;
+mod drains;
+mod moves;
+mod places;
+mod upstreams;
+
+use crate::change::key_of;
+use crate::{Error, Result};
+use foxtide_core::organisation::{Organisation, SCHEMA_VERSION};
+use std::collections::BTreeSet;
+use std::fmt::Display;
+
+/// Checks a whole document.
+///
+/// # Errors
+///
+/// Fails with the path of the first field that breaks a rule, and with what
+/// would be valid.
+pub fn check(document: &Organisation) -> Result<()> {
+    let check = Check {
+        document,
+        file: key_of(&document.organisation),
+    };
+    check.schema()?;
+    check.places()?;
+    check.services()?;
+    check.upstreams()?;
+    check.moves()?;
+    check.drains()
+}
+
+/// The checks of one document.
+struct Check<'a> {
+    document: &'a Organisation,
+    file: String,
+}
+
+impl Check<'_> {
+    fn schema(&self) -> Result<()> {
+        let version = self.document.schema_version;
+        if version != SCHEMA_VERSION {
+            return self.fail("schema_version", version, SCHEMA_VERSION);
+        }
+        Ok(())
+    }
+
+    /// Returns the error for a field that breaks a rule.
+    fn fail<T>(
+        &self,
+        field: impl Display,
+        problem: impl Display,
+        expected: impl Display,
+    ) -> Result<T> {
+        Err(Error::field(&self.file, field, problem, expected))
+    }
+
+    /// Fails at the first name that stands twice.
+    fn unique<T: Ord + Display>(
+        &self,
+        field: impl Display,
+        names: impl IntoIterator<Item = T>,
+    ) -> Result<()> {
+        let mut seen = BTreeSet::new();
+        for name in names {
+            if seen.contains(&name) {
+                let problem = format!("`{name}` stands twice");
+                return self.fail(field, problem, "each once");
+            }
+            seen.insert(name);
+        }
+        Ok(())
+    }
+
+    /// Fails where a value is outside of its range.
+    fn range<T: PartialOrd + Display>(
+        &self,
+        field: impl Display,
+        value: T,
+        least: T,
+        most: T,
+    ) -> Result<()> {
+        if value < least || value > most {
+            return self.fail(field, value, format!("from {least} to {most}"));
+        }
+        Ok(())
+    }
+
+    /// Returns the names of the regions, for errors.
+    fn known_regions(&self) -> String {
+        let regions = self.document.regions.iter();
+        let names: Vec<&str> = regions.map(|region| region.region.as_str()).collect();
+        names.join(", ")
+    }
+}
--- /dev/null
+++ b/crates/foxtide-config/src/validate/moves.rs
@@ -0,0 +1,107 @@
+//! Rules on planned moves.
+
+use super::Check;
+use crate::Result;
+use foxtide_core::ids::RegionId;
+use foxtide_core::organisation::{PlannedMove, Service};
+use foxtide_core::time::WallTime;
+use std::time::Duration;
+
+/// How far a sum of paces may exceed the cap by rounding.
+const PACE_TOLERANCE: f64 = 1e-9;
+
+impl Check<'_> {
+    /// Checks the moves.
+    pub(super) fn moves(&self) -> Result<()> {
+        let moves = &self.document.moves;
+        self.unique("moves", moves.iter().map(|one| &one.id))?;
+        moves.iter().try_for_each(|one| self.planned_move(one))
+    }
+
+    fn planned_move(&self, movement: &PlannedMove) -> Result<()> {
+        let path = format!("moves[{}]", movement.id);
+        let Some(service) = self.document.service(&movement.service) else {
+            let problem = format!("there is no service `{}`", movement.service);
+            let field = format!("{path}.service");
+            return self.fail(field, problem, "a service of the organisation");
+        };
+        self.ends(&path, movement, service)?;
+        if movement.share.get() <= 0.0 {
+            let expected = "a share above 0, at most 1";
+            return self.fail(format!("{path}.share"), movement.share, expected);
+        }
+        self.pace(&path, movement, service)?;
+        self.moved_share(&path, movement)
+    }
+
+    /// Both ends must be homes: nowhere else was the service promised.
+    fn ends(&self, path: &str, movement: &PlannedMove, service: &Service) -> Result<()> {
+        let homes = &service.contract.homes;
+        for (end, region) in [("from", &movement.from), ("to", &movement.to)] {
+            let field = format!("{path}.{end}");
+            self.known_region(&field, region)?;
+            if !homes.iter().any(|home| home.region == *region) {
+                let known: Vec<&str> = homes.iter().map(|home| home.region.as_str()).collect();
+                let problem = format!("`{region}` is no home of `{}`", service.service);
+                return self.fail(field, problem, known.join(", "));
+            }
+        }
+        if movement.from == movement.to {
+            let problem = "gives and takes in the same region";
+            return self.fail(format!("{path}.to"), problem, "another home");
+        }
+        self.joined(format!("{path}.to"), &movement.from, &movement.to)
+    }
+
+    /// All moves that change a region's share at the same time must keep the
+    /// cap together.
+    fn pace(&self, path: &str, movement: &PlannedMove, service: &Service) -> Result<()> {
+        let cap = service.contract.shift_cap_share_per_s;
+        let moves = self.document.moves.iter();
+        let together =
+            moves.filter(|other| same_region(movement, other) && overlap(movement, other));
+        let paces: Vec<f64> = together.map(|one| one.pace_share_per_s.get()).collect();
+        let sum: f64 = paces.iter().sum();
+        if sum <= cap.get() + PACE_TOLERANCE {
+            return Ok(());
+        }
+        let problem = match paces.len() {
+            1 => movement.pace_share_per_s.to_string(),
+            count => format!("{sum}/s together with {} other move(s)", count - 1),
+        };
+        let expected = format!("at most the shift cap of {cap}");
+        self.fail(format!("{path}.pace_share_per_s"), problem, expected)
+    }
+
+    /// A region cannot give more than it has.
+    fn moved_share(&self, path: &str, movement: &PlannedMove) -> Result<()> {
+        let moves = self.document.moves.iter();
+        let given =
+            moves.filter(|one| one.service == movement.service && one.from == movement.from);
+        let sum: f64 = given.map(|one| one.share.get()).sum();
+        if sum > 1.0 + PACE_TOLERANCE {
+            let problem = format!("all moves from `{}` sum to {sum}", movement.from);
+            return self.fail(format!("{path}.share"), problem, "at most 1 in all");
+        }
+        Ok(())
+    }
+}
+
+/// Tells whether two moves change the share of the same region.
+fn same_region(one: &PlannedMove, other: &PlannedMove) -> bool {
+    let touches = |region: &RegionId| other.from == *region || other.to == *region;
+    one.service == other.service && (touches(&one.from) || touches(&one.to))
+}
+
+/// Tells whether two moves are under way at the same time.
+fn overlap(one: &PlannedMove, other: &PlannedMove) -> bool {
+    one.id == other.id || (one.start_us < end(other) && other.start_us < end(one))
+}
+
+/// Returns when a move stands still: at its pause, or when all has moved.
+fn end(movement: &PlannedMove) -> WallTime {
+    let length_s = movement.share.get() / movement.pace_share_per_s.get();
+    let length = Duration::try_from_secs_f64(length_s).unwrap_or(Duration::MAX);
+    let whole = movement.start_us + length;
+    movement.paused_us.map_or(whole, |paused| paused.min(whole))
+}
--- /dev/null
+++ b/crates/foxtidectl/src/admin.rs
@@ -0,0 +1,138 @@
+//! Questions to the instances' admin listeners.
+
+use crate::failure::Failure;
+use futures_lite::FutureExt;
+use futures_lite::stream::{self, StreamExt};
+use http_types::headers::CONTENT_LENGTH;
+use http_types::{Method, Request, Url};
+use serde_json::Value;
+use smol::Timer;
+use smol::net::TcpStream;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How long an instance may take to answer.
+const TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Where the instances that an instance knows are told.
+const INSTANCES_PAGE: &str = "/v1/instances";
+
+/// The field of an instance that holds its admin address.
+const ADMIN_FIELD: &str = "admin_address";
+
+/// What the instances answered.
+#[derive(Debug)]
+pub(crate) struct Answers {
+    /// The answers, with who gave them.
+    pub(crate) pages: Vec<(SocketAddr, Value)>,
+    /// Why others gave none.
+    pub(crate) silent: Vec<String>,
+}
+
+/// Asks one instance after the other until one answers.
+///
+/// # Errors
+///
+/// Fails where none is given or none answers.
+pub(crate) async fn ask_any(addresses: &[SocketAddr], page: &str) -> Result<Value, Failure> {
+    let mut problems = Vec::new();
+    for address in addresses {
+        match get(*address, page).await {
+            Ok(value) => return Ok(value),
+            Err(problem) => problems.push(problem),
+        }
+    }
+    Err(nobody(&problems))
+}
+
+/// Asks all instances at the same time.
+///
+/// # Errors
+///
+/// Fails where none answers.
+pub(crate) async fn ask_all(addresses: &[SocketAddr], page: &str) -> Result<Answers, Failure> {
+    let mut answers = Answers {
+        pages: Vec::new(),
+        silent: Vec::new(),
+    };
+    let tasks: Vec<_> = addresses
+        .iter()
+        .map(|address| {
+            let (address, page) = (*address, page.to_owned());
+            smol::spawn(async move { (address, get(address, &page).await) })
+        })
+        .collect();
+    let mut results = stream::iter(tasks).then(|task| task).boxed();
+    while let Some((address, result)) = results.next().await {
+        match result {
+            Ok(value) => answers.pages.push((address, value)),
+            Err(problem) => answers.silent.push(problem),
+        }
+    }
+    if answers.pages.is_empty() {
+        return Err(nobody(&answers.silent));
+    }
+    Ok(answers)
+}
+
+/// Returns the admin addresses of all instances: those given, and those that
+/// the first to answer knows of.
+///
+/// # Errors
+///
+/// Fails where none answers.
+pub(crate) async fn all_addresses(given: &[SocketAddr]) -> Result<Vec<SocketAddr>, Failure> {
+    let instances = ask_any(given, INSTANCES_PAGE).await?;
+    let listed = instances.as_array().into_iter().flatten();
+    let known = listed.filter_map(|one| one.get(ADMIN_FIELD)?.as_str()?.parse().ok());
+    let mut addresses: BTreeSet<SocketAddr> = known.collect();
+    addresses.extend(given);
+    Ok(addresses.into_iter().collect())
+}
+
+fn nobody(problems: &[String]) -> Failure {
+    if problems.is_empty() {
+        return Failure::no_instance(
+            "no instance is named",
+            "name one with --admin ADDRESS before the command",
+        );
+    }
+    Failure::no_instance(
+        problems.join("\n"),
+        "check --admin, and that an instance is running there",
+    )
+}
+
+/// Gets a page of one instance as JSON.
+async fn get(address: SocketAddr, page: &str) -> Result<Value, String> {
+    let expired = async {
+        Timer::after(TIMEOUT).await;
+        Err(format!("no answer within {} s", TIMEOUT.as_secs()))
+    };
+    let result = exchange(address, page).or(expired).await;
+    result.map_err(|cause| format!("instance {address}, {page}: {cause}"))
+}
+
+async fn exchange(address: SocketAddr, page: &str) -> Result<Value, String> {
+    let url = Url::parse(&format!("http://{address}{page}")).map_err(text)?;
+    let mut request = Request::new(Method::Get, url);
+    request.insert_header("connection", "close");
+    let stream = TcpStream::connect(address).await.map_err(text)?;
+    let mut response = async_h1::connect(stream, request).await.map_err(text)?;
+    let stated_bytes = response
+        .header(CONTENT_LENGTH)
+        .and_then(|values| values.as_str().parse::<usize>().ok());
+    let body = response.body_bytes().await.map_err(text)?;
+    if stated_bytes.is_some_and(|stated| stated != body.len()) {
+        return Err(format!("answer cut off after {} bytes", body.len()));
+    }
+    if !response.status().is_success() {
+        return Err(format!("status {}", response.status()));
+    }
+    serde_json::from_slice(&body).map_err(text)
+}
+
+fn text(error: impl std::fmt::Display) -> String {
+    error.to_string()
+}
--- /dev/null
+++ b/crates/foxtidectl/src/arguments.rs
@@ -0,0 +1,155 @@
+//! The command line's form.
+
+use crate::ExitStatus;
+use crate::commands::check::Check;
+use crate::commands::drain::DrainCommand;
+use crate::commands::explain::ExplainCommand;
+use crate::commands::instances::Instances;
+use crate::commands::movement::MoveCommand;
+use crate::commands::organisation::OrganisationCommand;
+use crate::commands::promises::Promises;
+use crate::commands::template::TemplateCommand;
+use crate::commands::timeline::TimeLine;
+use argh::FromArgs;
+use foxtide_core::units::Revision;
+use std::io::Write;
+use std::net::SocketAddr;
+
+/// The options that stand before the command.
+#[derive(Clone, Debug)]
+pub(crate) struct Options {
+    /// The store's address.
+    pub(crate) store: SocketAddr,
+    /// The admin addresses of instances to ask.
+    pub(crate) admin: Vec<SocketAddr>,
+    /// Whether results are printed as JSON.
+    pub(crate) json: bool,
+    /// Whether a change is written, not only shown.
+    pub(crate) yes: bool,
+    /// Whether a change may be applied on top of one that came first.
+    pub(crate) rebase: bool,
+    /// The revision that the operator has seen.
+    pub(crate) revision: Option<Revision>,
+    /// Who makes the change.
+    pub(crate) author: String,
+}
+
+/// The command line taken apart.
+#[derive(Debug)]
+pub(crate) struct Arguments {
+    /// The options.
+    pub(crate) options: Options,
+    /// The command.
+    pub(crate) command: Command,
+}
+
+/// Operates foxtide: organisations, drains, moves, and what the instances do.
+///
+/// Exit status: 0 done, 1 refused or invalid, 2 usage, 3 conflict, 4 unsettled
+/// (run it again), 5 store unreachable, 6 no instance answered.
+#[derive(Debug, FromArgs)]
+struct CommandLine {
+    /// the store's address, default 127.0.0.1:8500
+    #[argh(option, default = "default_store()")]
+    store: SocketAddr,
+    /// the admin address of an instance; can be given several times
+    #[argh(option)]
+    admin: Vec<SocketAddr>,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+    /// write the change; without it the change is only shown
+    #[argh(switch)]
+    yes: bool,
+    /// apply the change on top of one that came first, if no field is changed
+    /// by both
+    #[argh(switch)]
+    rebase: bool,
+    /// refuse the change unless this revision, such as r7, is in force
+    #[argh(option)]
+    revision: Option<Revision>,
+    /// who makes the change, default $USER
+    #[argh(option, default = "default_author()")]
+    author: String,
+    #[argh(subcommand)]
+    command: Command,
+}
+
+/// The commands.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum Command {
+    /// Works on organisations.
+    Organisation(OrganisationCommand),
+    /// Works on drains.
+    Drain(DrainCommand),
+    /// Works on moves.
+    Move(MoveCommand),
+    /// Shows templates.
+    Template(TemplateCommand),
+    /// Checks a file.
+    Check(Check),
+    /// Shows the instances.
+    Instances(Instances),
+    /// Shows the promises.
+    Promises(Promises),
+    /// Explains decisions.
+    Explain(ExplainCommand),
+    /// Shows the time line.
+    TimeLine(TimeLine),
+}
+
+fn default_store() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 8_500))
+}
+
+fn default_author() -> String {
+    std::env::var("USER").unwrap_or_else(|_| "unknown".to_owned())
+}
+
+/// Help that was asked for, or that a wrong command line calls for.
+#[derive(Debug)]
+pub(crate) struct Help {
+    text: String,
+    asked_for: bool,
+}
+
+impl Help {
+    /// Prints the help and returns the exit status.
+    pub(crate) fn print(&self, output: &mut dyn Write, errors: &mut dyn Write) -> ExitStatus {
+        // Help that cannot be written leaves only the exit status.
+        if self.asked_for {
+            let _ = writeln!(output, "{}", self.text.trim_end());
+            return ExitStatus::Done;
+        }
+        let _ = writeln!(errors, "error: {}", self.text.trim_end());
+        let _ = writeln!(errors, "next: see `foxtidectl --help`; nothing was changed");
+        ExitStatus::Usage
+    }
+}
+
+/// Takes the command line apart.
+///
+/// # Errors
+///
+/// Returns the help to print instead.
+pub(crate) fn parse(name: &str, arguments: &[String]) -> Result<Arguments, Help> {
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    let line = CommandLine::from_args(&[name], &arguments).map_err(|exit| Help {
+        text: exit.output,
+        asked_for: exit.status.is_ok(),
+    })?;
+    let options = Options {
+        store: line.store,
+        admin: line.admin,
+        json: line.json,
+        yes: line.yes,
+        rebase: line.rebase,
+        revision: line.revision,
+        author: line.author,
+    };
+    Ok(Arguments {
+        options,
+        command: line.command,
+    })
+}
--- /dev/null
+++ b/crates/foxtidectl/src/commands/drain/start.rs
@@ -0,0 +1,116 @@
+//! `foxtidectl drain start`.
+
+use super::in_words;
+use crate::failure::Failure;
+use crate::report::Report;
+use crate::session::Session;
+use crate::write::{self, Edit};
+use argh::FromArgs;
+use foxtide_core::ids::DrainId;
+use foxtide_core::organisation::{Drain, DrainTarget, Organisation};
+use std::time::Duration;
+
+/// Announce that an upstream, an instance, an availability zone or a region
+/// leaves
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "start")]
+pub(super) struct Start {
+    /// the organisation's name
+    #[argh(positional)]
+    organisation: String,
+    /// an upstream, SERVICE/UPSTREAM
+    #[argh(option)]
+    upstream: Option<String>,
+    /// an instance
+    #[argh(option)]
+    instance: Option<String>,
+    /// an availability zone
+    #[argh(option)]
+    availability_zone: Option<String>,
+    /// a region
+    #[argh(option)]
+    region: Option<String>,
+    /// start it in this many seconds, default 0
+    #[argh(option, default = "0")]
+    in_s: u32,
+}
+
+impl Start {
+    /// Adds the drain to the document.
+    pub(super) async fn run(self, session: &Session) -> Result<Report, Failure> {
+        let target = self.target()?;
+        let base = session.load(&self.organisation).await?;
+        let document = self.announced(session, &base.document, &target)?;
+        let edit = Edit {
+            base: Some(base),
+            document,
+            summary: format!("drain {}", in_words(&target)),
+        };
+        write::apply(session, edit).await
+    }
+
+    fn target(&self) -> Result<DrainTarget, Failure> {
+        let zone = self.availability_zone.as_deref();
+        let region = self.region.as_deref();
+        match (
+            self.upstream.as_deref(),
+            self.instance.as_deref(),
+            zone,
+            region,
+        ) {
+            (Some(text), None, None, None) => upstream(text),
+            (None, Some(name), None, None) => Ok(DrainTarget::Instance(name.parse()?)),
+            (None, None, Some(name), None) => Ok(DrainTarget::AvailabilityZone(name.parse()?)),
+            (None, None, None, Some(name)) => Ok(DrainTarget::Region(name.parse()?)),
+            _ => Err(Failure::refused(
+                "a drain has exactly one target",
+                "give one of --upstream, --instance, --availability-zone and --region",
+            )),
+        }
+    }
+
+    /// Returns the document with the drain; the same document where the target
+    /// is being drained already, so that the command can be run again.
+    fn announced(
+        &self,
+        session: &Session,
+        document: &Organisation,
+        target: &DrainTarget,
+    ) -> Result<Organisation, Failure> {
+        let mut changed = document.clone();
+        if document.drains.iter().any(|drain| drain.target == *target) {
+            return Ok(changed);
+        }
+        changed.drains.push(Drain {
+            id: id_of(target)?,
+            target: target.clone(),
+            start_us: session.now() + Duration::from_secs(self.in_s.into()),
+        });
+        Ok(changed)
+    }
+}
+
+fn upstream(text: &str) -> Result<DrainTarget, Failure> {
+    let Some((service, upstream)) = text.split_once('/') else {
+        let problem = format!("--upstream: `{text}` names no service");
+        return Err(Failure::refused(
+            problem,
+            "write it as --upstream SERVICE/UPSTREAM",
+        ));
+    };
+    Ok(DrainTarget::Upstream {
+        service: service.parse()?,
+        upstream: upstream.parse()?,
+    })
+}
+
+/// Returns the drain's name: the same for the same target.
+fn id_of(target: &DrainTarget) -> Result<DrainId, Failure> {
+    let name = match target {
+        DrainTarget::Upstream { service, upstream } => format!("{service}-{upstream}"),
+        DrainTarget::AvailabilityZone(zone) => format!("zone-{zone}"),
+        DrainTarget::Region(region) => format!("region-{region}"),
+        DrainTarget::Instance(instance) => format!("instance-{instance}"),
+    };
+    Ok(name.parse()?)
+}
--- /dev/null
+++ b/crates/foxtidectl/src/commands/drain/stop.rs
@@ -0,0 +1,37 @@
+//! `foxtidectl drain stop`.
+
+use crate::failure::Failure;
+use crate::report::Report;
+use crate::session::Session;
+use crate::write::{self, Edit};
+use argh::FromArgs;
+
+/// Take a drain back: what left takes new work again
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "stop")]
+pub(super) struct Stop {
+    /// the organisation's name
+    #[argh(positional)]
+    organisation: String,
+    /// the drain's name, as `drain status` shows it
+    #[argh(positional)]
+    drain: String,
+}
+
+impl Stop {
+    /// Removes the drain; one that is gone already is no error, so that the
+    /// command can be run again.
+    pub(super) async fn run(self, session: &Session) -> Result<Report, Failure> {
+        let base = session.load(&self.organisation).await?;
+        let mut document = base.document.clone();
+        document
+            .drains
+            .retain(|drain| drain.id.as_str() != self.drain);
+        let edit = Edit {
+            base: Some(base),
+            document,
+            summary: format!("stop drain {}", self.drain),
+        };
+        write::apply(session, edit).await
+    }
+}
--- /dev/null
+++ b/crates/foxtidectl/src/commands/explain/mod.rs
@@ -0,0 +1,35 @@
+//! `foxtidectl explain …`: why a look-up or a request went where it did.
+
+mod decisions;
+mod lookup;
+mod request;
+
+use crate::failure::Failure;
+use crate::report::Report;
+use crate::session::Session;
+use argh::FromArgs;
+
+/// Explain why look-ups and requests went where they did
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub(crate) struct ExplainCommand {
+    #[argh(subcommand)]
+    action: Action,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Action {
+    Lookup(lookup::Lookup),
+    Request(request::Request),
+}
+
+impl ExplainCommand {
+    /// Runs the command.
+    pub(crate) async fn run(self, session: &Session) -> Result<Report, Failure> {
+        match self.action {
+            Action::Lookup(command) => command.run(session).await,
+            Action::Request(command) => command.run(session).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxtidectl/src/commands/mod.rs
@@ -0,0 +1,11 @@
+//! The commands, one module each.
+
+pub(crate) mod check;
+pub(crate) mod drain;
+pub(crate) mod explain;
+pub(crate) mod instances;
+pub(crate) mod movement;
+pub(crate) mod organisation;
+pub(crate) mod promises;
+pub(crate) mod template;
+pub(crate) mod timeline;
--- /dev/null
+++ b/crates/foxtidectl/src/commands/movement/pause.rs
@@ -0,0 +1,50 @@
+//! `foxtidectl move pause`.
+
+use crate::failure::Failure;
+use crate::report::Report;
+use crate::session::Session;
+use crate::write::{self, Edit};
+use argh::FromArgs;
+use foxtide_core::organisation::{Organisation, PlannedMove};
+
+/// Hold a move where it is
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "pause")]
+pub(super) struct Pause {
+    /// the organisation's name
+    #[argh(positional)]
+    organisation: String,
+    /// the move's name, as `move status` shows it
+    #[argh(positional)]
+    movement: String,
+}
+
+impl Pause {
+    /// Sets the time of the pause; a move that is paused stays as it is.
+    pub(super) async fn run(self, session: &Session) -> Result<Report, Failure> {
+        let base = session.load(&self.organisation).await?;
+        let mut document = base.document.clone();
+        let movement = find(&mut document, &self.movement)?;
+        movement.paused_us = movement.paused_us.or(Some(session.now()));
+        let edit = Edit {
+            base: Some(base),
+            document,
+            summary: format!("pause move {}", self.movement),
+        };
+        write::apply(session, edit).await
+    }
+}
+
+/// Returns the move of this name.
+pub(super) fn find<'a>(
+    document: &'a mut Organisation,
+    name: &str,
+) -> Result<&'a mut PlannedMove, Failure> {
+    let mut moves = document.moves.iter_mut();
+    moves
+        .find(|known| known.id.as_str() == name)
+        .ok_or_else(|| {
+            let problem = format!("there is no move `{name}`");
+            Failure::refused(problem, "see `foxtidectl move status`")
+        })
+}
--- /dev/null
+++ b/crates/foxtidectl/src/commands/movement/plan.rs
@@ -0,0 +1,87 @@
+//! `foxtidectl move plan`.
+
+use super::forecast;
+use super::start::{MoveArguments, planned};
+use crate::failure::Failure;
+use crate::report::{Report, Table};
+use crate::session::Session;
+use argh::FromArgs;
+use foxtide_config::change;
+use foxtide_core::organisation::{Organisation, PlannedMove};
+use serde_json::json;
+use std::time::Duration;
+
+/// How many points of time a plan shows.
+const POINTS: u32 = 5;
+
+/// Show what a move would do; writes nothing
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "plan")]
+pub(super) struct Plan {
+    /// the organisation's name
+    #[argh(positional)]
+    organisation: String,
+    /// the service whose traffic moves
+    #[argh(option)]
+    service: String,
+    /// the region that gives
+    #[argh(option)]
+    from: String,
+    /// the region that takes
+    #[argh(option)]
+    to: String,
+    /// the part of the giving region's traffic that moves in the end
+    #[argh(option)]
+    share: String,
+    /// how fast, such as 0.01/s; default the contract's shift cap
+    #[argh(option)]
+    pace: Option<String>,
+}
+
+impl Plan {
+    /// Checks the move against the document in force and shows its course.
+    pub(super) async fn run(self, session: &Session) -> Result<Report, Failure> {
+        let base = session.load(&self.organisation).await?;
+        let arguments = MoveArguments {
+            service: self.service,
+            from: self.from,
+            to: self.to,
+            share: self.share,
+            pace: self.pace,
+            start_in: Duration::ZERO,
+        };
+        let movement = planned(session, &base.document, &arguments)?;
+        let mut document = base.document;
+        document.moves.push(movement.clone());
+        change::check(&document)?;
+        Ok(course(&document, &movement))
+    }
+}
+
+fn course(document: &Organisation, movement: &PlannedMove) -> Report {
+    let whole = forecast::duration(movement);
+    let mut table = Table::new(["after", "moved share"]);
+    for point in 0..=POINTS {
+        let after = whole * point / POINTS;
+        let moved = forecast::position(movement, movement.start_us + after);
+        table.row([
+            format!("{:.0} s", after.as_secs_f64()),
+            format!("{moved:.3}"),
+        ]);
+    }
+    let text = format!(
+        "{}: {} of {}'s traffic of {} to {}, {:.0} s at {}; accepted by all checks\n{}",
+        document.organisation,
+        movement.share,
+        movement.from,
+        movement.service,
+        movement.to,
+        whole.as_secs_f64(),
+        movement.pace_share_per_s,
+        table.text()
+    );
+    Report::new(
+        text,
+        json!({"move": movement, "duration_s": whole.as_secs_f64()}),
+    )
+}
--- /dev/null
+++ b/crates/foxtidectl/src/commands/movement/resume.rs
@@ -0,0 +1,49 @@
+//! `foxtidectl move resume`.
+
+use super::pause::find;
+use crate::failure::Failure;
+use crate::report::Report;
+use crate::session::Session;
+use crate::write::{self, Edit};
+use argh::FromArgs;
+use foxtide_core::organisation::PlannedMove;
+use foxtide_core::time::WallTime;
+
+/// Let a paused move go on from where it is
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "resume")]
+pub(super) struct Resume {
+    /// the organisation's name
+    #[argh(positional)]
+    organisation: String,
+    /// the move's name, as `move status` shows it
+    #[argh(positional)]
+    movement: String,
+}
+
+impl Resume {
+    /// Shifts the start by the length of the pause, so that the position goes
+    /// on from where it was.
+    pub(super) async fn run(self, session: &Session) -> Result<Report, Failure> {
+        let base = session.load(&self.organisation).await?;
+        let mut document = base.document.clone();
+        resume(find(&mut document, &self.movement)?, session.now());
+        let edit = Edit {
+            base: Some(base),
+            document,
+            summary: format!("resume move {}", self.movement),
+        };
+        write::apply(session, edit).await
+    }
+}
+
+/// Lets a move go on from the position that it has.
+///
+/// An instance that learns of it late is behind for as long; it follows under
+/// the shift cap.
+fn resume(movement: &mut PlannedMove, now: WallTime) {
+    if let Some(paused) = movement.paused_us.take() {
+        let moved_for = paused.since(movement.start_us);
+        movement.start_us = now.saturating_sub(moved_for);
+    }
+}
--- /dev/null
+++ b/crates/foxtidectl/src/commands/movement/start.rs
@@ -0,0 +1,152 @@
+//! `foxtidectl move start`.
+
+use crate::failure::Failure;
+use crate::report::Report;
+use crate::session::Session;
+use crate::write::{self, Edit};
+use argh::FromArgs;
+use foxtide_core::ids::{MoveId, ServiceId};
+use foxtide_core::organisation::{Organisation, PlannedMove};
+use std::time::Duration;
+
+/// The default time until a move starts: longer than an accepted change takes
+/// to be in force on every instance.
+const START_IN_S: u32 = 20;
+
+/// Start moving a part of a region's traffic to another region
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "start")]
+pub(super) struct Start {
+    /// the organisation's name
+    #[argh(positional)]
+    organisation: String,
+    /// the service whose traffic moves
+    #[argh(option)]
+    service: String,
+    /// the region that gives
+    #[argh(option)]
+    from: String,
+    /// the region that takes
+    #[argh(option)]
+    to: String,
+    /// the part of the giving region's traffic that moves in the end
+    #[argh(option)]
+    share: String,
+    /// how fast, such as 0.01/s; default the contract's shift cap
+    #[argh(option)]
+    pace: Option<String>,
+    /// start it in this many seconds, default 20
+    #[argh(option, default = "START_IN_S")]
+    in_s: u32,
+}
+
+/// A move as the command line describes it.
+#[derive(Debug)]
+pub(super) struct MoveArguments {
+    /// The service.
+    pub(super) service: String,
+    /// The region that gives.
+    pub(super) from: String,
+    /// The region that takes.
+    pub(super) to: String,
+    /// The part that moves.
+    pub(super) share: String,
+    /// How fast.
+    pub(super) pace: Option<String>,
+    /// The time until it starts.
+    pub(super) start_in: Duration,
+}
+
+impl Start {
+    /// Adds the move to the document.
+    pub(super) async fn run(self, session: &Session) -> Result<Report, Failure> {
+        let base = session.load(&self.organisation).await?;
+        let arguments = MoveArguments {
+            service: self.service,
+            from: self.from,
+            to: self.to,
+            share: self.share,
+            pace: self.pace,
+            start_in: Duration::from_secs(self.in_s.into()),
+        };
+        let movement = planned(session, &base.document, &arguments)?;
+        let summary = in_words(&movement);
+        let mut document = base.document.clone();
+        if !is_under_way(&document, &movement)? {
+            document.moves.push(movement);
+        }
+        let edit = Edit {
+            base: Some(base),
+            document,
+            summary,
+        };
+        write::apply(session, edit).await
+    }
+}
+
+/// Returns the move that the arguments describe.
+pub(super) fn planned(
+    session: &Session,
+    document: &Organisation,
+    arguments: &MoveArguments,
+) -> Result<PlannedMove, Failure> {
+    let service: ServiceId = arguments.service.parse()?;
+    let Some(found) = document.service(&service) else {
+        let known = document.services.iter().map(|one| one.service.as_str());
+        let known: Vec<&str> = known.collect();
+        let problem = format!("there is no service `{service}`");
+        return Err(Failure::refused(
+            problem,
+            format!("use one of {}", known.join(", ")),
+        ));
+    };
+    let pace_share_per_s = match &arguments.pace {
+        Some(text) => text.parse()?,
+        None => found.contract.shift_cap_share_per_s,
+    };
+    Ok(PlannedMove {
+        id: id_of(arguments)?,
+        service,
+        from: arguments.from.parse()?,
+        to: arguments.to.parse()?,
+        share: arguments.share.parse()?,
+        pace_share_per_s,
+        start_us: session.now() + arguments.start_in,
+        paused_us: None,
+    })
+}
+
+/// Returns the move's name: the same for the same service and regions.
+fn id_of(arguments: &MoveArguments) -> Result<MoveId, Failure> {
+    let MoveArguments {
+        service, from, to, ..
+    } = arguments;
+    Ok(format!("{service}-{from}-{to}").parse()?)
+}
+
+/// Tells whether the same move is in the document already, so that the command
+/// can be run again.
+fn is_under_way(document: &Organisation, movement: &PlannedMove) -> Result<bool, Failure> {
+    let Some(known) = document.moves.iter().find(|known| known.id == movement.id) else {
+        return Ok(false);
+    };
+    let same_share = known.share == movement.share;
+    if same_share && known.pace_share_per_s == movement.pace_share_per_s {
+        return Ok(true);
+    }
+    let problem = format!("move `{}` is under way with other figures", known.id);
+    let advice = "see `foxtidectl move status`; pause it, or move the rest back first";
+    Err(Failure::refused(problem, advice))
+}
+
+fn in_words(movement: &PlannedMove) -> String {
+    let PlannedMove {
+        service,
+        from,
+        to,
+        share,
+        pace_share_per_s,
+        ..
+    } = movement;
+    format!("move {share} of {service} from {from} to {to} at {pace_share_per_s}")
+}
--- /dev/null
+++ b/crates/foxtidectl/src/commands/organisation/create.rs
@@ -0,0 +1,69 @@
+//! `foxtidectl organisation create`.
+
+use super::parameters;
+use crate::failure::Failure;
+use crate::report::Report;
+use crate::session::Session;
+use crate::write::{self, Edit};
+use argh::FromArgs;
+use foxtide_config::{Template, change};
+use foxtide_core::ids::OrganisationId;
+use std::path::Path;
+
+/// Create an organisation from a template
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "create")]
+pub(super) struct Create {
+    /// the organisation's name
+    #[argh(positional)]
+    organisation: String,
+    /// the template's file
+    #[argh(option)]
+    template: String,
+    /// a file of parameters
+    #[argh(option)]
+    parameters: Option<String>,
+    /// one parameter, NAME=VALUE; can be given several times
+    #[argh(option)]
+    set: Vec<String>,
+}
+
+impl Create {
+    /// Makes the document and has it accepted.
+    pub(super) async fn run(self, session: &Session) -> Result<Report, Failure> {
+        let name: OrganisationId = self.organisation.parse()?;
+        let template = Template::load(Path::new(&self.template))?;
+        let given = parameters::collect(&template, self.parameters.as_deref(), &self.set)?;
+        let document = template.instantiate(&name, &given)?;
+        if let Some(stored) = change::load(session.store(), &name).await? {
+            return refuse_existing(session, &stored, &document);
+        }
+        let summary = format!("create from {} v{}", template.template, template.version);
+        let edit = Edit {
+            base: None,
+            document,
+            summary,
+        };
+        write::apply(session, edit).await
+    }
+}
+
+/// Takes a repeated command as done where the organisation is what it would
+/// make; else refuses.
+fn refuse_existing(
+    _session: &Session,
+    stored: &change::Stored,
+    document: &foxtide_core::organisation::Organisation,
+) -> Result<Report, Failure> {
+    let differences = change::differences(Some(stored), document);
+    if differences.is_empty() {
+        let text = format!(
+            "Nothing to change: {} already says so.",
+            stored.document.revision
+        );
+        return Ok(Report::new(text, serde_json::json!({"written": false})));
+    }
+    let problem = format!("organisation `{}` exists already", document.organisation);
+    let advice = "change it with `foxtidectl organisation edit`";
+    Err(Failure::refused(problem, advice))
+}
--- /dev/null
+++ b/crates/foxtidectl/src/commands/organisation/edit.rs
@@ -0,0 +1,111 @@
+//! `foxtidectl organisation edit`.
+
+use super::parameters;
+use crate::failure::Failure;
+use crate::report::Report;
+use crate::session::Session;
+use crate::write;
+use argh::FromArgs;
+use foxtide_config::Template;
+use foxtide_config::change::Stored;
+use foxtide_config::template::Parameters;
+use foxtide_core::organisation::Organisation;
+use std::path::Path;
+
+/// Change an organisation's template parameters
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "edit")]
+pub(super) struct Edit {
+    /// the organisation's name
+    #[argh(positional)]
+    organisation: String,
+    /// the template's file
+    #[argh(option)]
+    template: String,
+    /// one parameter, NAME=VALUE; can be given several times
+    #[argh(option)]
+    set: Vec<String>,
+    /// a parameter that is to take the template's default again
+    #[argh(option)]
+    unset: Vec<String>,
+    /// take over this version of the template, where it is another than the
+    /// one that the organisation was made from
+    #[argh(switch)]
+    upgrade: bool,
+}
+
+impl Edit {
+    /// Makes the changed document and has it accepted.
+    pub(super) async fn run(self, session: &Session) -> Result<Report, Failure> {
+        let template = Template::load(Path::new(&self.template))?;
+        let base = session.load(&self.organisation).await?;
+        let given = self.parameters(&template, &base.document)?;
+        let fresh = template.instantiate(&base.document.organisation, &given)?;
+        let document = kept(&base, fresh);
+        let edit = write::Edit {
+            base: Some(base),
+            document,
+            summary: self.summary(&template),
+        };
+        write::apply(session, edit).await
+    }
+
+    /// Returns the parameters as they are to be.
+    fn parameters(
+        &self,
+        template: &Template,
+        current: &Organisation,
+    ) -> Result<Parameters, Failure> {
+        let mut parameters = self.current_parameters(template, current)?;
+        for name in &self.unset {
+            parameters.remove(name);
+        }
+        parameters.extend(parameters::collect(template, None, &self.set)?);
+        Ok(parameters)
+    }
+
+    /// Returns the parameters given so far, if this is the right template.
+    fn current_parameters(
+        &self,
+        template: &Template,
+        current: &Organisation,
+    ) -> Result<Parameters, Failure> {
+        let Some(used) = &current.template else {
+            let problem = "the organisation was not made from a template";
+            return Err(Failure::refused(problem, "give it one by creating it anew"));
+        };
+        let same = used.name == template.template && used.version == template.version;
+        if same || self.upgrade {
+            return Ok(used.parameters.clone());
+        }
+        let problem = format!(
+            "the organisation was made from {} v{}, the file holds {} v{}",
+            used.name, used.version, template.template, template.version
+        );
+        let advice = "give the file of that version, or --upgrade to take this one over";
+        Err(Failure::refused(problem, advice))
+    }
+
+    fn summary(&self, template: &Template) -> String {
+        let mut parts = Vec::new();
+        if self.upgrade {
+            parts.push(format!(
+                "take over {} v{}",
+                template.template, template.version
+            ));
+        }
+        parts.extend(self.set.iter().map(|setting| format!("set {setting}")));
+        parts.extend(self.unset.iter().map(|name| format!("unset {name}")));
+        parts.join(", ")
+    }
+}
+
+/// Returns the new document with the moves and drains of the current one,
+/// which no template holds.
+fn kept(base: &Stored, fresh: Organisation) -> Organisation {
+    Organisation {
+        moves: base.document.moves.clone(),
+        drains: base.document.drains.clone(),
+        ..fresh
+    }
+}
--- /dev/null
+++ b/crates/foxtidectl/src/commands/organisation/history.rs
@@ -0,0 +1,34 @@
+//! `foxtidectl organisation history`.
+
+use crate::failure::Failure;
+use crate::report::{Report, Table};
+use crate::session::Session;
+use argh::FromArgs;
+use serde_json::json;
+
+/// Show the latest accepted changes of an organisation
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "history")]
+pub(super) struct History {
+    /// the organisation's name
+    #[argh(positional)]
+    organisation: String,
+}
+
+impl History {
+    /// Shows the changes that the document remembers.
+    pub(super) async fn run(self, session: &Session) -> Result<Report, Failure> {
+        let document = session.load(&self.organisation).await?.document;
+        let mut table = Table::new(["revision", "written", "author", "summary", "change"]);
+        for change in document.history.iter().rev() {
+            table.row([
+                change.revision.to_string(),
+                change.written_us.to_string(),
+                change.author.clone(),
+                change.summary.clone(),
+                change.change_id.to_string(),
+            ]);
+        }
+        Ok(Report::new(table.text(), json!(document.history)))
+    }
+}
--- /dev/null
+++ b/crates/foxtidectl/src/commands/timeline.rs
@@ -0,0 +1,179 @@
+//! `foxtidectl timeline`.
+
+use crate::admin;
+use crate::failure::Failure;
+use crate::report::Report;
+use crate::session::Session;
+use argh::FromArgs;
+use foxtide_config::document;
+use foxtide_core::events::{Event, EventCode, EventFilter, HybridTime, Level, merge};
+use foxtide_core::ids::{InstanceId, OrganisationId, RegionId};
+use serde_json::{Value, json};
+use smol::Timer;
+use std::collections::HashSet;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How often `--follow` asks.
+const FOLLOW_PERIOD: Duration = Duration::from_secs(1);
+
+/// How far behind the newest shown event `--follow` still takes others in:
+/// they may come from slower instances.
+const FOLLOW_BACK: Duration = Duration::from_secs(10);
+
+/// Show the events of all instances in one causal order
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "timeline")]
+pub(crate) struct TimeLine {
+    /// only events of this organisation
+    #[argh(option)]
+    organisation: Option<OrganisationId>,
+    /// only events of this region
+    #[argh(option)]
+    region: Option<RegionId>,
+    /// only events at this instance
+    #[argh(option)]
+    instance: Option<InstanceId>,
+    /// only events of this kind: a number such as F5003, or a name
+    #[argh(option)]
+    kind: Option<EventCode>,
+    /// also events of the level debug
+    #[argh(switch)]
+    debug: bool,
+    /// the latest so many, default 200
+    #[argh(option, default = "200")]
+    limit: usize,
+    /// go on showing new events until interrupted
+    #[argh(switch)]
+    follow: bool,
+}
+
+impl TimeLine {
+    /// Merges the events of all instances.
+    pub(crate) async fn run(
+        self,
+        session: &Session,
+        output: &mut dyn Write,
+    ) -> Result<Report, Failure> {
+        let given = &session.options().admin;
+        let mut filter = self.filter();
+        if self.follow {
+            return follow(given, filter, session.json(), output).await;
+        }
+        filter.limit = Some(self.limit);
+        let gathered = gather(given, &filter).await?;
+        let mut text: String = gathered.events.iter().map(line).collect();
+        for silent in &gathered.silent {
+            text.push_str(&format!("missing: {silent}\n"));
+        }
+        Ok(Report::new(
+            text,
+            json!({"events": gathered.events, "missing": gathered.silent}),
+        ))
+    }
+
+    fn filter(&self) -> EventFilter {
+        EventFilter {
+            organisation: self.organisation.clone(),
+            region: self.region.clone(),
+            instance: self.instance.clone(),
+            code: self.kind,
+            level: (!self.debug && self.kind.is_none()).then_some(Level::Info),
+            ..EventFilter::default()
+        }
+    }
+}
+
+/// The events of all instances that answered.
+struct Gathered {
+    events: Vec<Event>,
+    silent: Vec<String>,
+}
+
+async fn gather(given: &[SocketAddr], filter: &EventFilter) -> Result<Gathered, Failure> {
+    let addresses = admin::all_addresses(given).await?;
+    let answers = admin::ask_all(&addresses, &page(filter)).await?;
+    let mut sources = Vec::new();
+    let mut silent = answers.silent;
+    for (address, value) in answers.pages {
+        match document::typed::<Vec<Event>>(&format!("instance {address}"), value) {
+            Ok(events) => sources.push(events),
+            Err(error) => silent.push(error.to_string()),
+        }
+    }
+    let events = merge(sources);
+    Ok(Gathered {
+        events: filter.select(events.iter()),
+        silent,
+    })
+}
+
+/// Returns the page to ask for; the instances filter as well, to send less.
+fn page(filter: &EventFilter) -> String {
+    let mut page = "/v1/events?".to_owned();
+    let mut add = |name: &str, value: Option<String>| {
+        if let Some(value) = value {
+            page.push_str(&format!("{name}={value}&"));
+        }
+    };
+    add(
+        "organisation",
+        filter.organisation.as_ref().map(ToString::to_string),
+    );
+    add("region", filter.region.as_ref().map(ToString::to_string));
+    add(
+        "instance",
+        filter.instance.as_ref().map(ToString::to_string),
+    );
+    add("code", filter.code.map(|code| code.name().to_owned()));
+    add("level", filter.level.map(|level| level.to_string()));
+    add(
+        "since_us",
+        filter.since_us.map(|since| since.as_us().to_string()),
+    );
+    add("limit", filter.limit.map(|limit| limit.to_string()));
+    page.trim_end_matches(['&', '?']).to_owned()
+}
+
+/// Returns an event as a line.
+fn line(event: &Event) -> String {
+    let Event {
+        clock, instance, ..
+    } = event;
+    format!("{clock} {instance} {event}\n")
+}
+
+/// Shows new events until the output is closed.
+async fn follow(
+    given: &[SocketAddr],
+    filter: EventFilter,
+    json: bool,
+    output: &mut dyn Write,
+) -> Result<Report, Failure> {
+    let mut filter = filter;
+    let mut shown: HashSet<(HybridTime, InstanceId)> = HashSet::new();
+    loop {
+        let gathered = gather(given, &filter).await?;
+        for event in &gathered.events {
+            if shown.insert((event.clock, event.instance.clone())) && !show(event, json, output) {
+                return Ok(Report::new(String::new(), Value::Null));
+            }
+        }
+        if let Some(newest) = shown.iter().map(|(clock, _)| clock.wall_us).max() {
+            let oldest = newest.saturating_sub(FOLLOW_BACK);
+            filter.since_us = Some(oldest);
+            shown.retain(|(clock, _)| clock.wall_us >= oldest);
+        }
+        Timer::after(FOLLOW_PERIOD).await;
+    }
+}
+
+/// Writes an event. Tells whether the output still takes any.
+fn show(event: &Event, json: bool, output: &mut dyn Write) -> bool {
+    let text = match json {
+        true => format!("{}\n", json!(event)),
+        false => line(event),
+    };
+    output.write_all(text.as_bytes()).is_ok() && output.flush().is_ok()
+}
--- /dev/null
+++ b/crates/foxtidectl/src/failure.rs
@@ -0,0 +1,104 @@
+//! Failures of commands, with what to do next.
+
+use crate::ExitStatus;
+use foxtide_config::change::{ChangeError, Conflict, Difference};
+use std::fmt::{Display, Write as _};
+use std::io::Write;
+
+/// A failed command.
+#[derive(Debug)]
+pub(crate) struct Failure {
+    status: ExitStatus,
+    problem: String,
+    advice: String,
+}
+
+impl Failure {
+    /// Returns a failure whose cause is the operator's input.
+    pub(crate) fn refused(problem: impl Display, advice: impl Display) -> Self {
+        Self::new(ExitStatus::Refused, problem, advice)
+    }
+
+    /// Returns a failure because of somebody else's change.
+    pub(crate) fn conflict(problem: impl Display, advice: impl Display) -> Self {
+        Self::new(ExitStatus::Conflict, problem, advice)
+    }
+
+    /// Returns a failure because no instance answered.
+    pub(crate) fn no_instance(problem: impl Display, advice: impl Display) -> Self {
+        Self::new(ExitStatus::InstanceUnreachable, problem, advice)
+    }
+
+    fn new(status: ExitStatus, problem: impl Display, advice: impl Display) -> Self {
+        Self {
+            status,
+            problem: problem.to_string(),
+            advice: advice.to_string(),
+        }
+    }
+
+    /// Prints the failure and returns the exit status.
+    pub(crate) fn print(&self, errors: &mut dyn Write) -> ExitStatus {
+        // A complaint that cannot be written leaves only the exit status.
+        let _ = writeln!(errors, "error: {}", self.problem.trim_end());
+        let _ = writeln!(errors, "next: {}", self.advice);
+        self.status
+    }
+}
+
+impl From<foxtide_config::Error> for Failure {
+    fn from(error: foxtide_config::Error) -> Self {
+        Self::refused(
+            error,
+            "correct it and run the command again; nothing was changed",
+        )
+    }
+}
+
+impl From<foxtide_core::Error> for Failure {
+    fn from(error: foxtide_core::Error) -> Self {
+        Self::refused(
+            error,
+            "correct it and run the command again; nothing was changed",
+        )
+    }
+}
+
+impl From<ChangeError> for Failure {
+    fn from(error: ChangeError) -> Self {
+        match error {
+            ChangeError::Invalid(error) => error.into(),
+            ChangeError::Absent(_) => Self::refused(error, "see `foxtidectl organisation list`"),
+            ChangeError::Conflict(conflict) => conflicting(&conflict),
+            ChangeError::Unsettled { .. } => Self::new(
+                ExitStatus::Unsettled,
+                error,
+                "run the same command again: it finds the change if it took effect",
+            ),
+            ChangeError::Store(_) => Self::new(
+                ExitStatus::StoreUnreachable,
+                error,
+                "nothing was changed; check --store and docs/operations/store.md",
+            ),
+        }
+    }
+}
+
+fn conflicting(conflict: &Conflict) -> Failure {
+    let mut problem = format!("not accepted: {}\n", conflict.in_words());
+    append(&mut problem, "the accepted change:", &conflict.theirs);
+    append(&mut problem, "this change:", &conflict.ours);
+    let advice = if conflict.contested.is_empty() {
+        "add --rebase to apply this change on top of the accepted one"
+    } else {
+        "agree with the other operator, then run the command again"
+    };
+    Failure::conflict(problem, advice)
+}
+
+fn append(text: &mut String, title: &str, differences: &[Difference]) {
+    let _ = writeln!(text, "{title}");
+    for difference in differences {
+        let _ = writeln!(text, "  {difference}");
+    }
+}
--- /dev/null
+++ b/crates/foxtidectl/src/lib.rs
@@ -0,0 +1,53 @@
+//! The operators' command line of foxtide, as a library so that tests can run
+//! it in their own process.
+
+mod admin;
+mod arguments;
+mod commands;
+mod exit;
+mod failure;
+mod report;
+mod session;
+mod write;
+
+pub use exit::ExitStatus;
+
+use arguments::{Arguments, Command};
+use failure::Failure;
+use report::Report;
+use session::Session;
+use std::io::Write;
+
+/// The command's name in its own help.
+const NAME: &str = "foxtidectl";
+
+/// Runs one command; results go to `output`, complaints to `errors`.
+pub fn run(arguments: &[String], output: &mut dyn Write, errors: &mut dyn Write) -> ExitStatus {
+    let arguments = match arguments::parse(NAME, arguments) {
+        Ok(arguments) => arguments,
+        Err(help) => return help.print(output, errors),
+    };
+    let session = Session::new(&arguments.options);
+    match smol::block_on(execute(arguments, &session, output)) {
+        Ok(report) => report.print(session.json(), output, errors),
+        Err(failure) => failure.print(errors),
+    }
+}
+
+async fn execute(
+    arguments: Arguments,
+    session: &Session,
+    output: &mut dyn Write,
+) -> Result<Report, Failure> {
+    match arguments.command {
+        Command::Organisation(command) => command.run(session).await,
+        Command::Drain(command) => command.run(session).await,
+        Command::Move(command) => command.run(session).await,
+        Command::Template(command) => command.run(),
+        Command::Check(command) => command.run(),
+        Command::Instances(command) => command.run(session).await,
+        Command::Promises(command) => command.run(session).await,
+        Command::Explain(command) => command.run(session).await,
+        Command::TimeLine(command) => command.run(session, output).await,
+    }
+}
--- /dev/null
+++ b/crates/foxtidectl/src/report.rs
@@ -0,0 +1,118 @@
+//! What a command has to say, for people and for programs.
+
+use crate::ExitStatus;
+use serde_json::Value;
+use std::io::Write;
+
+/// The result of a command, in both forms.
+#[derive(Debug)]
+pub(crate) struct Report {
+    text: String,
+    json: Value,
+}
+
+impl Report {
+    /// Returns a report of success.
+    pub(crate) fn new(text: impl Into<String>, json: Value) -> Self {
+        Self {
+            text: text.into(),
+            json,
+        }
+    }
+
+    /// Prints the report in the form that was asked for.
+    pub(crate) fn print(
+        &self,
+        json: bool,
+        output: &mut dyn Write,
+        errors: &mut dyn Write,
+    ) -> ExitStatus {
+        let text = if json {
+            format!("{:#}", self.json)
+        } else {
+            self.text.clone()
+        };
+        match writeln!(output, "{}", text.trim_end()) {
+            Ok(()) => ExitStatus::Done,
+            Err(error) => {
+                let _ = writeln!(errors, "error: cannot write the result: {error}");
+                ExitStatus::Refused
+            }
+        }
+    }
+}
+
+/// A table with aligned columns.
+#[derive(Debug)]
+pub(crate) struct Table {
+    rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    /// Returns a table with this heading.
+    pub(crate) fn new<const N: usize>(heading: [&str; N]) -> Self {
+        Self {
+            rows: vec![heading.map(str::to_uppercase).to_vec()],
+        }
+    }
+
+    /// Adds a row.
+    pub(crate) fn row<const N: usize>(&mut self, cells: [String; N]) {
+        self.rows.push(cells.to_vec());
+    }
+
+    /// Returns the table of a list of JSON objects: a column for each field
+    /// that any of them has.
+    pub(crate) fn of_objects(list: &Value) -> Self {
+        let objects: Vec<&Value> = list.as_array().into_iter().flatten().collect();
+        let mut columns: Vec<&String> = Vec::new();
+        for key in objects
+            .iter()
+            .filter_map(|one| one.as_object())
+            .flat_map(|one| one.keys())
+        {
+            if !columns.contains(&key) {
+                columns.push(key);
+            }
+        }
+        let heading = columns
+            .iter()
+            .map(|key| key.replace('_', " ").to_uppercase());
+        let mut rows = vec![heading.collect()];
+        for object in &objects {
+            let cells = columns.iter().map(|key| cell(object.get(key.as_str())));
+            rows.push(cells.collect());
+        }
+        Self { rows }
+    }
+
+    /// Returns the table's text.
+    pub(crate) fn text(&self) -> String {
+        let columns = self.rows.first().map_or(0, Vec::len);
+        let widths: Vec<usize> = (0..columns).map(|column| self.width(column)).collect();
+        let lines = self.rows.iter().map(|row| line(row, &widths));
+        lines.collect()
+    }
+
+    fn width(&self, column: usize) -> usize {
+        let lengths = self.rows.iter().map(|row| row[column].chars().count());
+        lengths.max().unwrap_or(0)
+    }
+}
+
+/// Returns a JSON value as a cell shows it.
+fn cell(value: Option<&Value>) -> String {
+    match value {
+        None | Some(Value::Null) => "-".to_owned(),
+        Some(Value::String(text)) => text.clone(),
+        Some(other) => other.to_string(),
+    }
+}
+
+fn line(row: &[String], widths: &[usize]) -> String {
+    let cells = row.iter().zip(widths);
+    let padded: Vec<String> = cells
+        .map(|(cell, width)| format!("{cell:<width$}"))
+        .collect();
+    format!("{}\n", padded.join("  ").trim_end())
+}
--- /dev/null
+++ b/crates/foxtidectl/src/session.rs
@@ -0,0 +1,59 @@
+//! What all commands share: the store and the options.
+
+use crate::arguments::Options;
+use crate::failure::Failure;
+use foxtide_config::change::{self, ChangeError, Stored};
+use foxtide_config::{HttpStore, HttpStoreOptions};
+use foxtide_core::ids::OrganisationId;
+use foxtide_core::time::WallTime;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// One run of the command line.
+#[derive(Debug)]
+pub(crate) struct Session {
+    options: Options,
+    store: HttpStore,
+}
+
+impl Session {
+    /// Returns the session of these options.
+    pub(crate) fn new(options: &Options) -> Self {
+        let store = HttpStore::new(HttpStoreOptions {
+            address: options.store,
+            ..HttpStoreOptions::default()
+        });
+        Self {
+            options: options.clone(),
+            store,
+        }
+    }
+
+    /// Returns the options.
+    pub(crate) fn options(&self) -> &Options {
+        &self.options
+    }
+
+    /// Tells whether results are printed as JSON.
+    pub(crate) fn json(&self) -> bool {
+        self.options.json
+    }
+
+    /// Returns the store.
+    pub(crate) fn store(&self) -> &HttpStore {
+        &self.store
+    }
+
+    /// Reads an organisation's document, which must be there.
+    pub(crate) async fn load(&self, name: &str) -> Result<Stored, Failure> {
+        let organisation: OrganisationId = name.parse()?;
+        let stored = change::load(&self.store, &organisation).await?;
+        stored.ok_or_else(|| ChangeError::Absent(organisation).into())
+    }
+
+    /// Returns the wall clock's time.
+    pub(crate) fn now(&self) -> WallTime {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+        let us = since_epoch.unwrap_or_default().as_micros();
+        WallTime::from_us(u64::try_from(us).unwrap_or(u64::MAX))
+    }
+}
--- /dev/null
+++ b/crates/foxtidectl/src/write.rs
@@ -0,0 +1,117 @@
+//! How every command changes a document: show the difference, check, write.
+
+use crate::failure::Failure;
+use crate::report::Report;
+use crate::session::Session;
+use foxtide_config::change::{self, ChangeRequest, Difference, Stored};
+use foxtide_core::organisation::Organisation;
+use foxtide_core::units::Revision;
+use serde_json::json;
+use std::fmt::Write;
+
+/// A change that a command asks for.
+#[derive(Debug)]
+pub(crate) struct Edit {
+    /// What it started from.
+    pub(crate) base: Option<Stored>,
+    /// The document after it.
+    pub(crate) document: Organisation,
+    /// What it does, in one line.
+    pub(crate) summary: String,
+}
+
+/// Shows a change and, where the operator said `--yes`, has it accepted.
+pub(crate) async fn apply(session: &Session, edit: Edit) -> Result<Report, Failure> {
+    refuse_stale(session, edit.base.as_ref())?;
+    change::check(&edit.document)?;
+    let differences = change::differences(edit.base.as_ref(), &edit.document);
+    if differences.is_empty() {
+        return Ok(unchanged(&edit));
+    }
+    if !session.options().yes {
+        return Ok(shown(&edit, &differences));
+    }
+    let request = ChangeRequest {
+        base: edit.base,
+        document: edit.document,
+        author: session.options().author.clone(),
+        summary: edit.summary,
+    };
+    let accepted = match session.options().rebase {
+        true => change::accept_rebased(session.store(), request).await?,
+        false => change::accept(session.store(), request).await?,
+    };
+    Ok(written(&accepted, &differences))
+}
+
+/// Refuses a change by an operator who has seen another revision.
+fn refuse_stale(session: &Session, base: Option<&Stored>) -> Result<(), Failure> {
+    let Some(seen) = session.options().revision else {
+        return Ok(());
+    };
+    let current = base.map_or(Revision::ZERO, |base| base.document.revision);
+    if current == seen {
+        return Ok(());
+    }
+    let mut problem = format!("not accepted: {current} is in force, not {seen}; since then:\n");
+    let history = base.map_or(&[][..], |base| &base.document.history);
+    for change in history.iter().filter(|change| change.revision > seen) {
+        let (revision, author, summary) = (change.revision, &change.author, &change.summary);
+        let _ = writeln!(problem, "  {revision} {author}: {summary}");
+    }
+    let advice = format!("look at the changes, then run it again with --revision {current}");
+    Err(Failure::conflict(problem, advice))
+}
+
+fn unchanged(edit: &Edit) -> Report {
+    let revision = edit
+        .base
+        .as_ref()
+        .map_or(Revision::ZERO, |base| base.document.revision);
+    let text = format!("Nothing to change: {revision} already says so.");
+    Report::new(
+        text,
+        json!({"written": false, "revision": revision, "differences": []}),
+    )
+}
+
+fn shown(edit: &Edit, differences: &[Difference]) -> Report {
+    let base = edit.base.as_ref().map(|base| base.document.revision);
+    let option = base.map_or(String::new(), |revision| format!(" --revision {revision}"));
+    let text = format!(
+        "{}\nNot written. Add --yes{option} before the command to write it.",
+        listed(differences)
+    );
+    Report::new(text, json!({"written": false, "differences": differences}))
+}
+
+fn written(accepted: &change::Accepted, differences: &[Difference]) -> Report {
+    let document = &accepted.document;
+    let (organisation, revision) = (&document.organisation, document.revision);
+    let how = match accepted.settled {
+        true => " (the answer was lost; found by reading)",
+        false => "",
+    };
+    let text = format!(
+        "{}\nAccepted: {organisation} {revision}, change {}{how}.",
+        listed(differences),
+        document.change_id
+    );
+    let json = json!({
+        "written": true,
+        "organisation": organisation,
+        "revision": revision,
+        "change_id": document.change_id,
+        "settled": accepted.settled,
+        "differences": differences,
+    });
+    Report::new(text, json)
+}
+
+/// Returns the differences, one a line.
+pub(crate) fn listed(differences: &[Difference]) -> String {
+    let lines = differences
+        .iter()
+        .map(|difference| format!("{difference}\n"));
+    lines.collect()
+}
