--- /dev/null
+++ b/crates/foxtide/src/signals.rs
@@ -0,0 +1,30 @@
+//! Signals of the operating system, as a channel.
+
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use smol::channel::Receiver;
+use std::io;
+use std::thread;
+
+/// The signals after which an instance stops gracefully.
+const STOP_SIGNALS: [i32; 2] = [SIGTERM, SIGINT];
+
+/// Returns a channel that receives the number of each stop signal.
+///
+/// # Errors
+///
+/// Fails where the handlers or the thread that waits for them cannot be set up.
+pub fn stop_signals() -> io::Result<Receiver<i32>> {
+    let mut signals = Signals::new(STOP_SIGNALS)?;
+    let (sender, receiver) = smol::channel::unbounded();
+    thread::Builder::new()
+        .name("signals".to_owned())
+        .spawn(move || {
+            for signal in signals.forever() {
+                if sender.send_blocking(signal).is_err() {
+                    return;
+                }
+            }
+        })?;
+    Ok(receiver)
+}
--- /dev/null
+++ b/crates/foxtide/src/telemetry.rs
@@ -0,0 +1,29 @@
+//! Logs and metrics of the process.
+
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use std::sync::OnceLock;
+
+/// The level at which numbered events are logged where `RUST_LOG` says nothing.
+const DEFAULT_LOG_FILTER: &str = "info";
+
+static METRICS: OnceLock<PrometheusHandle> = OnceLock::new();
+
+/// Starts logging to standard error; a second call changes nothing.
+pub fn start_logging() {
+    let environment = env_logger::Env::default().default_filter_or(DEFAULT_LOG_FILTER);
+    // A test or an example may have set up logging already: that one stays.
+    let _ = env_logger::Builder::from_env(environment).try_init();
+}
+
+/// Starts to collect metrics, once a process, and returns the handle that
+/// renders them.
+pub fn start_metrics() -> PrometheusHandle {
+    let start = || {
+        let recorder = PrometheusBuilder::new().build_recorder();
+        let handle = recorder.handle();
+        // An embedding process may have its own recorder; ours then stays empty.
+        let _ = metrics::set_global_recorder(recorder);
+        handle
+    };
+    METRICS.get_or_init(start).clone()
+}
