--- /dev/null
+++ b/crates/foxtide/src/tables.rs
@@ -0,0 +1,155 @@
+//! What an instance knows: the configurations in force and the instances that
+//! callers may use.
+//!
+//! Readers take a snapshot and never wait. Writers hold the one lock here,
+//! `writing`, while they build the next snapshot; nothing else is locked
+//! under it.
+
+use arc_swap::ArcSwap;
+use foxtide_core::ids::{AvailabilityZoneId, InstanceId, OrganisationId};
+use foxtide_core::membership::Member;
+use foxtide_core::organisation::{DrainTarget, Organisation};
+use foxtide_core::time::WallTime;
+use foxtide_core::units::Revision;
+use foxtide_entry::ServingInstance;
+use parking_lot::Mutex;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+type Organisations = BTreeMap<OrganisationId, Arc<Organisation>>;
+
+/// The shared tables of one instance.
+#[derive(Debug)]
+pub struct Tables {
+    own: InstanceId,
+    leaving: AtomicBool,
+    organisations: ArcSwap<Organisations>,
+    members: ArcSwap<Vec<Member>>,
+    instances: ArcSwap<Arc<[ServingInstance]>>,
+    writing: Mutex<()>,
+}
+
+/// What became of a document that an instance was shown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Applied {
+    /// It is newer than the one before it and now in force.
+    InForce,
+    /// The same or a newer revision is in force.
+    NotNewer(Revision),
+}
+
+impl Tables {
+    /// Returns the tables of the instance `own`, which knows nothing yet.
+    pub fn new(own: InstanceId) -> Self {
+        Self {
+            own,
+            leaving: AtomicBool::new(false),
+            organisations: ArcSwap::default(),
+            members: ArcSwap::default(),
+            instances: ArcSwap::from_pointee(Vec::new().into()),
+            writing: Mutex::new(()),
+        }
+    }
+
+    /// Puts a document into force if it is newer than the one in force.
+    pub fn apply(&self, document: Arc<Organisation>) -> Applied {
+        let _writing = self.writing.lock();
+        let current = self.organisations.load();
+        if let Some(known) = current.get(&document.organisation) {
+            if known.revision >= document.revision {
+                return Applied::NotNewer(known.revision);
+            }
+        }
+        let mut next = Organisations::clone(&current);
+        next.insert(document.organisation.clone(), document);
+        self.organisations.store(Arc::new(next));
+        Applied::InForce
+    }
+
+    /// Takes over what the mesh believes of all members.
+    pub fn set_members(&self, members: Vec<Member>) {
+        self.members.store(Arc::new(members));
+    }
+
+    /// Returns what the mesh believes of all members.
+    pub fn members(&self) -> Arc<Vec<Member>> {
+        self.members.load_full()
+    }
+
+    /// Chooses anew which instances callers may use at `wall`.
+    pub fn renew_instances(&self, wall: WallTime) {
+        let _writing = self.writing.lock();
+        let organisations = self.organisations.load();
+        let drained = Drained::at(&organisations, wall);
+        let members = self.members.load();
+        let usable = |member: &&Member| {
+            let own_leaving = member.instance == self.own && self.is_leaving();
+            member.state.is_usable() && !own_leaving && !drained.covers(member)
+        };
+        let chosen: Vec<ServingInstance> = members.iter().filter(usable).map(serving).collect();
+        let next: Arc<[ServingInstance]> = chosen.into();
+        self.instances.store(Arc::new(next));
+    }
+
+    /// Returns all configurations in force.
+    pub fn organisations(&self) -> Arc<Organisations> {
+        self.organisations.load_full()
+    }
+
+    /// Returns the configuration of an organisation that is in force.
+    pub fn organisation(&self, id: &OrganisationId) -> Option<Arc<Organisation>> {
+        self.organisations.load().get(id).cloned()
+    }
+
+    /// Returns the instances that callers may use.
+    pub fn instances(&self) -> Arc<[ServingInstance]> {
+        Arc::clone(&self.instances.load())
+    }
+
+    /// Notes that this instance leaves.
+    pub fn set_leaving(&self) {
+        self.leaving.store(true, Ordering::Release);
+    }
+
+    /// Tells whether this instance leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+}
+
+/// The instances and zones that announced drains keep callers from.
+#[derive(Debug, Default)]
+struct Drained {
+    instances: Vec<InstanceId>,
+    availability_zones: Vec<AvailabilityZoneId>,
+}
+
+impl Drained {
+    fn at(organisations: &Organisations, wall: WallTime) -> Self {
+        let mut drained = Self::default();
+        let drains = organisations.values().flat_map(|it| &it.drains);
+        for drain in drains.filter(|drain| drain.start_us <= wall) {
+            match &drain.target {
+                DrainTarget::Instance(id) => drained.instances.push(id.clone()),
+                DrainTarget::AvailabilityZone(id) => drained.availability_zones.push(id.clone()),
+                DrainTarget::Upstream { .. } | DrainTarget::Region(_) => {}
+            }
+        }
+        drained
+    }
+
+    fn covers(&self, member: &Member) -> bool {
+        self.instances.contains(&member.instance)
+            || self.availability_zones.contains(&member.availability_zone)
+    }
+}
+
+fn serving(member: &Member) -> ServingInstance {
+    ServingInstance {
+        instance: member.instance.clone(),
+        address: member.caller_address,
+        region: member.region.clone(),
+        availability_zone: member.availability_zone.clone(),
+    }
+}
