--- a/crates/foxtide/src/command.rs
+++ b/crates/foxtide/src/command.rs
@@ -1,9 +1,11 @@
 //! The command line of the `foxtide` binary.
 
+use crate::node::Node;
 use crate::{signals, telemetry};
 use anyhow::{Context, Result, bail};
 use argh::FromArgs;
-use std::path::PathBuf;
+use foxtide_config::Settings;
+use std::path::{Path, PathBuf};
 
 /// Runs one entry instance of foxtide, or checks its settings.
 #[derive(Debug, FromArgs)]
@@ -30,5 +32,29 @@
         println!("foxtide {}", env!("CARGO_PKG_VERSION"));
         return Ok(());
     }
-    bail!("give --settings FILE or --check-settings FILE");
+    telemetry::start_logging();
+    match (&command.check_settings, &command.settings) {
+        (Some(file), _) => check_settings(file),
+        (None, Some(file)) => smol::block_on(serve(&Settings::load(file)?)),
+        (None, None) => bail!("give --settings FILE or --check-settings FILE"),
+    }
+}
+
+fn check_settings(file: &Path) -> Result<()> {
+    let settings = Settings::load(file)?;
+    println!(
+        "{}: valid settings of {}",
+        file.display(),
+        settings.instance
+    );
+    Ok(())
+}
+
+/// Runs an instance until a stop signal, then stops it gracefully.
+async fn serve(settings: &Settings) -> Result<()> {
+    let stop = signals::stop_signals().context("set up the signal handlers")?;
+    let node = Node::start(settings)?;
+    stop.recv().await.context("wait for a stop signal")?;
+    node.stop().await;
+    Ok(())
 }
--- a/crates/foxtide/src/lib.rs
+++ b/crates/foxtide/src/lib.rs
@@ -2,5 +2,10 @@
 //! path into one [`node::Node`].
 
 pub mod command;
+mod configuration;
+pub mod node;
+mod pages;
+mod request_events;
 pub mod signals;
+pub mod tables;
 pub mod telemetry;
--- /dev/null
+++ b/crates/foxtide/src/node.rs
@@ -0,0 +1,297 @@
+//! One entry instance: all its parts, from start to stop.
+
+use crate::configuration::Configurations;
+use crate::pages::Pages;
+use crate::request_events::RequestRecorder;
+use crate::tables::Tables;
+use crate::telemetry;
+use anyhow::{Context, Result};
+use foxtide_config::{HttpStore, HttpStoreOptions, Settings};
+use foxtide_core::events::backup::BackupPeer;
+use foxtide_core::events::{EventCode, EventFields, EventRingOptions};
+use foxtide_core::ids::OrganisationId;
+use foxtide_core::organisation::Organisation;
+use foxtide_core::units::ByteSize;
+use foxtide_entry::{
+    Clock, Directory, Entry, EntryOptions, Limits, LocalFirst, Parts, ServingInstance, SystemClock,
+    Workers,
+};
+use foxtide_events::{Recorder, RecorderOptions, TimeLine, TimeLineOptions};
+use foxtide_mesh::{Identity, Mesh, MeshHandle, MeshOptions};
+use smol::{Task, Timer};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+
+/// The time between two looks at the members and the announced drains.
+const MEMBERS_INTERVAL: Duration = Duration::from_millis(100);
+
+/// What the request path works with.
+#[derive(Debug)]
+struct NodeParts {
+    directory: NodeDirectory,
+    steer: LocalFirst,
+    clock: SystemClock,
+    recorder: RequestRecorder,
+    pages: Pages,
+}
+
+impl Parts for NodeParts {
+    type Directory = NodeDirectory;
+    type Steer = LocalFirst;
+    type Clock = SystemClock;
+    type Recorder = RequestRecorder;
+    type Admin = Pages;
+
+    fn directory(&self) -> &NodeDirectory {
+        &self.directory
+    }
+
+    fn steer(&self) -> &LocalFirst {
+        &self.steer
+    }
+
+    fn clock(&self) -> &SystemClock {
+        &self.clock
+    }
+
+    fn recorder(&self) -> &RequestRecorder {
+        &self.recorder
+    }
+
+    fn admin(&self) -> &Pages {
+        &self.pages
+    }
+}
+
+/// The tables as the request path reads them, and the way to leave.
+#[derive(Debug)]
+struct NodeDirectory {
+    tables: Arc<Tables>,
+    mesh: MeshHandle,
+    clock: SystemClock,
+}
+
+impl Directory for NodeDirectory {
+    fn organisation(&self, organisation: &OrganisationId) -> Option<Arc<Organisation>> {
+        self.tables.organisation(organisation)
+    }
+
+    fn instances(&self) -> Arc<[ServingInstance]> {
+        self.tables.instances()
+    }
+
+    fn leave(&self) {
+        self.tables.set_leaving();
+        self.tables.renew_instances(self.clock.wall());
+        self.mesh.leave();
+    }
+}
+
+/// A running entry instance.
+#[derive(Debug)]
+pub struct Node {
+    entry: Entry<NodeParts>,
+    mesh: MeshHandle,
+    recorder: Recorder,
+    tables: Arc<Tables>,
+    workers: Workers,
+    _tasks: Vec<Task<()>>,
+}
+
+impl Node {
+    /// Starts an instance; it serves once it has its configuration.
+    ///
+    /// # Errors
+    ///
+    /// Fails where an address cannot be bound or threads cannot be started.
+    pub fn start(settings: &Settings) -> Result<Self> {
+        let clock = SystemClock::default();
+        let workers = Workers::start(settings.workers).context("start the workers")?;
+        let recorder = Recorder::new(settings.instance.clone(), recorder_options(settings));
+        let tables = Arc::new(Tables::new(settings.instance.clone()));
+        let ready = Arc::new(AtomicBool::new(false));
+        // The caller listener is bound first: peers are told its address.
+        let caller_address = reserve(settings.caller.listen)?;
+        let mesh = start_mesh(settings, caller_address)?;
+        let time_line = time_line(settings, &recorder, &clock);
+        let parts = NodeParts {
+            directory: NodeDirectory {
+                tables: Arc::clone(&tables),
+                mesh: mesh.clone(),
+                clock,
+            },
+            steer: LocalFirst::new(settings.region.clone()),
+            clock,
+            recorder: RequestRecorder::new(recorder.clone()),
+            pages: Pages {
+                tables: Arc::clone(&tables),
+                time_line,
+                metrics: telemetry::start_metrics(),
+                ready: Arc::clone(&ready),
+            },
+        };
+        let options = entry_options(settings, caller_address);
+        let entry = Entry::start(options, Arc::new(parts), &workers.executor())
+            .context("start the request path")?;
+        let configurations = Configurations {
+            tables: Arc::clone(&tables),
+            mesh: mesh.clone(),
+            recorder: recorder.clone(),
+            store: Arc::new(HttpStore::new(HttpStoreOptions {
+                address: settings.store_address,
+                call_timeout: settings.limits.store.call_timeout(),
+            })),
+            ready,
+            seed: fastrand::u64(..),
+        };
+        let following = follow_members(Arc::clone(&tables), mesh.clone(), clock);
+        let tasks = vec![
+            workers.spawn(configurations.run()),
+            workers.spawn(following),
+        ];
+        record_start(&recorder, &entry, &mesh);
+        Ok(Self {
+            entry,
+            mesh,
+            recorder,
+            tables,
+            workers,
+            _tasks: tasks,
+        })
+    }
+
+    /// Returns where callers connect.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.entry.caller_address()
+    }
+
+    /// Returns where operators connect.
+    pub fn admin_address(&self) -> SocketAddr {
+        self.entry.admin_address()
+    }
+
+    /// Returns where peers connect.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.mesh.peer_address()
+    }
+
+    /// Returns the configurations and instances that are known.
+    pub fn tables(&self) -> &Arc<Tables> {
+        &self.tables
+    }
+
+    /// Returns the recorder of the instance's events.
+    pub fn recorder(&self) -> &Recorder {
+        &self.recorder
+    }
+
+    /// Stops gracefully: leaves the look-ups, serves until callers' answers
+    /// have expired, ends what is in flight, then ends.
+    pub async fn stop(self) {
+        self.entry.drain().await;
+        self.recorder
+            .record(EventCode::ProcessStopped, EventFields::default());
+        self.kill();
+    }
+
+    /// Ends at once, as a process that is killed does; for tests.
+    pub fn kill(self) {
+        self.mesh.stop();
+        drop(self._tasks);
+        drop(self.entry);
+        drop(self.workers);
+    }
+}
+
+/// Finds the port that the system gives for port 0, so that peers can be told
+/// before the listener is there.
+fn reserve(address: SocketAddr) -> Result<SocketAddr> {
+    if address.port() != 0 {
+        return Ok(address);
+    }
+    let listener = std::net::TcpListener::bind(address);
+    let listener = listener.with_context(|| format!("bind the caller address {address}"))?;
+    Ok(listener.local_addr()?)
+}
+
+fn start_mesh(settings: &Settings, caller_address: SocketAddr) -> Result<MeshHandle> {
+    let identity = Identity {
+        instance: settings.instance.clone(),
+        region: settings.region.clone(),
+        availability_zone: settings.availability_zone.clone(),
+        peer_address: settings.peer.listen,
+        caller_address: settings.caller.advertise.unwrap_or(caller_address),
+    };
+    let options = MeshOptions {
+        cluster: settings.cluster.clone(),
+        ..MeshOptions::default()
+    };
+    Mesh::start(identity, &settings.seed_peers, options).context("start the mesh")
+}
+
+fn time_line(settings: &Settings, recorder: &Recorder, clock: &SystemClock) -> TimeLine {
+    let own = BackupPeer {
+        instance: settings.instance.clone(),
+        availability_zone: settings.availability_zone.clone(),
+        region: settings.region.clone(),
+    };
+    TimeLine::new(
+        recorder.clone(),
+        own,
+        TimeLineOptions::default(),
+        clock.now(),
+    )
+}
+
+fn recorder_options(settings: &Settings) -> RecorderOptions {
+    let notable = usize::try_from(settings.limits.events.kept_max).unwrap_or(usize::MAX);
+    RecorderOptions {
+        ring: EventRingOptions {
+            notable,
+            ..EventRingOptions::default()
+        },
+        ..RecorderOptions::default()
+    }
+}
+
+fn entry_options(settings: &Settings, caller_address: SocketAddr) -> EntryOptions {
+    let limits = &settings.limits;
+    let requests = &limits.requests;
+    EntryOptions {
+        caller_address,
+        admin_address: settings.admin.listen,
+        organisation: settings.organisations.first().cloned(),
+        lookup_ttl: Duration::from_secs(limits.lookups.ttl_s.into()),
+        deadline_max: Duration::from_millis(requests.deadline_max_ms.into()),
+        limits: Limits {
+            request_body: ByteSize::from_bytes(requests.body_max_bytes),
+            connections: usize::try_from(requests.connections_max).unwrap_or(usize::MAX),
+            head_time: Duration::from_millis(requests.head_timeout_ms.into()),
+            idle_time: Duration::from_millis(requests.idle_timeout_ms.into()),
+            ..Limits::default()
+        },
+        ..EntryOptions::default()
+    }
+}
+
+fn record_start(recorder: &Recorder, entry: &Entry<NodeParts>, mesh: &MeshHandle) {
+    let detail = format!(
+        "version={} caller={} admin={} peer={}",
+        env!("CARGO_PKG_VERSION"),
+        entry.caller_address(),
+        entry.admin_address(),
+        mesh.peer_address()
+    );
+    recorder.record(EventCode::ProcessStarted, EventFields::detail(detail));
+}
+
+/// Keeps the tables' members and the instances for look-ups up to date.
+async fn follow_members(tables: Arc<Tables>, mesh: MeshHandle, clock: SystemClock) {
+    loop {
+        tables.set_members(mesh.members());
+        tables.renew_instances(clock.wall());
+        Timer::after(MEMBERS_INTERVAL).await;
+    }
+}
--- a/crates/foxtide/src/pages.rs
+++ b/crates/foxtide/src/pages.rs
@@ -5,7 +5,7 @@
 use foxtide_core::membership::Member;
 use foxtide_core::units::Revision;
 use foxtide_entry::AdminPage;
-use foxtide_events::{Recorder, TimeLine};
+use foxtide_events::TimeLine;
 use metrics_exporter_prometheus::PrometheusHandle;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -17,17 +17,15 @@
 
 /// Answers operators from what the instance knows.
 #[derive(Debug)]
-pub struct Pages {
+pub(crate) struct Pages {
     /// The configurations and instances.
-    pub tables: Arc<Tables>,
-    /// The events of this instance.
-    pub recorder: Recorder,
+    pub(crate) tables: Arc<Tables>,
     /// The events of this instance and those kept for peers.
-    pub time_line: TimeLine,
+    pub(crate) time_line: TimeLine,
     /// What renders the metrics.
-    pub metrics: PrometheusHandle,
+    pub(crate) metrics: PrometheusHandle,
     /// Whether callers can be served.
-    pub ready: Arc<AtomicBool>,
+    pub(crate) ready: Arc<AtomicBool>,
 }
 
 /// One instance, as `/v1/instances` shows it.
--- a/crates/foxtide/src/request_events.rs
+++ b/crates/foxtide/src/request_events.rs
@@ -14,13 +14,13 @@
 
 /// Records the request path's events in the process's recorder.
 #[derive(Clone, Debug)]
-pub struct RequestRecorder {
+pub(crate) struct RequestRecorder {
     recorder: Recorder,
 }
 
 impl RequestRecorder {
     /// Returns one that records in `recorder`.
-    pub fn new(recorder: Recorder) -> Self {
+    pub(crate) fn new(recorder: Recorder) -> Self {
         Self { recorder }
     }
 }
--- a/crates/foxtide/src/tables.rs
+++ b/crates/foxtide/src/tables.rs
@@ -56,10 +56,10 @@
     pub fn apply(&self, document: Arc<Organisation>) -> Applied {
         let _writing = self.writing.lock();
         let current = self.organisations.load();
-        if let Some(known) = current.get(&document.organisation) {
-            if known.revision >= document.revision {
-                return Applied::NotNewer(known.revision);
-            }
+        if let Some(known) = current.get(&document.organisation)
+            && known.revision >= document.revision
+        {
+            return Applied::NotNewer(known.revision);
         }
         let mut next = Organisations::clone(&current);
         next.insert(document.organisation.clone(), document);
