--- /dev/null
+++ b/crates/foxtide-config/tests/http_store.rs
@@ -0,0 +1,213 @@
+//! The store's client against the stand-in: results, and exactly what is
+//! known after a failure.
+
+#[allow(dead_code)]
+mod support;
+
+use foxtide_config::{HttpStore, HttpStoreOptions};
+use foxtide_core::store::{Store, StoreError, StoreIndex, VALUE_MAX_BYTES};
+use foxtide_testing::Availability;
+use smol::net::TcpListener;
+use std::time::Duration;
+use support::{IMPATIENT, PATIENT, client, server};
+
+const KEY: &str = "foxtide/organisations/hamutenya";
+const PREFIX: &str = "foxtide/organisations/";
+
+#[test]
+fn verify_keys_are_compared_and_swapped() {
+    smol::block_on(async {
+        let server = server().await;
+        let store = client(&server, PATIENT);
+        assert_eq!(store.read(KEY).await.unwrap(), None);
+        assert!(
+            store
+                .write(KEY, b"one".to_vec(), StoreIndex::ABSENT)
+                .await
+                .unwrap()
+        );
+        assert!(
+            !store
+                .write(KEY, b"two".to_vec(), StoreIndex::ABSENT)
+                .await
+                .unwrap()
+        );
+        let entry = store.read(KEY).await.unwrap().unwrap();
+        assert_eq!(entry.value, b"one");
+        assert!(
+            store
+                .write(KEY, b"two".to_vec(), entry.index)
+                .await
+                .unwrap()
+        );
+        assert!(!store.delete(KEY, entry.index).await.unwrap());
+        let entry = store.read(KEY).await.unwrap().unwrap();
+        assert!(store.delete(KEY, entry.index).await.unwrap());
+        assert!(store.list(PREFIX).await.unwrap().entries.is_empty());
+    });
+}
+
+#[test]
+fn verify_a_watch_ends_with_a_change() {
+    smol::block_on(async {
+        let server = server().await;
+        let store = client(&server, PATIENT);
+        store
+            .write(KEY, b"one".to_vec(), StoreIndex::ABSENT)
+            .await
+            .unwrap();
+        let listing = store.list(PREFIX).await.unwrap();
+        let watcher = store.clone();
+        let watch = smol::spawn(async move { watcher.watch(PREFIX, listing.index, PATIENT).await });
+        store
+            .write(KEY, b"two".to_vec(), listing.entries[0].index)
+            .await
+            .unwrap();
+        let changed = watch.await.unwrap();
+        assert_eq!(changed.entries[0].value, b"two");
+        assert!(changed.index > listing.index);
+    });
+}
+
+#[test]
+fn verify_a_lease_has_one_holder() {
+    smol::block_on(async {
+        let server = server().await;
+        let store = client(&server, PATIENT);
+        let ttl = Duration::from_secs(30);
+        let one = store.open_session("one", ttl).await.unwrap();
+        let other = store.open_session("other", ttl).await.unwrap();
+        let key = "foxtide/leases/7";
+        assert!(store.acquire(key, b"one".to_vec(), &one).await.unwrap());
+        assert!(!store.acquire(key, b"other".to_vec(), &other).await.unwrap());
+        let held = store.read(key).await.unwrap().unwrap();
+        assert_eq!(held.session.as_ref(), Some(&one));
+        assert!(store.renew_session(&one).await.unwrap());
+        assert!(store.release(key, b"".to_vec(), &one).await.unwrap());
+        assert!(store.acquire(key, b"other".to_vec(), &other).await.unwrap());
+        store.close_session(&other).await.unwrap();
+        assert!(!store.renew_session(&other).await.unwrap());
+    });
+}
+
+#[test]
+fn verify_without_a_listener_nothing_was_sent() {
+    smol::block_on(async {
+        let server = server().await;
+        let store = client(&server, PATIENT);
+        server.set_availability(Availability::Refusing).await;
+        let error = store
+            .write(KEY, b"one".to_vec(), StoreIndex::ABSENT)
+            .await
+            .unwrap_err();
+        assert!(
+            matches!(error, StoreError::NotSent { step: "write", .. }),
+            "{error}"
+        );
+    });
+}
+
+#[test]
+fn verify_a_value_too_large_is_not_sent() {
+    smol::block_on(async {
+        let server = server().await;
+        let store = client(&server, PATIENT);
+        let value = vec![b'x'; 2 * VALUE_MAX_BYTES];
+        let error = store
+            .write(KEY, value, StoreIndex::ABSENT)
+            .await
+            .unwrap_err();
+        assert!(matches!(error, StoreError::NotSent { .. }), "{error}");
+        assert_eq!(server.value(KEY), None);
+    });
+}
+
+#[test]
+fn verify_silence_after_the_request_is_unknown() {
+    smol::block_on(async {
+        let server = server().await;
+        let store = client(&server, IMPATIENT);
+        server.set_availability(Availability::Silent).await;
+        let error = store
+            .write(KEY, b"one".to_vec(), StoreIndex::ABSENT)
+            .await
+            .unwrap_err();
+        assert!(matches!(error, StoreError::Unknown { .. }), "{error}");
+    });
+}
+
+#[test]
+fn verify_a_lost_answer_is_unknown_and_the_write_took_effect() {
+    smol::block_on(async {
+        let server = server().await;
+        let store = client(&server, PATIENT);
+        server.lose_answers(1);
+        let error = store
+            .write(KEY, b"one".to_vec(), StoreIndex::ABSENT)
+            .await
+            .unwrap_err();
+        assert!(matches!(error, StoreError::Unknown { .. }), "{error}");
+        assert_eq!(server.value(KEY).as_deref(), Some(&b"one"[..]));
+    });
+}
+
+#[test]
+fn verify_a_failing_server_is_unknown() {
+    smol::block_on(async {
+        let server = server().await;
+        let store = client(&server, PATIENT);
+        server.set_availability(Availability::Failing).await;
+        let error = store
+            .write(KEY, b"one".to_vec(), StoreIndex::ABSENT)
+            .await
+            .unwrap_err();
+        assert!(matches!(error, StoreError::Unknown { .. }), "{error}");
+    });
+}
+
+/// Answers one connection with these bytes and closes it.
+async fn answer_once(bytes: &'static [u8]) -> HttpStore {
+    use smol::io::{AsyncReadExt, AsyncWriteExt};
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    smol::spawn(async move {
+        let (mut connection, _) = listener.accept().await.unwrap();
+        let mut request = [0; 4_096];
+        let received = connection.read(&mut request).await.unwrap();
+        assert!(received > 0);
+        connection.write_all(bytes).await.unwrap();
+    })
+    .detach();
+    HttpStore::new(HttpStoreOptions {
+        address,
+        call_timeout: PATIENT,
+    })
+}
+
+#[test]
+fn verify_an_answer_cut_off_is_unknown() {
+    smol::block_on(async {
+        let store = answer_once(b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ntru").await;
+        let error = store
+            .write(KEY, b"one".to_vec(), StoreIndex::ABSENT)
+            .await
+            .unwrap_err();
+        assert!(matches!(error, StoreError::Unknown { .. }), "{error}");
+    });
+}
+
+#[test]
+fn verify_a_client_error_is_refused() {
+    smol::block_on(async {
+        let bytes = b"HTTP/1.1 429 Too Many Requests\r\ncontent-length: 9\r\n\r\nslow down";
+        let store = answer_once(bytes).await;
+        let error = store
+            .write(KEY, b"one".to_vec(), StoreIndex::ABSENT)
+            .await
+            .unwrap_err();
+        let StoreError::Refused { status, cause, .. } = error else {
+            panic!("{error}");
+        };
+        assert_eq!((status, cause.as_str()), (429, "slow down"));
+    });
+}
--- /dev/null
+++ b/crates/foxtide-config/tests/support/mod.rs
@@ -0,0 +1,83 @@
+//! What the tests of this crate share.
+
+use foxtide_config::change::{self, Accepted, ChangeError, ChangeRequest, Stored};
+use foxtide_config::template::Parameters;
+use foxtide_config::{HttpStore, HttpStoreOptions, Template};
+use foxtide_core::ids::OrganisationId;
+use foxtide_core::organisation::Organisation;
+use foxtide_testing::{StoreOptions, StoreServer};
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// Long enough to never end a call that is answered.
+pub(crate) const PATIENT: Duration = Duration::from_secs(20);
+
+/// Short enough to end a call that is never answered.
+pub(crate) const IMPATIENT: Duration = Duration::from_millis(100);
+
+pub(crate) fn example(path: &str) -> PathBuf {
+    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR"));
+    root.join("../../examples").join(path)
+}
+
+pub(crate) fn organisation_id() -> OrganisationId {
+    "hamutenya".parse().expect("valid name")
+}
+
+/// Returns the example's document.
+pub(crate) fn document() -> Organisation {
+    let template = Template::load(&example("hamutenya/template.jsonc")).expect("valid template");
+    let name = organisation_id();
+    let document = template.instantiate(&name, &Parameters::new());
+    document.expect("valid defaults")
+}
+
+pub(crate) async fn server() -> StoreServer {
+    let server = StoreServer::start(StoreOptions::default()).await;
+    server.expect("a free port")
+}
+
+pub(crate) fn client(server: &StoreServer, call_timeout: Duration) -> HttpStore {
+    HttpStore::new(HttpStoreOptions {
+        address: server.address(),
+        call_timeout,
+    })
+}
+
+pub(crate) fn request(base: Option<Stored>, document: Organisation) -> ChangeRequest {
+    ChangeRequest {
+        base,
+        document,
+        author: "ndapewa".to_owned(),
+        summary: "a change".to_owned(),
+    }
+}
+
+/// Puts the example into the store and returns it as stored.
+pub(crate) async fn create(store: &HttpStore) -> Stored {
+    let request = request(None, document());
+    change::accept(store, request).await.expect("accepted");
+    load(store).await
+}
+
+pub(crate) async fn load(store: &HttpStore) -> Stored {
+    let stored = change::load(store, &organisation_id()).await;
+    stored.expect("readable").expect("there")
+}
+
+/// Returns the document with another deadline for a service.
+pub(crate) fn with_deadline(stored: &Stored, service: usize, deadline_ms: u32) -> Organisation {
+    let mut document = stored.document.clone();
+    document.services[service].contract.deadline_ms = deadline_ms;
+    document
+}
+
+pub(crate) async fn set_deadline(
+    store: &HttpStore,
+    base: &Stored,
+    service: usize,
+    deadline_ms: u32,
+) -> Result<Accepted, ChangeError> {
+    let document = with_deadline(base, service, deadline_ms);
+    change::accept(store, request(Some(base.clone()), document)).await
+}
--- /dev/null
+++ b/crates/foxtide-config/tests/watch.rs
@@ -0,0 +1,128 @@
+//! The watch on organisations' documents.
+
+#[allow(dead_code)]
+mod support;
+
+use foxtide_config::{ConfigurationWatch, WatchOptions, WatchReport};
+use foxtide_core::units::Revision;
+use foxtide_testing::{Availability, CallKind, StoreServer};
+use smol::channel::{Receiver, unbounded};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use support::{PATIENT, client, create, load, server, set_deadline};
+
+const KEY: &str = "foxtide/organisations/hamutenya";
+
+fn options() -> WatchOptions {
+    WatchOptions {
+        gap_min: Duration::from_millis(1),
+        role_check: Duration::from_millis(1),
+        wait: PATIENT,
+        ..WatchOptions::default()
+    }
+}
+
+fn start(server: &StoreServer, is_watcher: Arc<AtomicBool>) -> Receiver<WatchReport> {
+    let store = Arc::new(client(server, PATIENT));
+    let role = move || is_watcher.load(Ordering::Relaxed);
+    let watch = ConfigurationWatch::new(store, role, options());
+    let (sender, receiver) = unbounded();
+    smol::spawn(watch.run(sender)).detach();
+    receiver
+}
+
+async fn next_revision(reports: &Receiver<WatchReport>) -> Revision {
+    loop {
+        if let WatchReport::Configuration(document) = reports.recv().await.unwrap() {
+            return document.revision;
+        }
+    }
+}
+
+#[test]
+fn verify_accepted_changes_are_told_in_order() {
+    smol::block_on(async {
+        let server = server().await;
+        let store = client(&server, PATIENT);
+        let reports = start(&server, Arc::new(AtomicBool::new(true)));
+        let stored = create(&store).await;
+        assert_eq!(next_revision(&reports).await, Revision::new(1));
+        set_deadline(&store, &stored, 0, 1_234).await.unwrap();
+        assert_eq!(next_revision(&reports).await, Revision::new(2));
+    });
+}
+
+#[test]
+fn verify_an_older_document_is_not_told() {
+    smol::block_on(async {
+        let server = server().await;
+        let store = client(&server, PATIENT);
+        let first = create(&store).await;
+        let old = server.value(KEY).unwrap();
+        set_deadline(&store, &first, 0, 1_234).await.unwrap();
+        let reports = start(&server, Arc::new(AtomicBool::new(true)));
+        assert_eq!(next_revision(&reports).await, Revision::new(2));
+        // Somebody puts an old value back with the store's own tools.
+        server.set_value(KEY, old);
+        let stored = load(&store).await;
+        set_deadline(&store, &stored, 0, 1_111).await.unwrap();
+        let stored = load(&store).await;
+        assert_eq!(stored.document.revision, Revision::new(2));
+        set_deadline(&store, &stored, 0, 2_222).await.unwrap();
+        assert_eq!(next_revision(&reports).await, Revision::new(3));
+    });
+}
+
+#[test]
+fn verify_an_invalid_value_is_told_and_skipped() {
+    smol::block_on(async {
+        let server = server().await;
+        let store = client(&server, PATIENT);
+        server.set_value("foxtide/organisations/broken", vec![0xff, 0xfe]);
+        create(&store).await;
+        let reports = start(&server, Arc::new(AtomicBool::new(true)));
+        let WatchReport::Invalid { key, cause } = reports.recv().await.unwrap() else {
+            panic!("the broken value comes first");
+        };
+        assert_eq!(key, "foxtide/organisations/broken");
+        assert!(cause.contains("not UTF-8"), "{cause}");
+        assert_eq!(next_revision(&reports).await, Revision::new(1));
+    });
+}
+
+#[test]
+fn verify_an_outage_is_told_and_ends() {
+    smol::block_on(async {
+        let server = server().await;
+        server.set_availability(Availability::Refusing).await;
+        let reports = start(&server, Arc::new(AtomicBool::new(true)));
+        let report = reports.recv().await.unwrap();
+        assert!(matches!(report, WatchReport::Outage { .. }), "{report:?}");
+        server.set_availability(Availability::Serving).await;
+        loop {
+            match reports.recv().await.unwrap() {
+                WatchReport::Outage { .. } => {}
+                WatchReport::Recovered => break,
+                other => panic!("{other:?}"),
+            }
+        }
+    });
+}
+
+#[test]
+fn verify_an_instance_without_the_role_makes_no_calls() {
+    smol::block_on(async {
+        let server = server().await;
+        let store = client(&server, PATIENT);
+        create(&store).await;
+        let role = Arc::new(AtomicBool::new(false));
+        let reports = start(&server, role.clone());
+        let reads = server.calls().total(CallKind::Read);
+        smol::Timer::after(Duration::from_millis(50)).await;
+        assert_eq!(server.calls().total(CallKind::Read), reads);
+        assert_eq!(server.calls().total(CallKind::Watch), 0);
+        role.store(true, Ordering::Relaxed);
+        assert_eq!(next_revision(&reports).await, Revision::new(1));
+    });
+}
