Add client blocks: a compact table with longest-prefix look-ups

970,000 blocks are to be steered to 130 sites within 8 MB and 1 us a look-up. Blocks lie in the bucket of their address's first half, in columns of 4 bytes (v4) and 6 bytes (v6); nested blocks are found by searching again for what the last candidate shares with the address.

--- /dev/null
+++ b/crates/foxtide-core/src/blocks/codec.rs
@@ -0,0 +1,214 @@
+//! The form in which blocks lie in the store.
+//!
+//! A value is a [`SealedMessage`]: a payload and its XXH3 checksum. The payload
+//! of a chunk is a [`ColumnsMessage`], that of a delta a [`DeltaMessage`]. In
+//! columns, blocks ascend, and each first address is kept as the number of
+//! blocks of its own length that lie between it and the one before, which is
+//! nearly always a byte.
+
+use super::columns::Entry;
+use super::family::{Family, Prefix, V4};
+use super::{Block, BlocksError, BlocksResult, SiteIndex};
+use crate::store::VALUE_MAX_BYTES;
+use ipnet::IpNet;
+use prost::Message;
+use prost::encoding::encoded_len_varint;
+use std::marker::PhantomData;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Room in a value for what is not blocks: tags, lengths and the checksum.
+const CHUNK_OVERHEAD_BYTES: usize = 64;
+
+/// The most that a block takes: a varint of ten bytes, its length and its site.
+const BLOCK_MAX_BYTES: usize = 12;
+
+/// A payload and its checksum.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct SealedMessage {
+    #[prost(fixed64, tag = "1")]
+    checksum: u64,
+    #[prost(bytes = "vec", tag = "2")]
+    payload: Vec<u8>,
+}
+
+/// Blocks of one family, ascending.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct ColumnsMessage {
+    /// The bits of an address: 32 or 64.
+    #[prost(uint32, tag = "1")]
+    bits: u32,
+    #[prost(uint64, repeated, tag = "2")]
+    steps: Vec<u64>,
+    #[prost(bytes = "vec", tag = "3")]
+    lengths: Vec<u8>,
+    /// The sites' numbers; empty where blocks are removed.
+    #[prost(bytes = "vec", tag = "4")]
+    sites: Vec<u8>,
+}
+
+/// A change to a table.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct DeltaMessage {
+    #[prost(uint64, tag = "1")]
+    pub(super) follows: u64,
+    #[prost(uint64, tag = "2")]
+    pub(super) revision: u64,
+    #[prost(message, optional, tag = "3")]
+    pub(super) set_v4: Option<ColumnsMessage>,
+    #[prost(message, optional, tag = "4")]
+    pub(super) set_v6: Option<ColumnsMessage>,
+    #[prost(message, optional, tag = "5")]
+    pub(super) removed_v4: Option<ColumnsMessage>,
+    #[prost(message, optional, tag = "6")]
+    pub(super) removed_v6: Option<ColumnsMessage>,
+}
+
+/// Puts a payload and its checksum into one value.
+pub(super) fn seal(payload: Vec<u8>) -> Vec<u8> {
+    let checksum = xxh3_64(&payload);
+    SealedMessage { checksum, payload }.encode_to_vec()
+}
+
+/// Takes the payload out of a value, after a look at its checksum.
+pub(super) fn open(value: &[u8], part: &str) -> BlocksResult<Vec<u8>> {
+    let sealed = SealedMessage::decode(value).map_err(BlocksError::decode)?;
+    if xxh3_64(&sealed.payload) != sealed.checksum {
+        let part = part.to_owned();
+        return Err(BlocksError::Checksum { part });
+    }
+    Ok(sealed.payload)
+}
+
+/// Writes blocks, ascending, into columns.
+pub(super) struct ColumnsWriter<F> {
+    columns: ColumnsMessage,
+    last_start: u64,
+    steps_bytes: usize,
+    family: PhantomData<F>,
+}
+
+impl<F: Family> ColumnsWriter<F> {
+    pub(super) fn new() -> Self {
+        Self {
+            columns: ColumnsMessage {
+                bits: F::BITS.into(),
+                ..ColumnsMessage::default()
+            },
+            last_start: 0,
+            steps_bytes: 0,
+            family: PhantomData,
+        }
+    }
+
+    /// Adds a block after all others.
+    pub(super) fn push(&mut self, prefix: Prefix, site: Option<SiteIndex>) {
+        let shift = u32::from(F::BITS - prefix.length);
+        let place = |start: u64| start.checked_shr(shift).unwrap_or(0);
+        let step = place(prefix.start) - place(self.last_start);
+        self.columns.steps.push(step);
+        self.columns.lengths.push(prefix.length);
+        self.columns.sites.extend(site.map(SiteIndex::get));
+        self.steps_bytes += encoded_len_varint(step);
+        self.last_start = prefix.start;
+    }
+
+    /// Tells whether a value has no room for another block.
+    fn is_full(&self) -> bool {
+        let blocks_bytes = self.steps_bytes + 2 * self.columns.lengths.len();
+        blocks_bytes + BLOCK_MAX_BYTES + CHUNK_OVERHEAD_BYTES > VALUE_MAX_BYTES
+    }
+
+    pub(super) fn finish(self) -> ColumnsMessage {
+        self.columns
+    }
+}
+
+impl ColumnsMessage {
+    /// Returns the prefixes.
+    fn prefixes<F: Family>(&self) -> BlocksResult<Vec<Prefix>> {
+        if self.bits != u32::from(F::BITS) || self.steps.len() != self.lengths.len() {
+            return Err(BlocksError::decode("columns of other blocks or lengths"));
+        }
+        let mut last = 0;
+        let mut prefixes = Vec::with_capacity(self.steps.len());
+        for (step, length) in self.steps.iter().zip(&self.lengths) {
+            let start = next_start::<F>(last, *step, *length)?;
+            last = start;
+            prefixes.push(Prefix {
+                start,
+                length: *length,
+            });
+        }
+        Ok(prefixes)
+    }
+
+    /// Returns the blocks with their sites.
+    pub(super) fn entries<F: Family>(&self) -> BlocksResult<Vec<Entry>> {
+        let prefixes = self.prefixes::<F>()?;
+        if prefixes.len() != self.sites.len() {
+            return Err(BlocksError::decode("columns of other lengths"));
+        }
+        let pairs = prefixes.into_iter().zip(&self.sites);
+        let entry = |(prefix, site): (Prefix, &u8)| Entry {
+            prefix,
+            site: SiteIndex(*site),
+        };
+        Ok(pairs.map(entry).collect())
+    }
+
+    pub(super) fn blocks<F: Family>(&self) -> BlocksResult<Vec<Block>> {
+        let block = |entry: Entry| Block {
+            net: F::to_net(entry.prefix),
+            site: entry.site,
+        };
+        Ok(self.entries::<F>()?.into_iter().map(block).collect())
+    }
+
+    pub(super) fn nets<F: Family>(&self) -> BlocksResult<Vec<IpNet>> {
+        let prefixes = self.prefixes::<F>()?;
+        Ok(prefixes.into_iter().map(F::to_net).collect())
+    }
+
+    /// Tells whether the blocks are v4.
+    pub(super) fn is_v4(&self) -> bool {
+        self.bits == u32::from(V4::BITS)
+    }
+}
+
+/// Returns the first address of the block that lies `step` blocks of its
+/// `length` after the one before.
+fn next_start<F: Family>(last: u64, step: u64, length: u8) -> BlocksResult<u64> {
+    let bad = || BlocksError::decode("a block lies beyond the last address");
+    let shift = u32::from(F::BITS.checked_sub(length).ok_or_else(bad)?);
+    let place = last.checked_shr(shift).unwrap_or(0);
+    let place = place.checked_add(step).ok_or_else(bad)?;
+    let blocks = 1u128 << length;
+    if u128::from(place) >= blocks {
+        return Err(bad());
+    }
+    Ok(place.checked_shl(shift).unwrap_or(0))
+}
+
+/// Returns blocks as values of at most [`VALUE_MAX_BYTES`].
+pub(super) fn encode_chunks<F: Family>(entries: impl Iterator<Item = Entry>) -> Vec<Vec<u8>> {
+    let mut chunks = Vec::new();
+    let mut writer = ColumnsWriter::<F>::new();
+    for entry in entries {
+        writer.push(entry.prefix, Some(entry.site));
+        if writer.is_full() {
+            let full = std::mem::replace(&mut writer, ColumnsWriter::new());
+            chunks.push(seal(full.finish().encode_to_vec()));
+        }
+    }
+    let rest = writer.finish();
+    if !rest.steps.is_empty() {
+        chunks.push(seal(rest.encode_to_vec()));
+    }
+    chunks
+}
+
+/// Reads a chunk.
+pub(super) fn decode_chunk(value: &[u8]) -> BlocksResult<ColumnsMessage> {
+    let payload = open(value, "a chunk")?;
+    ColumnsMessage::decode(&payload[..]).map_err(BlocksError::decode)
+}
--- /dev/null
+++ b/crates/foxtide-core/src/blocks/columns.rs
@@ -0,0 +1,213 @@
+//! The compact table of one family.
+//!
+//! Blocks that are longer than half of the family's bits lie in the bucket of
+//! their first half, so that only the second half is kept of each, in columns:
+//! 4 bytes a v4 block and 6 a v6 block. The few wider blocks stand apart and
+//! are searched where no narrower one is found, which keeps the longest match.
+
+use super::family::{Family, Prefix};
+use super::search::{Sorted, longest_match};
+use super::{BlocksError, BlocksResult, SiteIndex};
+use std::mem::size_of;
+
+/// A block and its site.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Entry {
+    pub(super) prefix: Prefix,
+    pub(super) site: SiteIndex,
+}
+
+/// The table of one family.
+#[derive(Clone, Debug)]
+pub(super) struct Columns<F: Family> {
+    /// Blocks not longer than half of the bits.
+    wide: Vec<Entry>,
+    /// The first halves that have longer blocks, ascending.
+    buckets: Vec<F::Half>,
+    /// Where each bucket begins in the columns; their end comes last.
+    begins: Vec<u32>,
+    /// The second halves of the longer blocks' first addresses.
+    starts: Vec<F::Half>,
+    /// How many bits of the second half are fixed.
+    lengths: Vec<u8>,
+    sites: Vec<SiteIndex>,
+    last: Option<Prefix>,
+}
+
+impl<F: Family> Default for Columns<F> {
+    fn default() -> Self {
+        Self {
+            wide: Vec::new(),
+            buckets: Vec::new(),
+            begins: vec![0],
+            starts: Vec::new(),
+            lengths: Vec::new(),
+            sites: Vec::new(),
+            last: None,
+        }
+    }
+}
+
+/// The blocks of one bucket.
+struct Bucket<'a, F: Family> {
+    starts: &'a [F::Half],
+    lengths: &'a [u8],
+}
+
+impl<F: Family> Sorted for Bucket<'_, F> {
+    fn count(&self) -> usize {
+        self.starts.len()
+    }
+
+    fn prefix(&self, place: usize) -> Prefix {
+        Prefix {
+            start: self.starts[place].into(),
+            length: self.lengths[place],
+        }
+    }
+}
+
+impl Sorted for Vec<Entry> {
+    fn count(&self) -> usize {
+        self.len()
+    }
+
+    fn prefix(&self, place: usize) -> Prefix {
+        self[place].prefix
+    }
+}
+
+impl<F: Family> Columns<F> {
+    const HALF_BITS: u8 = F::BITS / 2;
+
+    /// Returns an empty table with room for `blocks` blocks.
+    pub(super) fn with_capacity(blocks: usize) -> Self {
+        Self {
+            starts: Vec::with_capacity(blocks),
+            lengths: Vec::with_capacity(blocks),
+            sites: Vec::with_capacity(blocks),
+            ..Self::default()
+        }
+    }
+
+    /// Adds a block after all others.
+    pub(super) fn push(&mut self, entry: Entry) -> BlocksResult<()> {
+        if self.last.is_some_and(|last| last >= entry.prefix) {
+            return Err(BlocksError::Order);
+        }
+        self.last = Some(entry.prefix);
+        match entry.prefix.length.checked_sub(Self::HALF_BITS) {
+            None | Some(0) => self.wide.push(entry),
+            Some(length) => self.push_narrow(entry, length)?,
+        }
+        Ok(())
+    }
+
+    fn push_narrow(&mut self, entry: Entry, length: u8) -> BlocksResult<()> {
+        let (bucket, start) = Self::split(entry.prefix.start)?;
+        if self.buckets.last() != Some(&bucket) {
+            self.buckets.push(bucket);
+            self.begins.push(0);
+        }
+        self.starts.push(start);
+        self.lengths.push(length);
+        self.sites.push(entry.site);
+        let end = u32::try_from(self.starts.len());
+        let end = end.map_err(|_| BlocksError::decode("more than 2^32 blocks"))?;
+        if let Some(last) = self.begins.last_mut() {
+            *last = end;
+        }
+        Ok(())
+    }
+
+    /// Gives back the room that was kept for more blocks.
+    pub(super) fn shrink(&mut self) {
+        self.wide.shrink_to_fit();
+        self.buckets.shrink_to_fit();
+        self.begins.shrink_to_fit();
+        self.starts.shrink_to_fit();
+        self.lengths.shrink_to_fit();
+        self.sites.shrink_to_fit();
+    }
+
+    /// Returns the site of the longest block that holds an address.
+    pub(super) fn find(&self, address: u64) -> Option<SiteIndex> {
+        let narrow = self.find_narrow(address);
+        narrow.or_else(|| self.find_wide(address))
+    }
+
+    fn find_narrow(&self, address: u64) -> Option<SiteIndex> {
+        let (bucket, rest) = Self::split(address).ok()?;
+        let number = self.buckets.binary_search(&bucket).ok()?;
+        let begin = self.begins[number] as usize;
+        let end = self.begins[number + 1] as usize;
+        let blocks: Bucket<'_, F> = Bucket {
+            starts: &self.starts[begin..end],
+            lengths: &self.lengths[begin..end],
+        };
+        let place = longest_match(&blocks, rest.into(), Self::HALF_BITS)?;
+        Some(self.sites[begin + place])
+    }
+
+    fn find_wide(&self, address: u64) -> Option<SiteIndex> {
+        let place = longest_match(&self.wide, address, F::BITS)?;
+        Some(self.wide[place].site)
+    }
+
+    /// Splits an address into its halves.
+    fn split(address: u64) -> BlocksResult<(F::Half, F::Half)> {
+        let mask = (1 << Self::HALF_BITS) - 1;
+        let first = F::Half::try_from(address >> Self::HALF_BITS);
+        let second = F::Half::try_from(address & mask);
+        match (first, second) {
+            (Ok(first), Ok(second)) => Ok((first, second)),
+            _ => Err(BlocksError::decode("an address has too many bits")),
+        }
+    }
+
+    /// Returns the number of blocks.
+    pub(super) fn len(&self) -> usize {
+        self.wide.len() + self.starts.len()
+    }
+
+    /// Returns the memory in use, in bytes.
+    pub(super) fn size_bytes(&self) -> usize {
+        let halves = self.buckets.capacity() + self.starts.capacity();
+        self.wide.capacity() * size_of::<Entry>()
+            + halves * size_of::<F::Half>()
+            + self.begins.capacity() * size_of::<u32>()
+            + self.lengths.capacity()
+            + self.sites.capacity() * size_of::<SiteIndex>()
+    }
+
+    /// Returns all blocks, ascending.
+    pub(super) fn entries(&self) -> impl Iterator<Item = Entry> + '_ {
+        let mut wide = self.wide.iter().copied().peekable();
+        let mut narrow = self.narrow_entries().peekable();
+        std::iter::from_fn(move || match (wide.peek(), narrow.peek()) {
+            (Some(first), Some(second)) if first.prefix < second.prefix => wide.next(),
+            (Some(_), None) => wide.next(),
+            _ => narrow.next(),
+        })
+    }
+
+    fn narrow_entries(&self) -> impl Iterator<Item = Entry> + '_ {
+        let bucket_of = self.buckets.iter().enumerate();
+        bucket_of.flat_map(move |(number, bucket)| {
+            let first: u64 = (*bucket).into();
+            let places = self.begins[number] as usize..self.begins[number + 1] as usize;
+            places.map(move |place| self.narrow_entry(first, place))
+        })
+    }
+
+    fn narrow_entry(&self, bucket: u64, place: usize) -> Entry {
+        let rest: u64 = self.starts[place].into();
+        Entry {
+            prefix: Prefix {
+                start: bucket << Self::HALF_BITS | rest,
+                length: Self::HALF_BITS + self.lengths[place],
+            },
+            site: self.sites[place],
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxtide-core/src/blocks/delta.rs
@@ -0,0 +1,168 @@
+//! Changes to a table of client blocks.
+
+use super::codec::{ColumnsMessage, ColumnsWriter, DeltaMessage, open, seal};
+use super::family::{Family, FamilyPrefix, Prefix, V4, V6};
+use super::{Block, BlocksError, BlocksResult, SiteIndex, SiteTable};
+use ipnet::IpNet;
+use prost::Message;
+use std::collections::HashMap;
+
+/// A change from one revision of a table to the next.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Delta {
+    /// The revision that is changed.
+    pub follows: u64,
+    /// The revision after the change.
+    pub revision: u64,
+    /// Blocks that are added or get another site.
+    pub set: Vec<Block>,
+    /// Blocks that are taken out; one that is not there is passed over.
+    pub removed: Vec<IpNet>,
+}
+
+/// One changed block: its new site, or none where it is taken out.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Change {
+    pub(super) prefix: Prefix,
+    pub(super) site: Option<SiteIndex>,
+}
+
+/// A delta's changes, checked, each family ascending.
+#[derive(Debug, Default)]
+pub(super) struct SortedDelta {
+    pub(super) v4: Vec<Change>,
+    pub(super) v6: Vec<Change>,
+}
+
+impl SortedDelta {
+    pub(super) fn new(delta: &Delta, sites: &SiteTable) -> BlocksResult<Self> {
+        let mut sorted = Self::default();
+        for block in &delta.set {
+            let site = block.site;
+            sites.get(site).ok_or(BlocksError::UnknownSite { site })?;
+            sorted.add(block.net, Some(site))?;
+        }
+        for net in &delta.removed {
+            sorted.add(*net, None)?;
+        }
+        sort(&mut sorted.v4)?;
+        sort(&mut sorted.v6)?;
+        Ok(sorted)
+    }
+
+    fn add(&mut self, net: IpNet, site: Option<SiteIndex>) -> BlocksResult<()> {
+        match FamilyPrefix::try_from(net)? {
+            FamilyPrefix::V4(prefix) => self.v4.push(Change { prefix, site }),
+            FamilyPrefix::V6(prefix) => self.v6.push(Change { prefix, site }),
+        }
+        Ok(())
+    }
+}
+
+fn sort(changes: &mut [Change]) -> BlocksResult<()> {
+    changes.sort_unstable_by_key(|change| change.prefix);
+    let unique = changes.is_sorted_by(|one, next| one.prefix < next.prefix);
+    unique.then_some(()).ok_or(BlocksError::Order)
+}
+
+impl Delta {
+    /// Returns one delta that does what several do one after the other.
+    ///
+    /// # Errors
+    ///
+    /// Fails where one does not follow the one before.
+    pub(super) fn combine(deltas: Vec<Self>, follows: u64) -> BlocksResult<Self> {
+        let mut revision = follows;
+        let mut changes: HashMap<IpNet, Option<SiteIndex>> = HashMap::new();
+        for delta in deltas {
+            delta.check_follows(revision)?;
+            revision = delta.revision;
+            let set = delta
+                .set
+                .into_iter()
+                .map(|block| (block.net, Some(block.site)));
+            changes.extend(set);
+            changes.extend(delta.removed.into_iter().map(|net| (net, None)));
+        }
+        let mut combined = Self {
+            follows,
+            revision,
+            ..Self::default()
+        };
+        for (net, site) in changes {
+            match site {
+                Some(site) => combined.set.push(Block { net, site }),
+                None => combined.removed.push(net),
+            }
+        }
+        Ok(combined)
+    }
+
+    /// Fails where the delta does not follow a revision.
+    pub(super) fn check_follows(&self, revision: u64) -> BlocksResult<()> {
+        if self.follows == revision {
+            return Ok(());
+        }
+        Err(BlocksError::Revision {
+            follows: self.follows,
+            revision,
+        })
+    }
+
+    /// Returns the delta as a value for the store.
+    ///
+    /// # Errors
+    ///
+    /// Fails where a block is given twice or is longer than valid.
+    pub fn encode(&self) -> BlocksResult<Vec<u8>> {
+        let set = self.set.iter().map(|block| (block.net, Some(block.site)));
+        let removed = self.removed.iter().map(|net| (*net, None));
+        let mut sorted = SortedDelta::default();
+        for (net, site) in set.chain(removed) {
+            sorted.add(net, site)?;
+        }
+        sort(&mut sorted.v4)?;
+        sort(&mut sorted.v6)?;
+        let message = DeltaMessage {
+            follows: self.follows,
+            revision: self.revision,
+            set_v4: Some(columns::<V4>(&sorted.v4, true)),
+            set_v6: Some(columns::<V6>(&sorted.v6, true)),
+            removed_v4: Some(columns::<V4>(&sorted.v4, false)),
+            removed_v6: Some(columns::<V6>(&sorted.v6, false)),
+        };
+        Ok(seal(message.encode_to_vec()))
+    }
+
+    /// Reads a delta that [`Delta::encode`] made.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the bytes were changed or do not hold a delta.
+    pub fn decode(bytes: &[u8]) -> BlocksResult<Self> {
+        let payload = open(bytes, "a delta")?;
+        let message = DeltaMessage::decode(&payload[..]).map_err(BlocksError::decode)?;
+        let mut delta = Self {
+            follows: message.follows,
+            revision: message.revision,
+            ..Self::default()
+        };
+        delta.set = message.set_v4.unwrap_or_default().blocks::<V4>()?;
+        delta
+            .set
+            .extend(message.set_v6.unwrap_or_default().blocks::<V6>()?);
+        delta.removed = message.removed_v4.unwrap_or_default().nets::<V4>()?;
+        let removed_v6 = message.removed_v6.unwrap_or_default();
+        delta.removed.extend(removed_v6.nets::<V6>()?);
+        Ok(delta)
+    }
+}
+
+/// Returns the changes that set a block, or those that take one out.
+fn columns<F: Family>(changes: &[Change], set: bool) -> ColumnsMessage {
+    let mut writer = ColumnsWriter::<F>::new();
+    for change in changes.iter().filter(|change| change.site.is_some() == set) {
+        writer.push(change.prefix, change.site);
+    }
+    writer.finish()
+}
--- /dev/null
+++ b/crates/foxtide-core/src/blocks/search.rs
@@ -0,0 +1,63 @@
+//! Longest-prefix search in sorted prefixes that may lie in each other.
+
+use super::family::{Prefix, truncate};
+
+/// Sorted prefixes of `BITS`-bit numbers.
+pub(super) trait Sorted {
+    /// Returns the number of prefixes.
+    fn count(&self) -> usize;
+
+    /// Returns the prefix at a place below the count.
+    fn prefix(&self, place: usize) -> Prefix;
+
+    /// Returns how many of the first `end` prefixes are at most `key`.
+    fn rank(&self, key: Prefix, end: usize) -> usize {
+        let mut low = 0;
+        let mut high = end;
+        while low < high {
+            let middle = low + (high - low) / 2;
+            if self.prefix(middle) <= key {
+                low = middle + 1;
+            } else {
+                high = middle;
+            }
+        }
+        low
+    }
+}
+
+/// Returns the place of the longest prefix that holds an address of `bits`
+/// bits.
+///
+/// The last prefix at or before the address is the longest one that holds it,
+/// if it holds it at all. If not, every prefix that does also holds the first
+/// address of that one, and so is at most as long as what the two have in
+/// common: the search goes on from there. Each round shortens the common
+/// part, so there are at most `bits` rounds; with real blocks one or two.
+pub(super) fn longest_match(sorted: &impl Sorted, address: u64, bits: u8) -> Option<usize> {
+    let mut key = Prefix {
+        start: address,
+        length: bits,
+    };
+    let mut end = sorted.count();
+    loop {
+        end = sorted.rank(key, end);
+        let place = end.checked_sub(1)?;
+        let found = sorted.prefix(place);
+        let common = common_bits(found.start, address, bits);
+        if common >= found.length {
+            return Some(place);
+        }
+        key = Prefix {
+            start: truncate(address, common, bits),
+            length: common,
+        };
+    }
+}
+
+/// Returns how many of the first bits two `bits`-bit numbers share.
+fn common_bits(one: u64, other: u64, bits: u8) -> u8 {
+    let unused = u64::BITS - u32::from(bits);
+    let same = (one ^ other).leading_zeros().saturating_sub(unused);
+    u8::try_from(same).unwrap_or(bits).min(bits)
+}
--- a/crates/foxtide-core/src/ids.rs
+++ b/crates/foxtide-core/src/ids.rs
@@ -95,6 +95,10 @@
     /// The name of an instance of foxtide.
     InstanceId
 );
+define_name!(
+    /// The name of a site, a place in a region to which clients are directed.
+    SiteId
+);
 define_name!(
     /// The name of a planned move.
     MoveId
