Swallow a request for certain in the test of a write sent twice

The test raced the stand-in's change of availability and failed. A proxy that reads the first request and closes makes the same fault certain; the check is unchanged.

--- a/crates/foxtide-config/tests/change.rs
+++ b/crates/foxtide-config/tests/change.rs
@@ -6,10 +6,9 @@
 use foxtide_config::change::{self, ChangeError};
 use foxtide_core::units::Revision;
 use foxtide_testing::Availability;
-use std::time::Duration;
 use support::{
-    IMPATIENT, PATIENT, client, create, document, load, organisation_id, request, server,
-    set_deadline, with_deadline,
+    IMPATIENT, PATIENT, behind_a_proxy_that_swallows_one_request, client, create, document, load,
+    organisation_id, request, server, set_deadline, with_deadline,
 };
 
 #[test]
@@ -101,15 +100,9 @@
 fn verify_a_write_that_never_took_effect_is_settled_by_writing_again() {
     smol::block_on(async {
         let server = server().await;
-        let store = client(&server, Duration::from_millis(500));
         let base = create(&client(&server, PATIENT)).await;
-        server.set_availability(Availability::Silent).await;
-        let write = smol::spawn(async move { set_deadline(&store, &base, 0, 1_234).await });
-        while server.open_connections() == 0 {
-            smol::Timer::after(Duration::from_millis(1)).await;
-        }
-        server.set_availability(Availability::Serving).await;
-        let accepted = write.await.unwrap();
+        let store = behind_a_proxy_that_swallows_one_request(&server).await;
+        let accepted = set_deadline(&store, &base, 0, 1_234).await.unwrap();
         assert!(accepted.settled);
         let stored = load(&client(&server, PATIENT)).await;
         assert_eq!(stored.document, accepted.document);
--- a/crates/foxtide-config/tests/support/mod.rs
+++ b/crates/foxtide-config/tests/support/mod.rs
@@ -6,6 +6,9 @@
 use foxtide_core::ids::OrganisationId;
 use foxtide_core::organisation::Organisation;
 use foxtide_testing::{StoreOptions, StoreServer};
+use smol::future::FutureExt;
+use smol::io::AsyncReadExt;
+use smol::net::{TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -44,6 +47,33 @@
     })
 }
 
+/// Returns a client whose first request never reaches the store; the
+/// connection is closed after it was read.
+pub(crate) async fn behind_a_proxy_that_swallows_one_request(server: &StoreServer) -> HttpStore {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    let target = server.address();
+    smol::spawn(async move {
+        let (mut swallowed, _) = listener.accept().await.expect("a connection");
+        let mut request = vec![0; 65_536];
+        let received = swallowed.read(&mut request).await.expect("a request");
+        assert!(received > 0);
+        drop(swallowed);
+        loop {
+            let (caller, _) = listener.accept().await.expect("a connection");
+            let store = TcpStream::connect(target).await.expect("the store");
+            let there = smol::io::copy(caller.clone(), store.clone());
+            let back = smol::io::copy(store, caller);
+            smol::spawn(async { there.or(back).await }).detach();
+        }
+    })
+    .detach();
+    HttpStore::new(HttpStoreOptions {
+        address,
+        call_timeout: PATIENT,
+    })
+}
+
 pub(crate) fn request(base: Option<Stored>, document: Organisation) -> ChangeRequest {
     ChangeRequest {
         base,
