Measure the ways to run a request at most once

100,000 requests in a simulated fleet with deaths, pauses, broken exchanges, lost answers and a store outage.

--- /dev/null
+++ b/crates/foxtide/examples/measure/at_most_once/store_policy.rs
@@ -0,0 +1,226 @@
+//! Ways that need the store.
+
+use super::policy::{
+    Answer, Decision, KeyRandom, PlainKey, Policy, Tables, Told, View, delegate_to_tables,
+};
+use foxtide_core::idempotency::Claim;
+use foxtide_core::outcome::Outcome;
+use foxtide_core::time::{CLOCK_SKEW_MAX, WallTime};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// When the store is down, from the run's start.
+const OUTAGE: std::ops::Range<Duration> = Duration::from_secs(40)..Duration::from_secs(70);
+
+const LEASE: Duration = Duration::from_secs(10);
+const RENEWAL: Duration = Duration::from_secs(3);
+const RANGES: usize = 64;
+
+fn is_store_up(start: WallTime, now: WallTime) -> bool {
+    !OUTAGE.contains(&now.since(start))
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Record {
+    Begun,
+    Done,
+}
+
+/// A record in the store before each request, and one after it.
+#[derive(Debug)]
+pub(super) struct RecordEach {
+    start: WallTime,
+    records: HashMap<KeyRandom, Record>,
+    writes: u64,
+}
+
+/// The right to run a request whose record was written.
+#[derive(Debug)]
+pub(super) struct RecordClaim {
+    key: KeyRandom,
+    written: std::cell::Cell<bool>,
+}
+
+impl RecordEach {
+    /// Returns the way for a fleet that starts at `start`.
+    pub(super) fn new(start: WallTime) -> Self {
+        Self {
+            start,
+            records: HashMap::new(),
+            writes: 0,
+        }
+    }
+}
+
+impl Policy for RecordEach {
+    type Key = PlainKey;
+    type Claim = RecordClaim;
+
+    /// The store answers in milliseconds.
+    const BEGIN_DELAY_US: u64 = 3_000;
+
+    fn mint(&mut self, _instance: usize, minted_at: WallTime, random: KeyRandom) -> PlainKey {
+        PlainKey { minted_at, random }
+    }
+
+    fn begin(&mut self, view: &View<'_>, key: &PlainKey) -> Decision<RecordClaim> {
+        if !is_store_up(self.start, view.now) {
+            return Decision::Tell(Told::TryAgain);
+        }
+        self.writes += 1;
+        match self.records.get(&key.random) {
+            Some(Record::Done) => Decision::Tell(Told::Final(Outcome::Done)),
+            Some(Record::Begun) => Decision::Tell(Told::TryAgain),
+            None => {
+                self.records.insert(key.random, Record::Begun);
+                let key = key.random;
+                let written = std::cell::Cell::new(false);
+                Decision::Run(RecordClaim { key, written })
+            }
+        }
+    }
+
+    fn written(&mut self, _instance: usize, claim: &RecordClaim) {
+        claim.written.set(true);
+    }
+
+    fn proved_not_run(&mut self, _instance: usize, claim: &RecordClaim) {
+        claim.written.set(false);
+    }
+
+    fn finish(&mut self, _instance: usize, claim: RecordClaim) {
+        self.writes += 1;
+        self.records.insert(claim.key, Record::Done);
+    }
+
+    fn abandon(&mut self, _instance: usize, claim: RecordClaim) -> Outcome {
+        if claim.written.get() {
+            return Outcome::Unknown;
+        }
+        self.writes += 1;
+        self.records.remove(&claim.key);
+        Outcome::NotRun
+    }
+
+    fn restart(&mut self, _instance: usize) {}
+
+    fn store_writes(&self) -> u64 {
+        self.writes
+    }
+}
+
+/// A range of keys and who may run those minted from a time on.
+#[derive(Clone, Copy, Debug)]
+struct Range {
+    owner: usize,
+    from: WallTime,
+}
+
+/// Ranges of keys leased in the store, with one session an instance.
+#[derive(Debug)]
+pub(super) struct LeasedRanges {
+    tables: Tables,
+    start: WallTime,
+    ranges: Vec<Range>,
+    /// Until when each instance's lease lasts.
+    leases: Vec<WallTime>,
+    renewed: Vec<WallTime>,
+    writes: u64,
+}
+
+impl LeasedRanges {
+    /// Returns the way for a fleet that starts at `start`.
+    pub(super) fn new(instances: usize, start: WallTime) -> Self {
+        let range = |number| Range {
+            owner: number % instances,
+            from: WallTime::ZERO,
+        };
+        Self {
+            tables: Tables::new(instances),
+            start,
+            ranges: (0..RANGES).map(range).collect(),
+            leases: vec![start + LEASE; instances],
+            renewed: vec![start; instances],
+            writes: 0,
+        }
+    }
+
+    fn renew(&mut self, now: WallTime, instance: usize) {
+        if now.since(self.renewed[instance]) >= RENEWAL {
+            self.writes += 1;
+            self.renewed[instance] = now;
+            self.leases[instance] = now + LEASE;
+        }
+    }
+
+    /// Gives the ranges of a lapsed lease to instances that hold theirs.
+    fn take_over(&mut self, now: WallTime, instance: usize) {
+        let held = |other: &usize| self.leases[*other] > now;
+        let heirs: Vec<usize> = (0..self.leases.len()).filter(held).collect();
+        let lapsed = now.since(self.leases[instance]) > CLOCK_SKEW_MAX;
+        let owned = |range: &Range| range.owner == instance;
+        if !lapsed || heirs.is_empty() || !self.ranges.iter().any(owned) {
+            return;
+        }
+        self.writes += 1;
+        for (number, range) in self.ranges.iter_mut().enumerate() {
+            if range.owner == instance {
+                range.owner = heirs[number % heirs.len()];
+                range.from = now + CLOCK_SKEW_MAX;
+            }
+        }
+    }
+}
+
+impl Policy for LeasedRanges {
+    type Key = PlainKey;
+    type Claim = Claim;
+
+    fn mint(&mut self, _instance: usize, minted_at: WallTime, random: KeyRandom) -> PlainKey {
+        PlainKey { minted_at, random }
+    }
+
+    fn begin(&mut self, view: &View<'_>, key: &PlainKey) -> Decision<Claim> {
+        let hash = usize::try_from(key.hash() % RANGES as u64).unwrap_or(0);
+        let range = self.ranges[hash];
+        if range.owner != view.instance {
+            return Decision::Redirect(range.owner);
+        }
+        if key.minted_at < range.from {
+            return Decision::Tell(Told::Final(Outcome::Unknown));
+        }
+        let named = key.named(self.tables.of(view.instance).owner());
+        match self.tables.begin(view, &named) {
+            Decision::Run(claim) if self.leases[view.instance] <= view.now => {
+                let outcome = self.tables.of(view.instance).abandon(claim);
+                Decision::Tell(Told::Final(outcome))
+            }
+            decision => decision,
+        }
+    }
+
+    fn restart(&mut self, instance: usize) {
+        self.tables.restart(instance);
+        self.leases[instance] = WallTime::ZERO;
+    }
+
+    fn tick(&mut self, now: WallTime, running: &[bool]) {
+        if !is_store_up(self.start, now) {
+            return;
+        }
+        for (instance, running) in running.iter().enumerate() {
+            if *running {
+                self.renew(now, instance);
+            }
+        }
+        for instance in 0..running.len() {
+            self.take_over(now, instance);
+        }
+    }
+
+    fn store_writes(&self) -> u64 {
+        self.writes
+    }
+
+    delegate_to_tables!();
+}
--- a/crates/foxtide/examples/measure/main.rs
+++ b/crates/foxtide/examples/measure/main.rs
@@ -3,6 +3,7 @@
 //! `cargo run --release --example measure -- decisions` or `-- fleet`, with
 //! the name of a single module after it to run just that one.
 
+mod at_most_once;
 mod document;
 mod events;
 mod explain;
@@ -16,7 +17,7 @@
 type Module = (&'static str, fn(&mut Report));
 
 /// What each instance decides, against simpler baselines.
-const DECISIONS: &[Module] = &[];
+const DECISIONS: &[Module] = &[("at_most_once", at_most_once::run)];
 
 /// What a fleet of instances costs and how fast it agrees.
 const FLEET: &[Module] = &[
