Spread load over a tree of sums

Per-instance reports do not fit the byte budget at 600 instances. Each zone sums them over a tree by rendezvous hash, the regions' roots exchange their sums, and the table goes down the same trees; rounds slow down where the table is too large for the budget. Claims of a silent instance stay counted for their holding time.

--- a/crates/foxtide-core/src/membership/machine.rs
+++ b/crates/foxtide-core/src/membership/machine.rs
@@ -10,7 +10,7 @@
 use super::rendezvous::{Role, rank};
 use super::scope::Scope;
 use super::suspicion::Suspicions;
-use super::table::MemberTable;
+use super::table::{MemberTable, MemberView};
 use crate::ids::InstanceId;
 use crate::time::MonotonicTime;
 use rand::SeedableRng;
@@ -114,6 +114,16 @@
         self.table.members()
     }
 
+    /// Returns all members with the time at which the belief changed.
+    pub fn member_views(&self) -> impl Iterator<Item = MemberView<'_>> {
+        self.table.views()
+    }
+
+    /// Returns a number that changes whenever a member does.
+    pub fn members_version(&self) -> u64 {
+        self.table.version()
+    }
+
     /// Returns one member.
     pub fn member(&self, instance: &InstanceId) -> Option<&Member> {
         self.table.get(instance)
--- a/crates/foxtide-core/src/membership/mod.rs
+++ b/crates/foxtide-core/src/membership/mod.rs
@@ -24,3 +24,4 @@
 pub use options::MembershipOptions;
 pub use rendezvous::{Role, rank, weight};
 pub use suspicion::SuspicionBounds;
+pub use table::MemberView;
--- a/crates/foxtide-core/src/membership/table.rs
+++ b/crates/foxtide-core/src/membership/table.rs
@@ -9,11 +9,18 @@
 
 /// A member and when the belief about it last changed here.
 #[derive(Clone, Debug)]
-pub(crate) struct Entry {
+struct Entry {
+    member: Member,
+    changed_at: MonotonicTime,
+}
+
+/// A member and when the belief about it last changed here.
+#[derive(Clone, Copy, Debug)]
+pub struct MemberView<'a> {
     /// The belief.
-    pub(crate) member: Member,
+    pub member: &'a Member,
     /// When it became this instance's belief.
-    pub(crate) changed_at: MonotonicTime,
+    pub changed_at: MonotonicTime,
 }
 
 /// All members, the dead ones of late included.
@@ -71,6 +78,14 @@
         self.entries.values().map(|entry| &entry.member)
     }
 
+    /// Returns all members with the time of the last change.
+    pub(crate) fn views(&self) -> impl Iterator<Item = MemberView<'_>> {
+        self.entries.values().map(|entry| MemberView {
+            member: &entry.member,
+            changed_at: entry.changed_at,
+        })
+    }
+
     /// Returns the members whose process is thought to run.
     pub(crate) fn running(&self) -> impl Iterator<Item = &Member> {
         self.members().filter(|member| member.state.is_running())
--- /dev/null
+++ b/crates/foxtide-core/src/spreading/load/record.rs
@@ -0,0 +1,84 @@
+//! The load of a group of instances, as it travels.
+
+use crate::ids::{OrganisationId, RegionId};
+use crate::steering::{FleetView, HeardReport, InstanceReport, RegionView, ViewOptions};
+use crate::time::{MonotonicTime, WallTime};
+
+/// Encoded size of a record at most, without what is listed in it, in bytes.
+const RECORD_BYTES: usize = 60;
+
+/// Encoded size of a service's figures at most, without its row, in bytes.
+const SERVICE_BYTES: usize = 24;
+
+/// Encoded size of a share or claim of one region at most, in bytes.
+const REGION_BYTES: usize = 10;
+
+/// What some instances of a region report for one organisation.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LoadRecord {
+    /// The organisation.
+    pub organisation: OrganisationId,
+    /// The region that the instances stand in.
+    pub region: RegionId,
+    /// When the sum was made.
+    pub summed_at: WallTime,
+    /// When the oldest report in the sum was made.
+    pub oldest_at: WallTime,
+    /// When the oldest report of an instance that counts as heard was made.
+    pub live_since: WallTime,
+    /// The sum; its own times are not used.
+    pub sum: RegionView,
+}
+
+impl LoadRecord {
+    /// Returns the record of a single instance.
+    pub(super) fn single(
+        organisation: &OrganisationId,
+        region: &RegionId,
+        report: &InstanceReport,
+        made_at: WallTime,
+    ) -> Self {
+        let heard = HeardReport {
+            origin: region,
+            made_at: MonotonicTime::ZERO,
+            report,
+        };
+        let options = ViewOptions::default();
+        let view = FleetView::from_reports([heard], options, MonotonicTime::ZERO);
+        let sum = view.regions.into_values().next().unwrap_or_default();
+        Self {
+            organisation: organisation.clone(),
+            region: region.clone(),
+            summed_at: made_at,
+            oldest_at: made_at,
+            live_since: made_at,
+            sum,
+        }
+    }
+
+    /// Counts the instances of another record in.
+    pub(super) fn merge(&mut self, other: &Self) {
+        self.oldest_at = self.oldest_at.min(other.oldest_at);
+        self.live_since = match (self.sum.live_instances, other.sum.live_instances) {
+            (_, 0) => self.live_since,
+            (0, _) => other.live_since,
+            _ => self.live_since.min(other.live_since),
+        };
+        self.sum.merge(&other.sum);
+    }
+
+    /// Takes back that its instances were heard; their claims still count.
+    pub(super) fn make_silent(&mut self) {
+        self.sum.live_instances = 0;
+        self.sum.services.clear();
+    }
+
+    /// Returns a bound on the encoded size, in bytes.
+    pub fn size_bound_bytes(&self) -> usize {
+        let services = self.sum.services.values();
+        let services_bytes: usize = services
+            .map(|service| SERVICE_BYTES + service.row.len() * REGION_BYTES)
+            .sum();
+        RECORD_BYTES + services_bytes + self.sum.claims.len() * REGION_BYTES
+    }
+}
--- /dev/null
+++ b/crates/foxtide-core/src/spreading/load/spreader.rs
@@ -0,0 +1,252 @@
+//! The rounds in which sums go up and the table comes down.
+
+use super::options::LoadOptions;
+use super::record::LoadRecord;
+use super::tree::Place;
+use crate::ids::{InstanceId, OrganisationId, RegionId};
+use crate::membership::Member;
+use crate::steering::InstanceReport;
+use crate::time::WallTime;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Intervals for which the sum of an instance that moved to another parent is
+/// kept: by then the new parent's sum has arrived.
+const MOVED_INTERVALS: u32 = 2;
+
+/// Records that travel together.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LoadMessage {
+    /// The sum over the sender and all below it.
+    Sum(Vec<LoadRecord>),
+    /// Sums of whole regions.
+    Table(Vec<LoadRecord>),
+}
+
+/// A message to send.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LoadSend {
+    /// Where to.
+    pub to: SocketAddr,
+    /// What.
+    pub message: LoadMessage,
+}
+
+/// An instance's own report.
+#[derive(Clone, Debug)]
+struct OwnReport {
+    report: InstanceReport,
+    made_at: WallTime,
+}
+
+/// The last sum of an instance below.
+#[derive(Clone, Debug)]
+struct ChildSum {
+    records: Vec<LoadRecord>,
+    received_at: WallTime,
+}
+
+/// What a record tells of.
+type Subject = (OrganisationId, RegionId);
+
+/// Spreads the load of one instance and holds what it knows of all.
+#[derive(Clone, Debug)]
+pub struct LoadSpreader {
+    pub(super) options: LoadOptions,
+    pub(super) own: Member,
+    pub(super) table: BTreeMap<Subject, LoadRecord>,
+    reports: BTreeMap<OrganisationId, OwnReport>,
+    children: BTreeMap<InstanceId, ChildSum>,
+    place: Place,
+    place_version: Option<u64>,
+    summed_at: WallTime,
+    told_at: WallTime,
+}
+
+impl LoadSpreader {
+    /// Returns the state of an instance that knows nothing yet.
+    pub fn new(own: Member, options: LoadOptions) -> Self {
+        Self {
+            options,
+            own,
+            table: BTreeMap::new(),
+            reports: BTreeMap::new(),
+            children: BTreeMap::new(),
+            place: Place::default(),
+            place_version: None,
+            summed_at: WallTime::ZERO,
+            told_at: WallTime::ZERO,
+        }
+    }
+
+    /// Sets what this instance reports for an organisation.
+    pub fn publish(&mut self, organisation: OrganisationId, report: InstanceReport, now: WallTime) {
+        let made_at = now;
+        self.reports
+            .insert(organisation, OwnReport { report, made_at });
+    }
+
+    /// Takes the members in; `version` changes whenever they do.
+    pub fn observe<'a>(&mut self, members: impl Iterator<Item = &'a Member>, version: u64) {
+        if self.place_version != Some(version) {
+            self.place = Place::new(&self.own, members, self.options.fan_out);
+            self.place_version = Some(version);
+        }
+    }
+
+    /// Returns the time between two rounds.
+    pub fn interval(&self) -> Duration {
+        let records = self.table.values();
+        let table_bytes = records.map(LoadRecord::size_bound_bytes).sum();
+        self.options.interval(table_bytes)
+    }
+
+    /// Sends what is due. Levels take their turns within each interval of the
+    /// wall clock, the lowest first, so that a sum reaches the root soon after
+    /// its reports were made.
+    pub fn tick(&mut self, now: WallTime) -> Vec<LoadSend> {
+        let levels_below = self.place.depth_max - self.place.depth;
+        let sum_phase = self.options.hop * levels_below;
+        let told_phase = sum_phase + self.options.far_hop;
+        let mut sends = Vec::new();
+        if self.is_due(self.summed_at, sum_phase, now) {
+            self.summed_at = now;
+            self.send_sum(now, &mut sends);
+        }
+        let is_root = self.place.parent.is_none();
+        if is_root && self.is_due(self.told_at, told_phase, now) {
+            self.told_at = now;
+            let table = self.table.values().cloned().collect();
+            self.tell_children(&LoadMessage::Table(table), &mut sends);
+        }
+        sends
+    }
+
+    /// Takes a message of `sender` in and passes on what is new.
+    pub fn receive(
+        &mut self,
+        sender: &InstanceId,
+        message: LoadMessage,
+        now: WallTime,
+    ) -> Vec<LoadSend> {
+        let mut sends = Vec::new();
+        match message {
+            LoadMessage::Sum(mut records) => {
+                records.retain(|record| record.region == self.own.region);
+                let sum = ChildSum {
+                    records,
+                    received_at: now,
+                };
+                self.children.insert(sender.clone(), sum);
+            }
+            LoadMessage::Table(records) => {
+                let newer = self.take_newer(records, now);
+                // Roots wait for all of their kind and send one table.
+                if !newer.is_empty() && self.place.parent.is_some() {
+                    self.tell_children(&LoadMessage::Table(newer), &mut sends);
+                }
+            }
+        }
+        sends
+    }
+
+    /// Takes in records of whole regions and returns those that were newer
+    /// than the ones held.
+    pub fn take_newer(&mut self, mut records: Vec<LoadRecord>, now: WallTime) -> Vec<LoadRecord> {
+        let latest = now + self.options.skew * 2;
+        records.retain(|record| {
+            // One from a clock far ahead would keep all others out.
+            if record.summed_at > latest {
+                return false;
+            }
+            let subject = (record.organisation.clone(), record.region.clone());
+            let held = self.table.get(&subject);
+            let newer = held.is_none_or(|held| record.summed_at > held.summed_at);
+            if newer {
+                self.table.insert(subject, record.clone());
+            }
+            newer
+        });
+        records
+    }
+
+    /// Returns the table of all regions.
+    pub fn records(&self) -> impl Iterator<Item = &LoadRecord> {
+        self.table.values()
+    }
+
+    fn is_due(&self, last: WallTime, phase: Duration, now: WallTime) -> bool {
+        let interval_us = self.interval().as_micros().max(1) as u64;
+        let since_phase_us = now.saturating_sub(phase).as_us();
+        let turn = WallTime::from_us(since_phase_us / interval_us * interval_us) + phase;
+        // A clock that was put back must not silence the instance.
+        last < turn || now < last
+    }
+
+    fn send_sum(&mut self, now: WallTime, sends: &mut Vec<LoadSend>) {
+        let records = self.sum(now);
+        if records.is_empty() {
+            return;
+        }
+        if let Some(to) = self.place.parent {
+            let message = LoadMessage::Sum(records);
+            sends.push(LoadSend { to, message });
+            return;
+        }
+        self.take_newer(records.clone(), now);
+        for to in &self.place.other_roots {
+            let message = LoadMessage::Table(records.clone());
+            sends.push(LoadSend { to: *to, message });
+        }
+    }
+
+    fn tell_children(&self, message: &LoadMessage, sends: &mut Vec<LoadSend>) {
+        for to in self.place.children.values() {
+            let message = message.clone();
+            sends.push(LoadSend { to: *to, message });
+        }
+    }
+
+    /// Sums up this instance and all below it.
+    fn sum(&mut self, now: WallTime) -> Vec<LoadRecord> {
+        self.forget_children(now);
+        let mut sums: BTreeMap<OrganisationId, LoadRecord> = BTreeMap::new();
+        let region = &self.own.region;
+        let own = self.reports.iter().map(|(organisation, own)| {
+            LoadRecord::single(organisation, region, &own.report, own.made_at)
+        });
+        let below = self.children.values().flat_map(|child| &child.records);
+        for mut record in own.chain(below.cloned()) {
+            if now - record.oldest_at > self.options.view.claim_hold {
+                continue;
+            }
+            if now - record.live_since > self.options.live_age_max {
+                record.make_silent();
+            }
+            record.summed_at = now;
+            match sums.get_mut(&record.organisation) {
+                Some(sum) => sum.merge(&record),
+                None => {
+                    sums.insert(record.organisation.clone(), record);
+                }
+            }
+        }
+        sums.into_values().collect()
+    }
+
+    /// Forgets the sums of instances that report elsewhere by now.
+    ///
+    /// One that is gone keeps its claims until they run out; one that moved
+    /// is summed by its new parent.
+    fn forget_children(&mut self, now: WallTime) {
+        let moved_hold = self.interval() * MOVED_INTERVALS;
+        let elsewhere = &self.place.elsewhere;
+        let claim_hold = self.options.view.claim_hold;
+        self.children.retain(|child, sum| {
+            let moved = elsewhere.contains(child);
+            let hold = if moved { moved_hold } else { claim_hold };
+            now - sum.received_at <= hold
+        });
+    }
+}
--- a/crates/foxtide-core/src/spreading/mod.rs
+++ b/crates/foxtide-core/src/spreading/mod.rs
@@ -2,6 +2,8 @@
 
 mod configuration;
 mod fetch;
+mod load;
 
 pub use configuration::{ConfigurationTable, Document};
 pub use fetch::{Fetch, FetchOptions, FetchQueue};
+pub use load::{LoadMessage, LoadOptions, LoadRecord, LoadSend, LoadSpreader, Moment};
--- /dev/null
+++ b/crates/foxtide-core/src/steering/merge.rs
@@ -0,0 +1,66 @@
+//! Adds up what is known of several groups of instances of one region.
+
+use super::view::{IDLE_WEIGHT_RPS, RegionView, ServiceView};
+use crate::ids::RegionId;
+use crate::units::{RequestRate, Share};
+use std::collections::BTreeMap;
+
+impl RegionView {
+    /// Counts another group of instances of the same region in, none of which
+    /// is counted here already.
+    pub fn merge(&mut self, other: &Self) {
+        if other.counted_instances > 0 {
+            let oldest_at = other.oldest_at;
+            self.oldest_at = match self.counted_instances {
+                0 => oldest_at,
+                _ => self.oldest_at.min(oldest_at),
+            };
+        }
+        self.counted_instances += other.counted_instances;
+        self.live_instances += other.live_instances;
+        self.known_instances += other.known_instances;
+        for (id, service) in &other.services {
+            self.services.entry(id.clone()).or_default().merge(service);
+        }
+        for (region, claim) in &other.claims {
+            let sum = self.claims.entry(region.clone()).or_default();
+            *sum = sum.plus(*claim);
+        }
+    }
+}
+
+impl ServiceView {
+    /// Counts another group of instances in.
+    pub fn merge(&mut self, other: &Self) {
+        self.healthy_share = match (self.healthy_share, other.healthy_share) {
+            (Some(known), Some(new)) if new < known => Some(known),
+            (known, new) => new.or(known),
+        };
+        self.row = mean_row(self, other);
+        self.instances += other.instances;
+        let demand_rps = self.demand_rps.get() + other.demand_rps.get();
+        self.demand_rps = RequestRate::clamped(demand_rps);
+    }
+
+    /// Returns the weight of this group's row; a group without one has none.
+    fn row_weight(&self) -> f64 {
+        if self.row.is_empty() {
+            return 0.0;
+        }
+        self.demand_rps.get() + f64::from(self.instances) * IDLE_WEIGHT_RPS
+    }
+}
+
+/// Returns the mean of two groups' rows, weighted by their demand.
+fn mean_row(one: &ServiceView, two: &ServiceView) -> BTreeMap<RegionId, Share> {
+    let total = one.row_weight() + two.row_weight();
+    let mut mean: BTreeMap<RegionId, Share> = BTreeMap::new();
+    for group in [one, two] {
+        for (region, share) in &group.row {
+            let sum = mean.entry(region.clone()).or_default();
+            let part = share.get() * group.row_weight() / total;
+            *sum = Share::clamped(sum.get() + part);
+        }
+    }
+    mean
+}
--- a/crates/foxtide-core/src/steering/mod.rs
+++ b/crates/foxtide-core/src/steering/mod.rs
@@ -12,6 +12,7 @@
 mod adopt;
 mod decide;
 mod engine;
+mod merge;
 mod options;
 mod planned;
 mod rooms;
--- a/crates/foxtide-core/src/steering/view.rs
+++ b/crates/foxtide-core/src/steering/view.rs
@@ -148,7 +148,7 @@
 }
 
 /// The weight of an idle instance's row, in requests a second.
-const IDLE_WEIGHT_RPS: f64 = 0.01;
+pub(super) const IDLE_WEIGHT_RPS: f64 = 0.01;
 
 impl ServiceView {
     fn add(&mut self, report: &ServiceReport) {
--- a/crates/foxtide-mesh/src/datagrams.rs
+++ b/crates/foxtide-mesh/src/datagrams.rs
@@ -2,10 +2,12 @@
 
 use crate::shared::{Shared, carry_out};
 use crate::traffic::Rejection;
-use crate::wire::{Datagram, read_datagram};
-use crate::{documents, join};
+use crate::wire::datagram::Body;
+use crate::wire::{Datagram, Unreadable, read_datagram, read_load};
+use crate::{documents, join, load};
 use foxtide_core::ids::InstanceId;
 use foxtide_core::membership::Packet;
+use foxtide_core::spreading::LoadMessage;
 use prost::Message as _;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -36,7 +38,8 @@
 
 fn take_in(shared: &Arc<Shared>, from: SocketAddr, bytes: &[u8]) {
     match admit(shared, bytes) {
-        Ok((sender, packet)) => {
+        Ok((sender, Content::Load(message))) => load::receive(shared, &sender, message),
+        Ok((sender, Content::Packet(packet))) => {
             let now = shared.now();
             let mut state = shared.state.lock();
             let outputs = state.membership.receive(&sender, from, packet, now);
@@ -47,15 +50,28 @@
     }
 }
 
+/// What a datagram holds.
+enum Content {
+    Packet(Packet),
+    Load(LoadMessage),
+}
+
 /// Reads a datagram and checks that it is to be taken in.
-fn admit(shared: &Shared, bytes: &[u8]) -> Result<(InstanceId, Packet), Rejection> {
+fn admit(shared: &Shared, bytes: &[u8]) -> Result<(InstanceId, Content), Rejection> {
     let datagram = Datagram::decode(bytes).map_err(|_| Rejection::Malformed)?;
     let header = datagram.header.clone().ok_or(Rejection::Malformed)?;
     shared.state.lock().guard.check(&header)?;
     let sender = header.sender.parse().map_err(|_| Rejection::Malformed)?;
-    let packet = read_datagram(datagram).map_err(|_| Rejection::Malformed)?;
+    let content = read(datagram).map_err(|_| Rejection::Malformed)?;
     shared.state.lock().guard.check_once(&header)?;
-    Ok((sender, packet))
+    Ok((sender, content))
+}
+
+fn read(datagram: Datagram) -> Result<Content, Unreadable> {
+    if let Some(Body::Load(load)) = &datagram.body {
+        return read_load(load).map(Content::Load);
+    }
+    read_datagram(datagram).map(Content::Packet)
 }
 
 /// Steps the protocol for as long as the task lives.
@@ -66,6 +82,7 @@
         let outputs = shared.state.lock().membership.tick(now);
         carry_out(&shared, outputs);
         documents::start_fetches(&shared);
+        load::tick(&shared);
         join::tidy(&shared);
     }
 }
--- a/crates/foxtide-mesh/src/handle.rs
+++ b/crates/foxtide-mesh/src/handle.rs
@@ -6,10 +6,11 @@
 use crate::options::{Identity, MeshOptions};
 use crate::shared::{Shared, carry_out};
 use crate::traffic::TrafficCounts;
-use crate::{datagrams, documents, streams};
-use foxtide_core::ids::InstanceId;
+use crate::{datagrams, documents, load, streams};
+use foxtide_core::ids::{InstanceId, OrganisationId};
 use foxtide_core::membership::{Counts, Incarnation, Member, MemberState, Role};
 use foxtide_core::spreading::Document;
+use foxtide_core::steering::{FleetView, InstanceReport};
 use parking_lot::Mutex;
 use smol::channel::Receiver;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
@@ -156,6 +157,29 @@
         receiver
     }
 
+    /// Sets what this instance reports for an organisation.
+    pub fn publish_load(&self, organisation: &OrganisationId, report: InstanceReport) {
+        let now = load::wall_now();
+        let mut state = self.shared.state.lock();
+        state.load.publish(organisation.clone(), report, now);
+    }
+
+    /// Returns what is known of an organisation's load in all regions.
+    ///
+    /// Its times are on the clock that began at [`MeshOptions::clock_origin`].
+    pub fn fleet_view(&self, organisation: &OrganisationId) -> FleetView {
+        let now = load::moment(&self.shared);
+        let state = self.shared.state.lock();
+        let members = state.membership.member_views();
+        state.load.fleet_view(organisation, members, now)
+    }
+
+    /// Returns the time between two rounds of spreading load; it grows where
+    /// the table of all regions is too large for the budget.
+    pub fn load_interval(&self) -> Duration {
+        self.shared.state.lock().load.interval()
+    }
+
     /// Returns how far this instance has taken over what its peers know.
     pub fn synchronisation(&self) -> Synchronisation {
         self.shared.state.lock().synchronisation
--- a/crates/foxtide-mesh/src/join.rs
+++ b/crates/foxtide-mesh/src/join.rs
@@ -3,7 +3,7 @@
 use crate::errors::{Error, Result};
 use crate::shared::{Shared, State, carry_out};
 use crate::wire::{Snapshot, read_member, request, response};
-use crate::{documents, streams};
+use crate::{documents, load, streams};
 use foxtide_core::membership::Announcement;
 use futures_util::future::join_all;
 use rand::seq::{IteratorRandom, SliceRandom};
@@ -132,7 +132,7 @@
 
 /// Exchanges all that is known with a peer.
 async fn exchange(shared: &Arc<Shared>, peer: SocketAddr) -> Result<()> {
-    let ours = snapshot(&shared.state.lock());
+    let ours = snapshot(shared);
     let limit = shared.options.exchange_timeout;
     let request = request::Body::Synchronise(ours);
     match streams::ask(shared, peer, request, limit).await? {
@@ -150,7 +150,7 @@
     sender: &str,
     theirs: &Snapshot,
 ) -> Option<response::Body> {
-    let ours = snapshot(&shared.state.lock());
+    let ours = snapshot(shared);
     merge(shared, theirs, address_in(theirs, sender));
     Some(response::Body::Synchronise(ours))
 }
@@ -162,11 +162,14 @@
     Some(read_member(own).ok()?.peer_address)
 }
 
-fn snapshot(state: &State) -> Snapshot {
+fn snapshot(shared: &Shared) -> Snapshot {
+    let load = load::snapshot(shared);
+    let state = shared.state.lock();
     let revisions = state.configurations.revisions();
     Snapshot {
         members: state.membership.members().map(Into::into).collect(),
         announcements: revisions.iter().map(Into::into).collect(),
+        load: Some(load),
     }
 }
 
@@ -181,6 +184,9 @@
     let now = shared.now();
     let outputs = shared.state.lock().membership.merge(members, now);
     carry_out(shared, outputs);
+    if let Some(theirs) = &theirs.load {
+        load::merge(shared, theirs);
+    }
     let Some(peer) = peer else {
         return;
     };
--- a/crates/foxtide-mesh/src/lib.rs
+++ b/crates/foxtide-mesh/src/lib.rs
@@ -11,6 +11,7 @@
 mod guard;
 mod handle;
 mod join;
+mod load;
 mod options;
 mod shared;
 mod streams;
--- /dev/null
+++ b/crates/foxtide-mesh/src/load.rs
@@ -0,0 +1,87 @@
+//! Sending and receiving load records.
+
+use crate::shared::Shared;
+use crate::wire::{Datagram, Load, datagram, read_load};
+use foxtide_core::ids::InstanceId;
+use foxtide_core::membership::DATAGRAM_MAX_BYTES;
+use foxtide_core::spreading::{LoadMessage, LoadSend, Moment};
+use foxtide_core::time::WallTime;
+use prost::Message as _;
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Returns the wall clock's time.
+pub(crate) fn wall_now() -> WallTime {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    WallTime::ZERO + since.unwrap_or(Duration::ZERO)
+}
+
+/// Returns the present moment on both clocks.
+pub(crate) fn moment(shared: &Shared) -> Moment {
+    Moment {
+        monotonic: shared.now(),
+        wall: wall_now(),
+    }
+}
+
+/// Sends what is due.
+pub(crate) fn tick(shared: &Shared) {
+    let mut guard = shared.state.lock();
+    let state = &mut *guard;
+    let version = state.membership.members_version();
+    state.load.observe(state.membership.members(), version);
+    let sends = state.load.tick(wall_now());
+    drop(guard);
+    send_all(shared, sends);
+}
+
+/// Takes in load records of a peer.
+pub(crate) fn receive(shared: &Shared, sender: &InstanceId, message: LoadMessage) {
+    let now = wall_now();
+    let sends = shared.state.lock().load.receive(sender, message, now);
+    send_all(shared, sends);
+}
+
+/// Returns the table of all regions, for a peer that starts.
+pub(crate) fn snapshot(shared: &Shared) -> Load {
+    let records = shared.state.lock().load.records().cloned().collect();
+    Load::from(&LoadMessage::Table(records))
+}
+
+/// Takes a peer's table in.
+pub(crate) fn merge(shared: &Shared, load: &Load) {
+    if let Ok(LoadMessage::Table(records)) = read_load(load) {
+        shared.state.lock().load.take_newer(records, wall_now());
+    }
+}
+
+fn send_all(shared: &Shared, sends: Vec<LoadSend>) {
+    for LoadSend { to, message } in sends {
+        send(shared, to, message);
+    }
+}
+
+/// Sends a message in as many datagrams as it needs.
+fn send(shared: &Shared, to: SocketAddr, message: LoadMessage) {
+    let whole = Datagram {
+        header: Some(shared.header()),
+        body: Some(datagram::Body::Load((&message).into())),
+        ..Datagram::default()
+    };
+    if whole.encoded_len() <= DATAGRAM_MAX_BYTES {
+        shared.send(to, &whole);
+        return;
+    }
+    let (mut records, wrap): (_, fn(_) -> _) = match message {
+        LoadMessage::Sum(records) => (records, LoadMessage::Sum),
+        LoadMessage::Table(records) => (records, LoadMessage::Table),
+    };
+    if records.len() <= 1 {
+        shared.traffic.unsent_datagram();
+        log::warn!("load record of {} bytes is not sent", whole.encoded_len());
+        return;
+    }
+    let rest = records.split_off(records.len() / 2);
+    send(shared, to, wrap(records));
+    send(shared, to, wrap(rest));
+}
--- a/crates/foxtide-mesh/src/options.rs
+++ b/crates/foxtide-mesh/src/options.rs
@@ -3,6 +3,7 @@
 use crate::faults::Faults;
 use foxtide_core::ids::{AvailabilityZoneId, InstanceId, RegionId};
 use foxtide_core::membership::MembershipOptions;
+use foxtide_core::spreading::LoadOptions;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -29,6 +30,8 @@
     pub cluster: String,
     /// The membership protocol's settings.
     pub membership: MembershipOptions,
+    /// The settings of the spreading of load.
+    pub load: LoadOptions,
     /// Time between two steps of the protocol. Default 50 ms.
     pub tick_interval: Duration,
     /// How long connecting to a peer may take. Default 1 s.
@@ -52,6 +55,7 @@
         Self {
             cluster: String::from("foxtide"),
             membership: MembershipOptions::default(),
+            load: LoadOptions::default(),
             tick_interval: Duration::from_millis(50),
             connect_timeout: Duration::from_secs(1),
             exchange_timeout: Duration::from_secs(5),
--- a/crates/foxtide-mesh/src/shared.rs
+++ b/crates/foxtide-mesh/src/shared.rs
@@ -9,13 +9,14 @@
 use crate::join::{self, Synchronisation};
 use crate::options::MeshOptions;
 use crate::traffic::{Rejection, Traffic};
-use crate::wire::Header;
+use crate::wire::{Datagram, Header, to_datagram};
 use foxtide_core::events::EventCode;
 use foxtide_core::ids::InstanceId;
-use foxtide_core::membership::{Member, MemberState, Membership, Output, Packet};
-use foxtide_core::spreading::{ConfigurationTable, Document, FetchQueue};
+use foxtide_core::membership::{Member, MemberState, Membership, Output};
+use foxtide_core::spreading::{ConfigurationTable, Document, FetchQueue, LoadSpreader};
 use foxtide_core::time::MonotonicTime;
 use parking_lot::Mutex;
+use prost::Message as _;
 use rand::rngs::{StdRng, SysRng};
 use rand::{SeedableRng, TryRng};
 use smol::channel::{Receiver, Sender};
@@ -30,6 +31,7 @@
     pub(crate) membership: Membership,
     pub(crate) configurations: ConfigurationTable,
     pub(crate) fetches: FetchQueue,
+    pub(crate) load: LoadSpreader,
     pub(crate) guard: Guard,
     pub(crate) rng: StdRng,
     pub(crate) seeds: BTreeSet<SocketAddr>,
@@ -75,10 +77,12 @@
         let seed = options.seed.unwrap_or_else(random_seed);
         let instance = own.instance.clone();
         let address = own.peer_address;
+        let load = LoadSpreader::new(own.clone(), options.load);
         let state = State {
             membership: Membership::new(own, options.membership, seed, now),
             configurations: ConfigurationTable::default(),
             fetches: FetchQueue::default(),
+            load,
             guard: Guard::new(cluster_id(&options.cluster)),
             rng: StdRng::seed_from_u64(seed),
             seeds: seeds.iter().copied().collect(),
@@ -128,7 +132,9 @@
 pub(crate) fn carry_out(shared: &Arc<Shared>, outputs: Vec<Output>) {
     for output in outputs {
         match output {
-            Output::Send { to, packet } => shared.send(to, packet),
+            Output::Send { to, packet } => {
+                shared.send(to, &to_datagram(shared.header(), packet));
+            }
             Output::Synchronise { with } => join::exchange_soon(shared, with),
             Output::Announced { announcement, by } => {
                 documents::announced(shared, &announcement, by);
@@ -140,9 +146,7 @@
 
 impl Shared {
     /// Sends a datagram; one that the system does not take is lost.
-    fn send(&self, to: SocketAddr, packet: Packet) {
-        use prost::Message as _;
-        let datagram = crate::wire::datagram(self.header(), packet);
+    pub(crate) fn send(&self, to: SocketAddr, datagram: &Datagram) {
         let bytes = datagram.encode_to_vec();
         if !self.options.faults.datagram_passes(self.address, to) {
             self.traffic.sent_datagram(bytes.len());
--- a/crates/foxtide-mesh/src/wire/convert.rs
+++ b/crates/foxtide-mesh/src/wire/convert.rs
@@ -25,7 +25,7 @@
 }
 
 /// Returns a packet in its encoded form.
-pub(crate) fn datagram(header: wire::Header, packet: Packet) -> wire::Datagram {
+pub(crate) fn to_datagram(header: wire::Header, packet: Packet) -> wire::Datagram {
     let mut datagram = wire::Datagram {
         header: Some(header),
         body: Some(body(packet.message)),
@@ -70,7 +70,7 @@
     }
 }
 
-/// Reads a packet from its encoded form.
+/// Reads a packet from its encoded form, where it holds no load.
 ///
 /// A purpose that this program does not know leaves the rumours readable.
 pub(crate) fn read_datagram(datagram: wire::Datagram) -> Result<Packet, Unreadable> {
@@ -109,7 +109,7 @@
             target: request.target.parse()?,
             address: read_address(request.address.as_ref())?,
         },
-        Body::Rumours(_) => Message::Rumours,
+        Body::Rumours(_) | Body::Load(_) => Message::Rumours,
         Body::Digest(digest) => Message::Digest(core::Digest {
             members_hash: digest.members_hash,
             configuration_hash: digest.configuration_hash,
--- a/crates/foxtide-mesh/src/wire/messages.rs
+++ b/crates/foxtide-mesh/src/wire/messages.rs
@@ -1,5 +1,7 @@
 //! Messages in their encoded form.
 
+use super::load::Load;
+
 /// What each message begins with.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct Header {
@@ -28,7 +30,7 @@
 pub(crate) struct Datagram {
     #[prost(message, optional, tag = "1")]
     pub(crate) header: Option<Header>,
-    #[prost(oneof = "datagram::Body", tags = "2, 3, 4, 5, 6")]
+    #[prost(oneof = "datagram::Body", tags = "2, 3, 4, 5, 6, 10")]
     pub(crate) body: Option<datagram::Body>,
     #[prost(message, repeated, tag = "7")]
     pub(crate) members: Vec<Member>,
@@ -53,6 +55,8 @@
         Rumours(super::Empty),
         #[prost(message, tag = "6")]
         Digest(super::Digest),
+        #[prost(message, tag = "10")]
+        Load(super::Load),
     }
 }
 
@@ -164,6 +168,8 @@
     pub(crate) members: Vec<Member>,
     #[prost(message, repeated, tag = "2")]
     pub(crate) announcements: Vec<Announcement>,
+    #[prost(message, optional, tag = "3")]
+    pub(crate) load: Option<Load>,
 }
 
 /// Asks for a document.
--- a/crates/foxtide-mesh/src/wire/mod.rs
+++ b/crates/foxtide-mesh/src/wire/mod.rs
@@ -3,10 +3,12 @@
 //! Field numbers are never used again; a reader skips fields it does not know.
 
 mod convert;
+mod load;
 mod messages;
 
-pub(crate) use convert::{datagram, read_datagram, read_document, read_member};
+pub(crate) use convert::{Unreadable, read_datagram, read_document, read_member, to_datagram};
+pub(crate) use load::{Load, read_load};
 pub(crate) use messages::{
     CallRequest, CallResponse, Datagram, FetchRequest, Header, Request, Response, Snapshot,
-    request, response,
+    datagram, request, response,
 };
--- a/crates/foxtide-mesh/tests/mesh/main.rs
+++ b/crates/foxtide-mesh/tests/mesh/main.rs
@@ -2,5 +2,6 @@
 
 mod calls;
 mod fleet;
+mod load;
 mod membership;
 mod spreading;
