--- a/crates/foxtide-entry/src/admin.rs
+++ b/crates/foxtide-entry/src/admin.rs
@@ -1,10 +1,11 @@
 //! The listener for operators.
 
 use crate::answer::{Answer, Refusal};
-use crate::events::RequestEvent;
-use crate::parts::{Admin, Parts, Recorder};
+use crate::callers::record_rejected;
+use crate::parts::{Admin, Parts};
 use crate::request_id::new_request_id;
 use crate::serve::{Handler, Received, ServeState};
+use foxtide_core::events::RequestId;
 use http_types::{Method, StatusCode};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -52,7 +53,7 @@
 }
 
 fn refused(status: StatusCode, reason: &'static str) -> Answer {
-    Refusal::not_run(status, reason).answer(&new_request_id())
+    Refusal::not_run(status, reason).answer(new_request_id().as_str())
 }
 
 impl<P: Parts> Handler for AdminHandler<P> {
@@ -62,10 +63,7 @@
 
     fn caller_gone(&self, _caller: SocketAddr) {}
 
-    fn bad_request(&self, caller: SocketAddr, refusal: &Refusal) -> String {
-        let reason = refusal.reason;
-        let event = RequestEvent::BadRequest { caller, reason };
-        self.parts.recorder().record(event);
-        new_request_id()
+    fn bad_request(&self, caller: SocketAddr, refusal: &Refusal) -> RequestId {
+        record_rejected(&*self.parts, caller, refusal)
     }
 }
--- a/crates/foxtide-entry/src/answer.rs
+++ b/crates/foxtide-entry/src/answer.rs
@@ -1,8 +1,8 @@
 //! Answers to callers.
 
 use crate::http::{BodyLength, name, no_headers};
-use crate::outcome::Outcome;
 use async_h1::server::Encoder;
+use foxtide_core::outcome::Outcome;
 use http_types::headers::{HeaderName, HeaderValue, Headers};
 use http_types::{Body, Method, Response, StatusCode};
 use serde::Serialize;
@@ -53,7 +53,7 @@
 
 #[derive(Serialize)]
 struct RefusalBody<'a> {
-    outcome: String,
+    outcome: &'a str,
     reason: &'a str,
     request: &'a str,
 }
@@ -69,21 +69,20 @@
         }
     }
 
-    /// Returns the refusal with what is known from elsewhere, where that is more.
-    pub(crate) fn with_outcome(self, known: Outcome) -> Self {
-        let outcome = self.outcome.max(known);
+    /// Returns the refusal with what is known of earlier attempts.
+    pub(crate) fn with_outcome(self, outcome: Outcome) -> Self {
         Self { outcome, ..self }
     }
 
     /// Returns the answer that tells the caller.
     pub(crate) fn answer(&self, request: &str) -> Answer {
         let body = RefusalBody {
-            outcome: self.outcome.to_string(),
+            outcome: self.outcome.as_str(),
             reason: self.reason,
             request,
         };
         let mut answer = Answer::json(self.status, &body);
-        answer.insert(name::OUTCOME, &self.outcome.to_string());
+        answer.insert(name::OUTCOME, self.outcome.as_str());
         let retry_after_s = self.retry_after.as_secs_f64().ceil().max(1.0);
         answer.insert(name::RETRY_AFTER, &format!("{retry_after_s}"));
         answer
--- a/crates/foxtide-entry/src/callers.rs
+++ b/crates/foxtide-entry/src/callers.rs
@@ -1,15 +1,16 @@
 //! The listener for callers.
 
 use crate::answer::{Answer, Refusal};
-use crate::events::RequestEvent;
+use crate::facts::Target;
 use crate::http::name;
 use crate::lookup::lookup;
 use crate::options::EntryOptions;
-use crate::parts::{Parts, Recorder};
+use crate::parts::Parts;
 use crate::proxy::Proxy;
 use crate::request_id::{new_request_id, request_id};
 use crate::route::Route;
 use crate::serve::{Handler, Received};
+use foxtide_core::events::{EventCode, EventFields, RequestId};
 use http_types::{Method, StatusCode};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -23,29 +24,27 @@
     pub(crate) options: Arc<EntryOptions>,
     /// What sends requests to upstreams.
     pub(crate) proxy: Proxy<P>,
+    /// The name of this process in idempotency keys.
+    pub(crate) owner: String,
 }
 
 impl<P: Parts> CallerHandler<P> {
-    async fn answer(&self, request: Received, id: &str) -> Result<Answer, Refusal> {
-        let bound_to = self.options.organisation.as_ref();
+    async fn answer(&self, request: Received, id: RequestId) -> Result<Answer, Refusal> {
         match Route::parse(request.head.url.path()) {
             Route::Lookup if request.head.method != Method::Get => Err(Refusal::not_run(
                 StatusCode::MethodNotAllowed,
                 "method-not-allowed",
             )),
-            Route::Lookup => lookup(
-                &*self.parts,
-                bound_to,
-                self.options.lookup_ttl,
-                &request.head.url,
-                request.peer,
-            ),
+            Route::Lookup => {
+                let url = &request.head.url;
+                lookup(&*self.parts, &self.options, url, request.peer, id)
+            }
             Route::Service {
                 organisation,
                 service,
                 path,
             } => {
-                let target = crate::proxy::Target {
+                let target = Target {
                     organisation,
                     service,
                     path,
@@ -60,22 +59,36 @@
 impl<P: Parts> Handler for CallerHandler<P> {
     async fn handle(&self, request: Received) -> Answer {
         let id = request_id(&request.head.head.headers);
-        let answer = self.answer(request, &id).await;
-        let mut answer = answer.unwrap_or_else(|refusal| refusal.answer(&id));
-        answer.insert(name::REQUEST_ID, &id);
+        let answer = self.answer(request, id.clone()).await;
+        let mut answer = answer.unwrap_or_else(|refusal| refusal.answer(id.as_str()));
+        answer.insert(name::REQUEST_ID, id.as_str());
+        answer.insert(name::OWNER, &self.owner);
         answer
     }
 
     fn caller_gone(&self, caller: SocketAddr) {
-        self.parts
-            .recorder()
-            .record(RequestEvent::CallerGone { caller });
+        let fields = EventFields::detail(format!("caller={caller}"));
+        let recorder = self.parts.recorder();
+        recorder.record(EventCode::RequestCancelled, fields);
     }
 
-    fn bad_request(&self, caller: SocketAddr, refusal: &Refusal) -> String {
-        let reason = refusal.reason;
-        let event = RequestEvent::BadRequest { caller, reason };
-        self.parts.recorder().record(event);
-        new_request_id()
+    fn bad_request(&self, caller: SocketAddr, refusal: &Refusal) -> RequestId {
+        record_rejected(&*self.parts, caller, refusal)
     }
 }
+
+/// Records a request that foxtide does not take and returns its identity.
+pub(crate) fn record_rejected<P: Parts>(
+    parts: &P,
+    caller: SocketAddr,
+    refusal: &Refusal,
+) -> RequestId {
+    let request = new_request_id();
+    let fields = EventFields {
+        request: Some(request.clone()),
+        detail: format!("caller={caller} reason={}", refusal.reason),
+        ..EventFields::default()
+    };
+    parts.recorder().record(EventCode::RequestRejected, fields);
+    request
+}
--- a/crates/foxtide-entry/src/entry.rs
+++ b/crates/foxtide-entry/src/entry.rs
@@ -2,21 +2,20 @@
 
 use crate::admin::AdminHandler;
 use crate::callers::CallerHandler;
-use crate::clock::Clock;
 use crate::errors::Result;
-use crate::events::RequestEvent;
+use crate::housekeeping::{Housekeeping, keep_house};
 use crate::options::EntryOptions;
-use crate::parts::{Directory, Parts, Recorder};
+use crate::parts::{Directory, Parts};
 use crate::proxy::Proxy;
 use crate::serve::{Handler, ServeState, bind, serve_listener};
 use crate::time_limit::within;
 use crate::upstream::Pools;
+use foxtide_core::events::{EventCode, EventFields};
+use foxtide_core::idempotency::Table;
+use parking_lot::Mutex;
 use smol::{Async, Executor, Task, Timer};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::time::Duration;
-
-const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The running request path of an instance.
 ///
@@ -30,7 +29,7 @@
     operators: Arc<ServeState>,
     caller_address: SocketAddr,
     admin_address: SocketAddr,
-    _tasks: Vec<Task<()>>,
+    tasks: Vec<Task<()>>,
 }
 
 impl<P: Parts> Entry<P> {
@@ -51,15 +50,18 @@
         let admin_address = local_address(&admin_listener, options.admin_address);
         let pools = Arc::new(Pools::new(options.pool.clone()));
         let (callers, operators) = (ServeState::new(), ServeState::new());
+        let keys = Table::new(parts.owner().clone(), options.keys);
         let proxy = Proxy {
             parts: Arc::clone(&parts),
             options: Arc::clone(&options),
             pools: Arc::clone(&pools),
+            keys: Arc::new(Mutex::new(keys)),
         };
         let caller_handler = CallerHandler {
             parts: Arc::clone(&parts),
             options: Arc::clone(&options),
             proxy,
+            owner: parts.owner().to_string(),
         };
         let admin_handler = AdminHandler {
             parts: Arc::clone(&parts),
@@ -72,13 +74,13 @@
             operators,
             caller_address,
             admin_address,
-            _tasks: Vec::new(),
+            tasks: Vec::new(),
         };
         let callers = Arc::clone(&entry.callers);
         let operators = Arc::clone(&entry.operators);
         entry.serve(executor, caller_listener, caller_handler, callers);
         entry.serve(executor, admin_listener, admin_handler, operators);
-        entry.prune(executor, pools);
+        entry.keep_house(executor, pools);
         Ok(entry)
     }
 
@@ -92,9 +94,8 @@
         let parts = Arc::clone(&self.parts);
         let limits = Arc::new(self.options.limits.clone());
         let on_error = move |error: &std::io::Error| {
-            let cause = error.to_string();
-            let event = RequestEvent::AcceptFailed { cause: &cause };
-            parts.recorder().record(event);
+            let fields = EventFields::detail(format!("cause={error}"));
+            parts.recorder().record(EventCode::ListenerFailed, fields);
         };
         let serving = serve_listener(
             listener,
@@ -104,18 +105,14 @@
             state,
             on_error,
         );
-        self._tasks.push(executor.spawn(serving));
+        self.tasks.push(executor.spawn(serving));
     }
 
-    fn prune(&mut self, executor: &Arc<Executor<'static>>, pools: Arc<Pools>) {
-        let parts = Arc::clone(&self.parts);
-        let pruning = async move {
-            loop {
-                Timer::after(PRUNE_INTERVAL).await;
-                pools.prune(parts.clock().now());
-            }
-        };
-        self._tasks.push(executor.spawn(pruning));
+    fn keep_house(&mut self, executor: &Arc<Executor<'static>>, pools: Arc<Pools>) {
+        let housekeeping =
+            Housekeeping::new(Arc::clone(&self.parts), Arc::clone(&self.options), pools);
+        let keeping = keep_house(housekeeping, Arc::clone(executor));
+        self.tasks.push(executor.spawn(keeping));
     }
 
     /// Returns where callers connect.
@@ -144,14 +141,24 @@
     ///
     /// The admin listener serves on.
     pub async fn drain(&self) {
-        self.parts.recorder().record(RequestEvent::Draining);
+        self.record(EventCode::ProcessStopping, String::new());
         self.parts.directory().leave();
         self.callers.leave();
         Timer::after(self.options.lookup_ttl + self.options.drain.margin).await;
         self.callers.close();
         let finished = self.callers.finished();
-        let _ = within(self.options.drain.in_flight_time, finished).await;
-        self.parts.recorder().record(RequestEvent::Drained);
+        match within(self.options.drain.in_flight_time, finished).await {
+            Ok(()) => self.record(EventCode::ProcessDrained, String::new()),
+            Err(_) => {
+                let in_flight = format!("requests={}", self.requests());
+                self.record(EventCode::DrainWindowExceeded, in_flight);
+            }
+        }
+    }
+
+    fn record(&self, code: EventCode, detail: String) {
+        let recorder = self.parts.recorder();
+        recorder.record(code, EventFields::detail(detail));
     }
 }
 
--- /dev/null
+++ b/crates/foxtide-entry/src/facts.rs
@@ -0,0 +1,115 @@
+//! What is known of a request before it is sent.
+
+use crate::answer::Refusal;
+use crate::clock::Clock;
+use crate::http::name;
+use crate::lookup::{unknown_organisation, unknown_service};
+use crate::options::EntryOptions;
+use crate::parts::Parts;
+use crate::serve::Received;
+use crate::traffic::{OrganisationTraffic, ServiceTraffic};
+use foxtide_core::events::{EventFields, RequestId};
+use foxtide_core::ids::{OrganisationId, ServiceId};
+use foxtide_core::organisation::{Contract, Organisation};
+use foxtide_core::retry::RequestTerms;
+use http_types::headers::Headers;
+use http_types::{Method, StatusCode};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What a request is for.
+#[derive(Clone, Debug)]
+pub(crate) struct Target {
+    /// The organisation.
+    pub(crate) organisation: OrganisationId,
+    /// The service.
+    pub(crate) service: ServiceId,
+    /// The path at the upstream.
+    pub(crate) path: String,
+}
+
+/// What is known of a request before it is sent.
+#[derive(Clone, Debug)]
+pub(crate) struct Facts {
+    /// The identity of the request.
+    pub(crate) request: RequestId,
+    /// The organisation's name.
+    pub(crate) organisation: OrganisationId,
+    /// The organisation's tables.
+    pub(crate) traffic: Arc<OrganisationTraffic>,
+    /// The service's tables.
+    pub(crate) service: Arc<ServiceTraffic>,
+    /// The method.
+    pub(crate) method: Method,
+    /// What binds its attempts.
+    pub(crate) terms: RequestTerms,
+}
+
+impl Facts {
+    /// Collects what is known of a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the organisation or the service does not exist, or the
+    /// deadline is malformed.
+    pub(crate) fn of<P: Parts>(
+        parts: &P,
+        options: &EntryOptions,
+        received: &Received,
+        target: &Target,
+        request: RequestId,
+    ) -> Result<Self, Refusal> {
+        let bound_to = options.organisation.as_ref();
+        if bound_to.is_some_and(|bound| *bound != target.organisation) {
+            return Err(unknown_organisation());
+        }
+        let traffic = parts.traffic().get(&target.organisation);
+        let traffic = traffic.ok_or_else(unknown_organisation)?;
+        let service = traffic.service(&target.service);
+        let service = service.ok_or_else(unknown_service)?;
+        let organisation = traffic.organisation();
+        let contract = contract(&organisation, &target.service)?;
+        let method = received.head.method;
+        let asked = asked_deadline(&received.head.head.headers)?;
+        let time = asked.unwrap_or_else(|| contract.deadline());
+        let deadline = parts.clock().now() + time.min(options.deadline_max);
+        let idempotent = contract.is_idempotent(method.as_ref(), &target.path);
+        Ok(Self {
+            request,
+            organisation: target.organisation.clone(),
+            terms: service.terms(contract, idempotent, deadline),
+            traffic,
+            service,
+            method,
+        })
+    }
+
+    /// Returns the fields of an event about this request.
+    pub(crate) fn event_fields(&self) -> EventFields {
+        EventFields {
+            organisation: Some(self.organisation.clone()),
+            service: Some(self.service.id().clone()),
+            request: Some(self.request.clone()),
+            ..EventFields::default()
+        }
+    }
+}
+
+fn contract<'a>(
+    organisation: &'a Organisation,
+    service: &ServiceId,
+) -> Result<&'a Contract, Refusal> {
+    let service = organisation.service(service);
+    Ok(&service.ok_or_else(unknown_service)?.contract)
+}
+
+fn asked_deadline(headers: &Headers) -> Result<Option<Duration>, Refusal> {
+    let Some(values) = headers.get(name::DEADLINE_MS) else {
+        return Ok(None);
+    };
+    let asked_ms = values.as_str().parse();
+    let malformed = |_| Refusal::not_run(StatusCode::BadRequest, "malformed-deadline");
+    asked_ms
+        .map(|asked_ms| Some(Duration::from_millis(asked_ms)))
+        .map_err(malformed)
+}
--- /dev/null
+++ b/crates/foxtide-entry/src/housekeeping.rs
@@ -0,0 +1,102 @@
+//! What is done in the background: decisions move on, upstreams are asked for
+//! their load, old connections are closed.
+
+use crate::clock::Clock;
+use crate::options::EntryOptions;
+use crate::parts::Parts;
+use crate::traffic::{Poller, UpstreamChange};
+use crate::upstream::Pools;
+use foxtide_core::choice::UpstreamStatus;
+use foxtide_core::events::{EventCode, EventFields};
+use smol::{Executor, Timer};
+use std::sync::Arc;
+use std::time::Duration;
+
+const TICK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// How many ticks pass between two looks at idle connections.
+const TICKS_PER_PRUNE: u32 = 10;
+
+/// What the background work needs.
+#[derive(Debug)]
+pub(crate) struct Housekeeping<P> {
+    parts: Arc<P>,
+    pools: Arc<Pools>,
+    poller: Arc<Poller<P>>,
+}
+
+impl<P: Parts> Housekeeping<P> {
+    /// Returns the background work of an entry.
+    pub(crate) fn new(parts: Arc<P>, options: Arc<EntryOptions>, pools: Arc<Pools>) -> Self {
+        let poller = Poller {
+            parts: Arc::clone(&parts),
+            pools: Arc::clone(&pools),
+            options,
+        };
+        Self {
+            parts,
+            pools,
+            poller: Arc::new(poller),
+        }
+    }
+
+    fn tick(&self, executor: &Executor<'static>) {
+        let (now, wall) = (self.parts.clock().now(), self.parts.clock().wall());
+        let traffic = self.parts.traffic();
+        traffic.tick(now, wall);
+        traffic.publish_views(self.parts.explainer(), now, wall);
+        for change in traffic.changes(now) {
+            self.record(change);
+        }
+        self.poller.start_due(executor);
+    }
+
+    fn prune(&self) {
+        let traffic = self.parts.traffic();
+        self.pools.prune(self.parts.clock().now());
+        self.pools.keep_only(&traffic.addresses());
+    }
+
+    fn record(&self, change: UpstreamChange) {
+        let Some(code) = code_of(change.change.from, change.change.to) else {
+            return;
+        };
+        let fields = EventFields {
+            organisation: Some(change.organisation),
+            service: Some(change.service),
+            region: Some(change.region),
+            upstream: Some(change.change.upstream),
+            detail: format!("from={} to={}", change.change.from, change.change.to),
+            ..EventFields::default()
+        };
+        self.parts.recorder().record(code, fields);
+    }
+}
+
+/// Does the background work until it is dropped.
+pub(crate) async fn keep_house<P: Parts>(
+    housekeeping: Housekeeping<P>,
+    executor: Arc<Executor<'static>>,
+) {
+    let mut ticks: u32 = 0;
+    loop {
+        housekeeping.tick(&executor);
+        if ticks.is_multiple_of(TICKS_PER_PRUNE) {
+            housekeeping.prune();
+        }
+        ticks = ticks.wrapping_add(1);
+        Timer::after(TICK_INTERVAL).await;
+    }
+}
+
+fn code_of(from: UpstreamStatus, to: UpstreamStatus) -> Option<EventCode> {
+    match (from, to) {
+        (_, UpstreamStatus::Leaving) => Some(EventCode::UpstreamDraining),
+        (_, UpstreamStatus::Dead) => Some(EventCode::UpstreamUnreachable),
+        (_, UpstreamStatus::Ejected) => Some(EventCode::UpstreamEjected),
+        (UpstreamStatus::Dead | UpstreamStatus::Ejected, _) => Some(EventCode::UpstreamReinstated),
+        (_, UpstreamStatus::Ramping) => Some(EventCode::RampStarted),
+        (UpstreamStatus::Ramping, UpstreamStatus::Serving) => Some(EventCode::RampCompleted),
+        _ => None,
+    }
+}
--- a/crates/foxtide-entry/src/http/headers.rs
+++ b/crates/foxtide-entry/src/http/headers.rs
@@ -11,11 +11,16 @@
     pub(crate) const CONTENT_TYPE: &str = "content-type";
     pub(crate) const EXPECT: &str = "expect";
     pub(crate) const HOST: &str = "host";
+    pub(crate) const LOCATION: &str = "location";
     pub(crate) const RETRY_AFTER: &str = "retry-after";
     pub(crate) const TRANSFER_ENCODING: &str = "transfer-encoding";
 
     /// The time left for a request, in milliseconds.
     pub(crate) const DEADLINE_MS: &str = "foxtide-deadline-ms";
+    /// The key under which a request runs at most once.
+    pub(crate) const IDEMPOTENCY_KEY: &str = "idempotency-key";
+    /// The name of the answering process, for idempotency keys.
+    pub(crate) const OWNER: &str = "foxtide-owner";
     /// What is known of a request that foxtide itself answers.
     pub(crate) const OUTCOME: &str = "foxtide-outcome";
     /// The identity of a request.
--- a/crates/foxtide-entry/src/lib.rs
+++ b/crates/foxtide-entry/src/lib.rs
@@ -3,8 +3,15 @@
 //! An instance has two listeners. Callers look up which instances to use and
 //! send requests, which go to an upstream; operators read pages. What the
 //! request path needs from the rest of the instance stands in [`Parts`]: one
-//! type that holds a directory, what decides where a request goes, clocks, a
-//! recorder and the operators' pages.
+//! type that holds the tables of all organisations ([`TrafficTables`]), the
+//! directory of instances, clocks, the recorder of events and the operators'
+//! pages.
+//!
+//! The rest of the instance calls [`TrafficTables::configure`] for each
+//! configuration that comes into force, [`TrafficTables::observe`] and
+//! [`TrafficTables::set_sharing_instances`] for what the mesh knows, and sends
+//! [`TrafficTables::report`] to peers. The entry itself moves decisions on in
+//! time, polls upstreams and closes idle connections.
 //!
 //! ```no_run
 //! # use foxtide_entry::{Entry, EntryOptions, Parts, Workers};
@@ -27,30 +34,25 @@
 mod clock;
 mod entry;
 mod errors;
-mod events;
+mod facts;
+mod housekeeping;
 mod http;
-mod local_first;
 mod lookup;
 mod options;
-mod outcome;
 mod parts;
 mod proxy;
 mod request_id;
 mod route;
 mod serve;
 mod time_limit;
+mod traffic;
 mod upstream;
 mod workers;
 
 pub use clock::{Clock, SystemClock};
 pub use entry::Entry;
 pub use errors::{Error, Result, Step};
-pub use events::RequestEvent;
-pub use local_first::{LocalFirst, LocalTicket};
-pub use options::{DrainOptions, EntryOptions, Limits, PoolOptions};
-pub use outcome::Outcome;
-pub use parts::{
-    Admin, AdminPage, Admission, Completion, CompletionKind, Directory, Parts, Pick, Recorder,
-    RequestFacts, ServingInstance, Steer,
-};
+pub use options::{DrainOptions, EntryOptions, Limits, PollOptions, PoolOptions};
+pub use parts::{Admin, AdminPage, Directory, Parts, ServingInstance};
+pub use traffic::{TrafficOptions, TrafficTables, UpstreamState};
 pub use workers::Workers;
--- a/crates/foxtide-entry/src/lookup.rs
+++ b/crates/foxtide-entry/src/lookup.rs
@@ -2,13 +2,17 @@
 
 use crate::answer::{Answer, Refusal};
 use crate::clock::Clock;
-use crate::parts::{Directory, Parts, ServingInstance, Steer};
+use crate::options::EntryOptions;
+use crate::parts::{Directory, Parts, ServingInstance};
+use foxtide_core::events::RequestId;
+use foxtide_core::explain::{Decision, DecisionKind, Rule};
 use foxtide_core::ids::{OrganisationId, RegionId, ServiceId};
+use foxtide_core::organisation::{Drain, DrainTarget, Organisation};
+use foxtide_core::time::WallTime;
 use foxtide_core::units::Revision;
 use http_types::{StatusCode, Url};
 use serde::Serialize;
 use std::net::{IpAddr, SocketAddr};
-use std::time::Duration;
 
 /// What a caller asks for.
 #[derive(Debug)]
@@ -20,8 +24,8 @@
 
 /// The answer to a look-up.
 #[derive(Debug, Serialize)]
-struct LookupAnswer {
-    instances: Vec<ServingInstance>,
+struct LookupAnswer<'a> {
+    instances: Vec<&'a ServingInstance>,
     ttl_s: u64,
     revision: Revision,
 }
@@ -33,31 +37,96 @@
 /// Fails where the question is malformed, or names what does not exist.
 pub(crate) fn lookup<P: Parts>(
     parts: &P,
-    bound_to: Option<&OrganisationId>,
-    ttl: Duration,
+    options: &EntryOptions,
     url: &Url,
     peer: SocketAddr,
+    id: RequestId,
 ) -> Result<Answer, Refusal> {
     let question = Question::parse(url, peer)?;
+    let bound_to = options.organisation.as_ref();
     if bound_to.is_some_and(|bound| *bound != question.organisation) {
         return Err(unknown_organisation());
     }
-    let organisation = parts.directory().organisation(&question.organisation);
-    let organisation = organisation.ok_or_else(unknown_organisation)?;
-    if organisation.service(&question.service).is_none() {
-        return Err(unknown_service());
-    }
-    let now = parts.clock().now();
-    let steer = parts.steer();
-    let regions = steer.lookup(&organisation, &question.service, question.client, now);
+    let traffic = parts.traffic().get(&question.organisation);
+    let traffic = traffic.ok_or_else(unknown_organisation)?;
+    let service = traffic.service(&question.service);
+    let service = service.ok_or_else(unknown_service)?;
+    let organisation = traffic.organisation();
+    let known = parts
+        .directory()
+        .client_region(&question.organisation, question.client);
+    let origin = &parts.traffic().options().origin;
+    let region = known.as_ref().unwrap_or(origin);
+    let wall = parts.clock().wall();
+    let instances = parts.directory().instances();
+    let nearest = nearest(&instances, &organisation, region, wall);
+    let chosen = choose(nearest, options.lookup_instances);
+    let rule = rule(&chosen, known.as_ref(), region);
+    let view = service.view();
+    let decision = Decision::new(DecisionKind::Lookup, rule, view, Some(region.clone()), wall);
+    parts.explainer().note(decision.of_request(&id));
     let answer = LookupAnswer {
-        instances: order(&parts.directory().instances(), &regions),
-        ttl_s: ttl.as_secs(),
+        instances: chosen,
+        ttl_s: options.lookup_ttl.as_secs(),
         revision: organisation.revision,
     };
     Ok(Answer::json(StatusCode::Ok, &answer))
 }
 
+fn rule(chosen: &[&ServingInstance], known: Option<&RegionId>, region: &RegionId) -> Rule {
+    match (chosen.first(), known) {
+        (_, None) => Rule::AnyInstance,
+        (Some(first), Some(_)) if first.region == *region => Rule::ClientRegion,
+        _ => Rule::NextRegion,
+    }
+}
+
+/// Returns the instances that may be named, the nearest to `region` first.
+fn nearest<'a>(
+    instances: &'a [ServingInstance],
+    organisation: &Organisation,
+    region: &RegionId,
+    wall: WallTime,
+) -> Vec<(Distance, &'a ServingInstance)> {
+    let started = |drain: &&Drain| drain.start_us <= wall;
+    let drains: Vec<&Drain> = organisation.drains.iter().filter(started).collect();
+    let stays = |instance: &&ServingInstance| !drains.iter().any(|drain| takes(drain, instance));
+    let with_distance = |instance: &'a ServingInstance| {
+        let distance = distance(organisation, region, &instance.region);
+        (distance, instance)
+    };
+    instances.iter().filter(stays).map(with_distance).collect()
+}
+
+/// Tells whether a drain takes an instance out of look-ups.
+fn takes(drain: &Drain, instance: &ServingInstance) -> bool {
+    match &drain.target {
+        DrainTarget::Instance(id) => *id == instance.instance,
+        DrainTarget::AvailabilityZone(zone) => *zone == instance.availability_zone,
+        DrainTarget::Upstream { .. } | DrainTarget::Region(_) => false,
+    }
+}
+
+/// How far an instance stands from a caller, in microseconds one way.
+type Distance = u64;
+
+fn distance(organisation: &Organisation, from: &RegionId, to: &RegionId) -> Distance {
+    if from == to {
+        return 0;
+    }
+    let delay_ms = organisation.link(from, to).map(|link| link.delay_ms);
+    delay_ms.map_or(Distance::MAX, |delay_ms| (delay_ms * 1e3) as Distance)
+}
+
+/// Chooses the nearest instances; among equals at random, so that callers
+/// spread over all.
+fn choose(mut nearest: Vec<(Distance, &ServingInstance)>, limit: usize) -> Vec<&ServingInstance> {
+    fastrand::shuffle(&mut nearest);
+    nearest.sort_by_key(|(distance, _)| *distance);
+    nearest.truncate(limit);
+    nearest.into_iter().map(|(_, instance)| instance).collect()
+}
+
 /// Returns the refusal for an organisation that is not served here.
 pub(crate) fn unknown_organisation() -> Refusal {
     Refusal::not_run(StatusCode::NotFound, "unknown-organisation")
@@ -68,19 +137,6 @@
     Refusal::not_run(StatusCode::NotFound, "unknown-service")
 }
 
-/// Orders instances by their region's rank; within a region at random, so that
-/// callers spread over all.
-fn order(instances: &[ServingInstance], regions: &[RegionId]) -> Vec<ServingInstance> {
-    let mut ordered = instances.to_vec();
-    fastrand::shuffle(&mut ordered);
-    let rank = |instance: &ServingInstance| {
-        let found = regions.iter().position(|region| *region == instance.region);
-        found.unwrap_or(regions.len())
-    };
-    ordered.sort_by_key(rank);
-    ordered
-}
-
 impl Question {
     fn parse(url: &Url, peer: SocketAddr) -> Result<Self, Refusal> {
         let (mut organisation, mut service, mut client) = (None, None, None);
--- a/crates/foxtide-entry/src/options.rs
+++ b/crates/foxtide-entry/src/options.rs
@@ -1,5 +1,6 @@
 //! What can be set on the request path, with its defaults.
 
+use foxtide_core::idempotency::TableOptions;
 use foxtide_core::ids::OrganisationId;
 use foxtide_core::units::ByteSize;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -17,12 +18,18 @@
     pub organisation: Option<OrganisationId>,
     /// How long callers may keep the answer to a look-up. Default: 5 s.
     pub lookup_ttl: Duration,
+    /// The most instances that a look-up names. Default: 8.
+    pub lookup_instances: usize,
     /// The longest deadline that a caller may ask for. Default: 60 s.
     pub deadline_max: Duration,
     /// What callers may use up. See [`Limits`].
     pub limits: Limits,
     /// How connections to upstreams are kept. See [`PoolOptions`].
     pub pool: PoolOptions,
+    /// How upstreams are asked for their load. See [`PollOptions`].
+    pub poll: PollOptions,
+    /// How many idempotency keys are kept, and for how long.
+    pub keys: TableOptions,
     /// How an instance leaves. See [`DrainOptions`].
     pub drain: DrainOptions,
 }
@@ -34,9 +41,12 @@
             admin_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 8_081)),
             organisation: None,
             lookup_ttl: Duration::from_secs(5),
+            lookup_instances: 8,
             deadline_max: Duration::from_secs(60),
             limits: Limits::default(),
             pool: PoolOptions::default(),
+            poll: PollOptions::default(),
+            keys: TableOptions::default(),
             drain: DrainOptions::default(),
         }
     }
@@ -104,6 +114,26 @@
     }
 }
 
+/// How upstreams are asked for their load that were not heard of for a while.
+#[derive(Clone, Debug)]
+pub struct PollOptions {
+    /// The path that is asked. Any whole answer shows that the upstream lives;
+    /// a load report may come in `endpoint-load-metrics` or as a JSON body.
+    /// Default: `/load`.
+    pub load_path: String,
+    /// The time for connecting and answering. Default: 1 s.
+    pub time: Duration,
+}
+
+impl Default for PollOptions {
+    fn default() -> Self {
+        Self {
+            load_path: "/load".to_owned(),
+            time: Duration::from_secs(1),
+        }
+    }
+}
+
 /// How an instance leaves.
 #[derive(Clone, Debug)]
 pub struct DrainOptions {
--- a/crates/foxtide-entry/src/proxy/attempt.rs
+++ b/crates/foxtide-entry/src/proxy/attempt.rs
@@ -1,16 +1,16 @@
-//! One attempt at one upstream, and what is known after it.
+//! How an attempt at an upstream ended.
 
 use crate::answer::Answer;
 use crate::errors::Step;
 use crate::http::name;
-use crate::outcome::Outcome;
-use crate::parts::CompletionKind;
-use crate::upstream::{Failure, FailureKind};
+use crate::upstream::{Failure, FailureKind, says_draining};
+use foxtide_core::choice::{Completion, CompletionKind};
+use foxtide_core::explain;
+use foxtide_core::outcome::Outcome;
+use foxtide_core::retry::AttemptResult;
 use http_types::StatusCode;
 use http_types::headers::Headers;
-
-const DRAINING: &str = "draining";
-const NOT_RUN: &str = "not-run";
+use std::time::Duration;
 
 /// How an attempt ended.
 #[derive(Debug)]
@@ -33,55 +33,75 @@
         }
     }
 
+    /// Returns what the request's next step rests on.
+    pub(crate) fn result(&self) -> AttemptResult {
+        match self {
+            Self::Answered(answer) if answer.status.is_server_error() => AttemptResult::ServerError,
+            Self::Answered(_) => AttemptResult::Answered,
+            Self::Refused(answer) => AttemptResult::Refused {
+                retry_after: retry_after(&answer.headers),
+            },
+            Self::Failed(failure) if failure.outcome() == Outcome::NotRun => AttemptResult::NotSent,
+            Self::Failed(failure) => match failure.kind {
+                FailureKind::TimedOut => AttemptResult::TimedOut,
+                _ => AttemptResult::Lost,
+            },
+        }
+    }
+
     /// Returns what to tell about the upstream.
-    pub(crate) fn completion_kind(&self) -> CompletionKind {
+    pub(crate) fn completion(&self, latency: Duration) -> Completion {
+        let headers = self.headers();
+        let load = headers.and_then(|headers| headers.get(name::LOAD_METRICS));
+        Completion {
+            kind: self.completion_kind(),
+            latency,
+            load: load.and_then(|values| values.as_str().parse().ok()),
+            draining: headers.is_some_and(says_draining),
+        }
+    }
+
+    fn completion_kind(&self) -> CompletionKind {
         match self {
             Self::Answered(answer) if answer.status.is_server_error() => CompletionKind::Failed,
             Self::Answered(_) => CompletionKind::Answered,
             Self::Refused(_) => CompletionKind::Refused,
             Self::Failed(failure) => match (&failure.kind, failure.step) {
-                (_, Step::Connect) => CompletionKind::Unreachable,
+                (_, Step::Connect) => CompletionKind::NotSent,
                 (FailureKind::TimedOut, _) => CompletionKind::TimedOut,
-                _ => CompletionKind::Broken,
+                _ => CompletionKind::Lost,
             },
         }
     }
 
-    /// Returns what is known of the request after this attempt.
-    pub(crate) fn outcome(&self) -> Outcome {
-        match self {
-            Self::Answered(_) => Outcome::Done,
-            Self::Refused(_) => Outcome::NotRun,
-            Self::Failed(failure) => failure.outcome(),
+    /// Returns how the attempt is explained.
+    pub(crate) fn explained(&self) -> explain::AttemptResult {
+        match self.result() {
+            AttemptResult::Answered | AttemptResult::ServerError => {
+                explain::AttemptResult::Answered
+            }
+            AttemptResult::Refused { .. } => explain::AttemptResult::Refused,
+            AttemptResult::NotSent => explain::AttemptResult::NotSent,
+            AttemptResult::Lost | AttemptResult::TimedOut => explain::AttemptResult::Unknown,
         }
     }
 
-    /// Returns the headers of the upstream's answer.
-    pub(crate) fn headers(&self) -> Option<&Headers> {
+    fn headers(&self) -> Option<&Headers> {
         match self {
             Self::Answered(answer) | Self::Refused(answer) => Some(&answer.headers),
             Self::Failed(_) => None,
         }
     }
-
-    /// Returns what the upstream says of its load.
-    pub(crate) fn load(&self) -> Option<String> {
-        let values = self.headers()?.get(name::LOAD_METRICS)?;
-        Some(values.as_str().to_owned())
-    }
-
-    /// Tells whether the upstream says that it is leaving.
-    pub(crate) fn says_leaving(&self) -> bool {
-        let state = self
-            .headers()
-            .and_then(|headers| headers.get(name::UPSTREAM_STATE));
-        state.is_some_and(|state| state.as_str() == DRAINING)
-    }
 }
 
 /// Tells whether an upstream says itself that it did not run the request.
 fn says_not_run(answer: &Answer) -> bool {
     let said = answer.headers.get(name::OUTCOME);
     answer.status == StatusCode::ServiceUnavailable
-        && said.is_some_and(|said| said.as_str() == NOT_RUN)
+        && said.is_some_and(|said| said.as_str() == Outcome::NotRun.as_str())
+}
+
+fn retry_after(headers: &Headers) -> Option<Duration> {
+    let seconds = headers.get(name::RETRY_AFTER)?.as_str().parse().ok()?;
+    Some(Duration::from_secs(seconds))
 }
--- a/crates/foxtide-entry/src/proxy/mod.rs
+++ b/crates/foxtide-entry/src/proxy/mod.rs
@@ -1,9 +1,11 @@
 //! Sends requests to upstreams and decides what follows from each attempt.
 
 mod attempt;
+mod hedged;
+mod journal;
+mod keys;
 mod place;
 mod prepare;
 mod run;
 
-pub(crate) use prepare::Target;
 pub(crate) use run::Proxy;
--- a/crates/foxtide-entry/src/proxy/place.rs
+++ b/crates/foxtide-entry/src/proxy/place.rs
@@ -1,53 +1,155 @@
-//! The place that an attempt holds at an upstream.
+//! Waits until a request may be sent and has a place at an upstream.
 
+use super::run::Proxy;
+use crate::answer::Refusal;
 use crate::clock::Clock;
-use crate::parts::{Completion, CompletionKind, Parts, Steer};
+use crate::facts::Facts;
+use crate::parts::Parts;
+use crate::traffic::{Choice, Place, RegionTraffic};
+use foxtide_core::explain::Rule;
+use foxtide_core::ids::{RegionId, UpstreamId};
+use foxtide_core::steering::{Admission, RefusalReason};
 use foxtide_core::time::MonotonicTime;
+use http_types::StatusCode;
+use smol::Timer;
+use smol::future::or;
+use std::sync::Arc;
+use std::time::Duration;
 
-type TicketOf<P> = <<P as Parts>::Steer as Steer>::Ticket;
+/// Where a request may be sent.
+#[derive(Clone, Debug)]
+pub(super) struct Admitted {
+    /// The region.
+    pub(super) region: RegionId,
+    /// The rule that decided.
+    pub(super) rule: Rule,
+}
 
-/// A place at an upstream, given back when it is dropped.
-///
-/// An attempt may be dropped at any point, because its caller went away; the
-/// place must not stay taken then.
-pub(crate) struct Place<'a, P: Parts> {
-    parts: &'a P,
-    ticket: Option<TicketOf<P>>,
-    since: MonotonicTime,
+/// Why a request was not sent.
+#[derive(Clone, Debug)]
+pub(super) struct Unplaced {
+    /// What the caller is told.
+    pub(super) refusal: Refusal,
+    /// The rule that decided.
+    pub(super) rule: Rule,
 }
 
-impl<'a, P: Parts> Place<'a, P> {
-    /// Holds a place.
-    pub(crate) fn new(parts: &'a P, ticket: TicketOf<P>, since: MonotonicTime) -> Self {
-        Self {
-            parts,
-            ticket: Some(ticket),
-            since,
+impl<P: Parts> Proxy<P> {
+    /// Waits until the request may be sent to a region.
+    pub(super) async fn admit(&self, facts: &Facts) -> Result<Admitted, Unplaced> {
+        let draw = fastrand::f64();
+        let asked_at = self.parts.clock().now();
+        loop {
+            let now = self.parts.clock().now();
+            let waited = now - asked_at;
+            match self.try_admit(facts, draw, waited, now) {
+                Admission::Send { region, spilled } => {
+                    let rule = if spilled {
+                        Rule::Spilled
+                    } else {
+                        Rule::Weighted
+                    };
+                    return Ok(Admitted { region, rule });
+                }
+                Admission::Wait { retry_in } => {
+                    check_time(facts, now + retry_in, "no-room")?;
+                    Timer::after(retry_in).await;
+                }
+                Admission::Refuse {
+                    reason,
+                    retry_after,
+                } => return Err(Unplaced::not_admitted(reason, retry_after)),
+            }
+        }
+    }
+
+    /// Asks once whether the request may be sent.
+    pub(super) fn try_admit(
+        &self,
+        facts: &Facts,
+        draw: f64,
+        waited: Duration,
+        now: MonotonicTime,
+    ) -> Admission {
+        facts.traffic.admit(facts.service.id(), draw, waited, now)
+    }
+
+    /// Waits until an upstream of the region has a place.
+    pub(super) async fn place(
+        &self,
+        facts: &Facts,
+        region: &RegionId,
+        tried: &[UpstreamId],
+    ) -> Result<Place, Unplaced> {
+        let Some(region) = facts.service.region(region) else {
+            return Err(Unplaced::no_upstream());
+        };
+        // Most requests find a place at once and need no listener.
+        if let Choice::Taken(place) = region.take(tried, self.parts.clock().now()) {
+            return Ok(place);
         }
+        self.wait_for_place(facts, &region, tried).await
     }
 
-    /// Gives the place back and tells how the attempt ended.
-    pub(crate) fn finish(mut self, kind: CompletionKind, load: Option<String>, leaving: bool) {
-        self.give_back(kind, load, leaving);
+    async fn wait_for_place(
+        &self,
+        facts: &Facts,
+        region: &Arc<RegionTraffic>,
+        tried: &[UpstreamId],
+    ) -> Result<Place, Unplaced> {
+        loop {
+            // Listens first, so that no place that becomes free is missed.
+            let freed = region.freed();
+            let now = self.parts.clock().now();
+            match region.take(tried, now) {
+                Choice::Taken(place) => return Ok(place),
+                Choice::Empty => return Err(Unplaced::no_upstream()),
+                Choice::Wait(retry_in) => {
+                    check_time(facts, now, "no-slot")?;
+                    let again = retry_in.min(facts.terms.deadline - now);
+                    let timer = async {
+                        Timer::after(again).await;
+                    };
+                    or(freed, timer).await;
+                }
+            }
+        }
     }
+}
 
-    fn give_back(&mut self, kind: CompletionKind, load: Option<String>, leaving: bool) {
-        let Some(ticket) = self.ticket.take() else {
-            return;
+impl Unplaced {
+    fn not_admitted(reason: RefusalReason, retry_after: Duration) -> Self {
+        let (rule, reason) = match reason {
+            RefusalReason::NotReady => (Rule::NoUpstream, "not-ready"),
+            RefusalReason::UnknownService => (Rule::Malformed, "unknown-service"),
+            RefusalReason::NoRegion => (Rule::NoUpstream, "no-region"),
+            RefusalReason::ShiftCap => (Rule::SpillLimit, "shift-cap"),
+            RefusalReason::RegionLimit => (Rule::RegionLimit, "region-limit"),
+            RefusalReason::LinkLimit => (Rule::LinkLimit, "link-limit"),
         };
-        let now = self.parts.clock().now();
-        let completion = Completion {
-            kind,
-            latency: now - self.since,
-            load,
-            leaving,
+        let refusal = Refusal::not_run(StatusCode::ServiceUnavailable, reason);
+        let refusal = Refusal {
+            retry_after,
+            ..refusal
         };
-        self.parts.steer().finish(ticket, completion, now);
+        Self { refusal, rule }
+    }
+
+    fn no_upstream() -> Self {
+        Self {
+            refusal: Refusal::not_run(StatusCode::ServiceUnavailable, "no-upstream"),
+            rule: Rule::NoUpstream,
+        }
     }
 }
 
-impl<P: Parts> Drop for Place<'_, P> {
-    fn drop(&mut self) {
-        self.give_back(CompletionKind::Cancelled, None, false);
+/// Gives a request up at once that cannot be answered in time.
+fn check_time(facts: &Facts, next: MonotonicTime, reason: &'static str) -> Result<(), Unplaced> {
+    if next < facts.terms.deadline {
+        return Ok(());
     }
+    Err(Unplaced {
+        refusal: Refusal::not_run(StatusCode::ServiceUnavailable, reason),
+        rule: Rule::Deadline,
+    })
 }
--- a/crates/foxtide-entry/src/proxy/run.rs
+++ b/crates/foxtide-entry/src/proxy/run.rs
@@ -1,26 +1,27 @@
-//! Runs a request: admission, a place at an upstream, attempts.
+//! Runs a request over its attempts.
 
 use super::attempt::AttemptEnd;
-use super::place::Place;
-use super::prepare::{Prepared, Target, facts};
+use super::keys::{HeldClaim, KeyTable, Keyed, begin};
+use super::place::{Admitted, Unplaced};
+use super::prepare::Prepared;
 use crate::answer::{Answer, Refusal};
 use crate::clock::Clock;
-use crate::events::RequestEvent;
+use crate::facts::{Facts, Target};
+use crate::http::name;
 use crate::options::EntryOptions;
-use crate::outcome::Outcome;
-use crate::parts::{Admission, Parts, Pick, Recorder, RequestFacts, Steer};
+use crate::parts::Parts;
 use crate::serve::Received;
-use crate::upstream::{Failure, Freshness, Pools, UpstreamRequest, exchange};
-use foxtide_core::ids::RegionId;
-use foxtide_core::organisation::Upstream;
-use foxtide_core::time::MonotonicTime;
+use crate::traffic::Place;
+use crate::upstream::{Failure, Freshness, Naming, Pools, UpstreamRequest, exchange};
+use foxtide_core::events::RequestId;
+use foxtide_core::explain::Decision;
+use foxtide_core::ids::UpstreamId;
+use foxtide_core::outcome::Outcome;
+use foxtide_core::retry::{AttemptId, AttemptResult, Attempts, GiveUp, GiveUpReason, Step};
 use http_types::StatusCode;
 use smol::Timer;
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
-
-/// The most attempts for one request.
-const ATTEMPTS_MAX: u32 = 3;
 
 /// Sends requests to upstreams.
 #[derive(Debug)]
@@ -31,6 +32,51 @@
     pub(crate) options: Arc<EntryOptions>,
     /// The connections to upstreams.
     pub(crate) pools: Arc<Pools>,
+    /// The idempotency keys of this process.
+    pub(crate) keys: KeyTable,
+}
+
+/// A request on its way.
+pub(super) struct Run<'a> {
+    /// What is known of it.
+    pub(super) facts: &'a Facts,
+    /// What is sent.
+    pub(super) prepared: &'a Prepared,
+    /// The right to run its key, where it has one.
+    pub(super) claim: Option<&'a HeldClaim>,
+    /// Its attempts.
+    pub(super) attempts: Attempts,
+    /// The upstreams that it was sent to.
+    pub(super) tried: Vec<UpstreamId>,
+    /// Why it went where it did.
+    pub(super) decision: Decision,
+}
+
+/// Where an attempt is sent.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Destination {
+    /// The upstream's address.
+    pub(super) address: SocketAddr,
+    /// How many connections may be open to it.
+    pub(super) connection_limit: usize,
+}
+
+impl Destination {
+    /// Returns the destination of a place.
+    pub(super) fn of(place: &Place) -> Self {
+        Self {
+            address: place.upstream().address,
+            connection_limit: place.connection_limit(),
+        }
+    }
+}
+
+/// An attempt that has ended.
+pub(super) struct Ended {
+    /// Which.
+    pub(super) id: AttemptId,
+    /// How.
+    pub(super) end: AttemptEnd,
 }
 
 impl<P: Parts> Proxy<P> {
@@ -43,131 +89,112 @@
         &self,
         received: Received,
         target: Target,
-        id: &str,
+        id: RequestId,
     ) -> Result<Answer, Refusal> {
-        let facts = facts(&*self.parts, &self.options, &received, &target, id)?;
-        let prepared = Prepared::new(received, &target, id);
-        let answered = self.run(&facts, &prepared).await;
-        if let Err(refusal) = &answered {
-            self.parts.recorder().record(RequestEvent::Refused {
-                request: &facts,
-                outcome: refusal.outcome,
-                reason: refusal.reason,
-            });
+        let facts = Facts::of(&*self.parts, &self.options, &received, &target, id)?;
+        let claim = match self.claim(&facts, &received, &target)? {
+            None => None,
+            Some(Keyed::Answered(answer)) => return Ok(answer),
+            Some(Keyed::Run(claim)) => Some(claim),
+        };
+        let prepared = Prepared::new(received, &target, &facts.request);
+        let answered = self.run(&facts, &prepared, claim.as_ref()).await;
+        match (&answered, claim) {
+            (Ok(answer), Some(claim)) => claim.finish(answer),
+            (Err(refusal), _) => self.record_refusal(&facts, refusal),
+            (Ok(_), None) => {}
         }
         answered
     }
 
-    async fn run(&self, facts: &RequestFacts, prepared: &Prepared) -> Result<Answer, Refusal> {
-        let mut known = Outcome::NotRun;
-        for number in 1..=ATTEMPTS_MAX {
-            let end = match self.attempt(facts, prepared).await {
-                Ok(end) => end,
-                // What earlier attempts did is not undone by this refusal.
-                Err(refusal) => return Err(refusal.with_outcome(known)),
-            };
-            known = known.max(end.outcome());
-            match end {
-                AttemptEnd::Answered(answer) => return Ok(answer),
-                _ if number < ATTEMPTS_MAX && self.may_repeat(facts, known) => {}
-                end => return Err(self.give_up(facts, &end).with_outcome(known)),
+    /// Decides about the key of a request that must not run twice.
+    fn claim(
+        &self,
+        facts: &Facts,
+        received: &Received,
+        target: &Target,
+    ) -> Result<Option<Keyed>, Refusal> {
+        let key = received.head.head.headers.get(name::IDEMPOTENCY_KEY);
+        match key {
+            Some(key) if !facts.terms.idempotent => {
+                begin(&*self.parts, &self.keys, received, target, key.as_str()).map(Some)
             }
+            _ => Ok(None),
         }
-        Err(Refusal::not_run(StatusCode::ServiceUnavailable, "no-answer").with_outcome(known))
     }
 
-    /// Tells whether another attempt can neither run the request twice nor
-    /// come too late.
-    fn may_repeat(&self, facts: &RequestFacts, known: Outcome) -> bool {
-        let harmless = known == Outcome::NotRun || facts.idempotent;
-        harmless && self.parts.clock().now() < facts.deadline
-    }
-
-    fn give_up(&self, facts: &RequestFacts, end: &AttemptEnd) -> Refusal {
-        let in_time = self.parts.clock().now() < facts.deadline;
-        let (status, reason) = match end {
-            AttemptEnd::Refused(_) => (StatusCode::ServiceUnavailable, "refused-by-upstream"),
-            _ if !in_time => (StatusCode::GatewayTimeout, "deadline"),
-            AttemptEnd::Failed(failure) if failure.sent_bytes == 0 => {
-                (StatusCode::ServiceUnavailable, "upstream-unreachable")
-            }
-            _ => (StatusCode::BadGateway, "upstream-broke"),
-        };
-        Refusal::not_run(status, reason)
-    }
-
-    async fn attempt(
+    async fn run(
         &self,
-        facts: &RequestFacts,
+        facts: &Facts,
         prepared: &Prepared,
-    ) -> Result<AttemptEnd, Refusal> {
-        let region = self.admit(facts).await?;
-        let (place, upstream) = self.pick(facts, &region).await?;
-        let result = self.exchange(facts, prepared, &upstream).await;
-        let end = AttemptEnd::of(result);
-        place.finish(end.completion_kind(), end.load(), end.says_leaving());
-        self.record(facts, &upstream, &end);
-        Ok(end)
+        claim: Option<&HeldClaim>,
+    ) -> Result<Answer, Refusal> {
+        let retry = self.parts.traffic().options().retry.clone();
+        let mut run = Run {
+            facts,
+            prepared,
+            claim,
+            attempts: Attempts::new(facts.terms, retry),
+            tried: Vec::new(),
+            decision: self.undecided(facts),
+        };
+        let received_at = self.parts.clock().now();
+        let answered = self.run_attempts(&mut run).await;
+        let took = self.parts.clock().now() - received_at;
+        facts.service.metrics().seconds.record(took.as_secs_f64());
+        self.parts.explainer().note(run.decision);
+        answered
     }
 
-    /// Waits until the request may be sent to a region.
-    async fn admit(&self, facts: &RequestFacts) -> Result<RegionId, Refusal> {
+    async fn run_attempts(&self, run: &mut Run<'_>) -> Result<Answer, Refusal> {
         loop {
-            let now = self.parts.clock().now();
-            let waited = now - facts.received_at;
-            match self.parts.steer().admit(facts, waited, now) {
-                Admission::Send { region, .. } => return Ok(region),
-                Admission::Wait { retry_in } => wait(facts, retry_in, now, "no-room").await?,
-                Admission::Refuse {
-                    reason,
-                    retry_after,
-                } => {
-                    let status = StatusCode::ServiceUnavailable;
-                    let refusal = Refusal::not_run(status, reason);
-                    return Err(Refusal {
-                        retry_after,
-                        ..refusal
-                    });
+            let (admitted, place) = match self.admit_and_place(run).await {
+                Ok(placed) => placed,
+                Err(unplaced) => {
+                    run.decision.redirect(unplaced.rule, None);
+                    return Err(unplaced.refusal.with_outcome(run.attempts.outcome()));
                 }
-            }
-        }
-    }
-
-    /// Waits until an upstream of the region has a place.
-    async fn pick(
-        &self,
-        facts: &RequestFacts,
-        region: &RegionId,
-    ) -> Result<(Place<'_, P>, Upstream), Refusal> {
-        loop {
-            let now = self.parts.clock().now();
-            match self.parts.steer().pick(facts, region, now) {
-                Pick::Take { ticket, upstream } => {
-                    return Ok((Place::new(&*self.parts, ticket, now), upstream));
+            };
+            let (ended, step) = self.attempt(run, &admitted, place).await;
+            match step {
+                Step::Retry { after } => {
+                    Timer::after(after).await;
+                }
+                Step::GiveUp(give_up) => {
+                    return Err(given_up(give_up, ended.end.result()));
                 }
-                Pick::Wait { retry_in } => wait(facts, retry_in, now, "no-slot").await?,
-                Pick::Empty => {
-                    let status = StatusCode::ServiceUnavailable;
-                    return Err(Refusal::not_run(status, "no-upstream"));
+                Step::Answer(_) | Step::Await | Step::Hedge => {
+                    return ended.end.into_answer(run.attempts.outcome());
                 }
             }
         }
     }
 
-    async fn exchange(
+    async fn admit_and_place(&self, run: &mut Run<'_>) -> Result<(Admitted, Place), Unplaced> {
+        let admitted = self.admit(run.facts).await?;
+        let region = Some(admitted.region.clone());
+        run.decision.redirect(admitted.rule, region);
+        let place = self.place(run.facts, &admitted.region, &run.tried).await?;
+        Ok((admitted, place))
+    }
+
+    /// Sends one attempt and reads its answer.
+    pub(super) async fn exchange(
         &self,
-        facts: &RequestFacts,
+        facts: &Facts,
         prepared: &Prepared,
-        upstream: &Upstream,
+        destination: Destination,
     ) -> Result<Answer, Failure> {
+        let address = destination.address;
         let now = self.parts.clock().now();
-        let time_left = facts.deadline - now;
+        let time_left = facts.terms.deadline - now;
         let bytes = prepared.encode(time_left).await;
-        let bytes = bytes.map_err(|error| Failure::unsent(upstream.address, error))?;
+        let bytes = bytes.map_err(|error| Failure::unsent(address, error))?;
         let request = UpstreamRequest {
-            address: upstream.address,
+            address,
             method: facts.method,
-            request: &facts.request,
+            request: facts.request.as_str(),
+            naming: Naming::AsBefore,
             bytes: &bytes,
             freshness: freshness(facts),
             time_left,
@@ -175,65 +202,80 @@
         let got = exchange(&self.pools, &self.options.limits, &request, now).await?;
         if let Some(connection) = got.connection {
             let now = self.parts.clock().now();
-            self.pools.put(upstream.address, connection, now);
+            let limit = destination.connection_limit;
+            self.pools.put(address, connection, limit, now);
         }
         Ok(got.answer)
     }
 
-    fn record(&self, facts: &RequestFacts, upstream: &Upstream, end: &AttemptEnd) {
-        let recorder = self.parts.recorder();
+    /// Notes how an attempt ended and decides what follows.
+    pub(super) fn note_end(
+        &self,
+        run: &mut Run<'_>,
+        admitted: &Admitted,
+        place: Place,
+        ended: &Ended,
+    ) -> Step {
+        let end = &ended.end;
+        let upstream = place.upstream().clone();
+        self.record_attempt(run.facts, admitted, &upstream, end);
+        let held = place.held();
+        place.finish(end.completion(held));
+        let now = self.parts.clock().now();
         match end {
-            AttemptEnd::Answered(answer) => recorder.record(RequestEvent::Answered {
-                request: facts,
-                upstream: &upstream.upstream,
-                region: &upstream.region,
-                status: answer.status.into(),
-                latency: self.parts.clock().now() - facts.received_at,
-            }),
-            AttemptEnd::Refused(_) => self.record_failure(facts, upstream, end, "refused"),
-            AttemptEnd::Failed(failure) => {
-                self.record_failure(facts, upstream, end, &failure.to_string());
-            }
+            AttemptEnd::Answered(_) => run.facts.service.answered(held),
+            AttemptEnd::Refused(_) => run.facts.traffic.refused_by(&admitted.region, now),
+            AttemptEnd::Failed(_) => {}
+        }
+        let result = end.result();
+        if let Some(claim) = run.claim.filter(|_| result.is_not_run()) {
+            claim.proved_not_run();
         }
+        run.decision.attempt(upstream.upstream, end.explained());
+        let service = &run.facts.service;
+        service.ended(&mut run.attempts, ended.id, result, now)
     }
+}
 
-    fn record_failure(
-        &self,
-        facts: &RequestFacts,
-        upstream: &Upstream,
-        end: &AttemptEnd,
-        cause: &str,
-    ) {
-        self.parts.recorder().record(RequestEvent::AttemptFailed {
-            request: facts,
-            upstream: &upstream.upstream,
-            region: &upstream.region,
-            outcome: end.outcome(),
-            cause,
-        });
+impl AttemptEnd {
+    fn into_answer(self, outcome: Outcome) -> Result<Answer, Refusal> {
+        match self {
+            Self::Answered(answer) => Ok(answer),
+            Self::Refused(_) | Self::Failed(_) => {
+                let status = StatusCode::BadGateway;
+                Err(Refusal::not_run(status, "no-answer").with_outcome(outcome))
+            }
+        }
     }
 }
 
 /// A request that must not run twice is not sent over a connection that the
 /// upstream may be closing.
-fn freshness(facts: &RequestFacts) -> Freshness {
-    if facts.idempotent {
+fn freshness(facts: &Facts) -> Freshness {
+    if facts.terms.idempotent {
         Freshness::Any
     } else {
         Freshness::Recent
     }
 }
 
-/// Waits, unless the deadline would pass first; then the caller is told at once.
-async fn wait(
-    facts: &RequestFacts,
-    retry_in: Duration,
-    now: MonotonicTime,
-    reason: &'static str,
-) -> Result<(), Refusal> {
-    if now + retry_in >= facts.deadline {
-        return Err(Refusal::not_run(StatusCode::ServiceUnavailable, reason));
+/// Returns what the caller is told of a request that is given up after an
+/// attempt with this result.
+fn given_up(give_up: GiveUp, last: AttemptResult) -> Refusal {
+    let late = last == AttemptResult::TimedOut || give_up.reason == GiveUpReason::Deadline;
+    let (status, reason) = match (give_up.outcome, give_up.reason) {
+        (Outcome::NotRun, GiveUpReason::Deadline) => (StatusCode::ServiceUnavailable, "deadline"),
+        (Outcome::NotRun, _) if matches!(last, AttemptResult::Refused { .. }) => {
+            (StatusCode::ServiceUnavailable, "refused-by-upstream")
+        }
+        (Outcome::NotRun, _) => (StatusCode::ServiceUnavailable, "upstream-unreachable"),
+        _ if late => (StatusCode::GatewayTimeout, "deadline"),
+        _ => (StatusCode::BadGateway, "upstream-broke"),
+    };
+    Refusal {
+        status,
+        outcome: give_up.outcome,
+        reason,
+        retry_after: give_up.retry_after,
     }
-    Timer::after(retry_in).await;
-    Ok(())
 }
--- a/crates/foxtide-entry/src/serve/connection.rs
+++ b/crates/foxtide-entry/src/serve/connection.rs
@@ -6,6 +6,7 @@
 use crate::http::{BufferedStream, Quiet};
 use crate::options::Limits;
 use crate::time_limit::within;
+use foxtide_core::events::RequestId;
 use http_types::Method;
 use smol::future::or;
 use std::future::Future;
@@ -27,7 +28,7 @@
     fn caller_gone(&self, caller: SocketAddr);
 
     /// Records a request that foxtide does not take and returns its identity.
-    fn bad_request(&self, caller: SocketAddr, refusal: &Refusal) -> String;
+    fn bad_request(&self, caller: SocketAddr, refusal: &Refusal) -> RequestId;
 }
 
 /// A connection with what it shares with the others of its listener.
@@ -135,7 +136,7 @@
 
     async fn refuse(&mut self, handler: &impl Handler, refusal: &Refusal) {
         let request = handler.bad_request(self.peer, refusal);
-        let mut answer = refusal.answer(&request);
+        let mut answer = refusal.answer(request.as_str());
         answer.close();
         if self.send(answer, Method::Get).await == Next::Request {
             self.stream.finish_sending();
--- /dev/null
+++ b/crates/foxtide-entry/src/traffic/mod.rs
@@ -0,0 +1,28 @@
+//! The tables on which every worker decides where requests go.
+//!
+//! ```text
+//! TrafficTables -> OrganisationTraffic (steering)
+//!                  -> ServiceTraffic (retries)
+//!                     -> RegionTraffic (balancer)
+//! ```
+//!
+//! Locks, in this order: the table of organisations, an organisation's
+//! steering, a region's balancer, a service's retries. No two of the same kind
+//! are held at a time, and none while a task waits.
+
+mod metrics;
+mod organisation;
+mod place;
+mod poller;
+mod region;
+mod service;
+mod tables;
+mod view;
+
+pub(crate) use organisation::OrganisationTraffic;
+pub(crate) use place::Place;
+pub(crate) use poller::Poller;
+pub(crate) use region::{Choice, RegionTraffic};
+pub(crate) use service::ServiceTraffic;
+pub(crate) use tables::UpstreamChange;
+pub use tables::{TrafficOptions, TrafficTables, UpstreamState};
--- /dev/null
+++ b/crates/foxtide-entry/src/traffic/organisation.rs
@@ -0,0 +1,146 @@
+//! An organisation's steering and its services.
+
+use super::service::ServiceTraffic;
+use super::tables::TrafficOptions;
+use arc_swap::ArcSwap;
+use foxtide_core::ids::{RegionId, ServiceId};
+use foxtide_core::organisation::Organisation;
+use foxtide_core::steering::{Admission, FleetView, Steering};
+use foxtide_core::time::{MonotonicTime, WallTime};
+use parking_lot::Mutex;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+type Services = HashMap<ServiceId, Arc<ServiceTraffic>>;
+
+/// What all workers know of one organisation.
+#[derive(Debug)]
+pub(crate) struct OrganisationTraffic {
+    organisation: ArcSwap<Organisation>,
+    steering: Mutex<Steering>,
+    services: ArcSwap<Services>,
+}
+
+impl OrganisationTraffic {
+    /// Returns an organisation with its configuration in force.
+    pub(super) fn new(
+        organisation: Arc<Organisation>,
+        options: &TrafficOptions,
+        sharing: u32,
+        now: MonotonicTime,
+    ) -> Self {
+        let steering = Steering::new(
+            Arc::clone(&organisation),
+            options.origin.clone(),
+            options.steering.clone(),
+        );
+        let traffic = Self {
+            organisation: ArcSwap::new(Arc::clone(&organisation)),
+            steering: Mutex::new(steering),
+            services: ArcSwap::default(),
+        };
+        traffic.configure_services(&organisation, options, sharing, now);
+        traffic
+    }
+
+    /// Returns the configuration in force.
+    pub(crate) fn organisation(&self) -> Arc<Organisation> {
+        self.organisation.load_full()
+    }
+
+    /// Returns a service.
+    pub(crate) fn service(&self, service: &ServiceId) -> Option<Arc<ServiceTraffic>> {
+        self.services.load().get(service).cloned()
+    }
+
+    /// Returns all services.
+    pub(super) fn services(&self) -> Arc<Services> {
+        self.services.load_full()
+    }
+
+    /// Puts a configuration in force; what is known of what stays is kept.
+    pub(super) fn configure(
+        &self,
+        organisation: &Arc<Organisation>,
+        options: &TrafficOptions,
+        sharing: u32,
+        now: MonotonicTime,
+    ) {
+        let mut steering = self.steering.lock();
+        steering.configure(Arc::clone(organisation), now);
+        drop(steering);
+        self.configure_services(organisation, options, sharing, now);
+        self.organisation.store(Arc::clone(organisation));
+    }
+
+    fn configure_services(
+        &self,
+        organisation: &Organisation,
+        options: &TrafficOptions,
+        sharing: u32,
+        now: MonotonicTime,
+    ) {
+        let known = self.services.load_full();
+        let mut services = Services::new();
+        for service in &organisation.services {
+            let id = &service.service;
+            let traffic = known.get(id).cloned().unwrap_or_else(|| {
+                Arc::new(ServiceTraffic::new(
+                    &organisation.organisation,
+                    id.clone(),
+                    options,
+                    now,
+                ))
+            });
+            traffic.configure(service, options, sharing, now);
+            services.insert(id.clone(), traffic);
+        }
+        self.services.store(Arc::new(services));
+    }
+
+    /// Shares the connections out anew.
+    pub(super) fn share_out(&self, options: &TrafficOptions, sharing: u32, now: MonotonicTime) {
+        let organisation = self.organisation();
+        self.configure_services(&organisation, options, sharing, now);
+    }
+
+    /// Takes over what is known of all instances.
+    pub(super) fn observe(&self, view: &FleetView, now: MonotonicTime) {
+        self.steering.lock().observe(view, now);
+    }
+
+    /// Moves all decisions on to `now`.
+    pub(super) fn tick(&self, now: MonotonicTime, wall: WallTime) {
+        let organisation = self.organisation();
+        for (id, service) in self.services().iter() {
+            service.apply_drains(&organisation, now, wall);
+            for (region, traffic) in service.regions().iter() {
+                let healthy = traffic.with_balancer(|balancer| balancer.healthy_share(now));
+                self.steering.lock().set_health(id, region, Some(healthy));
+            }
+        }
+        self.steering.lock().tick(now, wall);
+    }
+
+    /// Decides on one attempt to send a request.
+    pub(crate) fn admit(
+        &self,
+        service: &ServiceId,
+        draw: f64,
+        waited: Duration,
+        now: MonotonicTime,
+    ) -> Admission {
+        self.steering.lock().admit(service, draw, waited, now)
+    }
+
+    /// Notes that a region's side refused a request.
+    pub(crate) fn refused_by(&self, region: &RegionId, now: MonotonicTime) {
+        self.steering.lock().refused_by(region, now);
+    }
+
+    /// Runs `inspect` on the steering.
+    pub(super) fn with_steering<T>(&self, inspect: impl FnOnce(&mut Steering) -> T) -> T {
+        inspect(&mut self.steering.lock())
+    }
+}
--- /dev/null
+++ b/crates/foxtide-entry/src/traffic/place.rs
@@ -0,0 +1,68 @@
+//! The place that an attempt holds at an upstream.
+
+use super::region::RegionTraffic;
+use foxtide_core::choice::{Completion, CompletionKind, Ticket};
+use foxtide_core::organisation::Upstream;
+use foxtide_core::time::MonotonicTime;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// A place at an upstream, given back when it is dropped.
+///
+/// An attempt may be dropped at any point, because its caller went away or
+/// another attempt was faster; the place must not stay taken then.
+pub(crate) struct Place {
+    region: Arc<RegionTraffic>,
+    ticket: Option<Ticket>,
+    upstream: Upstream,
+    taken_at: MonotonicTime,
+    taken: Instant,
+}
+
+impl Place {
+    /// Holds a place.
+    pub(super) fn new(region: Arc<RegionTraffic>, ticket: Ticket, now: MonotonicTime) -> Self {
+        Self {
+            region,
+            upstream: ticket.upstream().clone(),
+            ticket: Some(ticket),
+            taken_at: now,
+            taken: Instant::now(),
+        }
+    }
+
+    /// Returns the upstream.
+    pub(crate) fn upstream(&self) -> &Upstream {
+        &self.upstream
+    }
+
+    /// Returns how many connections may be open to the upstream.
+    pub(crate) fn connection_limit(&self) -> usize {
+        let limit = self.ticket.as_ref().map_or(1, Ticket::connection_limit);
+        usize::try_from(limit).unwrap_or(usize::MAX)
+    }
+
+    /// Gives the place back and tells how the attempt ended.
+    pub(crate) fn finish(mut self, completion: Completion) {
+        self.give_back(completion);
+    }
+
+    /// Returns how long the place has been held.
+    pub(crate) fn held(&self) -> Duration {
+        self.taken.elapsed()
+    }
+
+    fn give_back(&mut self, completion: Completion) {
+        if let Some(ticket) = self.ticket.take() {
+            let now = self.taken_at + self.held();
+            self.region.finish(ticket, completion, now);
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let held = self.held();
+        self.give_back(Completion::new(CompletionKind::Cancelled, held));
+    }
+}
--- /dev/null
+++ b/crates/foxtide-entry/src/traffic/poller.rs
@@ -0,0 +1,114 @@
+//! Asks upstreams for their load that were not heard of for a while.
+
+use super::region::RegionTraffic;
+use super::tables::TrafficTables;
+use crate::answer::AnswerBody;
+use crate::clock::Clock;
+use crate::errors::Step;
+use crate::http::name;
+use crate::options::EntryOptions;
+use crate::parts::Parts;
+use crate::request_id::new_request_id;
+use crate::upstream::{
+    Failure, Freshness, Naming, Pools, UpstreamAnswer, UpstreamRequest, exchange, says_draining,
+};
+use foxtide_core::choice::{LoadReport, Poll, PollResult};
+use foxtide_core::time::MonotonicTime;
+use http_types::Method;
+use smol::Executor;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// What polls work with.
+#[derive(Debug)]
+pub(crate) struct Poller<P> {
+    /// What the request path works with.
+    pub(crate) parts: Arc<P>,
+    /// The connections to upstreams.
+    pub(crate) pools: Arc<Pools>,
+    /// The settings.
+    pub(crate) options: Arc<EntryOptions>,
+}
+
+/// An upstream that is to be asked.
+struct DuePoll {
+    region: Arc<RegionTraffic>,
+    poll: Poll,
+}
+
+impl<P: Parts> Poller<P> {
+    /// Starts all polls that are due.
+    pub(crate) fn start_due(self: &Arc<Self>, executor: &Executor<'static>) {
+        let now = self.parts.clock().now();
+        for due in self.parts.traffic().due_polls(now) {
+            let poller = Arc::clone(self);
+            let polling = async move { poller.poll(due).await };
+            executor.spawn(polling).detach();
+        }
+    }
+
+    async fn poll(&self, due: DuePoll) {
+        let address = due.poll.upstream().address;
+        let result = match self.ask(address).await {
+            Ok(answer) => read_report(answer),
+            Err(failure) if failure.step == Step::Connect => PollResult::Unreachable,
+            Err(_) => PollResult::TimedOut,
+        };
+        let now = self.parts.clock().now();
+        due.region
+            .with_balancer(|balancer| balancer.finish_poll(due.poll, result, now));
+    }
+
+    async fn ask(&self, address: SocketAddr) -> Result<UpstreamAnswer, Failure> {
+        let id = new_request_id();
+        let path = &self.options.poll.load_path;
+        let bytes = format!(
+            "GET {path} HTTP/1.1\r\n{}: {address}\r\n{}: {id}\r\n{}: close\r\n\r\n",
+            name::HOST,
+            name::REQUEST_ID,
+            name::CONNECTION,
+        );
+        let request = UpstreamRequest {
+            address,
+            method: Method::Get,
+            request: id.as_str(),
+            naming: Naming::Optional,
+            bytes: bytes.as_bytes(),
+            freshness: Freshness::New,
+            time_left: self.options.poll.time,
+        };
+        let now = self.parts.clock().now();
+        exchange(&self.pools, &self.options.limits, &request, now).await
+    }
+}
+
+fn read_report(answered: UpstreamAnswer) -> PollResult {
+    let answer = answered.answer;
+    let header = answer.headers.get(name::LOAD_METRICS);
+    let header = header.and_then(|values| values.as_str().parse::<LoadReport>().ok());
+    let body = match &answer.body {
+        AnswerBody::Whole(bytes) => std::str::from_utf8(bytes).unwrap_or_default(),
+        AnswerBody::Absent { .. } => "",
+    };
+    PollResult::Answered {
+        load: header.or_else(|| body.parse().ok()),
+        draining: says_draining(&answer.headers),
+    }
+}
+
+impl TrafficTables {
+    fn due_polls(&self, now: MonotonicTime) -> Vec<DuePoll> {
+        let mut due = Vec::new();
+        for traffic in self.all() {
+            for service in traffic.services().values() {
+                for region in service.regions().values() {
+                    while let Some(poll) = region.with_balancer(|b| b.next_poll(now)) {
+                        let region = Arc::clone(region);
+                        due.push(DuePoll { region, poll });
+                    }
+                }
+            }
+        }
+        due
+    }
+}
--- /dev/null
+++ b/crates/foxtide-entry/src/traffic/region.rs
@@ -0,0 +1,73 @@
+//! A service's upstreams in one region.
+
+use event_listener::{Event, EventListener};
+use foxtide_core::choice::{Balancer, BalancerOptions, Completion, Pick, Ticket};
+use foxtide_core::ids::UpstreamId;
+use foxtide_core::organisation::Upstream;
+use foxtide_core::time::MonotonicTime;
+use parking_lot::Mutex;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::place::Place;
+
+/// The upstreams of one service in one region.
+#[derive(Debug)]
+pub(crate) struct RegionTraffic {
+    balancer: Mutex<Balancer>,
+    /// Told when a place became free.
+    freed: Event,
+}
+
+/// What a try to take a place brought.
+pub(crate) enum Choice {
+    /// A place.
+    Taken(Place),
+    /// All are taken; the next may be free after this time.
+    Wait(Duration),
+    /// No upstream serves.
+    Empty,
+}
+
+impl RegionTraffic {
+    /// Returns a region without upstreams.
+    pub(super) fn new(options: BalancerOptions, seed: u64) -> Arc<Self> {
+        Arc::new(Self {
+            balancer: Mutex::new(Balancer::new(options, seed)),
+            freed: Event::new(),
+        })
+    }
+
+    /// Takes a place at the best upstream, preferably none of `tried`.
+    pub(crate) fn take(self: &Arc<Self>, tried: &[UpstreamId], now: MonotonicTime) -> Choice {
+        let draw = fastrand::u64(..);
+        let picked = self.balancer.lock().pick_other(now, draw, tried);
+        match picked {
+            Pick::Take(ticket) => Choice::Taken(Place::new(Arc::clone(self), ticket, now)),
+            Pick::Wait { retry_in } => Choice::Wait(retry_in),
+            Pick::Empty => Choice::Empty,
+        }
+    }
+
+    /// Returns what completes when a place becomes free from now on.
+    pub(crate) fn freed(&self) -> EventListener {
+        self.freed.listen()
+    }
+
+    /// Takes a ticket back.
+    pub(super) fn finish(&self, ticket: Ticket, completion: Completion, now: MonotonicTime) {
+        self.balancer.lock().finish(ticket, completion, now);
+        self.freed.notify(1);
+    }
+
+    /// Puts a list of upstreams in force.
+    pub(super) fn configure(&self, upstreams: &[Upstream], sharing: u32, now: MonotonicTime) {
+        self.balancer.lock().configure(upstreams, sharing, now);
+        self.freed.notify(usize::MAX);
+    }
+
+    /// Runs `inspect` on the balancer.
+    pub(super) fn with_balancer<T>(&self, inspect: impl FnOnce(&mut Balancer) -> T) -> T {
+        inspect(&mut self.balancer.lock())
+    }
+}
--- /dev/null
+++ b/crates/foxtide-entry/src/traffic/service.rs
@@ -0,0 +1,178 @@
+//! A service's regions and its retries.
+
+use super::metrics::ServiceMetrics;
+use super::region::RegionTraffic;
+use super::tables::TrafficOptions;
+use arc_swap::ArcSwap;
+use foxtide_core::explain::ViewId;
+use foxtide_core::ids::{OrganisationId, RegionId, ServiceId};
+use foxtide_core::organisation::{Contract, Organisation, Priority, Service, Upstream};
+use foxtide_core::retry::{
+    AttemptId, AttemptResult, Attempts, HedgeDelay, RequestTerms, RetryBudget, Step,
+};
+use foxtide_core::steering::leaves_at_us;
+use foxtide_core::time::{MonotonicTime, WallTime};
+use parking_lot::Mutex;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+type Regions = HashMap<RegionId, Arc<RegionTraffic>>;
+
+/// What all workers know of one service.
+#[derive(Debug)]
+pub(crate) struct ServiceTraffic {
+    service: ServiceId,
+    metrics: ServiceMetrics,
+    regions: ArcSwap<Regions>,
+    retries: Mutex<Retries>,
+}
+
+#[derive(Debug)]
+struct Retries {
+    budget: RetryBudget,
+    hedge_delay: HedgeDelay,
+    view: ViewId,
+}
+
+impl ServiceTraffic {
+    /// Returns a service without upstreams.
+    pub(super) fn new(
+        organisation: &OrganisationId,
+        service: ServiceId,
+        options: &TrafficOptions,
+        now: MonotonicTime,
+    ) -> Self {
+        Self {
+            metrics: ServiceMetrics::new(organisation, &service),
+            service,
+            regions: ArcSwap::default(),
+            retries: Mutex::new(Retries {
+                budget: RetryBudget::new(options.retry_budget.clone(), now),
+                hedge_delay: HedgeDelay::default(),
+                view: ViewId::default(),
+            }),
+        }
+    }
+
+    /// Returns the service's name.
+    pub(crate) fn id(&self) -> &ServiceId {
+        &self.service
+    }
+
+    /// Returns what is counted of the service's requests.
+    pub(crate) fn metrics(&self) -> &ServiceMetrics {
+        &self.metrics
+    }
+
+    /// Returns the upstreams in a region.
+    pub(crate) fn region(&self, region: &RegionId) -> Option<Arc<RegionTraffic>> {
+        self.regions.load().get(region).cloned()
+    }
+
+    /// Returns all regions that have upstreams.
+    pub(super) fn regions(&self) -> Arc<Regions> {
+        self.regions.load_full()
+    }
+
+    /// Puts the service's upstreams in force, shared by `sharing` instances.
+    pub(super) fn configure(
+        &self,
+        service: &Service,
+        options: &TrafficOptions,
+        sharing: u32,
+        now: MonotonicTime,
+    ) {
+        let known = self.regions.load_full();
+        let mut regions = Regions::new();
+        for (region, upstreams) in by_region(&service.upstreams) {
+            let traffic = known
+                .get(&region)
+                .cloned()
+                .unwrap_or_else(|| RegionTraffic::new(options.balancer.clone(), options.seed));
+            traffic.configure(&upstreams, sharing, now);
+            regions.insert(region, traffic);
+        }
+        self.regions.store(Arc::new(regions));
+    }
+
+    /// Takes upstreams out of service whose announced drain has started, and
+    /// back into it those whose drain was called off.
+    pub(super) fn apply_drains(
+        &self,
+        organisation: &Organisation,
+        now: MonotonicTime,
+        wall: WallTime,
+    ) {
+        let Some(service) = organisation.service(&self.service) else {
+            return;
+        };
+        let regions = self.regions.load();
+        for upstream in &service.upstreams {
+            let Some(region) = regions.get(&upstream.region) else {
+                continue;
+            };
+            let leaves = leaves_at_us(organisation, &self.service, upstream);
+            let left = leaves.is_some_and(|at| at <= wall);
+            region.with_balancer(|balancer| match left {
+                true => balancer.leave(&upstream.upstream, now),
+                false => balancer.rejoin(&upstream.upstream, now),
+            });
+        }
+    }
+
+    /// Returns what binds the attempts of a request.
+    pub(crate) fn terms(
+        &self,
+        contract: &Contract,
+        idempotent: bool,
+        deadline: MonotonicTime,
+    ) -> RequestTerms {
+        let hedged = idempotent && contract.priority == Priority::Latency;
+        RequestTerms {
+            idempotent,
+            deadline,
+            hedge_delay: hedged.then(|| self.retries.lock().hedge_delay.get()),
+        }
+    }
+
+    /// Notes how an attempt ended and decides what follows.
+    pub(crate) fn ended(
+        &self,
+        attempts: &mut Attempts,
+        id: AttemptId,
+        result: AttemptResult,
+        now: MonotonicTime,
+    ) -> Step {
+        attempts.ended(id, result, &mut self.retries.lock().budget, now)
+    }
+
+    /// Decides whether a second attempt is sent beside the first.
+    pub(crate) fn hedge(&self, attempts: &mut Attempts, now: MonotonicTime) -> Step {
+        attempts.hedge(&mut self.retries.lock().budget, now)
+    }
+
+    /// Notes the latency of an answer.
+    pub(crate) fn answered(&self, latency: Duration) {
+        self.retries.lock().hedge_delay.record(latency);
+    }
+
+    /// Returns the figures on which decisions rest now.
+    pub(crate) fn view(&self) -> ViewId {
+        self.retries.lock().view
+    }
+
+    /// Notes new figures on which decisions rest.
+    pub(super) fn set_view(&self, view: ViewId) {
+        self.retries.lock().view = view;
+    }
+}
+
+fn by_region(upstreams: &[Upstream]) -> HashMap<RegionId, Vec<Upstream>> {
+    let mut by_region: HashMap<RegionId, Vec<Upstream>> = HashMap::new();
+    for upstream in upstreams {
+        let region = by_region.entry(upstream.region.clone()).or_default();
+        region.push(upstream.clone());
+    }
+    by_region
+}
--- a/crates/foxtide-entry/src/upstream/exchange.rs
+++ b/crates/foxtide-entry/src/upstream/exchange.rs
@@ -12,12 +12,24 @@
 use crate::time_limit::within;
 use foxtide_core::time::MonotonicTime;
 use http_types::Method;
+use http_types::headers::Headers;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+const DRAINING: &str = "draining";
+
 /// The most interim answers (1xx) before the final one.
 const INTERIM_ANSWERS_MAX: usize = 8;
 
+/// Whether an answer must name the request that it belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Naming {
+    /// Always where the upstream has done so before.
+    AsBefore,
+    /// Never; for what is asked on a connection of its own and harms nobody.
+    Optional,
+}
+
 /// A request ready to be sent to an upstream.
 #[derive(Debug)]
 pub(crate) struct UpstreamRequest<'a> {
@@ -27,6 +39,8 @@
     pub(crate) method: Method,
     /// The identity of the request.
     pub(crate) request: &'a str,
+    /// Whether the answer must name the request.
+    pub(crate) naming: Naming,
     /// The bytes to send.
     pub(crate) bytes: &'a [u8],
     /// Which idle connections may carry it.
@@ -60,7 +74,7 @@
 ) -> Result<UpstreamAnswer, Failure> {
     let mut stream = open(pools, request, now).await?;
     let before_bytes = stream.sent_bytes();
-    let conversation = converse(&mut stream, limits, request);
+    let conversation = converse(&mut stream, pools, limits, request);
     let conversed = within(request.time_left, conversation).await;
     let conversed = conversed.unwrap_or(Err(FailureKind::TimedOut));
     let sent_bytes = stream.sent_bytes() - before_bytes;
@@ -119,22 +133,26 @@
 
 async fn converse(
     stream: &mut BufferedStream,
+    pools: &Pools,
     limits: &Limits,
     request: &UpstreamRequest<'_>,
 ) -> Result<(ResponseHead, AnswerBody), FailureKind> {
+    if stream.quiet() == Quiet::No {
+        // An answer before the request: to whom it belongs nobody knows.
+        return Err(FailureKind::OtherRequest);
+    }
     stream.write_all(request.bytes).await?;
-    read_answer(stream, limits, request).await
+    read_answer(stream, pools, limits, request).await
 }
 
 async fn read_answer(
     stream: &mut BufferedStream,
+    pools: &Pools,
     limits: &Limits,
     request: &UpstreamRequest<'_>,
 ) -> Result<(ResponseHead, AnswerBody), FailureKind> {
     let head = read_final_head(stream, limits).await?;
-    if names_other_request(&head, request.request) {
-        return Err(FailureKind::OtherRequest);
-    }
+    check_request_name(&head, pools, request)?;
     let length = head.body_length(request.method);
     if length == BodyLength::None {
         let stated = head.head.length;
@@ -161,11 +179,36 @@
     Err(FailureKind::Closed)
 }
 
-/// Tells whether an upstream that names the request in its answer names
-/// another one: an answer that came late or twice.
-fn names_other_request(head: &ResponseHead, request: &str) -> bool {
+/// Checks that an answer belongs to the request, by the name that it carries.
+///
+/// # Errors
+///
+/// Fails where it names another request, or none although the upstream names
+/// requests: it came late, early or twice.
+fn check_request_name(
+    head: &ResponseHead,
+    pools: &Pools,
+    request: &UpstreamRequest<'_>,
+) -> Result<(), FailureKind> {
     let named = head.head.headers.get(name::REQUEST_ID);
-    named.is_some_and(|named| named.as_str() != request)
+    let expected = request.naming == Naming::AsBefore && pools.names_requests(request.address);
+    match named.map(|named| named.as_str() == request.request) {
+        Some(false) => Err(FailureKind::OtherRequest),
+        None if expected => Err(FailureKind::OtherRequest),
+        None => Ok(()),
+        Some(true) => {
+            if !expected {
+                pools.note_names_requests(request.address);
+            }
+            Ok(())
+        }
+    }
+}
+
+/// Tells whether an upstream says in its answer that it is leaving.
+pub(crate) fn says_draining(headers: &Headers) -> bool {
+    let state = headers.get(name::UPSTREAM_STATE);
+    state.is_some_and(|state| state.as_str() == DRAINING)
 }
 
 fn into_answer(head: ResponseHead, body: AnswerBody) -> Answer {
--- a/crates/foxtide-entry/src/upstream/failure.rs
+++ b/crates/foxtide-entry/src/upstream/failure.rs
@@ -2,7 +2,7 @@
 
 use crate::errors::Step;
 use crate::http::MessageError;
-use crate::outcome::Outcome;
+use foxtide_core::outcome::Outcome;
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
--- a/crates/foxtide-entry/src/upstream/mod.rs
+++ b/crates/foxtide-entry/src/upstream/mod.rs
@@ -4,6 +4,6 @@
 mod failure;
 mod pool;
 
-pub(crate) use exchange::{UpstreamRequest, exchange};
+pub(crate) use exchange::{Naming, UpstreamAnswer, UpstreamRequest, exchange, says_draining};
 pub(crate) use failure::{Failure, FailureKind};
 pub(crate) use pool::{Freshness, Pools};
--- a/crates/foxtide-entry/src/upstream/pool.rs
+++ b/crates/foxtide-entry/src/upstream/pool.rs
@@ -7,9 +7,10 @@
 use crate::options::PoolOptions;
 use foxtide_core::time::MonotonicTime;
 use parking_lot::{Mutex, RwLock};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 /// How long a connection may have been idle to be used again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,6 +19,8 @@
     Any,
     /// Only a short time, so that the upstream is not about to close it.
     Recent,
+    /// Not at all: the connection is to be a new one.
+    New,
 }
 
 #[derive(Debug)]
@@ -26,7 +29,13 @@
     since: MonotonicTime,
 }
 
-type Pool = Mutex<Vec<IdleConnection>>;
+/// What is known of one upstream's connections.
+#[derive(Debug, Default)]
+struct Pool {
+    idle: Mutex<Vec<IdleConnection>>,
+    /// Whether the upstream has named the request in an answer.
+    names_requests: AtomicBool,
+}
 
 /// The idle connections to all upstreams, by address.
 #[derive(Debug)]
@@ -63,8 +72,9 @@
         let idle_time = match freshness {
             Freshness::Any => self.options.idle_time,
             Freshness::Recent => self.options.idle_time_non_idempotent,
+            Freshness::New => return None,
         };
-        let mut idle = pool.lock();
+        let mut idle = pool.idle.lock();
         while let Some(connection) = idle.pop_if(|last| now - last.since <= idle_time) {
             if connection.stream.quiet() == Quiet::Yes {
                 return Some(connection.stream);
@@ -74,15 +84,39 @@
     }
 
     /// Keeps a connection whose last answer was read to its exact end.
-    pub(crate) fn put(&self, address: SocketAddr, stream: BufferedStream, now: MonotonicTime) {
+    ///
+    /// At most `limit` are kept.
+    pub(crate) fn put(
+        &self,
+        address: SocketAddr,
+        stream: BufferedStream,
+        limit: usize,
+        now: MonotonicTime,
+    ) {
         let pool = self.pool(address);
-        let mut idle = pool.lock();
-        if idle.len() < self.options.idle_connections {
+        let mut idle = pool.idle.lock();
+        if idle.len() < self.options.idle_connections.min(limit) {
             let since = now;
             idle.push(IdleConnection { stream, since });
         }
     }
 
+    /// Notes that an upstream names the request in its answers.
+    ///
+    /// From then on an answer without a name is not taken for the answer to
+    /// the request at hand: it may have come early or twice.
+    pub(crate) fn note_names_requests(&self, address: SocketAddr) {
+        let pool = self.pool(address);
+        pool.names_requests.store(true, Ordering::Relaxed);
+    }
+
+    /// Tells whether an upstream names the request in its answers.
+    pub(crate) fn names_requests(&self, address: SocketAddr) -> bool {
+        let by_address = self.by_address.read();
+        let pool = by_address.get(&address);
+        pool.is_some_and(|pool| pool.names_requests.load(Ordering::Relaxed))
+    }
+
     fn pool(&self, address: SocketAddr) -> Arc<Pool> {
         if let Some(pool) = self.by_address.read().get(&address) {
             return Arc::clone(pool);
@@ -96,12 +130,16 @@
     pub(crate) fn prune(&self, now: MonotonicTime) {
         let pools: Vec<Arc<Pool>> = self.by_address.read().values().cloned().collect();
         for pool in pools {
-            pool.lock().retain(|connection| {
+            pool.idle.lock().retain(|connection| {
                 let recent = now - connection.since <= self.options.idle_time;
                 recent && connection.stream.quiet() == Quiet::Yes
             });
         }
-        let unused = |pool: &Arc<Pool>| Arc::strong_count(pool) == 1 && pool.lock().is_empty();
-        self.by_address.write().retain(|_, pool| !unused(pool));
+    }
+
+    /// Forgets all upstreams but these.
+    pub(crate) fn keep_only(&self, addresses: &HashSet<SocketAddr>) {
+        let mut by_address = self.by_address.write();
+        by_address.retain(|address, _| addresses.contains(address));
     }
 }
--- a/crates/foxtide-entry/tests/failures.rs
+++ b/crates/foxtide-entry/tests/failures.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use foxtide_core::events::EventCode;
 use foxtide_entry::{EntryOptions, Limits};
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
@@ -159,7 +160,9 @@
             .recv_timeout(Duration::from_secs(10))
             .unwrap()
     );
-    wait_until("the event", || world.recorded("CallerGone"));
+    wait_until("the event", || {
+        !world.recorded(EventCode::RequestCancelled).is_empty()
+    });
 }
 
 #[test]
--- /dev/null
+++ b/crates/foxtide-entry/tests/keys.rs
@@ -0,0 +1,114 @@
+//! Requests with an idempotency key.
+
+mod support;
+
+use foxtide_core::idempotency::IdempotencyKey;
+use foxtide_core::time::WallTime;
+use std::io::Write;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::channel;
+use std::time::{SystemTime, UNIX_EPOCH};
+use support::{RawUpstream, World, assert_refused, read_message};
+
+const DONE: &[u8] = b"HTTP/1.1 201 Created\r\ncontent-length: 6\r\n\r\nfiled!";
+
+fn key(owner: &str) -> String {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    let now = WallTime::ZERO + since_epoch;
+    IdempotencyKey::mint(owner.parse().unwrap(), now, [7; 10]).to_string()
+}
+
+fn post(path: &str, key: &str, body: &str) -> String {
+    format!(
+        "POST /hamutenya/viewer{path} HTTP/1.1\r\nhost: x\r\nidempotency-key: \"{key}\"\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+fn own_key(world: &World) -> String {
+    let answer = world.caller().ask("GET /none HTTP/1.1\r\nhost: x\r\n\r\n");
+    let owner = answer
+        .lines()
+        .find_map(|line| line.strip_prefix("foxtide-owner: "));
+    key(owner.expect("each answer names the owner"))
+}
+
+#[test]
+fn verify_a_key_runs_once_and_its_answer_is_given_again() {
+    let (ran, runs) = channel();
+    let upstream = RawUpstream::start(move |mut stream, _| {
+        while read_message(&mut stream).is_some() {
+            ran.send(()).unwrap();
+            stream.write_all(DONE).unwrap();
+        }
+    });
+    let world = World::start(&[upstream.address]);
+    let key = own_key(&world);
+    let mut caller = world.caller();
+    let first = caller.ask(&post("/notes", &key, "lintel"));
+    assert!(first.ends_with("filed!"), "{first}");
+    let again = world.caller().ask(&post("/notes", &key, "lintel"));
+    assert!(again.starts_with("HTTP/1.1 201 "), "{again}");
+    assert!(again.contains("foxtide-outcome: done\r\n"), "{again}");
+    assert!(again.ends_with("filed!"), "{again}");
+    assert_refused(&caller.ask(&post("/notes", &key, "other")), 422, "unknown");
+    assert_eq!(runs.try_iter().count(), 1);
+}
+
+#[test]
+fn verify_a_key_whose_answer_was_lost_stays_unknown() {
+    let upstream = RawUpstream::start(|mut stream, _| {
+        read_message(&mut stream);
+    });
+    let world = World::start(&[upstream.address]);
+    let key = own_key(&world);
+    for status in [502, 409] {
+        let answer = world.caller().ask(&post("/notes", &key, "x"));
+        assert_refused(&answer, status, "unknown");
+    }
+    assert_eq!(upstream.connections.load(Ordering::SeqCst), 1);
+}
+
+#[test]
+fn verify_a_key_that_did_not_run_can_be_tried_again() {
+    let upstream = RawUpstream::start(|mut stream, _| {
+        let refusal = b"HTTP/1.1 503 Busy\r\nfoxtide-outcome: not-run\r\ncontent-length: 0\r\n\r\n";
+        // The attempts of the first request are refused, later ones run.
+        for answer in [&refusal[..], refusal, refusal, DONE] {
+            if read_message(&mut stream).is_none() {
+                return;
+            }
+            stream.write_all(answer).unwrap();
+        }
+    });
+    let world = World::start(&[upstream.address]);
+    let key = own_key(&world);
+    let refused = world.caller().ask(&post("/notes", &key, "x"));
+    assert_refused(&refused, 503, "not-run");
+    let answer = world.caller().ask(&post("/notes", &key, "x"));
+    assert!(answer.ends_with("filed!"), "{answer}");
+}
+
+#[test]
+fn verify_keys_of_other_owners_never_run_here() {
+    let upstream = RawUpstream::answering(DONE);
+    let world = World::start(&[upstream.address]);
+    let elsewhere = key("entry-2.00000000000000aa");
+    let answer = world.caller().ask(&post("/notes?x=1", &elsewhere, "x"));
+    assert_refused(&answer, 307, "unknown");
+    assert!(
+        answer.contains("/hamutenya/viewer/notes?x=1\r\n"),
+        "{answer}"
+    );
+    let gone = key("entry-9.00000000000000aa");
+    let earlier_process = key("entry-1.00000000000000aa");
+    for key in [gone, earlier_process] {
+        let answer = world.caller().ask(&post("/notes", &key, "x"));
+        assert_refused(&answer, 409, "unknown");
+    }
+    let plain = "0196f0c1-0000-7000-8000-000000000001";
+    let answer = world.caller().ask(&post("/notes", plain, "x"));
+    assert_refused(&answer, 400, "not-run");
+    assert_eq!(upstream.connections.load(Ordering::SeqCst), 0);
+}
--- a/crates/foxtide-entry/tests/path.rs
+++ b/crates/foxtide-entry/tests/path.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use foxtide_core::events::EventCode;
 use foxtide_entry::EntryOptions;
 use std::io::Write;
 use std::sync::Arc;
@@ -154,7 +155,9 @@
     assert!(idle.ask(&get("/")).contains("hello"));
     let entry = Arc::clone(&world.entry);
     let drained = world.workers.spawn(async move { entry.drain().await });
-    support::wait_until("the drain", || world.recorded("Draining"));
+    support::wait_until("the drain", || {
+        !world.recorded(EventCode::ProcessStopping).is_empty()
+    });
     let ready = world
         .operator()
         .ask("GET /readyz HTTP/1.1\r\nhost: x\r\n\r\n");
--- a/crates/foxtide-entry/tests/support/mod.rs
+++ b/crates/foxtide-entry/tests/support/mod.rs
@@ -2,15 +2,18 @@
 
 #![allow(dead_code)] // Each test file uses its part.
 
-use foxtide_core::ids::OrganisationId;
+use foxtide_core::events::{Event, EventCode, EventFilter};
+use foxtide_core::idempotency::{OwnerId, ProcessNumber};
+use foxtide_core::ids::{OrganisationId, RegionId};
 use foxtide_core::organisation::Organisation;
+use foxtide_core::steering::SteeringOptions;
 use foxtide_entry::{
-    Admin, AdminPage, Directory, Entry, EntryOptions, LocalFirst, Parts, Recorder, RequestEvent,
-    ServingInstance, SystemClock, Workers,
+    Admin, AdminPage, Clock, Directory, Entry, EntryOptions, Parts, ServingInstance, SystemClock,
+    TrafficOptions, TrafficTables, Workers,
 };
-use parking_lot::Mutex;
+use foxtide_events::{Explainer, Recorder, RecorderOptions};
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -90,63 +93,63 @@
 
 /// The parts of a test's entry.
 pub(crate) struct TestParts {
-    organisation: Arc<Organisation>,
-    steer: LocalFirst,
+    traffic: TrafficTables,
     clock: SystemClock,
+    recorder: Recorder,
+    explainer: Explainer,
+    owner: OwnerId,
     pub(crate) left: AtomicBool,
-    pub(crate) events: Mutex<Vec<String>>,
-    instance: ServingInstance,
+    instances: Arc<[ServingInstance]>,
 }
 
 impl Parts for TestParts {
     type Directory = Self;
-    type Steer = LocalFirst;
     type Clock = SystemClock;
-    type Recorder = Self;
     type Admin = Self;
 
     fn directory(&self) -> &Self {
         self
     }
 
-    fn steer(&self) -> &LocalFirst {
-        &self.steer
-    }
-
     fn clock(&self) -> &SystemClock {
         &self.clock
     }
 
-    fn recorder(&self) -> &Self {
+    fn admin(&self) -> &Self {
         self
     }
 
-    fn admin(&self) -> &Self {
-        self
+    fn traffic(&self) -> &TrafficTables {
+        &self.traffic
     }
-}
 
-impl Directory for TestParts {
-    fn organisation(&self, organisation: &OrganisationId) -> Option<Arc<Organisation>> {
-        let known = *organisation == self.organisation.organisation;
-        known.then(|| Arc::clone(&self.organisation))
+    fn recorder(&self) -> &Recorder {
+        &self.recorder
+    }
+
+    fn explainer(&self) -> &Explainer {
+        &self.explainer
     }
 
+    fn owner(&self) -> &OwnerId {
+        &self.owner
+    }
+}
+
+impl Directory for TestParts {
     fn instances(&self) -> Arc<[ServingInstance]> {
         if self.left.load(Ordering::SeqCst) {
             return Arc::new([]);
         }
-        Arc::new([self.instance.clone()])
+        Arc::clone(&self.instances)
     }
 
-    fn leave(&self) {
-        self.left.store(true, Ordering::SeqCst);
+    fn client_region(&self, _: &OrganisationId, _: IpAddr) -> Option<RegionId> {
+        None
     }
-}
 
-impl Recorder for TestParts {
-    fn record(&self, event: RequestEvent<'_>) {
-        self.events.lock().push(format!("{event:?}"));
+    fn leave(&self) {
+        self.left.store(true, Ordering::SeqCst);
     }
 }
 
@@ -163,6 +166,41 @@
     }
 }
 
+impl TestParts {
+    fn new() -> Self {
+        let instance: ServingInstance = ServingInstance {
+            instance: "entry-1".parse().unwrap(),
+            address: ANY_PORT,
+            region: "khomas".parse().unwrap(),
+            availability_zone: "khomas-a".parse().unwrap(),
+        };
+        let other = ServingInstance {
+            instance: "entry-2".parse().unwrap(),
+            region: "erongo".parse().unwrap(),
+            ..instance.clone()
+        };
+        let options = TrafficOptions {
+            steering: SteeringOptions {
+                startup_wait: Duration::ZERO,
+                ..SteeringOptions::default()
+            },
+            ..TrafficOptions::new("khomas".parse().unwrap())
+        };
+        Self {
+            traffic: TrafficTables::new(options),
+            clock: SystemClock::default(),
+            recorder: Recorder::new(instance.instance.clone(), RecorderOptions::default()),
+            explainer: Explainer::default(),
+            owner: OwnerId {
+                instance: instance.instance.clone(),
+                process: ProcessNumber::new(7),
+            },
+            left: AtomicBool::new(false),
+            instances: Arc::new([other, instance]),
+        }
+    }
+}
+
 /// A running entry with its parts.
 pub(crate) struct World {
     pub(crate) entry: Arc<Entry<TestParts>>,
@@ -184,19 +222,11 @@
             admin_address: ANY_PORT,
             ..options
         };
-        let parts = Arc::new(TestParts {
-            organisation: Arc::new(organisation(upstreams)),
-            steer: LocalFirst::new("khomas".parse().unwrap()),
-            clock: SystemClock::default(),
-            left: AtomicBool::new(false),
-            events: Mutex::default(),
-            instance: ServingInstance {
-                instance: "entry-1".parse().unwrap(),
-                address: ANY_PORT,
-                region: "khomas".parse().unwrap(),
-                availability_zone: "khomas-a".parse().unwrap(),
-            },
-        });
+        let parts = Arc::new(TestParts::new());
+        let now = parts.clock.now();
+        parts
+            .traffic
+            .configure(&Arc::new(organisation(upstreams)), now);
         let workers = Workers::start(2).unwrap();
         let entry = Entry::start(options, Arc::clone(&parts), &workers.executor()).unwrap();
         Self {
@@ -216,10 +246,11 @@
         Caller::connect(self.entry.admin_address())
     }
 
-    /// Tells whether an event with this name was recorded.
-    pub(crate) fn recorded(&self, name: &str) -> bool {
-        let events = self.parts.events.lock();
-        events.iter().any(|event| event.starts_with(name))
+    /// Returns the recorded events of this code.
+    pub(crate) fn recorded(&self, code: EventCode) -> Vec<Event> {
+        let mut events = self.parts.recorder.select(&EventFilter::default());
+        events.retain(|event| event.code == code);
+        events
     }
 }
 
@@ -298,7 +329,10 @@
         .collect();
     let document = serde_json::json!({
         "schema_version": 1, "organisation": "hamutenya", "revision": 7, "change_id": "c7",
-        "regions": [], "links": [],
+        "regions": [{
+            "region": "khomas", "availability_zones": ["khomas-a"], "sold_rate_rps": 1000000,
+        }],
+        "links": [],
         "services": [{
             "service": "viewer",
             "contract": {
--- a/crates/foxtide-testing/src/upstream/answer.rs
+++ b/crates/foxtide-testing/src/upstream/answer.rs
@@ -71,10 +71,13 @@
 }
 
 /// Returns the answer to a request that was not run.
-pub(super) fn refusal(reason: &str) -> Response {
+pub(super) fn refusal(call: &Call, reason: &str) -> Response {
     let mut response = text(StatusCode::ServiceUnavailable, reason);
     response.insert_header(OUTCOME_HEADER, "not-run");
     response.insert_header("retry-after", RETRY_AFTER_S);
+    if let Some(id) = call.header(REQUEST_ID_HEADER) {
+        response.insert_header(REQUEST_ID_HEADER, id);
+    }
     response
 }
 
--- a/crates/foxtide-testing/src/upstream/endpoint.rs
+++ b/crates/foxtide-testing/src/upstream/endpoint.rs
@@ -68,11 +68,11 @@
         self.records.lock().received(received_at);
         let sheds = self.behaviour.lock().sheds;
         if sheds || !self.has_room() {
-            return self.shed("no room");
+            return self.shed(call, "no room");
         }
         let slot = match self.wait_for_slot(call).await {
             SlotWait::Taken(slot) => slot,
-            SlotWait::DeadlinePassed => return self.shed("deadline passed while waiting"),
+            SlotWait::DeadlinePassed => return self.shed(call, "deadline passed while waiting"),
             SlotWait::HungUp => return Reply::Close,
         };
         let fault = self.behaviour.lock().take_fault();
@@ -97,9 +97,9 @@
         taken < self.options.slots + self.options.queue
     }
 
-    fn shed(&self, reason: &str) -> Reply {
+    fn shed(&self, call: &Call, reason: &str) -> Reply {
         self.records.lock().stats.shed += 1;
-        let mut response = refusal(reason);
+        let mut response = refusal(call, reason);
         self.announce(&mut response);
         Reply::whole(response)
     }
--- a/crates/foxtide/src/lib.rs
+++ b/crates/foxtide/src/lib.rs
@@ -5,7 +5,7 @@
 mod configuration;
 pub mod node;
 mod pages;
-mod request_events;
 pub mod signals;
 pub mod tables;
 pub mod telemetry;
+mod traffic;
--- a/crates/foxtide/src/node.rs
+++ b/crates/foxtide/src/node.rs
@@ -2,27 +2,31 @@
 
 use crate::configuration::Configurations;
 use crate::pages::Pages;
-use crate::request_events::RequestRecorder;
 use crate::tables::Tables;
 use crate::telemetry;
+use crate::traffic::TrafficFollower;
 use anyhow::{Context, Result};
 use foxtide_config::{HttpStore, HttpStoreOptions, Settings};
+use foxtide_core::choice::BalancerOptions;
 use foxtide_core::events::backup::BackupPeer;
 use foxtide_core::events::{EventCode, EventFields, EventRingOptions};
-use foxtide_core::ids::OrganisationId;
-use foxtide_core::organisation::Organisation;
+use foxtide_core::idempotency::{OwnerId, ProcessNumber};
+use foxtide_core::ids::{OrganisationId, RegionId};
 use foxtide_core::units::ByteSize;
 use foxtide_entry::{
-    Clock, Directory, Entry, EntryOptions, Limits, LocalFirst, Parts, ServingInstance, SystemClock,
-    Workers,
+    Clock, Directory, Entry, EntryOptions, Limits, Parts, ServingInstance, SystemClock,
+    TrafficOptions, TrafficTables, Workers,
 };
-use foxtide_events::{Recorder, RecorderOptions, TimeLine, TimeLineOptions};
+use foxtide_events::{Explainer, Recorder, RecorderOptions, TimeLine, TimeLineOptions};
 use foxtide_mesh::{Identity, Mesh, MeshHandle, MeshOptions};
+use rand::TryRng;
+use rand::rngs::SysRng;
 use smol::{Task, Timer};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// The time between two looks at the members and the announced drains.
 const MEMBERS_INTERVAL: Duration = Duration::from_millis(100);
@@ -31,35 +35,43 @@
 #[derive(Debug)]
 struct NodeParts {
     directory: NodeDirectory,
-    steer: LocalFirst,
+    traffic: Arc<TrafficTables>,
     clock: SystemClock,
-    recorder: RequestRecorder,
+    recorder: Recorder,
+    explainer: Explainer,
+    owner: OwnerId,
     pages: Pages,
 }
 
 impl Parts for NodeParts {
     type Directory = NodeDirectory;
-    type Steer = LocalFirst;
     type Clock = SystemClock;
-    type Recorder = RequestRecorder;
     type Admin = Pages;
 
     fn directory(&self) -> &NodeDirectory {
         &self.directory
     }
 
-    fn steer(&self) -> &LocalFirst {
-        &self.steer
+    fn traffic(&self) -> &TrafficTables {
+        &self.traffic
     }
 
     fn clock(&self) -> &SystemClock {
         &self.clock
     }
 
-    fn recorder(&self) -> &RequestRecorder {
+    fn recorder(&self) -> &Recorder {
         &self.recorder
     }
 
+    fn explainer(&self) -> &Explainer {
+        &self.explainer
+    }
+
+    fn owner(&self) -> &OwnerId {
+        &self.owner
+    }
+
     fn admin(&self) -> &Pages {
         &self.pages
     }
@@ -74,14 +86,14 @@
 }
 
 impl Directory for NodeDirectory {
-    fn organisation(&self, organisation: &OrganisationId) -> Option<Arc<Organisation>> {
-        self.tables.organisation(organisation)
-    }
-
     fn instances(&self) -> Arc<[ServingInstance]> {
         self.tables.instances()
     }
 
+    fn client_region(&self, _organisation: &OrganisationId, _client: IpAddr) -> Option<RegionId> {
+        None
+    }
+
     fn leave(&self) {
         self.tables.set_leaving();
         self.tables.renew_instances(self.clock.wall());
@@ -116,15 +128,24 @@
         let caller_address = reserve(settings.caller.listen)?;
         let mesh = start_mesh(settings, caller_address)?;
         let time_line = time_line(settings, &recorder, &clock);
+        let process_number = SysRng
+            .try_next_u64()
+            .context("draw the number of this process")?;
+        let traffic = Arc::new(TrafficTables::new(traffic_options(settings)));
         let parts = NodeParts {
             directory: NodeDirectory {
                 tables: Arc::clone(&tables),
                 mesh: mesh.clone(),
                 clock,
             },
-            steer: LocalFirst::new(settings.region.clone()),
+            traffic: Arc::clone(&traffic),
             clock,
-            recorder: RequestRecorder::new(recorder.clone()),
+            recorder: recorder.clone(),
+            explainer: Explainer::default(),
+            owner: OwnerId {
+                instance: settings.instance.clone(),
+                process: ProcessNumber::new(process_number),
+            },
             pages: Pages {
                 tables: Arc::clone(&tables),
                 time_line,
@@ -147,7 +168,13 @@
             seed: fastrand::u64(..),
         };
         let following = follow_members(Arc::clone(&tables), mesh.clone(), clock);
+        let follower = TrafficFollower {
+            tables: Arc::clone(&tables),
+            traffic,
+            clock,
+        };
         let tasks = vec![
+            workers.spawn(follower.run()),
             workers.spawn(configurations.run()),
             workers.spawn(following),
         ];
@@ -245,6 +272,18 @@
     )
 }
 
+fn traffic_options(settings: &Settings) -> TrafficOptions {
+    let defaults = TrafficOptions::new(settings.region.clone());
+    TrafficOptions {
+        seed: xxh3_64(settings.instance.as_str().as_bytes()),
+        balancer: BalancerOptions {
+            availability_zone: Some(settings.availability_zone.clone()),
+            ..defaults.balancer
+        },
+        ..defaults
+    }
+}
+
 fn recorder_options(settings: &Settings) -> RecorderOptions {
     let notable = usize::try_from(settings.limits.events.kept_max).unwrap_or(usize::MAX);
     RecorderOptions {
