--- a/crates/foxtide-core/src/blocks/builder.rs
+++ b/crates/foxtide-core/src/blocks/builder.rs
@@ -3,9 +3,32 @@
 use super::codec::decode_chunk;
 use super::columns::Columns;
 use super::family::{V4, V6};
-use super::{BlocksError, BlocksResult, ClientBlocks, SiteTable};
+use super::{BlocksError, BlocksResult, ClientBlocks, SiteIndex, SiteTable};
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
+/// How many blocks of each family a table has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BlockCounts {
+    /// Blocks of v4.
+    pub v4_blocks: usize,
+    /// Blocks of v6.
+    pub v6_blocks: usize,
+}
+
+/// The most blocks of a family for which room is made before they come, so
+/// that a wrong count does no harm.
+const ROOM_MAX_BLOCKS: usize = 4_000_000;
+
+impl BlockCounts {
+    fn bounded(self) -> Self {
+        Self {
+            v4_blocks: self.v4_blocks.min(ROOM_MAX_BLOCKS),
+            v6_blocks: self.v6_blocks.min(ROOM_MAX_BLOCKS),
+        }
+    }
+}
+
 /// Takes chunks one by one, so that a load needs little more memory than the
 /// table itself.
 #[derive(Debug)]
@@ -14,14 +37,14 @@
 }
 
 impl ClientBlocksBuilder {
-    /// Returns a builder with room for `v4_blocks` blocks of v4, which come
-    /// first; room for others grows as they come.
-    pub fn new(revision: u64, sites: SiteTable, v4_blocks: usize) -> Self {
+    /// Returns a builder with room for so many blocks.
+    pub fn new(revision: u64, sites: SiteTable, room: BlockCounts) -> Self {
+        let room = room.bounded();
         let table = ClientBlocks {
             revision,
             sites: Arc::new(sites),
-            v4: Columns::with_capacity(v4_blocks),
-            v6: Columns::default(),
+            v4: Columns::with_capacity(room.v4_blocks),
+            v6: Columns::with_capacity(room.v6_blocks),
         };
         Self { table }
     }
@@ -36,11 +59,13 @@
         let columns = decode_chunk(value)?;
         if columns.is_v4() {
             for entry in columns.entries::<V4>()? {
+                let entry = entry?;
                 self.check(entry.site)?;
                 self.table.v4.push(entry)?;
             }
         } else {
             for entry in columns.entries::<V6>()? {
+                let entry = entry?;
                 self.check(entry.site)?;
                 self.table.v6.push(entry)?;
             }
@@ -55,7 +80,7 @@
         self.table
     }
 
-    fn check(&self, site: super::SiteIndex) -> BlocksResult<()> {
+    fn check(&self, site: SiteIndex) -> BlocksResult<()> {
         let known = self.table.sites.get(site);
         known.map(|_| ()).ok_or(BlocksError::UnknownSite { site })
     }
--- a/crates/foxtide-core/src/blocks/codec.rs
+++ b/crates/foxtide-core/src/blocks/codec.rs
@@ -124,36 +124,36 @@
 }
 
 impl ColumnsMessage {
-    /// Returns the prefixes.
-    fn prefixes<F: Family>(&self) -> BlocksResult<Vec<Prefix>> {
+    /// Returns the prefixes, one by one, so that none need be kept.
+    fn prefixes<F: Family>(&self) -> BlocksResult<impl Iterator<Item = BlocksResult<Prefix>>> {
         if self.bits != u32::from(F::BITS) || self.steps.len() != self.lengths.len() {
             return Err(BlocksError::decode("columns of other blocks or lengths"));
         }
-        let mut last = 0;
-        let mut prefixes = Vec::with_capacity(self.steps.len());
-        for (step, length) in self.steps.iter().zip(&self.lengths) {
-            let start = next_start::<F>(last, *step, *length)?;
-            last = start;
-            prefixes.push(Prefix {
-                start,
+        let mut last_start = 0;
+        let pairs = self.steps.iter().zip(&self.lengths);
+        Ok(pairs.map(move |(step, length)| {
+            last_start = next_start::<F>(last_start, *step, *length)?;
+            Ok(Prefix {
+                start: last_start,
                 length: *length,
-            });
-        }
-        Ok(prefixes)
+            })
+        }))
     }
 
-    /// Returns the blocks with their sites.
-    pub(super) fn entries<F: Family>(&self) -> BlocksResult<Vec<Entry>> {
-        let prefixes = self.prefixes::<F>()?;
-        if prefixes.len() != self.sites.len() {
+    /// Returns the blocks with their sites, one by one.
+    pub(super) fn entries<F: Family>(
+        &self,
+    ) -> BlocksResult<impl Iterator<Item = BlocksResult<Entry>>> {
+        if self.lengths.len() != self.sites.len() {
             return Err(BlocksError::decode("columns of other lengths"));
         }
-        let pairs = prefixes.into_iter().zip(&self.sites);
-        let entry = |(prefix, site): (Prefix, &u8)| Entry {
-            prefix,
-            site: SiteIndex(*site),
-        };
-        Ok(pairs.map(entry).collect())
+        let pairs = self.prefixes::<F>()?.zip(&self.sites);
+        Ok(pairs.map(|(prefix, site)| {
+            Ok(Entry {
+                prefix: prefix?,
+                site: SiteIndex(*site),
+            })
+        }))
     }
 
     pub(super) fn blocks<F: Family>(&self) -> BlocksResult<Vec<Block>> {
@@ -161,12 +161,12 @@
             net: F::to_net(entry.prefix),
             site: entry.site,
         };
-        Ok(self.entries::<F>()?.into_iter().map(block).collect())
+        self.entries::<F>()?.map(|entry| entry.map(block)).collect()
     }
 
     pub(super) fn nets<F: Family>(&self) -> BlocksResult<Vec<IpNet>> {
         let prefixes = self.prefixes::<F>()?;
-        Ok(prefixes.into_iter().map(F::to_net).collect())
+        prefixes.map(|prefix| prefix.map(F::to_net)).collect()
     }
 
     /// Tells whether the blocks are v4.
--- a/crates/foxtide-core/src/blocks/manifest.rs
+++ b/crates/foxtide-core/src/blocks/manifest.rs
@@ -4,7 +4,9 @@
 //! never changes a value that a reader may be at; the manifest, written last
 //! and by check-and-set, names those that make up the table.
 
-use super::{BlocksError, BlocksResult, ClientBlocks, ClientBlocksBuilder, Delta, SiteTable};
+use super::{
+    BlockCounts, BlocksError, BlocksResult, ClientBlocks, ClientBlocksBuilder, Delta, SiteTable,
+};
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::str::FromStr;
@@ -106,6 +108,8 @@
     pub revision: u64,
     /// The revision of the chunks, before any delta.
     pub base_revision: u64,
+    /// The blocks in the chunks.
+    pub base_blocks: BlockCounts,
     /// The sites, in the order of their numbers.
     pub sites: SiteTable,
     /// The chunks, in order.
@@ -121,6 +125,7 @@
         let manifest = Self {
             revision: table.revision(),
             base_revision: table.revision(),
+            base_blocks: table.counts(),
             sites: table.sites().clone(),
             chunks: values.iter().map(|value| Part::of(value)).collect(),
             deltas: Vec::new(),
@@ -163,7 +168,8 @@
             part.check(&value)?;
             Ok(value)
         };
-        let mut builder = ClientBlocksBuilder::new(self.base_revision, self.sites.clone(), 0);
+        let sites = self.sites.clone();
+        let mut builder = ClientBlocksBuilder::new(self.base_revision, sites, self.base_blocks);
         for part in &self.chunks {
             builder.add_chunk(&read(part)?)?;
         }
--- a/crates/foxtide-core/src/blocks/mod.rs
+++ b/crates/foxtide-core/src/blocks/mod.rs
@@ -18,7 +18,7 @@
 mod site;
 mod table;
 
-pub use builder::ClientBlocksBuilder;
+pub use builder::{BlockCounts, ClientBlocksBuilder};
 pub use delta::Delta;
 pub use errors::{BlocksError, BlocksResult};
 pub use manifest::{Checksum, MANIFEST_KEY, Manifest, PART_PREFIX, Part};
--- a/crates/foxtide-core/src/blocks/table.rs
+++ b/crates/foxtide-core/src/blocks/table.rs
@@ -4,7 +4,7 @@
 use super::columns::{Columns, Entry};
 use super::delta::{Change, SortedDelta};
 use super::family::{Address, Family, V4, V6};
-use super::{BlocksResult, ClientBlocksBuilder, Delta, Site, SiteIndex, SiteTable};
+use super::{BlockCounts, BlocksResult, ClientBlocksBuilder, Delta, Site, SiteIndex, SiteTable};
 use ipnet::IpNet;
 use std::net::IpAddr;
 use std::sync::Arc;
@@ -35,7 +35,7 @@
     /// Fails where a block is given twice, is a v6 block longer than /64, or
     /// names a site that there is not.
     pub fn new(revision: u64, sites: SiteTable, blocks: &[Block]) -> BlocksResult<Self> {
-        let empty = ClientBlocksBuilder::new(revision, sites, 0).finish();
+        let empty = ClientBlocksBuilder::new(revision, sites, BlockCounts::default()).finish();
         let delta = Delta {
             follows: revision,
             revision,
@@ -69,6 +69,14 @@
         self.v4.len() + self.v6.len()
     }
 
+    /// Returns the number of blocks of each family.
+    pub fn counts(&self) -> BlockCounts {
+        BlockCounts {
+            v4_blocks: self.v4.len(),
+            v6_blocks: self.v6.len(),
+        }
+    }
+
     /// Tells whether there is no block.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
--- a/crates/foxtide-core/tests/blocks.rs
+++ b/crates/foxtide-core/tests/blocks.rs
@@ -1,8 +1,8 @@
 //! Client blocks against a plain model, and what arrives damaged.
 
 use foxtide_core::blocks::{
-    Block, BlocksError, ClientBlocks, ClientBlocksBuilder, Delta, Manifest, Part, Site, SiteIndex,
-    SiteTable,
+    Block, BlockCounts, BlocksError, ClientBlocks, ClientBlocksBuilder, Delta, Manifest, Part,
+    Site, SiteIndex, SiteTable,
 };
 use foxtide_core::ids::SiteId;
 use ipnet::IpNet;
@@ -139,7 +139,7 @@
     /// Whatever bytes come, reading them ends in an error or in a table.
     #[test]
     fn verify_damaged_chunks_do_no_harm(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
-        let _ = ClientBlocksBuilder::new(1, sites(), 0).add_chunk(&bytes);
+        let _ = ClientBlocksBuilder::new(1, sites(), BlockCounts::default()).add_chunk(&bytes);
         let _ = Delta::decode(&bytes);
     }
 }
@@ -188,7 +188,7 @@
     *damaged.last_mut().unwrap() ^= 1;
     let error = manifest.load(|_| Some(damaged.clone())).unwrap_err();
     assert!(matches!(error, BlocksError::Checksum { .. }));
-    let mut builder = ClientBlocksBuilder::new(1, sites(), 0);
+    let mut builder = ClientBlocksBuilder::new(1, sites(), BlockCounts::default());
     let error = builder.add_chunk(&damaged).unwrap_err();
     assert!(matches!(error, BlocksError::Checksum { .. }));
     assert!(manifest.load(|_| None).is_err());
--- /dev/null
+++ b/crates/foxtide/examples/measure/blocks.rs
@@ -0,0 +1,185 @@
+//! Client blocks at target size: look-up, memory, load and change, in the
+//! structure in use and in others.
+
+use crate::blocks_data::Data;
+use crate::blocks_ways::{Both, EytzingerRanges, HashMaps, Linear, Poptrie, SortedRanges, Way};
+use crate::report::{Limit, Report};
+use arc_swap::ArcSwap;
+use foxtide_core::blocks::{Block, ClientBlocks, Delta, Manifest, Part};
+use std::collections::HashMap;
+use std::hint::black_box;
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Instant;
+
+const CLIENTS: usize = 1_000_000;
+const LINEAR_CLIENTS: usize = 200;
+const CHANGED_BLOCKS: usize = 100;
+const CHANGES: u64 = 20;
+const SIZE_MAX_BYTES: f64 = 8_000_000.0;
+const LOOKUP_MAX_US: f64 = 1.0;
+
+/// Measures the client blocks.
+pub(crate) fn run(report: &mut Report) {
+    let mut data = Data::new();
+    let blocks = data.blocks();
+    let clients = data.clients(&blocks, CLIENTS);
+    let table = ClientBlocks::new(1, data.sites.clone(), &blocks).expect("good blocks");
+    report.figure("blocks.count", table.len() as f64, "blocks", Limit::None);
+    let us = time_each(&clients, |client| table.site_of(client).is_some());
+    report.figure("blocks.lookup", us, "us", Limit::AtMost(LOOKUP_MAX_US));
+    let size = table.size_bytes() as f64;
+    report.figure("blocks.size", size, "bytes", Limit::AtMost(SIZE_MAX_BYTES));
+    load(report, &table);
+    change(report, &table, &blocks, &mut data);
+    look_up_while_changing(report, table.clone(), &blocks, &clients, &mut data);
+    let few = &clients[..LINEAR_CLIENTS];
+    compare::<SortedRanges>(report, "sorted_ranges", &table, &blocks, &clients);
+    compare::<EytzingerRanges>(report, "eytzinger_ranges", &table, &blocks, &clients);
+    compare::<Poptrie>(report, "poptrie", &table, &blocks, &clients);
+    compare::<HashMaps>(report, "baseline_hash_maps", &table, &blocks, &clients);
+    compare::<Linear>(report, "baseline_linear", &table, &blocks, few);
+}
+
+/// Returns the mean time of a look-up, in microseconds.
+fn time_each(clients: &[IpAddr], mut find: impl FnMut(IpAddr) -> bool) -> f64 {
+    let started = Instant::now();
+    for client in clients {
+        black_box(find(*client));
+    }
+    started.elapsed().as_secs_f64() * 1e6 / clients.len() as f64
+}
+
+/// Measures another way and checks that it finds the same sites.
+fn compare<W: Way>(
+    report: &mut Report,
+    name: &str,
+    table: &ClientBlocks,
+    blocks: &[Block],
+    clients: &[IpAddr],
+) {
+    let started = Instant::now();
+    let way: Both<W> = Both::build(blocks);
+    let build_ms = started.elapsed().as_secs_f64() * 1e3;
+    let different = clients.iter().filter(|client| {
+        let found = table.site_of(**client).map(|site| site.site.clone());
+        let index = found.and_then(|site| table.sites().index_of(&site));
+        way.find(**client) != index.map_or(crate::blocks_ways::NO_SITE, |i| i.get().into())
+    });
+    let different = different.take(1_000).count() as f64;
+    let us = time_each(clients, |client| way.find(client) == 0);
+    let figure = |what| format!("blocks.{name}.{what}");
+    report.figure(&figure("lookup"), us, "us", Limit::None);
+    report.figure(
+        &figure("size"),
+        way.size_bytes() as f64,
+        "bytes",
+        Limit::None,
+    );
+    report.figure(&figure("build"), build_ms, "ms", Limit::None);
+    report.figure(
+        &figure("different"),
+        different,
+        "look-ups",
+        Limit::AtMost(0.0),
+    );
+}
+
+/// Measures a load from the store's values.
+fn load(report: &mut Report, table: &ClientBlocks) {
+    let (manifest, values) = Manifest::of(table);
+    let total: usize = values.iter().map(Vec::len).sum();
+    let largest = values.iter().map(Vec::len).max().unwrap_or(0);
+    report.figure("blocks.chunks", values.len() as f64, "values", Limit::None);
+    report.figure("blocks.chunks_total", total as f64, "bytes", Limit::None);
+    let most = Limit::AtMost(foxtide_core::store::VALUE_MAX_BYTES as f64);
+    report.figure("blocks.chunk_largest", largest as f64, "bytes", most);
+    let store: HashMap<String, Vec<u8>> = values
+        .into_iter()
+        .map(|v| (Part::of(&v).key(), v))
+        .collect();
+    let started = Instant::now();
+    let loaded = manifest
+        .load(|part| store.get(&part.key()).cloned())
+        .expect("good values");
+    let ms = started.elapsed().as_secs_f64() * 1e3;
+    assert_eq!(loaded.len(), table.len(), "all blocks are loaded");
+    report.figure("blocks.load", ms, "ms", Limit::None);
+}
+
+fn delta(blocks: &[Block], data: &mut Data, follows: u64) -> Delta {
+    let stride = blocks.len() / CHANGED_BLOCKS;
+    let chosen = blocks.iter().step_by(stride).take(CHANGED_BLOCKS);
+    let set = chosen.map(|block| Block {
+        net: block.net,
+        site: data.site(),
+    });
+    Delta {
+        follows,
+        revision: follows + 1,
+        set: set.collect(),
+        removed: Vec::new(),
+    }
+}
+
+fn change(report: &mut Report, table: &ClientBlocks, blocks: &[Block], data: &mut Data) {
+    let delta = delta(blocks, data, 1);
+    let size = delta.encode().expect("a good delta").len() as f64;
+    report.figure("blocks.delta_100.size", size, "bytes", Limit::None);
+    let started = Instant::now();
+    for _ in 0..CHANGES {
+        black_box(table.apply(&delta).expect("a good delta"));
+    }
+    let ms = started.elapsed().as_secs_f64() * 1e3 / CHANGES as f64;
+    report.figure("blocks.delta_100.apply", ms, "ms", Limit::None);
+    // 2,800 changes a day, were each of them one of blocks.
+    let core_share = ms / 1e3 * 2_800.0 / 86_400.0;
+    report.figure(
+        "blocks.delta_100.core_share",
+        core_share,
+        "cores",
+        Limit::AtMost(0.01),
+    );
+}
+
+/// Looks clients up while another thread applies changes and swaps tables in.
+fn look_up_while_changing(
+    report: &mut Report,
+    table: ClientBlocks,
+    blocks: &[Block],
+    clients: &[IpAddr],
+    data: &mut Data,
+) {
+    let current = Arc::new(ArcSwap::from_pointee(table));
+    let done = AtomicBool::new(false);
+    let mut worst_us = 0.0f64;
+    let mut lookups = 0usize;
+    let started = Instant::now();
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            for follows in 1..=CHANGES {
+                let changed = current.load().apply(&delta(blocks, data, follows));
+                current.store(Arc::new(changed.expect("a good delta")));
+            }
+            done.store(true, Ordering::Release);
+        });
+        while !done.load(Ordering::Acquire) {
+            for batch in clients.chunks(1_000).take(100) {
+                let table = current.load();
+                let us = time_each(batch, |client| table.site_of(client).is_some());
+                worst_us = worst_us.max(us);
+                lookups += batch.len();
+            }
+        }
+    });
+    let mean_us = started.elapsed().as_secs_f64() * 1e6 / lookups as f64;
+    let limit = Limit::AtMost(LOOKUP_MAX_US);
+    report.figure("blocks.lookup_while_changing", mean_us, "us", limit);
+    report.figure(
+        "blocks.worst_1000_while_changing",
+        worst_us,
+        "us",
+        Limit::None,
+    );
+}
--- a/crates/foxtide/examples/measure/main.rs
+++ b/crates/foxtide/examples/measure/main.rs
@@ -4,6 +4,9 @@
 //! the name of a single module after it to run just that one.
 
 mod at_most_once;
+mod blocks;
+mod blocks_data;
+mod blocks_ways;
 mod document;
 mod events;
 mod explain;
@@ -17,7 +20,7 @@
 type Module = (&'static str, fn(&mut Report));
 
 /// What each instance decides, against simpler baselines.
-const DECISIONS: &[Module] = &[("at_most_once", at_most_once::run)];
+const DECISIONS: &[Module] = &[("at_most_once", at_most_once::run), ("blocks", blocks::run)];
 
 /// What a fleet of instances costs and how fast it agrees.
 const FLEET: &[Module] = &[
