Keep the fleet's calls to the store under a set rate

Each instance takes its part, fleet rate over live instances, as a token bucket; the count of instances rises at once and halves within an hour at the fastest, so that a cut-off instance does not take the others' part. Renewals of leases go before other writes. The first answer after failures empties the bucket but for one call.

--- a/crates/foxtide-config/src/backoff.rs
+++ b/crates/foxtide-config/src/backoff.rs
@@ -7,7 +7,9 @@
 pub struct BackoffOptions {
     /// The upper bound of the first wait.
     pub first: Duration,
-    /// The upper bound of all waits.
+    /// The upper bound of all waits. With the time that a change takes from
+    /// a watching instance to all others it stays below the 18 s in which an
+    /// accepted change is to be in force.
     pub longest: Duration,
 }
 
--- /dev/null
+++ b/crates/foxtide-config/src/store/bucket.rs
@@ -0,0 +1,55 @@
+//! A token bucket.
+
+use foxtide_core::time::MonotonicTime;
+
+/// Tokens that refill at a rate up to a capacity.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct TokenBucket {
+    rate_per_s: f64,
+    capacity: f64,
+    tokens: f64,
+    updated: MonotonicTime,
+}
+
+impl TokenBucket {
+    /// Returns a bucket that holds one token, so that instances which start
+    /// together do not spend whole bursts together.
+    pub(super) fn new(rate_per_s: f64, capacity: f64, now: MonotonicTime) -> Self {
+        Self {
+            rate_per_s,
+            capacity,
+            tokens: 1.0,
+            updated: now,
+        }
+    }
+
+    /// Sets another rate and capacity.
+    pub(super) fn resize(&mut self, rate_per_s: f64, capacity: f64, now: MonotonicTime) {
+        self.refill(now);
+        self.rate_per_s = rate_per_s;
+        self.capacity = capacity;
+        self.tokens = self.tokens.min(capacity);
+    }
+
+    /// Takes a token if at least `reserve` are left after it.
+    pub(super) fn take(&mut self, reserve: f64, now: MonotonicTime) -> bool {
+        self.refill(now);
+        if self.tokens < 1.0 + reserve {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    /// Keeps at most this many tokens.
+    pub(super) fn limit(&mut self, tokens: f64, now: MonotonicTime) {
+        self.refill(now);
+        self.tokens = self.tokens.min(tokens);
+    }
+
+    fn refill(&mut self, now: MonotonicTime) {
+        let elapsed_s = now.since(self.updated).as_secs_f64();
+        self.tokens = (self.tokens + elapsed_s * self.rate_per_s).min(self.capacity);
+        self.updated = self.updated.max(now);
+    }
+}
--- /dev/null
+++ b/crates/foxtide-config/src/store/budgeted.rs
@@ -0,0 +1,127 @@
+//! A store whose calls keep to a budget.
+//!
+//! Locks: one around the budget, held for a few operations on numbers and
+//! never across an await.
+
+use super::budget::{CallClass, StoreBudget};
+use foxtide_core::store::{
+    SessionId, Store, StoreEntry, StoreError, StoreIndex, StoreListing, StoreResult,
+};
+use foxtide_core::time::MonotonicTime;
+use parking_lot::Mutex;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// A store whose calls keep to a budget. Clones share it.
+#[derive(Clone, Debug)]
+pub struct BudgetedStore<S> {
+    store: S,
+    peer: Arc<str>,
+    started: Instant,
+    budget: Arc<Mutex<StoreBudget>>,
+}
+
+impl<S: Store> BudgetedStore<S> {
+    /// Returns a store with a budget; the budget's clock starts at zero now.
+    /// `peer` names the store in errors.
+    pub fn new(store: S, peer: &str, budget: StoreBudget) -> Self {
+        Self {
+            store,
+            peer: peer.into(),
+            started: Instant::now(),
+            budget: Arc::new(Mutex::new(budget)),
+        }
+    }
+
+    /// Takes in how many instances are live.
+    pub fn set_live_instances(&self, live: u32) {
+        let now = self.now();
+        self.budget.lock().set_live_instances(live, now);
+    }
+
+    fn now(&self) -> MonotonicTime {
+        let us = self.started.elapsed().as_micros();
+        MonotonicTime::from_us(u64::try_from(us).unwrap_or(u64::MAX))
+    }
+
+    /// Makes a call if the budget has room for it.
+    async fn within<T>(
+        &self,
+        step: &'static str,
+        class: CallClass,
+        call: impl Future<Output = StoreResult<T>> + Send,
+    ) -> StoreResult<T> {
+        let now = self.now();
+        if !self.budget.lock().take(class, now) {
+            metrics::counter!("foxtide_store_calls_held_total", "kind" => step).increment(1);
+            let peer = self.peer.to_string();
+            return Err(StoreError::OverBudget { step, peer });
+        }
+        let result = call.await;
+        let now = self.now();
+        self.budget.lock().answered(answered(&result), now);
+        result
+    }
+}
+
+/// Tells whether the store is there: also a refusal is an answer.
+fn answered<T>(result: &StoreResult<T>) -> bool {
+    matches!(result, Ok(_) | Err(StoreError::Refused { .. }))
+}
+
+impl<S: Store> Store for BudgetedStore<S> {
+    async fn read(&self, key: &str) -> StoreResult<Option<StoreEntry>> {
+        let call = self.store.read(key);
+        self.within("read", CallClass::Read, call).await
+    }
+
+    async fn list(&self, prefix: &str) -> StoreResult<StoreListing> {
+        let call = self.store.list(prefix);
+        self.within("list", CallClass::Read, call).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: StoreIndex,
+        wait: Duration,
+    ) -> StoreResult<StoreListing> {
+        let call = self.store.watch(prefix, after, wait);
+        self.within("watch", CallClass::Read, call).await
+    }
+
+    async fn write(&self, key: &str, value: Vec<u8>, expected: StoreIndex) -> StoreResult<bool> {
+        let call = self.store.write(key, value, expected);
+        self.within("write", CallClass::Write, call).await
+    }
+
+    async fn delete(&self, key: &str, expected: StoreIndex) -> StoreResult<bool> {
+        let call = self.store.delete(key, expected);
+        self.within("delete", CallClass::Write, call).await
+    }
+
+    async fn open_session(&self, name: &str, ttl: Duration) -> StoreResult<SessionId> {
+        let call = self.store.open_session(name, ttl);
+        self.within("open_session", CallClass::Write, call).await
+    }
+
+    async fn renew_session(&self, session: &SessionId) -> StoreResult<bool> {
+        let call = self.store.renew_session(session);
+        self.within("renew_session", CallClass::Urgent, call).await
+    }
+
+    async fn close_session(&self, session: &SessionId) -> StoreResult<()> {
+        let call = self.store.close_session(session);
+        self.within("close_session", CallClass::Urgent, call).await
+    }
+
+    async fn acquire(&self, key: &str, value: Vec<u8>, session: &SessionId) -> StoreResult<bool> {
+        let call = self.store.acquire(key, value, session);
+        self.within("acquire", CallClass::Write, call).await
+    }
+
+    async fn release(&self, key: &str, value: Vec<u8>, session: &SessionId) -> StoreResult<bool> {
+        let call = self.store.release(key, value, session);
+        self.within("release", CallClass::Urgent, call).await
+    }
+}
--- a/crates/foxtide-config/src/store/mod.rs
+++ b/crates/foxtide-config/src/store/mod.rs
@@ -1,7 +1,12 @@
 //! The client of the platform's store, and the budget of its calls.
 
+mod bucket;
+mod budget;
+mod budgeted;
 mod exchange;
 mod http;
 mod wire;
 
+pub use budget::{BudgetOptions, CallClass, StoreBudget};
+pub use budgeted::BudgetedStore;
 pub use http::{HttpStore, HttpStoreOptions};
--- a/crates/foxtide-config/src/watch.rs
+++ b/crates/foxtide-config/src/watch.rs
@@ -134,6 +134,8 @@
                 reports.extend(self.take(listing));
                 (reports, self.options.gap_min)
             }
+            // The store is not to blame: it was not asked.
+            Err(StoreError::OverBudget { .. }) => (Vec::new(), self.options.role_check),
             Err(error) => {
                 let retry_in = self.backoff.failed(self.jitter.f64());
                 let pause = retry_in.max(self.options.gap_min);
--- /dev/null
+++ b/crates/foxtide-config/tests/budget.rs
@@ -0,0 +1,80 @@
+//! The budget of calls to the store.
+
+use foxtide_config::store::CallClass;
+use foxtide_config::{BudgetOptions, StoreBudget};
+use foxtide_core::time::MonotonicTime;
+use proptest::prelude::*;
+use std::time::Duration;
+
+const OPTIONS: BudgetOptions = BudgetOptions {
+    fleet_reads_per_s: 400.0,
+    fleet_writes_per_s: 60.0,
+};
+
+const STEP: Duration = Duration::from_millis(10);
+
+/// Returns how many calls an instance gets through that always wants more.
+fn greedy(budget: &mut StoreBudget, class: CallClass, from: MonotonicTime, span_s: u64) -> u64 {
+    let mut now = from;
+    let mut made = 0;
+    while now.since(from) < Duration::from_secs(span_s) {
+        now = now + STEP;
+        while budget.take(class, now) {
+            made += 1;
+        }
+    }
+    made
+}
+
+proptest! {
+    /// Whatever the fleet's size: instances that always want more stay, in
+    /// sum, under the fleet's rate and one burst each.
+    #[test]
+    fn verify_the_fleets_sum_keeps_its_rate(instances in 1_u32..700) {
+        let span_s = 60;
+        let start = MonotonicTime::ZERO;
+        let mut budget = StoreBudget::new(OPTIONS, instances, start);
+        let reads = greedy(&mut budget, CallClass::Read, start, span_s);
+        let fleet = reads as f64 * f64::from(instances);
+        let allowed = OPTIONS.fleet_reads_per_s * span_s as f64 + f64::from(instances);
+        prop_assert!(fleet <= allowed, "{fleet} calls, allowed {allowed}");
+    }
+}
+
+#[test]
+fn verify_new_instances_count_at_once_and_lost_ones_slowly() {
+    let start = MonotonicTime::ZERO;
+    let mut budget = StoreBudget::new(OPTIONS, 10, start);
+    budget.set_live_instances(100, start);
+    let few = greedy(&mut budget, CallClass::Read, start, 60);
+    assert!(few <= 60 * 4 + 20, "{few}");
+    let later = start + Duration::from_secs(120);
+    budget.set_live_instances(10, later);
+    let still_few = greedy(&mut budget, CallClass::Read, later, 60);
+    assert!(still_few <= 60 * 5 + 20, "{still_few}");
+    let hour_later = later + Duration::from_secs(3_600);
+    budget.set_live_instances(10, hour_later);
+    let doubled = greedy(&mut budget, CallClass::Read, hour_later, 60);
+    assert!(doubled <= 60 * 9 + 60, "{doubled}");
+}
+
+#[test]
+fn verify_leases_go_before_other_writes() {
+    let start = MonotonicTime::ZERO;
+    let mut budget = StoreBudget::new(OPTIONS, 600, start);
+    let filled = start + Duration::from_secs(600);
+    while budget.take(CallClass::Write, filled) {}
+    assert!(budget.take(CallClass::Urgent, filled));
+    assert!(!budget.take(CallClass::Write, filled));
+}
+
+#[test]
+fn verify_no_saved_up_calls_meet_a_store_that_returns() {
+    let start = MonotonicTime::ZERO;
+    let mut budget = StoreBudget::new(OPTIONS, 10, start);
+    budget.answered(false, start);
+    let back = start + Duration::from_secs(600);
+    budget.answered(true, back);
+    assert!(budget.take(CallClass::Read, back));
+    assert!(!budget.take(CallClass::Read, back));
+}
