--- a/crates/foxtide/examples/measure/main.rs
+++ b/crates/foxtide/examples/measure/main.rs
@@ -12,6 +12,7 @@
 mod explain;
 mod parity;
 mod report;
+mod store;
 
 use report::Report;
 use std::process::ExitCode;
@@ -27,6 +28,7 @@
     ("document", document::run),
     ("events", events::run),
     ("explain", explain::run),
+    ("store", store::run),
 ];
 
 const USAGE: &str = "usage: measure decisions|fleet [MODULE]";
