Serve explanations and filter events by all of their fields

foxtidectl asked /v1/explain, which no instance answered, and /v1/events took three of the filter's fields. ExplainFilter chooses decisions by request, kind, organisation and service; EventFilter reads its fields from a query.

--- a/crates/foxtide-core/src/events/code.rs
+++ b/crates/foxtide-core/src/events/code.rs
@@ -34,6 +34,16 @@
     }
 }
 
+impl FromStr for Level {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let all = [Self::Error, Self::Warn, Self::Info, Self::Debug];
+        let found = all.into_iter().find(|level| level.to_string() == text);
+        found.ok_or_else(|| Error::parse(text, "`error`, `warn`, `info` or `debug`"))
+    }
+}
+
 macro_rules! define_codes {
     ($($number:literal $code:ident $name:literal $level:ident $description:literal)*) => {
         /// A numbered kind of event.
--- a/crates/foxtide-core/src/events/filter.rs
+++ b/crates/foxtide-core/src/events/filter.rs
@@ -3,6 +3,8 @@
 use super::{Event, EventCode, Level, RequestId};
 use crate::ids::{InstanceId, OrganisationId, RegionId, ServiceId};
 use crate::time::WallTime;
+use crate::{Error, Result};
+use std::str::FromStr;
 
 /// A choice of events; the default passes all.
 #[derive(Clone, Debug, Default)]
@@ -28,6 +30,28 @@
 }
 
 impl EventFilter {
+    /// Sets one field from its text, as in the query of `/v1/events`. Other
+    /// names are passed over.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the text is not valid for the field.
+    pub fn set(&mut self, name: &str, text: &str) -> Result<()> {
+        match name {
+            "code" => self.code = Some(text.parse()?),
+            "level" => self.level = Some(text.parse()?),
+            "instance" => self.instance = Some(text.parse()?),
+            "organisation" => self.organisation = Some(text.parse()?),
+            "service" => self.service = Some(text.parse()?),
+            "region" => self.region = Some(text.parse()?),
+            "request" => self.request = Some(text.parse()?),
+            "since_us" => self.since_us = Some(WallTime::from_us(number(text)?)),
+            "limit" => self.limit = Some(number(text)?),
+            _ => {}
+        }
+        Ok(())
+    }
+
     /// Tells whether an event is asked for.
     pub fn passes(&self, event: &Event) -> bool {
         let fields = &event.fields;
@@ -57,6 +81,11 @@
     }
 }
 
+fn number<T: FromStr>(text: &str) -> Result<T> {
+    let parsed = text.parse();
+    parsed.map_err(|_| Error::parse(text, "a whole number, 0 or more"))
+}
+
 fn wanted<T: PartialEq>(wanted: &Option<T>, value: Option<&T>) -> bool {
     match wanted {
         Some(wanted) => value == Some(wanted),
--- a/crates/foxtide-core/src/explain/decision.rs
+++ b/crates/foxtide-core/src/explain/decision.rs
@@ -4,7 +4,9 @@
 use crate::events::RequestId;
 use crate::ids::{RegionId, UpstreamId};
 use crate::time::WallTime;
+use crate::{Error, Result};
 use serde::{Deserialize, Serialize};
+use std::str::FromStr;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// How many attempts are kept; later ones are only counted.
@@ -20,6 +22,18 @@
     Request,
 }
 
+impl FromStr for DecisionKind {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        match text {
+            "lookup" => Ok(Self::Lookup),
+            "request" => Ok(Self::Request),
+            _ => Err(Error::parse(text, "`lookup` or `request`")),
+        }
+    }
+}
+
 /// One attempt of a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Attempt {
--- a/crates/foxtide-core/src/explain/log.rs
+++ b/crates/foxtide-core/src/explain/log.rs
@@ -35,6 +35,37 @@
     }
 }
 
+/// Which decisions a reader asks for; the default asks for all.
+#[derive(Clone, Debug, Default)]
+pub struct ExplainFilter {
+    /// Only those of this request. Ids are compared by a 64-bit hash.
+    pub request: Option<RequestId>,
+    /// Only those of this kind.
+    pub kind: Option<DecisionKind>,
+    /// Only those of this organisation, as far as their views are kept.
+    pub organisation: Option<OrganisationId>,
+    /// Only those of this service, as far as their views are kept.
+    pub service: Option<ServiceId>,
+    /// Only those that did not go as planned.
+    pub unusual: bool,
+    /// At most this many, the latest.
+    pub limit: Option<usize>,
+}
+
+impl ExplainFilter {
+    fn passes(&self, decision: &Decision, view: Option<&Arc<View>>) -> bool {
+        let request = self.request.as_ref().map(hash);
+        request.is_none_or(|wanted| decision.request_hash == wanted)
+            && self.kind.is_none_or(|wanted| decision.kind == wanted)
+            && matches(&self.organisation, view.map(|view| &view.organisation))
+            && matches(&self.service, view.map(|view| &view.service))
+    }
+}
+
+fn matches<T: PartialEq>(wanted: &Option<T>, value: Option<&T>) -> bool {
+    wanted.as_ref().is_none_or(|wanted| value == Some(wanted))
+}
+
 /// The answer to why a look-up or request went where it did.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Explanation {
@@ -109,25 +140,20 @@
         }
     }
 
-    /// Explains the kept decisions of a request, the latest first. The id is
-    /// compared by a 64-bit hash.
-    pub fn by_request(&self, request: &RequestId) -> Vec<Explanation> {
-        let wanted = hash(request);
-        let all = self.usual.iter().chain(&self.unusual);
-        self.explain_latest(all.filter(|d| d.request_hash == wanted), usize::MAX)
-    }
-
-    /// Explains the latest decisions, the latest first.
-    pub fn latest(&self, limit: usize) -> Vec<Explanation> {
-        let usual = self.usual.iter().rev().take(limit);
-        let unusual = self.unusual.iter().rev().take(limit);
-        self.explain_latest(usual.chain(unusual), limit)
-    }
-
-    /// Explains the latest decisions that did not go as planned, the latest
-    /// first.
-    pub fn latest_unusual(&self, limit: usize) -> Vec<Explanation> {
-        self.explain_latest(self.unusual.iter().rev().take(limit), limit)
+    /// Explains the decisions that are asked for, the latest first.
+    pub fn select(&self, filter: &ExplainFilter) -> Vec<Explanation> {
+        let limit = filter.limit.unwrap_or(usize::MAX);
+        let wanted = |decision: &&Decision| {
+            let view = self.find_view(decision.view);
+            filter.passes(decision, view)
+        };
+        let usual = self.usual.iter().rev().filter(wanted);
+        let usual = usual.take(if filter.unusual { 0 } else { limit });
+        let unusual = self.unusual.iter().rev().filter(wanted).take(limit);
+        let mut found: Vec<&Decision> = usual.chain(unusual).collect();
+        found.sort_by_key(|decision| std::cmp::Reverse(decision.at_us));
+        found.truncate(limit);
+        found.into_iter().map(|d| self.explain(d)).collect()
     }
 
     /// Returns the memory in use, in bytes, names aside.
@@ -137,17 +163,6 @@
         decisions * size_of::<Decision>() + views
     }
 
-    fn explain_latest<'a>(
-        &self,
-        decisions: impl Iterator<Item = &'a Decision>,
-        limit: usize,
-    ) -> Vec<Explanation> {
-        let mut found: Vec<&Decision> = decisions.collect();
-        found.sort_by_key(|decision| std::cmp::Reverse(decision.at_us));
-        found.truncate(limit);
-        found.into_iter().map(|d| self.explain(d)).collect()
-    }
-
     fn explain(&self, decision: &Decision) -> Explanation {
         let view = self.find_view(decision.view);
         let age = view.map(|view| decision.at_us.since(view.taken_us));
--- a/crates/foxtide-core/src/explain/mod.rs
+++ b/crates/foxtide-core/src/explain/mod.rs
@@ -13,7 +13,7 @@
 //!    [`ExplainLog::publish`].
 //! 2. At a decision: [`Decision::new`], then [`Decision::attempt`] for each
 //!    attempt and its result; at the end [`ExplainLog::note`].
-//! 3. On `/v1/explain`: [`ExplainLog::by_request`] or [`ExplainLog::latest`].
+//! 3. On `/v1/explain`: [`ExplainLog::select`].
 //!
 //! `foxtide_events::Explainer` is the thread-safe form.
 
@@ -23,6 +23,6 @@
 mod view;
 
 pub use decision::{ATTEMPTS_MAX, Attempt, AttemptResult, Decision, DecisionKind};
-pub use log::{ExplainLog, ExplainOptions, Explanation};
+pub use log::{ExplainFilter, ExplainLog, ExplainOptions, Explanation};
 pub use rule::Rule;
 pub use view::{Candidate, CandidateName, Exclusion, Figure, FigureKind, View, ViewId};
--- a/crates/foxtide-core/tests/events.rs
+++ b/crates/foxtide-core/tests/events.rs
@@ -132,6 +132,24 @@
     assert_eq!(errors[1].code, EventCode::PromiseBroken);
 }
 
+#[test]
+fn verify_filter_reads_its_fields() {
+    let mut filter = EventFilter::default();
+    for (name, text) in [
+        ("level", "warn"),
+        ("code", "F5003"),
+        ("limit", "7"),
+        ("x", "y"),
+    ] {
+        filter.set(name, text).unwrap();
+    }
+    assert_eq!(filter.level, Some(Level::Warn));
+    assert_eq!(filter.code, Some(EventCode::UpstreamEjected));
+    assert_eq!(filter.limit, Some(7));
+    assert!(filter.set("limit", "many").is_err());
+    assert!(filter.set("region", "No Name").is_err());
+}
+
 proptest! {
     /// Processes with skewed clocks send each other messages; in the merged
     /// time line every message's arrival comes after its sending.
--- a/crates/foxtide-core/tests/explain.rs
+++ b/crates/foxtide-core/tests/explain.rs
@@ -2,8 +2,8 @@
 
 use foxtide_core::events::RequestId;
 use foxtide_core::explain::{
-    AttemptResult, Candidate, CandidateName, Decision, DecisionKind, Exclusion, ExplainLog,
-    ExplainOptions, Figure, FigureKind, Rule, View, ViewId,
+    AttemptResult, Candidate, CandidateName, Decision, DecisionKind, Exclusion, ExplainFilter,
+    ExplainLog, ExplainOptions, Explanation, Figure, FigureKind, Rule, View, ViewId,
 };
 use foxtide_core::time::WallTime;
 
@@ -42,6 +42,13 @@
     })
 }
 
+fn by_request(log: &ExplainLog, request: &str) -> Vec<Explanation> {
+    log.select(&ExplainFilter {
+        request: Some(request.parse().unwrap()),
+        ..ExplainFilter::default()
+    })
+}
+
 #[test]
 fn verify_request_is_explained() {
     let mut log = small_log();
@@ -51,7 +58,7 @@
     spilled.redirect(Rule::Spilled, Some("oshana".parse().unwrap()));
     spilled.attempt("viewer-5".parse().unwrap(), AttemptResult::Answered);
     log.note(spilled);
-    let explanations = log.by_request(&"r-1".parse().unwrap());
+    let explanations = by_request(&log, "r-1");
     insta::assert_snapshot!(serde_json::to_string_pretty(&explanations).unwrap());
 }
 
@@ -63,10 +70,36 @@
     for at_ms in 2..100 {
         log.note(decision(Rule::OwnRegion, id, at_ms, "r-2"));
     }
-    assert_eq!(log.by_request(&"r-1".parse().unwrap()).len(), 1);
-    assert_eq!(log.by_request(&"r-2".parse().unwrap()).len(), 4);
-    assert_eq!(log.latest(3).len(), 3);
-    assert_eq!(log.latest_unusual(3).len(), 1);
+    assert_eq!(by_request(&log, "r-1").len(), 1);
+    assert_eq!(by_request(&log, "r-2").len(), 4);
+    let latest = ExplainFilter {
+        limit: Some(3),
+        ..ExplainFilter::default()
+    };
+    assert_eq!(log.select(&latest).len(), 3);
+    let unusual = ExplainFilter {
+        unusual: true,
+        ..latest
+    };
+    assert_eq!(log.select(&unusual).len(), 1);
+}
+
+#[test]
+fn verify_decisions_are_chosen_by_kind_and_service() {
+    let mut log = small_log();
+    let id = log.publish(view(WallTime::ZERO));
+    log.note(decision(Rule::Weighted, id, 1, "r-1"));
+    let count = |kind, service: &str| {
+        let filter = ExplainFilter {
+            kind: Some(kind),
+            service: Some(service.parse().unwrap()),
+            ..ExplainFilter::default()
+        };
+        log.select(&filter).len()
+    };
+    assert_eq!(count(DecisionKind::Request, "viewer"), 1);
+    assert_eq!(count(DecisionKind::Request, "notices"), 0);
+    assert_eq!(count(DecisionKind::Lookup, "viewer"), 0);
 }
 
 #[test]
@@ -77,12 +110,12 @@
     log.publish(view(WallTime::from_ms(3)));
     log.note(decision(Rule::Weighted, first, 5, "r-1"));
     log.note(decision(Rule::Weighted, second, 5, "r-2"));
-    assert_eq!(log.by_request(&"r-1".parse().unwrap())[0].view, None);
-    let kept = log.by_request(&"r-2".parse().unwrap());
+    assert_eq!(by_request(&log, "r-1")[0].view, None);
+    let kept = by_request(&log, "r-2");
     let taken = kept[0].view.as_ref().unwrap().taken_us;
     assert_eq!(taken, WallTime::from_ms(2));
     log.note(decision(Rule::Weighted, ViewId::default(), 6, "r-3"));
-    assert_eq!(log.by_request(&"r-3".parse().unwrap())[0].view, None);
+    assert_eq!(by_request(&log, "r-3")[0].view, None);
 }
 
 #[test]
--- a/crates/foxtide-events/src/explainer.rs
+++ b/crates/foxtide-events/src/explainer.rs
@@ -3,8 +3,9 @@
 //! Locks: one, around the log, held for a push or a copy and never together
 //! with another.
 
-use foxtide_core::events::RequestId;
-use foxtide_core::explain::{Decision, ExplainLog, ExplainOptions, Explanation, View, ViewId};
+use foxtide_core::explain::{
+    Decision, ExplainFilter, ExplainLog, ExplainOptions, Explanation, View, ViewId,
+};
 use foxtide_core::ids::{OrganisationId, ServiceId};
 use foxtide_core::time::WallTime;
 use parking_lot::Mutex;
@@ -47,20 +48,9 @@
         self.log.lock().note(decision);
     }
 
-    /// Explains the kept decisions of a request, the latest first.
-    pub fn by_request(&self, request: &RequestId) -> Vec<Explanation> {
-        self.log.lock().by_request(request)
-    }
-
-    /// Explains the latest decisions, the latest first.
-    pub fn latest(&self, limit: usize) -> Vec<Explanation> {
-        self.log.lock().latest(limit)
-    }
-
-    /// Explains the latest decisions that did not go as planned, the latest
-    /// first.
-    pub fn latest_unusual(&self, limit: usize) -> Vec<Explanation> {
-        self.log.lock().latest_unusual(limit)
+    /// Explains the decisions that are asked for, the latest first.
+    pub fn select(&self, filter: &ExplainFilter) -> Vec<Explanation> {
+        self.log.lock().select(filter)
     }
 
     /// Returns the memory in use, in bytes.
--- a/crates/foxtide/examples/measure/explain.rs
+++ b/crates/foxtide/examples/measure/explain.rs
@@ -4,7 +4,8 @@
 use crate::report::{Limit, Report};
 use foxtide_core::events::RequestId;
 use foxtide_core::explain::{
-    AttemptResult, Candidate, CandidateName, Decision, DecisionKind, Figure, FigureKind, Rule, View,
+    AttemptResult, Candidate, CandidateName, Decision, DecisionKind, ExplainFilter, Figure,
+    FigureKind, Rule, View,
 };
 use foxtide_core::ids::{RegionId, UpstreamId};
 use foxtide_core::time::WallTime;
@@ -29,10 +30,13 @@
     let size = explainer.size_bytes() as f64;
     report.figure("explain.note", each_us, "us", Limit::AtMost(5.0));
     report.figure("explain.size", size, "bytes", Limit::AtMost(SIZE_MAX_BYTES));
-    let kept_s = explainer.latest(KEPT).len() as f64 / DECISIONS_PER_S as f64;
+    let kept_s = explainer.select(&ExplainFilter::default()).len() as f64 / DECISIONS_PER_S as f64;
     report.figure("explain.kept", kept_s, "s", Limit::AtLeast(10.0));
     let started = Instant::now();
-    let found = explainer.by_request(&request(DECISIONS_PER_S * SECONDS - 1));
+    let found = explainer.select(&ExplainFilter {
+        request: Some(request(DECISIONS_PER_S * SECONDS - 1)),
+        ..ExplainFilter::default()
+    });
     let ask_us = started.elapsed().as_secs_f64() * 1e6;
     assert_eq!(found.len(), 1, "the latest request is kept");
     report.figure("explain.ask", ask_us, "us", Limit::None);
--- a/crates/foxtide/src/node.rs
+++ b/crates/foxtide/src/node.rs
@@ -131,6 +131,7 @@
         let process_number = SysRng
             .try_next_u64()
             .context("draw the number of this process")?;
+        let explainer = Explainer::default();
         let traffic = Arc::new(TrafficTables::new(traffic_options(settings)));
         let parts = NodeParts {
             directory: NodeDirectory {
@@ -141,7 +142,7 @@
             traffic: Arc::clone(&traffic),
             clock,
             recorder: recorder.clone(),
-            explainer: Explainer::default(),
+            explainer: explainer.clone(),
             owner: OwnerId {
                 instance: settings.instance.clone(),
                 process: ProcessNumber::new(process_number),
@@ -149,6 +150,7 @@
             pages: Pages {
                 tables: Arc::clone(&tables),
                 time_line,
+                explainer,
                 metrics: telemetry::start_metrics(),
                 ready: Arc::clone(&ready),
             },
--- a/crates/foxtide/src/pages.rs
+++ b/crates/foxtide/src/pages.rs
@@ -1,11 +1,12 @@
 //! The pages for operators.
 
 use crate::tables::Tables;
-use foxtide_core::events::{Event, EventFilter};
+use foxtide_core::events::EventFilter;
+use foxtide_core::explain::ExplainFilter;
 use foxtide_core::membership::Member;
 use foxtide_core::units::Revision;
 use foxtide_entry::AdminPage;
-use foxtide_events::TimeLine;
+use foxtide_events::{Explainer, TimeLine};
 use metrics_exporter_prometheus::PrometheusHandle;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -13,6 +14,10 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 const JSON: &str = "application/json";
+
+/// How many explanations an answer holds where the query names no limit.
+const EXPLANATIONS_MAX: usize = 20;
+
 const METRICS: &str = "text/plain; version=0.0.4";
 
 /// Answers operators from what the instance knows.
@@ -22,6 +27,8 @@
     pub(crate) tables: Arc<Tables>,
     /// The events of this instance and those kept for peers.
     pub(crate) time_line: TimeLine,
+    /// Why look-ups and requests went where they did.
+    pub(crate) explainer: Explainer,
     /// What renders the metrics.
     pub(crate) metrics: PrometheusHandle,
     /// Whether callers can be served.
@@ -40,9 +47,14 @@
 }
 
 impl Pages {
-    fn events(&self, query: Option<&str>) -> Vec<Event> {
-        let filter = filter_of(query);
-        self.time_line.select(&filter)
+    fn events(&self, query: Option<&str>) -> Option<AdminPage> {
+        let filter = event_filter(query)?;
+        Some(json(&self.time_line.select(&filter)))
+    }
+
+    fn explanations(&self, query: Option<&str>) -> Option<AdminPage> {
+        let filter = explain_filter(query)?;
+        Some(json(&self.explainer.select(&filter)))
     }
 
     fn instances(&self) -> Vec<InstanceRow> {
@@ -76,7 +88,8 @@
     fn page(&self, path: &str, query: Option<&str>) -> Option<AdminPage> {
         match path {
             "/metrics" => Some(self.metrics()),
-            "/v1/events" => Some(json(&self.events(query))),
+            "/v1/events" => self.events(query),
+            "/v1/explain" => self.explanations(query),
             "/v1/instances" => Some(json(&self.instances())),
             "/v1/configuration" => self.configuration(query),
             _ => None,
@@ -109,16 +122,41 @@
 }
 
 fn parameter<'a>(query: Option<&'a str>, name: &str) -> Option<&'a str> {
-    let pairs = query?.split('&').filter_map(|pair| pair.split_once('='));
-    let mut found = pairs.filter(|(key, _)| *key == name);
-    found.next().map(|(_, value)| value)
+    let found = pairs(query).find(|(key, _)| *key == name);
+    found.map(|(_, value)| value)
+}
+
+fn pairs(query: Option<&str>) -> impl Iterator<Item = (&str, &str)> {
+    let parts = query.unwrap_or_default().split('&');
+    parts.filter_map(|part| part.split_once('='))
 }
 
-fn filter_of(query: Option<&str>) -> EventFilter {
-    EventFilter {
-        organisation: parameter(query, "organisation").and_then(|text| text.parse().ok()),
-        region: parameter(query, "region").and_then(|text| text.parse().ok()),
-        limit: parameter(query, "limit").and_then(|text| text.parse().ok()),
-        ..EventFilter::default()
+/// Returns the events that a query asks for; none where a field is not valid.
+fn event_filter(query: Option<&str>) -> Option<EventFilter> {
+    let mut filter = EventFilter::default();
+    for (name, text) in pairs(query) {
+        filter.set(name, text).ok()?;
+    }
+    Some(filter)
+}
+
+/// Returns the decisions that a query asks for; none where a field is not
+/// valid.
+fn explain_filter(query: Option<&str>) -> Option<ExplainFilter> {
+    let mut filter = ExplainFilter {
+        limit: Some(EXPLANATIONS_MAX),
+        ..ExplainFilter::default()
+    };
+    for (name, text) in pairs(query) {
+        match name {
+            "request" => filter.request = Some(text.parse().ok()?),
+            "kind" => filter.kind = Some(text.parse().ok()?),
+            "organisation" => filter.organisation = Some(text.parse().ok()?),
+            "service" => filter.service = Some(text.parse().ok()?),
+            "unusual" => filter.unusual = text.parse().ok()?,
+            "limit" => filter.limit = Some(text.parse().ok()?),
+            _ => {}
+        }
     }
+    Some(filter)
 }
