Let the run of a key go on when its caller goes

A caller on a weak line that lost its connection after the first byte went to the upstream was told unknown when it asked again, though the upstream ran the request: the work for a caller that is gone was dropped. A run with a key is now a task of its own, which is dropped only while nothing has gone out; its answer is kept and given when the key comes again.

Before: 409 answer-lost. After: the answer, with the outcome done (test verify_a_run_outlives_its_caller_and_its_answer_is_kept).

--- a/crates/foxtide-entry/src/callers.rs
+++ b/crates/foxtide-entry/src/callers.rs
@@ -23,7 +23,7 @@
     /// The settings.
     pub(crate) options: Arc<EntryOptions>,
     /// What sends requests to upstreams.
-    pub(crate) proxy: Proxy<P>,
+    pub(crate) proxy: Arc<Proxy<P>>,
     /// The name of this process in idempotency keys.
     pub(crate) owner: String,
 }
--- a/crates/foxtide-entry/src/entry.rs
+++ b/crates/foxtide-entry/src/entry.rs
@@ -56,11 +56,12 @@
             options: Arc::clone(&options),
             pools: Arc::clone(&pools),
             keys: Arc::new(Mutex::new(keys)),
+            executor: Arc::downgrade(executor),
         };
         let caller_handler = CallerHandler {
             parts: Arc::clone(&parts),
             options: Arc::clone(&options),
-            proxy,
+            proxy: Arc::new(proxy),
             owner: parts.owner().to_string(),
         };
         let admin_handler = AdminHandler {
--- /dev/null
+++ b/crates/foxtide-entry/src/proxy/keyed.rs
@@ -0,0 +1,71 @@
+//! Runs of requests with a key, which may outlive their callers.
+
+use super::keys::HeldClaim;
+use super::prepare::Prepared;
+use super::run::Proxy;
+use crate::answer::{Answer, Refusal};
+use crate::facts::Facts;
+use crate::parts::Parts;
+use smol::Task;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+/// A run in a task of its own.
+///
+/// Dropped, because its caller went away, it ends the run only where no byte
+/// has gone out yet. Else the run goes on: its answer is kept for the caller,
+/// who would otherwise never learn whether it ran.
+struct OwnRun {
+    task: Option<Task<Result<Answer, Refusal>>>,
+    written: Arc<AtomicBool>,
+}
+
+impl Drop for OwnRun {
+    fn drop(&mut self) {
+        let written = self.written.load(Ordering::Acquire);
+        if let Some(task) = self.task.take().filter(|_| written) {
+            task.detach();
+        }
+    }
+}
+
+impl<P: Parts> Proxy<P> {
+    /// Runs a request whose key was given out.
+    ///
+    /// # Errors
+    ///
+    /// Fails where no upstream gave an answer.
+    pub(super) async fn run_keyed(
+        self: &Arc<Self>,
+        facts: Facts,
+        prepared: Prepared,
+        claim: HeldClaim,
+    ) -> Result<Answer, Refusal> {
+        let Some(executor) = self.executor.upgrade() else {
+            return self.run_claimed(&facts, &prepared, claim).await;
+        };
+        let written = claim.written_mark();
+        let proxy = Arc::clone(self);
+        let task = executor.spawn(async move { proxy.run_claimed(&facts, &prepared, claim).await });
+        drop(executor);
+        let mut run = OwnRun {
+            task: None,
+            written,
+        };
+        run.task.insert(task).await
+    }
+
+    async fn run_claimed(
+        &self,
+        facts: &Facts,
+        prepared: &Prepared,
+        claim: HeldClaim,
+    ) -> Result<Answer, Refusal> {
+        let answered = self.run(facts, prepared, Some(&claim)).await;
+        match &answered {
+            Ok(answer) => claim.finish(answer),
+            Err(refusal) => self.record_refusal(facts, refusal),
+        }
+        answered
+    }
+}
--- a/crates/foxtide-entry/src/proxy/keys.rs
+++ b/crates/foxtide-entry/src/proxy/keys.rs
@@ -19,6 +19,7 @@
 use parking_lot::Mutex;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 /// About what the headers of a kept answer take.
@@ -50,6 +51,7 @@
 pub(crate) struct HeldClaim {
     table: KeyTable,
     claim: Option<Claim>,
+    written: Arc<AtomicBool>,
 }
 
 impl KeptAnswer for Kept {
@@ -88,6 +90,12 @@
         if let Some(claim) = &self.claim {
             self.table.lock().written(claim);
         }
+        self.written.store(true, Ordering::Release);
+    }
+
+    /// Returns what tells whether a byte may have gone out.
+    pub(super) fn written_mark(&self) -> Arc<AtomicBool> {
+        Arc::clone(&self.written)
     }
 
     /// Notes that the upstream provably ran nothing.
@@ -95,6 +103,7 @@
         if let Some(claim) = &self.claim {
             self.table.lock().proved_not_run(claim);
         }
+        self.written.store(false, Ordering::Release);
     }
 
     /// Keeps the whole answer.
@@ -134,6 +143,7 @@
         Begin::Run(claim) => Ok(Keyed::Run(HeldClaim {
             table: Arc::clone(table),
             claim: Some(claim),
+            written: Arc::default(),
         })),
         Begin::Replay(kept) => Ok(Keyed::Answered(kept.answer())),
         Begin::InProgress { retry_after } => Err(Refusal {
--- a/crates/foxtide-entry/src/proxy/mod.rs
+++ b/crates/foxtide-entry/src/proxy/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod hedged;
 mod journal;
+mod keyed;
 mod keys;
 mod place;
 mod prepare;
--- a/crates/foxtide-entry/src/proxy/run.rs
+++ b/crates/foxtide-entry/src/proxy/run.rs
@@ -19,9 +19,9 @@
 use foxtide_core::outcome::Outcome;
 use foxtide_core::retry::{AttemptId, AttemptResult, Attempts, GiveUp, GiveUpReason, Step};
 use http_types::StatusCode;
-use smol::Timer;
+use smol::{Executor, Timer};
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 
 /// Sends requests to upstreams.
 #[derive(Debug)]
@@ -34,6 +34,8 @@
     pub(crate) pools: Arc<Pools>,
     /// The idempotency keys of this process.
     pub(crate) keys: KeyTable,
+    /// What runs tasks. Weak, for tasks hold the proxy.
+    pub(crate) executor: Weak<Executor<'static>>,
 }
 
 /// A request on its way.
@@ -86,7 +88,7 @@
     ///
     /// Fails where no upstream gave one.
     pub(crate) async fn answer(
-        &self,
+        self: &Arc<Self>,
         received: Received,
         target: Target,
         id: RequestId,
@@ -98,11 +100,12 @@
             Some(Keyed::Run(claim)) => Some(claim),
         };
         let prepared = Prepared::new(received, &target, &facts.request);
-        let answered = self.run(&facts, &prepared, claim.as_ref()).await;
-        match (&answered, claim) {
-            (Ok(answer), Some(claim)) => claim.finish(answer),
-            (Err(refusal), _) => self.record_refusal(&facts, refusal),
-            (Ok(_), None) => {}
+        if let Some(claim) = claim {
+            return self.run_keyed(facts, prepared, claim).await;
+        }
+        let answered = self.run(&facts, &prepared, None).await;
+        if let Err(refusal) = &answered {
+            self.record_refusal(&facts, refusal);
         }
         answered
     }
@@ -123,7 +126,7 @@
         }
     }
 
-    async fn run(
+    pub(super) async fn run(
         &self,
         facts: &Facts,
         prepared: &Prepared,
--- a/crates/foxtide-entry/tests/keys.rs
+++ b/crates/foxtide-entry/tests/keys.rs
@@ -2,13 +2,15 @@
 
 mod support;
 
+use foxtide_core::events::EventCode;
 use foxtide_core::idempotency::IdempotencyKey;
 use foxtide_core::time::WallTime;
 use std::io::Write;
+use std::sync::Mutex;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::channel;
 use std::time::{SystemTime, UNIX_EPOCH};
-use support::{RawUpstream, World, assert_refused, read_message};
+use support::{RawUpstream, World, assert_refused, get, read_message, wait_until};
 
 const DONE: &[u8] = b"HTTP/1.1 201 Created\r\ncontent-length: 6\r\n\r\nfiled!";
 
@@ -112,3 +114,75 @@
     assert_refused(&answer, 400, "not-run");
     assert_eq!(upstream.connections.load(Ordering::SeqCst), 0);
 }
+
+#[test]
+fn verify_a_run_outlives_its_caller_and_its_answer_is_kept() {
+    let (ran, runs) = channel();
+    let (release, released) = channel::<()>();
+    let released = Mutex::new(released);
+    let upstream = RawUpstream::start(move |mut stream, _| {
+        while read_message(&mut stream).is_some() {
+            ran.send(()).unwrap();
+            released.lock().unwrap().recv().unwrap();
+            stream.write_all(DONE).unwrap();
+        }
+    });
+    let world = World::start(&[upstream.address]);
+    let key = own_key(&world);
+    let mut lost = world.caller();
+    lost.send(&post("/notes", &key, "lintel"));
+    runs.recv().unwrap();
+    drop(lost);
+    wait_until("the caller to be missed", || {
+        !world.recorded(EventCode::RequestCancelled).is_empty()
+    });
+    let meanwhile = world.caller().ask(&post("/notes", &key, "lintel"));
+    assert_refused(&meanwhile, 409, "unknown");
+    release.send(()).unwrap();
+    wait_until("the kept answer", || {
+        let again = world.caller().ask(&post("/notes", &key, "lintel"));
+        again.contains("foxtide-outcome: done\r\n") && again.ends_with("filed!")
+    });
+    assert_eq!(runs.try_iter().count(), 0, "it ran once");
+}
+
+#[test]
+fn verify_a_caller_that_goes_before_the_first_byte_leaves_nothing_to_run() {
+    const SLOTS: usize = 4;
+    let (came, arrivals) = channel();
+    let (release, released) = channel::<()>();
+    let released = Mutex::new(released);
+    let upstream = RawUpstream::start(move |mut stream, _| {
+        while let Some(message) = read_message(&mut stream) {
+            came.send(message.starts_with("POST")).unwrap();
+            released.lock().unwrap().recv().unwrap();
+            stream.write_all(DONE).unwrap();
+        }
+    });
+    let world = World::start(&[upstream.address]);
+    let key = own_key(&world);
+    let mut readers: Vec<_> = (0..SLOTS).map(|_| world.caller()).collect();
+    for reader in &mut readers {
+        reader.send(&get("/cracks"));
+        assert!(!arrivals.recv().unwrap());
+    }
+    let mut lost = world.caller();
+    lost.send(&post("/notes", &key, "lintel"));
+    drop(lost);
+    wait_until("the caller to be missed", || {
+        !world.recorded(EventCode::RequestCancelled).is_empty()
+    });
+    for reader in &mut readers {
+        release.send(()).unwrap();
+        assert!(reader.answer().unwrap().ends_with("filed!"));
+    }
+    release.send(()).unwrap();
+    let mut ask_again = || world.caller().ask(&post("/notes", &key, "lintel"));
+    // The run that was dropped may take a moment to end.
+    let answers = std::iter::repeat_with(&mut ask_again);
+    let answer = { answers }.find(|answer| !answer.contains("in-progress"));
+    let answer = answer.unwrap();
+    assert!(answer.ends_with("filed!"), "{answer}");
+    assert!(!answer.contains("foxtide-outcome"), "a first run: {answer}");
+    assert_eq!(arrivals.try_iter().filter(|posted| *posted).count(), 1);
+}
