Copy each instance's events to peers and record what becomes of members

The time line's copies had no way over the mesh, and members' changes were no events. A task now looks once a second: it records joins, suspicions, failures and departures, and sends due events by the mesh's calls; peers keep them.

--- a/crates/foxtide-core/src/events/wire.rs
+++ b/crates/foxtide-core/src/events/wire.rs
@@ -82,6 +82,14 @@
 }
 
 impl EventMessage {
+    /// Returns when the event happened.
+    pub fn clock(&self) -> HybridTime {
+        HybridTime {
+            wall_us: WallTime::from_us(self.wall_us),
+            counter: self.counter,
+        }
+    }
+
     /// Returns the event, at the instance that the message came from.
     ///
     /// # Errors
@@ -89,10 +97,7 @@
     /// Fails where a name does not parse or the number is not in this
     /// process's catalogue, as that of a newer version may be.
     pub fn into_event(self, instance: InstanceId) -> Result<Event> {
-        let clock = HybridTime {
-            wall_us: WallTime::from_us(self.wall_us),
-            counter: self.counter,
-        };
+        let clock = self.clock();
         let fields = EventFields {
             organisation: name(&self.organisation)?,
             service: name(&self.service)?,
--- a/crates/foxtide-events/src/time_line.rs
+++ b/crates/foxtide-events/src/time_line.rs
@@ -115,12 +115,16 @@
         sending.sender.acknowledge(peer, ack.through);
     }
 
-    /// Keeps what a peer sent; returns the answer to it.
+    /// Keeps what a peer sent; returns the answer to it. Later events here are
+    /// placed after the ones kept.
     ///
     /// # Errors
     ///
     /// Fails where the origin's name does not parse.
     pub fn accept(&self, copies: EventCopies) -> Result<EventCopiesAck> {
+        if let Some(last) = copies.events.last() {
+            self.shared.recorder.observe(last.clock());
+        }
         self.shared.holder.lock().accept(copies)
     }
 
--- /dev/null
+++ b/crates/foxtide/src/copies.rs
@@ -0,0 +1,102 @@
+//! Copies of the time line at peers, over the mesh's calls.
+
+use crate::member_events::MemberEvents;
+use foxtide_core::events::backup::{BackupPeer, Parcel};
+use foxtide_core::events::{EventCopies, EventCopiesAck};
+use foxtide_core::membership::Member;
+use foxtide_entry::{Clock, SystemClock};
+use foxtide_events::{Recorder, TimeLine};
+use foxtide_mesh::{IncomingCall, MeshHandle};
+use prost::Message;
+use smol::Timer;
+use std::time::Duration;
+
+/// The time between two looks at what is to be copied.
+const COPY_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How long a peer may take to keep what it is sent.
+const CALL_DEADLINE: Duration = Duration::from_secs(2);
+
+/// What one instance calls another for.
+#[derive(Clone, PartialEq, prost::Message)]
+struct PeerCall {
+    /// Events to keep.
+    #[prost(message, optional, tag = "1")]
+    copies: Option<EventCopies>,
+}
+
+/// Copies this instance's events to peers and keeps theirs.
+#[derive(Clone, Debug)]
+pub(crate) struct Copies {
+    pub(crate) time_line: TimeLine,
+    pub(crate) recorder: Recorder,
+    pub(crate) mesh: MeshHandle,
+    pub(crate) clock: SystemClock,
+}
+
+impl Copies {
+    /// Records what becomes of members and copies events, for good.
+    pub(crate) async fn send(self) {
+        let mut member_events = MemberEvents::default();
+        loop {
+            Timer::after(COPY_INTERVAL).await;
+            let members = self.mesh.members();
+            if self.mesh.synchronised() {
+                for event in member_events.look(&members) {
+                    self.recorder.record(event.code, event.fields);
+                }
+            }
+            let running = members.iter().filter(|member| member.state.is_usable());
+            let peers: Vec<BackupPeer> = running.map(peer).collect();
+            self.time_line.set_members(&peers);
+            self.send_due().await;
+        }
+    }
+
+    async fn send_due(&self) {
+        for parcel in self.time_line.poll(self.clock.now()) {
+            self.send_one(parcel).await;
+        }
+    }
+
+    /// Sends events to one peer. Without an answer they are due again later.
+    async fn send_one(&self, parcel: Parcel) {
+        let call = PeerCall {
+            copies: Some(parcel.copies),
+        };
+        let bytes = call.encode_to_vec();
+        let Ok(answer) = self.mesh.call(&parcel.to, bytes, CALL_DEADLINE).await else {
+            return;
+        };
+        if let Ok(ack) = EventCopiesAck::decode(&answer[..]) {
+            self.time_line.acknowledge(&parcel.to, ack);
+        }
+    }
+
+    /// Keeps what peers send, for good.
+    pub(crate) async fn receive(self) {
+        let calls = self.mesh.incoming_calls();
+        while let Ok(call) = calls.recv().await {
+            self.answer(call);
+        }
+    }
+
+    /// Answers a call; one that cannot be read is left without an answer.
+    fn answer(&self, call: IncomingCall) {
+        let copies = PeerCall::decode(&call.bytes[..])
+            .ok()
+            .and_then(|c| c.copies);
+        let kept = copies.and_then(|copies| self.time_line.accept(copies).ok());
+        if let Some(ack) = kept {
+            call.answer(ack.encode_to_vec());
+        }
+    }
+}
+
+fn peer(member: &Member) -> BackupPeer {
+    BackupPeer {
+        instance: member.instance.clone(),
+        availability_zone: member.availability_zone.clone(),
+        region: member.region.clone(),
+    }
+}
--- a/crates/foxtide/src/lib.rs
+++ b/crates/foxtide/src/lib.rs
@@ -3,6 +3,8 @@
 
 pub mod command;
 mod configuration;
+mod copies;
+mod member_events;
 pub mod node;
 mod pages;
 pub mod signals;
--- a/crates/foxtide/src/node.rs
+++ b/crates/foxtide/src/node.rs
@@ -1,6 +1,7 @@
 //! One entry instance: all its parts, from start to stop.
 
 use crate::configuration::Configurations;
+use crate::copies::Copies;
 use crate::pages::Pages;
 use crate::tables::Tables;
 use crate::telemetry;
@@ -149,7 +150,7 @@
             },
             pages: Pages {
                 tables: Arc::clone(&tables),
-                time_line,
+                time_line: time_line.clone(),
                 explainer,
                 metrics: telemetry::start_metrics(),
                 ready: Arc::clone(&ready),
@@ -175,7 +176,15 @@
             traffic,
             clock,
         };
+        let copies = Copies {
+            time_line,
+            recorder: recorder.clone(),
+            mesh: mesh.clone(),
+            clock,
+        };
         let tasks = vec![
+            workers.spawn(copies.clone().send()),
+            workers.spawn(copies.receive()),
             workers.spawn(follower.run()),
             workers.spawn(configurations.run()),
             workers.spawn(following),
