--- a/crates/foxtide-config/src/change/accept.rs
+++ b/crates/foxtide-config/src/change/accept.rs
@@ -1,6 +1,6 @@
 //! The compare-and-swap of a change, and settling one whose answer was lost.
 
-use super::codec::{ORGANISATION_PREFIX, decode, encode, key_of};
+use super::codec::{ORGANISATION_PREFIX, decode_form, encode, key_of};
 use super::diff::{Difference, contested, diff};
 use super::error::{ChangeError, Conflict};
 use foxtide_core::ids::{ChangeId, OrganisationId};
@@ -76,7 +76,7 @@
 
 fn stored(entry: &StoreEntry) -> Result<Stored, ChangeError> {
     Ok(Stored {
-        document: decode(&entry.key, &entry.value)?,
+        document: decode_form(&entry.key, &entry.value)?,
         index: entry.index,
     })
 }
@@ -120,11 +120,14 @@
     }
 
     async fn write<S: Store>(&self, store: &S) -> Result<bool, StoreError> {
-        let expected = self
-            .base
-            .as_ref()
-            .map_or(StoreIndex::ABSENT, |base| base.index);
-        store.write(&self.key, self.value.clone(), expected).await
+        let value = self.value.clone();
+        store.write(&self.key, value, self.expected()).await
+    }
+
+    /// Returns the index that the key has as long as nobody else wrote it.
+    fn expected(&self) -> StoreIndex {
+        let base = self.base.as_ref();
+        base.map_or(StoreIndex::ABSENT, |base| base.index)
     }
 
     fn accepted(&self, settled: bool) -> Accepted {
@@ -142,27 +145,43 @@
     }
 
     /// Settles a write whose answer was lost.
-    ///
-    /// Writing the same value again is safe: both writes compare with the same
-    /// index, so at most one of them takes effect. Once one is answered, the
-    /// other can no longer change anything.
     async fn settle<S: Store>(
         &self,
         store: &S,
         lost_answer: StoreError,
     ) -> Result<Accepted, ChangeError> {
         let mut wait = SETTLE_WAIT;
-        let mut latest = lost_answer;
+        let mut latest = self.unsettled(lost_answer);
         for _ in 0..SETTLE_TRIES {
             Timer::after(wait).await;
             wait *= 2;
+            match self.settle_once(store).await {
+                Err(error @ ChangeError::Unsettled { .. }) => latest = error,
+                settled => return settled,
+            }
+        }
+        Err(latest)
+    }
+
+    /// Looks for the change in the store; where its base still stands there,
+    /// writes it again.
+    ///
+    /// That is safe: both writes compare with the same index, so at most one
+    /// of them takes effect. Once one is answered, the other can no longer
+    /// change anything.
+    async fn settle_once<S: Store>(&self, store: &S) -> Result<Accepted, ChangeError> {
+        let entry = store.read(&self.key).await;
+        let entry = entry.map_err(|error| self.unsettled(error))?;
+        let index = entry.map_or(StoreIndex::ABSENT, |entry| entry.index);
+        if index == self.expected() {
             match self.write(store).await {
                 Ok(true) => return Ok(self.accepted(true)),
-                Ok(false) => return self.superseded(store).await.map_err(|e| self.doubt(e)),
-                Err(error) => latest = error,
+                Ok(false) => {}
+                Err(error) => return Err(self.unsettled(error)),
             }
         }
-        Err(self.unsettled(latest))
+        let found = self.superseded(store).await;
+        found.map_err(|error| self.doubt(error))
     }
 
     /// Finds out why the key's index is not the base's: because this change
@@ -183,15 +202,15 @@
     /// reading makes, where a write of this change may have taken effect.
     fn doubt(&self, error: ChangeError) -> ChangeError {
         match error {
-            ChangeError::Conflict(_) | ChangeError::Unsettled { .. } => error,
+            ChangeError::Unsettled { .. } => error,
+            ChangeError::Conflict(ref conflict) if conflict.successor_known => error,
             ChangeError::Store(cause) => self.unsettled(cause),
-            ChangeError::Invalid(_) | ChangeError::Absent(_) => {
-                self.unsettled(StoreError::Unknown {
+            ChangeError::Conflict(_) | ChangeError::Invalid(_) | ChangeError::Absent(_) => self
+                .unsettled(StoreError::Unknown {
                     step: "settle",
                     peer: self.key.clone(),
                     cause: error.to_string(),
-                })
-            }
+                }),
         }
     }
 
@@ -207,6 +226,7 @@
             accepted_by: latest.map_or_else(String::new, |change| {
                 format!("{}: {}", change.author, change.summary)
             }),
+            successor_known: knows(current, base),
             contested: contested(&ours, &theirs),
             theirs,
             ours,
@@ -236,6 +256,13 @@
     document.change_id == *change || document.history.iter().any(remembered)
 }
 
+/// Tells whether a document remembers the change that followed the base.
+fn knows(document: &Organisation, base: Option<&Organisation>) -> bool {
+    let successor = base.map_or(Revision::ZERO, |base| base.revision).next();
+    let mut history = document.history.iter();
+    history.any(|past| past.revision == successor)
+}
+
 /// Returns the document with its revision, change id and history set.
 fn stamped(request: &ChangeRequest) -> Result<Organisation, ChangeError> {
     let base = request.base.as_ref().map(|base| &base.document);
--- a/crates/foxtide-config/src/change/codec.rs
+++ b/crates/foxtide-config/src/change/codec.rs
@@ -1,7 +1,6 @@
 //! An organisation's document as the store holds it.
 
-use crate::document;
-use crate::{Error, Result};
+use crate::{Error, Result, document, validate};
 use foxtide_core::ids::OrganisationId;
 use foxtide_core::organisation::{Organisation, SCHEMA_VERSION};
 use foxtide_core::store::VALUE_MAX_BYTES;
@@ -14,13 +13,26 @@
     format!("{ORGANISATION_PREFIX}{organisation}")
 }
 
-/// Takes a stored value as the document that its key names.
+/// Takes a stored value as a document that can be put in force.
+///
+/// # Errors
+///
+/// Fails where the value is no document of the organisation that its key
+/// names, or breaks a rule: a value that was not written by this crate may.
+pub fn decode(key: &str, value: &[u8]) -> Result<Organisation> {
+    let organisation = decode_form(key, value)?;
+    validate::check(&organisation)?;
+    Ok(organisation)
+}
+
+/// Takes a stored value as a document, whether or not it keeps the rules, so
+/// that an operator can mend one that does not.
 ///
 /// # Errors
 ///
 /// Fails where the value is no such document: not UTF-8, not JSON, a
 /// duplicate or unknown field, a newer form, or another organisation's.
-pub fn decode(key: &str, value: &[u8]) -> Result<Organisation> {
+pub(super) fn decode_form(key: &str, value: &[u8]) -> Result<Organisation> {
     let text = document::text_of(key, value.to_vec())?;
     let organisation: Organisation = document::parse(key, &text)?;
     if organisation.schema_version != SCHEMA_VERSION {
--- a/crates/foxtide-config/src/change/error.rs
+++ b/crates/foxtide-config/src/change/error.rs
@@ -46,6 +46,9 @@
     pub theirs: Vec<Difference>,
     /// What the refused change was to change.
     pub ours: Vec<Difference>,
+    /// Whether the change that follows the base is known by name, which shows
+    /// that this one was never written.
+    pub successor_known: bool,
     /// The paths that both change.
     pub contested: Vec<String>,
 }
--- a/crates/foxtide-config/src/document.rs
+++ b/crates/foxtide-config/src/document.rs
@@ -94,15 +94,31 @@
 fn split_message(message: &str) -> (&str, &str) {
     for separator in [", expected ", " is not "] {
         if let Some((problem, expected)) = message.split_once(separator) {
-            return (problem, expected);
+            return (problem, in_words(expected));
         }
     }
     if message.starts_with("missing field") {
         return (message, "the field with a value");
     }
+    if message.ends_with("address syntax") {
+        return (
+            message,
+            "an IP address with a port, such as `10.0.0.1:8080`",
+        );
+    }
     (message, "see docs/SETTINGS.md")
 }
 
+/// Returns a type of the language as a reader of the file knows it.
+fn in_words(expected: &str) -> &str {
+    match expected {
+        "u8" | "u16" | "u32" | "u64" | "usize" => "a whole number, 0 or more, without a unit",
+        "f64" => "a number, without a unit",
+        "a sequence" => "a list",
+        other => other,
+    }
+}
+
 fn syntax(name: &str, error: &ParseError) -> Error {
     Error::Syntax {
         file: name.to_owned(),
--- a/crates/foxtidectl/src/write.rs
+++ b/crates/foxtidectl/src/write.rs
@@ -53,11 +53,11 @@
     if current == seen {
         return Ok(());
     }
-    let mut problem = format!("not accepted: {current} is in force, not {seen}; since then:\n");
+    let mut problem = format!("not accepted: {current} is in force, not {seen}");
     let history = base.map_or(&[][..], |base| &base.document.history);
     for change in history.iter().filter(|change| change.revision > seen) {
         let (revision, author, summary) = (change.revision, &change.author, &change.summary);
-        let _ = writeln!(problem, "  {revision} {author}: {summary}");
+        let _ = write!(problem, "\n  {revision} {author}: {summary}");
     }
     let advice = format!("look at the changes, then run it again with --revision {current}");
     Err(Failure::conflict(problem, advice))
