Record what becomes of keys and redirect to owners that leave

Key decisions left no event and no explanation; each now records one of F6001 to F6011 and notes its rule. An owner that is leaving was taken for gone, so that a retry during a planned stop got unknown; it is redirected now, for the owner still serves. A copy that was refused for its form was told not-run although an earlier copy of its key may have run; with a key it is unknown.

Each is shown by a test in foxtide-entry/tests/keys.rs.

--- a/crates/foxtide-core/src/explain/rule.rs
+++ b/crates/foxtide-core/src/explain/rule.rs
@@ -18,8 +18,8 @@
     Spilled,
     /// The planned region has no usable upstream.
     RegionFailed,
-    /// Sent on to the instance that holds the lease of the idempotency key.
-    KeyHolder,
+    /// Redirected to the instance that owns the idempotency key.
+    KeyOwner,
     /// The idempotency key is known: the first request's answer was given.
     KeyReplayed,
     /// Refused: this instance's part of a region's sold rate is used up.
@@ -55,7 +55,7 @@
             Self::PlannedMove => "a planned move directs this part of the traffic",
             Self::Spilled => "the planned region is at a limit, spilled over within the contract",
             Self::RegionFailed => "the planned region has no usable upstream",
-            Self::KeyHolder => "sent to the instance that holds the lease of the idempotency key",
+            Self::KeyOwner => "the caller was sent to the instance that owns the idempotency key",
             Self::KeyReplayed => "the idempotency key is known, the first answer was given again",
             Self::RegionLimit => "refused: the region's sold rate is used up",
             Self::LinkLimit => "refused: the link's sold rate is used up",
--- a/crates/foxtide-entry/src/parts.rs
+++ b/crates/foxtide-entry/src/parts.rs
@@ -45,6 +45,10 @@
     /// [`Directory::leave`] was called.
     fn instances(&self) -> Arc<[ServingInstance]>;
 
+    /// Returns where callers reach an instance while its process is thought to
+    /// run, also when it leaves and new callers are not sent there any more.
+    fn address_of(&self, instance: &InstanceId) -> Option<SocketAddr>;
+
     /// Returns the region from which a caller with this address is to be
     /// served, where that is known.
     fn client_region(&self, organisation: &OrganisationId, client: IpAddr) -> Option<RegionId>;
--- a/crates/foxtide-entry/src/proxy/journal.rs
+++ b/crates/foxtide-entry/src/proxy/journal.rs
@@ -1,9 +1,10 @@
 //! Tells what became of requests: events and explanations.
 
 use super::attempt::AttemptEnd;
+use super::keys::Settled;
 use super::place::Admitted;
 use super::run::Proxy;
-use crate::answer::Refusal;
+use crate::answer::{Answer, Refusal};
 use crate::clock::Clock;
 use crate::errors::Step;
 use crate::facts::Facts;
@@ -46,6 +47,27 @@
         self.parts.recorder().record(failure_code(failure), fields);
     }
 
+    /// Tells what a request with a key gets without a run.
+    ///
+    /// # Errors
+    ///
+    /// Fails where that is a refusal.
+    pub(super) fn answer_without_run(
+        &self,
+        facts: &Facts,
+        settled: Settled,
+    ) -> Result<Answer, Refusal> {
+        let mut decision = self.undecided(facts);
+        decision.redirect(settled.rule, None);
+        self.parts.explainer().note(decision);
+        if let Err(refusal) = &settled.answer {
+            facts.service.metrics().refused(refusal.outcome);
+        }
+        let recorder = self.parts.recorder();
+        recorder.record(settled.code, facts.event_fields());
+        settled.answer
+    }
+
     /// Records that a request was given up.
     pub(super) fn record_refusal(&self, facts: &Facts, refusal: &Refusal) {
         facts.service.metrics().refused(refusal.outcome);
--- a/crates/foxtide-entry/src/proxy/keys.rs
+++ b/crates/foxtide-entry/src/proxy/keys.rs
@@ -8,6 +8,8 @@
 use crate::http::name;
 use crate::parts::{Directory, Parts};
 use crate::serve::Received;
+use foxtide_core::events::{EventCode, RequestId};
+use foxtide_core::explain::Rule;
 use foxtide_core::idempotency::{
     Begin, Claim, Fingerprint, IdempotencyKey, KeptAnswer, KeyError, RefusalReason, Table,
 };
@@ -39,16 +41,19 @@
     body: Vec<u8>,
 }
 
-/// What becomes of a request with a key.
-pub(crate) enum Keyed {
-    /// It is run.
-    Run(HeldClaim),
-    /// It is answered without a run.
-    Answered(Answer),
+/// What a request with a key gets without a run.
+#[derive(Debug)]
+pub(super) struct Settled {
+    /// Its answer.
+    pub(super) answer: Result<Answer, Refusal>,
+    /// What happened.
+    pub(super) code: EventCode,
+    /// The rule that decided.
+    pub(super) rule: Rule,
 }
 
 /// The right to run a key; given back when it is dropped.
-pub(crate) struct HeldClaim {
+pub(super) struct HeldClaim {
     table: KeyTable,
     claim: Option<Claim>,
     written: Arc<AtomicBool>,
@@ -123,64 +128,137 @@
     }
 }
 
-/// Decides about a request with a key.
-///
-/// # Errors
-///
-/// Fails where the key cannot be run here and has no answer.
-pub(crate) fn begin<P: Parts>(
+/// A request with a key.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct KeyedRequest<'a> {
+    /// The request.
+    pub(super) received: &'a Received,
+    /// What it is for.
+    pub(super) target: &'a Target,
+    /// Its identity.
+    pub(super) id: &'a RequestId,
+    /// The key as it was sent.
+    pub(super) key: &'a str,
+}
+
+/// Decides about a request with a key: gives out the right to run it, or what
+/// it gets without a run.
+pub(super) fn begin<P: Parts>(
     parts: &P,
     table: &KeyTable,
-    received: &Received,
-    target: &Target,
-    key: &str,
-) -> Result<Keyed, Refusal> {
-    let key: IdempotencyKey = key.parse().map_err(|error| malformed(&error))?;
-    let fingerprint = fingerprint(received, target);
+    request: KeyedRequest<'_>,
+) -> Result<HeldClaim, Settled> {
+    let key: IdempotencyKey = request
+        .key
+        .parse()
+        .map_err(|error| Settled::malformed(&error))?;
+    let fingerprint = request.fingerprint();
     let wall: WallTime = parts.clock().wall();
     let begun = table.lock().begin(&key, fingerprint, wall);
     match begun {
-        Begin::Run(claim) => Ok(Keyed::Run(HeldClaim {
+        Begin::Run(claim) => Ok(HeldClaim {
             table: Arc::clone(table),
             claim: Some(claim),
             written: Arc::default(),
-        })),
-        Begin::Replay(kept) => Ok(Keyed::Answered(kept.answer())),
-        Begin::InProgress { retry_after } => Err(Refusal {
+        }),
+        Begin::Replay(kept) => Err(Settled::replayed(&kept)),
+        Begin::InProgress { retry_after } => Err(Settled::in_progress(retry_after)),
+        Begin::Refuse(refusal) => Err(Settled::refused(refusal.reason, refusal.retry_after)),
+        Begin::Elsewhere => Err(elsewhere(parts, request, &key)),
+    }
+}
+
+impl Settled {
+    fn replayed(kept: &Kept) -> Self {
+        Self {
+            answer: Ok(kept.answer()),
+            code: EventCode::KeyReplayed,
+            rule: Rule::KeyReplayed,
+        }
+    }
+
+    fn in_progress(retry_after: Duration) -> Self {
+        let refusal = Refusal {
             status: StatusCode::Conflict,
             outcome: Outcome::Unknown,
-            reason: "in-progress",
+            reason: "key-in-progress",
             retry_after,
-        }),
-        Begin::Refuse(refusal) => Err(refused(refusal.reason, refusal.retry_after)),
-        Begin::Elsewhere => elsewhere(parts, received, &key),
+        };
+        Self {
+            answer: Err(refusal),
+            code: EventCode::KeyInProgress,
+            rule: Rule::KeyRefused,
+        }
+    }
+
+    fn malformed(error: &KeyError) -> Self {
+        let reason = match error {
+            KeyError::NoOwner { .. } => "key-without-owner",
+            KeyError::Owner { .. } => "key-with-malformed-owner",
+            KeyError::Unique { .. } => "key-without-uuid-v7",
+        };
+        Self {
+            answer: Err(Refusal::not_run(StatusCode::BadRequest, reason)),
+            code: EventCode::KeyMalformed,
+            rule: Rule::KeyRefused,
+        }
+    }
+
+    fn refused(reason: RefusalReason, retry_after: Option<Duration>) -> Self {
+        let status = StatusCode::try_from(reason.status());
+        let refusal = Refusal {
+            status: status.unwrap_or(StatusCode::Conflict),
+            outcome: reason.outcome(),
+            reason: reason.as_str(),
+            retry_after: retry_after.unwrap_or_default(),
+        };
+        Self {
+            answer: Err(refusal),
+            code: refusal_code(reason),
+            rule: Rule::KeyRefused,
+        }
     }
 }
 
-fn fingerprint(received: &Received, target: &Target) -> Fingerprint {
-    let query = received.head.url.query().unwrap_or_default();
-    Fingerprint::of([
-        target.organisation.as_str().as_bytes(),
-        target.service.as_str().as_bytes(),
-        received.head.method.as_ref().as_bytes(),
-        target.path.as_bytes(),
-        query.as_bytes(),
-        &received.body,
-    ])
+fn refusal_code(reason: RefusalReason) -> EventCode {
+    match reason {
+        RefusalReason::OwnerGone => EventCode::KeyOwnerGone,
+        RefusalReason::KeyReused => EventCode::KeyReused,
+        RefusalReason::AnswerLost => EventCode::KeyAnswerLost,
+        RefusalReason::AnswerDropped => EventCode::KeyAnswerDropped,
+        RefusalReason::KeyExpired => EventCode::KeyExpired,
+        RefusalReason::KeyFromFuture => EventCode::KeyFromFuture,
+        RefusalReason::TableFull => EventCode::KeyTableFull,
+    }
+}
+
+impl KeyedRequest<'_> {
+    fn fingerprint(&self) -> Fingerprint {
+        let query = self.received.head.url.query().unwrap_or_default();
+        Fingerprint::of([
+            self.target.organisation.as_str().as_bytes(),
+            self.target.service.as_str().as_bytes(),
+            self.received.head.method.as_ref().as_bytes(),
+            self.target.path.as_bytes(),
+            query.as_bytes(),
+            &self.received.body,
+        ])
+    }
+
+    /// Returns the request's URL at another instance.
+    fn location(&self, address: SocketAddr) -> String {
+        let url = &self.received.head.url;
+        let query = url.query().map(|query| format!("?{query}"));
+        let query = query.unwrap_or_default();
+        format!("http://{address}{}{query}", url.path())
+    }
 }
 
 /// Sends the caller to the instance that owns its key.
-fn elsewhere<P: Parts>(
-    parts: &P,
-    received: &Received,
-    key: &IdempotencyKey,
-) -> Result<Keyed, Refusal> {
-    let instances = parts.directory().instances();
-    let owner = &key.owner().instance;
-    let Some(owner) = instances.iter().find(|known| known.instance == *owner) else {
-        return Err(refused(RefusalReason::OwnerGone, None));
+fn elsewhere<P: Parts>(parts: &P, request: KeyedRequest<'_>, key: &IdempotencyKey) -> Settled {
+    let Some(address) = parts.directory().address_of(&key.owner().instance) else {
+        return Settled::refused(RefusalReason::OwnerGone, None);
     };
-    let location = location(received, owner.address);
     let refusal = Refusal {
         status: StatusCode::TemporaryRedirect,
         // Only the owner knows whether the key was run before.
@@ -188,34 +266,11 @@
         reason: "key-of-other-instance",
         retry_after: Duration::ZERO,
     };
-    let mut answer = refusal.answer(key.to_string().as_str());
-    answer.insert(name::LOCATION, &location);
-    Ok(Keyed::Answered(answer))
-}
-
-fn location(received: &Received, address: SocketAddr) -> String {
-    let url = &received.head.url;
-    let query = url
-        .query()
-        .map_or_else(String::new, |query| format!("?{query}"));
-    format!("http://{address}{}{query}", url.path())
-}
-
-fn malformed(error: &KeyError) -> Refusal {
-    let reason = match error {
-        KeyError::NoOwner { .. } => "key-names-no-owner",
-        KeyError::Owner { .. } => "key-names-bad-owner",
-        KeyError::Unique { .. } => "key-is-no-uuid-v7",
-    };
-    Refusal::not_run(StatusCode::BadRequest, reason)
-}
-
-fn refused(reason: RefusalReason, retry_after: Option<Duration>) -> Refusal {
-    let status = StatusCode::try_from(reason.status());
-    Refusal {
-        status: status.unwrap_or(StatusCode::Conflict),
-        outcome: reason.outcome(),
-        reason: reason.as_str(),
-        retry_after: retry_after.unwrap_or_default(),
+    let mut answer = refusal.answer(request.id.as_str());
+    answer.insert(name::LOCATION, &request.location(address));
+    Settled {
+        answer: Ok(answer),
+        code: EventCode::KeyRedirected,
+        rule: Rule::KeyOwner,
     }
 }
--- a/crates/foxtide-entry/src/proxy/run.rs
+++ b/crates/foxtide-entry/src/proxy/run.rs
@@ -1,7 +1,7 @@
 //! Runs a request over its attempts.
 
 use super::attempt::AttemptEnd;
-use super::keys::{HeldClaim, KeyTable, Keyed, begin};
+use super::keys::{HeldClaim, KeyTable, KeyedRequest, Settled, begin};
 use super::place::{Admitted, Unplaced};
 use super::prepare::Prepared;
 use crate::answer::{Answer, Refusal};
@@ -93,11 +93,11 @@
         target: Target,
         id: RequestId,
     ) -> Result<Answer, Refusal> {
-        let facts = Facts::of(&*self.parts, &self.options, &received, &target, id)?;
-        let claim = match self.claim(&facts, &received, &target)? {
-            None => None,
-            Some(Keyed::Answered(answer)) => return Ok(answer),
-            Some(Keyed::Run(claim)) => Some(claim),
+        let facts = Facts::of(&*self.parts, &self.options, &received, &target, id);
+        let facts = facts.map_err(|refusal| refusal.with_outcome(earlier_outcome(&received)))?;
+        let claim = match self.claim(&facts, &received, &target) {
+            Ok(claim) => claim,
+            Err(settled) => return self.answer_without_run(&facts, settled),
         };
         let prepared = Prepared::new(received, &target, &facts.request);
         if let Some(claim) = claim {
@@ -111,19 +111,27 @@
     }
 
     /// Decides about the key of a request that must not run twice.
+    ///
+    /// # Errors
+    ///
+    /// Fails with what the request gets where it is not run.
     fn claim(
         &self,
         facts: &Facts,
         received: &Received,
         target: &Target,
-    ) -> Result<Option<Keyed>, Refusal> {
+    ) -> Result<Option<HeldClaim>, Settled> {
         let key = received.head.head.headers.get(name::IDEMPOTENCY_KEY);
-        match key {
-            Some(key) if !facts.terms.idempotent => {
-                begin(&*self.parts, &self.keys, received, target, key.as_str()).map(Some)
-            }
-            _ => Ok(None),
-        }
+        let Some(key) = key.filter(|_| !facts.terms.idempotent) else {
+            return Ok(None);
+        };
+        let request = KeyedRequest {
+            received,
+            target,
+            id: &facts.request,
+            key: key.as_str(),
+        };
+        begin(&*self.parts, &self.keys, request).map(Some)
     }
 
     pub(super) async fn run(
@@ -252,6 +260,13 @@
     }
 }
 
+/// Returns what is known of earlier copies of a request that is refused before
+/// its key is looked at: one of them may have run.
+fn earlier_outcome(received: &Received) -> Outcome {
+    let key = received.head.head.headers.get(name::IDEMPOTENCY_KEY);
+    key.map_or(Outcome::NotRun, |_| Outcome::Unknown)
+}
+
 /// A request that must not run twice is not sent over a connection that the
 /// upstream may be closing.
 fn freshness(facts: &Facts) -> Freshness {
--- a/crates/foxtide-entry/tests/keys.rs
+++ b/crates/foxtide-entry/tests/keys.rs
@@ -103,6 +103,10 @@
         answer.contains("/hamutenya/viewer/notes?x=1\r\n"),
         "{answer}"
     );
+    // An instance that leaves still answers for its keys.
+    world.parts.left.store(true, Ordering::SeqCst);
+    let leaving = world.caller().ask(&post("/notes", &elsewhere, "x"));
+    assert_refused(&leaving, 307, "unknown");
     let gone = key("entry-9.00000000000000aa");
     let earlier_process = key("entry-1.00000000000000aa");
     for key in [gone, earlier_process] {
@@ -112,6 +116,10 @@
     let plain = "0196f0c1-0000-7000-8000-000000000001";
     let answer = world.caller().ask(&post("/notes", plain, "x"));
     assert_refused(&answer, 400, "not-run");
+    let recorded = |code| world.recorded(code).len();
+    assert_eq!(recorded(EventCode::KeyRedirected), 2);
+    assert_eq!(recorded(EventCode::KeyOwnerGone), 2);
+    assert_eq!(recorded(EventCode::KeyMalformed), 1);
     assert_eq!(upstream.connections.load(Ordering::SeqCst), 0);
 }
 
@@ -186,3 +194,17 @@
     assert!(!answer.contains("foxtide-outcome"), "a first run: {answer}");
     assert_eq!(arrivals.try_iter().filter(|posted| *posted).count(), 1);
 }
+
+#[test]
+fn verify_a_copy_that_is_refused_for_its_form_says_nothing_of_earlier_ones() {
+    let upstream = RawUpstream::answering(DONE);
+    let world = World::start(&[upstream.address]);
+    let key = own_key(&world);
+    let first = world.caller().ask(&post("/notes", &key, "lintel"));
+    assert!(first.ends_with("filed!"), "{first}");
+    let copy = post("/notes", &key, "lintel");
+    let malformed = copy.replace("host: x", "host: x\r\nfoxtide-deadline-ms: soon");
+    assert_refused(&world.caller().ask(&malformed), 400, "unknown");
+    let elsewhere = copy.replace("/viewer/", "/removed/");
+    assert_refused(&world.caller().ask(&elsewhere), 404, "unknown");
+}
--- a/crates/foxtide-entry/tests/support/mod.rs
+++ b/crates/foxtide-entry/tests/support/mod.rs
@@ -4,7 +4,7 @@
 
 use foxtide_core::events::{Event, EventCode, EventFilter};
 use foxtide_core::idempotency::{OwnerId, ProcessNumber};
-use foxtide_core::ids::{OrganisationId, RegionId};
+use foxtide_core::ids::{InstanceId, OrganisationId, RegionId};
 use foxtide_core::organisation::Organisation;
 use foxtide_core::steering::SteeringOptions;
 use foxtide_entry::{
@@ -144,6 +144,12 @@
         Arc::clone(&self.instances)
     }
 
+    fn address_of(&self, instance: &InstanceId) -> Option<SocketAddr> {
+        let mut known = self.instances.iter();
+        let known = known.find(|known| known.instance == *instance);
+        known.map(|known| known.address)
+    }
+
     fn client_region(&self, _: &OrganisationId, _: IpAddr) -> Option<RegionId> {
         None
     }
--- a/crates/foxtide/src/node.rs
+++ b/crates/foxtide/src/node.rs
@@ -12,7 +12,7 @@
 use foxtide_core::events::backup::BackupPeer;
 use foxtide_core::events::{EventCode, EventFields, EventRingOptions};
 use foxtide_core::idempotency::{OwnerId, ProcessNumber};
-use foxtide_core::ids::{OrganisationId, RegionId};
+use foxtide_core::ids::{InstanceId, OrganisationId, RegionId};
 use foxtide_core::units::ByteSize;
 use foxtide_entry::{
     Clock, Directory, Entry, EntryOptions, Limits, Parts, ServingInstance, SystemClock,
@@ -91,6 +91,10 @@
         self.tables.instances()
     }
 
+    fn address_of(&self, instance: &InstanceId) -> Option<SocketAddr> {
+        self.tables.address_of(instance)
+    }
+
     fn client_region(&self, _organisation: &OrganisationId, _client: IpAddr) -> Option<RegionId> {
         None
     }
--- a/crates/foxtide/src/tables.rs
+++ b/crates/foxtide/src/tables.rs
@@ -14,6 +14,7 @@
 use foxtide_entry::ServingInstance;
 use parking_lot::Mutex;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
@@ -107,6 +108,14 @@
         Arc::clone(&self.instances.load())
     }
 
+    /// Returns where callers reach an instance whose process is thought to run.
+    pub fn address_of(&self, instance: &InstanceId) -> Option<SocketAddr> {
+        let members = self.members.load();
+        let member = members.iter().find(|member| member.instance == *instance);
+        let running = member.filter(|member| member.state.is_running());
+        running.map(|member| member.caller_address)
+    }
+
     /// Notes that this instance leaves.
     pub fn set_leaving(&self) {
         self.leaving.store(true, Ordering::Release);
