Send the hybrid clock along with every message of the mesh

The time line was ordered by clocks that never heard of each other, so an effect could stand before its cause by as much as wall clocks differ.

--- a/crates/foxtide-events/src/recorder.rs
+++ b/crates/foxtide-events/src/recorder.rs
@@ -9,11 +9,16 @@
     HybridTime, Level, RingEntry,
 };
 use foxtide_core::ids::InstanceId;
+use foxtide_core::time::WallTime;
 use parking_lot::Mutex;
 use std::sync::Arc;
+use std::time::Duration;
 
 const LOG_TARGET: &str = "foxtide";
 
+/// The shortest time between two events about a peer's clock.
+const SKEW_REPORT_INTERVAL: Duration = Duration::from_secs(60);
+
 /// How a recorder works.
 #[derive(Clone, Debug, Default)]
 pub struct RecorderOptions {
@@ -27,6 +32,7 @@
 struct State {
     clock: HybridClock,
     ring: EventRing,
+    skew_reported_us: Option<WallTime>,
 }
 
 #[derive(Debug)]
@@ -50,6 +56,7 @@
         let state = State {
             clock: HybridClock::default(),
             ring: EventRing::new(options.ring),
+            skew_reported_us: None,
         };
         let shared = Shared {
             instance,
@@ -94,9 +101,29 @@
         self.shared.state.lock().clock.observe(remote, wall)
     }
 
-    /// Tells whether a peer's time lies too far ahead of this clock.
-    pub fn is_ahead(&self, remote: HybridTime) -> bool {
-        remote.is_ahead(self.shared.wall.now())
+    /// As [`observe`](Self::observe); records where the peer's time lies too
+    /// far ahead, at most once a minute.
+    pub fn observe_from(&self, peer: &str, remote: HybridTime) {
+        let wall = self.shared.wall.now();
+        self.shared.state.lock().clock.observe(remote, wall);
+        if remote.is_ahead(wall) && self.may_report_skew(wall) {
+            let fields = EventFields {
+                peer: peer.parse().ok(),
+                detail: format!("ahead_by={:?}", remote.wall_us.since(wall)),
+                ..EventFields::default()
+            };
+            self.record(EventCode::WallClockSkewed, fields);
+        }
+    }
+
+    fn may_report_skew(&self, wall: WallTime) -> bool {
+        let mut state = self.shared.state.lock();
+        let last = state.skew_reported_us;
+        let due = last.is_none_or(|last| wall.since(last) >= SKEW_REPORT_INTERVAL);
+        if due {
+            state.skew_reported_us = Some(wall);
+        }
+        due
     }
 
     /// Returns the kept events that pass a filter, oldest first.
--- a/crates/foxtide-mesh/src/datagrams.rs
+++ b/crates/foxtide-mesh/src/datagrams.rs
@@ -64,6 +64,7 @@
     let sender = header.sender.parse().map_err(|_| Rejection::Malformed)?;
     let content = read(datagram).map_err(|_| Rejection::Malformed)?;
     shared.state.lock().guard.check_once(&header)?;
+    shared.observe_clock(&header);
     Ok((sender, content))
 }
 
--- a/crates/foxtide-mesh/src/guard.rs
+++ b/crates/foxtide-mesh/src/guard.rs
@@ -125,6 +125,7 @@
             sender: String::from("a"),
             epoch_us,
             sequence,
+            ..Header::default()
         }
     }
 
--- a/crates/foxtide-mesh/src/options.rs
+++ b/crates/foxtide-mesh/src/options.rs
@@ -4,6 +4,7 @@
 use foxtide_core::ids::{AvailabilityZoneId, InstanceId, RegionId};
 use foxtide_core::membership::MembershipOptions;
 use foxtide_core::spreading::LoadOptions;
+use foxtide_events::Recorder;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -46,6 +47,9 @@
     pub clock_origin: Instant,
     /// Seed of all random choices; `None` draws one. Default `None`.
     pub seed: Option<u64>,
+    /// The recorder whose hybrid clock goes along with every message, so that
+    /// events are placed after those that caused them. Default: none.
+    pub recorder: Option<Recorder>,
     /// Messages to lose, for tests and measurements. Default: none.
     pub faults: Faults,
 }
@@ -63,6 +67,7 @@
             watchers_per_zone: 2,
             clock_origin: Instant::now(),
             seed: None,
+            recorder: None,
             faults: Faults::default(),
         }
     }
--- a/crates/foxtide-mesh/src/shared.rs
+++ b/crates/foxtide-mesh/src/shared.rs
@@ -1,6 +1,6 @@
 //! What the tasks of one instance share.
 //!
-//! Lock order: `state` before `subscribers`; neither is held over an await
+//! Lock order: `state`, `subscribers`, then the recorder's own; none is held over an await
 //! or while a socket is used.
 
 use crate::calls::IncomingCall;
@@ -10,11 +10,12 @@
 use crate::options::MeshOptions;
 use crate::traffic::{Rejection, Traffic};
 use crate::wire::{Datagram, Header, to_datagram};
-use foxtide_core::events::EventCode;
+use foxtide_core::events::{EventCode, HybridTime};
 use foxtide_core::ids::InstanceId;
 use foxtide_core::membership::{Member, MemberState, Membership, Output};
 use foxtide_core::spreading::{ConfigurationTable, Document, FetchQueue, LoadSpreader};
-use foxtide_core::time::MonotonicTime;
+use foxtide_core::time::{MonotonicTime, WallTime};
+use foxtide_events::Recorder;
 use parking_lot::Mutex;
 use prost::Message as _;
 use rand::rngs::{StdRng, SysRng};
@@ -110,6 +111,8 @@
 
     /// Returns the header of the next message.
     pub(crate) fn header(&self) -> Header {
+        let clock = self.options.recorder.as_ref().map(Recorder::stamp);
+        let clock = clock.unwrap_or_default();
         Header {
             version: VERSION,
             minimum_version: MINIMUM_VERSION,
@@ -117,9 +120,23 @@
             sender: self.instance.to_string(),
             epoch_us: self.epoch_us,
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed) + 1,
+            clock_us: clock.wall_us.as_us(),
+            clock_counter: clock.counter,
         }
     }
 
+    /// Moves the hybrid clock past the sending of a message.
+    pub(crate) fn observe_clock(&self, header: &Header) {
+        let Some(recorder) = &self.options.recorder else {
+            return;
+        };
+        let clock = HybridTime {
+            wall_us: WallTime::from_us(header.clock_us),
+            counter: header.clock_counter,
+        };
+        recorder.observe_from(&header.sender, clock);
+    }
+
     /// Counts and logs a message that is dropped.
     pub(crate) fn reject(&self, from: SocketAddr, rejection: Rejection) {
         self.traffic.rejected(rejection);
--- a/crates/foxtide-mesh/src/streams.rs
+++ b/crates/foxtide-mesh/src/streams.rs
@@ -82,6 +82,7 @@
         shared.reject(peer, rejection);
         Error::answer(peer, rejection.name())
     })?;
+    shared.observe_clock(&header);
     response.body.ok_or(Error::answer(peer, "refused"))
 }
 
@@ -148,6 +149,7 @@
     let request = Request::decode(bytes).map_err(|_| Rejection::Malformed)?;
     let header = request.header.as_ref().ok_or(Rejection::Malformed)?;
     shared.state.lock().guard.check(header)?;
+    shared.observe_clock(header);
     Ok(request)
 }
 
--- a/crates/foxtide-mesh/src/wire/messages.rs
+++ b/crates/foxtide-mesh/src/wire/messages.rs
@@ -23,6 +23,12 @@
     /// The number of the datagram in its process.
     #[prost(uint64, tag = "6")]
     pub(crate) sequence: u64,
+    /// The hybrid clock at the sending, in microseconds; 0 where there is none.
+    #[prost(uint64, tag = "7")]
+    pub(crate) clock_us: u64,
+    /// The hybrid clock's counter.
+    #[prost(uint32, tag = "8")]
+    pub(crate) clock_counter: u32,
 }
 
 /// A datagram.
--- a/crates/foxtide/src/node.rs
+++ b/crates/foxtide/src/node.rs
@@ -131,7 +131,7 @@
         let ready = Arc::new(AtomicBool::new(false));
         // The caller listener is bound first: peers are told its address.
         let caller_address = reserve(settings.caller.listen)?;
-        let mesh = start_mesh(settings, caller_address)?;
+        let mesh = start_mesh(settings, caller_address, &recorder)?;
         let time_line = time_line(settings, &recorder, &clock);
         let process_number = SysRng
             .try_next_u64()
@@ -258,7 +258,11 @@
     Ok(listener.local_addr()?)
 }
 
-fn start_mesh(settings: &Settings, caller_address: SocketAddr) -> Result<MeshHandle> {
+fn start_mesh(
+    settings: &Settings,
+    caller_address: SocketAddr,
+    recorder: &Recorder,
+) -> Result<MeshHandle> {
     let identity = Identity {
         instance: settings.instance.clone(),
         region: settings.region.clone(),
@@ -268,6 +272,7 @@
     };
     let options = MeshOptions {
         cluster: settings.cluster.clone(),
+        recorder: Some(recorder.clone()),
         ..MeshOptions::default()
     };
     Mesh::start(identity, &settings.seed_peers, options).context("start the mesh")
