--- a/crates/foxtide-config/src/change/diff.rs
+++ b/crates/foxtide-config/src/change/diff.rs
@@ -12,9 +12,9 @@
 /// The fields that name an entry of a list, the more telling first.
 const NAME_FIELDS: &[&str] = &[
     "upstream",
-    "service",
     "move",
     "drain",
+    "service",
     "change_id",
     "region",
 ];
--- a/crates/foxtidectl/src/admin.rs
+++ b/crates/foxtidectl/src/admin.rs
@@ -100,7 +100,7 @@
     }
     Failure::no_instance(
         problems.join("\n"),
-        "check --admin, and that an instance is running there",
+        "check --admin, that an instance is running there, and that it is of this version",
     )
 }
 
--- a/crates/foxtidectl/src/commands/explain/decisions.rs
+++ b/crates/foxtidectl/src/commands/explain/decisions.rs
@@ -2,8 +2,9 @@
 
 use crate::admin;
 use crate::failure::Failure;
-use crate::report::Report;
+use crate::report::{Report, utc};
 use crate::session::Session;
+use foxtide_core::time::WallTime;
 use serde_json::{Value, json};
 use std::fmt::Write;
 
@@ -40,39 +41,60 @@
 
 /// Returns an explanation as a few lines.
 fn in_words(asked: &str, explanation: &Value) -> String {
-    let field = |name: &str| {
-        explanation
-            .get(name)
-            .map(plain)
-            .unwrap_or_else(|| "-".to_owned())
-    };
+    let field = |name: &str| plain(explanation.get(name));
+    let at = explanation.get("at_us").and_then(Value::as_u64);
+    let at = at.map_or("-".to_owned(), |us| utc(WallTime::from_us(us)));
     let mut text = format!(
-        "{} {}: {}\n  by instance {asked} at {} us, region {}, figures {} ms old\n",
+        "{} {}: {}\n  at {at} by {asked}, region {}, figures {} ms old\n",
         field("kind"),
         field("rule"),
         field("because"),
-        field("at_us"),
         field("region"),
         field("view_age_ms"),
     );
-    let attempts = explanation.get("attempts").and_then(Value::as_array);
-    for attempt in attempts.into_iter().flatten() {
-        let part = |name: &str| attempt.get(name).map(plain).unwrap_or_default();
-        let _ = writeln!(
-            text,
-            "  attempt at {}: {}",
-            part("upstream"),
-            part("result")
-        );
+    for attempt in list(explanation, "attempts") {
+        let (upstream, result) = (plain(attempt.get("upstream")), plain(attempt.get("result")));
+        // Writing to a string cannot fail.
+        let _ = writeln!(text, "  attempt at {upstream}: {result}");
     }
-    if let Some(view) = explanation.get("view") {
-        let _ = writeln!(text, "  figures: {view}");
+    for candidate in explanation
+        .get("view")
+        .into_iter()
+        .flat_map(|view| list(view, "candidates"))
+    {
+        text.push_str(&candidate_in_words(candidate));
     }
     text
 }
 
-fn plain(value: &Value) -> String {
+/// Returns one candidate with the figures that it was judged by.
+fn candidate_in_words(candidate: &Value) -> String {
+    let name = candidate.get("name").and_then(Value::as_object);
+    let name = name
+        .into_iter()
+        .flatten()
+        .map(|(kind, name)| format!("{kind} {}", plain(Some(name))));
+    let figures = list(candidate, "figures").map(|figure| {
+        let (kind, value) = (plain(figure.get("kind")), plain(figure.get("value")));
+        format!("{kind} {value} ({} ms old)", plain(figure.get("age_ms")))
+    });
+    let name: Vec<String> = name.collect();
+    let figures: Vec<String> = figures.collect();
+    format!("  candidate {}: {}\n", name.join(" "), figures.join(", "))
+}
+
+fn list<'a>(value: &'a Value, field: &str) -> impl Iterator<Item = &'a Value> {
     value
-        .as_str()
-        .map_or_else(|| value.to_string(), str::to_owned)
+        .get(field)
+        .and_then(Value::as_array)
+        .into_iter()
+        .flatten()
+}
+
+fn plain(value: Option<&Value>) -> String {
+    match value {
+        None => "-".to_owned(),
+        Some(Value::String(text)) => text.clone(),
+        Some(other) => other.to_string(),
+    }
 }
--- /dev/null
+++ b/crates/foxtidectl/src/commands/movement/demand.rs
@@ -0,0 +1,41 @@
+//! Whether a move's traffic fits what was sold.
+
+use super::forecast;
+use crate::failure::Failure;
+use foxtide_core::organisation::{Organisation, PlannedMove};
+use foxtide_core::units::RequestRate;
+
+/// Checks that the traffic which a move brings in the end fits the link and
+/// the receiving region.
+///
+/// `demand` is the service's traffic that arrives in the giving region. What
+/// other services send is not known here; the instances hold the limits
+/// whatever the plan says.
+pub(super) fn check(
+    document: &Organisation,
+    movement: &PlannedMove,
+    demand: RequestRate,
+) -> Result<(), Failure> {
+    let end = movement.start_us + forecast::duration(document, movement);
+    let shares = forecast::shares(document, movement, end);
+    let regions = document.regions.iter().zip(shares);
+    for (region, share) in regions.filter(|(region, _)| region.region != movement.from) {
+        let brought = RequestRate::clamped(share * demand.get());
+        let link = document.link(&movement.from, &region.region);
+        let on_link = link.map_or(RequestRate::ZERO, |link| link.sold_rate_rps);
+        let sold = if on_link < region.sold_rate_rps {
+            on_link
+        } else {
+            region.sold_rate_rps
+        };
+        if brought > sold {
+            let problem = format!(
+                "the move sends {brought} from {} to {}, where {sold} are sold",
+                movement.from, region.region
+            );
+            let advice = "move a smaller share, or sell more on the link and in the region first";
+            return Err(Failure::refused(problem, advice));
+        }
+    }
+    Ok(())
+}
--- a/crates/foxtidectl/src/commands/movement/mod.rs
+++ b/crates/foxtidectl/src/commands/movement/mod.rs
@@ -1,5 +1,6 @@
 //! `foxtidectl move …`: planned moves of traffic between regions.
 
+mod demand;
 mod forecast;
 mod pause;
 mod plan;
--- a/crates/foxtidectl/src/commands/movement/plan.rs
+++ b/crates/foxtidectl/src/commands/movement/plan.rs
@@ -1,13 +1,14 @@
 //! `foxtidectl move plan`.
 
-use super::forecast;
 use super::start::{MoveArguments, planned};
+use super::{demand, forecast};
 use crate::failure::Failure;
 use crate::report::{Report, Table};
 use crate::session::Session;
 use argh::FromArgs;
 use foxtide_config::change;
 use foxtide_core::organisation::{Organisation, PlannedMove};
+use foxtide_core::units::RequestRate;
 use serde_json::json;
 use std::time::Duration;
 
@@ -36,6 +37,10 @@
     /// how fast, such as 0.01/s; default the contract's shift cap
     #[argh(option)]
     pace: Option<String>,
+    /// the service's traffic that arrives in the giving region, such as
+    /// 300rps; the plan is then held against what was sold
+    #[argh(option)]
+    demand: Option<RequestRate>,
 }
 
 impl Plan {
@@ -54,30 +59,33 @@
         let mut document = base.document;
         document.moves.push(movement.clone());
         change::check(&document)?;
+        if let Some(demand) = self.demand {
+            demand::check(&document, &movement, demand)?;
+        }
         Ok(course(&document, &movement))
     }
 }
 
 fn course(document: &Organisation, movement: &PlannedMove) -> Report {
-    let whole = forecast::duration(movement);
-    let mut table = Table::new(["after", "moved share"]);
+    let whole = forecast::duration(document, movement);
+    let regions = document.regions.iter().map(|one| one.region.to_string());
+    let mut table = Table::with_columns(std::iter::once("after".to_owned()).chain(regions));
     for point in 0..=POINTS {
         let after = whole * point / POINTS;
-        let moved = forecast::position(movement, movement.start_us + after);
-        table.row([
-            format!("{:.0} s", after.as_secs_f64()),
-            format!("{moved:.3}"),
-        ]);
+        let shares = forecast::shares(document, movement, movement.start_us + after);
+        let cells = shares.iter().map(|share| format!("{share:.3}"));
+        let time = format!("{:.0} s", after.as_secs_f64());
+        table.cells(std::iter::once(time).chain(cells));
     }
     let text = format!(
-        "{}: {} of {}'s traffic of {} to {}, {:.0} s at {}; accepted by all checks\n{}",
-        document.organisation,
+        "{} of {}'s traffic of {} moves to {} in {:.0} s; accepted by all checks.\n\
+         Where the traffic that arrives in {} is served, by time since the start:\n\n{}",
         movement.share,
         movement.from,
         movement.service,
         movement.to,
         whole.as_secs_f64(),
-        movement.pace_share_per_s,
+        movement.from,
         table.text()
     );
     Report::new(
--- a/crates/foxtidectl/src/commands/movement/status.rs
+++ b/crates/foxtidectl/src/commands/movement/status.rs
@@ -5,7 +5,7 @@
 use crate::report::{Report, Table};
 use crate::session::Session;
 use argh::FromArgs;
-use foxtide_core::organisation::PlannedMove;
+use foxtide_core::organisation::{Organisation, PlannedMove};
 use foxtide_core::time::WallTime;
 use serde_json::{Value, json};
 
@@ -27,16 +27,16 @@
         for movement in &document.moves {
             table.row([
                 movement.id.to_string(),
-                format!("{:.3}", forecast::position(movement, now)),
+                format!("{:.3}", forecast::position(&document, movement, now)),
                 movement.share.to_string(),
                 movement.pace_share_per_s.to_string(),
-                state(movement, now),
+                state(&document, movement, now),
             ]);
         }
         let moves = document.moves.iter();
         let json: Vec<Value> = moves
             .map(|movement| {
-                let position = forecast::position(movement, now);
+                let position = forecast::position(&document, movement, now);
                 json!({"move": movement, "moved_share": position})
             })
             .collect();
@@ -44,8 +44,8 @@
     }
 }
 
-fn state(movement: &PlannedMove, now: WallTime) -> String {
-    let end = movement.start_us + forecast::duration(movement);
+fn state(document: &Organisation, movement: &PlannedMove, now: WallTime) -> String {
+    let end = movement.start_us + forecast::duration(document, movement);
     if movement.paused_us.is_some() {
         return "paused".to_owned();
     }
--- a/crates/foxtidectl/src/commands/organisation/history.rs
+++ b/crates/foxtidectl/src/commands/organisation/history.rs
@@ -1,7 +1,7 @@
 //! `foxtidectl organisation history`.
 
 use crate::failure::Failure;
-use crate::report::{Report, Table};
+use crate::report::{Report, Table, utc};
 use crate::session::Session;
 use argh::FromArgs;
 use serde_json::json;
@@ -23,7 +23,7 @@
         for change in document.history.iter().rev() {
             table.row([
                 change.revision.to_string(),
-                change.written_us.to_string(),
+                utc(change.written_us),
                 change.author.clone(),
                 change.summary.clone(),
                 change.change_id.to_string(),
--- a/crates/foxtidectl/src/commands/timeline.rs
+++ b/crates/foxtidectl/src/commands/timeline.rs
@@ -2,7 +2,7 @@
 
 use crate::admin;
 use crate::failure::Failure;
-use crate::report::Report;
+use crate::report::{Report, utc};
 use crate::session::Session;
 use argh::FromArgs;
 use foxtide_config::document;
@@ -141,7 +141,8 @@
     let Event {
         clock, instance, ..
     } = event;
-    format!("{clock} {instance} {event}\n")
+    let time = utc(clock.wall_us);
+    format!("{time}+{} {instance} {event}\n", clock.counter)
 }
 
 /// Shows new events until the output is closed.
--- a/crates/foxtidectl/src/report.rs
+++ b/crates/foxtidectl/src/report.rs
@@ -1,8 +1,10 @@
 //! What a command has to say, for people and for programs.
 
 use crate::ExitStatus;
+use foxtide_core::time::WallTime;
 use serde_json::Value;
 use std::io::Write;
+use std::time::{Duration, UNIX_EPOCH};
 
 /// The result of a command, in both forms.
 #[derive(Debug)]
@@ -51,14 +53,24 @@
 impl Table {
     /// Returns a table with this heading.
     pub(crate) fn new<const N: usize>(heading: [&str; N]) -> Self {
+        Self::with_columns(heading.into_iter().map(str::to_owned))
+    }
+
+    /// Returns a table with these headings.
+    pub(crate) fn with_columns(headings: impl Iterator<Item = String>) -> Self {
         Self {
-            rows: vec![heading.map(str::to_uppercase).to_vec()],
+            rows: vec![headings.map(|heading| heading.to_uppercase()).collect()],
         }
     }
 
+    /// Adds a row of as many cells as there are headings.
+    pub(crate) fn cells(&mut self, cells: impl Iterator<Item = String>) {
+        self.rows.push(cells.collect());
+    }
+
     /// Adds a row.
     pub(crate) fn row<const N: usize>(&mut self, cells: [String; N]) {
-        self.rows.push(cells.to_vec());
+        self.cells(cells.into_iter());
     }
 
     /// Returns the table of a list of JSON objects: a column for each field
@@ -116,3 +128,12 @@
         .collect();
     format!("{}\n", padded.join("  ").trim_end())
 }
+
+/// Returns a time as people read it, in UTC.
+pub(crate) fn utc(time: WallTime) -> String {
+    let since_epoch = Duration::from_micros(time.as_us());
+    match UNIX_EPOCH.checked_add(since_epoch) {
+        Some(time) => humantime::format_rfc3339_micros(time).to_string(),
+        None => time.to_string(),
+    }
+}
