--- a/crates/foxtide-core/src/explain/log.rs
+++ b/crates/foxtide-core/src/explain/log.rs
@@ -54,9 +54,7 @@
 
 impl ExplainFilter {
     fn passes(&self, decision: &Decision, view: Option<&Arc<View>>) -> bool {
-        let request = self.request.as_ref().map(hash);
-        request.is_none_or(|wanted| decision.request_hash == wanted)
-            && self.kind.is_none_or(|wanted| decision.kind == wanted)
+        self.kind.is_none_or(|wanted| decision.kind == wanted)
             && matches(&self.organisation, view.map(|view| &view.organisation))
             && matches(&self.service, view.map(|view| &view.service))
     }
@@ -143,9 +141,10 @@
     /// Explains the decisions that are asked for, the latest first.
     pub fn select(&self, filter: &ExplainFilter) -> Vec<Explanation> {
         let limit = filter.limit.unwrap_or(usize::MAX);
+        let request = filter.request.as_ref().map(hash);
         let wanted = |decision: &&Decision| {
-            let view = self.find_view(decision.view);
-            filter.passes(decision, view)
+            request.is_none_or(|wanted| decision.request_hash == wanted)
+                && filter.passes(decision, self.find_view(decision.view))
         };
         let usual = self.usual.iter().rev().filter(wanted);
         let usual = usual.take(if filter.unusual { 0 } else { limit });
--- a/crates/foxtide/examples/measure/explain.rs
+++ b/crates/foxtide/examples/measure/explain.rs
@@ -28,6 +28,8 @@
     let decisions = (DECISIONS_PER_S * SECONDS) as f64;
     let each_us = started.elapsed().as_secs_f64() * 1e6 / decisions;
     let size = explainer.size_bytes() as f64;
+    let decision = size_of::<Decision>() as f64;
+    report.figure("explain.decision", decision, "bytes", Limit::AtMost(128.0));
     report.figure("explain.note", each_us, "us", Limit::AtMost(5.0));
     report.figure("explain.size", size, "bytes", Limit::AtMost(SIZE_MAX_BYTES));
     let kept_s = explainer.select(&ExplainFilter::default()).len() as f64 / DECISIONS_PER_S as f64;
