Give back the memory of expired keys and show what the table holds

Keys were forgotten only as new ones came, so that a burst's answers stayed in memory until the next request. The table now ticks once a second, and two gauges tell its keys and the bytes of its answers.

--- a/crates/foxtide-core/src/idempotency/table.rs
+++ b/crates/foxtide-core/src/idempotency/table.rs
@@ -9,8 +9,9 @@
 use std::time::Duration;
 use uuid::Uuid;
 
-/// How many old keys one call forgets at most, so that none takes long.
-const FORGOTTEN_PER_CALL_MAX: usize = 16;
+/// How many old keys one call forgets at most, so that none holds up a request.
+const FORGOTTEN_PER_BEGIN_MAX: usize = 16;
+const FORGOTTEN_PER_TICK_MAX: usize = 4_096;
 
 /// An answer that can be given again. Clones are to be cheap.
 pub trait KeptAnswer: Clone {
@@ -119,7 +120,7 @@
         fingerprint: Fingerprint,
         now: WallTime,
     ) -> Begin<A> {
-        self.forget_expired(now);
+        self.forget_expired(now, FORGOTTEN_PER_BEGIN_MAX);
         if *key.owner() != self.owner {
             return self.begin_of_other(key);
         }
@@ -178,6 +179,12 @@
         Outcome::Unknown
     }
 
+    /// Forgets keys beyond their validity; to be called about once a second,
+    /// so that memory is given back also where no more requests come.
+    pub fn tick(&mut self, now: WallTime) {
+        self.forget_expired(now, FORGOTTEN_PER_TICK_MAX);
+    }
+
     /// Returns what the table holds.
     pub fn usage(&self) -> TableUsage {
         TableUsage {
@@ -256,8 +263,8 @@
         true
     }
 
-    fn forget_expired(&mut self, now: WallTime) {
-        for _ in 0..FORGOTTEN_PER_CALL_MAX {
+    fn forget_expired(&mut self, now: WallTime, most: usize) {
+        for _ in 0..most {
             let Some(oldest) = self.ended.first_entry() else {
                 return;
             };
--- a/crates/foxtide-core/tests/idempotency_table.rs
+++ b/crates/foxtide-core/tests/idempotency_table.rs
@@ -2,7 +2,7 @@
 
 use foxtide_core::idempotency::{
     Begin, Claim, Fingerprint, IdempotencyKey, KeptAnswer, OwnerId, RefusalReason, Table,
-    TableOptions,
+    TableOptions, TableUsage,
 };
 use foxtide_core::outcome::Outcome;
 use foxtide_core::time::WallTime;
@@ -226,3 +226,16 @@
         assert_eq!(reason.outcome(), Outcome::Done);
     }
 }
+
+#[test]
+fn verify_a_tick_gives_memory_back() {
+    let mut table = table(TableOptions::default());
+    for number in 1..=40 {
+        let claim = run(&mut table, &key(number));
+        table.finish(claim, Text("opened"));
+    }
+    table.tick(START + VALIDITY);
+    assert_eq!(table.usage().ended, 40, "all are still valid");
+    table.tick(START + VALIDITY + Duration::from_millis(1));
+    assert_eq!(table.usage(), TableUsage::default());
+}
--- a/crates/foxtide-entry/src/entry.rs
+++ b/crates/foxtide-entry/src/entry.rs
@@ -6,7 +6,7 @@
 use crate::housekeeping::{Housekeeping, keep_house};
 use crate::options::EntryOptions;
 use crate::parts::{Directory, Parts};
-use crate::proxy::Proxy;
+use crate::proxy::{KeyTable, Proxy};
 use crate::serve::{Handler, ServeState, bind, serve_listener};
 use crate::time_limit::within;
 use crate::upstream::Pools;
@@ -51,11 +51,12 @@
         let pools = Arc::new(Pools::new(options.pool.clone()));
         let (callers, operators) = (ServeState::new(), ServeState::new());
         let keys = Table::new(parts.owner().clone(), options.keys);
+        let keys: KeyTable = Arc::new(Mutex::new(keys));
         let proxy = Proxy {
             parts: Arc::clone(&parts),
             options: Arc::clone(&options),
             pools: Arc::clone(&pools),
-            keys: Arc::new(Mutex::new(keys)),
+            keys: Arc::clone(&keys),
             executor: Arc::downgrade(executor),
         };
         let caller_handler = CallerHandler {
@@ -81,7 +82,7 @@
         let operators = Arc::clone(&entry.operators);
         entry.serve(executor, caller_listener, caller_handler, callers);
         entry.serve(executor, admin_listener, admin_handler, operators);
-        entry.keep_house(executor, pools);
+        entry.keep_house(executor, pools, keys);
         Ok(entry)
     }
 
@@ -109,9 +110,9 @@
         self.tasks.push(executor.spawn(serving));
     }
 
-    fn keep_house(&mut self, executor: &Arc<Executor<'static>>, pools: Arc<Pools>) {
-        let housekeeping =
-            Housekeeping::new(Arc::clone(&self.parts), Arc::clone(&self.options), pools);
+    fn keep_house(&mut self, executor: &Arc<Executor<'static>>, pools: Arc<Pools>, keys: KeyTable) {
+        let (parts, options) = (Arc::clone(&self.parts), Arc::clone(&self.options));
+        let housekeeping = Housekeeping::new(parts, options, pools, keys);
         let keeping = keep_house(housekeeping, Arc::clone(executor));
         self.tasks.push(executor.spawn(keeping));
     }
--- a/crates/foxtide-entry/src/housekeeping.rs
+++ b/crates/foxtide-entry/src/housekeeping.rs
@@ -4,10 +4,12 @@
 use crate::clock::Clock;
 use crate::options::EntryOptions;
 use crate::parts::Parts;
+use crate::proxy::KeyTable;
 use crate::traffic::{Poller, UpstreamChange};
 use crate::upstream::Pools;
 use foxtide_core::choice::UpstreamStatus;
 use foxtide_core::events::{EventCode, EventFields};
+use metrics::gauge;
 use smol::{Executor, Timer};
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,17 +19,26 @@
 /// How many ticks pass between two looks at idle connections.
 const TICKS_PER_PRUNE: u32 = 10;
 
+const KEYS: &str = "foxtide_idempotency_keys";
+const KEPT_ANSWERS_BYTES: &str = "foxtide_idempotency_answers_bytes";
+
 /// What the background work needs.
 #[derive(Debug)]
 pub(crate) struct Housekeeping<P> {
     parts: Arc<P>,
     pools: Arc<Pools>,
     poller: Arc<Poller<P>>,
+    keys: KeyTable,
 }
 
 impl<P: Parts> Housekeeping<P> {
     /// Returns the background work of an entry.
-    pub(crate) fn new(parts: Arc<P>, options: Arc<EntryOptions>, pools: Arc<Pools>) -> Self {
+    pub(crate) fn new(
+        parts: Arc<P>,
+        options: Arc<EntryOptions>,
+        pools: Arc<Pools>,
+        keys: KeyTable,
+    ) -> Self {
         let poller = Poller {
             parts: Arc::clone(&parts),
             pools: Arc::clone(&pools),
@@ -37,6 +48,7 @@
             parts,
             pools,
             poller: Arc::new(poller),
+            keys,
         }
     }
 
@@ -55,6 +67,19 @@
         let traffic = self.parts.traffic();
         self.pools.prune(self.parts.clock().now());
         self.pools.keep_only(&traffic.addresses());
+        self.tick_keys();
+    }
+
+    fn tick_keys(&self) {
+        let wall = self.parts.clock().wall();
+        let usage = {
+            let mut keys = self.keys.lock();
+            keys.tick(wall);
+            keys.usage()
+        };
+        gauge!(KEYS, "state" => "running").set(usage.running as f64);
+        gauge!(KEYS, "state" => "ended").set(usage.ended as f64);
+        gauge!(KEPT_ANSWERS_BYTES).set(usage.answers_size.get() as f64);
     }
 
     fn record(&self, change: UpstreamChange) {
--- a/crates/foxtide-entry/src/proxy/mod.rs
+++ b/crates/foxtide-entry/src/proxy/mod.rs
@@ -9,4 +9,5 @@
 mod prepare;
 mod run;
 
+pub(crate) use keys::KeyTable;
 pub(crate) use run::Proxy;
