Begin the decisions before the first caller is served

A request that came before the first tick of the background work was refused as not-ready even where no wait was configured; on a loaded machine a test of failures fell over it in 2 of 40 runs.

--- a/crates/foxtide-entry/src/entry.rs
+++ b/crates/foxtide-entry/src/entry.rs
@@ -2,6 +2,7 @@
 
 use crate::admin::AdminHandler;
 use crate::callers::CallerHandler;
+use crate::clock::Clock;
 use crate::errors::Result;
 use crate::housekeeping::{Housekeeping, keep_house};
 use crate::options::EntryOptions;
@@ -78,6 +79,7 @@
             admin_address,
             tasks: Vec::new(),
         };
+        entry.begin_decisions();
         let callers = Arc::clone(&entry.callers);
         let operators = Arc::clone(&entry.operators);
         entry.serve(executor, caller_listener, caller_handler, callers);
@@ -86,6 +88,13 @@
         Ok(entry)
     }
 
+    /// Moves the decisions on once, so that what is configured already can be
+    /// served from the first caller on.
+    fn begin_decisions(&self) {
+        let clock = self.parts.clock();
+        self.parts.traffic().tick(clock.now(), clock.wall());
+    }
+
     fn serve(
         &mut self,
         executor: &Arc<Executor<'static>>,
