--- a/crates/foxtide-testing/src/lib.rs
+++ b/crates/foxtide-testing/src/lib.rs
@@ -13,6 +13,7 @@
 mod instance_list;
 mod store;
 mod upstream;
+mod virtual_fleet;
 
 pub use client::{HttpAnswer, http_call};
 pub use http::Availability;
@@ -22,3 +23,4 @@
     AnswerFault, ColdStart, FaultSpan, HealthReport, LoadFormat, LoadReport, RunRecord,
     ServiceTime, UpstreamOptions, UpstreamServer, UpstreamStats,
 };
+pub use virtual_fleet::{VirtualFleet, VirtualFleetOptions, WrongBeliefs};
