--- a/crates/foxtide-core/src/spreading/load/record.rs
+++ b/crates/foxtide-core/src/spreading/load/record.rs
@@ -4,14 +4,17 @@
 use crate::steering::{FleetView, HeardReport, InstanceReport, RegionView, ViewOptions};
 use crate::time::{MonotonicTime, WallTime};
 
-/// Encoded size of a record at most, without what is listed in it, in bytes.
-const RECORD_BYTES: usize = 60;
+/// Usual encoded size of a record without what is listed in it, in bytes.
+const RECORD_BYTES: usize = 34;
 
-/// Encoded size of a service's figures at most, without its row, in bytes.
-const SERVICE_BYTES: usize = 24;
+/// Usual encoded size of a service's figures without its row, in bytes.
+const SERVICE_BYTES: usize = 18;
 
-/// Encoded size of a share or claim of one region at most, in bytes.
-const REGION_BYTES: usize = 10;
+/// Encoded size of a share of one region, in bytes.
+const SHARE_BYTES: usize = 2;
+
+/// Encoded size of a claim on one region, in bytes.
+const CLAIM_BYTES: usize = 9;
 
 /// What some instances of a region report for one organisation.
 #[derive(Clone, Debug, PartialEq)]
@@ -73,12 +76,12 @@
         self.sum.services.clear();
     }
 
-    /// Returns a bound on the encoded size, in bytes.
-    pub fn size_bound_bytes(&self) -> usize {
+    /// Returns about the encoded size, in bytes.
+    pub(super) fn size_bytes(&self) -> usize {
         let services = self.sum.services.values();
         let services_bytes: usize = services
-            .map(|service| SERVICE_BYTES + service.row.len() * REGION_BYTES)
+            .map(|service| SERVICE_BYTES + service.row.len() * SHARE_BYTES)
             .sum();
-        RECORD_BYTES + services_bytes + self.sum.claims.len() * REGION_BYTES
+        RECORD_BYTES + services_bytes + self.sum.claims.len() * CLAIM_BYTES
     }
 }
--- a/crates/foxtide-mesh/src/wire/load.rs
+++ b/crates/foxtide-mesh/src/wire/load.rs
@@ -9,9 +9,12 @@
 use foxtide_core::steering::{RegionView, ServiceView};
 use foxtide_core::time::{MonotonicTime, WallTime};
 use foxtide_core::units::{RequestRate, Share};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::str::FromStr;
 
+/// The encoded form of the share 1.
+const WHOLE: u16 = u16::MAX;
+
 /// Load records that travel together.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct Load {
@@ -43,10 +46,13 @@
     pub(crate) live_instances: u32,
     #[prost(message, repeated, tag = "8")]
     pub(crate) services: Vec<Service>,
+    /// The regions of the record's rows and claims.
     #[prost(uint32, repeated, tag = "9")]
-    pub(crate) claim_regions: Vec<u32>,
+    pub(crate) regions: Vec<u32>,
+    /// In the order of the regions; none where nothing is claimed.
     #[prost(float, repeated, tag = "10")]
     pub(crate) planned_rps: Vec<f32>,
+    /// In the order of the regions; none where nothing spills.
     #[prost(float, repeated, tag = "11")]
     pub(crate) spilled_rps: Vec<f32>,
 }
@@ -60,12 +66,13 @@
     pub(crate) instances: u32,
     #[prost(float, tag = "3")]
     pub(crate) demand_rps: f32,
-    #[prost(float, optional, tag = "4")]
-    pub(crate) healthy_share: Option<f32>,
-    #[prost(uint32, repeated, tag = "5")]
-    pub(crate) row_regions: Vec<u32>,
-    #[prost(float, repeated, tag = "6")]
-    pub(crate) row_shares: Vec<f32>,
+    /// In parts of [`WHOLE`].
+    #[prost(uint32, optional, tag = "4")]
+    pub(crate) healthy: Option<u32>,
+    /// In the order of the record's regions, in parts of [`WHOLE`], two bytes
+    /// each with the lower first; none where there is no row.
+    #[prost(bytes = "vec", tag = "5")]
+    pub(crate) row: Vec<u8>,
 }
 
 /// Returns the nearest encoded number that is not below `value`: a peer must
@@ -96,15 +103,6 @@
         self.places.insert(name.to_owned(), place);
         place
     }
-
-    fn places<'a, T: 'a>(
-        &mut self,
-        entries: impl Iterator<Item = (&'a RegionId, T)>,
-    ) -> (Vec<u32>, Vec<T>) {
-        entries
-            .map(|(region, value)| (self.place(region.as_str()), value))
-            .unzip()
-    }
 }
 
 impl From<&LoadMessage> for Load {
@@ -125,11 +123,15 @@
 }
 
 fn write(record: &LoadRecord, names: &mut Names) -> Record {
-    let claims = record.sum.claims.iter();
-    let (claim_regions, claims) = names.places(claims);
-    let planned = claims.iter().map(|claim| claim.planned_rps.get());
-    let spilled = claims.iter().map(|claim| claim.spilled_rps.get());
+    let regions = regions_of(&record.sum);
     let services = record.sum.services.iter();
+    let rates = |rate: fn(&Claim) -> RequestRate| {
+        let claims = regions.iter().map(|region| record.sum.claims.get(region));
+        let rates = claims.map(|claim| claim.map_or(0.0, |claim| rate(claim).get()));
+        let rates: Vec<_> = rates.map(rounded_up).collect();
+        let none = rates.iter().all(|rate| *rate == 0.0);
+        if none { Vec::new() } else { rates }
+    };
     Record {
         organisation: names.place(record.organisation.as_str()),
         region: names.place(record.region.as_str()),
@@ -139,31 +141,54 @@
         counted_instances: record.sum.counted_instances,
         live_instances: record.sum.live_instances,
         services: services
-            .map(|(service, view)| write_service(service, view, names))
+            .map(|(service, view)| write_service(service, view, &regions, names))
+            .collect(),
+        planned_rps: rates(|claim| claim.planned_rps),
+        spilled_rps: rates(|claim| claim.spilled_rps),
+        regions: regions
+            .iter()
+            .map(|region| names.place(region.as_str()))
             .collect(),
-        claim_regions,
-        planned_rps: planned.map(rounded_up).collect(),
-        spilled_rps: spilled.map(rounded_up).collect(),
     }
 }
 
+/// Returns all regions that rows and claims name.
+fn regions_of(sum: &RegionView) -> BTreeSet<RegionId> {
+    let rows = sum.services.values().flat_map(|service| service.row.keys());
+    rows.chain(sum.claims.keys()).cloned().collect()
+}
+
 fn age_us(record: &LoadRecord, at: WallTime) -> u64 {
     record.summed_at.as_us().saturating_sub(at.as_us())
 }
 
-fn write_service(service: &ServiceId, view: &ServiceView, names: &mut Names) -> Service {
-    let row = view.row.iter();
-    let (row_regions, shares) = names.places(row);
+fn write_service(
+    service: &ServiceId,
+    view: &ServiceView,
+    regions: &BTreeSet<RegionId>,
+    names: &mut Names,
+) -> Service {
+    let shares = regions.iter().map(|region| view.row.get(region).copied());
+    let parts = shares.map(|share| parts_of(share.unwrap_or_default()));
+    let row = if view.row.is_empty() {
+        Vec::new()
+    } else {
+        parts.flat_map(u16::to_le_bytes).collect()
+    };
     Service {
         service: names.place(service.as_str()),
         instances: view.instances,
         demand_rps: rounded_up(view.demand_rps.get()),
-        healthy_share: view.healthy_share.map(|share| share.get() as f32),
-        row_regions,
-        row_shares: shares.iter().map(|share| share.get() as f32).collect(),
+        healthy: view.healthy_share.map(|share| u32::from(parts_of(share))),
+        row,
     }
 }
 
+/// Returns a share in parts of [`WHOLE`].
+fn parts_of(share: Share) -> u16 {
+    (share.get() * f64::from(WHOLE)).round() as u16
+}
+
 /// Reads load records from their encoded form.
 pub(crate) fn read_load(load: &Load) -> Result<LoadMessage, Unreadable> {
     let records = load.records.iter();
@@ -186,17 +211,20 @@
         live_instances: record.live_instances,
         ..RegionView::default()
     };
+    let regions = record.regions.iter().map(|place| name(names, *place));
+    let regions: Vec<RegionId> = regions.collect::<Result<_, _>>()?;
     for service in &record.services {
         let id: ServiceId = name(names, service.service)?;
-        sum.services.insert(id, read_service(service, names)?);
+        sum.services.insert(id, read_service(service, &regions)?);
     }
-    let rates = record.planned_rps.iter().zip(&record.spilled_rps);
-    for (region, (planned, spilled)) in record.claim_regions.iter().zip(rates) {
+    for (place, region) in regions.iter().enumerate() {
         let claim = Claim {
-            planned_rps: rate(*planned)?,
-            spilled_rps: rate(*spilled)?,
+            planned_rps: rate(&record.planned_rps, place)?,
+            spilled_rps: rate(&record.spilled_rps, place)?,
         };
-        sum.claims.insert(name(names, *region)?, claim);
+        if claim != Claim::default() {
+            sum.claims.insert(region.clone(), claim);
+        }
     }
     Ok(LoadRecord {
         organisation: name::<OrganisationId>(names, record.organisation)?,
@@ -208,16 +236,18 @@
     })
 }
 
-fn read_service(service: &Service, names: &[String]) -> Result<ServiceView, Unreadable> {
-    let mut row = BTreeMap::new();
-    for (region, value) in service.row_regions.iter().zip(&service.row_shares) {
-        row.insert(name(names, *region)?, share(*value)?);
-    }
-    let healthy_share = service.healthy_share.map(share).transpose()?;
+fn read_service(service: &Service, regions: &[RegionId]) -> Result<ServiceView, Unreadable> {
+    let (parts, _) = service.row.as_chunks();
+    let parts = parts.iter().map(|parts| u16::from_le_bytes(*parts));
+    // The parts of a row are rounded, but together they are the whole.
+    let whole: f64 = parts.clone().map(f64::from).sum();
+    let shares = parts.map(|part| Share::clamped(f64::from(part) / whole));
+    let row = regions.iter().cloned().zip(shares);
+    let row = row.filter(|(_, share)| *share > Share::ZERO).collect();
     Ok(ServiceView {
         instances: service.instances,
-        demand_rps: rate(service.demand_rps)?,
-        healthy_share,
+        demand_rps: rate(&[service.demand_rps], 0)?,
+        healthy_share: service.healthy.map(share),
         row,
     })
 }
@@ -227,12 +257,14 @@
     name.parse().map_err(|_| Unreadable)
 }
 
-fn rate(value: f32) -> Result<RequestRate, Unreadable> {
+/// Returns the rate at `place`, nothing where there is none.
+fn rate(rates: &[f32], place: usize) -> Result<RequestRate, Unreadable> {
+    let value = rates.get(place).copied().unwrap_or_default();
     RequestRate::new(f64::from(value)).map_err(|_| Unreadable)
 }
 
-fn share(value: f32) -> Result<Share, Unreadable> {
-    Share::new(f64::from(value)).map_err(|_| Unreadable)
+fn share(parts: u32) -> Share {
+    Share::clamped(f64::from(parts) / f64::from(WHOLE))
 }
 
 #[cfg(test)]
