--- a/crates/foxtide-core/src/limits/bucket.rs
+++ b/crates/foxtide-core/src/limits/bucket.rs
@@ -13,6 +13,9 @@
 /// The part of a rate of less than [`BURST_MIN`] a second that is refilled.
 const SLOW_REFILL_SHARE: f64 = 0.5;
 
+/// The longest wait that is told, in seconds.
+const WAIT_MAX_S: f64 = 3_600.0;
+
 /// A token bucket.
 ///
 /// A plain bucket passes its rate plus its burst in one second. This one takes
@@ -76,7 +79,8 @@
             return None;
         }
         let missing = (1.0 - self.tokens).max(0.0);
-        Some(Duration::from_secs_f64(missing / self.refill_per_s))
+        let wait_s = (missing / self.refill_per_s).min(WAIT_MAX_S);
+        Some(Duration::from_secs_f64(wait_s))
     }
 
     fn refill(&mut self, now: MonotonicTime) {
--- a/crates/foxtide-core/src/limits/claim.rs
+++ b/crates/foxtide-core/src/limits/claim.rs
@@ -45,11 +45,56 @@
     }
 }
 
+/// How an instance, or all instances of a region, use a region's limits.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LimitUse {
+    /// What they claim.
+    pub claim: Claim,
+    /// How many share in the region's sold rate by claims; the others use, or
+    /// may use, their floors.
+    pub region_sharers: u32,
+    /// How many share in the link's sold rate by claims.
+    pub link_sharers: u32,
+}
+
+impl LimitUse {
+    /// Returns the sum of two uses.
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            claim: self.claim.plus(other.claim),
+            region_sharers: self.region_sharers + other.region_sharers,
+            link_sharers: self.link_sharers + other.link_sharers,
+        }
+    }
+
+    /// Returns what is left of it when its maker is not heard: the claim still
+    /// counts, but whether it shares is not known.
+    pub fn silent(self) -> Self {
+        Self {
+            claim: self.claim,
+            ..Self::default()
+        }
+    }
+}
+
 /// The claims that an instance has published for one region, of late.
 #[derive(Clone, Debug, Default)]
 pub struct ClaimWindow {
     published: VecDeque<(MonotonicTime, Claim)>,
     usable: Claim,
+    known: bool,
+    all_heard_since: Option<MonotonicTime>,
+}
+
+/// Whether what an instance publishes reaches those that share a limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Hearing {
+    /// All whose claims are counted have been heard of late.
+    All,
+    /// Some have not, but have not lost their claims yet.
+    Some,
+    /// The instance is cut off from the limit.
+    None,
 }
 
 impl ClaimWindow {
@@ -68,26 +113,43 @@
     /// Works out the claim that the instance may count itself with.
     ///
     /// That is the least published since `now - window`, and what was in force
-    /// at that time; before the first publication it is nothing. While `frozen`
-    /// it does not grow: a peer that is not heard may not hear it either.
-    pub fn settle(&mut self, window: Duration, frozen: bool, now: MonotonicTime) {
+    /// at that time; before the first publication it is nothing. It grows only
+    /// when all peers have been heard for a whole window: one that is not
+    /// heard may not hear what is published either.
+    pub fn settle(&mut self, window: Duration, hearing: Hearing, now: MonotonicTime) {
         let is_known = |(at, _): &(MonotonicTime, Claim)| now.since(*at) >= window;
         while self.published.get(1).is_some_and(is_known) {
             self.published.pop_front();
         }
-        let oldest_is_known = self.published.front().is_some_and(is_known);
         let claims = self.published.iter().map(|(_, claim)| *claim);
         let mut least = claims.reduce(Claim::least).unwrap_or_default();
-        if !oldest_is_known {
+        let published = self.published.front().is_some_and(is_known);
+        if !published {
             least = Claim::default();
         }
-        self.usable = if frozen {
-            self.usable.least(least)
-        } else {
-            least
+        if hearing != Hearing::All {
+            self.all_heard_since = None;
+        }
+        let may_grow = hearing == Hearing::All && {
+            let since = *self.all_heard_since.get_or_insert(now);
+            now.since(since) >= window
+        };
+        self.known = match hearing {
+            Hearing::None => false,
+            _ => self.known || (may_grow && published),
+        };
+        self.usable = match hearing {
+            Hearing::None => Claim::default(),
+            _ if may_grow => least,
+            _ => self.usable.least(least),
         };
     }
 
+    /// Tells whether all others know of a claim of this instance.
+    pub fn is_known(&self) -> bool {
+        self.known
+    }
+
     /// Returns what [`Self::settle`] worked out.
     pub fn usable(&self) -> Claim {
         self.usable
--- a/crates/foxtide-core/src/limits/gate.rs
+++ b/crates/foxtide-core/src/limits/gate.rs
@@ -1,8 +1,6 @@
 //! One instance's part of one limit.
 
 use super::bucket::TokenBucket;
-use super::claim::Claim;
-use super::split::{Claims, part};
 use crate::time::MonotonicTime;
 use crate::units::RequestRate;
 use std::time::Duration;
@@ -19,23 +17,6 @@
 /// Refusals closer together than this count as one.
 const REFUSALS_APART: Duration = Duration::from_millis(100);
 
-/// What a gate's part is worked out from.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct GateInput {
-    /// What may be sent through the limit by all instances.
-    pub(crate) sold: RequestRate,
-    /// What is kept back for the floors of all instances.
-    pub(crate) floors_share: f64,
-    /// The instance's own floor.
-    pub(crate) floor: RequestRate,
-    /// The claim that the instance may count itself with.
-    pub(crate) own: Claim,
-    /// What all instances have claimed.
-    pub(crate) all: Claims,
-    /// Whether the instance still shares in the limit beyond its floor.
-    pub(crate) attached: bool,
-}
-
 /// An instance's part of a region's or a link's sold rate.
 #[derive(Clone, Debug)]
 pub(crate) struct Gate {
@@ -56,20 +37,19 @@
         }
     }
 
-    /// Works out the part anew, `passed` after the last time.
-    pub(crate) fn update(&mut self, input: GateInput, passed: Duration, now: MonotonicTime) {
+    /// Sets the part, `passed` after the last time.
+    pub(crate) fn update(&mut self, part: RequestRate, passed: Duration, now: MonotonicTime) {
         let regrown = self.kept_share + passed.as_secs_f64() * REGROWTH_PER_S;
         self.kept_share = regrown.min(1.0);
-        let shared = RequestRate::clamped(input.sold.get() * (1.0 - input.floors_share));
-        let beyond_floor = if input.attached {
-            part(shared, input.own, input.all).get()
-        } else {
-            0.0
-        };
-        self.part = RequestRate::clamped(input.floor.get() + beyond_floor);
+        self.part = part;
         self.bucket.set_rate(self.usable(), now);
     }
 
+    /// Returns the part as it was set.
+    pub(crate) fn part(&self) -> RequestRate {
+        self.part
+    }
+
     /// Cuts the part at once because the receiving side refused a request.
     pub(crate) fn refused(&mut self, now: MonotonicTime) {
         let again = self.refused_at.map(|at| now.since(at));
--- a/crates/foxtide-core/src/limits/mod.rs
+++ b/crates/foxtide-core/src/limits/mod.rs
@@ -9,11 +9,11 @@
 mod bucket;
 mod claim;
 mod gate;
+mod limit;
 mod split;
 
 pub use bucket::TokenBucket;
-pub use claim::{Claim, ClaimWindow};
+pub use claim::{Claim, ClaimWindow, Hearing, LimitUse};
 pub use split::{Claims, part};
 
-pub(crate) use attachment::Attachment;
-pub(crate) use gate::{Gate, GateInput};
+pub(crate) use limit::{Limit, LimitInput, LimitTimes};
--- a/crates/foxtide-core/src/membership/beliefs.rs
+++ b/crates/foxtide-core/src/membership/beliefs.rs
@@ -3,7 +3,6 @@
 use super::machine::{Membership, direct};
 use super::member::{Member, MemberState};
 use super::message::{Message, Output, Packet, Rumour, Suspicion};
-use super::suspicion::Found;
 use crate::ids::InstanceId;
 use crate::time::MonotonicTime;
 use std::net::SocketAddr;
@@ -65,13 +64,13 @@
     ) {
         match rumour {
             Rumour::Member(member) => {
-                self.object(&member, from, now, outputs);
+                let refuted = self.counts.refutations;
                 self.believe(member, now, outputs);
+                if self.counts.refutations > refuted {
+                    outputs.push(direct_to(from, self.own.clone()));
+                }
             }
-            Rumour::Suspicion(Suspicion { member, by }) => {
-                self.object(&member, from, now, outputs);
-                self.suspect(member, Found::Elsewhere(by), now, outputs);
-            }
+            Rumour::Suspicion(suspicion) => self.suspect(suspicion, now, outputs),
             Rumour::Configuration(announcement) => outputs.push(Output::Announced {
                 announcement,
                 by: from,
@@ -79,21 +78,6 @@
         }
     }
 
-    /// Answers a peer that thinks ill of this instance.
-    fn object(
-        &mut self,
-        belief: &Member,
-        from: SocketAddr,
-        now: MonotonicTime,
-        outputs: &mut Vec<Output>,
-    ) {
-        let suspected = matches!(belief.state, MemberState::Suspect | MemberState::Dead);
-        if belief.instance == self.own.instance && suspected {
-            self.contradict(belief, now, outputs);
-            outputs.push(direct_to(from, self.own.clone()));
-        }
-    }
-
     /// Takes a belief in.
     fn believe(&mut self, member: Member, now: MonotonicTime, outputs: &mut Vec<Output>) {
         if member.instance == self.own.instance {
@@ -101,7 +85,8 @@
             return;
         }
         if member.state == MemberState::Suspect {
-            self.suspect(member, Found::Somewhere, now, outputs);
+            let by = self.own.instance.clone();
+            self.suspect(Suspicion { member, by }, now, outputs);
             return;
         }
         if self.table.apply(&member, now) {
@@ -130,13 +115,8 @@
     }
 
     /// Takes a suspicion in, another's or an own one.
-    fn suspect(
-        &mut self,
-        member: Member,
-        found: Found,
-        now: MonotonicTime,
-        outputs: &mut Vec<Output>,
-    ) {
+    fn suspect(&mut self, suspicion: Suspicion, now: MonotonicTime, outputs: &mut Vec<Output>) {
+        let Suspicion { member, by } = suspicion;
         if member.instance == self.own.instance {
             self.contradict(&member, now, outputs);
             return;
@@ -148,9 +128,10 @@
         }
         let fresh = self
             .suspicions
-            .suspect(&member.instance, member.incarnation, &found, now);
+            .suspect(&member.instance, member.incarnation, &by, now);
         if fresh {
-            self.push(rumour(member.clone(), found));
+            let member = member.clone();
+            self.push(Rumour::Suspicion(Suspicion { member, by }));
         }
         if changed {
             outputs.push(Output::Changed(member));
@@ -170,10 +151,8 @@
         match member.state {
             MemberState::Alive | MemberState::Suspect => {
                 let member = member.in_state(MemberState::Suspect);
-                // Told at once, it can object before others hear of it.
-                outputs.push(direct(member.clone()));
-                let found = Found::Here(self.own.instance.clone());
-                self.suspect(member, found, now, outputs);
+                let by = self.own.instance.clone();
+                self.suspect(Suspicion { member, by }, now, outputs);
             }
             MemberState::Leaving => self.bury(target, now, outputs),
             MemberState::Dead => {}
@@ -197,14 +176,6 @@
     }
 }
 
-/// Returns the rumour of a suspicion.
-fn rumour(member: Member, found: Found) -> Rumour {
-    match found {
-        Found::Here(by) | Found::Elsewhere(by) => Rumour::Suspicion(Suspicion { member, by }),
-        Found::Somewhere => Rumour::Member(member),
-    }
-}
-
 /// Returns the sending of a belief to an address.
 fn direct_to(to: SocketAddr, member: Member) -> Output {
     let Output::Send { packet, .. } = direct(member) else {
--- a/crates/foxtide-core/src/spreading/load/record.rs
+++ b/crates/foxtide-core/src/spreading/load/record.rs
@@ -4,17 +4,17 @@
 use crate::steering::{FleetView, HeardReport, InstanceReport, RegionView, ViewOptions};
 use crate::time::{MonotonicTime, WallTime};
 
-/// Usual encoded size of a record without what is listed in it, in bytes.
-const RECORD_BYTES: usize = 34;
+/// Encoded size of a record at most, without what is listed in it, in bytes.
+const RECORD_BYTES: usize = 60;
 
-/// Usual encoded size of a service's figures without its row, in bytes.
-const SERVICE_BYTES: usize = 18;
+/// Encoded size of a service's figures at most, without its row, in bytes.
+const SERVICE_BYTES: usize = 24;
 
-/// Encoded size of a share of one region, in bytes.
-const SHARE_BYTES: usize = 2;
+/// Encoded size of a share of one region at most, in bytes.
+const REGION_BYTES: usize = 10;
 
-/// Encoded size of a claim on one region, in bytes.
-const CLAIM_BYTES: usize = 9;
+/// Encoded size of the use of one region's limits at most, in bytes.
+const LIMIT_BYTES: usize = 18;
 
 /// What some instances of a region report for one organisation.
 #[derive(Clone, Debug, PartialEq)]
@@ -48,7 +48,8 @@
         };
         let options = ViewOptions::default();
         let view = FleetView::from_reports([heard], options, MonotonicTime::ZERO);
-        let sum = view.regions.into_values().next().unwrap_or_default();
+        let mut regions = view.regions;
+        let sum = regions.remove(region).unwrap_or_default();
         Self {
             organisation: organisation.clone(),
             region: region.clone(),
@@ -72,16 +73,16 @@
 
     /// Takes back that its instances were heard; their claims still count.
     pub(super) fn make_silent(&mut self) {
-        self.sum.live_instances = 0;
-        self.sum.services.clear();
+        self.sum.make_silent();
     }
 
-    /// Returns about the encoded size, in bytes.
-    pub(super) fn size_bytes(&self) -> usize {
-        let services = self.sum.services.values();
+    /// Returns a bound on the encoded size, in bytes.
+    pub fn size_bound_bytes(&self) -> usize {
+        let foreign = self.sum.foreign.values().flat_map(|told| told.values());
+        let services = self.sum.services.values().chain(foreign);
         let services_bytes: usize = services
-            .map(|service| SERVICE_BYTES + service.row.len() * SHARE_BYTES)
+            .map(|service| SERVICE_BYTES + service.row.len() * REGION_BYTES)
             .sum();
-        RECORD_BYTES + services_bytes + self.sum.claims.len() * CLAIM_BYTES
+        RECORD_BYTES + services_bytes + self.sum.limits.len() * LIMIT_BYTES
     }
 }
--- a/crates/foxtide-core/src/steering/decide.rs
+++ b/crates/foxtide-core/src/steering/decide.rs
@@ -3,7 +3,7 @@
 use super::admission::{Admission, RefusalReason};
 use super::engine::Steering;
 use super::rooms::{Full, NoRoom};
-use super::service::Drawn;
+use super::service::{Drawn, ServiceState};
 use crate::ids::{RegionId, ServiceId};
 use crate::time::MonotonicTime;
 use std::time::Duration;
@@ -31,22 +31,52 @@
         waited: Duration,
         now: MonotonicTime,
     ) -> Admission {
-        let Some(index) = self.index_of(service) else {
+        self.admit_at(0, service, draw, waited, now)
+    }
+
+    /// Decides the same for a caller of any region.
+    ///
+    /// Callers of another region come when its instances are gone. Where the
+    /// caller's region is known, its row goes on from where it was, and moves
+    /// under the shift cap; with [`Self::admit`] their requests would move at
+    /// once.
+    pub fn admit_from(
+        &mut self,
+        service: &ServiceId,
+        origin: &RegionId,
+        draw: f64,
+        waited: Duration,
+        now: MonotonicTime,
+    ) -> Admission {
+        let flows = self.flows_of(origin);
+        self.admit_at(flows, service, draw, waited, now)
+    }
+
+    fn admit_at(
+        &mut self,
+        flows: usize,
+        service: &ServiceId,
+        draw: f64,
+        waited: Duration,
+        now: MonotonicTime,
+    ) -> Admission {
+        let Some(index) = self.tables.service(service) else {
             return refuse(RefusalReason::UnknownService, RETRY_AFTER_MAX);
         };
-        let state = &mut self.services[index];
+        let ready = self.knows_rows(now);
+        let state = &mut self.flows[flows].services[index];
         if waited.is_zero() {
             state.count_arrival();
         }
-        if state.row.is_none() {
+        if !ready || state.row.is_none() {
             return refuse(RefusalReason::NotReady, self.options.startup_wait);
         }
         let Some(drawn) = state.draw(draw) else {
-            return self.refuse_unserved(index);
+            return refuse_unserved(state);
         };
         match self.rooms.take(drawn.index, now) {
             Ok(()) => self.send(drawn),
-            Err(no_room) => self.wait_or_refuse(index, no_room, waited),
+            Err(no_room) => wait_or_refuse(state, no_room, waited),
         }
     }
 
@@ -57,32 +87,30 @@
 
     fn send(&self, drawn: Drawn) -> Admission {
         Admission::Send {
-            region: self.regions[drawn.index].clone(),
+            region: self.tables.regions[drawn.index].clone(),
             spilled: drawn.spilled,
         }
     }
+}
 
-    fn refuse_unserved(&self, index: usize) -> Admission {
-        let state = &self.services[index];
-        let served_later = state.wanted.iter().any(|share| *share > 0.0);
-        let reason = if served_later {
-            RefusalReason::ShiftCap
-        } else {
-            RefusalReason::NoRegion
-        };
-        refuse(reason, state.until_whole())
-    }
+fn refuse_unserved(state: &ServiceState) -> Admission {
+    let served_later = state.wanted.iter().any(|share| *share > 0.0);
+    let reason = if served_later {
+        RefusalReason::ShiftCap
+    } else {
+        RefusalReason::NoRegion
+    };
+    refuse(reason, state.until_whole())
+}
 
-    fn wait_or_refuse(&self, index: usize, no_room: NoRoom, waited: Duration) -> Admission {
-        let queue_max = self.services[index].priority.queue_max;
-        let retry_in = no_room.next_in.map(|next| next.max(RETRY_IN_MIN));
-        match retry_in.filter(|next| waited + *next <= queue_max) {
-            Some(retry_in) => Admission::Wait { retry_in },
-            None => refuse(
-                no_room.full.into(),
-                no_room.next_in.unwrap_or(RETRY_AFTER_MAX),
-            ),
-        }
+fn wait_or_refuse(state: &ServiceState, no_room: NoRoom, waited: Duration) -> Admission {
+    let retry_in = no_room.next_in.map(|next| next.max(RETRY_IN_MIN));
+    match retry_in.filter(|next| waited + *next <= state.priority.queue_max) {
+        Some(retry_in) => Admission::Wait { retry_in },
+        None => refuse(
+            no_room.full.into(),
+            no_room.next_in.unwrap_or(RETRY_AFTER_MAX),
+        ),
     }
 }
 
--- a/crates/foxtide-core/src/steering/engine.rs
+++ b/crates/foxtide-core/src/steering/engine.rs
@@ -1,14 +1,14 @@
 //! The steering decisions of one instance for one organisation.
 
+use super::flows::OriginFlows;
 use super::options::SteeringOptions;
-use super::planned::PlannedRows;
 use super::rooms::Rooms;
-use super::service::{ServiceState, ServiceTick};
-use super::shift::Row;
-use super::view::{FleetView, InstanceReport, ServiceReport};
+use super::service::ServiceState;
+use super::tables::{NamedRow, Tables};
+use super::view::{FleetView, InstanceReport};
 use crate::ids::{RegionId, ServiceId};
 use crate::limits::Claim;
-use crate::organisation::{Organisation, Service, Upstream};
+use crate::organisation::Organisation;
 use crate::time::{MonotonicTime, WallTime};
 use crate::units::{RequestRate, Share};
 use std::collections::BTreeMap;
@@ -22,29 +22,28 @@
 /// [`Self::observe`] whenever its view of the fleet is renewed.
 #[derive(Clone, Debug)]
 pub struct Steering {
-    organisation: Arc<Organisation>,
-    pub(super) origin: RegionId,
+    pub(super) organisation: Arc<Organisation>,
     pub(super) options: SteeringOptions,
-    pub(super) regions: Vec<RegionId>,
-    pub(super) planned: PlannedRows,
-    /// Sorted, with the place in the configuration and in `services`.
-    pub(super) names: Vec<(ServiceId, usize)>,
-    pub(super) services: Vec<ServiceState>,
+    pub(super) tables: Tables,
+    /// The own region's callers first, then those of other regions.
+    pub(super) flows: Vec<OriginFlows>,
     pub(super) rooms: Rooms,
     pub(super) view: FleetView,
+    pub(super) last_rows: BTreeMap<RegionId, BTreeMap<ServiceId, NamedRow>>,
+    pub(super) adopt: Adopt,
     started_at: Option<MonotonicTime>,
     ticked_at: Option<MonotonicTime>,
-    pub(super) adopt: Adopt,
 }
 
 /// Whether the positions of peers are to be taken over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Adopt {
-    /// No view has come yet.
-    AtFirstView,
-    /// The process was paused; its rows are old.
-    AtNextView,
-    /// Rows are up to date.
+    /// The process has just started, or was paused: peers know better.
+    Waiting {
+        /// Since when.
+        since: MonotonicTime,
+    },
+    /// The rows are up to date.
     Done,
 }
 
@@ -55,35 +54,39 @@
         origin: RegionId,
         options: SteeringOptions,
     ) -> Self {
-        let planned = PlannedRows::new(&organisation, &origin, options.shift_cap_factor);
         let rooms = Rooms::new(&organisation, &origin, MonotonicTime::ZERO);
-        let mut steering = Self {
+        let flows = OriginFlows::new(&organisation, origin, &options, &rooms);
+        Self {
+            tables: Tables::new(&organisation),
             organisation,
-            origin,
             options,
-            regions: Vec::new(),
-            planned,
-            names: Vec::new(),
-            services: Vec::new(),
+            flows: vec![flows],
             rooms,
             view: FleetView::default(),
+            last_rows: BTreeMap::new(),
+            adopt: Adopt::Waiting {
+                since: MonotonicTime::ZERO,
+            },
             started_at: None,
             ticked_at: None,
-            adopt: Adopt::AtFirstView,
-        };
-        steering.rebuild(&BTreeMap::new());
-        steering
+        }
     }
 
     /// Takes over a new configuration. Rows stay where they are and follow the
     /// new plan under the shift cap.
     pub fn configure(&mut self, organisation: Arc<Organisation>, now: MonotonicTime) {
-        let rows = self.named_rows();
-        self.planned = PlannedRows::new(&organisation, &self.origin, self.options.shift_cap_factor);
         self.rooms.configure(&organisation, now);
+        let tables = Tables::new(&organisation);
+        for flows in &mut self.flows {
+            let origin = flows.origin.clone();
+            let mut new = OriginFlows::new(&organisation, origin, &self.options, &self.rooms);
+            new.keep(flows, &self.tables, &tables);
+            new.take_told_health(&self.view, &tables);
+            *flows = new;
+        }
         self.organisation = organisation;
-        self.rebuild(&rows);
-        self.take_told_health();
+        self.tables = tables;
+        self.adopt_rows();
     }
 
     /// Returns the configuration in force.
@@ -95,192 +98,137 @@
     pub fn observe(&mut self, view: &FleetView, _now: MonotonicTime) {
         self.view = view.clone();
         self.rooms.observe(view);
-        self.take_told_health();
+        for flows in &mut self.flows {
+            flows.take_told_health(view, &self.tables);
+        }
         self.adopt_rows();
     }
 
     /// Notes the healthy part of a service's upstreams in a region as this
     /// instance itself sees it; that outranks what peers say.
     pub fn set_health(&mut self, service: &ServiceId, region: &RegionId, healthy: Option<Share>) {
-        let region = self.regions.iter().position(|id| id == region);
-        if let (Some(service), Some(region)) = (self.index_of(service), region) {
-            self.services[service].seen_health[region] = healthy;
+        let places = (self.tables.service(service), self.tables.region(region));
+        let (Some(service), Some(region)) = places else {
+            return;
+        };
+        for flows in &mut self.flows {
+            flows.services[service].seen_health[region] = healthy;
         }
     }
 
     /// Moves all rows and parts on to `now`.
     pub fn tick(&mut self, now: MonotonicTime, wall: WallTime) {
-        let started_at = *self.started_at.get_or_insert(now);
+        if self.ticked_at.is_none() || self.was_paused(now) {
+            self.adopt = Adopt::Waiting { since: now };
+        }
         let since_last = self.ticked_at.map_or(Duration::ZERO, |at| now.since(at));
         self.ticked_at = Some(now);
-        if since_last > self.options.view_age_max && self.adopt == Adopt::Done {
-            self.adopt = Adopt::AtNextView;
+        for flows in &mut self.flows {
+            flows.aim(wall, since_last);
         }
+        self.aim_spill(now);
+        self.start_rows(now);
         let passed = since_last.min(self.options.tick_max);
-        let planned = self.aim(wall, since_last);
-        self.aim_spill();
-        let waited = now.since(started_at) >= self.options.startup_wait;
-        if waited && self.adopt == Adopt::AtFirstView {
-            self.adopt = Adopt::Done;
-        }
-        self.start_rows();
-        for (service, planned) in self.services.iter_mut().zip(planned) {
-            service.step(ServiceTick { planned, passed });
+        for service in self.flows.iter_mut().flat_map(|flows| &mut flows.services) {
+            service.step(passed);
         }
         self.rooms.update(&self.view, &self.options, passed, now);
     }
 
+    /// Tells whether the process stood still for so long that its rows are old.
+    pub(super) fn was_paused(&self, now: MonotonicTime) -> bool {
+        let ticked_at = self.ticked_at.unwrap_or(now);
+        now.since(ticked_at) > self.options.view_age_max
+    }
+
+    /// Tells whether the instance knows where its peers stand and has its part
+    /// of its region's limit; until then look-ups should not name it.
+    pub fn is_ready(&self, now: MonotonicTime) -> bool {
+        self.knows_rows(now) && self.rooms.is_settled()
+    }
+
+    /// Tells whether the rows are up to date.
+    pub(super) fn knows_rows(&self, now: MonotonicTime) -> bool {
+        self.adopt == Adopt::Done && !self.was_paused(now)
+    }
+
     /// Returns the report to publish, and counts it as published.
     pub fn report(&mut self, now: MonotonicTime) -> InstanceReport {
-        let services = self.names.iter();
-        let services = services.map(|(id, index)| (id.clone(), self.service_report(*index)));
+        let ready = self.knows_rows(now);
+        let report = |flows: &OriginFlows| flows.report(&self.tables, ready);
+        let foreign = self.flows.iter().skip(1);
+        let foreign = foreign.map(|flows| (flows.origin.clone(), report(flows)));
         InstanceReport {
-            services: services.collect(),
-            claims: self.rooms.publish(now),
+            services: report(&self.flows[0]),
+            foreign: foreign.collect(),
+            limits: self.rooms.publish(now),
         }
     }
 
     /// Returns the share of a service's requests that goes to each region, as
     /// it is now; what is missing to 1 is refused.
     pub fn row(&self, service: &ServiceId) -> Option<BTreeMap<RegionId, Share>> {
-        let state = &self.services[self.index_of(service)?];
-        Some(self.named(state.row.as_ref()?))
+        self.row_from(service, &self.flows[0].origin)
+    }
+
+    /// Returns the same for the callers of any region, or `None` where they
+    /// do not use this instance.
+    pub fn row_from(
+        &self,
+        service: &ServiceId,
+        origin: &RegionId,
+    ) -> Option<BTreeMap<RegionId, Share>> {
+        let flows = self.flows.iter().find(|flows| flows.origin == *origin)?;
+        let state = &flows.services[self.tables.service(service)?];
+        Some(self.tables.named(state.row.as_ref()?))
     }
 
     /// Returns the share that the plan and the regions' health want to go to
     /// each region.
     pub fn wanted_row(&self, service: &ServiceId) -> Option<BTreeMap<RegionId, Share>> {
-        let state = &self.services[self.index_of(service)?];
-        Some(self.named(&state.wanted))
+        let state = &self.flows[0].services[self.tables.service(service)?];
+        Some(self.tables.named(&state.wanted))
     }
 
     /// Returns the rate that this instance may send to a region now.
     pub fn usable_rate(&self, region: &RegionId) -> Option<RequestRate> {
-        let index = self.regions.iter().position(|id| id == region)?;
-        Some(RequestRate::clamped(self.rooms.usable_rps(index)))
-    }
-
-    /// Finds a service's place.
-    pub(super) fn index_of(&self, service: &ServiceId) -> Option<usize> {
-        let found = self.names.binary_search_by(|(name, _)| name.cmp(service));
-        found.ok().map(|place| self.names[place].1)
-    }
-
-    fn named(&self, row: &Row) -> BTreeMap<RegionId, Share> {
-        let shares = self.regions.iter().cloned().zip(row);
-        shares
-            .map(|(region, share)| (region, Share::clamped(*share)))
-            .collect()
-    }
-
-    fn named_rows(&self) -> BTreeMap<ServiceId, BTreeMap<RegionId, Share>> {
-        let rows = self.names.iter();
-        let rows = rows.filter_map(|(id, _)| Some((id.clone(), self.row(id)?)));
-        rows.collect()
-    }
-
-    /// Builds the tables for the configuration in force.
-    fn rebuild(&mut self, rows: &BTreeMap<ServiceId, BTreeMap<RegionId, Share>>) {
-        let organisation = Arc::clone(&self.organisation);
-        let regions = organisation.regions.iter();
-        let old_regions = std::mem::take(&mut self.regions);
-        self.regions = regions.map(|region| region.region.clone()).collect();
-        let old_names = std::mem::take(&mut self.names);
-        let old = std::mem::take(&mut self.services);
-        for (index, service) in organisation.services.iter().enumerate() {
-            let priority = self.options.priority(service.contract.priority);
-            let mut state = ServiceState::new(service, priority, self.options.shift_cap_factor);
-            state.homes = self.planned.homes_at(index).to_vec();
-            state.seen_health = vec![None; self.regions.len()];
-            state.told_health = vec![None; self.regions.len()];
-            if let Ok(place) = old_names.binary_search_by(|(name, _)| name.cmp(&service.service)) {
-                state.keep(&old[old_names[place].1], &old_regions, &self.regions);
-            }
-            let indices = 0..self.regions.len();
-            state.reachable = indices
-                .map(|region| self.reachable(service, region))
-                .collect();
-            if let Some(row) = rows.get(&service.service) {
-                state.start_at(&self.regions, row);
-            }
-            self.names.push((service.service.clone(), index));
-            self.services.push(state);
-        }
-        self.names.sort();
-    }
-
-    /// Works out where each service's traffic is wanted; returns the planned
-    /// rows.
-    fn aim(&mut self, wall: WallTime, since_last: Duration) -> Vec<Row> {
-        let mut planned = Vec::with_capacity(self.services.len());
-        for (index, service) in self.services.iter_mut().enumerate() {
-            let row = self.planned.row_at(index, wall);
-            service.measure_demand(since_last);
-            service.aim(&row);
-            planned.push(row);
-        }
-        planned
+        let place = self.tables.region(region)?;
+        Some(RequestRate::clamped(self.rooms.usable_rps(place)))
     }
 
     /// Works out what spills, and what is claimed of each region.
-    fn aim_spill(&mut self) {
-        let wanted_rps: Vec<f64> = (0..self.regions.len())
-            .map(|r| self.wanted_rps(r))
-            .collect();
-        for service in &mut self.services {
+    fn aim_spill(&mut self, now: MonotonicTime) {
+        let places = 0..self.tables.regions.len();
+        let wanted_rps: Vec<f64> = places.map(|region| self.wanted_rps(region)).collect();
+        for service in self.flows.iter_mut().flat_map(|flows| &mut flows.services) {
             let spill_at_share = service.priority.spill_at_share;
             let regions = wanted_rps.iter().enumerate();
             let rooms = regions.map(|(r, rps)| self.rooms.room(r, *rps, spill_at_share));
             service.aim_spill(&rooms.collect::<Vec<_>>());
         }
-        for region in 0..self.regions.len() {
-            self.rooms.need(region, self.claim(region));
+        let started_at = *self.started_at.get_or_insert(now);
+        let joining = now.since(started_at) < self.options.joining;
+        let least_share = if joining {
+            1.0
+        } else {
+            self.options.idle_claim_share
+        };
+        for region in 0..self.tables.regions.len() {
+            let claims = self
+                .services()
+                .map(|service| service.claim(region, least_share));
+            let need = claims.fold(Claim::default(), Claim::plus);
+            self.rooms.need(region, need);
         }
     }
 
     /// Returns what is wanted to go to a region, in requests a second.
     fn wanted_rps(&self, region: usize) -> f64 {
         let wanted = |service: &ServiceState| service.demand_rps * service.wanted[region];
-        self.services.iter().map(wanted).sum()
-    }
-
-    fn claim(&self, region: usize) -> Claim {
-        let mut claim = Claim::default();
-        for service in &self.services {
-            claim = claim.plus(service.claim(region));
-        }
-        claim
-    }
-
-    fn service_report(&self, index: usize) -> ServiceReport {
-        let state = &self.services[index];
-        let own = self
-            .regions
-            .iter()
-            .position(|region| *region == self.origin);
-        ServiceReport {
-            demand_rps: RequestRate::clamped(state.demand_rps),
-            healthy_share: own.and_then(|region| state.seen_health[region]),
-            row: state
-                .row
-                .as_ref()
-                .map_or_else(BTreeMap::new, |row| self.named(row)),
-        }
+        self.services().map(wanted).sum()
     }
 
-    fn reachable(&self, service: &Service, region: usize) -> bool {
-        let here = |upstream: &Upstream| upstream.region == self.regions[region];
-        self.rooms.reachable(region) && service.upstreams.iter().any(here)
-    }
-
-    fn take_told_health(&mut self) {
-        for (id, index) in &self.names {
-            let state = &mut self.services[*index];
-            for (region, told) in self.regions.iter().zip(&mut state.told_health) {
-                let view = self.view.regions.get(region);
-                let service = view.and_then(|view| view.services.get(id));
-                *told = service.and_then(|service| service.healthy_share);
-            }
-        }
+    fn services(&self) -> impl Iterator<Item = &ServiceState> {
+        self.flows.iter().flat_map(|flows| &flows.services)
     }
 }
--- /dev/null
+++ b/crates/foxtide-core/src/steering/flows.rs
@@ -0,0 +1,183 @@
+//! The rows of all services for the callers of one origin region.
+
+use super::options::SteeringOptions;
+use super::planned::PlannedRows;
+use super::rooms::Rooms;
+use super::service::ServiceState;
+use super::tables::{NamedRow, Tables};
+use super::view::{FleetView, ServiceReport};
+use crate::ids::{RegionId, ServiceId};
+use crate::organisation::{Organisation, Service};
+use crate::time::WallTime;
+use crate::units::{RequestRate, Share};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// The services as the callers of one origin use them.
+///
+/// An instance serves its own region's callers; those of another region come
+/// when that region's instances are gone. Their row is their own origin's, so
+/// that nothing shifts by their coming.
+#[derive(Clone, Debug)]
+pub(crate) struct OriginFlows {
+    /// The callers' region.
+    pub(crate) origin: RegionId,
+    /// The services in the order of the configuration.
+    pub(crate) services: Vec<ServiceState>,
+    planned: PlannedRows,
+}
+
+impl OriginFlows {
+    /// Returns the flows of an origin; their rows are not known yet.
+    pub(crate) fn new(
+        organisation: &Organisation,
+        origin: RegionId,
+        options: &SteeringOptions,
+        rooms: &Rooms,
+    ) -> Self {
+        let planned = PlannedRows::new(organisation, &origin, options.shift_cap_factor);
+        let mut services = Vec::new();
+        for (place, service) in organisation.services.iter().enumerate() {
+            let homes = planned.homes_at(place);
+            let mut state = ServiceState::new(service, homes, options);
+            state.reachable = reachable(organisation, service, rooms);
+            services.push(state);
+        }
+        Self {
+            origin,
+            services,
+            planned,
+        }
+    }
+
+    /// Keeps the rows and what was measured under another configuration.
+    pub(crate) fn keep(&mut self, old: &Self, old_tables: &Tables, tables: &Tables) {
+        for (id, place) in &tables.services {
+            if let Some(old_place) = old_tables.service(id) {
+                let state = &mut self.services[*place];
+                state.keep(&old.services[old_place], old_tables, tables);
+            }
+        }
+    }
+
+    /// Takes over what other flows of the instance see of the upstreams.
+    pub(crate) fn share_health(&mut self, other: &Self) {
+        for (state, other) in self.services.iter_mut().zip(&other.services) {
+            state.seen_health.clone_from(&other.seen_health);
+            state.told_health.clone_from(&other.told_health);
+        }
+    }
+
+    /// Takes over what peers say of their regions' upstreams.
+    pub(crate) fn take_told_health(&mut self, view: &FleetView, tables: &Tables) {
+        for (id, place) in &tables.services {
+            let told = tables
+                .regions
+                .iter()
+                .map(|region| told_health(view, region, id));
+            self.services[*place].told_health = told.collect();
+        }
+    }
+
+    /// Takes over where these callers' requests go elsewhere.
+    pub(crate) fn adopt(
+        &mut self,
+        rows: &BTreeMap<ServiceId, NamedRow>,
+        tables: &Tables,
+        renew: bool,
+    ) {
+        for (id, place) in &tables.services {
+            let state = &mut self.services[*place];
+            let row = rows.get(id).filter(|_| renew || state.row.is_none());
+            if let Some(row) = row {
+                state.row = Some(tables.plain(row));
+            }
+        }
+    }
+
+    /// Notes what callers ask of a peer, on average.
+    pub(crate) fn take_peers_demand(&mut self, view: &FleetView, tables: &Tables) {
+        let here = view.regions.get(&self.origin);
+        for (id, place) in &tables.services {
+            let service = here.and_then(|here| here.services.get(id));
+            let mean = service.map(|s| s.demand_rps.get() / f64::from(s.instances.max(1)));
+            self.services[*place].peers_demand_rps = mean.unwrap_or_default();
+        }
+    }
+
+    /// Notes where peers send the same callers' requests.
+    pub(crate) fn take_peers(&mut self, rows: &BTreeMap<ServiceId, NamedRow>, tables: &Tables) {
+        for (id, place) in &tables.services {
+            let row = rows.get(id).map(|row| tables.plain(row));
+            self.services[*place].peers = row;
+        }
+    }
+
+    /// Tells whether some service has no row yet.
+    pub(crate) fn misses_rows(&self) -> bool {
+        self.services.iter().any(|state| state.row.is_none())
+    }
+
+    /// Starts the rows that no peer knows of.
+    ///
+    /// If most instances are heard and none sends a service's requests, then
+    /// nothing flows that could shift, and the row starts at its target. An
+    /// instance that is cut off cannot know; its row rises under the cap.
+    pub(crate) fn start_missing(&mut self, hears_majority: bool) {
+        for state in self.services.iter_mut().filter(|state| state.row.is_none()) {
+            if hears_majority {
+                state.start_at_target();
+            } else {
+                state.start_empty();
+            }
+        }
+    }
+
+    /// Works out where the traffic is wanted.
+    pub(crate) fn aim(&mut self, wall: WallTime, since_last: Duration) {
+        for (place, state) in self.services.iter_mut().enumerate() {
+            state.measure_demand(since_last);
+            state.aim(self.planned.row_at(place, wall));
+        }
+    }
+
+    /// Returns what to tell peers of these callers, for each service. Rows are
+    /// told only by those who know them.
+    pub(crate) fn report(
+        &self,
+        tables: &Tables,
+        ready: bool,
+    ) -> BTreeMap<ServiceId, ServiceReport> {
+        let own = tables.region(&self.origin);
+        let services = tables.services.iter();
+        let services = services.map(|(id, place)| {
+            let state = &self.services[*place];
+            let row = state.row.as_ref().filter(|_| ready);
+            let report = ServiceReport {
+                demand_rps: RequestRate::clamped(state.demand_rps),
+                healthy_share: own.and_then(|region| state.seen_health[region]),
+                row: row.map_or_else(NamedRow::new, |row| tables.named(row)),
+            };
+            (id.clone(), report)
+        });
+        services.collect()
+    }
+}
+
+/// Tells which regions could serve a service if they were healthy.
+fn reachable(organisation: &Organisation, service: &Service, rooms: &Rooms) -> Vec<bool> {
+    let regions = organisation.regions.iter().enumerate();
+    let reachable = regions.map(|(place, region)| {
+        let mut upstreams = service.upstreams.iter();
+        rooms.reachable(place) && upstreams.any(|upstream| upstream.region == region.region)
+    });
+    reachable.collect()
+}
+
+fn told_health(view: &FleetView, region: &RegionId, service: &ServiceId) -> Option<Share> {
+    view.regions
+        .get(region)?
+        .services
+        .get(service)?
+        .healthy_share
+}
--- a/crates/foxtide-core/src/steering/merge.rs
+++ b/crates/foxtide-core/src/steering/merge.rs
@@ -22,9 +22,25 @@
         for (id, service) in &other.services {
             self.services.entry(id.clone()).or_default().merge(service);
         }
-        for (region, claim) in &other.claims {
-            let sum = self.claims.entry(region.clone()).or_default();
-            *sum = sum.plus(*claim);
+        for (origin, services) in &other.foreign {
+            let foreign = self.foreign.entry(origin.clone()).or_default();
+            for (id, service) in services {
+                foreign.entry(id.clone()).or_default().merge(service);
+            }
+        }
+        for (region, limit) in &other.limits {
+            let sum = self.limits.entry(region.clone()).or_default();
+            *sum = sum.plus(*limit);
+        }
+    }
+
+    /// Takes back that its instances were heard; their claims still count.
+    pub fn make_silent(&mut self) {
+        self.live_instances = 0;
+        self.services.clear();
+        self.foreign.clear();
+        for limit in self.limits.values_mut() {
+            *limit = limit.silent();
         }
     }
 }
--- a/crates/foxtide-core/src/steering/mod.rs
+++ b/crates/foxtide-core/src/steering/mod.rs
@@ -10,8 +10,10 @@
 
 mod admission;
 mod adopt;
+mod cohesion;
 mod decide;
 mod engine;
+mod flows;
 mod merge;
 mod options;
 mod planned;
@@ -19,6 +21,7 @@
 mod service;
 mod shift;
 mod steps;
+mod tables;
 mod target;
 mod view;
 
--- a/crates/foxtide-core/src/steering/options.rs
+++ b/crates/foxtide-core/src/steering/options.rs
@@ -1,40 +1,53 @@
 //! Settings of the steering decisions, with their defaults.
 
+use crate::limits::LimitTimes;
 use crate::organisation::Priority;
 use crate::time::CLOCK_SKEW_MAX;
 use std::time::Duration;
 
 /// The shortest time over which the shift cap is kept, in seconds.
 ///
-/// Over a window of `W` the share of a region changes by at most `f * cap * W`
+/// Over a window of `W` the share of a region rises by at most `f * cap * W`
 /// (each instance's own pace) plus the spread between instances of the same
 /// origin, because demand may move from one to another at any moment. The
-/// spread is at most `f * cap * (skew + view)`. So `f = W / (W + skew + view)`.
+/// spread is at most `f * cap * (skew + 2 * band)`: clocks differ by the skew,
+/// rows lie within the band on both sides of their mean.
+/// So `f = W / (W + skew + 2 * band)`.
 const SHIFT_WINDOW_S: f64 = 10.0;
 
-/// By how much two instances may differ in when they see the same event, in
-/// seconds.
-const VIEW_SPREAD_S: f64 = 1.5;
+/// How far a row may be from its peers' mean, as the time that the cap takes
+/// for it, in seconds.
+///
+/// Below the age of the mean (a report's period and its way) it would slow
+/// down what all instances do together.
+const PEERS_BAND_S: f64 = 1.5;
 
 /// The settings of [`super::Steering`].
 #[derive(Clone, Debug)]
 pub struct SteeringOptions {
     /// The part of the contract's shift cap that each instance uses.
     pub shift_cap_factor: f64,
+    /// How far a row may be from its peers' mean, as the time that the cap
+    /// takes for it.
+    pub peers_band: Duration,
     /// The part of each sold rate that the instances use.
     pub sold_rate_factor: f64,
-    /// How old a report may be for a peer to count as heard.
+    /// How old a report may be for a peer to count as heard: a report's period,
+    /// the period and way of the sums it travels in, and the clocks' skew.
     pub view_age_max: Duration,
-    /// How long a published claim must have been out before it counts.
+    /// How long a published claim must have been out before it counts; above
+    /// [`Self::view_age_max`], so that all peers who are heard know of it.
     pub growth_window: Duration,
     /// How long a silent peer's claim is kept for it.
     pub claim_hold: Duration,
-    /// The part of each sold rate that is kept for the floors of instances
-    /// whose view is stale.
-    pub floors_share: f64,
-    /// The part of a region's floors that is kept for the region's own
-    /// instances.
+    /// The part of a region's sold rate that the floors of its own instances
+    /// sum to; those of all other regions sum to the rest.
     pub local_floors_share: f64,
+    /// What an idle instance claims, as a part of its peers' mean, so that it
+    /// has room when callers come.
+    pub idle_claim_share: f64,
+    /// How long a new instance claims its peers' mean.
+    pub joining: Duration,
     /// The most instances that a region may ever hold. The floors count on it.
     pub instances_per_region_max: u32,
     /// How long a new instance waits for its peers' positions.
@@ -61,15 +74,17 @@
 
 impl Default for SteeringOptions {
     fn default() -> Self {
-        let spread_s = CLOCK_SKEW_MAX.as_secs_f64() + VIEW_SPREAD_S;
+        let spread_s = CLOCK_SKEW_MAX.as_secs_f64() + 2.0 * PEERS_BAND_S;
         Self {
             shift_cap_factor: SHIFT_WINDOW_S / (SHIFT_WINDOW_S + spread_s),
+            peers_band: Duration::from_secs_f64(PEERS_BAND_S),
             sold_rate_factor: 1.0,
-            view_age_max: Duration::from_secs(3),
-            growth_window: Duration::from_secs(4),
+            view_age_max: Duration::from_secs(4),
+            growth_window: Duration::from_secs(5),
             claim_hold: Duration::from_secs(15),
-            floors_share: 0.2,
             local_floors_share: 0.8,
+            idle_claim_share: 0.1,
+            joining: Duration::from_secs(30),
             instances_per_region_max: 6,
             startup_wait: Duration::from_secs(2),
             tick_max: Duration::from_millis(200),
@@ -96,9 +111,13 @@
         }
     }
 
-    /// Returns how long an instance may count on its part after it last heard
-    /// the majority of a region: it must have given up before peers reuse it.
-    pub(crate) fn attachment_hold(&self) -> Duration {
-        self.claim_hold.saturating_sub(self.view_age_max * 2)
+    /// Returns the times by which parts of limits are given up and taken over.
+    pub(crate) fn limit_times(&self) -> LimitTimes {
+        LimitTimes {
+            growth_window: self.growth_window,
+            // It must have given up before peers reuse its part.
+            attachment_hold: self.claim_hold.saturating_sub(self.view_age_max * 2),
+            claim_hold: self.claim_hold,
+        }
     }
 }
--- a/crates/foxtide-core/src/steering/rooms.rs
+++ b/crates/foxtide-core/src/steering/rooms.rs
@@ -4,7 +4,7 @@
 use super::target::RegionRoom;
 use super::view::{FleetView, RegionView};
 use crate::ids::RegionId;
-use crate::limits::{Attachment, Claim, ClaimWindow, Claims, Gate, GateInput};
+use crate::limits::{Claim, Claims, Limit, LimitInput, LimitUse};
 use crate::organisation::Organisation;
 use crate::time::MonotonicTime;
 use crate::units::RequestRate;
@@ -25,11 +25,8 @@
     sold: RequestRate,
     /// `None` inside the origin region, where no link is crossed.
     link_sold: Option<RequestRate>,
-    gate: Gate,
-    link_gate: Gate,
-    claims: ClaimWindow,
-    region_heard: Attachment,
-    origin_heard: Attachment,
+    region: Limit,
+    link: Limit,
     need: Claim,
 }
 
@@ -88,15 +85,26 @@
 
     /// Notes which peers were heard.
     pub(crate) fn observe(&mut self, view: &FleetView) {
+        let at = view.measured_at;
         let origin = heard(view, &self.origin);
         for (id, room) in self.regions.iter().zip(&mut self.rooms) {
             let region = heard(view, id);
-            let at = view.measured_at;
-            room.region_heard.observe(region.live, region.known, at);
-            room.origin_heard.observe(origin.live, origin.known, at);
+            room.region.observe(region.live, region.known, at);
+            room.link.observe(origin.live, origin.known, at);
         }
     }
 
+    /// Tells whether the instance has its part of its own region's limit, or
+    /// of the first one's where its region has none.
+    pub(crate) fn is_settled(&self) -> bool {
+        let own = self
+            .regions
+            .iter()
+            .position(|region| *region == self.origin);
+        let room = self.rooms.get(own.unwrap_or_default());
+        room.is_none_or(|room| room.region.is_settled())
+    }
+
     /// Sets what the instance would send to a region.
     pub(crate) fn need(&mut self, index: usize, need: Claim) {
         self.rooms[index].need = need;
@@ -105,9 +113,9 @@
     /// Returns the rate that may be sent to a region.
     pub(crate) fn usable_rps(&self, index: usize) -> f64 {
         let room = &self.rooms[index];
-        let region_rps = room.gate.usable().get();
+        let region_rps = room.region.usable().get();
         match room.link_sold {
-            Some(_) => region_rps.min(room.link_gate.usable().get()),
+            Some(_) => region_rps.min(room.link.usable().get()),
             None => region_rps,
         }
     }
@@ -135,32 +143,25 @@
         passed: Duration,
         now: MonotonicTime,
     ) {
-        let count = self.regions.len();
+        let floors = Floors::new(options, self.regions.len());
+        let times = options.limit_times();
         for (id, room) in self.regions.iter().zip(&mut self.rooms) {
-            let stale = |region: &RegionView| {
-                let claims = region.claims.contains_key(id);
-                claims && now.since(region.oldest_at) > options.view_age_max
-            };
-            let frozen = view.regions.values().any(stale);
-            room.claims.settle(options.growth_window, frozen, now);
-            let all = claims_on(id, view.regions.values());
-            let hold = options.attachment_hold();
-            let region = room.region_input(options, all, *id == self.origin, count);
-            let attached = room.region_heard.holds(hold, now);
-            room.gate
-                .update(GateInput { attached, ..region }, passed, now);
-            let senders = view.regions.get(&self.origin);
-            let link = room.link_input(options, claims_on(id, senders));
-            let attached = room.origin_heard.holds(hold, now);
-            room.link_gate
-                .update(GateInput { attached, ..link }, passed, now);
+            let senders = Senders::new(view, id, options.view_age_max, now);
+            let sold = RequestRate::clamped(room.sold.get() * options.sold_rate_factor);
+            let share_of = |origin: &RegionId| floors.region_share(origin, id);
+            let input = senders.region_input(sold, &self.origin, share_of);
+            room.region.update(input, times, passed, now);
+            let sold = room.link_sold.unwrap_or_default().get();
+            let sold = RequestRate::clamped(sold * options.sold_rate_factor);
+            let input = senders.link_input(sold, &self.origin, floors.link_share());
+            room.link.update(input, times, passed, now);
         }
     }
 
     /// Takes room for one request.
     pub(crate) fn take(&mut self, index: usize, now: MonotonicTime) -> Result<(), NoRoom> {
         let room = &mut self.rooms[index];
-        let region = room.gate.bucket();
+        let region = room.region.bucket();
         if !region.has_token(now) {
             return Err(NoRoom {
                 full: Full::Region,
@@ -168,7 +169,7 @@
             });
         }
         if room.link_sold.is_some() {
-            let link = room.link_gate.bucket();
+            let link = room.link.bucket();
             if !link.has_token(now) {
                 return Err(NoRoom {
                     full: Full::Link,
@@ -177,7 +178,7 @@
             }
             link.take();
         }
-        room.gate.bucket().take();
+        room.region.bucket().take();
         Ok(())
     }
 
@@ -185,16 +186,15 @@
     pub(crate) fn refused(&mut self, region: &RegionId, now: MonotonicTime) {
         let mut rooms = self.regions.iter().zip(&mut self.rooms);
         if let Some((_, room)) = rooms.find(|(id, _)| *id == region) {
-            room.gate.refused(now);
+            room.region.refused(now);
         }
     }
 
-    /// Returns the claims to publish now.
-    pub(crate) fn publish(&mut self, now: MonotonicTime) -> BTreeMap<RegionId, Claim> {
+    /// Returns what to publish now of the instance's use of the limits.
+    pub(crate) fn publish(&mut self, now: MonotonicTime) -> BTreeMap<RegionId, LimitUse> {
         let rooms = self.regions.iter().zip(&mut self.rooms);
-        let claims = rooms.map(|(id, room)| (id.clone(), room.claims.publish(room.need, now)));
-        claims
-            .filter(|(_, claim)| *claim != Claim::default())
+        rooms
+            .map(|(id, room)| (id.clone(), room.publish(now)))
             .collect()
     }
 }
@@ -204,55 +204,131 @@
         Self {
             sold: RequestRate::ZERO,
             link_sold: None,
-            gate: Gate::new(now),
-            link_gate: Gate::new(now),
-            claims: ClaimWindow::default(),
-            region_heard: Attachment::default(),
-            origin_heard: Attachment::default(),
+            region: Limit::new(now),
+            link: Limit::new(now),
             need: Claim::default(),
         }
     }
 
-    fn region_input(
-        &self,
-        options: &SteeringOptions,
-        all: Claims,
-        local: bool,
-        regions: usize,
-    ) -> GateInput {
-        let floors_rps = self.sold.get() * options.sold_rate_factor * options.floors_share;
-        let of_origin_share = if local {
-            options.local_floors_share
+    fn publish(&mut self, now: MonotonicTime) -> LimitUse {
+        // The same needs in the same order: both publish the same claim.
+        self.link.publish(self.need, now);
+        LimitUse {
+            claim: self.region.publish(self.need, now),
+            region_sharers: self.region.is_shared().into(),
+            link_sharers: self.link.is_shared().into(),
+        }
+    }
+}
+
+/// The part of a sold rate that each instance's floor is.
+struct Floors {
+    instances: f64,
+    regions: f64,
+    local_share: f64,
+}
+
+impl Floors {
+    fn new(options: &SteeringOptions, regions: usize) -> Self {
+        Self {
+            instances: f64::from(options.instances_per_region_max.max(1)),
+            regions: regions.max(1) as f64,
+            local_share: options.local_floors_share,
+        }
+    }
+
+    /// The floor of an instance in `origin`, as a part of a region's rate.
+    fn region_share(&self, origin: &RegionId, region: &RegionId) -> f64 {
+        let of_origin = if origin == region {
+            self.local_share
         } else {
-            (1.0 - options.local_floors_share) / regions as f64
+            (1.0 - self.local_share) / self.regions
         };
-        let origin_rps = floors_rps * of_origin_share;
-        self.input(options, self.sold, all, origin_rps)
+        of_origin / self.instances
     }
 
-    fn link_input(&self, options: &SteeringOptions, all: Claims) -> GateInput {
-        let sold = self.link_sold.unwrap_or_default();
-        let floors_rps = sold.get() * options.sold_rate_factor * options.floors_share;
-        self.input(options, sold, all, floors_rps)
+    /// The floor of an instance, as a part of a link's rate.
+    fn link_share(&self) -> f64 {
+        1.0 / self.instances
     }
+}
+
+/// All that may send to one region, as one instance knows it.
+struct Senders<'a> {
+    view: &'a FleetView,
+    region: &'a RegionId,
+    stale_before: MonotonicTime,
+}
 
-    fn input(
+impl<'a> Senders<'a> {
+    fn new(
+        view: &'a FleetView,
+        region: &'a RegionId,
+        view_age_max: Duration,
+        now: MonotonicTime,
+    ) -> Self {
+        Self {
+            view,
+            region,
+            stale_before: now.saturating_sub(view_age_max),
+        }
+    }
+
+    fn region_input(
         &self,
-        options: &SteeringOptions,
         sold: RequestRate,
-        all: Claims,
-        origin_floors_rps: f64,
-    ) -> GateInput {
-        let instances = f64::from(options.instances_per_region_max.max(1));
-        GateInput {
-            sold: RequestRate::clamped(sold.get() * options.sold_rate_factor),
-            floors_share: options.floors_share,
-            floor: RequestRate::clamped(origin_floors_rps / instances),
-            own: self.claims.usable(),
+        own: &RegionId,
+        floor_share: impl Fn(&RegionId) -> f64,
+    ) -> LimitInput {
+        let mut all = Claims::default();
+        let mut reserved_share = 0.0;
+        for (origin, sender) in &self.view.regions {
+            let used = self.used(sender);
+            all.add(used.claim);
+            let others = sender.known_instances.saturating_sub(used.region_sharers);
+            reserved_share += f64::from(others) * floor_share(origin);
+        }
+        LimitInput {
+            sold,
+            floor: RequestRate::clamped(sold.get() * floor_share(own)),
+            reserved: RequestRate::clamped(sold.get() * reserved_share),
             all,
-            attached: false,
+            alone: self.view.is_alone(),
+            stale: self
+                .view
+                .regions
+                .values()
+                .any(|sender| self.is_stale(sender)),
         }
     }
+
+    fn link_input(&self, sold: RequestRate, own: &RegionId, floor_share: f64) -> LimitInput {
+        let mut all = Claims::default();
+        let sender = self.view.regions.get(own);
+        let used = sender.map(|sender| self.used(sender)).unwrap_or_default();
+        all.add(used.claim);
+        let known = sender.map_or(0, |sender| sender.known_instances);
+        let others = known.saturating_sub(used.link_sharers);
+        let floor_rps = sold.get() * floor_share;
+        LimitInput {
+            sold,
+            floor: RequestRate::clamped(floor_rps),
+            reserved: RequestRate::clamped(floor_rps * f64::from(others)),
+            all,
+            alone: self.view.is_alone(),
+            stale: sender.is_some_and(|sender| self.is_stale(sender)),
+        }
+    }
+
+    fn used(&self, sender: &RegionView) -> LimitUse {
+        sender.limits.get(self.region).copied().unwrap_or_default()
+    }
+
+    /// Tells whether some of a sender's claims on the region are old.
+    fn is_stale(&self, sender: &RegionView) -> bool {
+        let claims = self.used(sender).claim != Claim::default();
+        claims && sender.oldest_at < self.stale_before
+    }
 }
 
 /// How many of the instances that a limit hangs on were heard.
@@ -276,11 +352,3 @@
         known: counted.iter().map(|region| region.known_instances).sum(),
     }
 }
-
-fn claims_on<'a>(region: &RegionId, senders: impl IntoIterator<Item = &'a RegionView>) -> Claims {
-    let mut all = Claims::default();
-    for sender in senders {
-        all.add(sender.claims.get(region).copied().unwrap_or_default());
-    }
-    all
-}
--- a/crates/foxtide-core/src/steering/service.rs
+++ b/crates/foxtide-core/src/steering/service.rs
@@ -1,15 +1,19 @@
 //! What an instance holds for one service.
 
-use super::options::PriorityOptions;
+use super::cohesion::near;
+use super::options::{PriorityOptions, SteeringOptions};
 use super::shift::{Row, StepLimit, drop_region, follow};
+use super::tables::Tables;
 use super::target::{RegionRoom, SpillLimit, spill, without_unusable};
-use crate::ids::RegionId;
 use crate::limits::Claim;
 use crate::organisation::Service;
 use crate::units::{RequestRate, Share};
-use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// The demand that every instance at least reckons with, so that the first
+/// requests find room.
+const CLAIM_MIN_RPS: f64 = 0.5;
+
 /// How fast the measured demand follows what comes in.
 const DEMAND_TIME_CONSTANT_S: f64 = 1.0;
 
@@ -36,38 +40,44 @@
     pub(crate) target: Row,
     /// The claims on each region beyond what is planned for it.
     pub(crate) spill_claims: Row,
+    /// Where peers of the same origin send their requests, on average.
+    pub(crate) peers: Option<Row>,
+    /// What callers ask of a peer of the same origin, on average.
+    pub(crate) peers_demand_rps: f64,
     cap_per_s: f64,
+    band_share: f64,
     spill_limit_share: f64,
-    planned: Row,
+    planned: Option<Row>,
+    planned_next: Row,
     arrived: u32,
 }
 
-/// What one tick works from.
-pub(crate) struct ServiceTick {
-    /// The planned row at this time.
-    pub(crate) planned: Row,
-    /// The time that counts for movement.
-    pub(crate) passed: Duration,
-}
-
 impl ServiceState {
     /// Returns the state of a service that has seen no request yet.
-    pub(crate) fn new(service: &Service, priority: PriorityOptions, cap_factor: f64) -> Self {
+    ///
+    /// `homes` holds the weight of each region among the homes.
+    pub(crate) fn new(service: &Service, homes: &[f64], options: &SteeringOptions) -> Self {
+        let nowhere = vec![0.0; homes.len()];
         let contract = &service.contract;
+        let cap_per_s = contract.shift_cap_share_per_s.get() * options.shift_cap_factor;
         Self {
-            priority,
+            priority: options.priority(contract.priority),
             demand_rps: 0.0,
-            homes: Row::new(),
+            homes: homes.to_vec(),
             reachable: Vec::new(),
-            seen_health: Vec::new(),
-            told_health: Vec::new(),
+            seen_health: vec![None; homes.len()],
+            told_health: vec![None; homes.len()],
             row: None,
-            wanted: Row::new(),
-            target: Row::new(),
-            spill_claims: Row::new(),
-            cap_per_s: contract.shift_cap_share_per_s.get() * cap_factor,
+            wanted: nowhere.clone(),
+            target: nowhere.clone(),
+            spill_claims: nowhere,
+            peers: None,
+            peers_demand_rps: 0.0,
+            cap_per_s,
+            band_share: cap_per_s * options.peers_band.as_secs_f64(),
             spill_limit_share: contract.spill_limit_share.get(),
-            planned: Row::new(),
+            planned: None,
+            planned_next: Row::new(),
             arrived: 0,
         }
     }
@@ -89,18 +99,22 @@
     }
 
     /// Keeps what was measured under the configuration before this one.
-    pub(crate) fn keep(&mut self, old: &Self, old_regions: &[RegionId], regions: &[RegionId]) {
+    pub(crate) fn keep(&mut self, old: &Self, old_tables: &Tables, tables: &Tables) {
         self.demand_rps = old.demand_rps;
         self.arrived = old.arrived;
-        for (region, seen) in regions.iter().zip(&mut self.seen_health) {
-            let place = old_regions.iter().position(|known| known == region);
+        let row = old.row.as_ref();
+        self.row = row.map(|row| tables.plain(&old_tables.named(row)));
+        for (region, seen) in tables.regions.iter().zip(&mut self.seen_health) {
+            let place = old_tables.region(region);
             *seen = place.and_then(|place| old.seen_health[place]);
         }
     }
 
-    /// Returns what the service claims of a region's limit.
-    pub(crate) fn claim(&self, region: usize) -> Claim {
-        let planned_rps = self.demand_rps * self.wanted[region];
+    /// Returns what the service claims of a region's limit: its need, at least
+    /// `least_share` of its peers' mean.
+    pub(crate) fn claim(&self, region: usize, least_share: f64) -> Claim {
+        let least_rps = (self.peers_demand_rps * least_share).max(CLAIM_MIN_RPS);
+        let planned_rps = self.demand_rps.max(least_rps) * self.wanted[region];
         let with_reserve_rps = planned_rps * (1.0 + self.priority.reserve_share);
         Claim {
             planned_rps: RequestRate::clamped(with_reserve_rps),
@@ -121,14 +135,15 @@
     }
 
     /// Works out where the plan and the regions' health want the traffic.
-    pub(crate) fn aim(&mut self, planned: &[f64]) {
+    pub(crate) fn aim(&mut self, planned: Row) {
         let usable = self.usable();
-        self.wanted = without_unusable(planned, &self.homes, &usable);
+        self.wanted = without_unusable(&planned, &self.homes, &usable);
         if let Some(row) = &mut self.row {
             for index in (0..row.len()).filter(|index| !usable[*index]) {
                 drop_region(row, index);
             }
         }
+        self.planned_next = planned;
     }
 
     /// Works out what spills, given the room in each region.
@@ -154,19 +169,22 @@
     }
 
     /// Moves the row towards its target.
-    pub(crate) fn step(&mut self, tick: ServiceTick) {
-        if self.planned.is_empty() {
-            self.planned.clone_from(&tick.planned);
-        }
-        let cap_share = self.cap_per_s * tick.passed.as_secs_f64();
+    pub(crate) fn step(&mut self, passed: Duration) {
+        let planned = std::mem::take(&mut self.planned_next);
+        let before = self.planned.as_ref().unwrap_or(&planned);
+        let cap_share = self.cap_per_s * passed.as_secs_f64();
+        let target = match &self.peers {
+            Some(peers) => near(&self.target, peers, self.band_share, &self.usable()),
+            None => self.target.clone(),
+        };
         let limit = |index: usize| StepLimit {
             cap_share,
-            planned_share: tick.planned[index] - self.planned[index],
+            planned_share: planned[index] - before[index],
         };
         if let Some(row) = &mut self.row {
-            follow(row, &self.target, limit);
+            follow(row, &target, limit);
         }
-        self.planned = tick.planned;
+        self.planned = Some(planned);
     }
 
     /// Starts at the target; only where nothing flows that this could shift.
@@ -174,10 +192,9 @@
         self.row = Some(self.target.clone());
     }
 
-    /// Starts where peers stand.
-    pub(crate) fn start_at(&mut self, regions: &[RegionId], row: &BTreeMap<RegionId, Share>) {
-        let share = |region: &RegionId| row.get(region).map_or(0.0, |share| share.get());
-        self.row = Some(regions.iter().map(share).collect());
+    /// Starts with nothing; all that it takes then rises under the cap.
+    pub(crate) fn start_empty(&mut self) {
+        self.row = Some(vec![0.0; self.target.len()]);
     }
 
     /// Returns the region at this place of the row, and whether it is spill.
@@ -185,10 +202,7 @@
         let mut left = draw;
         for (index, share) in self.row.as_ref()?.iter().enumerate() {
             if left < *share {
-                // Between a new configuration and the next tick nothing is wanted yet.
-                let wanted = self.wanted.get(index).copied().unwrap_or(*share);
-                let target = self.target.get(index).copied().unwrap_or(wanted);
-                let spilled = left >= wanted && target > wanted;
+                let spilled = left >= self.wanted[index] && self.target[index] > self.wanted[index];
                 return Some(Drawn { index, spilled });
             }
             left -= share;
--- /dev/null
+++ b/crates/foxtide-core/src/steering/tables.rs
@@ -0,0 +1,58 @@
+//! The places of regions and services in an organisation's configuration.
+
+use super::shift::Row;
+use crate::ids::{RegionId, ServiceId};
+use crate::organisation::Organisation;
+use crate::units::Share;
+use std::collections::BTreeMap;
+
+/// A row with the regions' names.
+pub(crate) type NamedRow = BTreeMap<RegionId, Share>;
+
+/// Finds places by name and names rows.
+#[derive(Clone, Debug)]
+pub(crate) struct Tables {
+    /// The regions, in the order of the configuration.
+    pub(crate) regions: Vec<RegionId>,
+    /// The services with their places, in the order of their names.
+    pub(crate) services: Vec<(ServiceId, usize)>,
+}
+
+impl Tables {
+    /// Returns the tables of a configuration.
+    pub(crate) fn new(organisation: &Organisation) -> Self {
+        let regions = organisation.regions.iter();
+        let services = organisation.services.iter().enumerate();
+        let services = services.map(|(place, service)| (service.service.clone(), place));
+        let mut tables = Self {
+            regions: regions.map(|region| region.region.clone()).collect(),
+            services: services.collect(),
+        };
+        tables.services.sort();
+        tables
+    }
+
+    /// Finds a region's place.
+    pub(crate) fn region(&self, id: &RegionId) -> Option<usize> {
+        self.regions.iter().position(|region| region == id)
+    }
+
+    /// Finds a service's place.
+    pub(crate) fn service(&self, id: &ServiceId) -> Option<usize> {
+        let found = self.services.binary_search_by(|(name, _)| name.cmp(id));
+        found.ok().map(|index| self.services[index].1)
+    }
+
+    /// Puts the regions' names to a row.
+    pub(crate) fn named(&self, row: &Row) -> NamedRow {
+        let shares = self.regions.iter().cloned().zip(row);
+        let shares = shares.map(|(region, share)| (region, Share::clamped(*share)));
+        shares.collect()
+    }
+
+    /// Takes the names from a row.
+    pub(crate) fn plain(&self, row: &NamedRow) -> Row {
+        let share = |region| row.get(region).map_or(0.0, |share| share.get());
+        self.regions.iter().map(share).collect()
+    }
+}
--- a/crates/foxtide-core/src/steering/view.rs
+++ b/crates/foxtide-core/src/steering/view.rs
@@ -1,7 +1,7 @@
 //! What instances tell one another, and what one of them knows of all.
 
 use crate::ids::{RegionId, ServiceId};
-use crate::limits::Claim;
+use crate::limits::LimitUse;
 use crate::time::MonotonicTime;
 use crate::units::{RequestRate, Share};
 use serde::{Deserialize, Serialize};
@@ -13,8 +13,11 @@
 pub struct InstanceReport {
     /// What it knows of each service.
     pub services: BTreeMap<ServiceId, ServiceReport>,
-    /// What it claims of each region's limit.
-    pub claims: BTreeMap<RegionId, Claim>,
+    /// The same of the callers of other regions that use it.
+    #[serde(default)]
+    pub foreign: BTreeMap<RegionId, BTreeMap<ServiceId, ServiceReport>>,
+    /// How it uses each region's limits.
+    pub limits: BTreeMap<RegionId, LimitUse>,
 }
 
 /// What an instance tells of one service.
@@ -81,8 +84,11 @@
     pub known_instances: u32,
     /// What they say of each service.
     pub services: BTreeMap<ServiceId, ServiceView>,
-    /// The sum of their claims on each region's limit.
-    pub claims: BTreeMap<RegionId, Claim>,
+    /// What they say of the callers of other regions, which come to them when
+    /// these regions' own instances are gone.
+    pub foreign: BTreeMap<RegionId, BTreeMap<ServiceId, ServiceView>>,
+    /// How they use each region's limits, all together.
+    pub limits: BTreeMap<RegionId, LimitUse>,
 }
 
 /// What is known of one service in one origin region.
@@ -120,6 +126,48 @@
         }
         view
     }
+
+    /// Takes over how many instances the platform's list names in a region,
+    /// so that those count as known that have never been heard.
+    pub fn expect(&mut self, origin: &RegionId, listed_instances: u32) {
+        if listed_instances > 0 {
+            let region = self.regions.entry(origin.clone()).or_default();
+            region.known_instances = region.known_instances.max(listed_instances);
+        }
+    }
+
+    /// Returns what is told of a region's callers by instances elsewhere.
+    pub(crate) fn foreign(&self, origin: &RegionId) -> BTreeMap<ServiceId, ServiceView> {
+        let mut sum: BTreeMap<ServiceId, ServiceView> = BTreeMap::new();
+        let told = self.regions.values();
+        for services in told.filter_map(|region| region.foreign.get(origin)) {
+            for (id, service) in services {
+                sum.entry(id.clone()).or_default().merge(service);
+            }
+        }
+        sum
+    }
+
+    /// Tells whether more than half of all known instances have been heard, or
+    /// there is none but the reader.
+    pub fn hears_majority(&self) -> bool {
+        let regions = self.regions.values();
+        let live: u64 = regions.map(|region| u64::from(region.live_instances)).sum();
+        live * 2 > self.known_instances() || self.is_alone()
+    }
+
+    /// Tells whether neither the members nor the platform's list name any
+    /// other instance.
+    pub fn is_alone(&self) -> bool {
+        self.known_instances() <= 1
+    }
+
+    fn known_instances(&self) -> u64 {
+        let regions = self.regions.values();
+        regions
+            .map(|region| u64::from(region.known_instances))
+            .sum()
+    }
 }
 
 impl RegionView {
@@ -133,20 +181,32 @@
             self.oldest_at = heard.made_at;
         }
         self.counted_instances += 1;
-        for (region, claim) in &heard.report.claims {
-            let sum = self.claims.entry(region.clone()).or_default();
-            *sum = sum.plus(*claim);
+        let is_heard = age <= options.view_age_max;
+        for (region, limit) in &heard.report.limits {
+            let limit = if is_heard { *limit } else { limit.silent() };
+            let sum = self.limits.entry(region.clone()).or_default();
+            *sum = sum.plus(limit);
         }
-        if age > options.view_age_max {
+        if !is_heard {
             return;
         }
         self.live_instances += 1;
-        for (id, report) in &heard.report.services {
-            self.services.entry(id.clone()).or_default().add(report);
+        add_services(&mut self.services, &heard.report.services);
+        for (origin, services) in &heard.report.foreign {
+            add_services(self.foreign.entry(origin.clone()).or_default(), services);
         }
     }
 }
 
+/// What is known of each service.
+type ServiceViews = BTreeMap<ServiceId, ServiceView>;
+
+fn add_services(views: &mut ServiceViews, reports: &BTreeMap<ServiceId, ServiceReport>) {
+    for (id, report) in reports {
+        views.entry(id.clone()).or_default().add(report);
+    }
+}
+
 /// The weight of an idle instance's row, in requests a second.
 pub(super) const IDLE_WEIGHT_RPS: f64 = 0.01;
 
