Prove shift cap, sold rates and spill limit in seeded scenarios

Ten instances' decisions with delayed and lost reports, skewed clocks, restarts, pauses, failures of regions, partitions, bursts, moves and drains. Broken decisions (a cap used twice, a rate sold 1.5 times, claims that grow at once, a spill limit passed) are noticed.

--- /dev/null
+++ b/crates/foxtide-core/tests/steering/fleet.rs
@@ -0,0 +1,599 @@
+//! Ten instances' pure decisions, driven through one scenario.
+//!
+//! No process, socket or clock: reports travel as values with a delay, callers
+//! are random arrivals, upstreams are a health figure by region.
+
+use crate::fixture::{REGIONS, SERVICES, region};
+use crate::scenario::{Event, Scenario};
+use crate::tally::Tally;
+use foxtide_core::ids::{RegionId, ServiceId};
+use foxtide_core::organisation::Organisation;
+use foxtide_core::steering::{
+    Admission, FleetView, HeardReport, InstanceReport, Steering, SteeringOptions, ViewOptions,
+};
+use foxtide_core::time::{MonotonicTime, WallTime};
+use foxtide_core::units::Share;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The time of one step, in milliseconds.
+pub(crate) const STEP_MS: u64 = 100;
+
+/// The steps between two reports, and between two views, of an instance.
+const REPORT_EVERY: u64 = 5;
+
+/// How long the platform's list names an instance that has died.
+const LIST_LAG_MS: u64 = 10_000;
+
+/// How long the report of an instance is kept that is no longer listed; longer
+/// than its claims are held.
+const KEEP_REPORT_MS: u64 = 20_000;
+
+/// How many instances stand in each region.
+const INSTANCES: [usize; REGIONS.len()] = [4, 3, 3];
+
+/// What a fleet of instances is made of: the product's decisions or a simpler
+/// baseline.
+pub(crate) trait Decider {
+    /// Starts an instance.
+    fn start(
+        organisation: &Arc<Organisation>,
+        origin: &RegionId,
+        options: &SteeringOptions,
+    ) -> Self;
+    /// Takes over a configuration.
+    fn configure(&mut self, organisation: &Arc<Organisation>, now: MonotonicTime);
+    /// Takes over a view.
+    fn observe(&mut self, view: &FleetView, now: MonotonicTime);
+    /// Notes a region's health as the instance sees it.
+    fn set_health(&mut self, region: &RegionId, healthy: Share);
+    /// Moves on.
+    fn tick(&mut self, now: MonotonicTime, wall: WallTime);
+    /// Returns what to publish.
+    fn report(&mut self, now: MonotonicTime) -> InstanceReport;
+    /// Tells whether look-ups may name it.
+    fn is_ready(&self, now: MonotonicTime) -> bool;
+    /// Decides on one attempt.
+    fn admit(&mut self, attempt: &Attempt<'_>, now: MonotonicTime) -> Admission;
+    /// Notes a receiver's refusal.
+    fn refused_by(&mut self, region: &RegionId, now: MonotonicTime);
+    /// Returns the row in use for callers of an origin.
+    fn row(&self, service: &ServiceId, origin: &RegionId) -> Option<BTreeMap<RegionId, Share>>;
+}
+
+/// One attempt of a request.
+#[derive(Clone, Debug)]
+pub(crate) struct Attempt<'a> {
+    /// The service.
+    pub(crate) service: &'a ServiceId,
+    /// The region of the caller.
+    pub(crate) origin: &'a RegionId,
+    /// The draw that chooses the region.
+    pub(crate) draw: f64,
+    /// How long it has waited.
+    pub(crate) waited: Duration,
+}
+
+impl Decider for Steering {
+    fn start(
+        organisation: &Arc<Organisation>,
+        origin: &RegionId,
+        options: &SteeringOptions,
+    ) -> Self {
+        Self::new(Arc::clone(organisation), origin.clone(), options.clone())
+    }
+
+    fn configure(&mut self, organisation: &Arc<Organisation>, now: MonotonicTime) {
+        Steering::configure(self, Arc::clone(organisation), now);
+    }
+
+    fn observe(&mut self, view: &FleetView, now: MonotonicTime) {
+        Steering::observe(self, view, now);
+    }
+
+    fn set_health(&mut self, region: &RegionId, healthy: Share) {
+        for service in SERVICES {
+            let service = service.parse().expect("a service's name");
+            Steering::set_health(self, &service, region, Some(healthy));
+        }
+    }
+
+    fn tick(&mut self, now: MonotonicTime, wall: WallTime) {
+        Steering::tick(self, now, wall);
+    }
+
+    fn report(&mut self, now: MonotonicTime) -> InstanceReport {
+        Steering::report(self, now)
+    }
+
+    fn is_ready(&self, now: MonotonicTime) -> bool {
+        Steering::is_ready(self, now)
+    }
+
+    fn admit(&mut self, attempt: &Attempt<'_>, now: MonotonicTime) -> Admission {
+        self.admit_from(
+            attempt.service,
+            attempt.origin,
+            attempt.draw,
+            attempt.waited,
+            now,
+        )
+    }
+
+    fn refused_by(&mut self, region: &RegionId, now: MonotonicTime) {
+        Steering::refused_by(self, region, now);
+    }
+
+    fn row(&self, service: &ServiceId, origin: &RegionId) -> Option<BTreeMap<RegionId, Share>> {
+        self.row_from(service, origin)
+    }
+}
+
+/// A report on its way.
+struct InFlight {
+    to: usize,
+    from: usize,
+    arrives_ms: u64,
+    made_ms: u64,
+    report: Arc<InstanceReport>,
+}
+
+/// A peer's newest report as an instance knows it.
+struct Known {
+    made_ms: u64,
+    report: Arc<InstanceReport>,
+}
+
+/// A request that waits for room.
+struct Waiting {
+    service: usize,
+    origin: usize,
+    draw: f64,
+    waited: Duration,
+}
+
+/// A request on its way to an instance.
+struct Arrival {
+    index: usize,
+    after_ms: u64,
+    request: Waiting,
+}
+
+struct Node<D> {
+    region: usize,
+    decider: D,
+    /// When its process started; its steady clock's beginning.
+    started_ms: u64,
+    /// What its wall clock is ahead of the slowest, in milliseconds.
+    skew_ms: u64,
+    up: bool,
+    stopped_ms: u64,
+    paused_until_ms: u64,
+    demand_weight: f64,
+    known: BTreeMap<usize, Known>,
+    seen_health: Vec<(u64, usize, Share)>,
+    configured: Vec<(u64, Arc<Organisation>)>,
+    waiting: Vec<Waiting>,
+}
+
+/// The instances and the world around them.
+pub(crate) struct Fleet<D> {
+    scenario: Scenario,
+    options: SteeringOptions,
+    nodes: Vec<Node<D>>,
+    in_flight: Vec<InFlight>,
+    healthy: [bool; REGIONS.len()],
+    cut: [bool; REGIONS.len()],
+    silent: bool,
+    burst: [f64; REGIONS.len()],
+    shedding: [bool; REGIONS.len()],
+    newest: Arc<Organisation>,
+    services: Vec<ServiceId>,
+    regions: Vec<RegionId>,
+    rng: StdRng,
+    now_ms: u64,
+    tally: Tally,
+}
+
+impl<D: Decider> Fleet<D> {
+    /// Runs a scenario and returns what was counted.
+    pub(crate) fn run(scenario: Scenario, options: SteeringOptions) -> Tally {
+        let steps = scenario.length_ms / STEP_MS;
+        let mut fleet = Self::new(scenario, options);
+        for step in 0..steps {
+            fleet.now_ms = step * STEP_MS;
+            fleet.happen();
+            fleet.exchange(step);
+            fleet.tick(step);
+            fleet.serve();
+            fleet.note_shares();
+        }
+        fleet.tally
+    }
+
+    fn new(scenario: Scenario, options: SteeringOptions) -> Self {
+        let organisation = Arc::new(scenario.organisation.clone());
+        let mut rng = StdRng::seed_from_u64(scenario.seed);
+        let regions: Vec<RegionId> = REGIONS.iter().map(|name| region(name)).collect();
+        let mut nodes = Vec::new();
+        for (place, count) in INSTANCES.iter().enumerate() {
+            for _ in 0..*count {
+                nodes.push(Node {
+                    region: place,
+                    decider: D::start(&organisation, &regions[place], &options),
+                    started_ms: 0,
+                    skew_ms: rng.random_range(0..=500),
+                    up: true,
+                    stopped_ms: 0,
+                    paused_until_ms: 0,
+                    demand_weight: rng.random_range(0.5..1.5),
+                    known: BTreeMap::new(),
+                    seen_health: Vec::new(),
+                    configured: Vec::new(),
+                    waiting: Vec::new(),
+                });
+            }
+        }
+        let tally = Tally::new(&scenario);
+        let names = SERVICES
+            .iter()
+            .map(|name| name.parse().expect("a service's name"));
+        Self {
+            options,
+            nodes,
+            in_flight: Vec::new(),
+            healthy: [true; REGIONS.len()],
+            cut: [false; REGIONS.len()],
+            silent: false,
+            burst: [1.0; REGIONS.len()],
+            shedding: [false; REGIONS.len()],
+            newest: organisation,
+            services: names.collect(),
+            regions,
+            rng,
+            now_ms: 0,
+            tally,
+            scenario,
+        }
+    }
+
+    /// Lets the scenario's events of this step happen.
+    fn happen(&mut self) {
+        let due = |event: &&(u64, Event)| event.0 == self.now_ms;
+        let events: Vec<Event> = self
+            .scenario
+            .events
+            .iter()
+            .filter(due)
+            .map(|e| e.1.clone())
+            .collect();
+        for event in events {
+            self.apply(event);
+        }
+    }
+
+    fn apply(&mut self, event: Event) {
+        match event {
+            Event::Stop(node) => self.nodes[node].stop(self.now_ms),
+            Event::Start(node) => self.start(node),
+            Event::Pause(node, for_ms) => self.nodes[node].paused_until_ms = self.now_ms + for_ms,
+            Event::Health(place, healthy) => self.set_health(place, healthy),
+            Event::Cut(place, cut) => self.cut[place] = cut,
+            Event::Silence(silent) => self.silent = silent,
+            Event::Burst(place, factor) => self.burst[place] = factor,
+            Event::Shed(place, shedding) => self.shedding[place] = shedding,
+            Event::Skew(node, weight) => self.nodes[node].demand_weight = weight,
+            Event::Configure(organisation) => self.configure(&organisation),
+        }
+    }
+
+    fn start(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        let region = &self.regions[node.region];
+        node.decider = D::start(&self.newest, region, &self.options);
+        node.started_ms = self.now_ms;
+        node.up = true;
+        node.known.clear();
+        node.configured.clear();
+        node.waiting.clear();
+        let now_ms = self.now_ms;
+        let healthy = self.healthy.iter().enumerate();
+        let seen = healthy.map(|(place, healthy)| (now_ms + 300, place, health(*healthy)));
+        node.seen_health = seen.collect();
+    }
+
+    fn set_health(&mut self, place: usize, healthy: bool) {
+        self.healthy[place] = healthy;
+        for node in &mut self.nodes {
+            let at_ms = self.now_ms + self.rng.random_range(0..1_500);
+            node.seen_health.push((at_ms, place, health(healthy)));
+        }
+    }
+
+    fn configure(&mut self, organisation: &Arc<Organisation>) {
+        self.newest = Arc::clone(organisation);
+        for node in &mut self.nodes {
+            let at_ms = self.now_ms + self.rng.random_range(0..2_000);
+            node.configured.push((at_ms, Arc::clone(organisation)));
+        }
+    }
+
+    /// Carries the instances' reports to one another.
+    fn exchange(&mut self, step: u64) {
+        for from in 0..self.nodes.len() {
+            if is_due(step, from) && self.nodes[from].runs(self.now_ms) {
+                self.publish(from);
+            }
+        }
+        let now_ms = self.now_ms;
+        let (arrived, left): (Vec<_>, Vec<_>) = self
+            .in_flight
+            .drain(..)
+            .partition(|sent| sent.arrives_ms <= now_ms);
+        self.in_flight = left;
+        for sent in arrived {
+            let node = &mut self.nodes[sent.to];
+            let newer = node
+                .known
+                .get(&sent.from)
+                .is_none_or(|known| known.made_ms < sent.made_ms);
+            if newer && node.runs(now_ms) && sent.made_ms >= node.started_ms {
+                let known = Known {
+                    made_ms: sent.made_ms,
+                    report: sent.report,
+                };
+                node.known.insert(sent.from, known);
+            }
+        }
+    }
+
+    fn publish(&mut self, from: usize) {
+        let now = self.nodes[from].now(self.now_ms);
+        let report = Arc::new(self.nodes[from].decider.report(now));
+        for to in 0..self.nodes.len() {
+            let (a, b) = (self.nodes[from].region, self.nodes[to].region);
+            let cut = a != b && (self.cut[a] || self.cut[b]);
+            if to != from && (cut || self.silent || self.rng.random_bool(0.05)) {
+                continue;
+            }
+            let delay_ms = if to == from {
+                0
+            } else {
+                self.rng.random_range(20..900)
+            };
+            self.in_flight.push(InFlight {
+                to,
+                from,
+                arrives_ms: self.now_ms + delay_ms,
+                made_ms: self.now_ms,
+                report: Arc::clone(&report),
+            });
+        }
+    }
+
+    fn tick(&mut self, step: u64) {
+        let regions = &self.regions;
+        let now_ms = self.now_ms;
+        let listed = self
+            .nodes
+            .iter()
+            .map(|node| (node.region, node.is_listed(now_ms)));
+        let listed: Vec<(usize, bool)> = listed.collect();
+        for (index, node) in self.nodes.iter_mut().enumerate() {
+            if !node.runs(now_ms) {
+                continue;
+            }
+            node.learn(regions, now_ms);
+            if is_due(step + 2, index) {
+                node.observe(regions, &listed, now_ms);
+            }
+            let wall = WallTime::from_ms(1_000_000 + now_ms + node.skew_ms);
+            node.decider.tick(node.now(now_ms), wall);
+        }
+    }
+
+    /// Lets callers send for one step.
+    fn serve(&mut self) {
+        for index in 0..self.nodes.len() {
+            if self.nodes[index].runs(self.now_ms) {
+                let waiting = std::mem::take(&mut self.nodes[index].waiting);
+                for request in waiting {
+                    self.attempt(index, request, 0);
+                }
+            }
+        }
+        let mut arrivals = Vec::new();
+        for origin in 0..REGIONS.len() {
+            for (index, part) in self.callers_use(origin) {
+                for service in 0..SERVICES.len() {
+                    let rps = self.scenario.demand_rps[origin][service] * self.burst[origin] * part;
+                    self.arrive(&mut arrivals, index, (origin, service), rps);
+                }
+            }
+        }
+        arrivals.sort_by_key(|arrival| arrival.after_ms);
+        for arrival in arrivals {
+            self.tally.asked(arrival.request.service);
+            self.attempt(arrival.index, arrival.request, arrival.after_ms);
+        }
+    }
+
+    /// Returns the instances that an origin's callers use, with their parts.
+    fn callers_use(&self, origin: usize) -> Vec<(usize, f64)> {
+        // Look-ups name no instance that is not ready.
+        let runs = |index: &usize| {
+            let node = &self.nodes[*index];
+            node.runs(self.now_ms) && node.decider.is_ready(node.now(self.now_ms))
+        };
+        let up: Vec<usize> = (0..self.nodes.len()).filter(runs).collect();
+        let near: Vec<usize> = up
+            .iter()
+            .copied()
+            .filter(|index| self.nodes[*index].region == origin)
+            .collect();
+        let used = if near.is_empty() { up } else { near };
+        let total: f64 = used
+            .iter()
+            .map(|index| self.nodes[*index].demand_weight)
+            .sum();
+        used.iter()
+            .map(|index| (*index, self.nodes[*index].demand_weight / total))
+            .collect()
+    }
+
+    /// Draws the requests that come to an instance in this step.
+    fn arrive(
+        &mut self,
+        arrivals: &mut Vec<Arrival>,
+        index: usize,
+        (origin, service): (usize, usize),
+        rps: f64,
+    ) {
+        let mean = rps * STEP_MS as f64 / 1_000.0;
+        for _ in 0..poisson(&mut self.rng, mean) {
+            arrivals.push(Arrival {
+                index,
+                after_ms: self.rng.random_range(0..STEP_MS),
+                request: Waiting {
+                    service,
+                    origin,
+                    draw: self.rng.random(),
+                    waited: Duration::ZERO,
+                },
+            });
+        }
+    }
+
+    fn attempt(&mut self, index: usize, request: Waiting, after_ms: u64) {
+        let node = &mut self.nodes[index];
+        let now = node.now(self.now_ms + after_ms);
+        let attempt = Attempt {
+            service: &self.services[request.service],
+            origin: &self.regions[request.origin],
+            draw: request.draw,
+            waited: request.waited,
+        };
+        match node.decider.admit(&attempt, now) {
+            Admission::Send { region, spilled } => {
+                let to = place_of(&self.regions, &region);
+                let shed = self.shedding[to] && self.rng.random_bool(0.3);
+                if shed {
+                    node.decider.refused_by(&region, now);
+                }
+                let served = self.healthy[to] && !shed;
+                self.tally
+                    .sent(node.region, to, request.service, spilled, served);
+            }
+            Admission::Wait { .. } => {
+                let waited = request.waited + Duration::from_millis(STEP_MS);
+                node.waiting.push(Waiting { waited, ..request });
+            }
+            Admission::Refuse { reason, .. } => self.tally.refused(request.service, reason),
+        }
+    }
+
+    /// Notes the share of each origin's callers that goes to each region.
+    fn note_shares(&mut self) {
+        for service in 0..SERVICES.len() {
+            let mut shares = [0.0; REGIONS.len()];
+            for origin in 0..REGIONS.len() {
+                let weight = self.scenario.origin_weight(origin, service);
+                for (index, part) in self.callers_use(origin) {
+                    let decider = &self.nodes[index].decider;
+                    let row = decider.row(&self.services[service], &self.regions[origin]);
+                    for (share, region) in shares.iter_mut().zip(&self.regions) {
+                        let sent = row.as_ref().and_then(|row| row.get(region));
+                        *share += weight * part * sent.map_or(0.0, |share| share.get());
+                    }
+                }
+            }
+            self.tally.shares(service, shares);
+        }
+        self.tally.end_step();
+    }
+}
+
+impl<D: Decider> Node<D> {
+    fn stop(&mut self, now_ms: u64) {
+        if self.up {
+            self.up = false;
+            self.stopped_ms = now_ms;
+        }
+    }
+
+    /// Tells whether the platform's list still names it.
+    fn is_listed(&self, now_ms: u64) -> bool {
+        self.up || now_ms - self.stopped_ms < LIST_LAG_MS
+    }
+
+    fn runs(&self, now_ms: u64) -> bool {
+        self.up && now_ms >= self.paused_until_ms
+    }
+
+    /// The node's steady clock.
+    fn now(&self, at_ms: u64) -> MonotonicTime {
+        MonotonicTime::from_ms(at_ms - self.started_ms)
+    }
+
+    /// Learns of its upstreams' health and of a new configuration.
+    fn learn(&mut self, regions: &[RegionId], now_ms: u64) {
+        let now = self.now(now_ms);
+        let due = self.seen_health.iter().filter(|seen| seen.0 <= now_ms);
+        for (_, place, healthy) in due {
+            self.decider.set_health(&regions[*place], *healthy);
+        }
+        self.seen_health.retain(|seen| seen.0 > now_ms);
+        let mut due = self.configured.iter().filter(|due| due.0 <= now_ms);
+        if let Some((_, organisation)) = due.next_back() {
+            self.decider.configure(organisation, now);
+        }
+        self.configured.retain(|due| due.0 > now_ms);
+    }
+
+    fn observe(&mut self, regions: &[RegionId], listed: &[(usize, bool)], now_ms: u64) {
+        let now = self.now(now_ms);
+        let held = |made_ms| now_ms - made_ms < KEEP_REPORT_MS;
+        self.known
+            .retain(|from, known| listed[*from].1 || held(known.made_ms));
+        let reports = self.known.iter().map(|(from, known)| HeardReport {
+            origin: &regions[listed[*from].0],
+            made_at: MonotonicTime::from_ms(known.made_ms - self.started_ms),
+            report: &known.report,
+        });
+        let mut view = FleetView::from_reports(reports, ViewOptions::default(), now);
+        for (place, region) in regions.iter().enumerate() {
+            let here = listed.iter().filter(|listed| **listed == (place, true));
+            view.expect(region, here.count() as u32);
+        }
+        self.decider.observe(&view, now);
+    }
+}
+
+/// Tells whether an instance does at this step what it does every few steps.
+fn is_due(step: u64, index: usize) -> bool {
+    (step + index as u64).is_multiple_of(REPORT_EVERY)
+}
+
+fn health(healthy: bool) -> Share {
+    if healthy { Share::ONE } else { Share::ZERO }
+}
+
+fn place_of(regions: &[RegionId], region: &RegionId) -> usize {
+    let place = regions.iter().position(|known| known == region);
+    place.expect("a region of the organisation")
+}
+
+/// Draws a Poisson-distributed count (Knuth's multiplication method).
+fn poisson(rng: &mut StdRng, mean: f64) -> u64 {
+    let limit = (-mean).exp();
+    let mut product: f64 = rng.random();
+    let mut count = 0;
+    while product > limit {
+        product *= rng.random::<f64>();
+        count += 1;
+    }
+    count
+}
--- a/crates/foxtide-core/tests/steering/rows.rs
+++ b/crates/foxtide-core/tests/steering/rows.rs
@@ -65,6 +65,9 @@
         for _ in 0..ticks {
             self.now = self.now + Duration::from_millis(100);
             self.wall = self.wall + Duration::from_millis(100);
+            let report = self.steering.report(self.now);
+            let alone = view(&[(region("khomas"), report)], self.now);
+            self.steering.observe(&alone, self.now);
             self.steering.tick(self.now, self.wall);
         }
     }
@@ -192,7 +195,7 @@
     peer.run(100);
     let report = peer.steering.report(peer.now);
     let mut restarted = Instance::new(plain);
-    restarted.run(1);
+    restarted.steering.tick(restarted.now, restarted.wall);
     let early = restarted
         .steering
         .admit(&viewer(), 0.0, Duration::ZERO, restarted.now);
@@ -222,3 +225,38 @@
     let planned = 0.01 * 23.1;
     assert_close(&[instance.share("erongo")], &[planned]);
 }
+
+#[test]
+fn verify_an_instance_that_is_cut_off_starts_from_nothing() {
+    let mut instance = Instance::new(organisation(&OrganisationOptions::default()));
+    for _ in 0..31 {
+        instance.now = instance.now + Duration::from_millis(100);
+        let mut alone = view(&[], instance.now);
+        alone.expect(&region("khomas"), 4);
+        instance.steering.observe(&alone, instance.now);
+        instance.steering.tick(instance.now, instance.wall);
+    }
+    let share = instance.share("khomas");
+    assert!(share > 0.0 && share <= 0.02, "{share}");
+}
+
+#[test]
+fn verify_a_row_stays_near_its_peers_mean() {
+    let plain = organisation(&OrganisationOptions::default());
+    let mut peer = Instance::new(plain.clone());
+    peer.run(80);
+    let told = peer.steering.report(peer.now);
+    let mut instance = Instance::new(plain);
+    instance.run(80);
+    let steering = &mut instance.steering;
+    steering.set_health(&viewer(), &region("khomas"), Some(Share::ZERO));
+    for _ in 0..300 {
+        let seen = view(&[(region("khomas"), told.clone())], instance.now);
+        instance.steering.observe(&seen, instance.now);
+        instance.now = instance.now + Duration::from_millis(100);
+        instance.steering.tick(instance.now, instance.wall);
+    }
+    let band_share = 0.02 * SteeringOptions::default().peers_band.as_secs_f64();
+    let share = instance.share("erongo");
+    assert!(share > 0.0 && share <= band_share, "{share}");
+}
--- /dev/null
+++ b/crates/foxtide-core/tests/steering/scenario.rs
@@ -0,0 +1,228 @@
+//! Seeded scenarios: what fails, moves and bursts, and when.
+
+use crate::fixture::{OrganisationOptions, REGIONS, SERVICES, organisation, region};
+use crate::fleet::STEP_MS;
+use foxtide_core::organisation::{Drain, DrainTarget, Organisation, PlannedMove};
+use foxtide_core::time::WallTime;
+use foxtide_core::units::{Share, ShareRate};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How many instances a scenario has.
+pub(crate) const NODES: usize = 10;
+
+/// When the first event may happen: all instances know one another by then.
+const FIRST_EVENT_MS: u64 = 15_000;
+
+/// When the last event may begin.
+const LAST_EVENT_MS: u64 = 60_000;
+
+/// How long a scenario runs.
+const LENGTH_MS: u64 = 90_000;
+
+/// What happens to the world.
+#[derive(Clone, Debug)]
+pub(crate) enum Event {
+    /// An instance dies.
+    Stop(usize),
+    /// An instance starts anew.
+    Start(usize),
+    /// An instance's process stands still for so many milliseconds.
+    Pause(usize, u64),
+    /// A region's upstreams fail or come back.
+    Health(usize, bool),
+    /// A region's instances lose, or find, those of other regions.
+    Cut(usize, bool),
+    /// No report arrives any more, or reports arrive again.
+    Silence(bool),
+    /// The demand of a region's callers, times this.
+    Burst(usize, f64),
+    /// A region's upstreams refuse a part, or stop to.
+    Shed(usize, bool),
+    /// An instance's weight among those of its region.
+    Skew(usize, f64),
+    /// A new configuration.
+    Configure(Arc<Organisation>),
+}
+
+/// One scenario.
+#[derive(Clone, Debug)]
+pub(crate) struct Scenario {
+    /// The seed of all its randomness.
+    pub(crate) seed: u64,
+    /// How long it runs.
+    pub(crate) length_ms: u64,
+    /// What the organisation was made from.
+    pub(crate) options: OrganisationOptions,
+    /// The configuration at the start.
+    pub(crate) organisation: Organisation,
+    /// What each region's callers ask of each service.
+    pub(crate) demand_rps: [[f64; SERVICES.len()]; REGIONS.len()],
+    /// What happens, and when.
+    pub(crate) events: Vec<(u64, Event)>,
+}
+
+impl Scenario {
+    /// Returns a scenario in which nothing happens.
+    pub(crate) fn quiet(seed: u64, options: OrganisationOptions, demand_rps: f64) -> Self {
+        let each = demand_rps / SERVICES.len() as f64;
+        Self {
+            seed,
+            length_ms: LENGTH_MS,
+            organisation: organisation(&options),
+            options,
+            demand_rps: [[each; SERVICES.len()]; REGIONS.len()],
+            events: Vec::new(),
+        }
+    }
+
+    /// Returns the scenario of a seed.
+    pub(crate) fn random(seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed ^ 0x5eed);
+        let options = OrganisationOptions {
+            shift_cap_share_per_s: [0.01, 0.02, 0.05][rng.random_range(0..3)],
+            spill_limit_share: [0.0, 0.1, 0.2][rng.random_range(0..3)],
+            region_rps: rng.random_range(60.0..300.0),
+            link_rps: rng.random_range(30.0..200.0),
+            priority: ["latency", "headroom"][rng.random_range(0..2)],
+        };
+        let load = rng.random_range(0.3..1.3) * options.region_rps;
+        let mut scenario = Self::quiet(seed, options, load);
+        for demand in scenario.demand_rps.iter_mut().flatten() {
+            *demand *= rng.random_range(0.4..1.6);
+        }
+        for _ in 0..rng.random_range(2..7) {
+            let at_ms = rng.random_range(FIRST_EVENT_MS..LAST_EVENT_MS) / STEP_MS * STEP_MS;
+            scenario.add_random(at_ms, &mut rng);
+        }
+        scenario
+    }
+
+    /// Returns an origin's part of the demand for a service.
+    pub(crate) fn origin_weight(&self, origin: usize, service: usize) -> f64 {
+        let total: f64 = self.demand_rps.iter().map(|demand| demand[service]).sum();
+        self.demand_rps[origin][service] / total
+    }
+
+    /// Adds an event.
+    pub(crate) fn at(&mut self, at_ms: u64, event: Event) {
+        self.events.push((at_ms, event));
+    }
+
+    fn add_random(&mut self, at_ms: u64, rng: &mut StdRng) {
+        let node = rng.random_range(0..NODES);
+        let place = rng.random_range(0..REGIONS.len());
+        let later_ms = at_ms + rng.random_range(10..400) * STEP_MS;
+        match rng.random_range(0..11) {
+            0 => {
+                self.at(at_ms, Event::Stop(node));
+                self.at(
+                    at_ms + rng.random_range(3..40) * STEP_MS,
+                    Event::Start(node),
+                );
+            }
+            1 => self.at(at_ms, Event::Stop(node)),
+            2 => self.at(
+                at_ms,
+                Event::Pause(node, rng.random_range(5..200) * STEP_MS),
+            ),
+            3 => self.between(
+                at_ms,
+                Event::Health(place, false),
+                later_ms,
+                Event::Health(place, true),
+            ),
+            4 => self.lose_region(at_ms, place, later_ms),
+            5 => self.between(
+                at_ms,
+                Event::Cut(place, true),
+                later_ms,
+                Event::Cut(place, false),
+            ),
+            6 => self.between(at_ms, Event::Silence(true), later_ms, Event::Silence(false)),
+            7 => {
+                let factor = rng.random_range(1.5..4.0);
+                self.between(
+                    at_ms,
+                    Event::Burst(place, factor),
+                    later_ms,
+                    Event::Burst(place, 1.0),
+                );
+            }
+            8 => self.between(
+                at_ms,
+                Event::Shed(place, true),
+                later_ms,
+                Event::Shed(place, false),
+            ),
+            9 => self.at(at_ms, Event::Skew(node, rng.random_range(0.0..8.0))),
+            _ => self.reconfigure(at_ms, rng),
+        }
+    }
+
+    fn between(&mut self, from_ms: u64, begin: Event, until_ms: u64, end: Event) {
+        self.at(from_ms, begin);
+        self.at(until_ms, end);
+    }
+
+    /// A region's upstreams and instances fail together and come back.
+    pub(crate) fn lose_region(&mut self, at_ms: u64, place: usize, until_ms: u64) {
+        let first = [0, 4, 7, NODES];
+        for node in first[place]..first[place + 1] {
+            self.between(at_ms, Event::Stop(node), until_ms, Event::Start(node));
+        }
+        self.between(
+            at_ms,
+            Event::Health(place, false),
+            until_ms,
+            Event::Health(place, true),
+        );
+    }
+
+    fn reconfigure(&mut self, at_ms: u64, rng: &mut StdRng) {
+        let start_us = WallTime::from_ms(1_000_000 + at_ms);
+        let start_us = start_us + Duration::from_secs(rng.random_range(0..20));
+        let places = [(0, 1), (1, 2), (2, 0)][rng.random_range(0..3)];
+        let (from, to) = (region(REGIONS[places.0]), region(REGIONS[places.1]));
+        let pace = self.options.shift_cap_share_per_s * rng.random_range(0.3..1.0);
+        let mut changed = self.newest();
+        match rng.random_range(0..4) {
+            0 | 1 => changed.moves.push(PlannedMove {
+                id: format!("m{at_ms}").parse().expect("a move's name"),
+                service: SERVICES[rng.random_range(0..SERVICES.len())]
+                    .parse()
+                    .expect("a name"),
+                from,
+                to,
+                share: Share::clamped(rng.random_range(0.1..1.0)),
+                pace_share_per_s: ShareRate::new(pace).expect("a pace"),
+                start_us,
+                paused_us: None,
+            }),
+            2 => changed.drains.push(Drain {
+                id: format!("d{at_ms}").parse().expect("a drain's name"),
+                target: DrainTarget::Region(from),
+                start_us,
+            }),
+            _ => {
+                let service = rng.random_range(0..SERVICES.len());
+                changed.services[service]
+                    .contract
+                    .homes
+                    .retain(|home| home.region != from);
+            }
+        }
+        changed.revision = changed.revision.next();
+        self.at(at_ms, Event::Configure(Arc::new(changed)));
+    }
+
+    fn newest(&self) -> Organisation {
+        let configured = self.events.iter().rev().find_map(|(_, event)| match event {
+            Event::Configure(organisation) => Some(organisation.as_ref().clone()),
+            _ => None,
+        });
+        configured.unwrap_or_else(|| self.organisation.clone())
+    }
+}
--- /dev/null
+++ b/crates/foxtide-core/tests/steering/scenarios.rs
@@ -0,0 +1,118 @@
+//! Runs seeded scenarios and checks that every promise was kept.
+
+use crate::fixture::OrganisationOptions;
+use crate::fleet::Fleet;
+use crate::scenario::Scenario;
+use crate::tally::Tally;
+use foxtide_core::steering::{Steering, SteeringOptions};
+use std::time::Duration;
+
+/// Seeds that once broke a promise, and by what.
+const ONCE_BROKEN: [(u64, &str); 6] = [
+    (4, "an instance took over rows of origins that serve others"),
+    (47, "an instance that woke took over another origin's rows"),
+    (123, "instances of one origin had spilled differently"),
+    (
+        143,
+        "a region came back while cut off, and started at its target",
+    ),
+    (182, "a region came back while no report arrived"),
+    (193, "a region came back while cut off and reconfigured"),
+];
+
+/// How many scenarios run here; the measuring example runs 1,000.
+const SCENARIOS: u64 = 24;
+
+/// How many scenarios are run with broken decisions.
+const BROKEN_SCENARIOS: u64 = 12;
+
+fn run(seed: u64, options: SteeringOptions) -> Tally {
+    Fleet::<Steering>::run(Scenario::random(seed), options)
+}
+
+fn assert_kept(seed: u64, tally: &Tally) {
+    assert_eq!(
+        tally.steps_over_cap, 0,
+        "seed {seed}: {:.3} of the cap",
+        tally.fastest_of_cap
+    );
+    assert_eq!(
+        tally.seconds_over_region, 0,
+        "seed {seed}: {:.3}",
+        tally.fullest_region
+    );
+    assert_eq!(tally.seconds_over_link, 0, "seed {seed}");
+    assert_eq!(tally.steps_over_spill, 0, "seed {seed}");
+}
+
+#[test]
+fn verify_promises_hold_in_random_scenarios() {
+    for seed in 0..SCENARIOS {
+        assert_kept(seed, &run(seed, SteeringOptions::default()));
+    }
+}
+
+#[test]
+fn verify_promises_hold_where_they_once_broke() {
+    for (seed, _) in ONCE_BROKEN {
+        assert_kept(seed, &run(seed, SteeringOptions::default()));
+    }
+}
+
+/// Runs some scenarios with broken decisions and returns what was noticed.
+fn noticed(options: &SteeringOptions, count: impl Fn(&Tally) -> u64) -> u64 {
+    let seeds = 0..BROKEN_SCENARIOS;
+    seeds.map(|seed| count(&run(seed, options.clone()))).sum()
+}
+
+#[test]
+fn verify_a_broken_cap_is_noticed() {
+    let options = SteeringOptions {
+        shift_cap_factor: 2.0,
+        ..SteeringOptions::default()
+    };
+    assert!(noticed(&options, |tally| tally.steps_over_cap) > 0);
+}
+
+#[test]
+fn verify_a_broken_limit_is_noticed() {
+    let options = SteeringOptions {
+        sold_rate_factor: 1.5,
+        ..SteeringOptions::default()
+    };
+    assert!(noticed(&options, |tally| tally.seconds_over_region) > 0);
+}
+
+#[test]
+fn verify_claims_that_grow_at_once_are_noticed() {
+    let options = SteeringOptions {
+        growth_window: Duration::ZERO,
+        ..SteeringOptions::default()
+    };
+    assert!(noticed(&options, |tally| tally.seconds_over_region) > 0);
+}
+
+/// One region's callers ask for more than it was sold, two have room.
+fn crowded() -> Scenario {
+    let mut scenario = Scenario::quiet(1, OrganisationOptions::default(), 80.0);
+    scenario.demand_rps[0] = [180.0, 180.0];
+    scenario
+}
+
+#[test]
+fn verify_spill_uses_room_elsewhere_within_its_limit() {
+    let tally = Fleet::<Steering>::run(crowded(), SteeringOptions::default());
+    assert_kept(1, &tally);
+    let spilled: u64 = tally.services.iter().map(|counts| counts.spilled).sum();
+    let asked: u64 = tally.services.iter().map(|counts| counts.asked).sum();
+    let share = spilled as f64 / asked as f64;
+    assert!(share > 0.05, "{share}");
+}
+
+#[test]
+fn verify_a_broken_spill_limit_is_noticed() {
+    let mut scenario = crowded();
+    scenario.options.spill_limit_share = 0.02;
+    let tally = Fleet::<Steering>::run(scenario, SteeringOptions::default());
+    assert!(tally.steps_over_spill > 0);
+}
--- /dev/null
+++ b/crates/foxtide-core/tests/steering/tally.rs
@@ -0,0 +1,252 @@
+//! What happened in a scenario, and what broke a promise.
+
+use crate::fixture::{REGIONS, SERVICES};
+use crate::fleet::STEP_MS;
+use crate::scenario::Scenario;
+use foxtide_core::steering::RefusalReason;
+use std::collections::VecDeque;
+
+/// The steps in a second, over which a sold rate is kept.
+const RATE_STEPS: usize = 10;
+
+/// The steps over which the shift cap is kept.
+const SHIFT_STEPS: usize = 100;
+
+/// The steps in which the instances start and learn of one another.
+const WARM_UP_STEPS: usize = 100;
+
+type ByRegion<T> = [T; REGIONS.len()];
+
+/// How far a count may lie above its mean by chance, in standard deviations.
+const SPILL_SIGMAS: f64 = 5.0;
+
+/// A service's counts so far.
+#[derive(Clone, Copy, Debug, Default)]
+struct Spilled {
+    asked: u64,
+    spilled: u64,
+}
+
+/// What was sent in one step.
+#[derive(Clone, Debug, Default)]
+struct Sent {
+    /// From the sending instance's region to the upstream's.
+    over: ByRegion<ByRegion<u64>>,
+}
+
+/// Counts of one service.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ServiceTally {
+    /// What callers asked for.
+    pub(crate) asked: u64,
+    /// What was sent.
+    pub(crate) sent: u64,
+    /// What was sent to a region that could serve it.
+    pub(crate) served: u64,
+    /// What was sent to another region for want of room.
+    pub(crate) spilled: u64,
+    /// What was refused for want of room.
+    pub(crate) refused_for_room: u64,
+    /// What was refused because faster movement would break the cap.
+    pub(crate) refused_for_cap: u64,
+}
+
+/// Counts over a scenario.
+#[derive(Clone, Debug)]
+pub(crate) struct Tally {
+    /// What became of each service's requests.
+    pub(crate) services: [ServiceTally; SERVICES.len()],
+    /// The steps at which a region's share had risen beyond the cap.
+    pub(crate) steps_over_cap: u64,
+    /// The fastest rise over the cap's window, as a part of the cap.
+    pub(crate) fastest_of_cap: f64,
+    /// The fastest rise over one second, as a part of the cap.
+    pub(crate) fastest_second_of_cap: f64,
+    /// The seconds in which a region got more than was sold.
+    pub(crate) seconds_over_region: u64,
+    /// The seconds in which a link got more than was sold.
+    pub(crate) seconds_over_link: u64,
+    /// The steps at which more had spilled than the limit allows.
+    pub(crate) steps_over_spill: u64,
+    /// The seconds counted for regions and links.
+    pub(crate) seconds: u64,
+    /// The most that a region got in a second, as a part of what was sold.
+    pub(crate) fullest_region: f64,
+    /// The shares of the last step.
+    pub(crate) last_shares: [ByRegion<f64>; SERVICES.len()],
+    /// The sum over steps of what could have been served but was refused for
+    /// want of room, in requests; see [`Tally::end_step`].
+    pub(crate) refused_with_room: f64,
+    window: VecDeque<Sent>,
+    shares: VecDeque<[ByRegion<f64>; SERVICES.len()]>,
+    refused_in_step: u64,
+    refused_window: VecDeque<u64>,
+    counted: VecDeque<[Spilled; SERVICES.len()]>,
+    spill_limit_share: f64,
+    steps: usize,
+    cap_per_s: f64,
+    region_rps: f64,
+    link_rps: f64,
+}
+
+impl Tally {
+    /// Returns an empty tally.
+    pub(crate) fn new(scenario: &Scenario) -> Self {
+        Self {
+            services: Default::default(),
+            steps_over_cap: 0,
+            fastest_of_cap: 0.0,
+            fastest_second_of_cap: 0.0,
+            seconds_over_region: 0,
+            seconds_over_link: 0,
+            steps_over_spill: 0,
+            seconds: 0,
+            fullest_region: 0.0,
+            last_shares: Default::default(),
+            refused_with_room: 0.0,
+            window: VecDeque::from([Sent::default()]),
+            shares: VecDeque::new(),
+            refused_in_step: 0,
+            refused_window: VecDeque::new(),
+            counted: VecDeque::new(),
+            spill_limit_share: scenario.options.spill_limit_share,
+            steps: 0,
+            cap_per_s: scenario.options.shift_cap_share_per_s,
+            region_rps: scenario.options.region_rps,
+            link_rps: scenario.options.link_rps,
+        }
+    }
+
+    /// Counts a request.
+    pub(crate) fn asked(&mut self, service: usize) {
+        self.services[service].asked += 1;
+    }
+
+    /// Counts a refused request.
+    pub(crate) fn refused(&mut self, service: usize, reason: RefusalReason) {
+        let counts = &mut self.services[service];
+        match reason {
+            RefusalReason::RegionLimit | RefusalReason::LinkLimit => {
+                counts.refused_for_room += 1;
+                self.refused_in_step += 1;
+            }
+            _ => counts.refused_for_cap += 1,
+        }
+    }
+
+    /// Counts a request that was sent.
+    pub(crate) fn sent(
+        &mut self,
+        from: usize,
+        to: usize,
+        service: usize,
+        spilled: bool,
+        served: bool,
+    ) {
+        let counts = &mut self.services[service];
+        counts.sent += 1;
+        counts.spilled += u64::from(spilled);
+        counts.served += u64::from(served);
+        let step = self.window.back_mut().expect("a step is open");
+        step.over[from][to] += 1;
+    }
+
+    /// Notes the share of a service that goes to each region.
+    pub(crate) fn shares(&mut self, service: usize, shares: ByRegion<f64>) {
+        self.last_shares[service] = shares;
+    }
+
+    /// Ends a step: checks the windows that end here.
+    pub(crate) fn end_step(&mut self) {
+        self.steps += 1;
+        self.check_spill();
+        self.check_rates();
+        self.check_shares();
+    }
+
+    fn check_spill(&mut self) {
+        let counts = self.services.each_ref().map(|counts| Spilled {
+            asked: counts.asked,
+            spilled: counts.spilled,
+        });
+        self.counted.push_back(counts);
+        if self.counted.len() <= SHIFT_STEPS {
+            return;
+        }
+        let Some(before) = self.counted.pop_front() else {
+            return;
+        };
+        for (before, now) in before.iter().zip(&counts) {
+            let allowed = (now.asked - before.asked) as f64 * self.spill_limit_share;
+            let noise = SPILL_SIGMAS * allowed.sqrt();
+            let over = (now.spilled - before.spilled) as f64 > allowed + noise;
+            self.steps_over_spill += u64::from(over);
+        }
+    }
+
+    fn check_rates(&mut self) {
+        self.refused_window
+            .push_back(std::mem::take(&mut self.refused_in_step));
+        if self.window.len() < RATE_STEPS {
+            self.window.push_back(Sent::default());
+            return;
+        }
+        let sum = |from: usize, to: usize| -> u64 {
+            self.window.iter().map(|sent| sent.over[from][to]).sum()
+        };
+        self.seconds += 1;
+        let mut room = 0.0;
+        for to in 0..REGIONS.len() {
+            let here: u64 = (0..REGIONS.len()).map(|from| sum(from, to)).sum();
+            let full = here as f64 / self.region_rps;
+            room += (self.region_rps - here as f64).max(0.0);
+            self.fullest_region = self.fullest_region.max(full);
+            self.seconds_over_region += u64::from(full > 1.0);
+            let links = (0..REGIONS.len()).filter(|from| *from != to);
+            let over = links.filter(|from| sum(*from, to) as f64 > self.link_rps);
+            self.seconds_over_link += over.count() as u64;
+        }
+        let refused: u64 = self.refused_window.iter().sum();
+        self.refused_with_room += (refused as f64).min(room) / RATE_STEPS as f64;
+        self.refused_window.pop_front();
+        self.window.pop_front();
+        self.window.push_back(Sent::default());
+    }
+
+    fn check_shares(&mut self) {
+        if self.steps < WARM_UP_STEPS {
+            return;
+        }
+        self.shares.push_back(self.last_shares);
+        let window_s = SHIFT_STEPS as f64 * STEP_MS as f64 / 1_000.0;
+        if let Some(before) = before(&self.shares, SHIFT_STEPS) {
+            let rise = largest_rise(&before, &self.last_shares);
+            let of_cap = rise / (self.cap_per_s * window_s);
+            self.fastest_of_cap = self.fastest_of_cap.max(of_cap);
+            self.steps_over_cap += u64::from(of_cap > 1.0 + 1e-6);
+            self.shares.pop_front();
+        }
+        if let Some(before) = before(&self.shares, RATE_STEPS) {
+            let of_cap = largest_rise(&before, &self.last_shares) / self.cap_per_s;
+            self.fastest_second_of_cap = self.fastest_second_of_cap.max(of_cap);
+        }
+    }
+}
+
+fn before(
+    shares: &VecDeque<[ByRegion<f64>; SERVICES.len()]>,
+    steps: usize,
+) -> Option<[ByRegion<f64>; SERVICES.len()]> {
+    let place = shares.len().checked_sub(steps + 1)?;
+    shares.get(place).copied()
+}
+
+fn largest_rise(
+    before: &[ByRegion<f64>; SERVICES.len()],
+    after: &[ByRegion<f64>; SERVICES.len()],
+) -> f64 {
+    let pairs = before.iter().flatten().zip(after.iter().flatten());
+    pairs
+        .map(|(before, after)| after - before)
+        .fold(0.0, f64::max)
+}
