Name the owner of keys beside each instance of a look-up

A caller learnt an instance's owner name only from that instance's own answer, so the first request with a key cost a refusal and a second round trip. The process number now travels with the membership (9 bytes a member) and each instance of a look-up stands with its owner's name.

--- a/crates/foxtide-core/src/idempotency/key.rs
+++ b/crates/foxtide-core/src/idempotency/key.rs
@@ -2,6 +2,7 @@
 
 use crate::ids::InstanceId;
 use crate::time::WallTime;
+use serde::Serialize;
 use std::fmt;
 use std::str::FromStr;
 use uuid::{Builder, Uuid};
@@ -65,6 +66,11 @@
     pub const fn new(number: u64) -> Self {
         Self(number)
     }
+
+    /// Returns the number.
+    pub const fn get(self) -> u64 {
+        self.0
+    }
 }
 
 impl fmt::Display for ProcessNumber {
@@ -88,7 +94,8 @@
 
 /// The name of one process of one instance, the only one that runs the keys
 /// which carry it. Written as `INSTANCE.PROCESS`.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize)]
+#[serde(into = "String")]
 pub struct OwnerId {
     /// The instance.
     pub instance: InstanceId,
@@ -102,6 +109,12 @@
     }
 }
 
+impl From<OwnerId> for String {
+    fn from(owner: OwnerId) -> Self {
+        owner.to_string()
+    }
+}
+
 impl FromStr for OwnerId {
     type Err = KeyError;
 
--- a/crates/foxtide-core/src/membership/member.rs
+++ b/crates/foxtide-core/src/membership/member.rs
@@ -1,5 +1,6 @@
 //! One instance as the fleet knows it.
 
+use crate::idempotency::ProcessNumber;
 use crate::ids::{AvailabilityZoneId, InstanceId, RegionId};
 use std::fmt;
 use std::net::SocketAddr;
@@ -78,6 +79,8 @@
     pub peer_address: SocketAddr,
     /// Where callers reach it.
     pub caller_address: SocketAddr,
+    /// The process in which it runs; idempotency keys name it.
+    pub process: ProcessNumber,
     /// The newest incarnation known.
     pub incarnation: Incarnation,
     /// What is believed of that incarnation.
--- a/crates/foxtide-core/src/membership/message.rs
+++ b/crates/foxtide-core/src/membership/message.rs
@@ -13,7 +13,7 @@
 pub const HEADER_MAX_BYTES: usize = 500;
 
 /// Encoded size of a member at most, without its names, in bytes.
-const MEMBER_OVERHEAD_BYTES: usize = 80;
+const MEMBER_OVERHEAD_BYTES: usize = 90;
 
 /// Encoding overhead of one short field at most, in bytes.
 const FIELD_BYTES: usize = 6;
--- a/crates/foxtide-entry/src/parts.rs
+++ b/crates/foxtide-entry/src/parts.rs
@@ -62,6 +62,8 @@
 pub struct ServingInstance {
     /// Its name.
     pub instance: InstanceId,
+    /// Its process, as callers name it in idempotency keys.
+    pub owner: OwnerId,
     /// Where callers connect.
     pub address: SocketAddr,
     /// Its region.
--- a/crates/foxtide-entry/tests/path.rs
+++ b/crates/foxtide-entry/tests/path.rs
@@ -18,6 +18,10 @@
         .ask("GET /v1/lookup?organisation=hamutenya&service=viewer HTTP/1.1\r\nhost: x\r\n\r\n");
     assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
     assert!(answer.contains(r#""instance":"entry-1""#), "{answer}");
+    for owner in ["entry-1.0000000000000007", "entry-2.00000000000000aa"] {
+        let expected = format!(r#""owner":"{owner}""#);
+        assert!(answer.contains(&expected), "{answer}");
+    }
     assert!(answer.contains(r#""ttl_s":5,"revision":7"#), "{answer}");
 }
 
--- a/crates/foxtide-entry/tests/support/mod.rs
+++ b/crates/foxtide-entry/tests/support/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code)] // Each test file uses its part.
 
 use foxtide_core::events::{Event, EventCode, EventFilter};
-use foxtide_core::idempotency::{OwnerId, ProcessNumber};
+use foxtide_core::idempotency::OwnerId;
 use foxtide_core::ids::{InstanceId, OrganisationId, RegionId};
 use foxtide_core::organisation::Organisation;
 use foxtide_core::steering::SteeringOptions;
@@ -176,12 +176,14 @@
     fn new() -> Self {
         let instance: ServingInstance = ServingInstance {
             instance: "entry-1".parse().unwrap(),
+            owner: "entry-1.0000000000000007".parse().unwrap(),
             address: ANY_PORT,
             region: "khomas".parse().unwrap(),
             availability_zone: "khomas-a".parse().unwrap(),
         };
         let other = ServingInstance {
             instance: "entry-2".parse().unwrap(),
+            owner: "entry-2.00000000000000aa".parse().unwrap(),
             region: "erongo".parse().unwrap(),
             ..instance.clone()
         };
@@ -197,10 +199,7 @@
             clock: SystemClock::default(),
             recorder: Recorder::new(instance.instance.clone(), RecorderOptions::default()),
             explainer: Explainer::default(),
-            owner: OwnerId {
-                instance: instance.instance.clone(),
-                process: ProcessNumber::new(7),
-            },
+            owner: instance.owner.clone(),
             left: AtomicBool::new(false),
             instances: Arc::new([other, instance]),
         }
--- a/crates/foxtide-mesh/src/handle.rs
+++ b/crates/foxtide-mesh/src/handle.rs
@@ -56,6 +56,7 @@
             availability_zone: identity.availability_zone,
             peer_address: bound,
             caller_address: identity.caller_address,
+            process: identity.process,
             // Above that of an earlier process of the same name.
             incarnation: Incarnation::new(epoch_us / 1_000),
             state: MemberState::Alive,
--- a/crates/foxtide-mesh/src/options.rs
+++ b/crates/foxtide-mesh/src/options.rs
@@ -1,6 +1,7 @@
 //! Settings of the mesh.
 
 use crate::faults::Faults;
+use foxtide_core::idempotency::ProcessNumber;
 use foxtide_core::ids::{AvailabilityZoneId, InstanceId, RegionId};
 use foxtide_core::membership::MembershipOptions;
 use foxtide_core::spreading::LoadOptions;
@@ -21,6 +22,8 @@
     pub peer_address: SocketAddr,
     /// Where callers reach it.
     pub caller_address: SocketAddr,
+    /// The process in which it runs, for idempotency keys.
+    pub process: ProcessNumber,
 }
 
 /// Settings of the mesh.
--- a/crates/foxtide-mesh/src/wire/convert.rs
+++ b/crates/foxtide-mesh/src/wire/convert.rs
@@ -2,6 +2,7 @@
 
 use super::messages as wire;
 use super::messages::datagram::Body;
+use foxtide_core::idempotency::ProcessNumber;
 use foxtide_core::membership as core;
 use foxtide_core::membership::{Message, Packet, ProbeId, Rumour};
 use foxtide_core::spreading;
@@ -156,6 +157,7 @@
             caller_address: Some(member.caller_address.into()),
             incarnation: member.incarnation.get(),
             state: state.into(),
+            process: member.process.get(),
         }
     }
 }
@@ -174,6 +176,7 @@
         availability_zone: member.availability_zone.parse()?,
         peer_address: read_address(member.peer_address.as_ref())?,
         caller_address: read_address(member.caller_address.as_ref())?,
+        process: ProcessNumber::new(member.process),
         incarnation: core::Incarnation::new(member.incarnation),
         state,
     })
--- a/crates/foxtide-mesh/src/wire/messages.rs
+++ b/crates/foxtide-mesh/src/wire/messages.rs
@@ -136,6 +136,8 @@
     pub(crate) incarnation: u64,
     #[prost(enumeration = "State", tag = "7")]
     pub(crate) state: i32,
+    #[prost(fixed64, tag = "8")]
+    pub(crate) process: u64,
 }
 
 /// A member and who found it silent.
--- a/crates/foxtide-mesh/tests/mesh/fleet.rs
+++ b/crates/foxtide-mesh/tests/mesh/fleet.rs
@@ -1,5 +1,6 @@
 //! A few instances on loopback, and waiting for what they come to know.
 
+use foxtide_core::idempotency::ProcessNumber;
 use foxtide_core::ids::InstanceId;
 use foxtide_core::membership::MemberState;
 use foxtide_core::spreading::Document;
@@ -31,6 +32,7 @@
         availability_zone: format!("{region}-{zone}").parse().unwrap(),
         peer_address: "127.0.0.1:0".parse().unwrap(),
         caller_address: "127.0.0.1:80".parse().unwrap(),
+        process: ProcessNumber::new(1),
     }
 }
 
--- a/crates/foxtide/src/member_events.rs
+++ b/crates/foxtide/src/member_events.rs
@@ -67,6 +67,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use foxtide_core::idempotency::ProcessNumber;
     use foxtide_core::membership::Incarnation;
 
     fn member(name: &str, state: MemberState) -> Member {
@@ -76,6 +77,7 @@
             availability_zone: "khomas-a".parse().unwrap(),
             peer_address: ([127, 0, 0, 1], 1).into(),
             caller_address: ([127, 0, 0, 1], 2).into(),
+            process: ProcessNumber::new(1),
             incarnation: Incarnation::new(7),
             state,
         }
--- a/crates/foxtide/src/node.rs
+++ b/crates/foxtide/src/node.rs
@@ -131,11 +131,9 @@
         let ready = Arc::new(AtomicBool::new(false));
         // The caller listener is bound first: peers are told its address.
         let caller_address = reserve(settings.caller.listen)?;
-        let mesh = start_mesh(settings, caller_address, &recorder)?;
+        let process = draw_process_number()?;
+        let mesh = start_mesh(settings, caller_address, process, &recorder)?;
         let time_line = time_line(settings, &recorder, &clock);
-        let process_number = SysRng
-            .try_next_u64()
-            .context("draw the number of this process")?;
         let explainer = Explainer::default();
         let traffic = Arc::new(TrafficTables::new(traffic_options(settings)));
         let parts = NodeParts {
@@ -150,7 +148,7 @@
             explainer: explainer.clone(),
             owner: OwnerId {
                 instance: settings.instance.clone(),
-                process: ProcessNumber::new(process_number),
+                process,
             },
             pages: Pages {
                 tables: Arc::clone(&tables),
@@ -258,9 +256,17 @@
     Ok(listener.local_addr()?)
 }
 
+/// Draws what tells this process from others of the same instance.
+fn draw_process_number() -> Result<ProcessNumber> {
+    let number = SysRng.try_next_u64();
+    let number = number.context("draw the number of this process")?;
+    Ok(ProcessNumber::new(number))
+}
+
 fn start_mesh(
     settings: &Settings,
     caller_address: SocketAddr,
+    process: ProcessNumber,
     recorder: &Recorder,
 ) -> Result<MeshHandle> {
     let identity = Identity {
@@ -269,6 +275,7 @@
         availability_zone: settings.availability_zone.clone(),
         peer_address: settings.peer.listen,
         caller_address: settings.caller.advertise.unwrap_or(caller_address),
+        process,
     };
     let options = MeshOptions {
         cluster: settings.cluster.clone(),
--- a/crates/foxtide/src/tables.rs
+++ b/crates/foxtide/src/tables.rs
@@ -6,6 +6,7 @@
 //! under it.
 
 use arc_swap::ArcSwap;
+use foxtide_core::idempotency::OwnerId;
 use foxtide_core::ids::{AvailabilityZoneId, InstanceId, OrganisationId};
 use foxtide_core::membership::Member;
 use foxtide_core::organisation::{DrainTarget, Organisation};
@@ -157,6 +158,10 @@
 fn serving(member: &Member) -> ServingInstance {
     ServingInstance {
         instance: member.instance.clone(),
+        owner: OwnerId {
+            instance: member.instance.clone(),
+            process: member.process,
+        },
         address: member.caller_address,
         region: member.region.clone(),
         availability_zone: member.availability_zone.clone(),
