--- a/crates/foxtide/examples/measure/main.rs
+++ b/crates/foxtide/examples/measure/main.rs
@@ -11,6 +11,7 @@
 mod events;
 mod explain;
 mod parity;
+mod proxy;
 mod report;
 mod store;
 
@@ -29,6 +30,7 @@
     ("events", events::run),
     ("explain", explain::run),
     ("store", store::run),
+    ("proxy", proxy::run),
 ];
 
 const USAGE: &str = "usage: measure decisions|fleet [MODULE]";
--- /dev/null
+++ b/crates/foxtide/examples/measure/proxy.rs
@@ -0,0 +1,141 @@
+//! What the request path adds to a request, how much it carries, and what a
+//! connection takes; beside it the same requests sent to the upstream directly.
+
+mod instance;
+mod load;
+mod usage;
+
+use crate::report::{Limit, Report};
+use instance::Instance;
+use load::{Callers, FastUpstream, Run, connect};
+use std::io::{Read, Write};
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+use usage::{resident_bytes, workers_cpu};
+
+const WORKERS: usize = 2;
+const CALLERS: u32 = 16;
+const RUN_TIME: Duration = Duration::from_secs(3);
+const REQUEST: &str = "/hamutenya/viewer/cracks/17";
+const LOOKUP: &str = "/v1/lookup?organisation=hamutenya&service=viewer";
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// The connections between two readings of the memory.
+const CONNECTIONS_STEP: usize = 1_000;
+
+/// Measures the request path.
+pub(crate) fn run(report: &mut Report) {
+    let upstream = FastUpstream::start();
+    let instance = Instance::start(WORKERS, &[upstream.address]);
+    let entry = instance.entry.caller_address();
+    measure_rates(report, entry, upstream.address);
+    measure_lookups(report, entry);
+    measure_memory(report, &instance, &upstream);
+}
+
+fn callers(address: SocketAddr, target: &'static str, rate_rps: Option<f64>) -> Run {
+    let callers = Callers {
+        address,
+        target,
+        count: CALLERS,
+        rate_rps,
+        time: RUN_TIME,
+    };
+    callers.run()
+}
+
+fn measure_rates(report: &mut Report, entry: SocketAddr, upstream: SocketAddr) {
+    let direct = callers(upstream, REQUEST, None);
+    let cpu_before = workers_cpu();
+    let saturated = callers(entry, REQUEST, None);
+    let cpu = workers_cpu() - cpu_before;
+    report.figure("proxy.direct_rate", direct.rate_rps(), "1/s", Limit::None);
+    report.figure(
+        "proxy.saturated_rate",
+        saturated.rate_rps(),
+        "1/s",
+        Limit::None,
+    );
+    let cpu_us = cpu.as_secs_f64() * 1e6 / saturated.answered as f64;
+    report.figure("proxy.cpu_per_request", cpu_us, "us", Limit::None);
+    report.figure(
+        "proxy.failed",
+        saturated.failed as f64,
+        "",
+        Limit::AtMost(0.0),
+    );
+    let half_rps = Some(saturated.rate_rps() / 2.0);
+    let direct = callers(upstream, REQUEST, half_rps);
+    let proxied = callers(entry, REQUEST, half_rps);
+    report.figure("proxy.half_rate", proxied.rate_rps(), "1/s", Limit::None);
+    for (name, quantile, limit_ms) in [("p50", 0.5, 0.2), ("p99", 0.99, 2.0)] {
+        let (direct_ms, proxied_ms) = (direct.latency_ms(quantile), proxied.latency_ms(quantile));
+        report.figure(
+            &format!("proxy.direct_{name}"),
+            direct_ms,
+            "ms",
+            Limit::None,
+        );
+        report.figure(
+            &format!("proxy.proxied_{name}"),
+            proxied_ms,
+            "ms",
+            Limit::None,
+        );
+        let added_ms = proxied_ms - direct_ms;
+        let limit = Limit::AtMost(limit_ms);
+        report.figure(&format!("proxy.added_{name}"), added_ms, "ms", limit);
+    }
+}
+
+fn measure_lookups(report: &mut Report, entry: SocketAddr) {
+    let cpu_before = workers_cpu();
+    let run = callers(entry, LOOKUP, None);
+    let cpu = workers_cpu() - cpu_before;
+    report.figure("proxy.lookup_rate", run.rate_rps(), "1/s", Limit::None);
+    let per_core = run.answered as f64 / cpu.as_secs_f64();
+    report.figure("proxy.lookup_rate_per_core", per_core, "1/s", Limit::None);
+}
+
+fn measure_memory(report: &mut Report, instance: &Instance, upstream: &FastUpstream) {
+    let entry = instance.entry.caller_address();
+    let first = connections(instance, CONNECTIONS_STEP);
+    let before = resident_bytes();
+    let second = connections(instance, CONNECTIONS_STEP);
+    let idle_bytes = (resident_bytes() - before) / CONNECTIONS_STEP as f64;
+    report.figure("proxy.idle_connection", idle_bytes, "bytes", Limit::None);
+    drop((first, second));
+    upstream.hold(true);
+    let got = upstream.requests.load(Ordering::SeqCst);
+    let before = resident_bytes();
+    let mut busy: Vec<_> = (0..CONNECTIONS_STEP).map(|_| connect(entry)).collect();
+    let request = format!("GET {REQUEST} HTTP/1.1\r\nhost: x\r\n\r\n");
+    for stream in &mut busy {
+        let _ = stream.write_all(request.as_bytes());
+    }
+    let all = got + CONNECTIONS_STEP as u64;
+    wait_until(|| upstream.requests.load(Ordering::SeqCst) >= all);
+    let busy_bytes = (resident_bytes() - before) / CONNECTIONS_STEP as f64;
+    // The upstream's own threads are in this figure too.
+    report.figure("proxy.busy_request", busy_bytes, "bytes", Limit::None);
+    upstream.hold(false);
+    for stream in &mut busy {
+        let _ = stream.read(&mut [0; 1_024]);
+    }
+}
+
+fn connections(instance: &Instance, count: usize) -> Vec<std::net::TcpStream> {
+    let before = instance.entry.connections();
+    let address = instance.entry.caller_address();
+    let open = (0..count).map(|_| connect(address)).collect();
+    wait_until(|| instance.entry.connections() >= before + count);
+    open
+}
+
+fn wait_until(condition: impl Fn() -> bool) {
+    let started = Instant::now();
+    while !condition() && started.elapsed() < PATIENCE {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
--- /dev/null
+++ b/crates/foxtide/examples/measure/proxy/load.rs
@@ -0,0 +1,233 @@
+//! Blocking callers and a blocking upstream, as cheap as they can be.
+
+use hdrhistogram::Histogram;
+use std::io::{Read, Write};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+const HEAD_END: &[u8] = b"\r\n\r\n";
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 64\r\n\r\n\
+0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef";
+
+/// The figures of one run of callers.
+pub(crate) struct Run {
+    /// Latencies in nanoseconds.
+    pub(crate) latency_ns: Histogram<u64>,
+    /// How many whole answers came.
+    pub(crate) answered: u64,
+    /// How many requests brought anything else.
+    pub(crate) failed: u64,
+    /// How long the callers ran.
+    pub(crate) took: Duration,
+}
+
+impl Run {
+    /// Returns the answers a second.
+    pub(crate) fn rate_rps(&self) -> f64 {
+        self.answered as f64 / self.took.as_secs_f64()
+    }
+
+    /// Returns a quantile of the latency, in milliseconds.
+    pub(crate) fn latency_ms(&self, quantile: f64) -> f64 {
+        self.latency_ns.value_at_quantile(quantile) as f64 / 1e6
+    }
+}
+
+/// An upstream that answers each request at once.
+pub(crate) struct FastUpstream {
+    /// Where it listens.
+    pub(crate) address: SocketAddr,
+    /// How many requests it got.
+    pub(crate) requests: Arc<AtomicU64>,
+    held: Arc<AtomicBool>,
+}
+
+impl FastUpstream {
+    /// Starts an upstream; a thread serves each connection.
+    pub(crate) fn start() -> Self {
+        let listener = TcpListener::bind(ANY_PORT).expect("a port can be bound");
+        let upstream = Self {
+            address: listener.local_addr().expect("the listener has an address"),
+            requests: Arc::default(),
+            held: Arc::default(),
+        };
+        let (requests, held) = (Arc::clone(&upstream.requests), Arc::clone(&upstream.held));
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (requests, held) = (Arc::clone(&requests), Arc::clone(&held));
+                let serve = move || serve(stream, &requests, &held);
+                let _ = std::thread::Builder::new()
+                    .stack_size(64 * 1_024)
+                    .spawn(serve);
+            }
+        });
+        upstream
+    }
+
+    /// Keeps back all answers, or gives them.
+    pub(crate) fn hold(&self, held: bool) {
+        self.held.store(held, Ordering::SeqCst);
+    }
+}
+
+fn serve(mut stream: TcpStream, requests: &AtomicU64, held: &AtomicBool) {
+    let _ = stream.set_nodelay(true);
+    let mut buffer = [0; 4_096];
+    let mut filled = 0;
+    while let Ok(size_bytes @ 1..) = stream.read(&mut buffer[filled..]) {
+        filled += size_bytes;
+        if !buffer[..filled].ends_with(HEAD_END) {
+            continue;
+        }
+        filled = 0;
+        requests.fetch_add(1, Ordering::Relaxed);
+        while held.load(Ordering::SeqCst) {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        if stream.write_all(ANSWER).is_err() {
+            return;
+        }
+    }
+}
+
+/// How callers ask.
+#[derive(Clone, Debug)]
+pub(crate) struct Callers {
+    /// Where they connect.
+    pub(crate) address: SocketAddr,
+    /// The target of their requests.
+    pub(crate) target: &'static str,
+    /// How many there are, each with one connection.
+    pub(crate) count: u32,
+    /// How many requests a second they send together; none: as many as can be.
+    pub(crate) rate_rps: Option<f64>,
+    /// How long they run.
+    pub(crate) time: Duration,
+}
+
+impl Callers {
+    /// Runs all callers to their end.
+    pub(crate) fn run(&self) -> Run {
+        let started = Instant::now();
+        let spawn = |_| {
+            let callers = self.clone();
+            std::thread::spawn(move || callers.run_one(started))
+        };
+        let threads: Vec<JoinHandle<Run>> = (0..self.count).map(spawn).collect();
+        let mut whole = Run::empty(started.elapsed());
+        for thread in threads {
+            let one = thread.join().expect("a caller does not panic");
+            whole.answered += one.answered;
+            whole.failed += one.failed;
+            let added = whole.latency_ns.add(&one.latency_ns);
+            added.expect("the histograms have the same bounds");
+        }
+        whole.took = started.elapsed();
+        whole
+    }
+
+    fn run_one(&self, started: Instant) -> Run {
+        let mut run = Run::empty(Duration::ZERO);
+        let interval = self
+            .rate_rps
+            .map(|rate| Duration::from_secs_f64(f64::from(self.count) / rate));
+        let request = format!("GET {} HTTP/1.1\r\nhost: x\r\n\r\n", self.target);
+        let mut stream = connect(self.address);
+        let mut next = Instant::now();
+        while started.elapsed() < self.time {
+            if let Some(interval) = interval {
+                std::thread::sleep(next.saturating_duration_since(Instant::now()));
+                next = (next + interval).max(Instant::now() - interval);
+            }
+            let asked = Instant::now();
+            let answered = ask(&mut stream, request.as_bytes());
+            let took_ns = u64::try_from(asked.elapsed().as_nanos()).unwrap_or(u64::MAX);
+            match answered {
+                Answered::Whole { closes } => {
+                    run.answered += 1;
+                    let recorded = run.latency_ns.record(took_ns);
+                    recorded.expect("the histogram grows as it must");
+                    if closes {
+                        stream = connect(self.address);
+                    }
+                }
+                Answered::Failed => {
+                    run.failed += 1;
+                    stream = connect(self.address);
+                }
+            }
+        }
+        run
+    }
+}
+
+impl Run {
+    fn empty(took: Duration) -> Self {
+        Self {
+            latency_ns: Histogram::new(3).expect("three digits are valid"),
+            answered: 0,
+            failed: 0,
+            took,
+        }
+    }
+}
+
+/// Connects as a caller.
+pub(crate) fn connect(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).expect("the listener takes connections");
+    let _ = stream.set_nodelay(true);
+    stream
+}
+
+enum Answered {
+    Whole { closes: bool },
+    Failed,
+}
+
+fn ask(stream: &mut TcpStream, request: &[u8]) -> Answered {
+    if stream.write_all(request).is_err() {
+        return Answered::Failed;
+    }
+    let mut buffer = [0; 8_192];
+    let mut filled = 0;
+    loop {
+        match stream.read(&mut buffer[filled..]) {
+            Ok(size_bytes @ 1..) => filled += size_bytes,
+            _ => return Answered::Failed,
+        }
+        let Some(head_bytes) = find(&buffer[..filled], HEAD_END) else {
+            continue;
+        };
+        let head = &buffer[..head_bytes];
+        if filled < head_bytes + HEAD_END.len() + content_length(head) {
+            continue;
+        }
+        return match head.starts_with(b"HTTP/1.1 200 ") {
+            true => Answered::Whole {
+                closes: find(head, b"connection: close").is_some(),
+            },
+            false => Answered::Failed,
+        };
+    }
+}
+
+fn find(bytes: &[u8], wanted: &[u8]) -> Option<usize> {
+    bytes
+        .windows(wanted.len())
+        .position(|window| window == wanted)
+}
+
+fn content_length(head: &[u8]) -> usize {
+    const NAME: &[u8] = b"content-length: ";
+    let Some(at) = find(head, NAME) else {
+        return 0;
+    };
+    let digits = head[at + NAME.len()..]
+        .iter()
+        .take_while(|b| b.is_ascii_digit());
+    digits.fold(0, |length, digit| length * 10 + usize::from(digit - b'0'))
+}
--- /dev/null
+++ b/crates/foxtide/examples/measure/proxy/usage.rs
@@ -0,0 +1,35 @@
+//! What the workers and the process use, as Linux tells it in `/proc`.
+
+use std::fs;
+use std::time::Duration;
+
+const PAGE_BYTES: f64 = 4_096.0;
+
+/// Returns the processor time of the worker threads and the reactor's so far.
+pub(crate) fn workers_cpu() -> Duration {
+    let tasks = fs::read_dir("/proc/self/task")
+        .into_iter()
+        .flatten()
+        .flatten();
+    let of_instance = |task: &fs::DirEntry| {
+        let name = fs::read_to_string(task.path().join("comm")).unwrap_or_default();
+        name.starts_with("worker-") || name.starts_with("async-io")
+    };
+    let cpu_ns = |task: fs::DirEntry| {
+        let text = fs::read_to_string(task.path().join("schedstat")).unwrap_or_default();
+        let running = text.split(' ').next().and_then(|field| field.parse().ok());
+        running.unwrap_or(0_u64)
+    };
+    Duration::from_nanos(tasks.filter(of_instance).map(cpu_ns).sum())
+}
+
+/// Returns the process's resident memory, in bytes.
+pub(crate) fn resident_bytes() -> f64 {
+    let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages: f64 = text
+        .split(' ')
+        .nth(1)
+        .and_then(|field| field.parse().ok())
+        .unwrap_or(0.0);
+    pages * PAGE_BYTES
+}
