--- a/crates/foxtide/examples/measure/proxy/instance.rs
+++ b/crates/foxtide/examples/measure/proxy/instance.rs
@@ -1,7 +1,7 @@
 //! An instance's request path alone, before upstreams in this process.
 
 use foxtide_core::idempotency::{OwnerId, ProcessNumber};
-use foxtide_core::ids::{OrganisationId, RegionId};
+use foxtide_core::ids::{InstanceId, OrganisationId, RegionId};
 use foxtide_core::steering::SteeringOptions;
 use foxtide_entry::{
     Admin, AdminPage, Clock, Directory, DrainOptions, Entry, EntryOptions, Parts, ServingInstance,
@@ -66,14 +66,19 @@
 impl InstanceParts {
     fn new() -> Self {
         let origin: RegionId = "khomas".parse().expect("a valid name");
-        let instance = |number: u16| ServingInstance {
+        let owner = |number: u16| OwnerId {
             instance: format!("entry-{number}").parse().expect("a valid name"),
+            process: ProcessNumber::new(1),
+        };
+        let instance = |number: u16| ServingInstance {
+            instance: owner(number).instance,
+            owner: owner(number),
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, 8_000 + number)),
             region: origin.clone(),
             availability_zone: "khomas-a".parse().expect("a valid name"),
         };
         let instances: Arc<[ServingInstance]> = (0..INSTANCES).map(instance).collect();
-        let own = instances[0].instance.clone();
+        let own = instances[0].owner.clone();
         let options = TrafficOptions {
             steering: SteeringOptions {
                 startup_wait: Duration::ZERO,
@@ -84,12 +89,9 @@
         Self {
             traffic: TrafficTables::new(options),
             clock: SystemClock::default(),
-            recorder: Recorder::new(own.clone(), RecorderOptions::default()),
+            recorder: Recorder::new(own.instance.clone(), RecorderOptions::default()),
             explainer: Explainer::default(),
-            owner: OwnerId {
-                instance: own,
-                process: ProcessNumber::new(1),
-            },
+            owner: own,
             instances,
         }
     }
@@ -134,6 +136,10 @@
         Arc::clone(&self.instances)
     }
 
+    fn address_of(&self, _: &InstanceId) -> Option<SocketAddr> {
+        None
+    }
+
     fn client_region(&self, _: &OrganisationId, _: IpAddr) -> Option<RegionId> {
         None
     }
