Pay for guesses from an allowance and give each slot an owner

Cause: where upstreams refuse what finds no free slot, the choice gave up a fifth of the requests at 90 % load, because refusals spent the retry budget. With a rank each slot belongs to one instance, which prefers it.

--- a/crates/foxtide-core/src/choice/balancer.rs
+++ b/crates/foxtide-core/src/choice/balancer.rs
@@ -1,20 +1,18 @@
 //! The choice itself.
 
+use super::allowance::RefusalAllowance;
 use super::candidate::{Candidate, Common, UpstreamStatus};
-use super::{BalancerOptions, Completion, PollResult};
+use super::subset::Sharing;
+use super::{BalancerOptions, Completion, CompletionKind, PollResult};
 use crate::ids::UpstreamId;
 use crate::organisation::Upstream;
 use crate::time::MonotonicTime;
 use std::sync::Arc;
 use std::time::Duration;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// The shortest wait that a pick asks for.
 const WAIT_MIN: Duration = Duration::from_millis(1);
 
-/// The wait where only an answer can free a slot.
-const WAIT_FOR_ANSWER: Duration = Duration::from_millis(20);
-
 /// How far a draw moves the score, so that equals are taken in turn.
 const DRAW_WEIGHT: f64 = 0.02;
 
@@ -93,6 +91,8 @@
     candidates: Vec<Candidate>,
     common: Common,
     sharing_instances: u32,
+    rank: Option<u32>,
+    allowance: RefusalAllowance,
     next_incarnation: u64,
 }
 
@@ -106,6 +106,8 @@
             candidates: Vec::new(),
             common: Common::default(),
             sharing_instances: 1,
+            rank: None,
+            allowance: RefusalAllowance::new(),
             next_incarnation: 0,
         }
     }
@@ -149,6 +151,18 @@
         candidate
     }
 
+    /// Tells this instance its place among those that share the upstreams,
+    /// from 0, in an order that is the same at all of them (that of their
+    /// names). Each slot is then one instance's own, which prefers it; none
+    /// where the place is not known. Views that differ for a while cost
+    /// refusals and nothing else.
+    pub fn rank(&mut self, rank: Option<u32>, now: MonotonicTime) {
+        if self.rank != rank {
+            self.rank = rank;
+            self.share_out(now);
+        }
+    }
+
     /// Takes an upstream out of service: it gets no new request from now on.
     pub fn leave(&mut self, upstream: &UpstreamId, now: MonotonicTime) {
         self.set_leaving(upstream, true, now);
@@ -179,6 +193,8 @@
     /// Chooses an upstream for a request that has been to `tried` already;
     /// those are taken again only where no other has room.
     pub fn pick_other(&mut self, now: MonotonicTime, draw: u64, tried: &[UpstreamId]) -> Pick {
+        self.allowance
+            .refill(&self.options, self.common.latency(), now);
         let best = self
             .best(now, draw, |c| !tried.contains(c.id()))
             .or_else(|| self.best(now, draw, |_| true));
@@ -204,8 +220,7 @@
         let mut best = None;
         let mut best_score = f64::INFINITY;
         for (index, candidate) in self.candidates.iter().enumerate() {
-            let has_room = candidate.free_from(now).is_some_and(|from| from <= now);
-            if !has_room || !self.is_open(candidate, now) || !allowed(candidate) {
+            if !self.may_send(candidate, now) || !allowed(candidate) {
                 continue;
             }
             let jitter = DRAW_WEIGHT * unit_draw(draw, index);
@@ -218,6 +233,15 @@
         best
     }
 
+    /// Tells whether an upstream may get a request now.
+    fn may_send(&self, candidate: &Candidate, now: MonotonicTime) -> bool {
+        let has_room = candidate.free_from(now).is_some_and(|from| from <= now);
+        has_room
+            && self.is_open(candidate, now)
+            && (self.allowance.allows_guess()
+                || candidate.expects_room(&self.options, &self.common, now))
+    }
+
     /// Tells whether an upstream gets new requests, room set aside.
     fn is_open(&self, candidate: &Candidate, now: MonotonicTime) -> bool {
         let status = candidate.status(&self.options, now);
@@ -226,9 +250,11 @@
 
     fn wait_or_empty(&self, now: MonotonicTime) -> Pick {
         let open = self.candidates.iter().filter(|c| self.is_open(c, now));
+        let latency = self.common.latency();
+        let guess_in = self.allowance.next_guess_in(&self.options, latency);
         let wait_for = |candidate: &Candidate| match candidate.free_from(now) {
-            Some(from) => from - now,
-            None => WAIT_FOR_ANSWER,
+            Some(from) => (from - now).max(guess_in),
+            None => latency,
         };
         match open.map(wait_for).min() {
             Some(retry_in) => Pick::Wait {
@@ -238,11 +264,23 @@
         }
     }
 
+    /// Returns the smoothed latency over all upstreams, 0 before any answer.
+    /// A request of a service that puts latency first should not wait for an
+    /// upstream much longer than this.
+    pub fn latency(&self) -> Duration {
+        self.common.latency()
+    }
+
     /// Takes a ticket back and learns from what became of the request.
     pub fn finish(&mut self, ticket: Ticket, completion: Completion, now: MonotonicTime) {
         let Some(index) = self.position(ticket.incarnation) else {
             return;
         };
+        match completion.kind {
+            CompletionKind::Answered => self.allowance.answered(&self.options),
+            CompletionKind::Refused => self.allowance.refused(),
+            _ => {}
+        }
         let candidate = &mut self.candidates[index];
         let stayed = candidate.stays();
         candidate.finished(&completion, &self.options, &mut self.common, now);
@@ -336,6 +374,19 @@
             .map(move |c| (&*c.upstream, status(c)))
     }
 
+    /// Returns the upstreams of this instance's subset, each with how many
+    /// connections the instance may keep to it.
+    pub fn connection_limits(&self) -> impl Iterator<Item = (&Upstream, u32)> {
+        let used = self.candidates.iter().filter(|c| c.used);
+        used.map(|c| (&*c.upstream, c.connection_limit))
+    }
+
+    /// Returns the bytes of state that are kept for each upstream, without the
+    /// upstream's own description.
+    pub const fn state_bytes_per_upstream() -> usize {
+        size_of::<Candidate>()
+    }
+
     /// Returns the part of the upstreams that can serve now.
     pub fn healthy_share(&self, now: MonotonicTime) -> crate::units::Share {
         let open = self.candidates.iter().filter(|c| {
@@ -359,23 +410,15 @@
             .position(|c| c.incarnation == incarnation)
     }
 
-    /// Shares the connections out among the instances, and keeps to a subset
-    /// where the instance's part of an upstream would be too small.
+    /// Shares slots and connections out among the instances.
     fn share_out(&mut self, now: MonotonicTime) {
-        let subset = self.subset();
-        let own_zone = self.options.availability_zone.clone();
         let out_before = self.out_limit();
-        let all = self.candidates.iter().filter(|c| c.stays()).count().max(1);
-        for (index, candidate) in self.candidates.iter_mut().enumerate() {
-            candidate.used = subset.contains(&index);
-            let users = (u64::from(self.sharing_instances) * subset.len() as u64)
-                .div_ceil(all as u64)
-                .max(1);
-            let part = u64::from(candidate.upstream.connections) / users;
-            candidate.connection_limit = u32::try_from(part).unwrap_or(u32::MAX).max(1);
-            let zone = &candidate.upstream.availability_zone;
-            candidate.in_other_zone = own_zone.as_ref().is_some_and(|own| own != zone);
-        }
+        let sharing = Sharing {
+            instances: self.sharing_instances,
+            rank: self.rank,
+            seed: self.seed,
+        };
+        sharing.share_out(&mut self.candidates, &self.options);
         if self.out_limit() < out_before {
             self.return_surplus(now);
         }
@@ -392,35 +435,6 @@
             candidate.start_ramp(now);
         }
     }
-
-    /// Returns the indices of the upstreams that this instance uses: those of
-    /// the highest rendezvous hash with its seed.
-    fn subset(&self) -> Vec<usize> {
-        let hash = |index: &usize| {
-            let name = self.candidates[*index].id().as_str();
-            xxh3_64_with_seed(name.as_bytes(), self.seed)
-        };
-        let staying = |index: &usize| self.candidates[*index].stays();
-        let mut indices: Vec<usize> = (0..self.candidates.len()).filter(staying).collect();
-        indices.sort_by_key(hash);
-        indices.truncate(self.subset_size(indices.len()));
-        indices
-    }
-
-    /// Returns the largest number of upstreams of which each still leaves this
-    /// instance `connections_min` connections.
-    fn subset_size(&self, staying: usize) -> usize {
-        let in_all: u64 = self
-            .candidates
-            .iter()
-            .filter(|c| c.stays())
-            .map(|c| u64::from(c.upstream.connections))
-            .sum();
-        let wanted_each = u64::from(self.options.connections_min.max(1));
-        let affordable = in_all / u64::from(self.sharing_instances) / wanted_each;
-        let size = usize::try_from(affordable).unwrap_or(usize::MAX);
-        size.max(self.options.subset_min).min(staying)
-    }
 }
 
 fn with_settings(mut candidate: Candidate, upstream: &Upstream) -> Candidate {
--- a/crates/foxtide-core/src/choice/candidate.rs
+++ b/crates/foxtide-core/src/choice/candidate.rs
@@ -54,7 +54,7 @@
 /// What all candidates of a balancer have in common.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Common {
-    /// The smoothed latency over all upstreams.
+    /// The smoothed latency over all upstreams; 0 before the first answer.
     pub(crate) latency_us: f64,
     /// What other instances use of the average slot, from reports.
     pub(crate) others_per_slot: f64,
@@ -62,6 +62,13 @@
     pub(crate) failures: FailureRecord,
 }
 
+impl Common {
+    /// Returns the smoothed latency over all upstreams.
+    pub(crate) fn latency(&self) -> Duration {
+        Duration::from_secs_f64(self.latency_us / 1e6)
+    }
+}
+
 /// The state of one upstream.
 #[derive(Clone, Debug)]
 pub(crate) struct Candidate {
@@ -70,6 +77,8 @@
     pub(crate) incarnation: u64,
     pub(crate) in_other_zone: bool,
     pub(crate) connection_limit: u32,
+    /// How many of its slots are this instance's own.
+    pub(crate) own_slots: u32,
     /// Whether it belongs to this instance's subset.
     pub(crate) used: bool,
     /// Whether its leaving was announced to foxtide.
@@ -84,6 +93,8 @@
     occupancy: Occupancy,
     ramp_from: Option<MonotonicTime>,
     full_until: MonotonicTime,
+    /// When an answer freed a slot that has not been taken again.
+    freed_at: Option<MonotonicTime>,
     latency_us: f64,
 }
 
@@ -95,6 +106,7 @@
             incarnation,
             in_other_zone: false,
             connection_limit: 1,
+            own_slots: 0,
             used: true,
             leaving: false,
             draining: false,
@@ -105,6 +117,7 @@
             occupancy: Occupancy::new(),
             ramp_from: None,
             full_until: MonotonicTime::ZERO,
+            freed_at: None,
             latency_us: 0.0,
         }
     }
@@ -155,6 +168,24 @@
         (self.in_flight < self.in_flight_limit()).then_some(self.full_until.max(now))
     }
 
+    /// Tells whether one of this instance's own slots is not in use.
+    fn has_own_slot(&self) -> bool {
+        self.in_flight < self.own_slots
+    }
+
+    /// Tells whether there is reason to expect room: an own slot, or one that
+    /// an answer freed a short while ago.
+    pub(crate) fn expects_room(
+        &self,
+        options: &BalancerOptions,
+        common: &Common,
+        now: MonotonicTime,
+    ) -> bool {
+        let life = common.latency().mul_f64(options.freed_slot_latencies);
+        let freed = self.freed_at.is_some_and(|at| now - at <= life);
+        freed || self.has_own_slot()
+    }
+
     /// Returns the part of its slots that the upstream may use while it ramps.
     fn weight(&self, options: &BalancerOptions, now: MonotonicTime) -> f64 {
         let Some(from) = self.ramp_from else {
@@ -166,8 +197,7 @@
 
     /// Returns how long sights of the other instances' requests are of use.
     fn sight_life(&self, options: &BalancerOptions, common: &Common) -> Duration {
-        let latency_us = common.latency_us.max(1.0);
-        Duration::from_secs_f64(latency_us * options.report_life_latencies / 1e6)
+        common.latency().mul_f64(options.report_life_latencies)
     }
 
     /// Returns what the other instances usually use of this upstream.
@@ -188,12 +218,14 @@
             .estimate(self.usual_others(common), life, now);
         let requests = others.max(0.0) + f64::from(self.in_flight) + 1.0;
         let slots = f64::from(self.upstream.slots.max(1)) * self.weight(options, now);
-        let load = requests / slots * self.latency_factor(common);
+        let mut load = requests / slots * self.latency_factor(common);
         if self.in_other_zone {
-            load + options.other_zone_penalty
-        } else {
-            load
+            load += options.other_zone_penalty;
+        }
+        if self.has_own_slot() {
+            load -= options.own_slot_bonus;
         }
+        load
     }
 
     /// Returns how much slower the upstream is than the average one.
@@ -208,6 +240,7 @@
     /// Notes that a request was sent.
     pub(crate) fn sent(&mut self, now: MonotonicTime) {
         self.in_flight += 1;
+        self.freed_at = None;
         self.liveness.sent(now);
     }
 
@@ -256,6 +289,7 @@
         smooth(&mut self.latency_us, sample_us);
         smooth(&mut common.latency_us, sample_us);
         self.full_until = MonotonicTime::ZERO;
+        self.freed_at = Some(now);
         self.occupancy.served();
         if let Some(load) = &completion.load {
             self.reported(load.utilization, common, now);
@@ -301,6 +335,7 @@
     /// Notes a refusal: every slot was in use, and one of them frees after
     /// about a latency divided by the slots.
     fn refused(&mut self, options: &BalancerOptions, common: &Common, now: MonotonicTime) {
+        self.freed_at = None;
         let slots = f64::from(self.upstream.slots.max(1));
         let others = (slots - f64::from(self.in_flight)).max(0.0);
         let life = self.sight_life(options, common);
--- a/crates/foxtide-core/src/choice/mod.rs
+++ b/crates/foxtide-core/src/choice/mod.rs
@@ -10,8 +10,13 @@
 //! next_poll() -> Poll -> the load endpoint is asked -> finish_poll(poll, ..)
 //! ```
 //!
+//! A pick that returns [`Pick::Wait`] wants the request queued at the instance:
+//! the upstreams are full as far as is known, and a queue before the choice
+//! serves whichever slot frees first.
+//!
 //! Every ticket and every poll has to be given back, whatever became of it.
 
+mod allowance;
 mod balancer;
 mod candidate;
 mod completion;
@@ -20,6 +25,7 @@
 mod load_report;
 mod occupancy;
 mod options;
+mod subset;
 
 pub use balancer::{Balancer, Pick, Poll, StatusChange, Ticket};
 pub use candidate::UpstreamStatus;
--- /dev/null
+++ b/crates/foxtide-core/src/choice/subset.rs
@@ -0,0 +1,105 @@
+//! What of the upstreams is one instance's: a subset of them, its own slots
+//! and its part of the connections.
+
+use super::BalancerOptions;
+use super::candidate::Candidate;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// The seed of the order of the upstreams that all instances share.
+const COMMON_SEED: u64 = 0;
+
+/// How one instance shares the upstreams with the others.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Sharing {
+    /// How many instances share the upstreams.
+    pub(crate) instances: u32,
+    /// This instance's place among them, where it is known.
+    pub(crate) rank: Option<u32>,
+    /// The instance's seed, which takes the place of the rank.
+    pub(crate) seed: u64,
+}
+
+impl Sharing {
+    /// Sets what of each upstream is this instance's.
+    pub(crate) fn share_out(&self, candidates: &mut [Candidate], options: &BalancerOptions) {
+        let mut order = self.order(candidates);
+        let staying = order.len();
+        order.truncate(self.subset_size(candidates, staying, options));
+        let users = self.users_each(order.len(), staying);
+        for (index, candidate) in candidates.iter_mut().enumerate() {
+            candidate.used = order.contains(&index);
+            candidate.own_slots = 0;
+            candidate.connection_limit = (candidate.upstream.connections / users).max(1);
+            let zone = &candidate.upstream.availability_zone;
+            let own_zone = options.availability_zone.as_ref();
+            candidate.in_other_zone = own_zone.is_some_and(|own| own != zone);
+        }
+        self.share_slots(candidates);
+    }
+
+    /// Returns the upstreams that stay, those first that this instance uses
+    /// before others.
+    ///
+    /// With a rank, all instances go round the same order from different
+    /// places, so that each upstream has the same number of users; without,
+    /// each instance has its own order by rendezvous hash.
+    fn order(&self, candidates: &[Candidate]) -> Vec<usize> {
+        let seed = self.rank.map_or(self.seed, |_| COMMON_SEED);
+        let hash = |index: &usize| {
+            let name = candidates[*index].id().as_str();
+            xxh3_64_with_seed(name.as_bytes(), seed)
+        };
+        let staying = |index: &usize| candidates[*index].stays();
+        let mut order: Vec<usize> = (0..candidates.len()).filter(staying).collect();
+        order.sort_by_key(hash);
+        if let Some(rank) = self.rank {
+            let start = self.first_place(rank, order.len());
+            order.rotate_left(start);
+        }
+        order
+    }
+
+    /// Returns the place in a round of `places` from which a rank starts.
+    fn first_place(&self, rank: u32, places: usize) -> usize {
+        let instances = u64::from(self.instances);
+        let place = u64::from(rank) % instances * places as u64 / instances;
+        usize::try_from(place).unwrap_or(0)
+    }
+
+    /// Returns the largest number of upstreams of which each still leaves this
+    /// instance the connections that are worth keeping.
+    fn subset_size(
+        &self,
+        candidates: &[Candidate],
+        staying: usize,
+        options: &BalancerOptions,
+    ) -> usize {
+        let stay = candidates.iter().filter(|c| c.stays());
+        let connections: u64 = stay.map(|c| u64::from(c.upstream.connections)).sum();
+        let wanted_each = u64::from(options.connections_min.max(1));
+        let affordable = connections / u64::from(self.instances) / wanted_each;
+        let size = usize::try_from(affordable).unwrap_or(usize::MAX);
+        size.max(options.subset_min).min(staying)
+    }
+
+    /// Returns how many instances use one upstream.
+    fn users_each(&self, subset: usize, staying: usize) -> u32 {
+        let pairs = u64::from(self.instances) * subset as u64;
+        let users = pairs.div_ceil(staying.max(1) as u64);
+        u32::try_from(users).unwrap_or(u32::MAX).max(1)
+    }
+
+    /// Deals the slots out in turn, so that each is one instance's own.
+    fn share_slots(&self, candidates: &mut [Candidate]) {
+        let Some(rank) = self.rank else {
+            return;
+        };
+        let mut dealt = 0;
+        for candidate in candidates.iter_mut().filter(|c| c.stays()) {
+            for _ in 0..candidate.upstream.slots {
+                candidate.own_slots += u32::from(dealt % self.instances == rank);
+                dealt += 1;
+            }
+        }
+    }
+}
--- a/crates/foxtide-core/src/retry/attempts.rs
+++ b/crates/foxtide-core/src/retry/attempts.rs
@@ -124,12 +124,12 @@
     terms: RequestTerms,
     options: RetryOptions,
     begun: u32,
-    /// The attempts that are running, one bit each.
     running: u32,
+    refused: u32,
     retries: u32,
     /// Whether an attempt that has ended may have run.
     may_have_run: bool,
-    first_begun_at: MonotonicTime,
+    begun_at: MonotonicTime,
     hedged: bool,
     retry_after: Option<Duration>,
 }
@@ -142,9 +142,10 @@
             options,
             begun: 0,
             running: 0,
+            refused: 0,
             retries: 0,
             may_have_run: false,
-            first_begun_at: MonotonicTime::ZERO,
+            begun_at: MonotonicTime::ZERO,
             hedged: false,
             retry_after: None,
         }
@@ -163,24 +164,24 @@
     /// Notes that an attempt starts.
     pub fn begin(&mut self, now: MonotonicTime) -> AttemptId {
         let id = AttemptId(self.begun);
-        if self.begun == 0 {
-            self.first_begun_at = now;
+        if self.running == 0 {
+            self.begun_at = now;
         }
         self.begun += 1;
-        self.running |= bit(id);
+        self.running += 1;
         id
     }
 
     /// Returns when [`hedge`](Self::hedge) is to be called, if at all.
     pub fn hedge_at(&self) -> Option<MonotonicTime> {
         let delay = self.terms.hedge_delay?;
-        let at = self.first_begun_at + delay;
+        let at = self.begun_at + delay;
         self.may_hedge(at).then_some(at)
     }
 
     fn may_hedge(&self, now: MonotonicTime) -> bool {
-        let is_first = self.begun == 1 && self.running != 0 && !self.hedged;
-        let has_attempt = self.begun < self.options.attempts_max;
+        let is_first = self.counted() == 1 && self.running == 1 && !self.hedged;
+        let has_attempt = self.counted() < self.options.attempts_max;
         self.terms.idempotent && is_first && has_attempt && self.has_time(now)
     }
 
@@ -207,9 +208,10 @@
         budget: &mut RetryBudget,
         now: MonotonicTime,
     ) -> Step {
-        self.running &= !bit(id);
+        self.running = self.running.saturating_sub(1);
         self.may_have_run |= !result.is_not_run();
         if let AttemptResult::Refused { retry_after } = result {
+            self.refused += 1;
             self.retry_after = self.retry_after.max(retry_after);
         }
         if result == AttemptResult::Answered {
@@ -219,6 +221,12 @@
         if self.running != 0 {
             return Step::Await;
         }
+        let was_refused = matches!(result, AttemptResult::Refused { .. });
+        if was_refused && self.may_go_elsewhere(now) {
+            return Step::Retry {
+                after: Duration::ZERO,
+            };
+        }
         match self.retry_obstacle(budget, now) {
             None => self.retry(),
             Some(_) if result == AttemptResult::ServerError => Step::Answer(id),
@@ -244,13 +252,25 @@
         }
     }
 
+    /// Tells whether a request that was just refused may be sent elsewhere
+    /// without taking from the budget.
+    fn may_go_elsewhere(&self, now: MonotonicTime) -> bool {
+        let is_safe = self.terms.idempotent || !self.may_have_run;
+        is_safe && self.refused <= self.options.refusals_max && self.has_time(now)
+    }
+
+    /// Returns the attempts that count towards the most that are allowed.
+    fn counted(&self) -> u32 {
+        self.begun - self.refused.min(self.options.refusals_max)
+    }
+
     /// Tells why the request may not be sent again; takes from the budget
     /// where it may.
     fn retry_obstacle(&self, budget: &mut RetryBudget, now: MonotonicTime) -> Option<GiveUpReason> {
         if self.may_have_run && !self.terms.idempotent {
             return Some(GiveUpReason::NotIdempotent);
         }
-        if self.begun >= self.options.attempts_max {
+        if self.counted() >= self.options.attempts_max {
             return Some(GiveUpReason::AttemptsSpent);
         }
         if !self.has_time(now + self.backoff()) {
@@ -283,7 +303,3 @@
         })
     }
 }
-
-const fn bit(id: AttemptId) -> u32 {
-    1u32.wrapping_shl(id.0)
-}
--- a/crates/foxtide-core/src/retry/options.rs
+++ b/crates/foxtide-core/src/retry/options.rs
@@ -28,8 +28,13 @@
 /// Settings of the attempts of one request.
 #[derive(Clone, Debug)]
 pub struct RetryOptions {
-    /// The most attempts of a request, hedges among them. Default: 3.
+    /// The most attempts of a request, hedges among them and the refusals
+    /// below aside. Default: 3.
     pub attempts_max: u32,
+    /// How many refused attempts of a request take nothing from the budget.
+    /// They cost the upstream next to nothing and the balancer paces them by
+    /// an allowance of its own. Further ones count as attempts. Default: 16.
+    pub refusals_max: u32,
     /// The wait before the first retry; doubled by each that follows.
     /// Default: 2 ms.
     pub backoff: Duration,
@@ -47,6 +52,7 @@
     fn default() -> Self {
         Self {
             attempts_max: 3,
+            refusals_max: 16,
             backoff: Duration::from_millis(2),
             backoff_max: Duration::from_millis(50),
             attempt_min: Duration::from_millis(5),
