--- /dev/null
+++ b/crates/foxtide/examples/measure/choice/cost.rs
@@ -0,0 +1,93 @@
+//! What a choice costs, today and at target size.
+
+use super::listed;
+use super::upstream::UpstreamProfile;
+use crate::report::{Limit, Report};
+use foxtide_core::choice::{Balancer, BalancerOptions, Completion, CompletionKind, Pick};
+use foxtide_core::time::MonotonicTime;
+use std::collections::BTreeMap;
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+const ROUNDS: u64 = 200_000;
+
+/// Returns the time of one pick with its finish, in nanoseconds.
+fn pick_and_finish_ns(upstreams: usize) -> f64 {
+    let list = listed(&vec![UpstreamProfile::default(); upstreams]);
+    let mut balancer = Balancer::new(BalancerOptions::default(), 1);
+    balancer.configure(&list, 1, MonotonicTime::ZERO);
+    let started = Instant::now();
+    for round in 0..ROUNDS {
+        let now = MonotonicTime::from_us(round * 500);
+        let draw = round.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        if let Pick::Take(ticket) = black_box(balancer.pick(now, draw)) {
+            let latency = Duration::from_millis(20);
+            let completion = Completion::new(CompletionKind::Answered, latency);
+            balancer.finish(ticket, completion, now);
+        }
+    }
+    started.elapsed().as_secs_f64() * 1e9 / ROUNDS as f64
+}
+
+fn pick_cost(report: &mut Report) {
+    let limit = Limit::AtMost(2_000.0);
+    let twelve = pick_and_finish_ns(12);
+    report.figure("choice.pick_and_finish_12", twelve, "ns", limit);
+    let many = pick_and_finish_ns(130);
+    report.figure("choice.pick_and_finish_130", many, "ns", Limit::None);
+    let slope = (many - twelve) / 118.0;
+    report.figure(
+        "choice.pick_slope",
+        slope,
+        "ns/upstream",
+        Limit::AtMost(50.0),
+    );
+}
+
+/// Shares 12 upstreams among 600 instances: how many use each.
+fn subset_at_target(report: &mut Report, name: &str, ranked: bool) {
+    const INSTANCES: u32 = 600;
+    let list = listed(&vec![UpstreamProfile::default(); 12]);
+    let mut connections: BTreeMap<String, u32> = BTreeMap::new();
+    let mut used = 0;
+    for instance in 0..INSTANCES {
+        let mut balancer = Balancer::new(BalancerOptions::default(), instance.into());
+        balancer.configure(&list, INSTANCES, MonotonicTime::ZERO);
+        balancer.rank(ranked.then_some(instance), MonotonicTime::ZERO);
+        for (upstream, limit) in balancer.connection_limits() {
+            *connections
+                .entry(upstream.upstream.to_string())
+                .or_default() += limit;
+            used += 1;
+        }
+    }
+    let subset = f64::from(used) / f64::from(INSTANCES);
+    report.figure(
+        &format!("choice.{name}.subset"),
+        subset,
+        "upstreams",
+        Limit::None,
+    );
+    let most = connections.values().max().copied().unwrap_or(0);
+    let limit = if ranked {
+        Limit::AtMost(360.0)
+    } else {
+        Limit::None
+    };
+    let name = format!("choice.{name}.connections_most");
+    report.figure(&name, most.into(), "of 360", limit);
+}
+
+/// Measures what a choice costs.
+pub(crate) fn run(report: &mut Report) {
+    pick_cost(report);
+    subset_at_target(report, "600_instances_by_hash", false);
+    subset_at_target(report, "600_instances_by_rank", true);
+    let size = Balancer::state_bytes_per_upstream() as f64;
+    report.figure(
+        "choice.state_per_upstream",
+        size,
+        "bytes",
+        Limit::AtMost(512.0),
+    );
+}
--- /dev/null
+++ b/crates/foxtide/examples/measure/choice/fleet.rs
@@ -0,0 +1,457 @@
+//! Instances and upstreams in virtual time, driven by a heap of events.
+
+use super::scenario::{Scenario, Summary};
+use super::upstream::{FakeUpstream, Reception};
+use super::ways::{Choice, Finished, Way};
+use foxtide_core::choice::{CompletionKind, Ticket};
+use foxtide_core::organisation::Upstream;
+use foxtide_core::retry::{
+    AttemptId, AttemptResult, Attempts, RequestTerms, RetryBudget, RetryBudgetOptions,
+    RetryOptions, Step,
+};
+use foxtide_core::time::MonotonicTime;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+use std::time::Duration;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive,
+    Dispatch(usize),
+    Reach(usize),
+    RunEnds(usize),
+    Answer(usize),
+    TimeOut(usize),
+    Hedge(usize),
+    Wake(usize),
+    Polls(usize),
+    PollAnswer(usize, usize, bool),
+}
+
+#[derive(Debug)]
+struct Request {
+    arrived: MonotonicTime,
+    instance: usize,
+    attempts: Attempts,
+    tried: Vec<usize>,
+    open: Vec<usize>,
+    done: bool,
+}
+
+#[derive(Debug)]
+struct Attempt {
+    request: usize,
+    id: AttemptId,
+    upstream: usize,
+    ticket: Option<Ticket>,
+    sent: MonotonicTime,
+    result: AttemptResult,
+    utilization: Option<f64>,
+    over: bool,
+}
+
+#[derive(Debug)]
+struct FakeInstance<W> {
+    way: W,
+    budget: RetryBudget,
+    waiting: VecDeque<usize>,
+    /// The one timer that is set for what waits.
+    wake_at: Option<MonotonicTime>,
+}
+
+/// A fleet at work.
+#[derive(Debug)]
+pub(crate) struct Fleet<W> {
+    scenario: Scenario,
+    instances: Vec<FakeInstance<W>>,
+    upstreams: Vec<FakeUpstream>,
+    requests: Vec<Request>,
+    attempts: Vec<Attempt>,
+    events: BinaryHeap<Reverse<(MonotonicTime, u64, Event)>>,
+    scheduled: u64,
+    random: fastrand::Rng,
+    now: MonotonicTime,
+    summary: Summary,
+}
+
+const POLL_EACH: Duration = Duration::from_millis(100);
+
+/// How long a poll may take.
+const POLL_TIMEOUT: Duration = Duration::from_millis(500);
+
+impl<W: Way> Fleet<W> {
+    /// Runs a scenario to its end.
+    pub(crate) fn run(scenario: Scenario, upstreams: &[Upstream]) -> Summary {
+        let instance = |number| FakeInstance {
+            way: W::new(upstreams, number, scenario.instances),
+            budget: RetryBudget::new(RetryBudgetOptions::default(), MonotonicTime::ZERO),
+            waiting: VecDeque::new(),
+            wake_at: None,
+        };
+        let mut fleet = Self {
+            instances: (0..scenario.instances).map(instance).collect(),
+            upstreams: scenario
+                .upstreams
+                .iter()
+                .cloned()
+                .map(FakeUpstream::new)
+                .collect(),
+            requests: Vec::new(),
+            attempts: Vec::new(),
+            events: BinaryHeap::new(),
+            scheduled: 0,
+            random: fastrand::Rng::with_seed(scenario.seed),
+            now: MonotonicTime::ZERO,
+            summary: Summary::default(),
+            scenario,
+        };
+        fleet.play();
+        fleet.summary
+    }
+
+    fn play(&mut self) {
+        self.schedule(Duration::ZERO, Event::Arrive);
+        for instance in 0..self.instances.len() {
+            self.schedule(POLL_EACH * instance as u32 / 10, Event::Polls(instance));
+        }
+        let end = MonotonicTime::ZERO + self.scenario.duration;
+        while let Some(Reverse((at, _, event))) = self.events.pop() {
+            if at > end {
+                break;
+            }
+            self.now = at;
+            self.handle(event);
+        }
+        let counted = self.scenario.duration - self.scenario.warm_up;
+        let answered = self.summary.latencies_us.len() as f64;
+        self.summary.goodput = answered / counted.as_secs_f64() / self.capacity_rps();
+    }
+
+    fn schedule(&mut self, after: Duration, event: Event) {
+        self.scheduled += 1;
+        let entry = (self.now + after, self.scheduled, event);
+        self.events.push(Reverse(entry));
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive => self.arrive(),
+            Event::Dispatch(request) => self.dispatch(request),
+            Event::Reach(attempt) => self.reach(attempt),
+            Event::RunEnds(attempt) => self.run_ends(attempt),
+            Event::Answer(attempt) => self.end(attempt),
+            Event::TimeOut(attempt) => self.time_out(attempt),
+            Event::Hedge(request) => self.hedge(request),
+            Event::Wake(instance) => {
+                self.instances[instance].wake_at = None;
+                self.serve_waiting(instance);
+            }
+            Event::Polls(instance) => self.poll(instance),
+            Event::PollAnswer(instance, upstream, heard) => {
+                let told = heard.then(|| self.upstreams[upstream].reported());
+                self.instances[instance]
+                    .way
+                    .polled(upstream, told, self.now);
+            }
+        }
+    }
+
+    /// Returns what the upstreams that live can serve.
+    fn capacity_rps(&self) -> f64 {
+        let rate = |upstream: &FakeUpstream| {
+            upstream.profile.slots as f64 / upstream.profile.run_mean.as_secs_f64()
+        };
+        self.upstreams.iter().map(rate).sum()
+    }
+
+    fn counts(&self) -> bool {
+        self.now - MonotonicTime::ZERO >= self.scenario.warm_up
+    }
+
+    fn exponential(&mut self, mean: Duration) -> Duration {
+        mean.mul_f64(-(1.0 - self.random.f64()).ln())
+    }
+
+    /// Returns the load now: bursts of a second in each four.
+    fn load_now(&self) -> f64 {
+        const BURST_EACH_S: u64 = 4;
+        let in_burst = (self.now.as_ms() / 1_000).is_multiple_of(BURST_EACH_S);
+        let others = BURST_EACH_S as f64 - 1.0;
+        let quiet = (BURST_EACH_S as f64 - self.scenario.burst) / others;
+        let factor = if in_burst { self.scenario.burst } else { quiet };
+        self.scenario.load * factor
+    }
+
+    fn arrive(&mut self) {
+        let gap = Duration::from_secs_f64(1.0 / (self.capacity_rps() * self.load_now()));
+        let gap = self.exponential(gap);
+        self.schedule(gap, Event::Arrive);
+        let terms = RequestTerms {
+            idempotent: self.scenario.idempotent,
+            deadline: self.now + self.scenario.deadline,
+            hedge_delay: self.scenario.hedge_delay,
+        };
+        let instance = self.random.usize(..self.instances.len());
+        self.requests.push(Request {
+            arrived: self.now,
+            instance,
+            attempts: Attempts::new(
+                terms,
+                RetryOptions {
+                    refusals_max: W::REFUSALS_MAX,
+                    ..RetryOptions::default()
+                },
+            ),
+            tried: Vec::new(),
+            open: Vec::new(),
+            done: false,
+        });
+        self.summary.offered += u64::from(self.counts());
+        let request = self.requests.len() - 1;
+        if self.instances[instance].waiting.is_empty() {
+            self.dispatch(request);
+        } else {
+            self.instances[instance].waiting.push_back(request);
+        }
+    }
+
+    /// Sends a request or lets it wait.
+    fn dispatch(&mut self, number: usize) {
+        if let Some(wait) = self.try_send(number) {
+            let instance = self.requests[number].instance;
+            self.instances[instance].waiting.push_back(number);
+            self.wake_in(instance, wait);
+        }
+    }
+
+    /// Sends a request; returns how long to wait where none has room.
+    fn try_send(&mut self, number: usize) -> Option<Duration> {
+        let draw = self.random.u64(..);
+        let request = &mut self.requests[number];
+        let way = &mut self.instances[request.instance].way;
+        match way.choose(self.now, draw, &request.tried) {
+            Choice::Wait(wait) => Some(wait),
+            Choice::Send(upstream, ticket) => {
+                self.send(number, upstream, ticket);
+                None
+            }
+        }
+    }
+
+    fn send(&mut self, number: usize, upstream: usize, ticket: Option<Ticket>) {
+        let now = self.now;
+        let request = &mut self.requests[number];
+        let id = request.attempts.begin(now);
+        let is_first = request.attempts.begun() == 1;
+        request.tried.push(upstream);
+        request.open.push(self.attempts.len());
+        self.attempts.push(Attempt {
+            request: number,
+            id,
+            upstream,
+            ticket,
+            sent: now,
+            result: AttemptResult::Answered,
+            utilization: None,
+            over: false,
+        });
+        let attempt = self.attempts.len() - 1;
+        let left = request.attempts.terms().deadline - now;
+        if let Some(at) = request.attempts.hedge_at().filter(|_| is_first) {
+            self.schedule(at - now, Event::Hedge(number));
+        }
+        self.schedule(left, Event::TimeOut(attempt));
+        self.schedule(self.scenario.delay, Event::Reach(attempt));
+        self.summary.attempts += u64::from(self.counts());
+        self.note_sent_to_dead(upstream);
+    }
+
+    fn note_sent_to_dead(&mut self, upstream: usize) {
+        if !self.upstreams[upstream].is_dead(self.now) {
+            return;
+        }
+        let died_at = self.upstreams[upstream].profile.dies_at;
+        self.summary.last_to_dead = died_at.map(|at| self.now - at);
+    }
+
+    fn reach(&mut self, number: usize) {
+        let upstream = self.attempts[number].upstream;
+        match self.upstreams[upstream].receive(number, self.now) {
+            Reception::Runs => self.start_run(number),
+            Reception::Refused => {
+                let refused = AttemptResult::Refused { retry_after: None };
+                self.answer(number, refused);
+            }
+            Reception::Waits | Reception::Swallowed => {}
+        }
+    }
+
+    fn start_run(&mut self, number: usize) {
+        let mean = self.upstreams[self.attempts[number].upstream]
+            .profile
+            .run_mean;
+        let fixed = mean.mul_f64(self.scenario.fixed_run_share);
+        let time = fixed + self.exponential(mean - fixed);
+        self.schedule(time, Event::RunEnds(number));
+    }
+
+    fn run_ends(&mut self, number: usize) {
+        let upstream = self.attempts[number].upstream;
+        if let Some(next) = self.upstreams[upstream].end_one() {
+            self.start_run(next);
+        }
+        if self.upstreams[upstream].is_dead(self.now) {
+            return;
+        }
+        let failed = self.random.f64() < self.upstreams[upstream].profile.error_share;
+        let result = if failed {
+            AttemptResult::ServerError
+        } else {
+            AttemptResult::Answered
+        };
+        self.answer(number, result);
+    }
+
+    fn answer(&mut self, number: usize, result: AttemptResult) {
+        let reported = self.upstreams[self.attempts[number].upstream].reported();
+        self.attempts[number].result = result;
+        self.attempts[number].utilization = Some(reported);
+        self.schedule(self.scenario.delay, Event::Answer(number));
+    }
+
+    fn time_out(&mut self, number: usize) {
+        if !self.attempts[number].over {
+            self.attempts[number].result = AttemptResult::TimedOut;
+            self.attempts[number].utilization = None;
+            self.end(number);
+        }
+    }
+
+    /// Ends an attempt at its instance.
+    fn end(&mut self, number: usize) {
+        if self.attempts[number].over {
+            return;
+        }
+        let result = self.attempts[number].result;
+        self.give_back(number, completion_kind(result));
+        let request_number = self.attempts[number].request;
+        let request = &mut self.requests[request_number];
+        let instance = request.instance;
+        let budget = &mut self.instances[instance].budget;
+        let id = self.attempts[number].id;
+        let step = request.attempts.ended(id, result, budget, self.now);
+        self.obey(request_number, step, result);
+        self.serve_waiting(instance);
+    }
+
+    fn give_back(&mut self, number: usize, kind: CompletionKind) {
+        let attempt = &mut self.attempts[number];
+        attempt.over = true;
+        let end = Finished {
+            index: attempt.upstream,
+            ticket: attempt.ticket.take(),
+            kind,
+            latency: self.now - attempt.sent,
+            utilization: attempt.utilization,
+        };
+        let instance = self.requests[attempt.request].instance;
+        self.instances[instance].way.finished(end, self.now);
+        if kind == CompletionKind::Refused && self.counts() {
+            self.summary.refused_attempts += 1;
+        }
+    }
+
+    fn obey(&mut self, number: usize, step: Step, result: AttemptResult) {
+        match step {
+            Step::Answer(_) if result == AttemptResult::Answered => self.finish(number, true),
+            Step::Answer(_) | Step::GiveUp(_) => self.finish(number, false),
+            Step::Retry { after } if after.is_zero() => {
+                let instance = self.requests[number].instance;
+                self.instances[instance].waiting.push_front(number);
+            }
+            Step::Retry { after } => self.schedule(after, Event::Dispatch(number)),
+            Step::Hedge => {
+                let _ = self.try_send(number);
+            }
+            Step::Await => {}
+        }
+    }
+
+    fn finish(&mut self, number: usize, good: bool) {
+        let request = &mut self.requests[number];
+        request.done = true;
+        let latency = self.now - request.arrived;
+        for attempt in std::mem::take(&mut request.open) {
+            if !self.attempts[attempt].over {
+                self.give_back(attempt, CompletionKind::Cancelled);
+            }
+        }
+        if !self.counts() {
+            return;
+        }
+        if good {
+            self.summary.latencies_us.push(latency.as_micros() as u64);
+        } else {
+            self.summary.given_up += 1;
+        }
+    }
+
+    fn hedge(&mut self, number: usize) {
+        let request = &mut self.requests[number];
+        if request.done {
+            return;
+        }
+        let budget = &mut self.instances[request.instance].budget;
+        let step = request.attempts.hedge(budget, self.now);
+        self.obey(number, step, AttemptResult::NotSent);
+    }
+
+    fn wake_in(&mut self, instance: usize, wait: Duration) {
+        let at = self.now + wait;
+        let set = self.instances[instance].wake_at;
+        if set.is_none_or(|set| set <= self.now) {
+            self.instances[instance].wake_at = Some(at);
+            self.schedule(wait, Event::Wake(instance));
+        }
+    }
+
+    /// Sends what waits at an instance, the oldest first.
+    fn serve_waiting(&mut self, instance: usize) {
+        while let Some(&number) = self.instances[instance].waiting.front() {
+            if self.now - self.requests[number].arrived >= self.scenario.wait_max {
+                self.instances[instance].waiting.pop_front();
+                self.finish(number, false);
+                continue;
+            }
+            if let Some(wait) = self.try_send(number) {
+                self.wake_in(instance, wait);
+                return;
+            }
+            self.instances[instance].waiting.pop_front();
+        }
+    }
+
+    fn poll(&mut self, instance: usize) {
+        self.schedule(POLL_EACH, Event::Polls(instance));
+        for upstream in self.instances[instance].way.polls(self.now) {
+            let heard = !self.upstreams[upstream].is_dead(self.now);
+            let after = if heard {
+                self.scenario.delay * 2
+            } else {
+                POLL_TIMEOUT
+            };
+            self.schedule(after, Event::PollAnswer(instance, upstream, heard));
+        }
+    }
+}
+
+fn completion_kind(result: AttemptResult) -> CompletionKind {
+    match result {
+        AttemptResult::NotSent => CompletionKind::NotSent,
+        AttemptResult::Refused { .. } => CompletionKind::Refused,
+        AttemptResult::Answered => CompletionKind::Answered,
+        AttemptResult::ServerError => CompletionKind::Failed,
+        AttemptResult::Lost => CompletionKind::Lost,
+        AttemptResult::TimedOut => CompletionKind::TimedOut,
+    }
+}
--- /dev/null
+++ b/crates/foxtide/examples/measure/choice/in_use.rs
@@ -0,0 +1,89 @@
+//! The balancer that is in use, as one of the ways.
+
+use super::ways::{Choice, Finished, WAIT, Way};
+use foxtide_core::choice::{
+    Balancer, BalancerOptions, Completion, LoadReport, Pick, Poll, PollResult,
+};
+use foxtide_core::ids::UpstreamId;
+use foxtide_core::organisation::Upstream;
+use foxtide_core::time::MonotonicTime;
+
+/// The balancer that is in use.
+#[derive(Debug)]
+pub(crate) struct InUse {
+    balancer: Balancer,
+    names: Vec<UpstreamId>,
+    polls: Vec<(usize, Poll)>,
+}
+
+impl InUse {
+    fn index(&self, upstream: &Upstream) -> usize {
+        let same = |name: &UpstreamId| *name == upstream.upstream;
+        self.names.iter().position(same).expect("it is known")
+    }
+}
+
+fn load(utilization: Option<f64>) -> Option<LoadReport> {
+    utilization.map(|utilization| LoadReport { utilization })
+}
+
+impl Way for InUse {
+    const REFUSALS_MAX: u32 = 16;
+
+    fn new(upstreams: &[Upstream], instance: usize, instances: usize) -> Self {
+        let mut balancer = Balancer::new(BalancerOptions::default(), instance as u64);
+        balancer.configure(upstreams, instances as u32, MonotonicTime::ZERO);
+        balancer.rank(Some(instance as u32), MonotonicTime::ZERO);
+        Self {
+            balancer,
+            names: upstreams.iter().map(|u| u.upstream.clone()).collect(),
+            polls: Vec::new(),
+        }
+    }
+
+    fn choose(&mut self, now: MonotonicTime, draw: u64, tried: &[usize]) -> Choice {
+        let tried: Vec<UpstreamId> = tried.iter().map(|n| self.names[*n].clone()).collect();
+        match self.balancer.pick_other(now, draw, &tried) {
+            Pick::Take(ticket) => Choice::Send(self.index(ticket.upstream()), Some(ticket)),
+            Pick::Wait { retry_in } => Choice::Wait(retry_in),
+            Pick::Empty => Choice::Wait(WAIT),
+        }
+    }
+
+    fn finished(&mut self, end: Finished, now: MonotonicTime) {
+        let completion = Completion {
+            kind: end.kind,
+            latency: end.latency,
+            load: load(end.utilization),
+            draining: false,
+        };
+        let ticket = end.ticket.expect("each attempt has its ticket");
+        self.balancer.finish(ticket, completion, now);
+    }
+
+    fn polls(&mut self, now: MonotonicTime) -> Vec<usize> {
+        let mut due = Vec::new();
+        while let Some(poll) = self.balancer.next_poll(now) {
+            let index = self.index(poll.upstream());
+            due.push(index);
+            self.polls.push((index, poll));
+        }
+        due
+    }
+
+    fn polled(&mut self, index: usize, utilization: Option<f64>, now: MonotonicTime) {
+        let found = self.polls.iter().position(|(polled, _)| *polled == index);
+        let Some(position) = found else {
+            return;
+        };
+        let (_, poll) = self.polls.swap_remove(position);
+        let result = match utilization {
+            Some(_) => PollResult::Answered {
+                load: load(utilization),
+                draining: false,
+            },
+            None => PollResult::TimedOut,
+        };
+        self.balancer.finish_poll(poll, result, now);
+    }
+}
--- a/crates/foxtide/examples/measure/main.rs
+++ b/crates/foxtide/examples/measure/main.rs
@@ -7,6 +7,7 @@
 mod blocks;
 mod blocks_data;
 mod blocks_ways;
+mod choice;
 mod document;
 mod events;
 mod explain;
@@ -22,7 +23,11 @@
 type Module = (&'static str, fn(&mut Report));
 
 /// What each instance decides, against simpler baselines.
-const DECISIONS: &[Module] = &[("at_most_once", at_most_once::run), ("blocks", blocks::run)];
+const DECISIONS: &[Module] = &[
+    ("at_most_once", at_most_once::run),
+    ("blocks", blocks::run),
+    ("choice", choice::run),
+];
 
 /// What a fleet of instances costs and how fast it agrees.
 const FLEET: &[Module] = &[
