--- a/crates/foxtide-core/src/membership/beliefs.rs
+++ b/crates/foxtide-core/src/membership/beliefs.rs
@@ -3,6 +3,7 @@
 use super::machine::{Membership, direct};
 use super::member::{Member, MemberState};
 use super::message::{Message, Output, Packet, Rumour, Suspicion};
+use super::suspicion::Found;
 use crate::ids::InstanceId;
 use crate::time::MonotonicTime;
 use std::net::SocketAddr;
@@ -64,13 +65,13 @@
     ) {
         match rumour {
             Rumour::Member(member) => {
-                let refuted = self.counts.refutations;
+                self.object(&member, from, now, outputs);
                 self.believe(member, now, outputs);
-                if self.counts.refutations > refuted {
-                    outputs.push(direct_to(from, self.own.clone()));
-                }
             }
-            Rumour::Suspicion(suspicion) => self.suspect(suspicion, now, outputs),
+            Rumour::Suspicion(Suspicion { member, by }) => {
+                self.object(&member, from, now, outputs);
+                self.suspect(member, Found::Elsewhere(by), now, outputs);
+            }
             Rumour::Configuration(announcement) => outputs.push(Output::Announced {
                 announcement,
                 by: from,
@@ -78,6 +79,21 @@
         }
     }
 
+    /// Answers a peer that thinks ill of this instance.
+    fn object(
+        &mut self,
+        belief: &Member,
+        from: SocketAddr,
+        now: MonotonicTime,
+        outputs: &mut Vec<Output>,
+    ) {
+        let suspected = matches!(belief.state, MemberState::Suspect | MemberState::Dead);
+        if belief.instance == self.own.instance && suspected {
+            self.contradict(belief, now, outputs);
+            outputs.push(direct_to(from, self.own.clone()));
+        }
+    }
+
     /// Takes a belief in.
     fn believe(&mut self, member: Member, now: MonotonicTime, outputs: &mut Vec<Output>) {
         if member.instance == self.own.instance {
@@ -85,8 +101,7 @@
             return;
         }
         if member.state == MemberState::Suspect {
-            let by = self.own.instance.clone();
-            self.suspect(Suspicion { member, by }, now, outputs);
+            self.suspect(member, Found::Somewhere, now, outputs);
             return;
         }
         if self.table.apply(&member, now) {
@@ -115,8 +130,13 @@
     }
 
     /// Takes a suspicion in, another's or an own one.
-    fn suspect(&mut self, suspicion: Suspicion, now: MonotonicTime, outputs: &mut Vec<Output>) {
-        let Suspicion { member, by } = suspicion;
+    fn suspect(
+        &mut self,
+        member: Member,
+        found: Found,
+        now: MonotonicTime,
+        outputs: &mut Vec<Output>,
+    ) {
         if member.instance == self.own.instance {
             self.contradict(&member, now, outputs);
             return;
@@ -128,10 +148,9 @@
         }
         let fresh = self
             .suspicions
-            .suspect(&member.instance, member.incarnation, &by, now);
+            .suspect(&member.instance, member.incarnation, &found, now);
         if fresh {
-            let member = member.clone();
-            self.push(Rumour::Suspicion(Suspicion { member, by }));
+            self.push(rumour(member.clone(), found));
         }
         if changed {
             outputs.push(Output::Changed(member));
@@ -151,8 +170,10 @@
         match member.state {
             MemberState::Alive | MemberState::Suspect => {
                 let member = member.in_state(MemberState::Suspect);
-                let by = self.own.instance.clone();
-                self.suspect(Suspicion { member, by }, now, outputs);
+                // Told at once, it can object before others hear of it.
+                outputs.push(direct(member.clone()));
+                let found = Found::Here(self.own.instance.clone());
+                self.suspect(member, found, now, outputs);
             }
             MemberState::Leaving => self.bury(target, now, outputs),
             MemberState::Dead => {}
@@ -176,6 +197,14 @@
     }
 }
 
+/// Returns the rumour of a suspicion.
+fn rumour(member: Member, found: Found) -> Rumour {
+    match found {
+        Found::Here(by) | Found::Elsewhere(by) => Rumour::Suspicion(Suspicion { member, by }),
+        Found::Somewhere => Rumour::Member(member),
+    }
+}
+
 /// Returns the sending of a belief to an address.
 fn direct_to(to: SocketAddr, member: Member) -> Output {
     let Output::Send { packet, .. } = direct(member) else {
--- a/crates/foxtide-core/src/membership/suspicion.rs
+++ b/crates/foxtide-core/src/membership/suspicion.rs
@@ -31,12 +31,38 @@
     }
 }
 
+/// How many times longer those wait that only heard of it: they may have missed
+/// the objection, and those that saw it will tell them how it ended.
+const HEARSAY_FACTOR: u32 = 3;
+
+/// Who found an instance silent.
+#[derive(Clone, Debug)]
+pub(crate) enum Found {
+    /// This instance, by its own probe.
+    Here(InstanceId),
+    /// Another one.
+    Elsewhere(InstanceId),
+    /// It is not known who.
+    Somewhere,
+}
+
+impl Found {
+    fn by(&self) -> Option<&InstanceId> {
+        match self {
+            Self::Here(by) | Self::Elsewhere(by) => Some(by),
+            Self::Somewhere => None,
+        }
+    }
+}
+
 /// One running wait.
 #[derive(Clone, Debug)]
 struct Wait {
     incarnation: Incarnation,
     started_at: MonotonicTime,
     confirmed_by: Vec<InstanceId>,
+    /// Whether this instance found the subject silent itself.
+    observed: bool,
 }
 
 /// All running waits.
@@ -46,13 +72,13 @@
 }
 
 impl Suspicions {
-    /// Starts a wait, or counts `by` as agreeing with the one that runs;
-    /// returns whether that was new.
+    /// Starts a wait, or counts who `found` it as agreeing with the one that
+    /// runs; returns whether that was new.
     pub(crate) fn suspect(
         &mut self,
         subject: &InstanceId,
         incarnation: Incarnation,
-        by: &InstanceId,
+        found: &Found,
         now: MonotonicTime,
     ) -> bool {
         let running = self.running.get_mut(subject);
@@ -60,11 +86,16 @@
             let started = Wait {
                 incarnation,
                 started_at: now,
-                confirmed_by: vec![by.clone()],
+                confirmed_by: found.by().cloned().into_iter().collect(),
+                observed: matches!(found, Found::Here(_)),
             };
             self.running.insert(subject.clone(), started);
             return true;
         };
+        running.observed |= matches!(found, Found::Here(_));
+        let Some(by) = found.by() else {
+            return false;
+        };
         let fresh = !running.confirmed_by.contains(by);
         if fresh {
             running.confirmed_by.push(by.clone());
@@ -86,7 +117,8 @@
         let over = |running: &Wait| {
             let others = running.confirmed_by.len().saturating_sub(1);
             let wait = bounds.wait(u32::try_from(others).unwrap_or(u32::MAX));
-            now >= running.started_at + wait
+            let times = if running.observed { 1 } else { HEARSAY_FACTOR };
+            now >= running.started_at + wait * times
         };
         let expired = self.running.extract_if(.., |_, running| over(running));
         expired.map(|(subject, _)| subject).collect()
--- a/crates/foxtide-core/src/spreading/load/mod.rs
+++ b/crates/foxtide-core/src/spreading/load/mod.rs
@@ -1,9 +1,9 @@
 //! Summing of load over a tree, so that each instance sends and receives a
 //! bounded amount whatever the size of the fleet.
 //!
-//! The instances of a zone form a tree by rendezvous hash. Sums go up to the
-//! zone's root and on to the region's root; the regions' roots tell one
-//! another; the table of all regions goes down the same trees.
+//! The instances of a region form a tree by rendezvous hash. Sums go up to the
+//! region's root; the regions' roots tell one another; the table of all regions
+//! goes down the same trees.
 
 mod options;
 mod record;
--- a/crates/foxtide-core/src/spreading/load/record.rs
+++ b/crates/foxtide-core/src/spreading/load/record.rs
@@ -4,17 +4,17 @@
 use crate::steering::{FleetView, HeardReport, InstanceReport, RegionView, ViewOptions};
 use crate::time::{MonotonicTime, WallTime};
 
-/// Encoded size of a record at most, without what is listed in it, in bytes.
-const RECORD_BYTES: usize = 60;
+/// Usual encoded size of a record without what is listed in it, in bytes.
+const RECORD_BYTES: usize = 34;
 
-/// Encoded size of a service's figures at most, without its row, in bytes.
-const SERVICE_BYTES: usize = 24;
+/// Usual encoded size of a service's figures without its row, in bytes.
+const SERVICE_BYTES: usize = 18;
 
-/// Encoded size of a share of one region at most, in bytes.
-const REGION_BYTES: usize = 10;
+/// Encoded size of a share of one region, in bytes.
+const REGION_BYTES: usize = 5;
 
-/// Encoded size of the use of one region's limits at most, in bytes.
-const LIMIT_BYTES: usize = 18;
+/// Encoded size of the use of one region's limits, in bytes.
+const LIMIT_BYTES: usize = 11;
 
 /// What some instances of a region report for one organisation.
 #[derive(Clone, Debug, PartialEq)]
@@ -76,8 +76,8 @@
         self.sum.make_silent();
     }
 
-    /// Returns a bound on the encoded size, in bytes.
-    pub fn size_bound_bytes(&self) -> usize {
+    /// Returns about the encoded size, in bytes.
+    pub(super) fn size_bytes(&self) -> usize {
         let foreign = self.sum.foreign.values().flat_map(|told| told.values());
         let services = self.sum.services.values().chain(foreign);
         let services_bytes: usize = services
--- a/crates/foxtide-core/src/spreading/load/spreader.rs
+++ b/crates/foxtide-core/src/spreading/load/spreader.rs
@@ -98,7 +98,7 @@
     /// Returns the time between two rounds.
     pub fn interval(&self) -> Duration {
         let records = self.table.values();
-        let table_bytes = records.map(LoadRecord::size_bound_bytes).sum();
+        let table_bytes = records.map(LoadRecord::size_bytes).sum();
         self.options.interval(table_bytes)
     }
 
--- a/crates/foxtide-core/src/spreading/load/tree.rs
+++ b/crates/foxtide-core/src/spreading/load/tree.rs
@@ -1,6 +1,6 @@
 //! The place of an instance in the tree over which load is summed.
 
-use crate::ids::{AvailabilityZoneId, InstanceId, RegionId};
+use crate::ids::{InstanceId, RegionId};
 use crate::membership::{Member, MemberState, Role, weight};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
@@ -23,12 +23,9 @@
     pub(super) depth_max: u32,
 }
 
-/// The instances of a zone, the root first.
+/// The running instances of a region, the root first.
 type Ranked<'a> = Vec<&'a Member>;
 
-/// The zones of a region, that of the region's root first.
-type Zones<'a> = Vec<Ranked<'a>>;
-
 impl Place {
     /// Returns the place of `own` among `members`.
     pub(super) fn new<'a>(
@@ -37,34 +34,29 @@
         fan_out: usize,
     ) -> Self {
         let mut regions = regions(members.filter(|member| member.state.is_running()));
-        let Some(zones) = regions.remove(&own.region) else {
+        let ranked = regions.remove(&own.region).unwrap_or_default();
+        let number = ranked
+            .iter()
+            .position(|member| member.instance == own.instance);
+        let Some(number) = number else {
             return Self::default();
         };
-        let mut place = in_zones(own, &zones, fan_out);
-        let mates = zones.iter().flatten().map(|member| &member.instance);
-        let elsewhere = mates.filter(|mate| !place.children.contains_key(mate));
-        place.elsewhere = elsewhere.cloned().collect();
-        if place.parent.is_none() {
-            let roots = regions.values().map(|zones| zones[0][0].peer_address);
+        let mut place = in_region(&ranked, number, fan_out);
+        if number == 0 {
+            let roots = regions.values().map(|ranked| ranked[0].peer_address);
             place.other_roots = roots.collect();
         }
         place
     }
 }
 
-fn regions<'a>(members: impl Iterator<Item = &'a Member>) -> BTreeMap<&'a RegionId, Zones<'a>> {
-    let mut zones: BTreeMap<(&RegionId, &AvailabilityZoneId), Ranked<'_>> = BTreeMap::new();
+fn regions<'a>(members: impl Iterator<Item = &'a Member>) -> BTreeMap<&'a RegionId, Ranked<'a>> {
+    let mut regions: BTreeMap<_, Ranked<'_>> = BTreeMap::new();
     for member in members {
-        let zone = (&member.region, &member.availability_zone);
-        zones.entry(zone).or_default().push(member);
+        regions.entry(&member.region).or_default().push(member);
     }
-    let mut regions: BTreeMap<_, Zones<'_>> = BTreeMap::new();
-    for ((region, _), mut ranked) in zones {
+    for ranked in regions.values_mut() {
         ranked.sort_by_cached_key(|member| order(member));
-        regions.entry(region).or_default().push(ranked);
-    }
-    for zones in regions.values_mut() {
-        zones.sort_by_cached_key(|ranked| order(ranked[0]));
     }
     regions
 }
@@ -75,39 +67,28 @@
     (leaving, Reverse(weight(Role::Aggregator, &member.instance)))
 }
 
-fn in_zones(own: &Member, zones: &Zones<'_>, fan_out: usize) -> Place {
-    let mut place = Place::default();
-    for (zone_number, ranked) in zones.iter().enumerate() {
-        let root_depth = u32::from(zone_number > 0);
-        let last = ranked.len() - 1;
-        place.depth_max = place.depth_max.max(root_depth + depth(last, fan_out));
-        let number = ranked
-            .iter()
-            .position(|member| member.instance == own.instance);
-        let Some(number) = number else {
-            continue;
-        };
-        place.depth = root_depth + depth(number, fan_out);
-        let below = (fan_out * number + 1..=fan_out * number + fan_out)
-            .filter_map(|child| ranked.get(child));
-        place.children.extend(below.map(|child| known(child)));
-        if number > 0 {
-            place.parent = Some(ranked[(number - 1) / fan_out].peer_address);
-        } else if zone_number > 0 {
-            place.parent = Some(zones[0][0].peer_address);
-        } else {
-            let other_zones = zones[1..].iter().map(|ranked| known(ranked[0]));
-            place.children.extend(other_zones);
-        }
+fn in_region(ranked: &Ranked<'_>, number: usize, fan_out: usize) -> Place {
+    let below = fan_out * number + 1..=fan_out * number + fan_out;
+    let children = below.filter_map(|child| ranked.get(child));
+    let children: BTreeMap<_, _> = children.map(|child| known(child)).collect();
+    let mates = ranked.iter().map(|member| &member.instance);
+    let elsewhere = mates.filter(|mate| !children.contains_key(mate));
+    let above = number.checked_sub(1).map(|before| before / fan_out);
+    Place {
+        parent: above.map(|parent| ranked[parent].peer_address),
+        elsewhere: elsewhere.cloned().collect(),
+        other_roots: Vec::new(),
+        depth: depth(number, fan_out),
+        depth_max: depth(ranked.len() - 1, fan_out),
+        children,
     }
-    place
 }
 
 fn known(member: &Member) -> (InstanceId, SocketAddr) {
     (member.instance.clone(), member.peer_address)
 }
 
-/// Returns the level of the instance with this number in its zone.
+/// Returns the level of the instance with this number in its region.
 fn depth(mut number: usize, fan_out: usize) -> u32 {
     let mut depth = 0;
     while number > 0 {
--- a/crates/foxtide-core/src/steering/service.rs
+++ b/crates/foxtide-core/src/steering/service.rs
@@ -202,7 +202,10 @@
         let mut left = draw;
         for (index, share) in self.row.as_ref()?.iter().enumerate() {
             if left < *share {
-                let spilled = left >= self.wanted[index] && self.target[index] > self.wanted[index];
+                // Between a new configuration and the next tick nothing is wanted yet.
+                let wanted = self.wanted.get(index).copied().unwrap_or(*share);
+                let target = self.target.get(index).copied().unwrap_or(wanted);
+                let spilled = left >= wanted && target > wanted;
                 return Some(Drawn { index, spilled });
             }
             left -= share;
--- a/crates/foxtide-mesh/src/datagrams.rs
+++ b/crates/foxtide-mesh/src/datagrams.rs
@@ -13,8 +13,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Room for any datagram; larger ones than ours are read and rejected.
-const BUFFER_BYTES: usize = 65_536;
+/// Room for a datagram; of a larger one than ours the rest is cut off, so that
+/// it cannot be read.
+const BUFFER_BYTES: usize = 2_048;
 
 /// Wait after a failed read, so that a broken socket does not spin.
 const FAILURE_PAUSE: Duration = Duration::from_millis(20);
--- a/crates/foxtide-mesh/tests/mesh/main.rs
+++ b/crates/foxtide-mesh/tests/mesh/main.rs
@@ -4,4 +4,5 @@
 mod fleet;
 mod load;
 mod membership;
+mod rejections;
 mod spreading;
--- a/crates/foxtide-testing/src/lib.rs
+++ b/crates/foxtide-testing/src/lib.rs
@@ -9,12 +9,16 @@
 //! * [`UpstreamServer`]: one target of a service.
 
 mod client;
+mod duration;
 mod http;
 mod instance_list;
+pub mod scenario;
 mod store;
 mod upstream;
+mod virtual_fleet;
 
 pub use client::{HttpAnswer, http_call};
+pub use duration::{Span, SpanError};
 pub use http::Availability;
 pub use instance_list::{InstanceListOptions, InstanceListServer, ListedInstance, ListedState};
 pub use store::{CallKind, CallStats, StoreOptions, StoreServer};
@@ -22,3 +26,4 @@
     AnswerFault, ColdStart, FaultSpan, HealthReport, LoadFormat, LoadReport, RunRecord,
     ServiceTime, UpstreamOptions, UpstreamServer, UpstreamStats,
 };
+pub use virtual_fleet::{VirtualFleet, VirtualFleetOptions, WrongBeliefs};
--- /dev/null
+++ b/crates/foxtide-testing/src/scenario/promise.rs
@@ -0,0 +1,227 @@
+//! What always has to hold, checked against what a scenario wrote down.
+
+use super::callers::WARM_UP;
+use super::fleet::Fleet;
+use super::operation::{Kind, Operation};
+use super::record::Series;
+use super::shift;
+use super::spill;
+use foxtide_core::time::MonotonicTime;
+use foxtide_core::units::RequestRate;
+use std::fmt;
+use std::str::FromStr;
+
+/// A limit was tested where the busiest second came this close to it.
+const TESTED_FROM_SHARE: f64 = 0.8;
+
+/// What always has to hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Promise {
+    /// A region's share of a service changes no faster than the contract says.
+    ShiftCap,
+    /// No region gets more than was sold there.
+    RegionLimit,
+    /// No link carries more than was sold on it.
+    LinkLimit,
+    /// No more of a service spills over than the contract says.
+    SpillLimit,
+    /// A non-idempotent request runs at most once.
+    AtMostOnce,
+    /// What was told to be not run did not run.
+    NotRunIsTrue,
+    /// Every caller gets the answer to its own request.
+    OwnAnswer,
+    /// A leaving upstream gets no new request after 2 s.
+    LeavingGetsNothing,
+    /// A planned stop cuts nothing off.
+    NothingCut,
+    /// An accepted configuration is in force everywhere within seconds.
+    InForce,
+    /// A configuration never reverts.
+    NeverReverts,
+    /// A refusal comes at once.
+    RefusedAtOnce,
+}
+
+impl Promise {
+    /// All promises.
+    pub const ALL: [Self; 12] = [
+        Self::ShiftCap,
+        Self::RegionLimit,
+        Self::LinkLimit,
+        Self::SpillLimit,
+        Self::AtMostOnce,
+        Self::NotRunIsTrue,
+        Self::OwnAnswer,
+        Self::LeavingGetsNothing,
+        Self::NothingCut,
+        Self::InForce,
+        Self::NeverReverts,
+        Self::RefusedAtOnce,
+    ];
+}
+
+impl fmt::Display for Promise {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::ShiftCap => "shift-cap",
+            Self::RegionLimit => "region-limit",
+            Self::LinkLimit => "link-limit",
+            Self::SpillLimit => "spill-limit",
+            Self::AtMostOnce => "at-most-once",
+            Self::NotRunIsTrue => "not-run-is-true",
+            Self::OwnAnswer => "own-answer",
+            Self::LeavingGetsNothing => "leaving-gets-nothing",
+            Self::NothingCut => "nothing-cut",
+            Self::InForce => "in-force",
+            Self::NeverReverts => "never-reverts",
+            Self::RefusedAtOnce => "refused-at-once",
+        })
+    }
+}
+
+impl FromStr for Promise {
+    type Err = foxtide_core::Error;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut all = Self::ALL.into_iter();
+        let found = all.find(|promise| promise.to_string() == text);
+        found.ok_or_else(|| foxtide_core::Error::parse(text, "the name of a promise"))
+    }
+}
+
+/// Whether a promise held in a scenario.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It held where it could have been broken.
+    Kept,
+    /// Nothing happened that could have broken it.
+    Untested,
+    /// It was broken.
+    Broken {
+        /// The first breach, and how many there were.
+        breach: String,
+    },
+}
+
+impl Verdict {
+    /// Returns the verdict on a list of breaches.
+    pub(super) fn of(breaches: &[String], tested: bool) -> Self {
+        match breaches.first() {
+            Some(first) if breaches.len() > 1 => Self::Broken {
+                breach: format!("{first} (and {} more)", breaches.len() - 1),
+            },
+            Some(first) => Self::Broken {
+                breach: first.clone(),
+            },
+            None if tested => Self::Kept,
+            None => Self::Untested,
+        }
+    }
+}
+
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Kept => f.write_str("kept"),
+            Self::Untested => f.write_str("untested"),
+            Self::Broken { breach } => write!(f, "BROKEN: {breach}"),
+        }
+    }
+}
+
+impl Fleet {
+    /// Returns whether a promise has held so far.
+    pub(super) fn verdict(&self, promise: Promise) -> Verdict {
+        let breaches = &self.record.breaches;
+        let changed = self.record.accepted.len() > 1;
+        let drained = !self.record.drains.is_empty() || self.record.planned_stops > 0;
+        let answered = self.now > MonotonicTime::ZERO + WARM_UP;
+        match promise {
+            Promise::ShiftCap => shift::verdict(self),
+            Promise::RegionLimit => self.region_limits(),
+            Promise::LinkLimit => self.link_limits(),
+            Promise::SpillLimit => spill::verdict(self),
+            Promise::AtMostOnce => self.at_most_once(),
+            Promise::NotRunIsTrue => self.not_run_is_true(),
+            Promise::OwnAnswer => Verdict::of(&breaches.foreign_answer, answered),
+            Promise::LeavingGetsNothing => Verdict::of(&breaches.leaving, drained),
+            Promise::NothingCut => Verdict::of(&breaches.cut, self.record.planned_stops > 0),
+            Promise::InForce => Verdict::of(&breaches.late_revision, changed),
+            Promise::NeverReverts => Verdict::of(&breaches.reverted, changed),
+            Promise::RefusedAtOnce => {
+                Verdict::of(&breaches.held_back, !self.record.refusals.is_empty())
+            }
+        }
+    }
+
+    fn region_limits(&self) -> Verdict {
+        let regions = self.contract.regions.iter();
+        let limits = regions.map(|region| Limit {
+            name: region.region.to_string(),
+            sold: region.sold_rate_rps,
+            series: self.record.regions.get(&region.region),
+        });
+        check_limits(limits)
+    }
+
+    fn link_limits(&self) -> Verdict {
+        let links = self.contract.links.iter();
+        let limits = links.map(|link| Limit {
+            name: link.id().to_string(),
+            sold: link.sold_rate_rps,
+            series: self.record.links.get(&link.id()),
+        });
+        check_limits(limits)
+    }
+
+    fn at_most_once(&self) -> Verdict {
+        let writes = self.operations.iter();
+        let writes = writes.filter(|(_, operation)| operation.kind == Kind::Write);
+        let twice = writes.clone().filter(|(_, operation)| operation.runs > 1);
+        let breach = |(number, operation): (&u64, &Operation)| {
+            format!("request {number} ran {} times", operation.runs)
+        };
+        let breaches: Vec<String> = twice.map(breach).collect();
+        Verdict::of(&breaches, writes.count() > 0)
+    }
+
+    fn not_run_is_true(&self) -> Verdict {
+        let told = self.operations.iter();
+        let told = told.filter(|(_, operation)| operation.told_not_run);
+        // Copies of a read without a key are requests of their own.
+        let sure = |operation: &Operation| operation.kind == Kind::Write || operation.sent == 1;
+        let ran = told.clone().filter(|(_, o)| o.runs > 0 && sure(o));
+        let breaches: Vec<String> = ran
+            .map(|(number, _)| format!("request {number} ran"))
+            .collect();
+        Verdict::of(&breaches, told.count() > 0)
+    }
+}
+
+/// A sold rate and what was sent through it.
+struct Limit<'a> {
+    name: String,
+    sold: RequestRate,
+    series: Option<&'a Series>,
+}
+
+fn check_limits<'a>(limits: impl Iterator<Item = Limit<'a>>) -> Verdict {
+    let mut breaches = Vec::new();
+    let mut tested = false;
+    for limit in limits {
+        let busiest = limit.series.and_then(Series::busiest_second);
+        let Some((count, at)) = busiest else {
+            continue;
+        };
+        let sold_rps = limit.sold.get();
+        tested |= f64::from(count) >= sold_rps * TESTED_FROM_SHARE;
+        if f64::from(count) > sold_rps {
+            let name = &limit.name;
+            breaches.push(format!(
+                "{name} got {count} in the second from {at}, sold {sold_rps}"
+            ));
+        }
+    }
+    Verdict::of(&breaches, tested)
+}
--- /dev/null
+++ b/crates/foxtide-testing/src/scenario/schedule.rs
@@ -0,0 +1,65 @@
+//! The virtual clock's queue of what happens when.
+
+use foxtide_core::time::MonotonicTime;
+use std::cmp::Ordering;
+use std::collections::BinaryHeap;
+
+/// Events in the order of their times, those of one time in the order in which
+/// they were added.
+#[derive(Debug)]
+pub(super) struct Schedule<E> {
+    entries: BinaryHeap<Entry<E>>,
+    added: u64,
+}
+
+#[derive(Debug)]
+struct Entry<E> {
+    at: MonotonicTime,
+    number: u64,
+    event: E,
+}
+
+impl<E> Schedule<E> {
+    /// Returns an empty queue.
+    pub(super) fn new() -> Self {
+        Self {
+            entries: BinaryHeap::new(),
+            added: 0,
+        }
+    }
+
+    /// Adds an event.
+    pub(super) fn add(&mut self, at: MonotonicTime, event: E) {
+        self.added += 1;
+        let number = self.added;
+        self.entries.push(Entry { at, number, event });
+    }
+
+    /// Takes the first event that is due at `until` or before.
+    pub(super) fn next(&mut self, until: MonotonicTime) -> Option<(MonotonicTime, E)> {
+        let due = self.entries.peek().is_some_and(|entry| entry.at <= until);
+        let entry = if due { self.entries.pop() } else { None };
+        entry.map(|entry| (entry.at, entry.event))
+    }
+}
+
+impl<E> PartialEq for Entry<E> {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl<E> Eq for Entry<E> {}
+
+impl<E> PartialOrd for Entry<E> {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<E> Ord for Entry<E> {
+    /// The earliest entry is the greatest, as the heap gives out the greatest.
+    fn cmp(&self, other: &Self) -> Ordering {
+        (other.at, other.number).cmp(&(self.at, self.number))
+    }
+}
--- /dev/null
+++ b/crates/foxtide-testing/src/scenario/setting.rs
@@ -0,0 +1,234 @@
+//! What a scenario starts from: regions, links, contracts and upstreams.
+
+use foxtide_core::ids::{AvailabilityZoneId, RegionId, ServiceId, UpstreamId};
+use foxtide_core::organisation::{
+    Contract, Home, Link, Organisation, Priority, Region, SCHEMA_VERSION, Service, Upstream,
+};
+use foxtide_core::units::{RequestRate, Revision, Share, ShareRate};
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+/// The connections that each upstream of a scenario takes.
+const CONNECTIONS: u32 = 330;
+
+/// Why a scenario's setting cannot be used.
+pub(super) type SettingError = foxtide_core::Error;
+
+/// A scenario's setting while it is put together.
+#[derive(Debug)]
+pub(super) struct Setting {
+    organisation: Organisation,
+    /// The delay from one region to any other, one way.
+    pub(super) link_delay: Duration,
+    /// How long the upstreams of each service need for a request.
+    pub(super) service_times: BTreeMap<ServiceId, Duration>,
+    /// How many instances stand in each region.
+    pub(super) instances_per_region: u32,
+}
+
+/// What a script says of a service.
+#[derive(Clone, Debug)]
+pub(super) struct ServiceTerms {
+    /// The contract's spill-over limit.
+    pub(super) spill: Share,
+    /// The contract's shift cap.
+    pub(super) cap: ShareRate,
+    /// The contract's deadline.
+    pub(super) deadline: Duration,
+    /// The contract's drain window.
+    pub(super) drain_window: Duration,
+    /// What it weighs most.
+    pub(super) priority: Priority,
+}
+
+/// What a script says of the upstreams of a service.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct UpstreamTerms {
+    /// How many stand in each region.
+    pub(super) per_region: u32,
+    /// How many requests each runs at the same time.
+    pub(super) slots: u32,
+    /// How long a request takes.
+    pub(super) service_time: Duration,
+}
+
+impl Setting {
+    /// Returns a setting without regions and services.
+    ///
+    /// # Errors
+    ///
+    /// Never fails in practice: the names are valid.
+    pub(super) fn new() -> Result<Self, SettingError> {
+        Ok(Self {
+            organisation: Organisation {
+                schema_version: SCHEMA_VERSION,
+                organisation: "scenario".parse()?,
+                revision: Revision::ZERO,
+                change_id: "none".parse()?,
+                template: None,
+                regions: Vec::new(),
+                links: Vec::new(),
+                services: Vec::new(),
+                moves: Vec::new(),
+                drains: Vec::new(),
+                history: Vec::new(),
+            },
+            link_delay: Duration::ZERO,
+            service_times: BTreeMap::new(),
+            instances_per_region: 1,
+        })
+    }
+
+    /// Takes over a whole document, of a recorded trace.
+    pub(super) fn with_organisation(organisation: Organisation) -> Self {
+        Self {
+            organisation,
+            link_delay: Duration::ZERO,
+            service_times: BTreeMap::new(),
+            instances_per_region: 1,
+        }
+    }
+
+    /// Returns the document.
+    pub(super) fn organisation(&self) -> &Organisation {
+        &self.organisation
+    }
+
+    /// Adds a region with this many availability zones.
+    pub(super) fn add_region(
+        &mut self,
+        region: RegionId,
+        sold_rate_rps: RequestRate,
+        zones: u32,
+    ) -> Result<(), SettingError> {
+        let zone = |number: u32| zone_name(&region, number);
+        self.organisation.regions.push(Region {
+            availability_zones: (0..zones).map(zone).collect::<Result<_, _>>()?,
+            region,
+            sold_rate_rps,
+        });
+        Ok(())
+    }
+
+    /// Links every two regions both ways.
+    pub(super) fn link_all(&mut self, sold_rate_rps: RequestRate, delay: Duration) {
+        self.link_delay = delay;
+        let regions = self.organisation.regions.iter();
+        let regions: Vec<RegionId> = regions.map(|region| region.region.clone()).collect();
+        for from in &regions {
+            for to in regions.iter().filter(|to| *to != from) {
+                self.organisation.links.push(Link {
+                    from: from.clone(),
+                    to: to.clone(),
+                    sold_rate_rps,
+                    delay_ms: delay.as_secs_f64() * 1e3,
+                });
+            }
+        }
+    }
+
+    /// Adds a service whose homes are all regions, in equal parts.
+    pub(super) fn add_service(&mut self, service: ServiceId, terms: &ServiceTerms) {
+        let regions = &self.organisation.regions;
+        let share = Share::clamped(1.0 / regions.len().max(1) as f64);
+        let homes = regions.iter().map(|region| Home {
+            region: region.region.clone(),
+            share,
+        });
+        let contract = Contract {
+            homes: homes.collect(),
+            spill_limit_share: terms.spill,
+            shift_cap_share_per_s: terms.cap,
+            drain_window_s: whole_seconds(terms.drain_window),
+            deadline_ms: u32::try_from(terms.deadline.as_millis()).unwrap_or(u32::MAX),
+            priority: terms.priority,
+            idempotent_methods: vec!["GET".to_owned()],
+            idempotent_path_prefixes: Vec::new(),
+        };
+        self.organisation.services.push(Service {
+            service,
+            contract,
+            upstreams: Vec::new(),
+        });
+    }
+
+    /// Adds upstreams of a service to every region, spread over its zones.
+    ///
+    /// # Errors
+    ///
+    /// Fails where there is no such service.
+    pub(super) fn add_upstreams(
+        &mut self,
+        service: &ServiceId,
+        terms: UpstreamTerms,
+    ) -> Result<(), SettingError> {
+        let regions = self.organisation.regions.clone();
+        let services = &mut self.organisation.services;
+        let place = services.iter().position(|known| known.service == *service);
+        let no_service = || SettingError::parse(service.as_str(), "a service of the scenario");
+        let place = place.ok_or_else(no_service)?;
+        for (region_index, region) in regions.iter().enumerate() {
+            for number in 0..terms.per_region {
+                let upstream = upstream(service, region, number, terms.slots)?;
+                let address = upstream_address(place, region_index, number);
+                let upstream = Upstream {
+                    address,
+                    ..upstream
+                };
+                services[place].upstreams.push(upstream);
+            }
+        }
+        self.service_times
+            .insert(service.clone(), terms.service_time);
+        Ok(())
+    }
+}
+
+fn zone_name(region: &RegionId, number: u32) -> Result<AvailabilityZoneId, SettingError> {
+    format!("{region}-z{}", number + 1).parse()
+}
+
+fn upstream(
+    service: &ServiceId,
+    region: &Region,
+    number: u32,
+    slots: u32,
+) -> Result<Upstream, SettingError> {
+    let zones = &region.availability_zones;
+    let id: UpstreamId = format!("{}-{service}-{}", region.region, number + 1).parse()?;
+    Ok(Upstream {
+        upstream: id,
+        address: (Ipv4Addr::UNSPECIFIED, 0).into(),
+        region: region.region.clone(),
+        availability_zone: zones[number as usize % zones.len()].clone(),
+        slots,
+        connections: CONNECTIONS,
+    })
+}
+
+fn upstream_address(service: usize, region: usize, number: u32) -> SocketAddr {
+    let port = 8_000 + u16::try_from(number).unwrap_or(u16::MAX - 8_000);
+    (
+        Ipv4Addr::new(10, 1, low_byte(service), low_byte(region)),
+        port,
+    )
+        .into()
+}
+
+/// Returns the peer address of an instance of a scenario.
+pub(super) fn instance_address(number: usize) -> SocketAddr {
+    (
+        Ipv4Addr::new(10, 2, low_byte(number / 250), low_byte(number % 250)),
+        7_000,
+    )
+        .into()
+}
+
+fn low_byte(number: usize) -> u8 {
+    u8::try_from(number % 256).unwrap_or(u8::MAX)
+}
+
+fn whole_seconds(span: Duration) -> u32 {
+    u32::try_from(span.as_secs()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/foxtide-testing/src/scenario/shift.rs
@@ -0,0 +1,139 @@
+//! Checks the shift cap: how fast the share of a region changes.
+//!
+//! What counts is the share of all requests of a service that instances send
+//! to a region, each instance weighed by its callers' requests. Callers that
+//! move from one instance to another shift nothing by themselves, so the same
+//! weights are used for both ends of the time in between.
+
+use super::callers::WARM_UP;
+use super::fleet::Fleet;
+use super::promise::Verdict;
+use super::record::RowSample;
+use foxtide_core::ids::{RegionId, ServiceId};
+use foxtide_core::organisation::Service;
+use foxtide_core::time::MonotonicTime;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// The time over which the cap is kept.
+const WINDOW: Duration = Duration::from_secs(10);
+
+/// What rounding and uneven arrivals may add to a change, as a share.
+const TOLERANCE_SHARE: f64 = 0.01;
+
+/// A change that is worth a check, as a share.
+const TESTED_FROM_SHARE: f64 = 0.03;
+
+/// How long a region that was disturbed may lose traffic at any pace.
+const RECOVERY: Duration = Duration::from_secs(20);
+
+type Samples<'a> = BTreeMap<MonotonicTime, Vec<&'a RowSample>>;
+
+/// How far the share of a region moved.
+struct Shift<'a> {
+    service: &'a Service,
+    region: &'a RegionId,
+    from: MonotonicTime,
+    to: MonotonicTime,
+    share: f64,
+}
+
+/// Returns whether every shift stayed under its cap.
+pub(super) fn verdict(fleet: &Fleet) -> Verdict {
+    let mut breaches = Vec::new();
+    let mut tested = false;
+    for service in &fleet.contract.services {
+        for shift in shifts(fleet, service) {
+            tested |= shift.share.abs() > TESTED_FROM_SHARE;
+            breaches.extend(breach(fleet, &shift));
+        }
+    }
+    Verdict::of(&breaches, tested)
+}
+
+fn shifts<'a>(fleet: &'a Fleet, service: &'a Service) -> Vec<Shift<'a>> {
+    let samples = samples_of(fleet, &service.service);
+    let mut shifts = Vec::new();
+    for (from, before) in &samples {
+        let to = *from + WINDOW;
+        let Some(after) = samples.get(&to) else {
+            continue;
+        };
+        for region in &fleet.contract.regions {
+            shifts.push(Shift {
+                service,
+                region: &region.region,
+                from: *from,
+                to,
+                share: change(before, after, &region.region),
+            });
+        }
+    }
+    shifts
+}
+
+fn samples_of<'a>(fleet: &'a Fleet, service: &ServiceId) -> Samples<'a> {
+    let mut samples = Samples::new();
+    let began = MonotonicTime::ZERO + WARM_UP;
+    let rows = fleet.record.rows.iter();
+    for row in rows.filter(|row| row.service == *service && row.at >= began) {
+        samples.entry(row.at).or_default().push(row);
+    }
+    samples
+}
+
+/// Returns the change of a region's share from one sample to another, weighed
+/// by the later one's arrivals.
+fn change(before: &[&RowSample], after: &[&RowSample], region: &RegionId) -> f64 {
+    let weight = |sample: &&RowSample| f64::from(sample.arrivals);
+    let total: f64 = after.iter().map(weight).sum();
+    if total <= 0.0 {
+        return 0.0;
+    }
+    let moved = after.iter().map(|sample| {
+        let was = share_before(before, sample, region);
+        weight(sample) * (share(sample, region) - was)
+    });
+    moved.sum::<f64>() / total
+}
+
+/// Returns the share before: the instance's own, or where it had none, that of
+/// the instances that served its callers.
+fn share_before(before: &[&RowSample], sample: &RowSample, region: &RegionId) -> f64 {
+    let same = before.iter().find(|was| was.instance == sample.instance);
+    if let Some(same) = same {
+        return share(same, region);
+    }
+    let near = mean(
+        before.iter().filter(|was| was.origin == sample.origin),
+        region,
+    );
+    near.or_else(|| mean(before.iter(), region)).unwrap_or(0.0)
+}
+
+fn mean<'a>(samples: impl Iterator<Item = &'a &'a RowSample>, region: &RegionId) -> Option<f64> {
+    let shares: Vec<f64> = samples.map(|sample| share(sample, region)).collect();
+    let count = shares.len();
+    (count > 0).then(|| shares.iter().sum::<f64>() / count as f64)
+}
+
+fn share(sample: &RowSample, region: &RegionId) -> f64 {
+    sample.row.get(region).copied().unwrap_or(0.0)
+}
+
+fn breach(fleet: &Fleet, shift: &Shift<'_>) -> Option<String> {
+    let cap = shift.service.contract.shift_cap_share_per_s.get();
+    let allowed = cap * WINDOW.as_secs_f64() + TOLERANCE_SHARE;
+    let fell = shift.share < 0.0;
+    let since = shift.from.saturating_sub(RECOVERY);
+    let forced = fell && fleet.record.is_disturbed(shift.region, since, shift.to);
+    if shift.share.abs() <= allowed || forced {
+        return None;
+    }
+    let (service, region) = (&shift.service.service, shift.region);
+    let (share, to) = (shift.share, shift.to);
+    Some(format!(
+        "the share of {region} in {service} changed by {share:.3} in the 10 s to {to}, \
+         allowed {allowed:.3}"
+    ))
+}
--- /dev/null
+++ b/crates/foxtide-testing/src/scenario/tenants.rs
@@ -0,0 +1,117 @@
+//! The settings of the two organisations that use foxtide today.
+
+use super::setting::{ServiceTerms, Setting, SettingError, UpstreamTerms};
+use foxtide_core::organisation::Priority;
+use foxtide_core::units::{RequestRate, Share, ShareRate};
+use std::str::FromStr;
+use std::time::Duration;
+
+/// What each region of a tenant is sold, in requests a second.
+const REGION_SOLD_RPS: f64 = 120.0;
+
+/// What each link of a tenant is sold, in requests a second.
+const LINK_SOLD_RPS: f64 = 40.0;
+
+/// The spill-over limit of each service.
+const SPILL_SHARE: f64 = 0.2;
+
+/// The shift cap of each service, in shares a second.
+const CAP_SHARE_PER_S: f64 = 0.02;
+
+/// Twelve targets with three slots each, over three regions.
+const UPSTREAMS: UpstreamTerms = UpstreamTerms {
+    per_region: 4,
+    slots: 3,
+    service_time: Duration::from_millis(50),
+};
+
+const ZONES_PER_REGION: u32 = 2;
+const INSTANCES_PER_REGION: u32 = 3;
+const DRAIN_WINDOW: Duration = Duration::from_secs(10);
+
+/// One of the organisations of today.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Tenant {
+    /// A survey of heritage sites, which weighs headroom most.
+    Hamutenya,
+    /// A network of lockers, which weighs latency most.
+    Kluisdepot,
+}
+
+impl FromStr for Tenant {
+    type Err = foxtide_core::Error;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "hamutenya" => Ok(Self::Hamutenya),
+            "kluisdepot" => Ok(Self::Kluisdepot),
+            _ => {
+                let expected = "`hamutenya` or `kluisdepot`";
+                Err(foxtide_core::Error::parse(text, expected))
+            }
+        }
+    }
+}
+
+impl Tenant {
+    fn regions(self) -> [&'static str; 3] {
+        match self {
+            Self::Hamutenya => ["khomas", "erongo", "oshana"],
+            Self::Kluisdepot => ["bru", "antw", "gent"],
+        }
+    }
+
+    fn services(self) -> [&'static str; 4] {
+        match self {
+            Self::Hamutenya => ["viewer", "notices", "archive", "hazards"],
+            Self::Kluisdepot => ["slotfinder", "doorctl", "hotellink", "ledger"],
+        }
+    }
+
+    /// Returns the delay between two regions, one way.
+    fn link_delay(self) -> Duration {
+        match self {
+            Self::Hamutenya => Duration::from_millis(35),
+            Self::Kluisdepot => Duration::from_millis(55),
+        }
+    }
+
+    fn terms(self) -> Result<ServiceTerms, SettingError> {
+        let (priority, deadline_ms) = match self {
+            Self::Hamutenya => (Priority::Headroom, 1_500),
+            Self::Kluisdepot => (Priority::Latency, 800),
+        };
+        Ok(ServiceTerms {
+            spill: Share::clamped(SPILL_SHARE),
+            cap: ShareRate::new(CAP_SHARE_PER_S)?,
+            deadline: Duration::from_millis(deadline_ms),
+            drain_window: DRAIN_WINDOW,
+            priority,
+        })
+    }
+}
+
+impl Setting {
+    /// Adds everything that a tenant has.
+    ///
+    /// # Errors
+    ///
+    /// Never fails in practice: the names are valid.
+    pub(super) fn add_tenant(&mut self, tenant: Tenant) -> Result<(), SettingError> {
+        for region in tenant.regions() {
+            let sold = RequestRate::clamped(REGION_SOLD_RPS);
+            self.add_region(region.parse()?, sold, ZONES_PER_REGION)?;
+        }
+        self.link_all(RequestRate::clamped(LINK_SOLD_RPS), tenant.link_delay());
+        let terms = tenant.terms()?;
+        for service in tenant.services() {
+            let service = service.parse()?;
+            self.add_service(service, &terms);
+        }
+        for service in tenant.services() {
+            self.add_upstreams(&service.parse()?, UPSTREAMS)?;
+        }
+        self.instances_per_region = INSTANCES_PER_REGION;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/foxtide-testing/src/scenario/trace.rs
@@ -0,0 +1,321 @@
+//! Recorded traces: what came when, and what was stated of it.
+//!
+//! A trace is a file of JSON objects, one a line (docs/TRACES.md).
+
+use super::event::Event;
+use super::fleet::Fleet;
+use super::operation::{Kind, Operation, Told};
+use super::options::ScenarioOptions;
+use super::runner::ScenarioRunner;
+use super::setting::Setting;
+use foxtide_core::ids::{InstanceId, RegionId, ServiceId};
+use foxtide_core::organisation::Organisation;
+use foxtide_core::time::MonotonicTime;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// One line of a trace.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum TraceLine {
+    Setting(RecordedSetting),
+    Request(RecordedRequest),
+    Command(RecordedCommand),
+    End(RecordedEnd),
+}
+
+/// The first line: what the trace starts from.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RecordedSetting {
+    organisation: Organisation,
+    instances_per_region: u32,
+    service_times_us: BTreeMap<ServiceId, u64>,
+}
+
+/// A request that a caller sent.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct RecordedRequest {
+    /// When, since the beginning.
+    pub(super) at: MonotonicTime,
+    pub(super) service: ServiceId,
+    /// The caller's region.
+    pub(super) region: RegionId,
+    #[serde(with = "text")]
+    pub(super) kind: Kind,
+    /// The instance that it asked first, if that is known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) instance: Option<InstanceId>,
+    /// How it ended, if that is stated.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) ends: Option<String>,
+}
+
+/// A command of the scenario language, a fault, a change or a statement.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct RecordedCommand {
+    /// When, since the beginning.
+    pub(super) at: MonotonicTime,
+    pub(super) line: String,
+}
+
+/// The last line.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RecordedEnd {
+    at: MonotonicTime,
+    /// The part of the requests that may end otherwise than stated.
+    ends_differ_most: f64,
+}
+
+/// Why a trace cannot be replayed, or what it states does not hold.
+#[derive(Debug, thiserror::Error)]
+pub enum TraceError {
+    /// A line is not one of a trace.
+    #[error("line {line}: {cause}")]
+    Line {
+        /// Its number, from 1.
+        line: usize,
+        /// What is wrong with it.
+        cause: serde_json::Error,
+    },
+    /// The trace does not begin with its setting.
+    #[error("line 1: a trace begins with its setting")]
+    NoSetting,
+    /// A command failed or a statement does not hold.
+    #[error("at {at}: {cause}")]
+    Command {
+        /// When.
+        at: MonotonicTime,
+        /// What went wrong.
+        cause: String,
+    },
+    /// Too many requests ended otherwise than stated.
+    #[error("{different} of {stated} requests ended otherwise than stated, the first at {first}")]
+    Ends {
+        /// How many did.
+        different: usize,
+        /// Of how many something was stated.
+        stated: usize,
+        /// The first of them.
+        first: String,
+    },
+}
+
+mod text {
+    //! Values that are written as their text.
+
+    use serde::{Deserialize, Deserializer, Serializer, de::Error};
+    use std::fmt::Display;
+    use std::str::FromStr;
+
+    pub(super) fn serialize<S: Serializer>(
+        value: &impl Display,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(value)
+    }
+
+    pub(super) fn deserialize<'de, T, D>(deserializer: D) -> Result<T, D::Error>
+    where
+        T: FromStr<Err: Display>,
+        D: Deserializer<'de>,
+    {
+        let text = String::deserialize(deserializer)?;
+        text.parse().map_err(D::Error::custom)
+    }
+}
+
+impl ScenarioRunner {
+    /// Returns what has happened so far as a trace, with how each request
+    /// ended as its stated outcome.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the scenario has not begun.
+    pub fn trace(&mut self) -> Result<String, Box<dyn std::error::Error>> {
+        let end = self.fleet()?.now;
+        let mut lines = vec![TraceLine::Setting(self.recorded_setting())];
+        let mut timed: Vec<(MonotonicTime, TraceLine)> = Vec::new();
+        for command in &self.commands {
+            timed.push((command.at, TraceLine::Command(command.clone())));
+        }
+        for operation in self.fleet()?.operations.values() {
+            let request = recorded(operation);
+            timed.push((request.at, TraceLine::Request(request)));
+        }
+        timed.sort_by_key(|(at, _)| *at);
+        lines.extend(timed.into_iter().map(|(_, line)| line));
+        lines.push(TraceLine::End(RecordedEnd {
+            at: end,
+            ends_differ_most: 0.0,
+        }));
+        let lines: Result<Vec<String>, _> = lines.iter().map(serde_json::to_string).collect();
+        Ok(lines?.join("\n") + "\n")
+    }
+
+    fn recorded_setting(&self) -> RecordedSetting {
+        let times = self.setting.service_times.iter();
+        let times = times.map(|(service, time)| (service.clone(), time.as_micros() as u64));
+        RecordedSetting {
+            organisation: self.setting.organisation().clone(),
+            instances_per_region: self.setting.instances_per_region,
+            service_times_us: times.collect(),
+        }
+    }
+
+    /// Replays a trace and checks everything that it states. Returns the
+    /// runner for its verdicts.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the trace cannot be read or a statement does not hold.
+    pub fn replay(trace: &str, options: ScenarioOptions) -> Result<Self, TraceError> {
+        let mut lines = parse(trace)?.into_iter();
+        let Some(TraceLine::Setting(setting)) = lines.next() else {
+            return Err(TraceError::NoSetting);
+        };
+        let mut runner = Self::new(options);
+        runner.setting = setting.into();
+        let mut commands = Vec::new();
+        let mut end = None;
+        for line in lines {
+            match line {
+                TraceLine::Setting(_) => return Err(TraceError::NoSetting),
+                TraceLine::Request(request) => runner.plan(request)?,
+                TraceLine::Command(command) => commands.push(command),
+                TraceLine::End(last) => end = Some(last),
+            }
+        }
+        for command in commands {
+            runner.obey(&command)?;
+        }
+        if let Some(end) = end {
+            runner.run_until(end.at)?;
+            runner.check_ends(end.ends_differ_most)?;
+        }
+        Ok(runner)
+    }
+
+    fn started(&mut self) -> Result<&mut Fleet, TraceError> {
+        let fleet = self.fleet();
+        fleet.map_err(|error| TraceError::Command {
+            at: MonotonicTime::ZERO,
+            cause: error.to_string(),
+        })
+    }
+
+    fn plan(&mut self, request: RecordedRequest) -> Result<(), TraceError> {
+        let fleet = self.started()?;
+        let index = fleet.recorded.len();
+        fleet.schedule.add(request.at, Event::Recorded { index });
+        fleet.recorded.push(request);
+        Ok(())
+    }
+
+    fn run_until(&mut self, at: MonotonicTime) -> Result<(), TraceError> {
+        let fleet = self.started()?;
+        let span = at - fleet.now;
+        fleet.run_for(span);
+        Ok(())
+    }
+
+    fn obey(&mut self, command: &RecordedCommand) -> Result<(), TraceError> {
+        self.run_until(command.at)?;
+        let script = format!("{}\n---\n", command.line);
+        let done = goldenscript::generate(self, &script);
+        done.map(drop).map_err(|error| TraceError::Command {
+            at: command.at,
+            cause: error.to_string(),
+        })
+    }
+
+    fn check_ends(&mut self, differ_most: f64) -> Result<(), TraceError> {
+        let fleet = self.started()?;
+        let mut stated = 0;
+        let mut different = Vec::new();
+        for request in &fleet.recorded {
+            let Some(ends) = &request.ends else {
+                continue;
+            };
+            stated += 1;
+            let told = request_end(fleet, request);
+            if told.map(|told| told.to_string()).as_ref() != Some(ends) {
+                different.push(request.at.to_string());
+            }
+        }
+        if different.len() as f64 <= differ_most * f64::from(stated) {
+            return Ok(());
+        }
+        Err(TraceError::Ends {
+            different: different.len(),
+            stated: stated as usize,
+            first: different.swap_remove(0),
+        })
+    }
+}
+
+fn request_end(fleet: &Fleet, request: &RecordedRequest) -> Option<Told> {
+    let same = |operation: &&Operation| {
+        operation.arrived_at == request.at
+            && operation.service == request.service
+            && operation.region == request.region
+            && operation.kind == request.kind
+    };
+    fleet.operations.values().find(same)?.told
+}
+
+impl From<RecordedSetting> for Setting {
+    fn from(recorded: RecordedSetting) -> Self {
+        let mut setting = Self::with_organisation(recorded.organisation);
+        setting.instances_per_region = recorded.instances_per_region;
+        let times = recorded.service_times_us.into_iter();
+        setting.service_times = times
+            .map(|(service, us)| (service, Duration::from_micros(us)))
+            .collect();
+        setting
+    }
+}
+
+fn recorded(operation: &Operation) -> RecordedRequest {
+    RecordedRequest {
+        at: operation.arrived_at,
+        service: operation.service.clone(),
+        region: operation.region.clone(),
+        kind: operation.kind,
+        instance: operation.first_instance.clone(),
+        ends: operation.told.map(|told| told.to_string()),
+    }
+}
+
+fn parse(trace: &str) -> Result<Vec<TraceLine>, TraceError> {
+    let lines = trace.lines().enumerate();
+    let lines = lines.filter(|(_, line)| !line.trim().is_empty());
+    let parsed = lines.map(|(index, line)| {
+        serde_json::from_str(line).map_err(|cause| TraceError::Line {
+            line: index + 1,
+            cause,
+        })
+    });
+    parsed.collect()
+}
+
+impl Fleet {
+    /// Lets a recorded request arrive.
+    pub(super) fn arrive_recorded(&mut self, index: usize) {
+        let request = self.recorded[index].clone();
+        let asked = request.instance.and_then(|id| self.instance(&id));
+        let turn = asked.map_or(index, |place| self.turn_of(place));
+        self.begin_operation(request.service, request.region, request.kind, turn);
+    }
+
+    /// Returns the turn in which a caller of its region asks an instance.
+    fn turn_of(&self, place: usize) -> usize {
+        let region = &self.instances[place].region;
+        let before = self.instances[..place].iter();
+        before.filter(|other| other.region == *region).count()
+    }
+}
--- a/crates/foxtide-testing/src/store/wire.rs
+++ b/crates/foxtide-testing/src/store/wire.rs
@@ -2,6 +2,7 @@
 
 use super::sessions::{OnLapse, Session};
 use super::state::Entry;
+use crate::duration::parse_duration;
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use serde::{Deserialize, Serialize};
@@ -109,18 +110,3 @@
         }
     }
 }
-
-/// Parses a duration in Go's form with one unit: `500ms`, `10s`, `2m`, `1h`.
-pub(super) fn parse_duration(text: &str) -> Option<Duration> {
-    let unit_at = text.find(|c: char| c.is_ascii_alphabetic())?;
-    let (number, unit) = text.split_at(unit_at);
-    let number: f64 = number.parse().ok()?;
-    let unit_s = match unit {
-        "ms" => 0.001,
-        "s" => 1.0,
-        "m" => 60.0,
-        "h" => 3_600.0,
-        _ => return None,
-    };
-    Duration::try_from_secs_f64(number * unit_s).ok()
-}
--- /dev/null
+++ b/crates/foxtide-testing/src/virtual_fleet.rs
@@ -0,0 +1,353 @@
+//! Membership state machines on a virtual clock, with messages that are lost,
+//! delayed or cut off as scripted.
+
+use foxtide_core::ids::InstanceId;
+use foxtide_core::membership::{
+    Incarnation, Member, MemberState, Membership, MembershipOptions, Output, Packet,
+};
+use foxtide_core::time::MonotonicTime;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Time between two steps of every instance.
+const STEP: Duration = Duration::from_millis(50);
+
+/// Port of the first instance.
+const FIRST_PORT: u16 = 10_000;
+
+/// Regions of the fleet, each with two availability zones.
+const REGIONS: [&str; 3] = ["khomas", "erongo", "oshana"];
+
+/// How a virtual fleet behaves.
+#[derive(Clone, Copy, Debug)]
+pub struct VirtualFleetOptions {
+    /// The protocol's settings.
+    pub membership: MembershipOptions,
+    /// Instances. Default 10.
+    pub instances: usize,
+    /// Availability zones over which they are spread. Default 6.
+    pub zones: usize,
+    /// One-way delay of a message. Default 1 ms.
+    pub delay: Duration,
+    /// Seed of all that is drawn. Default 0.
+    pub seed: u64,
+}
+
+impl Default for VirtualFleetOptions {
+    fn default() -> Self {
+        Self {
+            membership: MembershipOptions::default(),
+            instances: 10,
+            zones: 6,
+            delay: Duration::from_millis(1),
+            seed: 0,
+        }
+    }
+}
+
+/// What a virtual instance does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Process {
+    Running,
+    /// Stands still; its messages wait.
+    Paused,
+    Killed,
+}
+
+#[derive(Debug)]
+struct Node {
+    machine: Membership,
+    process: Process,
+    side: u32,
+    waiting: Vec<Flight>,
+}
+
+/// A message under way.
+#[derive(Clone, Debug)]
+struct Flight {
+    sender: usize,
+    to: usize,
+    packet: Packet,
+}
+
+/// What was wrongly believed of instances that ran all the time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WrongBeliefs {
+    /// Incarnations that some instance suspected.
+    pub suspected: usize,
+    /// Incarnations that some instance declared dead.
+    pub dead: usize,
+}
+
+/// A fleet of membership state machines on a virtual clock.
+#[derive(Debug)]
+pub struct VirtualFleet {
+    nodes: Vec<Node>,
+    flights: BTreeMap<(MonotonicTime, u64), Flight>,
+    options: VirtualFleetOptions,
+    loss_share: f64,
+    now: MonotonicTime,
+    sent: u64,
+    rng: StdRng,
+    suspected: BTreeSet<(InstanceId, Incarnation)>,
+    dead: BTreeSet<(InstanceId, Incarnation)>,
+}
+
+impl VirtualFleet {
+    /// Returns a fleet in which all know all.
+    pub fn new(options: VirtualFleetOptions) -> Self {
+        let now = MonotonicTime::from_ms(1_000);
+        let node = |number| Node {
+            machine: Membership::new(
+                member(number, options.zones),
+                options.membership,
+                options.seed.wrapping_mul(1_000).wrapping_add(number as u64),
+                now,
+            ),
+            process: Process::Running,
+            side: 0,
+            waiting: Vec::new(),
+        };
+        let mut fleet = Self {
+            nodes: (0..options.instances).map(node).collect(),
+            flights: BTreeMap::new(),
+            options,
+            loss_share: 0.0,
+            now,
+            sent: 0,
+            rng: StdRng::seed_from_u64(options.seed),
+            suspected: BTreeSet::new(),
+            dead: BTreeSet::new(),
+        };
+        let members: Vec<_> = (0..options.instances)
+            .map(|number| member(number, options.zones))
+            .collect();
+        for node in &mut fleet.nodes {
+            node.machine.merge(members.clone(), now);
+        }
+        fleet
+    }
+
+    /// Loses this share of all messages from now on.
+    pub fn lose(&mut self, share: f64) {
+        self.loss_share = share;
+    }
+
+    /// Kills an instance.
+    pub fn kill(&mut self, instance: usize) {
+        self.nodes[instance].process = Process::Killed;
+    }
+
+    /// Lets an instance stand still; messages to it wait.
+    pub fn pause(&mut self, instance: usize) {
+        self.nodes[instance].process = Process::Paused;
+    }
+
+    /// Lets a paused instance go on, first with the messages that waited.
+    pub fn resume(&mut self, instance: usize) {
+        self.nodes[instance].process = Process::Running;
+        for flight in std::mem::take(&mut self.nodes[instance].waiting) {
+            self.deliver(flight);
+        }
+    }
+
+    /// Lets an instance announce that it leaves.
+    pub fn leave(&mut self, instance: usize) {
+        let outputs = self.nodes[instance].machine.leave(self.now);
+        self.carry_out(instance, outputs);
+    }
+
+    /// Cuts these instances off from all others.
+    pub fn cut_off(&mut self, instances: impl IntoIterator<Item = usize>) {
+        for instance in instances {
+            self.nodes[instance].side = 1;
+        }
+    }
+
+    /// Connects all again.
+    pub fn heal(&mut self) {
+        self.nodes.iter_mut().for_each(|node| node.side = 0);
+    }
+
+    /// Returns the time on the virtual clock.
+    pub fn now(&self) -> MonotonicTime {
+        self.now
+    }
+
+    /// Returns what `observer` believes of `subject`.
+    pub fn state(&self, observer: usize, subject: usize) -> Option<MemberState> {
+        let member = self.nodes[observer].machine.member(&name(subject))?;
+        Some(member.state)
+    }
+
+    /// Returns whether each running instance believes of each other what is
+    /// true: that it runs or that it does not.
+    pub fn all_agree(&self) -> bool {
+        let running: Vec<_> = (0..self.nodes.len()).map(|it| self.runs(it)).collect();
+        let observers = (0..running.len()).filter(|observer| running[*observer]);
+        observers.into_iter().all(|observer| {
+            let mut subjects = running.iter().enumerate();
+            subjects.all(|(subject, runs)| {
+                let state = self.state(observer, subject);
+                state.is_some_and(MemberState::is_usable) == *runs
+            })
+        })
+    }
+
+    fn runs(&self, instance: usize) -> bool {
+        self.nodes[instance].process == Process::Running
+    }
+
+    /// Returns one machine.
+    pub fn machine(&self, instance: usize) -> &Membership {
+        &self.nodes[instance].machine
+    }
+
+    /// Returns what was wrongly believed so far.
+    pub fn wrong_beliefs(&self) -> WrongBeliefs {
+        WrongBeliefs {
+            suspected: self.suspected.len(),
+            dead: self.dead.len(),
+        }
+    }
+
+    /// Returns how many messages were sent so far.
+    pub fn sent(&self) -> u64 {
+        self.sent
+    }
+
+    /// Lets virtual time pass.
+    pub fn run_for(&mut self, duration: Duration) {
+        let end = self.now + duration;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Lets virtual time pass until `done`; returns how long that took, or
+    /// `None` where it took longer than `limit`.
+    pub fn run_until(&mut self, limit: Duration, done: impl Fn(&Self) -> bool) -> Option<Duration> {
+        let start = self.now;
+        while self.now - start < limit {
+            if done(self) {
+                return Some(self.now - start);
+            }
+            self.step();
+        }
+        None
+    }
+
+    fn step(&mut self) {
+        let end = self.now + STEP;
+        while let Some(first) = self.flights.first_entry() {
+            if first.key().0 > end {
+                break;
+            }
+            let ((at, _), flight) = first.remove_entry();
+            self.now = at;
+            self.deliver(flight);
+        }
+        self.now = end;
+        for instance in 0..self.nodes.len() {
+            if self.runs(instance) {
+                let outputs = self.nodes[instance].machine.tick(end);
+                self.carry_out(instance, outputs);
+            }
+        }
+    }
+
+    fn deliver(&mut self, flight: Flight) {
+        let node = &mut self.nodes[flight.to];
+        match node.process {
+            Process::Killed => {}
+            Process::Paused => node.waiting.push(flight),
+            Process::Running => {
+                let Flight { sender, to, packet } = flight;
+                let from = address(sender);
+                let outputs = node.machine.receive(&name(sender), from, packet, self.now);
+                self.carry_out(to, outputs);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, instance: usize, outputs: Vec<Output>) {
+        for output in outputs {
+            match output {
+                Output::Send { to, packet } => self.send(instance, number(to), packet),
+                Output::Synchronise { with } => self.synchronise(instance, number(with)),
+                Output::Changed(member) => self.note(&member),
+                Output::Announced { .. } => {}
+            }
+        }
+    }
+
+    fn send(&mut self, sender: usize, to: usize, packet: Packet) {
+        self.sent += 1;
+        let lost = self.loss_share > 0.0 && self.rng.random_bool(self.loss_share);
+        if !lost && self.connected(sender, to) {
+            let key = (self.now + self.options.delay, self.sent);
+            self.flights.insert(key, Flight { sender, to, packet });
+        }
+    }
+
+    fn connected(&self, one: usize, two: usize) -> bool {
+        self.nodes[one].side == self.nodes[two].side
+    }
+
+    /// Exchanges all that two instances know, as over a stream.
+    fn synchronise(&mut self, one: usize, two: usize) {
+        if !self.connected(one, two) || !self.runs(one) || !self.runs(two) {
+            return;
+        }
+        for (from, to) in [(one, two), (two, one)] {
+            let members = self.nodes[from].machine.members().cloned().collect();
+            let outputs = self.nodes[to].machine.merge(members, self.now);
+            self.carry_out(to, outputs);
+        }
+    }
+
+    fn note(&mut self, member: &Member) {
+        let node = &self.nodes[number(member.peer_address)];
+        if node.process != Process::Running {
+            return;
+        }
+        let belief = (member.instance.clone(), member.incarnation);
+        match member.state {
+            MemberState::Suspect => self.suspected.insert(belief),
+            MemberState::Dead => self.dead.insert(belief),
+            MemberState::Alive | MemberState::Leaving => false,
+        };
+    }
+}
+
+fn name(instance: usize) -> InstanceId {
+    let name = format!("i{instance}").parse();
+    name.expect("a letter and a number are a name")
+}
+
+fn address(instance: usize) -> SocketAddr {
+    let port = FIRST_PORT + u16::try_from(instance).unwrap_or(u16::MAX);
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn number(address: SocketAddr) -> usize {
+    usize::from(address.port() - FIRST_PORT)
+}
+
+fn member(instance: usize, zones: usize) -> Member {
+    let zone = instance % zones;
+    let region = REGIONS[zone % REGIONS.len()];
+    let zone = format!("{region}-{}", zone / REGIONS.len());
+    Member {
+        instance: name(instance),
+        region: region.parse().expect("a region's name"),
+        availability_zone: zone.parse().expect("a zone's name"),
+        peer_address: address(instance),
+        caller_address: address(instance),
+        incarnation: Incarnation::new(1),
+        state: MemberState::Alive,
+    }
+}
--- /dev/null
+++ b/crates/foxtide-testing/tests/scenarios.rs
@@ -0,0 +1,138 @@
+//! Runs every script below `scenarios/`, and proves that they notice broken
+//! rules.
+
+use foxtide_testing::scenario::{BrokenRule, Promise, ScenarioOptions, ScenarioRunner, Verdict};
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::thread;
+
+fn script(name: &str) -> PathBuf {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/scenarios");
+    root.join(name)
+}
+
+fn scripts(directory: &str) -> Vec<PathBuf> {
+    let entries = fs::read_dir(script(directory)).unwrap();
+    let mut paths: Vec<PathBuf> = entries.map(|entry| entry.unwrap().path()).collect();
+    paths.sort();
+    paths
+}
+
+/// Runs all scripts of a directory side by side and names those that fail.
+fn run_all(directory: &str) {
+    let run = |path: PathBuf| {
+        let mut runner = ScenarioRunner::new(ScenarioOptions::default());
+        goldenscript::run(&mut runner, &path)
+    };
+    let scripts = scripts(directory);
+    let started = scripts.iter().cloned();
+    let threads: Vec<_> = started
+        .map(|path| thread::spawn(move || run(path)))
+        .collect();
+    let mut failed = Vec::new();
+    for (path, thread) in scripts.iter().zip(threads) {
+        match thread.join() {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => failed.push(format!("{}: {error}", path.display())),
+            Err(_) => failed.push(format!("{}: panicked, see above", path.display())),
+        }
+    }
+    assert!(failed.is_empty(), "{}", failed.join("\n"));
+}
+
+/// Runs a script under options, as far as its statements hold.
+fn run_script(name: &str, options: ScenarioOptions) -> ScenarioRunner {
+    let mut runner = ScenarioRunner::new(options);
+    let text = fs::read_to_string(script(name)).unwrap();
+    // A statement that does not hold ends the run.
+    goldenscript::generate(&mut runner, &text).ok();
+    runner
+}
+
+fn breach(runner: &ScenarioRunner, promise: Promise) -> Option<String> {
+    let verdicts = runner.verdicts();
+    let (_, verdict) = verdicts.into_iter().find(|(known, _)| *known == promise)?;
+    match verdict {
+        Verdict::Broken { breach } => Some(breach),
+        Verdict::Kept | Verdict::Untested => None,
+    }
+}
+
+/// Breaks a rule and asserts that the script that watches over it notices.
+fn assert_noticed(rule: BrokenRule, name: &str, promise: Promise) {
+    let broken = ScenarioOptions {
+        broken_rule: Some(rule),
+        ..Default::default()
+    };
+    let found = breach(&run_script(name, broken), promise);
+    assert!(found.is_some(), "{rule:?} breaks no {promise} in {name}");
+    let whole = run_script(name, ScenarioOptions::default());
+    assert_eq!(breach(&whole, promise), None, "{name}");
+}
+
+#[test]
+fn verify_single_failures() {
+    run_all("alone");
+}
+
+#[test]
+fn verify_pairs_of_failures() {
+    run_all("pairs");
+}
+
+#[test]
+fn verify_a_broken_shift_cap_is_noticed() {
+    let name = "alone/region_fails";
+    assert_noticed(BrokenRule::ShiftCap, name, Promise::ShiftCap);
+}
+
+#[test]
+fn verify_broken_limits_are_noticed() {
+    let name = "alone/spill_is_limited";
+    assert_noticed(BrokenRule::SpillLimit, name, Promise::SpillLimit);
+    assert_noticed(BrokenRule::SoldRate, name, Promise::RegionLimit);
+}
+
+#[test]
+fn verify_a_resent_unlock_is_noticed() {
+    let name = "alone/answers_lost";
+    assert_noticed(BrokenRule::NonIdempotentRetry, name, Promise::AtMostOnce);
+    assert_noticed(BrokenRule::ForgottenKey, name, Promise::AtMostOnce);
+}
+
+#[test]
+fn verify_an_unheard_drain_is_noticed() {
+    let name = "alone/upstream_drains";
+    assert_noticed(BrokenRule::Drain, name, Promise::LeavingGetsNothing);
+}
+
+#[test]
+fn verify_a_reverted_configuration_is_noticed() {
+    let name = "pairs/late_answer_and_newer_change";
+    assert_noticed(BrokenRule::Revision, name, Promise::NeverReverts);
+}
+
+#[test]
+fn verify_a_run_depends_on_its_seed_alone() {
+    let name = "alone/instance_dies";
+    let trace = |seed| {
+        let options = ScenarioOptions {
+            seed,
+            ..Default::default()
+        };
+        let trace = run_script(name, options).trace().unwrap();
+        // The first line names the change that made the document.
+        trace.split_once('\n').unwrap().1.to_owned()
+    };
+    assert_eq!(trace(7), trace(7));
+}
+
+#[test]
+fn verify_a_recorded_run_replays_to_the_same_ends() {
+    for name in ["alone/answers_lost", "pairs/lost_answer_and_two_operators"] {
+        let mut runner = run_script(name, ScenarioOptions::default());
+        let trace = runner.trace().unwrap();
+        let replayed = ScenarioRunner::replay(&trace, ScenarioOptions::default()).unwrap();
+        assert_eq!(replayed.verdicts(), runner.verdicts(), "{name}");
+    }
+}
--- a/crates/foxtide/examples/measure/main.rs
+++ b/crates/foxtide/examples/measure/main.rs
@@ -11,10 +11,15 @@
 mod document;
 mod events;
 mod explain;
+mod fit;
+mod membership;
+mod mesh_fleet;
 mod parity;
 mod proxy;
 mod report;
+mod spread;
 mod store;
+mod usage;
 
 use report::Report;
 use std::process::ExitCode;
@@ -36,6 +41,8 @@
     ("explain", explain::run),
     ("store", store::run),
     ("proxy", proxy::run),
+    ("membership", membership::run),
+    ("spread", spread::run),
 ];
 
 const USAGE: &str = "usage: measure decisions|fleet [MODULE]";
--- /dev/null
+++ b/crates/foxtide/examples/measure/mesh_fleet.rs
@@ -0,0 +1,214 @@
+//! Real instances of the mesh on loopback, all in this process.
+
+use foxtide_core::ids::{OrganisationId, RegionId, ServiceId};
+use foxtide_core::limits::{Claim, LimitUse};
+use foxtide_core::spreading::Document;
+use foxtide_core::steering::{InstanceReport, ServiceReport};
+use foxtide_core::units::{RequestRate, Revision, Share};
+use foxtide_mesh::{Faults, Identity, Mesh, MeshHandle, MeshOptions};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Regions of the fleet at target size.
+const REGIONS: usize = 7;
+
+/// Availability zones of the fleet at target size.
+const ZONES: usize = 15;
+
+/// Services of each organisation today.
+const SERVICES: [&str; 4] = ["viewer", "notices", "archive", "hazards"];
+
+/// Wait between two looks at a condition.
+const LOOK_INTERVAL: Duration = Duration::from_millis(2);
+
+/// How long anything is waited for; beyond it the figure shows the limit.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// A fleet of instances.
+pub(crate) struct Fleet {
+    /// The running instances.
+    pub(crate) handles: Vec<MeshHandle>,
+    /// Loses their messages.
+    pub(crate) faults: Faults,
+    shape: Shape,
+    started: usize,
+}
+
+/// How a fleet is spread over the world.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Shape {
+    /// Regions.
+    pub(crate) regions: usize,
+    /// Availability zones, dealt out to the regions in turn.
+    pub(crate) zones: usize,
+}
+
+/// The world at target size.
+pub(crate) const TARGET: Shape = Shape {
+    regions: REGIONS,
+    zones: ZONES,
+};
+
+/// The world of each tenant today.
+pub(crate) const TODAY: Shape = Shape {
+    regions: 3,
+    zones: 6,
+};
+
+impl Fleet {
+    /// Starts instances and waits until all know all.
+    pub(crate) fn start(instances: usize, shape: Shape) -> Self {
+        let mut fleet = Self {
+            handles: Vec::new(),
+            faults: Faults::default(),
+            shape,
+            started: 0,
+        };
+        for _ in 0..instances {
+            fleet.start_one();
+        }
+        wait(|| fleet.knows_itself());
+        fleet
+    }
+
+    /// Starts one more instance, under a new name.
+    pub(crate) fn start_one(&mut self) {
+        let number = self.started;
+        self.started += 1;
+        let zone = number % self.shape.zones;
+        let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+        let identity = Identity {
+            instance: format!("i{number}").parse().expect("a name"),
+            region: region(zone % self.shape.regions),
+            availability_zone: format!("zone-{zone}").parse().expect("a name"),
+            peer_address: loopback,
+            caller_address: loopback,
+        };
+        let options = MeshOptions {
+            faults: self.faults.clone(),
+            seed: Some(number as u64),
+            ..MeshOptions::default()
+        };
+        let first = self.handles.iter().take(3);
+        let seeds: Vec<_> = first.map(MeshHandle::peer_address).collect();
+        let handle = Mesh::start(identity, &seeds, options);
+        self.handles.push(handle.expect("a free port on loopback"));
+    }
+
+    /// Kills an instance and returns it, as the others still know it.
+    pub(crate) fn kill(&mut self, place: usize) -> MeshHandle {
+        let killed = self.handles.swap_remove(place);
+        killed.stop();
+        killed
+    }
+
+    /// Returns whether all know exactly those that run.
+    pub(crate) fn knows_itself(&self) -> bool {
+        let count = self.handles.len();
+        self.handles.iter().all(|handle| {
+            let members = handle.members();
+            let usable = members.iter().filter(|member| member.state.is_usable());
+            usable.count() == count
+        })
+    }
+
+    /// Returns whether all hold at least this revision.
+    pub(crate) fn holds(&self, revision: u64) -> bool {
+        self.handles.iter().all(|handle| {
+            let documents = handle.configurations();
+            documents
+                .iter()
+                .any(|document| document.revision >= Revision::new(revision))
+        })
+    }
+
+    /// Lets every instance report its load, as it does each second.
+    pub(crate) fn publish_load(&self) {
+        for handle in &self.handles {
+            handle.publish_load(&organisation(), report());
+        }
+    }
+
+    /// Returns the places of the instances that watch the store.
+    pub(crate) fn watchers(&self) -> Vec<usize> {
+        let places = 0..self.handles.len();
+        places
+            .filter(|place| self.handles[*place].is_watcher())
+            .collect()
+    }
+
+    /// Cuts the first region off from all others.
+    pub(crate) fn cut_off_first_region(&self) {
+        let first = region(0);
+        let (cut, rest): (Vec<_>, Vec<_>) = self
+            .handles
+            .iter()
+            .partition(|handle| handle.own().region == first);
+        let addresses = |side: Vec<&MeshHandle>| {
+            let addresses = side.into_iter().map(MeshHandle::peer_address);
+            addresses.collect::<Vec<_>>()
+        };
+        self.faults.partition(&[addresses(cut), addresses(rest)]);
+    }
+
+    /// Ends all instances.
+    pub(crate) fn stop(self) {
+        self.handles.iter().for_each(MeshHandle::stop);
+    }
+}
+
+/// Waits until `condition` holds, and returns how long it took.
+pub(crate) fn wait(condition: impl Fn() -> bool) -> Duration {
+    let started = Instant::now();
+    while !condition() && started.elapsed() < PATIENCE {
+        std::thread::sleep(LOOK_INTERVAL);
+    }
+    started.elapsed()
+}
+
+/// Returns the organisation whose load and documents are spread.
+pub(crate) fn organisation() -> OrganisationId {
+    "hamutenya".parse().expect("a name")
+}
+
+/// Returns a document of the size that the organisation has today.
+pub(crate) fn document(revision: u64) -> Document {
+    /// As `document.size` shows.
+    const SIZE_BYTES: usize = 7_000;
+    Document {
+        organisation: organisation(),
+        revision: Revision::new(revision),
+        bytes: vec![7; SIZE_BYTES].into(),
+    }
+}
+
+fn region(number: usize) -> RegionId {
+    format!("region-{number}").parse().expect("a name")
+}
+
+fn report() -> InstanceReport {
+    let rate = RequestRate::clamped(250.0);
+    let share = Share::clamped(1.0 / REGIONS as f64);
+    let regions: Vec<_> = (0..REGIONS).map(region).collect();
+    let service_report = ServiceReport {
+        demand_rps: rate,
+        healthy_share: Some(Share::ONE),
+        row: regions.iter().map(|id| (id.clone(), share)).collect(),
+    };
+    let service = |name: &str| -> ServiceId { name.parse().expect("a name") };
+    let services = SERVICES.map(|name| (service(name), service_report.clone()));
+    let claim = Claim {
+        planned_rps: rate,
+        spilled_rps: RequestRate::ZERO,
+    };
+    let limit = LimitUse {
+        claim,
+        region_sharers: 1,
+        link_sharers: 1,
+    };
+    InstanceReport {
+        services: services.into(),
+        limits: regions.into_iter().map(|id| (id, limit)).collect(),
+        ..InstanceReport::default()
+    }
+}
--- /dev/null
+++ b/crates/foxtide/examples/measure/spread.rs
@@ -0,0 +1,203 @@
+//! How fast a change of configuration is in force everywhere, under faults too,
+//! and what it costs.
+
+use crate::mesh_fleet::{Fleet, TARGET, TODAY, document, wait};
+use crate::report::{Limit, Report};
+use foxtide_core::spreading::Document;
+use foxtide_core::units::Revision;
+use foxtide_mesh::MeshHandle;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use smol::channel::Receiver;
+use std::time::{Duration, Instant};
+
+const INSTANCES: usize = 160;
+const CHANGES: usize = 100;
+
+/// The longest time to all instances for 99 of 100 changes, in seconds.
+const P99_MAX_S: f64 = 2.0;
+
+/// The longest time to all instances under faults, in seconds.
+const FAULT_MAX_S: f64 = 18.0;
+
+/// Changes on a day at target size.
+const CHANGES_PER_DAY: f64 = 2_800.0;
+const DAY_S: f64 = 86_400.0;
+const BYTES_MAX_PER_S: f64 = 3_000.0;
+
+/// How long a region is cut off; stands for a minute.
+const CUT: Duration = Duration::from_secs(10);
+
+/// Time within which a watch tells of a change.
+const WATCH_INTERVAL: Duration = Duration::from_millis(50);
+
+const ROUNDS_WITH_KILLED_WATCHERS: u64 = 3;
+const SEED: u64 = 17;
+
+/// Measures the spreading of configuration.
+pub(crate) fn run(report: &mut Report) {
+    healthy(report);
+    watchers_killed(report);
+    region_cut_off(report);
+    reverts(report);
+}
+
+fn healthy(report: &mut Report) {
+    let fleet = Fleet::start(INSTANCES, TARGET);
+    let mut rng = StdRng::seed_from_u64(SEED);
+    let idle = sent_bytes_per_s(&fleet);
+    let before = sent_bytes(&fleet);
+    let started = Instant::now();
+    let mut took_s = Vec::new();
+    for revision in 1..=CHANGES as u64 {
+        let place = rng.random_range(0..fleet.handles.len());
+        fleet.handles[place].publish_configuration(&document(revision));
+        took_s.push(wait(|| fleet.holds(revision)).as_secs_f64());
+    }
+    let sent = sent_bytes(&fleet) - before - idle * started.elapsed().as_secs_f64();
+    took_s.sort_by(f64::total_cmp);
+    let name = format!("spread.{INSTANCES}in15");
+    report.figure(
+        &format!("{name}.median"),
+        took_s[CHANGES / 2],
+        "s",
+        Limit::None,
+    );
+    let p99 = took_s[CHANGES * 99 / 100 - 1];
+    report.figure(&format!("{name}.p99"), p99, "s", Limit::AtMost(P99_MAX_S));
+    let per_change = sent / CHANGES as f64 / INSTANCES as f64;
+    report.figure(
+        &format!("{name}.sent_per_change"),
+        per_change,
+        "B",
+        Limit::None,
+    );
+    let document_bytes = document(1).bytes.len() as f64;
+    let ratio = per_change / document_bytes;
+    report.figure(
+        &format!("{name}.sent_per_document_byte"),
+        ratio,
+        "B/B",
+        Limit::None,
+    );
+    let daily = per_change * CHANGES_PER_DAY / DAY_S;
+    let limit = Limit::AtMost(BYTES_MAX_PER_S);
+    report.figure(&format!("{name}.sent_at_2800_a_day"), daily, "B/s", limit);
+    fleet.stop();
+}
+
+fn sent_bytes(fleet: &Fleet) -> f64 {
+    let counts = fleet.handles.iter().map(MeshHandle::traffic);
+    counts.map(|counts| counts.sent_bytes as f64).sum()
+}
+
+fn sent_bytes_per_s(fleet: &Fleet) -> f64 {
+    let before = sent_bytes(fleet);
+    let started = Instant::now();
+    std::thread::sleep(Duration::from_secs(10));
+    (sent_bytes(fleet) - before) / started.elapsed().as_secs_f64()
+}
+
+/// Tells every present watcher of the store's newest document until all hold
+/// it, as its watch would; one that becomes a watcher reads it then.
+fn until_all_hold(fleet: &Fleet, newest: &Document) -> Duration {
+    let started = Instant::now();
+    while !fleet.holds(newest.revision.get()) && started.elapsed().as_secs_f64() < FAULT_MAX_S * 3.0
+    {
+        std::thread::sleep(WATCH_INTERVAL);
+        for place in fleet.watchers() {
+            fleet.handles[place].publish_configuration(newest);
+        }
+    }
+    started.elapsed()
+}
+
+fn watchers_killed(report: &mut Report) {
+    let mut fleet = Fleet::start(INSTANCES, TARGET);
+    let mut longest_s: f64 = 0.0;
+    for revision in 1..=ROUNDS_WITH_KILLED_WATCHERS {
+        // The first half of the zones loses both of its watchers.
+        let mut doomed = fleet.watchers();
+        doomed.sort_by_key(|place| fleet.handles[*place].own().availability_zone);
+        doomed.truncate(doomed.len() / 2);
+        doomed.sort_unstable();
+        for place in doomed.into_iter().rev() {
+            fleet.kill(place);
+        }
+        let took = until_all_hold(&fleet, &document(revision));
+        longest_s = longest_s.max(took.as_secs_f64());
+        wait(|| fleet.knows_itself());
+    }
+    let name = "spread.160in15.half_of_watchers_killed";
+    report.figure(name, longest_s, "s", Limit::AtMost(FAULT_MAX_S));
+    fleet.stop();
+}
+
+fn region_cut_off(report: &mut Report) {
+    let fleet = Fleet::start(INSTANCES, TODAY);
+    fleet.cut_off_first_region();
+    std::thread::sleep(CUT);
+    // The store is on the larger side.
+    let newest = document(1);
+    fleet.handles[1].publish_configuration(&newest);
+    wait(|| fleet.handles[2].configurations().len() == 1);
+    fleet.faults.heal();
+    let took = wait(|| fleet.holds(1));
+    let name = "spread.160in6.after_cut_healed";
+    let limit = Limit::AtMost(FAULT_MAX_S);
+    report.figure(name, took.as_secs_f64(), "s", limit);
+    let members = wait(|| fleet.knows_itself());
+    let name = "spread.160in6.members_after_cut_healed";
+    report.figure(name, (took + members).as_secs_f64(), "s", limit);
+    fleet.stop();
+}
+
+/// Changes while instances are replaced and a region is cut off now and then;
+/// no instance may ever take a lower revision after a higher one.
+fn reverts(report: &mut Report) {
+    const CHANGES: u64 = 200;
+    const SMALL: usize = 20;
+    let mut fleet = Fleet::start(SMALL, TODAY);
+    let mut rng = StdRng::seed_from_u64(SEED);
+    let mut streams: Vec<_> = fleet.handles.iter().map(changes_of).collect();
+    for revision in 1..=CHANGES {
+        match rng.random_range(0..20) {
+            0 | 1 => {
+                fleet.kill(rng.random_range(0..SMALL));
+                fleet.start_one();
+                streams.extend(fleet.handles.last().map(changes_of));
+            }
+            2 => fleet.cut_off_first_region(),
+            3..=6 => fleet.faults.heal(),
+            _ => {}
+        }
+        // A lagging watcher tells of an older revision now and then.
+        let lag = rng.random_range(0..3).min(revision - 1);
+        let places = [(); 2].map(|()| rng.random_range(0..SMALL));
+        fleet.handles[places[0]].publish_configuration(&document(revision));
+        fleet.handles[places[1]].publish_configuration(&document(revision - lag));
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    fleet.faults.heal();
+    let took = wait(|| fleet.holds(CHANGES));
+    let reverts: usize = streams.iter().map(reverts_in).sum();
+    let name = format!("spread.20in6.reverts_in_{CHANGES}_changes");
+    report.figure(&name, reverts as f64, "reverts", Limit::AtMost(0.0));
+    let name = "spread.20in6.last_change_after_healing";
+    report.figure(name, took.as_secs_f64(), "s", Limit::AtMost(FAULT_MAX_S));
+    fleet.stop();
+}
+
+fn changes_of(handle: &MeshHandle) -> Receiver<Document> {
+    handle.configuration_changes()
+}
+
+fn reverts_in(stream: &Receiver<Document>) -> usize {
+    let mut newest = Revision::ZERO;
+    let mut reverts = 0;
+    while let Ok(change) = stream.try_recv() {
+        reverts += usize::from(change.revision <= newest);
+        newest = newest.max(change.revision);
+    }
+    reverts
+}
