--- a/crates/foxtide-testing/src/scenario/instance.rs
+++ b/crates/foxtide-testing/src/scenario/instance.rs
@@ -1,6 +1,7 @@
 //! One instance of a scenario.
 
 use super::process::Process;
+use foxtide_core::idempotency::ProcessNumber;
 use foxtide_core::ids::{AvailabilityZoneId, InstanceId, RegionId};
 use foxtide_core::membership::{Incarnation, Member, MemberState};
 use foxtide_core::time::{MonotonicTime, WallTime};
@@ -94,6 +95,7 @@
             availability_zone: self.zone.clone(),
             peer_address: self.address,
             caller_address: self.address,
+            process: ProcessNumber::new(self.seed()),
             incarnation: Incarnation::new(self.starts * 1_000),
             state: MemberState::Alive,
         }
--- a/crates/foxtide-testing/src/virtual_fleet.rs
+++ b/crates/foxtide-testing/src/virtual_fleet.rs
@@ -1,6 +1,7 @@
 //! Membership state machines on a virtual clock, with messages that are lost,
 //! delayed or cut off as scripted.
 
+use foxtide_core::idempotency::ProcessNumber;
 use foxtide_core::ids::InstanceId;
 use foxtide_core::membership::{
     Incarnation, Member, MemberState, Membership, MembershipOptions, Output, Packet,
@@ -347,6 +348,7 @@
         availability_zone: zone.parse().expect("a zone's name"),
         peer_address: address(instance),
         caller_address: address(instance),
+        process: ProcessNumber::new(1),
         incarnation: Incarnation::new(1),
         state: MemberState::Alive,
     }
--- a/crates/foxtide/examples/measure/mesh_fleet.rs
+++ b/crates/foxtide/examples/measure/mesh_fleet.rs
@@ -1,5 +1,6 @@
 //! Real instances of the mesh on loopback, all in this process.
 
+use foxtide_core::idempotency::ProcessNumber;
 use foxtide_core::ids::{OrganisationId, RegionId, ServiceId};
 use foxtide_core::limits::{Claim, LimitUse};
 use foxtide_core::spreading::Document;
@@ -83,6 +84,7 @@
             availability_zone: format!("zone-{zone}").parse().expect("a name"),
             peer_address: loopback,
             caller_address: loopback,
+            process: ProcessNumber::new(1),
         };
         let options = MeshOptions {
             faults: self.faults.clone(),
