Keep the latest changes of client blocks in the manifest itself

Deltas lay under keys of their own, so each change would have cost every instance a read. The manifest is now a sealed message with the deltas inside, which the mesh can spread; a table of the base's revision or later needs nothing else.

--- a/crates/foxtide-core/src/blocks/builder.rs
+++ b/crates/foxtide-core/src/blocks/builder.rs
@@ -4,11 +4,10 @@
 use super::columns::Columns;
 use super::family::{V4, V6};
 use super::{BlocksError, BlocksResult, ClientBlocks, SiteIndex, SiteTable};
-use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
 /// How many blocks of each family a table has.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct BlockCounts {
     /// Blocks of v4.
     pub v4_blocks: usize,
--- a/crates/foxtide-core/src/blocks/codec.rs
+++ b/crates/foxtide-core/src/blocks/codec.rs
@@ -1,7 +1,8 @@
 //! The form in which blocks lie in the store.
 //!
 //! A value is a [`SealedMessage`]: a payload and its XXH3 checksum. The payload
-//! of a chunk is a [`ColumnsMessage`], that of a delta a [`DeltaMessage`]. In
+//! of a chunk is a [`ColumnsMessage`], that of a delta a [`DeltaMessage`], that of
+//! the manifest a [`ManifestMessage`]. In
 //! columns, blocks ascend, and each first address is kept as the number of
 //! blocks of its own length that lie between it and the one before, which is
 //! nearly always a byte.
@@ -63,6 +64,46 @@
     pub(super) removed_v6: Option<ColumnsMessage>,
 }
 
+/// A site.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct SiteMessage {
+    #[prost(string, tag = "1")]
+    pub(super) site: String,
+    #[prost(string, tag = "2")]
+    pub(super) region: String,
+    #[prost(string, repeated, tag = "3")]
+    pub(super) alternatives: Vec<String>,
+}
+
+/// What a chunk must be.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub(super) struct PartMessage {
+    #[prost(fixed64, tag = "1")]
+    pub(super) checksum: u64,
+    #[prost(uint64, tag = "2")]
+    pub(super) size_bytes: u64,
+}
+
+/// What makes up a table.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct ManifestMessage {
+    #[prost(uint64, tag = "1")]
+    pub(super) revision: u64,
+    #[prost(uint64, tag = "2")]
+    pub(super) base_revision: u64,
+    #[prost(uint64, tag = "3")]
+    pub(super) v4_blocks: u64,
+    #[prost(uint64, tag = "4")]
+    pub(super) v6_blocks: u64,
+    #[prost(message, repeated, tag = "5")]
+    pub(super) sites: Vec<SiteMessage>,
+    #[prost(message, repeated, tag = "6")]
+    pub(super) chunks: Vec<PartMessage>,
+    /// Sealed deltas, in order.
+    #[prost(bytes = "vec", repeated, tag = "7")]
+    pub(super) deltas: Vec<Vec<u8>>,
+}
+
 /// Puts a payload and its checksum into one value.
 pub(super) fn seal(payload: Vec<u8>) -> Vec<u8> {
     let checksum = xxh3_64(&payload);
--- a/crates/foxtide-core/src/blocks/manifest.rs
+++ b/crates/foxtide-core/src/blocks/manifest.rs
@@ -1,90 +1,63 @@
 //! What the store holds of a table.
 //!
-//! Chunks and deltas lie under the checksum of their bytes, so that a writer
-//! never changes a value that a reader may be at; the manifest, written last
-//! and by check-and-set, names those that make up the table.
+//! Chunks lie under the checksum of their bytes, so that a writer never
+//! changes a value that a reader may be at; the manifest, written last and by
+//! check-and-set, names those that make up the table. The latest changes lie
+//! in the manifest itself: an instance that has an older table needs nothing
+//! but the manifest, which the mesh spreads.
 
+use super::codec::{ManifestMessage, PartMessage, SiteMessage, open, seal};
 use super::{
-    BlockCounts, BlocksError, BlocksResult, ClientBlocks, ClientBlocksBuilder, Delta, SiteTable,
+    BlockCounts, BlocksError, BlocksResult, ClientBlocks, ClientBlocksBuilder, Delta, Site,
+    SiteTable,
 };
-use serde::{Deserialize, Serialize};
+use prost::Message;
 use std::fmt;
-use std::str::FromStr;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// The key of the manifest.
 pub const MANIFEST_KEY: &str = "foxtide/blocks/manifest";
 
-/// The beginning of the keys of chunks and deltas; their checksum follows.
-pub const PART_PREFIX: &str = "foxtide/blocks/parts/";
+/// The beginning of the keys of chunks; their checksum follows.
+pub const CHUNK_PREFIX: &str = "foxtide/blocks/chunks/";
 
-/// How many deltas a manifest names before its chunks are written anew.
-const DELTAS_MAX: usize = 64;
+/// How many deltas a manifest holds before its chunks are written anew.
+const DELTAS_MAX: usize = 16;
+
+/// How large a manifest may get before its chunks are written anew.
+const SIZE_MAX_BYTES: usize = 65_536;
 
 /// The XXH3 checksum of a value, shown as 16 hexadecimal digits.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(try_from = "String", into = "String")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Checksum(u64);
 
-impl Checksum {
-    /// Returns the checksum of a value.
-    pub fn of(value: &[u8]) -> Self {
-        Self(xxh3_64(value))
-    }
-}
-
 impl fmt::Display for Checksum {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
     }
 }
 
-impl FromStr for Checksum {
-    type Err = crate::Error;
-
-    fn from_str(text: &str) -> crate::Result<Self> {
-        let number = u64::from_str_radix(text, 16);
-        let bad = |_| crate::Error::parse(text, "16 hexadecimal digits");
-        number.map(Self).map_err(bad)
-    }
-}
-
-impl TryFrom<String> for Checksum {
-    type Error = crate::Error;
-
-    fn try_from(text: String) -> crate::Result<Self> {
-        text.parse()
-    }
-}
-
-impl From<Checksum> for String {
-    fn from(checksum: Checksum) -> Self {
-        checksum.to_string()
-    }
-}
-
-/// One value of the table.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+/// One chunk of a table, by what it must be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Part {
     /// Its checksum.
     pub checksum: Checksum,
     /// Its size.
-    pub size_bytes: usize,
+    pub size_bytes: u64,
 }
 
 impl Part {
     /// Returns the part that a value makes.
     pub fn of(value: &[u8]) -> Self {
         Self {
-            checksum: Checksum::of(value),
-            size_bytes: value.len(),
+            checksum: Checksum(xxh3_64(value)),
+            size_bytes: value.len() as u64,
         }
     }
 
     /// Returns the key under which the value lies.
     pub fn key(&self) -> String {
-        format!("{PART_PREFIX}{}", self.checksum)
+        format!("{CHUNK_PREFIX}{}", self.checksum)
     }
 
     /// Checks a value that was read under the key.
@@ -100,9 +73,8 @@
     }
 }
 
-/// Names the values that make up a table.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+/// Names what makes up a table.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Manifest {
     /// The revision after the last delta.
     pub revision: u64,
@@ -115,11 +87,11 @@
     /// The chunks, in order.
     pub chunks: Vec<Part>,
     /// The deltas, in order.
-    pub deltas: Vec<Part>,
+    pub deltas: Vec<Delta>,
 }
 
 impl Manifest {
-    /// Returns the manifest of a whole table and the values to write first.
+    /// Returns the manifest of a whole table and the chunks to write first.
     pub fn of(table: &ClientBlocks) -> (Self, Vec<Vec<u8>>) {
         let values = table.chunks();
         let manifest = Self {
@@ -133,54 +105,143 @@
         (manifest, values)
     }
 
-    /// Adds a delta and returns its value, to be written first.
+    /// Adds a delta.
     ///
     /// # Errors
     ///
-    /// Fails where the delta follows another revision or cannot be encoded.
-    pub fn add(&mut self, delta: &Delta) -> BlocksResult<Vec<u8>> {
+    /// Fails where the delta follows another revision.
+    pub fn add(&mut self, delta: Delta) -> BlocksResult<()> {
         delta.check_follows(self.revision)?;
-        let value = delta.encode()?;
-        self.deltas.push(Part::of(&value));
         self.revision = delta.revision;
-        Ok(value)
+        self.deltas.push(delta);
+        Ok(())
     }
 
     /// Tells whether so many deltas have gathered that the chunks are to be
     /// written anew.
-    pub fn wants_rewrite(&self) -> bool {
-        self.deltas.len() >= DELTAS_MAX
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Manifest::encode`].
+    pub fn wants_rewrite(&self) -> BlocksResult<bool> {
+        let many = self.deltas.len() >= DELTAS_MAX;
+        Ok(many || (!self.deltas.is_empty() && self.encode()?.len() > SIZE_MAX_BYTES))
     }
 
-    /// Builds the table from the values that the manifest names. `value_of`
-    /// returns the value of a part; each is let go before the next.
+    /// Returns the manifest as a value for the store.
     ///
     /// # Errors
     ///
-    /// Fails where a value is missing or wrong; the caller keeps its old table.
-    pub fn load(
-        &self,
-        mut value_of: impl FnMut(&Part) -> Option<Vec<u8>>,
-    ) -> BlocksResult<ClientBlocks> {
-        let mut read = |part: &Part| {
-            let missing = || BlocksError::decode(format!("{} is missing", part.key()));
-            let value = value_of(part).ok_or_else(missing)?;
-            part.check(&value)?;
-            Ok(value)
+    /// Fails where a delta has a block twice or one longer than valid.
+    pub fn encode(&self) -> BlocksResult<Vec<u8>> {
+        let deltas: BlocksResult<Vec<Vec<u8>>> = self.deltas.iter().map(Delta::encode).collect();
+        let message = ManifestMessage {
+            revision: self.revision,
+            base_revision: self.base_revision,
+            v4_blocks: self.base_blocks.v4_blocks as u64,
+            v6_blocks: self.base_blocks.v6_blocks as u64,
+            sites: self.sites.sites().iter().map(to_site_message).collect(),
+            chunks: self.chunks.iter().map(to_part_message).collect(),
+            deltas: deltas?,
         };
+        Ok(seal(message.encode_to_vec()))
+    }
+
+    /// Reads a manifest that [`Manifest::encode`] made.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the bytes were changed or do not hold a manifest.
+    pub fn decode(value: &[u8]) -> BlocksResult<Self> {
+        let payload = open(value, "the manifest")?;
+        let message = ManifestMessage::decode(&payload[..]).map_err(BlocksError::decode)?;
+        let sites: BlocksResult<Vec<Site>> = message.sites.into_iter().map(to_site).collect();
+        let deltas = message.deltas.iter().map(|value| Delta::decode(value));
+        Ok(Self {
+            revision: message.revision,
+            base_revision: message.base_revision,
+            base_blocks: BlockCounts {
+                v4_blocks: usize::try_from(message.v4_blocks).unwrap_or(0),
+                v6_blocks: usize::try_from(message.v6_blocks).unwrap_or(0),
+            },
+            sites: SiteTable::new(sites?)?,
+            chunks: message.chunks.into_iter().map(to_part).collect(),
+            deltas: deltas.collect::<BlocksResult<_>>()?,
+        })
+    }
+
+    /// Tells whether a table can be brought to this revision by deltas alone.
+    ///
+    /// A revision names one content, for manifests are written by
+    /// check-and-set, so a table of the base's revision or later will do.
+    pub fn follows(&self, table: &ClientBlocks) -> bool {
+        let known = |delta: &Delta| delta.follows == table.revision();
+        *table.sites() == self.sites
+            && (table.revision() == self.revision || self.deltas.iter().any(known))
+    }
+
+    /// Brings a table that [`Manifest::follows`] to this revision.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the deltas do not follow each other or are not valid.
+    pub fn advance(&self, table: &ClientBlocks) -> BlocksResult<ClientBlocks> {
+        let newer = |delta: &&Delta| delta.follows >= table.revision();
+        let deltas = self.deltas.iter().filter(newer).cloned().collect();
+        table.apply(&Delta::combine(deltas, table.revision())?)
+    }
+
+    /// Builds the table from its chunks, in order, and the deltas.
+    ///
+    /// # Errors
+    ///
+    /// Fails where a chunk is missing or wrong; the caller keeps its old table.
+    pub fn load(&self, chunks: impl IntoIterator<Item = Vec<u8>>) -> BlocksResult<ClientBlocks> {
         let sites = self.sites.clone();
         let mut builder = ClientBlocksBuilder::new(self.base_revision, sites, self.base_blocks);
+        let mut values = chunks.into_iter();
         for part in &self.chunks {
-            builder.add_chunk(&read(part)?)?;
+            let missing = || BlocksError::decode(format!("{} is missing", part.key()));
+            let value = values.next().ok_or_else(missing)?;
+            part.check(&value)?;
+            builder.add_chunk(&value)?;
         }
         let table = builder.finish();
         if self.deltas.is_empty() {
             return Ok(table);
         }
-        let mut deltas = Vec::new();
-        for part in &self.deltas {
-            deltas.push(Delta::decode(&read(part)?)?);
-        }
-        table.apply(&Delta::combine(deltas, self.base_revision)?)
+        self.advance(&table)
+    }
+}
+
+fn to_site_message(site: &Site) -> SiteMessage {
+    SiteMessage {
+        site: site.site.to_string(),
+        region: site.region.to_string(),
+        alternatives: site.alternatives.iter().map(ToString::to_string).collect(),
+    }
+}
+
+fn to_site(message: SiteMessage) -> BlocksResult<Site> {
+    let alternatives = message.alternatives.iter().map(|name| name.parse());
+    let alternatives: crate::Result<Vec<_>> = alternatives.collect();
+    Ok(Site {
+        site: message.site.parse().map_err(BlocksError::decode)?,
+        region: message.region.parse().map_err(BlocksError::decode)?,
+        alternatives: alternatives.map_err(BlocksError::decode)?,
+    })
+}
+
+fn to_part_message(part: &Part) -> PartMessage {
+    PartMessage {
+        checksum: part.checksum.0,
+        size_bytes: part.size_bytes,
+    }
+}
+
+fn to_part(message: PartMessage) -> Part {
+    Part {
+        checksum: Checksum(message.checksum),
+        size_bytes: message.size_bytes,
     }
 }
--- a/crates/foxtide-core/src/blocks/mod.rs
+++ b/crates/foxtide-core/src/blocks/mod.rs
@@ -21,6 +21,6 @@
 pub use builder::{BlockCounts, ClientBlocksBuilder};
 pub use delta::Delta;
 pub use errors::{BlocksError, BlocksResult};
-pub use manifest::{Checksum, MANIFEST_KEY, Manifest, PART_PREFIX, Part};
+pub use manifest::{CHUNK_PREFIX, Checksum, MANIFEST_KEY, Manifest, Part};
 pub use site::{Site, SiteIndex, SiteTable};
 pub use table::{Block, ClientBlocks};
--- a/crates/foxtide-core/tests/blocks.rs
+++ b/crates/foxtide-core/tests/blocks.rs
@@ -1,8 +1,8 @@
 //! Client blocks against a plain model, and what arrives damaged.
 
 use foxtide_core::blocks::{
-    Block, BlockCounts, BlocksError, ClientBlocks, ClientBlocksBuilder, Delta, Manifest, Part,
-    Site, SiteIndex, SiteTable,
+    Block, BlockCounts, BlocksError, ClientBlocks, ClientBlocksBuilder, Delta, Manifest, Site,
+    SiteIndex, SiteTable,
 };
 use foxtide_core::ids::SiteId;
 use ipnet::IpNet;
@@ -122,12 +122,11 @@
         model.retain(|net, _| !removed.contains(net));
         model.extend(changed);
         let delta = Delta { follows: 1, revision: 2, set, removed };
-        let delta_value = manifest.add(&delta).unwrap();
-        let values = values.into_iter().chain([delta_value]);
-        let store: HashMap<_, _> = values.map(|v| (Part::of(&v).key(), v)).collect();
-        let json = serde_json::to_string(&manifest).unwrap();
-        let manifest: Manifest = serde_json::from_str(&json).unwrap();
-        let loaded = manifest.load(|part| store.get(&part.key()).cloned()).unwrap();
+        manifest.add(delta.clone()).unwrap();
+        let manifest = Manifest::decode(&manifest.encode().unwrap()).unwrap();
+        prop_assert!(manifest.follows(&base));
+        prop_assert_eq!(manifest.advance(&base).unwrap().revision(), 2);
+        let loaded = manifest.load(values).unwrap();
         let applied = base.apply(&delta).unwrap();
         prop_assert_eq!(loaded.revision(), 2);
         prop_assert_eq!(loaded.blocks().collect::<Vec<_>>(), applied.blocks().collect::<Vec<_>>());
@@ -141,6 +140,7 @@
     fn verify_damaged_chunks_do_no_harm(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
         let _ = ClientBlocksBuilder::new(1, sites(), BlockCounts::default()).add_chunk(&bytes);
         let _ = Delta::decode(&bytes);
+        let _ = Manifest::decode(&bytes);
     }
 }
 
@@ -186,12 +186,12 @@
     let (manifest, values) = Manifest::of(&table);
     let mut damaged = values[0].clone();
     *damaged.last_mut().unwrap() ^= 1;
-    let error = manifest.load(|_| Some(damaged.clone())).unwrap_err();
+    let error = manifest.load([damaged.clone()]).unwrap_err();
     assert!(matches!(error, BlocksError::Checksum { .. }));
     let mut builder = ClientBlocksBuilder::new(1, sites(), BlockCounts::default());
     let error = builder.add_chunk(&damaged).unwrap_err();
     assert!(matches!(error, BlocksError::Checksum { .. }));
-    assert!(manifest.load(|_| None).is_err());
+    assert!(manifest.load([]).is_err());
 }
 
 #[test]
@@ -224,6 +224,34 @@
     ));
 }
 
+#[test]
+fn verify_missed_deltas_are_caught_up_with() {
+    let mut table = ClientBlocks::new(1, sites(), &[block("10.0.0.0/8", 1)]).unwrap();
+    let first = table.clone();
+    let (mut manifest, _) = Manifest::of(&table);
+    for site in 2..20u8 {
+        let delta = Delta {
+            follows: manifest.revision,
+            revision: manifest.revision + 1,
+            set: vec![block("10.0.0.0/8", site)],
+            removed: vec![block("11.0.0.0/8", 0).net],
+        };
+        manifest.add(delta).unwrap();
+        table = manifest.advance(&table).unwrap();
+        assert_eq!(table.revision(), manifest.revision);
+    }
+    let caught_up = manifest.advance(&first).unwrap();
+    assert_eq!(
+        site_name(&caught_up, "10.1.1.1").as_deref(),
+        Some("site-19")
+    );
+    assert!(manifest.wants_rewrite().unwrap());
+    let (rewritten, _) = Manifest::of(&table);
+    assert!(rewritten.follows(&table));
+    assert!(!rewritten.follows(&first));
+    assert!(!rewritten.wants_rewrite().unwrap());
+}
+
 #[test]
 fn verify_chunks_fit_a_value() {
     let site = index(0);
--- a/crates/foxtide/examples/measure/blocks.rs
+++ b/crates/foxtide/examples/measure/blocks.rs
@@ -5,8 +5,7 @@
 use crate::blocks_ways::{Both, EytzingerRanges, HashMaps, Linear, Poptrie, SortedRanges, Way};
 use crate::report::{Limit, Report};
 use arc_swap::ArcSwap;
-use foxtide_core::blocks::{Block, ClientBlocks, Delta, Manifest, Part};
-use std::collections::HashMap;
+use foxtide_core::blocks::{Block, ClientBlocks, Delta, Manifest};
 use std::hint::black_box;
 use std::net::IpAddr;
 use std::sync::Arc;
@@ -89,20 +88,16 @@
 /// Measures a load from the store's values.
 fn load(report: &mut Report, table: &ClientBlocks) {
     let (manifest, values) = Manifest::of(table);
+    let manifest_size = manifest.encode().expect("a good manifest").len() as f64;
+    report.figure("blocks.manifest", manifest_size, "bytes", Limit::None);
     let total: usize = values.iter().map(Vec::len).sum();
     let largest = values.iter().map(Vec::len).max().unwrap_or(0);
     report.figure("blocks.chunks", values.len() as f64, "values", Limit::None);
     report.figure("blocks.chunks_total", total as f64, "bytes", Limit::None);
     let most = Limit::AtMost(foxtide_core::store::VALUE_MAX_BYTES as f64);
     report.figure("blocks.chunk_largest", largest as f64, "bytes", most);
-    let store: HashMap<String, Vec<u8>> = values
-        .into_iter()
-        .map(|v| (Part::of(&v).key(), v))
-        .collect();
     let started = Instant::now();
-    let loaded = manifest
-        .load(|part| store.get(&part.key()).cloned())
-        .expect("good values");
+    let loaded = manifest.load(values).expect("good values");
     let ms = started.elapsed().as_secs_f64() * 1e3;
     assert_eq!(loaded.len(), table.len(), "all blocks are loaded");
     report.figure("blocks.load", ms, "ms", Limit::None);
