--- a/crates/foxtide-config/src/lib.rs
+++ b/crates/foxtide-config/src/lib.rs
@@ -1,5 +1,6 @@
 //! Settings, templates, validation, the store's client and the change flow.
 //!
+//! - [`blocks`]: client blocks in the store.
 //! - [`settings`]: the settings file of an instance.
 //! - [`document`]: JSON with comments, read strictly.
 //! - [`store`]: the store's client.
@@ -8,6 +9,7 @@
 //! - [`change`]: how a change is checked and accepted.
 
 mod backoff;
+pub mod blocks;
 pub mod change;
 pub mod document;
 mod errors;
