Bring client blocks into force and let operators change them

Look-ups never knew a client's region. The watchers of each zone now watch the manifest and give it to the mesh; instances apply changes aside from the workers and swap the table; look-ups name the instances nearest to the client's site, or to its first alternative with a live one. foxtidectl blocks loads, sets, removes, finds and shows. Names that begin with foxtide- are reserved.

--- a/crates/foxtide-config/src/blocks/mod.rs
+++ b/crates/foxtide-config/src/blocks/mod.rs
@@ -13,3 +13,10 @@
 pub use chunks::load_table;
 pub use errors::BlocksChangeError;
 pub use publish::{PublishedBlocks, StoredManifest, change, load_manifest, replace};
+
+/// The name under which the mesh spreads the manifest. No organisation may
+/// have a name that begins as it does.
+pub const RESERVED_NAME: &str = "foxtide-client-blocks";
+
+/// How the names begin that no organisation may have.
+pub const RESERVED_PREFIX: &str = "foxtide-";
--- a/crates/foxtide-config/src/validate/mod.rs
+++ b/crates/foxtide-config/src/validate/mod.rs
@@ -10,6 +10,7 @@
 mod places;
 mod upstreams;
 
+use crate::blocks::RESERVED_PREFIX;
 use crate::change::key_of;
 use crate::{Error, Result};
 use foxtide_core::organisation::{Organisation, SCHEMA_VERSION};
@@ -28,6 +29,7 @@
         file: key_of(&document.organisation),
     };
     check.schema()?;
+    check.name()?;
     check.places()?;
     check.services()?;
     check.upstreams()?;
@@ -50,6 +52,16 @@
         Ok(())
     }
 
+    fn name(&self) -> Result<()> {
+        let name = &self.document.organisation;
+        if name.as_str().starts_with(RESERVED_PREFIX) {
+            let problem = format!("`{name}` is a reserved name");
+            let expected = format!("a name that does not begin with `{RESERVED_PREFIX}`");
+            return self.fail("organisation", problem, expected);
+        }
+        Ok(())
+    }
+
     /// Returns the error for a field that breaks a rule.
     fn fail<T>(
         &self,
--- a/crates/foxtide/src/configuration.rs
+++ b/crates/foxtide/src/configuration.rs
@@ -5,6 +5,7 @@
 //! newer revision; what the store brought first is passed on to the mesh.
 
 use crate::tables::{Applied, Tables};
+use foxtide_config::blocks::RESERVED_PREFIX;
 use foxtide_config::{ConfigurationWatch, HttpStore, WatchOptions, WatchReport, change};
 use foxtide_core::events::{EventCode, EventFields};
 use foxtide_core::organisation::Organisation;
@@ -150,6 +151,9 @@
     }
 
     fn take_document(&self, document: &Document) {
+        if document.organisation.as_str().starts_with(RESERVED_PREFIX) {
+            return;
+        }
         let key = change::key_of(&document.organisation);
         match change::decode(&key, &document.bytes) {
             Ok(organisation) => self.put_in_force(Arc::new(organisation)),
--- a/crates/foxtide/src/lib.rs
+++ b/crates/foxtide/src/lib.rs
@@ -1,6 +1,7 @@
 //! The entry instance of foxtide: wires settings, store, mesh and the request
 //! path into one [`node::Node`].
 
+mod client_blocks;
 pub mod command;
 mod configuration;
 mod copies;
--- a/crates/foxtide/src/node.rs
+++ b/crates/foxtide/src/node.rs
@@ -1,5 +1,6 @@
 //! One entry instance: all its parts, from start to stop.
 
+use crate::client_blocks::{BlocksFollower, BlocksInForce};
 use crate::configuration::Configurations;
 use crate::copies::Copies;
 use crate::pages::Pages;
@@ -82,6 +83,7 @@
 #[derive(Debug)]
 struct NodeDirectory {
     tables: Arc<Tables>,
+    blocks: BlocksInForce,
     mesh: MeshHandle,
     clock: SystemClock,
 }
@@ -95,8 +97,10 @@
         self.tables.address_of(instance)
     }
 
-    fn client_region(&self, _organisation: &OrganisationId, _client: IpAddr) -> Option<RegionId> {
-        None
+    fn client_region(&self, _organisation: &OrganisationId, client: IpAddr) -> Option<RegionId> {
+        let instances = self.tables.instances();
+        let is_live = |region: &RegionId| instances.iter().any(|one| one.region == *region);
+        self.blocks.region_of(client, is_live)
     }
 
     fn leave(&self) {
@@ -135,10 +139,16 @@
         let mesh = start_mesh(settings, caller_address, process, &recorder)?;
         let time_line = time_line(settings, &recorder, &clock);
         let explainer = Explainer::default();
+        let blocks = BlocksInForce::default();
+        let store = Arc::new(HttpStore::new(HttpStoreOptions {
+            address: settings.store_address,
+            call_timeout: settings.limits.store.call_timeout(),
+        }));
         let traffic = Arc::new(TrafficTables::new(traffic_options(settings)));
         let parts = NodeParts {
             directory: NodeDirectory {
                 tables: Arc::clone(&tables),
+                blocks: blocks.clone(),
                 mesh: mesh.clone(),
                 clock,
             },
@@ -165,13 +175,16 @@
             tables: Arc::clone(&tables),
             mesh: mesh.clone(),
             recorder: recorder.clone(),
-            store: Arc::new(HttpStore::new(HttpStoreOptions {
-                address: settings.store_address,
-                call_timeout: settings.limits.store.call_timeout(),
-            })),
+            store: Arc::clone(&store),
             ready,
             seed: fastrand::u64(..),
         };
+        let blocks_follower = BlocksFollower {
+            in_force: blocks,
+            mesh: mesh.clone(),
+            store,
+            recorder: recorder.clone(),
+        };
         let following = follow_members(Arc::clone(&tables), mesh.clone(), clock);
         let follower = TrafficFollower {
             tables: Arc::clone(&tables),
@@ -187,6 +200,7 @@
         let tasks = vec![
             workers.spawn(copies.clone().send()),
             workers.spawn(copies.receive()),
+            workers.spawn(blocks_follower.run()),
             workers.spawn(follower.run()),
             workers.spawn(configurations.run()),
             workers.spawn(following),
--- a/crates/foxtidectl/src/arguments.rs
+++ b/crates/foxtidectl/src/arguments.rs
@@ -1,6 +1,7 @@
 //! The command line's form.
 
 use crate::ExitStatus;
+use crate::commands::blocks::BlocksCommand;
 use crate::commands::check::Check;
 use crate::commands::drain::DrainCommand;
 use crate::commands::explain::ExplainCommand;
@@ -85,6 +86,8 @@
     Drain(DrainCommand),
     /// Works on moves.
     Move(MoveCommand),
+    /// Works on client blocks.
+    Blocks(BlocksCommand),
     /// Shows templates.
     Template(TemplateCommand),
     /// Checks a file.
--- /dev/null
+++ b/crates/foxtidectl/src/commands/blocks/change.rs
@@ -0,0 +1,70 @@
+//! `foxtidectl blocks set` and `foxtidectl blocks remove`.
+
+use super::{accepted, only_shown, site_index, stored};
+use crate::failure::Failure;
+use crate::report::Report;
+use crate::session::Session;
+use argh::FromArgs;
+use foxtide_config::blocks;
+use foxtide_core::blocks::Block;
+use ipnet::IpNet;
+
+/// Direct a block of addresses to a site
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "set")]
+pub(super) struct Set {
+    /// the block, such as 10.1.0.0/16
+    #[argh(positional)]
+    block: String,
+    /// the site
+    #[argh(positional)]
+    site: String,
+}
+
+/// Take a block of addresses out
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "remove")]
+pub(super) struct Remove {
+    /// the block, such as 10.1.0.0/16
+    #[argh(positional)]
+    block: String,
+}
+
+impl Set {
+    /// Writes the change.
+    pub(super) async fn run(self, session: &Session) -> Result<Report, Failure> {
+        let net = parse(&self.block)?;
+        let base = stored(session).await?;
+        let site = site_index(&base.manifest.sites, &self.site)?;
+        if !session.options().yes {
+            return Ok(only_shown(&format!("+ {net} -> {}", self.site)));
+        }
+        let set = vec![Block { net, site }];
+        let published = blocks::change(session.store(), &base, set, Vec::new()).await?;
+        Ok(accepted(&published))
+    }
+}
+
+impl Remove {
+    /// Writes the change.
+    pub(super) async fn run(self, session: &Session) -> Result<Report, Failure> {
+        let net = parse(&self.block)?;
+        let base = stored(session).await?;
+        if !session.options().yes {
+            return Ok(only_shown(&format!("- {net}")));
+        }
+        let published = blocks::change(session.store(), &base, Vec::new(), vec![net]).await?;
+        Ok(accepted(&published))
+    }
+}
+
+/// Reads a block; one with bits set beyond its length is refused, for it may
+/// be meant otherwise.
+fn parse(text: &str) -> Result<IpNet, Failure> {
+    let net: Option<IpNet> = text.parse().ok();
+    net.filter(|net| net.trunc() == *net).ok_or_else(|| {
+        let problem = format!("`{text}` is not a block");
+        let advice = "write it as 10.1.0.0/16 or 2001:db8::/32, no bits set beyond the length";
+        Failure::refused(problem, advice)
+    })
+}
--- a/crates/foxtidectl/src/commands/mod.rs
+++ b/crates/foxtidectl/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The commands, one module each.
 
+pub(crate) mod blocks;
 pub(crate) mod check;
 pub(crate) mod drain;
 pub(crate) mod explain;
--- a/crates/foxtidectl/src/failure.rs
+++ b/crates/foxtidectl/src/failure.rs
@@ -1,7 +1,9 @@
 //! Failures of commands, with what to do next.
 
 use crate::ExitStatus;
+use foxtide_config::blocks::BlocksChangeError;
 use foxtide_config::change::{ChangeError, Conflict, Difference};
+use foxtide_core::blocks::BlocksError;
 use std::fmt::{Display, Write as _};
 use std::io::Write;
 
@@ -84,6 +86,37 @@
     }
 }
 
+impl From<BlocksError> for Failure {
+    fn from(error: BlocksError) -> Self {
+        Self::refused(
+            error,
+            "correct it and run the command again; nothing was changed",
+        )
+    }
+}
+
+impl From<BlocksChangeError> for Failure {
+    fn from(error: BlocksChangeError) -> Self {
+        match error {
+            BlocksChangeError::Blocks(error) => error.into(),
+            BlocksChangeError::Conflict { .. } => Self::conflict(
+                error,
+                "look at the table, then run the command again if it is still right",
+            ),
+            BlocksChangeError::Unsettled { .. } => Self::new(
+                ExitStatus::Unsettled,
+                error,
+                "see `foxtidectl blocks show` for whether it took effect",
+            ),
+            BlocksChangeError::Store(_) => Self::new(
+                ExitStatus::StoreUnreachable,
+                error,
+                "the table was not changed; check --store and docs/operations/store.md",
+            ),
+        }
+    }
+}
+
 fn conflicting(conflict: &Conflict) -> Failure {
     let mut problem = format!("not accepted: {}\n", conflict.in_words());
     append(&mut problem, "the accepted change:", &conflict.theirs);
--- a/crates/foxtidectl/src/lib.rs
+++ b/crates/foxtidectl/src/lib.rs
@@ -43,6 +43,7 @@
         Command::Organisation(command) => command.run(session).await,
         Command::Drain(command) => command.run(session).await,
         Command::Move(command) => command.run(session).await,
+        Command::Blocks(command) => command.run(session).await,
         Command::Template(command) => command.run(),
         Command::Check(command) => command.run(),
         Command::Instances(command) => command.run(session).await,
