--- a/crates/foxtide-core/src/idempotency/table.rs
+++ b/crates/foxtide-core/src/idempotency/table.rs
@@ -154,11 +154,11 @@
 
     /// Keeps the whole answer of a request that was run.
     pub fn finish(&mut self, claim: Claim, answer: A) {
-        let size_bytes = answer.size().get();
-        if size_bytes > self.options.answer_max.get() {
-            self.end(&claim, RunResult::AnswerDropped);
+        if !self.keeps(answer.size()) {
+            self.finish_unkept(claim);
             return;
         }
+        let size_bytes = answer.size().get();
         if self.end(&claim, RunResult::Answered(answer)) {
             self.answered.insert(claim.unique);
             self.answers_bytes += size_bytes;
@@ -166,6 +166,16 @@
         }
     }
 
+    /// Notes that a request was run whose answer is too large to be kept.
+    pub fn finish_unkept(&mut self, claim: Claim) {
+        self.end(&claim, RunResult::AnswerDropped);
+    }
+
+    /// Tells whether an answer of this size is kept.
+    pub fn keeps(&self, size: ByteSize) -> bool {
+        size <= self.options.answer_max
+    }
+
     /// Gives up a request without a whole answer, and tells what is known.
     ///
     /// Where nothing was written the key may be begun again.
--- a/crates/foxtide-entry/src/proxy/keys.rs
+++ b/crates/foxtide-entry/src/proxy/keys.rs
@@ -66,6 +66,14 @@
 }
 
 impl Kept {
+    fn size_of(answer: &Answer) -> ByteSize {
+        let body_bytes = match &answer.body {
+            AnswerBody::Whole(bytes) => bytes.len() as u64,
+            AnswerBody::Absent { .. } => 0,
+        };
+        ByteSize::from_bytes(body_bytes + KEPT_HEADERS_BYTES)
+    }
+
     fn of(answer: &Answer) -> Self {
         let body = match &answer.body {
             AnswerBody::Whole(bytes) => bytes.clone(),
@@ -113,9 +121,16 @@
 
     /// Keeps the whole answer.
     pub(super) fn finish(mut self, answer: &Answer) {
-        if let Some(claim) = self.claim.take() {
-            let kept = Kept::of(answer);
-            self.table.lock().finish(claim, kept);
+        let Some(claim) = self.claim.take() else {
+            return;
+        };
+        // Copied outside of the lock, and not at all where it is too large.
+        let keeps = self.table.lock().keeps(Kept::size_of(answer));
+        let kept = keeps.then(|| Kept::of(answer));
+        let mut table = self.table.lock();
+        match kept {
+            Some(kept) => table.finish(claim, kept),
+            None => table.finish_unkept(claim),
         }
     }
 }
