--- a/crates/foxtide-config/src/settings/check.rs
+++ b/crates/foxtide-config/src/settings/check.rs
@@ -120,6 +120,7 @@
         let least = upstreams.connections_min;
         self.range("limits.upstreams.connections_min", least, 1, 1_000)?;
         self.store(limits)?;
+        self.keys(limits)?;
         self.range("limits.events.kept_max", limits.events.kept_max, 16, 65_536)
     }
 
@@ -151,6 +152,18 @@
         self.range("limits.shutdown.drain_max_ms", drain, deadline, 3_600_000)
     }
 
+    /// A key is retried for longer than any request may take.
+    fn keys(&self, limits: &Limits) -> Result<()> {
+        let keys = &limits.keys;
+        let least = limits.requests.deadline_max_ms.div_ceil(1_000);
+        self.range("limits.keys.validity_s", keys.validity_s, least, 86_400)?;
+        self.range("limits.keys.kept_max", keys.kept_max, 16, 16_777_216)?;
+        let (most, answers) = (1 << 32, keys.answers_max_bytes);
+        self.range("limits.keys.answers_max_bytes", answers, 0, most)?;
+        let answer = keys.answer_max_bytes;
+        self.range("limits.keys.answer_max_bytes", answer, 0, answers)
+    }
+
     fn store(&self, limits: &Limits) -> Result<()> {
         let store = &limits.store;
         let timeout = store.call_timeout_ms;
--- a/crates/foxtide-config/src/settings/limits.rs
+++ b/crates/foxtide-config/src/settings/limits.rs
@@ -19,6 +19,8 @@
     pub events: EventLimits,
     /// Bounds on a planned stop.
     pub shutdown: ShutdownLimits,
+    /// Bounds on what is kept of idempotency keys.
+    pub keys: KeyLimits,
 }
 
 /// Bounds on callers' requests.
@@ -164,3 +166,28 @@
         }
     }
 }
+
+/// Bounds on what is kept of idempotency keys.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct KeyLimits {
+    /// How long after it was minted a key may be retried, in seconds.
+    pub validity_s: u32,
+    /// The most keys kept; about 80 bytes each.
+    pub kept_max: u32,
+    /// The most that the kept answers take together, in bytes.
+    pub answers_max_bytes: u64,
+    /// The largest answer that is kept, in bytes.
+    pub answer_max_bytes: u64,
+}
+
+impl Default for KeyLimits {
+    fn default() -> Self {
+        Self {
+            validity_s: 300,
+            kept_max: 65_536,
+            answers_max_bytes: 4 * 1_024 * 1_024,
+            answer_max_bytes: 64 * 1_024,
+        }
+    }
+}
--- a/crates/foxtide-config/src/settings/mod.rs
+++ b/crates/foxtide-config/src/settings/mod.rs
@@ -8,7 +8,8 @@
 mod limits;
 
 pub use limits::{
-    EventLimits, Limits, LookupLimits, RequestLimits, ShutdownLimits, StoreLimits, UpstreamLimits,
+    EventLimits, KeyLimits, Limits, LookupLimits, RequestLimits, ShutdownLimits, StoreLimits,
+    UpstreamLimits,
 };
 
 use crate::{Result, document};
--- a/crates/foxtide/src/node.rs
+++ b/crates/foxtide/src/node.rs
@@ -12,7 +12,7 @@
 use foxtide_core::choice::BalancerOptions;
 use foxtide_core::events::backup::BackupPeer;
 use foxtide_core::events::{EventCode, EventFields, EventRingOptions};
-use foxtide_core::idempotency::{OwnerId, ProcessNumber};
+use foxtide_core::idempotency::{OwnerId, ProcessNumber, TableOptions};
 use foxtide_core::ids::{InstanceId, OrganisationId, RegionId};
 use foxtide_core::units::ByteSize;
 use foxtide_entry::{
@@ -338,7 +338,7 @@
 
 fn entry_options(settings: &Settings, caller_address: SocketAddr) -> EntryOptions {
     let limits = &settings.limits;
-    let requests = &limits.requests;
+    let (requests, keys) = (&limits.requests, &limits.keys);
     EntryOptions {
         caller_address,
         admin_address: settings.admin.listen,
@@ -352,6 +352,13 @@
             idle_time: Duration::from_millis(requests.idle_timeout_ms.into()),
             ..Limits::default()
         },
+        keys: TableOptions {
+            validity: Duration::from_secs(keys.validity_s.into()),
+            keys_max: usize::try_from(keys.kept_max).unwrap_or(usize::MAX),
+            answers_max: ByteSize::from_bytes(keys.answers_max_bytes),
+            answer_max: ByteSize::from_bytes(keys.answer_max_bytes),
+            ..TableOptions::default()
+        },
         ..EntryOptions::default()
     }
 }
