--- /dev/null
+++ b/crates/foxtide/examples/demo/callers.rs
@@ -0,0 +1,215 @@
+//! Callers: they look an instance up, keep the answer for its time to live,
+//! read often and write now and then.
+
+use crate::tally::{End, Tally};
+use crate::world::World;
+use foxtide_core::idempotency::{IdempotencyKey, OwnerId};
+use foxtide_core::time::WallTime;
+use foxtide_testing::{HttpAnswer, http_call};
+use http_types::Method;
+use serde::Deserialize;
+use smol::Timer;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// The time between two requests of a caller.
+const PACE: Duration = Duration::from_millis(25);
+
+/// Every so many requests of a caller is a write.
+const WRITE_EVERY: u64 = 5;
+
+/// The header that names the process which may run a key.
+const OWNER_HEADER: &str = "foxtide-owner";
+
+/// The header that tells what is known of a request.
+const OUTCOME_HEADER: &str = "foxtide-outcome";
+
+/// How often a caller tries a read at another instance.
+const TRIES: usize = 3;
+
+#[derive(Clone, Debug, Deserialize)]
+struct Found {
+    address: SocketAddr,
+}
+
+#[derive(Debug, Deserialize)]
+struct LookupAnswer {
+    instances: Vec<Found>,
+    ttl_s: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct UpstreamAnswer {
+    path: String,
+}
+
+/// One caller.
+pub(crate) struct Caller {
+    pub(crate) world: Arc<World>,
+    pub(crate) tally: Arc<Tally>,
+    pub(crate) number: usize,
+    pub(crate) stop: Arc<AtomicBool>,
+    cached: Vec<Found>,
+    cached_until: Instant,
+    owner: Option<(SocketAddr, OwnerId)>,
+}
+
+impl Caller {
+    pub(crate) fn new(
+        world: Arc<World>,
+        tally: Arc<Tally>,
+        number: usize,
+        stop: Arc<AtomicBool>,
+    ) -> Self {
+        Self {
+            world,
+            tally,
+            number,
+            stop,
+            cached: Vec::new(),
+            cached_until: Instant::now(),
+            owner: None,
+        }
+    }
+
+    /// Sends requests until it is told to stop.
+    pub(crate) async fn run(mut self) {
+        let mut count = 0;
+        while !self.stop.load(Ordering::Relaxed) {
+            count += 1;
+            if Instant::now() >= self.cached_until || self.cached.is_empty() {
+                self.look_up(count).await;
+            }
+            if count % WRITE_EVERY == 0 {
+                self.write(count).await;
+            } else {
+                self.read(count).await;
+            }
+            Timer::after(PACE).await;
+        }
+    }
+
+    async fn look_up(&mut self, count: u64) {
+        let addresses = self.world.caller_addresses();
+        let start = self.number + usize::try_from(count).unwrap_or_default();
+        let tenant = &self.world.tenant;
+        let path = format!(
+            "/v1/lookup?organisation={}&service={}",
+            tenant.name, tenant.read_service
+        );
+        for step in 0..addresses.len() {
+            let address = addresses[(start + step) % addresses.len()];
+            let Ok(answer) = http_call(address, Method::Get, &path, &[], &[]).await else {
+                continue;
+            };
+            if let Ok(found) = serde_json::from_slice::<LookupAnswer>(&answer.body) {
+                self.cached = found.instances;
+                self.cached_until = Instant::now() + Duration::from_secs(found.ttl_s);
+                return;
+            }
+        }
+    }
+
+    async fn read(&mut self, count: u64) {
+        let path = format!("/item/{}-{count}", self.number);
+        let started = Instant::now();
+        let mut end = End::Unreachable;
+        for place in 0..TRIES.min(self.cached.len()) {
+            let address = self.cached[place].address;
+            end = self.send(address, Method::Get, &path, None).await;
+            if end == End::Answered {
+                self.tally.latency(started.elapsed().as_micros() as u64);
+            }
+            if !matches!(end, End::Unreachable | End::Cut) {
+                break;
+            }
+        }
+        self.tally.count(end);
+    }
+
+    /// Writes with a new key at the instance whose process name is known; it
+    /// is never sent again.
+    async fn write(&mut self, count: u64) {
+        let Some((address, owner)) = self.owner.clone() else {
+            return;
+        };
+        let key = IdempotencyKey::mint(
+            owner,
+            wall(),
+            fastrand::u128(..).to_le_bytes()[..10]
+                .try_into()
+                .unwrap_or_default(),
+        );
+        let path = format!("/order/{}-{count}", self.number);
+        let key = key.to_string();
+        let end = self.send(address, Method::Post, &path, Some(&key)).await;
+        if matches!(end, End::Unreachable | End::Cut) {
+            self.owner = None;
+        }
+        self.tally.count(end);
+        self.tally.write(key, end);
+    }
+
+    async fn send(
+        &mut self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        key: Option<&str>,
+    ) -> End {
+        let tenant = self.world.tenant;
+        let service = match key {
+            Some(_) => tenant.write_service,
+            None => tenant.read_service,
+        };
+        let target = format!("/{}/{service}{path}", tenant.name);
+        let headers: Vec<(&str, &str)> = key
+            .map(|key| ("idempotency-key", key))
+            .into_iter()
+            .collect();
+        match http_call(address, method, &target, &headers, &[]).await {
+            Ok(answer) => {
+                self.note_owner(address, &answer);
+                judge(&answer, path)
+            }
+            Err(error) if is_refused(&error) => End::Unreachable,
+            Err(_) => End::Cut,
+        }
+    }
+
+    fn note_owner(&mut self, address: SocketAddr, answer: &HttpAnswer) {
+        let owner = answer
+            .header(OWNER_HEADER)
+            .and_then(|text| text.parse().ok());
+        if let Some(owner) = owner {
+            self.owner = Some((address, owner));
+        }
+    }
+}
+
+fn judge(answer: &HttpAnswer, path: &str) -> End {
+    if answer.status == 200 {
+        let body = serde_json::from_slice::<UpstreamAnswer>(&answer.body);
+        let own = body.is_ok_and(|body| body.path.ends_with(path));
+        return if own { End::Answered } else { End::Wrong };
+    }
+    match answer.header(OUTCOME_HEADER) {
+        Some("not-run") => End::NotRun,
+        Some("unknown") => End::Unknown,
+        _ => End::Wrong,
+    }
+}
+
+fn is_refused(error: &http_types::Error) -> bool {
+    let io = error.downcast_ref::<std::io::Error>();
+    io.is_some_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused)
+}
+
+fn wall() -> WallTime {
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    WallTime::ZERO + now
+}
--- /dev/null
+++ b/crates/foxtide/examples/demo/tally.rs
@@ -0,0 +1,78 @@
+//! What the demo's callers saw.
+
+use parking_lot::Mutex;
+use std::collections::BTreeMap;
+
+/// How a caller's request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum End {
+    /// The whole answer to the caller's own request came.
+    Answered,
+    /// The request surely did not run.
+    NotRun,
+    /// The request may have run.
+    Unknown,
+    /// No connection to the instance could be opened.
+    Unreachable,
+    /// The connection ended before the answer did.
+    Cut,
+    /// An answer came that is not the caller's, or not whole.
+    Wrong,
+}
+
+/// A write that was given up as not run, or answered.
+#[derive(Clone, Debug)]
+pub(crate) struct Write {
+    pub(crate) key: String,
+    pub(crate) end: End,
+}
+
+/// Counts over all callers of a tenant.
+#[derive(Debug, Default)]
+pub(crate) struct Tally {
+    ends: Mutex<BTreeMap<End, u64>>,
+    writes: Mutex<Vec<Write>>,
+    latencies_us: Mutex<Vec<u64>>,
+}
+
+impl Tally {
+    /// Counts one request's end.
+    pub(crate) fn count(&self, end: End) {
+        *self.ends.lock().entry(end).or_default() += 1;
+    }
+
+    /// Notes how a write ended.
+    pub(crate) fn write(&self, key: String, end: End) {
+        self.writes.lock().push(Write { key, end });
+    }
+
+    /// Notes the time of an answered read.
+    pub(crate) fn latency(&self, latency_us: u64) {
+        self.latencies_us.lock().push(latency_us);
+    }
+
+    /// Returns how many requests ended so.
+    pub(crate) fn ended(&self, end: End) -> u64 {
+        self.ends.lock().get(&end).copied().unwrap_or_default()
+    }
+
+    /// Returns all counts, for people.
+    pub(crate) fn summary(&self) -> String {
+        let ends = self.ends.lock();
+        let parts = ends.iter().map(|(end, count)| format!("{end:?} {count}"));
+        parts.collect::<Vec<_>>().join(", ")
+    }
+
+    /// Returns all writes.
+    pub(crate) fn writes(&self) -> Vec<Write> {
+        self.writes.lock().clone()
+    }
+
+    /// Returns the 99th percentile of the latency of reads, in milliseconds.
+    pub(crate) fn p99_ms(&self) -> f64 {
+        let mut latencies = self.latencies_us.lock().clone();
+        latencies.sort_unstable();
+        let place = latencies.len() * 99 / 100;
+        latencies.get(place).map_or(0.0, |us| *us as f64 / 1e3)
+    }
+}
--- /dev/null
+++ b/crates/foxtide/examples/demo/world.rs
@@ -0,0 +1,289 @@
+//! One tenant of the demo: its stand-ins, its instances and its operator.
+
+use anyhow::{Context, Result, anyhow};
+use foxtide::node::Node;
+use foxtide_config::change::{self, ChangeRequest};
+use foxtide_config::settings::{Limits, Listener, LookupLimits};
+use foxtide_config::template::Parameters;
+use foxtide_config::{HttpStore, HttpStoreOptions, Settings, Template};
+use foxtide_core::ids::{AvailabilityZoneId, InstanceId, OrganisationId, RegionId, UpstreamId};
+use foxtide_core::organisation::{Organisation, Upstream};
+use foxtide_core::units::Revision;
+use foxtide_testing::{ServiceTime, StoreOptions, StoreServer, UpstreamOptions, UpstreamServer};
+use parking_lot::Mutex;
+use smol::Timer;
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+/// How many instances each tenant has today.
+pub(crate) const INSTANCES: usize = 10;
+
+/// How long a caller may keep the answer to a look-up, in seconds.
+pub(crate) const LOOKUP_TTL_S: u32 = 1;
+
+/// The longest wait for anything that the demo sets up.
+const SETUP_WAIT: Duration = Duration::from_secs(20);
+
+/// The time between two looks at a condition.
+const POLL: Duration = Duration::from_millis(20);
+
+/// What tells the tenants apart.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Tenant {
+    /// The organisation's name.
+    pub(crate) name: &'static str,
+    /// The template it is made from.
+    pub(crate) template: &'static str,
+    /// The service that callers read from.
+    pub(crate) read_service: &'static str,
+    /// The service that callers write to, at most once.
+    pub(crate) write_service: &'static str,
+    /// The delay between upstream and instance in one region.
+    pub(crate) zone_delay: Duration,
+}
+
+/// The two tenants of today.
+pub(crate) const TENANTS: [Tenant; 2] = [
+    Tenant {
+        name: "hamutenya",
+        template: include_str!("../../../../examples/hamutenya/template.jsonc"),
+        read_service: "viewer",
+        write_service: "notices",
+        zone_delay: Duration::from_millis(1),
+    },
+    Tenant {
+        name: "kluisdepot",
+        template: include_str!("../../../../examples/kluisdepot/template.jsonc"),
+        read_service: "slotfinder",
+        write_service: "doorctl",
+        zone_delay: Duration::from_micros(500),
+    },
+];
+
+/// A tenant's running stand-ins and instances.
+pub(crate) struct World {
+    pub(crate) tenant: Tenant,
+    pub(crate) organisation: OrganisationId,
+    pub(crate) regions: Vec<RegionId>,
+    pub(crate) store: StoreServer,
+    pub(crate) upstreams: BTreeMap<UpstreamId, UpstreamServer>,
+    pub(crate) nodes: Mutex<BTreeMap<InstanceId, Node>>,
+    client: HttpStore,
+}
+
+impl World {
+    /// Starts everything and waits until every instance serves.
+    pub(crate) async fn start(tenant: Tenant) -> Result<Self> {
+        let organisation: OrganisationId = tenant.name.parse()?;
+        let template = Template::parse(tenant.name, tenant.template)?;
+        let mut document = template.instantiate(&organisation, &Parameters::new())?;
+        let store = StoreServer::start(StoreOptions::default()).await?;
+        let client = HttpStore::new(HttpStoreOptions {
+            address: store.address(),
+            ..HttpStoreOptions::default()
+        });
+        let upstreams = start_upstreams(&mut document, tenant.zone_delay).await?;
+        let regions = document.regions.iter().map(|it| it.region.clone());
+        let world = Self {
+            tenant,
+            organisation,
+            regions: regions.collect(),
+            store,
+            upstreams,
+            nodes: Mutex::default(),
+            client,
+        };
+        let places = places(&document);
+        let change = ChangeRequest {
+            base: None,
+            document,
+            author: "demo".to_owned(),
+            summary: "create".to_owned(),
+        };
+        change::accept(&world.client, change).await?;
+        for number in 0..INSTANCES {
+            world.start_node(number, &places[number % places.len()])?;
+        }
+        world.wait_until_known(INSTANCES).await?;
+        Ok(world)
+    }
+
+    fn start_node(&self, number: usize, place: &Place) -> Result<()> {
+        let seeds = self
+            .nodes
+            .lock()
+            .values()
+            .take(2)
+            .map(Node::peer_address)
+            .collect();
+        let settings = Settings {
+            instance: format!("{}-{number}", place.availability_zone).parse()?,
+            region: place.region.clone(),
+            availability_zone: place.availability_zone.clone(),
+            cluster: self.tenant.name.to_owned(),
+            caller: any_port(),
+            admin: any_port(),
+            peer: any_port(),
+            store_address: self.store.address(),
+            instance_list_address: None,
+            seed_peers: seeds,
+            organisations: vec![self.organisation.clone()],
+            workers: 1,
+            limits: Limits {
+                lookups: LookupLimits {
+                    ttl_s: LOOKUP_TTL_S,
+                    ..LookupLimits::default()
+                },
+                ..Limits::default()
+            },
+        };
+        let node = Node::start(&settings)?;
+        self.nodes.lock().insert(settings.instance, node);
+        Ok(())
+    }
+
+    /// Waits until every instance names `count` instances in its look-ups.
+    pub(crate) async fn wait_until_known(&self, count: usize) -> Result<()> {
+        let known = || {
+            let nodes = self.nodes.lock();
+            nodes
+                .values()
+                .all(|node| node.tables().instances().len() == count)
+        };
+        wait_until(known)
+            .await
+            .context("instances know each other")?;
+        let serving = || self.lowest_revision() > Revision::ZERO;
+        wait_until(serving)
+            .await
+            .context("a configuration is in force")
+    }
+
+    /// Returns the lowest revision in force at any instance.
+    pub(crate) fn lowest_revision(&self) -> Revision {
+        let nodes = self.nodes.lock();
+        let revisions = nodes.values().map(|node| {
+            let document = node.tables().organisation(&self.organisation);
+            document.map_or(Revision::ZERO, |document| document.revision)
+        });
+        revisions.min().unwrap_or(Revision::ZERO)
+    }
+
+    /// Changes the document as an operator does; returns its new revision and
+    /// the time until it was in force at every instance.
+    pub(crate) async fn change(
+        &self,
+        summary: &str,
+        edit: impl FnOnce(&mut Organisation),
+    ) -> Result<(Revision, Duration)> {
+        let base = change::load(&self.client, &self.organisation).await?;
+        let base = base.ok_or_else(|| anyhow!("{} is not in the store", self.organisation))?;
+        let mut document = base.document.clone();
+        edit(&mut document);
+        let change = ChangeRequest {
+            base: Some(base),
+            document,
+            author: "demo".to_owned(),
+            summary: summary.to_owned(),
+        };
+        let accepted = change::accept(&self.client, change).await?;
+        let revision = accepted.document.revision;
+        let accepted_at = Instant::now();
+        wait_until(|| self.lowest_revision() >= revision)
+            .await
+            .with_context(|| format!("{summary}: {revision} in force everywhere"))?;
+        Ok((revision, accepted_at.elapsed()))
+    }
+
+    /// Returns where callers may look up, every instance in turn.
+    pub(crate) fn caller_addresses(&self) -> Vec<SocketAddr> {
+        self.nodes
+            .lock()
+            .values()
+            .map(Node::caller_address)
+            .collect()
+    }
+
+    /// Takes an instance out of the world, to be stopped or killed.
+    pub(crate) fn take_node(&self, number: usize) -> Option<(InstanceId, Node)> {
+        let mut nodes = self.nodes.lock();
+        let id = nodes.keys().nth(number)?.clone();
+        nodes.remove_entry(&id)
+    }
+
+    /// Returns how often a key was run, at all upstreams together.
+    pub(crate) fn runs_of(&self, key: &str) -> usize {
+        self.upstreams.values().map(|it| it.runs_of(key)).sum()
+    }
+}
+
+/// Where an instance stands.
+struct Place {
+    region: RegionId,
+    availability_zone: AvailabilityZoneId,
+}
+
+fn places(document: &Organisation) -> Vec<Place> {
+    let mut places = Vec::new();
+    for region in &document.regions {
+        for zone in &region.availability_zones {
+            places.push(Place {
+                region: region.region.clone(),
+                availability_zone: zone.clone(),
+            });
+        }
+    }
+    places
+}
+
+fn any_port() -> Listener {
+    Listener {
+        listen: (Ipv4Addr::LOCALHOST, 0).into(),
+        advertise: None,
+    }
+}
+
+/// Starts a stand-in for every upstream and puts its address into the document.
+async fn start_upstreams(
+    document: &mut Organisation,
+    delay: Duration,
+) -> Result<BTreeMap<UpstreamId, UpstreamServer>> {
+    let mut servers = BTreeMap::new();
+    let upstreams = document
+        .services
+        .iter_mut()
+        .flat_map(|it| &mut it.upstreams);
+    for (number, upstream) in upstreams.enumerate() {
+        let server = UpstreamServer::start(options_of(upstream, number)).await?;
+        server.set_link_delay(delay);
+        upstream.address = server.address();
+        servers.insert(upstream.upstream.clone(), server);
+    }
+    Ok(servers)
+}
+
+fn options_of(upstream: &Upstream, number: usize) -> UpstreamOptions {
+    UpstreamOptions {
+        name: upstream.upstream.to_string(),
+        slots: upstream.slots,
+        connections: upstream.connections,
+        service_time: ServiceTime::Exponential {
+            mean: Duration::from_millis(5),
+        },
+        seed: number as u64,
+        ..UpstreamOptions::default()
+    }
+}
+
+/// Waits until a condition holds.
+pub(crate) async fn wait_until(condition: impl Fn() -> bool) -> Result<()> {
+    let started = Instant::now();
+    while !condition() {
+        if started.elapsed() > SETUP_WAIT {
+            return Err(anyhow!("waited {} s in vain", SETUP_WAIT.as_secs()));
+        }
+        Timer::after(POLL).await;
+    }
+    Ok(())
+}
--- a/crates/foxtide/src/telemetry.rs
+++ b/crates/foxtide/src/telemetry.rs
@@ -10,7 +10,12 @@
 
 /// Starts logging to standard error; a second call changes nothing.
 pub fn start_logging() {
-    let environment = env_logger::Env::default().default_filter_or(DEFAULT_LOG_FILTER);
+    start_logging_at(DEFAULT_LOG_FILTER);
+}
+
+/// Starts logging with another level where `RUST_LOG` says nothing.
+pub fn start_logging_at(filter: &str) {
+    let environment = env_logger::Env::default().default_filter_or(filter);
     // A test or an example may have set up logging already: that one stays.
     let _ = env_logger::Builder::from_env(environment).try_init();
 }
