Tell peers what each instance decides, and read what they do

Cause: without its peers' reports an instance keeps to the floors of the sold rates; in the demo 40 % of Kluisdepot's requests were refused as not run. A killed node in the same process kept its connections open, because a cancelled task that holds the queue of tasks is dropped only when it runs once more, so its callers waited for good. Change: each instance publishes its report and reads the view of the fleet; the worker pool runs cancelled tasks out when it ends; the demo's callers give a call up after 10 s. Conclusion: the refusals that remain need their reasons looked at.

--- a/crates/foxtide-entry/src/clock.rs
+++ b/crates/foxtide-entry/src/clock.rs
@@ -25,6 +25,13 @@
     }
 }
 
+impl SystemClock {
+    /// Returns the moment at which the steady clock reads zero.
+    pub fn origin(&self) -> Instant {
+        self.origin
+    }
+}
+
 impl Clock for SystemClock {
     fn now(&self) -> MonotonicTime {
         MonotonicTime::ZERO + self.origin.elapsed()
--- a/crates/foxtide-entry/src/workers.rs
+++ b/crates/foxtide-entry/src/workers.rs
@@ -7,6 +7,9 @@
 use std::sync::Arc;
 use std::thread::JoinHandle;
 
+/// The most tasks that are run after the last worker has ended.
+const LAST_TICKS_MAX: usize = 100_000;
+
 /// A pool of worker threads over one queue of tasks.
 ///
 /// The threads end when the pool is dropped.
@@ -70,5 +73,13 @@
         for thread in self.threads.drain(..) {
             let _ = thread.join();
         }
+        // A cancelled task is dropped only when it is run once more. One that
+        // holds this queue would otherwise keep all tasks, and so their
+        // connections, alive for good.
+        for _ in 0..LAST_TICKS_MAX {
+            if !self.executor.try_tick() {
+                return;
+            }
+        }
     }
 }
--- a/crates/foxtide/examples/demo/callers.rs
+++ b/crates/foxtide/examples/demo/callers.rs
@@ -17,6 +17,9 @@
 /// The time between two requests of a caller.
 const PACE: Duration = Duration::from_millis(25);
 
+/// How long a caller waits for an answer.
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Every so many requests of a caller is a write.
 const WRITE_EVERY: u64 = 5;
 
@@ -101,7 +104,8 @@
         );
         for step in 0..addresses.len() {
             let address = addresses[(start + step) % addresses.len()];
-            let Ok(answer) = http_call(address, Method::Get, &path, &[], &[]).await else {
+            let call = http_call(address, Method::Get, &path, &[], &[]);
+            let Ok(answer) = within(CALL_TIMEOUT, call).await else {
                 continue;
             };
             if let Ok(found) = serde_json::from_slice::<LookupAnswer>(&answer.body) {
@@ -169,7 +173,8 @@
             .map(|key| ("idempotency-key", key))
             .into_iter()
             .collect();
-        match http_call(address, method, &target, &headers, &[]).await {
+        let call = http_call(address, method, &target, &headers, &[]);
+        match within(CALL_TIMEOUT, call).await {
             Ok(answer) => {
                 self.note_owner(address, &answer);
                 judge(&answer, path)
@@ -189,6 +194,18 @@
     }
 }
 
+/// Gives a call up after `timeout`, as a caller's patience does.
+async fn within(
+    timeout: Duration,
+    call: impl Future<Output = http_types::Result<HttpAnswer>>,
+) -> http_types::Result<HttpAnswer> {
+    let expired = async {
+        Timer::after(timeout).await;
+        Err(std::io::Error::from(std::io::ErrorKind::TimedOut).into())
+    };
+    smol::future::or(call, expired).await
+}
+
 fn judge(answer: &HttpAnswer, path: &str) -> End {
     if answer.status == 200 {
         let body = serde_json::from_slice::<UpstreamAnswer>(&answer.body);
--- a/crates/foxtide/examples/demo/script.rs
+++ b/crates/foxtide/examples/demo/script.rs
@@ -136,10 +136,16 @@
         self.say("takes the store away");
         let before = self.tally.ended(End::Answered);
         let revision = self.world.lowest_revision();
-        self.world.store.set_availability(Availability::Refusing).await;
+        self.world
+            .store
+            .set_availability(Availability::Refusing)
+            .await;
         Timer::after(OUTAGE).await;
         let during = self.tally.ended(End::Answered) - before;
-        self.world.store.set_availability(Availability::Serving).await;
+        self.world
+            .store
+            .set_availability(Availability::Serving)
+            .await;
         self.say(&format!(
             "gives the store back; {during} requests were answered without it"
         ));
--- a/crates/foxtide/src/node.rs
+++ b/crates/foxtide/src/node.rs
@@ -136,7 +136,7 @@
         // The caller listener is bound first: peers are told its address.
         let caller_address = reserve(settings.caller.listen)?;
         let process = draw_process_number()?;
-        let mesh = start_mesh(settings, caller_address, process, &recorder)?;
+        let mesh = start_mesh(settings, caller_address, process, &recorder, &clock)?;
         let time_line = time_line(settings, &recorder, &clock);
         let explainer = Explainer::default();
         let blocks = BlocksInForce::default();
@@ -189,6 +189,7 @@
         let follower = TrafficFollower {
             tables: Arc::clone(&tables),
             traffic,
+            mesh: mesh.clone(),
             clock,
         };
         let copies = Copies {
@@ -282,6 +283,7 @@
     caller_address: SocketAddr,
     process: ProcessNumber,
     recorder: &Recorder,
+    clock: &SystemClock,
 ) -> Result<MeshHandle> {
     let identity = Identity {
         instance: settings.instance.clone(),
@@ -294,6 +296,8 @@
     let options = MeshOptions {
         cluster: settings.cluster.clone(),
         recorder: Some(recorder.clone()),
+        // Times in the view of the fleet then read as the request path's do.
+        clock_origin: clock.origin(),
         ..MeshOptions::default()
     };
     Mesh::start(identity, &settings.seed_peers, options).context("start the mesh")
--- a/crates/foxtide/src/traffic.rs
+++ b/crates/foxtide/src/traffic.rs
@@ -1,10 +1,11 @@
-//! Keeps the request path's decisions in step with what the instance knows.
+//! Keeps the request path's decisions in step with what the instance knows,
+//! and tells peers what it decided.
 
 use crate::tables::Tables;
-use foxtide_core::ids::{OrganisationId, RegionId};
-use foxtide_core::steering::{FleetView, HeardReport, ViewOptions};
+use foxtide_core::ids::OrganisationId;
 use foxtide_core::time::MonotonicTime;
 use foxtide_entry::{Clock, SystemClock, TrafficTables};
+use foxtide_mesh::MeshHandle;
 use smol::Timer;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,19 +13,27 @@
 /// The time between two looks at configurations and members.
 const FOLLOW_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Hands configurations and the view of the fleet to the request path.
+/// Hands configurations and the view of the fleet to the request path, and its
+/// reports to the mesh.
 #[derive(Debug)]
 pub(crate) struct TrafficFollower {
     pub(crate) tables: Arc<Tables>,
     pub(crate) traffic: Arc<TrafficTables>,
+    pub(crate) mesh: MeshHandle,
     pub(crate) clock: SystemClock,
 }
 
 impl TrafficFollower {
     /// Follows for good.
     pub(crate) async fn run(self) {
+        let mut report_at = self.clock.now();
         loop {
-            self.follow(self.clock.now());
+            let now = self.clock.now();
+            self.follow(now);
+            if now >= report_at {
+                self.report(now);
+                report_at = now + self.mesh.load_interval();
+            }
             Timer::after(FOLLOW_INTERVAL).await;
         }
     }
@@ -36,24 +45,20 @@
         self.traffic.set_sharing_instances(usable, now);
         for (id, organisation) in self.tables.organisations().iter() {
             self.traffic.configure(organisation, now);
-            // Without its peers' reports an instance keeps to its floors.
-            if usable <= 1 {
-                self.observe_alone(id, now);
-            }
+            self.observe(id, now);
         }
     }
 
-    fn observe_alone(&self, organisation: &OrganisationId, now: MonotonicTime) {
-        let origin: &RegionId = &self.traffic.options().origin;
-        let Some(report) = self.traffic.report(organisation, now) else {
-            return;
-        };
-        let own = HeardReport {
-            origin,
-            made_at: now,
-            report: &report,
-        };
-        let view = FleetView::from_reports([own], ViewOptions::default(), now);
+    fn observe(&self, organisation: &OrganisationId, now: MonotonicTime) {
+        let view = self.mesh.fleet_view(organisation);
         self.traffic.observe(organisation, &view, now);
     }
+
+    fn report(&self, now: MonotonicTime) {
+        for organisation in self.tables.organisations().keys() {
+            if let Some(report) = self.traffic.report(organisation, now) {
+                self.mesh.publish_load(organisation, report);
+            }
+        }
+    }
 }
