--- a/crates/foxtide-core/src/events/catalogue.rs
+++ b/crates/foxtide-core/src/events/catalogue.rs
@@ -23,7 +23,7 @@
     (3, "Membership"),
     (4, "Steering and limits"),
     (5, "Requests and upstreams"),
-    (6, "Leases and at-most-once"),
+    (6, "Idempotency keys"),
     (7, "The store"),
     (8, "Operators and promises"),
 ];
--- a/crates/foxtide-core/src/events/code.rs
+++ b/crates/foxtide-core/src/events/code.rs
@@ -113,7 +113,7 @@
     1007 SettingsRejected "settings-rejected" Error "The settings cannot be used; the detail names file, field and what is valid."
     1008 ListenerFailed "listener-failed" Error "A listening socket cannot be opened or accepts no more connections."
     1009 WallClockSkewed "wall-clock-skewed" Warn "A peer's clock is ahead by more than clocks may differ; its times are not followed."
-    1010 WorkerStalled "worker-stalled" Warn "A worker was not scheduled for longer than a lease or heartbeat allows."
+    1010 WorkerStalled "worker-stalled" Warn "A worker was not scheduled for longer than a heartbeat allows."
     1011 MemoryLimitReached "memory-limit-reached" Warn "A bounded table is full; its oldest entries are dropped."
 
     2001 ConfigurationAccepted "configuration-accepted" Info "The store took a change: it is accepted and goes into force."
--- a/crates/foxtide-core/tests/idempotency_model/mod.rs
+++ b/crates/foxtide-core/tests/idempotency_model/mod.rs
@@ -13,6 +13,9 @@
 use foxtide_core::units::ByteSize;
 use std::time::Duration;
 
+/// The instance whose first process owns all keys.
+const OWNER: usize = 0;
+
 const START: WallTime = WallTime::from_ms(10_000_000);
 const VALIDITY: Duration = Duration::from_secs(300);
 const JUMP: Duration = Duration::from_secs(301);
@@ -74,8 +77,9 @@
 pub(crate) enum Step {
     /// The caller sends a copy of a request.
     Send { key: usize, instance: usize },
-    /// A copy arrives.
-    Arrive { copy: usize },
+    /// A copy arrives, at an instance that may believe the owner to be gone,
+    /// rightly or not.
+    Arrive { copy: usize, owner_gone: bool },
     /// The copy's first byte goes to the upstream.
     Write { copy: usize },
     /// Nothing could be sent: the connection was refused.
@@ -148,7 +152,7 @@
 
 impl World {
     pub(crate) fn new(bounds: Bounds, mistake: Mistake) -> Self {
-        let owner = owner_of(0, 0);
+        let owner = owner_of(OWNER, 0);
         let mint = |number: usize| {
             let minted_at = START + Duration::from_millis(number as u64);
             IdempotencyKey::mint(owner.clone(), minted_at, [0; 10])
@@ -198,7 +202,13 @@
 
     fn copy_steps(&self, copy: usize, stage: &Stage, steps: &mut Vec<Step>) {
         match stage {
-            Stage::Sent => steps.push(Step::Arrive { copy }),
+            Stage::Sent => {
+                let arrive = |owner_gone| Step::Arrive { copy, owner_gone };
+                steps.push(arrive(false));
+                if self.copies[copy].instance != OWNER {
+                    steps.push(arrive(true));
+                }
+            }
             Stage::Claimed(_) => {
                 steps.push(Step::Write { copy });
                 steps.push(Step::WriteFails { copy });
@@ -236,7 +246,7 @@
                 instance,
                 stage: Stage::Sent,
             }),
-            Step::Arrive { copy } => self.arrive(copy),
+            Step::Arrive { copy, owner_gone } => self.arrive(copy, owner_gone),
             Step::Write { copy } => self.write(copy),
             Step::WriteFails { copy } => self.fail_write(copy),
             Step::GiveUp { copy } => self.give_up(copy),
@@ -249,7 +259,7 @@
         }
     }
 
-    fn arrive(&mut self, copy: usize) {
+    fn arrive(&mut self, copy: usize, owner_gone: bool) {
         let Copy { key, instance, .. } = self.copies[copy];
         let mut begin = self.begin(key, instance);
         if self.mistake == Mistake::ForgetsWhenFull && is_full(&begin) {
@@ -262,7 +272,7 @@
             Begin::InProgress { .. } => self.end(copy, Outcome::Unknown),
             Begin::Replay(Answer) => self.end(copy, Outcome::Done),
             Begin::Refuse(refusal) => self.end(copy, refusal.outcome()),
-            Begin::Elsewhere => self.redirect(copy),
+            Begin::Elsewhere => self.redirect(copy, owner_gone),
         }
     }
 
@@ -277,10 +287,10 @@
         instance.table.begin(&key, fingerprint, instance.now)
     }
 
-    /// Sends the caller to the owner or, where a process of that name no
-    /// longer is a member, tells it so.
-    fn redirect(&mut self, copy: usize) {
-        if self.restarts > 0 {
+    /// Sends the caller to the owner or, where that is believed to be gone,
+    /// tells it so.
+    fn redirect(&mut self, copy: usize, owner_gone: bool) {
+        if owner_gone {
             let outcome = if self.mistake == Mistake::OwnerGoneIsNotRun {
                 Outcome::NotRun
             } else {
@@ -288,7 +298,7 @@
             };
             self.end(copy, outcome);
         } else {
-            self.copies[copy].instance = 0;
+            self.copies[copy].instance = OWNER;
         }
     }
 
