Pass long answers on piece by piece

Cause: answers were read whole up to 64 MiB, so that few callers could take an instance's memory, and longer ones were refused. Change: up to 1 MiB an answer is held until it is whole; a longer one is passed on as it comes, keeps its place at the upstream to the end, and its caller's connection is closed short where it breaks. Long bodies are read 64 KiB at a time. Result: three tests: whole with a length and in chunks, cut never whole. Conclusion: kept; a broken long answer cannot be asked for again.

--- a/crates/foxtide-entry/src/answer.rs
+++ b/crates/foxtide-entry/src/answer.rs
@@ -1,6 +1,7 @@
 //! Answers to callers.
 
 use crate::http::{BodyLength, name, no_headers};
+use crate::upstream::LongBody;
 use async_h1::server::Encoder;
 use foxtide_core::outcome::Outcome;
 use http_types::headers::{HeaderName, HeaderValue, Headers};
@@ -28,6 +29,17 @@
         /// The length that the head states.
         stated: BodyLength,
     },
+    /// The body is too long to be held and comes in pieces.
+    Long(Box<LongBody>),
+}
+
+/// An answer ready to be sent.
+#[derive(Debug)]
+pub(crate) struct Encoded {
+    /// The head, and the body where it is whole.
+    pub(crate) bytes: Vec<u8>,
+    /// The body that follows.
+    pub(crate) long_body: Option<Box<LongBody>>,
 }
 
 /// An answer to a caller.
@@ -123,51 +135,94 @@
         self.insert(name::CONNECTION, CLOSE);
     }
 
-    /// Returns the bytes to send in answer to a request of `method`.
+    /// Returns what is to be sent in answer to a request of `method`.
     ///
     /// # Errors
     ///
     /// Fails where the encoder does.
-    pub(crate) async fn encode(self, method: Method) -> io::Result<Vec<u8>> {
-        let mut response = Response::new(self.status);
-        let typed = self.headers.get(name::CONTENT_TYPE).is_some();
-        *response.as_mut() = self.headers;
-        let body_bytes = match &self.body {
-            AnswerBody::Whole(bytes) => bytes.len(),
-            AnswerBody::Absent { .. } => 0,
-        };
-        let (body, method, unstated) = match self.body {
-            AnswerBody::Whole(bytes) => (Body::from_bytes(bytes), method, false),
-            AnswerBody::Absent { stated } => absent_body(stated),
-        };
-        response.set_body(body);
-        if !typed {
-            // `set_body` invents a type where the upstream gave none.
-            response.remove_header(name::CONTENT_TYPE);
-        }
-        let mut bytes = Vec::with_capacity(HEAD_ROOM_BYTES + body_bytes);
-        Encoder::new(response, method)
-            .read_to_end(&mut bytes)
-            .await?;
-        if unstated {
-            remove_zero_length(&mut bytes);
+    pub(crate) async fn encode(self, method: Method) -> io::Result<Encoded> {
+        let Self {
+            status,
+            headers,
+            body,
+        } = self;
+        match body {
+            AnswerBody::Whole(body) => {
+                let bytes = encode_whole(status, headers, body, method).await?;
+                Ok(Encoded {
+                    bytes,
+                    long_body: None,
+                })
+            }
+            AnswerBody::Absent { stated } => {
+                let bytes = encode_head(status, headers, stated).await?;
+                Ok(Encoded {
+                    bytes,
+                    long_body: None,
+                })
+            }
+            AnswerBody::Long(body) => {
+                let bytes = encode_head(status, headers, body.length()).await?;
+                Ok(Encoded {
+                    bytes,
+                    long_body: Some(body),
+                })
+            }
         }
-        Ok(bytes)
     }
 }
 
-/// Returns a body of which the encoder writes the stated length alone, and
-/// whether even that is to be left out.
-fn absent_body(stated: BodyLength) -> (Body, Method, bool) {
+async fn encode_whole(
+    status: StatusCode,
+    headers: Headers,
+    body: Vec<u8>,
+    method: Method,
+) -> io::Result<Vec<u8>> {
+    let size_bytes = body.len();
+    let response = response(status, headers, Body::from_bytes(body));
+    let mut bytes = Vec::with_capacity(HEAD_ROOM_BYTES + size_bytes);
+    Encoder::new(response, method)
+        .read_to_end(&mut bytes)
+        .await?;
+    Ok(bytes)
+}
+
+/// Encodes a head that states `length`, and nothing after it.
+async fn encode_head(
+    status: StatusCode,
+    headers: Headers,
+    length: BodyLength,
+) -> io::Result<Vec<u8>> {
     let nothing = smol::io::empty();
-    match stated {
+    let (body, stated) = match length {
         BodyLength::Fixed { size_bytes } => {
             let length = usize::try_from(size_bytes).ok();
-            (Body::from_reader(nothing, length), Method::Head, false)
+            (Body::from_reader(nothing, length), true)
         }
-        BodyLength::Chunked => (Body::from_reader(nothing, None), Method::Head, false),
-        BodyLength::None | BodyLength::UntilClose => (Body::empty(), Method::Head, true),
+        BodyLength::Chunked => (Body::from_reader(nothing, None), true),
+        BodyLength::None | BodyLength::UntilClose => (Body::empty(), false),
+    };
+    let mut bytes = Vec::with_capacity(HEAD_ROOM_BYTES);
+    // For `HEAD` the encoder writes the head alone.
+    Encoder::new(response(status, headers, body), Method::Head)
+        .read_to_end(&mut bytes)
+        .await?;
+    if !stated {
+        remove_zero_length(&mut bytes);
+    }
+    Ok(bytes)
+}
+
+fn response(status: StatusCode, headers: Headers, body: Body) -> Response {
+    let typed = headers.get(name::CONTENT_TYPE).is_some();
+    let mut response = Response::new(status);
+    *response.as_mut() = headers;
+    response.set_body(body);
+    if !typed {
+        // `set_body` invents a type where the upstream gave none.
+        response.remove_header(name::CONTENT_TYPE);
     }
+    response
 }
 
 /// Removes the length that the encoder states for every empty body; an answer
--- a/crates/foxtide-entry/src/http/chunked.rs
+++ b/crates/foxtide-entry/src/http/chunked.rs
@@ -26,7 +26,7 @@
 
 /// Decodes chunks as their bytes come in.
 #[derive(Debug)]
-pub(super) struct ChunkDecoder {
+pub(crate) struct ChunkDecoder {
     state: State,
 }
 
--- a/crates/foxtide-entry/src/http/message.rs
+++ b/crates/foxtide-entry/src/http/message.rs
@@ -84,47 +84,118 @@
     length: BodyLength,
     limit_bytes: usize,
 ) -> Result<Vec<u8>, MessageError> {
-    match length {
-        BodyLength::None => Ok(Vec::new()),
-        BodyLength::UntilClose => Err(MessageError::NoStatedEnd),
-        BodyLength::Chunked => read_chunks(stream, limit_bytes).await,
-        BodyLength::Fixed { size_bytes } => match usize::try_from(size_bytes) {
-            Ok(size_bytes) if size_bytes <= limit_bytes => read_fixed(stream, size_bytes).await,
-            _ => Err(MessageError::BodyTooLong),
-        },
+    if let BodyLength::Fixed { size_bytes } = length
+        && size_bytes > limit_bytes as u64
+    {
+        return Err(MessageError::BodyTooLong);
     }
-}
-
-async fn read_fixed(
-    stream: &mut BufferedStream,
-    size_bytes: usize,
-) -> Result<Vec<u8>, MessageError> {
-    while stream.buffered().len() < size_bytes {
-        if stream.fill().await? == 0 {
-            return Err(MessageError::Truncated);
+    let mut reader = BodyReader::new(length)?;
+    let mut body = Vec::new();
+    while reader.read_some(stream, &mut body).await? == Progress::More {
+        if body.len() > limit_bytes {
+            return Err(MessageError::BodyTooLong);
         }
     }
-    Ok(stream.consume(size_bytes))
+    Ok(body)
 }
 
-async fn read_chunks(
-    stream: &mut BufferedStream,
-    limit_bytes: usize,
-) -> Result<Vec<u8>, MessageError> {
-    let mut decoder = ChunkDecoder::new();
-    let mut body = Vec::new();
-    loop {
-        let decoded = decoder.decode(stream.buffered(), &mut body);
-        let (used_bytes, step) = decoded.map_err(|_| MessageError::BadChunk)?;
-        stream.consume(used_bytes);
-        if body.len() > limit_bytes {
-            return Err(MessageError::BodyTooLong);
+/// Whether more of a body is to come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Progress {
+    /// More is to come.
+    More,
+    /// The body was read to its exact end.
+    End,
+}
+
+/// Reads a body piece by piece, decoded where it is in chunks.
+#[derive(Debug)]
+pub(crate) enum BodyReader {
+    /// The head states the length.
+    Fixed {
+        /// What is still to be read.
+        left_bytes: u64,
+    },
+    /// The body is in chunks.
+    Chunked(ChunkDecoder),
+}
+
+impl BodyReader {
+    /// Returns a reader at the beginning of a body.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the body's end cannot be told from a cut.
+    pub(crate) fn new(length: BodyLength) -> Result<Self, MessageError> {
+        match length {
+            BodyLength::None => Ok(Self::Fixed { left_bytes: 0 }),
+            BodyLength::Fixed { size_bytes } => Ok(Self::Fixed {
+                left_bytes: size_bytes,
+            }),
+            BodyLength::Chunked => Ok(Self::Chunked(ChunkDecoder::new())),
+            BodyLength::UntilClose => Err(MessageError::NoStatedEnd),
         }
-        if step == Step::End {
-            return Ok(body);
+    }
+
+    /// Reads some of the body and appends it to `body`.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the body is cut or malformed.
+    pub(crate) async fn read_some(
+        &mut self,
+        stream: &mut BufferedStream,
+        body: &mut Vec<u8>,
+    ) -> Result<Progress, MessageError> {
+        if self.take(stream, body)? == Progress::End {
+            return Ok(Progress::End);
         }
-        if stream.fill().await? == 0 {
+        let read_bytes = match self {
+            Self::Fixed { left_bytes } => stream.fill_body(*left_bytes).await?,
+            Self::Chunked(_) => stream.fill().await?,
+        };
+        if read_bytes == 0 {
             return Err(MessageError::Truncated);
         }
+        self.take(stream, body)
+    }
+
+    /// Takes what the connection has at hand.
+    fn take(
+        &mut self,
+        stream: &mut BufferedStream,
+        body: &mut Vec<u8>,
+    ) -> Result<Progress, MessageError> {
+        match self {
+            Self::Fixed { left_bytes } => {
+                let at_hand = stream.buffered().len();
+                let wanted = usize::try_from(*left_bytes).unwrap_or(usize::MAX);
+                let taken = stream.consume(at_hand.min(wanted));
+                *left_bytes -= taken.len() as u64;
+                append(body, taken);
+                Ok(match left_bytes {
+                    0 => Progress::End,
+                    _ => Progress::More,
+                })
+            }
+            Self::Chunked(decoder) => {
+                let decoded = decoder.decode(stream.buffered(), body);
+                let (used_bytes, step) = decoded.map_err(|_| MessageError::BadChunk)?;
+                stream.consume(used_bytes);
+                Ok(match step {
+                    Step::End => Progress::End,
+                    Step::More => Progress::More,
+                })
+            }
+        }
+    }
+}
+
+/// Appends without a copy where there was nothing before.
+fn append(body: &mut Vec<u8>, piece: Vec<u8>) {
+    if body.is_empty() {
+        *body = piece;
+    } else {
+        body.extend_from_slice(&piece);
     }
 }
--- a/crates/foxtide-entry/src/http/stream.rs
+++ b/crates/foxtide-entry/src/http/stream.rs
@@ -8,6 +8,9 @@
 /// Enough for most messages; it is cleared for each read.
 const READ_CHUNK_BYTES: usize = 4 * 1_024;
 
+/// What is read at a time of a long body.
+const READ_BULK_BYTES: usize = 64 * 1_024;
+
 /// What a look at an idle socket found, without taking anything off it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Quiet {
@@ -83,6 +86,29 @@
         self.socket.read_with(read).await
     }
 
+    /// Reads more of a body of which `left_bytes` are missing; returns how many
+    /// bytes came, 0 at the end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// Fails as the socket does.
+    pub(crate) async fn fill_body(&mut self, left_bytes: u64) -> io::Result<usize> {
+        if left_bytes <= READ_CHUNK_BYTES as u64 {
+            return self.fill().await;
+        }
+        // Nothing is allocated until there is something to be read.
+        self.socket.readable().await?;
+        let buffer = &mut self.buffer;
+        let read = |mut socket: &TcpStream| {
+            let start = buffer.len();
+            buffer.resize(start + READ_BULK_BYTES, 0);
+            let read = socket.read(&mut buffer[start..]);
+            buffer.truncate(start + *read.as_ref().unwrap_or(&0));
+            read
+        };
+        self.socket.read_with(read).await
+    }
+
     /// Writes all of `bytes`.
     ///
     /// # Errors
--- a/crates/foxtide-entry/src/options.rs
+++ b/crates/foxtide-entry/src/options.rs
@@ -59,15 +59,19 @@
     pub head: ByteSize,
     /// The longest body of a request. Default: 1 MiB.
     pub request_body: ByteSize,
-    /// The longest body of an answer. Default: 64 MiB.
-    pub answer_body: ByteSize,
+    /// The longest body of an answer that is read whole before the caller gets
+    /// its first byte, so that a broken one can be asked for again. Longer ones
+    /// are passed on as they come, and their connection is cut where they break.
+    /// Default: 1 MiB.
+    pub answer_buffer: ByteSize,
     /// The most connections open on a listener. Default: 10,000.
     pub connections: usize,
     /// The time to send a head, from its first byte on. Default: 5 s.
     pub head_time: Duration,
-    /// The time to send a body. Default: 30 s.
+    /// The time to send a body, or each piece of a long answer's. Default: 30 s.
     pub body_time: Duration,
-    /// The time a caller may take to read an answer. Default: 60 s.
+    /// The time a caller may take to read an answer, or each piece of a long
+    /// one. Default: 60 s.
     pub answer_time: Duration,
     /// The time a connection may stay open between requests. Default: 75 s.
     pub idle_time: Duration,
@@ -78,7 +82,7 @@
         Self {
             head: ByteSize::from_kib(16),
             request_body: ByteSize::from_kib(1_024),
-            answer_body: ByteSize::from_kib(64 * 1_024),
+            answer_buffer: ByteSize::from_kib(1_024),
             connections: 10_000,
             head_time: Duration::from_secs(5),
             body_time: Duration::from_secs(30),
--- a/crates/foxtide-entry/src/proxy/hedged.rs
+++ b/crates/foxtide-entry/src/proxy/hedged.rs
@@ -133,11 +133,11 @@
         attempt: Attempt,
         result: Result<Answer, Failure>,
     ) -> (Ended, Step) {
-        let ended = Ended {
+        let mut ended = Ended {
             id: attempt.id,
             end: AttemptEnd::of(result),
         };
-        let step = self.note_end(run, &attempt.admitted, attempt.place, &ended);
+        let step = self.note_end(run, &attempt.admitted, attempt.place, &mut ended);
         (ended, step)
     }
 }
--- a/crates/foxtide-entry/src/proxy/keys.rs
+++ b/crates/foxtide-entry/src/proxy/keys.rs
@@ -39,6 +39,7 @@
     status: StatusCode,
     headers: Headers,
     body: Vec<u8>,
+    is_long: bool,
 }
 
 /// What a request with a key gets without a run.
@@ -61,6 +62,9 @@
 
 impl KeptAnswer for Kept {
     fn size(&self) -> ByteSize {
+        if self.0.is_long {
+            return ByteSize::from_bytes(u64::MAX);
+        }
         ByteSize::from_bytes(self.0.body.len() as u64 + KEPT_HEADERS_BYTES)
     }
 }
@@ -77,9 +81,11 @@
     fn of(answer: &Answer) -> Self {
         let body = match &answer.body {
             AnswerBody::Whole(bytes) => bytes.clone(),
-            AnswerBody::Absent { .. } => Vec::new(),
+            // A long body is not kept; its key is known to have run.
+            AnswerBody::Absent { .. } | AnswerBody::Long(_) => Vec::new(),
         };
         Self(Arc::new(KeptParts {
+            is_long: matches!(answer.body, AnswerBody::Long(_)),
             status: answer.status,
             headers: answer.headers.clone(),
             body,
--- a/crates/foxtide-entry/src/proxy/run.rs
+++ b/crates/foxtide-entry/src/proxy/run.rs
@@ -4,7 +4,7 @@
 use super::keys::{HeldClaim, KeyTable, KeyedRequest, Settled, begin};
 use super::place::{Admitted, Unplaced};
 use super::prepare::Prepared;
-use crate::answer::{Answer, Refusal};
+use crate::answer::{Answer, AnswerBody, Refusal};
 use crate::clock::Clock;
 use crate::facts::{Facts, Target};
 use crate::http::name;
@@ -22,6 +22,7 @@
 use smol::{Executor, Timer};
 use std::net::SocketAddr;
 use std::sync::{Arc, Weak};
+use std::time::Duration;
 
 /// Sends requests to upstreams.
 #[derive(Debug)]
@@ -227,13 +228,13 @@
         run: &mut Run<'_>,
         admitted: &Admitted,
         place: Place,
-        ended: &Ended,
+        ended: &mut Ended,
     ) -> Step {
-        let end = &ended.end;
+        let end = &mut ended.end;
         let upstream = place.upstream().clone();
         self.record_attempt(run.facts, admitted, &upstream, end);
         let held = place.held();
-        place.finish(end.completion(held));
+        end.give_back(place, held);
         let now = self.parts.clock().now();
         match end {
             AttemptEnd::Answered(_) => run.facts.service.answered(held),
@@ -251,6 +252,18 @@
 }
 
 impl AttemptEnd {
+    /// Gives the place back, at the end of the body where that is still to come.
+    fn give_back(&mut self, place: Place, held: Duration) {
+        let completion = self.completion(held);
+        match self {
+            Self::Answered(Answer {
+                body: AnswerBody::Long(body),
+                ..
+            }) => body.hold(place, completion),
+            _ => place.finish(completion),
+        }
+    }
+
     fn into_answer(self, outcome: Outcome) -> Result<Answer, Refusal> {
         match self {
             Self::Answered(answer) => Ok(answer),
--- a/crates/foxtide-entry/src/serve/connection.rs
+++ b/crates/foxtide-entry/src/serve/connection.rs
@@ -6,6 +6,7 @@
 use crate::http::{BufferedStream, Quiet};
 use crate::options::Limits;
 use crate::time_limit::within;
+use crate::upstream::LongBody;
 use foxtide_core::events::RequestId;
 use http_types::Method;
 use smol::future::or;
@@ -126,16 +127,44 @@
     }
 
     async fn send(&mut self, answer: Answer, method: Method) -> Next {
-        let Ok(bytes) = answer.encode(method).await else {
+        let Ok(encoded) = answer.encode(method).await else {
             return Next::Close;
         };
-        let written = within(self.limits.answer_time, self.stream.write_all(&bytes)).await;
+        let sent = self.send_bytes(&encoded.bytes).await;
+        match encoded.long_body {
+            Some(body) if sent == Next::Request => self.send_long(*body).await,
+            _ => sent,
+        }
+    }
+
+    async fn send_bytes(&mut self, bytes: &[u8]) -> Next {
+        let written = within(self.limits.answer_time, self.stream.write_all(bytes)).await;
         match written {
             Ok(Ok(())) => Next::Request,
             _ => Next::Close,
         }
     }
 
+    /// Passes a long body on. Where it breaks the connection is closed short of
+    /// the length that the head states, or of the last chunk, so that the
+    /// caller knows (RFC 9112, section 8).
+    async fn send_long(&mut self, mut body: LongBody) -> Next {
+        loop {
+            match body.next().await {
+                Ok(None) => return Next::Request,
+                Ok(Some(piece)) => {
+                    if self.send_bytes(&piece).await == Next::Close {
+                        return Next::Close;
+                    }
+                }
+                Err(error) => {
+                    log::debug!("a long answer to {} broke: {error}", self.peer);
+                    return Next::Close;
+                }
+            }
+        }
+    }
+
     async fn refuse(&mut self, handler: &impl Handler, refusal: &Refusal) {
         let request = handler.bad_request(self.peer, refusal);
         let mut answer = refusal.answer(request.as_str());
--- a/crates/foxtide-entry/src/traffic/poller.rs
+++ b/crates/foxtide-entry/src/traffic/poller.rs
@@ -88,7 +88,7 @@
     let header = header.and_then(|values| values.as_str().parse::<LoadReport>().ok());
     let body = match &answer.body {
         AnswerBody::Whole(bytes) => std::str::from_utf8(bytes).unwrap_or_default(),
-        AnswerBody::Absent { .. } => "",
+        AnswerBody::Absent { .. } | AnswerBody::Long(_) => "",
     };
     PollResult::Answered {
         load: header.or_else(|| body.parse().ok()),
--- a/crates/foxtide-entry/src/upstream/exchange.rs
+++ b/crates/foxtide-entry/src/upstream/exchange.rs
@@ -1,12 +1,13 @@
 //! One request for one answer on one connection.
 
 use super::failure::{Failure, FailureKind};
+use super::long_body::LongBody;
 use super::pool::{Freshness, Pools};
 use crate::answer::{Answer, AnswerBody};
 use crate::errors::Step;
 use crate::http::{
-    BodyLength, BufferedStream, MessageError, Quiet, ResponseHead, name, read_body, read_head,
-    strip_hop_by_hop,
+    BodyLength, BodyReader, BufferedStream, MessageError, Progress, Quiet, ResponseHead, name,
+    read_head, strip_hop_by_hop,
 };
 use crate::options::Limits;
 use crate::time_limit::within;
@@ -78,13 +79,50 @@
     let conversed = within(request.time_left, conversation).await;
     let conversed = conversed.unwrap_or(Err(FailureKind::TimedOut));
     let sent_bytes = stream.sent_bytes() - before_bytes;
-    let (head, body) = conversed.map_err(|kind| request.failure(sent_bytes, kind))?;
-    // Whether more comes is looked at when the connection is used again.
-    let reusable = !head.head.close && stream.buffered().is_empty();
-    Ok(UpstreamAnswer {
-        answer: into_answer(head, body),
-        connection: reusable.then_some(stream),
-    })
+    let conversed = conversed.map_err(|kind| request.failure(sent_bytes, kind))?;
+    Ok(conversed.into_answer(stream, limits))
+}
+
+/// A head and what was read of its body.
+struct Conversed {
+    head: ResponseHead,
+    body: ReadBody,
+}
+
+enum ReadBody {
+    /// All of it.
+    Whole(Vec<u8>),
+    /// There is none.
+    Absent,
+    /// The first part; the reader goes on.
+    Begun(BodyReader, Vec<u8>),
+}
+
+impl Conversed {
+    fn into_answer(self, stream: BufferedStream, limits: &Limits) -> UpstreamAnswer {
+        let length = self.head.head.length;
+        // Whether more comes is looked at when the connection is used again.
+        let reusable = !self.head.head.close && stream.buffered().is_empty();
+        let (body, connection) = match self.body {
+            ReadBody::Whole(bytes) => (AnswerBody::Whole(bytes), reusable.then_some(stream)),
+            ReadBody::Absent => {
+                let body = AnswerBody::Absent { stated: length };
+                (body, reusable.then_some(stream))
+            }
+            ReadBody::Begun(reader, piece) => {
+                let body = LongBody::new(stream, reader, length, piece, limits.body_time);
+                (AnswerBody::Long(Box::new(body)), None)
+            }
+        };
+        let mut headers = self.head.head.headers;
+        strip_hop_by_hop(&mut headers);
+        let answer = Answer {
+            status: self.head.status,
+            headers,
+            body,
+        };
+        UpstreamAnswer { answer, connection }
+    }
 }
 
 impl UpstreamRequest<'_> {
@@ -143,7 +181,7 @@
     pools: &Pools,
     limits: &Limits,
     request: &UpstreamRequest<'_>,
-) -> Result<(ResponseHead, AnswerBody), FailureKind> {
+) -> Result<Conversed, FailureKind> {
     stream.write_all(request.bytes).await?;
     read_answer(stream, pools, limits, request).await
 }
@@ -153,17 +191,36 @@
     pools: &Pools,
     limits: &Limits,
     request: &UpstreamRequest<'_>,
-) -> Result<(ResponseHead, AnswerBody), FailureKind> {
+) -> Result<Conversed, FailureKind> {
     let head = read_final_head(stream, limits).await?;
     check_request_name(&head, pools, request)?;
     let length = head.body_length(request.method);
     if length == BodyLength::None {
-        let stated = head.head.length;
-        return Ok((head, AnswerBody::Absent { stated }));
+        let body = ReadBody::Absent;
+        return Ok(Conversed { head, body });
     }
-    let limit_bytes = usize::try_from(limits.answer_body.get()).unwrap_or(usize::MAX);
-    let body = read_body(stream, length, limit_bytes).await?;
-    Ok((head, AnswerBody::Whole(body)))
+    let body = read_answer_body(stream, length, limits).await?;
+    Ok(Conversed { head, body })
+}
+
+/// Reads a whole body, or the first part of one too long to be held.
+async fn read_answer_body(
+    stream: &mut BufferedStream,
+    length: BodyLength,
+    limits: &Limits,
+) -> Result<ReadBody, MessageError> {
+    let hold_bytes = usize::try_from(limits.answer_buffer.get()).unwrap_or(usize::MAX);
+    let mut reader = BodyReader::new(length)?;
+    let mut body = Vec::new();
+    if matches!(length, BodyLength::Fixed { size_bytes } if size_bytes > hold_bytes as u64) {
+        return Ok(ReadBody::Begun(reader, body));
+    }
+    while reader.read_some(stream, &mut body).await? == Progress::More {
+        if body.len() > hold_bytes {
+            return Ok(ReadBody::Begun(reader, body));
+        }
+    }
+    Ok(ReadBody::Whole(body))
 }
 
 async fn read_final_head(
@@ -213,13 +270,3 @@
     let state = headers.get(name::UPSTREAM_STATE);
     state.is_some_and(|state| state.as_str() == DRAINING)
 }
-
-fn into_answer(head: ResponseHead, body: AnswerBody) -> Answer {
-    let mut headers = head.head.headers;
-    strip_hop_by_hop(&mut headers);
-    Answer {
-        status: head.status,
-        headers,
-        body,
-    }
-}
--- /dev/null
+++ b/crates/foxtide-entry/src/upstream/long_body.rs
@@ -0,0 +1,121 @@
+//! The rest of an answer that is too long to be held.
+
+use crate::http::{BodyLength, BodyReader, BufferedStream, MessageError, Progress};
+use crate::time_limit::within;
+use crate::traffic::Place;
+use foxtide_core::choice::{Completion, CompletionKind};
+use std::fmt;
+use std::time::Duration;
+
+const CHUNKS_END: &[u8] = b"0\r\n\r\n";
+
+/// A body of which the first part was read.
+///
+/// It keeps its place at the upstream until the end. Its connection is not
+/// used again.
+pub(crate) struct LongBody {
+    stream: BufferedStream,
+    reader: BodyReader,
+    length: BodyLength,
+    /// What was read and not yet passed on.
+    piece: Vec<u8>,
+    progress: Progress,
+    piece_time: Duration,
+    held: Option<HeldPlace>,
+}
+
+/// The place, and how the attempt is told to have ended if the body is whole.
+struct HeldPlace {
+    place: Place,
+    completion: Completion,
+}
+
+impl LongBody {
+    /// Returns a body that begins with `piece`; each further piece may take
+    /// `piece_time`.
+    pub(super) fn new(
+        stream: BufferedStream,
+        reader: BodyReader,
+        length: BodyLength,
+        piece: Vec<u8>,
+        piece_time: Duration,
+    ) -> Self {
+        Self {
+            stream,
+            reader,
+            length,
+            piece,
+            progress: Progress::More,
+            piece_time,
+            held: None,
+        }
+    }
+
+    /// Returns the length that the head states.
+    pub(crate) fn length(&self) -> BodyLength {
+        self.length
+    }
+
+    /// Keeps a place until the end.
+    pub(crate) fn hold(&mut self, place: Place, completion: Completion) {
+        self.held = Some(HeldPlace { place, completion });
+    }
+
+    /// Returns the next bytes to send, framed as the head says; none at the end.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the body is cut; the caller must not take it for whole then.
+    pub(crate) async fn next(&mut self) -> Result<Option<Vec<u8>>, MessageError> {
+        if !self.piece.is_empty() {
+            let piece = std::mem::take(&mut self.piece);
+            return Ok(Some(self.frame(piece)));
+        }
+        if self.progress == Progress::End {
+            self.finish(None);
+            return Ok(None);
+        }
+        let read = self.reader.read_some(&mut self.stream, &mut self.piece);
+        let read = within(self.piece_time, read).await;
+        match read.unwrap_or(Err(MessageError::Truncated)) {
+            Ok(progress) => self.progress = progress,
+            Err(error) => {
+                self.finish(Some(CompletionKind::Lost));
+                return Err(error);
+            }
+        }
+        let piece = std::mem::take(&mut self.piece);
+        Ok(Some(self.frame(piece)))
+    }
+
+    fn finish(&mut self, broken: Option<CompletionKind>) {
+        if let Some(mut held) = self.held.take() {
+            held.completion.kind = broken.unwrap_or(held.completion.kind);
+            held.place.finish(held.completion);
+        }
+    }
+
+    fn frame(&self, piece: Vec<u8>) -> Vec<u8> {
+        if self.length != BodyLength::Chunked {
+            return piece;
+        }
+        let mut framed = Vec::with_capacity(piece.len() + CHUNKS_END.len());
+        if !piece.is_empty() {
+            framed.extend_from_slice(format!("{:x}\r\n", piece.len()).as_bytes());
+            framed.extend_from_slice(&piece);
+            framed.extend_from_slice(b"\r\n");
+        }
+        if self.progress == Progress::End {
+            framed.extend_from_slice(CHUNKS_END);
+        }
+        framed
+    }
+}
+
+impl fmt::Debug for LongBody {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("LongBody")
+            .field("length", &self.length)
+            .finish_non_exhaustive()
+    }
+}
--- a/crates/foxtide-entry/src/upstream/mod.rs
+++ b/crates/foxtide-entry/src/upstream/mod.rs
@@ -2,8 +2,10 @@
 
 mod exchange;
 mod failure;
+mod long_body;
 mod pool;
 
 pub(crate) use exchange::{Naming, UpstreamAnswer, UpstreamRequest, exchange, says_draining};
 pub(crate) use failure::{Failure, FailureKind};
+pub(crate) use long_body::LongBody;
 pub(crate) use pool::{Freshness, Pools};
--- /dev/null
+++ b/crates/foxtide-entry/tests/long_answers.rs
@@ -0,0 +1,73 @@
+//! Answers too long to be held whole.
+
+mod support;
+
+use foxtide_core::units::ByteSize;
+use foxtide_entry::{EntryOptions, Limits};
+use std::io::{Read, Write};
+use support::{RawUpstream, World, get, read_message};
+
+const BODY_BYTES: usize = 300_000;
+
+fn holding_little() -> EntryOptions {
+    EntryOptions {
+        limits: Limits {
+            answer_buffer: ByteSize::from_kib(64),
+            ..Limits::default()
+        },
+        ..EntryOptions::default()
+    }
+}
+
+/// Starts a world whose upstream sends `head`, this part of the body, and
+/// `end`, then closes.
+fn world(head: &'static str, sent_bytes: usize, end: &'static str) -> World {
+    let upstream = RawUpstream::start(move |mut stream, _| {
+        read_message(&mut stream);
+        let body = "x".repeat(sent_bytes);
+        let _ = stream.write_all(format!("{head}{body}{end}").as_bytes());
+    });
+    World::start_with(&[upstream.address], holding_little())
+}
+
+/// Returns all that a caller gets until the connection closes.
+fn ask_all(world: &World) -> String {
+    let mut caller = world.caller();
+    caller.send(&get("/photo").replace("host: x", "host: x\r\nconnection: close"));
+    let mut answer = String::new();
+    let _ = caller.stream.read_to_string(&mut answer);
+    answer
+}
+
+#[test]
+fn verify_a_long_answer_comes_whole() {
+    let head = "HTTP/1.1 200 OK\r\ncontent-length: 300000\r\n\r\n";
+    let answer = ask_all(&world(head, BODY_BYTES, ""));
+    let (head, body) = answer.split_once("\r\n\r\n").unwrap();
+    assert!(head.contains("content-length: 300000"), "{head}");
+    assert_eq!(body.len(), BODY_BYTES);
+}
+
+#[test]
+fn verify_a_long_answer_in_chunks_comes_whole() {
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n493e0\r\n";
+    let answer = ask_all(&world(head, BODY_BYTES, "\r\n0\r\n\r\n"));
+    let (head, body) = answer.split_once("\r\n\r\n").unwrap();
+    assert!(head.contains("transfer-encoding: chunked"), "{head}");
+    assert!(body.ends_with("\r\n0\r\n\r\n"), "the last chunk is missing");
+    assert_eq!(body.matches('x').count(), BODY_BYTES);
+}
+
+#[test]
+fn verify_a_cut_long_answer_is_never_shown_as_whole() {
+    let head = "HTTP/1.1 200 OK\r\ncontent-length: 300000\r\n\r\n";
+    let answer = ask_all(&world(head, BODY_BYTES / 2, ""));
+    let (_, body) = answer.split_once("\r\n\r\n").unwrap();
+    assert!(body.len() < BODY_BYTES);
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n493e0\r\n";
+    let answer = ask_all(&world(head, BODY_BYTES, "\r\n"));
+    assert!(
+        !answer.ends_with("\r\n0\r\n\r\n"),
+        "the cut looks like an end"
+    );
+}
