--- a/crates/foxtide/examples/measure/proxy.rs
+++ b/crates/foxtide/examples/measure/proxy.rs
@@ -3,13 +3,16 @@
 
 mod instance;
 mod load;
+mod stops;
 mod usage;
 
 use crate::report::{Limit, Report};
 use instance::Instance;
 use load::{Callers, FastUpstream, Run, connect};
-use std::io::{Read, Write};
-use std::net::SocketAddr;
+use parking_lot::Mutex;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 use usage::{resident_bytes, workers_cpu};
@@ -33,11 +36,13 @@
     measure_rates(report, entry, upstream.address);
     measure_lookups(report, entry);
     measure_memory(report, &instance, &upstream);
+    stops::run(report);
 }
 
 fn callers(address: SocketAddr, target: &'static str, rate_rps: Option<f64>) -> Run {
     let callers = Callers {
-        address,
+        address: Arc::new(Mutex::new(address)),
+        method: "GET",
         target,
         count: CALLERS,
         rate_rps,
@@ -112,34 +117,43 @@
     report.figure("proxy.lookup_rate_per_core", per_core, "1/s", Limit::None);
 }
 
+/// Measures slopes: a first step takes up what the process has free, the
+/// second one is measured.
 fn measure_memory(report: &mut Report, instance: &Instance, upstream: &FastUpstream) {
-    let entry = instance.entry.caller_address();
-    let first = connections(instance, CONNECTIONS_STEP);
+    let mut first = connections(instance, CONNECTIONS_STEP);
     let before = resident_bytes();
-    let second = connections(instance, CONNECTIONS_STEP);
+    let mut second = connections(instance, CONNECTIONS_STEP);
     let idle_bytes = (resident_bytes() - before) / CONNECTIONS_STEP as f64;
     report.figure("proxy.idle_connection", idle_bytes, "bytes", Limit::None);
-    drop((first, second));
     upstream.hold(true);
-    let got = upstream.requests.load(Ordering::SeqCst);
+    ask_held(&mut first, upstream);
+    let busy_bytes = ask_held(&mut second, upstream);
+    let mut direct: Vec<TcpStream> = (0..CONNECTIONS_STEP)
+        .map(|_| connect(upstream.address))
+        .collect();
+    // The upstream here takes a thread for each request, in this process too.
+    let upstream_bytes = ask_held(&mut direct, upstream);
+    report.figure("proxy.busy_upstream", upstream_bytes, "bytes", Limit::None);
+    let busy_bytes = busy_bytes - upstream_bytes;
+    report.figure("proxy.busy_request", busy_bytes, "bytes", Limit::None);
+    upstream.hold(false);
+}
+
+/// Sends a request on each connection to an upstream that holds its answers;
+/// returns the memory that one takes, in bytes.
+fn ask_held(streams: &mut [TcpStream], upstream: &FastUpstream) -> f64 {
     let before = resident_bytes();
-    let mut busy: Vec<_> = (0..CONNECTIONS_STEP).map(|_| connect(entry)).collect();
+    let got = upstream.requests.load(Ordering::SeqCst);
     let request = format!("GET {REQUEST} HTTP/1.1\r\nhost: x\r\n\r\n");
-    for stream in &mut busy {
+    for stream in streams.iter_mut() {
         let _ = stream.write_all(request.as_bytes());
     }
-    let all = got + CONNECTIONS_STEP as u64;
+    let all = got + streams.len() as u64;
     wait_until(|| upstream.requests.load(Ordering::SeqCst) >= all);
-    let busy_bytes = (resident_bytes() - before) / CONNECTIONS_STEP as f64;
-    // The upstream's own threads are in this figure too.
-    report.figure("proxy.busy_request", busy_bytes, "bytes", Limit::None);
-    upstream.hold(false);
-    for stream in &mut busy {
-        let _ = stream.read(&mut [0; 1_024]);
-    }
+    (resident_bytes() - before) / streams.len() as f64
 }
 
-fn connections(instance: &Instance, count: usize) -> Vec<std::net::TcpStream> {
+fn connections(instance: &Instance, count: usize) -> Vec<TcpStream> {
     let before = instance.entry.connections();
     let address = instance.entry.caller_address();
     let open = (0..count).map(|_| connect(address)).collect();
@@ -147,7 +161,7 @@
     open
 }
 
-fn wait_until(condition: impl Fn() -> bool) {
+pub(crate) fn wait_until(condition: impl Fn() -> bool) {
     let started = Instant::now();
     while !condition() && started.elapsed() < PATIENCE {
         std::thread::sleep(Duration::from_millis(5));
--- a/crates/foxtide/examples/measure/proxy/instance.rs
+++ b/crates/foxtide/examples/measure/proxy/instance.rs
@@ -1,5 +1,6 @@
 //! An instance's request path alone, before upstreams in this process.
 
+use super::load::LOOKUP_TTL;
 use foxtide_core::idempotency::{OwnerId, ProcessNumber};
 use foxtide_core::ids::{InstanceId, OrganisationId, RegionId};
 use foxtide_core::steering::SteeringOptions;
@@ -11,6 +12,7 @@
 use serde_json::json;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
@@ -21,6 +23,7 @@
 /// What the request path works with here.
 pub(crate) struct InstanceParts {
     traffic: TrafficTables,
+    revision: AtomicU64,
     clock: SystemClock,
     recorder: Recorder,
     explainer: Explainer,
@@ -32,6 +35,8 @@
 pub(crate) struct Instance {
     /// The entry.
     pub(crate) entry: Arc<Entry<InstanceParts>>,
+    /// Its parts.
+    pub(crate) parts: Arc<InstanceParts>,
     /// The pool that runs it, which ends when this is dropped.
     _workers: Workers,
 }
@@ -39,31 +44,38 @@
 impl Instance {
     /// Starts a request path with this many workers before these upstreams.
     pub(crate) fn start(threads: usize, upstreams: &[SocketAddr]) -> Self {
-        let parts = InstanceParts::new();
-        let document = serde_json::from_value(document(upstreams)).expect("a valid document");
-        parts
-            .traffic
-            .configure(&Arc::new(document), parts.clock.now());
+        let parts = Arc::new(InstanceParts::new());
+        parts.configure(upstreams, &[]);
         let workers = Workers::start(threads).expect("threads can be started");
         let options = EntryOptions {
             caller_address: ANY_PORT,
             admin_address: ANY_PORT,
-            lookup_ttl: Duration::from_millis(200),
+            lookup_ttl: LOOKUP_TTL,
             drain: DrainOptions {
                 margin: Duration::from_millis(100),
                 ..DrainOptions::default()
             },
             ..EntryOptions::default()
         };
-        let entry = Entry::start(options, Arc::new(parts), &workers.executor());
+        let entry = Entry::start(options, Arc::clone(&parts), &workers.executor());
         Self {
             entry: Arc::new(entry.expect("ports can be bound")),
+            parts,
             _workers: workers,
         }
     }
 }
 
 impl InstanceParts {
+    /// Puts these upstreams in force, and drains of some by their number.
+    pub(crate) fn configure(&self, upstreams: &[SocketAddr], drained: &[usize]) {
+        let revision = self.revision.fetch_add(1, Ordering::Relaxed) + 1;
+        let document = document(upstreams, drained, revision);
+        let document = serde_json::from_value(document).expect("a valid document");
+        let document = Arc::new(document);
+        self.traffic.configure(&document, self.clock.now());
+    }
+
     fn new() -> Self {
         let origin: RegionId = "khomas".parse().expect("a valid name");
         let owner = |number: u16| OwnerId {
@@ -88,6 +100,7 @@
         };
         Self {
             traffic: TrafficTables::new(options),
+            revision: AtomicU64::new(0),
             clock: SystemClock::default(),
             recorder: Recorder::new(own.instance.clone(), RecorderOptions::default()),
             explainer: Explainer::default(),
@@ -158,16 +171,23 @@
 }
 
 /// A service whose limits are out of reach, so that the path alone is measured.
-fn document(upstreams: &[SocketAddr]) -> serde_json::Value {
+fn document(upstreams: &[SocketAddr], drained: &[usize], revision: u64) -> serde_json::Value {
     let upstream = |(number, address): (usize, &SocketAddr)| {
         json!({
             "upstream": format!("viewer-{number}"), "address": address, "region": "khomas",
-            "availability_zone": "khomas-a", "slots": 1_000, "connections": 10_000,
+            "availability_zone": "khomas-a", "slots": 4_000, "connections": 10_000,
         })
     };
     let upstreams: Vec<_> = upstreams.iter().enumerate().map(upstream).collect();
+    let drain = |number: &usize| {
+        let upstream = format!("viewer-{number}");
+        let target = json!({"upstream": {"service": "viewer", "upstream": upstream}});
+        json!({"drain": upstream, "target": target, "start_us": 0})
+    };
+    let drains: Vec<_> = drained.iter().map(drain).collect();
     json!({
-        "schema_version": 1, "organisation": "hamutenya", "revision": 1, "change_id": "c1",
+        "schema_version": 1, "organisation": "hamutenya", "revision": revision,
+        "change_id": "c1", "drains": drains,
         "regions": [{
             "region": "khomas", "availability_zones": ["khomas-a"], "sold_rate_rps": 1e9,
         }],
--- a/crates/foxtide/examples/measure/proxy/load.rs
+++ b/crates/foxtide/examples/measure/proxy/load.rs
@@ -1,6 +1,7 @@
 //! Blocking callers and a blocking upstream, as cheap as they can be.
 
 use hdrhistogram::Histogram;
+use parking_lot::Mutex;
 use std::io::{Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
@@ -9,6 +10,9 @@
 use std::time::{Duration, Instant};
 
 const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+/// How long callers keep the answer to a look-up.
+pub(crate) const LOOKUP_TTL: Duration = Duration::from_millis(200);
+
 const HEAD_END: &[u8] = b"\r\n\r\n";
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 64\r\n\r\n\
 0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef";
@@ -44,6 +48,7 @@
     /// How many requests it got.
     pub(crate) requests: Arc<AtomicU64>,
     held: Arc<AtomicBool>,
+    stopped: Arc<AtomicBool>,
 }
 
 impl FastUpstream {
@@ -54,12 +59,17 @@
             address: listener.local_addr().expect("the listener has an address"),
             requests: Arc::default(),
             held: Arc::default(),
+            stopped: Arc::default(),
+        };
+        let connection = Connection {
+            requests: Arc::clone(&upstream.requests),
+            held: Arc::clone(&upstream.held),
+            stopped: Arc::clone(&upstream.stopped),
         };
-        let (requests, held) = (Arc::clone(&upstream.requests), Arc::clone(&upstream.held));
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (requests, held) = (Arc::clone(&requests), Arc::clone(&held));
-                let serve = move || serve(stream, &requests, &held);
+                let connection = connection.clone();
+                let serve = move || connection.serve(stream);
                 let _ = std::thread::Builder::new()
                     .stack_size(64 * 1_024)
                     .spawn(serve);
@@ -68,37 +78,62 @@
         upstream
     }
 
+    /// Stops as a process does: what comes from now on is not answered. Or
+    /// starts again.
+    pub(crate) fn stop(&self, stopped: bool) {
+        self.stopped.store(stopped, Ordering::SeqCst);
+    }
+
     /// Keeps back all answers, or gives them.
     pub(crate) fn hold(&self, held: bool) {
         self.held.store(held, Ordering::SeqCst);
     }
 }
 
-fn serve(mut stream: TcpStream, requests: &AtomicU64, held: &AtomicBool) {
-    let _ = stream.set_nodelay(true);
-    let mut buffer = [0; 4_096];
-    let mut filled = 0;
-    while let Ok(size_bytes @ 1..) = stream.read(&mut buffer[filled..]) {
-        filled += size_bytes;
-        if !buffer[..filled].ends_with(HEAD_END) {
-            continue;
-        }
-        filled = 0;
-        requests.fetch_add(1, Ordering::Relaxed);
-        while held.load(Ordering::SeqCst) {
-            std::thread::sleep(Duration::from_millis(5));
-        }
-        if stream.write_all(ANSWER).is_err() {
-            return;
+/// What all connections of an upstream share.
+#[derive(Clone)]
+struct Connection {
+    requests: Arc<AtomicU64>,
+    held: Arc<AtomicBool>,
+    stopped: Arc<AtomicBool>,
+}
+
+impl Connection {
+    fn serve(&self, mut stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let mut buffer = [0; 4_096];
+        let mut filled = 0;
+        while let Ok(size_bytes @ 1..) = stream.read(&mut buffer[filled..]) {
+            // A stopped process answers nothing that came after its stop.
+            if self.stopped.load(Ordering::SeqCst) {
+                return;
+            }
+            filled += size_bytes;
+            if !buffer[..filled].ends_with(HEAD_END) {
+                continue;
+            }
+            filled = 0;
+            self.requests.fetch_add(1, Ordering::Relaxed);
+            while self.held.load(Ordering::SeqCst) {
+                std::thread::sleep(Duration::from_millis(5));
+            }
+            if stream.write_all(ANSWER).is_err() {
+                return;
+            }
         }
     }
 }
 
+/// Where callers connect; they look again as often as a look-up expires.
+pub(crate) type Address = Arc<Mutex<SocketAddr>>;
+
 /// How callers ask.
 #[derive(Clone, Debug)]
 pub(crate) struct Callers {
     /// Where they connect.
-    pub(crate) address: SocketAddr,
+    pub(crate) address: Address,
+    /// The method of their requests.
+    pub(crate) method: &'static str,
     /// The target of their requests.
     pub(crate) target: &'static str,
     /// How many there are, each with one connection.
@@ -135,14 +170,26 @@
         let interval = self
             .rate_rps
             .map(|rate| Duration::from_secs_f64(f64::from(self.count) / rate));
-        let request = format!("GET {} HTTP/1.1\r\nhost: x\r\n\r\n", self.target);
-        let mut stream = connect(self.address);
+        let request = format!(
+            "{} {} HTTP/1.1\r\nhost: x\r\n\r\n",
+            self.method, self.target
+        );
+        let mut address = *self.address.lock();
+        let mut looked_up = Instant::now();
+        let mut stream = connect(address);
         let mut next = Instant::now();
         while started.elapsed() < self.time {
             if let Some(interval) = interval {
                 std::thread::sleep(next.saturating_duration_since(Instant::now()));
                 next = (next + interval).max(Instant::now() - interval);
             }
+            if looked_up.elapsed() > LOOKUP_TTL {
+                looked_up = Instant::now();
+                let before = std::mem::replace(&mut address, *self.address.lock());
+                if before != address {
+                    stream = connect(address);
+                }
+            }
             let asked = Instant::now();
             let answered = ask(&mut stream, request.as_bytes());
             let took_ns = u64::try_from(asked.elapsed().as_nanos()).unwrap_or(u64::MAX);
@@ -152,12 +199,12 @@
                     let recorded = run.latency_ns.record(took_ns);
                     recorded.expect("the histogram grows as it must");
                     if closes {
-                        stream = connect(self.address);
+                        stream = connect(address);
                     }
                 }
                 Answered::Failed => {
                     run.failed += 1;
-                    stream = connect(self.address);
+                    stream = connect(address);
                 }
             }
         }
--- /dev/null
+++ b/crates/foxtide/examples/measure/proxy/stops.rs
@@ -0,0 +1,87 @@
+//! Planned stops of instances and upstreams under load: requests that must not
+//! run twice are sent all the time, and none may be cut.
+
+use super::instance::Instance;
+use super::load::{Address, Callers, FastUpstream, Run};
+use crate::report::{Limit, Report};
+use parking_lot::Mutex;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+const STOPS: usize = 20;
+const UPSTREAMS: usize = 4;
+const RATE_RPS: f64 = 2_000.0;
+const REQUEST: &str = "/hamutenya/viewer/notices";
+
+/// The time from the announcement until an upstream stops; new work must end
+/// within 2 s of the announcement.
+const ANNOUNCED: Duration = Duration::from_millis(500);
+
+/// The time between two stops.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Measures both kinds of stops.
+pub(crate) fn run(report: &mut Report) {
+    let upstreams: Vec<FastUpstream> = (0..UPSTREAMS).map(|_| FastUpstream::start()).collect();
+    let addresses: Vec<SocketAddr> = upstreams.iter().map(|upstream| upstream.address).collect();
+    let run = stop_instances(&addresses);
+    figures(report, "instance_stops", &run);
+    let run = stop_upstreams(&upstreams, &addresses);
+    figures(report, "upstream_stops", &run);
+}
+
+fn figures(report: &mut Report, name: &str, run: &Run) {
+    let answered = run.answered as f64;
+    let whole = Limit::AtLeast(1.0);
+    report.figure(&format!("proxy.{name}.answered"), answered, "", whole);
+    let cut = run.failed as f64;
+    report.figure(&format!("proxy.{name}.cut"), cut, "", Limit::AtMost(0.0));
+}
+
+/// Replaces the instance again and again.
+fn stop_instances(addresses: &[SocketAddr]) -> Run {
+    let mut instance = Instance::start(2, addresses);
+    let address: Address = Arc::new(Mutex::new(instance.entry.caller_address()));
+    let time = (ANNOUNCED + PAUSE * 2) * STOPS as u32;
+    let running = start_callers(&address, time);
+    for _ in 0..STOPS {
+        std::thread::sleep(PAUSE);
+        let next = Instance::start(2, addresses);
+        *address.lock() = next.entry.caller_address();
+        let leaving = std::mem::replace(&mut instance, next);
+        smol::block_on(leaving.entry.drain());
+    }
+    running.join().expect("the callers do not panic")
+}
+
+/// Drains and stops one upstream after the other.
+fn stop_upstreams(upstreams: &[FastUpstream], addresses: &[SocketAddr]) -> Run {
+    let instance = Instance::start(2, addresses);
+    let address: Address = Arc::new(Mutex::new(instance.entry.caller_address()));
+    let time = (ANNOUNCED + PAUSE * 2) * STOPS as u32;
+    let running = start_callers(&address, time);
+    for stop in 0..STOPS {
+        let number = stop % UPSTREAMS;
+        std::thread::sleep(PAUSE);
+        instance.parts.configure(addresses, &[number]);
+        std::thread::sleep(ANNOUNCED);
+        upstreams[number].stop(true);
+        std::thread::sleep(PAUSE);
+        upstreams[number].stop(false);
+        instance.parts.configure(addresses, &[]);
+    }
+    running.join().expect("the callers do not panic")
+}
+
+fn start_callers(address: &Address, time: Duration) -> std::thread::JoinHandle<Run> {
+    let callers = Callers {
+        address: Arc::clone(address),
+        method: "POST",
+        target: REQUEST,
+        count: 8,
+        rate_rps: Some(RATE_RPS),
+        time,
+    };
+    std::thread::spawn(move || callers.run())
+}
