Keep no long answer under a key

Cause: long answers came while the keeping of answers changed. Change: a long body counts as too large; the wait for runs without callers is the one that the drain had got meanwhile. Conclusion: one way to wait.

--- a/crates/foxtide-entry/src/entry.rs
+++ b/crates/foxtide-entry/src/entry.rs
@@ -17,10 +17,6 @@
 use smol::{Async, Executor, Task, Timer};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::time::Duration;
-
-/// The time between two looks at the running keys of a leaving instance.
-const FINISH_POLL: Duration = Duration::from_millis(5);
 
 /// The running request path of an instance.
 ///
@@ -30,7 +26,6 @@
 pub struct Entry<P: Parts> {
     parts: Arc<P>,
     options: Arc<EntryOptions>,
-    keys: KeyTable,
     callers: Arc<ServeState>,
     operators: Arc<ServeState>,
     caller_address: SocketAddr,
@@ -79,7 +74,6 @@
         let mut entry = Self {
             parts,
             options,
-            keys: Arc::clone(&keys),
             callers,
             operators,
             caller_address,
@@ -164,7 +158,7 @@
         self.callers.leave();
         Timer::after(self.options.lookup_ttl + self.options.drain.margin).await;
         self.callers.close();
-        let finished = self.finished();
+        let finished = self.callers.finished();
         match within(self.options.drain.in_flight_time, finished).await {
             Ok(()) => self.record(EventCode::ProcessDrained, String::new()),
             Err(_) => {
@@ -174,15 +168,6 @@
         }
     }
 
-    /// Waits until no connection is open and no key is running: a run with a
-    /// key goes on after its caller went away.
-    async fn finished(&self) {
-        self.callers.finished().await;
-        while self.keys.lock().usage().running > 0 {
-            Timer::after(FINISH_POLL).await;
-        }
-    }
-
     fn record(&self, code: EventCode, detail: String) {
         let recorder = self.parts.recorder();
         recorder.record(code, EventFields::detail(detail));
--- a/crates/foxtide-entry/src/proxy/keys.rs
+++ b/crates/foxtide-entry/src/proxy/keys.rs
@@ -39,7 +39,6 @@
     status: StatusCode,
     headers: Headers,
     body: Vec<u8>,
-    is_long: bool,
 }
 
 /// What a request with a key gets without a run.
@@ -62,9 +61,6 @@
 
 impl KeptAnswer for Kept {
     fn size(&self) -> ByteSize {
-        if self.0.is_long {
-            return ByteSize::from_bytes(u64::MAX);
-        }
         ByteSize::from_bytes(self.0.body.len() as u64 + KEPT_HEADERS_BYTES)
     }
 }
@@ -74,6 +70,7 @@
         let body_bytes = match &answer.body {
             AnswerBody::Whole(bytes) => bytes.len() as u64,
             AnswerBody::Absent { .. } => 0,
+            AnswerBody::Long(_) => return ByteSize::from_bytes(u64::MAX),
         };
         ByteSize::from_bytes(body_bytes + KEPT_HEADERS_BYTES)
     }
@@ -81,11 +78,10 @@
     fn of(answer: &Answer) -> Self {
         let body = match &answer.body {
             AnswerBody::Whole(bytes) => bytes.clone(),
-            // A long body is not kept; its key is known to have run.
+            // A long body is too large to be kept.
             AnswerBody::Absent { .. } | AnswerBody::Long(_) => Vec::new(),
         };
         Self(Arc::new(KeptParts {
-            is_long: matches!(answer.body, AnswerBody::Long(_)),
             status: answer.status,
             headers: answer.headers.clone(),
             body,
