Wait on each organisation's document by itself

A watch on the whole prefix brings every organisation's document with every change. Above 64 organisations all are waited on at once, which costs fewer calls. Half of the fleet's reads are kept for the watching instances. The store's trait waits on one key and on names, with defaults that read more; the stand-in tells names.

--- a/crates/foxtide-config/src/lib.rs
+++ b/crates/foxtide-config/src/lib.rs
@@ -22,6 +22,6 @@
 pub use backoff::{Backoff, BackoffOptions};
 pub use errors::{Error, Result};
 pub use settings::Settings;
-pub use store::{BudgetOptions, BudgetedStore, HttpStore, HttpStoreOptions, StoreBudget};
+pub use store::{BudgetOptions, BudgetedStore, Fleet, HttpStore, HttpStoreOptions, StoreBudget};
 pub use template::Template;
 pub use watch::{ConfigurationWatch, WatchOptions, WatchReport};
--- a/crates/foxtide-config/src/store/bucket.rs
+++ b/crates/foxtide-config/src/store/bucket.rs
@@ -2,6 +2,13 @@
 
 use foxtide_core::time::MonotonicTime;
 
+/// The least calls that a bucket holds, so that a start-up sequence or a
+/// lease's renewal fits however many instances there are.
+const CAPACITY_MIN: f64 = 6.0;
+
+/// The seconds of its rate that a bucket holds.
+const CAPACITY_S: f64 = 5.0;
+
 /// Tokens that refill at a rate up to a capacity.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct TokenBucket {
@@ -14,21 +21,21 @@
 impl TokenBucket {
     /// Returns a bucket that holds one token, so that instances which start
     /// together do not spend whole bursts together.
-    pub(super) fn new(rate_per_s: f64, capacity: f64, now: MonotonicTime) -> Self {
+    pub(super) fn new(now: MonotonicTime) -> Self {
         Self {
-            rate_per_s,
-            capacity,
+            rate_per_s: 0.0,
+            capacity: CAPACITY_MIN,
             tokens: 1.0,
             updated: now,
         }
     }
 
-    /// Sets another rate and capacity.
-    pub(super) fn resize(&mut self, rate_per_s: f64, capacity: f64, now: MonotonicTime) {
+    /// Sets another rate, and the capacity that goes with it.
+    pub(super) fn resize(&mut self, rate_per_s: f64, now: MonotonicTime) {
         self.refill(now);
         self.rate_per_s = rate_per_s;
-        self.capacity = capacity;
-        self.tokens = self.tokens.min(capacity);
+        self.capacity = (rate_per_s * CAPACITY_S).max(CAPACITY_MIN);
+        self.tokens = self.tokens.min(self.capacity);
     }
 
     /// Takes a token if at least `reserve` are left after it.
--- a/crates/foxtide-config/src/store/budget.rs
+++ b/crates/foxtide-config/src/store/budget.rs
@@ -6,13 +6,6 @@
 use super::bucket::TokenBucket;
 use foxtide_core::time::MonotonicTime;
 
-/// The least calls that a bucket holds, so that a start-up sequence or a
-/// lease's renewal fits however many instances there are.
-const CAPACITY_MIN: f64 = 6.0;
-
-/// The seconds of its rate that a bucket holds.
-const CAPACITY_S: f64 = 5.0;
-
 /// The tokens that calls which can wait leave to those which cannot.
 const URGENT_RESERVE: f64 = 2.0;
 
@@ -42,6 +35,28 @@
     }
 }
 
+/// Who shares the fleet's rates, as an instance sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Fleet {
+    /// The live instances.
+    pub live_instances: u32,
+    /// The instances that hold watches.
+    pub watchers: u32,
+    /// Whether this instance is one of them.
+    pub watches: bool,
+}
+
+impl Default for Fleet {
+    /// Returns a fleet of one instance, which watches.
+    fn default() -> Self {
+        Self {
+            live_instances: 1,
+            watchers: 1,
+            watches: true,
+        }
+    }
+}
+
 /// What a call asks of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallClass {
@@ -53,12 +68,16 @@
     Urgent,
 }
 
+/// The part of the reads that is kept for the instances that hold watches.
+const WATCHERS_SHARE: f64 = 0.5;
+
 /// One instance's part of the fleet's rates.
 #[derive(Clone, Debug)]
 pub struct StoreBudget {
     options: BudgetOptions,
-    /// The instances counted on; falls slowly.
+    /// The instances and watchers counted on; both fall slowly.
     instances: f64,
+    watchers: f64,
     counted_at: MonotonicTime,
     reads: TokenBucket,
     writes: TokenBucket,
@@ -66,31 +85,42 @@
 }
 
 impl StoreBudget {
-    /// Returns the budget of one of `instances` instances.
-    pub fn new(options: BudgetOptions, instances: u32, now: MonotonicTime) -> Self {
-        let instances = f64::from(instances.max(1));
-        let reads = options.fleet_reads_per_s / instances;
-        let writes = options.fleet_writes_per_s / instances;
-        Self {
+    /// Returns the budget of one instance of a fleet.
+    pub fn new(options: BudgetOptions, fleet: Fleet, now: MonotonicTime) -> Self {
+        let mut budget = Self {
             options,
-            instances,
+            instances: 1.0,
+            watchers: 1.0,
             counted_at: now,
-            reads: TokenBucket::new(reads, capacity(reads), now),
-            writes: TokenBucket::new(writes, capacity(writes), now),
+            reads: TokenBucket::new(now),
+            writes: TokenBucket::new(now),
             failed: false,
-        }
+        };
+        budget.set_fleet(fleet, now);
+        budget
     }
 
-    /// Takes in how many instances are live. More count at once, fewer slowly.
-    pub fn set_live_instances(&mut self, live: u32, now: MonotonicTime) {
+    /// Takes in who shares the fleet's rates. More count at once, fewer slowly.
+    pub fn set_fleet(&mut self, fleet: Fleet, now: MonotonicTime) {
         let elapsed_s = now.since(self.counted_at).as_secs_f64();
-        let least = self.instances * 0.5_f64.powf(elapsed_s / COUNT_HALF_LIFE_S);
-        self.instances = least.max(f64::from(live.max(1)));
+        let kept = 0.5_f64.powf(elapsed_s / COUNT_HALF_LIFE_S);
         self.counted_at = now;
-        let reads = self.options.fleet_reads_per_s / self.instances;
-        let writes = self.options.fleet_writes_per_s / self.instances;
-        self.reads.resize(reads, capacity(reads), now);
-        self.writes.resize(writes, capacity(writes), now);
+        self.instances = (self.instances * kept).max(fleet.live_instances.max(1).into());
+        self.watchers = (self.watchers * kept).max(fleet.watchers.max(1).into());
+        self.reads.resize(self.reads_per_s(fleet.watches), now);
+        let writes_per_s = self.options.fleet_writes_per_s / self.instances;
+        self.writes.resize(writes_per_s, now);
+    }
+
+    fn reads_per_s(&self, watches: bool) -> f64 {
+        let of_watchers = self.options.fleet_reads_per_s * WATCHERS_SHARE;
+        let of_all = self.options.fleet_reads_per_s - of_watchers;
+        let own = of_all / self.instances;
+        if watches {
+            own + of_watchers / self.watchers
+        } else {
+            own
+        }
     }
 
     /// Takes the cost of a call. Tells whether the call may be made.
@@ -113,7 +143,3 @@
         self.failed = !answered;
     }
 }
-
-fn capacity(rate_per_s: f64) -> f64 {
-    (rate_per_s * CAPACITY_S).max(CAPACITY_MIN)
-}
--- a/crates/foxtide-config/src/store/budgeted.rs
+++ b/crates/foxtide-config/src/store/budgeted.rs
@@ -3,9 +3,9 @@
 //! Locks: one around the budget, held for a few operations on numbers and
 //! never across an await.
 
-use super::budget::{CallClass, StoreBudget};
+use super::budget::{CallClass, Fleet, StoreBudget};
 use foxtide_core::store::{
-    SessionId, Store, StoreEntry, StoreError, StoreIndex, StoreListing, StoreResult,
+    SessionId, Store, StoreEntry, StoreError, StoreIndex, StoreListing, StoreNames, StoreResult,
 };
 use foxtide_core::time::MonotonicTime;
 use parking_lot::Mutex;
@@ -33,10 +33,10 @@
         }
     }
 
-    /// Takes in how many instances are live.
-    pub fn set_live_instances(&self, live: u32) {
+    /// Takes in who shares the fleet's rates.
+    pub fn set_fleet(&self, fleet: Fleet) {
         let now = self.now();
-        self.budget.lock().set_live_instances(live, now);
+        self.budget.lock().set_fleet(fleet, now);
     }
 
     fn now(&self) -> MonotonicTime {
@@ -90,6 +90,26 @@
         self.within("watch", CallClass::Read, call).await
     }
 
+    async fn watch_key(
+        &self,
+        key: &str,
+        after: StoreIndex,
+        wait: Duration,
+    ) -> StoreResult<StoreListing> {
+        let call = self.store.watch_key(key, after, wait);
+        self.within("watch_key", CallClass::Read, call).await
+    }
+
+    async fn watch_names(
+        &self,
+        prefix: &str,
+        after: StoreIndex,
+        wait: Duration,
+    ) -> StoreResult<StoreNames> {
+        let call = self.store.watch_names(prefix, after, wait);
+        self.within("watch_names", CallClass::Read, call).await
+    }
+
     async fn write(&self, key: &str, value: Vec<u8>, expected: StoreIndex) -> StoreResult<bool> {
         let call = self.store.write(key, value, expected);
         self.within("write", CallClass::Write, call).await
--- a/crates/foxtide-config/src/store/http.rs
+++ b/crates/foxtide-config/src/store/http.rs
@@ -4,7 +4,7 @@
 use super::exchange::{self, Answer, Call, Progress};
 use super::wire::{KeyForm, SessionForm, SessionRequest, duration_text, key_path};
 use foxtide_core::store::{
-    SessionId, Store, StoreEntry, StoreError, StoreIndex, StoreListing, StoreResult,
+    SessionId, Store, StoreEntry, StoreError, StoreIndex, StoreListing, StoreNames, StoreResult,
     VALUE_MAX_BYTES,
 };
 use http_types::Method;
@@ -76,10 +76,29 @@
         let step = call.step;
         let started = Instant::now();
         let (progress, result) = exchange::run(self.options.address, call).await;
-        count(step, started.elapsed(), result.as_ref().err());
+        count(step, started.elapsed(), &result);
         (progress, result)
     }
 
+    /// Makes a call that waits for a change.
+    async fn wait(&self, call: WaitingCall) -> (Progress, StoreResult<Answer>) {
+        let wait = call.wait;
+        let selection = call.selection;
+        let query = format!(
+            "{selection}index={}&wait={}",
+            call.after,
+            duration_text(wait)
+        );
+        let call = Call {
+            step: call.step,
+            method: Method::Get,
+            target: format!("{}?{query}", call.path),
+            body: Vec::new(),
+            timeout: wait + wait / WATCH_SPREAD_DIVISOR + self.options.call_timeout,
+        };
+        self.run(call).await
+    }
+
     /// Makes a call that answers `true` or `false`.
     async fn decide(
         &self,
@@ -104,15 +123,31 @@
     }
 }
 
+/// A call that waits for a change.
+struct WaitingCall {
+    step: &'static str,
+    /// The path of the key or of the prefix.
+    path: String,
+    /// The part of the query that says what below the path is meant.
+    selection: &'static str,
+    /// The index to wait on.
+    after: StoreIndex,
+    /// How long the store waits.
+    wait: Duration,
+}
+
 /// Counts a call for the metrics.
-fn count(step: &'static str, took: Duration, error: Option<&StoreError>) {
-    let outcome = match error {
-        None => "answered",
-        Some(StoreError::NotSent { .. }) => "not_sent",
-        Some(StoreError::Unknown { .. }) => "unknown",
-        Some(StoreError::Refused { .. }) => "refused",
-        Some(StoreError::OverBudget { .. }) => "over_budget",
+fn count(step: &'static str, took: Duration, result: &StoreResult<Answer>) {
+    let outcome = match result {
+        Ok(_) => "answered",
+        Err(StoreError::NotSent { .. }) => "not_sent",
+        Err(StoreError::Unknown { .. }) => "unknown",
+        Err(StoreError::Refused { .. }) => "refused",
+        Err(StoreError::OverBudget { .. }) => "over_budget",
     };
+    let answer_bytes = result.as_ref().map_or(0, |answer| answer.body.len());
+    metrics::counter!("foxtide_store_answer_bytes_total", "kind" => step)
+        .increment(answer_bytes as u64);
     metrics::counter!("foxtide_store_calls_total", "kind" => step, "outcome" => outcome)
         .increment(1);
     metrics::histogram!("foxtide_store_call_seconds", "kind" => step).record(took.as_secs_f64());
@@ -166,19 +201,57 @@
         after: StoreIndex,
         wait: Duration,
     ) -> StoreResult<StoreListing> {
-        let path = key_path(prefix);
-        let wait_text = duration_text(wait);
-        let call = Call {
+        let call = WaitingCall {
             step: "watch",
-            method: Method::Get,
-            target: format!("{path}?recurse&index={after}&wait={wait_text}"),
-            body: Vec::new(),
-            timeout: wait + wait / WATCH_SPREAD_DIVISOR + self.options.call_timeout,
+            path: key_path(prefix),
+            selection: "recurse&",
+            after,
+            wait,
         };
-        let (progress, result) = self.run(call).await;
+        let (progress, result) = self.wait(call).await;
         decode_listing(&progress, result?)
     }
 
+    async fn watch_key(
+        &self,
+        key: &str,
+        after: StoreIndex,
+        wait: Duration,
+    ) -> StoreResult<StoreListing> {
+        let call = WaitingCall {
+            step: "watch_key",
+            path: key_path(key),
+            selection: "",
+            after,
+            wait,
+        };
+        let (progress, result) = self.wait(call).await;
+        decode_listing(&progress, result?)
+    }
+
+    async fn watch_names(
+        &self,
+        prefix: &str,
+        after: StoreIndex,
+        wait: Duration,
+    ) -> StoreResult<StoreNames> {
+        let call = WaitingCall {
+            step: "watch_names",
+            path: key_path(prefix),
+            selection: "keys&",
+            after,
+            wait,
+        };
+        let (progress, result) = self.wait(call).await;
+        let answer = result?;
+        let index = StoreIndex::new(answer.index.unwrap_or_default());
+        let keys = match answer.status {
+            NOT_FOUND => Vec::new(),
+            _ => decode(&progress, answer)?,
+        };
+        Ok(StoreNames { keys, index })
+    }
+
     async fn write(&self, key: &str, value: Vec<u8>, expected: StoreIndex) -> StoreResult<bool> {
         let target = format!("{}?cas={expected}", key_path(key));
         self.decide("write", Method::Put, target, value).await
--- a/crates/foxtide-config/src/store/mod.rs
+++ b/crates/foxtide-config/src/store/mod.rs
@@ -7,6 +7,6 @@
 mod http;
 mod wire;
 
-pub use budget::{BudgetOptions, CallClass, StoreBudget};
+pub use budget::{BudgetOptions, CallClass, Fleet, StoreBudget};
 pub use budgeted::BudgetedStore;
 pub use http::{HttpStore, HttpStoreOptions};
--- /dev/null
+++ b/crates/foxtide-config/src/watch/seen.rs
@@ -0,0 +1,44 @@
+//! What has been told already, so that only newer documents are.
+
+use super::WatchReport;
+use crate::change;
+use foxtide_core::ids::OrganisationId;
+use foxtide_core::organisation::Organisation;
+use foxtide_core::store::{StoreEntry, StoreIndex};
+use foxtide_core::units::Revision;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// What has been told already.
+#[derive(Debug, Default)]
+pub(super) struct Seen {
+    indices: BTreeMap<String, StoreIndex>,
+    revisions: BTreeMap<OrganisationId, Revision>,
+}
+
+impl Seen {
+    /// Takes an entry. Returns what is new in it.
+    pub(super) fn take(&mut self, entry: &StoreEntry) -> Option<WatchReport> {
+        let previous = self.indices.insert(entry.key.clone(), entry.index);
+        if previous == Some(entry.index) {
+            return None;
+        }
+        match change::decode(&entry.key, &entry.value) {
+            Ok(document) => self.newer(document),
+            Err(error) => Some(WatchReport::Invalid {
+                key: entry.key.clone(),
+                cause: error.to_string(),
+            }),
+        }
+    }
+
+    fn newer(&mut self, document: Organisation) -> Option<WatchReport> {
+        let known = self.revisions.get(&document.organisation);
+        if known.is_some_and(|known| *known >= document.revision) {
+            return None;
+        }
+        let organisation = document.organisation.clone();
+        self.revisions.insert(organisation, document.revision);
+        Some(WatchReport::Configuration(Arc::new(document)))
+    }
+}
--- a/crates/foxtide-config/tests/budget.rs
+++ b/crates/foxtide-config/tests/budget.rs
@@ -1,7 +1,7 @@
 //! The budget of calls to the store.
 
 use foxtide_config::store::CallClass;
-use foxtide_config::{BudgetOptions, StoreBudget};
+use foxtide_config::{BudgetOptions, Fleet, StoreBudget};
 use foxtide_core::time::MonotonicTime;
 use proptest::prelude::*;
 use std::time::Duration;
@@ -13,6 +13,14 @@
 
 const STEP: Duration = Duration::from_millis(10);
 
+fn fleet(live_instances: u32) -> Fleet {
+    Fleet {
+        live_instances,
+        watchers: live_instances,
+        watches: true,
+    }
+}
+
 /// Returns how many calls an instance gets through that always wants more.
 fn greedy(budget: &mut StoreBudget, class: CallClass, from: MonotonicTime, span_s: u64) -> u64 {
     let mut now = from;
@@ -28,32 +36,37 @@
 
 proptest! {
     /// Whatever the fleet's size: instances that always want more stay, in
-    /// sum, under the fleet's rate and one burst each.
+    /// sum, under the fleet's rate and one call each.
     #[test]
-    fn verify_the_fleets_sum_keeps_its_rate(instances in 1_u32..700) {
+    fn verify_the_fleets_sum_keeps_its_rate(instances in 1_u32..700, zones in 1_u32..16) {
         let span_s = 60;
         let start = MonotonicTime::ZERO;
-        let mut budget = StoreBudget::new(OPTIONS, instances, start);
-        let reads = greedy(&mut budget, CallClass::Read, start, span_s);
-        let fleet = reads as f64 * f64::from(instances);
+        let watchers = instances.min(2 * zones);
+        let made = |watches| {
+            let fleet = Fleet { live_instances: instances, watchers, watches };
+            let mut budget = StoreBudget::new(OPTIONS, fleet, start);
+            greedy(&mut budget, CallClass::Read, start, span_s) as f64
+        };
+        let others = f64::from(instances - watchers);
+        let sum = made(true) * f64::from(watchers) + made(false) * others;
         let allowed = OPTIONS.fleet_reads_per_s * span_s as f64 + f64::from(instances);
-        prop_assert!(fleet <= allowed, "{fleet} calls, allowed {allowed}");
+        prop_assert!(sum <= allowed, "{sum} calls, allowed {allowed}");
     }
 }
 
 #[test]
 fn verify_new_instances_count_at_once_and_lost_ones_slowly() {
     let start = MonotonicTime::ZERO;
-    let mut budget = StoreBudget::new(OPTIONS, 10, start);
-    budget.set_live_instances(100, start);
+    let mut budget = StoreBudget::new(OPTIONS, fleet(10), start);
+    budget.set_fleet(fleet(100), start);
     let few = greedy(&mut budget, CallClass::Read, start, 60);
     assert!(few <= 60 * 4 + 20, "{few}");
     let later = start + Duration::from_secs(120);
-    budget.set_live_instances(10, later);
+    budget.set_fleet(fleet(10), later);
     let still_few = greedy(&mut budget, CallClass::Read, later, 60);
     assert!(still_few <= 60 * 5 + 20, "{still_few}");
     let hour_later = later + Duration::from_secs(3_600);
-    budget.set_live_instances(10, hour_later);
+    budget.set_fleet(fleet(10), hour_later);
     let doubled = greedy(&mut budget, CallClass::Read, hour_later, 60);
     assert!(doubled <= 60 * 9 + 60, "{doubled}");
 }
@@ -61,7 +74,7 @@
 #[test]
 fn verify_leases_go_before_other_writes() {
     let start = MonotonicTime::ZERO;
-    let mut budget = StoreBudget::new(OPTIONS, 600, start);
+    let mut budget = StoreBudget::new(OPTIONS, fleet(600), start);
     let filled = start + Duration::from_secs(600);
     while budget.take(CallClass::Write, filled) {}
     assert!(budget.take(CallClass::Urgent, filled));
@@ -71,7 +84,7 @@
 #[test]
 fn verify_no_saved_up_calls_meet_a_store_that_returns() {
     let start = MonotonicTime::ZERO;
-    let mut budget = StoreBudget::new(OPTIONS, 10, start);
+    let mut budget = StoreBudget::new(OPTIONS, fleet(10), start);
     budget.answered(false, start);
     let back = start + Duration::from_secs(600);
     budget.answered(true, back);
--- a/crates/foxtide-config/tests/watch.rs
+++ b/crates/foxtide-config/tests/watch.rs
@@ -24,9 +24,17 @@
 }
 
 fn start(server: &StoreServer, is_watcher: Arc<AtomicBool>) -> Receiver<WatchReport> {
+    start_with(server, is_watcher, options())
+}
+
+fn start_with(
+    server: &StoreServer,
+    is_watcher: Arc<AtomicBool>,
+    options: WatchOptions,
+) -> Receiver<WatchReport> {
     let store = Arc::new(client(server, PATIENT));
     let role = move || is_watcher.load(Ordering::Relaxed);
-    let watch = ConfigurationWatch::new(store, role, options());
+    let watch = ConfigurationWatch::new(store, role, options);
     let (sender, receiver) = unbounded();
     smol::spawn(watch.run(sender)).detach();
     receiver
@@ -53,6 +61,55 @@
     });
 }
 
+/// Puts the example's document into the store under another name.
+fn put_as(server: &StoreServer, name: &str) {
+    let mut document = support::document();
+    document.organisation = name.parse().unwrap();
+    document.revision = Revision::new(1);
+    let value = foxtide_config::change::encode(&document).unwrap();
+    server.set_value(&format!("foxtide/organisations/{name}"), value);
+}
+
+async fn next_name(reports: &Receiver<WatchReport>) -> String {
+    loop {
+        if let WatchReport::Configuration(document) = reports.recv().await.unwrap() {
+            return document.organisation.to_string();
+        }
+    }
+}
+
+#[test]
+fn verify_an_organisation_created_later_is_told() {
+    smol::block_on(async {
+        let server = server().await;
+        put_as(&server, "kunene");
+        let reports = start(&server, Arc::new(AtomicBool::new(true)));
+        assert_eq!(next_name(&reports).await, "kunene");
+        put_as(&server, "kunene-north");
+        assert_eq!(next_name(&reports).await, "kunene-north");
+        put_as(&server, "omaheke");
+        assert_eq!(next_name(&reports).await, "omaheke");
+    });
+}
+
+#[test]
+fn verify_many_organisations_are_watched_at_once() {
+    smol::block_on(async {
+        let server = server().await;
+        put_as(&server, "kunene");
+        let few = WatchOptions {
+            single_max: 1,
+            ..options()
+        };
+        let reports = start_with(&server, Arc::new(AtomicBool::new(true)), few);
+        assert_eq!(next_name(&reports).await, "kunene");
+        for name in ["omaheke", "hardap", "karas"] {
+            put_as(&server, name);
+            assert_eq!(next_name(&reports).await, name);
+        }
+    });
+}
+
 #[test]
 fn verify_an_older_document_is_not_told() {
     smol::block_on(async {
--- a/crates/foxtide-core/src/store.rs
+++ b/crates/foxtide-core/src/store.rs
@@ -83,6 +83,25 @@
     pub index: StoreIndex,
 }
 
+/// The names of the keys below a prefix at one moment.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StoreNames {
+    /// The keys, in their order.
+    pub keys: Vec<String>,
+    /// The index to wait on for the next change below the prefix.
+    pub index: StoreIndex,
+}
+
+impl From<StoreListing> for StoreNames {
+    fn from(listing: StoreListing) -> Self {
+        let entries = listing.entries.into_iter();
+        Self {
+            keys: entries.map(|entry| entry.key).collect(),
+            index: listing.index,
+        }
+    }
+}
+
 /// Why a call to the store has no answer that can be used.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum StoreError {
@@ -154,6 +173,36 @@
         wait: Duration,
     ) -> impl Future<Output = StoreResult<StoreListing>> + Send;
 
+    /// Waits as [`Store::watch`] does for a change of one key; the listing
+    /// holds that key or nothing.
+    ///
+    /// A store that can wait on one key should; this one waits on all keys
+    /// that begin so.
+    fn watch_key(
+        &self,
+        key: &str,
+        after: StoreIndex,
+        wait: Duration,
+    ) -> impl Future<Output = StoreResult<StoreListing>> + Send {
+        async move {
+            let mut listing = self.watch(key, after, wait).await?;
+            listing.entries.retain(|entry| entry.key == key);
+            Ok(listing)
+        }
+    }
+
+    /// Waits as [`Store::watch`] does and reads only the names of the keys.
+    ///
+    /// A store that can tell names without values should; this one reads all.
+    fn watch_names(
+        &self,
+        prefix: &str,
+        after: StoreIndex,
+        wait: Duration,
+    ) -> impl Future<Output = StoreResult<StoreNames>> + Send {
+        async move { self.watch(prefix, after, wait).await.map(StoreNames::from) }
+    }
+
     /// Writes a key if its index still is `expected`
     /// ([`StoreIndex::ABSENT`]: if there is no such key). Tells whether it was
     /// written.
--- a/crates/foxtide-testing/src/store/endpoint.rs
+++ b/crates/foxtide-testing/src/store/endpoint.rs
@@ -67,9 +67,10 @@
     }
 
     async fn read(&self, key: String, call: &Call) -> Response {
+        let names_only = call.parameter("keys").is_some();
         let selection = match call.parameter("recurse") {
-            Some(_) => Selection::Prefix(key),
-            None => Selection::Key(key),
+            None if !names_only => Selection::Key(key),
+            _ => Selection::Prefix(key),
         };
         let after: u64 = parse_or_zero(call.parameter("index"));
         self.count(if after > 0 {
@@ -86,6 +87,9 @@
             let wait = wait.unwrap_or(WAIT_DEFAULT);
             change.or(hung_up).or(elapsed(wait)).await;
         }
+        if names_only {
+            return self.names_now(&selection);
+        }
         self.read_now(&selection, call.parameter("raw").is_some())
     }
 
@@ -99,6 +103,20 @@
         }
     }
 
+    fn names_now(&self, selection: &Selection) -> Response {
+        let state = self.state.lock();
+        let entries = state.read(selection);
+        let index = state.index_of(selection);
+        drop(state);
+        let names: Vec<String> = entries.into_iter().map(|entry| entry.key).collect();
+        let mut response = match names.is_empty() {
+            true => text(StatusCode::NotFound, ""),
+            false => json(&names),
+        };
+        response.insert_header("x-consul-index", index.to_string());
+        response
+    }
+
     fn read_now(&self, selection: &Selection, raw: bool) -> Response {
         let state = self.state.lock();
         let entries = state.read(selection);
--- a/crates/foxtide/examples/measure/store.rs
+++ b/crates/foxtide/examples/measure/store.rs
@@ -5,12 +5,13 @@
 use crate::report::{Limit, Report};
 use foxtide_config::change::ORGANISATION_PREFIX;
 use foxtide_config::{
-    BudgetOptions, BudgetedStore, ConfigurationWatch, HttpStore, HttpStoreOptions, StoreBudget,
-    WatchOptions,
+    BudgetOptions, BudgetedStore, ConfigurationWatch, Fleet, HttpStore, HttpStoreOptions,
+    StoreBudget, WatchOptions,
 };
 use foxtide_core::store::{Store, StoreIndex};
 use foxtide_core::time::MonotonicTime;
 use foxtide_testing::{Availability, CallKind, StoreOptions, StoreServer};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use smol::channel::unbounded;
 use smol::{Task, Timer};
 use std::sync::Arc;
@@ -44,6 +45,15 @@
 const SAMPLE: Duration = Duration::from_millis(50);
 const BUSIEST_SPAN_SAMPLES: usize = 4;
 
+/// The organisations and the size of each one's document where the bytes of a
+/// change are counted, and the number of changes.
+const ORGANISATIONS: u32 = 20;
+const DOCUMENT_BYTES: usize = 10_000;
+const CHANGES: u32 = 20;
+
+/// Changes of configuration a day at the target size.
+const CHANGES_PER_DAY: f64 = 2_800.0;
+
 /// How the instances of a fleet behave.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Behaviour {
@@ -55,11 +65,12 @@
     Chosen,
 }
 
-/// Runs both measurements.
+/// Runs all measurements.
 pub(crate) fn run(report: &mut Report) {
     smol::block_on(async {
         growth(report).await;
         outage(report).await;
+        bytes(report).await;
     });
 }
 
@@ -161,6 +172,78 @@
     calls.max().unwrap_or(0) as f64
 }
 
+async fn bytes(report: &mut Report) {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let handle = recorder.handle();
+    if metrics::set_global_recorder(recorder).is_err() {
+        return;
+    }
+    let all = bytes_a_change(&handle, 0).await;
+    let single = bytes_a_change(&handle, 64).await;
+    let per_s = CHANGES_PER_DAY / 86_400.0;
+    report.figure("store.watch.change.baseline", all, "bytes", Limit::None);
+    report.figure(
+        "store.watch.change",
+        single,
+        "bytes",
+        Limit::AtMost(all / 5.0),
+    );
+    report.figure(
+        "store.watch.target.baseline",
+        all * per_s,
+        "bytes/s",
+        Limit::None,
+    );
+    report.figure(
+        "store.watch.target",
+        single * per_s,
+        "bytes/s",
+        Limit::AtMost(3_000.0),
+    );
+}
+
+/// Returns the bytes of answers that a change brings a watching instance.
+async fn bytes_a_change(handle: &PrometheusHandle, single_max: usize) -> f64 {
+    let server = start_server().await;
+    for number in 0..ORGANISATIONS {
+        set_document(&server, number, 0);
+    }
+    let options = WatchOptions {
+        single_max,
+        gap_min: Duration::from_millis(1),
+        ..WatchOptions::default()
+    };
+    let watch = ConfigurationWatch::new(Arc::new(store(&server)), || true, options);
+    let (sender, receiver) = unbounded();
+    let _watch = smol::spawn(watch.run(sender));
+    let _discard = smol::spawn(async move { while receiver.recv().await.is_ok() {} });
+    Timer::after(CHANGE_PERIOD).await;
+    let before = answer_bytes(handle);
+    for round in 1..=CHANGES {
+        set_document(&server, round % ORGANISATIONS, round);
+        Timer::after(CHANGE_PERIOD / 5).await;
+    }
+    (answer_bytes(handle) - before) / f64::from(CHANGES)
+}
+
+fn set_document(server: &StoreServer, number: u32, round: u32) {
+    let document = format!("{round:>DOCUMENT_BYTES$}");
+    server.set_value(
+        &format!("{ORGANISATION_PREFIX}measured-{number:02}"),
+        document,
+    );
+}
+
+/// Returns the bytes of all answers of the store so far.
+fn answer_bytes(handle: &PrometheusHandle) -> f64 {
+    let text = handle.render();
+    let lines = text
+        .lines()
+        .filter(|line| line.starts_with("foxtide_store_answer_bytes_total"));
+    let values = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+    values.sum()
+}
+
 async fn start_server() -> StoreServer {
     let server = StoreServer::start(StoreOptions::default()).await;
     let server = server.expect("a free port");
@@ -195,7 +278,12 @@
 }
 
 fn start_watch(server: &StoreServer, instances: u32, number: u32, chosen: bool) -> Task<()> {
-    let budget = StoreBudget::new(BudgetOptions::default(), instances, MonotonicTime::ZERO);
+    let fleet = Fleet {
+        live_instances: instances,
+        watchers: instances.min(ZONES * WATCHERS_PER_ZONE),
+        watches: chosen,
+    };
+    let budget = StoreBudget::new(BudgetOptions::default(), fleet, MonotonicTime::ZERO);
     let peer = server.address().to_string();
     let store = Arc::new(BudgetedStore::new(store(server), &peer, budget));
     let options = WatchOptions {
