Wait once for a keyed run, and keep workers through panics

Cause: the guard of a keyed run awaited its task again after it had ended, and the panic ended the worker that ran it; every keyed request cost a worker. Change: an ended task leaves its guard; a worker whose task panics logs it and goes on; the test's upstream refuses until it has room, so that it holds for any number of attempts. Conclusion: a panic cannot take a worker any more.

--- a/crates/foxtide-entry/src/proxy/keyed.rs
+++ b/crates/foxtide-entry/src/proxy/keyed.rs
@@ -65,7 +65,10 @@
             executor: Weak::clone(&self.executor),
             callers: Arc::clone(&self.callers),
         };
-        run.task.insert(task).await
+        let answered = run.task.insert(task).await;
+        // An ended task must not be waited for again.
+        run.task = None;
+        answered
     }
 
     async fn run_claimed(
--- a/crates/foxtide-entry/src/workers.rs
+++ b/crates/foxtide-entry/src/workers.rs
@@ -4,6 +4,7 @@
 use smol::channel::{Receiver, Sender, bounded};
 use smol::{Executor, Task};
 use std::future::Future;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
 use std::thread::JoinHandle;
 
@@ -43,10 +44,7 @@
 
     fn start_one(&self, number: usize, stopped: Receiver<()>) -> Result<JoinHandle<()>> {
         let executor = Arc::clone(&self.executor);
-        let work = move || {
-            // Receiving fails once the pool is dropped; that ends the worker.
-            let _ = smol::block_on(executor.run(stopped.recv()));
-        };
+        let work = move || while work_until_panic(&executor, &stopped) == WorkEnd::Panic {};
         std::thread::Builder::new()
             .name(format!("worker-{number}"))
             .spawn(work)
@@ -67,6 +65,29 @@
     }
 }
 
+/// How a worker's work ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WorkEnd {
+    /// The pool was dropped.
+    Stop,
+    /// A task panicked.
+    Panic,
+}
+
+/// Runs tasks until the pool is dropped or one of them panics, which must not
+/// end the worker: the others would have one less to run them.
+fn work_until_panic(executor: &Executor<'static>, stopped: &Receiver<()>) -> WorkEnd {
+    // Receiving fails once the pool is dropped.
+    let run = || smol::block_on(executor.run(stopped.recv()));
+    match catch_unwind(AssertUnwindSafe(run)) {
+        Ok(_) => WorkEnd::Stop,
+        Err(_) => {
+            log::error!("a task panicked; its worker goes on");
+            WorkEnd::Panic
+        }
+    }
+}
+
 impl Drop for Workers {
     fn drop(&mut self) {
         drop(self.stop.take());
--- a/crates/foxtide-entry/tests/keys.rs
+++ b/crates/foxtide-entry/tests/keys.rs
@@ -7,7 +7,7 @@
 use foxtide_core::time::WallTime;
 use foxtide_entry::{DrainOptions, EntryOptions};
 use std::io::Write;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -75,13 +75,13 @@
 
 #[test]
 fn verify_a_key_that_did_not_run_can_be_tried_again() {
-    let upstream = RawUpstream::start(|mut stream, _| {
-        let refusal = b"HTTP/1.1 503 Busy\r\nfoxtide-outcome: not-run\r\ncontent-length: 0\r\n\r\n";
-        // The attempts of the first request are refused, later ones run.
-        for answer in [&refusal[..], refusal, refusal, DONE] {
-            if read_message(&mut stream).is_none() {
-                return;
-            }
+    let refusal = b"HTTP/1.1 503 Busy\r\nfoxtide-outcome: not-run\r\ncontent-length: 0\r\n\r\n";
+    let has_room = Arc::new(AtomicBool::new(false));
+    let upstream_has_room = Arc::clone(&has_room);
+    let upstream = RawUpstream::start(move |mut stream, _| {
+        while read_message(&mut stream).is_some() {
+            let has_room = upstream_has_room.load(Ordering::SeqCst);
+            let answer = if has_room { DONE } else { &refusal[..] };
             stream.write_all(answer).unwrap();
         }
     });
@@ -89,6 +89,7 @@
     let key = own_key(&world);
     let refused = world.caller().ask(&post("/notes", &key, "x"));
     assert_refused(&refused, 503, "not-run");
+    has_room.store(true, Ordering::SeqCst);
     let answer = world.caller().ask(&post("/notes", &key, "x"));
     assert!(answer.ends_with("filed!"), "{answer}");
 }
