--- a/crates/foxtide-testing/src/scenario/event.rs
+++ b/crates/foxtide-testing/src/scenario/event.rs
@@ -91,7 +91,8 @@
     Deliver {
         instance: usize,
         process: u64,
-        delivery: Delivery,
+        /// Boxed, as events are moved about in the queue.
+        delivery: Box<Delivery>,
     },
     /// An attempt reaches its upstream.
     AttemptArrives(AttemptNumber),
--- a/crates/foxtide-testing/src/scenario/process.rs
+++ b/crates/foxtide-testing/src/scenario/process.rs
@@ -67,6 +67,8 @@
     viewed_at: MonotonicTime,
     /// Whether a report came since.
     heard_news: bool,
+    /// Whether the configuration held drains at the last tick.
+    had_drains: bool,
     organisation: Option<Arc<Organisation>>,
     region: RegionId,
     zone: AvailabilityZoneId,
@@ -98,6 +100,7 @@
             store_index: StoreIndex::ABSENT,
             viewed_at: MonotonicTime::ZERO,
             heard_news: false,
+            had_drains: false,
             organisation: None,
             seed,
             rule,
@@ -182,6 +185,10 @@
     }
 
     fn leave_drained(&mut self, organisation: &Organisation, now: MonotonicTime, wall: WallTime) {
+        if organisation.drains.is_empty() && !self.had_drains {
+            return;
+        }
+        self.had_drains = !organisation.drains.is_empty();
         for service in &organisation.services {
             let Some(tools) = self.services.get_mut(&service.service) else {
                 continue;
--- a/crates/foxtide-testing/src/scenario/runner.rs
+++ b/crates/foxtide-testing/src/scenario/runner.rs
@@ -299,8 +299,8 @@
                 Some(prefix) => format!("{prefix}: {}", line.text),
                 None => line.text.clone(),
             };
-            let at = self.fleet()?.now;
-            self.commands.push(RecordedCommand { at, line: text });
+            let at_us = self.fleet()?.now;
+            self.commands.push(RecordedCommand { at_us, line: text });
         }
         self.act(&line.command, prefix)
     }
--- a/crates/foxtide-testing/tests/scenarios.rs
+++ b/crates/foxtide-testing/tests/scenarios.rs
@@ -1,7 +1,9 @@
 //! Runs every script below `scenarios/`, and proves that they notice broken
 //! rules.
 
-use foxtide_testing::scenario::{BrokenRule, Promise, ScenarioOptions, ScenarioRunner, Verdict};
+use foxtide_testing::scenario::{
+    BrokenRule, Promise, ScenarioOptions, ScenarioRunner, TraceError, Verdict,
+};
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::thread;
@@ -136,3 +138,23 @@
         assert_eq!(replayed.verdicts(), runner.verdicts(), "{name}");
     }
 }
+
+#[test]
+fn verify_recorded_traces_hold() {
+    let directory = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/traces");
+    for entry in fs::read_dir(directory).unwrap() {
+        let path = entry.unwrap().path();
+        let trace = fs::read_to_string(&path).unwrap();
+        let replayed = ScenarioRunner::replay(&trace, ScenarioOptions::default());
+        assert!(replayed.is_ok(), "{}: {:?}", path.display(), replayed.err());
+    }
+}
+
+#[test]
+fn verify_a_false_outcome_of_a_trace_is_noticed() {
+    let path = "../traces/unlocks_lost_and_owner_killed.jsonl";
+    let trace = fs::read_to_string(script(path)).unwrap();
+    let falsified = trace.replace("\"ends\":\"done\"", "\"ends\":\"not-run\"");
+    let replayed = ScenarioRunner::replay(&falsified, ScenarioOptions::default());
+    assert!(matches!(replayed, Err(TraceError::Ends { .. })));
+}
