Let a full table of keys make room instead of refusing requests

Above 218 keyed requests a second 65,536 keys do not last for five minutes, and new requests were refused. Keys older than a minute now make room first and are refused as unknown from then on, which lasts for 1,092 a second.

--- a/crates/foxtide-config/src/settings/limits.rs
+++ b/crates/foxtide-config/src/settings/limits.rs
@@ -171,7 +171,8 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct KeyLimits {
-    /// How long after it was minted a key may be retried, in seconds.
+    /// How long after it was minted a key may be retried, in seconds; at least
+    /// a minute where more keys come than are kept.
     pub validity_s: u32,
     /// The most keys kept; about 80 bytes each.
     pub kept_max: u32,
--- a/crates/foxtide-core/src/idempotency/options.rs
+++ b/crates/foxtide-core/src/idempotency/options.rs
@@ -10,6 +10,10 @@
     /// How long after it was minted a key may be retried. Default: 5 minutes,
     /// above the longest deadline and a caller's few retries.
     pub validity: Duration,
+    /// How long a key may be retried at least, where the table is full: keys
+    /// older than this make room for new ones, and are refused from then on.
+    /// Default: 1 minute, in which 65,536 keys last for 1,092 requests/s.
+    pub validity_min: Duration,
     /// How far in the future a key's time may lie. Default:
     /// [`CLOCK_SKEW_MAX`]. A caller whose clock is further ahead is refused,
     /// for its keys would stay in the table beyond their validity.
@@ -30,6 +34,7 @@
     fn default() -> Self {
         Self {
             validity: Duration::from_secs(300),
+            validity_min: Duration::from_secs(60),
             clock_skew_max: CLOCK_SKEW_MAX,
             keys_max: 65_536,
             answers_max: ByteSize::from_kib(4 * 1_024),
--- a/crates/foxtide-core/src/idempotency/table.rs
+++ b/crates/foxtide-core/src/idempotency/table.rs
@@ -120,7 +120,7 @@
         fingerprint: Fingerprint,
         now: WallTime,
     ) -> Begin<A> {
-        self.forget_expired(now, FORGOTTEN_PER_BEGIN_MAX);
+        self.forget(now, self.options.validity, FORGOTTEN_PER_BEGIN_MAX);
         if *key.owner() != self.owner {
             return self.begin_of_other(key);
         }
@@ -192,7 +192,7 @@
     /// Forgets keys beyond their validity; to be called about once a second,
     /// so that memory is given back also where no more requests come.
     pub fn tick(&mut self, now: WallTime) {
-        self.forget_expired(now, FORGOTTEN_PER_TICK_MAX);
+        self.forget(now, self.options.validity, FORGOTTEN_PER_TICK_MAX);
     }
 
     /// Returns what the table holds.
@@ -228,7 +228,7 @@
         Some(if same { ended.begin() } else { reused })
     }
 
-    fn refuse_new(&self, key: &IdempotencyKey, now: WallTime) -> Option<Refusal> {
+    fn refuse_new(&mut self, key: &IdempotencyKey, now: WallTime) -> Option<Refusal> {
         let minted_at = key.minted_at();
         let expired = minted_at + self.options.validity < now;
         if expired || key.unique() <= self.forgotten_through {
@@ -238,17 +238,30 @@
         if ahead > Duration::ZERO {
             return Some(Refusal::passing(RefusalReason::KeyFromFuture, ahead));
         }
-        if self.running.len() + self.ended.len() >= self.options.keys_max {
+        if !self.make_room(now) {
             let retry_after = self.room_in(now);
             return Some(Refusal::passing(RefusalReason::TableFull, retry_after));
         }
         None
     }
 
-    /// Returns the time until the oldest key is forgotten.
+    /// Tells whether there is room for a key; where there is none, the oldest
+    /// make room that were kept for the least time.
+    fn make_room(&mut self, now: WallTime) -> bool {
+        if self.is_full() {
+            self.forget(now, self.options.validity_min, FORGOTTEN_PER_BEGIN_MAX);
+        }
+        !self.is_full()
+    }
+
+    fn is_full(&self) -> bool {
+        self.running.len() + self.ended.len() >= self.options.keys_max
+    }
+
+    /// Returns the time until the oldest key makes room.
     fn room_in(&self, now: WallTime) -> Duration {
         let oldest = self.ended.first_key_value();
-        let room_at = oldest.map(|(unique, _)| minted_at(*unique) + self.options.validity);
+        let room_at = oldest.map(|(unique, _)| minted_at(*unique) + self.options.validity_min);
         let room_in = room_at.map_or(Duration::ZERO, |room_at| room_at.since(now));
         room_in.max(self.options.in_progress_retry)
     }
@@ -273,12 +286,14 @@
         true
     }
 
-    fn forget_expired(&mut self, now: WallTime, most: usize) {
+    /// Forgets the oldest keys that were minted more than `age` ago, at most
+    /// `most` of them.
+    fn forget(&mut self, now: WallTime, age: Duration, most: usize) {
         for _ in 0..most {
             let Some(oldest) = self.ended.first_entry() else {
                 return;
             };
-            if minted_at(*oldest.key()) + self.options.validity >= now {
+            if minted_at(*oldest.key()) + age >= now {
                 return;
             }
             let (unique, ended) = oldest.remove_entry();
