Tell what changes at services, members and zones as events

Most of what an operator asks the time line for was never recorded: shifts, spilling, refusing, lost upstreams, lost zones. A configuration's event names who changed what.

--- a/crates/foxtide-core/src/events/code.rs
+++ b/crates/foxtide-core/src/events/code.rs
@@ -134,11 +134,11 @@
 
     3001 MemberJoined "member-joined" Info "An instance joined the members."
     3002 MemberSuspected "member-suspected" Warn "A member did not answer probes and is suspected to have failed."
-    3003 MemberRefuted "member-refuted" Info "A suspected member proved to be alive."
+    3003 MemberRefuted "member-refuted" Info "A member that was suspected or taken for dead proved to be alive."
     3004 MemberFailed "member-failed" Warn "A suspected member did not refute in time and is taken for dead."
     3005 MemberLeaving "member-leaving" Info "A member announced a planned stop."
     3006 MemberLeft "member-left" Info "A member ended its planned stop."
-    3007 MemberReplaced "member-replaced" Info "A member's name came back with a newer incarnation."
+    3007 MemberReplaced "member-replaced" Info "A member's name came back with another process."
     3008 PeerConnected "peer-connected" Debug "A connection to a peer was opened."
     3009 PeerDisconnected "peer-disconnected" Debug "A connection to a peer ended."
     3010 PeerMessageRejected "peer-message-rejected" Warn "A message of a peer could not be read and was dropped."
--- /dev/null
+++ b/crates/foxtide-core/src/explain/changes.rs
@@ -0,0 +1,193 @@
+//! What changes at a service, as events, told from its views and decisions.
+//!
+//! Single requests are no events that an operator wants to read; that spilling
+//! began, and that it ended after so many requests, is.
+
+use super::episodes::Episodes;
+use super::{Candidate, CandidateName, Decision, FigureKind, View};
+use crate::events::{EventCode, EventFields};
+use crate::ids::{OrganisationId, RegionId, ServiceId};
+use crate::time::WallTime;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The least by which a region's weight must have moved to be told again.
+const WEIGHT_STEP: f32 = 0.05;
+
+/// Weights that differ by less are the same.
+const WEIGHT_PRECISION: f32 = 0.001;
+
+/// How many changes wait to be taken; later ones are dropped.
+const PENDING_MAX: usize = 256;
+
+/// A change at a service, as an event.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceChange {
+    /// What happened.
+    pub code: EventCode,
+    /// What it is about.
+    pub fields: EventFields,
+}
+
+/// Tells what changes at all services of an instance.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ServiceChanges {
+    services: BTreeMap<(OrganisationId, ServiceId), Service>,
+    pending: Vec<ServiceChange>,
+}
+
+/// What was told of one service.
+#[derive(Clone, Debug, Default)]
+struct Service {
+    weights: BTreeMap<RegionId, f32>,
+    without_upstreams: BTreeSet<RegionId>,
+    is_empty: bool,
+    episodes: Episodes,
+}
+
+impl ServiceChanges {
+    /// Compares a view with what was told of its service.
+    pub(super) fn view(&mut self, view: &View) {
+        let key = (view.organisation.clone(), view.service.clone());
+        let service = self.services.entry(key).or_default();
+        let mut told = service.compare_upstreams(&view.candidates);
+        told.extend(service.compare_weights(&view.candidates));
+        self.tell(&view.organisation, &view.service, told);
+    }
+
+    /// Counts a decision that did not go as planned.
+    pub(super) fn note(&mut self, decision: &Decision, view: &View) {
+        let key = (view.organisation.clone(), view.service.clone());
+        let service = self.services.entry(key).or_default();
+        let begun = service.episodes.note(decision);
+        self.tell(&view.organisation, &view.service, begun);
+    }
+
+    /// Returns what changed since the last call.
+    pub(super) fn take(&mut self, now: WallTime) -> Vec<ServiceChange> {
+        let mut ended = Vec::new();
+        for ((organisation, id), service) in &mut self.services {
+            let changes = service.episodes.end(now);
+            ended.push((organisation.clone(), id.clone(), changes));
+        }
+        for (organisation, service, changes) in ended {
+            self.tell(&organisation, &service, changes);
+        }
+        std::mem::take(&mut self.pending)
+    }
+
+    fn tell(
+        &mut self,
+        organisation: &OrganisationId,
+        service: &ServiceId,
+        changes: Vec<ServiceChange>,
+    ) {
+        for mut change in changes {
+            change.fields.organisation = Some(organisation.clone());
+            change.fields.service = Some(service.clone());
+            if self.pending.len() < PENDING_MAX {
+                self.pending.push(change);
+            }
+        }
+    }
+}
+
+impl Service {
+    /// Tells regions, and the service, that lost their last usable upstream or
+    /// have one again.
+    fn compare_upstreams(&mut self, candidates: &[Candidate]) -> Vec<ServiceChange> {
+        let usable = usable_regions(candidates);
+        let without: BTreeSet<RegionId> = usable
+            .iter()
+            .filter(|(_, usable)| !**usable)
+            .map(|(region, _)| region.clone())
+            .collect();
+        let is_empty = !usable.is_empty() && without.len() == usable.len();
+        let failed = without.difference(&self.without_upstreams);
+        let mut told: Vec<_> = failed
+            .map(|r| of_region(EventCode::RegionFailed, r))
+            .collect();
+        let recovered = self.without_upstreams.difference(&without);
+        told.extend(recovered.map(|r| of_region(EventCode::RegionRecovered, r)));
+        if is_empty != self.is_empty {
+            let code = if is_empty {
+                EventCode::ServiceEmpty
+            } else {
+                EventCode::ServiceUsable
+            };
+            let fields = EventFields::default();
+            told.push(ServiceChange { code, fields });
+        }
+        self.without_upstreams = without;
+        self.is_empty = is_empty;
+        told
+    }
+
+    /// Tells weights that moved by a step, or that came to rest.
+    fn compare_weights(&mut self, candidates: &[Candidate]) -> Option<ServiceChange> {
+        let weights = figures(candidates, FigureKind::WeightShare);
+        let planned = figures(candidates, FigureKind::PlannedShare);
+        if weights.is_empty() {
+            return None;
+        }
+        if self.weights.is_empty() {
+            self.weights = weights;
+            return None;
+        }
+        let moved = largest_difference(&weights, &self.weights);
+        let resting = largest_difference(&weights, &planned) < WEIGHT_PRECISION;
+        if moved < WEIGHT_STEP && !(resting && moved >= WEIGHT_PRECISION) {
+            return None;
+        }
+        let shares = weights
+            .iter()
+            .map(|(region, share)| format!("{region}={share:.3}"));
+        let detail =
+            shares.collect::<Vec<_>>().join(" ") + if resting { " as planned" } else { "" };
+        self.weights = weights;
+        Some(ServiceChange {
+            code: EventCode::WeightsShifted,
+            fields: EventFields::detail(detail),
+        })
+    }
+}
+
+/// Returns for each region whether it has an upstream that is not excluded.
+fn usable_regions(candidates: &[Candidate]) -> BTreeMap<RegionId, bool> {
+    let mut usable = BTreeMap::new();
+    for candidate in candidates {
+        let is_upstream = matches!(candidate.name, CandidateName::Upstream(_));
+        if let Some(region) = candidate.region.as_ref().filter(|_| is_upstream) {
+            *usable.entry(region.clone()).or_insert(false) |= candidate.excluded.is_none();
+        }
+    }
+    usable
+}
+
+/// Returns a figure of all regions that have it.
+fn figures(candidates: &[Candidate], kind: FigureKind) -> BTreeMap<RegionId, f32> {
+    let figure = |candidate: &Candidate| {
+        let CandidateName::Region(region) = &candidate.name else {
+            return None;
+        };
+        let found = candidate.figures.iter().find(|figure| figure.kind == kind);
+        found.map(|figure| (region.clone(), figure.value))
+    };
+    candidates.iter().filter_map(figure).collect()
+}
+
+fn largest_difference(one: &BTreeMap<RegionId, f32>, other: &BTreeMap<RegionId, f32>) -> f32 {
+    let regions: BTreeSet<&RegionId> = one.keys().chain(other.keys()).collect();
+    let share = |of: &BTreeMap<RegionId, f32>, region| of.get(region).copied().unwrap_or(0.0);
+    let differences = regions
+        .into_iter()
+        .map(|r| (share(one, r) - share(other, r)).abs());
+    differences.fold(0.0, f32::max)
+}
+
+fn of_region(code: EventCode, region: &RegionId) -> ServiceChange {
+    let fields = EventFields {
+        region: Some(region.clone()),
+        ..EventFields::default()
+    };
+    ServiceChange { code, fields }
+}
--- a/crates/foxtide-core/src/explain/log.rs
+++ b/crates/foxtide-core/src/explain/log.rs
@@ -1,5 +1,6 @@
 //! The bounded memory of decisions and of the views they rest on.
 
+use super::changes::{ServiceChange, ServiceChanges};
 use super::decision::hash;
 use super::{Attempt, Decision, DecisionKind, Rule, View, ViewId};
 use crate::events::RequestId;
@@ -98,6 +99,7 @@
     unusual: VecDeque<Decision>,
     views: VecDeque<Arc<View>>,
     published: u32,
+    changes: ServiceChanges,
 }
 
 impl ExplainLog {
@@ -124,6 +126,7 @@
 
     /// Keeps a view; returns the number that decisions name it by.
     pub fn publish(&mut self, view: View) -> ViewId {
+        self.changes.view(&view);
         self.published = self.published.wrapping_add(1);
         push_bounded(&mut self.views, Arc::new(view), self.options.views);
         ViewId(self.published)
@@ -132,12 +135,21 @@
     /// Keeps a decision.
     pub fn note(&mut self, decision: Decision) {
         if decision.is_unusual() {
+            if let Some(view) = self.find_view(decision.view).cloned() {
+                self.changes.note(&decision, &view);
+            }
             push_bounded(&mut self.unusual, decision, self.options.unusual);
         } else {
             push_bounded(&mut self.usual, decision, self.options.usual);
         }
     }
 
+    /// Returns what changed at the services since the last call, as events to
+    /// record.
+    pub fn changes(&mut self, now: WallTime) -> Vec<ServiceChange> {
+        self.changes.take(now)
+    }
+
     /// Explains the decisions that are asked for, the latest first.
     pub fn select(&self, filter: &ExplainFilter) -> Vec<Explanation> {
         let limit = filter.limit.unwrap_or(usize::MAX);
--- a/crates/foxtide-core/src/explain/mod.rs
+++ b/crates/foxtide-core/src/explain/mod.rs
@@ -13,15 +13,19 @@
 //!    [`ExplainLog::publish`].
 //! 2. At a decision: [`Decision::new`], then [`Decision::attempt`] for each
 //!    attempt and its result; at the end [`ExplainLog::note`].
-//! 3. On `/v1/explain`: [`ExplainLog::select`].
+//! 3. Once a second: records what [`ExplainLog::changes`] returns.
+//! 4. On `/v1/explain`: [`ExplainLog::select`].
 //!
 //! `foxtide_events::Explainer` is the thread-safe form.
 
+mod changes;
 mod decision;
+mod episodes;
 mod log;
 mod rule;
 mod view;
 
+pub use changes::ServiceChange;
 pub use decision::{ATTEMPTS_MAX, Attempt, AttemptResult, Decision, DecisionKind};
 pub use log::{ExplainFilter, ExplainLog, ExplainOptions, Explanation};
 pub use rule::Rule;
--- a/crates/foxtide-core/src/explain/view.rs
+++ b/crates/foxtide-core/src/explain/view.rs
@@ -46,6 +46,9 @@
 pub struct Candidate {
     /// Its name.
     pub name: CandidateName,
+    /// The region in which an upstream or instance stands.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub region: Option<RegionId>,
     /// Why it gets nothing at present.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub excluded: Option<Exclusion>,
--- a/crates/foxtide-core/tests/explain.rs
+++ b/crates/foxtide-core/tests/explain.rs
@@ -1,6 +1,6 @@
 //! Why a look-up or request went where it did.
 
-use foxtide_core::events::RequestId;
+use foxtide_core::events::{EventCode, RequestId};
 use foxtide_core::explain::{
     AttemptResult, Candidate, CandidateName, Decision, DecisionKind, Exclusion, ExplainFilter,
     ExplainLog, ExplainOptions, Explanation, Figure, FigureKind, Rule, View, ViewId,
@@ -10,6 +10,7 @@
 fn view(taken_us: WallTime) -> View {
     let erongo = Candidate {
         name: CandidateName::Region("erongo".parse().unwrap()),
+        region: None,
         excluded: Some(Exclusion::Draining),
         figures: vec![Figure {
             kind: FigureKind::WeightShare,
@@ -148,3 +149,94 @@
     assert!(log.size_bytes() < 4 << 20, "{}", log.size_bytes());
     assert!(std::mem::size_of::<Decision>() <= 128);
 }
+
+fn upstream(name: &str, region: &str, excluded: Option<Exclusion>) -> Candidate {
+    Candidate {
+        name: CandidateName::Upstream(name.parse().unwrap()),
+        region: Some(region.parse().unwrap()),
+        excluded,
+        figures: Vec::new(),
+    }
+}
+
+fn weight(region: &str, now: f32, planned: f32) -> Candidate {
+    let figure = |kind, value| Figure {
+        kind,
+        value,
+        age_ms: 0,
+    };
+    Candidate {
+        name: CandidateName::Region(region.parse().unwrap()),
+        region: None,
+        excluded: None,
+        figures: vec![
+            figure(FigureKind::WeightShare, now),
+            figure(FigureKind::PlannedShare, planned),
+        ],
+    }
+}
+
+/// Publishes a view of these candidates; returns what changed.
+fn codes_after(log: &mut ExplainLog, candidates: Vec<Candidate>) -> Vec<EventCode> {
+    log.publish(View {
+        candidates,
+        ..view(WallTime::ZERO)
+    });
+    let changes = log.changes(WallTime::ZERO);
+    changes.into_iter().map(|change| change.code).collect()
+}
+
+#[test]
+fn verify_lost_upstreams_become_events() {
+    let mut log = small_log();
+    let ejected = Some(Exclusion::Ejected);
+    let both = |one, other| {
+        vec![
+            upstream("v-1", "khomas", one),
+            upstream("v-2", "oshana", other),
+        ]
+    };
+    assert_eq!(codes_after(&mut log, both(None, None)), []);
+    let failed = codes_after(&mut log, both(ejected, None));
+    assert_eq!(failed, [EventCode::RegionFailed]);
+    let empty = codes_after(&mut log, both(ejected, ejected));
+    assert_eq!(empty, [EventCode::RegionFailed, EventCode::ServiceEmpty]);
+    let back = codes_after(&mut log, both(ejected, None));
+    assert_eq!(back, [EventCode::RegionRecovered, EventCode::ServiceUsable]);
+    assert_eq!(codes_after(&mut log, both(ejected, None)), []);
+}
+
+#[test]
+fn verify_shifts_are_told_in_steps_and_at_rest() {
+    let mut log = small_log();
+    let mut told = Vec::new();
+    for percent in 0..=20u8 {
+        let share = f32::from(percent) / 100.0;
+        let row = vec![
+            weight("khomas", 1.0 - share, 0.8),
+            weight("oshana", share, 0.2),
+        ];
+        let count = codes_after(&mut log, row).len();
+        told.extend(std::iter::repeat_n(percent, count));
+    }
+    assert_eq!(told, [5, 10, 15, 20]);
+    let rest = vec![weight("khomas", 0.8, 0.8), weight("oshana", 0.2, 0.2)];
+    assert_eq!(codes_after(&mut log, rest), []);
+}
+
+#[test]
+fn verify_spilling_is_told_once_and_ends() {
+    let mut log = small_log();
+    let id = log.publish(view(WallTime::ZERO));
+    for at_ms in 1_000..1_100 {
+        log.note(decision(Rule::Spilled, id, at_ms, "r-1"));
+    }
+    let begun = log.changes(WallTime::from_ms(2_000));
+    assert_eq!(begun.len(), 1);
+    assert_eq!(begun[0].code, EventCode::SpillStarted);
+    assert!(log.changes(WallTime::from_ms(11_000)).is_empty());
+    let ended = log.changes(WallTime::from_ms(12_000));
+    assert_eq!(ended[0].code, EventCode::SpillStopped);
+    assert_eq!(ended[0].fields.detail, "requests=100");
+    assert_eq!(ended[0].fields.service, Some("viewer".parse().unwrap()));
+}
--- a/crates/foxtide-entry/src/traffic/view.rs
+++ b/crates/foxtide-entry/src/traffic/view.rs
@@ -35,8 +35,8 @@
         wall: WallTime,
     ) -> View {
         let mut candidates = self.region_candidates(service);
-        for region in service.regions().values() {
-            region.with_balancer(|balancer| candidates.extend(upstreams(balancer, now)));
+        for (id, region) in service.regions().iter() {
+            region.with_balancer(|balancer| candidates.extend(upstreams(balancer, id, now)));
         }
         View {
             organisation: organisation.organisation.clone(),
@@ -53,6 +53,7 @@
             let wanted = steering.wanted_row(service.id()).unwrap_or_default();
             let candidate = |(region, share): (&RegionId, f64)| Candidate {
                 name: CandidateName::Region(region.clone()),
+                region: None,
                 excluded: (share <= 0.0).then_some(Exclusion::NoWeight),
                 figures: vec![
                     figure(FigureKind::WeightShare, share),
@@ -74,9 +75,10 @@
     }
 }
 
-fn upstreams(balancer: &Balancer, now: MonotonicTime) -> Vec<Candidate> {
+fn upstreams(balancer: &Balancer, region: &RegionId, now: MonotonicTime) -> Vec<Candidate> {
     let candidate = |(upstream, status): (&foxtide_core::organisation::Upstream, _)| Candidate {
         name: CandidateName::Upstream(upstream.upstream.clone()),
+        region: Some(region.clone()),
         excluded: exclusion(status),
         figures: vec![figure(FigureKind::Slots, f64::from(upstream.slots))],
     };
--- a/crates/foxtide-events/src/explainer.rs
+++ b/crates/foxtide-events/src/explainer.rs
@@ -4,7 +4,7 @@
 //! with another.
 
 use foxtide_core::explain::{
-    Decision, ExplainFilter, ExplainLog, ExplainOptions, Explanation, View, ViewId,
+    Decision, ExplainFilter, ExplainLog, ExplainOptions, Explanation, ServiceChange, View, ViewId,
 };
 use foxtide_core::ids::{OrganisationId, ServiceId};
 use foxtide_core::time::WallTime;
@@ -48,6 +48,12 @@
         self.log.lock().note(decision);
     }
 
+    /// Returns what changed at the services since the last call, as events to
+    /// record.
+    pub fn changes(&self, now: WallTime) -> Vec<ServiceChange> {
+        self.log.lock().changes(now)
+    }
+
     /// Explains the decisions that are asked for, the latest first.
     pub fn select(&self, filter: &ExplainFilter) -> Vec<Explanation> {
         self.log.lock().select(filter)
--- a/crates/foxtide/examples/measure/explain.rs
+++ b/crates/foxtide/examples/measure/explain.rs
@@ -84,6 +84,7 @@
     ];
     let candidate = |number: usize| Candidate {
         name: CandidateName::Upstream(format!("viewer-{number}").parse().expect("a name")),
+        region: None,
         excluded: None,
         figures: figures
             .iter()
--- a/crates/foxtide/src/configuration.rs
+++ b/crates/foxtide/src/configuration.rs
@@ -167,7 +167,7 @@
     }
 
     fn put_in_force(&self, organisation: Arc<Organisation>) {
-        let detail = format!("{} {}", organisation.revision, organisation.change_id);
+        let detail = describe(&organisation);
         let fields = EventFields {
             organisation: Some(organisation.organisation.clone()),
             ..EventFields::detail(detail)
@@ -179,6 +179,15 @@
     }
 }
 
+/// Returns what a document's latest change was, and whose.
+fn describe(organisation: &Organisation) -> String {
+    let mut text = format!("{} {}", organisation.revision, organisation.change_id);
+    if let Some(latest) = organisation.history.last() {
+        text += &format!(" {}: {}", latest.author, latest.summary);
+    }
+    text
+}
+
 /// Runs two tasks that end only with the process.
 async fn both(first: impl Future<Output = ()>, second: impl Future<Output = ()>) {
     smol::future::zip(first, second).await;
--- a/crates/foxtide/src/copies.rs
+++ b/crates/foxtide/src/copies.rs
@@ -1,11 +1,10 @@
 //! Copies of the time line at peers, over the mesh's calls.
 
-use crate::member_events::MemberEvents;
 use foxtide_core::events::backup::{BackupPeer, Parcel};
 use foxtide_core::events::{EventCopies, EventCopiesAck};
 use foxtide_core::membership::Member;
 use foxtide_entry::{Clock, SystemClock};
-use foxtide_events::{Recorder, TimeLine};
+use foxtide_events::TimeLine;
 use foxtide_mesh::{IncomingCall, MeshHandle};
 use prost::Message;
 use smol::Timer;
@@ -29,23 +28,16 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Copies {
     pub(crate) time_line: TimeLine,
-    pub(crate) recorder: Recorder,
     pub(crate) mesh: MeshHandle,
     pub(crate) clock: SystemClock,
 }
 
 impl Copies {
-    /// Records what becomes of members and copies events, for good.
+    /// Copies events for good.
     pub(crate) async fn send(self) {
-        let mut member_events = MemberEvents::default();
         loop {
             Timer::after(COPY_INTERVAL).await;
             let members = self.mesh.members();
-            if self.mesh.synchronised() {
-                for event in member_events.look(&members) {
-                    self.recorder.record(event.code, event.fields);
-                }
-            }
             let running = members.iter().filter(|member| member.state.is_usable());
             let peers: Vec<BackupPeer> = running.map(peer).collect();
             self.time_line.set_members(&peers);
--- a/crates/foxtide/src/lib.rs
+++ b/crates/foxtide/src/lib.rs
@@ -7,6 +7,7 @@
 mod copies;
 mod member_events;
 pub mod node;
+mod observer;
 mod pages;
 pub mod signals;
 pub mod tables;
--- a/crates/foxtide/src/member_events.rs
+++ b/crates/foxtide/src/member_events.rs
@@ -1,17 +1,33 @@
 //! Events about members, from what the mesh believes of them.
 
 use foxtide_core::events::{EventCode, EventFields};
-use foxtide_core::ids::InstanceId;
+use foxtide_core::idempotency::ProcessNumber;
+use foxtide_core::ids::{AvailabilityZoneId, InstanceId, RegionId};
 use foxtide_core::membership::{Member, MemberState};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Tells what changed between two looks at the members.
 #[derive(Debug, Default)]
 pub(crate) struct MemberEvents {
-    seen: Option<BTreeMap<InstanceId, MemberState>>,
+    seen: Option<Seen>,
 }
 
-/// An event about one member.
+/// What one look showed.
+#[derive(Debug)]
+struct Seen {
+    members: BTreeMap<InstanceId, Known>,
+    lost_zones: BTreeSet<AvailabilityZoneId>,
+    lost_regions: BTreeSet<RegionId>,
+}
+
+/// What one look showed of a member.
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    state: MemberState,
+    process: ProcessNumber,
+}
+
+/// An event about a member, an availability zone or a region.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) struct MemberEvent {
     pub(crate) code: EventCode,
@@ -22,25 +38,92 @@
     /// Returns what changed since the last look; nothing at the first one, at
     /// which a starting instance hears of all members at once.
     pub(crate) fn look(&mut self, members: &[Member]) -> Vec<MemberEvent> {
-        let states = members.iter().map(|m| (m.instance.clone(), m.state));
-        let states: BTreeMap<_, _> = states.collect();
-        let Some(before) = self.seen.replace(states) else {
+        let seen = Seen::new(members);
+        let Some(before) = &self.seen else {
+            self.seen = Some(seen);
             return Vec::new();
         };
+        let mut events = seen.changed_members(before, members);
+        events.extend(seen.changed_zones(before));
+        events.extend(seen.changed_regions(before));
+        self.seen = Some(seen);
+        events
+    }
+}
+
+impl Seen {
+    fn new(members: &[Member]) -> Self {
+        let known = members.iter().map(|m| (m.instance.clone(), known(m)));
+        Self {
+            members: known.collect(),
+            lost_zones: lost(members, |member| &member.availability_zone),
+            lost_regions: lost(members, |member| &member.region),
+        }
+    }
+
+    fn changed_members(&self, before: &Self, members: &[Member]) -> Vec<MemberEvent> {
         let changed = members.iter().filter_map(|member| {
-            let code = code_of(before.get(&member.instance).copied(), member.state)?;
-            Some(event(code, member))
+            let was = before.members.get(&member.instance).copied();
+            let code = code_of(was, known(member))?;
+            Some(member_event(code, member))
         });
         changed.collect()
     }
+
+    fn changed_zones(&self, before: &Self) -> Vec<MemberEvent> {
+        let (new, old) = (&self.lost_zones, &before.lost_zones);
+        let event = |code, zone: &AvailabilityZoneId| MemberEvent {
+            code,
+            fields: EventFields::detail(format!("zone={zone}")),
+        };
+        let lost = new.difference(old);
+        let lost = lost.map(|zone| event(EventCode::ZoneUnreachable, zone));
+        let found = old.difference(new);
+        let found = found.map(|zone| event(EventCode::ZoneReachable, zone));
+        lost.chain(found).collect()
+    }
+
+    fn changed_regions(&self, before: &Self) -> Vec<MemberEvent> {
+        let (new, old) = (&self.lost_regions, &before.lost_regions);
+        let event = |code, region: &RegionId| MemberEvent {
+            code,
+            fields: EventFields {
+                region: Some(region.clone()),
+                ..EventFields::default()
+            },
+        };
+        let lost = new.difference(old);
+        let lost = lost.map(|region| event(EventCode::RegionUnreachable, region));
+        let found = old.difference(new);
+        let found = found.map(|region| event(EventCode::RegionReachable, region));
+        lost.chain(found).collect()
+    }
+}
+
+/// Returns the places all of whose members are dead.
+fn lost<P: Ord + Clone>(members: &[Member], place: impl Fn(&Member) -> &P) -> BTreeSet<P> {
+    let running = members.iter().filter(|member| member.state.is_running());
+    let running: BTreeSet<&P> = running.map(&place).collect();
+    let places = members.iter().map(&place);
+    places.filter(|it| !running.contains(it)).cloned().collect()
 }
 
-fn code_of(before: Option<MemberState>, now: MemberState) -> Option<EventCode> {
+fn known(member: &Member) -> Known {
+    Known {
+        state: member.state,
+        process: member.process,
+    }
+}
+
+fn code_of(before: Option<Known>, now: Known) -> Option<EventCode> {
     use MemberState::{Alive, Dead, Leaving, Suspect};
-    match (before, now) {
+    let same_process = before.is_none_or(|before| before.process == now.process);
+    if !same_process && now.state.is_usable() {
+        return Some(EventCode::MemberReplaced);
+    }
+    match (before.map(|before| before.state), now.state) {
         (None, Alive) => Some(EventCode::MemberJoined),
-        (Some(Suspect), Alive) => Some(EventCode::MemberRefuted),
-        (Some(Leaving | Dead), Alive) => Some(EventCode::MemberReplaced),
+        (Some(Suspect | Dead), Alive) => Some(EventCode::MemberRefuted),
         (Some(Alive), Suspect) => Some(EventCode::MemberSuspected),
         (Some(Alive | Suspect), Leaving) => Some(EventCode::MemberLeaving),
         (Some(Alive | Suspect), Dead) => Some(EventCode::MemberFailed),
@@ -49,7 +132,7 @@
     }
 }
 
-fn event(code: EventCode, member: &Member) -> MemberEvent {
+fn member_event(code: EventCode, member: &Member) -> MemberEvent {
     let fields = EventFields {
         region: Some(member.region.clone()),
         peer: Some(member.instance.clone()),
@@ -67,18 +150,18 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use foxtide_core::idempotency::ProcessNumber;
     use foxtide_core::membership::Incarnation;
 
     fn member(name: &str, state: MemberState) -> Member {
+        let region = name.split('-').next().unwrap();
         Member {
             instance: name.parse().unwrap(),
-            region: "khomas".parse().unwrap(),
-            availability_zone: "khomas-a".parse().unwrap(),
+            region: region.parse().unwrap(),
+            availability_zone: format!("{region}-a").parse().unwrap(),
             peer_address: ([127, 0, 0, 1], 1).into(),
             caller_address: ([127, 0, 0, 1], 2).into(),
-            process: ProcessNumber::new(1),
             incarnation: Incarnation::new(7),
+            process: ProcessNumber::new(1),
             state,
         }
     }
@@ -91,16 +174,46 @@
     fn verify_changes_become_events() {
         use MemberState::{Alive, Dead, Leaving, Suspect};
         let mut events = MemberEvents::default();
-        assert!(events.look(&[member("k-1", Alive)]).is_empty());
-        let both = |one, other| [member("k-1", one), member("k-2", other)];
-        let joined = events.look(&both(Alive, Alive));
-        assert_eq!(codes(joined), [EventCode::MemberJoined]);
-        let changed = events.look(&both(Suspect, Leaving));
+        let three = |one, two| {
+            let steady = member("khomas-3", Alive);
+            [member("khomas-1", one), member("khomas-2", two), steady]
+        };
+        assert!(events.look(&three(Alive, Alive)[..1]).is_empty());
+        let joined = codes(events.look(&three(Alive, Alive)));
+        assert_eq!(joined, [EventCode::MemberJoined; 2]);
+        let changed = codes(events.look(&three(Suspect, Leaving)));
         let expected = [EventCode::MemberSuspected, EventCode::MemberLeaving];
-        assert_eq!(codes(changed), expected);
-        let ended = events.look(&both(Dead, Dead));
+        assert_eq!(changed, expected);
+        let ended = codes(events.look(&three(Dead, Dead)));
         let expected = [EventCode::MemberFailed, EventCode::MemberLeft];
-        assert_eq!(codes(ended), expected);
-        assert!(events.look(&both(Dead, Dead)).is_empty());
+        assert_eq!(ended, expected);
+        assert!(events.look(&three(Dead, Dead)).is_empty());
+        let mut replaced = three(Dead, Alive);
+        replaced[1].process = ProcessNumber::new(2);
+        let back = codes(events.look(&replaced));
+        assert_eq!(back, [EventCode::MemberReplaced]);
+    }
+
+    #[test]
+    fn verify_a_lost_region_is_told_once_and_so_is_its_return() {
+        use MemberState::{Alive, Dead};
+        let mut events = MemberEvents::default();
+        let both = |state| [member("khomas-1", Alive), member("oshana-1", state)];
+        events.look(&both(Alive));
+        let lost = codes(events.look(&both(Dead)));
+        let expected = [
+            EventCode::MemberFailed,
+            EventCode::ZoneUnreachable,
+            EventCode::RegionUnreachable,
+        ];
+        assert_eq!(lost, expected);
+        assert!(events.look(&both(Dead)).is_empty());
+        let back = codes(events.look(&both(Alive)));
+        let expected = [
+            EventCode::MemberRefuted,
+            EventCode::ZoneReachable,
+            EventCode::RegionReachable,
+        ];
+        assert_eq!(back, expected);
     }
 }
--- a/crates/foxtide/src/node.rs
+++ b/crates/foxtide/src/node.rs
@@ -3,6 +3,7 @@
 use crate::client_blocks::{BlocksFollower, BlocksInForce};
 use crate::configuration::Configurations;
 use crate::copies::Copies;
+use crate::observer::Observer;
 use crate::pages::Pages;
 use crate::tables::Tables;
 use crate::telemetry;
@@ -163,7 +164,7 @@
             pages: Pages {
                 tables: Arc::clone(&tables),
                 time_line: time_line.clone(),
-                explainer,
+                explainer: explainer.clone(),
                 metrics: telemetry::start_metrics(),
                 ready: Arc::clone(&ready),
             },
@@ -194,13 +195,19 @@
         };
         let copies = Copies {
             time_line,
+            mesh: mesh.clone(),
+            clock,
+        };
+        let observer = Observer {
             recorder: recorder.clone(),
+            explainer: explainer.clone(),
             mesh: mesh.clone(),
             clock,
         };
         let tasks = vec![
             workers.spawn(copies.clone().send()),
             workers.spawn(copies.receive()),
+            workers.spawn(observer.run()),
             workers.spawn(blocks_follower.run()),
             workers.spawn(follower.run()),
             workers.spawn(configurations.run()),
