Keep claims counted while the tree over which load is summed changes

A new root now holds the claims of the sum before it for the claims' holding time, and any change of the tree for three rounds. Fetches whose sources all fail are given up.

--- a/crates/foxtide-core/src/limits/claim.rs
+++ b/crates/foxtide-core/src/limits/claim.rs
@@ -35,6 +35,16 @@
         }
     }
 
+    /// Returns what is at least either of two claims.
+    pub fn most(self, other: Self) -> Self {
+        let planned = self.planned_rps.get().max(other.planned_rps.get());
+        let spilled = self.spilled_rps.get().max(other.spilled_rps.get());
+        Self {
+            planned_rps: RequestRate::clamped(planned),
+            spilled_rps: RequestRate::clamped(spilled),
+        }
+    }
+
     fn least(self, other: Self) -> Self {
         let planned = self.planned_rps.get().min(other.planned_rps.get());
         let spilled = self.spilled_rps.get().min(other.spilled_rps.get());
--- a/crates/foxtide-core/src/spreading/fetch.rs
+++ b/crates/foxtide-core/src/spreading/fetch.rs
@@ -16,6 +16,9 @@
 pub struct FetchOptions {
     /// Wait after a failure for another announcement. Default 100 ms.
     pub retry_after: Duration,
+    /// How often each source is asked; after that the document is wanted again
+    /// when a peer announces it or compares digests. Default 3.
+    pub attempts_per_source: usize,
     /// Sources remembered of one revision. Default 8.
     pub sources_max: usize,
 }
@@ -24,6 +27,7 @@
     fn default() -> Self {
         Self {
             retry_after: Duration::from_millis(100),
+            attempts_per_source: 3,
             sources_max: 8,
         }
     }
@@ -102,10 +106,17 @@
 
     /// Notes that a fetch failed.
     pub fn failed(&mut self, fetch: &Fetch, now: MonotonicTime) {
-        let wanted = self.wanted.get_mut(&fetch.announcement.organisation);
-        if let Some(wanted) = wanted.filter(|held| held.revision == fetch.announcement.revision) {
-            wanted.under_way = false;
-            wanted.retry_at = now + self.options.retry_after;
+        let organisation = &fetch.announcement.organisation;
+        let Some(wanted) = self.wanted.get_mut(organisation) else {
+            return;
+        };
+        if wanted.revision != fetch.announcement.revision {
+            return;
+        }
+        wanted.under_way = false;
+        wanted.retry_at = now + self.options.retry_after;
+        if wanted.next >= wanted.sources.len() * self.options.attempts_per_source {
+            self.wanted.remove(organisation);
         }
     }
 
--- a/crates/foxtide-core/src/spreading/load/record.rs
+++ b/crates/foxtide-core/src/spreading/load/record.rs
@@ -71,6 +71,14 @@
         self.sum.merge(&other.sum);
     }
 
+    /// Raises the claims to at least those of another record.
+    pub(super) fn raise_claims(&mut self, other: &Self) {
+        for (region, claim) in &other.sum.claims {
+            let own = self.sum.claims.entry(region.clone()).or_default();
+            *own = own.most(*claim);
+        }
+    }
+
     /// Takes back that its instances were heard; their claims still count.
     pub(super) fn make_silent(&mut self) {
         self.sum.make_silent();
--- a/crates/foxtide-core/src/spreading/load/spreader.rs
+++ b/crates/foxtide-core/src/spreading/load/spreader.rs
@@ -15,6 +15,9 @@
 /// kept: by then the new parent's sum has arrived.
 const MOVED_INTERVALS: u32 = 2;
 
+/// Intervals after a change of the tree in which a region's claims do not fall.
+const CHANGED_INTERVALS: u32 = 3;
+
 /// Records that travel together.
 #[derive(Clone, Debug, PartialEq)]
 pub enum LoadMessage {
@@ -60,6 +63,7 @@
     children: BTreeMap<InstanceId, ChildSum>,
     place: Place,
     place_version: Option<u64>,
+    hold_until: WallTime,
     summed_at: WallTime,
     told_at: WallTime,
 }
@@ -75,6 +79,7 @@
             children: BTreeMap::new(),
             place: Place::default(),
             place_version: None,
+            hold_until: WallTime::ZERO,
             summed_at: WallTime::ZERO,
             told_at: WallTime::ZERO,
         }
@@ -88,11 +93,28 @@
     }
 
     /// Takes the members in; `version` changes whenever they do.
-    pub fn observe<'a>(&mut self, members: impl Iterator<Item = &'a Member>, version: u64) {
-        if self.place_version != Some(version) {
-            self.place = Place::new(&self.own, members, self.options.fan_out);
-            self.place_version = Some(version);
+    pub fn observe<'a>(
+        &mut self,
+        members: impl Iterator<Item = &'a Member>,
+        version: u64,
+        now: WallTime,
+    ) {
+        if self.place_version == Some(version) {
+            return;
         }
+        self.place_version = Some(version);
+        let place = Place::new(&self.own, members, self.options.fan_out);
+        if place == self.place {
+            return;
+        }
+        let is_new_root = place.is_root() && !self.place.is_root();
+        let hold = if is_new_root {
+            self.options.view.claim_hold
+        } else {
+            self.interval() * CHANGED_INTERVALS
+        };
+        self.hold_until = self.hold_until.max(now + hold);
+        self.place = place;
     }
 
     /// Returns the time between two rounds.
@@ -114,8 +136,7 @@
             self.summed_at = now;
             self.send_sum(now, &mut sends);
         }
-        let is_root = self.place.parent.is_none();
-        if is_root && self.is_due(self.told_at, told_phase, now) {
+        if self.place.is_root() && self.is_due(self.told_at, told_phase, now) {
             self.told_at = now;
             let table = self.table.values().cloned().collect();
             self.tell_children(&LoadMessage::Table(table), &mut sends);
@@ -143,7 +164,7 @@
             LoadMessage::Table(records) => {
                 let newer = self.take_newer(records, now);
                 // Roots wait for all of their kind and send one table.
-                if !newer.is_empty() && self.place.parent.is_some() {
+                if !newer.is_empty() && !self.place.is_root() {
                     self.tell_children(&LoadMessage::Table(newer), &mut sends);
                 }
             }
@@ -185,7 +206,7 @@
     }
 
     fn send_sum(&mut self, now: WallTime, sends: &mut Vec<LoadSend>) {
-        let records = self.sum(now);
+        let mut records = self.sum(now);
         if records.is_empty() {
             return;
         }
@@ -194,6 +215,9 @@
             sends.push(LoadSend { to, message });
             return;
         }
+        if now < self.hold_until {
+            self.hold_claims(&mut records);
+        }
         self.take_newer(records.clone(), now);
         for to in &self.place.other_roots {
             let message = LoadMessage::Table(records.clone());
@@ -201,6 +225,19 @@
         }
     }
 
+    /// Raises the claims of a region's sum to those of the one before it.
+    ///
+    /// While a tree changes, sums are on their way from old parents to new
+    /// ones, and a root that died took its own claims with it.
+    fn hold_claims(&self, records: &mut [LoadRecord]) {
+        for record in records {
+            let subject = (record.organisation.clone(), record.region.clone());
+            if let Some(before) = self.table.get(&subject) {
+                record.raise_claims(before);
+            }
+        }
+    }
+
     fn tell_children(&self, message: &LoadMessage, sends: &mut Vec<LoadSend>) {
         for to in self.place.children.values() {
             let message = message.clone();
--- a/crates/foxtide-core/src/spreading/load/tree.rs
+++ b/crates/foxtide-core/src/spreading/load/tree.rs
@@ -50,6 +50,13 @@
     }
 }
 
+impl Place {
+    /// Returns whether this is the root of its region.
+    pub(super) fn is_root(&self) -> bool {
+        self.parent.is_none()
+    }
+}
+
 fn regions<'a>(members: impl Iterator<Item = &'a Member>) -> BTreeMap<&'a RegionId, Ranked<'a>> {
     let mut regions: BTreeMap<_, Ranked<'_>> = BTreeMap::new();
     for member in members {
--- a/crates/foxtide-mesh/src/load.rs
+++ b/crates/foxtide-mesh/src/load.rs
@@ -29,8 +29,10 @@
     let mut guard = shared.state.lock();
     let state = &mut *guard;
     let version = state.membership.members_version();
-    state.load.observe(state.membership.members(), version);
-    let sends = state.load.tick(wall_now());
+    let now = wall_now();
+    let members = state.membership.members();
+    state.load.observe(members, version, now);
+    let sends = state.load.tick(now);
     drop(guard);
     send_all(shared, sends);
 }
