Learn of deaths by comparing, start without telling of all, hold limits

An instance that missed all rumours of a death kept the dead member for good: comparing only told the dead member. It is now suspected until it objects. A starting instance spread a rumour of each member that it learned of; it now tells of itself only. Load records take two bytes a share; while a tree changes, claims do not fall and sharers do not rise.

--- a/crates/foxtide-core/src/limits/claim.rs
+++ b/crates/foxtide-core/src/limits/claim.rs
@@ -36,7 +36,7 @@
     }
 
     /// Returns what is at least either of two claims.
-    pub fn most(self, other: Self) -> Self {
+    pub(crate) fn most(self, other: Self) -> Self {
         let planned = self.planned_rps.get().max(other.planned_rps.get());
         let spilled = self.spilled_rps.get().max(other.spilled_rps.get());
         Self {
@@ -68,6 +68,16 @@
 }
 
 impl LimitUse {
+    /// Returns this use with no more sharers than another view of the same
+    /// instances counts.
+    pub(crate) fn with_sharers_of(self, other: Self) -> Self {
+        Self {
+            claim: self.claim,
+            region_sharers: self.region_sharers.min(other.region_sharers),
+            link_sharers: self.link_sharers.min(other.link_sharers),
+        }
+    }
+
     /// Returns the sum of two uses.
     pub fn plus(self, other: Self) -> Self {
         Self {
--- a/crates/foxtide-core/src/membership/beliefs.rs
+++ b/crates/foxtide-core/src/membership/beliefs.rs
@@ -28,24 +28,58 @@
     /// Takes in everything that a peer knows.
     ///
     /// A peer that thinks a member dead may have been cut off from it: that
-    /// member is told, and objects if it lives. Only probes of our own or
-    /// fresh rumours make a running member dead.
+    /// member is told, and objects if it lives; until then it is suspect.
     pub fn merge(&mut self, members: Vec<Member>, now: MonotonicTime) -> Vec<Output> {
         let mut outputs = Vec::new();
+        let mut discovered = false;
         for member in members {
             let held = self.table.get(&member.instance);
+            if held.is_none() {
+                discovered |= self.discover(member, now, &mut outputs);
+                continue;
+            }
             let contested = held.is_some_and(|held| {
                 held.state.is_running() && !member.state.is_running() && member.replaces(held)
             });
             if contested && member.instance != self.own.instance {
+                self.doubt(&member, now, &mut outputs);
                 outputs.push(direct(member));
             } else {
                 self.believe(member, now, &mut outputs);
             }
         }
+        if discovered {
+            self.push(Rumour::Member(self.own.clone()));
+        }
         outputs
     }
 
+    /// Takes a member in that a peer knows of, and so others around it do: a
+    /// starting instance tells the fleet of itself, not of all the others.
+    fn discover(&mut self, member: Member, now: MonotonicTime, outputs: &mut Vec<Output>) -> bool {
+        if member.state == MemberState::Suspect {
+            self.doubt(&member, now, outputs);
+            return true;
+        }
+        let fresh = self.table.apply(&member, now);
+        if fresh {
+            outputs.push(Output::Changed(member));
+        }
+        fresh
+    }
+
+    /// Suspects a member of which only a peer's table speaks ill. Nobody is
+    /// told, but if neither it nor anybody else objects, it is dead.
+    fn doubt(&mut self, member: &Member, now: MonotonicTime, outputs: &mut Vec<Output>) {
+        let suspect = member.in_state(MemberState::Suspect);
+        if self.table.apply(&suspect, now) {
+            let incarnation = suspect.incarnation;
+            self.suspicions
+                .suspect(&suspect.instance, incarnation, &Found::Somewhere, now);
+            outputs.push(Output::Changed(suspect));
+        }
+    }
+
     /// Meets a sender that is not known or thought dead.
     pub(super) fn greet(&self, sender: &InstanceId, from: SocketAddr, outputs: &mut Vec<Output>) {
         match self.table.get(sender) {
--- a/crates/foxtide-core/src/membership/machine.rs
+++ b/crates/foxtide-core/src/membership/machine.rs
@@ -129,6 +129,11 @@
         self.table.get(instance)
     }
 
+    /// Returns how many rumours are still being spread.
+    pub fn waiting_rumours(&self) -> usize {
+        self.queue.len()
+    }
+
     /// Returns how often things happened.
     pub fn counts(&self) -> Counts {
         self.counts
@@ -232,7 +237,8 @@
                 });
             }
             Message::Digest(theirs) => {
-                if theirs != self.digest() {
+                // While news is on its way a difference means little.
+                if self.queue.is_empty() && theirs != self.digest() {
                     outputs.push(Output::Synchronise { with: from });
                 }
             }
--- a/crates/foxtide-core/src/membership/options.rs
+++ b/crates/foxtide-core/src/membership/options.rs
@@ -25,7 +25,7 @@
     /// Members told in each interval. Default 3.
     pub rumour_fanout: usize,
     /// A rumour goes out this often times the logarithm of those in scope.
-    /// Default 3.
+    /// Default 2.
     pub rumour_factor: u32,
     /// Time between two comparisons with a peer. Default 4 s.
     pub digest_interval: Duration,
@@ -56,7 +56,7 @@
             },
             rumour_interval: Duration::from_millis(100),
             rumour_fanout: 3,
-            rumour_factor: 3,
+            rumour_factor: 2,
             digest_interval: Duration::from_secs(4),
             delegates_per_zone: 2,
             reconnect_interval: Duration::from_secs(1),
--- a/crates/foxtide-core/src/membership/queue.rs
+++ b/crates/foxtide-core/src/membership/queue.rs
@@ -31,6 +31,11 @@
         self.waiting.is_empty()
     }
 
+    /// Returns how many rumours wait.
+    pub(crate) fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
     /// Takes the rumours for one packet of at most `room_bytes`, and forgets
     /// those that went out `limit` times.
     pub(crate) fn take(&mut self, room_bytes: usize, limit: u32) -> Vec<Rumour> {
--- a/crates/foxtide-core/src/spreading/load/record.rs
+++ b/crates/foxtide-core/src/spreading/load/record.rs
@@ -8,10 +8,10 @@
 const RECORD_BYTES: usize = 34;
 
 /// Usual encoded size of a service's figures without its row, in bytes.
-const SERVICE_BYTES: usize = 18;
+const SERVICE_BYTES: usize = 16;
 
 /// Encoded size of a share of one region, in bytes.
-const REGION_BYTES: usize = 5;
+const REGION_BYTES: usize = 3;
 
 /// Encoded size of the use of one region's limits, in bytes.
 const LIMIT_BYTES: usize = 11;
@@ -71,11 +71,19 @@
         self.sum.merge(&other.sum);
     }
 
-    /// Raises the claims to at least those of another record.
-    pub(super) fn raise_claims(&mut self, other: &Self) {
-        for (region, claim) in &other.sum.claims {
-            let own = self.sum.claims.entry(region.clone()).or_default();
-            *own = own.most(*claim);
+    /// Raises the claims to those of the record before it.
+    pub(super) fn hold_claims(&mut self, before: &Self) {
+        for (region, limit) in &before.sum.limits {
+            let own = self.sum.limits.entry(region.clone()).or_default();
+            own.claim = own.claim.most(limit.claim);
+        }
+    }
+
+    /// Lowers the numbers that share by claims to those of the record before it.
+    pub(super) fn hold_sharers(&mut self, before: &Self) {
+        for (region, limit) in &mut self.sum.limits {
+            let before = before.sum.limits.get(region).copied();
+            *limit = limit.with_sharers_of(before.unwrap_or_default());
         }
     }
 
--- a/crates/foxtide-core/src/spreading/load/spreader.rs
+++ b/crates/foxtide-core/src/spreading/load/spreader.rs
@@ -15,7 +15,7 @@
 /// kept: by then the new parent's sum has arrived.
 const MOVED_INTERVALS: u32 = 2;
 
-/// Intervals after a change of the tree in which a region's claims do not fall.
+/// Intervals after a change of the tree for which a region's limits are held.
 const CHANGED_INTERVALS: u32 = 3;
 
 /// Records that travel together.
@@ -63,7 +63,8 @@
     children: BTreeMap<InstanceId, ChildSum>,
     place: Place,
     place_version: Option<u64>,
-    hold_until: WallTime,
+    claims_held_until: WallTime,
+    sharers_held_until: WallTime,
     summed_at: WallTime,
     told_at: WallTime,
 }
@@ -79,7 +80,8 @@
             children: BTreeMap::new(),
             place: Place::default(),
             place_version: None,
-            hold_until: WallTime::ZERO,
+            claims_held_until: WallTime::ZERO,
+            sharers_held_until: WallTime::ZERO,
             summed_at: WallTime::ZERO,
             told_at: WallTime::ZERO,
         }
@@ -107,13 +109,12 @@
         if place == self.place {
             return;
         }
-        let is_new_root = place.is_root() && !self.place.is_root();
-        let hold = if is_new_root {
-            self.options.view.claim_hold
-        } else {
-            self.interval() * CHANGED_INTERVALS
-        };
-        self.hold_until = self.hold_until.max(now + hold);
+        if place.is_root() && !self.place.is_root() {
+            self.claims_held_until = now + self.options.view.claim_hold;
+        }
+        let changed_hold = self.interval() * CHANGED_INTERVALS;
+        self.claims_held_until = self.claims_held_until.max(now + changed_hold);
+        self.sharers_held_until = now + changed_hold;
         self.place = place;
     }
 
@@ -215,9 +216,7 @@
             sends.push(LoadSend { to, message });
             return;
         }
-        if now < self.hold_until {
-            self.hold_claims(&mut records);
-        }
+        self.hold_limits(&mut records, now);
         self.take_newer(records.clone(), now);
         for to in &self.place.other_roots {
             let message = LoadMessage::Table(records.clone());
@@ -225,15 +224,23 @@
         }
     }
 
-    /// Raises the claims of a region's sum to those of the one before it.
+    /// Keeps the claims of a region's sum from falling below those of the one
+    /// before it, and the number that shares by claims from rising.
     ///
-    /// While a tree changes, sums are on their way from old parents to new
-    /// ones, and a root that died took its own claims with it.
-    fn hold_claims(&self, records: &mut [LoadRecord]) {
+    /// While a tree changes, a sum may be missing on its way from an old parent
+    /// to a new one or be counted at both, and a root that died took its own
+    /// claims with it.
+    fn hold_limits(&self, records: &mut [LoadRecord], now: WallTime) {
         for record in records {
             let subject = (record.organisation.clone(), record.region.clone());
-            if let Some(before) = self.table.get(&subject) {
-                record.raise_claims(before);
+            let Some(before) = self.table.get(&subject) else {
+                continue;
+            };
+            if now < self.claims_held_until {
+                record.hold_claims(before);
+            }
+            if now < self.sharers_held_until {
+                record.hold_sharers(before);
             }
         }
     }
--- a/crates/foxtide-core/tests/membership.rs
+++ b/crates/foxtide-core/tests/membership.rs
@@ -177,3 +177,24 @@
     assert_eq!(fleet.state(0, 1), Some(MemberState::Dead));
     assert_eq!(fleet.state(1, 6), Some(MemberState::Dead));
 }
+
+#[test]
+fn verify_a_death_that_was_not_heard_of_is_learned_by_comparing() {
+    // Instance 18 is no delegate: nothing but rumours tells it of other zones.
+    let mut fleet = fleet(60, 6, 12);
+    fleet.run_for(Duration::from_secs(2));
+    fleet.pause(18);
+    fleet.kill(7);
+    // All rumours of the death have been spread and forgotten by then.
+    fleet.run_for(Duration::from_secs(30));
+    fleet.resume(18);
+    assert!(fleet.run_until(LIMIT, VirtualFleet::all_agree).is_some());
+}
+
+#[test]
+fn verify_a_starting_instance_tells_of_itself_only() {
+    let mut fleet = fleet(60, 6, 13);
+    fleet.run_for(Duration::from_secs(30));
+    let waiting = (0..60).map(|it| fleet.machine(it).waiting_rumours());
+    assert_eq!(waiting.sum::<usize>(), 0);
+}
--- a/crates/foxtide-core/tests/spreading.rs
+++ b/crates/foxtide-core/tests/spreading.rs
@@ -1,7 +1,8 @@
 //! Documents, fetches and load sums, without any network.
 
+use foxtide_core::idempotency::ProcessNumber;
 use foxtide_core::ids::{OrganisationId, RegionId, ServiceId};
-use foxtide_core::limits::Claim;
+use foxtide_core::limits::{Claim, LimitUse};
 use foxtide_core::membership::{Announcement, Incarnation, Member, MemberState, MemberView};
 use foxtide_core::spreading::{
     ConfigurationTable, Document, FetchQueue, LoadMessage, LoadOptions, LoadSpreader, Moment,
@@ -180,8 +181,16 @@
     fn claimed_rps(&self, instance: usize) -> f64 {
         let view = self.view(instance);
         let regions = view.regions.values();
-        let claims = regions.flat_map(|region| region.claims.values());
-        claims.map(|claim| claim.planned_rps.get()).sum()
+        let limits = regions.flat_map(|region| region.limits.values());
+        limits.map(|limit| limit.claim.planned_rps.get()).sum()
+    }
+
+    /// Returns how many `instance` knows to share in the region's limit.
+    fn sharers(&self, instance: usize) -> u32 {
+        let view = self.view(instance);
+        let regions = view.regions.values();
+        let limits = regions.flat_map(|region| region.limits.values());
+        limits.map(|limit| limit.region_sharers).sum()
     }
 }
 
@@ -193,6 +202,7 @@
         region: region.parse().unwrap(),
         peer_address: source(10_000 + instance as u16),
         caller_address: source(80),
+        process: ProcessNumber::new(1),
         incarnation: Incarnation::new(1),
         state: MemberState::Alive,
     }
@@ -210,9 +220,15 @@
         planned_rps: RequestRate::new(10.0).unwrap(),
         spilled_rps: RequestRate::ZERO,
     };
+    let limit = LimitUse {
+        claim,
+        region_sharers: 1,
+        link_sharers: 1,
+    };
     InstanceReport {
         services: [(service, service_report)].into(),
-        claims: [(region, claim)].into(),
+        limits: [(region, limit)].into(),
+        ..InstanceReport::default()
     }
 }
 
@@ -256,6 +272,8 @@
             fleet.run_for(STEP);
             let claimed_rps = fleet.claimed_rps(59);
             assert!(claimed_rps >= before_rps, "{claimed_rps}");
+            let sharers = fleet.sharers(59);
+            assert!(f64::from(sharers) * 10.0 <= before_rps, "{sharers}");
         }
         fleet.run_for(hold);
     }
--- a/crates/foxtide-mesh/src/handle.rs
+++ b/crates/foxtide-mesh/src/handle.rs
@@ -230,6 +230,11 @@
         self.shared.traffic.counts()
     }
 
+    /// Returns how many rumours this instance still spreads.
+    pub fn waiting_rumours(&self) -> usize {
+        self.shared.state.lock().membership.waiting_rumours()
+    }
+
     /// Returns how often things happened in the membership protocol.
     pub fn counts(&self) -> Counts {
         self.shared.state.lock().membership.counts()
--- a/crates/foxtide-mesh/src/wire/load.rs
+++ b/crates/foxtide-mesh/src/wire/load.rs
@@ -12,6 +12,9 @@
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
+/// The encoded form of the share 1.
+const WHOLE: u16 = u16::MAX;
+
 /// Load records that travel together.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct Load {
@@ -47,6 +50,7 @@
     pub(crate) limit_regions: Vec<u32>,
     #[prost(float, repeated, tag = "10")]
     pub(crate) planned_rps: Vec<f32>,
+    /// None where nothing spills.
     #[prost(float, repeated, tag = "11")]
     pub(crate) spilled_rps: Vec<f32>,
     #[prost(uint32, repeated, tag = "12")]
@@ -75,12 +79,14 @@
     pub(crate) instances: u32,
     #[prost(float, tag = "3")]
     pub(crate) demand_rps: f32,
-    #[prost(float, optional, tag = "4")]
-    pub(crate) healthy_share: Option<f32>,
+    /// In parts of [`WHOLE`].
+    #[prost(uint32, optional, tag = "4")]
+    pub(crate) healthy: Option<u32>,
     #[prost(uint32, repeated, tag = "5")]
     pub(crate) row_regions: Vec<u32>,
-    #[prost(float, repeated, tag = "6")]
-    pub(crate) row_shares: Vec<f32>,
+    /// In parts of [`WHOLE`], two bytes each with the lower first.
+    #[prost(bytes = "vec", tag = "6")]
+    pub(crate) row: Vec<u8>,
 }
 
 /// Returns the nearest encoded number that is not below `value`: a peer must
@@ -144,7 +150,9 @@
     let (limit_regions, limits) = names.places(limits);
     let claims = limits.iter().map(|limit| limit.claim);
     let planned = claims.clone().map(|claim| claim.planned_rps.get());
-    let spilled = claims.map(|claim| claim.spilled_rps.get());
+    let spilled = claims.map(|claim| rounded_up(claim.spilled_rps.get()));
+    let spilled: Vec<_> = spilled.collect();
+    let spills = spilled.iter().any(|rate| *rate > 0.0);
     let foreign = record.sum.foreign.iter();
     let foreign = foreign.map(|(region, services)| Foreign {
         region: names.place(region.as_str()),
@@ -162,7 +170,7 @@
         services: write_services(&record.sum.services, names),
         limit_regions,
         planned_rps: planned.map(rounded_up).collect(),
-        spilled_rps: spilled.map(rounded_up).collect(),
+        spilled_rps: if spills { spilled } else { Vec::new() },
         region_sharers: limits.iter().map(|limit| limit.region_sharers).collect(),
         link_sharers: limits.iter().map(|limit| limit.link_sharers).collect(),
         foreign,
@@ -187,12 +195,20 @@
         service: names.place(service.as_str()),
         instances: view.instances,
         demand_rps: rounded_up(view.demand_rps.get()),
-        healthy_share: view.healthy_share.map(|share| share.get() as f32),
+        healthy: view.healthy_share.map(|share| u32::from(parts(share))),
         row_regions,
-        row_shares: shares.iter().map(|share| share.get() as f32).collect(),
+        row: shares
+            .into_iter()
+            .flat_map(|share| parts(*share).to_le_bytes())
+            .collect(),
     }
 }
 
+/// Returns a share in parts of [`WHOLE`].
+fn parts(share: Share) -> u16 {
+    (share.get() * f64::from(WHOLE)).round() as u16
+}
+
 /// Reads load records from their encoded form.
 pub(crate) fn read_load(load: &Load) -> Result<LoadMessage, Unreadable> {
     let records = load.records.iter();
@@ -220,14 +236,16 @@
         let services = read_services(&foreign.services, names)?;
         sum.foreign.insert(name(names, foreign.region)?, services);
     }
-    let rates = record.planned_rps.iter().zip(&record.spilled_rps);
+    let spilled = record.spilled_rps.iter().copied();
+    let spilled = spilled.chain(std::iter::repeat(0.0));
+    let rates = record.planned_rps.iter().zip(spilled);
     let sharers = record.region_sharers.iter().zip(&record.link_sharers);
     let limits = rates.zip(sharers).zip(&record.limit_regions);
     for (((planned, spilled), (region_sharers, link_sharers)), region) in limits {
         let limit = LimitUse {
             claim: Claim {
                 planned_rps: rate(*planned)?,
-                spilled_rps: rate(*spilled)?,
+                spilled_rps: rate(spilled)?,
             },
             region_sharers: *region_sharers,
             link_sharers: *link_sharers,
@@ -257,11 +275,19 @@
 }
 
 fn read_service(service: &Service, names: &[String]) -> Result<ServiceView, Unreadable> {
+    let (parts, _) = service.row.as_chunks();
+    let parts = parts
+        .iter()
+        .map(|bytes| f64::from(u16::from_le_bytes(*bytes)));
+    // The parts of a row are rounded, but together they are the whole.
+    let whole: f64 = parts.clone().sum();
+    let shares = parts.map(|part| Share::clamped(part / whole));
     let mut row = BTreeMap::new();
-    for (region, value) in service.row_regions.iter().zip(&service.row_shares) {
-        row.insert(name(names, *region)?, share(*value)?);
+    for (region, share) in service.row_regions.iter().zip(shares) {
+        row.insert(name(names, *region)?, share);
     }
-    let healthy_share = service.healthy_share.map(share).transpose()?;
+    let healthy = service.healthy.map(f64::from);
+    let healthy_share = healthy.map(|parts| Share::clamped(parts / f64::from(WHOLE)));
     Ok(ServiceView {
         instances: service.instances,
         demand_rps: rate(service.demand_rps)?,
@@ -279,10 +305,6 @@
     RequestRate::new(f64::from(value)).map_err(|_| Unreadable)
 }
 
-fn share(value: f32) -> Result<Share, Unreadable> {
-    Share::new(f64::from(value)).map_err(|_| Unreadable)
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/foxtide-mesh/tests/mesh/load.rs
+++ b/crates/foxtide-mesh/tests/mesh/load.rs
@@ -64,12 +64,19 @@
     views.map(|region| region.live_instances).collect()
 }
 
+fn sharers(handle: &MeshHandle) -> Vec<u32> {
+    let views = views(handle).into_iter();
+    let limits = views.map(|view| view.limits.get(&region()).copied());
+    let sharers = limits.map(|limit| limit.unwrap_or_default().region_sharers);
+    sharers.collect()
+}
+
 #[test]
 fn verify_all_know_the_load_of_all_regions() {
     let fleet = start_fleet(12, &Faults::default());
     wait_until("all heard all", || {
         publish(&fleet);
-        fleet.iter().all(|handle| live(handle) == [4, 4, 4])
+        fleet.iter().all(|handle| sharers(handle) == [4, 4, 4])
     });
     let sum = 4.0 * RATE_RPS;
     for view in views(&fleet[7]) {
--- a/crates/foxtide/examples/measure/membership.rs
+++ b/crates/foxtide/examples/measure/membership.rs
@@ -64,7 +64,9 @@
 fn cost(report: &mut Report, instances: usize, shape: Shape, memory_before: f64) -> Cost {
     let fleet = Fleet::start(instances, shape);
     watch(&fleet, 5);
+    fleet.settle();
     let before = traffic(&fleet);
+    let silent_before = silent(&fleet);
     let processor_before = processor_time();
     let started = Instant::now();
     watch(&fleet, WATCH_SECONDS);
@@ -86,6 +88,10 @@
     };
     let name = format!("membership.{instances}in{}", shape.zones);
     show(report, &name, cost);
+    let silent = silent(&fleet) - silent_before;
+    let per_minute = silent * 60.0 / passed_s / count;
+    let unit = "/min/inst";
+    report.figure(&format!("{name}.suspected"), per_minute, unit, Limit::None);
     let interval_s = fleet.handles[0].load_interval().as_secs_f64();
     report.figure(
         &format!("{name}.load_interval"),
@@ -115,6 +121,12 @@
     ages.fold(0.0, f64::max)
 }
 
+/// Returns how many probes stayed without answer; all were wrong.
+fn silent(fleet: &Fleet) -> f64 {
+    let counts = fleet.handles.iter().map(MeshHandle::counts);
+    counts.map(|counts| counts.silent as f64).sum()
+}
+
 /// Bytes of one instance.
 #[derive(Clone, Copy, Debug)]
 struct Traffic {
--- a/crates/foxtide/examples/measure/mesh_fleet.rs
+++ b/crates/foxtide/examples/measure/mesh_fleet.rs
@@ -114,6 +114,14 @@
         })
     }
 
+    /// Waits until the news of its own start has been spread.
+    pub(crate) fn settle(&self) {
+        wait(|| {
+            let mut handles = self.handles.iter();
+            handles.all(|handle| handle.waiting_rumours() == 0)
+        });
+    }
+
     /// Returns whether all hold at least this revision.
     pub(crate) fn holds(&self, revision: u64) -> bool {
         self.handles.iter().all(|handle| {
@@ -127,7 +135,7 @@
     /// Lets every instance report its load, as it does each second.
     pub(crate) fn publish_load(&self) {
         for handle in &self.handles {
-            handle.publish_load(&organisation(), report());
+            handle.publish_load(&organisation(), report(self.shape.regions));
         }
     }
 
@@ -188,10 +196,10 @@
     format!("region-{number}").parse().expect("a name")
 }
 
-fn report() -> InstanceReport {
+fn report(regions: usize) -> InstanceReport {
     let rate = RequestRate::clamped(250.0);
-    let share = Share::clamped(1.0 / REGIONS as f64);
-    let regions: Vec<_> = (0..REGIONS).map(region).collect();
+    let share = Share::clamped(1.0 / regions as f64);
+    let regions: Vec<_> = (0..regions).map(region).collect();
     let service_report = ServiceReport {
         demand_rps: rate,
         healthy_share: Some(Share::ONE),
--- a/crates/foxtide/examples/measure/spread.rs
+++ b/crates/foxtide/examples/measure/spread.rs
@@ -45,6 +45,7 @@
 fn healthy(report: &mut Report) {
     let fleet = Fleet::start(INSTANCES, TARGET);
     let mut rng = StdRng::seed_from_u64(SEED);
+    fleet.settle();
     let idle = sent_bytes_per_s(&fleet);
     let before = sent_bytes(&fleet);
     let started = Instant::now();
