Bound requests under way, those that wait and their bodies

Cause: the settings' in-flight, waiting, look-up, upstream and shutdown limits reached nothing, a listener bound to several organisations served the first alone, and bodies of many callers could take any amount of memory. Change: each is enforced with a refusal that is not-run, and wired. Conclusion: an instance's memory for requests is bounded.

--- a/crates/foxtide-entry/src/entry.rs
+++ b/crates/foxtide-entry/src/entry.rs
@@ -1,6 +1,7 @@
 //! The request path of an instance: both listeners, from start to drain.
 
 use crate::admin::AdminHandler;
+use crate::bounded::Bounded;
 use crate::callers::CallerHandler;
 use crate::clock::Clock;
 use crate::errors::Result;
@@ -50,7 +51,8 @@
         let caller_address = local_address(&caller_listener, options.caller_address);
         let admin_address = local_address(&admin_listener, options.admin_address);
         let pools = Arc::new(Pools::new(options.pool.clone()));
-        let (callers, operators) = (ServeState::new(), ServeState::new());
+        let callers = ServeState::new(&options.limits);
+        let operators = ServeState::new(&options.limits);
         let keys = Table::new(parts.owner().clone(), options.keys);
         let keys: KeyTable = Arc::new(Mutex::new(keys));
         let proxy = Proxy {
@@ -60,6 +62,8 @@
             keys: Arc::clone(&keys),
             executor: Arc::downgrade(executor),
             callers: Arc::clone(&callers),
+            in_flight: Bounded::new(options.limits.in_flight),
+            waiting: Bounded::new(options.limits.waiting),
         };
         let caller_handler = CallerHandler {
             parts: Arc::clone(&parts),
--- a/crates/foxtide-entry/src/facts.rs
+++ b/crates/foxtide-entry/src/facts.rs
@@ -59,8 +59,7 @@
         target: &Target,
         request: RequestId,
     ) -> Result<Self, Refusal> {
-        let bound_to = options.organisation.as_ref();
-        if bound_to.is_some_and(|bound| *bound != target.organisation) {
+        if !options.serves(&target.organisation) {
             return Err(unknown_organisation());
         }
         let traffic = parts.traffic().get(&target.organisation);
--- a/crates/foxtide-entry/src/lib.rs
+++ b/crates/foxtide-entry/src/lib.rs
@@ -30,6 +30,7 @@
 
 mod admin;
 mod answer;
+mod bounded;
 mod callers;
 mod clock;
 mod entry;
--- a/crates/foxtide-entry/src/lookup.rs
+++ b/crates/foxtide-entry/src/lookup.rs
@@ -43,8 +43,7 @@
     id: RequestId,
 ) -> Result<Answer, Refusal> {
     let question = Question::parse(url, peer)?;
-    let bound_to = options.organisation.as_ref();
-    if bound_to.is_some_and(|bound| *bound != question.organisation) {
+    if !options.serves(&question.organisation) {
         return Err(unknown_organisation());
     }
     let traffic = parts.traffic().get(&question.organisation);
--- a/crates/foxtide-entry/src/options.rs
+++ b/crates/foxtide-entry/src/options.rs
@@ -13,9 +13,9 @@
     pub caller_address: SocketAddr,
     /// Where operators connect. Default: `127.0.0.1:8081`.
     pub admin_address: SocketAddr,
-    /// The only organisation that the caller listener serves, if it is bound
-    /// to one. Default: none, it serves all.
-    pub organisation: Option<OrganisationId>,
+    /// The only organisations that the caller listener serves; empty, the
+    /// default, stands for all.
+    pub organisations: Vec<OrganisationId>,
     /// How long callers may keep the answer to a look-up. Default: 5 s.
     pub lookup_ttl: Duration,
     /// The most instances that a look-up names. Default: 8.
@@ -39,7 +39,7 @@
         Self {
             caller_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 8_080)),
             admin_address: SocketAddr::from((Ipv4Addr::LOCALHOST, 8_081)),
-            organisation: None,
+            organisations: Vec::new(),
             lookup_ttl: Duration::from_secs(5),
             lookup_instances: 8,
             deadline_max: Duration::from_secs(60),
@@ -52,6 +52,13 @@
     }
 }
 
+impl EntryOptions {
+    /// Tells whether the caller listener serves an organisation.
+    pub(crate) fn serves(&self, organisation: &OrganisationId) -> bool {
+        self.organisations.is_empty() || self.organisations.contains(organisation)
+    }
+}
+
 /// What a caller, or all callers together, may use up.
 #[derive(Clone, Debug)]
 pub struct Limits {
@@ -59,6 +66,9 @@
     pub head: ByteSize,
     /// The longest body of a request. Default: 1 MiB.
     pub request_body: ByteSize,
+    /// What the bodies of all requests under way may take together; one in
+    /// chunks counts as the longest. Default: 128 MiB.
+    pub request_bodies: ByteSize,
     /// The longest body of an answer that is read whole before the caller gets
     /// its first byte, so that a broken one can be asked for again. Longer ones
     /// are passed on as they come, and their connection is cut where they break.
@@ -66,6 +76,11 @@
     pub answer_buffer: ByteSize,
     /// The most connections open on a listener. Default: 10,000.
     pub connections: usize,
+    /// The most requests under way to upstreams, those that wait for room
+    /// included. Default: 2,000.
+    pub in_flight: usize,
+    /// The most requests that wait for room. Default: 1,000.
+    pub waiting: usize,
     /// The time to send a head, from its first byte on. Default: 5 s.
     pub head_time: Duration,
     /// The time to send a body, or each piece of a long answer's. Default: 30 s.
@@ -82,8 +97,11 @@
         Self {
             head: ByteSize::from_kib(16),
             request_body: ByteSize::from_kib(1_024),
+            request_bodies: ByteSize::from_kib(128 * 1_024),
             answer_buffer: ByteSize::from_kib(1_024),
             connections: 10_000,
+            in_flight: 2_000,
+            waiting: 1_000,
             head_time: Duration::from_secs(5),
             body_time: Duration::from_secs(30),
             answer_time: Duration::from_secs(60),
@@ -156,3 +174,8 @@
         }
     }
 }
+
+/// Returns a size as this machine counts memory.
+pub(crate) fn size(size: ByteSize) -> usize {
+    usize::try_from(size.get()).unwrap_or(usize::MAX)
+}
--- a/crates/foxtide-entry/src/proxy/place.rs
+++ b/crates/foxtide-entry/src/proxy/place.rs
@@ -2,6 +2,7 @@
 
 use super::run::Proxy;
 use crate::answer::Refusal;
+use crate::bounded::Entered;
 use crate::clock::Clock;
 use crate::facts::Facts;
 use crate::parts::Parts;
@@ -39,6 +40,7 @@
     pub(super) async fn admit(&self, facts: &Facts) -> Result<Admitted, Unplaced> {
         let draw = fastrand::f64();
         let asked_at = self.parts.clock().now();
+        let mut waiting = None;
         loop {
             let now = self.parts.clock().now();
             let waited = now - asked_at;
@@ -53,6 +55,7 @@
                 }
                 Admission::Wait { retry_in } => {
                     check_time(facts, now + retry_in, "no-room")?;
+                    self.enter_queue(&mut waiting)?;
                     Timer::after(retry_in).await;
                 }
                 Admission::Refuse {
@@ -97,6 +100,7 @@
         region: &Arc<RegionTraffic>,
         tried: &[UpstreamId],
     ) -> Result<Place, Unplaced> {
+        let mut waiting = None;
         loop {
             // Listens first, so that no place that becomes free is missed.
             let freed = region.freed();
@@ -106,6 +110,7 @@
                 Choice::Empty => return Err(Unplaced::no_upstream()),
                 Choice::Wait(retry_in) => {
                     check_time(facts, now, "no-slot")?;
+                    self.enter_queue(&mut waiting)?;
                     let again = retry_in.min(facts.terms.deadline - now);
                     let timer = async {
                         Timer::after(again).await;
@@ -117,7 +122,24 @@
     }
 }
 
+impl<P: Parts> Proxy<P> {
+    /// Counts a request among those that wait, unless there are too many.
+    fn enter_queue(&self, waiting: &mut Option<Entered>) -> Result<(), Unplaced> {
+        if waiting.is_none() {
+            *waiting = Some(self.waiting.enter(1).ok_or_else(Unplaced::queue_full)?);
+        }
+        Ok(())
+    }
+}
+
 impl Unplaced {
+    fn queue_full() -> Self {
+        Self {
+            refusal: Refusal::not_run(StatusCode::ServiceUnavailable, "queue-full"),
+            rule: Rule::Deadline,
+        }
+    }
+
     fn not_admitted(reason: RefusalReason, retry_after: Duration) -> Self {
         let (rule, reason) = match reason {
             RefusalReason::NotReady => (Rule::NoUpstream, "not-ready"),
--- a/crates/foxtide-entry/src/proxy/run.rs
+++ b/crates/foxtide-entry/src/proxy/run.rs
@@ -5,6 +5,7 @@
 use super::place::{Admitted, Unplaced};
 use super::prepare::Prepared;
 use crate::answer::{Answer, AnswerBody, Refusal};
+use crate::bounded::Bounded;
 use crate::clock::Clock;
 use crate::facts::{Facts, Target};
 use crate::http::name;
@@ -39,6 +40,10 @@
     pub(crate) executor: Weak<Executor<'static>>,
     /// What a planned stop waits for.
     pub(crate) callers: Arc<ServeState>,
+    /// The requests under way.
+    pub(crate) in_flight: Bounded,
+    /// Those of them that wait for room.
+    pub(crate) waiting: Bounded,
 }
 
 /// A request on its way.
@@ -144,6 +149,10 @@
         prepared: &Prepared,
         claim: Option<&HeldClaim>,
     ) -> Result<Answer, Refusal> {
+        let Some(_in_flight) = self.in_flight.enter(1) else {
+            let status = StatusCode::ServiceUnavailable;
+            return Err(Refusal::not_run(status, "too-many-requests"));
+        };
         let retry = self.parts.traffic().options().retry.clone();
         let mut run = Run {
             facts,
--- a/crates/foxtide-entry/src/serve/connection.rs
+++ b/crates/foxtide-entry/src/serve/connection.rs
@@ -98,7 +98,8 @@
     async fn serve_one(&mut self, handler: &impl Handler) -> Next {
         let state = Arc::clone(&self.state);
         let _counted = state.begin_request();
-        let request = match receive(&mut self.stream, &self.limits, self.peer).await {
+        let received = receive(&mut self.stream, &self.limits, &state, self.peer);
+        let mut request = match received.await {
             Ok(request) => request,
             Err(NoRequest::Gone) => return Next::Close,
             Err(NoRequest::Refused(refusal)) => {
@@ -106,6 +107,7 @@
                 return Next::Close;
             }
         };
+        let _room = request.room.take();
         let method = request.head.method;
         let close = request.head.head.close;
         let answered = async { Some(handler.handle(request).await) };
--- a/crates/foxtide-entry/src/serve/request.rs
+++ b/crates/foxtide-entry/src/serve/request.rs
@@ -1,8 +1,12 @@
 //! A whole request as it was received.
 
+use super::state::ServeState;
 use crate::answer::Refusal;
-use crate::http::{BufferedStream, HeadError, MessageError, RequestHead, read_body, read_head};
-use crate::options::Limits;
+use crate::bounded::Entered;
+use crate::http::{
+    BodyLength, BufferedStream, HeadError, MessageError, RequestHead, read_body, read_head,
+};
+use crate::options::{Limits, size};
 use crate::time_limit::{Elapsed, within};
 use http_types::StatusCode;
 use std::net::SocketAddr;
@@ -18,6 +22,8 @@
     pub(crate) body: Vec<u8>,
     /// Who sent it.
     pub(crate) peer: SocketAddr,
+    /// The room that its body takes, for as long as it is under way.
+    pub(crate) room: Option<Entered>,
 }
 
 /// Why a connection brought no request.
@@ -40,20 +46,44 @@
 pub(crate) async fn receive(
     stream: &mut BufferedStream,
     limits: &Limits,
+    state: &ServeState,
     peer: SocketAddr,
 ) -> Result<Received, NoRequest> {
-    let limit_bytes = usize::try_from(limits.head.get()).unwrap_or(usize::MAX);
-    let bytes = within(limits.head_time, read_head(stream, limit_bytes)).await;
+    let bytes = within(limits.head_time, read_head(stream, size(limits.head))).await;
     let bytes = or_too_slow(bytes)?.ok_or(NoRequest::Gone)?;
     let head = RequestHead::parse(&bytes).map_err(|error| refused(&error.into()))?;
+    let room = body_room(&head, limits, state)?;
     if head.head.expects_continue && stream.buffered().is_empty() {
         let asked = within(limits.head_time, stream.write_all(CONTINUE_ANSWER)).await;
         or_too_slow(asked.map(|written| written.map_err(MessageError::from)))?;
     }
-    let limit_bytes = usize::try_from(limits.request_body.get()).unwrap_or(usize::MAX);
-    let body = read_body(stream, head.head.length, limit_bytes);
+    let body = read_body(stream, head.head.length, size(limits.request_body));
     let body = or_too_slow(within(limits.body_time, body).await)?;
-    Ok(Received { head, body, peer })
+    Ok(Received {
+        head,
+        body,
+        peer,
+        room: Some(room),
+    })
+}
+
+/// Takes room for a body, before any of it is read.
+fn body_room(
+    head: &RequestHead,
+    limits: &Limits,
+    state: &ServeState,
+) -> Result<Entered, NoRequest> {
+    let longest = size(limits.request_body);
+    let size_bytes = match head.head.length {
+        BodyLength::None => 0,
+        BodyLength::Fixed { size_bytes } => usize::try_from(size_bytes)
+            .unwrap_or(usize::MAX)
+            .min(longest),
+        BodyLength::Chunked | BodyLength::UntilClose => longest,
+    };
+    let full = || Refusal::not_run(StatusCode::ServiceUnavailable, "too-many-bodies");
+    let room = state.body_room(size_bytes);
+    room.ok_or_else(|| NoRequest::Refused(full()))
 }
 
 fn or_too_slow<T>(read: Result<Result<T, MessageError>, Elapsed>) -> Result<T, NoRequest> {
--- a/crates/foxtide-entry/src/serve/state.rs
+++ b/crates/foxtide-entry/src/serve/state.rs
@@ -1,6 +1,8 @@
 //! What all connections of a listener share: how many there are, and whether
 //! the instance leaves.
 
+use crate::bounded::{Bounded, Entered};
+use crate::options::{Limits, size};
 use smol::channel::{Receiver, Sender, bounded};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -15,6 +17,8 @@
     requests: AtomicUsize,
     leaving: AtomicBool,
     closing: Closing,
+    /// What the bodies of requests take, in bytes.
+    bodies: Bounded,
 }
 
 /// A signal to all connections; it is given by closing a channel.
@@ -39,13 +43,14 @@
 
 impl ServeState {
     /// Returns the state of a listener that serves.
-    pub(crate) fn new() -> Arc<Self> {
+    pub(crate) fn new(limits: &Limits) -> Arc<Self> {
         let (sender, receiver) = bounded(1);
         Arc::new(Self {
             connections: AtomicUsize::new(0),
             requests: AtomicUsize::new(0),
             leaving: AtomicBool::new(false),
             closing: Closing { sender, receiver },
+            bodies: Bounded::new(size(limits.request_bodies)),
         })
     }
 
@@ -56,6 +61,11 @@
         within.then_some(counted)
     }
 
+    /// Takes room for a request's body, if there is.
+    pub(crate) fn body_room(&self, size_bytes: usize) -> Option<Entered> {
+        self.bodies.enter(size_bytes)
+    }
+
     /// Counts a request until its answer was sent, or until it ended without
     /// its caller.
     pub(crate) fn begin_request(self: &Arc<Self>) -> Counted {
--- a/crates/foxtide-entry/src/upstream/exchange.rs
+++ b/crates/foxtide-entry/src/upstream/exchange.rs
@@ -9,7 +9,7 @@
     BodyLength, BodyReader, BufferedStream, MessageError, Progress, Quiet, ResponseHead, name,
     read_head, strip_hop_by_hop,
 };
-use crate::options::Limits;
+use crate::options::{Limits, size};
 use crate::time_limit::within;
 use foxtide_core::time::MonotonicTime;
 use http_types::Method;
@@ -209,7 +209,7 @@
     length: BodyLength,
     limits: &Limits,
 ) -> Result<ReadBody, MessageError> {
-    let hold_bytes = usize::try_from(limits.answer_buffer.get()).unwrap_or(usize::MAX);
+    let hold_bytes = size(limits.answer_buffer);
     let mut reader = BodyReader::new(length)?;
     let mut body = Vec::new();
     if matches!(length, BodyLength::Fixed { size_bytes } if size_bytes > hold_bytes as u64) {
@@ -227,7 +227,7 @@
     stream: &mut BufferedStream,
     limits: &Limits,
 ) -> Result<ResponseHead, FailureKind> {
-    let limit_bytes = usize::try_from(limits.head.get()).unwrap_or(usize::MAX);
+    let limit_bytes = size(limits.head);
     for _ in 0..INTERIM_ANSWERS_MAX {
         let bytes = read_head(stream, limit_bytes).await?;
         let bytes = bytes.ok_or(FailureKind::Closed)?;
--- a/crates/foxtide-entry/tests/failures.rs
+++ b/crates/foxtide-entry/tests/failures.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use foxtide_core::events::EventCode;
+use foxtide_core::units::ByteSize;
 use foxtide_entry::{EntryOptions, Limits};
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
@@ -291,3 +292,41 @@
     assert!(caller.ask(head).starts_with("HTTP/1.1 100 "));
     assert!(caller.ask("x").ends_with("hello"));
 }
+
+#[test]
+fn verify_requests_beyond_the_limits_are_refused_at_once() {
+    let limits = [
+        Limits {
+            in_flight: 0,
+            ..Limits::default()
+        },
+        Limits {
+            request_bodies: ByteSize::from_bytes(1),
+            ..Limits::default()
+        },
+    ];
+    let upstream = RawUpstream::answering(HELLO);
+    for limits in limits {
+        let options = EntryOptions {
+            limits,
+            ..EntryOptions::default()
+        };
+        let world = World::start_with(&[upstream.address], options);
+        assert_refused(&world.caller().ask(&post("/", "xx")), 503, "not-run");
+    }
+    assert_eq!(upstream.connections.load(Ordering::SeqCst), 0);
+}
+
+#[test]
+fn verify_an_upstream_that_says_it_drains_gets_no_new_request() {
+    let leaving = RawUpstream::answering(
+        b"HTTP/1.1 200 OK\r\nfoxtide-upstream-state: draining\r\ncontent-length: 4\r\n\r\nlast",
+    );
+    let staying = RawUpstream::answering(HELLO);
+    let world = World::start(&[leaving.address, staying.address]);
+    let mut caller = world.caller();
+    let last = |answers: &[String]| answers.iter().filter(|a| a.ends_with("last")).count();
+    let answers: Vec<String> = (0..20).map(|_| caller.ask(&get("/"))).collect();
+    assert!(last(&answers) <= 1, "{}", last(&answers));
+    assert!(answers[19].ends_with("hello"));
+}
--- a/crates/foxtide-entry/tests/path.rs
+++ b/crates/foxtide-entry/tests/path.rs
@@ -133,7 +133,7 @@
 fn verify_a_bound_listener_serves_no_other_organisation() {
     let upstream = RawUpstream::answering(HELLO);
     let options = EntryOptions {
-        organisation: Some("kluisdepot".parse().unwrap()),
+        organisations: vec!["kluisdepot".parse().unwrap()],
         ..EntryOptions::default()
     };
     let world = World::start_with(&[upstream.address], options);
--- a/crates/foxtide-entry/tests/support/mod.rs
+++ b/crates/foxtide-entry/tests/support/mod.rs
@@ -5,7 +5,7 @@
 use foxtide_core::events::{Event, EventCode, EventFilter};
 use foxtide_core::idempotency::OwnerId;
 use foxtide_core::ids::{InstanceId, OrganisationId, RegionId};
-use foxtide_core::organisation::Organisation;
+use foxtide_core::organisation::{Organisation, Priority};
 use foxtide_core::steering::SteeringOptions;
 use foxtide_entry::{
     Admin, AdminPage, Clock, Directory, Entry, EntryOptions, Parts, ServingInstance, SystemClock,
@@ -222,6 +222,17 @@
     /// Starts an entry before these upstreams, with these options but for the
     /// ports.
     pub(crate) fn start_with(upstreams: &[SocketAddr], options: EntryOptions) -> Self {
+        Self::start_organisation(organisation(upstreams), options)
+    }
+
+    /// Starts an entry before these upstreams, the organisation changed.
+    pub(crate) fn start_as(upstreams: &[SocketAddr], change: fn(&mut Organisation)) -> Self {
+        let mut organisation = organisation(upstreams);
+        change(&mut organisation);
+        Self::start_organisation(organisation, EntryOptions::default())
+    }
+
+    fn start_organisation(organisation: Organisation, options: EntryOptions) -> Self {
         let options = EntryOptions {
             caller_address: ANY_PORT,
             admin_address: ANY_PORT,
@@ -229,9 +240,7 @@
         };
         let parts = Arc::new(TestParts::new());
         let now = parts.clock.now();
-        parts
-            .traffic
-            .configure(&Arc::new(organisation(upstreams)), now);
+        parts.traffic.configure(&Arc::new(organisation), now);
         let workers = Workers::start(2).unwrap();
         let entry = Entry::start(options, Arc::clone(&parts), &workers.executor()).unwrap();
         Self {
@@ -320,6 +329,13 @@
     assert!(answer.contains("retry-after: "), "{answer}");
 }
 
+/// Makes the services weigh latency most, so that their reads are hedged.
+pub(crate) fn latency_first(organisation: &mut Organisation) {
+    for service in &mut organisation.services {
+        service.contract.priority = Priority::Latency;
+    }
+}
+
 fn organisation(upstreams: &[SocketAddr]) -> Organisation {
     let upstreams: Vec<_> = upstreams
         .iter()
--- a/crates/foxtide/src/node.rs
+++ b/crates/foxtide/src/node.rs
@@ -17,8 +17,8 @@
 use foxtide_core::ids::{InstanceId, OrganisationId, RegionId};
 use foxtide_core::units::ByteSize;
 use foxtide_entry::{
-    Clock, Directory, Entry, EntryOptions, Limits, Parts, ServingInstance, SystemClock,
-    TrafficOptions, TrafficTables, Workers,
+    Clock, Directory, DrainOptions, Entry, EntryOptions, Limits, Parts, PoolOptions,
+    ServingInstance, SystemClock, TrafficOptions, TrafficTables, Workers,
 };
 use foxtide_events::{Explainer, Recorder, RecorderOptions, TimeLine, TimeLineOptions};
 use foxtide_mesh::{Identity, Mesh, MeshHandle, MeshOptions};
@@ -347,29 +347,45 @@
     }
 }
 
+fn count(setting: u32) -> usize {
+    usize::try_from(setting).unwrap_or(usize::MAX)
+}
+
 fn entry_options(settings: &Settings, caller_address: SocketAddr) -> EntryOptions {
     let limits = &settings.limits;
     let (requests, keys) = (&limits.requests, &limits.keys);
     EntryOptions {
         caller_address,
         admin_address: settings.admin.listen,
-        organisation: settings.organisations.first().cloned(),
+        organisations: settings.organisations.clone(),
         lookup_ttl: Duration::from_secs(limits.lookups.ttl_s.into()),
+        lookup_instances: count(limits.lookups.instances_max),
         deadline_max: Duration::from_millis(requests.deadline_max_ms.into()),
         limits: Limits {
             request_body: ByteSize::from_bytes(requests.body_max_bytes),
-            connections: usize::try_from(requests.connections_max).unwrap_or(usize::MAX),
+            connections: count(requests.connections_max),
+            in_flight: count(requests.in_flight_max),
+            waiting: count(requests.waiting_max),
             head_time: Duration::from_millis(requests.head_timeout_ms.into()),
             idle_time: Duration::from_millis(requests.idle_timeout_ms.into()),
             ..Limits::default()
         },
         keys: TableOptions {
             validity: Duration::from_secs(keys.validity_s.into()),
-            keys_max: usize::try_from(keys.kept_max).unwrap_or(usize::MAX),
+            keys_max: count(keys.kept_max),
             answers_max: ByteSize::from_bytes(keys.answers_max_bytes),
             answer_max: ByteSize::from_bytes(keys.answer_max_bytes),
             ..TableOptions::default()
         },
+        pool: PoolOptions {
+            connect_time: Duration::from_millis(limits.upstreams.connect_timeout_ms.into()),
+            idle_time: Duration::from_millis(limits.upstreams.idle_timeout_ms.into()),
+            ..PoolOptions::default()
+        },
+        drain: DrainOptions {
+            in_flight_time: Duration::from_millis(limits.shutdown.drain_max_ms.into()),
+            ..DrainOptions::default()
+        },
         ..EntryOptions::default()
     }
 }
