--- a/crates/foxtide-config/src/change/error.rs
+++ b/crates/foxtide-config/src/change/error.rs
@@ -12,8 +12,8 @@
     #[error(transparent)]
     Invalid(#[from] crate::Error),
     /// The store refused or was not reached: nothing was written.
-    #[error("not accepted: {0}")]
-    Store(#[source] StoreError),
+    #[error(transparent)]
+    Store(StoreError),
     /// There is no such organisation.
     #[error("there is no organisation `{0}`")]
     Absent(OrganisationId),
--- a/crates/foxtidectl/src/commands/movement/demand.rs
+++ b/crates/foxtidectl/src/commands/movement/demand.rs
@@ -30,8 +30,10 @@
         };
         if brought > sold {
             let problem = format!(
-                "the move sends {brought} from {} to {}, where {sold} are sold",
-                movement.from, region.region
+                "the move sends {:.0}rps from {} to {}, where {sold} are sold",
+                brought.get(),
+                movement.from,
+                region.region
             );
             let advice = "move a smaller share, or sell more on the link and in the region first";
             return Err(Failure::refused(problem, advice));
