Cut a region's part only when a request finds nothing else there

Cause: each refusal by any upstream counted as a refusal by its region and cut the instance's part of the region's limit to 70 %. One shedding upstream of four made a region at 22 % of its sold rate refuse 17 % of a service's reads (206 of 1,200 in the script upstream_sheds, 612 refusals for region-limit in all). Change: the part is cut when the request is given up after a refusal. The scenario runner takes the same step.

--- a/crates/foxtide-entry/src/proxy/run.rs
+++ b/crates/foxtide-entry/src/proxy/run.rs
@@ -245,10 +245,8 @@
         let held = place.held();
         end.give_back(place, held);
         let now = self.parts.clock().now();
-        match end {
-            AttemptEnd::Answered(_) => run.facts.service.answered(held),
-            AttemptEnd::Refused(_) => run.facts.traffic.refused_by(&admitted.region, now),
-            AttemptEnd::Failed(_) => {}
+        if let AttemptEnd::Answered(_) = end {
+            run.facts.service.answered(held);
         }
         let result = end.result();
         if let Some(claim) = run.claim.filter(|_| result.is_not_run()) {
@@ -256,7 +254,14 @@
         }
         run.decision.attempt(upstream.upstream, end.explained());
         let service = &run.facts.service;
-        service.ended(&mut run.attempts, ended.id, result, now)
+        let step = service.ended(&mut run.attempts, ended.id, result, now);
+        let refused = matches!(result, AttemptResult::Refused { .. });
+        // One upstream that refuses says nothing of its region; a request for
+        // which nothing else could be found there does.
+        if refused && matches!(step, Step::GiveUp(_)) {
+            run.facts.traffic.refused_by(&admitted.region, now);
+        }
+        step
     }
 }
 
--- a/crates/foxtide-testing/src/scenario/endings.rs
+++ b/crates/foxtide-testing/src/scenario/endings.rs
@@ -43,9 +43,6 @@
         if let Some(claim) = copy.claim.as_ref().filter(|_| result.is_not_run()) {
             process.table.proved_not_run(claim);
         }
-        if let (AttemptEnd::Refused, Some(steering)) = (end, &mut process.steering) {
-            steering.refused_by(&attempt.region, now);
-        }
         let Some(tools) = process.services.get_mut(&attempt.service) else {
             return;
         };
@@ -55,6 +52,10 @@
         let step = copy
             .attempts
             .ended(attempt.id, result, &mut tools.budget, now);
+        let gave_up = matches!(step, Step::GiveUp(_));
+        if let (AttemptEnd::Refused, true, Some(steering)) = (end, gave_up, &mut process.steering) {
+            steering.refused_by(&attempt.region, now);
+        }
         self.follow(attempt.copy, step);
     }
 
