--- a/crates/foxtide/tests/at_most_once.rs
+++ b/crates/foxtide/tests/at_most_once.rs
@@ -4,7 +4,7 @@
 
 use foxtide_core::idempotency::IdempotencyKey;
 use foxtide_core::time::WallTime;
-use foxtide_testing::{HttpAnswer, ServiceTime};
+use foxtide_testing::{Availability, HttpAnswer, ServiceTime};
 use processes::{InstanceProcess, Platform, file, wait_for};
 use std::time::{Duration, SystemTime};
 
@@ -39,11 +39,15 @@
 }
 
 #[test]
-fn verify_a_retry_elsewhere_is_sent_to_the_owner_and_answered_again() {
+fn verify_a_retry_elsewhere_reaches_the_owner_while_the_store_is_down() {
     smol::block_on(async {
         let platform = Platform::start().await;
         let first = InstanceProcess::start("khomas-1", &platform, &[]).await;
         let second = InstanceProcess::start("khomas-2", &platform, &[first.peer]).await;
+        platform
+            .store
+            .set_availability(Availability::Refusing)
+            .await;
         let key = mint(&first).await;
         let filed = file(first.caller, key.clone()).await.unwrap();
         assert_eq!(filed.status, 200, "{filed:?}");
