Measure the promises at every instance and show them

Cause: foxtidectl promises asked for a page that no instance had, and the demo could not judge shift cap, spill limit and sold rate. Change: foxtide_core::promises compares samples over 10 s with the contracts and keeps the worst of the last hour; instances count what they send to each region, sample once a second, record F8005 and F8006 and serve /v1/promises; the demo asks every instance and counts refusals by reason. Result: 4 tests: steady traffic and a shift at the cap hold; a shift of 1.5 times the cap, 30 % spill against 20 % and 1.2 times the own part are told. Conclusion: each instance judges its own part; the sum over instances is what the limits' arithmetic keeps.

--- a/crates/foxtide-core/src/lib.rs
+++ b/crates/foxtide-core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod membership;
 pub mod organisation;
 pub mod outcome;
+pub mod promises;
 pub mod retry;
 pub mod spreading;
 pub mod steering;
--- /dev/null
+++ b/crates/foxtide-core/src/promises/log.rs
@@ -0,0 +1,218 @@
+//! Samples compared with the contracts.
+
+use super::sample::{Sample, ServiceSample};
+use super::worst::Worst;
+use crate::ids::{RegionId, ServiceId};
+use crate::organisation::Organisation;
+use crate::time::MonotonicTime;
+use serde::Serialize;
+use std::collections::{BTreeMap, VecDeque};
+use std::fmt;
+use std::time::Duration;
+
+/// The time over which a rate or a pace is measured.
+const WINDOW: Duration = Duration::from_secs(10);
+
+/// What rounding may add to a pace.
+const PACE_TOLERANCE: f64 = 1e-9;
+
+/// What a full bucket may add to a rate, as a part of it.
+const BURST_SHARE: f64 = 0.1;
+
+/// What was promised.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PromiseKind {
+    /// The share of a region grows no faster than the contract's shift cap.
+    ShiftCap,
+    /// No more of a service is served in another home than its limit.
+    SpillLimit,
+    /// This instance sends a region no more than its part of the sold rate.
+    SoldRate,
+}
+
+impl fmt::Display for PromiseKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::ShiftCap => "shift-cap",
+            Self::SpillLimit => "spill-limit",
+            Self::SoldRate => "sold-rate",
+        })
+    }
+}
+
+/// A promise and whether it holds.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Promise {
+    /// What was promised.
+    pub promise: PromiseKind,
+    /// The service, where it is about one.
+    pub service: Option<ServiceId>,
+    /// The region, where it is about one.
+    pub region: Option<RegionId>,
+    /// What is not to be exceeded.
+    pub limit: f64,
+    /// What is measured now.
+    pub now: f64,
+    /// The worst of the last hour, as a part of the limit at its time.
+    pub worst_of_limit: f64,
+    /// The unit of limit and measure.
+    pub unit: &'static str,
+    /// Whether it held all of the last hour.
+    pub held: bool,
+}
+
+/// Which promise, of whom.
+type Key = (PromiseKind, Option<ServiceId>, Option<RegionId>);
+
+/// The latest measure of one promise.
+#[derive(Clone, Debug, Default)]
+struct Measure {
+    limit: f64,
+    now: f64,
+    worst_of_limit: Worst,
+}
+
+/// Compares samples with the contracts of one organisation.
+#[derive(Clone, Debug, Default)]
+pub struct PromiseLog {
+    window: VecDeque<Sample>,
+    measures: BTreeMap<Key, Measure>,
+}
+
+impl PromiseLog {
+    /// Takes a sample in.
+    pub fn add(&mut self, organisation: &Organisation, sample: Sample) {
+        let now = sample.taken_at;
+        self.window.push_back(sample);
+        while self.window.len() > 1 && now.since(self.window[1].taken_at) >= WINDOW {
+            self.window.pop_front();
+        }
+        self.measure(organisation, now);
+    }
+
+    /// Returns every promise, by kind, service and region.
+    pub fn promises(&self) -> Vec<Promise> {
+        self.measures.iter().map(promise).collect()
+    }
+
+    fn measure(&mut self, organisation: &Organisation, now: MonotonicTime) {
+        let (Some(first), Some(last)) = (self.window.front(), self.window.back()) else {
+            return;
+        };
+        // A shorter time would make every burst look like a broken rate.
+        if last.taken_at.since(first.taken_at) < WINDOW {
+            return;
+        }
+        let parts = self.largest_parts();
+        let found = compare(organisation, &parts, first, last);
+        self.measures
+            .retain(|key, _| found.iter().any(|(known, ..)| known == key));
+        for (key, limit, value) in found {
+            let measure = self.measures.entry(key).or_default();
+            measure.limit = limit;
+            measure.now = value;
+            measure.worst_of_limit.add(part_of(value, limit), now);
+        }
+    }
+}
+
+impl PromiseLog {
+    /// Returns the largest part of each region's rate in the window: what a
+    /// part shrank from may have been sent just before.
+    fn largest_parts(&self) -> BTreeMap<RegionId, f64> {
+        let mut largest = BTreeMap::new();
+        for (region, sample) in self.window.iter().flat_map(|sample| &sample.regions) {
+            let part = largest.entry(region.clone()).or_insert(0.0_f64);
+            *part = part.max(sample.part_rps.get());
+        }
+        largest
+    }
+}
+
+fn promise((key, measure): (&Key, &Measure)) -> Promise {
+    let (kind, service, region) = key;
+    let worst_of_limit = measure.worst_of_limit.get();
+    Promise {
+        promise: *kind,
+        service: service.clone(),
+        region: region.clone(),
+        limit: measure.limit,
+        now: measure.now,
+        worst_of_limit,
+        unit: match kind {
+            PromiseKind::ShiftCap => "share/s",
+            PromiseKind::SpillLimit => "share",
+            PromiseKind::SoldRate => "rps",
+        },
+        held: worst_of_limit <= 1.0 + PACE_TOLERANCE,
+    }
+}
+
+/// Returns how much of a limit a value takes.
+fn part_of(value: f64, limit: f64) -> f64 {
+    if value <= 0.0 {
+        0.0
+    } else if limit <= 0.0 {
+        // Infinity has no form in JSON.
+        f64::MAX
+    } else {
+        value / limit
+    }
+}
+
+fn compare(
+    organisation: &Organisation,
+    parts: &BTreeMap<RegionId, f64>,
+    first: &Sample,
+    last: &Sample,
+) -> Vec<(Key, f64, f64)> {
+    let passed_s = last.taken_at.since(first.taken_at).as_secs_f64();
+    let mut found = Vec::new();
+    for service in &organisation.services {
+        let id = &service.service;
+        let (Some(before), Some(after)) = (first.services.get(id), last.services.get(id)) else {
+            continue;
+        };
+        let cap = service.contract.shift_cap_share_per_s.get();
+        for (region, rise) in rises(before, after) {
+            let key = (PromiseKind::ShiftCap, Some(id.clone()), Some(region));
+            found.push((key, cap, rise / passed_s));
+        }
+        let key = (PromiseKind::SpillLimit, Some(id.clone()), None);
+        let limit = service.contract.spill_limit_share.get();
+        found.push((key, limit, spilled_share(before, after)));
+    }
+    for (region, after) in &last.regions {
+        let Some(before) = first.regions.get(region) else {
+            continue;
+        };
+        let sent = after.sent.saturating_sub(before.sent);
+        let part_rps = parts.get(region).copied().unwrap_or(0.0) * (1.0 + BURST_SHARE);
+        let key = (PromiseKind::SoldRate, None, Some(region.clone()));
+        found.push((key, part_rps, sent as f64 / passed_s));
+    }
+    found
+}
+
+/// Returns by how much the share of each region grew. A row that was not there
+/// before is a start, not a shift.
+fn rises(before: &ServiceSample, after: &ServiceSample) -> Vec<(RegionId, f64)> {
+    if before.row.is_empty() {
+        return Vec::new();
+    }
+    let rise = |(region, share): (&RegionId, &crate::units::Share)| {
+        let old = before.row.get(region).map_or(0.0, |share| share.get());
+        (region.clone(), (share.get() - old).max(0.0))
+    };
+    after.row.iter().map(rise).collect()
+}
+
+fn spilled_share(before: &ServiceSample, after: &ServiceSample) -> f64 {
+    let spilled = after.sent_spilled.saturating_sub(before.sent_spilled);
+    let planned = after.sent_planned.saturating_sub(before.sent_planned);
+    if spilled == 0 {
+        return 0.0;
+    }
+    spilled as f64 / (spilled + planned) as f64
+}
--- /dev/null
+++ b/crates/foxtide-core/tests/promises.rs
@@ -0,0 +1,115 @@
+//! Promises as an instance measures them.
+
+use foxtide_core::ids::{RegionId, ServiceId};
+use foxtide_core::organisation::Organisation;
+use foxtide_core::promises::{PromiseKind, PromiseLog, RegionSample, Sample, ServiceSample};
+use foxtide_core::time::MonotonicTime;
+use foxtide_core::units::{RequestRate, Share};
+
+const DOCUMENT: &str = r#"{
+  "schema_version": 1, "organisation": "o", "revision": 1, "change_id": "c",
+  "regions": [
+    {"region": "r1", "availability_zones": ["r1-a"], "sold_rate_rps": 100},
+    {"region": "r2", "availability_zones": ["r2-a"], "sold_rate_rps": 100}
+  ],
+  "links": [],
+  "services": [{
+    "service": "s",
+    "contract": {
+      "homes": [{"region": "r1", "share": 0.5}, {"region": "r2", "share": 0.5}],
+      "spill_limit_share": 0.2, "shift_cap_share_per_s": 0.02, "drain_window_s": 30,
+      "deadline_ms": 1000, "priority": "latency", "idempotent_methods": ["GET"]
+    },
+    "upstreams": []
+  }]
+}"#;
+
+struct At {
+    second: u64,
+    share_of_r2: f64,
+    sent: u64,
+    spilled: u64,
+}
+
+fn sample(at: &At) -> Sample {
+    let (r1, r2): (RegionId, RegionId) = ("r1".parse().unwrap(), "r2".parse().unwrap());
+    let row = [
+        (r1.clone(), Share::clamped(1.0 - at.share_of_r2)),
+        (r2, Share::clamped(at.share_of_r2)),
+    ];
+    let service = ServiceSample {
+        row: row.into(),
+        sent_planned: at.sent - at.spilled,
+        sent_spilled: at.spilled,
+    };
+    let region = RegionSample {
+        part_rps: RequestRate::clamped(10.0),
+        sent: at.sent,
+    };
+    let id: ServiceId = "s".parse().unwrap();
+    Sample {
+        taken_at: MonotonicTime::from_ms(at.second * 1_000),
+        services: [(id, service)].into(),
+        regions: [(r1, region)].into(),
+    }
+}
+
+fn broken_after(samples: &[At]) -> Vec<PromiseKind> {
+    let organisation: Organisation = serde_json::from_str(DOCUMENT).unwrap();
+    let mut log = PromiseLog::default();
+    for at in samples {
+        log.add(&organisation, sample(at));
+    }
+    let promises = log.promises();
+    assert!(!promises.is_empty(), "nothing was measured");
+    let broken = promises.into_iter().filter(|promise| !promise.held);
+    broken.map(|promise| promise.promise).collect()
+}
+
+fn steady(second: u64) -> At {
+    At {
+        second,
+        share_of_r2: 0.0,
+        sent: second * 10,
+        spilled: 0,
+    }
+}
+
+#[test]
+fn verify_steady_traffic_keeps_every_promise() {
+    let samples: Vec<At> = (0..30).map(steady).collect();
+    assert_eq!(broken_after(&samples), []);
+}
+
+#[test]
+fn verify_a_shift_at_the_cap_is_held_and_above_it_is_not() {
+    let shifted = |pace: f64| -> Vec<At> {
+        let at = |second| At {
+            share_of_r2: pace * second as f64,
+            ..steady(second)
+        };
+        (0..20).map(at).collect()
+    };
+    assert_eq!(broken_after(&shifted(0.02)), []);
+    assert_eq!(broken_after(&shifted(0.03)), [PromiseKind::ShiftCap]);
+}
+
+#[test]
+fn verify_too_much_spill_is_told_although_it_ended() {
+    let spilling = |second: u64| At {
+        spilled: (second * 3).min(45),
+        ..steady(second)
+    };
+    let samples: Vec<At> = (0..60).map(spilling).collect();
+    assert_eq!(broken_after(&samples), [PromiseKind::SpillLimit]);
+}
+
+#[test]
+fn verify_sending_above_the_own_part_is_told() {
+    let fast = |second: u64| At {
+        sent: second * 12,
+        ..steady(second)
+    };
+    let samples: Vec<At> = (0..20).map(fast).collect();
+    assert_eq!(broken_after(&samples), [PromiseKind::SoldRate]);
+}
--- a/crates/foxtide-entry/src/lib.rs
+++ b/crates/foxtide-entry/src/lib.rs
@@ -55,5 +55,5 @@
 pub use errors::{Error, Result, Step};
 pub use options::{DrainOptions, EntryOptions, Limits, PollOptions, PoolOptions};
 pub use parts::{Admin, AdminPage, Directory, Parts, ServingInstance};
-pub use traffic::{TrafficOptions, TrafficTables, UpstreamState};
+pub use traffic::{SentCount, TrafficOptions, TrafficTables, UpstreamState};
 pub use workers::Workers;
--- a/crates/foxtide-entry/src/proxy/place.rs
+++ b/crates/foxtide-entry/src/proxy/place.rs
@@ -74,7 +74,13 @@
         waited: Duration,
         now: MonotonicTime,
     ) -> Admission {
-        facts.traffic.admit(facts.service.id(), draw, waited, now)
+        let admission = facts.traffic.admit(facts.service.id(), draw, waited, now);
+        if let Admission::Send { region, spilled } = &admission
+            && let Some(traffic) = facts.service.region(region)
+        {
+            traffic.count_sent(*spilled);
+        }
+        admission
     }
 
     /// Waits until an upstream of the region has a place.
--- a/crates/foxtide-entry/src/traffic/mod.rs
+++ b/crates/foxtide-entry/src/traffic/mod.rs
@@ -25,4 +25,4 @@
 pub(crate) use region::{Choice, RegionTraffic};
 pub(crate) use service::ServiceTraffic;
 pub(crate) use tables::UpstreamChange;
-pub use tables::{TrafficOptions, TrafficTables, UpstreamState};
+pub use tables::{SentCount, TrafficOptions, TrafficTables, UpstreamState};
--- a/crates/foxtide-entry/src/traffic/region.rs
+++ b/crates/foxtide-entry/src/traffic/region.rs
@@ -7,6 +7,7 @@
 use foxtide_core::time::MonotonicTime;
 use parking_lot::Mutex;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use super::place::Place;
@@ -17,6 +18,8 @@
     balancer: Mutex<Balancer>,
     /// Told when a place became free.
     freed: Event,
+    sent_planned: AtomicU64,
+    sent_spilled: AtomicU64,
 }
 
 /// What a try to take a place brought.
@@ -35,6 +38,8 @@
         Arc::new(Self {
             balancer: Mutex::new(Balancer::new(options, seed)),
             freed: Event::new(),
+            sent_planned: AtomicU64::new(0),
+            sent_spilled: AtomicU64::new(0),
         })
     }
 
@@ -49,6 +54,22 @@
         }
     }
 
+    /// Counts an attempt that is sent here.
+    pub(crate) fn count_sent(&self, spilled: bool) {
+        let count = if spilled {
+            &self.sent_spilled
+        } else {
+            &self.sent_planned
+        };
+        count.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns the attempts sent here as planned, and as spill.
+    pub(super) fn sent(&self) -> (u64, u64) {
+        let planned = self.sent_planned.load(Ordering::Relaxed);
+        (planned, self.sent_spilled.load(Ordering::Relaxed))
+    }
+
     /// Returns what completes when a place becomes free from now on.
     pub(crate) fn freed(&self) -> EventListener {
         self.freed.listen()
--- a/crates/foxtide-entry/src/traffic/tables.rs
+++ b/crates/foxtide-entry/src/traffic/tables.rs
@@ -56,6 +56,19 @@
     pub status: UpstreamStatus,
 }
 
+/// How many attempts went to a region.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SentCount {
+    /// The service.
+    pub service: ServiceId,
+    /// The region.
+    pub region: RegionId,
+    /// Those that were planned to go there.
+    pub planned: u64,
+    /// Those that came for want of room elsewhere.
+    pub spilled: u64,
+}
+
 /// A change of what this instance makes of an upstream.
 #[derive(Clone, Debug)]
 pub(crate) struct UpstreamChange {
@@ -196,6 +209,27 @@
         states
     }
 
+    /// Returns how many attempts were sent to each region of an organisation's
+    /// services since the process started.
+    pub fn sent(&self, organisation: &OrganisationId) -> Vec<SentCount> {
+        let Some(traffic) = self.get(organisation) else {
+            return Vec::new();
+        };
+        let mut counts = Vec::new();
+        for service in traffic.services().values() {
+            for (region, of_region) in service.regions().iter() {
+                let (planned, spilled) = of_region.sent();
+                counts.push(SentCount {
+                    service: service.id().clone(),
+                    region: region.clone(),
+                    planned,
+                    spilled,
+                });
+            }
+        }
+        counts
+    }
+
     /// Moves all decisions on to `now`; the entry calls it ten times a second.
     pub(crate) fn tick(&self, now: MonotonicTime, wall: WallTime) {
         for traffic in self.all() {
--- a/crates/foxtide/examples/demo/callers.rs
+++ b/crates/foxtide/examples/demo/callers.rs
@@ -43,6 +43,11 @@
     ttl_s: u64,
 }
 
+#[derive(Debug, Deserialize)]
+struct RefusalAnswer {
+    reason: String,
+}
+
 #[derive(Debug, Deserialize)]
 struct UpstreamAnswer {
     path: String,
@@ -177,6 +182,7 @@
         match within(CALL_TIMEOUT, call).await {
             Ok(answer) => {
                 self.note_owner(address, &answer);
+                self.note_reason(&answer);
                 judge(&answer, path)
             }
             Err(error) if is_refused(&error) => End::Unreachable,
@@ -184,6 +190,12 @@
         }
     }
 
+    fn note_reason(&self, answer: &HttpAnswer) {
+        if let Ok(refusal) = serde_json::from_slice::<RefusalAnswer>(&answer.body) {
+            self.tally.reason(refusal.reason);
+        }
+    }
+
     fn note_owner(&mut self, address: SocketAddr, answer: &HttpAnswer) {
         let owner = answer
             .header(OWNER_HEADER)
--- a/crates/foxtide/examples/demo/script.rs
+++ b/crates/foxtide/examples/demo/script.rs
@@ -4,7 +4,7 @@
 use crate::promises::Promise;
 use crate::tally::{End, Tally};
 use crate::world::{INSTANCES, LOOKUP_TTL_S, World};
-use anyhow::{Context, Result};
+use anyhow::{Context, Result, anyhow};
 use foxtide_core::organisation::{Drain, DrainTarget, PlannedMove};
 use foxtide_core::time::WallTime;
 use foxtide_core::units::{Share, ShareRate};
@@ -72,6 +72,7 @@
         self.lose_store().await.context("lose the store")?;
         self.stop_instance().await;
         self.kill_instance().await?;
+        self.judge_own_measures().await?;
         self.say(&format!("callers saw: {}", self.tally.summary()));
         Ok(())
     }
@@ -201,6 +202,28 @@
         Ok(())
     }
 
+    /// Asks every instance which promises it found broken.
+    async fn judge_own_measures(&mut self) -> Result<()> {
+        let kinds = [
+            ("shift-cap", "shift above its cap"),
+            ("spill-limit", "spill above its limit"),
+            ("sold-rate", "region sent more than an instance's part"),
+        ];
+        let rows = self.world.promises().await?;
+        for (kind, name) in kinds {
+            let rows: Vec<_> = rows.iter().filter(|row| row.promise == kind).collect();
+            if rows.is_empty() {
+                return Err(anyhow!("no instance measured {kind}"));
+            }
+            let broken: Vec<_> = rows.iter().filter(|row| !row.held).collect();
+            for row in &broken {
+                self.say(&format!("broken: {row:?}"));
+            }
+            self.counted(name, 0.0, broken.len() as f64);
+        }
+        Ok(())
+    }
+
     fn judge_outcomes(&mut self) {
         let writes = self.tally.writes();
         let doubled = writes
--- a/crates/foxtide/examples/demo/tally.rs
+++ b/crates/foxtide/examples/demo/tally.rs
@@ -33,6 +33,7 @@
     ends: Mutex<BTreeMap<End, u64>>,
     writes: Mutex<Vec<Write>>,
     latencies_us: Mutex<Vec<u64>>,
+    reasons: Mutex<BTreeMap<String, u64>>,
 }
 
 impl Tally {
@@ -46,6 +47,11 @@
         self.writes.lock().push(Write { key, end });
     }
 
+    /// Counts the reason that a refusal gave.
+    pub(crate) fn reason(&self, reason: String) {
+        *self.reasons.lock().entry(reason).or_default() += 1;
+    }
+
     /// Notes the time of an answered read.
     pub(crate) fn latency(&self, latency_us: u64) {
         self.latencies_us.lock().push(latency_us);
@@ -60,7 +66,8 @@
     pub(crate) fn summary(&self) -> String {
         let ends = self.ends.lock();
         let parts = ends.iter().map(|(end, count)| format!("{end:?} {count}"));
-        parts.collect::<Vec<_>>().join(", ")
+        let parts = parts.collect::<Vec<_>>().join(", ");
+        format!("{parts}; reasons {:?}", self.reasons.lock())
     }
 
     /// Returns all writes.
--- a/crates/foxtide/examples/demo/world.rs
+++ b/crates/foxtide/examples/demo/world.rs
@@ -9,8 +9,12 @@
 use foxtide_core::ids::{AvailabilityZoneId, InstanceId, OrganisationId, RegionId, UpstreamId};
 use foxtide_core::organisation::{Organisation, Upstream};
 use foxtide_core::units::Revision;
-use foxtide_testing::{ServiceTime, StoreOptions, StoreServer, UpstreamOptions, UpstreamServer};
+use foxtide_testing::{
+    ServiceTime, StoreOptions, StoreServer, UpstreamOptions, UpstreamServer, http_call,
+};
+use http_types::Method;
 use parking_lot::Mutex;
+use serde::Deserialize;
 use smol::Timer;
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -61,6 +65,18 @@
     },
 ];
 
+/// A promise as an instance's page shows it.
+#[derive(Debug, Deserialize)]
+#[expect(dead_code, reason = "printed whole where the promise is broken")]
+pub(crate) struct PromiseRow {
+    pub(crate) promise: String,
+    service: Option<String>,
+    region: Option<String>,
+    limit: f64,
+    worst_of_limit: f64,
+    pub(crate) held: bool,
+}
+
 /// A tenant's running stand-ins and instances.
 pub(crate) struct World {
     pub(crate) tenant: Tenant,
@@ -212,6 +228,24 @@
         nodes.remove_entry(&id)
     }
 
+    /// Returns the promises as every instance measures them.
+    pub(crate) async fn promises(&self) -> Result<Vec<PromiseRow>> {
+        let addresses: Vec<SocketAddr> = self
+            .nodes
+            .lock()
+            .values()
+            .map(Node::admin_address)
+            .collect();
+        let mut rows = Vec::new();
+        for address in addresses {
+            let answer = http_call(address, Method::Get, "/v1/promises", &[], &[]).await;
+            let answer = answer.map_err(|error| anyhow!("ask {address}: {error}"))?;
+            let page: Vec<PromiseRow> = serde_json::from_slice(&answer.body)?;
+            rows.extend(page);
+        }
+        Ok(rows)
+    }
+
     /// Returns how often a key was run, at all upstreams together.
     pub(crate) fn runs_of(&self, key: &str) -> usize {
         self.upstreams.values().map(|it| it.runs_of(key)).sum()
--- a/crates/foxtide/src/lib.rs
+++ b/crates/foxtide/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod node;
 mod observer;
 mod pages;
+mod promises;
 pub mod signals;
 pub mod tables;
 pub mod telemetry;
--- a/crates/foxtide/src/node.rs
+++ b/crates/foxtide/src/node.rs
@@ -5,6 +5,7 @@
 use crate::copies::Copies;
 use crate::observer::Observer;
 use crate::pages::Pages;
+use crate::promises::{PromiseSampler, Promises};
 use crate::tables::Tables;
 use crate::telemetry;
 use crate::traffic::TrafficFollower;
@@ -140,6 +141,7 @@
         let mesh = start_mesh(settings, caller_address, process, &recorder, &clock)?;
         let time_line = time_line(settings, &recorder, &clock);
         let explainer = Explainer::default();
+        let promises = Promises::default();
         let blocks = BlocksInForce::default();
         let store = Arc::new(HttpStore::new(HttpStoreOptions {
             address: settings.store_address,
@@ -165,6 +167,7 @@
                 tables: Arc::clone(&tables),
                 time_line: time_line.clone(),
                 explainer: explainer.clone(),
+                promises: promises.clone(),
                 metrics: telemetry::start_metrics(),
                 ready: Arc::clone(&ready),
             },
@@ -187,6 +190,13 @@
             recorder: recorder.clone(),
         };
         let following = follow_members(Arc::clone(&tables), mesh.clone(), clock);
+        let sampler = PromiseSampler {
+            promises,
+            tables: Arc::clone(&tables),
+            traffic: Arc::clone(&traffic),
+            recorder: recorder.clone(),
+            clock,
+        };
         let follower = TrafficFollower {
             tables: Arc::clone(&tables),
             traffic,
@@ -209,6 +219,7 @@
             workers.spawn(copies.receive()),
             workers.spawn(observer.run()),
             workers.spawn(blocks_follower.run()),
+            workers.spawn(sampler.run()),
             workers.spawn(follower.run()),
             workers.spawn(configurations.run()),
             workers.spawn(following),
--- a/crates/foxtide/src/pages.rs
+++ b/crates/foxtide/src/pages.rs
@@ -1,5 +1,6 @@
 //! The pages for operators.
 
+use crate::promises::Promises;
 use crate::tables::Tables;
 use foxtide_core::events::EventFilter;
 use foxtide_core::explain::ExplainFilter;
@@ -29,6 +30,8 @@
     pub(crate) time_line: TimeLine,
     /// Why look-ups and requests went where they did.
     pub(crate) explainer: Explainer,
+    /// Whether the promises hold.
+    pub(crate) promises: Promises,
     /// What renders the metrics.
     pub(crate) metrics: PrometheusHandle,
     /// Whether callers can be served.
@@ -57,6 +60,14 @@
         Some(json(&self.explainer.select(&filter)))
     }
 
+    fn promised(&self, query: Option<&str>) -> Option<AdminPage> {
+        let Some(name) = parameter(query, "organisation") else {
+            return Some(json(&self.promises.rows(None)));
+        };
+        let organisation = name.parse().ok()?;
+        Some(json(&self.promises.rows(Some(&organisation))))
+    }
+
     fn instances(&self) -> Vec<InstanceRow> {
         self.tables.members().iter().map(instance_row).collect()
     }
@@ -90,6 +101,7 @@
             "/metrics" => Some(self.metrics()),
             "/v1/events" => self.events(query),
             "/v1/explain" => self.explanations(query),
+            "/v1/promises" => self.promised(query),
             "/v1/instances" => Some(json(&self.instances())),
             "/v1/configuration" => self.configuration(query),
             _ => None,
--- /dev/null
+++ b/crates/foxtide/src/promises.rs
@@ -0,0 +1,161 @@
+//! Measures once a second whether the promises hold.
+//!
+//! Locks: one, around the logs, held for one sample or one page and never
+//! together with another.
+
+use crate::tables::Tables;
+use foxtide_core::events::{EventCode, EventFields};
+use foxtide_core::ids::OrganisationId;
+use foxtide_core::organisation::Organisation;
+use foxtide_core::promises::{Promise, PromiseLog, RegionSample, Sample, ServiceSample};
+use foxtide_core::steering::Steering;
+use foxtide_core::time::MonotonicTime;
+use foxtide_entry::{Clock, SentCount, SystemClock, TrafficTables};
+use foxtide_events::Recorder;
+use parking_lot::Mutex;
+use serde::Serialize;
+use smol::Timer;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The time between two samples.
+const SAMPLE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The promises of all organisations, as this instance measures them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Promises {
+    logs: Arc<Mutex<BTreeMap<OrganisationId, PromiseLog>>>,
+}
+
+/// A promise as the operators' page shows it.
+#[derive(Debug, Serialize)]
+pub(crate) struct PromiseRow {
+    organisation: OrganisationId,
+    #[serde(flatten)]
+    promise: Promise,
+}
+
+/// Takes the samples.
+#[derive(Debug)]
+pub(crate) struct PromiseSampler {
+    pub(crate) promises: Promises,
+    pub(crate) tables: Arc<Tables>,
+    pub(crate) traffic: Arc<TrafficTables>,
+    pub(crate) recorder: Recorder,
+    pub(crate) clock: SystemClock,
+}
+
+impl Promises {
+    /// Returns the promises to one organisation, or to all.
+    pub(crate) fn rows(&self, organisation: Option<&OrganisationId>) -> Vec<PromiseRow> {
+        let logs = self.logs.lock();
+        let wanted = logs
+            .iter()
+            .filter(|(id, _)| organisation.is_none_or(|wanted| wanted == *id));
+        let rows = wanted.flat_map(|(id, log)| {
+            let row = |promise| PromiseRow {
+                organisation: id.clone(),
+                promise,
+            };
+            log.promises().into_iter().map(row)
+        });
+        rows.collect()
+    }
+
+    fn add(&self, organisation: &Organisation, sample: Sample) -> Vec<Promise> {
+        let mut logs = self.logs.lock();
+        let log = logs.entry(organisation.organisation.clone()).or_default();
+        log.add(organisation, sample);
+        log.promises()
+    }
+}
+
+impl PromiseSampler {
+    /// Takes samples for good.
+    pub(crate) async fn run(self) {
+        let mut broken = BTreeSet::new();
+        loop {
+            for (id, organisation) in self.tables.organisations().iter() {
+                if let Some(sample) = self.sample(id, self.clock.now()) {
+                    let promises = self.promises.add(organisation, sample);
+                    self.tell(id, &promises, &mut broken);
+                }
+            }
+            Timer::after(SAMPLE_INTERVAL).await;
+        }
+    }
+
+    fn sample(&self, organisation: &OrganisationId, now: MonotonicTime) -> Option<Sample> {
+        let sent = self.traffic.sent(organisation);
+        let measure = |steering: &Steering| measure(steering, &sent, now);
+        self.traffic.inspect(organisation, measure)
+    }
+
+    /// Records each promise when it is first found broken and when it holds
+    /// again.
+    fn tell(&self, id: &OrganisationId, promises: &[Promise], broken: &mut BTreeSet<String>) {
+        for promise in promises {
+            let name = format!(
+                "{id} {} {:?} {:?}",
+                promise.promise, promise.service, promise.region
+            );
+            let code = match (promise.held, broken.contains(&name)) {
+                (false, false) => EventCode::PromiseBroken,
+                (true, true) => EventCode::PromiseKept,
+                _ => continue,
+            };
+            if promise.held {
+                broken.remove(&name);
+            } else {
+                broken.insert(name);
+            }
+            self.recorder.record(code, fields(id, promise));
+        }
+    }
+}
+
+fn fields(organisation: &OrganisationId, promise: &Promise) -> EventFields {
+    EventFields {
+        organisation: Some(organisation.clone()),
+        service: promise.service.clone(),
+        region: promise.region.clone(),
+        ..EventFields::detail(format!(
+            "{} limit={:.4}{} worst_of_limit={:.3}",
+            promise.promise, promise.limit, promise.unit, promise.worst_of_limit
+        ))
+    }
+}
+
+fn measure(steering: &Steering, sent: &[SentCount], now: MonotonicTime) -> Sample {
+    let organisation = steering.organisation();
+    let mut sample = Sample {
+        taken_at: now,
+        ..Sample::default()
+    };
+    for service in &organisation.services {
+        let row = steering.row(&service.service).unwrap_or_default();
+        let entry = ServiceSample {
+            row,
+            ..ServiceSample::default()
+        };
+        sample.services.insert(service.service.clone(), entry);
+    }
+    for region in &organisation.regions {
+        let entry = RegionSample {
+            part_rps: steering.usable_rate(&region.region).unwrap_or_default(),
+            sent: 0,
+        };
+        sample.regions.insert(region.region.clone(), entry);
+    }
+    for count in sent {
+        if let Some(service) = sample.services.get_mut(&count.service) {
+            service.sent_planned += count.planned;
+            service.sent_spilled += count.spilled;
+        }
+        if let Some(region) = sample.regions.get_mut(&count.region) {
+            region.sent += count.planned + count.spilled;
+        }
+    }
+    sample
+}
