--- a/crates/foxtide-config/src/blocks/chunks.rs
+++ b/crates/foxtide-config/src/blocks/chunks.rs
@@ -22,7 +22,9 @@
         let entry = entry.ok_or_else(|| missing(part))?;
         values.push(entry.value);
     }
-    Ok(manifest.load(values)?)
+    // It takes tens of milliseconds: aside from the tasks of others.
+    let manifest = manifest.clone();
+    Ok(smol::unblock(move || manifest.load(values)).await?)
 }
 
 fn missing(part: &Part) -> BlocksError {
--- a/crates/foxtide/examples/measure/blocks.rs
+++ b/crates/foxtide/examples/measure/blocks/mod.rs
@@ -1,16 +1,21 @@
 //! Client blocks at target size: look-up, memory, load and change, in the
 //! structure in use and in others.
 
-use crate::blocks_data::Data;
-use crate::blocks_ways::{Both, EytzingerRanges, HashMaps, Linear, Poptrie, SortedRanges, Way};
+mod data;
+mod poptrie;
+mod ways;
+
 use crate::report::{Limit, Report};
 use arc_swap::ArcSwap;
+use data::Data;
 use foxtide_core::blocks::{Block, ClientBlocks, Delta, Manifest};
+use poptrie::Poptrie;
 use std::hint::black_box;
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Instant;
+use ways::{Both, EytzingerRanges, HashMaps, Linear, NO_SITE, SortedRanges, Way};
 
 const CLIENTS: usize = 1_000_000;
 const LINEAR_CLIENTS: usize = 200;
@@ -64,7 +69,7 @@
     let different = clients.iter().filter(|client| {
         let found = table.site_of(**client).map(|site| site.site.clone());
         let index = found.and_then(|site| table.sites().index_of(&site));
-        way.find(**client) != index.map_or(crate::blocks_ways::NO_SITE, |i| i.get().into())
+        way.find(**client) != index.map_or(NO_SITE, |i| i.get().into())
     });
     let different = different.take(1_000).count() as f64;
     let us = time_each(clients, |client| way.find(client) == 0);
--- a/crates/foxtide/examples/measure/blocks_ways.rs
+++ b/crates/foxtide/examples/measure/blocks/ways.rs
@@ -13,9 +13,12 @@
 /// A block, left-aligned.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Entry {
-    start: u64,
-    length: u8,
-    site: u16,
+    /// Its first address.
+    pub(crate) start: u64,
+    /// How many bits are fixed.
+    pub(crate) length: u8,
+    /// The site's number.
+    pub(crate) site: u16,
 }
 
 /// Returns the blocks of one family, ascending.
@@ -220,112 +223,6 @@
     }
 }
 
-/// A compressed trie of six bits a level (Asai and Ohara, "Poptrie", SIGCOMM
-/// 2015): a bit map tells children from leaves, equal neighbouring leaves are
-/// kept once, and places are found by counting bits.
-#[derive(Default)]
-pub(crate) struct Poptrie {
-    nodes: Vec<Node>,
-    leaves: Vec<u8>,
-}
-
-#[derive(Clone, Copy, Default)]
-struct Node {
-    children: u64,
-    leaf_starts: u64,
-    first_child: u32,
-    first_leaf: u32,
-}
-
-const STRIDE: u8 = 6;
-const SLOTS: usize = 1 << STRIDE;
-const NO_LEAF: u8 = u8::MAX;
-
-fn slot(address: u64, depth: u8) -> usize {
-    (address << depth >> (64 - STRIDE)) as usize
-}
-
-impl Poptrie {
-    fn fill(&mut self, node: usize, entries: &[Entry], depth: u8, inherited: u8) {
-        let mut sites = [inherited; SLOTS];
-        let mut begins = [usize::MAX; SLOTS];
-        let mut ends = [0; SLOTS];
-        for (place, entry) in entries.iter().enumerate() {
-            let first = slot(entry.start, depth);
-            if entry.length > depth + STRIDE {
-                begins[first] = begins[first].min(place);
-                ends[first] = place + 1;
-            } else {
-                let wide = 1 << (depth + STRIDE - entry.length).min(STRIDE);
-                sites[first..(first + wide).min(SLOTS)].fill(entry.site as u8);
-            }
-        }
-        let children = (0..SLOTS).filter(|slot| ends[*slot] > 0);
-        let children = children.fold(0, |bits, slot| bits | 1 << slot);
-        let first_child = self.nodes.len();
-        let count = u64::count_ones(children) as usize;
-        self.nodes.resize(first_child + count, Node::default());
-        self.nodes[node] = self.add_leaves(children, &sites, first_child);
-        let with_child = (0..SLOTS).filter(|slot| ends[*slot] > 0);
-        for (child, slot) in (first_child..).zip(with_child) {
-            let inside = &entries[begins[slot]..ends[slot]];
-            self.fill(child, inside, depth + STRIDE, sites[slot]);
-        }
-    }
-
-    fn add_leaves(&mut self, children: u64, sites: &[u8; SLOTS], first_child: usize) -> Node {
-        let mut node = Node {
-            children,
-            leaf_starts: 0,
-            first_child: first_child as u32,
-            first_leaf: self.leaves.len() as u32,
-        };
-        let mut last = None;
-        for (slot, site) in sites.iter().enumerate() {
-            if children >> slot & 1 == 0 && last != Some(*site) {
-                node.leaf_starts |= 1 << slot;
-                self.leaves.push(*site);
-                last = Some(*site);
-            }
-        }
-        node
-    }
-}
-
-impl Way for Poptrie {
-    fn build(entries: &[Entry]) -> Self {
-        let mut trie = Self::default();
-        trie.nodes.push(Node::default());
-        trie.fill(0, entries, 0, NO_LEAF);
-        trie
-    }
-
-    fn find(&self, address: u64) -> u16 {
-        let mut node = &self.nodes[0];
-        let mut depth = 0;
-        loop {
-            let slot = slot(address, depth);
-            let up_to = u64::MAX >> (SLOTS - 1 - slot);
-            if node.children >> slot & 1 == 0 {
-                let place = (node.leaf_starts & up_to).count_ones() - 1;
-                let site = self.leaves[(node.first_leaf + place) as usize];
-                return if site == NO_LEAF {
-                    NO_SITE
-                } else {
-                    site.into()
-                };
-            }
-            let place = (node.children & up_to).count_ones() - 1;
-            node = &self.nodes[(node.first_child + place) as usize];
-            depth += STRIDE;
-        }
-    }
-
-    fn size_bytes(&self, _start_bytes: usize) -> usize {
-        self.nodes.len() * size_of::<Node>() + self.leaves.len()
-    }
-}
-
 /// Both families kept the same way.
 pub(crate) struct Both<W> {
     v4: W,
--- a/crates/foxtide/examples/measure/events.rs
+++ b/crates/foxtide/examples/measure/events/mod.rs
@@ -1,7 +1,8 @@
 //! What the time line costs, and what of it survives losses: copies at peers
 //! against parity over a group of peers.
 
-use crate::parity::{BLOCK_BYTES, MASK_OVERHEAD_BYTES, ParityGroup};
+mod parity;
+
 use crate::report::{Limit, Report};
 use foxtide_core::events::backup::{
     BackupHolder, BackupPeer, BackupSender, PARCEL_OVERHEAD_BYTES, SenderOptions, choose_peers,
@@ -10,6 +11,7 @@
 use foxtide_core::ids::InstanceId;
 use foxtide_core::time::{MonotonicTime, WallTime};
 use foxtide_events::{Recorder, RecorderOptions};
+use parity::{BLOCK_BYTES, MASK_OVERHEAD_BYTES, ParityGroup};
 use prost::Message;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
--- a/crates/foxtide/examples/measure/main.rs
+++ b/crates/foxtide/examples/measure/main.rs
@@ -5,8 +5,6 @@
 
 mod at_most_once;
 mod blocks;
-mod blocks_data;
-mod blocks_ways;
 mod choice;
 mod document;
 mod events;
@@ -14,7 +12,6 @@
 mod fit;
 mod membership;
 mod mesh_fleet;
-mod parity;
 mod proxy;
 mod report;
 mod spread;
