--- a/crates/foxtide-core/src/membership/mod.rs
+++ b/crates/foxtide-core/src/membership/mod.rs
@@ -9,6 +9,7 @@
 mod message;
 mod options;
 mod probe;
+mod probing;
 mod queue;
 mod rendezvous;
 mod scope;
--- /dev/null
+++ b/crates/foxtide-core/src/membership/probing.rs
@@ -0,0 +1,136 @@
+//! What an instance does on its own: it probes, compares and tries the dead.
+
+use super::machine::{Membership, direct};
+use super::member::{Member, MemberState};
+use super::message::{Message, Output, ProbeId, Rumour};
+use super::probe::Probe;
+use crate::ids::InstanceId;
+use crate::time::MonotonicTime;
+use rand::seq::{IndexedRandom, IteratorRandom};
+
+impl Membership {
+    /// Waits that ran while this process stood still prove nothing.
+    pub(super) fn notice_pause(&mut self, now: MonotonicTime) {
+        if now - self.ticked_at > self.options.pause_limit {
+            self.probes.restart();
+            self.suspicions.restart(now);
+            self.due.digest_at = now;
+            self.counts.pauses += 1;
+        }
+        self.ticked_at = now;
+    }
+
+    pub(super) fn follow_probes(&mut self, now: MonotonicTime, outputs: &mut Vec<Output>) {
+        let overdue = self.probes.overdue(self.options.probe_attempts, now);
+        for probe in overdue.again {
+            self.send_ping(probe.id, &probe.target, outputs);
+            self.ask_helpers(&probe, outputs);
+        }
+        for target in overdue.silent {
+            self.counts.silent += 1;
+            self.found_silent(&target, now, outputs);
+        }
+    }
+
+    pub(super) fn start_probe(&mut self, now: MonotonicTime, outputs: &mut Vec<Output>) {
+        if now < self.due.probe_at {
+            return;
+        }
+        self.due.probe_at = now + self.options.probe_interval;
+        let names = self.scope.peers().map(|member| member.instance.clone());
+        let Some(target) = self.probes.next_target(names, &mut self.rng) else {
+            return;
+        };
+        let Some(member) = self.table.get(&target) else {
+            return;
+        };
+        let near = member.availability_zone == self.own.availability_zone;
+        if !member.state.is_running() {
+            return;
+        }
+        let timeout = if near {
+            self.options.near_timeout
+        } else {
+            self.options.far_timeout
+        };
+        let probe = self.probes.start(target.clone(), timeout, now);
+        self.counts.probes += 1;
+        self.send_ping(probe, &target, outputs);
+    }
+
+    /// Pings `target`; one that is suspect is told so, that it can object.
+    fn send_ping(&mut self, probe: ProbeId, target: &InstanceId, outputs: &mut Vec<Output>) {
+        let Some(member) = self.table.get(target).cloned() else {
+            return;
+        };
+        let to = member.peer_address;
+        let mut packet = self.packet(Message::Ping {
+            probe,
+            target: target.clone(),
+        });
+        if member.state == MemberState::Suspect {
+            packet.rumours.insert(0, Rumour::Member(member));
+        }
+        outputs.push(Output::Send { to, packet });
+    }
+
+    fn ask_helpers(&mut self, probe: &Probe, outputs: &mut Vec<Output>) {
+        let Some(target) = self.table.get(&probe.target).cloned() else {
+            return;
+        };
+        let fit = |member: &&Member| {
+            member.instance != target.instance && member.state == MemberState::Alive
+        };
+        let helpers = self.scope.peers().filter(fit);
+        let count = self.options.indirect_probes;
+        let chosen = helpers.map(|member| member.peer_address);
+        for to in chosen.sample(&mut self.rng, count) {
+            let packet = self.packet(Message::PingRequest {
+                probe: probe.id,
+                target: target.instance.clone(),
+                address: target.peer_address,
+            });
+            outputs.push(Output::Send { to, packet });
+        }
+    }
+
+    pub(super) fn pass_on(&mut self, probe: ProbeId, outputs: &mut Vec<Output>) {
+        if let Some((origin, probe)) = self.probes.answered(probe) {
+            let packet = self.packet(Message::Ack { probe });
+            outputs.push(Output::Send { to: origin, packet });
+        }
+    }
+
+    /// Compares with one random peer of the zone, and a delegate also with one
+    /// of another zone.
+    pub(super) fn compare(&mut self, now: MonotonicTime, outputs: &mut Vec<Output>) {
+        if now < self.due.digest_at {
+            return;
+        }
+        self.due.digest_at = now + self.options.digest_interval;
+        self.table.forget(self.options.dead_retention, now);
+        let mate = self.scope.mates.choose(&mut self.rng);
+        let foreign = self.scope.foreign_delegates.choose(&mut self.rng);
+        let peers = mate.into_iter().chain(foreign);
+        let addresses: Vec<_> = peers.map(|member| member.peer_address).collect();
+        for to in addresses {
+            let packet = self.packet(Message::Digest(self.digest()));
+            outputs.push(Output::Send { to, packet });
+        }
+    }
+
+    /// Tells one dead member that it is thought dead; it objects if it lives,
+    /// as after a partition.
+    pub(super) fn reconnect(&mut self, now: MonotonicTime, outputs: &mut Vec<Output>) {
+        if now < self.due.reconnect_at {
+            return;
+        }
+        self.due.reconnect_at = now + self.options.reconnect_interval;
+        if !self.scope.is_delegate {
+            return;
+        }
+        if let Some(dead) = self.table.dead().choose(&mut self.rng) {
+            outputs.push(direct(dead.clone()));
+        }
+    }
+}
--- a/crates/foxtide/examples/measure/main.rs
+++ b/crates/foxtide/examples/measure/main.rs
@@ -11,6 +11,7 @@
 mod explain;
 mod fit;
 mod membership;
+mod membership_scope;
 mod mesh_fleet;
 mod proxy;
 mod report;
