Reckon the age of a sight without durations

Cause: the slope of a pick over the number of upstreams missed its limit. Change: ages are plain microseconds, and a sight older than eight lives is worth nothing without an exponential being computed.

--- a/crates/foxtide-core/src/choice/candidate.rs
+++ b/crates/foxtide-core/src/choice/candidate.rs
@@ -195,11 +195,6 @@
         passed.clamp(options.ramp_floor.get(), 1.0)
     }
 
-    /// Returns how long sights of the other instances' requests are of use.
-    fn sight_life(&self, options: &BalancerOptions, common: &Common) -> Duration {
-        common.latency().mul_f64(options.report_life_latencies)
-    }
-
     /// Returns what the other instances usually use of this upstream.
     fn usual_others(&self, common: &Common) -> f64 {
         common.others_per_slot * f64::from(self.upstream.slots)
@@ -212,10 +207,10 @@
         common: &Common,
         now: MonotonicTime,
     ) -> f64 {
-        let life = self.sight_life(options, common);
+        let life_us = common.latency_us * options.report_life_latencies;
         let others = self
             .occupancy
-            .estimate(self.usual_others(common), life, now);
+            .estimate(self.usual_others(common), life_us, now);
         let requests = others.max(0.0) + f64::from(self.in_flight) + 1.0;
         let slots = f64::from(self.upstream.slots.max(1)) * self.weight(options, now);
         let mut load = requests / slots * self.latency_factor(common);
@@ -338,8 +333,8 @@
         self.freed_at = None;
         let slots = f64::from(self.upstream.slots.max(1));
         let others = (slots - f64::from(self.in_flight)).max(0.0);
-        let life = self.sight_life(options, common);
-        self.occupancy.refused(others, life, now);
+        let life_us = common.latency_us * options.report_life_latencies;
+        self.occupancy.refused(others, life_us, now);
         let frees_in = Duration::from_secs_f64(common.latency_us / slots / 1e6);
         self.full_until = now + frees_in.min(HOLD_MAX);
     }
--- a/crates/foxtide-core/src/choice/occupancy.rs
+++ b/crates/foxtide-core/src/choice/occupancy.rs
@@ -7,7 +7,9 @@
 //! lose their weight.
 
 use crate::time::MonotonicTime;
-use std::time::Duration;
+
+/// The age, in lives, from which a sight is worth nothing.
+const WORTHLESS_LIVES: f64 = 8.0;
 
 /// How much of the trust in reports a contradiction leaves.
 const TRUST_LEFT: f64 = 0.5;
@@ -34,14 +36,18 @@
     }
 
     /// Returns how much of the last sight is still worth, from 1 to 0.
-    fn freshness(&self, life: Duration, now: MonotonicTime) -> f64 {
-        let age_us = (now - self.seen_at).as_micros() as f64;
-        (-age_us / life.as_micros().max(1) as f64).exp()
+    fn freshness(&self, life_us: f64, now: MonotonicTime) -> f64 {
+        let age_us = now.as_us().saturating_sub(self.seen_at.as_us()) as f64;
+        let lives = age_us / life_us.max(1.0);
+        if lives > WORTHLESS_LIVES {
+            return 0.0;
+        }
+        (-lives).exp()
     }
 
     /// Returns the estimate, given what others use on the average upstream.
-    pub(crate) fn estimate(&self, usual: f64, life: Duration, now: MonotonicTime) -> f64 {
-        usual + (self.others - usual) * self.freshness(life, now)
+    pub(crate) fn estimate(&self, usual: f64, life_us: f64, now: MonotonicTime) -> f64 {
+        usual + (self.others - usual) * self.freshness(life_us, now)
     }
 
     /// Notes a report of `others` slots in use by other instances.
@@ -56,8 +62,9 @@
     }
 
     /// Notes a refusal: `others` slots must have been in use.
-    pub(crate) fn refused(&mut self, others: f64, life: Duration, now: MonotonicTime) {
-        let was_told_free = self.others + 1.0 <= others && self.freshness(life, now) > TRUST_LEFT;
+    pub(crate) fn refused(&mut self, others: f64, life_us: f64, now: MonotonicTime) {
+        let was_told_free =
+            self.others + 1.0 <= others && self.freshness(life_us, now) > TRUST_LEFT;
         if was_told_free {
             self.trust *= TRUST_LEFT;
         }
