Test what holds of the choice and of retries

Cause: the bounds on ejections, budgets, leaving upstreams and outcomes were shown by examples alone. Ejections beyond the share now end whenever the list of upstreams changes, not only on a leave. The types a balancer hands out have a module of their own.

--- a/crates/foxtide-core/src/choice/balancer.rs
+++ b/crates/foxtide-core/src/choice/balancer.rs
@@ -3,10 +3,13 @@
 use super::allowance::RefusalAllowance;
 use super::candidate::{Candidate, Common, UpstreamStatus};
 use super::subset::Sharing;
-use super::{BalancerOptions, Completion, CompletionKind, PollResult};
+use super::{
+    BalancerOptions, Completion, CompletionKind, Pick, Poll, PollResult, StatusChange, Ticket,
+};
 use crate::ids::UpstreamId;
 use crate::organisation::Upstream;
 use crate::time::MonotonicTime;
+use crate::units::Share;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,73 +19,6 @@
 /// How far a draw moves the score, so that equals are taken in turn.
 const DRAW_WEIGHT: f64 = 0.02;
 
-/// What to do with a request.
-#[derive(Debug)]
-pub enum Pick {
-    /// Send it to the ticket's upstream.
-    Take(Ticket),
-    /// Every upstream is full: ask again after this time or after the next
-    /// completion, whichever comes first.
-    Wait {
-        /// The time until an upstream is expected to have room.
-        retry_in: Duration,
-    },
-    /// No upstream is able to serve at all.
-    Empty,
-}
-
-/// The right to send one request to one upstream.
-///
-/// It has to be given back to [`Balancer::finish`], also when the request is
-/// cancelled.
-#[derive(Debug)]
-#[must_use = "a ticket has to be finished"]
-pub struct Ticket {
-    upstream: Arc<Upstream>,
-    incarnation: u64,
-    connection_limit: u32,
-}
-
-impl Ticket {
-    /// Returns the upstream to which the request is sent.
-    pub fn upstream(&self) -> &Upstream {
-        &self.upstream
-    }
-
-    /// Returns how many connections this instance may keep to the upstream.
-    pub fn connection_limit(&self) -> u32 {
-        self.connection_limit
-    }
-}
-
-/// The task to ask one upstream's load endpoint.
-///
-/// It has to be given back to [`Balancer::finish_poll`].
-#[derive(Debug)]
-#[must_use = "a poll has to be finished"]
-pub struct Poll {
-    upstream: Arc<Upstream>,
-    incarnation: u64,
-}
-
-impl Poll {
-    /// Returns the upstream to be asked.
-    pub fn upstream(&self) -> &Upstream {
-        &self.upstream
-    }
-}
-
-/// A change of what an instance makes of an upstream.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct StatusChange {
-    /// The upstream.
-    pub upstream: UpstreamId,
-    /// What it was.
-    pub from: UpstreamStatus,
-    /// What it is now.
-    pub to: UpstreamStatus,
-}
-
 /// Chooses upstreams for one service in one region.
 #[derive(Clone, Debug)]
 pub struct Balancer {
@@ -388,7 +324,7 @@
     }
 
     /// Returns the part of the upstreams that can serve now.
-    pub fn healthy_share(&self, now: MonotonicTime) -> crate::units::Share {
+    pub fn healthy_share(&self, now: MonotonicTime) -> Share {
         let open = self.candidates.iter().filter(|c| {
             !matches!(
                 c.status(&self.options, now),
@@ -396,7 +332,7 @@
             )
         });
         let all = self.candidates.len().max(1);
-        crate::units::Share::clamped(open.count() as f64 / all as f64)
+        Share::clamped(open.count() as f64 / all as f64)
     }
 
     /// Returns the number of requests in flight from this instance.
@@ -412,16 +348,13 @@
 
     /// Shares slots and connections out among the instances.
     fn share_out(&mut self, now: MonotonicTime) {
-        let out_before = self.out_limit();
         let sharing = Sharing {
             instances: self.sharing_instances,
             rank: self.rank,
             seed: self.seed,
         };
         sharing.share_out(&mut self.candidates, &self.options);
-        if self.out_limit() < out_before {
-            self.return_surplus(now);
-        }
+        self.return_surplus(now);
     }
 
     /// Ends ejections until no more upstreams are out than may be.
--- a/crates/foxtide-core/src/choice/mod.rs
+++ b/crates/foxtide-core/src/choice/mod.rs
@@ -25,10 +25,12 @@
 mod load_report;
 mod occupancy;
 mod options;
+mod pick;
 mod subset;
 
-pub use balancer::{Balancer, Pick, Poll, StatusChange, Ticket};
+pub use balancer::Balancer;
 pub use candidate::UpstreamStatus;
 pub use completion::{Completion, CompletionKind, PollResult};
 pub use load_report::LoadReport;
 pub use options::{BalancerOptions, EjectionOptions, LivenessOptions};
+pub use pick::{Pick, Poll, StatusChange, Ticket};
--- a/crates/foxtide-core/tests/choice_balancer.rs
+++ b/crates/foxtide-core/tests/choice_balancer.rs
@@ -142,3 +142,137 @@
     balancer.finish_poll(poll, answer, at(1_200));
     assert!(matches!(balancer.pick(at(1_200), 0), Pick::Take(_)));
 }
+
+/// Finishes `count` requests of one upstream with a kind; others answer.
+fn fail_upstream(balancer: &mut Balancer, failing: &[usize], count: u64, start_ms: u64) {
+    for round in 0..count {
+        let now = at(start_ms + round);
+        let ticket = take(balancer, now, round.wrapping_mul(0x9e37_79b9_7f4a));
+        let name = &ticket.upstream().upstream;
+        let fails = failing.iter().any(|number| id(*number) == *name);
+        let kind = if fails {
+            CompletionKind::Failed
+        } else {
+            CompletionKind::Answered
+        };
+        finish(balancer, ticket, kind, now);
+    }
+}
+
+fn count(balancer: &Balancer, wanted: UpstreamStatus, now: MonotonicTime) -> usize {
+    let statuses = balancer.statuses(now);
+    statuses.filter(|(_, status)| *status == wanted).count()
+}
+
+#[test]
+fn verify_failing_upstream_is_ejected_and_returns_slowly() {
+    let mut balancer = balancer(4, 1);
+    fail_upstream(&mut balancer, &[2], 200, 0);
+    assert_eq!(count(&balancer, UpstreamStatus::Ejected, at(200)), 1);
+    let changes = balancer.status_changes(at(200));
+    assert!(changes.iter().any(|c| c.to == UpstreamStatus::Ejected));
+    balancer.status_changes(at(10_000));
+    assert_eq!(count(&balancer, UpstreamStatus::Ejected, at(10_000)), 0);
+    assert_eq!(count(&balancer, UpstreamStatus::Ramping, at(10_000)), 1);
+}
+
+#[test]
+fn verify_trouble_common_to_all_ejects_none() {
+    let mut balancer = balancer(4, 1);
+    fail_upstream(&mut balancer, &[0, 1, 2, 3], 400, 0);
+    assert_eq!(count(&balancer, UpstreamStatus::Ejected, at(400)), 0);
+}
+
+#[test]
+fn verify_ejections_stop_at_their_share() {
+    let mut balancer = balancer(6, 1);
+    fail_upstream(&mut balancer, &[0, 1, 2, 3], 2_000, 0);
+    assert!(count(&balancer, UpstreamStatus::Ejected, at(2_000)) <= 2);
+}
+
+#[test]
+fn verify_tried_upstream_is_avoided_while_another_has_room() {
+    let mut balancer = balancer(2, 1);
+    for draw in 0..50 {
+        let pick = balancer.pick_other(at(draw), draw, &[id(0)]);
+        let Pick::Take(ticket) = pick else {
+            panic!("no upstream was chosen: {pick:?}");
+        };
+        assert_eq!(ticket.upstream().upstream, id(1));
+        finish(&mut balancer, ticket, CompletionKind::Answered, at(draw));
+    }
+}
+
+#[test]
+fn verify_new_upstream_gets_a_growing_part() {
+    let mut balancer = balancer(3, 1);
+    balancer.configure(&list(4), 1, at(1_000));
+    let part = |balancer: &mut Balancer, start_ms: u64| {
+        let mut taken = Vec::new();
+        for draw in 0..8 {
+            taken.push(take(balancer, at(start_ms), draw));
+        }
+        let newcomer = taken.iter().filter(|t| t.upstream().upstream == id(3));
+        let part = newcomer.count();
+        for ticket in taken {
+            finish(balancer, ticket, CompletionKind::Answered, at(start_ms));
+        }
+        part
+    };
+    assert_eq!(part(&mut balancer, 1_000), 0);
+    assert!(part(&mut balancer, 20_000) >= 1);
+}
+
+#[test]
+fn verify_own_availability_zone_is_preferred_among_equals() {
+    let mut upstreams = list(2);
+    upstreams[0].availability_zone = "khomas-b".parse().expect("the name is valid");
+    let options = BalancerOptions {
+        availability_zone: Some("khomas-a".parse().expect("the name is valid")),
+        ..BalancerOptions::default()
+    };
+    let mut balancer = Balancer::new(options, 7);
+    balancer.configure(&upstreams, 1, at(0));
+    for draw in 0..50 {
+        let ticket = take(&mut balancer, at(draw), draw);
+        assert_eq!(ticket.upstream().upstream, id(1));
+        finish(&mut balancer, ticket, CompletionKind::Answered, at(draw));
+    }
+}
+
+#[test]
+fn verify_connections_of_all_instances_stay_within_the_upstreams() {
+    const INSTANCES: u32 = 600;
+    let mut connections = std::collections::BTreeMap::new();
+    for rank in 0..INSTANCES {
+        let mut balancer = balancer(12, INSTANCES);
+        balancer.rank(Some(rank), at(0));
+        for (upstream, limit) in balancer.connection_limits() {
+            *connections.entry(upstream.upstream.clone()).or_insert(0) += limit;
+        }
+    }
+    assert_eq!(connections.len(), 12);
+    assert!(
+        connections.values().all(|most| *most <= 360),
+        "{connections:?}"
+    );
+}
+
+#[test]
+fn verify_each_slot_has_one_owner() {
+    const INSTANCES: u32 = 10;
+    const SLOTS: u32 = 48;
+    let mut taken = std::collections::BTreeMap::new();
+    for rank in 0..INSTANCES {
+        let mut balancer = balancer(12, INSTANCES);
+        balancer.rank(Some(rank), at(0));
+        let own = SLOTS / INSTANCES + u32::from(rank < SLOTS % INSTANCES);
+        for draw in 0..own {
+            let ticket = take(&mut balancer, at(0), draw.into());
+            let name = ticket.upstream().upstream.clone();
+            *taken.entry(name).or_insert(0) += 1;
+        }
+    }
+    assert_eq!(taken.len(), 12);
+    assert!(taken.values().all(|slots| *slots == 4), "{taken:?}");
+}
