--- a/crates/foxtide-entry/src/entry.rs
+++ b/crates/foxtide-entry/src/entry.rs
@@ -8,7 +8,7 @@
 use crate::housekeeping::{Housekeeping, keep_house};
 use crate::options::EntryOptions;
 use crate::parts::{Directory, Parts};
-use crate::proxy::{KeyTable, Proxy};
+use crate::proxy::Proxy;
 use crate::serve::{Handler, ServeState, bind, serve_listener};
 use crate::time_limit::within;
 use crate::upstream::Pools;
@@ -48,51 +48,63 @@
         let options = Arc::new(options);
         let caller_listener = bind(options.caller_address)?;
         let admin_listener = bind(options.admin_address)?;
-        let caller_address = local_address(&caller_listener, options.caller_address);
-        let admin_address = local_address(&admin_listener, options.admin_address);
-        let pools = Arc::new(Pools::new(options.pool.clone()));
-        let callers = ServeState::new(&options.limits);
-        let operators = ServeState::new(&options.limits);
-        let keys = Table::new(parts.owner().clone(), options.keys);
-        let keys: KeyTable = Arc::new(Mutex::new(keys));
-        let proxy = Proxy {
-            parts: Arc::clone(&parts),
-            options: Arc::clone(&options),
-            pools: Arc::clone(&pools),
-            keys: Arc::clone(&keys),
-            executor: Arc::downgrade(executor),
-            callers: Arc::clone(&callers),
-            in_flight: Bounded::new(options.limits.in_flight),
-            waiting: Bounded::new(options.limits.waiting),
-        };
-        let caller_handler = CallerHandler {
-            parts: Arc::clone(&parts),
-            options: Arc::clone(&options),
-            proxy: Arc::new(proxy),
-            owner: parts.owner().to_string(),
-        };
-        let admin_handler = AdminHandler {
-            parts: Arc::clone(&parts),
-            callers: Arc::clone(&callers),
-        };
         let mut entry = Self {
+            caller_address: local_address(&caller_listener, options.caller_address),
+            admin_address: local_address(&admin_listener, options.admin_address),
+            callers: ServeState::new(&options.limits),
+            operators: ServeState::new(&options.limits),
             parts,
             options,
-            callers,
-            operators,
-            caller_address,
-            admin_address,
             tasks: Vec::new(),
         };
         entry.begin_decisions();
-        let callers = Arc::clone(&entry.callers);
-        let operators = Arc::clone(&entry.operators);
-        entry.serve(executor, caller_listener, caller_handler, callers);
-        entry.serve(executor, admin_listener, admin_handler, operators);
-        entry.keep_house(executor, pools, keys);
+        let proxy = entry.proxy(executor);
+        entry.keep_house(executor, &proxy);
+        entry.serve_callers(executor, caller_listener, proxy);
+        entry.serve_operators(executor, admin_listener);
         Ok(entry)
     }
 
+    fn proxy(&self, executor: &Arc<Executor<'static>>) -> Proxy<P> {
+        let options = &self.options;
+        let keys = Table::new(self.parts.owner().clone(), options.keys);
+        Proxy {
+            parts: Arc::clone(&self.parts),
+            options: Arc::clone(options),
+            pools: Arc::new(Pools::new(options.pool.clone())),
+            keys: Arc::new(Mutex::new(keys)),
+            executor: Arc::downgrade(executor),
+            callers: Arc::clone(&self.callers),
+            in_flight: Bounded::new(options.limits.in_flight),
+            waiting: Bounded::new(options.limits.waiting),
+        }
+    }
+
+    fn serve_callers(
+        &mut self,
+        executor: &Arc<Executor<'static>>,
+        listener: Async<TcpListener>,
+        proxy: Proxy<P>,
+    ) {
+        let handler = CallerHandler {
+            parts: Arc::clone(&self.parts),
+            options: Arc::clone(&self.options),
+            proxy: Arc::new(proxy),
+            owner: self.parts.owner().to_string(),
+        };
+        let state = Arc::clone(&self.callers);
+        self.serve(executor, listener, handler, state);
+    }
+
+    fn serve_operators(&mut self, executor: &Arc<Executor<'static>>, listener: Async<TcpListener>) {
+        let handler = AdminHandler {
+            parts: Arc::clone(&self.parts),
+            callers: Arc::clone(&self.callers),
+        };
+        let state = Arc::clone(&self.operators);
+        self.serve(executor, listener, handler, state);
+    }
+
     /// Moves the decisions on once, so that what is configured already can be
     /// served from the first caller on.
     fn begin_decisions(&self) {
@@ -124,8 +136,9 @@
         self.tasks.push(executor.spawn(serving));
     }
 
-    fn keep_house(&mut self, executor: &Arc<Executor<'static>>, pools: Arc<Pools>, keys: KeyTable) {
+    fn keep_house(&mut self, executor: &Arc<Executor<'static>>, proxy: &Proxy<P>) {
         let (parts, options) = (Arc::clone(&self.parts), Arc::clone(&self.options));
+        let (pools, keys) = (Arc::clone(&proxy.pools), Arc::clone(&proxy.keys));
         let housekeeping = Housekeeping::new(parts, options, pools, keys);
         let keeping = keep_house(housekeeping, Arc::clone(executor));
         self.tasks.push(executor.spawn(keeping));
--- a/crates/foxtide-entry/src/lookup.rs
+++ b/crates/foxtide-entry/src/lookup.rs
@@ -51,18 +51,16 @@
     let service = traffic.service(&question.service);
     let service = service.ok_or_else(unknown_service)?;
     let organisation = traffic.organisation();
-    let known = parts
-        .directory()
-        .client_region(&question.organisation, question.client);
+    let (directory, wall) = (parts.directory(), parts.clock().wall());
+    let known = directory.client_region(&question.organisation, question.client);
     let origin = &parts.traffic().options().origin;
     let region = known.as_ref().unwrap_or(origin);
-    let wall = parts.clock().wall();
-    let instances = parts.directory().instances();
+    let instances = directory.instances();
     let nearest = nearest(&instances, &organisation, region, wall);
     let chosen = choose(nearest, options.lookup_instances);
     let rule = rule(&chosen, known.as_ref(), region);
-    let view = service.view();
-    let decision = Decision::new(DecisionKind::Lookup, rule, view, Some(region.clone()), wall);
+    let region = Some(region.clone());
+    let decision = Decision::new(DecisionKind::Lookup, rule, service.view(), region, wall);
     parts.explainer().note(decision.of_request(&id));
     let answer = LookupAnswer {
         instances: chosen,
