Poll upstreams on kept connections and skip drains where there are none

Cause: a poll made a connection each, 1 ms at the upstream, twice a second for each idle upstream and instance; every tick locked each upstream's balancer to apply drains. No test held a request in flight through a drain. Change: polls take and keep pooled connections; drains are applied only while there are some, and once after; the test.

--- a/crates/foxtide-entry/src/traffic/organisation.rs
+++ b/crates/foxtide-entry/src/traffic/organisation.rs
@@ -10,6 +10,7 @@
 use parking_lot::Mutex;
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 type Services = HashMap<ServiceId, Arc<ServiceTraffic>>;
@@ -20,6 +21,8 @@
     organisation: ArcSwap<Organisation>,
     steering: Mutex<Steering>,
     services: ArcSwap<Services>,
+    /// Whether there were drains at the last tick.
+    drained: AtomicBool,
 }
 
 impl OrganisationTraffic {
@@ -39,6 +42,7 @@
             organisation: ArcSwap::new(Arc::clone(&organisation)),
             steering: Mutex::new(steering),
             services: ArcSwap::default(),
+            drained: AtomicBool::new(false),
         };
         traffic.configure_services(&organisation, options, sharing, now);
         traffic
@@ -113,8 +117,13 @@
     /// Moves all decisions on to `now`.
     pub(super) fn tick(&self, now: MonotonicTime, wall: WallTime) {
         let organisation = self.organisation();
+        let drains = !organisation.drains.is_empty();
+        // One tick more, so that what a drain took out comes back.
+        let drained = self.drained.swap(drains, Ordering::Relaxed);
         for (id, service) in self.services().iter() {
-            service.apply_drains(&organisation, now, wall);
+            if drains || drained {
+                service.apply_drains(&organisation, now, wall);
+            }
             for (region, traffic) in service.regions().iter() {
                 let healthy = traffic.with_balancer(|balancer| balancer.healthy_share(now));
                 self.steering.lock().set_health(id, region, Some(healthy));
--- a/crates/foxtide-entry/src/traffic/poller.rs
+++ b/crates/foxtide-entry/src/traffic/poller.rs
@@ -2,7 +2,7 @@
 
 use super::region::RegionTraffic;
 use super::tables::TrafficTables;
-use crate::answer::AnswerBody;
+use crate::answer::{Answer, AnswerBody};
 use crate::clock::Clock;
 use crate::errors::Step;
 use crate::http::name;
@@ -10,7 +10,7 @@
 use crate::parts::Parts;
 use crate::request_id::new_request_id;
 use crate::upstream::{
-    Failure, Freshness, Naming, Pools, UpstreamAnswer, UpstreamRequest, exchange, says_draining,
+    Failure, Freshness, Naming, Pools, UpstreamRequest, exchange, says_draining,
 };
 use foxtide_core::choice::{LoadReport, Poll, PollResult};
 use foxtide_core::time::MonotonicTime;
@@ -19,6 +19,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+/// The most idle connections to an upstream among which a poll's is kept.
+const POLLED_CONNECTIONS: usize = 1;
+
 /// What polls work with.
 #[derive(Debug)]
 pub(crate) struct Poller<P> {
@@ -59,14 +62,13 @@
             .with_balancer(|balancer| balancer.finish_poll(due.poll, result, now));
     }
 
-    async fn ask(&self, address: SocketAddr) -> Result<UpstreamAnswer, Failure> {
+    async fn ask(&self, address: SocketAddr) -> Result<Answer, Failure> {
         let id = new_request_id();
         let path = &self.options.poll.load_path;
         let bytes = format!(
-            "GET {path} HTTP/1.1\r\n{}: {address}\r\n{}: {id}\r\n{}: close\r\n\r\n",
+            "GET {path} HTTP/1.1\r\n{}: {address}\r\n{}: {id}\r\n\r\n",
             name::HOST,
             name::REQUEST_ID,
-            name::CONNECTION,
         );
         let request = UpstreamRequest {
             address,
@@ -74,16 +76,20 @@
             request: id.as_str(),
             naming: Naming::Optional,
             bytes: bytes.as_bytes(),
-            freshness: Freshness::New,
+            freshness: Freshness::Any,
             time_left: self.options.poll.time,
         };
         let now = self.parts.clock().now();
-        exchange(&self.pools, &self.options.limits, &request, now).await
+        let mut answered = exchange(&self.pools, &self.options.limits, &request, now).await?;
+        if let Some(connection) = answered.connection.take() {
+            let now = self.parts.clock().now();
+            self.pools.put(address, connection, POLLED_CONNECTIONS, now);
+        }
+        Ok(answered.answer)
     }
 }
 
-fn read_report(answered: UpstreamAnswer) -> PollResult {
-    let answer = answered.answer;
+fn read_report(answer: Answer) -> PollResult {
     let header = answer.headers.get(name::LOAD_METRICS);
     let header = header.and_then(|values| values.as_str().parse::<LoadReport>().ok());
     let body = match &answer.body {
--- a/crates/foxtide-entry/src/upstream/exchange.rs
+++ b/crates/foxtide-entry/src/upstream/exchange.rs
@@ -27,7 +27,7 @@
 pub(crate) enum Naming {
     /// Always where the upstream has done so before.
     AsBefore,
-    /// Never; for what is asked on a connection of its own and harms nobody.
+    /// Never; for what harms nobody when it is taken for another's answer.
     Optional,
 }
 
--- a/crates/foxtide-entry/src/upstream/pool.rs
+++ b/crates/foxtide-entry/src/upstream/pool.rs
@@ -19,8 +19,6 @@
     Any,
     /// Only a short time, so that the upstream is not about to close it.
     Recent,
-    /// Not at all: the connection is to be a new one.
-    New,
 }
 
 #[derive(Debug)]
@@ -72,7 +70,6 @@
         let idle_time = match freshness {
             Freshness::Any => self.options.idle_time,
             Freshness::Recent => self.options.idle_time_non_idempotent,
-            Freshness::New => return None,
         };
         let mut idle = pool.idle.lock();
         while let Some(connection) = idle.pop_if(|last| now - last.since <= idle_time) {
--- a/crates/foxtide-entry/tests/path.rs
+++ b/crates/foxtide-entry/tests/path.rs
@@ -3,9 +3,12 @@
 mod support;
 
 use foxtide_core::events::EventCode;
-use foxtide_entry::EntryOptions;
+use foxtide_entry::{DrainOptions, EntryOptions};
 use std::io::Write;
-use std::sync::Arc;
+use std::sync::atomic::Ordering::SeqCst;
+use std::sync::mpsc::channel;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
 use support::{RawUpstream, World, assert_refused, get, post, read_message};
 
 const HELLO: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\nx-kept: 1\r\n\r\nhello";
@@ -173,3 +176,37 @@
     assert!(idle.is_closed());
     assert_eq!(world.entry.connections(), 0);
 }
+
+#[test]
+fn verify_drain_waits_for_what_is_in_flight() {
+    let (asked, wait_asked) = channel();
+    let (release, released) = channel::<()>();
+    let (asked, released) = (Mutex::new(asked), Mutex::new(released));
+    let upstream = RawUpstream::start(move |mut stream, _| {
+        read_message(&mut stream);
+        asked.lock().unwrap().send(()).unwrap();
+        let _ = released.lock().unwrap().recv();
+        stream.write_all(HELLO).unwrap();
+    });
+    let options = EntryOptions {
+        lookup_ttl: Duration::ZERO,
+        drain: DrainOptions {
+            margin: Duration::ZERO,
+            ..DrainOptions::default()
+        },
+        ..EntryOptions::default()
+    };
+    let world = World::start_with(&[upstream.address], options);
+    let mut caller = world.caller();
+    caller.send(&post("/notices", "x"));
+    wait_asked.recv().unwrap();
+    let entry = Arc::clone(&world.entry);
+    let drained = world.workers.spawn(async move { entry.drain().await });
+    support::wait_until("the end of look-ups", || world.parts.left.load(SeqCst));
+    assert!(!drained.is_finished());
+    drop(release);
+    let answer = caller.answer().expect("the answer is not cut");
+    assert!(answer.ends_with("hello"), "{answer}");
+    assert!(answer.contains("connection: close\r\n"), "{answer}");
+    smol::block_on(drained);
+}
