--- a/crates/foxtide-core/src/spreading/load/options.rs
+++ b/crates/foxtide-core/src/spreading/load/options.rs
@@ -16,7 +16,7 @@
     pub interval_max: Duration,
     /// What an instance may send for it, in bytes a second. Where the table of
     /// all regions is too large for that, rounds come less often. Default
-    /// 1,600.
+    /// 1,400.
     pub budget_bytes_per_s: u32,
     /// Instances that an instance of the tree has below it. Default 2.
     pub fan_out: usize,
@@ -40,7 +40,7 @@
         Self {
             interval_min: Duration::from_secs(1),
             interval_max: Duration::from_secs(30),
-            budget_bytes_per_s: 1_600,
+            budget_bytes_per_s: 1_400,
             fan_out: 2,
             hop: Duration::from_millis(60),
             far_hop: Duration::from_millis(120),
--- a/crates/foxtide-core/src/spreading/load/record.rs
+++ b/crates/foxtide-core/src/spreading/load/record.rs
@@ -13,8 +13,8 @@
 /// Encoded size of a share of one region, in bytes.
 const REGION_BYTES: usize = 3;
 
-/// Encoded size of the use of one region's limits, in bytes.
-const LIMIT_BYTES: usize = 11;
+/// Usual encoded size of the use of one region's limits, in bytes.
+const LIMIT_BYTES: usize = 7;
 
 /// What some instances of a region report for one organisation.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/foxtide-testing/src/virtual_fleet.rs
+++ b/crates/foxtide-testing/src/virtual_fleet.rs
@@ -92,6 +92,7 @@
     loss_share: f64,
     now: MonotonicTime,
     sent: u64,
+    sent_far: u64,
     rng: StdRng,
     suspected: BTreeSet<(InstanceId, Incarnation)>,
     dead: BTreeSet<(InstanceId, Incarnation)>,
@@ -119,6 +120,7 @@
             loss_share: 0.0,
             now,
             sent: 0,
+            sent_far: 0,
             rng: StdRng::seed_from_u64(options.seed),
             suspected: BTreeSet::new(),
             dead: BTreeSet::new(),
@@ -220,6 +222,12 @@
         self.sent
     }
 
+    /// Returns how many of them went to another region; every third instance
+    /// stands in the same one.
+    pub fn sent_far(&self) -> u64 {
+        self.sent_far
+    }
+
     /// Lets virtual time pass.
     pub fn run_for(&mut self, duration: Duration) {
         let end = self.now + duration;
@@ -287,6 +295,7 @@
 
     fn send(&mut self, sender: usize, to: usize, packet: Packet) {
         self.sent += 1;
+        self.sent_far += u64::from(region(sender) != region(to));
         let lost = self.loss_share > 0.0 && self.rng.random_bool(self.loss_share);
         if !lost && self.connected(sender, to) {
             let key = (self.now + self.options.delay, self.sent);
@@ -329,6 +338,11 @@
     name.expect("a letter and a number are a name")
 }
 
+/// Returns the region in which an instance stands, also where all share a zone.
+fn region(instance: usize) -> &'static str {
+    REGIONS[instance % REGIONS.len()]
+}
+
 fn address(instance: usize) -> SocketAddr {
     let port = FIRST_PORT + u16::try_from(instance).unwrap_or(u16::MAX);
     SocketAddr::from(([127, 0, 0, 1], port))
--- a/crates/foxtide/examples/measure/main.rs
+++ b/crates/foxtide/examples/measure/main.rs
@@ -40,6 +40,7 @@
     ("store", store::run),
     ("proxy", proxy::run),
     ("membership", membership::run),
+    ("membership_scope", membership_scope::run),
     ("spread", spread::run),
 ];
 
--- a/crates/foxtide/examples/measure/membership.rs
+++ b/crates/foxtide/examples/measure/membership.rs
@@ -2,7 +2,6 @@
 //! gone, and how often a live one is suspected.
 
 use crate::fit::Line;
-use crate::membership_scope;
 use crate::mesh_fleet::{Fleet, Shape, TARGET, TODAY, organisation, wait};
 use crate::report::{Limit, Report};
 use crate::usage::{memory_bytes, processor_time};
@@ -60,7 +59,6 @@
     }
     detection(report);
     suspicions(report);
-    membership_scope::run(report);
 }
 
 fn cost(report: &mut Report, instances: usize, shape: Shape, memory_before: f64) -> Cost {
--- a/crates/foxtide/examples/measure/membership_scope.rs
+++ b/crates/foxtide/examples/measure/membership_scope.rs
@@ -2,6 +2,7 @@
 //! instances. On a virtual clock.
 
 use crate::report::{Limit, Report};
+use foxtide_core::membership::MembershipOptions;
 use foxtide_testing::{VirtualFleet, VirtualFleetOptions};
 use std::time::Duration;
 
@@ -10,20 +11,21 @@
 /// Every third instance is cut off; with zones these are whole regions.
 const CUT_STEP: usize = 3;
 
+const KILLS: u64 = 20;
+
 const PHASE: Duration = Duration::from_secs(60);
 
 /// Compares both groupings.
 pub(crate) fn run(report: &mut Report) {
     for (name, zones) in [("one_group", 1), ("zones", 15)] {
-        let mut fleet = VirtualFleet::new(VirtualFleetOptions {
-            instances: INSTANCES,
-            zones,
-            ..VirtualFleetOptions::default()
-        });
+        let mut fleet = fleet(zones, 0);
         fleet.run_for(PHASE);
         let name = format!("membership.scope.{name}");
+        let far_before = fleet.sent_far();
         let steady = sent_in_phase(&mut fleet);
         show(report, &format!("{name}.steady"), steady);
+        let far = (fleet.sent_far() - far_before) as f64 / INSTANCES as f64 / PHASE.as_secs_f64();
+        show(report, &format!("{name}.steady_to_other_regions"), far);
         fleet.cut_off((0..INSTANCES).step_by(CUT_STEP));
         let cut = sent_in_phase(&mut fleet);
         show(report, &format!("{name}.region_cut_off"), cut);
@@ -32,7 +34,40 @@
         let took_s = took.unwrap_or(PHASE).as_secs_f64();
         let figure = format!("{name}.all_agree_after_healing");
         report.figure(&figure, took_s, "s", Limit::None);
+        gone(report, &name, zones);
+    }
+}
+
+/// Returns a fleet; where all are one group, every probe has to wait for the
+/// regions furthest apart.
+fn fleet(zones: usize, seed: u64) -> VirtualFleet {
+    let mut membership = MembershipOptions::default();
+    if zones == 1 {
+        membership.near_timeout = membership.far_timeout;
     }
+    VirtualFleet::new(VirtualFleetOptions {
+        membership,
+        instances: INSTANCES,
+        zones,
+        seed,
+        ..VirtualFleetOptions::default()
+    })
+}
+
+/// Measures how long a killed instance stays a member somewhere.
+fn gone(report: &mut Report, name: &str, zones: usize) {
+    let took_s = (0..KILLS).map(|seed| {
+        let mut fleet = fleet(zones, seed);
+        fleet.run_for(Duration::from_secs(2));
+        fleet.kill(seed as usize);
+        let took = fleet.run_until(PHASE, VirtualFleet::all_agree);
+        took.unwrap_or(PHASE).as_secs_f64()
+    });
+    let took_s: Vec<_> = took_s.collect();
+    let mean_s = took_s.iter().sum::<f64>() / KILLS as f64;
+    let longest_s = took_s.iter().copied().fold(0.0, f64::max);
+    report.figure(&format!("{name}.gone_mean"), mean_s, "s", Limit::None);
+    report.figure(&format!("{name}.gone_longest"), longest_s, "s", Limit::None);
 }
 
 /// Returns the datagrams of one instance in one second.
