--- a/crates/foxtide-core/src/events/event.rs
+++ b/crates/foxtide-core/src/events/event.rs
@@ -128,6 +128,15 @@
     }
 }
 
+/// An event before it is stamped, as a decision tells it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EventDraft {
+    /// What happened.
+    pub code: EventCode,
+    /// What it is about.
+    pub fields: EventFields,
+}
+
 /// One event of one process.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Event {
--- a/crates/foxtide-core/src/events/mod.rs
+++ b/crates/foxtide-core/src/events/mod.rs
@@ -18,7 +18,7 @@
 pub use catalogue::catalogue_page;
 pub use clock::{AHEAD_MAX, HybridClock, HybridTime};
 pub use code::{EventCode, Level};
-pub use event::{DETAIL_MAX_BYTES, Event, EventFields, RequestId};
+pub use event::{DETAIL_MAX_BYTES, Event, EventDraft, EventFields, RequestId};
 pub use filter::EventFilter;
 pub use merge::merge;
 pub use ring::{EventRing, EventRingOptions, RingEntry};
--- a/crates/foxtide-core/src/explain/changes.rs
+++ b/crates/foxtide-core/src/explain/changes.rs
@@ -5,7 +5,7 @@
 
 use super::episodes::Episodes;
 use super::{Candidate, CandidateName, Decision, FigureKind, View};
-use crate::events::{EventCode, EventFields};
+use crate::events::{EventCode, EventDraft, EventFields};
 use crate::ids::{OrganisationId, RegionId, ServiceId};
 use crate::time::WallTime;
 use std::collections::{BTreeMap, BTreeSet};
@@ -19,20 +19,11 @@
 /// How many changes wait to be taken; later ones are dropped.
 const PENDING_MAX: usize = 256;
 
-/// A change at a service, as an event.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ServiceChange {
-    /// What happened.
-    pub code: EventCode,
-    /// What it is about.
-    pub fields: EventFields,
-}
-
 /// Tells what changes at all services of an instance.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ServiceChanges {
     services: BTreeMap<(OrganisationId, ServiceId), Service>,
-    pending: Vec<ServiceChange>,
+    pending: Vec<EventDraft>,
 }
 
 /// What was told of one service.
@@ -63,7 +54,7 @@
     }
 
     /// Returns what changed since the last call.
-    pub(super) fn take(&mut self, now: WallTime) -> Vec<ServiceChange> {
+    pub(super) fn take(&mut self, now: WallTime) -> Vec<EventDraft> {
         let mut ended = Vec::new();
         for ((organisation, id), service) in &mut self.services {
             let changes = service.episodes.end(now);
@@ -79,7 +70,7 @@
         &mut self,
         organisation: &OrganisationId,
         service: &ServiceId,
-        changes: Vec<ServiceChange>,
+        changes: Vec<EventDraft>,
     ) {
         for mut change in changes {
             change.fields.organisation = Some(organisation.clone());
@@ -94,7 +85,7 @@
 impl Service {
     /// Tells regions, and the service, that lost their last usable upstream or
     /// have one again.
-    fn compare_upstreams(&mut self, candidates: &[Candidate]) -> Vec<ServiceChange> {
+    fn compare_upstreams(&mut self, candidates: &[Candidate]) -> Vec<EventDraft> {
         let usable = usable_regions(candidates);
         let without: BTreeSet<RegionId> = usable
             .iter()
@@ -115,7 +106,7 @@
                 EventCode::ServiceUsable
             };
             let fields = EventFields::default();
-            told.push(ServiceChange { code, fields });
+            told.push(EventDraft { code, fields });
         }
         self.without_upstreams = without;
         self.is_empty = is_empty;
@@ -123,7 +114,7 @@
     }
 
     /// Tells weights that moved by a step, or that came to rest.
-    fn compare_weights(&mut self, candidates: &[Candidate]) -> Option<ServiceChange> {
+    fn compare_weights(&mut self, candidates: &[Candidate]) -> Option<EventDraft> {
         let weights = figures(candidates, FigureKind::WeightShare);
         let planned = figures(candidates, FigureKind::PlannedShare);
         if weights.is_empty() {
@@ -144,7 +135,7 @@
         let detail =
             shares.collect::<Vec<_>>().join(" ") + if resting { " as planned" } else { "" };
         self.weights = weights;
-        Some(ServiceChange {
+        Some(EventDraft {
             code: EventCode::WeightsShifted,
             fields: EventFields::detail(detail),
         })
@@ -184,10 +175,10 @@
     differences.fold(0.0, f32::max)
 }
 
-fn of_region(code: EventCode, region: &RegionId) -> ServiceChange {
+fn of_region(code: EventCode, region: &RegionId) -> EventDraft {
     let fields = EventFields {
         region: Some(region.clone()),
         ..EventFields::default()
     };
-    ServiceChange { code, fields }
+    EventDraft { code, fields }
 }
--- a/crates/foxtide-core/src/explain/episodes.rs
+++ b/crates/foxtide-core/src/explain/episodes.rs
@@ -1,8 +1,7 @@
 //! Times during which requests of a service did not go as planned.
 
-use super::changes::ServiceChange;
 use super::{Decision, Rule};
-use crate::events::{EventCode, EventFields};
+use crate::events::{EventCode, EventDraft, EventFields};
 use crate::time::WallTime;
 use std::time::Duration;
 
@@ -51,7 +50,7 @@
 
 impl Episodes {
     /// Counts a decision; returns what begins with it.
-    pub(super) fn note(&mut self, decision: &Decision) -> Vec<ServiceChange> {
+    pub(super) fn note(&mut self, decision: &Decision) -> Vec<EventDraft> {
         let mut begun = Vec::new();
         for (kind, episode) in KINDS.iter().zip(&mut self.0) {
             if !(kind.covers)(decision.rule) {
@@ -67,12 +66,12 @@
     }
 
     /// Returns what has ended by now.
-    pub(super) fn end(&mut self, now: WallTime) -> Vec<ServiceChange> {
+    pub(super) fn end(&mut self, now: WallTime) -> Vec<EventDraft> {
         let mut ended = Vec::new();
         for (kind, episode) in KINDS.iter().zip(&mut self.0) {
             if episode.requests > 0 && now.since(episode.last_us) >= QUIET {
                 let detail = format!("requests={}", episode.requests);
-                ended.push(ServiceChange {
+                ended.push(EventDraft {
                     code: kind.ends,
                     fields: EventFields::detail(detail),
                 });
@@ -83,8 +82,8 @@
     }
 }
 
-fn beginning(kind: &Kind, decision: &Decision) -> ServiceChange {
-    ServiceChange {
+fn beginning(kind: &Kind, decision: &Decision) -> EventDraft {
+    EventDraft {
         code: kind.begins,
         fields: EventFields {
             region: decision.region.clone(),
--- a/crates/foxtide-core/src/explain/log.rs
+++ b/crates/foxtide-core/src/explain/log.rs
@@ -1,9 +1,9 @@
 //! The bounded memory of decisions and of the views they rest on.
 
-use super::changes::{ServiceChange, ServiceChanges};
+use super::changes::ServiceChanges;
 use super::decision::hash;
 use super::{Attempt, Decision, DecisionKind, Rule, View, ViewId};
-use crate::events::RequestId;
+use crate::events::{EventDraft, RequestId};
 use crate::ids::{OrganisationId, RegionId, ServiceId};
 use crate::time::WallTime;
 use serde::Serialize;
@@ -146,7 +146,7 @@
 
     /// Returns what changed at the services since the last call, as events to
     /// record.
-    pub fn changes(&mut self, now: WallTime) -> Vec<ServiceChange> {
+    pub fn changes(&mut self, now: WallTime) -> Vec<EventDraft> {
         self.changes.take(now)
     }
 
--- a/crates/foxtide-core/src/explain/mod.rs
+++ b/crates/foxtide-core/src/explain/mod.rs
@@ -25,7 +25,6 @@
 mod rule;
 mod view;
 
-pub use changes::ServiceChange;
 pub use decision::{ATTEMPTS_MAX, Attempt, AttemptResult, Decision, DecisionKind};
 pub use log::{ExplainFilter, ExplainLog, ExplainOptions, Explanation};
 pub use rule::Rule;
--- a/crates/foxtide-events/src/explainer.rs
+++ b/crates/foxtide-events/src/explainer.rs
@@ -3,8 +3,9 @@
 //! Locks: one, around the log, held for a push or a copy and never together
 //! with another.
 
+use foxtide_core::events::EventDraft;
 use foxtide_core::explain::{
-    Decision, ExplainFilter, ExplainLog, ExplainOptions, Explanation, ServiceChange, View, ViewId,
+    Decision, ExplainFilter, ExplainLog, ExplainOptions, Explanation, View, ViewId,
 };
 use foxtide_core::ids::{OrganisationId, ServiceId};
 use foxtide_core::time::WallTime;
@@ -50,7 +51,7 @@
 
     /// Returns what changed at the services since the last call, as events to
     /// record.
-    pub fn changes(&self, now: WallTime) -> Vec<ServiceChange> {
+    pub fn changes(&self, now: WallTime) -> Vec<EventDraft> {
         self.log.lock().changes(now)
     }
 
--- a/crates/foxtide-events/src/recorder.rs
+++ b/crates/foxtide-events/src/recorder.rs
@@ -5,8 +5,8 @@
 
 use crate::WallClock;
 use foxtide_core::events::{
-    Event, EventCode, EventFields, EventFilter, EventRing, EventRingOptions, HybridClock,
-    HybridTime, Level, RingEntry,
+    Event, EventCode, EventDraft, EventFields, EventFilter, EventRing, EventRingOptions,
+    HybridClock, HybridTime, Level, RingEntry,
 };
 use foxtide_core::ids::InstanceId;
 use foxtide_core::time::WallTime;
@@ -88,6 +88,13 @@
         clock
     }
 
+    /// Records and logs events, in their order.
+    pub fn record_all(&self, drafts: Vec<EventDraft>) {
+        for draft in drafts {
+            self.record(draft.code, draft.fields);
+        }
+    }
+
     /// Returns the time to send along with a message to a peer.
     pub fn stamp(&self) -> HybridTime {
         let wall = self.shared.wall.now();
--- a/crates/foxtide/src/member_events.rs
+++ b/crates/foxtide/src/member_events.rs
@@ -1,6 +1,6 @@
 //! Events about members, from what the mesh believes of them.
 
-use foxtide_core::events::{EventCode, EventFields};
+use foxtide_core::events::{EventCode, EventDraft, EventFields};
 use foxtide_core::idempotency::ProcessNumber;
 use foxtide_core::ids::{AvailabilityZoneId, InstanceId, RegionId};
 use foxtide_core::membership::{Member, MemberState};
@@ -27,17 +27,10 @@
     process: ProcessNumber,
 }
 
-/// An event about a member, an availability zone or a region.
-#[derive(Debug, PartialEq, Eq)]
-pub(crate) struct MemberEvent {
-    pub(crate) code: EventCode,
-    pub(crate) fields: EventFields,
-}
-
 impl MemberEvents {
     /// Returns what changed since the last look; nothing at the first one, at
     /// which a starting instance hears of all members at once.
-    pub(crate) fn look(&mut self, members: &[Member]) -> Vec<MemberEvent> {
+    pub(crate) fn look(&mut self, members: &[Member]) -> Vec<EventDraft> {
         let seen = Seen::new(members);
         let Some(before) = &self.seen else {
             self.seen = Some(seen);
@@ -61,7 +54,7 @@
         }
     }
 
-    fn changed_members(&self, before: &Self, members: &[Member]) -> Vec<MemberEvent> {
+    fn changed_members(&self, before: &Self, members: &[Member]) -> Vec<EventDraft> {
         let changed = members.iter().filter_map(|member| {
             let was = before.members.get(&member.instance).copied();
             let code = code_of(was, known(member))?;
@@ -70,9 +63,9 @@
         changed.collect()
     }
 
-    fn changed_zones(&self, before: &Self) -> Vec<MemberEvent> {
+    fn changed_zones(&self, before: &Self) -> Vec<EventDraft> {
         let (new, old) = (&self.lost_zones, &before.lost_zones);
-        let event = |code, zone: &AvailabilityZoneId| MemberEvent {
+        let event = |code, zone: &AvailabilityZoneId| EventDraft {
             code,
             fields: EventFields::detail(format!("zone={zone}")),
         };
@@ -83,9 +76,9 @@
         lost.chain(found).collect()
     }
 
-    fn changed_regions(&self, before: &Self) -> Vec<MemberEvent> {
+    fn changed_regions(&self, before: &Self) -> Vec<EventDraft> {
         let (new, old) = (&self.lost_regions, &before.lost_regions);
-        let event = |code, region: &RegionId| MemberEvent {
+        let event = |code, region: &RegionId| EventDraft {
             code,
             fields: EventFields {
                 region: Some(region.clone()),
@@ -132,7 +125,7 @@
     }
 }
 
-fn member_event(code: EventCode, member: &Member) -> MemberEvent {
+fn member_event(code: EventCode, member: &Member) -> EventDraft {
     let fields = EventFields {
         region: Some(member.region.clone()),
         peer: Some(member.instance.clone()),
@@ -144,7 +137,7 @@
         ),
         ..EventFields::default()
     };
-    MemberEvent { code, fields }
+    EventDraft { code, fields }
 }
 
 #[cfg(test)]
@@ -166,7 +159,7 @@
         }
     }
 
-    fn codes(events: Vec<MemberEvent>) -> Vec<EventCode> {
+    fn codes(events: Vec<EventDraft>) -> Vec<EventCode> {
         events.into_iter().map(|event| event.code).collect()
     }
 
--- a/crates/foxtide/src/node.rs
+++ b/crates/foxtide/src/node.rs
@@ -211,6 +211,7 @@
         let observer = Observer {
             recorder: recorder.clone(),
             explainer: explainer.clone(),
+            tables: Arc::clone(&tables),
             mesh: mesh.clone(),
             clock,
         };
--- /dev/null
+++ b/crates/foxtide/src/plan_events.rs
@@ -0,0 +1,228 @@
+//! Events about what configurations plan: moves that start, pause and end,
+//! drains that start, upstreams that come and go.
+
+use foxtide_core::events::{EventCode, EventDraft, EventFields};
+use foxtide_core::ids::{DrainId, MoveId, OrganisationId, ServiceId, UpstreamId};
+use foxtide_core::organisation::{Drain, DrainTarget, Organisation, PlannedMove};
+use foxtide_core::time::WallTime;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// Tells what changed between two looks at the configurations in force.
+#[derive(Debug, Default)]
+pub(crate) struct PlanEvents {
+    seen: BTreeMap<OrganisationId, Seen>,
+}
+
+/// What one look showed of an organisation.
+#[derive(Debug, Default)]
+struct Seen {
+    moves: BTreeMap<MoveId, Phase>,
+    drains: BTreeSet<DrainId>,
+    upstreams: BTreeSet<(ServiceId, UpstreamId)>,
+}
+
+/// How far a planned move is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Waiting,
+    Running,
+    Paused,
+    Completed,
+}
+
+impl PlanEvents {
+    /// Returns what changed since the last look; nothing of an organisation
+    /// that was not there before.
+    pub(crate) fn look(
+        &mut self,
+        organisations: &BTreeMap<OrganisationId, Arc<Organisation>>,
+        wall: WallTime,
+    ) -> Vec<EventDraft> {
+        let mut events = Vec::new();
+        for (id, organisation) in organisations {
+            let seen = Seen::new(organisation, wall);
+            if let Some(before) = self.seen.get(id) {
+                events.extend(seen.changes(before, organisation));
+            }
+            self.seen.insert(id.clone(), seen);
+        }
+        self.seen.retain(|id, _| organisations.contains_key(id));
+        events
+    }
+}
+
+impl Seen {
+    fn new(organisation: &Organisation, wall: WallTime) -> Self {
+        let moves = organisation.moves.iter();
+        let started = |drain: &&Drain| drain.start_us <= wall;
+        let drains = organisation.drains.iter().filter(started);
+        let services = organisation.services.iter();
+        let upstreams = services.flat_map(|service| {
+            let names = service.upstreams.iter().map(|one| one.upstream.clone());
+            names.map(|name| (service.service.clone(), name))
+        });
+        Self {
+            moves: moves
+                .map(|one| (one.id.clone(), phase(one, wall)))
+                .collect(),
+            drains: drains.map(|drain| drain.id.clone()).collect(),
+            upstreams: upstreams.collect(),
+        }
+    }
+
+    fn changes(&self, before: &Self, organisation: &Organisation) -> Vec<EventDraft> {
+        let mut events = self.moved(before, organisation);
+        events.extend(self.drained(before, organisation));
+        let added = self.upstreams.difference(&before.upstreams);
+        events.extend(added.map(|it| upstream(EventCode::UpstreamAdded, it)));
+        let removed = before.upstreams.difference(&self.upstreams);
+        events.extend(removed.map(|it| upstream(EventCode::UpstreamRemoved, it)));
+        for event in &mut events {
+            event.fields.organisation = Some(organisation.organisation.clone());
+        }
+        events
+    }
+
+    fn moved(&self, before: &Self, organisation: &Organisation) -> Vec<EventDraft> {
+        let changed = organisation.moves.iter().filter_map(|planned| {
+            let now = self.moves.get(&planned.id)?;
+            let was = before.moves.get(&planned.id).unwrap_or(&Phase::Waiting);
+            let code = code_of(*was, *now)?;
+            Some(move_event(code, planned))
+        });
+        changed.collect()
+    }
+
+    fn drained(&self, before: &Self, organisation: &Organisation) -> Vec<EventDraft> {
+        let is_new =
+            |drain: &&Drain| self.drains.contains(&drain.id) && !before.drains.contains(&drain.id);
+        let new = organisation.drains.iter().filter(is_new);
+        new.filter_map(drain_event).collect()
+    }
+}
+
+fn phase(planned: &PlannedMove, wall: WallTime) -> Phase {
+    let until = planned.paused_us.map_or(wall, |paused| paused.min(wall));
+    let moved = until.since(planned.start_us).as_secs_f64() * planned.pace_share_per_s.get();
+    if wall < planned.start_us {
+        Phase::Waiting
+    } else if moved >= planned.share.get() {
+        Phase::Completed
+    } else if planned.paused_us.is_some_and(|paused| paused <= wall) {
+        Phase::Paused
+    } else {
+        Phase::Running
+    }
+}
+
+fn code_of(was: Phase, now: Phase) -> Option<EventCode> {
+    if was == now {
+        return None;
+    }
+    match now {
+        Phase::Waiting => None,
+        Phase::Running => Some(EventCode::MoveStarted),
+        Phase::Paused => Some(EventCode::MovePaused),
+        Phase::Completed => Some(EventCode::MoveCompleted),
+    }
+}
+
+fn move_event(code: EventCode, planned: &PlannedMove) -> EventDraft {
+    let detail = format!(
+        "move={} from={} to={} share={} pace={}",
+        planned.id, planned.from, planned.to, planned.share, planned.pace_share_per_s
+    );
+    EventDraft {
+        code,
+        fields: EventFields {
+            service: Some(planned.service.clone()),
+            ..EventFields::detail(detail)
+        },
+    }
+}
+
+/// Returns the event of a drain of a region or zone; that of an upstream is
+/// told by its balancer, that of an instance by the members.
+fn drain_event(drain: &Drain) -> Option<EventDraft> {
+    let (region, place) = match &drain.target {
+        DrainTarget::Region(region) => (Some(region.clone()), format!("region={region}")),
+        DrainTarget::AvailabilityZone(zone) => (None, format!("zone={zone}")),
+        DrainTarget::Upstream { .. } | DrainTarget::Instance(_) => return None,
+    };
+    let detail = format!("drain={} {place}", drain.id);
+    Some(EventDraft {
+        code: EventCode::RegionDraining,
+        fields: EventFields {
+            region,
+            ..EventFields::detail(detail)
+        },
+    })
+}
+
+fn upstream(code: EventCode, (service, upstream): &(ServiceId, UpstreamId)) -> EventDraft {
+    EventDraft {
+        code,
+        fields: EventFields {
+            service: Some(service.clone()),
+            upstream: Some(upstream.clone()),
+            ..EventFields::default()
+        },
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn organisation(moves: &str, drains: &str, upstream: &str) -> Organisation {
+        let text = format!(
+            r#"{{"schema_version":1,"organisation":"hamutenya","revision":1,"change_id":"c1",
+            "regions":[],"links":[],"moves":[{moves}],"drains":[{drains}],
+            "services":[{{"service":"viewer","contract":{{"homes":[],"spill_limit_share":0.2,
+            "shift_cap_share_per_s":0.02,"drain_window_s":30,"deadline_ms":2000,
+            "priority":"headroom","idempotent_methods":[]}},"upstreams":[{{
+            "upstream":"{upstream}","address":"127.0.0.1:1","region":"khomas",
+            "availability_zone":"khomas-a","slots":4,"connections":360}}]}}]}}"#
+        );
+        serde_json::from_str(&text).unwrap()
+    }
+
+    fn look(events: &mut PlanEvents, document: &Organisation, at_s: u64) -> Vec<EventCode> {
+        let document = Arc::new(document.clone());
+        let organisations = [(document.organisation.clone(), document)].into();
+        let told = events.look(&organisations, WallTime::from_ms(at_s * 1_000));
+        told.into_iter().map(|event| event.code).collect()
+    }
+
+    #[test]
+    fn verify_moves_are_told_from_start_to_end() {
+        // A tenth of the traffic at 0.01 a second, from second 100 on.
+        let planned = r#"{"move":"m1","service":"viewer","from":"khomas","to":"oshana",
+            "share":0.1,"pace_share_per_s":0.01,"start_us":100000000}"#;
+        let document = organisation(planned, "", "v-1");
+        let mut events = PlanEvents::default();
+        assert_eq!(look(&mut events, &document, 99), []);
+        assert_eq!(look(&mut events, &document, 100), [EventCode::MoveStarted]);
+        assert_eq!(look(&mut events, &document, 109), []);
+        let mut paused = document.clone();
+        paused.moves[0].paused_us = Some(WallTime::from_ms(109_500));
+        assert_eq!(look(&mut events, &paused, 120), [EventCode::MovePaused]);
+        assert_eq!(
+            look(&mut events, &document, 121),
+            [EventCode::MoveCompleted]
+        );
+    }
+
+    #[test]
+    fn verify_drains_and_upstreams_are_told() {
+        let drain = r#"{"drain":"d1","target":{"region":"khomas"},"start_us":5000000}"#;
+        let mut events = PlanEvents::default();
+        let before = organisation("", drain, "v-1");
+        assert_eq!(look(&mut events, &before, 4), []);
+        assert_eq!(look(&mut events, &before, 5), [EventCode::RegionDraining]);
+        let told = look(&mut events, &organisation("", drain, "v-2"), 6);
+        let expected = [EventCode::UpstreamAdded, EventCode::UpstreamRemoved];
+        assert_eq!(told, expected);
+    }
+}
