--- a/crates/foxtide-core/tests/events.rs
+++ b/crates/foxtide-core/tests/events.rs
@@ -105,7 +105,7 @@
     let mut push = |code| ring.push(event("k-1", clock.tick(WallTime::ZERO), code));
     push(EventCode::UpstreamEjected);
     for _ in 0..100 {
-        push(EventCode::RequestRouted);
+        push(EventCode::RequestTimedOut);
     }
     let kept = ring.select(&EventFilter::default());
     assert_eq!(kept.len(), 4);
@@ -166,7 +166,7 @@
             real_ms += pause_ms;
             let wall = |process: usize| WallTime::from_ms(real_ms + skews_ms[process]);
             let sent = clocks[from].tick(wall(from));
-            lines[from].push(event(&format!("k-{from}"), sent, EventCode::PeerConnected));
+            lines[from].push(event(&format!("k-{from}"), sent, EventCode::MemberLeaving));
             let arrived = clocks[to].observe(sent, wall(to));
             lines[to].push(event(&format!("k-{to}"), arrived, EventCode::MemberJoined));
             arrivals.push((sent, arrived));
--- a/crates/foxtide/examples/measure/events/mod.rs
+++ b/crates/foxtide/examples/measure/events/mod.rs
@@ -43,7 +43,7 @@
     let codes = [
         EventCode::ConfigurationApplied,
         EventCode::UpstreamEjected,
-        EventCode::LimitShareChanged,
+        EventCode::WeightsShifted,
         EventCode::MemberFailed,
     ];
     let fields = EventFields {
@@ -68,7 +68,7 @@
     let started = Instant::now();
     for number in 0..rounds {
         let detail = format!("share=0.{number:04}");
-        recorder.record(EventCode::LimitShareChanged, EventFields::detail(detail));
+        recorder.record(EventCode::WeightsShifted, EventFields::detail(detail));
     }
     let each_us = started.elapsed().as_secs_f64() * 1e6 / f64::from(rounds);
     let started = Instant::now();
--- a/crates/foxtide/tests/docs.rs
+++ b/crates/foxtide/tests/docs.rs
@@ -1,5 +1,6 @@
 //! The pages name every dependency, and their links lead somewhere.
 
+use foxtide_core::events::EventCode;
 use std::fs;
 use std::path::{Path, PathBuf};
 
@@ -7,15 +8,21 @@
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
 }
 
-/// Returns the pages below a directory, `target` and hidden ones left out.
-fn pages(directory: &Path) -> Vec<PathBuf> {
+/// Returns the pages of the repository.
+fn pages() -> Vec<PathBuf> {
+    files(&root(), "md")
+}
+
+/// Returns the files of a kind below a directory, `target` and hidden ones
+/// left out.
+fn files(directory: &Path, kind: &str) -> Vec<PathBuf> {
     let mut found = Vec::new();
     for entry in fs::read_dir(directory).unwrap() {
         let path = entry.unwrap().path();
         let name = path.file_name().unwrap().to_str().unwrap();
         if path.is_dir() && name != "target" && !name.starts_with('.') {
-            found.extend(pages(&path));
-        } else if path.extension().is_some_and(|extension| extension == "md") {
+            found.extend(files(&path, kind));
+        } else if path.extension().is_some_and(|extension| extension == kind) {
             found.push(path);
         }
     }
@@ -35,7 +42,7 @@
 #[test]
 fn verify_links_lead_somewhere() {
     let mut broken = Vec::new();
-    for page in pages(&root()) {
+    for page in pages() {
         let text = fs::read_to_string(&page).unwrap();
         for link in links(&text) {
             if !page.parent().unwrap().join(link).exists() {
@@ -57,3 +64,36 @@
         assert!(page.contains(&format!("`{name}`")), "{name} has no line");
     }
 }
+
+/// Returns the event numbers, such as `F5003`, that a page names.
+fn event_numbers(text: &str) -> impl Iterator<Item = &str> {
+    let words = text.split(|c: char| !c.is_ascii_alphanumeric());
+    words.filter(|word| {
+        let digits = word.strip_prefix('F').unwrap_or_default();
+        digits.len() == 4 && digits.bytes().all(|byte| byte.is_ascii_digit())
+    })
+}
+
+#[test]
+fn verify_pages_name_only_events_that_there_are() {
+    let catalogue = fs::read_to_string(root().join("docs/EVENTS.md")).unwrap();
+    let known: Vec<&str> = event_numbers(&catalogue).collect();
+    for page in pages() {
+        let text = fs::read_to_string(&page).unwrap();
+        for number in event_numbers(&text) {
+            assert!(known.contains(&number), "{}: {number}", page.display());
+        }
+    }
+}
+
+#[test]
+fn verify_every_event_is_recorded_somewhere() {
+    let mut sources = files(&root().join("crates"), "rs");
+    sources.retain(|path| path.components().any(|part| part.as_os_str() == "src"));
+    let texts = sources.iter().map(|path| fs::read_to_string(path).unwrap());
+    let text: String = texts.collect();
+    for code in EventCode::ALL {
+        let name = format!("EventCode::{code:?}");
+        assert!(text.contains(&name), "{code} is recorded nowhere");
+    }
+}
