Take over rows only from those who serve the callers now

Change: rows are taken over only when all reports are from after the start; callers of another origin start from those who serve them, then from what was last heard, else from nothing; an instance that misses its peers waits for them; readiness does not flap; the margin counts the age of the peers' mean.

--- a/crates/foxtide-core/src/steering/adopt.rs
+++ b/crates/foxtide-core/src/steering/adopt.rs
@@ -1,65 +1,101 @@
 //! Where the rows of an instance start: where its peers stand.
 
 use super::engine::{Adopt, Steering};
-use super::flows::OriginFlows;
+use super::flows::{Adoption, OriginFlows};
 use super::tables::NamedRow;
 use super::view::{FleetView, ServiceView};
 use crate::ids::{RegionId, ServiceId};
 use crate::time::MonotonicTime;
 use crate::units::Share;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// The rows of all services for one origin.
 type Rows = BTreeMap<ServiceId, NamedRow>;
 
 impl Steering {
-    /// Takes over the peers' rows where they are needed and known.
+    /// Takes over the peers' rows where they lead.
     pub(super) fn adopt_rows(&mut self) {
         self.remember_rows();
-        let waits = self.adopt != Adopt::Done;
         for (place, flows) in self.flows.iter_mut().enumerate() {
-            let region = self.view.regions.get(&flows.origin);
-            let own = region
-                .map(|region| rows_of(&region.services))
-                .unwrap_or_default();
+            let own = own_rows(&self.view, &flows.origin);
             if place == 0 {
-                flows.adopt(&own, &self.tables, waits);
                 flows.take_peers(&own, &self.tables);
                 flows.take_peers_demand(&self.view, &self.tables);
-                self.adopt = if own.is_empty() {
-                    self.adopt
-                } else {
-                    Adopt::Done
-                };
                 continue;
             }
+            // The instances of an origin know best where its callers go; but
+            // what they said before they were gone must not come back.
+            if flows.is_idle() {
+                flows.adopt(&own, &self.tables, Adoption::All);
+            }
             let foreign = rows_of(&self.view.foreign(&flows.origin));
-            // The instances of an origin know best where its callers go.
-            flows.adopt(&foreign, &self.tables, waits);
-            flows.adopt(&own, &self.tables, true);
             flows.take_peers(&foreign, &self.tables);
         }
     }
 
     /// Ends the waiting for peers' rows once they have had time to tell, and
-    /// starts the rows that none of them knows of.
+    /// starts the rows that are not known yet.
     pub(super) fn start_rows(&mut self, now: MonotonicTime) {
         if let Adopt::Waiting { since } = self.adopt {
-            if now.since(since) < self.options.startup_wait {
+            let waited = now.since(since);
+            let may_hear = self.misses_peers() && waited < self.options.claim_hold;
+            if waited < self.adoption_wait() || may_hear {
                 return;
             }
             self.adopt = Adopt::Done;
+            for flows in &mut self.flows {
+                let foreign = rows_of(&self.view.foreign(&flows.origin));
+                flows.adopt(&foreign, &self.tables, Adoption::All);
+                let own = own_rows(&self.view, &flows.origin);
+                flows.adopt(&own, &self.tables, Adoption::All);
+            }
+        }
+        self.start_own();
+        let hears_majority = self.view.hears_majority();
+        for flows in self.flows.iter_mut().skip(1) {
+            let region = self.view.regions.get(&flows.origin);
+            let had_instances = region.is_some_and(|region| region.known_instances > 0);
+            flows.start_missing(hears_majority && !had_instances);
+        }
+    }
+
+    /// Starts the rows of the own origin's callers.
+    fn start_own(&mut self) {
+        let cut_off = self.misses_peers();
+        let flows = &mut self.flows[0];
+        if !flows.misses_rows() {
+            return;
         }
         let services = self.tables.services.iter();
-        let ids: Vec<ServiceId> = services.map(|(id, _)| id.clone()).collect();
-        for flows in self.flows.iter_mut().filter(|flows| flows.misses_rows()) {
-            let rows = ids.iter().filter_map(|id| {
-                let row = row_elsewhere(&self.view, &flows.origin, id)?;
-                Some((id.clone(), row))
-            });
-            flows.adopt(&rows.collect(), &self.tables, false);
-            flows.start_missing(self.view.hears_majority());
+        let rows = services.filter_map(|(id, _)| {
+            let row = row_elsewhere(&self.view, &flows.origin, id)?;
+            Some((id.clone(), row))
+        });
+        if !cut_off {
+            flows.adopt(&rows.collect(), &self.tables, Adoption::Missing);
         }
+        flows.start_missing(self.view.hears_majority() && !cut_off);
+    }
+
+    /// Tells whether the rows of this instance's origin are held by peers that
+    /// are known but not heard.
+    fn misses_peers(&self) -> bool {
+        let origin = &self.flows[0].origin;
+        let told = !own_rows(&self.view, origin).is_empty();
+        let here = self.view.regions.get(origin);
+        let heard = here.is_none_or(|here| here.live_instances >= here.known_instances);
+        !told && !heard
+    }
+
+    /// Returns how long to wait for peers' rows: no report from before the
+    /// start may count any more, as its maker may have died.
+    fn adoption_wait(&self) -> Duration {
+        let wait = self.options.startup_wait;
+        if wait.is_zero() || self.view.is_alone() {
+            return wait;
+        }
+        wait.max(self.options.view_age_max)
     }
 
     /// Finds the flows of an origin's callers, or makes them.
@@ -77,8 +113,11 @@
         let organisation = &self.organisation;
         let mut flows = OriginFlows::new(organisation, origin.clone(), &self.options, &self.rooms);
         flows.share_health(&self.flows[0]);
+        // Others that serve these callers already know where they stand.
+        let foreign = rows_of(&self.view.foreign(origin));
+        flows.adopt(&foreign, &self.tables, Adoption::Missing);
         if let Some(rows) = self.last_rows.get(origin) {
-            flows.adopt(rows, &self.tables, false);
+            flows.adopt(rows, &self.tables, Adoption::Missing);
         }
         self.flows.push(flows);
         self.adopt_rows();
@@ -100,6 +139,12 @@
     }
 }
 
+/// Returns where the instances of an origin send its callers' requests.
+fn own_rows(view: &FleetView, origin: &RegionId) -> Rows {
+    let region = view.regions.get(origin);
+    region.map_or_else(Rows::new, |region| rows_of(&region.services))
+}
+
 fn rows_of(services: &BTreeMap<ServiceId, ServiceView>) -> Rows {
     let rows = services
         .iter()
--- a/crates/foxtide-core/src/steering/engine.rs
+++ b/crates/foxtide-core/src/steering/engine.rs
@@ -144,7 +144,7 @@
     /// Tells whether the instance knows where its peers stand and has its part
     /// of its region's limit; until then look-ups should not name it.
     pub fn is_ready(&self, now: MonotonicTime) -> bool {
-        self.knows_rows(now) && self.rooms.is_settled()
+        self.knows_rows(now) && self.rooms.has_settled()
     }
 
     /// Tells whether the rows are up to date.
--- a/crates/foxtide-core/src/steering/flows.rs
+++ b/crates/foxtide-core/src/steering/flows.rs
@@ -27,6 +27,15 @@
     planned: PlannedRows,
 }
 
+/// Which rows are taken over from elsewhere.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Adoption {
+    /// Those that are not known yet.
+    Missing,
+    /// All.
+    All,
+}
+
 impl OriginFlows {
     /// Returns the flows of an origin; their rows are not known yet.
     pub(crate) fn new(
@@ -84,13 +93,16 @@
         &mut self,
         rows: &BTreeMap<ServiceId, NamedRow>,
         tables: &Tables,
-        renew: bool,
+        which: Adoption,
     ) {
         for (id, place) in &tables.services {
             let state = &mut self.services[*place];
-            let row = rows.get(id).filter(|_| renew || state.row.is_none());
+            let row = rows
+                .get(id)
+                .filter(|_| which == Adoption::All || state.row.is_none());
             if let Some(row) = row {
                 state.row = Some(tables.plain(row));
+                state.drop_unusable();
             }
         }
     }
@@ -113,6 +125,11 @@
         }
     }
 
+    /// Tells whether these callers use the instance no more, or not yet.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.services.iter().all(ServiceState::is_idle)
+    }
+
     /// Tells whether some service has no row yet.
     pub(crate) fn misses_rows(&self) -> bool {
         self.services.iter().any(|state| state.row.is_none())
--- a/crates/foxtide-core/src/steering/options.rs
+++ b/crates/foxtide-core/src/steering/options.rs
@@ -10,9 +10,10 @@
 /// Over a window of `W` the share of a region rises by at most `f * cap * W`
 /// (each instance's own pace) plus the spread between instances of the same
 /// origin, because demand may move from one to another at any moment. The
-/// spread is at most `f * cap * (skew + 2 * band)`: clocks differ by the skew,
-/// rows lie within the band on both sides of their mean.
-/// So `f = W / (W + skew + 2 * band)`.
+/// spread is at most `f * cap * (skew + 2 * band + age)`: clocks differ by the
+/// skew, rows lie within the band on both sides of their mean, and two
+/// instances know means that differ by the age of a report.
+/// So `f = W / (W + skew + 2 * band + age)`.
 const SHIFT_WINDOW_S: f64 = 10.0;
 
 /// How far a row may be from its peers' mean, as the time that the cap takes
@@ -22,6 +23,9 @@
 /// down what all instances do together.
 const PEERS_BAND_S: f64 = 1.5;
 
+/// The usual age of the peers' mean, in seconds.
+const PEERS_AGE_S: f64 = 1.5;
+
 /// The settings of [`super::Steering`].
 #[derive(Clone, Debug)]
 pub struct SteeringOptions {
@@ -50,7 +54,9 @@
     pub joining: Duration,
     /// The most instances that a region may ever hold. The floors count on it.
     pub instances_per_region_max: u32,
-    /// How long a new instance waits for its peers' positions.
+    /// How long a new instance waits at least before it takes over its peers'
+    /// positions. Where there are others it waits for
+    /// [`Self::view_age_max`], so that no report of one that has died counts.
     pub startup_wait: Duration,
     /// The longest step between two ticks that counts for movement.
     pub tick_max: Duration,
@@ -74,7 +80,7 @@
 
 impl Default for SteeringOptions {
     fn default() -> Self {
-        let spread_s = CLOCK_SKEW_MAX.as_secs_f64() + 2.0 * PEERS_BAND_S;
+        let spread_s = CLOCK_SKEW_MAX.as_secs_f64() + 2.0 * PEERS_BAND_S + PEERS_AGE_S;
         Self {
             shift_cap_factor: SHIFT_WINDOW_S / (SHIFT_WINDOW_S + spread_s),
             peers_band: Duration::from_secs_f64(PEERS_BAND_S),
--- a/crates/foxtide-core/src/steering/rooms.rs
+++ b/crates/foxtide-core/src/steering/rooms.rs
@@ -17,6 +17,7 @@
     regions: Vec<RegionId>,
     origin: RegionId,
     rooms: Vec<Room>,
+    settled: bool,
 }
 
 /// The instance's part of one region's limit and of the link to it.
@@ -55,6 +56,7 @@
             regions: Vec::new(),
             origin: origin.clone(),
             rooms: Vec::new(),
+            settled: false,
         };
         rooms.configure(organisation, now);
         rooms
@@ -94,15 +96,20 @@
         }
     }
 
-    /// Tells whether the instance has its part of its own region's limit, or
-    /// of the first one's where its region has none.
-    pub(crate) fn is_settled(&self) -> bool {
+    /// Tells whether the instance has had its part of its own region's limit,
+    /// or of the first one's where its region has none. Once it has, a part of
+    /// nothing is an answer too.
+    pub(crate) fn has_settled(&self) -> bool {
+        self.settled
+    }
+
+    fn note_settled(&mut self) {
         let own = self
             .regions
             .iter()
             .position(|region| *region == self.origin);
         let room = self.rooms.get(own.unwrap_or_default());
-        room.is_none_or(|room| room.region.is_settled())
+        self.settled |= room.is_none_or(|room| room.region.is_settled());
     }
 
     /// Sets what the instance would send to a region.
@@ -156,6 +163,7 @@
             let input = senders.link_input(sold, &self.origin, floors.link_share());
             room.link.update(input, times, passed, now);
         }
+        self.note_settled();
     }
 
     /// Takes room for one request.
--- a/crates/foxtide-core/src/steering/service.rs
+++ b/crates/foxtide-core/src/steering/service.rs
@@ -14,6 +14,9 @@
 /// requests find room.
 const CLAIM_MIN_RPS: f64 = 0.5;
 
+/// Below this measured demand nobody has come for some time constants.
+const IDLE_RPS: f64 = 0.01;
+
 /// How fast the measured demand follows what comes in.
 const DEMAND_TIME_CONSTANT_S: f64 = 1.0;
 
@@ -87,6 +90,11 @@
         self.arrived = self.arrived.saturating_add(1);
     }
 
+    /// Tells whether no caller has come of late.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.arrived == 0 && self.demand_rps < IDLE_RPS
+    }
+
     /// Takes the arrivals since the last tick into the measured demand.
     pub(crate) fn measure_demand(&mut self, since_last: Duration) {
         let passed_s = since_last.as_secs_f64();
@@ -138,12 +146,18 @@
     pub(crate) fn aim(&mut self, planned: Row) {
         let usable = self.usable();
         self.wanted = without_unusable(&planned, &self.homes, &usable);
+        self.drop_unusable();
+        self.planned_next = planned;
+    }
+
+    /// Takes regions that cannot serve out of the row.
+    pub(crate) fn drop_unusable(&mut self) {
+        let usable = self.usable();
         if let Some(row) = &mut self.row {
             for index in (0..row.len()).filter(|index| !usable[*index]) {
                 drop_region(row, index);
             }
         }
-        self.planned_next = planned;
     }
 
     /// Works out what spills, given the room in each region.
