--- a/crates/foxtide-core/tests/steering/main.rs
+++ b/crates/foxtide-core/tests/steering/main.rs
@@ -1,8 +1,10 @@
 //! Tests of the steering decisions and of the limits.
 
+mod decider;
 mod fixture;
 mod fleet;
 mod limits;
+mod node;
 mod rows;
 mod scenario;
 mod scenarios;
--- /dev/null
+++ b/crates/foxtide-core/tests/steering/node.rs
@@ -0,0 +1,127 @@
+//! One instance of a scenario.
+
+use super::decider::Decider;
+use foxtide_core::ids::RegionId;
+use foxtide_core::organisation::Organisation;
+use foxtide_core::steering::{FleetView, HeardReport, InstanceReport, ViewOptions};
+use foxtide_core::time::MonotonicTime;
+use foxtide_core::units::Share;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long the platform's list names an instance that has died.
+const LIST_LAG_MS: u64 = 10_000;
+
+/// How long the report of an instance is kept that is no longer listed; longer
+/// than its claims are held.
+const KEEP_REPORT_MS: u64 = 20_000;
+
+/// A peer's newest report as an instance knows it.
+pub(super) struct Known {
+    pub(super) made_ms: u64,
+    pub(super) report: Arc<InstanceReport>,
+}
+
+/// A request that waits for room.
+pub(super) struct Waiting {
+    pub(super) service: usize,
+    pub(super) origin: usize,
+    pub(super) draw: f64,
+    pub(super) waited: Duration,
+}
+
+/// An instance with its clocks and what it knows.
+pub(super) struct Node<D> {
+    pub(super) region: usize,
+    pub(super) decider: D,
+    /// When its process started; its steady clock's beginning.
+    pub(super) started_ms: u64,
+    /// What its wall clock is ahead of the slowest, in milliseconds.
+    pub(super) skew_ms: u64,
+    pub(super) up: bool,
+    pub(super) stopped_ms: u64,
+    pub(super) paused_until_ms: u64,
+    pub(super) demand_weight: f64,
+    pub(super) known: BTreeMap<usize, Known>,
+    pub(super) seen_health: Vec<(u64, usize, Share)>,
+    pub(super) configured: Vec<(u64, Arc<Organisation>)>,
+}
+
+impl<D: Decider> Node<D> {
+    /// Returns an instance that starts with the scenario.
+    pub(super) fn new(region: usize, decider: D, skew_ms: u64, demand_weight: f64) -> Self {
+        Self {
+            region,
+            decider,
+            started_ms: 0,
+            skew_ms,
+            up: true,
+            stopped_ms: 0,
+            paused_until_ms: 0,
+            demand_weight,
+            known: BTreeMap::new(),
+            seen_health: Vec::new(),
+            configured: Vec::new(),
+        }
+    }
+
+    pub(super) fn stop(&mut self, now_ms: u64) {
+        if self.up {
+            self.up = false;
+            self.stopped_ms = now_ms;
+        }
+    }
+
+    /// Tells whether the platform's list still names it.
+    pub(super) fn is_listed(&self, now_ms: u64) -> bool {
+        self.up || now_ms - self.stopped_ms < LIST_LAG_MS
+    }
+
+    pub(super) fn runs(&self, now_ms: u64) -> bool {
+        self.up && now_ms >= self.paused_until_ms
+    }
+
+    /// The node's steady clock.
+    pub(super) fn now(&self, at_ms: u64) -> MonotonicTime {
+        self.now_us(at_ms * 1_000)
+    }
+
+    /// The same in microseconds.
+    pub(super) fn now_us(&self, at_us: u64) -> MonotonicTime {
+        MonotonicTime::from_us(at_us - self.started_ms * 1_000)
+    }
+
+    /// Learns of its upstreams' health and of a new configuration.
+    pub(super) fn learn(&mut self, regions: &[RegionId], now_ms: u64) {
+        let now = self.now(now_ms);
+        let due = self.seen_health.iter().filter(|seen| seen.0 <= now_ms);
+        for (_, place, healthy) in due {
+            self.decider.set_health(&regions[*place], *healthy);
+        }
+        self.seen_health.retain(|seen| seen.0 > now_ms);
+        let mut due = self.configured.iter().filter(|due| due.0 <= now_ms);
+        if let Some((_, organisation)) = due.next_back() {
+            self.decider.configure(organisation, now);
+        }
+        self.configured.retain(|due| due.0 > now_ms);
+    }
+
+    pub(super) fn observe(&mut self, regions: &[RegionId], listed: &[(usize, bool)], now_ms: u64) {
+        let now = self.now(now_ms);
+        let held = |made_ms| now_ms - made_ms < KEEP_REPORT_MS;
+        self.known
+            .retain(|from, known| listed[*from].1 || held(known.made_ms));
+        let reports = self.known.iter().map(|(from, known)| HeardReport {
+            origin: &regions[listed[*from].0],
+            made_at: MonotonicTime::from_ms(known.made_ms - self.started_ms),
+            report: &known.report,
+        });
+        let mut view = FleetView::from_reports(reports, ViewOptions::default(), now);
+        for (place, region) in regions.iter().enumerate() {
+            let here = listed.iter().filter(|listed| **listed == (place, true));
+            view.expect(region, here.count() as u32);
+        }
+        self.decider.observe(&view, now);
+    }
+}
--- a/crates/foxtide-core/tests/steering/scenario.rs
+++ b/crates/foxtide-core/tests/steering/scenario.rs
@@ -1,7 +1,7 @@
 //! Seeded scenarios: what fails, moves and bursts, and when.
 
-use crate::fixture::{OrganisationOptions, REGIONS, SERVICES, organisation, region};
-use crate::fleet::STEP_MS;
+use super::fixture::{OrganisationOptions, REGIONS, SERVICES, organisation, region};
+use super::fleet::STEP_MS;
 use foxtide_core::organisation::{Drain, DrainTarget, Organisation, PlannedMove};
 use foxtide_core::time::WallTime;
 use foxtide_core::units::{Share, ShareRate};
--- a/crates/foxtide/examples/measure/main.rs
+++ b/crates/foxtide/examples/measure/main.rs
@@ -16,6 +16,7 @@
 mod proxy;
 mod report;
 mod spread;
+mod steering;
 mod store;
 mod usage;
 
@@ -30,6 +31,7 @@
     ("at_most_once", at_most_once::run),
     ("blocks", blocks::run),
     ("choice", choice::run),
+    ("steering", steering::run),
 ];
 
 /// What a fleet of instances costs and how fast it agrees.
--- /dev/null
+++ b/crates/foxtide/examples/measure/steering/costs.rs
@@ -0,0 +1,158 @@
+//! What the steering decisions cost an instance.
+
+use super::fixture::{OrganisationOptions, REGIONS, SERVICES, organisation, region};
+use crate::report::{Limit, Report};
+use foxtide_core::ids::{RegionId, ServiceId};
+use foxtide_core::organisation::Organisation;
+use foxtide_core::steering::{FleetView, HeardReport, Steering, SteeringOptions, ViewOptions};
+use foxtide_core::time::{MonotonicTime, WallTime};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const ADMITS: u32 = 2_000_000;
+const TICKS: u32 = 2_000;
+const COPIES: usize = 400;
+
+/// Measures one decision, one tick, one view, and the state.
+pub(super) fn run(report: &mut Report) {
+    admit(report);
+    let small = tick_and_view(report, REGIONS.len());
+    let large = tick_and_view(report, 7);
+    let slope = (large - small) / (7 * 7 - REGIONS.len() * REGIONS.len()) as f64;
+    report.figure("cost.tick_per_pair_of_regions", slope, "ns", Limit::None);
+    state(report);
+}
+
+/// An organisation whose regions are the fixture's and copies of the last one.
+fn organisation_of(regions: usize) -> Organisation {
+    let mut organisation = organisation(&OrganisationOptions::default());
+    let Some(last) = organisation.regions.last().cloned() else {
+        return organisation;
+    };
+    let links = organisation.links.clone();
+    for number in REGIONS.len()..regions {
+        let id: RegionId = format!("region-{number}").parse().expect("a region's name");
+        organisation
+            .regions
+            .push(foxtide_core::organisation::Region {
+                region: id.clone(),
+                ..last.clone()
+            });
+        for link in links.iter().filter(|link| link.to == last.region) {
+            organisation.links.push(foxtide_core::organisation::Link {
+                to: id.clone(),
+                ..link.clone()
+            });
+        }
+        for service in &mut organisation.services {
+            let home = service.contract.homes[0].clone();
+            service
+                .contract
+                .homes
+                .push(foxtide_core::organisation::Home {
+                    region: id.clone(),
+                    ..home
+                });
+            let mut upstream = service.upstreams[0].clone();
+            upstream.region = id.clone();
+            service.upstreams.push(upstream);
+        }
+    }
+    organisation
+}
+
+fn started(organisation: &Arc<Organisation>) -> Steering {
+    let options = SteeringOptions::default();
+    let mut steering = Steering::new(Arc::clone(organisation), region("khomas"), options);
+    for step in 0..100 {
+        let now = MonotonicTime::from_ms(step * 100);
+        let view = view_of(organisation, &mut steering, now);
+        steering.observe(&view, now);
+        steering.tick(now, WallTime::from_ms(1_000_000 + step * 100));
+    }
+    steering
+}
+
+/// A view in which every region tells what this instance tells.
+fn view_of(organisation: &Organisation, steering: &mut Steering, now: MonotonicTime) -> FleetView {
+    let report = steering.report(now);
+    let heard = organisation.regions.iter().map(|origin| HeardReport {
+        origin: &origin.region,
+        made_at: now,
+        report: &report,
+    });
+    FleetView::from_reports(heard, ViewOptions::default(), now)
+}
+
+fn admit(report: &mut Report) {
+    let mut steering = started(&Arc::new(organisation_of(7)));
+    let service: ServiceId = SERVICES[0].parse().expect("a service's name");
+    let begun = Instant::now();
+    let mut sent = 0_u32;
+    for number in 0..ADMITS {
+        let now = MonotonicTime::from_us(10_000_000 + u64::from(number));
+        let draw = f64::from(number % 1_000) / 1_000.0;
+        let admission = steering.admit(&service, draw, Duration::ZERO, now);
+        sent += u32::from(matches!(
+            admission,
+            foxtide_core::steering::Admission::Send { .. }
+        ));
+    }
+    let each_ns = begun.elapsed().as_secs_f64() * 1e9 / f64::from(ADMITS);
+    report.figure("cost.admit", each_ns, "ns", Limit::AtMost(2_000.0));
+    report.figure("cost.admit_sent", f64::from(sent), "requests", Limit::None);
+}
+
+/// Returns the time of one tick, in nanoseconds.
+fn tick_and_view(report: &mut Report, regions: usize) -> f64 {
+    let organisation = Arc::new(organisation_of(regions));
+    let mut steering = started(&organisation);
+    let now = MonotonicTime::from_ms(10_000);
+    let view = view_of(&organisation, &mut steering, now);
+    let begun = Instant::now();
+    for _ in 0..TICKS {
+        steering.observe(&view, now);
+    }
+    let observe_ns = begun.elapsed().as_secs_f64() * 1e9 / f64::from(TICKS);
+    let begun = Instant::now();
+    for step in 0..TICKS {
+        let passed = Duration::from_millis(u64::from(step) * 100);
+        steering.tick(now + passed, WallTime::from_ms(2_000_000) + passed);
+    }
+    let tick_ns = begun.elapsed().as_secs_f64() * 1e9 / f64::from(TICKS);
+    let name = format!("cost.regions_{regions}");
+    report.figure(&format!("{name}.observe"), observe_ns, "ns", Limit::None);
+    report.figure(&format!("{name}.tick"), tick_ns, "ns", Limit::None);
+    // Ten ticks and one view a second.
+    let core_share = (10.0 * tick_ns + observe_ns) / 1e9;
+    report.figure(
+        &format!("{name}.core_share"),
+        core_share,
+        "cores",
+        Limit::AtMost(0.001),
+    );
+    tick_ns
+}
+
+/// Measures the memory of one organisation's decisions at seven regions.
+fn state(report: &mut Report) {
+    let organisation = Arc::new(organisation_of(7));
+    let one = started(&organisation);
+    let before = resident_bytes();
+    let copies = vec![one; COPIES];
+    let each = (resident_bytes() - before) / copies.len() as f64;
+    report.figure(
+        "cost.regions_7.state",
+        each,
+        "bytes",
+        Limit::AtMost(100_000.0),
+    );
+}
+
+/// Returns the process's resident memory (proc(5), `/proc/self/statm`).
+fn resident_bytes() -> f64 {
+    const PAGE_BYTES: f64 = 4_096.0;
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split(' ').nth(1).and_then(|pages| pages.parse().ok());
+    pages.unwrap_or(0.0) * PAGE_BYTES
+}
