--- a/crates/foxtide-testing/src/scenario/operators.rs
+++ b/crates/foxtide-testing/src/scenario/operators.rs
@@ -102,13 +102,7 @@
         };
         match smol::block_on(accept(&self.store, request)) {
             Ok(accepted) => self.told_accepted(accepted),
-            Err(ChangeError::Conflict(conflict)) => {
-                format!("conflict: {}", conflict.in_words())
-            }
-            Err(ChangeError::Unsettled { .. }) => {
-                "unsettled: it may have taken effect; safe to run again".to_owned()
-            }
-            Err(error) => format!("refused: {error}"),
+            Err(error) => told_not_accepted(&error),
         }
     }
 
@@ -153,6 +147,24 @@
     }
 }
 
+/// Returns what an operator is told of a change that was not accepted.
+///
+/// The words are the scenario's own: scripts do not follow those of the errors.
+pub(super) fn told_not_accepted(error: &ChangeError) -> String {
+    match error {
+        ChangeError::Invalid(_) => "refused: invalid".to_owned(),
+        ChangeError::Absent(_) => "refused: no such organisation".to_owned(),
+        ChangeError::Store(_) => "refused: the store was not reached".to_owned(),
+        ChangeError::Conflict(conflict) => {
+            let (accepted, contested) = (conflict.accepted, &conflict.contested);
+            format!("conflict with {accepted}: {}", contested.join(", "))
+        }
+        ChangeError::Unsettled { .. } => {
+            "unsettled: it may have taken effect; safe to run again".to_owned()
+        }
+    }
+}
+
 impl Edit {
     /// Returns the drain of something by its name.
     ///
--- a/crates/foxtide-testing/src/scenario/runner.rs
+++ b/crates/foxtide-testing/src/scenario/runner.rs
@@ -3,7 +3,7 @@
 use super::command::Command;
 use super::fleet::Fleet;
 use super::operation::Kind;
-use super::operators::Edit;
+use super::operators::{Edit, told_not_accepted};
 use super::options::ScenarioOptions;
 use super::promise::{Promise, Verdict};
 use super::setting::{ServiceTerms, Setting, UpstreamTerms};
@@ -207,7 +207,7 @@
             Some(base) => base,
             None => match self.fleet()?.read_document() {
                 Ok(document) => document.ok_or("there is no document")?,
-                Err(error) => return Ok(format!("refused: {error}")),
+                Err(error) => return Ok(told_not_accepted(&error)),
             },
         };
         Ok(self.fleet()?.change(operator, base, &edit))
@@ -221,7 +221,7 @@
                 self.reads.insert(operator.to_owned(), document);
                 Ok(format!("read {revision}"))
             }
-            Err(error) => Ok(format!("refused: {error}")),
+            Err(error) => Ok(told_not_accepted(&error)),
         }
     }
 
