Hold an instance's calls to the store to the fleet's budget

The budget was there and no instance used it. Instances now count the live members and the watching ones each second, and configuration and client blocks go through the budgeted store.

--- a/crates/foxtide/src/client_blocks.rs
+++ b/crates/foxtide/src/client_blocks.rs
@@ -5,9 +5,10 @@
 //! changes lie in the manifest; chunks are read from the store by an instance
 //! that starts or has missed too many of them.
 
+use crate::store::NodeStore;
 use arc_swap::ArcSwapOption;
 use foxtide_config::blocks::{RESERVED_NAME, load_table};
-use foxtide_config::{Backoff, BackoffOptions, HttpStore};
+use foxtide_config::{Backoff, BackoffOptions};
 use foxtide_core::blocks::{ClientBlocks, MANIFEST_KEY, Manifest, Site};
 use foxtide_core::events::{EventCode, EventFields};
 use foxtide_core::ids::RegionId;
@@ -66,7 +67,7 @@
 pub(crate) struct BlocksFollower {
     pub(crate) in_force: BlocksInForce,
     pub(crate) mesh: MeshHandle,
-    pub(crate) store: Arc<HttpStore>,
+    pub(crate) store: Arc<NodeStore>,
     pub(crate) recorder: Recorder,
 }
 
--- a/crates/foxtide/src/configuration.rs
+++ b/crates/foxtide/src/configuration.rs
@@ -4,9 +4,10 @@
 //! mesh both bring documents. Each is offered to the tables, which take only a
 //! newer revision; what the store brought first is passed on to the mesh.
 
+use crate::store::NodeStore;
 use crate::tables::{Applied, Tables};
 use foxtide_config::blocks::RESERVED_PREFIX;
-use foxtide_config::{ConfigurationWatch, HttpStore, WatchOptions, WatchReport, change};
+use foxtide_config::{ConfigurationWatch, WatchOptions, WatchReport, change};
 use foxtide_core::events::{EventCode, EventFields};
 use foxtide_core::organisation::Organisation;
 use foxtide_core::spreading::Document;
@@ -32,7 +33,7 @@
     pub(crate) tables: Arc<Tables>,
     pub(crate) mesh: MeshHandle,
     pub(crate) recorder: Recorder,
-    pub(crate) store: Arc<HttpStore>,
+    pub(crate) store: Arc<NodeStore>,
     pub(crate) ready: Arc<AtomicBool>,
     pub(crate) seed: u64,
 }
@@ -53,7 +54,7 @@
     /// Returns once the newest that store and peers know is in force. Where
     /// the store is away the peers' word is enough; where no peer answers the
     /// store's is.
-    async fn start(&self) -> ConfigurationWatch<HttpStore, impl Fn() -> bool + Send + use<>> {
+    async fn start(&self) -> ConfigurationWatch<NodeStore, impl Fn() -> bool + Send + use<>> {
         let mesh = self.mesh.clone();
         let options = WatchOptions {
             seed: self.seed,
@@ -85,7 +86,7 @@
 
     async fn read_store<R: Fn() -> bool + Send>(
         &self,
-        watch: &mut ConfigurationWatch<HttpStore, R>,
+        watch: &mut ConfigurationWatch<NodeStore, R>,
     ) -> bool {
         match watch.read_now().await {
             Ok(reports) => {
@@ -99,7 +100,7 @@
         }
     }
 
-    async fn follow_store<R: Fn() -> bool + Send>(&self, watch: ConfigurationWatch<HttpStore, R>) {
+    async fn follow_store<R: Fn() -> bool + Send>(&self, watch: ConfigurationWatch<NodeStore, R>) {
         let (sender, receiver) = smol::channel::bounded(REPORTS_MAX);
         let taking = async {
             while let Ok(report) = receiver.recv().await {
--- a/crates/foxtide/src/lib.rs
+++ b/crates/foxtide/src/lib.rs
@@ -13,6 +13,7 @@
 mod plan_events;
 mod promises;
 pub mod signals;
+mod store;
 pub mod tables;
 pub mod telemetry;
 mod traffic;
--- a/crates/foxtide/src/node.rs
+++ b/crates/foxtide/src/node.rs
@@ -6,11 +6,12 @@
 use crate::observer::Observer;
 use crate::pages::Pages;
 use crate::promises::{PromiseSampler, Promises};
+use crate::store;
 use crate::tables::Tables;
 use crate::telemetry;
 use crate::traffic::TrafficFollower;
 use anyhow::{Context, Result};
-use foxtide_config::{HttpStore, HttpStoreOptions, Settings};
+use foxtide_config::Settings;
 use foxtide_core::choice::BalancerOptions;
 use foxtide_core::events::backup::BackupPeer;
 use foxtide_core::events::{EventCode, EventFields, EventRingOptions};
@@ -143,10 +144,7 @@
         let explainer = Explainer::default();
         let promises = Promises::default();
         let blocks = BlocksInForce::default();
-        let store = Arc::new(HttpStore::new(HttpStoreOptions {
-            address: settings.store_address,
-            call_timeout: settings.limits.store.call_timeout(),
-        }));
+        let store = store::open(settings);
         let traffic = Arc::new(TrafficTables::new(traffic_options(settings)));
         let parts = NodeParts {
             directory: NodeDirectory {
@@ -183,6 +181,7 @@
             ready,
             seed: fastrand::u64(..),
         };
+        let budget = store::follow_fleet(Arc::clone(&store), mesh.clone());
         let blocks_follower = BlocksFollower {
             in_force: blocks,
             mesh: mesh.clone(),
@@ -222,6 +221,7 @@
             workers.spawn(blocks_follower.run()),
             workers.spawn(sampler.run()),
             workers.spawn(follower.run()),
+            workers.spawn(budget),
             workers.spawn(configurations.run()),
             workers.spawn(following),
         ];
