Give each test's instances settings files of their own

Tests of the same process wrote one settings file for instances of the same name, so that an instance could be started with another test's store.

--- a/crates/foxtide/tests/processes/mod.rs
+++ b/crates/foxtide/tests/processes/mod.rs
@@ -96,7 +96,10 @@
 impl InstanceProcess {
     /// Starts an instance and waits until it serves.
     pub(crate) async fn start(name: &str, platform: &Platform, seeds: &[SocketAddr]) -> Self {
-        let file = format!("{}/at-most-once-{name}.jsonc", env!("CARGO_TARGET_TMPDIR"));
+        // Tests run side by side and name their instances alike.
+        let store_port = platform.store.address().port();
+        let directory = env!("CARGO_TARGET_TMPDIR");
+        let file = format!("{directory}/at-most-once-{name}-{store_port}.jsonc");
         fs::write(&file, settings(name, platform, seeds)).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_foxtide"))
             .args(["--settings", &file])
