Let a ready instance serve the configuration that it has read

An instance said it was ready once its tables held the configuration; the request path took it over up to 100 ms later, and longer on a busy machine.

--- a/crates/foxtide/src/configuration.rs
+++ b/crates/foxtide/src/configuration.rs
@@ -11,6 +11,7 @@
 use foxtide_core::events::{EventCode, EventFields};
 use foxtide_core::organisation::Organisation;
 use foxtide_core::spreading::Document;
+use foxtide_entry::{Clock, SystemClock, TrafficTables};
 use foxtide_events::Recorder;
 use foxtide_mesh::MeshHandle;
 use smol::channel::Receiver;
@@ -31,6 +32,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Configurations {
     pub(crate) tables: Arc<Tables>,
+    pub(crate) traffic: Arc<TrafficTables>,
+    pub(crate) clock: SystemClock,
     pub(crate) mesh: MeshHandle,
     pub(crate) recorder: Recorder,
     pub(crate) store: Arc<NodeStore>,
@@ -173,7 +176,10 @@
             organisation: Some(organisation.organisation.clone()),
             ..EventFields::detail(detail)
         };
-        if self.tables.apply(organisation) == Applied::InForce {
+        if self.tables.apply(Arc::clone(&organisation)) == Applied::InForce {
+            // Without waiting for the next look at the tables: an instance
+            // that says it is ready must serve what it has read.
+            self.traffic.configure(&organisation, self.clock.now());
             self.recorder
                 .record(EventCode::ConfigurationApplied, fields);
         }
--- a/crates/foxtide/src/node.rs
+++ b/crates/foxtide/src/node.rs
@@ -175,6 +175,8 @@
             .context("start the request path")?;
         let configurations = Configurations {
             tables: Arc::clone(&tables),
+            traffic: Arc::clone(&traffic),
+            clock,
             mesh: mesh.clone(),
             recorder: recorder.clone(),
             store: Arc::clone(&store),
