Leave out hop-by-hop headers as a head is read, count each arrival

Cause: each head was read into headers and then searched nine times for names to remove, twice a request; a request whose first admission came a microsecond after its arrival was not counted as demand. Change: lines for one hop alone are dropped as they are read; the first admission has waited for nothing. The measurement gives the control's slope over upstreams.

--- a/crates/foxtide-entry/src/http/head.rs
+++ b/crates/foxtide-entry/src/http/head.rs
@@ -1,6 +1,6 @@
 //! The head of a message and what it says about the body's length.
 
-use super::headers::{name, no_headers};
+use super::headers::{is_hop_by_hop, name, no_headers};
 use http_types::headers::{HeaderName, HeaderValue, Headers};
 use http_types::{Method, StatusCode, Url};
 use std::str::FromStr;
@@ -10,6 +10,8 @@
 
 const CHUNKED: &str = "chunked";
 const CONTINUE: &str = "100-continue";
+const CLOSE: &str = "close";
+const KEEP_ALIVE: &str = "keep-alive";
 
 /// How long a message's body is (RFC 9112, section 6.3).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,7 +52,7 @@
 /// The parts common to the heads of requests and of answers.
 #[derive(Debug)]
 pub(crate) struct Head {
-    /// The header lines, without those that frame the body.
+    /// The header lines that are to be passed on.
     pub(crate) headers: Headers,
     /// The body's length.
     pub(crate) length: BodyLength,
@@ -161,15 +163,52 @@
             expects_continue: false,
         };
         let mut framed = false;
+        let mut nominated = Vec::new();
         for line in lines {
-            if head.take_framing(line, &mut framed)? {
-                continue;
+            let taken = head.take_framing(line, &mut framed)?
+                || head.take_connection(line, &mut nominated)
+                || head.take_expect(line);
+            if !taken && !is_hop_by_hop(line.name) {
+                head.append(line)?;
             }
-            head.append(line)?;
+        }
+        for header in nominated {
+            head.headers.remove(header.as_str());
         }
         Ok(head)
     }
 
+    /// Takes a line that tells of the connection and the headers meant for it.
+    fn take_connection(
+        &mut self,
+        line: &httparse::Header<'_>,
+        nominated: &mut Vec<String>,
+    ) -> bool {
+        if !line.name.eq_ignore_ascii_case(name::CONNECTION) {
+            return false;
+        }
+        let tokens = String::from_utf8_lossy(line.value).to_ascii_lowercase();
+        for token in tokens.split(',').map(str::trim) {
+            match token {
+                CLOSE => self.close = true,
+                // Not a name of headers, and sent with most messages.
+                KEEP_ALIVE | "" => {}
+                _ if token.is_ascii() => nominated.push(token.to_owned()),
+                _ => {}
+            }
+        }
+        true
+    }
+
+    /// Takes a line that says for what the peer waits.
+    fn take_expect(&mut self, line: &httparse::Header<'_>) -> bool {
+        if !line.name.eq_ignore_ascii_case(name::EXPECT) {
+            return false;
+        }
+        self.expects_continue |= line.value.eq_ignore_ascii_case(CONTINUE.as_bytes());
+        true
+    }
+
     /// Takes a line that frames the message; `framed` tells of an earlier one.
     fn take_framing(
         &mut self,
@@ -196,24 +235,11 @@
         let Ok(value) = HeaderValue::from_bytes(line.value.to_vec()) else {
             return Ok(());
         };
-        let text = value.as_str();
-        if line.name.eq_ignore_ascii_case(name::CONNECTION) {
-            self.close |= has_token(text, "close");
-        }
-        if line.name.eq_ignore_ascii_case(name::EXPECT) {
-            self.expects_continue |= text.eq_ignore_ascii_case(CONTINUE);
-        }
         self.headers.append(header, value);
         Ok(())
     }
 }
 
-/// Tells whether a list of tokens parted by commas holds `token`.
-fn has_token(list: &str, token: &str) -> bool {
-    list.split(',')
-        .any(|part| part.trim().eq_ignore_ascii_case(token))
-}
-
 fn has_body(method: Method, status: StatusCode) -> bool {
     let without = matches!(status, StatusCode::NoContent | StatusCode::NotModified);
     method != Method::Head && !without && !status.is_informational()
--- a/crates/foxtide-entry/src/http/headers.rs
+++ b/crates/foxtide-entry/src/http/headers.rs
@@ -52,20 +52,9 @@
     EMPTY.clone()
 }
 
-/// Removes the headers that must not be sent on, also those that `Connection`
-/// names.
-pub(crate) fn strip_hop_by_hop(headers: &mut Headers) {
-    let named: Vec<String> = headers
-        .get(name::CONNECTION)
-        .into_iter()
-        .flat_map(|values| values.iter())
-        .flat_map(|value| value.as_str().split(','))
-        .map(|token| token.trim().to_ascii_lowercase())
-        .collect();
-    for header in &named {
-        headers.remove(header.as_str());
-    }
-    for header in HOP_BY_HOP {
-        headers.remove(header);
-    }
+/// Tells whether a header is for the next hop alone.
+pub(super) fn is_hop_by_hop(header: &str) -> bool {
+    HOP_BY_HOP
+        .iter()
+        .any(|known| known.eq_ignore_ascii_case(header))
 }
--- a/crates/foxtide-entry/src/proxy/place.rs
+++ b/crates/foxtide-entry/src/proxy/place.rs
@@ -40,11 +40,10 @@
     pub(super) async fn admit(&self, facts: &Facts) -> Result<Admitted, Unplaced> {
         let draw = fastrand::f64();
         let asked_at = self.parts.clock().now();
+        let mut now = asked_at;
         let mut waiting = None;
         loop {
-            let now = self.parts.clock().now();
-            let waited = now - asked_at;
-            match self.try_admit(facts, draw, waited, now) {
+            match self.try_admit(facts, draw, now - asked_at, now) {
                 Admission::Send { region, spilled } => {
                     let rule = if spilled {
                         Rule::Spilled
@@ -57,6 +56,7 @@
                     check_time(facts, now + retry_in, "no-room")?;
                     self.enter_queue(&mut waiting)?;
                     Timer::after(retry_in).await;
+                    now = self.parts.clock().now();
                 }
                 Admission::Refuse {
                     reason,
--- a/crates/foxtide-entry/src/proxy/prepare.rs
+++ b/crates/foxtide-entry/src/proxy/prepare.rs
@@ -1,7 +1,7 @@
 //! Makes what is sent to an upstream out of what a caller sent.
 
 use crate::facts::Target;
-use crate::http::{name, strip_hop_by_hop};
+use crate::http::name;
 use crate::serve::Received;
 use async_h1::client::Encoder;
 use foxtide_core::events::RequestId;
@@ -42,8 +42,6 @@
         url.set_path(&target.path);
         let mut request = Request::new(received.head.method, url);
         let mut headers = received.head.head.headers;
-        strip_hop_by_hop(&mut headers);
-        headers.remove(name::EXPECT);
         headers.remove(name::DEADLINE_MS);
         headers.insert(name::REQUEST_ID, id.as_str());
         headers.append(VIA, VIA_FOXTIDE);
--- a/crates/foxtide-entry/src/upstream/exchange.rs
+++ b/crates/foxtide-entry/src/upstream/exchange.rs
@@ -7,7 +7,7 @@
 use crate::errors::Step;
 use crate::http::{
     BodyLength, BodyReader, BufferedStream, MessageError, Progress, Quiet, ResponseHead, name,
-    read_head, strip_hop_by_hop,
+    read_head,
 };
 use crate::options::{Limits, size};
 use crate::time_limit::within;
@@ -116,11 +116,9 @@
                 (AnswerBody::Long(Box::new(body)), None)
             }
         };
-        let mut headers = self.head.head.headers;
-        strip_hop_by_hop(&mut headers);
         let answer = Answer {
             status: self.head.status,
-            headers,
+            headers: self.head.head.headers,
             body,
         };
         UpstreamAnswer { answer, connection }
--- a/crates/foxtide/examples/measure/proxy.rs
+++ b/crates/foxtide/examples/measure/proxy.rs
@@ -28,6 +28,11 @@
 /// The connections between two readings of the memory.
 const CONNECTIONS_STEP: usize = 1_000;
 
+/// The sizes between which the control's slope is measured.
+const CONTROL_UPSTREAMS: [usize; 2] = [48, 1_248];
+const CONTROL_SETTLE: Duration = Duration::from_secs(2);
+const CONTROL_TIME: Duration = Duration::from_secs(3);
+
 /// How many of the held requests are sent without a pause.
 const ASKED_AT_ONCE: usize = 20;
 
@@ -39,6 +44,7 @@
     measure_rates(report, entry, upstream.address);
     measure_lookups(report, entry);
     measure_memory(report, &instance, &upstream);
+    measure_control(report, upstream.address);
     stops::run(report);
 }
 
@@ -142,6 +148,31 @@
     upstream.hold(false);
 }
 
+/// Measures what an instance without callers spends on its upstreams: ticks,
+/// and a poll of each twice a second, since nothing else is heard of them.
+fn measure_control(report: &mut Report, upstream: SocketAddr) {
+    let [few, many] = CONTROL_UPSTREAMS.map(|count| control_share(upstream, count));
+    let added = (CONTROL_UPSTREAMS[1] - CONTROL_UPSTREAMS[0]) as f64;
+    report.figure("proxy.control_few", few * 100.0, "% of a core", Limit::None);
+    report.figure(
+        "proxy.control_many",
+        many * 100.0,
+        "% of a core",
+        Limit::None,
+    );
+    let slope = (many - few) * 100.0 / added * 1_000.0;
+    report.figure("proxy.control_per_1000", slope, "% of a core", Limit::None);
+}
+
+/// Returns the part of a core that an instance with so many upstreams takes.
+fn control_share(upstream: SocketAddr, count: usize) -> f64 {
+    let _instance = Instance::start(1, &vec![upstream; count]);
+    std::thread::sleep(CONTROL_SETTLE);
+    let before = workers_cpu();
+    std::thread::sleep(CONTROL_TIME);
+    (workers_cpu() - before).as_secs_f64() / CONTROL_TIME.as_secs_f64()
+}
+
 /// Sends a request on each connection to an upstream that holds its answers;
 /// returns the memory that one takes, in bytes.
 fn ask_held(streams: &mut [TcpStream], upstream: &FastUpstream) -> f64 {
