Load client blocks within the call budget of the store

With the fleet's budget an instance of 600 has a third of a read a second, and a load of four chunks would have failed at the second one each time. It now waits for its next call; the watch does not take a held call for an outage.

--- a/crates/foxtide-config/src/blocks/chunks.rs
+++ b/crates/foxtide-config/src/blocks/chunks.rs
@@ -2,12 +2,18 @@
 
 use super::BlocksChangeError;
 use foxtide_core::blocks::{BlocksError, CHUNK_PREFIX, ClientBlocks, Manifest, Part};
-use foxtide_core::store::{Store, StoreEntry, StoreError, StoreIndex};
+use foxtide_core::store::{Store, StoreEntry, StoreError, StoreIndex, StoreResult};
+use smol::Timer;
+use std::time::Duration;
 
 /// How often a chunk is written again whose answer was lost.
 const WRITE_TRIES: u32 = 5;
 
-/// Reads the table that a manifest names.
+/// The wait after a read that the instance's call budget held back.
+const BUDGET_WAIT: Duration = Duration::from_secs(1);
+
+/// Reads the table that a manifest names. Waits where the instance's call
+/// budget holds a read back.
 ///
 /// # Errors
 ///
@@ -18,7 +24,7 @@
 ) -> Result<ClientBlocks, BlocksChangeError> {
     let mut values = Vec::new();
     for part in &manifest.chunks {
-        let entry = store.read(&part.key()).await?;
+        let entry = read_within_budget(store, &part.key()).await?;
         let entry = entry.ok_or_else(|| missing(part))?;
         values.push(entry.value);
     }
@@ -27,6 +33,15 @@
     Ok(smol::unblock(move || manifest.load(values)).await?)
 }
 
+async fn read_within_budget<S: Store>(store: &S, key: &str) -> StoreResult<Option<StoreEntry>> {
+    loop {
+        match store.read(key).await {
+            Err(StoreError::OverBudget { .. }) => Timer::after(BUDGET_WAIT).await,
+            answered => return answered,
+        };
+    }
+}
+
 fn missing(part: &Part) -> BlocksError {
     BlocksError::Decode {
         problem: format!("{} is missing", part.key()),
--- a/crates/foxtide-config/tests/blocks.rs
+++ b/crates/foxtide-config/tests/blocks.rs
@@ -4,10 +4,11 @@
 #[allow(dead_code)]
 mod support;
 
-use foxtide_config::HttpStore;
 use foxtide_config::blocks::{self, BlocksChangeError, PublishedBlocks, StoredManifest};
+use foxtide_config::{BudgetOptions, BudgetedStore, Fleet, HttpStore, StoreBudget};
 use foxtide_core::blocks::{Block, CHUNK_PREFIX, ClientBlocks, Site, SiteTable};
 use foxtide_core::store::Store;
+use foxtide_core::time::MonotonicTime;
 use support::{PATIENT, client, server};
 
 fn sites() -> SiteTable {
@@ -151,3 +152,29 @@
         assert!(matches!(error, BlocksChangeError::Blocks(_)), "{error}");
     });
 }
+
+#[test]
+fn verify_a_load_waits_for_its_call_budget() {
+    smol::block_on(async {
+        let server = server().await;
+        let store = client(&server, PATIENT);
+        let first = [
+            block("10.0.0.0/8", "windhoek"),
+            block("2001:db8::/32", "walvis"),
+        ];
+        blocks::replace(&store, None, sites(), &first)
+            .await
+            .unwrap();
+        let manifest = stored(&store).await.manifest;
+        assert_eq!(manifest.chunks.len(), 2);
+        let options = BudgetOptions {
+            fleet_reads_per_s: 4.0,
+            ..BudgetOptions::default()
+        };
+        // A new bucket holds one call: the second chunk has to wait.
+        let budget = StoreBudget::new(options, Fleet::default(), MonotonicTime::ZERO);
+        let budgeted = BudgetedStore::new(store, "store", budget);
+        let table = blocks::load_table(&budgeted, &manifest).await.unwrap();
+        assert_eq!(table.len(), 2);
+    });
+}
--- a/crates/foxtide/src/client_blocks.rs
+++ b/crates/foxtide/src/client_blocks.rs
@@ -104,6 +104,8 @@
                     backoff.succeeded();
                     Timer::after(WATCH_GAP).await;
                 }
+                // The store is not to blame: it was not asked.
+                Err(StoreError::OverBudget { .. }) => drop(Timer::after(ROLE_CHECK).await),
                 Err(_) => drop(Timer::after(backoff.failed(fastrand::f64())).await),
             }
         }
