--- a/crates/foxtidectl/src/commands/timeline.rs
+++ b/crates/foxtidectl/src/commands/timeline.rs
@@ -97,9 +97,11 @@
     let mut sources = Vec::new();
     let mut silent = answers.silent;
     for (address, value) in answers.pages {
-        match document::typed::<Vec<Event>>(&format!("instance {address}"), value) {
-            Ok(events) => sources.push(events),
-            Err(error) => silent.push(error.to_string()),
+        let (events, unknown) = events_of(address, value);
+        sources.push(events);
+        if unknown > 0 {
+            let what = format!("{unknown} event(s) of kinds that this version does not know");
+            silent.push(format!("instance {address}: {what}"));
         }
     }
     let events = merge(sources);
@@ -109,6 +111,22 @@
     })
 }
 
+/// Returns the events of a page, and how many cannot be read: an instance may
+/// be of another version.
+fn events_of(address: SocketAddr, page: Value) -> (Vec<Event>, usize) {
+    let name = format!("instance {address}");
+    let Value::Array(listed) = page else {
+        return (Vec::new(), 1);
+    };
+    let total = listed.len();
+    let read = listed
+        .into_iter()
+        .map(|one| document::typed::<Event>(&name, one));
+    let events: Vec<Event> = read.filter_map(Result::ok).collect();
+    let unknown = total - events.len();
+    (events, unknown)
+}
+
 /// Returns the page to ask for; the instances filter as well, to send less.
 fn page(filter: &EventFilter) -> String {
     let mut page = "/v1/events?".to_owned();
