Name an instance in look-ups only once it can decide

Ruled out: stale views under load (no refusal came after the first seconds) and too small parts (an instance used 45 rps of 300). Change: a member state Joining below Alive; an instance announces that it serves when its configuration is in force and the steering is ready, and /readyz says the same; F2009 tells the configuration, F1002 that it serves.

--- a/crates/foxtide-core/src/membership/beliefs.rs
+++ b/crates/foxtide-core/src/membership/beliefs.rs
@@ -9,6 +9,16 @@
 use std::net::SocketAddr;
 
 impl Membership {
+    /// Announces that this instance, which was joining, serves callers.
+    pub fn serve(&mut self, now: MonotonicTime) -> Vec<Output> {
+        let mut outputs = Vec::new();
+        if self.own.state == MemberState::Joining {
+            self.own.state = MemberState::Alive;
+            self.present(now, &mut outputs);
+        }
+        outputs
+    }
+
     /// Announces that this instance leaves, to everyone in scope at once.
     pub fn leave(&mut self, now: MonotonicTime) -> Vec<Output> {
         let mut outputs = Vec::new();
@@ -202,7 +212,7 @@
             return;
         };
         match member.state {
-            MemberState::Alive | MemberState::Suspect => {
+            MemberState::Joining | MemberState::Alive | MemberState::Suspect => {
                 let member = member.in_state(MemberState::Suspect);
                 // Told at once, it can object before others hear of it.
                 outputs.push(direct(member.clone()));
--- a/crates/foxtide-core/src/membership/member.rs
+++ b/crates/foxtide-core/src/membership/member.rs
@@ -9,7 +9,9 @@
 /// belief replaces an earlier one of the same incarnation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum MemberState {
-    /// It answers probes.
+    /// It answers probes and has not yet all that it needs to serve callers.
+    Joining,
+    /// It answers probes and serves callers.
     Alive,
     /// It missed a probe and has not yet objected; callers may still use it.
     Suspect,
@@ -34,6 +36,7 @@
 impl fmt::Display for MemberState {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
+            Self::Joining => "joining",
             Self::Alive => "alive",
             Self::Suspect => "suspect",
             Self::Leaving => "leaving",
--- a/crates/foxtide-core/src/membership/table.rs
+++ b/crates/foxtide-core/src/membership/table.rs
@@ -118,7 +118,11 @@
         for member in self.running() {
             hasher.update(member.instance.as_str().as_bytes());
             hasher.update(&member.incarnation.get().to_le_bytes());
-            hasher.update(&[u8::from(member.state == MemberState::Leaving)]);
+            hasher.update(&[match member.state {
+                MemberState::Joining => 2,
+                MemberState::Leaving => 1,
+                _ => 0,
+            }]);
         }
         hasher.digest()
     }
--- a/crates/foxtide-mesh/src/handle.rs
+++ b/crates/foxtide-mesh/src/handle.rs
@@ -59,7 +59,11 @@
             process: identity.process,
             // Above that of an earlier process of the same name.
             incarnation: Incarnation::new(epoch_us / 1_000),
-            state: MemberState::Alive,
+            state: if options.joins_first {
+                MemberState::Joining
+            } else {
+                MemberState::Alive
+            },
         };
         let shared = Arc::new(Shared::new(own, seeds, options, socket, epoch_us));
         let tasks = vec![
@@ -212,6 +216,13 @@
         self.shared.calls.1.clone()
     }
 
+    /// Announces that this instance, which was joining, serves callers.
+    pub fn serve(&self) {
+        let now = self.shared.now();
+        let outputs = self.shared.state.lock().membership.serve(now);
+        carry_out(&self.shared, outputs);
+    }
+
     /// Announces that this instance leaves. It keeps answering peers until it
     /// is stopped.
     pub fn leave(&self) {
--- a/crates/foxtide-mesh/src/shared.rs
+++ b/crates/foxtide-mesh/src/shared.rs
@@ -181,7 +181,7 @@
 
 fn log_change(member: &Member) {
     let code = match member.state {
-        MemberState::Alive => EventCode::MemberJoined,
+        MemberState::Joining | MemberState::Alive => EventCode::MemberJoined,
         MemberState::Suspect => EventCode::MemberSuspected,
         MemberState::Leaving => EventCode::MemberLeaving,
         MemberState::Dead => EventCode::MemberFailed,
--- a/crates/foxtide-mesh/src/wire/convert.rs
+++ b/crates/foxtide-mesh/src/wire/convert.rs
@@ -144,6 +144,7 @@
 impl From<&core::Member> for wire::Member {
     fn from(member: &core::Member) -> Self {
         let state = match member.state {
+            core::MemberState::Joining => wire::State::Joining,
             core::MemberState::Alive => wire::State::Alive,
             core::MemberState::Suspect => wire::State::Suspect,
             core::MemberState::Leaving => wire::State::Leaving,
@@ -165,6 +166,7 @@
 /// Reads a member from its encoded form.
 pub(crate) fn read_member(member: &wire::Member) -> Result<core::Member, Unreadable> {
     let state = match wire::State::try_from(member.state).map_err(|_| Unreadable)? {
+        wire::State::Joining => core::MemberState::Joining,
         wire::State::Alive => core::MemberState::Alive,
         wire::State::Suspect => core::MemberState::Suspect,
         wire::State::Leaving => core::MemberState::Leaving,
--- a/crates/foxtide-mesh/src/wire/messages.rs
+++ b/crates/foxtide-mesh/src/wire/messages.rs
@@ -117,6 +117,7 @@
     Suspect = 1,
     Leaving = 2,
     Dead = 3,
+    Joining = 4,
 }
 
 /// A member and what is believed of it.
--- a/crates/foxtide-mesh/tests/mesh/membership.rs
+++ b/crates/foxtide-mesh/tests/mesh/membership.rs
@@ -1,8 +1,8 @@
 //! Instances that join, leave, die and lose each other.
 
-use crate::fleet::{addresses, all_see, start, start_fleet, state_of, wait_until};
+use crate::fleet::{addresses, all_see, identity, start, start_fleet, state_of, wait_until};
 use foxtide_core::membership::MemberState;
-use foxtide_mesh::{Faults, Synchronisation};
+use foxtide_mesh::{Faults, Mesh, MeshOptions, Synchronisation};
 use std::net::SocketAddr;
 
 #[test]
@@ -42,6 +42,26 @@
     });
 }
 
+#[test]
+fn verify_a_joining_instance_is_not_used_until_it_serves() {
+    let fleet = start_fleet(4, &Faults::default());
+    let options = MeshOptions {
+        joins_first: true,
+        seed: Some(9),
+        ..MeshOptions::default()
+    };
+    let joining = Mesh::start(identity(9), &addresses(&fleet), options).unwrap();
+    let known_as = |state| {
+        fleet
+            .iter()
+            .all(|handle| state_of(handle, &joining) == Some(state))
+    };
+    wait_until("all know that it joins", || known_as(MemberState::Joining));
+    assert!(all_see(&fleet, &fleet), "nobody sends callers to it");
+    joining.serve();
+    wait_until("all know that it serves", || known_as(MemberState::Alive));
+}
+
 #[test]
 fn verify_a_restarted_instance_takes_its_place() {
     let faults = Faults::default();
--- a/crates/foxtide-testing/src/virtual_fleet.rs
+++ b/crates/foxtide-testing/src/virtual_fleet.rs
@@ -328,7 +328,7 @@
         match member.state {
             MemberState::Suspect => self.suspected.insert(belief),
             MemberState::Dead => self.dead.insert(belief),
-            MemberState::Alive | MemberState::Leaving => false,
+            MemberState::Joining | MemberState::Alive | MemberState::Leaving => false,
         };
     }
 }
--- a/crates/foxtide/src/configuration.rs
+++ b/crates/foxtide/src/configuration.rs
@@ -4,6 +4,7 @@
 //! mesh both bring documents. Each is offered to the tables, which take only a
 //! newer revision; what the store brought first is passed on to the mesh.
 
+use crate::readiness::Readiness;
 use crate::store::NodeStore;
 use crate::tables::{Applied, Tables};
 use foxtide_config::blocks::RESERVED_PREFIX;
@@ -16,7 +17,6 @@
 use foxtide_mesh::MeshHandle;
 use smol::channel::Receiver;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 /// The wait between two tries to read the first configuration.
@@ -37,7 +37,7 @@
     pub(crate) mesh: MeshHandle,
     pub(crate) recorder: Recorder,
     pub(crate) store: Arc<NodeStore>,
-    pub(crate) ready: Arc<AtomicBool>,
+    pub(crate) readiness: Readiness,
     pub(crate) seed: u64,
 }
 
@@ -80,10 +80,10 @@
             smol::Timer::after(START_RETRY).await;
             waited += START_RETRY;
         }
-        self.ready.store(true, Ordering::Release);
+        self.readiness.configuration_in_force();
         let count = self.tables.organisations().len();
         let detail = format!("organisations={count} store_read={store_read}");
-        self.note(EventCode::ProcessReady, detail);
+        self.note(EventCode::ConfigurationFetched, detail);
         watch
     }
 
--- a/crates/foxtide/src/lib.rs
+++ b/crates/foxtide/src/lib.rs
@@ -12,6 +12,7 @@
 mod pages;
 mod plan_events;
 mod promises;
+mod readiness;
 pub mod signals;
 mod store;
 pub mod tables;
--- a/crates/foxtide/src/member_events.rs
+++ b/crates/foxtide/src/member_events.rs
@@ -109,17 +109,17 @@
 }
 
 fn code_of(before: Option<Known>, now: Known) -> Option<EventCode> {
-    use MemberState::{Alive, Dead, Leaving, Suspect};
+    use MemberState::{Alive, Dead, Joining, Leaving, Suspect};
     let same_process = before.is_none_or(|before| before.process == now.process);
     if !same_process && now.state.is_usable() {
         return Some(EventCode::MemberReplaced);
     }
     match (before.map(|before| before.state), now.state) {
-        (None, Alive) => Some(EventCode::MemberJoined),
+        (None | Some(Joining), Alive) => Some(EventCode::MemberJoined),
         (Some(Suspect | Dead), Alive) => Some(EventCode::MemberRefuted),
-        (Some(Alive), Suspect) => Some(EventCode::MemberSuspected),
-        (Some(Alive | Suspect), Leaving) => Some(EventCode::MemberLeaving),
-        (Some(Alive | Suspect), Dead) => Some(EventCode::MemberFailed),
+        (Some(Joining | Alive), Suspect) => Some(EventCode::MemberSuspected),
+        (Some(Joining | Alive | Suspect), Leaving) => Some(EventCode::MemberLeaving),
+        (Some(Joining | Alive | Suspect), Dead) => Some(EventCode::MemberFailed),
         (Some(Leaving), Dead) => Some(EventCode::MemberLeft),
         _ => None,
     }
--- a/crates/foxtide/src/node.rs
+++ b/crates/foxtide/src/node.rs
@@ -6,6 +6,7 @@
 use crate::observer::Observer;
 use crate::pages::Pages;
 use crate::promises::{PromiseSampler, Promises};
+use crate::readiness::Readiness;
 use crate::store;
 use crate::tables::Tables;
 use crate::telemetry;
@@ -29,7 +30,6 @@
 use smol::{Task, Timer};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -135,7 +135,7 @@
         let workers = Workers::start(settings.workers).context("start the workers")?;
         let recorder = Recorder::new(settings.instance.clone(), recorder_options(settings));
         let tables = Arc::new(Tables::new(settings.instance.clone()));
-        let ready = Arc::new(AtomicBool::new(false));
+        let readiness = Readiness::default();
         // The caller listener is bound first: peers are told its address.
         let caller_address = reserve(settings.caller.listen)?;
         let process = draw_process_number()?;
@@ -167,7 +167,7 @@
                 explainer: explainer.clone(),
                 promises: promises.clone(),
                 metrics: telemetry::start_metrics(),
-                ready: Arc::clone(&ready),
+                readiness: readiness.clone(),
             },
         };
         let options = entry_options(settings, caller_address);
@@ -180,7 +180,7 @@
             mesh: mesh.clone(),
             recorder: recorder.clone(),
             store: Arc::clone(&store),
-            ready,
+            readiness: readiness.clone(),
             seed: fastrand::u64(..),
         };
         let budget = store::follow_fleet(Arc::clone(&store), mesh.clone());
@@ -202,6 +202,8 @@
             tables: Arc::clone(&tables),
             traffic,
             mesh: mesh.clone(),
+            recorder: recorder.clone(),
+            readiness,
             clock,
         };
         let copies = Copies {
@@ -317,6 +319,7 @@
     let options = MeshOptions {
         cluster: settings.cluster.clone(),
         recorder: Some(recorder.clone()),
+        joins_first: true,
         // Times in the view of the fleet then read as the request path's do.
         clock_origin: clock.origin(),
         ..MeshOptions::default()
--- a/crates/foxtide/src/pages.rs
+++ b/crates/foxtide/src/pages.rs
@@ -1,6 +1,7 @@
 //! The pages for operators.
 
 use crate::promises::Promises;
+use crate::readiness::Readiness;
 use crate::tables::Tables;
 use foxtide_core::events::EventFilter;
 use foxtide_core::explain::ExplainFilter;
@@ -12,7 +13,6 @@
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 
 const JSON: &str = "application/json";
 
@@ -35,7 +35,7 @@
     /// What renders the metrics.
     pub(crate) metrics: PrometheusHandle,
     /// Whether callers can be served.
-    pub(crate) ready: Arc<AtomicBool>,
+    pub(crate) readiness: Readiness,
 }
 
 /// One instance, as `/v1/instances` shows it.
@@ -109,7 +109,7 @@
     }
 
     fn is_ready(&self) -> bool {
-        self.ready.load(Ordering::Acquire)
+        self.readiness.is_serving()
     }
 }
 
--- a/crates/foxtide/src/traffic.rs
+++ b/crates/foxtide/src/traffic.rs
@@ -1,10 +1,13 @@
 //! Keeps the request path's decisions in step with what the instance knows,
 //! and tells peers what it decided.
 
+use crate::readiness::Readiness;
 use crate::tables::Tables;
+use foxtide_core::events::{EventCode, EventFields};
 use foxtide_core::ids::OrganisationId;
 use foxtide_core::time::MonotonicTime;
 use foxtide_entry::{Clock, SystemClock, TrafficTables};
+use foxtide_events::Recorder;
 use foxtide_mesh::MeshHandle;
 use smol::Timer;
 use std::sync::Arc;
@@ -20,6 +23,8 @@
     pub(crate) tables: Arc<Tables>,
     pub(crate) traffic: Arc<TrafficTables>,
     pub(crate) mesh: MeshHandle,
+    pub(crate) recorder: Recorder,
+    pub(crate) readiness: Readiness,
     pub(crate) clock: SystemClock,
 }
 
@@ -30,6 +35,7 @@
         loop {
             let now = self.clock.now();
             self.follow(now);
+            self.become_ready(now);
             if now >= report_at {
                 self.report(now);
                 report_at = now + self.mesh.load_interval();
@@ -49,6 +55,24 @@
         }
     }
 
+    /// Joins those that serve callers once every decision can be made.
+    fn become_ready(&self, now: MonotonicTime) {
+        if !self.readiness.is_configured() || self.readiness.is_serving() {
+            return;
+        }
+        let organisations = self.tables.organisations();
+        let is_ready = |id: &OrganisationId| {
+            let ready = self.traffic.inspect(id, |steering| steering.is_ready(now));
+            ready.unwrap_or(false)
+        };
+        if organisations.keys().all(is_ready) && self.readiness.serve() {
+            self.mesh.serve();
+            let detail = format!("organisations={}", organisations.len());
+            let fields = EventFields::detail(detail);
+            self.recorder.record(EventCode::ProcessReady, fields);
+        }
+    }
+
     fn observe(&self, organisation: &OrganisationId, now: MonotonicTime) {
         let view = self.mesh.fleet_view(organisation);
         self.traffic.observe(organisation, &view, now);
