Number the event of a fetched configuration again

Cause: the event had no recorder and was removed while another change came to use it. Conclusion: readiness and configuration are told apart in the time line.

--- a/crates/foxtide-core/src/events/code.rs
+++ b/crates/foxtide-core/src/events/code.rs
@@ -106,7 +106,7 @@
 
 define_codes! {
     1001 ProcessStarted "process-started" Info "The process has started; the detail names its version and addresses."
-    1002 ProcessReady "process-ready" Info "The instance has its configuration and serves."
+    1002 ProcessReady "process-ready" Info "The instance has its configuration and its part of the limits, and serves callers."
     1003 ProcessStopping "process-stopping" Info "A planned stop began: the instance leaves the look-ups and ends what is in flight."
     1004 ProcessDrained "process-drained" Info "Nothing is in flight any more on the stopping instance."
     1005 ProcessStopped "process-stopped" Info "The process ends."
@@ -117,6 +117,7 @@
 
     2002 ConfigurationApplied "configuration-applied" Info "This instance works by a newer revision."
     2008 ConfigurationUnreadable "configuration-unreadable" Error "A stored document cannot be read; the last good revision stays in force."
+    2009 ConfigurationFetched "configuration-fetched" Info "A starting instance has the newest configuration that store or peers could give."
     2012 WatcherElected "watcher-elected" Info "This instance now holds a watch on the store for its availability zone."
     2013 WatcherReleased "watcher-released" Info "This instance gave up its watch on the store."
     2014 ClientBlocksApplied "client-blocks-applied" Info "A newer table of client blocks is in force."
