Give each measured upstream an address of its own

Cause: the control's slope counted a new connection for each poll, because all upstreams of the measurement shared one address and its one kept connection. Conclusion: polls still have to become rarer before the fleet grows.

--- a/crates/foxtide/examples/measure/proxy.rs
+++ b/crates/foxtide/examples/measure/proxy.rs
@@ -166,7 +166,13 @@
 
 /// Returns the part of a core that an instance with so many upstreams takes.
 fn control_share(upstream: SocketAddr, count: usize) -> f64 {
-    let _instance = Instance::start(1, &vec![upstream; count]);
+    let address = |number: usize| {
+        // Each its own, so that connections are kept as they would be.
+        let [.., high, low] = (number as u32 + 1).to_be_bytes();
+        SocketAddr::from(([127, 1, high, low], upstream.port()))
+    };
+    let addresses: Vec<SocketAddr> = (0..count).map(address).collect();
+    let _instance = Instance::start(1, &addresses);
     std::thread::sleep(CONTROL_SETTLE);
     let before = workers_cpu();
     std::thread::sleep(CONTROL_TIME);
--- a/crates/foxtide/examples/measure/proxy/load.rs
+++ b/crates/foxtide/examples/measure/proxy/load.rs
@@ -9,7 +9,8 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+/// All addresses of the machine, so that one upstream can stand for many.
+const ANY_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
 /// How long callers keep the answer to a look-up.
 pub(crate) const LOOKUP_TTL: Duration = Duration::from_millis(200);
 
@@ -54,9 +55,10 @@
 impl FastUpstream {
     /// Starts an upstream; a thread serves each connection.
     pub(crate) fn start() -> Self {
-        let listener = TcpListener::bind(ANY_PORT).expect("a port can be bound");
+        let listener = TcpListener::bind(ANY_ADDRESS).expect("a port can be bound");
+        let bound = listener.local_addr().expect("the listener has an address");
         let upstream = Self {
-            address: listener.local_addr().expect("the listener has an address"),
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, bound.port())),
             requests: Arc::default(),
             held: Arc::default(),
             stopped: Arc::default(),
