--- a/crates/foxtide/src/configuration.rs
+++ b/crates/foxtide/src/configuration.rs
@@ -38,6 +38,7 @@
     pub(crate) recorder: Recorder,
     pub(crate) store: Arc<NodeStore>,
     pub(crate) readiness: Readiness,
+    pub(crate) watch_wait: Duration,
     pub(crate) seed: u64,
 }
 
@@ -60,6 +61,7 @@
     async fn start(&self) -> ConfigurationWatch<NodeStore, impl Fn() -> bool + Send + use<>> {
         let mesh = self.mesh.clone();
         let options = WatchOptions {
+            wait: self.watch_wait,
             seed: self.seed,
             ..WatchOptions::default()
         };
--- a/crates/foxtide/src/node.rs
+++ b/crates/foxtide/src/node.rs
@@ -181,6 +181,7 @@
             recorder: recorder.clone(),
             store: Arc::clone(&store),
             readiness: readiness.clone(),
+            watch_wait: settings.limits.store.watch_wait(),
             seed: fastrand::u64(..),
         };
         let budget = store::follow_fleet(Arc::clone(&store), mesh.clone());
@@ -347,6 +348,7 @@
         seed: xxh3_64(settings.instance.as_str().as_bytes()),
         balancer: BalancerOptions {
             availability_zone: Some(settings.availability_zone.clone()),
+            connections_min: settings.limits.upstreams.connections_min,
             ..defaults.balancer
         },
         ..defaults
