Join through the platform's list of instances

The settings named the list and nothing read it: an instance whose seeds had all been replaced stayed alone.

--- a/crates/foxtide-config/src/lib.rs
+++ b/crates/foxtide-config/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod change;
 pub mod document;
 mod errors;
+mod instance_list;
 pub mod settings;
 pub mod store;
 pub mod template;
@@ -21,6 +22,7 @@
 
 pub use backoff::{Backoff, BackoffOptions};
 pub use errors::{Error, Result};
+pub use instance_list::{ListError, read_instance_list};
 pub use settings::Settings;
 pub use store::{BudgetOptions, BudgetedStore, Fleet, HttpStore, HttpStoreOptions, StoreBudget};
 pub use template::Template;
--- a/crates/foxtide-config/src/store/exchange.rs
+++ b/crates/foxtide-config/src/store/exchange.rs
@@ -25,33 +25,33 @@
 
 /// One call as HTTP has it.
 #[derive(Debug)]
-pub(super) struct Call {
+pub(crate) struct Call {
     /// The step's name, for errors and metrics.
-    pub(super) step: &'static str,
+    pub(crate) step: &'static str,
     /// The method.
-    pub(super) method: Method,
+    pub(crate) method: Method,
     /// The path and the query, already percent-encoded.
-    pub(super) target: String,
+    pub(crate) target: String,
     /// The body.
-    pub(super) body: Vec<u8>,
+    pub(crate) body: Vec<u8>,
     /// How long the call may take.
-    pub(super) timeout: Duration,
+    pub(crate) timeout: Duration,
 }
 
 /// An answer that arrived whole.
 #[derive(Debug)]
-pub(super) struct Answer {
+pub(crate) struct Answer {
     /// The status.
-    pub(super) status: u16,
+    pub(crate) status: u16,
     /// The index to wait on, where the answer names one.
-    pub(super) index: Option<u64>,
+    pub(crate) index: Option<u64>,
     /// The body.
-    pub(super) body: Vec<u8>,
+    pub(crate) body: Vec<u8>,
 }
 
 /// Makes errors that name the step, the peer and how far the call got.
 #[derive(Clone, Debug)]
-pub(super) struct Progress {
+pub(crate) struct Progress {
     step: &'static str,
     peer: SocketAddr,
     written_bytes: Arc<AtomicU64>,
@@ -81,7 +81,7 @@
     }
 
     /// Returns the error of a call whose answer cannot be understood.
-    pub(super) fn unknown(&self, cause: impl Display) -> StoreError {
+    pub(crate) fn unknown(&self, cause: impl Display) -> StoreError {
         StoreError::Unknown {
             step: self.step,
             peer: self.peer.to_string(),
@@ -94,7 +94,7 @@
     ///
     /// A status of the class 5xx may come from a server that has passed the
     /// write on and did not hear back, so the outcome is unknown.
-    pub(super) fn rejected(&self, answer: &Answer) -> StoreError {
+    pub(crate) fn rejected(&self, answer: &Answer) -> StoreError {
         let cause = String::from_utf8_lossy(&answer.body).trim().to_owned();
         if answer.status >= 500 {
             return self.unknown(format!("status {}: {cause}", answer.status));
@@ -113,7 +113,7 @@
 /// # Errors
 ///
 /// Fails as the contract of [`foxtide_core::store::Store`] says.
-pub(super) async fn run(peer: SocketAddr, call: Call) -> (Progress, StoreResult<Answer>) {
+pub(crate) async fn run(peer: SocketAddr, call: Call) -> (Progress, StoreResult<Answer>) {
     let progress = Progress::new(call.step, peer);
     let timeout = call.timeout;
     let expired = async {
--- a/crates/foxtide/src/lib.rs
+++ b/crates/foxtide/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod command;
 mod configuration;
 mod copies;
+mod instance_list;
 mod load_events;
 mod member_events;
 pub mod node;
--- a/crates/foxtide/src/node.rs
+++ b/crates/foxtide/src/node.rs
@@ -7,10 +7,10 @@
 use crate::pages::Pages;
 use crate::promises::{PromiseSampler, Promises};
 use crate::readiness::Readiness;
-use crate::store;
 use crate::tables::Tables;
 use crate::telemetry;
 use crate::traffic::TrafficFollower;
+use crate::{instance_list, store};
 use anyhow::{Context, Result};
 use foxtide_config::Settings;
 use foxtide_core::choice::BalancerOptions;
@@ -227,6 +227,10 @@
             workers.spawn(sampler.run()),
             workers.spawn(follower.run()),
             workers.spawn(budget),
+            workers.spawn(instance_list::follow(
+                settings.instance_list_address,
+                mesh.clone(),
+            )),
             workers.spawn(configurations.run()),
             workers.spawn(following),
         ];
