Tell each instance its place among those of its region

Cause: the balancer knew slots of its own only in measurements; the request path told it how many instances there are and not which of them it is. Change: Sharing and Rank, found from the members' names; the slots of a region are dealt out among the instances that stand there, connections among all. TrafficTables::set_sharing takes the place of set_sharing_instances.

--- a/crates/foxtide-core/src/choice/balancer.rs
+++ b/crates/foxtide-core/src/choice/balancer.rs
@@ -2,9 +2,9 @@
 
 use super::allowance::RefusalAllowance;
 use super::candidate::{Candidate, Common, UpstreamStatus};
-use super::subset::Sharing;
+use super::subset::Part;
 use super::{
-    BalancerOptions, Completion, CompletionKind, Pick, Poll, PollResult, StatusChange, Ticket,
+    BalancerOptions, Completion, CompletionKind, Pick, Poll, PollResult, Rank, StatusChange, Ticket,
 };
 use crate::ids::UpstreamId;
 use crate::organisation::Upstream;
@@ -27,7 +27,7 @@
     candidates: Vec<Candidate>,
     common: Common,
     sharing_instances: u32,
-    rank: Option<u32>,
+    rank: Option<Rank>,
     allowance: RefusalAllowance,
     next_incarnation: u64,
 }
@@ -87,12 +87,11 @@
         candidate
     }
 
-    /// Tells this instance its place among those that share the upstreams,
-    /// from 0, in an order that is the same at all of them (that of their
-    /// names). Each slot is then one instance's own, which prefers it; none
-    /// where the place is not known. Views that differ for a while cost
+    /// Tells this instance its place among those that share the slots. Each
+    /// slot is then one instance's own, which prefers it; none is where the
+    /// place is not known. Views that differ for a while cost
     /// refusals and nothing else.
-    pub fn rank(&mut self, rank: Option<u32>, now: MonotonicTime) {
+    pub fn rank(&mut self, rank: Option<Rank>, now: MonotonicTime) {
         if self.rank != rank {
             self.rank = rank;
             self.share_out(now);
@@ -356,12 +355,12 @@
 
     /// Shares slots and connections out among the instances.
     fn share_out(&mut self, now: MonotonicTime) {
-        let sharing = Sharing {
+        let part = Part {
             instances: self.sharing_instances,
             rank: self.rank,
             seed: self.seed,
         };
-        sharing.share_out(&mut self.candidates, &self.options);
+        part.share_out(&mut self.candidates, &self.options);
         self.return_surplus(now);
     }
 
--- a/crates/foxtide-core/src/choice/mod.rs
+++ b/crates/foxtide-core/src/choice/mod.rs
@@ -26,6 +26,7 @@
 mod occupancy;
 mod options;
 mod pick;
+mod sharing;
 mod subset;
 
 pub use balancer::Balancer;
@@ -34,3 +35,4 @@
 pub use load_report::LoadReport;
 pub use options::{BalancerOptions, EjectionOptions, LivenessOptions};
 pub use pick::{Pick, Poll, StatusChange, Ticket};
+pub use sharing::{Rank, Sharing};
--- a/crates/foxtide-core/src/choice/subset.rs
+++ b/crates/foxtide-core/src/choice/subset.rs
@@ -1,25 +1,25 @@
 //! What of the upstreams is one instance's: a subset of them, its own slots
 //! and its part of the connections.
 
-use super::BalancerOptions;
 use super::candidate::Candidate;
+use super::{BalancerOptions, Rank};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// The seed of the order of the upstreams that all instances share.
 const COMMON_SEED: u64 = 0;
 
-/// How one instance shares the upstreams with the others.
+/// What decides on the part of one instance.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Sharing {
-    /// How many instances share the upstreams.
+pub(crate) struct Part {
+    /// How many instances share the connections.
     pub(crate) instances: u32,
-    /// This instance's place among them, where it is known.
-    pub(crate) rank: Option<u32>,
+    /// This instance's place among those that share the slots.
+    pub(crate) rank: Option<Rank>,
     /// The instance's seed, which takes the place of the rank.
     pub(crate) seed: u64,
 }
 
-impl Sharing {
+impl Part {
     /// Sets what of each upstream is this instance's.
     pub(crate) fn share_out(&self, candidates: &mut [Candidate], options: &BalancerOptions) {
         let mut order = self.order(candidates);
@@ -53,19 +53,12 @@
         let mut order: Vec<usize> = (0..candidates.len()).filter(staying).collect();
         order.sort_by_key(hash);
         if let Some(rank) = self.rank {
-            let start = self.first_place(rank, order.len());
+            let start = first_place(rank, order.len());
             order.rotate_left(start);
         }
         order
     }
 
-    /// Returns the place in a round of `places` from which a rank starts.
-    fn first_place(&self, rank: u32, places: usize) -> usize {
-        let instances = u64::from(self.instances);
-        let place = u64::from(rank) % instances * places as u64 / instances;
-        usize::try_from(place).unwrap_or(0)
-    }
-
     /// Returns the largest number of upstreams of which each still leaves this
     /// instance the connections that are worth keeping.
     fn subset_size(
@@ -97,9 +90,16 @@
         let mut dealt = 0;
         for candidate in candidates.iter_mut().filter(|c| c.stays()) {
             for _ in 0..candidate.upstream.slots {
-                candidate.own_slots += u32::from(dealt % self.instances == rank);
+                candidate.own_slots += u32::from(dealt % rank.of.max(1) == rank.place);
                 dealt += 1;
             }
         }
     }
 }
+
+/// Returns the place in a round of `places` from which a rank starts.
+fn first_place(rank: Rank, places: usize) -> usize {
+    let of = u64::from(rank.of.max(1));
+    let place = u64::from(rank.place) % of * places as u64 / of;
+    usize::try_from(place).unwrap_or(0)
+}
--- a/crates/foxtide-core/tests/choice_balancer.rs
+++ b/crates/foxtide-core/tests/choice_balancer.rs
@@ -3,9 +3,10 @@
 mod upstreams;
 
 use foxtide_core::choice::{
-    Balancer, BalancerOptions, Completion, CompletionKind, LoadReport, Pick, PollResult, Ticket,
-    UpstreamStatus,
+    Balancer, BalancerOptions, Completion, CompletionKind, LoadReport, Pick, PollResult, Rank,
+    Sharing, Ticket, UpstreamStatus,
 };
+use foxtide_core::ids::{InstanceId, RegionId};
 use foxtide_core::time::MonotonicTime;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -17,6 +18,10 @@
     MonotonicTime::from_ms(ms)
 }
 
+fn rank_of(place: u32, of: u32) -> Rank {
+    Rank { place, of }
+}
+
 fn balancer(upstreams: usize, sharing_instances: u32) -> Balancer {
     let mut balancer = Balancer::new(BalancerOptions::default(), 7);
     balancer.configure(&list(upstreams), sharing_instances, at(0));
@@ -247,7 +252,7 @@
     let mut connections = std::collections::BTreeMap::new();
     for rank in 0..INSTANCES {
         let mut balancer = balancer(12, INSTANCES);
-        balancer.rank(Some(rank), at(0));
+        balancer.rank(Some(rank_of(rank, INSTANCES)), at(0));
         for (upstream, limit) in balancer.connection_limits() {
             *connections.entry(upstream.upstream.clone()).or_insert(0) += limit;
         }
@@ -266,7 +271,7 @@
     let mut taken = std::collections::BTreeMap::new();
     for rank in 0..INSTANCES {
         let mut balancer = balancer(12, INSTANCES);
-        balancer.rank(Some(rank), at(0));
+        balancer.rank(Some(rank_of(rank, INSTANCES)), at(0));
         let own = SLOTS / INSTANCES + u32::from(rank < SLOTS % INSTANCES);
         for draw in 0..own {
             let ticket = take(&mut balancer, at(0), draw.into());
@@ -309,3 +314,26 @@
     }
     assert!(!balancer.has_spare_room());
 }
+
+#[test]
+fn verify_slots_are_shared_within_the_region() {
+    let members = [
+        ("b", "khomas"),
+        ("a", "khomas"),
+        ("c", "erongo"),
+        ("d", "khomas"),
+    ];
+    let members: Vec<(InstanceId, RegionId)> = members
+        .iter()
+        .map(|(name, region)| {
+            let name = name.parse().expect("the name is valid");
+            (name, region.parse().expect("the name is valid"))
+        })
+        .collect();
+    let listed = members.iter().map(|(name, region)| (name, region));
+    let sharing = Sharing::among(&members[0].0, listed.clone());
+    assert_eq!(sharing.instances, 4);
+    assert_eq!(sharing.rank, Some(rank_of(1, 3)));
+    let stranger = "z".parse().expect("the name is valid");
+    assert_eq!(Sharing::among(&stranger, listed).rank, None);
+}
--- a/crates/foxtide-entry/src/lib.rs
+++ b/crates/foxtide-entry/src/lib.rs
@@ -9,7 +9,7 @@
 //!
 //! The rest of the instance calls [`TrafficTables::configure`] for each
 //! configuration that comes into force, [`TrafficTables::observe`] and
-//! [`TrafficTables::set_sharing_instances`] for what the mesh knows, and sends
+//! [`TrafficTables::set_sharing`] for what the mesh knows, and sends
 //! [`TrafficTables::report`] to peers. The entry itself moves decisions on in
 //! time, polls upstreams and closes idle connections.
 //!
--- a/crates/foxtide-entry/src/traffic/organisation.rs
+++ b/crates/foxtide-entry/src/traffic/organisation.rs
@@ -3,6 +3,7 @@
 use super::service::ServiceTraffic;
 use super::tables::TrafficOptions;
 use arc_swap::ArcSwap;
+use foxtide_core::choice::Sharing;
 use foxtide_core::ids::{RegionId, ServiceId};
 use foxtide_core::organisation::Organisation;
 use foxtide_core::steering::{Admission, FleetView, Steering};
@@ -30,7 +31,7 @@
     pub(super) fn new(
         organisation: Arc<Organisation>,
         options: &TrafficOptions,
-        sharing: u32,
+        sharing: Sharing,
         now: MonotonicTime,
     ) -> Self {
         let steering = Steering::new(
@@ -68,7 +69,7 @@
         &self,
         organisation: &Arc<Organisation>,
         options: &TrafficOptions,
-        sharing: u32,
+        sharing: Sharing,
         now: MonotonicTime,
     ) {
         let mut steering = self.steering.lock();
@@ -82,7 +83,7 @@
         &self,
         organisation: &Organisation,
         options: &TrafficOptions,
-        sharing: u32,
+        sharing: Sharing,
         now: MonotonicTime,
     ) {
         let known = self.services.load_full();
@@ -104,7 +105,7 @@
     }
 
     /// Shares the connections out anew.
-    pub(super) fn share_out(&self, options: &TrafficOptions, sharing: u32, now: MonotonicTime) {
+    pub(super) fn share_out(&self, options: &TrafficOptions, sharing: Sharing, now: MonotonicTime) {
         let organisation = self.organisation();
         self.configure_services(&organisation, options, sharing, now);
     }
--- a/crates/foxtide-entry/src/traffic/region.rs
+++ b/crates/foxtide-entry/src/traffic/region.rs
@@ -1,7 +1,7 @@
 //! A service's upstreams in one region.
 
 use event_listener::{Event, EventListener};
-use foxtide_core::choice::{Balancer, BalancerOptions, Completion, Pick, Ticket};
+use foxtide_core::choice::{Balancer, BalancerOptions, Completion, Pick, Sharing, Ticket};
 use foxtide_core::ids::UpstreamId;
 use foxtide_core::organisation::Upstream;
 use foxtide_core::time::MonotonicTime;
@@ -87,8 +87,11 @@
     }
 
     /// Puts a list of upstreams in force.
-    pub(super) fn configure(&self, upstreams: &[Upstream], sharing: u32, now: MonotonicTime) {
-        self.balancer.lock().configure(upstreams, sharing, now);
+    pub(super) fn configure(&self, upstreams: &[Upstream], sharing: Sharing, now: MonotonicTime) {
+        let mut balancer = self.balancer.lock();
+        balancer.configure(upstreams, sharing.instances, now);
+        balancer.rank(sharing.rank, now);
+        drop(balancer);
         self.freed.notify(usize::MAX);
     }
 
--- a/crates/foxtide-entry/src/traffic/service.rs
+++ b/crates/foxtide-entry/src/traffic/service.rs
@@ -4,6 +4,7 @@
 use super::region::RegionTraffic;
 use super::tables::TrafficOptions;
 use arc_swap::ArcSwap;
+use foxtide_core::choice::Sharing;
 use foxtide_core::explain::ViewId;
 use foxtide_core::ids::{OrganisationId, RegionId, ServiceId};
 use foxtide_core::organisation::{Contract, Organisation, Priority, Service, Upstream};
@@ -75,12 +76,13 @@
         self.regions.load_full()
     }
 
-    /// Puts the service's upstreams in force, shared by `sharing` instances.
+    /// Puts the service's upstreams in force. Slots are shared within a region,
+    /// so this instance has a place in its own alone.
     pub(super) fn configure(
         &self,
         service: &Service,
         options: &TrafficOptions,
-        sharing: u32,
+        sharing: Sharing,
         now: MonotonicTime,
     ) {
         let known = self.regions.load_full();
@@ -90,7 +92,8 @@
                 .get(&region)
                 .cloned()
                 .unwrap_or_else(|| RegionTraffic::new(options.balancer.clone(), options.seed));
-            traffic.configure(&upstreams, sharing, now);
+            let rank = sharing.rank.filter(|_| region == options.origin);
+            traffic.configure(&upstreams, Sharing { rank, ..sharing }, now);
             regions.insert(region, traffic);
         }
         self.regions.store(Arc::new(regions));
--- a/crates/foxtide-entry/src/traffic/tables.rs
+++ b/crates/foxtide-entry/src/traffic/tables.rs
@@ -1,17 +1,16 @@
 //! All organisations of an instance.
 
 use super::organisation::OrganisationTraffic;
-use foxtide_core::choice::{BalancerOptions, StatusChange, UpstreamStatus};
+use foxtide_core::choice::{BalancerOptions, Sharing, StatusChange, UpstreamStatus};
 use foxtide_core::ids::{OrganisationId, RegionId, ServiceId};
 use foxtide_core::organisation::{Organisation, Upstream};
 use foxtide_core::retry::{RetryBudgetOptions, RetryOptions};
 use foxtide_core::steering::{FleetView, InstanceReport, Steering, SteeringOptions};
 use foxtide_core::time::{MonotonicTime, WallTime};
-use parking_lot::RwLock;
+use parking_lot::{Mutex, RwLock};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
 
 /// The settings of [`TrafficTables`].
 #[derive(Clone, Debug)]
@@ -89,7 +88,7 @@
 pub struct TrafficTables {
     options: TrafficOptions,
     organisations: RwLock<Organisations>,
-    sharing_instances: AtomicU32,
+    sharing: Mutex<Sharing>,
 }
 
 impl TrafficTables {
@@ -98,7 +97,7 @@
         Self {
             options,
             organisations: RwLock::default(),
-            sharing_instances: AtomicU32::new(1),
+            sharing: Mutex::default(),
         }
     }
 
@@ -110,7 +109,7 @@
     /// Puts an organisation's configuration in force; an older one than that
     /// in force is left aside. Tells whether it is in force now.
     pub fn configure(&self, organisation: &Arc<Organisation>, now: MonotonicTime) -> bool {
-        let sharing = self.sharing_instances.load(Ordering::Relaxed);
+        let sharing = *self.sharing.lock();
         let mut organisations = self.organisations.write();
         let known = organisations.get(&organisation.organisation);
         match known {
@@ -151,13 +150,12 @@
         }
     }
 
-    /// Notes how many instances use the upstreams together, this one included.
-    pub fn set_sharing_instances(&self, instances: u32, now: MonotonicTime) {
-        let instances = instances.max(1);
-        let before = self.sharing_instances.swap(instances, Ordering::Relaxed);
-        if before != instances {
+    /// Notes how the upstreams are shared with other instances.
+    pub fn set_sharing(&self, sharing: Sharing, now: MonotonicTime) {
+        let before = std::mem::replace(&mut *self.sharing.lock(), sharing);
+        if before != sharing {
             for traffic in self.all() {
-                traffic.share_out(&self.options, instances, now);
+                traffic.share_out(&self.options, sharing, now);
             }
         }
     }
--- a/crates/foxtide/examples/measure/choice/cost.rs
+++ b/crates/foxtide/examples/measure/choice/cost.rs
@@ -3,7 +3,7 @@
 use super::listed;
 use super::upstream::UpstreamProfile;
 use crate::report::{Limit, Report};
-use foxtide_core::choice::{Balancer, BalancerOptions, Completion, CompletionKind, Pick};
+use foxtide_core::choice::{Balancer, BalancerOptions, Completion, CompletionKind, Pick, Rank};
 use foxtide_core::time::MonotonicTime;
 use std::collections::BTreeMap;
 use std::hint::black_box;
@@ -53,7 +53,11 @@
     for instance in 0..INSTANCES {
         let mut balancer = Balancer::new(BalancerOptions::default(), instance.into());
         balancer.configure(&list, INSTANCES, MonotonicTime::ZERO);
-        balancer.rank(ranked.then_some(instance), MonotonicTime::ZERO);
+        let rank = Rank {
+            place: instance,
+            of: INSTANCES,
+        };
+        balancer.rank(ranked.then_some(rank), MonotonicTime::ZERO);
         for (upstream, limit) in balancer.connection_limits() {
             *connections
                 .entry(upstream.upstream.to_string())
--- a/crates/foxtide/examples/measure/choice/in_use.rs
+++ b/crates/foxtide/examples/measure/choice/in_use.rs
@@ -2,7 +2,7 @@
 
 use super::ways::{Choice, Finished, WAIT, Way};
 use foxtide_core::choice::{
-    Balancer, BalancerOptions, Completion, LoadReport, Pick, Poll, PollResult,
+    Balancer, BalancerOptions, Completion, LoadReport, Pick, Poll, PollResult, Rank,
 };
 use foxtide_core::ids::UpstreamId;
 use foxtide_core::organisation::Upstream;
@@ -33,7 +33,11 @@
     fn new(upstreams: &[Upstream], instance: usize, instances: usize) -> Self {
         let mut balancer = Balancer::new(BalancerOptions::default(), instance as u64);
         balancer.configure(upstreams, instances as u32, MonotonicTime::ZERO);
-        balancer.rank(Some(instance as u32), MonotonicTime::ZERO);
+        let rank = Rank {
+            place: instance as u32,
+            of: instances as u32,
+        };
+        balancer.rank(Some(rank), MonotonicTime::ZERO);
         Self {
             balancer,
             names: upstreams.iter().map(|u| u.upstream.clone()).collect(),
--- a/crates/foxtide/src/tables.rs
+++ b/crates/foxtide/src/tables.rs
@@ -69,6 +69,11 @@
         Applied::InForce
     }
 
+    /// Returns the name of this instance.
+    pub(crate) fn own(&self) -> &InstanceId {
+        &self.own
+    }
+
     /// Takes over what the mesh believes of all members.
     pub fn set_members(&self, members: Vec<Member>) {
         self.members.store(Arc::new(members));
--- a/crates/foxtide/src/traffic.rs
+++ b/crates/foxtide/src/traffic.rs
@@ -3,6 +3,7 @@
 
 use crate::readiness::Readiness;
 use crate::tables::Tables;
+use foxtide_core::choice::Sharing;
 use foxtide_core::events::{EventCode, EventFields};
 use foxtide_core::ids::OrganisationId;
 use foxtide_core::time::MonotonicTime;
@@ -47,8 +48,9 @@
     fn follow(&self, now: MonotonicTime) {
         let members = self.tables.members();
         let usable = members.iter().filter(|member| member.state.is_usable());
-        let usable = u32::try_from(usable.count()).unwrap_or(u32::MAX);
-        self.traffic.set_sharing_instances(usable, now);
+        let usable = usable.map(|member| (&member.instance, &member.region));
+        let sharing = Sharing::among(self.tables.own(), usable);
+        self.traffic.set_sharing(sharing, now);
         for (id, organisation) in self.tables.organisations().iter() {
             self.traffic.configure(organisation, now);
             self.observe(id, now);
