Go on counting a lost region's instances as alive

Cause: membership forgets who is silent for 15 s. In a longer partition each side then took itself for all and a whole sold rate for its own. Change: a region that is not heard at all stays known for two hours, and the count of another falls only on the side that hears the majority of all.

--- a/crates/foxtide-core/src/steering/engine.rs
+++ b/crates/foxtide-core/src/steering/engine.rs
@@ -1,6 +1,7 @@
 //! The steering decisions of one instance for one organisation.
 
 use super::flows::OriginFlows;
+use super::memory::Memory;
 use super::options::SteeringOptions;
 use super::rooms::Rooms;
 use super::service::ServiceState;
@@ -29,6 +30,7 @@
     pub(super) flows: Vec<OriginFlows>,
     pub(super) rooms: Rooms,
     pub(super) view: FleetView,
+    memory: Memory,
     pub(super) last_rows: BTreeMap<RegionId, BTreeMap<ServiceId, NamedRow>>,
     pub(super) adopt: Adopt,
     started_at: Option<MonotonicTime>,
@@ -63,6 +65,7 @@
             flows: vec![flows],
             rooms,
             view: FleetView::default(),
+            memory: Memory::default(),
             last_rows: BTreeMap::new(),
             adopt: Adopt::Waiting {
                 since: MonotonicTime::ZERO,
@@ -95,11 +98,13 @@
     }
 
     /// Takes over what is known of all instances.
-    pub fn observe(&mut self, view: &FleetView, _now: MonotonicTime) {
+    pub fn observe(&mut self, view: &FleetView, now: MonotonicTime) {
         self.view = view.clone();
-        self.rooms.observe(view);
+        let hold = self.options.lost_region_hold;
+        self.memory.fill(&mut self.view, hold, now);
+        self.rooms.observe(&self.view);
         for flows in &mut self.flows {
-            flows.take_told_health(view, &self.tables);
+            flows.take_told_health(&self.view, &self.tables);
         }
         self.adopt_rows();
     }
--- /dev/null
+++ b/crates/foxtide-core/src/steering/memory.rs
@@ -0,0 +1,60 @@
+//! Remembers instances that are no longer known to be there.
+//!
+//! Membership forgets who is silent for long, and cannot tell the dead from
+//! those behind a partition. If both sides of a partition forgot each other,
+//! each would take all of a sold rate. So the count of a region's instances
+//! falls only where the rest of the region is heard and this side has the
+//! majority of all; a region that is not heard at all stays known.
+
+use super::view::FleetView;
+use crate::ids::RegionId;
+use crate::time::MonotonicTime;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// The instances of each region that may be alive.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Memory {
+    regions: BTreeMap<RegionId, Remembered>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Remembered {
+    instances: u32,
+    confirmed_at: MonotonicTime,
+}
+
+impl Memory {
+    /// Takes a view in, and counts in it as known who may still be alive.
+    pub(crate) fn fill(&mut self, view: &mut FleetView, hold: Duration, now: MonotonicTime) {
+        let regions = &mut self.regions;
+        regions.retain(|_, known| now.since(known.confirmed_at) < hold);
+        for (id, region) in &view.regions {
+            let known = Remembered {
+                instances: region.known_instances,
+                confirmed_at: now,
+            };
+            let remembered = regions.entry(id.clone()).or_insert(known);
+            if known.instances >= remembered.instances {
+                *remembered = known;
+            }
+        }
+        let all: u64 = regions
+            .values()
+            .map(|known| u64::from(known.instances))
+            .sum();
+        let live = view
+            .regions
+            .values()
+            .map(|region| u64::from(region.live_instances));
+        let has_majority = live.sum::<u64>() * 2 > all;
+        for (id, remembered) in regions {
+            let region = view.regions.entry(id.clone()).or_default();
+            if region.live_instances > 0 && has_majority {
+                remembered.instances = region.known_instances;
+                remembered.confirmed_at = now;
+            }
+            region.known_instances = remembered.instances;
+        }
+    }
+}
--- a/crates/foxtide-core/src/steering/mod.rs
+++ b/crates/foxtide-core/src/steering/mod.rs
@@ -14,6 +14,7 @@
 mod decide;
 mod engine;
 mod flows;
+mod memory;
 mod merge;
 mod options;
 mod planned;
--- a/crates/foxtide-core/src/steering/options.rs
+++ b/crates/foxtide-core/src/steering/options.rs
@@ -47,6 +47,9 @@
     /// The part of a region's sold rate that the floors of its own instances
     /// sum to; those of all other regions sum to the rest.
     pub local_floors_share: f64,
+    /// How long the instances of a region that is not heard at all count as
+    /// alive, and keep their floors.
+    pub lost_region_hold: Duration,
     /// What an idle instance claims, as a part of its peers' mean, so that it
     /// has room when callers come.
     pub idle_claim_share: f64,
@@ -89,6 +92,7 @@
             growth_window: Duration::from_secs(5),
             claim_hold: Duration::from_secs(15),
             local_floors_share: 0.8,
+            lost_region_hold: Duration::from_secs(7_200),
             idle_claim_share: 0.1,
             joining: Duration::from_secs(30),
             instances_per_region_max: 6,
--- a/crates/foxtide-core/tests/steering/fleet.rs
+++ b/crates/foxtide-core/tests/steering/fleet.rs
@@ -251,7 +251,7 @@
             }
             node.learn(regions, now_ms);
             if is_due(step + 2, index) {
-                node.observe(regions, &listed, now_ms);
+                node.observe(regions, &listed, now_ms, self.scenario.platform_list);
             }
             let wall = WallTime::from_ms(1_000_000 + now_ms + node.skew_ms);
             node.decider.tick(node.now(now_ms), wall);
--- a/crates/foxtide-core/tests/steering/node.rs
+++ b/crates/foxtide-core/tests/steering/node.rs
@@ -107,18 +107,25 @@
         self.configured.retain(|due| due.0 > now_ms);
     }
 
-    pub(super) fn observe(&mut self, regions: &[RegionId], listed: &[(usize, bool)], now_ms: u64) {
+    pub(super) fn observe(
+        &mut self,
+        regions: &[RegionId],
+        listed: &[(usize, bool)],
+        now_ms: u64,
+        platform_list: bool,
+    ) {
         let now = self.now(now_ms);
         let held = |made_ms| now_ms - made_ms < KEEP_REPORT_MS;
         self.known
-            .retain(|from, known| listed[*from].1 || held(known.made_ms));
+            .retain(|from, known| (platform_list && listed[*from].1) || held(known.made_ms));
         let reports = self.known.iter().map(|(from, known)| HeardReport {
             origin: &regions[listed[*from].0],
             made_at: MonotonicTime::from_ms(known.made_ms - self.started_ms),
             report: &known.report,
         });
         let mut view = FleetView::from_reports(reports, ViewOptions::default(), now);
-        for (place, region) in regions.iter().enumerate() {
+        let seen = if platform_list { regions } else { &[] };
+        for (place, region) in seen.iter().enumerate() {
             let here = listed.iter().filter(|listed| **listed == (place, true));
             view.expect(region, here.count() as u32);
         }
--- a/crates/foxtide-core/tests/steering/scenario.rs
+++ b/crates/foxtide-core/tests/steering/scenario.rs
@@ -60,6 +60,9 @@
     pub(crate) organisation: Organisation,
     /// What each region's callers ask of each service.
     pub(crate) demand_rps: [[f64; SERVICES.len()]; REGIONS.len()],
+    /// Whether instances see the platform's list; without it they forget who
+    /// is silent for long.
+    pub(crate) platform_list: bool,
     /// What happens, and when.
     pub(crate) events: Vec<(u64, Event)>,
 }
@@ -74,6 +77,7 @@
             organisation: organisation(&options),
             options,
             demand_rps: [[each; SERVICES.len()]; REGIONS.len()],
+            platform_list: true,
             events: Vec::new(),
         }
     }
--- a/crates/foxtide-core/tests/steering/scenarios.rs
+++ b/crates/foxtide-core/tests/steering/scenarios.rs
@@ -2,7 +2,7 @@
 
 use super::fixture::OrganisationOptions;
 use super::fleet::Fleet;
-use super::scenario::Scenario;
+use super::scenario::{Event, Scenario};
 use super::tally::Tally;
 use foxtide_core::steering::{Steering, SteeringOptions};
 use std::time::Duration;
@@ -134,6 +134,38 @@
     assert!(share > 0.05, "{share}");
 }
 
+/// A region with room is cut off from two that spill into it, for longer than
+/// anyone remembers who is silent. Nobody sees the platform's list.
+fn long_partition() -> Scenario {
+    let options = OrganisationOptions {
+        region_rps: 150.0,
+        spill_limit_share: 0.5,
+        ..OrganisationOptions::default()
+    };
+    let mut scenario = Scenario::quiet(3, options, 260.0);
+    scenario.demand_rps[0] = [60.0, 60.0];
+    scenario.platform_list = false;
+    scenario.at(30_000, Event::Cut(0, true));
+    scenario.at(55_000, Event::Burst(0, 2.0));
+    scenario
+}
+
+#[test]
+fn verify_a_long_partition_sells_nothing_twice() {
+    let tally = Fleet::<Steering>::run(long_partition(), SteeringOptions::default());
+    assert_kept(3, &tally);
+}
+
+#[test]
+fn verify_forgetting_a_lost_region_is_noticed() {
+    let options = SteeringOptions {
+        lost_region_hold: Duration::ZERO,
+        ..SteeringOptions::default()
+    };
+    let tally = Fleet::<Steering>::run(long_partition(), options);
+    assert!(tally.seconds_over_region > 0, "{}", tally.fullest_region);
+}
+
 #[test]
 fn verify_a_broken_spill_limit_is_noticed() {
     let mut scenario = crowded();
