--- a/crates/foxtide/examples/demo/main.rs
+++ b/crates/foxtide/examples/demo/main.rs
@@ -10,14 +10,29 @@
 mod tally;
 mod world;
 
-use anyhow::Result;
+use anyhow::{Result, bail};
+use argh::FromArgs;
+use foxtide::node::NodeOptions;
+use foxtide_core::steering::SteeringOptions;
 use std::process::ExitCode;
 use std::sync::Arc;
 use world::{INSTANCES, TENANTS, Tenant, World};
 
+/// A factor on the shift cap that no contract allows.
+const BROKEN_CAP_FACTOR: f64 = 50.0;
+
+/// Both tenants of today on embedded stand-ins, in one process.
+#[derive(Debug, FromArgs)]
+struct Arguments {
+    /// break a promise on purpose, to see that it is told: shift-cap
+    #[argh(option)]
+    break_promise: Option<String>,
+}
+
 fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
     foxtide::telemetry::start_logging_at("error");
-    match smol::block_on(run()) {
+    match smol::block_on(run(&arguments)) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(error) => {
@@ -27,8 +42,9 @@
     }
 }
 
-async fn run() -> Result<bool> {
-    let tenants = TENANTS.map(|tenant| smol::spawn(run_tenant(tenant)));
+async fn run(arguments: &Arguments) -> Result<bool> {
+    let options = node_options(arguments)?;
+    let tenants = TENANTS.map(|tenant| smol::spawn(run_tenant(tenant, options.clone())));
     let mut promises = Vec::new();
     for tenant in tenants {
         promises.extend(tenant.await?);
@@ -36,8 +52,18 @@
     Ok(promises::print_table(&promises))
 }
 
-async fn run_tenant(tenant: Tenant) -> Result<Vec<promises::Promise>> {
-    let world = Arc::new(World::start(tenant).await?);
+fn node_options(arguments: &Arguments) -> Result<NodeOptions> {
+    let mut steering = SteeringOptions::default();
+    match arguments.break_promise.as_deref() {
+        None => {}
+        Some("shift-cap") => steering.shift_cap_factor = BROKEN_CAP_FACTOR,
+        Some(other) => bail!("--break-promise {other}: valid is shift-cap"),
+    }
+    Ok(NodeOptions { steering })
+}
+
+async fn run_tenant(tenant: Tenant, options: NodeOptions) -> Result<Vec<promises::Promise>> {
+    let world = Arc::new(World::start(tenant, &options).await?);
     println!("{:<11} {INSTANCES} instances serve", tenant.name);
     script::run(world).await
 }
--- a/crates/foxtide/examples/demo/script.rs
+++ b/crates/foxtide/examples/demo/script.rs
@@ -5,7 +5,7 @@
 use crate::tally::{End, Tally};
 use crate::world::{INSTANCES, LOOKUP_TTL_S, World};
 use anyhow::{Context, Result, anyhow};
-use foxtide_core::organisation::{Drain, DrainTarget, PlannedMove};
+use foxtide_core::organisation::{Drain, DrainTarget, Organisation, PlannedMove};
 use foxtide_core::time::WallTime;
 use foxtide_core::units::{Share, ShareRate};
 use foxtide_testing::Availability;
@@ -23,6 +23,9 @@
 /// How long the move runs.
 const MOVE_TIME: Duration = Duration::from_secs(8);
 
+/// How long a region is drained before the store goes.
+const DRAIN_TIME: Duration = Duration::from_secs(8);
+
 /// How long the store is away.
 const OUTAGE: Duration = Duration::from_secs(4);
 
@@ -69,6 +72,7 @@
         Timer::after(CALM).await;
         self.drain_upstream().await.context("drain an upstream")?;
         self.move_traffic().await.context("move traffic")?;
+        self.drain_region().await.context("drain a region")?;
         self.lose_store().await.context("lose the store")?;
         self.stop_instance().await;
         self.kill_instance().await?;
@@ -91,8 +95,7 @@
             start_us: wall(),
         };
         let announced_at = Instant::now();
-        let edit =
-            |document: &mut foxtide_core::organisation::Organisation| document.drains.push(drain);
+        let edit = |document: &mut Organisation| document.drains.push(drain);
         let (revision, took) = self.world.change("drain an upstream", edit).await?;
         self.say(&format!("{revision} in force everywhere after {took:?}"));
         self.timed(
@@ -125,14 +128,30 @@
             start_us: wall(),
             paused_us: None,
         };
-        let edit =
-            |document: &mut foxtide_core::organisation::Organisation| document.moves.push(planned);
+        let edit = |document: &mut Organisation| document.moves.push(planned);
         let (revision, _) = self.world.change("move traffic", edit).await?;
         self.say(&format!("{revision}: the move runs"));
         Timer::after(MOVE_TIME).await;
         Ok(())
     }
 
+    /// Drains the last region; its traffic moves under the shift cap.
+    async fn drain_region(&mut self) -> Result<()> {
+        let Some(region) = self.world.regions.last().cloned() else {
+            return Ok(());
+        };
+        self.say(&format!("drains region {region}"));
+        let drain = Drain {
+            id: "demo-region".parse()?,
+            target: DrainTarget::Region(region),
+            start_us: wall(),
+        };
+        let edit = |document: &mut Organisation| document.drains.push(drain);
+        self.world.change("drain a region", edit).await?;
+        Timer::after(DRAIN_TIME).await;
+        Ok(())
+    }
+
     async fn lose_store(&mut self) -> Result<()> {
         self.say("takes the store away");
         let before = self.tally.ended(End::Answered);
--- a/crates/foxtide/examples/demo/world.rs
+++ b/crates/foxtide/examples/demo/world.rs
@@ -1,7 +1,7 @@
 //! One tenant of the demo: its stand-ins, its instances and its operator.
 
 use anyhow::{Context, Result, anyhow};
-use foxtide::node::Node;
+use foxtide::node::{Node, NodeOptions};
 use foxtide_config::change::{self, ChangeRequest};
 use foxtide_config::settings::{Limits, Listener, LookupLimits};
 use foxtide_config::template::Parameters;
@@ -90,7 +90,7 @@
 
 impl World {
     /// Starts everything and waits until every instance serves.
-    pub(crate) async fn start(tenant: Tenant) -> Result<Self> {
+    pub(crate) async fn start(tenant: Tenant, options: &NodeOptions) -> Result<Self> {
         let organisation: OrganisationId = tenant.name.parse()?;
         let template = Template::parse(tenant.name, tenant.template)?;
         let mut document = template.instantiate(&organisation, &Parameters::new())?;
@@ -119,13 +119,14 @@
         };
         change::accept(&world.client, change).await?;
         for number in 0..INSTANCES {
-            world.start_node(number, &places[number % places.len()])?;
+            let place = &places[number % places.len()];
+            world.start_node(number, place, options.clone())?;
         }
         world.wait_until_known(INSTANCES).await?;
         Ok(world)
     }
 
-    fn start_node(&self, number: usize, place: &Place) -> Result<()> {
+    fn start_node(&self, number: usize, place: &Place, options: NodeOptions) -> Result<()> {
         let seeds = self
             .nodes
             .lock()
@@ -154,7 +155,7 @@
                 ..Limits::default()
             },
         };
-        let node = Node::start(&settings)?;
+        let node = Node::start_with(&settings, options)?;
         self.nodes.lock().insert(settings.instance, node);
         Ok(())
     }
--- a/crates/foxtide/src/node.rs
+++ b/crates/foxtide/src/node.rs
@@ -18,6 +18,7 @@
 use foxtide_core::events::{EventCode, EventFields, EventRingOptions};
 use foxtide_core::idempotency::{OwnerId, ProcessNumber, TableOptions};
 use foxtide_core::ids::{InstanceId, OrganisationId, RegionId};
+use foxtide_core::steering::SteeringOptions;
 use foxtide_core::units::ByteSize;
 use foxtide_entry::{
     Clock, Directory, DrainOptions, Entry, EntryOptions, Limits, Parts, PoolOptions,
@@ -113,6 +114,13 @@
     }
 }
 
+/// What is set for an instance besides its settings file.
+#[derive(Clone, Debug, Default)]
+pub struct NodeOptions {
+    /// Where requests go. Equal on all instances.
+    pub steering: SteeringOptions,
+}
+
 /// A running entry instance.
 #[derive(Debug)]
 pub struct Node {
@@ -131,6 +139,15 @@
     ///
     /// Fails where an address cannot be bound or threads cannot be started.
     pub fn start(settings: &Settings) -> Result<Self> {
+        Self::start_with(settings, NodeOptions::default())
+    }
+
+    /// Starts an instance whose decisions are set otherwise than by default.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Node::start`] does.
+    pub fn start_with(settings: &Settings, options: NodeOptions) -> Result<Self> {
         let clock = SystemClock::default();
         let workers = Workers::start(settings.workers).context("start the workers")?;
         let recorder = Recorder::new(settings.instance.clone(), recorder_options(settings));
@@ -145,7 +162,7 @@
         let promises = Promises::default();
         let blocks = BlocksInForce::default();
         let store = store::open(settings);
-        let traffic = Arc::new(TrafficTables::new(traffic_options(settings)));
+        let traffic = Arc::new(TrafficTables::new(traffic_options(settings, options)));
         let parts = NodeParts {
             directory: NodeDirectory {
                 tables: Arc::clone(&tables),
@@ -346,10 +363,11 @@
     )
 }
 
-fn traffic_options(settings: &Settings) -> TrafficOptions {
+fn traffic_options(settings: &Settings, options: NodeOptions) -> TrafficOptions {
     let defaults = TrafficOptions::new(settings.region.clone());
     TrafficOptions {
         seed: xxh3_64(settings.instance.as_str().as_bytes()),
+        steering: options.steering,
         balancer: BalancerOptions {
             availability_zone: Some(settings.availability_zone.clone()),
             connections_min: settings.limits.upstreams.connections_min,
