--- a/crates/foxtidectl/src/commands/drain/start.rs
+++ b/crates/foxtidectl/src/commands/drain/start.rs
@@ -1,6 +1,7 @@
 //! `foxtidectl drain start`.
 
 use super::in_words;
+use crate::admin;
 use crate::failure::Failure;
 use crate::report::Report;
 use crate::session::Session;
@@ -39,6 +40,7 @@
     /// Adds the drain to the document.
     pub(super) async fn run(self, session: &Session) -> Result<Report, Failure> {
         let target = self.target()?;
+        known_instance(session, &target).await?;
         let base = session.load(&self.organisation).await?;
         let document = self.announced(session, &base.document, &target)?;
         let edit = Edit {
@@ -90,6 +92,31 @@
     }
 }
 
+/// Refuses an instance that nobody knows, where instances can be asked: the
+/// document does not hold them, and a wrong name would do nothing.
+async fn known_instance(session: &Session, target: &DrainTarget) -> Result<(), Failure> {
+    let admin = &session.options().admin;
+    let DrainTarget::Instance(wanted) = target else {
+        return Ok(());
+    };
+    if admin.is_empty() {
+        return Ok(());
+    }
+    let page = admin::ask_any(admin, "/v1/instances").await?;
+    let rows = page.as_array().into_iter().flatten();
+    let known: Vec<&str> = rows
+        .filter_map(|row| row.get("instance")?.as_str())
+        .collect();
+    if known.contains(&wanted.as_str()) {
+        return Ok(());
+    }
+    let problem = format!("no instance `{wanted}` is known");
+    Err(Failure::refused(
+        problem,
+        format!("use one of {}", known.join(", ")),
+    ))
+}
+
 fn upstream(text: &str) -> Result<DrainTarget, Failure> {
     let Some((service, upstream)) = text.split_once('/') else {
         let problem = format!("--upstream: `{text}` names no service");
--- a/crates/foxtidectl/tests/instances.rs
+++ b/crates/foxtidectl/tests/instances.rs
@@ -157,6 +157,33 @@
     assert!(instances.contains("ADMIN ADDRESS"), "{instances}");
 }
 
+#[test]
+fn verify_a_drain_of_an_unknown_instance_is_refused() {
+    let first = two_instances().to_string();
+    let operator = support::Operator::with_example();
+    let drain = |name| {
+        let arguments = [
+            "--admin",
+            &first,
+            "--yes",
+            "drain",
+            "start",
+            "hamutenya",
+            "--instance",
+            name,
+        ];
+        operator.run(&arguments)
+    };
+    let refused = drain("c");
+    assert_eq!(refused.status, ExitStatus::Refused);
+    assert!(
+        refused.errors.contains("no instance `c` is known"),
+        "{refused:?}"
+    );
+    assert_eq!(operator.stored()["drains"], json!([]));
+    assert_eq!(drain("b").status, ExitStatus::Done);
+}
+
 #[test]
 fn verify_a_promise_that_one_instance_breaks_is_broken() {
     let first = two_instances();
