Let scenarios name the services that they use

The suite took 64 s on a busy machine, over its limit of 60 s; a third of that went into polls and shares of services without load.

--- a/crates/foxtide-testing/src/scenario/command.rs
+++ b/crates/foxtide-testing/src/scenario/command.rs
@@ -15,9 +15,13 @@
 /// Commands of operators have the operator's name as prefix: `alice: read`.
 #[derive(Clone, Debug, goldenscript::Command)]
 pub(super) enum Command {
-    /// `tenant hamutenya|kluisdepot`: the whole setting of an organisation of
-    /// today.
-    Tenant(Tenant),
+    /// `tenant hamutenya|kluisdepot [SERVICE...]`: the setting of an
+    /// organisation of today, with all of its services or those named.
+    Tenant {
+        name: Tenant,
+        #[arg(many, optional)]
+        services: Vec<ServiceId>,
+    },
     /// `region NAME sold=RATE [zones=N]`: a region and what was sold there.
     Region {
         name: RegionId,
@@ -208,7 +212,7 @@
     pub(super) fn is_setting(&self) -> bool {
         matches!(
             self,
-            Self::Tenant(_)
+            Self::Tenant { .. }
                 | Self::Region { .. }
                 | Self::Links { .. }
                 | Self::Service { .. }
--- a/crates/foxtide-testing/src/scenario/runner.rs
+++ b/crates/foxtide-testing/src/scenario/runner.rs
@@ -106,7 +106,7 @@
             return Err("the scenario has begun".into());
         }
         match command.clone() {
-            Command::Tenant(tenant) => self.setting.add_tenant(tenant)?,
+            Command::Tenant { name, services } => self.setting.add_tenant(name, &services)?,
             Command::Region { name, sold, zones } => {
                 self.setting
                     .add_region(name, sold, zones.unwrap_or(ZONES_DEFAULT))?;
