--- a/crates/foxtide-mesh/src/wire/convert.rs
+++ b/crates/foxtide-mesh/src/wire/convert.rs
@@ -222,3 +222,68 @@
         bytes: document.bytes.into(),
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use foxtide_core::ids::NAME_MAX_BYTES;
+    use foxtide_core::membership::{
+        DATAGRAM_MAX_BYTES, Incarnation, Member, MemberState, Membership, MembershipOptions, Output,
+    };
+    use foxtide_core::time::MonotonicTime;
+    use prost::Message as _;
+
+    /// Returns a member whose fields take the most bytes.
+    fn member(number: usize, incarnation: u64) -> Member {
+        let name = format!("{number:0width$}", width = NAME_MAX_BYTES);
+        let port = 50_000 + u16::try_from(number).unwrap();
+        let address = SocketAddr::from((Ipv6Addr::LOCALHOST, port));
+        Member {
+            instance: name.parse().unwrap(),
+            region: "r".repeat(NAME_MAX_BYTES).parse().unwrap(),
+            availability_zone: "z".repeat(NAME_MAX_BYTES).parse().unwrap(),
+            peer_address: address,
+            caller_address: address,
+            process: ProcessNumber::new(u64::MAX),
+            incarnation: Incarnation::new(u64::MAX - 9 + incarnation),
+            state: MemberState::Alive,
+        }
+    }
+
+    fn header() -> wire::Header {
+        wire::Header {
+            version: u32::MAX,
+            minimum_version: u32::MAX,
+            cluster: u64::MAX,
+            sender: "s".repeat(NAME_MAX_BYTES),
+            epoch_us: u64::MAX,
+            sequence: u64::MAX,
+            clock_us: u64::MAX,
+            clock_counter: u32::MAX,
+        }
+    }
+
+    #[test]
+    fn verify_every_datagram_fits_one_packet() {
+        let options = MembershipOptions::default();
+        let mut now = MonotonicTime::from_ms(1_000);
+        let mut membership = Membership::new(member(0, 0), options, 1, now);
+        let peers: Vec<_> = (1..20).map(|number| member(number, 0)).collect();
+        membership.merge(peers, now);
+        // News of all, while none answers: pings, requests and suspicions.
+        let news: Vec<_> = (1..20).map(|number| member(number, 1)).collect();
+        membership.merge(news, now);
+        let mut sent = 0;
+        for _ in 0..200 {
+            now = now + std::time::Duration::from_millis(50);
+            for output in membership.tick(now) {
+                if let Output::Send { packet, .. } = output {
+                    let size_bytes = to_datagram(header(), packet).encoded_len();
+                    assert!(size_bytes <= DATAGRAM_MAX_BYTES, "{size_bytes}");
+                    sent += 1;
+                }
+            }
+        }
+        assert!(sent > 100, "{sent}");
+    }
+}
