Bind the listeners before all else and split the node by job

Change: foxtide_entry::Listeners is bound first and handed to the entry; node/ holds options, parts and what they share, one function a part.

--- a/crates/foxtide-entry/src/entry.rs
+++ b/crates/foxtide-entry/src/entry.rs
@@ -34,6 +34,39 @@
     tasks: Vec<Task<()>>,
 }
 
+/// The sockets that an [`Entry`] serves, bound before anything else is
+/// started, so that peers can be told where callers connect.
+#[derive(Debug)]
+pub struct Listeners {
+    caller: Async<TcpListener>,
+    admin: Async<TcpListener>,
+    caller_address: SocketAddr,
+    admin_address: SocketAddr,
+}
+
+impl Listeners {
+    /// Binds the caller's and the operators' address.
+    ///
+    /// # Errors
+    ///
+    /// Fails where an address cannot be bound.
+    pub fn bind(caller_address: SocketAddr, admin_address: SocketAddr) -> Result<Self> {
+        let caller = bind(caller_address)?;
+        let admin = bind(admin_address)?;
+        Ok(Self {
+            caller_address: local_address(&caller, caller_address),
+            admin_address: local_address(&admin, admin_address),
+            caller,
+            admin,
+        })
+    }
+
+    /// Returns where callers connect.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.caller_address
+    }
+}
+
 impl<P: Parts> Entry<P> {
     /// Binds both listeners and starts to serve.
     ///
@@ -45,12 +78,21 @@
         parts: Arc<P>,
         executor: &Arc<Executor<'static>>,
     ) -> Result<Self> {
+        let listeners = Listeners::bind(options.caller_address, options.admin_address)?;
+        Ok(Self::start_on(listeners, options, parts, executor))
+    }
+
+    /// Starts to serve on listeners that are bound already.
+    pub fn start_on(
+        listeners: Listeners,
+        options: EntryOptions,
+        parts: Arc<P>,
+        executor: &Arc<Executor<'static>>,
+    ) -> Self {
         let options = Arc::new(options);
-        let caller_listener = bind(options.caller_address)?;
-        let admin_listener = bind(options.admin_address)?;
         let mut entry = Self {
-            caller_address: local_address(&caller_listener, options.caller_address),
-            admin_address: local_address(&admin_listener, options.admin_address),
+            caller_address: listeners.caller_address,
+            admin_address: listeners.admin_address,
             callers: ServeState::new(&options.limits),
             operators: ServeState::new(&options.limits),
             parts,
@@ -60,9 +102,9 @@
         entry.begin_decisions();
         let proxy = entry.proxy(executor);
         entry.keep_house(executor, &proxy);
-        entry.serve_callers(executor, caller_listener, proxy);
-        entry.serve_operators(executor, admin_listener);
-        Ok(entry)
+        entry.serve_callers(executor, listeners.caller, proxy);
+        entry.serve_operators(executor, listeners.admin);
+        entry
     }
 
     fn proxy(&self, executor: &Arc<Executor<'static>>) -> Proxy<P> {
--- a/crates/foxtide-entry/src/lib.rs
+++ b/crates/foxtide-entry/src/lib.rs
@@ -51,7 +51,7 @@
 mod workers;
 
 pub use clock::{Clock, SystemClock};
-pub use entry::Entry;
+pub use entry::{Entry, Listeners};
 pub use errors::{Error, Result, Step};
 pub use options::{DrainOptions, EntryOptions, Limits, PollOptions, PoolOptions};
 pub use parts::{Admin, AdminPage, Directory, Parts, ServingInstance};
--- /dev/null
+++ b/crates/foxtide/src/node/parts.rs
@@ -0,0 +1,110 @@
+//! What the request path works with.
+
+use super::shared::Shared;
+use crate::client_blocks::BlocksInForce;
+use crate::pages::Pages;
+use crate::tables::Tables;
+use foxtide_core::idempotency::OwnerId;
+use foxtide_core::ids::{InstanceId, OrganisationId, RegionId};
+use foxtide_entry::{Clock, Directory, Parts, ServingInstance, SystemClock, TrafficTables};
+use foxtide_events::{Explainer, Recorder};
+use foxtide_mesh::MeshHandle;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+
+/// What the request path works with.
+#[derive(Debug)]
+pub(crate) struct NodeParts {
+    directory: NodeDirectory,
+    traffic: Arc<TrafficTables>,
+    clock: SystemClock,
+    recorder: Recorder,
+    explainer: Explainer,
+    owner: OwnerId,
+    pages: Pages,
+}
+
+impl NodeParts {
+    /// Returns the parts of an instance whose process is `owner`.
+    pub(super) fn new(shared: &Shared, owner: OwnerId) -> Self {
+        Self {
+            directory: NodeDirectory {
+                tables: Arc::clone(&shared.tables),
+                blocks: shared.blocks.clone(),
+                mesh: shared.mesh.clone(),
+                clock: shared.clock,
+            },
+            traffic: Arc::clone(&shared.traffic),
+            clock: shared.clock,
+            recorder: shared.recorder.clone(),
+            explainer: shared.explainer.clone(),
+            owner,
+            pages: shared.pages(),
+        }
+    }
+}
+
+impl Parts for NodeParts {
+    type Directory = NodeDirectory;
+    type Clock = SystemClock;
+    type Admin = Pages;
+
+    fn directory(&self) -> &NodeDirectory {
+        &self.directory
+    }
+
+    fn traffic(&self) -> &TrafficTables {
+        &self.traffic
+    }
+
+    fn clock(&self) -> &SystemClock {
+        &self.clock
+    }
+
+    fn recorder(&self) -> &Recorder {
+        &self.recorder
+    }
+
+    fn explainer(&self) -> &Explainer {
+        &self.explainer
+    }
+
+    fn owner(&self) -> &OwnerId {
+        &self.owner
+    }
+
+    fn admin(&self) -> &Pages {
+        &self.pages
+    }
+}
+
+/// The tables as the request path reads them, and the way to leave.
+#[derive(Debug)]
+pub(crate) struct NodeDirectory {
+    tables: Arc<Tables>,
+    blocks: BlocksInForce,
+    mesh: MeshHandle,
+    clock: SystemClock,
+}
+
+impl Directory for NodeDirectory {
+    fn instances(&self) -> Arc<[ServingInstance]> {
+        self.tables.instances()
+    }
+
+    fn address_of(&self, instance: &InstanceId) -> Option<SocketAddr> {
+        self.tables.address_of(instance)
+    }
+
+    fn client_region(&self, _organisation: &OrganisationId, client: IpAddr) -> Option<RegionId> {
+        let instances = self.tables.instances();
+        let is_live = |region: &RegionId| instances.iter().any(|one| one.region == *region);
+        self.blocks.region_of(client, is_live)
+    }
+
+    fn leave(&self) {
+        self.tables.set_leaving();
+        self.tables.renew_instances(self.clock.wall());
+        self.mesh.leave();
+    }
+}
--- /dev/null
+++ b/crates/foxtide/src/node/shared.rs
@@ -0,0 +1,182 @@
+//! What the parts of one instance have in common.
+
+use super::options::{self, NodeOptions};
+use crate::client_blocks::{BlocksFollower, BlocksInForce};
+use crate::configuration::Configurations;
+use crate::copies::Copies;
+use crate::observer::Observer;
+use crate::pages::Pages;
+use crate::promises::{PromiseSampler, Promises};
+use crate::readiness::Readiness;
+use crate::store::{self, NodeStore};
+use crate::tables::Tables;
+use crate::traffic::TrafficFollower;
+use crate::{instance_list, telemetry};
+use anyhow::Result;
+use foxtide_config::Settings;
+use foxtide_core::idempotency::ProcessNumber;
+use foxtide_entry::{Clock, SystemClock, TrafficTables, Workers};
+use foxtide_events::{Explainer, Recorder, TimeLine};
+use foxtide_mesh::MeshHandle;
+use smol::{Task, Timer};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The time between two looks at the members and the announced drains.
+const MEMBERS_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The tables and handles that the parts of one instance share.
+#[derive(Clone, Debug)]
+pub(super) struct Shared {
+    pub(super) tables: Arc<Tables>,
+    pub(super) traffic: Arc<TrafficTables>,
+    pub(super) mesh: MeshHandle,
+    pub(super) store: Arc<NodeStore>,
+    pub(super) blocks: BlocksInForce,
+    pub(super) recorder: Recorder,
+    pub(super) explainer: Explainer,
+    pub(super) promises: Promises,
+    pub(super) time_line: TimeLine,
+    pub(super) readiness: Readiness,
+    pub(super) clock: SystemClock,
+}
+
+impl Shared {
+    /// Opens everything that the parts share, the mesh among it.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the peer address cannot be bound.
+    pub(super) fn open(
+        settings: &Settings,
+        caller_address: SocketAddr,
+        process: ProcessNumber,
+        options: NodeOptions,
+    ) -> Result<Self> {
+        let clock = SystemClock::default();
+        let recorder = Recorder::new(
+            settings.instance.clone(),
+            options::recorder_options(settings),
+        );
+        let mesh = options::start_mesh(settings, caller_address, process, &recorder, &clock)?;
+        let traffic = TrafficTables::new(options::traffic_options(settings, options));
+        Ok(Self {
+            tables: Arc::new(Tables::new(settings.instance.clone())),
+            traffic: Arc::new(traffic),
+            mesh,
+            store: store::open(settings),
+            blocks: BlocksInForce::default(),
+            time_line: options::time_line(settings, &recorder, &clock),
+            recorder,
+            explainer: Explainer::default(),
+            promises: Promises::default(),
+            readiness: Readiness::default(),
+            clock,
+        })
+    }
+
+    /// Returns the operators' pages.
+    pub(super) fn pages(&self) -> Pages {
+        Pages {
+            tables: Arc::clone(&self.tables),
+            time_line: self.time_line.clone(),
+            explainer: self.explainer.clone(),
+            promises: self.promises.clone(),
+            metrics: telemetry::start_metrics(),
+            readiness: self.readiness.clone(),
+        }
+    }
+
+    /// Starts all that goes on beside the request path.
+    pub(super) fn start_tasks(&self, settings: &Settings, workers: &Workers) -> Vec<Task<()>> {
+        let copies = self.copies();
+        let instance_list = settings.instance_list_address;
+        vec![
+            workers.spawn(self.configurations(settings).run()),
+            workers.spawn(self.blocks_follower().run()),
+            workers.spawn(self.traffic_follower().run()),
+            workers.spawn(follow_members(self.clone())),
+            workers.spawn(store::follow_fleet(
+                Arc::clone(&self.store),
+                self.mesh.clone(),
+            )),
+            workers.spawn(instance_list::follow(instance_list, self.mesh.clone())),
+            workers.spawn(self.sampler().run()),
+            workers.spawn(self.observer().run()),
+            workers.spawn(copies.clone().send()),
+            workers.spawn(copies.receive()),
+        ]
+    }
+
+    fn configurations(&self, settings: &Settings) -> Configurations {
+        Configurations {
+            tables: Arc::clone(&self.tables),
+            traffic: Arc::clone(&self.traffic),
+            clock: self.clock,
+            mesh: self.mesh.clone(),
+            recorder: self.recorder.clone(),
+            store: Arc::clone(&self.store),
+            readiness: self.readiness.clone(),
+            watch_wait: settings.limits.store.watch_wait(),
+            seed: fastrand::u64(..),
+        }
+    }
+
+    fn blocks_follower(&self) -> BlocksFollower {
+        BlocksFollower {
+            in_force: self.blocks.clone(),
+            mesh: self.mesh.clone(),
+            store: Arc::clone(&self.store),
+            recorder: self.recorder.clone(),
+        }
+    }
+
+    fn traffic_follower(&self) -> TrafficFollower {
+        TrafficFollower {
+            tables: Arc::clone(&self.tables),
+            traffic: Arc::clone(&self.traffic),
+            mesh: self.mesh.clone(),
+            recorder: self.recorder.clone(),
+            readiness: self.readiness.clone(),
+            clock: self.clock,
+        }
+    }
+
+    fn sampler(&self) -> PromiseSampler {
+        PromiseSampler {
+            promises: self.promises.clone(),
+            tables: Arc::clone(&self.tables),
+            traffic: Arc::clone(&self.traffic),
+            recorder: self.recorder.clone(),
+            clock: self.clock,
+        }
+    }
+
+    fn observer(&self) -> Observer {
+        Observer {
+            recorder: self.recorder.clone(),
+            explainer: self.explainer.clone(),
+            tables: Arc::clone(&self.tables),
+            mesh: self.mesh.clone(),
+            clock: self.clock,
+        }
+    }
+
+    fn copies(&self) -> Copies {
+        Copies {
+            time_line: self.time_line.clone(),
+            mesh: self.mesh.clone(),
+            clock: self.clock,
+        }
+    }
+}
+
+/// Keeps the tables' members and the instances for look-ups up to date.
+async fn follow_members(shared: Shared) {
+    loop {
+        shared.tables.set_members(shared.mesh.members());
+        shared.tables.renew_instances(shared.clock.wall());
+        Timer::after(MEMBERS_INTERVAL).await;
+    }
+}
