Compare tables also while a few rumours run

Cause: with 20 % of the packets lost, an instance of another zone heard of a suspicion and of none of the rumours of the objection; its wait ended in death, and comparing never helped, for some rumour always ran. Change: comparing stands back only for more than eight rumours, and those that only heard of a suspicion wait ten times as long, a few comparisons.

--- a/crates/foxtide-core/src/membership/machine.rs
+++ b/crates/foxtide-core/src/membership/machine.rs
@@ -25,6 +25,10 @@
 /// Fresh rumours go out at once, but not more often than this.
 const EAGER_INTERVAL: Duration = Duration::from_millis(20);
 
+/// With more rumours than this an instance does not compare tables: a fleet
+/// that starts would exchange them for every difference.
+const QUIET_RUMOURS_MAX: usize = 8;
+
 /// How long a scope stands though the table did not change.
 const SCOPE_AGE_MAX: Duration = Duration::from_secs(1);
 
@@ -240,8 +244,9 @@
                 });
             }
             Message::Digest(theirs) => {
-                // While news is on its way a difference means little.
-                if self.queue.is_empty() && theirs != self.digest() {
+                // While much news is on its way a difference means little.
+                let quiet = self.queue.len() <= QUIET_RUMOURS_MAX;
+                if quiet && theirs != self.digest() {
                     outputs.push(Output::Synchronise { with: from });
                 }
             }
--- a/crates/foxtide-core/src/membership/suspicion.rs
+++ b/crates/foxtide-core/src/membership/suspicion.rs
@@ -31,9 +31,12 @@
     }
 }
 
-/// How many times longer those wait that only heard of it: they may have missed
-/// the objection, and those that saw it will tell them how it ended.
-const HEARSAY_FACTOR: u32 = 3;
+/// How many times longer those wait that only heard of it.
+///
+/// They may have missed the objection. Those that saw the silence tell them how
+/// it ended; where that is lost too, comparing with peers does, which takes a few
+/// of its intervals.
+const HEARSAY_FACTOR: u32 = 10;
 
 /// Who found an instance silent.
 #[derive(Clone, Debug)]
--- a/crates/foxtide-core/tests/membership.rs
+++ b/crates/foxtide-core/tests/membership.rs
@@ -198,3 +198,13 @@
     let waiting = (0..60).map(|it| fleet.machine(it).waiting_rumours());
     assert_eq!(waiting.sum::<usize>(), 0);
 }
+
+#[test]
+fn verify_a_lost_objection_is_learned_by_comparing() {
+    // With this seed an instance of another zone hears of a suspicion and of
+    // none of the rumours of the objection.
+    let mut fleet = fleet(40, 6, 0);
+    fleet.lose(0.2);
+    fleet.run_for(Duration::from_secs(3 * 60));
+    assert_eq!(fleet.wrong_beliefs().dead, 0);
+}
