Split the rooms of an instance from what it knows of other senders

rooms.rs had grown to 362 lines and held two jobs; the floors and the sums over all senders now stand in senders.rs, the tests' random arrivals in poisson.rs. Nothing else changes; 25 steering tests pass.

--- a/crates/foxtide-core/src/steering/mod.rs
+++ b/crates/foxtide-core/src/steering/mod.rs
@@ -19,6 +19,7 @@
 mod options;
 mod planned;
 mod rooms;
+mod senders;
 mod service;
 mod shift;
 mod steps;
--- a/crates/foxtide-core/src/steering/rooms.rs
+++ b/crates/foxtide-core/src/steering/rooms.rs
@@ -1,10 +1,11 @@
 //! An instance's parts of all limits: what it claims and what it may send.
 
 use super::options::SteeringOptions;
+use super::senders::{Floors, Senders, heard};
 use super::target::RegionRoom;
-use super::view::{FleetView, RegionView};
+use super::view::FleetView;
 use crate::ids::RegionId;
-use crate::limits::{Claim, Claims, Limit, LimitInput, LimitUse};
+use crate::limits::{Claim, Limit, LimitUse};
 use crate::organisation::Organisation;
 use crate::time::MonotonicTime;
 use crate::units::RequestRate;
@@ -228,135 +229,3 @@
         }
     }
 }
-
-/// The part of a sold rate that each instance's floor is.
-struct Floors {
-    instances: f64,
-    regions: f64,
-    local_share: f64,
-}
-
-impl Floors {
-    fn new(options: &SteeringOptions, regions: usize) -> Self {
-        Self {
-            instances: f64::from(options.instances_per_region_max.max(1)),
-            regions: regions.max(1) as f64,
-            local_share: options.local_floors_share,
-        }
-    }
-
-    /// The floor of an instance in `origin`, as a part of a region's rate.
-    fn region_share(&self, origin: &RegionId, region: &RegionId) -> f64 {
-        let of_origin = if origin == region {
-            self.local_share
-        } else {
-            (1.0 - self.local_share) / self.regions
-        };
-        of_origin / self.instances
-    }
-
-    /// The floor of an instance, as a part of a link's rate.
-    fn link_share(&self) -> f64 {
-        1.0 / self.instances
-    }
-}
-
-/// All that may send to one region, as one instance knows it.
-struct Senders<'a> {
-    view: &'a FleetView,
-    region: &'a RegionId,
-    stale_before: MonotonicTime,
-}
-
-impl<'a> Senders<'a> {
-    fn new(
-        view: &'a FleetView,
-        region: &'a RegionId,
-        view_age_max: Duration,
-        now: MonotonicTime,
-    ) -> Self {
-        Self {
-            view,
-            region,
-            stale_before: now.saturating_sub(view_age_max),
-        }
-    }
-
-    fn region_input(
-        &self,
-        sold: RequestRate,
-        own: &RegionId,
-        floor_share: impl Fn(&RegionId) -> f64,
-    ) -> LimitInput {
-        let mut all = Claims::default();
-        let mut reserved_share = 0.0;
-        for (origin, sender) in &self.view.regions {
-            let used = self.used(sender);
-            all.add(used.claim);
-            let others = sender.known_instances.saturating_sub(used.region_sharers);
-            reserved_share += f64::from(others) * floor_share(origin);
-        }
-        LimitInput {
-            sold,
-            floor: RequestRate::clamped(sold.get() * floor_share(own)),
-            reserved: RequestRate::clamped(sold.get() * reserved_share),
-            all,
-            alone: self.view.is_alone(),
-            stale: self
-                .view
-                .regions
-                .values()
-                .any(|sender| self.is_stale(sender)),
-        }
-    }
-
-    fn link_input(&self, sold: RequestRate, own: &RegionId, floor_share: f64) -> LimitInput {
-        let mut all = Claims::default();
-        let sender = self.view.regions.get(own);
-        let used = sender.map(|sender| self.used(sender)).unwrap_or_default();
-        all.add(used.claim);
-        let known = sender.map_or(0, |sender| sender.known_instances);
-        let others = known.saturating_sub(used.link_sharers);
-        let floor_rps = sold.get() * floor_share;
-        LimitInput {
-            sold,
-            floor: RequestRate::clamped(floor_rps),
-            reserved: RequestRate::clamped(floor_rps * f64::from(others)),
-            all,
-            alone: self.view.is_alone(),
-            stale: sender.is_some_and(|sender| self.is_stale(sender)),
-        }
-    }
-
-    fn used(&self, sender: &RegionView) -> LimitUse {
-        sender.limits.get(self.region).copied().unwrap_or_default()
-    }
-
-    /// Tells whether some of a sender's claims on the region are old.
-    fn is_stale(&self, sender: &RegionView) -> bool {
-        let claims = self.used(sender).claim != Claim::default();
-        claims && sender.oldest_at < self.stale_before
-    }
-}
-
-/// How many of the instances that a limit hangs on were heard.
-struct Heard {
-    live: u32,
-    known: u32,
-}
-
-/// Counts the instances of a region, or of all where it has none.
-fn heard(view: &FleetView, region: &RegionId) -> Heard {
-    let here = view
-        .regions
-        .get(region)
-        .filter(|here| here.known_instances > 0);
-    let counted: Vec<&RegionView> = match here {
-        Some(here) => vec![here],
-        None => view.regions.values().collect(),
-    };
-    Heard {
-        live: counted.iter().map(|region| region.live_instances).sum(),
-        known: counted.iter().map(|region| region.known_instances).sum(),
-    }
-}
--- a/crates/foxtide-core/tests/steering/fleet.rs
+++ b/crates/foxtide-core/tests/steering/fleet.rs
@@ -6,6 +6,7 @@
 use super::decider::{Attempt, Decider};
 use super::fixture::{REGIONS, SERVICES, region};
 use super::node::{Known, Node, Waiting};
+use super::poisson::poisson;
 use super::scenario::{Event, Scenario};
 use super::tally::Tally;
 use foxtide_core::ids::{RegionId, ServiceId};
@@ -402,15 +403,3 @@
     let place = regions.iter().position(|known| known == region);
     place.expect("a region of the organisation")
 }
-
-/// Draws a Poisson-distributed count (Knuth's multiplication method).
-fn poisson(rng: &mut StdRng, mean: f64) -> u64 {
-    let limit = (-mean).exp();
-    let mut product: f64 = rng.random();
-    let mut count = 0;
-    while product > limit {
-        product *= rng.random::<f64>();
-        count += 1;
-    }
-    count
-}
--- a/crates/foxtide-core/tests/steering/main.rs
+++ b/crates/foxtide-core/tests/steering/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod limits;
 mod node;
+mod poisson;
 mod rows;
 mod scenario;
 mod scenarios;
--- a/crates/foxtide/examples/measure/steering.rs
+++ b/crates/foxtide/examples/measure/steering.rs
@@ -12,6 +12,8 @@
 mod fleet;
 #[path = "../../../foxtide-core/tests/steering/node.rs"]
 mod node;
+#[path = "../../../foxtide-core/tests/steering/poisson.rs"]
+mod poisson;
 #[path = "../../../foxtide-core/tests/steering/scenario.rs"]
 mod scenario;
 #[path = "../../../foxtide-core/tests/steering/tally.rs"]
