--- a/crates/foxtide-core/src/choice/options.rs
+++ b/crates/foxtide-core/src/choice/options.rs
@@ -28,7 +28,7 @@
     /// Default: 2.
     pub refusals_per_latency: f64,
     /// The smoothed utilization of the upstreams below which second attempts
-    /// may be sent beside slow ones. Default: 0.7.
+    /// may be sent beside slow ones. Default: 0.6.
     pub hedge_utilization_max: f64,
     /// How much a slot that is this instance's own counts for, in parts of an
     /// upstream's load; see [`Balancer::rank`](super::Balancer::rank).
@@ -59,7 +59,7 @@
             report_life_latencies: 1.0,
             refusals_per_answer: 0.2,
             refusals_per_latency: 2.0,
-            hedge_utilization_max: 0.7,
+            hedge_utilization_max: 0.6,
             own_slot_bonus: 0.3,
             freed_slot_latencies: 0.5,
             connections_min: 2,
