Tell in explanations why a candidate got nothing

Cause: `foxtidectl explain` printed a draining upstream like any other; the reason was in the JSON only. Met in the README's walk-through, where notices-4 of a drained zone read as if it could be chosen.

Change: the line of a candidate ends with `excluded: draining` and the like. The test's explanation has such a candidate.

Conclusion: the text says what docs/operations/explain.md promises.

--- a/crates/foxtidectl/src/commands/explain/decisions.rs
+++ b/crates/foxtidectl/src/commands/explain/decisions.rs
@@ -80,7 +80,12 @@
     });
     let name: Vec<String> = name.collect();
     let figures: Vec<String> = figures.collect();
-    format!("  candidate {}: {}\n", name.join(" "), figures.join(", "))
+    let excluded = match candidate.get("excluded") {
+        Some(reason) => format!(", excluded: {}", plain(Some(reason))),
+        None => String::new(),
+    };
+    let (name, figures) = (name.join(" "), figures.join(", "));
+    format!("  candidate {name}: {figures}{excluded}\n")
 }
 
 fn list<'a>(value: &'a Value, field: &str) -> impl Iterator<Item = &'a Value> {
--- a/crates/foxtidectl/tests/instances.rs
+++ b/crates/foxtidectl/tests/instances.rs
@@ -85,7 +85,10 @@
             (
                 "/v1/explain",
                 json!([{"kind": "request", "rule": "spill", "because": "the home is full", "at_us": 7,
-                    "attempts": [{"upstream": "viewer-1", "result": "answered"}]}]),
+                    "attempts": [{"upstream": "viewer-1", "result": "answered"}],
+                    "view": {"candidates": [
+                        {"name": {"upstream": "viewer-2"}, "excluded": "draining",
+                         "figures": [{"kind": "slots", "value": 4.0, "age_ms": 0}]}]}}]),
             ),
         ]));
         first.await
@@ -148,6 +151,8 @@
     let text = ask(first, &["explain", "request", "r1"]);
     assert!(text.contains("spill: the home is full"), "{text}");
     assert!(text.contains("attempt at viewer-1: answered"), "{text}");
+    let excluded = "candidate upstream viewer-2: slots 4.0 (0 ms old), excluded: draining";
+    assert!(text.contains(excluded), "{text}");
 }
 
 #[test]
