Ask callers of a new instance for 5 s, not 30 s

Cause: until its first claim has been out for the growth window an instance has no part of its region's rate. Its refusals said `region-limit` with `retry-after: 30`, the answer for a limit under which nothing will ever pass. Met in the README's walk-through: the next requests were served within seconds.

Change: while the instance's own part is not settled, the wait that is told is the growth window.

Conclusion: the time that is told fits the time that it takes.

--- a/crates/foxtide-core/src/steering/decide.rs
+++ b/crates/foxtide-core/src/steering/decide.rs
@@ -76,7 +76,11 @@
         };
         match self.rooms.take(drawn.index, now) {
             Ok(()) => self.send(drawn),
-            Err(no_room) => wait_or_refuse(state, no_room, waited),
+            Err(no_room) => {
+                let without_room = self.retry_without_room();
+                let state = &self.flows[flows].services[index];
+                wait_or_refuse(state, no_room, waited, without_room)
+            }
         }
     }
 
@@ -85,6 +89,15 @@
         self.rooms.refused(region, now);
     }
 
+    /// Returns the wait that is told where no room is in sight: an instance
+    /// that has just started gets its part once its claim has been out.
+    fn retry_without_room(&self) -> Duration {
+        match self.rooms.has_settled() {
+            true => RETRY_AFTER_MAX,
+            false => self.options.growth_window,
+        }
+    }
+
     fn send(&self, drawn: Drawn) -> Admission {
         Admission::Send {
             region: self.tables.regions[drawn.index].clone(),
@@ -103,14 +116,16 @@
     refuse(reason, state.until_whole())
 }
 
-fn wait_or_refuse(state: &ServiceState, no_room: NoRoom, waited: Duration) -> Admission {
+fn wait_or_refuse(
+    state: &ServiceState,
+    no_room: NoRoom,
+    waited: Duration,
+    without_room: Duration,
+) -> Admission {
     let retry_in = no_room.next_in.map(|next| next.max(RETRY_IN_MIN));
     match retry_in.filter(|next| waited + *next <= state.priority.queue_max) {
         Some(retry_in) => Admission::Wait { retry_in },
-        None => refuse(
-            no_room.full.into(),
-            no_room.next_in.unwrap_or(RETRY_AFTER_MAX),
-        ),
+        None => refuse(no_room.full.into(), no_room.next_in.unwrap_or(without_room)),
     }
 }
 
--- a/crates/foxtide-core/tests/steering/rows.rs
+++ b/crates/foxtide-core/tests/steering/rows.rs
@@ -1,6 +1,6 @@
 //! Tests of rows: plans, failures, new configurations, restarts.
 
-use super::fixture::{OrganisationOptions, organisation, region};
+use super::fixture::{OrganisationOptions, REGIONS, organisation, region};
 use foxtide_core::ids::{RegionId, ServiceId};
 use foxtide_core::organisation::{Drain, DrainTarget, Organisation, PlannedMove};
 use foxtide_core::steering::{
@@ -286,3 +286,31 @@
     let share = instance.share("erongo");
     assert!(share > 0.0 && share <= band_share, "{share}");
 }
+
+#[test]
+fn verify_a_new_instance_without_a_part_yet_asks_for_a_short_wait() {
+    let mut started = Instance::new(organisation(&OrganisationOptions::default()));
+    let reports = REGIONS.map(|name| (region(name), InstanceReport::default()));
+    for _ in 0..300 {
+        started
+            .steering
+            .observe(&view(&reports, started.now), started.now);
+        started.now = started.now + Duration::from_millis(100);
+        started.steering.tick(started.now, started.wall);
+        if started.steering.row(&viewer()).is_some() {
+            break;
+        }
+    }
+    assert!(!started.steering.is_ready(started.now));
+    let admission = started
+        .steering
+        .admit(&viewer(), 0.0, Duration::ZERO, started.now);
+    let Admission::Refuse {
+        reason: RefusalReason::RegionLimit,
+        retry_after,
+    } = admission
+    else {
+        panic!("{admission:?}");
+    };
+    assert_eq!(retry_after, SteeringOptions::default().growth_window);
+}
