Let idle instances claim a part of their floor

Cause: an idle instance claimed 0.5 rps a service. When callers come to an idle fleet all claims rise by a factor of 35 at once, and for the growth window of 5 s each instance counts itself with its old claim and all others with their new ones, so that its part falls by that factor. Change: in its own region an instance claims at least a quarter of its floor. Safe, since any claim is; what remains is callers that all choose few instances in the first second.

--- a/crates/foxtide-core/src/steering/engine.rs
+++ b/crates/foxtide-core/src/steering/engine.rs
@@ -223,7 +223,8 @@
                 .services()
                 .map(|service| service.claim(region, least_share));
             let need = claims.fold(Claim::default(), Claim::plus);
-            self.rooms.need(region, need);
+            let least = self.rooms.idle_claim(region, &self.options);
+            self.rooms.need(region, need.most(least));
         }
     }
 
--- a/crates/foxtide-core/src/steering/options.rs
+++ b/crates/foxtide-core/src/steering/options.rs
@@ -53,6 +53,9 @@
     /// What an idle instance claims, as a part of its peers' mean, so that it
     /// has room when callers come.
     pub idle_claim_share: f64,
+    /// What an instance claims at least of its own region, as a part of its
+    /// floor there, so that callers who all come at once find room.
+    pub idle_claim_of_floor: f64,
     /// How long a new instance claims its peers' mean.
     pub joining: Duration,
     /// The most instances that a region may ever hold. The floors count on it.
@@ -94,6 +97,7 @@
             local_floors_share: 0.8,
             lost_region_hold: Duration::from_secs(7_200),
             idle_claim_share: 0.1,
+            idle_claim_of_floor: 0.25,
             joining: Duration::from_secs(30),
             instances_per_region_max: 6,
             startup_wait: Duration::from_secs(2),
--- a/crates/foxtide-core/src/steering/rooms.rs
+++ b/crates/foxtide-core/src/steering/rooms.rs
@@ -118,6 +118,25 @@
         self.rooms[index].need = need;
     }
 
+    /// Returns what an idle instance claims of a region: a part of its floor in
+    /// its own region, nothing of others.
+    ///
+    /// When callers come to an idle fleet all claims rise at once, and for the
+    /// growth window each instance counts itself with its old one: its part is
+    /// smaller by the factor that claims rose by.
+    pub(crate) fn idle_claim(&self, index: usize, options: &SteeringOptions) -> Claim {
+        if self.regions[index] != self.origin {
+            return Claim::default();
+        }
+        let floors = Floors::new(options, self.regions.len());
+        let floor_share = floors.region_share(&self.origin, &self.origin);
+        let idle_rps = self.rooms[index].sold.get() * floor_share * options.idle_claim_of_floor;
+        Claim {
+            planned_rps: RequestRate::clamped(idle_rps),
+            ..Claim::default()
+        }
+    }
+
     /// Returns the rate that may be sent to a region.
     pub(crate) fn usable_rps(&self, index: usize) -> f64 {
         let room = &self.rooms[index];
