Send a lost region's callers where that region sent them

Cause: the entry admitted every request by its own region's row. When all instances of a region die, its callers come to others, and their requests would have moved to those regions at once, over the shift cap. Change: the caller's region, where the client blocks tell it, decides the row (Steering::admit_from); the directory gives it whether or not instances live there. Result: the new test sends a caller of erongo to an instance in khomas: before, it was served in khomas at the first request; now in erongo.

--- a/crates/foxtide-entry/src/facts.rs
+++ b/crates/foxtide-entry/src/facts.rs
@@ -5,11 +5,11 @@
 use crate::http::name;
 use crate::lookup::{unknown_organisation, unknown_service};
 use crate::options::EntryOptions;
-use crate::parts::Parts;
+use crate::parts::{Directory, Parts};
 use crate::serve::Received;
 use crate::traffic::{OrganisationTraffic, ServiceTraffic};
 use foxtide_core::events::{EventFields, RequestId};
-use foxtide_core::ids::{OrganisationId, ServiceId};
+use foxtide_core::ids::{OrganisationId, RegionId, ServiceId};
 use foxtide_core::organisation::{Contract, Organisation};
 use foxtide_core::retry::RequestTerms;
 use http_types::headers::Headers;
@@ -39,6 +39,8 @@
     pub(crate) traffic: Arc<OrganisationTraffic>,
     /// The service's tables.
     pub(crate) service: Arc<ServiceTraffic>,
+    /// The region that its caller belongs to, where that is known.
+    pub(crate) origin: Option<RegionId>,
     /// The method.
     pub(crate) method: Method,
     /// What binds its attempts.
@@ -74,6 +76,7 @@
         let deadline = parts.clock().now() + time.min(options.deadline_max);
         let idempotent = contract.is_idempotent(method.as_ref(), &target.path);
         Ok(Self {
+            origin: parts.directory().client_origin(received.peer.ip()),
             request,
             organisation: target.organisation.clone(),
             terms: service.terms(contract, idempotent, deadline),
--- a/crates/foxtide-entry/src/parts.rs
+++ b/crates/foxtide-entry/src/parts.rs
@@ -53,6 +53,15 @@
     /// served, where that is known.
     fn client_region(&self, organisation: &OrganisationId, client: IpAddr) -> Option<RegionId>;
 
+    /// Returns the region that a caller with this address belongs to, whether or
+    /// not it has live instances; `None` where that is not known.
+    ///
+    /// Requests of another region's callers then go where that region sends
+    /// them, so that nothing shifts when its instances are gone.
+    fn client_origin(&self, _client: IpAddr) -> Option<RegionId> {
+        None
+    }
+
     /// Takes this instance out of look-ups, here and at its peers.
     fn leave(&self);
 }
--- a/crates/foxtide-entry/src/proxy/place.rs
+++ b/crates/foxtide-entry/src/proxy/place.rs
@@ -74,7 +74,9 @@
         waited: Duration,
         now: MonotonicTime,
     ) -> Admission {
-        let admission = facts.traffic.admit(facts.service.id(), draw, waited, now);
+        let origin = facts.origin.as_ref();
+        let service = facts.service.id();
+        let admission = facts.traffic.admit(service, origin, draw, waited, now);
         if let Admission::Send { region, spilled } = &admission
             && let Some(traffic) = facts.service.region(region)
         {
--- a/crates/foxtide-entry/src/traffic/organisation.rs
+++ b/crates/foxtide-entry/src/traffic/organisation.rs
@@ -133,15 +133,21 @@
         self.steering.lock().tick(now, wall);
     }
 
-    /// Decides on one attempt to send a request.
+    /// Decides on one attempt to send a request of a caller of `origin`, or of
+    /// one whose region is not known.
     pub(crate) fn admit(
         &self,
         service: &ServiceId,
+        origin: Option<&RegionId>,
         draw: f64,
         waited: Duration,
         now: MonotonicTime,
     ) -> Admission {
-        self.steering.lock().admit(service, draw, waited, now)
+        let mut steering = self.steering.lock();
+        match origin {
+            Some(origin) => steering.admit_from(service, origin, draw, waited, now),
+            None => steering.admit(service, draw, waited, now),
+        }
     }
 
     /// Notes that a region's side refused a request.
--- a/crates/foxtide-entry/tests/path.rs
+++ b/crates/foxtide-entry/tests/path.rs
@@ -9,7 +9,9 @@
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use support::{RawUpstream, World, assert_refused, get, post, read_message};
+use support::{
+    RawUpstream, World, assert_refused, get, post, read_message, wait_until, with_second_region,
+};
 
 const HELLO: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\nx-kept: 1\r\n\r\nhello";
 
@@ -210,3 +212,19 @@
     assert!(answer.contains("connection: close\r\n"), "{answer}");
     smol::block_on(drained);
 }
+
+#[test]
+fn verify_callers_of_another_region_stay_where_that_region_sends_them() {
+    const NEAR: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nnear";
+    const FAR: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nfar";
+    let (near, far) = (RawUpstream::answering(NEAR), RawUpstream::answering(FAR));
+    let world = World::start_as(&[near.address, far.address], with_second_region);
+    let answer = world.caller().ask(&get("/hamutenya/viewer/1"));
+    assert!(answer.ends_with("near"), "{answer}");
+    *world.parts.origin.lock().unwrap() = Some("erongo".parse().unwrap());
+    wait_until("the other region's row is known", || {
+        let answer = world.caller().ask(&get("/hamutenya/viewer/2"));
+        assert!(!answer.ends_with("near"), "{answer}");
+        answer.ends_with("far")
+    });
+}
--- a/crates/foxtide-entry/tests/support/mod.rs
+++ b/crates/foxtide-entry/tests/support/mod.rs
@@ -5,8 +5,9 @@
 use foxtide_core::events::{Event, EventCode, EventFilter};
 use foxtide_core::idempotency::OwnerId;
 use foxtide_core::ids::{InstanceId, OrganisationId, RegionId};
-use foxtide_core::organisation::{Organisation, Priority};
+use foxtide_core::organisation::{Home, Link, Organisation, Priority};
 use foxtide_core::steering::SteeringOptions;
+use foxtide_core::units::Share;
 use foxtide_entry::{
     Admin, AdminPage, Clock, Directory, Entry, EntryOptions, Parts, ServingInstance, SystemClock,
     TrafficOptions, TrafficTables, Workers,
@@ -14,8 +15,8 @@
 use foxtide_events::{Explainer, Recorder, RecorderOptions};
 use std::io::{Read, Write};
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 pub(crate) const ANY_PORT: SocketAddr =
@@ -100,6 +101,8 @@
     owner: OwnerId,
     pub(crate) left: AtomicBool,
     instances: Arc<[ServingInstance]>,
+    /// The region that all callers belong to.
+    pub(crate) origin: Mutex<Option<RegionId>>,
 }
 
 impl Parts for TestParts {
@@ -154,6 +157,10 @@
         None
     }
 
+    fn client_origin(&self, _: IpAddr) -> Option<RegionId> {
+        self.origin.lock().unwrap().clone()
+    }
+
     fn leave(&self) {
         self.left.store(true, Ordering::SeqCst);
     }
@@ -202,10 +209,35 @@
             owner: instance.owner.clone(),
             left: AtomicBool::new(false),
             instances: Arc::new([other, instance]),
+            origin: Mutex::default(),
         }
     }
 }
 
+/// Moves the second upstream into a region of its own, another home.
+pub(crate) fn with_second_region(organisation: &mut Organisation) {
+    let mut region = organisation.regions[0].clone();
+    region.region = "erongo".parse().unwrap();
+    region.availability_zones = vec!["erongo-a".parse().unwrap()];
+    let link = Link {
+        from: "khomas".parse().unwrap(),
+        to: region.region.clone(),
+        sold_rate_rps: region.sold_rate_rps,
+        delay_ms: 35.0,
+    };
+    let service = &mut organisation.services[0];
+    service.upstreams[1].region = region.region.clone();
+    service.upstreams[1].availability_zone = region.availability_zones[0].clone();
+    let share = Share::clamped(0.5);
+    service.contract.homes[0].share = share;
+    service.contract.homes.push(Home {
+        region: region.region.clone(),
+        share,
+    });
+    organisation.regions.push(region);
+    organisation.links.push(link);
+}
+
 /// A running entry with its parts.
 pub(crate) struct World {
     pub(crate) entry: Arc<Entry<TestParts>>,
--- a/crates/foxtide/src/node/parts.rs
+++ b/crates/foxtide/src/node/parts.rs
@@ -102,6 +102,10 @@
         self.blocks.region_of(client, is_live)
     }
 
+    fn client_origin(&self, client: IpAddr) -> Option<RegionId> {
+        self.blocks.region_of(client, |_| true)
+    }
+
     fn leave(&self) {
         self.tables.set_leaving();
         self.tables.renew_instances(self.clock.wall());
