Wait longer and longer for the store at a start

Cause: an instance that starts without the store tried to read it every 200 ms and recorded F7001 each time.

--- a/crates/foxtide/examples/demo/script.rs
+++ b/crates/foxtide/examples/demo/script.rs
@@ -170,7 +170,7 @@
             "gives the store back; {during} requests were answered without it"
         ));
         self.counted(
-            "seconds without an answer while the store is away",
+            "store away and no request answered",
             0.0,
             f64::from(u8::from(during == 0)),
         );
@@ -266,7 +266,7 @@
             self.tally.ended(End::Wrong) as f64,
         );
         self.counted(
-            "no write was made at all",
+            "callers made no write",
             0.0,
             f64::from(u8::from(writes.is_empty())),
         );
--- a/crates/foxtide/src/configuration.rs
+++ b/crates/foxtide/src/configuration.rs
@@ -8,7 +8,7 @@
 use crate::store::NodeStore;
 use crate::tables::{Applied, Tables};
 use foxtide_config::blocks::RESERVED_PREFIX;
-use foxtide_config::{ConfigurationWatch, WatchOptions, WatchReport, change};
+use foxtide_config::{Backoff, ConfigurationWatch, WatchOptions, WatchReport, change};
 use foxtide_core::events::{EventCode, EventFields};
 use foxtide_core::organisation::Organisation;
 use foxtide_core::spreading::Document;
@@ -19,7 +19,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// The wait between two tries to read the first configuration.
+/// The wait between two looks at whether the first configuration is there.
 const START_RETRY: Duration = Duration::from_millis(200);
 
 /// How long a start waits for peers where the store answers.
@@ -69,9 +69,12 @@
         let mut watch = ConfigurationWatch::new(store, move || mesh.is_watcher(), options);
         let mut waited = Duration::ZERO;
         let mut store_read = false;
+        let mut backoff = Backoff::default();
+        let mut store_again_in = Duration::ZERO;
         loop {
-            if !store_read {
+            if !store_read && store_again_in.is_zero() {
                 store_read = self.read_store(&mut watch).await;
+                store_again_in = backoff.failed(fastrand::f64());
             }
             let joined = self.mesh.synchronised();
             let has_any = !self.tables.organisations().is_empty();
@@ -81,6 +84,7 @@
             }
             smol::Timer::after(START_RETRY).await;
             waited += START_RETRY;
+            store_again_in = store_again_in.saturating_sub(START_RETRY);
         }
         self.readiness.configuration_in_force();
         let count = self.tables.organisations().len();
