--- a/crates/foxtide-config/src/blocks/chunks.rs
+++ b/crates/foxtide-config/src/blocks/chunks.rs
@@ -1,8 +1,20 @@
 //! The chunks of a table.
 
 use super::BlocksChangeError;
-use foxtide_core::blocks::{BlocksError, CHUNK_PREFIX, ClientBlocks, Manifest, Part};
-use foxtide_core::store::{Store, StoreEntry, StoreError, StoreIndex, StoreResult};
+use foxtide_core::blocks::{
+    BlocksError,
+    CHUNK_PREFIX,
+    ClientBlocks,
+    Manifest,
+    Part, //
+};
+use foxtide_core::store::{
+    Store,
+    StoreEntry,
+    StoreError,
+    StoreIndex,
+    StoreResult, //
+};
 use smol::Timer;
 use std::time::Duration;
 
--- a/crates/foxtide-config/src/blocks/mod.rs
+++ b/crates/foxtide-config/src/blocks/mod.rs
@@ -12,7 +12,13 @@
 
 pub use chunks::load_table;
 pub use errors::BlocksChangeError;
-pub use publish::{PublishedBlocks, StoredManifest, change, load_manifest, replace};
+pub use publish::{
+    PublishedBlocks,
+    StoredManifest,
+    change,
+    load_manifest,
+    replace, //
+};
 
 /// The name under which the mesh spreads the manifest. No organisation may
 /// have a name that begins as it does.
--- a/crates/foxtide-config/src/blocks/publish.rs
+++ b/crates/foxtide-config/src/blocks/publish.rs
@@ -1,10 +1,23 @@
 //! The compare-and-swap of the manifest.
 
-use super::{BlocksChangeError, chunks};
+use super::{
+    BlocksChangeError,
+    chunks, //
+};
 use foxtide_core::blocks::{
-    Block, BlocksResult, ClientBlocks, Delta, MANIFEST_KEY, Manifest, SiteTable,
+    Block,
+    BlocksResult,
+    ClientBlocks,
+    Delta,
+    MANIFEST_KEY,
+    Manifest,
+    SiteTable, //
+};
+use foxtide_core::store::{
+    Store,
+    StoreError,
+    StoreIndex, //
 };
-use foxtide_core::store::{Store, StoreError, StoreIndex};
 use ipnet::IpNet;
 use smol::Timer;
 use std::time::Duration;
--- a/crates/foxtide-config/src/change/accept.rs
+++ b/crates/foxtide-config/src/change/accept.rs
@@ -1,16 +1,44 @@
 //! The compare-and-swap of a change, and settling one whose answer was lost.
 
-use super::codec::{ORGANISATION_PREFIX, decode_form, encode, key_of};
-use super::diff::{Difference, contested, diff};
-use super::error::{ChangeError, Conflict};
-use foxtide_core::ids::{ChangeId, OrganisationId};
-use foxtide_core::organisation::{ChangeSummary, HISTORY_MAX, Organisation};
-use foxtide_core::store::{Store, StoreEntry, StoreError, StoreIndex};
+use super::codec::{
+    ORGANISATION_PREFIX,
+    decode_form,
+    encode,
+    key_of, //
+};
+use super::diff::{
+    Difference,
+    contested,
+    diff, //
+};
+use super::error::{
+    ChangeError,
+    Conflict, //
+};
+use foxtide_core::ids::{
+    ChangeId,
+    OrganisationId, //
+};
+use foxtide_core::organisation::{
+    ChangeSummary,
+    HISTORY_MAX,
+    Organisation, //
+};
+use foxtide_core::store::{
+    Store,
+    StoreEntry,
+    StoreError,
+    StoreIndex, //
+};
 use foxtide_core::time::WallTime;
 use foxtide_core::units::Revision;
 use serde_json::Value;
 use smol::Timer;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{
+    Duration,
+    SystemTime,
+    UNIX_EPOCH, //
+};
 
 /// How often an unknown write is read back and tried again.
 const SETTLE_TRIES: u32 = 5;
--- a/crates/foxtide-config/src/change/codec.rs
+++ b/crates/foxtide-config/src/change/codec.rs
@@ -1,8 +1,16 @@
 //! An organisation's document as the store holds it.
 
-use crate::{Error, Result, document, validate};
+use crate::{
+    Error,
+    Result,
+    document,
+    validate, //
+};
 use foxtide_core::ids::OrganisationId;
-use foxtide_core::organisation::{Organisation, SCHEMA_VERSION};
+use foxtide_core::organisation::{
+    Organisation,
+    SCHEMA_VERSION, //
+};
 use foxtide_core::store::VALUE_MAX_BYTES;
 
 /// What the keys of all organisations' documents begin with.
--- a/crates/foxtide-config/src/change/diff.rs
+++ b/crates/foxtide-config/src/change/diff.rs
@@ -5,7 +5,10 @@
 //! of all behind it.
 
 use serde::Serialize;
-use serde_json::{Map, Value};
+use serde_json::{
+    Map,
+    Value, //
+};
 use std::collections::BTreeSet;
 use std::fmt;
 
--- a/crates/foxtide-config/src/change/error.rs
+++ b/crates/foxtide-config/src/change/error.rs
@@ -1,7 +1,10 @@
 //! Why a change was not accepted, or not known to be.
 
 use super::diff::Difference;
-use foxtide_core::ids::{ChangeId, OrganisationId};
+use foxtide_core::ids::{
+    ChangeId,
+    OrganisationId, //
+};
 use foxtide_core::store::StoreError;
 use foxtide_core::units::Revision;
 
--- a/crates/foxtide-config/src/change/mod.rs
+++ b/crates/foxtide-config/src/change/mod.rs
@@ -9,10 +9,26 @@
 mod error;
 mod rebase;
 
-pub use accept::{Accepted, ChangeRequest, Stored, accept, differences, load, load_all};
-pub use codec::{ORGANISATION_PREFIX, decode, encode, key_of};
+pub use accept::{
+    Accepted,
+    ChangeRequest,
+    Stored,
+    accept,
+    differences,
+    load,
+    load_all, //
+};
+pub use codec::{
+    ORGANISATION_PREFIX,
+    decode,
+    encode,
+    key_of, //
+};
 pub use diff::Difference;
-pub use error::{ChangeError, Conflict};
+pub use error::{
+    ChangeError,
+    Conflict, //
+};
 pub use rebase::accept_rebased;
 
 pub use crate::validate::check;
--- a/crates/foxtide-config/src/change/rebase.rs
+++ b/crates/foxtide-config/src/change/rebase.rs
@@ -1,7 +1,17 @@
 //! Applying a change on top of one that came first.
 
-use super::accept::{Accepted, ChangeRequest, accept, load, value_of};
-use super::diff::{Difference, diff, rebase};
+use super::accept::{
+    Accepted,
+    ChangeRequest,
+    accept,
+    load,
+    value_of, //
+};
+use super::diff::{
+    Difference,
+    diff,
+    rebase, //
+};
 use super::error::ChangeError;
 use crate::document;
 use foxtide_core::organisation::Organisation;
--- a/crates/foxtide-config/src/document.rs
+++ b/crates/foxtide-config/src/document.rs
@@ -1,12 +1,21 @@
 //! JSON with comments, read strictly: no duplicate keys, no unknown fields,
 //! and every complaint with its place.
 
-use crate::{Error, Result};
+use crate::{
+    Error,
+    Result, //
+};
 use foxtide_core::store::VALUE_MAX_BYTES;
-use jsonc_parser::ast::{Object, Value as Node};
+use jsonc_parser::ast::{
+    Object,
+    Value as Node, //
+};
 use jsonc_parser::common::Ranged;
 use jsonc_parser::errors::ParseError;
-use jsonc_parser::{CollectOptions, ParseOptions};
+use jsonc_parser::{
+    CollectOptions,
+    ParseOptions, //
+};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use std::collections::BTreeSet;
--- a/crates/foxtide-config/src/instance_list.rs
+++ b/crates/foxtide-config/src/instance_list.rs
@@ -3,7 +3,10 @@
 //! The list lags, so that it adds addresses to ask and takes none away; who is
 //! live is the membership's matter.
 
-use crate::store::{Call, exchange};
+use crate::store::{
+    Call,
+    exchange, //
+};
 use foxtide_core::store::StoreError;
 use http_types::Method;
 use serde::Deserialize;
--- a/crates/foxtide-config/src/lib.rs
+++ b/crates/foxtide-config/src/lib.rs
@@ -20,10 +20,30 @@
 mod validate;
 pub mod watch;
 
-pub use backoff::{Backoff, BackoffOptions};
-pub use errors::{Error, Result};
-pub use instance_list::{ListError, read_instance_list};
+pub use backoff::{
+    Backoff,
+    BackoffOptions, //
+};
+pub use errors::{
+    Error,
+    Result, //
+};
+pub use instance_list::{
+    ListError,
+    read_instance_list, //
+};
 pub use settings::Settings;
-pub use store::{BudgetOptions, BudgetedStore, Fleet, HttpStore, HttpStoreOptions, StoreBudget};
+pub use store::{
+    BudgetOptions,
+    BudgetedStore,
+    Fleet,
+    HttpStore,
+    HttpStoreOptions,
+    StoreBudget, //
+};
 pub use template::Template;
-pub use watch::{ConfigurationWatch, WatchOptions, WatchReport};
+pub use watch::{
+    ConfigurationWatch,
+    WatchOptions,
+    WatchReport, //
+};
--- a/crates/foxtide-config/src/settings/check.rs
+++ b/crates/foxtide-config/src/settings/check.rs
@@ -1,7 +1,14 @@
 //! Values that have the right type and still cannot be meant.
 
-use super::{Limits, Listener, Settings};
-use crate::{Error, Result};
+use super::{
+    Limits,
+    Listener,
+    Settings, //
+};
+use crate::{
+    Error,
+    Result, //
+};
 use foxtide_core::ids::InstanceId;
 use std::fmt::Display;
 
--- a/crates/foxtide-config/src/settings/limits.rs
+++ b/crates/foxtide-config/src/settings/limits.rs
@@ -1,6 +1,9 @@
 //! Bounds on what an instance takes on, all with defaults.
 
-use serde::{Deserialize, Serialize};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use std::time::Duration;
 
 /// All bounds of an instance.
--- a/crates/foxtide-config/src/settings/mod.rs
+++ b/crates/foxtide-config/src/settings/mod.rs
@@ -8,13 +8,30 @@
 mod limits;
 
 pub use limits::{
-    EventLimits, KeyLimits, Limits, LookupLimits, RequestLimits, ShutdownLimits, StoreLimits,
-    UpstreamLimits,
+    EventLimits,
+    KeyLimits,
+    Limits,
+    LookupLimits,
+    RequestLimits,
+    ShutdownLimits,
+    StoreLimits,
+    UpstreamLimits, //
 };
 
-use crate::{Result, document};
-use foxtide_core::ids::{AvailabilityZoneId, InstanceId, OrganisationId, RegionId};
-use serde::{Deserialize, Serialize};
+use crate::{
+    Result,
+    document, //
+};
+use foxtide_core::ids::{
+    AvailabilityZoneId,
+    InstanceId,
+    OrganisationId,
+    RegionId, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use std::net::SocketAddr;
 use std::path::Path;
 
--- a/crates/foxtide-config/src/store/budgeted.rs
+++ b/crates/foxtide-config/src/store/budgeted.rs
@@ -3,14 +3,28 @@
 //! Locks: one around the budget, held for a few operations on numbers and
 //! never across an await.
 
-use super::budget::{CallClass, Fleet, StoreBudget};
+use super::budget::{
+    CallClass,
+    Fleet,
+    StoreBudget, //
+};
 use foxtide_core::store::{
-    SessionId, Store, StoreEntry, StoreError, StoreIndex, StoreListing, StoreNames, StoreResult,
+    SessionId,
+    Store,
+    StoreEntry,
+    StoreError,
+    StoreIndex,
+    StoreListing,
+    StoreNames,
+    StoreResult, //
 };
 use foxtide_core::time::MonotonicTime;
 use parking_lot::Mutex;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 /// A store whose calls keep to a budget. Clones share it.
 #[derive(Clone, Debug)]
--- a/crates/foxtide-config/src/store/exchange.rs
+++ b/crates/foxtide-config/src/store/exchange.rs
@@ -5,10 +5,23 @@
 //! store has closed meanwhile would count as `Unknown` although it never ran.
 
 use async_h1::client;
-use foxtide_core::store::{StoreError, StoreResult};
-use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
+use foxtide_core::store::{
+    StoreError,
+    StoreResult, //
+};
+use futures_lite::{
+    AsyncRead,
+    AsyncWrite,
+    FutureExt, //
+};
 use http_types::headers::CONTENT_LENGTH;
-use http_types::{Body, Method, Request, Response, Url};
+use http_types::{
+    Body,
+    Method,
+    Request,
+    Response,
+    Url, //
+};
 use smol::Timer;
 use smol::net::TcpStream;
 use std::fmt::Display;
@@ -16,8 +29,14 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::task::{Context, Poll};
+use std::sync::atomic::{
+    AtomicU64,
+    Ordering, //
+};
+use std::task::{
+    Context,
+    Poll, //
+};
 use std::time::Duration;
 
 /// The answer's header that names the index to wait on.
--- a/crates/foxtide-config/src/store/http.rs
+++ b/crates/foxtide-config/src/store/http.rs
@@ -1,16 +1,37 @@
 //! [`Store`] over the published HTTP API of Consul's key-value store and
 //! sessions (developer.hashicorp.com/consul/api-docs/kv and /session).
 
-use super::exchange::{self, Answer, Call, Progress};
-use super::wire::{KeyForm, SessionForm, SessionRequest, duration_text, key_path};
+use super::exchange::{
+    self,
+    Answer,
+    Call,
+    Progress, //
+};
+use super::wire::{
+    KeyForm,
+    SessionForm,
+    SessionRequest,
+    duration_text,
+    key_path, //
+};
 use foxtide_core::store::{
-    SessionId, Store, StoreEntry, StoreError, StoreIndex, StoreListing, StoreNames, StoreResult,
-    VALUE_MAX_BYTES,
+    SessionId,
+    Store,
+    StoreEntry,
+    StoreError,
+    StoreIndex,
+    StoreListing,
+    StoreNames,
+    StoreResult,
+    VALUE_MAX_BYTES, //
 };
 use http_types::Method;
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 const OK: u16 = 200;
 const NOT_FOUND: u16 = 404;
--- a/crates/foxtide-config/src/store/mod.rs
+++ b/crates/foxtide-config/src/store/mod.rs
@@ -7,8 +7,19 @@
 mod http;
 mod wire;
 
-pub(crate) use exchange::{Call, run as exchange};
+pub(crate) use exchange::{
+    Call,
+    run as exchange, //
+};
 
-pub use budget::{BudgetOptions, CallClass, Fleet, StoreBudget};
+pub use budget::{
+    BudgetOptions,
+    CallClass,
+    Fleet,
+    StoreBudget, //
+};
 pub use budgeted::BudgetedStore;
-pub use http::{HttpStore, HttpStoreOptions};
+pub use http::{
+    HttpStore,
+    HttpStoreOptions, //
+};
--- a/crates/foxtide-config/src/store/wire.rs
+++ b/crates/foxtide-config/src/store/wire.rs
@@ -2,9 +2,20 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use foxtide_core::store::{SessionId, StoreEntry, StoreIndex};
-use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
-use serde::{Deserialize, Serialize};
+use foxtide_core::store::{
+    SessionId,
+    StoreEntry,
+    StoreIndex, //
+};
+use percent_encoding::{
+    AsciiSet,
+    NON_ALPHANUMERIC,
+    utf8_percent_encode, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use std::time::Duration;
 
 /// What a key is encoded in: all but the unreserved characters of RFC 3986,
--- a/crates/foxtide-config/src/template/fill.rs
+++ b/crates/foxtide-config/src/template/fill.rs
@@ -1,8 +1,17 @@
 //! Filling a template's holes.
 
-use super::{Parameters, Template};
-use crate::{Error, Result};
-use serde_json::{Map, Value};
+use super::{
+    Parameters,
+    Template, //
+};
+use crate::{
+    Error,
+    Result, //
+};
+use serde_json::{
+    Map,
+    Value, //
+};
 
 /// The one field of the object that stands for a parameter's value.
 const HOLE_FIELD: &str = "$parameter";
--- a/crates/foxtide-config/src/template/mod.rs
+++ b/crates/foxtide-config/src/template/mod.rs
@@ -8,15 +8,33 @@
 mod fill;
 mod parameter;
 
-pub use parameter::{Parameter, ParameterKind};
+pub use parameter::{
+    Parameter,
+    ParameterKind, //
+};
 
 use crate::change::key_of;
-use crate::{Error, Result, document};
+use crate::{
+    Error,
+    Result,
+    document, //
+};
 use foxtide_core::ids::OrganisationId;
-use foxtide_core::organisation::{Organisation, SCHEMA_VERSION, TemplateUse};
+use foxtide_core::organisation::{
+    Organisation,
+    SCHEMA_VERSION,
+    TemplateUse, //
+};
 use foxtide_core::units::Revision;
-use serde::{Deserialize, Serialize};
-use serde_json::{Map, Value, json};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use serde_json::{
+    Map,
+    Value,
+    json, //
+};
 use std::collections::BTreeMap;
 use std::path::Path;
 
--- a/crates/foxtide-config/src/template/parameter.rs
+++ b/crates/foxtide-config/src/template/parameter.rs
@@ -1,9 +1,18 @@
 //! A template's typed parameters.
 
-use crate::{Error, Result};
+use crate::{
+    Error,
+    Result, //
+};
 use foxtide_core::organisation::Home;
-use serde::{Deserialize, Serialize};
-use serde_json::{Value, json};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use serde_json::{
+    Value,
+    json, //
+};
 use std::fmt;
 
 /// A parameter: its type, its range and what it is for.
--- a/crates/foxtide-config/src/validate/contracts.rs
+++ b/crates/foxtide-config/src/validate/contracts.rs
@@ -2,7 +2,10 @@
 
 use super::Check;
 use crate::Result;
-use foxtide_core::organisation::{Home, Service};
+use foxtide_core::organisation::{
+    Home,
+    Service, //
+};
 
 /// How far the homes' shares may be from 1 in sum.
 const SUM_TOLERANCE: f64 = 1e-6;
--- a/crates/foxtide-config/src/validate/drains.rs
+++ b/crates/foxtide-config/src/validate/drains.rs
@@ -2,7 +2,12 @@
 
 use super::Check;
 use crate::Result;
-use foxtide_core::organisation::{Drain, DrainTarget, Service, Upstream};
+use foxtide_core::organisation::{
+    Drain,
+    DrainTarget,
+    Service,
+    Upstream, //
+};
 
 impl Check<'_> {
     /// Checks the drains, and that together they leave something to serve.
--- a/crates/foxtide-config/src/validate/mod.rs
+++ b/crates/foxtide-config/src/validate/mod.rs
@@ -12,8 +12,14 @@
 
 use crate::blocks::RESERVED_PREFIX;
 use crate::change::key_of;
-use crate::{Error, Result};
-use foxtide_core::organisation::{Organisation, SCHEMA_VERSION};
+use crate::{
+    Error,
+    Result, //
+};
+use foxtide_core::organisation::{
+    Organisation,
+    SCHEMA_VERSION, //
+};
 use std::collections::BTreeSet;
 use std::fmt::Display;
 
--- a/crates/foxtide-config/src/validate/moves.rs
+++ b/crates/foxtide-config/src/validate/moves.rs
@@ -3,7 +3,10 @@
 use super::Check;
 use crate::Result;
 use foxtide_core::ids::RegionId;
-use foxtide_core::organisation::{PlannedMove, Service};
+use foxtide_core::organisation::{
+    PlannedMove,
+    Service, //
+};
 use foxtide_core::time::WallTime;
 use std::time::Duration;
 
--- a/crates/foxtide-config/src/validate/upstreams.rs
+++ b/crates/foxtide-config/src/validate/upstreams.rs
@@ -2,7 +2,10 @@
 
 use super::Check;
 use crate::Result;
-use foxtide_core::organisation::{Service, Upstream};
+use foxtide_core::organisation::{
+    Service,
+    Upstream, //
+};
 
 /// The most slots of an upstream that are taken to be meant.
 const SLOTS_MAX: u32 = 100_000;
--- a/crates/foxtide-config/src/watch/calls.rs
+++ b/crates/foxtide-config/src/watch/calls.rs
@@ -3,9 +3,19 @@
 use super::WatchOptions;
 use crate::backoff::Backoff;
 use crate::change::ORGANISATION_PREFIX;
-use foxtide_core::store::{Store, StoreError, StoreIndex, StoreListing, StoreNames, StoreResult};
+use foxtide_core::store::{
+    Store,
+    StoreError,
+    StoreIndex,
+    StoreListing,
+    StoreNames,
+    StoreResult, //
+};
 use futures_util::future::BoxFuture;
-use futures_util::stream::{FuturesUnordered, StreamExt};
+use futures_util::stream::{
+    FuturesUnordered,
+    StreamExt, //
+};
 use smol::Timer;
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/crates/foxtide-config/src/watch/mod.rs
+++ b/crates/foxtide-config/src/watch/mod.rs
@@ -13,13 +13,28 @@
 
 use crate::backoff::BackoffOptions;
 use crate::change::ORGANISATION_PREFIX;
-use calls::{Calls, Ended, Found, Target};
+use calls::{
+    Calls,
+    Ended,
+    Found,
+    Target, //
+};
 use foxtide_core::organisation::Organisation;
-use foxtide_core::store::{Store, StoreError, StoreIndex, StoreListing, StoreNames, StoreResult};
+use foxtide_core::store::{
+    Store,
+    StoreError,
+    StoreIndex,
+    StoreListing,
+    StoreNames,
+    StoreResult, //
+};
 use futures_lite::FutureExt;
 use seen::Seen;
 use smol::Timer;
-use smol::channel::{SendError, Sender};
+use smol::channel::{
+    SendError,
+    Sender, //
+};
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/crates/foxtide-config/src/watch/seen.rs
+++ b/crates/foxtide-config/src/watch/seen.rs
@@ -4,7 +4,10 @@
 use crate::change;
 use foxtide_core::ids::OrganisationId;
 use foxtide_core::organisation::Organisation;
-use foxtide_core::store::{StoreEntry, StoreIndex};
+use foxtide_core::store::{
+    StoreEntry,
+    StoreIndex, //
+};
 use foxtide_core::units::Revision;
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/crates/foxtide-config/tests/blocks.rs
+++ b/crates/foxtide-config/tests/blocks.rs
@@ -4,12 +4,33 @@
 #[allow(dead_code)]
 mod support;
 
-use foxtide_config::blocks::{self, BlocksChangeError, PublishedBlocks, StoredManifest};
-use foxtide_config::{BudgetOptions, BudgetedStore, Fleet, HttpStore, StoreBudget};
-use foxtide_core::blocks::{Block, CHUNK_PREFIX, ClientBlocks, Site, SiteTable};
+use foxtide_config::blocks::{
+    self,
+    BlocksChangeError,
+    PublishedBlocks,
+    StoredManifest, //
+};
+use foxtide_config::{
+    BudgetOptions,
+    BudgetedStore,
+    Fleet,
+    HttpStore,
+    StoreBudget, //
+};
+use foxtide_core::blocks::{
+    Block,
+    CHUNK_PREFIX,
+    ClientBlocks,
+    Site,
+    SiteTable, //
+};
 use foxtide_core::store::Store;
 use foxtide_core::time::MonotonicTime;
-use support::{PATIENT, client, server};
+use support::{
+    PATIENT,
+    client,
+    server, //
+};
 
 fn sites() -> SiteTable {
     let site = |name: &str, region: &str| Site {
--- a/crates/foxtide-config/tests/budget.rs
+++ b/crates/foxtide-config/tests/budget.rs
@@ -1,7 +1,11 @@
 //! The budget of calls to the store.
 
 use foxtide_config::store::CallClass;
-use foxtide_config::{BudgetOptions, Fleet, StoreBudget};
+use foxtide_config::{
+    BudgetOptions,
+    Fleet,
+    StoreBudget, //
+};
 use foxtide_core::time::MonotonicTime;
 use proptest::prelude::*;
 use std::time::Duration;
--- a/crates/foxtide-config/tests/change.rs
+++ b/crates/foxtide-config/tests/change.rs
@@ -3,12 +3,25 @@
 #[allow(dead_code)]
 mod support;
 
-use foxtide_config::change::{self, ChangeError};
+use foxtide_config::change::{
+    self,
+    ChangeError, //
+};
 use foxtide_core::units::Revision;
 use foxtide_testing::Availability;
 use support::{
-    IMPATIENT, PATIENT, behind_a_proxy_that_swallows_one_request, client, create, document, load,
-    organisation_id, request, server, set_deadline, with_deadline,
+    IMPATIENT,
+    PATIENT,
+    behind_a_proxy_that_swallows_one_request,
+    client,
+    create,
+    document,
+    load,
+    organisation_id,
+    request,
+    server,
+    set_deadline,
+    with_deadline, //
 };
 
 #[test]
--- a/crates/foxtide-config/tests/examples.rs
+++ b/crates/foxtide-config/tests/examples.rs
@@ -4,7 +4,11 @@
 mod support;
 
 use foxtide_config::template::Parameters;
-use foxtide_config::{Settings, Template, change};
+use foxtide_config::{
+    Settings,
+    Template,
+    change, //
+};
 use serde_json::json;
 use support::example;
 
--- a/crates/foxtide-config/tests/http_store.rs
+++ b/crates/foxtide-config/tests/http_store.rs
@@ -4,12 +4,25 @@
 #[allow(dead_code)]
 mod support;
 
-use foxtide_config::{HttpStore, HttpStoreOptions};
-use foxtide_core::store::{Store, StoreError, StoreIndex, VALUE_MAX_BYTES};
+use foxtide_config::{
+    HttpStore,
+    HttpStoreOptions, //
+};
+use foxtide_core::store::{
+    Store,
+    StoreError,
+    StoreIndex,
+    VALUE_MAX_BYTES, //
+};
 use foxtide_testing::Availability;
 use smol::net::TcpListener;
 use std::time::Duration;
-use support::{IMPATIENT, PATIENT, client, server};
+use support::{
+    IMPATIENT,
+    PATIENT,
+    client,
+    server, //
+};
 
 const KEY: &str = "foxtide/organisations/hamutenya";
 const PREFIX: &str = "foxtide/organisations/";
@@ -167,7 +180,10 @@
 
 /// Answers one connection with these bytes and closes it.
 async fn answer_once(bytes: &'static [u8]) -> HttpStore {
-    use smol::io::{AsyncReadExt, AsyncWriteExt};
+    use smol::io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    };
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     smol::spawn(async move {
--- a/crates/foxtide-config/tests/instance_list.rs
+++ b/crates/foxtide-config/tests/instance_list.rs
@@ -2,7 +2,11 @@
 
 use foxtide_config::read_instance_list;
 use foxtide_testing::{
-    Availability, InstanceListOptions, InstanceListServer, ListedInstance, ListedState,
+    Availability,
+    InstanceListOptions,
+    InstanceListServer,
+    ListedInstance,
+    ListedState, //
 };
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/foxtide-config/tests/support/mod.rs
+++ b/crates/foxtide-config/tests/support/mod.rs
@@ -1,14 +1,30 @@
 //! What the tests of this crate share.
 
-use foxtide_config::change::{self, Accepted, ChangeError, ChangeRequest, Stored};
+use foxtide_config::change::{
+    self,
+    Accepted,
+    ChangeError,
+    ChangeRequest,
+    Stored, //
+};
 use foxtide_config::template::Parameters;
-use foxtide_config::{HttpStore, HttpStoreOptions, Template};
+use foxtide_config::{
+    HttpStore,
+    HttpStoreOptions,
+    Template, //
+};
 use foxtide_core::ids::OrganisationId;
 use foxtide_core::organisation::Organisation;
-use foxtide_testing::{StoreOptions, StoreServer};
+use foxtide_testing::{
+    StoreOptions,
+    StoreServer, //
+};
 use smol::future::FutureExt;
 use smol::io::AsyncReadExt;
-use smol::net::{TcpListener, TcpStream};
+use smol::net::{
+    TcpListener,
+    TcpStream, //
+};
 use std::path::PathBuf;
 use std::time::Duration;
 
--- a/crates/foxtide-config/tests/watch.rs
+++ b/crates/foxtide-config/tests/watch.rs
@@ -3,14 +3,35 @@
 #[allow(dead_code)]
 mod support;
 
-use foxtide_config::{ConfigurationWatch, WatchOptions, WatchReport};
+use foxtide_config::{
+    ConfigurationWatch,
+    WatchOptions,
+    WatchReport, //
+};
 use foxtide_core::units::Revision;
-use foxtide_testing::{Availability, CallKind, StoreServer};
-use smol::channel::{Receiver, unbounded};
+use foxtide_testing::{
+    Availability,
+    CallKind,
+    StoreServer, //
+};
+use smol::channel::{
+    Receiver,
+    unbounded, //
+};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{
+    AtomicBool,
+    Ordering, //
+};
 use std::time::Duration;
-use support::{PATIENT, client, create, load, server, set_deadline};
+use support::{
+    PATIENT,
+    client,
+    create,
+    load,
+    server,
+    set_deadline, //
+};
 
 const KEY: &str = "foxtide/organisations/hamutenya";
 
--- a/crates/foxtide-core/src/blocks/builder.rs
+++ b/crates/foxtide-core/src/blocks/builder.rs
@@ -2,8 +2,17 @@
 
 use super::codec::decode_chunk;
 use super::columns::Columns;
-use super::family::{V4, V6};
-use super::{BlocksError, BlocksResult, ClientBlocks, SiteIndex, SiteTable};
+use super::family::{
+    V4,
+    V6, //
+};
+use super::{
+    BlocksError,
+    BlocksResult,
+    ClientBlocks,
+    SiteIndex,
+    SiteTable, //
+};
 use std::sync::Arc;
 
 /// How many blocks of each family a table has.
--- a/crates/foxtide-core/src/blocks/codec.rs
+++ b/crates/foxtide-core/src/blocks/codec.rs
@@ -8,8 +8,17 @@
 //! nearly always a byte.
 
 use super::columns::Entry;
-use super::family::{Family, Prefix, V4};
-use super::{Block, BlocksError, BlocksResult, SiteIndex};
+use super::family::{
+    Family,
+    Prefix,
+    V4, //
+};
+use super::{
+    Block,
+    BlocksError,
+    BlocksResult,
+    SiteIndex, //
+};
 use crate::store::VALUE_MAX_BYTES;
 use ipnet::IpNet;
 use prost::Message;
--- a/crates/foxtide-core/src/blocks/columns.rs
+++ b/crates/foxtide-core/src/blocks/columns.rs
@@ -5,9 +5,19 @@
 //! 4 bytes a v4 block and 6 a v6 block. The few wider blocks stand apart and
 //! are searched where no narrower one is found, which keeps the longest match.
 
-use super::family::{Family, Prefix};
-use super::search::{Sorted, longest_match};
-use super::{BlocksError, BlocksResult, SiteIndex};
+use super::family::{
+    Family,
+    Prefix, //
+};
+use super::search::{
+    Sorted,
+    longest_match, //
+};
+use super::{
+    BlocksError,
+    BlocksResult,
+    SiteIndex, //
+};
 use std::mem::size_of;
 
 /// A block and its site.
--- a/crates/foxtide-core/src/blocks/delta.rs
+++ b/crates/foxtide-core/src/blocks/delta.rs
@@ -1,8 +1,26 @@
 //! Changes to a table of client blocks.
 
-use super::codec::{ColumnsMessage, ColumnsWriter, DeltaMessage, open, seal};
-use super::family::{Family, FamilyPrefix, Prefix, V4, V6};
-use super::{Block, BlocksError, BlocksResult, SiteIndex, SiteTable};
+use super::codec::{
+    ColumnsMessage,
+    ColumnsWriter,
+    DeltaMessage,
+    open,
+    seal, //
+};
+use super::family::{
+    Family,
+    FamilyPrefix,
+    Prefix,
+    V4,
+    V6, //
+};
+use super::{
+    Block,
+    BlocksError,
+    BlocksResult,
+    SiteIndex,
+    SiteTable, //
+};
 use ipnet::IpNet;
 use prost::Message;
 use std::collections::HashMap;
--- a/crates/foxtide-core/src/blocks/family.rs
+++ b/crates/foxtide-core/src/blocks/family.rs
@@ -1,10 +1,21 @@
 //! The two families of addresses, reduced to the bits that blocks can tell
 //! apart.
 
-use super::{BlocksError, BlocksResult};
-use ipnet::{IpNet, Ipv4Net, Ipv6Net};
+use super::{
+    BlocksError,
+    BlocksResult, //
+};
+use ipnet::{
+    IpNet,
+    Ipv4Net,
+    Ipv6Net, //
+};
 use std::fmt::Debug;
-use std::net::{IpAddr, Ipv4Addr, Ipv6Addr};
+use std::net::{
+    IpAddr,
+    Ipv4Addr,
+    Ipv6Addr, //
+};
 
 /// An unsigned number that holds half of an address.
 pub(super) trait Half: Copy + Debug + Ord + Into<u64> + TryFrom<u64> {}
--- a/crates/foxtide-core/src/blocks/manifest.rs
+++ b/crates/foxtide-core/src/blocks/manifest.rs
@@ -6,10 +6,22 @@
 //! in the manifest itself: an instance that has an older table needs nothing
 //! but the manifest, which the mesh spreads.
 
-use super::codec::{ManifestMessage, PartMessage, SiteMessage, open, seal};
+use super::codec::{
+    ManifestMessage,
+    PartMessage,
+    SiteMessage,
+    open,
+    seal, //
+};
 use super::{
-    BlockCounts, BlocksError, BlocksResult, ClientBlocks, ClientBlocksBuilder, Delta, Site,
-    SiteTable,
+    BlockCounts,
+    BlocksError,
+    BlocksResult,
+    ClientBlocks,
+    ClientBlocksBuilder,
+    Delta,
+    Site,
+    SiteTable, //
 };
 use prost::Message;
 use std::fmt;
--- a/crates/foxtide-core/src/blocks/mod.rs
+++ b/crates/foxtide-core/src/blocks/mod.rs
@@ -18,9 +18,28 @@
 mod site;
 mod table;
 
-pub use builder::{BlockCounts, ClientBlocksBuilder};
+pub use builder::{
+    BlockCounts,
+    ClientBlocksBuilder, //
+};
 pub use delta::Delta;
-pub use errors::{BlocksError, BlocksResult};
-pub use manifest::{CHUNK_PREFIX, Checksum, MANIFEST_KEY, Manifest, Part};
-pub use site::{Site, SiteIndex, SiteTable};
-pub use table::{Block, ClientBlocks};
+pub use errors::{
+    BlocksError,
+    BlocksResult, //
+};
+pub use manifest::{
+    CHUNK_PREFIX,
+    Checksum,
+    MANIFEST_KEY,
+    Manifest,
+    Part, //
+};
+pub use site::{
+    Site,
+    SiteIndex,
+    SiteTable, //
+};
+pub use table::{
+    Block,
+    ClientBlocks, //
+};
--- a/crates/foxtide-core/src/blocks/search.rs
+++ b/crates/foxtide-core/src/blocks/search.rs
@@ -1,6 +1,9 @@
 //! Longest-prefix search in sorted prefixes that may lie in each other.
 
-use super::family::{Prefix, truncate};
+use super::family::{
+    Prefix,
+    truncate, //
+};
 
 /// Sorted prefixes of `BITS`-bit numbers.
 pub(super) trait Sorted {
--- a/crates/foxtide-core/src/blocks/site.rs
+++ b/crates/foxtide-core/src/blocks/site.rs
@@ -1,8 +1,17 @@
 //! The sites that client blocks are directed to.
 
-use super::{BlocksError, BlocksResult};
-use crate::ids::{RegionId, SiteId};
-use serde::{Deserialize, Serialize};
+use super::{
+    BlocksError,
+    BlocksResult, //
+};
+use crate::ids::{
+    RegionId,
+    SiteId, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use std::collections::HashSet;
 use std::fmt;
 
--- a/crates/foxtide-core/src/blocks/table.rs
+++ b/crates/foxtide-core/src/blocks/table.rs
@@ -1,10 +1,29 @@
 //! The table of all client blocks.
 
 use super::codec::encode_chunks;
-use super::columns::{Columns, Entry};
-use super::delta::{Change, SortedDelta};
-use super::family::{Address, Family, V4, V6};
-use super::{BlockCounts, BlocksResult, ClientBlocksBuilder, Delta, Site, SiteIndex, SiteTable};
+use super::columns::{
+    Columns,
+    Entry, //
+};
+use super::delta::{
+    Change,
+    SortedDelta, //
+};
+use super::family::{
+    Address,
+    Family,
+    V4,
+    V6, //
+};
+use super::{
+    BlockCounts,
+    BlocksResult,
+    ClientBlocksBuilder,
+    Delta,
+    Site,
+    SiteIndex,
+    SiteTable, //
+};
 use ipnet::IpNet;
 use std::net::IpAddr;
 use std::sync::Arc;
--- a/crates/foxtide-core/src/choice/balancer.rs
+++ b/crates/foxtide-core/src/choice/balancer.rs
@@ -1,10 +1,22 @@
 //! The choice itself.
 
 use super::allowance::RefusalAllowance;
-use super::candidate::{Candidate, Common, UpstreamStatus};
+use super::candidate::{
+    Candidate,
+    Common,
+    UpstreamStatus, //
+};
 use super::subset::Part;
 use super::{
-    BalancerOptions, Completion, CompletionKind, Pick, Poll, PollResult, Rank, StatusChange, Ticket,
+    BalancerOptions,
+    Completion,
+    CompletionKind,
+    Pick,
+    Poll,
+    PollResult,
+    Rank,
+    StatusChange,
+    Ticket, //
 };
 use crate::ids::UpstreamId;
 use crate::organisation::Upstream;
--- a/crates/foxtide-core/src/choice/candidate.rs
+++ b/crates/foxtide-core/src/choice/candidate.rs
@@ -1,7 +1,11 @@
 //! One upstream as the balancer of one instance sees it.
 
 use super::BalancerOptions;
-use super::completion::{Completion, CompletionKind, PollResult};
+use super::completion::{
+    Completion,
+    CompletionKind,
+    PollResult, //
+};
 use super::ejection::FailureRecord;
 use super::liveness::Liveness;
 use super::occupancy::Occupancy;
--- a/crates/foxtide-core/src/choice/load_report.rs
+++ b/crates/foxtide-core/src/choice/load_report.rs
@@ -4,7 +4,10 @@
 //! sent in the header `endpoint-load-metrics`: `TEXT` and a list of
 //! `name=value`, or `JSON` and an object. The binary form is not read.
 
-use crate::{Error, Result};
+use crate::{
+    Error,
+    Result, //
+};
 use serde::Deserialize;
 use std::str::FromStr;
 
--- a/crates/foxtide-core/src/choice/mod.rs
+++ b/crates/foxtide-core/src/choice/mod.rs
@@ -31,8 +31,24 @@
 
 pub use balancer::Balancer;
 pub use candidate::UpstreamStatus;
-pub use completion::{Completion, CompletionKind, PollResult};
+pub use completion::{
+    Completion,
+    CompletionKind,
+    PollResult, //
+};
 pub use load_report::LoadReport;
-pub use options::{BalancerOptions, EjectionOptions, LivenessOptions};
-pub use pick::{Pick, Poll, StatusChange, Ticket};
-pub use sharing::{Rank, Sharing};
+pub use options::{
+    BalancerOptions,
+    EjectionOptions,
+    LivenessOptions, //
+};
+pub use pick::{
+    Pick,
+    Poll,
+    StatusChange,
+    Ticket, //
+};
+pub use sharing::{
+    Rank,
+    Sharing, //
+};
--- a/crates/foxtide-core/src/choice/sharing.rs
+++ b/crates/foxtide-core/src/choice/sharing.rs
@@ -1,6 +1,9 @@
 //! Which instances share the upstreams.
 
-use crate::ids::{InstanceId, RegionId};
+use crate::ids::{
+    InstanceId,
+    RegionId, //
+};
 
 /// The place of an instance among those that send most to the same upstreams.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/foxtide-core/src/choice/subset.rs
+++ b/crates/foxtide-core/src/choice/subset.rs
@@ -2,7 +2,10 @@
 //! and its part of the connections.
 
 use super::candidate::Candidate;
-use super::{BalancerOptions, Rank};
+use super::{
+    BalancerOptions,
+    Rank, //
+};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// The seed of the order of the upstreams that all instances share.
--- a/crates/foxtide-core/src/events/backup/holder.rs
+++ b/crates/foxtide-core/src/events/backup/holder.rs
@@ -1,9 +1,17 @@
 //! Keeps the events of other instances in bounded room.
 
 use crate::Result;
-use crate::events::{Event, EventCopies, EventCopiesAck, EventFilter};
+use crate::events::{
+    Event,
+    EventCopies,
+    EventCopiesAck,
+    EventFilter, //
+};
 use crate::ids::InstanceId;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{
+    BTreeMap,
+    VecDeque, //
+};
 
 /// How much is kept.
 #[derive(Clone, Copy, Debug)]
--- a/crates/foxtide-core/src/events/backup/mod.rs
+++ b/crates/foxtide-core/src/events/backup/mod.rs
@@ -14,6 +14,17 @@
 mod peers;
 mod sender;
 
-pub use holder::{BackupHolder, HolderOptions};
-pub use peers::{BackupPeer, choose_peers};
-pub use sender::{BackupSender, PARCEL_OVERHEAD_BYTES, Parcel, SenderOptions};
+pub use holder::{
+    BackupHolder,
+    HolderOptions, //
+};
+pub use peers::{
+    BackupPeer,
+    choose_peers, //
+};
+pub use sender::{
+    BackupSender,
+    PARCEL_OVERHEAD_BYTES,
+    Parcel,
+    SenderOptions, //
+};
--- a/crates/foxtide-core/src/events/backup/peers.rs
+++ b/crates/foxtide-core/src/events/backup/peers.rs
@@ -1,6 +1,10 @@
 //! Which peers keep the events of an instance.
 
-use crate::ids::{AvailabilityZoneId, InstanceId, RegionId};
+use crate::ids::{
+    AvailabilityZoneId,
+    InstanceId,
+    RegionId, //
+};
 use std::cmp::Reverse;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
--- a/crates/foxtide-core/src/events/backup/sender.rs
+++ b/crates/foxtide-core/src/events/backup/sender.rs
@@ -1,6 +1,10 @@
 //! Sends an instance's events to the peers that keep them.
 
-use crate::events::{EventCopies, EventMessage, RingEntry};
+use crate::events::{
+    EventCopies,
+    EventMessage,
+    RingEntry, //
+};
 use crate::ids::InstanceId;
 use crate::time::MonotonicTime;
 use prost::Message;
--- a/crates/foxtide-core/src/events/clock.rs
+++ b/crates/foxtide-core/src/events/clock.rs
@@ -5,9 +5,18 @@
 //! times of all events that could have caused it, however the wall clocks
 //! differ.
 
-use crate::time::{CLOCK_SKEW_MAX, WallTime};
-use crate::{Error, Result};
-use serde::{Deserialize, Serialize};
+use crate::time::{
+    CLOCK_SKEW_MAX,
+    WallTime, //
+};
+use crate::{
+    Error,
+    Result, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use std::fmt;
 use std::str::FromStr;
 use std::time::Duration;
--- a/crates/foxtide-core/src/events/code.rs
+++ b/crates/foxtide-core/src/events/code.rs
@@ -4,8 +4,14 @@
 //! here; then run
 //! `cargo run -p foxtide-core --example events_page > docs/EVENTS.md`.
 
-use crate::{Error, Result};
-use serde::{Deserialize, Serialize};
+use crate::{
+    Error,
+    Result, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use std::fmt;
 use std::str::FromStr;
 
--- a/crates/foxtide-core/src/events/event.rs
+++ b/crates/foxtide-core/src/events/event.rs
@@ -1,9 +1,24 @@
 //! One event of one process.
 
-use super::{EventCode, HybridTime};
-use crate::ids::{InstanceId, OrganisationId, RegionId, ServiceId, UpstreamId};
-use crate::{Error, Result};
-use serde::{Deserialize, Serialize};
+use super::{
+    EventCode,
+    HybridTime, //
+};
+use crate::ids::{
+    InstanceId,
+    OrganisationId,
+    RegionId,
+    ServiceId,
+    UpstreamId, //
+};
+use crate::{
+    Error,
+    Result, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use std::fmt;
 use std::mem::size_of;
 use std::str::FromStr;
--- a/crates/foxtide-core/src/events/filter.rs
+++ b/crates/foxtide-core/src/events/filter.rs
@@ -1,9 +1,22 @@
 //! Which events a reader asks for.
 
-use super::{Event, EventCode, Level, RequestId};
-use crate::ids::{InstanceId, OrganisationId, RegionId, ServiceId};
+use super::{
+    Event,
+    EventCode,
+    Level,
+    RequestId, //
+};
+use crate::ids::{
+    InstanceId,
+    OrganisationId,
+    RegionId,
+    ServiceId, //
+};
 use crate::time::WallTime;
-use crate::{Error, Result};
+use crate::{
+    Error,
+    Result, //
+};
 use std::str::FromStr;
 
 /// A choice of events; the default passes all.
--- a/crates/foxtide-core/src/events/mod.rs
+++ b/crates/foxtide-core/src/events/mod.rs
@@ -17,11 +17,32 @@
 mod wire;
 
 pub use catalogue::catalogue_page;
-pub use clock::{AHEAD_MAX, HybridClock, HybridTime};
-pub use code::{EventCode, Level};
-pub use event::{DETAIL_MAX_BYTES, Event, EventDraft, EventFields, RequestId};
+pub use clock::{
+    AHEAD_MAX,
+    HybridClock,
+    HybridTime, //
+};
+pub use code::{
+    EventCode,
+    Level, //
+};
+pub use event::{
+    DETAIL_MAX_BYTES,
+    Event,
+    EventDraft,
+    EventFields,
+    RequestId, //
+};
 pub use filter::EventFilter;
 pub use merge::merge;
 pub use repeats::RepeatFilter;
-pub use ring::{EventRing, EventRingOptions, RingEntry};
-pub use wire::{EventCopies, EventCopiesAck, EventMessage};
+pub use ring::{
+    EventRing,
+    EventRingOptions,
+    RingEntry, //
+};
+pub use wire::{
+    EventCopies,
+    EventCopiesAck,
+    EventMessage, //
+};
--- a/crates/foxtide-core/src/events/repeats.rs
+++ b/crates/foxtide-core/src/events/repeats.rs
@@ -4,7 +4,11 @@
 //! a second would push everything else out of the ring and use up the budget
 //! of the copies, so beyond the first few of a while they are only counted.
 
-use super::{EventCode, EventFields, Level};
+use super::{
+    EventCode,
+    EventFields,
+    Level, //
+};
 use crate::time::WallTime;
 use std::collections::HashMap;
 use std::time::Duration;
--- a/crates/foxtide-core/src/events/ring.rs
+++ b/crates/foxtide-core/src/events/ring.rs
@@ -3,7 +3,11 @@
 //! Events of [`Level::Debug`] have room of their own, so that a flood of
 //! requests cannot push out what an operator will ask about.
 
-use super::{Event, EventFilter, Level};
+use super::{
+    Event,
+    EventFilter,
+    Level, //
+};
 use std::collections::VecDeque;
 
 /// How many events are kept.
--- a/crates/foxtide-core/src/events/wire.rs
+++ b/crates/foxtide-core/src/events/wire.rs
@@ -1,9 +1,17 @@
 //! The form in which events travel between processes.
 
-use super::{Event, EventCode, EventFields, HybridTime};
+use super::{
+    Event,
+    EventCode,
+    EventFields,
+    HybridTime, //
+};
 use crate::ids::InstanceId;
 use crate::time::WallTime;
-use crate::{Error, Result};
+use crate::{
+    Error,
+    Result, //
+};
 use std::str::FromStr;
 
 /// An event whose instance the message around it names.
--- a/crates/foxtide-core/src/explain/changes.rs
+++ b/crates/foxtide-core/src/explain/changes.rs
@@ -4,11 +4,28 @@
 //! began, and that it ended after so many requests, is.
 
 use super::episodes::Episodes;
-use super::{Candidate, CandidateName, Decision, FigureKind, View};
-use crate::events::{EventCode, EventDraft, EventFields};
-use crate::ids::{OrganisationId, RegionId, ServiceId};
+use super::{
+    Candidate,
+    CandidateName,
+    Decision,
+    FigureKind,
+    View, //
+};
+use crate::events::{
+    EventCode,
+    EventDraft,
+    EventFields, //
+};
+use crate::ids::{
+    OrganisationId,
+    RegionId,
+    ServiceId, //
+};
 use crate::time::WallTime;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 
 /// The least by which a region's weight must have moved to be told again.
 const WEIGHT_STEP: f32 = 0.05;
--- a/crates/foxtide-core/src/explain/decision.rs
+++ b/crates/foxtide-core/src/explain/decision.rs
@@ -1,11 +1,23 @@
 //! One look-up or request.
 
-use super::{Rule, ViewId};
+use super::{
+    Rule,
+    ViewId, //
+};
 use crate::events::RequestId;
-use crate::ids::{RegionId, UpstreamId};
+use crate::ids::{
+    RegionId,
+    UpstreamId, //
+};
 use crate::time::WallTime;
-use crate::{Error, Result};
-use serde::{Deserialize, Serialize};
+use crate::{
+    Error,
+    Result, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use std::str::FromStr;
 use xxhash_rust::xxh3::xxh3_64;
 
--- a/crates/foxtide-core/src/explain/episodes.rs
+++ b/crates/foxtide-core/src/explain/episodes.rs
@@ -1,7 +1,14 @@
 //! Times during which requests of a service did not go as planned.
 
-use super::{Decision, Rule};
-use crate::events::{EventCode, EventDraft, EventFields};
+use super::{
+    Decision,
+    Rule, //
+};
+use crate::events::{
+    EventCode,
+    EventDraft,
+    EventFields, //
+};
 use crate::time::WallTime;
 use std::time::Duration;
 
--- a/crates/foxtide-core/src/explain/log.rs
+++ b/crates/foxtide-core/src/explain/log.rs
@@ -2,9 +2,23 @@
 
 use super::changes::ServiceChanges;
 use super::decision::hash;
-use super::{Attempt, Decision, DecisionKind, Rule, View, ViewId};
-use crate::events::{EventDraft, RequestId};
-use crate::ids::{OrganisationId, RegionId, ServiceId};
+use super::{
+    Attempt,
+    Decision,
+    DecisionKind,
+    Rule,
+    View,
+    ViewId, //
+};
+use crate::events::{
+    EventDraft,
+    RequestId, //
+};
+use crate::ids::{
+    OrganisationId,
+    RegionId,
+    ServiceId, //
+};
 use crate::time::WallTime;
 use serde::Serialize;
 use std::collections::VecDeque;
--- a/crates/foxtide-core/src/explain/mod.rs
+++ b/crates/foxtide-core/src/explain/mod.rs
@@ -25,7 +25,26 @@
 mod rule;
 mod view;
 
-pub use decision::{ATTEMPTS_MAX, Attempt, AttemptResult, Decision, DecisionKind};
-pub use log::{ExplainFilter, ExplainLog, ExplainOptions, Explanation};
+pub use decision::{
+    ATTEMPTS_MAX,
+    Attempt,
+    AttemptResult,
+    Decision,
+    DecisionKind, //
+};
+pub use log::{
+    ExplainFilter,
+    ExplainLog,
+    ExplainOptions,
+    Explanation, //
+};
 pub use rule::Rule;
-pub use view::{Candidate, CandidateName, Exclusion, Figure, FigureKind, View, ViewId};
+pub use view::{
+    Candidate,
+    CandidateName,
+    Exclusion,
+    Figure,
+    FigureKind,
+    View,
+    ViewId, //
+};
--- a/crates/foxtide-core/src/explain/rule.rs
+++ b/crates/foxtide-core/src/explain/rule.rs
@@ -1,6 +1,9 @@
 //! The rules by which traffic is directed.
 
-use serde::{Deserialize, Serialize};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use std::fmt;
 
 /// The rule that decided.
--- a/crates/foxtide-core/src/explain/view.rs
+++ b/crates/foxtide-core/src/explain/view.rs
@@ -1,8 +1,17 @@
 //! What the decisions of a service rest on for a while.
 
-use crate::ids::{InstanceId, OrganisationId, RegionId, ServiceId, UpstreamId};
+use crate::ids::{
+    InstanceId,
+    OrganisationId,
+    RegionId,
+    ServiceId,
+    UpstreamId, //
+};
 use crate::time::WallTime;
-use serde::{Deserialize, Serialize};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use std::fmt;
 use std::mem::size_of;
 
--- a/crates/foxtide-core/src/idempotency/key.rs
+++ b/crates/foxtide-core/src/idempotency/key.rs
@@ -5,7 +5,10 @@
 use serde::Serialize;
 use std::fmt;
 use std::str::FromStr;
-use uuid::{Builder, Uuid};
+use uuid::{
+    Builder,
+    Uuid, //
+};
 
 const OWNER_SEPARATOR: char = ':';
 const PROCESS_SEPARATOR: char = '.';
--- a/crates/foxtide-core/src/idempotency/mod.rs
+++ b/crates/foxtide-core/src/idempotency/mod.rs
@@ -35,7 +35,21 @@
 mod table;
 
 pub use fingerprint::Fingerprint;
-pub use key::{IdempotencyKey, KeyError, OwnerId, ProcessNumber};
+pub use key::{
+    IdempotencyKey,
+    KeyError,
+    OwnerId,
+    ProcessNumber, //
+};
 pub use options::TableOptions;
-pub use refusal::{Refusal, RefusalReason};
-pub use table::{Begin, Claim, KeptAnswer, Table, TableUsage};
+pub use refusal::{
+    Refusal,
+    RefusalReason, //
+};
+pub use table::{
+    Begin,
+    Claim,
+    KeptAnswer,
+    Table,
+    TableUsage, //
+};
--- a/crates/foxtide-core/src/idempotency/table.rs
+++ b/crates/foxtide-core/src/idempotency/table.rs
@@ -1,11 +1,21 @@
 //! What became of each key that a process owns.
 
 use super::key::minted_at;
-use super::{Fingerprint, IdempotencyKey, OwnerId, Refusal, RefusalReason, TableOptions};
+use super::{
+    Fingerprint,
+    IdempotencyKey,
+    OwnerId,
+    Refusal,
+    RefusalReason,
+    TableOptions, //
+};
 use crate::outcome::Outcome;
 use crate::time::WallTime;
 use crate::units::ByteSize;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 use std::time::Duration;
 use uuid::Uuid;
 
--- a/crates/foxtide-core/src/ids.rs
+++ b/crates/foxtide-core/src/ids.rs
@@ -1,7 +1,13 @@
 //! Names of the things in the world: instances, regions, organisations.
 
-use crate::{Error, Result};
-use serde::{Deserialize, Serialize};
+use crate::{
+    Error,
+    Result, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use std::fmt;
 use std::str::FromStr;
 use std::sync::Arc;
--- a/crates/foxtide-core/src/lib.rs
+++ b/crates/foxtide-core/src/lib.rs
@@ -23,4 +23,7 @@
 pub mod time;
 pub mod units;
 
-pub use errors::{Error, Result};
+pub use errors::{
+    Error,
+    Result, //
+};
--- a/crates/foxtide-core/src/limits/claim.rs
+++ b/crates/foxtide-core/src/limits/claim.rs
@@ -3,7 +3,10 @@
 
 use crate::time::MonotonicTime;
 use crate::units::RequestRate;
-use serde::{Deserialize, Serialize};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use std::collections::VecDeque;
 use std::time::Duration;
 
--- a/crates/foxtide-core/src/limits/limit.rs
+++ b/crates/foxtide-core/src/limits/limit.rs
@@ -2,9 +2,16 @@
 
 use super::TokenBucket;
 use super::attachment::Attachment;
-use super::claim::{Claim, ClaimWindow, Hearing};
+use super::claim::{
+    Claim,
+    ClaimWindow,
+    Hearing, //
+};
 use super::gate::Gate;
-use super::split::{Claims, part};
+use super::split::{
+    Claims,
+    part, //
+};
 use crate::time::MonotonicTime;
 use crate::units::RequestRate;
 use std::time::Duration;
--- a/crates/foxtide-core/src/limits/mod.rs
+++ b/crates/foxtide-core/src/limits/mod.rs
@@ -13,7 +13,19 @@
 mod split;
 
 pub use bucket::TokenBucket;
-pub use claim::{Claim, ClaimWindow, Hearing, LimitUse};
-pub use split::{Claims, part};
+pub use claim::{
+    Claim,
+    ClaimWindow,
+    Hearing,
+    LimitUse, //
+};
+pub use split::{
+    Claims,
+    part, //
+};
 
-pub(crate) use limit::{Limit, LimitInput, LimitTimes};
+pub(crate) use limit::{
+    Limit,
+    LimitInput,
+    LimitTimes, //
+};
--- a/crates/foxtide-core/src/membership/beliefs.rs
+++ b/crates/foxtide-core/src/membership/beliefs.rs
@@ -1,8 +1,20 @@
 //! How a belief about a member comes about, changes and is contradicted.
 
-use super::machine::{Membership, direct};
-use super::member::{Member, MemberState};
-use super::message::{Message, Output, Packet, Rumour, Suspicion};
+use super::machine::{
+    Membership,
+    direct, //
+};
+use super::member::{
+    Member,
+    MemberState, //
+};
+use super::message::{
+    Message,
+    Output,
+    Packet,
+    Rumour,
+    Suspicion, //
+};
 use super::suspicion::Found;
 use crate::ids::InstanceId;
 use crate::time::MonotonicTime;
--- a/crates/foxtide-core/src/membership/machine.rs
+++ b/crates/foxtide-core/src/membership/machine.rs
@@ -2,15 +2,30 @@
 
 use super::member::Member;
 use super::message::{
-    DATAGRAM_MAX_BYTES, Digest, HEADER_MAX_BYTES, Message, Output, Packet, Rumour,
+    DATAGRAM_MAX_BYTES,
+    Digest,
+    HEADER_MAX_BYTES,
+    Message,
+    Output,
+    Packet,
+    Rumour, //
 };
 use super::options::MembershipOptions;
 use super::probe::ProbeSchedule;
-use super::queue::{RumourQueue, transmissions};
-use super::rendezvous::{Role, rank};
+use super::queue::{
+    RumourQueue,
+    transmissions, //
+};
+use super::rendezvous::{
+    Role,
+    rank, //
+};
 use super::scope::Scope;
 use super::suspicion::Suspicions;
-use super::table::{MemberTable, MemberView};
+use super::table::{
+    MemberTable,
+    MemberView, //
+};
 use crate::ids::InstanceId;
 use crate::time::MonotonicTime;
 use rand::SeedableRng;
--- a/crates/foxtide-core/src/membership/member.rs
+++ b/crates/foxtide-core/src/membership/member.rs
@@ -1,7 +1,11 @@
 //! One instance as the fleet knows it.
 
 use crate::idempotency::ProcessNumber;
-use crate::ids::{AvailabilityZoneId, InstanceId, RegionId};
+use crate::ids::{
+    AvailabilityZoneId,
+    InstanceId,
+    RegionId, //
+};
 use std::fmt;
 use std::net::SocketAddr;
 
--- a/crates/foxtide-core/src/membership/message.rs
+++ b/crates/foxtide-core/src/membership/message.rs
@@ -1,7 +1,10 @@
 //! What instances say to each other, free of any encoding.
 
 use super::member::Member;
-use crate::ids::{InstanceId, OrganisationId};
+use crate::ids::{
+    InstanceId,
+    OrganisationId, //
+};
 use crate::units::Revision;
 use std::net::SocketAddr;
 
--- a/crates/foxtide-core/src/membership/mod.rs
+++ b/crates/foxtide-core/src/membership/mod.rs
@@ -16,13 +16,32 @@
 mod suspicion;
 mod table;
 
-pub use machine::{Counts, Membership};
-pub use member::{Incarnation, Member, MemberState};
+pub use machine::{
+    Counts,
+    Membership, //
+};
+pub use member::{
+    Incarnation,
+    Member,
+    MemberState, //
+};
 pub use message::{
-    Announcement, DATAGRAM_MAX_BYTES, Digest, HEADER_MAX_BYTES, Message, Output, Packet, ProbeId,
-    Rumour, Suspicion,
+    Announcement,
+    DATAGRAM_MAX_BYTES,
+    Digest,
+    HEADER_MAX_BYTES,
+    Message,
+    Output,
+    Packet,
+    ProbeId,
+    Rumour,
+    Suspicion, //
 };
 pub use options::MembershipOptions;
-pub use rendezvous::{Role, rank, weight};
+pub use rendezvous::{
+    Role,
+    rank,
+    weight, //
+};
 pub use suspicion::SuspicionBounds;
 pub use table::MemberView;
--- a/crates/foxtide-core/src/membership/probing.rs
+++ b/crates/foxtide-core/src/membership/probing.rs
@@ -1,12 +1,26 @@
 //! What an instance does on its own: it probes, compares and tries the dead.
 
-use super::machine::{Membership, direct};
-use super::member::{Member, MemberState};
-use super::message::{Message, Output, ProbeId, Rumour};
+use super::machine::{
+    Membership,
+    direct, //
+};
+use super::member::{
+    Member,
+    MemberState, //
+};
+use super::message::{
+    Message,
+    Output,
+    ProbeId,
+    Rumour, //
+};
 use super::probe::Probe;
 use crate::ids::InstanceId;
 use crate::time::MonotonicTime;
-use rand::seq::{IndexedRandom, IteratorRandom};
+use rand::seq::{
+    IndexedRandom,
+    IteratorRandom, //
+};
 
 /// How many peers a process asks for all that they know when it wakes.
 const CATCH_UP_PEERS: usize = 2;
--- a/crates/foxtide-core/src/membership/scope.rs
+++ b/crates/foxtide-core/src/membership/scope.rs
@@ -2,9 +2,15 @@
 //! delegates of other zones, so that the cost does not grow with the fleet.
 
 use super::member::Member;
-use super::rendezvous::{Role, rank};
+use super::rendezvous::{
+    Role,
+    rank, //
+};
 use super::table::MemberTable;
-use crate::ids::{AvailabilityZoneId, InstanceId};
+use crate::ids::{
+    AvailabilityZoneId,
+    InstanceId, //
+};
 use crate::time::MonotonicTime;
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/crates/foxtide-core/src/membership/table.rs
+++ b/crates/foxtide-core/src/membership/table.rs
@@ -1,7 +1,13 @@
 //! The members of the fleet as one instance knows them.
 
-use super::member::{Member, MemberState};
-use crate::ids::{AvailabilityZoneId, InstanceId};
+use super::member::{
+    Member,
+    MemberState, //
+};
+use crate::ids::{
+    AvailabilityZoneId,
+    InstanceId, //
+};
 use crate::time::MonotonicTime;
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/crates/foxtide-core/src/organisation.rs
+++ b/crates/foxtide-core/src/organisation.rs
@@ -2,12 +2,28 @@
 //! moves and drains. One document an organisation, one key in the store.
 
 use crate::ids::{
-    AvailabilityZoneId, ChangeId, DrainId, InstanceId, LinkId, MoveId, OrganisationId, RegionId,
-    ServiceId, UpstreamId,
+    AvailabilityZoneId,
+    ChangeId,
+    DrainId,
+    InstanceId,
+    LinkId,
+    MoveId,
+    OrganisationId,
+    RegionId,
+    ServiceId,
+    UpstreamId, //
 };
 use crate::time::WallTime;
-use crate::units::{RequestRate, Revision, Share, ShareRate};
-use serde::{Deserialize, Serialize};
+use crate::units::{
+    RequestRate,
+    Revision,
+    Share,
+    ShareRate, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/foxtide-core/src/outcome.rs
+++ b/crates/foxtide-core/src/outcome.rs
@@ -1,6 +1,9 @@
 //! What became of a request that foxtide answers itself.
 
-use crate::{Error, Result};
+use crate::{
+    Error,
+    Result, //
+};
 use std::fmt;
 use std::str::FromStr;
 
--- a/crates/foxtide-core/src/promises/log.rs
+++ b/crates/foxtide-core/src/promises/log.rs
@@ -1,12 +1,21 @@
 //! Samples compared with the contracts.
 
-use super::sample::{Sample, ServiceSample};
+use super::sample::{
+    Sample,
+    ServiceSample, //
+};
 use super::worst::Worst;
-use crate::ids::{RegionId, ServiceId};
+use crate::ids::{
+    RegionId,
+    ServiceId, //
+};
 use crate::organisation::Organisation;
 use crate::time::MonotonicTime;
 use serde::Serialize;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{
+    BTreeMap,
+    VecDeque, //
+};
 use std::fmt;
 use std::time::Duration;
 
--- a/crates/foxtide-core/src/promises/mod.rs
+++ b/crates/foxtide-core/src/promises/mod.rs
@@ -8,5 +8,13 @@
 mod sample;
 mod worst;
 
-pub use log::{Promise, PromiseKind, PromiseLog};
-pub use sample::{RegionSample, Sample, ServiceSample};
+pub use log::{
+    Promise,
+    PromiseKind,
+    PromiseLog, //
+};
+pub use sample::{
+    RegionSample,
+    Sample,
+    ServiceSample, //
+};
--- a/crates/foxtide-core/src/promises/sample.rs
+++ b/crates/foxtide-core/src/promises/sample.rs
@@ -1,8 +1,14 @@
 //! What an instance measures of itself at one moment.
 
-use crate::ids::{RegionId, ServiceId};
+use crate::ids::{
+    RegionId,
+    ServiceId, //
+};
 use crate::time::MonotonicTime;
-use crate::units::{RequestRate, Share};
+use crate::units::{
+    RequestRate,
+    Share, //
+};
 use std::collections::BTreeMap;
 
 /// What an instance measures of one organisation at one moment.
--- a/crates/foxtide-core/src/retry/attempts.rs
+++ b/crates/foxtide-core/src/retry/attempts.rs
@@ -1,6 +1,9 @@
 //! One request over its attempts.
 
-use super::{RetryBudget, RetryOptions};
+use super::{
+    RetryBudget,
+    RetryOptions, //
+};
 use crate::outcome::Outcome;
 use crate::time::MonotonicTime;
 use std::fmt;
--- a/crates/foxtide-core/src/retry/mod.rs
+++ b/crates/foxtide-core/src/retry/mod.rs
@@ -13,7 +13,18 @@
 mod hedge;
 mod options;
 
-pub use attempts::{AttemptId, AttemptResult, Attempts, GiveUp, GiveUpReason, RequestTerms, Step};
+pub use attempts::{
+    AttemptId,
+    AttemptResult,
+    Attempts,
+    GiveUp,
+    GiveUpReason,
+    RequestTerms,
+    Step, //
+};
 pub use budget::RetryBudget;
 pub use hedge::HedgeDelay;
-pub use options::{RetryBudgetOptions, RetryOptions};
+pub use options::{
+    RetryBudgetOptions,
+    RetryOptions, //
+};
--- a/crates/foxtide-core/src/retry/options.rs
+++ b/crates/foxtide-core/src/retry/options.rs
@@ -1,6 +1,9 @@
 //! Settings of retries, hedges and their budget.
 
-use crate::units::{RequestRate, Share};
+use crate::units::{
+    RequestRate,
+    Share, //
+};
 use std::time::Duration;
 
 /// Settings of a [`RetryBudget`](super::RetryBudget).
--- a/crates/foxtide-core/src/spreading/load/mod.rs
+++ b/crates/foxtide-core/src/spreading/load/mod.rs
@@ -13,5 +13,9 @@
 
 pub use options::LoadOptions;
 pub use record::LoadRecord;
-pub use spreader::{LoadMessage, LoadSend, LoadSpreader};
+pub use spreader::{
+    LoadMessage,
+    LoadSend,
+    LoadSpreader, //
+};
 pub use view::Moment;
--- a/crates/foxtide-core/src/spreading/load/record.rs
+++ b/crates/foxtide-core/src/spreading/load/record.rs
@@ -1,8 +1,20 @@
 //! The load of a group of instances, as it travels.
 
-use crate::ids::{OrganisationId, RegionId};
-use crate::steering::{FleetView, HeardReport, InstanceReport, RegionView, ViewOptions};
-use crate::time::{MonotonicTime, WallTime};
+use crate::ids::{
+    OrganisationId,
+    RegionId, //
+};
+use crate::steering::{
+    FleetView,
+    HeardReport,
+    InstanceReport,
+    RegionView,
+    ViewOptions, //
+};
+use crate::time::{
+    MonotonicTime,
+    WallTime, //
+};
 
 /// Usual encoded size of a record without what is listed in it, in bytes.
 const RECORD_BYTES: usize = 34;
--- a/crates/foxtide-core/src/spreading/load/spreader.rs
+++ b/crates/foxtide-core/src/spreading/load/spreader.rs
@@ -3,7 +3,11 @@
 use super::options::LoadOptions;
 use super::record::LoadRecord;
 use super::tree::Place;
-use crate::ids::{InstanceId, OrganisationId, RegionId};
+use crate::ids::{
+    InstanceId,
+    OrganisationId,
+    RegionId, //
+};
 use crate::membership::Member;
 use crate::steering::InstanceReport;
 use crate::time::WallTime;
--- a/crates/foxtide-core/src/spreading/load/tree.rs
+++ b/crates/foxtide-core/src/spreading/load/tree.rs
@@ -1,9 +1,20 @@
 //! The place of an instance in the tree over which load is summed.
 
-use crate::ids::{InstanceId, RegionId};
-use crate::membership::{Member, MemberState, Role, weight};
+use crate::ids::{
+    InstanceId,
+    RegionId, //
+};
+use crate::membership::{
+    Member,
+    MemberState,
+    Role,
+    weight, //
+};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 use std::net::SocketAddr;
 
 /// The instances above, below and beside one instance.
--- a/crates/foxtide-core/src/spreading/load/view.rs
+++ b/crates/foxtide-core/src/spreading/load/view.rs
@@ -4,8 +4,14 @@
 use super::spreader::LoadSpreader;
 use crate::ids::OrganisationId;
 use crate::membership::MemberView;
-use crate::steering::{FleetView, RegionView};
-use crate::time::{MonotonicTime, WallTime};
+use crate::steering::{
+    FleetView,
+    RegionView, //
+};
+use crate::time::{
+    MonotonicTime,
+    WallTime, //
+};
 
 /// One moment on both clocks of a process.
 #[derive(Clone, Copy, Debug)]
--- a/crates/foxtide-core/src/spreading/mod.rs
+++ b/crates/foxtide-core/src/spreading/mod.rs
@@ -4,6 +4,20 @@
 mod fetch;
 mod load;
 
-pub use configuration::{ConfigurationTable, Document};
-pub use fetch::{Fetch, FetchOptions, FetchQueue};
-pub use load::{LoadMessage, LoadOptions, LoadRecord, LoadSend, LoadSpreader, Moment};
+pub use configuration::{
+    ConfigurationTable,
+    Document, //
+};
+pub use fetch::{
+    Fetch,
+    FetchOptions,
+    FetchQueue, //
+};
+pub use load::{
+    LoadMessage,
+    LoadOptions,
+    LoadRecord,
+    LoadSend,
+    LoadSpreader,
+    Moment, //
+};
--- a/crates/foxtide-core/src/steering/adopt.rs
+++ b/crates/foxtide-core/src/steering/adopt.rs
@@ -1,10 +1,22 @@
 //! Where the rows of an instance start: where its peers stand.
 
-use super::engine::{Adopt, Steering};
-use super::flows::{Adoption, OriginFlows};
+use super::engine::{
+    Adopt,
+    Steering, //
+};
+use super::flows::{
+    Adoption,
+    OriginFlows, //
+};
 use super::tables::NamedRow;
-use super::view::{FleetView, ServiceView};
-use crate::ids::{RegionId, ServiceId};
+use super::view::{
+    FleetView,
+    ServiceView, //
+};
+use crate::ids::{
+    RegionId,
+    ServiceId, //
+};
 use crate::time::MonotonicTime;
 use crate::units::Share;
 use std::collections::BTreeMap;
--- a/crates/foxtide-core/src/steering/decide.rs
+++ b/crates/foxtide-core/src/steering/decide.rs
@@ -1,10 +1,22 @@
 //! The decision on one attempt.
 
-use super::admission::{Admission, RefusalReason};
+use super::admission::{
+    Admission,
+    RefusalReason, //
+};
 use super::engine::Steering;
-use super::rooms::{Full, NoRoom};
-use super::service::{Drawn, ServiceState};
-use crate::ids::{RegionId, ServiceId};
+use super::rooms::{
+    Full,
+    NoRoom, //
+};
+use super::service::{
+    Drawn,
+    ServiceState, //
+};
+use crate::ids::{
+    RegionId,
+    ServiceId, //
+};
 use crate::time::MonotonicTime;
 use std::time::Duration;
 
--- a/crates/foxtide-core/src/steering/engine.rs
+++ b/crates/foxtide-core/src/steering/engine.rs
@@ -5,13 +5,28 @@
 use super::options::SteeringOptions;
 use super::rooms::Rooms;
 use super::service::ServiceState;
-use super::tables::{NamedRow, Tables};
-use super::view::{FleetView, InstanceReport};
-use crate::ids::{RegionId, ServiceId};
+use super::tables::{
+    NamedRow,
+    Tables, //
+};
+use super::view::{
+    FleetView,
+    InstanceReport, //
+};
+use crate::ids::{
+    RegionId,
+    ServiceId, //
+};
 use crate::limits::Claim;
 use crate::organisation::Organisation;
-use crate::time::{MonotonicTime, WallTime};
-use crate::units::{RequestRate, Share};
+use crate::time::{
+    MonotonicTime,
+    WallTime, //
+};
+use crate::units::{
+    RequestRate,
+    Share, //
+};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/foxtide-core/src/steering/flows.rs
+++ b/crates/foxtide-core/src/steering/flows.rs
@@ -4,12 +4,27 @@
 use super::planned::PlannedRows;
 use super::rooms::Rooms;
 use super::service::ServiceState;
-use super::tables::{NamedRow, Tables};
-use super::view::{FleetView, ServiceReport};
-use crate::ids::{RegionId, ServiceId};
-use crate::organisation::{Organisation, Service};
+use super::tables::{
+    NamedRow,
+    Tables, //
+};
+use super::view::{
+    FleetView,
+    ServiceReport, //
+};
+use crate::ids::{
+    RegionId,
+    ServiceId, //
+};
+use crate::organisation::{
+    Organisation,
+    Service, //
+};
 use crate::time::WallTime;
-use crate::units::{RequestRate, Share};
+use crate::units::{
+    RequestRate,
+    Share, //
+};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
--- a/crates/foxtide-core/src/steering/merge.rs
+++ b/crates/foxtide-core/src/steering/merge.rs
@@ -1,8 +1,15 @@
 //! Adds up what is known of several groups of instances of one region.
 
-use super::view::{IDLE_WEIGHT_RPS, RegionView, ServiceView};
+use super::view::{
+    IDLE_WEIGHT_RPS,
+    RegionView,
+    ServiceView, //
+};
 use crate::ids::RegionId;
-use crate::units::{RequestRate, Share};
+use crate::units::{
+    RequestRate,
+    Share, //
+};
 use std::collections::BTreeMap;
 
 impl RegionView {
--- a/crates/foxtide-core/src/steering/mod.rs
+++ b/crates/foxtide-core/src/steering/mod.rs
@@ -27,11 +27,23 @@
 mod target;
 mod view;
 
-pub use admission::{Admission, RefusalReason};
+pub use admission::{
+    Admission,
+    RefusalReason, //
+};
 pub use engine::Steering;
-pub use options::{PriorityOptions, SteeringOptions};
+pub use options::{
+    PriorityOptions,
+    SteeringOptions, //
+};
 pub use planned::PlannedRows;
 pub use steps::leaves_at_us;
 pub use view::{
-    FleetView, HeardReport, InstanceReport, RegionView, ServiceReport, ServiceView, ViewOptions,
+    FleetView,
+    HeardReport,
+    InstanceReport,
+    RegionView,
+    ServiceReport,
+    ServiceView,
+    ViewOptions, //
 };
--- a/crates/foxtide-core/src/steering/planned.rs
+++ b/crates/foxtide-core/src/steering/planned.rs
@@ -4,9 +4,21 @@
 //! the same configuration; two instances differ by the skew of their clocks.
 
 use super::shift::Row;
-use super::steps::{Change, Step, progress, steps};
-use crate::ids::{RegionId, ServiceId};
-use crate::organisation::{Contract, Organisation, Service};
+use super::steps::{
+    Change,
+    Step,
+    progress,
+    steps, //
+};
+use crate::ids::{
+    RegionId,
+    ServiceId, //
+};
+use crate::organisation::{
+    Contract,
+    Organisation,
+    Service, //
+};
 use crate::time::WallTime;
 
 /// The least weight of a home, so that one without a share still takes over
--- a/crates/foxtide-core/src/steering/rooms.rs
+++ b/crates/foxtide-core/src/steering/rooms.rs
@@ -1,11 +1,19 @@
 //! An instance's parts of all limits: what it claims and what it may send.
 
 use super::options::SteeringOptions;
-use super::senders::{Floors, Senders, heard};
+use super::senders::{
+    Floors,
+    Senders,
+    heard, //
+};
 use super::target::RegionRoom;
 use super::view::FleetView;
 use crate::ids::RegionId;
-use crate::limits::{Claim, Limit, LimitUse};
+use crate::limits::{
+    Claim,
+    Limit,
+    LimitUse, //
+};
 use crate::organisation::Organisation;
 use crate::time::MonotonicTime;
 use crate::units::RequestRate;
--- a/crates/foxtide-core/src/steering/senders.rs
+++ b/crates/foxtide-core/src/steering/senders.rs
@@ -1,9 +1,17 @@
 //! What an instance knows of all that may send to one region.
 
 use super::options::SteeringOptions;
-use super::view::{FleetView, RegionView};
+use super::view::{
+    FleetView,
+    RegionView, //
+};
 use crate::ids::RegionId;
-use crate::limits::{Claim, Claims, LimitInput, LimitUse};
+use crate::limits::{
+    Claim,
+    Claims,
+    LimitInput,
+    LimitUse, //
+};
 use crate::time::MonotonicTime;
 use crate::units::RequestRate;
 use std::time::Duration;
--- a/crates/foxtide-core/src/steering/service.rs
+++ b/crates/foxtide-core/src/steering/service.rs
@@ -1,13 +1,29 @@
 //! What an instance holds for one service.
 
 use super::cohesion::near;
-use super::options::{PriorityOptions, SteeringOptions};
-use super::shift::{Row, StepLimit, drop_region, follow};
+use super::options::{
+    PriorityOptions,
+    SteeringOptions, //
+};
+use super::shift::{
+    Row,
+    StepLimit,
+    drop_region,
+    follow, //
+};
 use super::tables::Tables;
-use super::target::{RegionRoom, SpillLimit, spill, without_unusable};
+use super::target::{
+    RegionRoom,
+    SpillLimit,
+    spill,
+    without_unusable, //
+};
 use crate::limits::Claim;
 use crate::organisation::Service;
-use crate::units::{RequestRate, Share};
+use crate::units::{
+    RequestRate,
+    Share, //
+};
 use std::time::Duration;
 
 /// The demand that every instance at least reckons with, so that the first
--- a/crates/foxtide-core/src/steering/steps.rs
+++ b/crates/foxtide-core/src/steering/steps.rs
@@ -1,7 +1,16 @@
 //! Planned moves and drains as steps in time, and how far each has come.
 
-use crate::ids::{RegionId, ServiceId};
-use crate::organisation::{DrainTarget, Organisation, PlannedMove, Service, Upstream};
+use crate::ids::{
+    RegionId,
+    ServiceId, //
+};
+use crate::organisation::{
+    DrainTarget,
+    Organisation,
+    PlannedMove,
+    Service,
+    Upstream, //
+};
 use crate::time::WallTime;
 use std::time::Duration;
 
--- a/crates/foxtide-core/src/steering/tables.rs
+++ b/crates/foxtide-core/src/steering/tables.rs
@@ -1,7 +1,10 @@
 //! The places of regions and services in an organisation's configuration.
 
 use super::shift::Row;
-use crate::ids::{RegionId, ServiceId};
+use crate::ids::{
+    RegionId,
+    ServiceId, //
+};
 use crate::organisation::Organisation;
 use crate::units::Share;
 use std::collections::BTreeMap;
--- a/crates/foxtide-core/src/steering/view.rs
+++ b/crates/foxtide-core/src/steering/view.rs
@@ -1,10 +1,19 @@
 //! What instances tell one another, and what one of them knows of all.
 
-use crate::ids::{RegionId, ServiceId};
+use crate::ids::{
+    RegionId,
+    ServiceId, //
+};
 use crate::limits::LimitUse;
 use crate::time::MonotonicTime;
-use crate::units::{RequestRate, Share};
-use serde::{Deserialize, Serialize};
+use crate::units::{
+    RequestRate,
+    Share, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
--- a/crates/foxtide-core/src/time.rs
+++ b/crates/foxtide-core/src/time.rs
@@ -1,8 +1,14 @@
 //! Points in time, passed into every decision.
 
-use serde::{Deserialize, Serialize};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use std::fmt;
-use std::ops::{Add, Sub};
+use std::ops::{
+    Add,
+    Sub, //
+};
 use std::time::Duration;
 
 macro_rules! define_time {
--- a/crates/foxtide-core/src/units.rs
+++ b/crates/foxtide-core/src/units.rs
@@ -1,7 +1,13 @@
 //! Rates, shares, sizes and revisions with their units in the type.
 
-use crate::{Error, Result};
-use serde::{Deserialize, Serialize};
+use crate::{
+    Error,
+    Result, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use std::fmt;
 use std::str::FromStr;
 
--- a/crates/foxtide-core/tests/backup.rs
+++ b/crates/foxtide-core/tests/backup.rs
@@ -1,13 +1,28 @@
 //! Copies of events at peers: who keeps them, what is sent, what is kept.
 
 use foxtide_core::events::backup::{
-    BackupHolder, BackupPeer, BackupSender, HolderOptions, Parcel, SenderOptions, choose_peers,
+    BackupHolder,
+    BackupPeer,
+    BackupSender,
+    HolderOptions,
+    Parcel,
+    SenderOptions,
+    choose_peers, //
 };
 use foxtide_core::events::{
-    Event, EventCode, EventFields, EventFilter, EventRing, EventRingOptions, HybridClock,
+    Event,
+    EventCode,
+    EventFields,
+    EventFilter,
+    EventRing,
+    EventRingOptions,
+    HybridClock, //
 };
 use foxtide_core::ids::InstanceId;
-use foxtide_core::time::{MonotonicTime, WallTime};
+use foxtide_core::time::{
+    MonotonicTime,
+    WallTime, //
+};
 use prost::Message;
 use std::collections::HashMap;
 
--- a/crates/foxtide-core/tests/blocks.rs
+++ b/crates/foxtide-core/tests/blocks.rs
@@ -1,14 +1,29 @@
 //! Client blocks against a plain model, and what arrives damaged.
 
 use foxtide_core::blocks::{
-    Block, BlockCounts, BlocksError, ClientBlocks, ClientBlocksBuilder, Delta, Manifest, Site,
-    SiteIndex, SiteTable,
+    Block,
+    BlockCounts,
+    BlocksError,
+    ClientBlocks,
+    ClientBlocksBuilder,
+    Delta,
+    Manifest,
+    Site,
+    SiteIndex,
+    SiteTable, //
 };
 use foxtide_core::ids::SiteId;
 use ipnet::IpNet;
 use proptest::prelude::*;
-use std::collections::{BTreeMap, HashMap};
-use std::net::{IpAddr, Ipv4Addr, Ipv6Addr};
+use std::collections::{
+    BTreeMap,
+    HashMap, //
+};
+use std::net::{
+    IpAddr,
+    Ipv4Addr,
+    Ipv6Addr, //
+};
 
 const SITES: u8 = 130;
 
--- a/crates/foxtide-core/tests/choice_balancer.rs
+++ b/crates/foxtide-core/tests/choice_balancer.rs
@@ -3,14 +3,29 @@
 mod upstreams;
 
 use foxtide_core::choice::{
-    Balancer, BalancerOptions, Completion, CompletionKind, LoadReport, Pick, PollResult, Rank,
-    Sharing, Ticket, UpstreamStatus,
+    Balancer,
+    BalancerOptions,
+    Completion,
+    CompletionKind,
+    LoadReport,
+    Pick,
+    PollResult,
+    Rank,
+    Sharing,
+    Ticket,
+    UpstreamStatus, //
+};
+use foxtide_core::ids::{
+    InstanceId,
+    RegionId, //
 };
-use foxtide_core::ids::{InstanceId, RegionId};
 use foxtide_core::time::MonotonicTime;
 use std::collections::BTreeSet;
 use std::time::Duration;
-use upstreams::{id, list};
+use upstreams::{
+    id,
+    list, //
+};
 
 const LATENCY: Duration = Duration::from_millis(10);
 
--- a/crates/foxtide-core/tests/choice_properties.rs
+++ b/crates/foxtide-core/tests/choice_properties.rs
@@ -3,15 +3,26 @@
 mod upstreams;
 
 use foxtide_core::choice::{
-    Balancer, BalancerOptions, Completion, CompletionKind, LoadReport, Pick, Poll, PollResult,
-    Ticket, UpstreamStatus,
+    Balancer,
+    BalancerOptions,
+    Completion,
+    CompletionKind,
+    LoadReport,
+    Pick,
+    Poll,
+    PollResult,
+    Ticket,
+    UpstreamStatus, //
 };
 use foxtide_core::ids::UpstreamId;
 use foxtide_core::time::MonotonicTime;
 use proptest::prelude::*;
 use std::collections::BTreeSet;
 use std::time::Duration;
-use upstreams::{id, list};
+use upstreams::{
+    id,
+    list, //
+};
 
 const UPSTREAMS: usize = 6;
 
--- a/crates/foxtide-core/tests/events.rs
+++ b/crates/foxtide-core/tests/events.rs
@@ -1,8 +1,18 @@
 //! The catalogue, the hybrid clock, the ring and the merged time line.
 
 use foxtide_core::events::{
-    DETAIL_MAX_BYTES, Event, EventCode, EventFields, EventFilter, EventRing, EventRingOptions,
-    HybridClock, HybridTime, Level, catalogue_page, merge,
+    DETAIL_MAX_BYTES,
+    Event,
+    EventCode,
+    EventFields,
+    EventFilter,
+    EventRing,
+    EventRingOptions,
+    HybridClock,
+    HybridTime,
+    Level,
+    catalogue_page,
+    merge, //
 };
 use foxtide_core::time::WallTime;
 use proptest::prelude::*;
--- a/crates/foxtide-core/tests/explain.rs
+++ b/crates/foxtide-core/tests/explain.rs
@@ -1,9 +1,25 @@
 //! Why a look-up or request went where it did.
 
-use foxtide_core::events::{EventCode, RequestId};
+use foxtide_core::events::{
+    EventCode,
+    RequestId, //
+};
 use foxtide_core::explain::{
-    AttemptResult, Candidate, CandidateName, Decision, DecisionKind, Exclusion, ExplainFilter,
-    ExplainLog, ExplainOptions, Explanation, Figure, FigureKind, Rule, View, ViewId,
+    AttemptResult,
+    Candidate,
+    CandidateName,
+    Decision,
+    DecisionKind,
+    Exclusion,
+    ExplainFilter,
+    ExplainLog,
+    ExplainOptions,
+    Explanation,
+    Figure,
+    FigureKind,
+    Rule,
+    View,
+    ViewId, //
 };
 use foxtide_core::time::WallTime;
 
--- a/crates/foxtide-core/tests/idempotency_exploration.rs
+++ b/crates/foxtide-core/tests/idempotency_exploration.rs
@@ -2,10 +2,19 @@
 
 mod idempotency_model;
 
-use idempotency_model::{Bounds, Mistake, Step, Violation, World};
+use idempotency_model::{
+    Bounds,
+    Mistake,
+    Step,
+    Violation,
+    World, //
+};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use std::collections::{HashSet, VecDeque};
+use std::collections::{
+    HashSet,
+    VecDeque, //
+};
 use xxhash_rust::xxh3::xxh3_128;
 
 const BEYOND_VALIDITY_S: u64 = 301;
--- a/crates/foxtide-core/tests/idempotency_key.rs
+++ b/crates/foxtide-core/tests/idempotency_key.rs
@@ -1,6 +1,10 @@
 //! Keys name their owner and carry their time, and nothing else is a key.
 
-use foxtide_core::idempotency::{IdempotencyKey, KeyError, OwnerId};
+use foxtide_core::idempotency::{
+    IdempotencyKey,
+    KeyError,
+    OwnerId, //
+};
 use foxtide_core::time::WallTime;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
--- a/crates/foxtide-core/tests/idempotency_model/mod.rs
+++ b/crates/foxtide-core/tests/idempotency_model/mod.rs
@@ -5,8 +5,16 @@
 //! as the explorer or the random sequence puts them.
 
 use foxtide_core::idempotency::{
-    Begin, Claim, Fingerprint, IdempotencyKey, KeptAnswer, OwnerId, ProcessNumber, RefusalReason,
-    Table, TableOptions,
+    Begin,
+    Claim,
+    Fingerprint,
+    IdempotencyKey,
+    KeptAnswer,
+    OwnerId,
+    ProcessNumber,
+    RefusalReason,
+    Table,
+    TableOptions, //
 };
 use foxtide_core::outcome::Outcome;
 use foxtide_core::time::WallTime;
--- a/crates/foxtide-core/tests/idempotency_table.rs
+++ b/crates/foxtide-core/tests/idempotency_table.rs
@@ -1,8 +1,16 @@
 //! What a table answers, case by case.
 
 use foxtide_core::idempotency::{
-    Begin, Claim, Fingerprint, IdempotencyKey, KeptAnswer, OwnerId, RefusalReason, Table,
-    TableOptions, TableUsage,
+    Begin,
+    Claim,
+    Fingerprint,
+    IdempotencyKey,
+    KeptAnswer,
+    OwnerId,
+    RefusalReason,
+    Table,
+    TableOptions,
+    TableUsage, //
 };
 use foxtide_core::outcome::Outcome;
 use foxtide_core::time::WallTime;
--- a/crates/foxtide-core/tests/membership.rs
+++ b/crates/foxtide-core/tests/membership.rs
@@ -1,7 +1,13 @@
 //! The membership protocol on a virtual clock, under scripted faults.
 
-use foxtide_core::membership::{MemberState, MembershipOptions};
-use foxtide_testing::{VirtualFleet, VirtualFleetOptions};
+use foxtide_core::membership::{
+    MemberState,
+    MembershipOptions, //
+};
+use foxtide_testing::{
+    VirtualFleet,
+    VirtualFleetOptions, //
+};
 use std::time::Duration;
 
 const LIMIT: Duration = Duration::from_secs(60);
--- a/crates/foxtide-core/tests/promises.rs
+++ b/crates/foxtide-core/tests/promises.rs
@@ -1,10 +1,22 @@
 //! Promises as an instance measures them.
 
-use foxtide_core::ids::{RegionId, ServiceId};
+use foxtide_core::ids::{
+    RegionId,
+    ServiceId, //
+};
 use foxtide_core::organisation::Organisation;
-use foxtide_core::promises::{PromiseKind, PromiseLog, RegionSample, Sample, ServiceSample};
+use foxtide_core::promises::{
+    PromiseKind,
+    PromiseLog,
+    RegionSample,
+    Sample,
+    ServiceSample, //
+};
 use foxtide_core::time::MonotonicTime;
-use foxtide_core::units::{RequestRate, Share};
+use foxtide_core::units::{
+    RequestRate,
+    Share, //
+};
 
 const DOCUMENT: &str = r#"{
   "schema_version": 1, "organisation": "o", "revision": 1, "change_id": "c",
--- a/crates/foxtide-core/tests/retry_attempts.rs
+++ b/crates/foxtide-core/tests/retry_attempts.rs
@@ -2,8 +2,14 @@
 
 use foxtide_core::outcome::Outcome;
 use foxtide_core::retry::{
-    AttemptResult, Attempts, GiveUpReason, RequestTerms, RetryBudget, RetryBudgetOptions,
-    RetryOptions, Step,
+    AttemptResult,
+    Attempts,
+    GiveUpReason,
+    RequestTerms,
+    RetryBudget,
+    RetryBudgetOptions,
+    RetryOptions,
+    Step, //
 };
 use foxtide_core::time::MonotonicTime;
 use std::time::Duration;
--- a/crates/foxtide-core/tests/retry_properties.rs
+++ b/crates/foxtide-core/tests/retry_properties.rs
@@ -2,8 +2,14 @@
 
 use foxtide_core::outcome::Outcome;
 use foxtide_core::retry::{
-    AttemptId, AttemptResult, Attempts, RequestTerms, RetryBudget, RetryBudgetOptions,
-    RetryOptions, Step,
+    AttemptId,
+    AttemptResult,
+    Attempts,
+    RequestTerms,
+    RetryBudget,
+    RetryBudgetOptions,
+    RetryOptions,
+    Step, //
 };
 use foxtide_core::time::MonotonicTime;
 use proptest::prelude::*;
--- a/crates/foxtide-core/tests/spreading.rs
+++ b/crates/foxtide-core/tests/spreading.rs
@@ -1,15 +1,45 @@
 //! Documents, fetches and load sums, without any network.
 
 use foxtide_core::idempotency::ProcessNumber;
-use foxtide_core::ids::{OrganisationId, RegionId, ServiceId};
-use foxtide_core::limits::{Claim, LimitUse};
-use foxtide_core::membership::{Announcement, Incarnation, Member, MemberState, MemberView};
+use foxtide_core::ids::{
+    OrganisationId,
+    RegionId,
+    ServiceId, //
+};
+use foxtide_core::limits::{
+    Claim,
+    LimitUse, //
+};
+use foxtide_core::membership::{
+    Announcement,
+    Incarnation,
+    Member,
+    MemberState,
+    MemberView, //
+};
 use foxtide_core::spreading::{
-    ConfigurationTable, Document, FetchQueue, LoadMessage, LoadOptions, LoadSpreader, Moment,
+    ConfigurationTable,
+    Document,
+    FetchQueue,
+    LoadMessage,
+    LoadOptions,
+    LoadSpreader,
+    Moment, //
+};
+use foxtide_core::steering::{
+    FleetView,
+    InstanceReport,
+    ServiceReport, //
+};
+use foxtide_core::time::{
+    MonotonicTime,
+    WallTime, //
+};
+use foxtide_core::units::{
+    RequestRate,
+    Revision,
+    Share, //
 };
-use foxtide_core::steering::{FleetView, InstanceReport, ServiceReport};
-use foxtide_core::time::{MonotonicTime, WallTime};
-use foxtide_core::units::{RequestRate, Revision, Share};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/crates/foxtide-core/tests/steering/decider.rs
+++ b/crates/foxtide-core/tests/steering/decider.rs
@@ -1,10 +1,22 @@
 //! What a fleet of instances is made of.
 
 use super::fixture::SERVICES;
-use foxtide_core::ids::{RegionId, ServiceId};
+use foxtide_core::ids::{
+    RegionId,
+    ServiceId, //
+};
 use foxtide_core::organisation::Organisation;
-use foxtide_core::steering::{Admission, FleetView, InstanceReport, Steering, SteeringOptions};
-use foxtide_core::time::{MonotonicTime, WallTime};
+use foxtide_core::steering::{
+    Admission,
+    FleetView,
+    InstanceReport,
+    Steering,
+    SteeringOptions, //
+};
+use foxtide_core::time::{
+    MonotonicTime,
+    WallTime, //
+};
 use foxtide_core::units::Share;
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/crates/foxtide-core/tests/steering/fleet.rs
+++ b/crates/foxtide-core/tests/steering/fleet.rs
@@ -3,19 +3,43 @@
 //! No process, socket or clock: reports travel as values with a delay, callers
 //! are random arrivals, upstreams are a health figure by region.
 
-use super::decider::{Attempt, Decider};
-use super::fixture::{REGIONS, SERVICES, region};
-use super::node::{Known, Node, Waiting};
+use super::decider::{
+    Attempt,
+    Decider, //
+};
+use super::fixture::{
+    REGIONS,
+    SERVICES,
+    region, //
+};
+use super::node::{
+    Known,
+    Node,
+    Waiting, //
+};
 use super::poisson::poisson;
-use super::scenario::{Event, Scenario};
+use super::scenario::{
+    Event,
+    Scenario, //
+};
 use super::tally::Tally;
-use foxtide_core::ids::{RegionId, ServiceId};
+use foxtide_core::ids::{
+    RegionId,
+    ServiceId, //
+};
 use foxtide_core::organisation::Organisation;
-use foxtide_core::steering::{Admission, InstanceReport, SteeringOptions};
+use foxtide_core::steering::{
+    Admission,
+    InstanceReport,
+    SteeringOptions, //
+};
 use foxtide_core::time::WallTime;
 use foxtide_core::units::Share;
 use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
+use rand::{
+    RngExt,
+    SeedableRng, //
+};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/foxtide-core/tests/steering/limits.rs
+++ b/crates/foxtide-core/tests/steering/limits.rs
@@ -1,6 +1,12 @@
 //! Tests of the split of sold rates.
 
-use foxtide_core::limits::{Claim, ClaimWindow, Claims, Hearing, part};
+use foxtide_core::limits::{
+    Claim,
+    ClaimWindow,
+    Claims,
+    Hearing,
+    part, //
+};
 use foxtide_core::time::MonotonicTime;
 use foxtide_core::units::RequestRate;
 use proptest::prelude::*;
--- a/crates/foxtide-core/tests/steering/node.rs
+++ b/crates/foxtide-core/tests/steering/node.rs
@@ -3,7 +3,12 @@
 use super::decider::Decider;
 use foxtide_core::ids::RegionId;
 use foxtide_core::organisation::Organisation;
-use foxtide_core::steering::{FleetView, HeardReport, InstanceReport, ViewOptions};
+use foxtide_core::steering::{
+    FleetView,
+    HeardReport,
+    InstanceReport,
+    ViewOptions, //
+};
 use foxtide_core::time::MonotonicTime;
 use foxtide_core::units::Share;
 use std::collections::BTreeMap;
--- a/crates/foxtide-core/tests/steering/rows.rs
+++ b/crates/foxtide-core/tests/steering/rows.rs
@@ -1,14 +1,40 @@
 //! Tests of rows: plans, failures, new configurations, restarts.
 
-use super::fixture::{OrganisationOptions, REGIONS, organisation, region};
-use foxtide_core::ids::{RegionId, ServiceId};
-use foxtide_core::organisation::{Drain, DrainTarget, Organisation, PlannedMove};
+use super::fixture::{
+    OrganisationOptions,
+    REGIONS,
+    organisation,
+    region, //
+};
+use foxtide_core::ids::{
+    RegionId,
+    ServiceId, //
+};
+use foxtide_core::organisation::{
+    Drain,
+    DrainTarget,
+    Organisation,
+    PlannedMove, //
+};
 use foxtide_core::steering::{
-    Admission, FleetView, HeardReport, InstanceReport, PlannedRows, RefusalReason, Steering,
-    SteeringOptions, ViewOptions,
+    Admission,
+    FleetView,
+    HeardReport,
+    InstanceReport,
+    PlannedRows,
+    RefusalReason,
+    Steering,
+    SteeringOptions,
+    ViewOptions, //
+};
+use foxtide_core::time::{
+    MonotonicTime,
+    WallTime, //
+};
+use foxtide_core::units::{
+    Share,
+    ShareRate, //
 };
-use foxtide_core::time::{MonotonicTime, WallTime};
-use foxtide_core::units::{Share, ShareRate};
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/crates/foxtide-core/tests/steering/scenario.rs
+++ b/crates/foxtide-core/tests/steering/scenario.rs
@@ -1,12 +1,29 @@
 //! Seeded scenarios: what fails, moves and bursts, and when.
 
-use super::fixture::{OrganisationOptions, REGIONS, SERVICES, organisation, region};
+use super::fixture::{
+    OrganisationOptions,
+    REGIONS,
+    SERVICES,
+    organisation,
+    region, //
+};
 use super::fleet::STEP_MS;
-use foxtide_core::organisation::{Drain, DrainTarget, Organisation, PlannedMove};
+use foxtide_core::organisation::{
+    Drain,
+    DrainTarget,
+    Organisation,
+    PlannedMove, //
+};
 use foxtide_core::time::WallTime;
-use foxtide_core::units::{Share, ShareRate};
+use foxtide_core::units::{
+    Share,
+    ShareRate, //
+};
 use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
+use rand::{
+    RngExt,
+    SeedableRng, //
+};
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/crates/foxtide-core/tests/steering/scenarios.rs
+++ b/crates/foxtide-core/tests/steering/scenarios.rs
@@ -2,9 +2,15 @@
 
 use super::fixture::OrganisationOptions;
 use super::fleet::Fleet;
-use super::scenario::{Event, Scenario};
+use super::scenario::{
+    Event,
+    Scenario, //
+};
 use super::tally::Tally;
-use foxtide_core::steering::{Steering, SteeringOptions};
+use foxtide_core::steering::{
+    Steering,
+    SteeringOptions, //
+};
 use std::time::Duration;
 
 /// Seeds that once broke a promise, and by what.
--- a/crates/foxtide-core/tests/steering/tally.rs
+++ b/crates/foxtide-core/tests/steering/tally.rs
@@ -2,7 +2,10 @@
 
 #![allow(dead_code)] // The tests and the measuring example each read a part.
 
-use super::fixture::{REGIONS, SERVICES};
+use super::fixture::{
+    REGIONS,
+    SERVICES, //
+};
 use super::fleet::STEP_MS;
 use super::scenario::Scenario;
 use foxtide_core::steering::RefusalReason;
--- a/crates/foxtide-entry/src/admin.rs
+++ b/crates/foxtide-entry/src/admin.rs
@@ -1,12 +1,25 @@
 //! The listener for operators.
 
-use crate::answer::{Answer, Refusal};
+use crate::answer::{
+    Answer,
+    Refusal, //
+};
 use crate::callers::record_rejected;
-use crate::parts::{Admin, Parts};
+use crate::parts::{
+    Admin,
+    Parts, //
+};
 use crate::request_id::new_request_id;
-use crate::serve::{Handler, Received, ServeState};
+use crate::serve::{
+    Handler,
+    Received,
+    ServeState, //
+};
 use foxtide_core::events::RequestId;
-use http_types::{Method, StatusCode};
+use http_types::{
+    Method,
+    StatusCode, //
+};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
--- a/crates/foxtide-entry/src/answer.rs
+++ b/crates/foxtide-entry/src/answer.rs
@@ -1,11 +1,24 @@
 //! Answers to callers.
 
-use crate::http::{BodyLength, name, no_headers};
+use crate::http::{
+    BodyLength,
+    name,
+    no_headers, //
+};
 use crate::upstream::LongBody;
 use async_h1::server::Encoder;
 use foxtide_core::outcome::Outcome;
-use http_types::headers::{HeaderName, HeaderValue, Headers};
-use http_types::{Body, Method, Response, StatusCode};
+use http_types::headers::{
+    HeaderName,
+    HeaderValue,
+    Headers, //
+};
+use http_types::{
+    Body,
+    Method,
+    Response,
+    StatusCode, //
+};
 use serde::Serialize;
 use smol::io::AsyncReadExt;
 use std::io;
--- a/crates/foxtide-entry/src/bounded.rs
+++ b/crates/foxtide-entry/src/bounded.rs
@@ -1,7 +1,10 @@
 //! Counts what is under way and keeps it below a limit.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{
+    AtomicUsize,
+    Ordering, //
+};
 
 /// A count with a limit. Clones count together.
 #[derive(Clone, Debug)]
--- a/crates/foxtide-entry/src/callers.rs
+++ b/crates/foxtide-entry/src/callers.rs
@@ -1,17 +1,33 @@
 //! The listener for callers.
 
-use crate::answer::{Answer, Refusal};
+use crate::answer::{
+    Answer,
+    Refusal, //
+};
 use crate::facts::Target;
 use crate::http::name;
 use crate::lookup::lookup;
 use crate::options::EntryOptions;
 use crate::parts::Parts;
 use crate::proxy::Proxy;
-use crate::request_id::{new_request_id, request_id};
+use crate::request_id::{
+    new_request_id,
+    request_id, //
+};
 use crate::route::Route;
-use crate::serve::{Handler, Received};
-use foxtide_core::events::{EventCode, EventFields, RequestId};
-use http_types::{Method, StatusCode};
+use crate::serve::{
+    Handler,
+    Received, //
+};
+use foxtide_core::events::{
+    EventCode,
+    EventFields,
+    RequestId, //
+};
+use http_types::{
+    Method,
+    StatusCode, //
+};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
--- a/crates/foxtide-entry/src/clock.rs
+++ b/crates/foxtide-entry/src/clock.rs
@@ -1,7 +1,15 @@
 //! The clocks of the request path.
 
-use foxtide_core::time::{MonotonicTime, WallTime};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use foxtide_core::time::{
+    MonotonicTime,
+    WallTime, //
+};
+use std::time::{
+    Duration,
+    Instant,
+    SystemTime,
+    UNIX_EPOCH, //
+};
 
 /// Reads the time.
 pub trait Clock: Send + Sync + 'static {
--- a/crates/foxtide-entry/src/entry.rs
+++ b/crates/foxtide-entry/src/entry.rs
@@ -5,18 +5,40 @@
 use crate::callers::CallerHandler;
 use crate::clock::Clock;
 use crate::errors::Result;
-use crate::housekeeping::{Housekeeping, keep_house};
+use crate::housekeeping::{
+    Housekeeping,
+    keep_house, //
+};
 use crate::options::EntryOptions;
-use crate::parts::{Directory, Parts};
+use crate::parts::{
+    Directory,
+    Parts, //
+};
 use crate::proxy::Proxy;
-use crate::serve::{Handler, ServeState, bind, serve_listener};
+use crate::serve::{
+    Handler,
+    ServeState,
+    bind,
+    serve_listener, //
+};
 use crate::time_limit::within;
 use crate::upstream::Pools;
-use foxtide_core::events::{EventCode, EventFields};
+use foxtide_core::events::{
+    EventCode,
+    EventFields, //
+};
 use foxtide_core::idempotency::Table;
 use parking_lot::Mutex;
-use smol::{Async, Executor, Task, Timer};
-use std::net::{SocketAddr, TcpListener};
+use smol::{
+    Async,
+    Executor,
+    Task,
+    Timer, //
+};
+use std::net::{
+    SocketAddr,
+    TcpListener, //
+};
 use std::sync::Arc;
 
 /// The running request path of an instance.
--- a/crates/foxtide-entry/src/facts.rs
+++ b/crates/foxtide-entry/src/facts.rs
@@ -3,17 +3,39 @@
 use crate::answer::Refusal;
 use crate::clock::Clock;
 use crate::http::name;
-use crate::lookup::{unknown_organisation, unknown_service};
+use crate::lookup::{
+    unknown_organisation,
+    unknown_service, //
+};
 use crate::options::EntryOptions;
-use crate::parts::{Directory, Parts};
+use crate::parts::{
+    Directory,
+    Parts, //
+};
 use crate::serve::Received;
-use crate::traffic::{OrganisationTraffic, ServiceTraffic};
-use foxtide_core::events::{EventFields, RequestId};
-use foxtide_core::ids::{OrganisationId, RegionId, ServiceId};
-use foxtide_core::organisation::{Contract, Organisation};
+use crate::traffic::{
+    OrganisationTraffic,
+    ServiceTraffic, //
+};
+use foxtide_core::events::{
+    EventFields,
+    RequestId, //
+};
+use foxtide_core::ids::{
+    OrganisationId,
+    RegionId,
+    ServiceId, //
+};
+use foxtide_core::organisation::{
+    Contract,
+    Organisation, //
+};
 use foxtide_core::retry::RequestTerms;
 use http_types::headers::Headers;
-use http_types::{Method, StatusCode};
+use http_types::{
+    Method,
+    StatusCode, //
+};
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/crates/foxtide-entry/src/housekeeping.rs
+++ b/crates/foxtide-entry/src/housekeeping.rs
@@ -6,12 +6,21 @@
 use crate::parts::Parts;
 use crate::proxy::KeyTable;
 use crate::serve::ServeState;
-use crate::traffic::{Poller, UpstreamChange};
+use crate::traffic::{
+    Poller,
+    UpstreamChange, //
+};
 use crate::upstream::Pools;
 use foxtide_core::choice::UpstreamStatus;
-use foxtide_core::events::{EventCode, EventFields};
+use foxtide_core::events::{
+    EventCode,
+    EventFields, //
+};
 use metrics::gauge;
-use smol::{Executor, Timer};
+use smol::{
+    Executor,
+    Timer, //
+};
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/crates/foxtide-entry/src/http/head.rs
+++ b/crates/foxtide-entry/src/http/head.rs
@@ -1,8 +1,20 @@
 //! The head of a message and what it says about the body's length.
 
-use super::headers::{is_hop_by_hop, name, no_headers};
-use http_types::headers::{HeaderName, HeaderValue, Headers};
-use http_types::{Method, StatusCode, Url};
+use super::headers::{
+    is_hop_by_hop,
+    name,
+    no_headers, //
+};
+use http_types::headers::{
+    HeaderName,
+    HeaderValue,
+    Headers, //
+};
+use http_types::{
+    Method,
+    StatusCode,
+    Url, //
+};
 use std::str::FromStr;
 
 /// The most header lines of a message.
--- a/crates/foxtide-entry/src/http/headers.rs
+++ b/crates/foxtide-entry/src/http/headers.rs
@@ -1,7 +1,10 @@
 //! Names of headers, and those that end at each hop.
 
 use http_types::headers::Headers;
-use http_types::{Response, StatusCode};
+use http_types::{
+    Response,
+    StatusCode, //
+};
 use std::sync::LazyLock;
 
 /// Names of the headers that foxtide reads or writes.
--- a/crates/foxtide-entry/src/http/message.rs
+++ b/crates/foxtide-entry/src/http/message.rs
@@ -1,7 +1,13 @@
 //! Reads heads and bodies off a connection, to their exact end.
 
-use super::chunked::{ChunkDecoder, Step};
-use super::head::{BodyLength, HeadError};
+use super::chunked::{
+    ChunkDecoder,
+    Step, //
+};
+use super::head::{
+    BodyLength,
+    HeadError, //
+};
 use super::stream::BufferedStream;
 use std::io;
 
--- a/crates/foxtide-entry/src/http/mod.rs
+++ b/crates/foxtide-entry/src/http/mod.rs
@@ -9,7 +9,24 @@
 mod message;
 mod stream;
 
-pub(crate) use head::{BodyLength, HeadError, RequestHead, ResponseHead};
-pub(crate) use headers::{name, no_headers};
-pub(crate) use message::{BodyReader, MessageError, Progress, read_body, read_head};
-pub(crate) use stream::{BufferedStream, Quiet};
+pub(crate) use head::{
+    BodyLength,
+    HeadError,
+    RequestHead,
+    ResponseHead, //
+};
+pub(crate) use headers::{
+    name,
+    no_headers, //
+};
+pub(crate) use message::{
+    BodyReader,
+    MessageError,
+    Progress,
+    read_body,
+    read_head, //
+};
+pub(crate) use stream::{
+    BufferedStream,
+    Quiet, //
+};
--- a/crates/foxtide-entry/src/http/stream.rs
+++ b/crates/foxtide-entry/src/http/stream.rs
@@ -2,8 +2,16 @@
 
 use smol::Async;
 use std::future::pending;
-use std::io::{self, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::io::{
+    self,
+    Read,
+    Write, //
+};
+use std::net::{
+    Shutdown,
+    SocketAddr,
+    TcpStream, //
+};
 
 /// Enough for most messages; it is cleared for each read.
 const READ_CHUNK_BYTES: usize = 4 * 1_024;
--- a/crates/foxtide-entry/src/lib.rs
+++ b/crates/foxtide-entry/src/lib.rs
@@ -50,10 +50,37 @@
 mod upstream;
 mod workers;
 
-pub use clock::{Clock, SystemClock};
-pub use entry::{Entry, Listeners};
-pub use errors::{Error, Result, Step};
-pub use options::{DrainOptions, EntryOptions, Limits, PollOptions, PoolOptions};
-pub use parts::{Admin, AdminPage, Directory, Parts, ServingInstance};
-pub use traffic::{SentCount, TrafficOptions, TrafficTables, UpstreamState};
+pub use clock::{
+    Clock,
+    SystemClock, //
+};
+pub use entry::{
+    Entry,
+    Listeners, //
+};
+pub use errors::{
+    Error,
+    Result,
+    Step, //
+};
+pub use options::{
+    DrainOptions,
+    EntryOptions,
+    Limits,
+    PollOptions,
+    PoolOptions, //
+};
+pub use parts::{
+    Admin,
+    AdminPage,
+    Directory,
+    Parts,
+    ServingInstance, //
+};
+pub use traffic::{
+    SentCount,
+    TrafficOptions,
+    TrafficTables,
+    UpstreamState, //
+};
 pub use workers::Workers;
--- a/crates/foxtide-entry/src/lookup.rs
+++ b/crates/foxtide-entry/src/lookup.rs
@@ -1,18 +1,43 @@
 //! Look-ups: which instances a caller is to use.
 
-use crate::answer::{Answer, Refusal};
+use crate::answer::{
+    Answer,
+    Refusal, //
+};
 use crate::clock::Clock;
 use crate::options::EntryOptions;
-use crate::parts::{Directory, Parts, ServingInstance};
+use crate::parts::{
+    Directory,
+    Parts,
+    ServingInstance, //
+};
 use foxtide_core::events::RequestId;
-use foxtide_core::explain::{Decision, DecisionKind, Rule};
-use foxtide_core::ids::{OrganisationId, RegionId, ServiceId};
-use foxtide_core::organisation::{Drain, DrainTarget, Organisation};
+use foxtide_core::explain::{
+    Decision,
+    DecisionKind,
+    Rule, //
+};
+use foxtide_core::ids::{
+    OrganisationId,
+    RegionId,
+    ServiceId, //
+};
+use foxtide_core::organisation::{
+    Drain,
+    DrainTarget,
+    Organisation, //
+};
 use foxtide_core::time::WallTime;
 use foxtide_core::units::Revision;
-use http_types::{StatusCode, Url};
+use http_types::{
+    StatusCode,
+    Url, //
+};
 use serde::Serialize;
-use std::net::{IpAddr, SocketAddr};
+use std::net::{
+    IpAddr,
+    SocketAddr, //
+};
 
 /// What a caller asks for.
 #[derive(Debug)]
--- a/crates/foxtide-entry/src/options.rs
+++ b/crates/foxtide-entry/src/options.rs
@@ -3,7 +3,10 @@
 use foxtide_core::idempotency::TableOptions;
 use foxtide_core::ids::OrganisationId;
 use foxtide_core::units::ByteSize;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{
+    Ipv4Addr,
+    SocketAddr, //
+};
 use std::time::Duration;
 
 /// The settings of an [`Entry`](crate::Entry).
--- a/crates/foxtide-entry/src/parts.rs
+++ b/crates/foxtide-entry/src/parts.rs
@@ -6,10 +6,21 @@
 use crate::clock::Clock;
 use crate::traffic::TrafficTables;
 use foxtide_core::idempotency::OwnerId;
-use foxtide_core::ids::{AvailabilityZoneId, InstanceId, OrganisationId, RegionId};
-use foxtide_events::{Explainer, Recorder};
+use foxtide_core::ids::{
+    AvailabilityZoneId,
+    InstanceId,
+    OrganisationId,
+    RegionId, //
+};
+use foxtide_events::{
+    Explainer,
+    Recorder, //
+};
 use serde::Serialize;
-use std::net::{IpAddr, SocketAddr};
+use std::net::{
+    IpAddr,
+    SocketAddr, //
+};
 use std::sync::Arc;
 
 /// The parts that an [`Entry`](crate::Entry) works with.
--- a/crates/foxtide-entry/src/proxy/attempt.rs
+++ b/crates/foxtide-entry/src/proxy/attempt.rs
@@ -3,8 +3,15 @@
 use crate::answer::Answer;
 use crate::errors::Step;
 use crate::http::name;
-use crate::upstream::{Failure, FailureKind, says_draining};
-use foxtide_core::choice::{Completion, CompletionKind};
+use crate::upstream::{
+    Failure,
+    FailureKind,
+    says_draining, //
+};
+use foxtide_core::choice::{
+    Completion,
+    CompletionKind, //
+};
 use foxtide_core::explain;
 use foxtide_core::outcome::Outcome;
 use foxtide_core::retry::AttemptResult;
--- a/crates/foxtide-entry/src/proxy/hedged.rs
+++ b/crates/foxtide-entry/src/proxy/hedged.rs
@@ -2,19 +2,36 @@
 
 use super::attempt::AttemptEnd;
 use super::place::Admitted;
-use super::run::{Destination, Ended, Proxy, Run};
+use super::run::{
+    Destination,
+    Ended,
+    Proxy,
+    Run, //
+};
 use crate::answer::Answer;
 use crate::clock::Clock;
 use crate::parts::Parts;
 use crate::time_limit::within;
-use crate::traffic::{Choice, Place};
+use crate::traffic::{
+    Choice,
+    Place, //
+};
 use crate::upstream::Failure;
-use foxtide_core::explain::{AttemptResult, Rule};
+use foxtide_core::explain::{
+    AttemptResult,
+    Rule, //
+};
 use foxtide_core::ids::RegionId;
-use foxtide_core::retry::{AttemptId, Step};
+use foxtide_core::retry::{
+    AttemptId,
+    Step, //
+};
 use foxtide_core::steering::Admission;
 use foxtide_core::time::MonotonicTime;
-use futures_util::future::{Either, select};
+use futures_util::future::{
+    Either,
+    select, //
+};
 use std::future::Future;
 use std::pin::pin;
 use std::time::Duration;
--- a/crates/foxtide-entry/src/proxy/journal.rs
+++ b/crates/foxtide-entry/src/proxy/journal.rs
@@ -4,14 +4,27 @@
 use super::keys::Settled;
 use super::place::Admitted;
 use super::run::Proxy;
-use crate::answer::{Answer, Refusal};
+use crate::answer::{
+    Answer,
+    Refusal, //
+};
 use crate::clock::Clock;
 use crate::errors::Step;
 use crate::facts::Facts;
 use crate::parts::Parts;
-use crate::upstream::{Failure, FailureKind};
-use foxtide_core::events::{EventCode, EventFields};
-use foxtide_core::explain::{Decision, DecisionKind, Rule};
+use crate::upstream::{
+    Failure,
+    FailureKind, //
+};
+use foxtide_core::events::{
+    EventCode,
+    EventFields, //
+};
+use foxtide_core::explain::{
+    Decision,
+    DecisionKind,
+    Rule, //
+};
 use foxtide_core::organisation::Upstream;
 use foxtide_core::outcome::Outcome;
 
--- a/crates/foxtide-entry/src/proxy/keyed.rs
+++ b/crates/foxtide-entry/src/proxy/keyed.rs
@@ -3,13 +3,25 @@
 use super::keys::HeldClaim;
 use super::prepare::Prepared;
 use super::run::Proxy;
-use crate::answer::{Answer, Refusal};
+use crate::answer::{
+    Answer,
+    Refusal, //
+};
 use crate::facts::Facts;
 use crate::parts::Parts;
 use crate::serve::ServeState;
-use smol::{Executor, Task};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Weak};
+use smol::{
+    Executor,
+    Task, //
+};
+use std::sync::atomic::{
+    AtomicBool,
+    Ordering, //
+};
+use std::sync::{
+    Arc,
+    Weak, //
+};
 
 /// A run in a task of its own.
 ///
--- a/crates/foxtide-entry/src/proxy/keys.rs
+++ b/crates/foxtide-entry/src/proxy/keys.rs
@@ -2,16 +2,33 @@
 //!
 //! Locks: one, around the table, never held while a task waits.
 
-use crate::answer::{Answer, AnswerBody, Refusal};
+use crate::answer::{
+    Answer,
+    AnswerBody,
+    Refusal, //
+};
 use crate::clock::Clock;
 use crate::facts::Target;
 use crate::http::name;
-use crate::parts::{Directory, Parts};
+use crate::parts::{
+    Directory,
+    Parts, //
+};
 use crate::serve::Received;
-use foxtide_core::events::{EventCode, RequestId};
+use foxtide_core::events::{
+    EventCode,
+    RequestId, //
+};
 use foxtide_core::explain::Rule;
 use foxtide_core::idempotency::{
-    Begin, Claim, Fingerprint, IdempotencyKey, KeptAnswer, KeyError, RefusalReason, Table,
+    Begin,
+    Claim,
+    Fingerprint,
+    IdempotencyKey,
+    KeptAnswer,
+    KeyError,
+    RefusalReason,
+    Table, //
 };
 use foxtide_core::outcome::Outcome;
 use foxtide_core::time::WallTime;
@@ -21,7 +38,10 @@
 use parking_lot::Mutex;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{
+    AtomicBool,
+    Ordering, //
+};
 use std::time::Duration;
 
 /// About what the headers of a kept answer take.
--- a/crates/foxtide-entry/src/proxy/place.rs
+++ b/crates/foxtide-entry/src/proxy/place.rs
@@ -6,10 +6,20 @@
 use crate::clock::Clock;
 use crate::facts::Facts;
 use crate::parts::Parts;
-use crate::traffic::{Choice, Place, RegionTraffic};
+use crate::traffic::{
+    Choice,
+    Place,
+    RegionTraffic, //
+};
 use foxtide_core::explain::Rule;
-use foxtide_core::ids::{RegionId, UpstreamId};
-use foxtide_core::steering::{Admission, RefusalReason};
+use foxtide_core::ids::{
+    RegionId,
+    UpstreamId, //
+};
+use foxtide_core::steering::{
+    Admission,
+    RefusalReason, //
+};
 use foxtide_core::time::MonotonicTime;
 use http_types::StatusCode;
 use smol::Timer;
--- a/crates/foxtide-entry/src/proxy/prepare.rs
+++ b/crates/foxtide-entry/src/proxy/prepare.rs
@@ -5,7 +5,10 @@
 use crate::serve::Received;
 use async_h1::client::Encoder;
 use foxtide_core::events::RequestId;
-use http_types::{Body, Request};
+use http_types::{
+    Body,
+    Request, //
+};
 use smol::io::AsyncReadExt;
 use std::io;
 use std::time::Duration;
--- a/crates/foxtide-entry/src/proxy/run.rs
+++ b/crates/foxtide-entry/src/proxy/run.rs
@@ -1,28 +1,67 @@
 //! Runs a request over its attempts.
 
 use super::attempt::AttemptEnd;
-use super::keys::{HeldClaim, KeyTable, KeyedRequest, Settled, begin};
-use super::place::{Admitted, Unplaced};
+use super::keys::{
+    HeldClaim,
+    KeyTable,
+    KeyedRequest,
+    Settled,
+    begin, //
+};
+use super::place::{
+    Admitted,
+    Unplaced, //
+};
 use super::prepare::Prepared;
-use crate::answer::{Answer, AnswerBody, Refusal};
+use crate::answer::{
+    Answer,
+    AnswerBody,
+    Refusal, //
+};
 use crate::bounded::Bounded;
 use crate::clock::Clock;
-use crate::facts::{Facts, Target};
+use crate::facts::{
+    Facts,
+    Target, //
+};
 use crate::http::name;
 use crate::options::EntryOptions;
 use crate::parts::Parts;
-use crate::serve::{Received, ServeState};
+use crate::serve::{
+    Received,
+    ServeState, //
+};
 use crate::traffic::Place;
-use crate::upstream::{Failure, Freshness, Naming, Pools, UpstreamRequest, exchange};
+use crate::upstream::{
+    Failure,
+    Freshness,
+    Naming,
+    Pools,
+    UpstreamRequest,
+    exchange, //
+};
 use foxtide_core::events::RequestId;
 use foxtide_core::explain::Decision;
 use foxtide_core::ids::UpstreamId;
 use foxtide_core::outcome::Outcome;
-use foxtide_core::retry::{AttemptId, AttemptResult, Attempts, GiveUp, GiveUpReason, Step};
+use foxtide_core::retry::{
+    AttemptId,
+    AttemptResult,
+    Attempts,
+    GiveUp,
+    GiveUpReason,
+    Step, //
+};
 use http_types::StatusCode;
-use smol::{Executor, Timer};
+use smol::{
+    Executor,
+    Timer, //
+};
 use std::net::SocketAddr;
-use std::sync::{Arc, Weak};
+use std::sync::{
+    Arc,
+    Weak, //
+};
 use std::time::Duration;
 
 /// Sends requests to upstreams.
--- a/crates/foxtide-entry/src/request_id.rs
+++ b/crates/foxtide-entry/src/request_id.rs
@@ -3,7 +3,10 @@
 use crate::http::name;
 use foxtide_core::events::RequestId;
 use http_types::headers::Headers;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{
+    SystemTime,
+    UNIX_EPOCH, //
+};
 use uuid::Builder;
 
 /// The random part of a UUID of version 7 (RFC 9562, section 5.7).
--- a/crates/foxtide-entry/src/route.rs
+++ b/crates/foxtide-entry/src/route.rs
@@ -1,6 +1,9 @@
 //! Which request a target names.
 
-use foxtide_core::ids::{OrganisationId, ServiceId};
+use foxtide_core::ids::{
+    OrganisationId,
+    ServiceId, //
+};
 
 /// The path of look-ups.
 pub(crate) const LOOKUP_PATH: &str = "/v1/lookup";
--- a/crates/foxtide-entry/src/serve/connection.rs
+++ b/crates/foxtide-entry/src/serve/connection.rs
@@ -1,9 +1,19 @@
 //! The life of one connection: request after request, answer after answer.
 
-use super::request::{NoRequest, Received, receive};
+use super::request::{
+    NoRequest,
+    Received,
+    receive, //
+};
 use super::state::ServeState;
-use crate::answer::{Answer, Refusal};
-use crate::http::{BufferedStream, Quiet};
+use crate::answer::{
+    Answer,
+    Refusal, //
+};
+use crate::http::{
+    BufferedStream,
+    Quiet, //
+};
 use crate::options::Limits;
 use crate::time_limit::within;
 use crate::upstream::LongBody;
--- a/crates/foxtide-entry/src/serve/listener.rs
+++ b/crates/foxtide-entry/src/serve/listener.rs
@@ -1,15 +1,30 @@
 //! Accepts connections and keeps on when the system is short of something.
 
-use super::connection::{Handler, Wire, serve_connection};
+use super::connection::{
+    Handler,
+    Wire,
+    serve_connection, //
+};
 use super::state::ServeState;
-use crate::errors::{Error, Result, Step};
+use crate::errors::{
+    Error,
+    Result,
+    Step, //
+};
 use crate::http::BufferedStream;
 use crate::options::Limits;
 use futures_util::FutureExt;
 use smol::future::or;
-use smol::{Async, Executor, Timer};
+use smol::{
+    Async,
+    Executor,
+    Timer, //
+};
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{
+    SocketAddr,
+    TcpListener, //
+};
 use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/foxtide-entry/src/serve/mod.rs
+++ b/crates/foxtide-entry/src/serve/mod.rs
@@ -6,6 +6,9 @@
 mod state;
 
 pub(crate) use connection::Handler;
-pub(crate) use listener::{bind, serve_listener};
+pub(crate) use listener::{
+    bind,
+    serve_listener, //
+};
 pub(crate) use request::Received;
 pub(crate) use state::ServeState;
--- a/crates/foxtide-entry/src/serve/request.rs
+++ b/crates/foxtide-entry/src/serve/request.rs
@@ -4,10 +4,22 @@
 use crate::answer::Refusal;
 use crate::bounded::Entered;
 use crate::http::{
-    BodyLength, BufferedStream, HeadError, MessageError, RequestHead, read_body, read_head,
+    BodyLength,
+    BufferedStream,
+    HeadError,
+    MessageError,
+    RequestHead,
+    read_body,
+    read_head, //
+};
+use crate::options::{
+    Limits,
+    size, //
+};
+use crate::time_limit::{
+    Elapsed,
+    within, //
 };
-use crate::options::{Limits, size};
-use crate::time_limit::{Elapsed, within};
 use http_types::StatusCode;
 use std::net::SocketAddr;
 
--- a/crates/foxtide-entry/src/serve/state.rs
+++ b/crates/foxtide-entry/src/serve/state.rs
@@ -1,11 +1,25 @@
 //! What all connections of a listener share: how many there are, and whether
 //! the instance leaves.
 
-use crate::bounded::{Bounded, Entered};
-use crate::options::{Limits, size};
-use smol::channel::{Receiver, Sender, bounded};
+use crate::bounded::{
+    Bounded,
+    Entered, //
+};
+use crate::options::{
+    Limits,
+    size, //
+};
+use smol::channel::{
+    Receiver,
+    Sender,
+    bounded, //
+};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{
+    AtomicBool,
+    AtomicUsize,
+    Ordering, //
+};
 use std::time::Duration;
 
 const FINISH_POLL: Duration = Duration::from_millis(5);
--- a/crates/foxtide-entry/src/traffic/metrics.rs
+++ b/crates/foxtide-entry/src/traffic/metrics.rs
@@ -1,8 +1,16 @@
 //! What is counted of a service's requests.
 
-use foxtide_core::ids::{OrganisationId, ServiceId};
+use foxtide_core::ids::{
+    OrganisationId,
+    ServiceId, //
+};
 use foxtide_core::outcome::Outcome;
-use metrics::{Counter, Histogram, counter, histogram};
+use metrics::{
+    Counter,
+    Histogram,
+    counter,
+    histogram, //
+};
 use std::fmt;
 
 const SECONDS: &str = "foxtide_request_seconds";
--- a/crates/foxtide-entry/src/traffic/mod.rs
+++ b/crates/foxtide-entry/src/traffic/mod.rs
@@ -22,7 +22,15 @@
 pub(crate) use organisation::OrganisationTraffic;
 pub(crate) use place::Place;
 pub(crate) use poller::Poller;
-pub(crate) use region::{Choice, RegionTraffic};
+pub(crate) use region::{
+    Choice,
+    RegionTraffic, //
+};
 pub(crate) use service::ServiceTraffic;
 pub(crate) use tables::UpstreamChange;
-pub use tables::{SentCount, TrafficOptions, TrafficTables, UpstreamState};
+pub use tables::{
+    SentCount,
+    TrafficOptions,
+    TrafficTables,
+    UpstreamState, //
+};
--- a/crates/foxtide-entry/src/traffic/organisation.rs
+++ b/crates/foxtide-entry/src/traffic/organisation.rs
@@ -4,14 +4,27 @@
 use super::tables::TrafficOptions;
 use arc_swap::ArcSwap;
 use foxtide_core::choice::Sharing;
-use foxtide_core::ids::{RegionId, ServiceId};
+use foxtide_core::ids::{
+    RegionId,
+    ServiceId, //
+};
 use foxtide_core::organisation::Organisation;
-use foxtide_core::steering::{Admission, FleetView, Steering};
-use foxtide_core::time::{MonotonicTime, WallTime};
+use foxtide_core::steering::{
+    Admission,
+    FleetView,
+    Steering, //
+};
+use foxtide_core::time::{
+    MonotonicTime,
+    WallTime, //
+};
 use parking_lot::Mutex;
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{
+    AtomicBool,
+    Ordering, //
+};
 use std::time::Duration;
 
 type Services = HashMap<ServiceId, Arc<ServiceTraffic>>;
--- a/crates/foxtide-entry/src/traffic/place.rs
+++ b/crates/foxtide-entry/src/traffic/place.rs
@@ -1,11 +1,18 @@
 //! The place that an attempt holds at an upstream.
 
 use super::region::RegionTraffic;
-use foxtide_core::choice::{Completion, CompletionKind, Ticket};
+use foxtide_core::choice::{
+    Completion,
+    CompletionKind,
+    Ticket, //
+};
 use foxtide_core::organisation::Upstream;
 use foxtide_core::time::MonotonicTime;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 /// A place at an upstream, given back when it is dropped.
 ///
--- a/crates/foxtide-entry/src/traffic/poller.rs
+++ b/crates/foxtide-entry/src/traffic/poller.rs
@@ -2,7 +2,10 @@
 
 use super::region::RegionTraffic;
 use super::tables::TrafficTables;
-use crate::answer::{Answer, AnswerBody};
+use crate::answer::{
+    Answer,
+    AnswerBody, //
+};
 use crate::clock::Clock;
 use crate::errors::Step;
 use crate::http::name;
@@ -10,9 +13,19 @@
 use crate::parts::Parts;
 use crate::request_id::new_request_id;
 use crate::upstream::{
-    Failure, Freshness, Naming, Pools, UpstreamRequest, exchange, says_draining,
+    Failure,
+    Freshness,
+    Naming,
+    Pools,
+    UpstreamRequest,
+    exchange,
+    says_draining, //
+};
+use foxtide_core::choice::{
+    LoadReport,
+    Poll,
+    PollResult, //
 };
-use foxtide_core::choice::{LoadReport, Poll, PollResult};
 use foxtide_core::time::MonotonicTime;
 use http_types::Method;
 use smol::Executor;
--- a/crates/foxtide-entry/src/traffic/region.rs
+++ b/crates/foxtide-entry/src/traffic/region.rs
@@ -1,13 +1,26 @@
 //! A service's upstreams in one region.
 
-use event_listener::{Event, EventListener};
-use foxtide_core::choice::{Balancer, BalancerOptions, Completion, Pick, Sharing, Ticket};
+use event_listener::{
+    Event,
+    EventListener, //
+};
+use foxtide_core::choice::{
+    Balancer,
+    BalancerOptions,
+    Completion,
+    Pick,
+    Sharing,
+    Ticket, //
+};
 use foxtide_core::ids::UpstreamId;
 use foxtide_core::organisation::Upstream;
 use foxtide_core::time::MonotonicTime;
 use parking_lot::Mutex;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{
+    AtomicU64,
+    Ordering, //
+};
 use std::time::Duration;
 
 use super::place::Place;
--- a/crates/foxtide-entry/src/traffic/service.rs
+++ b/crates/foxtide-entry/src/traffic/service.rs
@@ -6,13 +6,32 @@
 use arc_swap::ArcSwap;
 use foxtide_core::choice::Sharing;
 use foxtide_core::explain::ViewId;
-use foxtide_core::ids::{OrganisationId, RegionId, ServiceId};
-use foxtide_core::organisation::{Contract, Organisation, Priority, Service, Upstream};
+use foxtide_core::ids::{
+    OrganisationId,
+    RegionId,
+    ServiceId, //
+};
+use foxtide_core::organisation::{
+    Contract,
+    Organisation,
+    Priority,
+    Service,
+    Upstream, //
+};
 use foxtide_core::retry::{
-    AttemptId, AttemptResult, Attempts, HedgeDelay, RequestTerms, RetryBudget, Step,
+    AttemptId,
+    AttemptResult,
+    Attempts,
+    HedgeDelay,
+    RequestTerms,
+    RetryBudget,
+    Step, //
 };
 use foxtide_core::steering::leaves_at_us;
-use foxtide_core::time::{MonotonicTime, WallTime};
+use foxtide_core::time::{
+    MonotonicTime,
+    WallTime, //
+};
 use parking_lot::Mutex;
 use std::collections::HashMap;
 use std::sync::Arc;
--- a/crates/foxtide-entry/src/traffic/tables.rs
+++ b/crates/foxtide-entry/src/traffic/tables.rs
@@ -1,14 +1,43 @@
 //! All organisations of an instance.
 
 use super::organisation::OrganisationTraffic;
-use foxtide_core::choice::{BalancerOptions, Sharing, StatusChange, UpstreamStatus};
-use foxtide_core::ids::{OrganisationId, RegionId, ServiceId};
-use foxtide_core::organisation::{Organisation, Upstream};
-use foxtide_core::retry::{RetryBudgetOptions, RetryOptions};
-use foxtide_core::steering::{FleetView, InstanceReport, Steering, SteeringOptions};
-use foxtide_core::time::{MonotonicTime, WallTime};
-use parking_lot::{Mutex, RwLock};
-use std::collections::{HashMap, HashSet};
+use foxtide_core::choice::{
+    BalancerOptions,
+    Sharing,
+    StatusChange,
+    UpstreamStatus, //
+};
+use foxtide_core::ids::{
+    OrganisationId,
+    RegionId,
+    ServiceId, //
+};
+use foxtide_core::organisation::{
+    Organisation,
+    Upstream, //
+};
+use foxtide_core::retry::{
+    RetryBudgetOptions,
+    RetryOptions, //
+};
+use foxtide_core::steering::{
+    FleetView,
+    InstanceReport,
+    Steering,
+    SteeringOptions, //
+};
+use foxtide_core::time::{
+    MonotonicTime,
+    WallTime, //
+};
+use parking_lot::{
+    Mutex,
+    RwLock, //
+};
+use std::collections::{
+    HashMap,
+    HashSet, //
+};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
--- a/crates/foxtide-entry/src/traffic/view.rs
+++ b/crates/foxtide-entry/src/traffic/view.rs
@@ -3,11 +3,24 @@
 use super::organisation::OrganisationTraffic;
 use super::service::ServiceTraffic;
 use super::tables::TrafficTables;
-use foxtide_core::choice::{Balancer, UpstreamStatus};
-use foxtide_core::explain::{Candidate, CandidateName, Exclusion, Figure, FigureKind, View};
+use foxtide_core::choice::{
+    Balancer,
+    UpstreamStatus, //
+};
+use foxtide_core::explain::{
+    Candidate,
+    CandidateName,
+    Exclusion,
+    Figure,
+    FigureKind,
+    View, //
+};
 use foxtide_core::ids::RegionId;
 use foxtide_core::organisation::Organisation;
-use foxtide_core::time::{MonotonicTime, WallTime};
+use foxtide_core::time::{
+    MonotonicTime,
+    WallTime, //
+};
 use foxtide_events::Explainer;
 
 impl TrafficTables {
--- a/crates/foxtide-entry/src/upstream/exchange.rs
+++ b/crates/foxtide-entry/src/upstream/exchange.rs
@@ -1,15 +1,34 @@
 //! One request for one answer on one connection.
 
-use super::failure::{Failure, FailureKind};
+use super::failure::{
+    Failure,
+    FailureKind, //
+};
 use super::long_body::LongBody;
-use super::pool::{Freshness, Pools};
-use crate::answer::{Answer, AnswerBody};
+use super::pool::{
+    Freshness,
+    Pools, //
+};
+use crate::answer::{
+    Answer,
+    AnswerBody, //
+};
 use crate::errors::Step;
 use crate::http::{
-    BodyLength, BodyReader, BufferedStream, MessageError, Progress, Quiet, ResponseHead, name,
-    read_head,
+    BodyLength,
+    BodyReader,
+    BufferedStream,
+    MessageError,
+    Progress,
+    Quiet,
+    ResponseHead,
+    name,
+    read_head, //
+};
+use crate::options::{
+    Limits,
+    size, //
 };
-use crate::options::{Limits, size};
 use crate::time_limit::within;
 use foxtide_core::time::MonotonicTime;
 use http_types::Method;
--- a/crates/foxtide-entry/src/upstream/mod.rs
+++ b/crates/foxtide-entry/src/upstream/mod.rs
@@ -5,7 +5,18 @@
 mod long_body;
 mod pool;
 
-pub(crate) use exchange::{Naming, UpstreamRequest, exchange, says_draining};
-pub(crate) use failure::{Failure, FailureKind};
+pub(crate) use exchange::{
+    Naming,
+    UpstreamRequest,
+    exchange,
+    says_draining, //
+};
+pub(crate) use failure::{
+    Failure,
+    FailureKind, //
+};
 pub(crate) use long_body::LongBody;
-pub(crate) use pool::{Freshness, Pools};
+pub(crate) use pool::{
+    Freshness,
+    Pools, //
+};
--- a/crates/foxtide-entry/src/upstream/pool.rs
+++ b/crates/foxtide-entry/src/upstream/pool.rs
@@ -3,14 +3,26 @@
 //! Locks: the table of pools, then one pool; never two pools at a time, and
 //! none is held while a task waits.
 
-use crate::http::{BufferedStream, Quiet};
+use crate::http::{
+    BufferedStream,
+    Quiet, //
+};
 use crate::options::PoolOptions;
 use foxtide_core::time::MonotonicTime;
-use parking_lot::{Mutex, RwLock};
-use std::collections::{HashMap, HashSet};
+use parking_lot::{
+    Mutex,
+    RwLock, //
+};
+use std::collections::{
+    HashMap,
+    HashSet, //
+};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{
+    AtomicBool,
+    Ordering, //
+};
 
 /// How long a connection may have been idle to be used again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/foxtide-entry/src/workers.rs
+++ b/crates/foxtide-entry/src/workers.rs
@@ -1,10 +1,23 @@
 //! The pool of threads that runs every task of the process.
 
-use crate::errors::{Error, Result};
-use smol::channel::{Receiver, Sender, bounded};
-use smol::{Executor, Task};
+use crate::errors::{
+    Error,
+    Result, //
+};
+use smol::channel::{
+    Receiver,
+    Sender,
+    bounded, //
+};
+use smol::{
+    Executor,
+    Task, //
+};
 use std::future::Future;
-use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::panic::{
+    AssertUnwindSafe,
+    catch_unwind, //
+};
 use std::sync::Arc;
 use std::thread::JoinHandle;
 
--- a/crates/foxtide-entry/tests/failures.rs
+++ b/crates/foxtide-entry/tests/failures.rs
@@ -4,13 +4,35 @@
 
 use foxtide_core::events::EventCode;
 use foxtide_core::units::ByteSize;
-use foxtide_entry::{EntryOptions, Limits};
-use std::io::{Read, Write};
-use std::net::{Shutdown, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use foxtide_entry::{
+    EntryOptions,
+    Limits, //
+};
+use std::io::{
+    Read,
+    Write, //
+};
+use std::net::{
+    Shutdown,
+    TcpListener,
+    TcpStream, //
+};
+use std::sync::atomic::{
+    AtomicBool,
+    Ordering, //
+};
 use std::sync::mpsc::channel;
 use std::time::Duration;
-use support::{ANY_PORT, RawUpstream, World, assert_refused, get, post, read_message, wait_until};
+use support::{
+    ANY_PORT,
+    RawUpstream,
+    World,
+    assert_refused,
+    get,
+    post,
+    read_message,
+    wait_until, //
+};
 
 const HELLO: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello";
 
--- a/crates/foxtide-entry/tests/hedging.rs
+++ b/crates/foxtide-entry/tests/hedging.rs
@@ -2,12 +2,26 @@
 
 mod support;
 
-use std::io::{Read, Write};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::io::{
+    Read,
+    Write, //
+};
+use std::sync::atomic::{
+    AtomicBool,
+    Ordering, //
+};
 use std::sync::mpsc::channel;
-use std::sync::{Arc, Mutex};
+use std::sync::{
+    Arc,
+    Mutex, //
+};
 use std::time::Duration;
-use support::{RawUpstream, World, latency_first, read_message};
+use support::{
+    RawUpstream,
+    World,
+    latency_first,
+    read_message, //
+};
 
 const HELLO: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello";
 
--- a/crates/foxtide-entry/tests/keys.rs
+++ b/crates/foxtide-entry/tests/keys.rs
@@ -5,13 +5,33 @@
 use foxtide_core::events::EventCode;
 use foxtide_core::idempotency::IdempotencyKey;
 use foxtide_core::time::WallTime;
-use foxtide_entry::{DrainOptions, EntryOptions};
+use foxtide_entry::{
+    DrainOptions,
+    EntryOptions, //
+};
 use std::io::Write;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{
+    AtomicBool,
+    Ordering, //
+};
 use std::sync::mpsc::channel;
-use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use support::{RawUpstream, World, assert_refused, get, read_message, wait_until};
+use std::sync::{
+    Arc,
+    Mutex, //
+};
+use std::time::{
+    Duration,
+    SystemTime,
+    UNIX_EPOCH, //
+};
+use support::{
+    RawUpstream,
+    World,
+    assert_refused,
+    get,
+    read_message,
+    wait_until, //
+};
 
 const DONE: &[u8] = b"HTTP/1.1 201 Created\r\ncontent-length: 6\r\n\r\nfiled!";
 
--- a/crates/foxtide-entry/tests/long_answers.rs
+++ b/crates/foxtide-entry/tests/long_answers.rs
@@ -3,9 +3,20 @@
 mod support;
 
 use foxtide_core::units::ByteSize;
-use foxtide_entry::{EntryOptions, Limits};
-use std::io::{Read, Write};
-use support::{RawUpstream, World, get, read_message};
+use foxtide_entry::{
+    EntryOptions,
+    Limits, //
+};
+use std::io::{
+    Read,
+    Write, //
+};
+use support::{
+    RawUpstream,
+    World,
+    get,
+    read_message, //
+};
 
 const BODY_BYTES: usize = 300_000;
 
--- a/crates/foxtide-entry/tests/own_answers.rs
+++ b/crates/foxtide-entry/tests/own_answers.rs
@@ -3,14 +3,28 @@
 
 mod support;
 
-use foxtide_entry::{EntryOptions, PoolOptions};
-use foxtide_testing::{AnswerFault, FaultSpan, UpstreamOptions, UpstreamServer};
+use foxtide_entry::{
+    EntryOptions,
+    PoolOptions, //
+};
+use foxtide_testing::{
+    AnswerFault,
+    FaultSpan,
+    UpstreamOptions,
+    UpstreamServer, //
+};
 use serde_json::Value;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{
+    AtomicBool,
+    Ordering, //
+};
 use std::thread::JoinHandle;
 use std::time::Duration;
-use support::{Caller, World};
+use support::{
+    Caller,
+    World, //
+};
 
 const CALLERS: usize = 8;
 const REQUESTS: usize = 60;
--- a/crates/foxtide-entry/tests/path.rs
+++ b/crates/foxtide-entry/tests/path.rs
@@ -3,14 +3,27 @@
 mod support;
 
 use foxtide_core::events::EventCode;
-use foxtide_entry::{DrainOptions, EntryOptions};
+use foxtide_entry::{
+    DrainOptions,
+    EntryOptions, //
+};
 use std::io::Write;
 use std::sync::atomic::Ordering::SeqCst;
 use std::sync::mpsc::channel;
-use std::sync::{Arc, Mutex};
+use std::sync::{
+    Arc,
+    Mutex, //
+};
 use std::time::Duration;
 use support::{
-    RawUpstream, World, assert_refused, get, post, read_message, wait_until, with_second_region,
+    RawUpstream,
+    World,
+    assert_refused,
+    get,
+    post,
+    read_message,
+    wait_until,
+    with_second_region, //
 };
 
 const HELLO: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\nx-kept: 1\r\n\r\nhello";
--- a/crates/foxtide-entry/tests/support/mod.rs
+++ b/crates/foxtide-entry/tests/support/mod.rs
@@ -2,22 +2,67 @@
 
 #![allow(dead_code)] // Each test file uses its part.
 
-use foxtide_core::events::{Event, EventCode, EventFilter};
+use foxtide_core::events::{
+    Event,
+    EventCode,
+    EventFilter, //
+};
 use foxtide_core::idempotency::OwnerId;
-use foxtide_core::ids::{InstanceId, OrganisationId, RegionId};
-use foxtide_core::organisation::{Home, Link, Organisation, Priority};
+use foxtide_core::ids::{
+    InstanceId,
+    OrganisationId,
+    RegionId, //
+};
+use foxtide_core::organisation::{
+    Home,
+    Link,
+    Organisation,
+    Priority, //
+};
 use foxtide_core::steering::SteeringOptions;
 use foxtide_core::units::Share;
 use foxtide_entry::{
-    Admin, AdminPage, Clock, Directory, Entry, EntryOptions, Parts, ServingInstance, SystemClock,
-    TrafficOptions, TrafficTables, Workers,
+    Admin,
+    AdminPage,
+    Clock,
+    Directory,
+    Entry,
+    EntryOptions,
+    Parts,
+    ServingInstance,
+    SystemClock,
+    TrafficOptions,
+    TrafficTables,
+    Workers, //
+};
+use foxtide_events::{
+    Explainer,
+    Recorder,
+    RecorderOptions, //
+};
+use std::io::{
+    Read,
+    Write, //
+};
+use std::net::{
+    IpAddr,
+    SocketAddr,
+    TcpListener,
+    TcpStream, //
+};
+use std::sync::atomic::{
+    AtomicBool,
+    AtomicUsize,
+    Ordering, //
+};
+use std::sync::{
+    Arc,
+    Mutex, //
+};
+use std::time::{
+    Duration,
+    Instant, //
 };
-use foxtide_events::{Explainer, Recorder, RecorderOptions};
-use std::io::{Read, Write};
-use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
 
 pub(crate) const ANY_PORT: SocketAddr =
     SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
--- a/crates/foxtide-events/src/explainer.rs
+++ b/crates/foxtide-events/src/explainer.rs
@@ -5,9 +5,18 @@
 
 use foxtide_core::events::EventDraft;
 use foxtide_core::explain::{
-    Decision, ExplainFilter, ExplainLog, ExplainOptions, Explanation, View, ViewId,
+    Decision,
+    ExplainFilter,
+    ExplainLog,
+    ExplainOptions,
+    Explanation,
+    View,
+    ViewId, //
+};
+use foxtide_core::ids::{
+    OrganisationId,
+    ServiceId, //
 };
-use foxtide_core::ids::{OrganisationId, ServiceId};
 use foxtide_core::time::WallTime;
 use parking_lot::Mutex;
 use std::sync::Arc;
--- a/crates/foxtide-events/src/lib.rs
+++ b/crates/foxtide-events/src/lib.rs
@@ -12,6 +12,12 @@
 mod wall;
 
 pub use explainer::Explainer;
-pub use recorder::{Recorder, RecorderOptions};
-pub use time_line::{TimeLine, TimeLineOptions};
+pub use recorder::{
+    Recorder,
+    RecorderOptions, //
+};
+pub use time_line::{
+    TimeLine,
+    TimeLineOptions, //
+};
 pub use wall::WallClock;
--- a/crates/foxtide-events/src/recorder.rs
+++ b/crates/foxtide-events/src/recorder.rs
@@ -5,8 +5,18 @@
 
 use crate::WallClock;
 use foxtide_core::events::{
-    Event, EventCode, EventDraft, EventFields, EventFilter, EventRing, EventRingOptions,
-    HybridClock, HybridTime, Level, RepeatFilter, RingEntry,
+    Event,
+    EventCode,
+    EventDraft,
+    EventFields,
+    EventFilter,
+    EventRing,
+    EventRingOptions,
+    HybridClock,
+    HybridTime,
+    Level,
+    RepeatFilter,
+    RingEntry, //
 };
 use foxtide_core::ids::InstanceId;
 use foxtide_core::time::WallTime;
--- a/crates/foxtide-events/src/time_line.rs
+++ b/crates/foxtide-events/src/time_line.rs
@@ -7,10 +7,22 @@
 use crate::Recorder;
 use foxtide_core::Result;
 use foxtide_core::events::backup::{
-    BackupHolder, BackupPeer, BackupSender, HolderOptions, Parcel, SenderOptions, choose_peers,
+    BackupHolder,
+    BackupPeer,
+    BackupSender,
+    HolderOptions,
+    Parcel,
+    SenderOptions,
+    choose_peers, //
 };
 use foxtide_core::events::{
-    Event, EventCode, EventCopies, EventCopiesAck, EventFields, EventFilter, merge,
+    Event,
+    EventCode,
+    EventCopies,
+    EventCopiesAck,
+    EventFields,
+    EventFilter,
+    merge, //
 };
 use foxtide_core::ids::InstanceId;
 use foxtide_core::time::MonotonicTime;
--- a/crates/foxtide-events/src/wall.rs
+++ b/crates/foxtide-events/src/wall.rs
@@ -2,8 +2,14 @@
 
 use foxtide_core::time::WallTime;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::sync::atomic::{
+    AtomicU64,
+    Ordering, //
+};
+use std::time::{
+    SystemTime,
+    UNIX_EPOCH, //
+};
 
 /// A source of wall time.
 #[derive(Clone, Debug, Default)]
--- a/crates/foxtide-events/tests/recorder.rs
+++ b/crates/foxtide-events/tests/recorder.rs
@@ -1,7 +1,15 @@
 //! The recorder stamps, keeps and is shared.
 
-use foxtide_core::events::{EventCode, EventFields, EventFilter};
-use foxtide_events::{Recorder, RecorderOptions, WallClock};
+use foxtide_core::events::{
+    EventCode,
+    EventFields,
+    EventFilter, //
+};
+use foxtide_events::{
+    Recorder,
+    RecorderOptions,
+    WallClock, //
+};
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 
--- a/crates/foxtide-events/tests/time_line.rs
+++ b/crates/foxtide-events/tests/time_line.rs
@@ -1,9 +1,18 @@
 //! The time line outlives an instance that is replaced.
 
 use foxtide_core::events::backup::BackupPeer;
-use foxtide_core::events::{EventCode, EventFields, EventFilter};
+use foxtide_core::events::{
+    EventCode,
+    EventFields,
+    EventFilter, //
+};
 use foxtide_core::time::MonotonicTime;
-use foxtide_events::{Recorder, RecorderOptions, TimeLine, TimeLineOptions};
+use foxtide_events::{
+    Recorder,
+    RecorderOptions,
+    TimeLine,
+    TimeLineOptions, //
+};
 
 fn place(name: &str, zone: &str, region: &str) -> BackupPeer {
     BackupPeer {
--- a/crates/foxtide-mesh/src/calls.rs
+++ b/crates/foxtide-mesh/src/calls.rs
@@ -1,9 +1,17 @@
 //! Calls from instance to instance on behalf of the program.
 
-use crate::errors::{CallError, Error};
+use crate::errors::{
+    CallError,
+    Error, //
+};
 use crate::shared::Shared;
 use crate::streams;
-use crate::wire::{CallRequest, CallResponse, request, response};
+use crate::wire::{
+    CallRequest,
+    CallResponse,
+    request,
+    response, //
+};
 use foxtide_core::ids::InstanceId;
 use smol::channel::Sender;
 use std::time::Duration;
--- a/crates/foxtide-mesh/src/datagrams.rs
+++ b/crates/foxtide-mesh/src/datagrams.rs
@@ -1,10 +1,22 @@
 //! Receiving datagrams and stepping the protocol.
 
-use crate::shared::{Shared, carry_out};
+use crate::shared::{
+    Shared,
+    carry_out, //
+};
 use crate::traffic::Rejection;
 use crate::wire::datagram::Body;
-use crate::wire::{Datagram, Unreadable, read_datagram, read_load};
-use crate::{documents, join, load};
+use crate::wire::{
+    Datagram,
+    Unreadable,
+    read_datagram,
+    read_load, //
+};
+use crate::{
+    documents,
+    join,
+    load, //
+};
 use foxtide_core::ids::InstanceId;
 use foxtide_core::membership::Packet;
 use foxtide_core::spreading::LoadMessage;
--- a/crates/foxtide-mesh/src/documents.rs
+++ b/crates/foxtide-mesh/src/documents.rs
@@ -1,11 +1,28 @@
 //! Publishing documents and fetching those that peers announce.
 
-use crate::errors::{Error, Result};
-use crate::shared::{Shared, carry_out};
+use crate::errors::{
+    Error,
+    Result, //
+};
+use crate::shared::{
+    Shared,
+    carry_out, //
+};
 use crate::streams;
-use crate::wire::{FetchRequest, read_document, request, response};
-use foxtide_core::membership::{Announcement, Rumour};
-use foxtide_core::spreading::{Document, Fetch};
+use crate::wire::{
+    FetchRequest,
+    read_document,
+    request,
+    response, //
+};
+use foxtide_core::membership::{
+    Announcement,
+    Rumour, //
+};
+use foxtide_core::spreading::{
+    Document,
+    Fetch, //
+};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
--- a/crates/foxtide-mesh/src/faults.rs
+++ b/crates/foxtide-mesh/src/faults.rs
@@ -3,11 +3,17 @@
 use parking_lot::Mutex;
 use parking_lot::RwLock;
 use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
+use rand::{
+    RngExt,
+    SeedableRng, //
+};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{
+    AtomicBool,
+    Ordering, //
+};
 
 /// The side of a partition on which an address lies.
 type Side = u32;
--- a/crates/foxtide-mesh/src/handle.rs
+++ b/crates/foxtide-mesh/src/handle.rs
@@ -1,21 +1,62 @@
 //! Starting the mesh of an instance and using it.
 
-use crate::calls::{self, IncomingCall};
-use crate::errors::{CallError, Error, Result};
-use crate::join::{self, Synchronisation};
-use crate::options::{Identity, MeshOptions};
-use crate::shared::{Shared, carry_out};
+use crate::calls::{
+    self,
+    IncomingCall, //
+};
+use crate::errors::{
+    CallError,
+    Error,
+    Result, //
+};
+use crate::join::{
+    self,
+    Synchronisation, //
+};
+use crate::options::{
+    Identity,
+    MeshOptions, //
+};
+use crate::shared::{
+    Shared,
+    carry_out, //
+};
 use crate::traffic::TrafficCounts;
-use crate::{datagrams, documents, load, streams};
-use foxtide_core::ids::{InstanceId, OrganisationId};
-use foxtide_core::membership::{Counts, Incarnation, Member, MemberState, Role};
+use crate::{
+    datagrams,
+    documents,
+    load,
+    streams, //
+};
+use foxtide_core::ids::{
+    InstanceId,
+    OrganisationId, //
+};
+use foxtide_core::membership::{
+    Counts,
+    Incarnation,
+    Member,
+    MemberState,
+    Role, //
+};
 use foxtide_core::spreading::Document;
-use foxtide_core::steering::{FleetView, InstanceReport};
+use foxtide_core::steering::{
+    FleetView,
+    InstanceReport, //
+};
 use parking_lot::Mutex;
 use smol::channel::Receiver;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::{
+    SocketAddr,
+    TcpListener,
+    UdpSocket, //
+};
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{
+    Duration,
+    SystemTime,
+    UNIX_EPOCH, //
+};
 
 /// Attempts to find a port that is free for both protocols.
 const BIND_ATTEMPTS: u32 = 16;
--- a/crates/foxtide-mesh/src/join.rs
+++ b/crates/foxtide-mesh/src/join.rs
@@ -1,12 +1,31 @@
 //! Joining the fleet, and exchanging all that is known with one peer.
 
-use crate::errors::{Error, Result};
-use crate::shared::{Shared, State, carry_out};
-use crate::wire::{Snapshot, read_member, request, response};
-use crate::{documents, load, streams};
+use crate::errors::{
+    Error,
+    Result, //
+};
+use crate::shared::{
+    Shared,
+    State,
+    carry_out, //
+};
+use crate::wire::{
+    Snapshot,
+    read_member,
+    request,
+    response, //
+};
+use crate::{
+    documents,
+    load,
+    streams, //
+};
 use foxtide_core::membership::Announcement;
 use futures_util::future::join_all;
-use rand::seq::{IteratorRandom, SliceRandom};
+use rand::seq::{
+    IteratorRandom,
+    SliceRandom, //
+};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/foxtide-mesh/src/lib.rs
+++ b/crates/foxtide-mesh/src/lib.rs
@@ -19,9 +19,22 @@
 mod wire;
 
 pub use calls::IncomingCall;
-pub use errors::{CallError, Error, Result};
+pub use errors::{
+    CallError,
+    Error,
+    Result, //
+};
 pub use faults::Faults;
-pub use handle::{Mesh, MeshHandle};
+pub use handle::{
+    Mesh,
+    MeshHandle, //
+};
 pub use join::Synchronisation;
-pub use options::{Identity, MeshOptions};
-pub use traffic::{Rejection, TrafficCounts};
+pub use options::{
+    Identity,
+    MeshOptions, //
+};
+pub use traffic::{
+    Rejection,
+    TrafficCounts, //
+};
--- a/crates/foxtide-mesh/src/load.rs
+++ b/crates/foxtide-mesh/src/load.rs
@@ -1,14 +1,27 @@
 //! Sending and receiving load records.
 
 use crate::shared::Shared;
-use crate::wire::{Datagram, Load, datagram, read_load};
+use crate::wire::{
+    Datagram,
+    Load,
+    datagram,
+    read_load, //
+};
 use foxtide_core::ids::InstanceId;
 use foxtide_core::membership::DATAGRAM_MAX_BYTES;
-use foxtide_core::spreading::{LoadMessage, LoadSend, Moment};
+use foxtide_core::spreading::{
+    LoadMessage,
+    LoadSend,
+    Moment, //
+};
 use foxtide_core::time::WallTime;
 use prost::Message as _;
 use std::net::SocketAddr;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{
+    Duration,
+    SystemTime,
+    UNIX_EPOCH, //
+};
 
 /// Returns the wall clock's time.
 pub(crate) fn wall_now() -> WallTime {
--- a/crates/foxtide-mesh/src/options.rs
+++ b/crates/foxtide-mesh/src/options.rs
@@ -2,12 +2,19 @@
 
 use crate::faults::Faults;
 use foxtide_core::idempotency::ProcessNumber;
-use foxtide_core::ids::{AvailabilityZoneId, InstanceId, RegionId};
+use foxtide_core::ids::{
+    AvailabilityZoneId,
+    InstanceId,
+    RegionId, //
+};
 use foxtide_core::membership::MembershipOptions;
 use foxtide_core::spreading::LoadOptions;
 use foxtide_events::Recorder;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 /// Who an instance is and where it stands.
 #[derive(Clone, Debug)]
--- a/crates/foxtide-mesh/src/shared.rs
+++ b/crates/foxtide-mesh/src/shared.rs
@@ -5,26 +5,75 @@
 
 use crate::calls::IncomingCall;
 use crate::documents;
-use crate::guard::{Guard, MINIMUM_VERSION, VERSION, cluster_id};
-use crate::join::{self, Synchronisation};
+use crate::guard::{
+    Guard,
+    MINIMUM_VERSION,
+    VERSION,
+    cluster_id, //
+};
+use crate::join::{
+    self,
+    Synchronisation, //
+};
 use crate::options::MeshOptions;
-use crate::traffic::{Rejection, Traffic};
-use crate::wire::{Datagram, Header, to_datagram};
-use foxtide_core::events::{EventCode, HybridTime};
+use crate::traffic::{
+    Rejection,
+    Traffic, //
+};
+use crate::wire::{
+    Datagram,
+    Header,
+    to_datagram, //
+};
+use foxtide_core::events::{
+    EventCode,
+    HybridTime, //
+};
 use foxtide_core::ids::InstanceId;
-use foxtide_core::membership::{Member, MemberState, Membership, Output};
-use foxtide_core::spreading::{ConfigurationTable, Document, FetchQueue, LoadSpreader};
-use foxtide_core::time::{MonotonicTime, WallTime};
+use foxtide_core::membership::{
+    Member,
+    MemberState,
+    Membership,
+    Output, //
+};
+use foxtide_core::spreading::{
+    ConfigurationTable,
+    Document,
+    FetchQueue,
+    LoadSpreader, //
+};
+use foxtide_core::time::{
+    MonotonicTime,
+    WallTime, //
+};
 use foxtide_events::Recorder;
 use parking_lot::Mutex;
 use prost::Message as _;
-use rand::rngs::{StdRng, SysRng};
-use rand::{SeedableRng, TryRng};
-use smol::channel::{Receiver, Sender};
-use std::collections::{BTreeSet, HashMap};
-use std::net::{SocketAddr, UdpSocket};
+use rand::rngs::{
+    StdRng,
+    SysRng, //
+};
+use rand::{
+    SeedableRng,
+    TryRng, //
+};
+use smol::channel::{
+    Receiver,
+    Sender, //
+};
+use std::collections::{
+    BTreeSet,
+    HashMap, //
+};
+use std::net::{
+    SocketAddr,
+    UdpSocket, //
+};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{
+    AtomicU64,
+    Ordering, //
+};
 
 /// What one instance knows.
 #[derive(Debug)]
--- a/crates/foxtide-mesh/src/streams.rs
+++ b/crates/foxtide-mesh/src/streams.rs
@@ -1,21 +1,48 @@
 //! Requests to peers and answers to theirs, over streams.
 
-use crate::errors::{Error, Result};
+use crate::errors::{
+    Error,
+    Result, //
+};
 use crate::shared::Shared;
 use crate::traffic::Rejection;
-use crate::wire::{Request, Response, request, response};
-use crate::{calls, documents, join};
+use crate::wire::{
+    Request,
+    Response,
+    request,
+    response, //
+};
+use crate::{
+    calls,
+    documents,
+    join, //
+};
 use bytes::Bytes;
-use futures_util::{SinkExt, StreamExt};
+use futures_util::{
+    SinkExt,
+    StreamExt, //
+};
 use prost::Message as _;
-use smol::net::{TcpListener, TcpStream};
+use smol::net::{
+    TcpListener,
+    TcpStream, //
+};
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Weak};
+use std::sync::{
+    Arc,
+    Weak, //
+};
 use std::time::Duration;
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
-use tokio_util::compat::{Compat, FuturesAsyncReadCompatExt};
+use tokio_util::codec::{
+    Framed,
+    LengthDelimitedCodec, //
+};
+use tokio_util::compat::{
+    Compat,
+    FuturesAsyncReadCompatExt, //
+};
 
 /// The largest message over a stream: a document and its surroundings.
 const FRAME_MAX_BYTES: usize = 2 * 1_024 * 1_024;
--- a/crates/foxtide-mesh/src/traffic.rs
+++ b/crates/foxtide-mesh/src/traffic.rs
@@ -1,6 +1,9 @@
 //! Counts of what one instance sends, receives and rejects.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{
+    AtomicU64,
+    Ordering, //
+};
 
 /// Bytes of IPv4 and UDP headers that each datagram costs besides its content.
 const DATAGRAM_OVERHEAD_BYTES: u64 = 28;
--- a/crates/foxtide-mesh/src/wire/convert.rs
+++ b/crates/foxtide-mesh/src/wire/convert.rs
@@ -4,10 +4,20 @@
 use super::messages::datagram::Body;
 use foxtide_core::idempotency::ProcessNumber;
 use foxtide_core::membership as core;
-use foxtide_core::membership::{Message, Packet, ProbeId, Rumour};
+use foxtide_core::membership::{
+    Message,
+    Packet,
+    ProbeId,
+    Rumour, //
+};
 use foxtide_core::spreading;
 use foxtide_core::units::Revision;
-use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
+use std::net::{
+    IpAddr,
+    Ipv4Addr,
+    Ipv6Addr,
+    SocketAddr, //
+};
 
 /// A message that cannot be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -228,7 +238,13 @@
     use super::*;
     use foxtide_core::ids::NAME_MAX_BYTES;
     use foxtide_core::membership::{
-        DATAGRAM_MAX_BYTES, Incarnation, Member, MemberState, Membership, MembershipOptions, Output,
+        DATAGRAM_MAX_BYTES,
+        Incarnation,
+        Member,
+        MemberState,
+        Membership,
+        MembershipOptions,
+        Output, //
     };
     use foxtide_core::time::MonotonicTime;
     use prost::Message as _;
--- a/crates/foxtide-mesh/src/wire/load.rs
+++ b/crates/foxtide-mesh/src/wire/load.rs
@@ -3,12 +3,31 @@
 //! Names stand once in each message; records refer to them by place.
 
 use super::convert::Unreadable;
-use foxtide_core::ids::{OrganisationId, RegionId, ServiceId};
-use foxtide_core::limits::{Claim, LimitUse};
-use foxtide_core::spreading::{LoadMessage, LoadRecord};
-use foxtide_core::steering::{RegionView, ServiceView};
-use foxtide_core::time::{MonotonicTime, WallTime};
-use foxtide_core::units::{RequestRate, Share};
+use foxtide_core::ids::{
+    OrganisationId,
+    RegionId,
+    ServiceId, //
+};
+use foxtide_core::limits::{
+    Claim,
+    LimitUse, //
+};
+use foxtide_core::spreading::{
+    LoadMessage,
+    LoadRecord, //
+};
+use foxtide_core::steering::{
+    RegionView,
+    ServiceView, //
+};
+use foxtide_core::time::{
+    MonotonicTime,
+    WallTime, //
+};
+use foxtide_core::units::{
+    RequestRate,
+    Share, //
+};
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
--- a/crates/foxtide-mesh/src/wire/mod.rs
+++ b/crates/foxtide-mesh/src/wire/mod.rs
@@ -6,9 +6,27 @@
 mod load;
 mod messages;
 
-pub(crate) use convert::{Unreadable, read_datagram, read_document, read_member, to_datagram};
-pub(crate) use load::{Load, read_load};
+pub(crate) use convert::{
+    Unreadable,
+    read_datagram,
+    read_document,
+    read_member,
+    to_datagram, //
+};
+pub(crate) use load::{
+    Load,
+    read_load, //
+};
 pub(crate) use messages::{
-    CallRequest, CallResponse, Datagram, FetchRequest, Header, Request, Response, Snapshot,
-    datagram, request, response,
+    CallRequest,
+    CallResponse,
+    Datagram,
+    FetchRequest,
+    Header,
+    Request,
+    Response,
+    Snapshot,
+    datagram,
+    request,
+    response, //
 };
--- a/crates/foxtide-mesh/tests/mesh/calls.rs
+++ b/crates/foxtide-mesh/tests/mesh/calls.rs
@@ -1,8 +1,15 @@
 //! Calls between instances, and what their errors claim.
 
-use crate::fleet::{start_fleet, state_of, wait_until};
+use crate::fleet::{
+    start_fleet,
+    state_of,
+    wait_until, //
+};
 use foxtide_core::membership::MemberState;
-use foxtide_mesh::{CallError, Faults};
+use foxtide_mesh::{
+    CallError,
+    Faults, //
+};
 use std::time::Duration;
 
 const DEADLINE: Duration = Duration::from_secs(20);
--- a/crates/foxtide-mesh/tests/mesh/fleet.rs
+++ b/crates/foxtide-mesh/tests/mesh/fleet.rs
@@ -5,9 +5,18 @@
 use foxtide_core::membership::MemberState;
 use foxtide_core::spreading::Document;
 use foxtide_core::units::Revision;
-use foxtide_mesh::{Faults, Identity, Mesh, MeshHandle, MeshOptions};
+use foxtide_mesh::{
+    Faults,
+    Identity,
+    Mesh,
+    MeshHandle,
+    MeshOptions, //
+};
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 /// Far above what any condition takes; only a fault reaches it.
 const PATIENCE: Duration = Duration::from_secs(60);
--- a/crates/foxtide-mesh/tests/mesh/load.rs
+++ b/crates/foxtide-mesh/tests/mesh/load.rs
@@ -1,12 +1,33 @@
 //! Load that every instance comes to know of all.
 
-use crate::fleet::{start_fleet, state_of, wait_until};
-use foxtide_core::ids::{OrganisationId, RegionId, ServiceId};
-use foxtide_core::limits::{Claim, LimitUse};
+use crate::fleet::{
+    start_fleet,
+    state_of,
+    wait_until, //
+};
+use foxtide_core::ids::{
+    OrganisationId,
+    RegionId,
+    ServiceId, //
+};
+use foxtide_core::limits::{
+    Claim,
+    LimitUse, //
+};
 use foxtide_core::membership::MemberState;
-use foxtide_core::steering::{InstanceReport, RegionView, ServiceReport};
-use foxtide_core::units::{RequestRate, Share};
-use foxtide_mesh::{Faults, MeshHandle};
+use foxtide_core::steering::{
+    InstanceReport,
+    RegionView,
+    ServiceReport, //
+};
+use foxtide_core::units::{
+    RequestRate,
+    Share, //
+};
+use foxtide_mesh::{
+    Faults,
+    MeshHandle, //
+};
 
 const RATE_RPS: f64 = 10.0;
 
--- a/crates/foxtide-mesh/tests/mesh/membership.rs
+++ b/crates/foxtide-mesh/tests/mesh/membership.rs
@@ -1,8 +1,21 @@
 //! Instances that join, leave, die and lose each other.
 
-use crate::fleet::{addresses, all_see, identity, start, start_fleet, state_of, wait_until};
+use crate::fleet::{
+    addresses,
+    all_see,
+    identity,
+    start,
+    start_fleet,
+    state_of,
+    wait_until, //
+};
 use foxtide_core::membership::MemberState;
-use foxtide_mesh::{Faults, Mesh, MeshOptions, Synchronisation};
+use foxtide_mesh::{
+    Faults,
+    Mesh,
+    MeshOptions,
+    Synchronisation, //
+};
 use std::net::SocketAddr;
 
 #[test]
--- a/crates/foxtide-mesh/tests/mesh/rejections.rs
+++ b/crates/foxtide-mesh/tests/mesh/rejections.rs
@@ -1,10 +1,21 @@
 //! Datagrams that are not taken in, and those of newer programs that are.
 
-use crate::fleet::{start, wait_until};
-use foxtide_mesh::{Faults, MeshHandle, TrafficCounts};
+use crate::fleet::{
+    start,
+    wait_until, //
+};
+use foxtide_mesh::{
+    Faults,
+    MeshHandle,
+    TrafficCounts, //
+};
 use prost::Message;
 use rand::rngs::StdRng;
-use rand::{Rng, RngExt, SeedableRng};
+use rand::{
+    Rng,
+    RngExt,
+    SeedableRng, //
+};
 use std::net::UdpSocket;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
--- a/crates/foxtide-mesh/tests/mesh/spreading.rs
+++ b/crates/foxtide-mesh/tests/mesh/spreading.rs
@@ -1,8 +1,18 @@
 //! Documents that reach every instance and never go back.
 
-use crate::fleet::{addresses, all_hold, document, start, start_fleet, wait_until};
+use crate::fleet::{
+    addresses,
+    all_hold,
+    document,
+    start,
+    start_fleet,
+    wait_until, //
+};
 use foxtide_core::spreading::Document;
-use foxtide_mesh::{Faults, Synchronisation};
+use foxtide_mesh::{
+    Faults,
+    Synchronisation, //
+};
 
 #[test]
 fn verify_a_document_reaches_all_once_and_in_order() {
--- a/crates/foxtide-testing/examples/scenario.rs
+++ b/crates/foxtide-testing/examples/scenario.rs
@@ -6,8 +6,14 @@
 
 use anyhow::Context as _;
 use argh::FromArgs;
-use foxtide_testing::scenario::{ScenarioOptions, ScenarioRunner};
-use std::path::{Path, PathBuf};
+use foxtide_testing::scenario::{
+    ScenarioOptions,
+    ScenarioRunner, //
+};
+use std::path::{
+    Path,
+    PathBuf, //
+};
 
 /// Runs a scenario or replays a trace.
 #[derive(FromArgs)]
--- a/crates/foxtide-testing/examples/stand_ins.rs
+++ b/crates/foxtide-testing/examples/stand_ins.rs
@@ -5,10 +5,18 @@
 
 use argh::FromArgs;
 use foxtide_testing::{
-    InstanceListOptions, InstanceListServer, ServiceTime, StoreOptions, StoreServer,
-    UpstreamOptions, UpstreamServer,
+    InstanceListOptions,
+    InstanceListServer,
+    ServiceTime,
+    StoreOptions,
+    StoreServer,
+    UpstreamOptions,
+    UpstreamServer, //
+};
+use std::net::{
+    Ipv4Addr,
+    SocketAddr, //
 };
-use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 /// Runs stand-ins for the platform on loopback.
--- a/crates/foxtide-testing/src/client.rs
+++ b/crates/foxtide-testing/src/client.rs
@@ -1,6 +1,10 @@
 //! A one-shot HTTP client for tests.
 
-use http_types::{Method, Request, Url};
+use http_types::{
+    Method,
+    Request,
+    Url, //
+};
 use smol::net::TcpStream;
 use std::net::SocketAddr;
 
--- a/crates/foxtide-testing/src/http/connection.rs
+++ b/crates/foxtide-testing/src/http/connection.rs
@@ -1,13 +1,27 @@
 //! The loop over the requests of one connection.
 
 use super::listener::Shared;
-use super::{Availability, text};
+use super::{
+    Availability,
+    text, //
+};
 use http_types::headers::CONNECTION;
-use http_types::{Method, Request, Response, StatusCode};
-use smol::io::{AsyncReadExt, AsyncWriteExt};
+use http_types::{
+    Method,
+    Request,
+    Response,
+    StatusCode, //
+};
+use smol::io::{
+    AsyncReadExt,
+    AsyncWriteExt, //
+};
 use smol::net::TcpStream;
 use std::future::Future;
-use std::net::{IpAddr, SocketAddr};
+use std::net::{
+    IpAddr,
+    SocketAddr, //
+};
 
 /// One request as a stand-in sees it.
 pub(crate) struct Call {
--- a/crates/foxtide-testing/src/http/listener.rs
+++ b/crates/foxtide-testing/src/http/listener.rs
@@ -3,17 +3,37 @@
 //! Lock order: `connections` is the only lock here and is never held across
 //! an await.
 
-use super::connection::{Endpoint, serve};
-use super::{Availability, Call};
+use super::connection::{
+    Endpoint,
+    serve, //
+};
+use super::{
+    Availability,
+    Call, //
+};
 use parking_lot::Mutex;
-use smol::channel::{Receiver, Sender, bounded, unbounded};
+use smol::channel::{
+    Receiver,
+    Sender,
+    bounded,
+    unbounded, //
+};
 use smol::future::FutureExt;
-use smol::net::{TcpListener, TcpStream};
-use smol::{Task, Timer};
+use smol::net::{
+    TcpListener,
+    TcpStream, //
+};
+use smol::{
+    Task,
+    Timer, //
+};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{
+    AtomicUsize,
+    Ordering, //
+};
 use std::time::Duration;
 
 /// How long to wait before an address that is still in use is tried again.
--- a/crates/foxtide-testing/src/http/mod.rs
+++ b/crates/foxtide-testing/src/http/mod.rs
@@ -6,10 +6,18 @@
 mod connection;
 mod listener;
 
-pub(crate) use connection::{Call, Endpoint, Reply, encode};
+pub(crate) use connection::{
+    Call,
+    Endpoint,
+    Reply,
+    encode, //
+};
 pub(crate) use listener::Server;
 
-use http_types::{Response, StatusCode};
+use http_types::{
+    Response,
+    StatusCode, //
+};
 use serde::Serialize;
 
 /// Whether a stand-in takes connections and answers.
--- a/crates/foxtide-testing/src/instance_list.rs
+++ b/crates/foxtide-testing/src/instance_list.rs
@@ -1,14 +1,38 @@
 //! The platform's list of live and leaving instances, which lags.
 
-use crate::http::{Availability, Call, Endpoint, Reply, Server, json, text};
-use foxtide_core::ids::{AvailabilityZoneId, InstanceId, RegionId};
-use http_types::{Method, StatusCode};
+use crate::http::{
+    Availability,
+    Call,
+    Endpoint,
+    Reply,
+    Server,
+    json,
+    text, //
+};
+use foxtide_core::ids::{
+    AvailabilityZoneId,
+    InstanceId,
+    RegionId, //
+};
+use http_types::{
+    Method,
+    StatusCode, //
+};
 use parking_lot::Mutex;
-use serde::{Deserialize, Serialize};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{
+    Ipv4Addr,
+    SocketAddr, //
+};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 /// How an [`InstanceListServer`] starts.
 #[derive(Clone, Debug)]
--- a/crates/foxtide-testing/src/lib.rs
+++ b/crates/foxtide-testing/src/lib.rs
@@ -17,13 +17,42 @@
 mod upstream;
 mod virtual_fleet;
 
-pub use client::{HttpAnswer, http_call};
-pub use duration::{Span, SpanError};
+pub use client::{
+    HttpAnswer,
+    http_call, //
+};
+pub use duration::{
+    Span,
+    SpanError, //
+};
 pub use http::Availability;
-pub use instance_list::{InstanceListOptions, InstanceListServer, ListedInstance, ListedState};
-pub use store::{CallKind, CallStats, StoreOptions, StoreServer};
+pub use instance_list::{
+    InstanceListOptions,
+    InstanceListServer,
+    ListedInstance,
+    ListedState, //
+};
+pub use store::{
+    CallKind,
+    CallStats,
+    StoreOptions,
+    StoreServer, //
+};
 pub use upstream::{
-    AnswerFault, ColdStart, FaultSpan, HealthReport, LoadFormat, LoadReport, RunRecord,
-    ServiceTime, UpstreamOptions, UpstreamServer, UpstreamStats,
+    AnswerFault,
+    ColdStart,
+    FaultSpan,
+    HealthReport,
+    LoadFormat,
+    LoadReport,
+    RunRecord,
+    ServiceTime,
+    UpstreamOptions,
+    UpstreamServer,
+    UpstreamStats, //
+};
+pub use virtual_fleet::{
+    VirtualFleet,
+    VirtualFleetOptions,
+    WrongBeliefs, //
 };
-pub use virtual_fleet::{VirtualFleet, VirtualFleetOptions, WrongBeliefs};
--- a/crates/foxtide-testing/src/scenario/callers.rs
+++ b/crates/foxtide-testing/src/scenario/callers.rs
@@ -1,11 +1,22 @@
 //! Callers: when they come, which instance they ask, and when they ask again.
 
-use super::event::{Delivery, Event};
+use super::event::{
+    Delivery,
+    Event, //
+};
 use super::fleet::Fleet;
 use super::instance::true_wall;
-use super::operation::{Kind, Operation, OperationNumber, Told};
+use super::operation::{
+    Kind,
+    Operation,
+    OperationNumber,
+    Told, //
+};
 use foxtide_core::idempotency::IdempotencyKey;
-use foxtide_core::ids::{RegionId, ServiceId};
+use foxtide_core::ids::{
+    RegionId,
+    ServiceId, //
+};
 use foxtide_core::time::MonotonicTime;
 use foxtide_core::units::RequestRate;
 use rand::RngExt;
--- a/crates/foxtide-testing/src/scenario/command.rs
+++ b/crates/foxtide-testing/src/scenario/command.rs
@@ -1,13 +1,25 @@
 //! The commands of the scenario language.
 
-use super::operation::{Kind, Told};
+use super::operation::{
+    Kind,
+    Told, //
+};
 use super::operators::DrainKind;
 use super::promise::Promise;
 use super::tenants::Tenant;
 use crate::duration::Span;
-use foxtide_core::ids::{InstanceId, RegionId, ServiceId, UpstreamId};
+use foxtide_core::ids::{
+    InstanceId,
+    RegionId,
+    ServiceId,
+    UpstreamId, //
+};
 use foxtide_core::organisation::Priority;
-use foxtide_core::units::{RequestRate, Share, ShareRate};
+use foxtide_core::units::{
+    RequestRate,
+    Share,
+    ShareRate, //
+};
 use std::str::FromStr;
 
 /// One command of a script.
--- a/crates/foxtide-testing/src/scenario/endings.rs
+++ b/crates/foxtide-testing/src/scenario/endings.rs
@@ -1,14 +1,26 @@
 //! How attempts and requests end.
 
-use super::event::{AttemptEnd, CopyNumber, Delivery};
+use super::event::{
+    AttemptEnd,
+    CopyNumber,
+    Delivery, //
+};
 use super::fleet::Fleet;
 use super::operation::Told;
 use super::process::KeptRun;
 use super::requests::RequestCopy;
 use super::upstream::AttemptNumber;
-use foxtide_core::choice::{Completion, CompletionKind, LoadReport};
+use foxtide_core::choice::{
+    Completion,
+    CompletionKind,
+    LoadReport, //
+};
 use foxtide_core::ids::UpstreamId;
-use foxtide_core::retry::{AttemptResult, GiveUp, Step};
+use foxtide_core::retry::{
+    AttemptResult,
+    GiveUp,
+    Step, //
+};
 
 /// A refusal that comes later than this part of the deadline was held back.
 const HELD_BACK_SHARE: f64 = 0.6;
--- a/crates/foxtide-testing/src/scenario/event.rs
+++ b/crates/foxtide-testing/src/scenario/event.rs
@@ -3,9 +3,20 @@
 use super::operation::OperationNumber;
 use super::process::Heard;
 use super::upstream::AttemptNumber;
-use foxtide_core::choice::{Poll, PollResult};
-use foxtide_core::ids::{InstanceId, RegionId, ServiceId, UpstreamId};
-use foxtide_core::membership::{Member, Packet};
+use foxtide_core::choice::{
+    Poll,
+    PollResult, //
+};
+use foxtide_core::ids::{
+    InstanceId,
+    RegionId,
+    ServiceId,
+    UpstreamId, //
+};
+use foxtide_core::membership::{
+    Member,
+    Packet, //
+};
 use foxtide_core::spreading::Document;
 use std::net::SocketAddr;
 
--- a/crates/foxtide-testing/src/scenario/exchange.rs
+++ b/crates/foxtide-testing/src/scenario/exchange.rs
@@ -1,12 +1,29 @@
 //! An attempt's way to an upstream and back.
 
-use super::event::{AttemptEnd, CopyNumber, Delivery, Event};
+use super::event::{
+    AttemptEnd,
+    CopyNumber,
+    Delivery,
+    Event, //
+};
 use super::fleet::Fleet;
 use super::operation::OperationNumber;
 use super::record::Route;
-use super::upstream::{AttemptNumber, Reception, UpstreamFault};
-use foxtide_core::choice::{LoadReport, PollResult, Ticket};
-use foxtide_core::ids::{RegionId, ServiceId, UpstreamId};
+use super::upstream::{
+    AttemptNumber,
+    Reception,
+    UpstreamFault, //
+};
+use foxtide_core::choice::{
+    LoadReport,
+    PollResult,
+    Ticket, //
+};
+use foxtide_core::ids::{
+    RegionId,
+    ServiceId,
+    UpstreamId, //
+};
 use foxtide_core::retry::AttemptId;
 use foxtide_core::time::MonotonicTime;
 use std::time::Duration;
--- a/crates/foxtide-testing/src/scenario/faults.rs
+++ b/crates/foxtide-testing/src/scenario/faults.rs
@@ -1,13 +1,26 @@
 //! What goes wrong in a scenario, and what is planned.
 
 use super::event::AttemptEnd;
-use super::event::{CopyNumber, Event};
+use super::event::{
+    CopyNumber,
+    Event, //
+};
 use super::fleet::Fleet;
-use super::instance::{Condition, true_wall};
+use super::instance::{
+    Condition,
+    true_wall, //
+};
 use super::operation::Told;
-use super::upstream::{AttemptNumber, UpstreamFault};
+use super::upstream::{
+    AttemptNumber,
+    UpstreamFault, //
+};
 use foxtide_core::choice::CompletionKind;
-use foxtide_core::ids::{RegionId, ServiceId, UpstreamId};
+use foxtide_core::ids::{
+    RegionId,
+    ServiceId,
+    UpstreamId, //
+};
 use foxtide_core::steering::leaves_at_us;
 use foxtide_core::time::MonotonicTime;
 use std::time::Duration;
--- a/crates/foxtide-testing/src/scenario/fleet.rs
+++ b/crates/foxtide-testing/src/scenario/fleet.rs
@@ -1,21 +1,48 @@
 //! The instances, upstreams and callers of a scenario on one virtual clock.
 
 use super::callers::Load;
-use super::event::{CopyNumber, Delivery, Event};
-use super::exchange::{Attempt, Passage};
-use super::instance::{Condition, ModelInstance};
+use super::event::{
+    CopyNumber,
+    Delivery,
+    Event, //
+};
+use super::exchange::{
+    Attempt,
+    Passage, //
+};
+use super::instance::{
+    Condition,
+    ModelInstance, //
+};
 use super::network::Network;
-use super::operation::{Operation, OperationNumber};
+use super::operation::{
+    Operation,
+    OperationNumber, //
+};
 use super::options::ScenarioOptions;
 use super::process::Process;
-use super::record::{Record, RowSample};
+use super::record::{
+    Record,
+    RowSample, //
+};
 use super::requests::RequestCopy;
 use super::schedule::Schedule;
-use super::setting::{Setting, instance_address};
+use super::setting::{
+    Setting,
+    instance_address, //
+};
 use super::store::ModelStore;
 use super::trace::RecordedRequest;
-use super::upstream::{AttemptNumber, ModelUpstream};
-use foxtide_core::ids::{InstanceId, RegionId, ServiceId, UpstreamId};
+use super::upstream::{
+    AttemptNumber,
+    ModelUpstream, //
+};
+use foxtide_core::ids::{
+    InstanceId,
+    RegionId,
+    ServiceId,
+    UpstreamId, //
+};
 use foxtide_core::organisation::Organisation;
 use foxtide_core::time::MonotonicTime;
 use rand::SeedableRng;
--- a/crates/foxtide-testing/src/scenario/instance.rs
+++ b/crates/foxtide-testing/src/scenario/instance.rs
@@ -2,9 +2,20 @@
 
 use super::process::Process;
 use foxtide_core::idempotency::ProcessNumber;
-use foxtide_core::ids::{AvailabilityZoneId, InstanceId, RegionId};
-use foxtide_core::membership::{Incarnation, Member, MemberState};
-use foxtide_core::time::{MonotonicTime, WallTime};
+use foxtide_core::ids::{
+    AvailabilityZoneId,
+    InstanceId,
+    RegionId, //
+};
+use foxtide_core::membership::{
+    Incarnation,
+    Member,
+    MemberState, //
+};
+use foxtide_core::time::{
+    MonotonicTime,
+    WallTime, //
+};
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/crates/foxtide-testing/src/scenario/mod.rs
+++ b/crates/foxtide-testing/src/scenario/mod.rs
@@ -37,7 +37,16 @@
 mod trouble;
 mod upstream;
 
-pub use options::{BrokenRule, ScenarioOptions};
-pub use promise::{Promise, Verdict};
-pub use runner::{ScenarioRunner, ScriptLine};
+pub use options::{
+    BrokenRule,
+    ScenarioOptions, //
+};
+pub use promise::{
+    Promise,
+    Verdict, //
+};
+pub use runner::{
+    ScenarioRunner,
+    ScriptLine, //
+};
 pub use trace::TraceError;
--- a/crates/foxtide-testing/src/scenario/network.rs
+++ b/crates/foxtide-testing/src/scenario/network.rs
@@ -1,7 +1,10 @@
 //! Delays and cuts between the regions, and the flow of measurements.
 
 use foxtide_core::ids::RegionId;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 use std::time::Duration;
 
 /// The name that stands for the store where a link is cut.
--- a/crates/foxtide-testing/src/scenario/operation.rs
+++ b/crates/foxtide-testing/src/scenario/operation.rs
@@ -1,7 +1,11 @@
 //! What callers of a scenario want, and what they were told.
 
 use foxtide_core::idempotency::IdempotencyKey;
-use foxtide_core::ids::{InstanceId, RegionId, ServiceId};
+use foxtide_core::ids::{
+    InstanceId,
+    RegionId,
+    ServiceId, //
+};
 use foxtide_core::outcome::Outcome;
 use foxtide_core::time::MonotonicTime;
 use std::fmt;
--- a/crates/foxtide-testing/src/scenario/operators.rs
+++ b/crates/foxtide-testing/src/scenario/operators.rs
@@ -5,12 +5,34 @@
 use super::instance::true_wall;
 use super::record::AcceptedRevision;
 use super::store::StoreFault;
-use foxtide_config::change::{Accepted, ChangeError, ChangeRequest, Stored, accept, load};
-use foxtide_core::ids::{AvailabilityZoneId, InstanceId, RegionId, ServiceId, UpstreamId};
-use foxtide_core::organisation::{Drain, DrainTarget, Organisation, PlannedMove};
+use foxtide_config::change::{
+    Accepted,
+    ChangeError,
+    ChangeRequest,
+    Stored,
+    accept,
+    load, //
+};
+use foxtide_core::ids::{
+    AvailabilityZoneId,
+    InstanceId,
+    RegionId,
+    ServiceId,
+    UpstreamId, //
+};
+use foxtide_core::organisation::{
+    Drain,
+    DrainTarget,
+    Organisation,
+    PlannedMove, //
+};
 use foxtide_core::steering::leaves_at_us;
 use foxtide_core::time::WallTime;
-use foxtide_core::units::{RequestRate, Share, ShareRate};
+use foxtide_core::units::{
+    RequestRate,
+    Share,
+    ShareRate, //
+};
 
 /// What an operator changes.
 #[derive(Clone, Debug)]
--- a/crates/foxtide-testing/src/scenario/process.rs
+++ b/crates/foxtide-testing/src/scenario/process.rs
@@ -3,19 +3,59 @@
 use super::operation::OperationNumber;
 use super::options::BrokenRule;
 use super::rules::distorted;
-use foxtide_core::choice::{Balancer, BalancerOptions};
-use foxtide_core::idempotency::{KeptAnswer, OwnerId, ProcessNumber, Table, TableOptions};
-use foxtide_core::ids::{AvailabilityZoneId, InstanceId, RegionId, ServiceId};
-use foxtide_core::membership::{Member, Membership, MembershipOptions};
-use foxtide_core::organisation::{Organisation, Upstream};
-use foxtide_core::retry::{HedgeDelay, RetryBudget, RetryBudgetOptions};
-use foxtide_core::spreading::{ConfigurationTable, Document};
+use foxtide_core::choice::{
+    Balancer,
+    BalancerOptions, //
+};
+use foxtide_core::idempotency::{
+    KeptAnswer,
+    OwnerId,
+    ProcessNumber,
+    Table,
+    TableOptions, //
+};
+use foxtide_core::ids::{
+    AvailabilityZoneId,
+    InstanceId,
+    RegionId,
+    ServiceId, //
+};
+use foxtide_core::membership::{
+    Member,
+    Membership,
+    MembershipOptions, //
+};
+use foxtide_core::organisation::{
+    Organisation,
+    Upstream, //
+};
+use foxtide_core::retry::{
+    HedgeDelay,
+    RetryBudget,
+    RetryBudgetOptions, //
+};
+use foxtide_core::spreading::{
+    ConfigurationTable,
+    Document, //
+};
 use foxtide_core::steering::{
-    FleetView, HeardReport, InstanceReport, Steering, SteeringOptions, ViewOptions, leaves_at_us,
+    FleetView,
+    HeardReport,
+    InstanceReport,
+    Steering,
+    SteeringOptions,
+    ViewOptions,
+    leaves_at_us, //
 };
 use foxtide_core::store::StoreIndex;
-use foxtide_core::time::{MonotonicTime, WallTime};
-use foxtide_core::units::{ByteSize, Revision};
+use foxtide_core::time::{
+    MonotonicTime,
+    WallTime, //
+};
+use foxtide_core::units::{
+    ByteSize,
+    Revision, //
+};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/foxtide-testing/src/scenario/promise.rs
+++ b/crates/foxtide-testing/src/scenario/promise.rs
@@ -2,7 +2,10 @@
 
 use super::callers::WARM_UP;
 use super::fleet::Fleet;
-use super::operation::{Kind, Operation};
+use super::operation::{
+    Kind,
+    Operation, //
+};
 use super::record::Series;
 use super::shift;
 use super::spill;
--- a/crates/foxtide-testing/src/scenario/record.rs
+++ b/crates/foxtide-testing/src/scenario/record.rs
@@ -1,6 +1,12 @@
 //! What a scenario writes down, for its promises to be checked against.
 
-use foxtide_core::ids::{InstanceId, LinkId, RegionId, ServiceId, UpstreamId};
+use foxtide_core::ids::{
+    InstanceId,
+    LinkId,
+    RegionId,
+    ServiceId,
+    UpstreamId, //
+};
 use foxtide_core::time::MonotonicTime;
 use foxtide_core::units::Revision;
 use std::collections::BTreeMap;
--- a/crates/foxtide-testing/src/scenario/requests.rs
+++ b/crates/foxtide-testing/src/scenario/requests.rs
@@ -1,16 +1,45 @@
 //! What an instance does with a request: admission, choice, attempts.
 
-use super::event::{CopyNumber, Delivery};
+use super::event::{
+    CopyNumber,
+    Delivery, //
+};
 use super::fleet::Fleet;
-use super::operation::{Kind, OperationNumber, Told};
+use super::operation::{
+    Kind,
+    OperationNumber,
+    Told, //
+};
 use super::options::BrokenRule;
 use super::upstream::AttemptNumber;
-use foxtide_core::choice::{Pick, Ticket};
-use foxtide_core::idempotency::{Begin, Claim, Fingerprint, Table, TableOptions};
-use foxtide_core::ids::{RegionId, ServiceId, UpstreamId};
+use foxtide_core::choice::{
+    Pick,
+    Ticket, //
+};
+use foxtide_core::idempotency::{
+    Begin,
+    Claim,
+    Fingerprint,
+    Table,
+    TableOptions, //
+};
+use foxtide_core::ids::{
+    RegionId,
+    ServiceId,
+    UpstreamId, //
+};
 use foxtide_core::organisation::Priority;
-use foxtide_core::retry::{Attempts, GiveUpReason, RequestTerms, RetryOptions, Step};
-use foxtide_core::steering::{Admission, RefusalReason};
+use foxtide_core::retry::{
+    Attempts,
+    GiveUpReason,
+    RequestTerms,
+    RetryOptions,
+    Step, //
+};
+use foxtide_core::steering::{
+    Admission,
+    RefusalReason, //
+};
 use foxtide_core::time::MonotonicTime;
 use rand::RngExt;
 use std::time::Duration;
--- a/crates/foxtide-testing/src/scenario/rules.rs
+++ b/crates/foxtide-testing/src/scenario/rules.rs
@@ -1,8 +1,15 @@
 //! Breaks a rule on purpose, by what the decisions get to see.
 
 use super::options::BrokenRule;
-use foxtide_core::organisation::{DrainTarget, Organisation};
-use foxtide_core::units::{RequestRate, Share, ShareRate};
+use foxtide_core::organisation::{
+    DrainTarget,
+    Organisation, //
+};
+use foxtide_core::units::{
+    RequestRate,
+    Share,
+    ShareRate, //
+};
 
 /// By how much sold rates are overstated.
 const SOLD_RATE_FACTOR: f64 = 10.0;
--- a/crates/foxtide-testing/src/scenario/runner.rs
+++ b/crates/foxtide-testing/src/scenario/runner.rs
@@ -3,17 +3,30 @@
 use super::command::Command;
 use super::fleet::Fleet;
 use super::operation::Kind;
-use super::operators::{Edit, told_not_accepted};
+use super::operators::{
+    Edit,
+    told_not_accepted, //
+};
 use super::options::ScenarioOptions;
-use super::promise::{Promise, Verdict};
-use super::setting::{ServiceTerms, Setting, UpstreamTerms};
+use super::promise::{
+    Promise,
+    Verdict, //
+};
+use super::setting::{
+    ServiceTerms,
+    Setting,
+    UpstreamTerms, //
+};
 use super::statement::Selection;
 use super::trace::RecordedCommand;
 use crate::duration::Span;
 use foxtide_config::change::Stored;
 use foxtide_core::ids::InstanceId;
 use foxtide_core::organisation::Priority;
-use foxtide_core::units::{Share, ShareRate};
+use foxtide_core::units::{
+    Share,
+    ShareRate, //
+};
 use goldenscript::Context;
 use std::collections::BTreeMap;
 use std::error::Error;
--- a/crates/foxtide-testing/src/scenario/setting.rs
+++ b/crates/foxtide-testing/src/scenario/setting.rs
@@ -1,12 +1,33 @@
 //! What a scenario starts from: regions, links, contracts and upstreams.
 
-use foxtide_core::ids::{AvailabilityZoneId, RegionId, ServiceId, UpstreamId};
+use foxtide_core::ids::{
+    AvailabilityZoneId,
+    RegionId,
+    ServiceId,
+    UpstreamId, //
+};
 use foxtide_core::organisation::{
-    Contract, Home, Link, Organisation, Priority, Region, SCHEMA_VERSION, Service, Upstream,
+    Contract,
+    Home,
+    Link,
+    Organisation,
+    Priority,
+    Region,
+    SCHEMA_VERSION,
+    Service,
+    Upstream, //
+};
+use foxtide_core::units::{
+    RequestRate,
+    Revision,
+    Share,
+    ShareRate, //
 };
-use foxtide_core::units::{RequestRate, Revision, Share, ShareRate};
 use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{
+    Ipv4Addr,
+    SocketAddr, //
+};
 use std::time::Duration;
 
 /// The connections that each upstream of a scenario takes.
--- a/crates/foxtide-testing/src/scenario/shift.rs
+++ b/crates/foxtide-testing/src/scenario/shift.rs
@@ -9,7 +9,10 @@
 use super::fleet::Fleet;
 use super::promise::Verdict;
 use super::record::RowSample;
-use foxtide_core::ids::{RegionId, ServiceId};
+use foxtide_core::ids::{
+    RegionId,
+    ServiceId, //
+};
 use foxtide_core::organisation::Service;
 use foxtide_core::time::MonotonicTime;
 use std::collections::BTreeMap;
--- a/crates/foxtide-testing/src/scenario/spill.rs
+++ b/crates/foxtide-testing/src/scenario/spill.rs
@@ -7,7 +7,10 @@
 use super::record::Route;
 use foxtide_core::ids::RegionId;
 use foxtide_core::organisation::Service;
-use foxtide_core::steering::{PlannedRows, SteeringOptions};
+use foxtide_core::steering::{
+    PlannedRows,
+    SteeringOptions, //
+};
 use foxtide_core::time::MonotonicTime;
 use std::time::Duration;
 
--- a/crates/foxtide-testing/src/scenario/spread.rs
+++ b/crates/foxtide-testing/src/scenario/spread.rs
@@ -1,11 +1,23 @@
 //! How instances learn of each other, of measurements and of documents.
 
-use super::event::{Delivery, Snapshot};
+use super::event::{
+    Delivery,
+    Snapshot, //
+};
 use super::fleet::Fleet;
 use super::instance::Condition;
-use foxtide_config::change::{ORGANISATION_PREFIX, decode};
+use foxtide_config::change::{
+    ORGANISATION_PREFIX,
+    decode, //
+};
 use foxtide_core::ids::InstanceId;
-use foxtide_core::membership::{Announcement, Output, Packet, Role, Rumour};
+use foxtide_core::membership::{
+    Announcement,
+    Output,
+    Packet,
+    Role,
+    Rumour, //
+};
 use foxtide_core::spreading::Document;
 use foxtide_core::store::Store;
 use std::net::SocketAddr;
--- a/crates/foxtide-testing/src/scenario/statement.rs
+++ b/crates/foxtide-testing/src/scenario/statement.rs
@@ -1,8 +1,16 @@
 //! Statements about what callers and upstreams of a scenario saw.
 
 use super::fleet::Fleet;
-use super::operation::{Kind, Operation, Told};
-use foxtide_core::ids::{RegionId, ServiceId, UpstreamId};
+use super::operation::{
+    Kind,
+    Operation,
+    Told, //
+};
+use foxtide_core::ids::{
+    RegionId,
+    ServiceId,
+    UpstreamId, //
+};
 use foxtide_core::time::MonotonicTime;
 use std::time::Duration;
 
--- a/crates/foxtide-testing/src/scenario/store.rs
+++ b/crates/foxtide-testing/src/scenario/store.rs
@@ -1,7 +1,13 @@
 //! The store of a scenario, which its operators and instances share.
 
 use foxtide_core::store::{
-    SessionId, Store, StoreEntry, StoreError, StoreIndex, StoreListing, StoreResult,
+    SessionId,
+    Store,
+    StoreEntry,
+    StoreError,
+    StoreIndex,
+    StoreListing,
+    StoreResult, //
 };
 use parking_lot::Mutex;
 use std::collections::BTreeMap;
--- a/crates/foxtide-testing/src/scenario/tenants.rs
+++ b/crates/foxtide-testing/src/scenario/tenants.rs
@@ -1,9 +1,18 @@
 //! The settings of the two organisations that use foxtide today.
 
-use super::setting::{ServiceTerms, Setting, SettingError, UpstreamTerms};
+use super::setting::{
+    ServiceTerms,
+    Setting,
+    SettingError,
+    UpstreamTerms, //
+};
 use foxtide_core::ids::ServiceId;
 use foxtide_core::organisation::Priority;
-use foxtide_core::units::{RequestRate, Share, ShareRate};
+use foxtide_core::units::{
+    RequestRate,
+    Share,
+    ShareRate, //
+};
 use std::str::FromStr;
 use std::time::Duration;
 
--- a/crates/foxtide-testing/src/scenario/trace.rs
+++ b/crates/foxtide-testing/src/scenario/trace.rs
@@ -4,14 +4,25 @@
 
 use super::event::Event;
 use super::fleet::Fleet;
-use super::operation::{Kind, Operation, Told};
+use super::operation::{
+    Kind,
+    Operation,
+    Told, //
+};
 use super::options::ScenarioOptions;
 use super::runner::ScenarioRunner;
 use super::setting::Setting;
-use foxtide_core::ids::{InstanceId, RegionId, ServiceId};
+use foxtide_core::ids::{
+    InstanceId,
+    RegionId,
+    ServiceId, //
+};
 use foxtide_core::organisation::Organisation;
 use foxtide_core::time::MonotonicTime;
-use serde::{Deserialize, Serialize};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -108,7 +119,12 @@
 mod text {
     //! Values that are written as their text.
 
-    use serde::{Deserialize, Deserializer, Serializer, de::Error};
+    use serde::{
+        Deserialize,
+        Deserializer,
+        Serializer,
+        de::Error, //
+    };
     use std::fmt::Display;
     use std::str::FromStr;
 
--- a/crates/foxtide-testing/src/scenario/trouble.rs
+++ b/crates/foxtide-testing/src/scenario/trouble.rs
@@ -1,8 +1,16 @@
 //! The commands that make something go wrong.
 
-use super::command::{Command, MeasurementsName, StoreName, UpstreamName};
+use super::command::{
+    Command,
+    MeasurementsName,
+    StoreName,
+    UpstreamName, //
+};
 use super::network::Measurements;
-use super::runner::{CommandResult, ScenarioRunner};
+use super::runner::{
+    CommandResult,
+    ScenarioRunner, //
+};
 use super::store::StoreFault;
 use super::upstream::UpstreamFault;
 use crate::duration::Span;
--- a/crates/foxtide-testing/src/scenario/upstream.rs
+++ b/crates/foxtide-testing/src/scenario/upstream.rs
@@ -2,7 +2,10 @@
 
 use foxtide_core::organisation::Upstream;
 use foxtide_core::time::MonotonicTime;
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{
+    BTreeSet,
+    VecDeque, //
+};
 use std::time::Duration;
 
 /// How many requests may wait for each slot before an upstream sheds.
--- a/crates/foxtide-testing/src/store/calls.rs
+++ b/crates/foxtide-testing/src/store/calls.rs
@@ -1,6 +1,9 @@
 //! Counts of the store's calls.
 
-use std::time::{Duration, Instant};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 /// What a call costs the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/foxtide-testing/src/store/endpoint.rs
+++ b/crates/foxtide-testing/src/store/endpoint.rs
@@ -3,21 +3,51 @@
 //! Lock order: `state`, `calls`, `faults`, `waiting`; no two are held at the
 //! same time, and none across an await.
 
-use super::calls::{CallCounter, CallKind};
+use super::calls::{
+    CallCounter,
+    CallKind, //
+};
 use super::server::Faults;
 use super::sessions::Session;
-use super::state::{Condition, InvalidSession, Selection, State};
-use super::wire::{EntryForm, SessionCreated, SessionForm, SessionRequest};
+use super::state::{
+    Condition,
+    InvalidSession,
+    Selection,
+    State, //
+};
+use super::wire::{
+    EntryForm,
+    SessionCreated,
+    SessionForm,
+    SessionRequest, //
+};
 use crate::duration::parse_duration;
-use crate::http::{Call, Endpoint, Reply, json, text};
+use crate::http::{
+    Call,
+    Endpoint,
+    Reply,
+    json,
+    text, //
+};
 use foxtide_core::store::VALUE_MAX_BYTES;
-use http_types::{Method, Response, StatusCode};
+use http_types::{
+    Method,
+    Response,
+    StatusCode, //
+};
 use parking_lot::Mutex;
 use smol::Timer;
-use smol::channel::{Receiver, Sender, bounded};
+use smol::channel::{
+    Receiver,
+    Sender,
+    bounded, //
+};
 use smol::future::FutureExt;
 use std::net::IpAddr;
-use std::time::{Duration, Instant};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 const KV_PATH: &str = "/v1/kv/";
 const SESSION_PATH: &str = "/v1/session/";
--- a/crates/foxtide-testing/src/store/mod.rs
+++ b/crates/foxtide-testing/src/store/mod.rs
@@ -10,5 +10,11 @@
 mod state;
 mod wire;
 
-pub use calls::{CallKind, CallStats};
-pub use server::{StoreOptions, StoreServer};
+pub use calls::{
+    CallKind,
+    CallStats, //
+};
+pub use server::{
+    StoreOptions,
+    StoreServer, //
+};
--- a/crates/foxtide-testing/src/store/server.rs
+++ b/crates/foxtide-testing/src/store/server.rs
@@ -2,16 +2,35 @@
 
 use super::calls::CallStats;
 use super::endpoint::StoreEndpoint;
-use super::state::{Condition, Selection};
-use crate::http::{Availability, Server};
+use super::state::{
+    Condition,
+    Selection, //
+};
+use crate::http::{
+    Availability,
+    Server, //
+};
 use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
-use smol::{Task, Timer};
+use rand::{
+    RngExt,
+    SeedableRng, //
+};
+use smol::{
+    Task,
+    Timer, //
+};
 use std::collections::BTreeSet;
 use std::io;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{
+    IpAddr,
+    Ipv4Addr,
+    SocketAddr, //
+};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 /// How often sessions that have lapsed are looked for.
 const LAPSE_CHECK_PERIOD: Duration = Duration::from_millis(20);
--- a/crates/foxtide-testing/src/store/sessions.rs
+++ b/crates/foxtide-testing/src/store/sessions.rs
@@ -1,7 +1,13 @@
 //! Sessions, which hold keys until they lapse.
 
-use std::collections::{BTreeMap, HashMap};
-use std::time::{Duration, Instant};
+use std::collections::{
+    BTreeMap,
+    HashMap, //
+};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 /// What becomes of a session's keys when it ends.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/foxtide-testing/src/store/state.rs
+++ b/crates/foxtide-testing/src/store/state.rs
@@ -1,6 +1,9 @@
 //! The keys of the store and the rules by which they change.
 
-use super::sessions::{OnLapse, Sessions};
+use super::sessions::{
+    OnLapse,
+    Sessions, //
+};
 use std::collections::BTreeMap;
 use std::time::Instant;
 
--- a/crates/foxtide-testing/src/store/wire.rs
+++ b/crates/foxtide-testing/src/store/wire.rs
@@ -1,12 +1,21 @@
 //! The JSON forms of the store's API.
 
-use super::sessions::{OnLapse, Session};
+use super::sessions::{
+    OnLapse,
+    Session, //
+};
 use super::state::Entry;
 use crate::duration::parse_duration;
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
-use serde::{Deserialize, Serialize};
-use std::time::{Duration, Instant};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 /// An entry as an answer shows it.
 #[derive(Serialize)]
--- a/crates/foxtide-testing/src/upstream/answer.rs
+++ b/crates/foxtide-testing/src/upstream/answer.rs
@@ -2,8 +2,18 @@
 
 use super::faults::AnswerFault;
 use super::load::LOAD_HEADER;
-use crate::http::{Call, Reply, encode, json, text};
-use http_types::{Method, Response, StatusCode};
+use crate::http::{
+    Call,
+    Reply,
+    encode,
+    json,
+    text, //
+};
+use http_types::{
+    Method,
+    Response,
+    StatusCode, //
+};
 use serde::Serialize;
 use smol::Timer;
 
--- a/crates/foxtide-testing/src/upstream/endpoint.rs
+++ b/crates/foxtide-testing/src/upstream/endpoint.rs
@@ -3,21 +3,51 @@
 //! Lock order: `behaviour`, `records`, `chance`; no two are held at the same
 //! time, and none across an await.
 
-use super::answer::{RequestIdentity, announce, early_answer, refusal, spoil};
-use super::faults::{AnswerFault, Behaviour};
-use super::load::{LoadMetrics, LoadReport};
+use super::answer::{
+    RequestIdentity,
+    announce,
+    early_answer,
+    refusal,
+    spoil, //
+};
+use super::faults::{
+    AnswerFault,
+    Behaviour, //
+};
+use super::load::{
+    LoadMetrics,
+    LoadReport, //
+};
 use super::options::UpstreamOptions;
-use super::records::{Records, RunRecord};
-use crate::http::{Call, Endpoint, Reply, json, text};
-use http_types::{Response, StatusCode};
+use super::records::{
+    Records,
+    RunRecord, //
+};
+use crate::http::{
+    Call,
+    Endpoint,
+    Reply,
+    json,
+    text, //
+};
+use http_types::{
+    Response,
+    StatusCode, //
+};
 use parking_lot::Mutex;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use smol::Timer;
 use smol::future::FutureExt;
-use smol::lock::{Semaphore, SemaphoreGuard};
+use smol::lock::{
+    Semaphore,
+    SemaphoreGuard, //
+};
 use std::net::IpAddr;
-use std::time::{Duration, Instant};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 /// The page that tells the load to those who ask.
 const LOAD_PATH: &str = "/load";
--- a/crates/foxtide-testing/src/upstream/faults.rs
+++ b/crates/foxtide-testing/src/upstream/faults.rs
@@ -1,6 +1,9 @@
 //! What is wrong with an upstream.
 
-use super::load::{HealthReport, LoadReport};
+use super::load::{
+    HealthReport,
+    LoadReport, //
+};
 use super::options::ServiceTime;
 use std::collections::BTreeMap;
 use std::net::IpAddr;
--- a/crates/foxtide-testing/src/upstream/mod.rs
+++ b/crates/foxtide-testing/src/upstream/mod.rs
@@ -12,8 +12,22 @@
 mod records;
 mod server;
 
-pub use faults::{AnswerFault, FaultSpan};
-pub use load::{HealthReport, LoadFormat, LoadReport};
-pub use options::{ColdStart, ServiceTime, UpstreamOptions};
-pub use records::{RunRecord, UpstreamStats};
+pub use faults::{
+    AnswerFault,
+    FaultSpan, //
+};
+pub use load::{
+    HealthReport,
+    LoadFormat,
+    LoadReport, //
+};
+pub use options::{
+    ColdStart,
+    ServiceTime,
+    UpstreamOptions, //
+};
+pub use records::{
+    RunRecord,
+    UpstreamStats, //
+};
 pub use server::UpstreamServer;
--- a/crates/foxtide-testing/src/upstream/options.rs
+++ b/crates/foxtide-testing/src/upstream/options.rs
@@ -3,7 +3,10 @@
 use super::load::LoadFormat;
 use rand::RngExt;
 use rand::rngs::StdRng;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{
+    Ipv4Addr,
+    SocketAddr, //
+};
 use std::time::Duration;
 
 /// How an [`UpstreamServer`](super::UpstreamServer) starts.
--- a/crates/foxtide-testing/src/upstream/records.rs
+++ b/crates/foxtide-testing/src/upstream/records.rs
@@ -2,7 +2,10 @@
 
 use std::collections::VecDeque;
 use std::net::IpAddr;
-use std::time::{Duration, Instant};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 /// The time over which the reported rate is taken.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
--- a/crates/foxtide-testing/src/upstream/server.rs
+++ b/crates/foxtide-testing/src/upstream/server.rs
@@ -1,15 +1,36 @@
 //! The upstream's handle.
 
 use super::endpoint::UpstreamEndpoint;
-use super::faults::{AnswerFault, FaultSpan};
-use super::load::{HealthReport, LoadReport};
-use super::options::{ServiceTime, UpstreamOptions};
-use super::records::{RunRecord, UpstreamStats};
-use crate::http::{Availability, Server};
+use super::faults::{
+    AnswerFault,
+    FaultSpan, //
+};
+use super::load::{
+    HealthReport,
+    LoadReport, //
+};
+use super::options::{
+    ServiceTime,
+    UpstreamOptions, //
+};
+use super::records::{
+    RunRecord,
+    UpstreamStats, //
+};
+use crate::http::{
+    Availability,
+    Server, //
+};
 use std::io;
-use std::net::{IpAddr, SocketAddr};
+use std::net::{
+    IpAddr,
+    SocketAddr, //
+};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 /// A running stand-in for one target of a service.
 ///
--- a/crates/foxtide-testing/src/virtual_fleet.rs
+++ b/crates/foxtide-testing/src/virtual_fleet.rs
@@ -4,12 +4,24 @@
 use foxtide_core::idempotency::ProcessNumber;
 use foxtide_core::ids::InstanceId;
 use foxtide_core::membership::{
-    Incarnation, Member, MemberState, Membership, MembershipOptions, Output, Packet,
+    Incarnation,
+    Member,
+    MemberState,
+    Membership,
+    MembershipOptions,
+    Output,
+    Packet, //
 };
 use foxtide_core::time::MonotonicTime;
 use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
-use std::collections::{BTreeMap, BTreeSet};
+use rand::{
+    RngExt,
+    SeedableRng, //
+};
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/crates/foxtide-testing/tests/scenarios.rs
+++ b/crates/foxtide-testing/tests/scenarios.rs
@@ -2,10 +2,18 @@
 //! rules.
 
 use foxtide_testing::scenario::{
-    BrokenRule, Promise, ScenarioOptions, ScenarioRunner, TraceError, Verdict,
+    BrokenRule,
+    Promise,
+    ScenarioOptions,
+    ScenarioRunner,
+    TraceError,
+    Verdict, //
 };
 use std::fs;
-use std::path::{Path, PathBuf};
+use std::path::{
+    Path,
+    PathBuf, //
+};
 use std::thread;
 
 fn script(name: &str) -> PathBuf {
--- a/crates/foxtide-testing/tests/store_server.rs
+++ b/crates/foxtide-testing/tests/store_server.rs
@@ -1,6 +1,13 @@
 //! The store's stand-in keeps the rules of the API that it stands in for.
 
-use foxtide_testing::{Availability, CallKind, HttpAnswer, StoreOptions, StoreServer, http_call};
+use foxtide_testing::{
+    Availability,
+    CallKind,
+    HttpAnswer,
+    StoreOptions,
+    StoreServer,
+    http_call, //
+};
 use http_types::Method;
 use serde_json::Value;
 use smol::Task;
--- a/crates/foxtide-testing/tests/upstream_server.rs
+++ b/crates/foxtide-testing/tests/upstream_server.rs
@@ -2,14 +2,30 @@
 
 use foxtide_core::ids::InstanceId;
 use foxtide_testing::{
-    AnswerFault, Availability, FaultSpan, HttpAnswer, InstanceListOptions, InstanceListServer,
-    ListedInstance, ListedState, LoadReport, ServiceTime, UpstreamOptions, UpstreamServer,
-    http_call,
+    AnswerFault,
+    Availability,
+    FaultSpan,
+    HttpAnswer,
+    InstanceListOptions,
+    InstanceListServer,
+    ListedInstance,
+    ListedState,
+    LoadReport,
+    ServiceTime,
+    UpstreamOptions,
+    UpstreamServer,
+    http_call, //
 };
 use http_types::Method;
-use smol::io::{AsyncReadExt, AsyncWriteExt};
+use smol::io::{
+    AsyncReadExt,
+    AsyncWriteExt, //
+};
 use smol::net::TcpStream;
-use std::time::{Duration, Instant};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 async fn upstream() -> UpstreamServer {
     let options = UpstreamOptions::default();
--- a/crates/foxtide/examples/demo/callers.rs
+++ b/crates/foxtide/examples/demo/callers.rs
@@ -1,18 +1,35 @@
 //! Callers: they look an instance up, keep the answer for its time to live,
 //! read often and write now and then.
 
-use crate::tally::{End, Tally};
+use crate::tally::{
+    End,
+    Tally, //
+};
 use crate::world::World;
-use foxtide_core::idempotency::{IdempotencyKey, OwnerId};
+use foxtide_core::idempotency::{
+    IdempotencyKey,
+    OwnerId, //
+};
 use foxtide_core::time::WallTime;
-use foxtide_testing::{HttpAnswer, http_call};
+use foxtide_testing::{
+    HttpAnswer,
+    http_call, //
+};
 use http_types::Method;
 use serde::Deserialize;
 use smol::Timer;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::sync::atomic::{
+    AtomicBool,
+    Ordering, //
+};
+use std::time::{
+    Duration,
+    Instant,
+    SystemTime,
+    UNIX_EPOCH, //
+};
 
 /// The time between two requests of a caller.
 const PACE: Duration = Duration::from_millis(25);
--- a/crates/foxtide/examples/demo/main.rs
+++ b/crates/foxtide/examples/demo/main.rs
@@ -10,13 +10,21 @@
 mod tally;
 mod world;
 
-use anyhow::{Result, bail};
+use anyhow::{
+    Result,
+    bail, //
+};
 use argh::FromArgs;
 use foxtide::node::NodeOptions;
 use foxtide_core::steering::SteeringOptions;
 use std::process::ExitCode;
 use std::sync::Arc;
-use world::{INSTANCES, TENANTS, Tenant, World};
+use world::{
+    INSTANCES,
+    TENANTS,
+    Tenant,
+    World, //
+};
 
 /// A factor on the shift cap that no contract allows.
 const BROKEN_CAP_FACTOR: f64 = 50.0;
--- a/crates/foxtide/examples/demo/script.rs
+++ b/crates/foxtide/examples/demo/script.rs
@@ -2,17 +2,44 @@
 
 use crate::callers::Caller;
 use crate::promises::Promise;
-use crate::tally::{End, Tally};
-use crate::world::{INSTANCES, LOOKUP_TTL_S, World};
-use anyhow::{Context, Result, anyhow};
-use foxtide_core::organisation::{Drain, DrainTarget, Organisation, PlannedMove};
+use crate::tally::{
+    End,
+    Tally, //
+};
+use crate::world::{
+    INSTANCES,
+    LOOKUP_TTL_S,
+    World, //
+};
+use anyhow::{
+    Context,
+    Result,
+    anyhow, //
+};
+use foxtide_core::organisation::{
+    Drain,
+    DrainTarget,
+    Organisation,
+    PlannedMove, //
+};
 use foxtide_core::time::WallTime;
-use foxtide_core::units::{Share, ShareRate};
+use foxtide_core::units::{
+    Share,
+    ShareRate, //
+};
 use foxtide_testing::Availability;
 use smol::Timer;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::sync::atomic::{
+    AtomicBool,
+    Ordering, //
+};
+use std::time::{
+    Duration,
+    Instant,
+    SystemTime,
+    UNIX_EPOCH, //
+};
 
 /// How many callers each tenant has in the demo.
 const CALLERS: usize = 24;
--- a/crates/foxtide/examples/demo/world.rs
+++ b/crates/foxtide/examples/demo/world.rs
@@ -1,24 +1,63 @@
 //! One tenant of the demo: its stand-ins, its instances and its operator.
 
-use anyhow::{Context, Result, anyhow};
-use foxtide::node::{Node, NodeOptions};
-use foxtide_config::change::{self, ChangeRequest};
-use foxtide_config::settings::{Limits, Listener, LookupLimits};
+use anyhow::{
+    Context,
+    Result,
+    anyhow, //
+};
+use foxtide::node::{
+    Node,
+    NodeOptions, //
+};
+use foxtide_config::change::{
+    self,
+    ChangeRequest, //
+};
+use foxtide_config::settings::{
+    Limits,
+    Listener,
+    LookupLimits, //
+};
 use foxtide_config::template::Parameters;
-use foxtide_config::{HttpStore, HttpStoreOptions, Settings, Template};
-use foxtide_core::ids::{AvailabilityZoneId, InstanceId, OrganisationId, RegionId, UpstreamId};
-use foxtide_core::organisation::{Organisation, Upstream};
+use foxtide_config::{
+    HttpStore,
+    HttpStoreOptions,
+    Settings,
+    Template, //
+};
+use foxtide_core::ids::{
+    AvailabilityZoneId,
+    InstanceId,
+    OrganisationId,
+    RegionId,
+    UpstreamId, //
+};
+use foxtide_core::organisation::{
+    Organisation,
+    Upstream, //
+};
 use foxtide_core::units::Revision;
 use foxtide_testing::{
-    ServiceTime, StoreOptions, StoreServer, UpstreamOptions, UpstreamServer, http_call,
+    ServiceTime,
+    StoreOptions,
+    StoreServer,
+    UpstreamOptions,
+    UpstreamServer,
+    http_call, //
 };
 use http_types::Method;
 use parking_lot::Mutex;
 use serde::Deserialize;
 use smol::Timer;
 use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddr};
-use std::time::{Duration, Instant};
+use std::net::{
+    Ipv4Addr,
+    SocketAddr, //
+};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 /// How many instances each tenant has today.
 pub(crate) const INSTANCES: usize = 10;
--- a/crates/foxtide/examples/measure/at_most_once.rs
+++ b/crates/foxtide/examples/measure/at_most_once.rs
@@ -8,15 +8,42 @@
 mod state;
 mod store_policy;
 
-use crate::report::{Limit, Report};
-use faults::{FaultOptions, Tally};
-use fleet::{Fleet, START};
-use foxtide_core::idempotency::{Begin, IdempotencyKey, Table, TableOptions};
+use crate::report::{
+    Limit,
+    Report, //
+};
+use faults::{
+    FaultOptions,
+    Tally, //
+};
+use fleet::{
+    Fleet,
+    START, //
+};
+use foxtide_core::idempotency::{
+    Begin,
+    IdempotencyKey,
+    Table,
+    TableOptions, //
+};
 use foxtide_core::time::WallTime;
-use policy::{Affinity, Answer, NamedOwner, Policy, fingerprint, owner};
+use policy::{
+    Affinity,
+    Answer,
+    NamedOwner,
+    Policy,
+    fingerprint,
+    owner, //
+};
 use std::fs;
-use std::time::{Duration, Instant};
-use store_policy::{LeasedRanges, RecordEach};
+use std::time::{
+    Duration,
+    Instant, //
+};
+use store_policy::{
+    LeasedRanges,
+    RecordEach, //
+};
 
 /// The store's writes a second, for everything.
 const STORE_WRITES_PER_S: f64 = 300.0;
--- a/crates/foxtide/examples/measure/at_most_once/accidents.rs
+++ b/crates/foxtide/examples/measure/at_most_once/accidents.rs
@@ -1,8 +1,15 @@
 //! Deaths and pauses of processes, and who is believed to be a member.
 
-use super::fleet::{Fleet, START};
+use super::fleet::{
+    Fleet,
+    START, //
+};
 use super::policy::Policy;
-use super::state::{Event, Instance, Request};
+use super::state::{
+    Event,
+    Instance,
+    Request, //
+};
 use rand::RngExt;
 use std::time::Duration;
 
--- a/crates/foxtide/examples/measure/at_most_once/fleet.rs
+++ b/crates/foxtide/examples/measure/at_most_once/fleet.rs
@@ -1,13 +1,33 @@
 //! A fleet in simulated time, with faults at every step of a request.
 
-use super::accidents::{MEMBERSHIP_LAG_US, TICK_US};
-use super::faults::{FaultOptions, Tally};
-use super::policy::{Decision, Policy, Told, View};
-use super::state::{Copy, Event, Instance, KeyState, Request};
+use super::accidents::{
+    MEMBERSHIP_LAG_US,
+    TICK_US, //
+};
+use super::faults::{
+    FaultOptions,
+    Tally, //
+};
+use super::policy::{
+    Decision,
+    Policy,
+    Told,
+    View, //
+};
+use super::state::{
+    Copy,
+    Event,
+    Instance,
+    KeyState,
+    Request, //
+};
 use foxtide_core::outcome::Outcome;
 use foxtide_core::time::WallTime;
 use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
+use rand::{
+    RngExt,
+    SeedableRng, //
+};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::Duration;
--- a/crates/foxtide/examples/measure/at_most_once/policy.rs
+++ b/crates/foxtide/examples/measure/at_most_once/policy.rs
@@ -1,8 +1,16 @@
 //! Ways to run a request at most once, as the simulated fleet sees them.
 
 use foxtide_core::idempotency::{
-    Begin, Claim, Fingerprint, IdempotencyKey, KeptAnswer, OwnerId, ProcessNumber, RefusalReason,
-    Table, TableOptions,
+    Begin,
+    Claim,
+    Fingerprint,
+    IdempotencyKey,
+    KeptAnswer,
+    OwnerId,
+    ProcessNumber,
+    RefusalReason,
+    Table,
+    TableOptions, //
 };
 use foxtide_core::outcome::Outcome;
 use foxtide_core::time::WallTime;
