--- a/crates/foxtide/examples/measure/at_most_once/store_policy.rs
+++ b/crates/foxtide/examples/measure/at_most_once/store_policy.rs
@@ -1,11 +1,22 @@
 //! Ways that need the store.
 
 use super::policy::{
-    Answer, Decision, KeyRandom, PlainKey, Policy, Tables, Told, View, delegate_to_tables,
+    Answer,
+    Decision,
+    KeyRandom,
+    PlainKey,
+    Policy,
+    Tables,
+    Told,
+    View,
+    delegate_to_tables, //
 };
 use foxtide_core::idempotency::Claim;
 use foxtide_core::outcome::Outcome;
-use foxtide_core::time::{CLOCK_SKEW_MAX, WallTime};
+use foxtide_core::time::{
+    CLOCK_SKEW_MAX,
+    WallTime, //
+};
 use std::collections::HashMap;
 use std::time::Duration;
 
--- a/crates/foxtide/examples/measure/blocks/data.rs
+++ b/crates/foxtide/examples/measure/blocks/data.rs
@@ -1,11 +1,27 @@
 //! Client blocks of the target's size, drawn with a fixed seed.
 
-use foxtide_core::blocks::{Block, Site, SiteIndex, SiteTable};
-use ipnet::{IpNet, Ipv4Net, Ipv6Net};
+use foxtide_core::blocks::{
+    Block,
+    Site,
+    SiteIndex,
+    SiteTable, //
+};
+use ipnet::{
+    IpNet,
+    Ipv4Net,
+    Ipv6Net, //
+};
 use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
+use rand::{
+    RngExt,
+    SeedableRng, //
+};
 use std::collections::HashMap;
-use std::net::{IpAddr, Ipv4Addr, Ipv6Addr};
+use std::net::{
+    IpAddr,
+    Ipv4Addr,
+    Ipv6Addr, //
+};
 
 /// Blocks at target size; two of three are v4.
 pub(crate) const V4_BLOCKS: usize = 640_000;
--- a/crates/foxtide/examples/measure/blocks/mod.rs
+++ b/crates/foxtide/examples/measure/blocks/mod.rs
@@ -5,17 +5,36 @@
 mod poptrie;
 mod ways;
 
-use crate::report::{Limit, Report};
+use crate::report::{
+    Limit,
+    Report, //
+};
 use arc_swap::ArcSwap;
 use data::Data;
-use foxtide_core::blocks::{Block, ClientBlocks, Delta, Manifest};
+use foxtide_core::blocks::{
+    Block,
+    ClientBlocks,
+    Delta,
+    Manifest, //
+};
 use poptrie::Poptrie;
 use std::hint::black_box;
 use std::net::IpAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{
+    AtomicBool,
+    Ordering, //
+};
 use std::time::Instant;
-use ways::{Both, EytzingerRanges, HashMaps, Linear, NO_SITE, SortedRanges, Way};
+use ways::{
+    Both,
+    EytzingerRanges,
+    HashMaps,
+    Linear,
+    NO_SITE,
+    SortedRanges,
+    Way, //
+};
 
 const CLIENTS: usize = 1_000_000;
 const LINEAR_CLIENTS: usize = 200;
--- a/crates/foxtide/examples/measure/blocks/poptrie.rs
+++ b/crates/foxtide/examples/measure/blocks/poptrie.rs
@@ -1,6 +1,10 @@
 //! A compressed trie of client blocks, measured beside the table in use.
 
-use super::ways::{Entry, NO_SITE, Way};
+use super::ways::{
+    Entry,
+    NO_SITE,
+    Way, //
+};
 use std::mem::size_of;
 
 /// A compressed trie of six bits a level (Asai and Ohara, "Poptrie", SIGCOMM
--- a/crates/foxtide/examples/measure/choice/cost.rs
+++ b/crates/foxtide/examples/measure/choice/cost.rs
@@ -2,14 +2,26 @@
 
 use super::listed;
 use super::upstream::UpstreamProfile;
-use crate::report::{Limit, Report};
+use crate::report::{
+    Limit,
+    Report, //
+};
 use foxtide_core::choice::{
-    Balancer, BalancerOptions, Completion, CompletionKind, Pick, PollResult, Rank,
+    Balancer,
+    BalancerOptions,
+    Completion,
+    CompletionKind,
+    Pick,
+    PollResult,
+    Rank, //
 };
 use foxtide_core::time::MonotonicTime;
 use std::collections::BTreeMap;
 use std::hint::black_box;
-use std::time::{Duration, Instant};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 const ROUNDS: u64 = 200_000;
 
--- a/crates/foxtide/examples/measure/choice/fleet.rs
+++ b/crates/foxtide/examples/measure/choice/fleet.rs
@@ -1,17 +1,39 @@
 //! Instances and upstreams in virtual time, driven by a heap of events.
 
-use super::scenario::{Scenario, Summary};
-use super::upstream::{FakeUpstream, Reception};
-use super::ways::{Choice, Finished, Way};
-use foxtide_core::choice::{CompletionKind, Ticket};
+use super::scenario::{
+    Scenario,
+    Summary, //
+};
+use super::upstream::{
+    FakeUpstream,
+    Reception, //
+};
+use super::ways::{
+    Choice,
+    Finished,
+    Way, //
+};
+use foxtide_core::choice::{
+    CompletionKind,
+    Ticket, //
+};
 use foxtide_core::organisation::Upstream;
 use foxtide_core::retry::{
-    AttemptId, AttemptResult, Attempts, RequestTerms, RetryBudget, RetryBudgetOptions,
-    RetryOptions, Step,
+    AttemptId,
+    AttemptResult,
+    Attempts,
+    RequestTerms,
+    RetryBudget,
+    RetryBudgetOptions,
+    RetryOptions,
+    Step, //
 };
 use foxtide_core::time::MonotonicTime;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::{
+    BinaryHeap,
+    VecDeque, //
+};
 use std::time::Duration;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/foxtide/examples/measure/choice/in_use.rs
+++ b/crates/foxtide/examples/measure/choice/in_use.rs
@@ -1,8 +1,20 @@
 //! The balancer that is in use, as one of the ways.
 
-use super::ways::{Choice, Finished, WAIT, Way};
+use super::ways::{
+    Choice,
+    Finished,
+    WAIT,
+    Way, //
+};
 use foxtide_core::choice::{
-    Balancer, BalancerOptions, Completion, LoadReport, Pick, Poll, PollResult, Rank,
+    Balancer,
+    BalancerOptions,
+    Completion,
+    LoadReport,
+    Pick,
+    Poll,
+    PollResult,
+    Rank, //
 };
 use foxtide_core::ids::UpstreamId;
 use foxtide_core::organisation::Upstream;
--- a/crates/foxtide/examples/measure/choice/mod.rs
+++ b/crates/foxtide/examples/measure/choice/mod.rs
@@ -7,16 +7,28 @@
 mod upstream;
 mod ways;
 
-use crate::report::{Limit, Report};
+use crate::report::{
+    Limit,
+    Report, //
+};
 use fleet::Fleet;
 use foxtide_core::organisation::Upstream;
 use in_use::InUse;
-use scenario::{Scenario, Summary};
+use scenario::{
+    Scenario,
+    Summary, //
+};
 use std::time::Duration;
 use upstream::UpstreamProfile;
 use ways::{
-    LeastInFlight, LeastLoadedFullView, RoundRobin, Simple, SlotCredits, Subset,
-    TwoChoicesReported, Way,
+    LeastInFlight,
+    LeastLoadedFullView,
+    RoundRobin,
+    Simple,
+    SlotCredits,
+    Subset,
+    TwoChoicesReported,
+    Way, //
 };
 
 const SEEDS: u64 = 12;
--- a/crates/foxtide/examples/measure/choice/ways.rs
+++ b/crates/foxtide/examples/measure/choice/ways.rs
@@ -1,6 +1,9 @@
 //! The ways to choose an upstream that are compared.
 
-use foxtide_core::choice::{CompletionKind, Ticket};
+use foxtide_core::choice::{
+    CompletionKind,
+    Ticket, //
+};
 use foxtide_core::organisation::Upstream;
 use foxtide_core::time::MonotonicTime;
 use std::time::Duration;
--- a/crates/foxtide/examples/measure/document.rs
+++ b/crates/foxtide/examples/measure/document.rs
@@ -1,6 +1,9 @@
 //! Size and decoding time of an organisation's document.
 
-use crate::report::{Limit, Report};
+use crate::report::{
+    Limit,
+    Report, //
+};
 use foxtide_core::organisation::Organisation;
 use foxtide_core::store::VALUE_MAX_BYTES;
 use std::time::Instant;
--- a/crates/foxtide/examples/measure/events/mod.rs
+++ b/crates/foxtide/examples/measure/events/mod.rs
@@ -3,22 +3,57 @@
 
 mod parity;
 
-use crate::report::{Limit, Report};
+use crate::report::{
+    Limit,
+    Report, //
+};
 use foxtide_core::events::backup::{
-    BackupHolder, BackupPeer, BackupSender, PARCEL_OVERHEAD_BYTES, SenderOptions, choose_peers,
+    BackupHolder,
+    BackupPeer,
+    BackupSender,
+    PARCEL_OVERHEAD_BYTES,
+    SenderOptions,
+    choose_peers, //
+};
+use foxtide_core::events::{
+    Event,
+    EventCode,
+    EventFields,
+    EventMessage,
+    EventRing,
+    HybridClock, //
 };
-use foxtide_core::events::{Event, EventCode, EventFields, EventMessage, EventRing, HybridClock};
 use foxtide_core::ids::InstanceId;
-use foxtide_core::time::{MonotonicTime, WallTime};
-use foxtide_events::{Recorder, RecorderOptions, WallClock};
-use parity::{BLOCK_BYTES, MASK_OVERHEAD_BYTES, ParityGroup};
+use foxtide_core::time::{
+    MonotonicTime,
+    WallTime, //
+};
+use foxtide_events::{
+    Recorder,
+    RecorderOptions,
+    WallClock, //
+};
+use parity::{
+    BLOCK_BYTES,
+    MASK_OVERHEAD_BYTES,
+    ParityGroup, //
+};
 use prost::Message;
 use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
+use rand::{
+    RngExt,
+    SeedableRng, //
+};
 use std::collections::HashSet;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, Instant};
+use std::sync::atomic::{
+    AtomicU64,
+    Ordering, //
+};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 const INSTANCES: usize = 600;
 const ZONES: usize = 15;
--- a/crates/foxtide/examples/measure/explain.rs
+++ b/crates/foxtide/examples/measure/explain.rs
@@ -1,13 +1,27 @@
 //! What it costs to be able to explain every look-up and request, against
 //! keeping a text for each.
 
-use crate::report::{Limit, Report};
+use crate::report::{
+    Limit,
+    Report, //
+};
 use foxtide_core::events::RequestId;
 use foxtide_core::explain::{
-    AttemptResult, Candidate, CandidateName, Decision, DecisionKind, ExplainFilter, Figure,
-    FigureKind, Rule, View,
+    AttemptResult,
+    Candidate,
+    CandidateName,
+    Decision,
+    DecisionKind,
+    ExplainFilter,
+    Figure,
+    FigureKind,
+    Rule,
+    View, //
+};
+use foxtide_core::ids::{
+    RegionId,
+    UpstreamId, //
 };
-use foxtide_core::ids::{RegionId, UpstreamId};
 use foxtide_core::time::WallTime;
 use foxtide_events::Explainer;
 use std::collections::VecDeque;
--- a/crates/foxtide/examples/measure/membership.rs
+++ b/crates/foxtide/examples/measure/membership.rs
@@ -2,11 +2,27 @@
 //! gone.
 
 use crate::fit::Line;
-use crate::mesh_fleet::{Fleet, Shape, TARGET, TODAY, organisation, wait};
-use crate::report::{Limit, Report};
-use crate::usage::{memory_bytes, processor_time};
+use crate::mesh_fleet::{
+    Fleet,
+    Shape,
+    TARGET,
+    TODAY,
+    organisation,
+    wait, //
+};
+use crate::report::{
+    Limit,
+    Report, //
+};
+use crate::usage::{
+    memory_bytes,
+    processor_time, //
+};
 use foxtide_mesh::MeshHandle;
-use std::time::{Duration, Instant};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 const SIZES: [usize; 5] = [10, 20, 40, 80, 160];
 
--- a/crates/foxtide/examples/measure/membership_virtual.rs
+++ b/crates/foxtide/examples/measure/membership_virtual.rs
@@ -1,9 +1,15 @@
 //! Membership on a virtual clock: probing within zones that delegates connect
 //! against one group of all instances, and how often live ones are suspected.
 
-use crate::report::{Limit, Report};
+use crate::report::{
+    Limit,
+    Report, //
+};
 use foxtide_core::membership::MembershipOptions;
-use foxtide_testing::{VirtualFleet, VirtualFleetOptions};
+use foxtide_testing::{
+    VirtualFleet,
+    VirtualFleetOptions, //
+};
 use std::time::Duration;
 
 const INSTANCES: usize = 150;
--- a/crates/foxtide/examples/measure/mesh_fleet.rs
+++ b/crates/foxtide/examples/measure/mesh_fleet.rs
@@ -1,14 +1,37 @@
 //! Real instances of the mesh on loopback, all in this process.
 
 use foxtide_core::idempotency::ProcessNumber;
-use foxtide_core::ids::{OrganisationId, RegionId, ServiceId};
-use foxtide_core::limits::{Claim, LimitUse};
+use foxtide_core::ids::{
+    OrganisationId,
+    RegionId,
+    ServiceId, //
+};
+use foxtide_core::limits::{
+    Claim,
+    LimitUse, //
+};
 use foxtide_core::spreading::Document;
-use foxtide_core::steering::{InstanceReport, ServiceReport};
-use foxtide_core::units::{RequestRate, Revision, Share};
-use foxtide_mesh::{Faults, Identity, Mesh, MeshHandle, MeshOptions};
+use foxtide_core::steering::{
+    InstanceReport,
+    ServiceReport, //
+};
+use foxtide_core::units::{
+    RequestRate,
+    Revision,
+    Share, //
+};
+use foxtide_mesh::{
+    Faults,
+    Identity,
+    Mesh,
+    MeshHandle,
+    MeshOptions, //
+};
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 /// Regions of the fleet at target size.
 const REGIONS: usize = 7;
--- a/crates/foxtide/examples/measure/proxy.rs
+++ b/crates/foxtide/examples/measure/proxy.rs
@@ -6,16 +6,33 @@
 mod stops;
 mod usage;
 
-use crate::report::{Limit, Report};
+use crate::report::{
+    Limit,
+    Report, //
+};
 use instance::Instance;
-use load::{Callers, FastUpstream, Run, connect};
+use load::{
+    Callers,
+    FastUpstream,
+    Run,
+    connect, //
+};
 use parking_lot::Mutex;
 use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
+use std::net::{
+    SocketAddr,
+    TcpStream, //
+};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
-use usage::{resident_bytes, workers_cpu};
+use std::time::{
+    Duration,
+    Instant, //
+};
+use usage::{
+    resident_bytes,
+    workers_cpu, //
+};
 
 const WORKERS: usize = 2;
 const CALLERS: u32 = 16;
--- a/crates/foxtide/examples/measure/proxy/instance.rs
+++ b/crates/foxtide/examples/measure/proxy/instance.rs
@@ -1,18 +1,47 @@
 //! An instance's request path alone, before upstreams in this process.
 
 use super::load::LOOKUP_TTL;
-use foxtide_core::idempotency::{OwnerId, ProcessNumber};
-use foxtide_core::ids::{InstanceId, OrganisationId, RegionId};
+use foxtide_core::idempotency::{
+    OwnerId,
+    ProcessNumber, //
+};
+use foxtide_core::ids::{
+    InstanceId,
+    OrganisationId,
+    RegionId, //
+};
 use foxtide_core::steering::SteeringOptions;
 use foxtide_entry::{
-    Admin, AdminPage, Clock, Directory, DrainOptions, Entry, EntryOptions, Parts, ServingInstance,
-    SystemClock, TrafficOptions, TrafficTables, Workers,
+    Admin,
+    AdminPage,
+    Clock,
+    Directory,
+    DrainOptions,
+    Entry,
+    EntryOptions,
+    Parts,
+    ServingInstance,
+    SystemClock,
+    TrafficOptions,
+    TrafficTables,
+    Workers, //
+};
+use foxtide_events::{
+    Explainer,
+    Recorder,
+    RecorderOptions, //
 };
-use foxtide_events::{Explainer, Recorder, RecorderOptions};
 use serde_json::json;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{
+    IpAddr,
+    Ipv4Addr,
+    SocketAddr, //
+};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{
+    AtomicU64,
+    Ordering, //
+};
 use std::time::Duration;
 
 const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
--- a/crates/foxtide/examples/measure/proxy/load.rs
+++ b/crates/foxtide/examples/measure/proxy/load.rs
@@ -2,12 +2,28 @@
 
 use hdrhistogram::Histogram;
 use parking_lot::Mutex;
-use std::io::{Read, Write};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::io::{
+    Read,
+    Write, //
+};
+use std::net::{
+    IpAddr,
+    Ipv4Addr,
+    SocketAddr,
+    TcpListener,
+    TcpStream, //
+};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{
+    AtomicBool,
+    AtomicU64,
+    Ordering, //
+};
 use std::thread::JoinHandle;
-use std::time::{Duration, Instant};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 /// All addresses of the machine, so that one upstream can stand for many.
 const ANY_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
--- a/crates/foxtide/examples/measure/proxy/stops.rs
+++ b/crates/foxtide/examples/measure/proxy/stops.rs
@@ -2,8 +2,16 @@
 //! run twice are sent all the time, and none may be cut.
 
 use super::instance::Instance;
-use super::load::{Address, Callers, FastUpstream, Run};
-use crate::report::{Limit, Report};
+use super::load::{
+    Address,
+    Callers,
+    FastUpstream,
+    Run, //
+};
+use crate::report::{
+    Limit,
+    Report, //
+};
 use parking_lot::Mutex;
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/foxtide/examples/measure/spread.rs
+++ b/crates/foxtide/examples/measure/spread.rs
@@ -1,15 +1,30 @@
 //! How fast a change of configuration is in force everywhere, under faults too,
 //! and what it costs.
 
-use crate::mesh_fleet::{Fleet, TARGET, TODAY, document, wait};
-use crate::report::{Limit, Report};
+use crate::mesh_fleet::{
+    Fleet,
+    TARGET,
+    TODAY,
+    document,
+    wait, //
+};
+use crate::report::{
+    Limit,
+    Report, //
+};
 use foxtide_core::spreading::Document;
 use foxtide_core::units::Revision;
 use foxtide_mesh::MeshHandle;
 use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
+use rand::{
+    RngExt,
+    SeedableRng, //
+};
 use smol::channel::Receiver;
-use std::time::{Duration, Instant};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 const INSTANCES: usize = 160;
 const CHANGES: usize = 100;
--- a/crates/foxtide/examples/measure/steering.rs
+++ b/crates/foxtide/examples/measure/steering.rs
@@ -19,14 +19,32 @@
 #[path = "../../../foxtide-core/tests/steering/tally.rs"]
 mod tally;
 
-use crate::report::{Limit, Report};
-use baselines::{EvenSplit, TwoChoices};
+use crate::report::{
+    Limit,
+    Report, //
+};
+use baselines::{
+    EvenSplit,
+    TwoChoices, //
+};
 use decider::Decider;
-use fixture::{OrganisationOptions, REGIONS};
+use fixture::{
+    OrganisationOptions,
+    REGIONS, //
+};
 use fleet::Fleet;
-use foxtide_core::steering::{Steering, SteeringOptions};
-use scenario::{Event, Scenario};
-use tally::{ServiceTally, Tally};
+use foxtide_core::steering::{
+    Steering,
+    SteeringOptions, //
+};
+use scenario::{
+    Event,
+    Scenario, //
+};
+use tally::{
+    ServiceTally,
+    Tally, //
+};
 
 /// How many random scenarios the product's decisions run.
 const SCENARIOS: u64 = 1_000;
--- a/crates/foxtide/examples/measure/steering/baselines.rs
+++ b/crates/foxtide/examples/measure/steering/baselines.rs
@@ -1,14 +1,31 @@
 //! Simpler ways of deciding, kept to compare with.
 
-use super::decider::{Attempt, Decider};
-use foxtide_core::ids::{RegionId, ServiceId};
+use super::decider::{
+    Attempt,
+    Decider, //
+};
+use foxtide_core::ids::{
+    RegionId,
+    ServiceId, //
+};
 use foxtide_core::limits::TokenBucket;
 use foxtide_core::organisation::Organisation;
 use foxtide_core::steering::{
-    Admission, FleetView, InstanceReport, PlannedRows, RefusalReason, SteeringOptions,
+    Admission,
+    FleetView,
+    InstanceReport,
+    PlannedRows,
+    RefusalReason,
+    SteeringOptions, //
+};
+use foxtide_core::time::{
+    MonotonicTime,
+    WallTime, //
+};
+use foxtide_core::units::{
+    RequestRate,
+    Share, //
 };
-use foxtide_core::time::{MonotonicTime, WallTime};
-use foxtide_core::units::{RequestRate, Share};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/foxtide/examples/measure/steering/costs.rs
+++ b/crates/foxtide/examples/measure/steering/costs.rs
@@ -1,13 +1,37 @@
 //! What the steering decisions cost an instance.
 
-use super::fixture::{OrganisationOptions, REGIONS, SERVICES, organisation, region};
-use crate::report::{Limit, Report};
-use foxtide_core::ids::{RegionId, ServiceId};
+use super::fixture::{
+    OrganisationOptions,
+    REGIONS,
+    SERVICES,
+    organisation,
+    region, //
+};
+use crate::report::{
+    Limit,
+    Report, //
+};
+use foxtide_core::ids::{
+    RegionId,
+    ServiceId, //
+};
 use foxtide_core::organisation::Organisation;
-use foxtide_core::steering::{FleetView, HeardReport, Steering, SteeringOptions, ViewOptions};
-use foxtide_core::time::{MonotonicTime, WallTime};
+use foxtide_core::steering::{
+    FleetView,
+    HeardReport,
+    Steering,
+    SteeringOptions,
+    ViewOptions, //
+};
+use foxtide_core::time::{
+    MonotonicTime,
+    WallTime, //
+};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 const ADMITS: u32 = 2_000_000;
 const TICKS: u32 = 2_000;
--- a/crates/foxtide/examples/measure/store.rs
+++ b/crates/foxtide/examples/measure/store.rs
@@ -2,20 +2,46 @@
 //! outage, against instances that each keep a watch and retry at a fixed
 //! period.
 
-use crate::report::{Limit, Report};
+use crate::report::{
+    Limit,
+    Report, //
+};
 use foxtide_config::change::ORGANISATION_PREFIX;
 use foxtide_config::{
-    BudgetOptions, BudgetedStore, ConfigurationWatch, Fleet, HttpStore, HttpStoreOptions,
-    StoreBudget, WatchOptions,
+    BudgetOptions,
+    BudgetedStore,
+    ConfigurationWatch,
+    Fleet,
+    HttpStore,
+    HttpStoreOptions,
+    StoreBudget,
+    WatchOptions, //
+};
+use foxtide_core::store::{
+    Store,
+    StoreIndex, //
 };
-use foxtide_core::store::{Store, StoreIndex};
 use foxtide_core::time::MonotonicTime;
-use foxtide_testing::{Availability, CallKind, StoreOptions, StoreServer};
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use foxtide_testing::{
+    Availability,
+    CallKind,
+    StoreOptions,
+    StoreServer, //
+};
+use metrics_exporter_prometheus::{
+    PrometheusBuilder,
+    PrometheusHandle, //
+};
 use smol::channel::unbounded;
-use smol::{Task, Timer};
+use smol::{
+    Task,
+    Timer, //
+};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 /// The sizes of fleets.
 const FLEETS: [u32; 3] = [10, 40, 160];
--- a/crates/foxtide/src/client_blocks.rs
+++ b/crates/foxtide/src/client_blocks.rs
@@ -7,18 +7,39 @@
 
 use crate::store::NodeStore;
 use arc_swap::ArcSwapOption;
-use foxtide_config::blocks::{RESERVED_NAME, load_table};
-use foxtide_config::{Backoff, BackoffOptions};
-use foxtide_core::blocks::{ClientBlocks, MANIFEST_KEY, Manifest, Site};
-use foxtide_core::events::{EventCode, EventFields};
+use foxtide_config::blocks::{
+    RESERVED_NAME,
+    load_table, //
+};
+use foxtide_config::{
+    Backoff,
+    BackoffOptions, //
+};
+use foxtide_core::blocks::{
+    ClientBlocks,
+    MANIFEST_KEY,
+    Manifest,
+    Site, //
+};
+use foxtide_core::events::{
+    EventCode,
+    EventFields, //
+};
 use foxtide_core::ids::RegionId;
 use foxtide_core::spreading::Document;
-use foxtide_core::store::{Store, StoreError, StoreIndex};
+use foxtide_core::store::{
+    Store,
+    StoreError,
+    StoreIndex, //
+};
 use foxtide_core::units::Revision;
 use foxtide_events::Recorder;
 use foxtide_mesh::MeshHandle;
 use smol::Timer;
-use smol::channel::{Receiver, Sender};
+use smol::channel::{
+    Receiver,
+    Sender, //
+};
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -247,7 +268,10 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use foxtide_core::blocks::{Block, SiteTable};
+    use foxtide_core::blocks::{
+        Block,
+        SiteTable, //
+    };
 
     fn site(name: &str, region: &str, alternatives: &[&str]) -> Site {
         let alternatives = alternatives.iter().map(|name| name.parse().unwrap());
--- a/crates/foxtide/src/command.rs
+++ b/crates/foxtide/src/command.rs
@@ -1,11 +1,21 @@
 //! The command line of the `foxtide` binary.
 
 use crate::node::Node;
-use crate::{signals, telemetry};
-use anyhow::{Context, Result, bail};
+use crate::{
+    signals,
+    telemetry, //
+};
+use anyhow::{
+    Context,
+    Result,
+    bail, //
+};
 use argh::FromArgs;
 use foxtide_config::Settings;
-use std::path::{Path, PathBuf};
+use std::path::{
+    Path,
+    PathBuf, //
+};
 
 /// Runs one entry instance of foxtide, or checks its settings.
 #[derive(Debug, FromArgs)]
--- a/crates/foxtide/src/configuration.rs
+++ b/crates/foxtide/src/configuration.rs
@@ -6,13 +6,29 @@
 
 use crate::readiness::Readiness;
 use crate::store::NodeStore;
-use crate::tables::{Applied, Tables};
+use crate::tables::{
+    Applied,
+    Tables, //
+};
 use foxtide_config::blocks::RESERVED_PREFIX;
-use foxtide_config::{Backoff, ConfigurationWatch, WatchOptions, WatchReport, change};
-use foxtide_core::events::{EventCode, EventFields};
+use foxtide_config::{
+    Backoff,
+    ConfigurationWatch,
+    WatchOptions,
+    WatchReport,
+    change, //
+};
+use foxtide_core::events::{
+    EventCode,
+    EventFields, //
+};
 use foxtide_core::organisation::Organisation;
 use foxtide_core::spreading::Document;
-use foxtide_entry::{Clock, SystemClock, TrafficTables};
+use foxtide_entry::{
+    Clock,
+    SystemClock,
+    TrafficTables, //
+};
 use foxtide_events::Recorder;
 use foxtide_mesh::MeshHandle;
 use smol::channel::Receiver;
--- a/crates/foxtide/src/copies.rs
+++ b/crates/foxtide/src/copies.rs
@@ -1,11 +1,23 @@
 //! Copies of the time line at peers, over the mesh's calls.
 
-use foxtide_core::events::backup::{BackupPeer, Parcel};
-use foxtide_core::events::{EventCopies, EventCopiesAck};
+use foxtide_core::events::backup::{
+    BackupPeer,
+    Parcel, //
+};
+use foxtide_core::events::{
+    EventCopies,
+    EventCopiesAck, //
+};
 use foxtide_core::membership::Member;
-use foxtide_entry::{Clock, SystemClock};
+use foxtide_entry::{
+    Clock,
+    SystemClock, //
+};
 use foxtide_events::TimeLine;
-use foxtide_mesh::{IncomingCall, MeshHandle};
+use foxtide_mesh::{
+    IncomingCall,
+    MeshHandle, //
+};
 use prost::Message;
 use smol::Timer;
 use std::time::Duration;
--- a/crates/foxtide/src/load_events.rs
+++ b/crates/foxtide/src/load_events.rs
@@ -1,8 +1,18 @@
 //! Events about figures that stop to arrive from a region.
 
-use foxtide_core::events::{EventCode, EventDraft, EventFields};
-use foxtide_core::ids::{OrganisationId, RegionId};
-use foxtide_core::steering::{FleetView, RegionView};
+use foxtide_core::events::{
+    EventCode,
+    EventDraft,
+    EventFields, //
+};
+use foxtide_core::ids::{
+    OrganisationId,
+    RegionId, //
+};
+use foxtide_core::steering::{
+    FleetView,
+    RegionView, //
+};
 use std::collections::BTreeSet;
 
 /// Tells which regions' figures are old, by what changed between two looks.
--- a/crates/foxtide/src/member_events.rs
+++ b/crates/foxtide/src/member_events.rs
@@ -1,10 +1,24 @@
 //! Events about members, from what the mesh believes of them.
 
-use foxtide_core::events::{EventCode, EventDraft, EventFields};
+use foxtide_core::events::{
+    EventCode,
+    EventDraft,
+    EventFields, //
+};
 use foxtide_core::idempotency::ProcessNumber;
-use foxtide_core::ids::{AvailabilityZoneId, InstanceId, RegionId};
-use foxtide_core::membership::{Member, MemberState};
-use std::collections::{BTreeMap, BTreeSet};
+use foxtide_core::ids::{
+    AvailabilityZoneId,
+    InstanceId,
+    RegionId, //
+};
+use foxtide_core::membership::{
+    Member,
+    MemberState, //
+};
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 
 /// Tells what changed between two looks at the members.
 #[derive(Debug, Default)]
@@ -109,7 +123,13 @@
 }
 
 fn code_of(before: Option<Known>, now: Known) -> Option<EventCode> {
-    use MemberState::{Alive, Dead, Joining, Leaving, Suspect};
+    use MemberState::{
+        Alive,
+        Dead,
+        Joining,
+        Leaving,
+        Suspect, //
+    };
     let same_process = before.is_none_or(|before| before.process == now.process);
     if !same_process && now.state.is_usable() {
         return Some(EventCode::MemberReplaced);
@@ -165,7 +185,12 @@
 
     #[test]
     fn verify_changes_become_events() {
-        use MemberState::{Alive, Dead, Leaving, Suspect};
+        use MemberState::{
+            Alive,
+            Dead,
+            Leaving,
+            Suspect, //
+        };
         let mut events = MemberEvents::default();
         let three = |one, two| {
             let steady = member("khomas-3", Alive);
@@ -189,7 +214,10 @@
 
     #[test]
     fn verify_a_lost_region_is_told_once_and_so_is_its_return() {
-        use MemberState::{Alive, Dead};
+        use MemberState::{
+            Alive,
+            Dead, //
+        };
         let mut events = MemberEvents::default();
         let both = |state| [member("khomas-1", Alive), member("oshana-1", state)];
         events.look(&both(Alive));
--- a/crates/foxtide/src/node/mod.rs
+++ b/crates/foxtide/src/node/mod.rs
@@ -7,11 +7,21 @@
 pub use options::NodeOptions;
 
 use crate::tables::Tables;
-use anyhow::{Context, Result};
+use anyhow::{
+    Context,
+    Result, //
+};
 use foxtide_config::Settings;
-use foxtide_core::events::{EventCode, EventFields};
+use foxtide_core::events::{
+    EventCode,
+    EventFields, //
+};
 use foxtide_core::idempotency::OwnerId;
-use foxtide_entry::{Entry, Listeners, Workers};
+use foxtide_entry::{
+    Entry,
+    Listeners,
+    Workers, //
+};
 use foxtide_events::Recorder;
 use foxtide_mesh::MeshHandle;
 use parts::NodeParts;
--- a/crates/foxtide/src/node/options.rs
+++ b/crates/foxtide/src/node/options.rs
@@ -1,18 +1,40 @@
 //! What the settings file says, as each part takes it.
 
-use anyhow::{Context, Result};
+use anyhow::{
+    Context,
+    Result, //
+};
 use foxtide_config::Settings;
 use foxtide_core::choice::BalancerOptions;
 use foxtide_core::events::EventRingOptions;
 use foxtide_core::events::backup::BackupPeer;
-use foxtide_core::idempotency::{ProcessNumber, TableOptions};
+use foxtide_core::idempotency::{
+    ProcessNumber,
+    TableOptions, //
+};
 use foxtide_core::steering::SteeringOptions;
 use foxtide_core::units::ByteSize;
 use foxtide_entry::{
-    Clock, DrainOptions, EntryOptions, Limits, PoolOptions, SystemClock, TrafficOptions,
+    Clock,
+    DrainOptions,
+    EntryOptions,
+    Limits,
+    PoolOptions,
+    SystemClock,
+    TrafficOptions, //
+};
+use foxtide_events::{
+    Recorder,
+    RecorderOptions,
+    TimeLine,
+    TimeLineOptions, //
+};
+use foxtide_mesh::{
+    Identity,
+    Mesh,
+    MeshHandle,
+    MeshOptions, //
 };
-use foxtide_events::{Recorder, RecorderOptions, TimeLine, TimeLineOptions};
-use foxtide_mesh::{Identity, Mesh, MeshHandle, MeshOptions};
 use rand::TryRng;
 use rand::rngs::SysRng;
 use std::net::SocketAddr;
--- a/crates/foxtide/src/node/parts.rs
+++ b/crates/foxtide/src/node/parts.rs
@@ -5,11 +5,28 @@
 use crate::pages::Pages;
 use crate::tables::Tables;
 use foxtide_core::idempotency::OwnerId;
-use foxtide_core::ids::{InstanceId, OrganisationId, RegionId};
-use foxtide_entry::{Clock, Directory, Parts, ServingInstance, SystemClock, TrafficTables};
-use foxtide_events::{Explainer, Recorder};
+use foxtide_core::ids::{
+    InstanceId,
+    OrganisationId,
+    RegionId, //
+};
+use foxtide_entry::{
+    Clock,
+    Directory,
+    Parts,
+    ServingInstance,
+    SystemClock,
+    TrafficTables, //
+};
+use foxtide_events::{
+    Explainer,
+    Recorder, //
+};
 use foxtide_mesh::MeshHandle;
-use std::net::{IpAddr, SocketAddr};
+use std::net::{
+    IpAddr,
+    SocketAddr, //
+};
 use std::sync::Arc;
 
 /// What the request path works with.
--- a/crates/foxtide/src/node/shared.rs
+++ b/crates/foxtide/src/node/shared.rs
@@ -1,24 +1,51 @@
 //! What the parts of one instance have in common.
 
-use super::options::{self, NodeOptions};
-use crate::client_blocks::{BlocksFollower, BlocksInForce};
+use super::options::{
+    self,
+    NodeOptions, //
+};
+use crate::client_blocks::{
+    BlocksFollower,
+    BlocksInForce, //
+};
 use crate::configuration::Configurations;
 use crate::copies::Copies;
 use crate::observer::Observer;
 use crate::pages::Pages;
-use crate::promises::{PromiseSampler, Promises};
+use crate::promises::{
+    PromiseSampler,
+    Promises, //
+};
 use crate::readiness::Readiness;
-use crate::store::{self, NodeStore};
+use crate::store::{
+    self,
+    NodeStore, //
+};
 use crate::tables::Tables;
 use crate::traffic::TrafficFollower;
-use crate::{instance_list, telemetry};
+use crate::{
+    instance_list,
+    telemetry, //
+};
 use anyhow::Result;
 use foxtide_config::Settings;
 use foxtide_core::idempotency::ProcessNumber;
-use foxtide_entry::{Clock, SystemClock, TrafficTables, Workers};
-use foxtide_events::{Explainer, Recorder, TimeLine};
+use foxtide_entry::{
+    Clock,
+    SystemClock,
+    TrafficTables,
+    Workers, //
+};
+use foxtide_events::{
+    Explainer,
+    Recorder,
+    TimeLine, //
+};
 use foxtide_mesh::MeshHandle;
-use smol::{Task, Timer};
+use smol::{
+    Task,
+    Timer, //
+};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/foxtide/src/observer.rs
+++ b/crates/foxtide/src/observer.rs
@@ -5,10 +5,19 @@
 use crate::member_events::MemberEvents;
 use crate::plan_events::PlanEvents;
 use crate::tables::Tables;
-use foxtide_core::events::{EventCode, EventFields};
+use foxtide_core::events::{
+    EventCode,
+    EventFields, //
+};
 use foxtide_core::time::MonotonicTime;
-use foxtide_entry::{Clock, SystemClock};
-use foxtide_events::{Explainer, Recorder};
+use foxtide_entry::{
+    Clock,
+    SystemClock, //
+};
+use foxtide_events::{
+    Explainer,
+    Recorder, //
+};
 use foxtide_mesh::MeshHandle;
 use smol::Timer;
 use std::sync::Arc;
--- a/crates/foxtide/src/pages.rs
+++ b/crates/foxtide/src/pages.rs
@@ -8,7 +8,10 @@
 use foxtide_core::membership::Member;
 use foxtide_core::units::Revision;
 use foxtide_entry::AdminPage;
-use foxtide_events::{Explainer, TimeLine};
+use foxtide_events::{
+    Explainer,
+    TimeLine, //
+};
 use metrics_exporter_prometheus::PrometheusHandle;
 use serde::Serialize;
 use std::collections::BTreeMap;
--- a/crates/foxtide/src/plan_events.rs
+++ b/crates/foxtide/src/plan_events.rs
@@ -1,11 +1,29 @@
 //! Events about what configurations plan: moves that start, pause and end,
 //! drains that start, upstreams that come and go.
 
-use foxtide_core::events::{EventCode, EventDraft, EventFields};
-use foxtide_core::ids::{DrainId, MoveId, OrganisationId, ServiceId, UpstreamId};
-use foxtide_core::organisation::{Drain, DrainTarget, Organisation, PlannedMove};
+use foxtide_core::events::{
+    EventCode,
+    EventDraft,
+    EventFields, //
+};
+use foxtide_core::ids::{
+    DrainId,
+    MoveId,
+    OrganisationId,
+    ServiceId,
+    UpstreamId, //
+};
+use foxtide_core::organisation::{
+    Drain,
+    DrainTarget,
+    Organisation,
+    PlannedMove, //
+};
 use foxtide_core::time::WallTime;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 use std::sync::Arc;
 
 /// Tells what changed between two looks at the configurations in force.
--- a/crates/foxtide/src/promises.rs
+++ b/crates/foxtide/src/promises.rs
@@ -4,18 +4,35 @@
 //! together with another.
 
 use crate::tables::Tables;
-use foxtide_core::events::{EventCode, EventFields};
+use foxtide_core::events::{
+    EventCode,
+    EventFields, //
+};
 use foxtide_core::ids::OrganisationId;
 use foxtide_core::organisation::Organisation;
-use foxtide_core::promises::{Promise, PromiseLog, RegionSample, Sample, ServiceSample};
+use foxtide_core::promises::{
+    Promise,
+    PromiseLog,
+    RegionSample,
+    Sample,
+    ServiceSample, //
+};
 use foxtide_core::steering::Steering;
 use foxtide_core::time::MonotonicTime;
-use foxtide_entry::{Clock, SentCount, SystemClock, TrafficTables};
+use foxtide_entry::{
+    Clock,
+    SentCount,
+    SystemClock,
+    TrafficTables, //
+};
 use foxtide_events::Recorder;
 use parking_lot::Mutex;
 use serde::Serialize;
 use smol::Timer;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/crates/foxtide/src/readiness.rs
+++ b/crates/foxtide/src/readiness.rs
@@ -4,7 +4,10 @@
 //! sold rates. Until then it is a member that joins: look-ups do not name it.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{
+    AtomicBool,
+    Ordering, //
+};
 
 /// How far an instance has come; clones share it.
 #[derive(Clone, Debug, Default)]
--- a/crates/foxtide/src/signals.rs
+++ b/crates/foxtide/src/signals.rs
@@ -1,6 +1,9 @@
 //! Signals of the operating system, as a channel.
 
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{
+    SIGINT,
+    SIGTERM, //
+};
 use signal_hook::iterator::Signals;
 use smol::channel::Receiver;
 use std::io;
--- a/crates/foxtide/src/store.rs
+++ b/crates/foxtide/src/store.rs
@@ -1,12 +1,21 @@
 //! The store as an instance uses it: over HTTP, within the fleet's budget.
 
 use foxtide_config::{
-    BudgetOptions, BudgetedStore, Fleet, HttpStore, HttpStoreOptions, Settings, StoreBudget,
+    BudgetOptions,
+    BudgetedStore,
+    Fleet,
+    HttpStore,
+    HttpStoreOptions,
+    Settings,
+    StoreBudget, //
 };
 use foxtide_core::ids::AvailabilityZoneId;
 use foxtide_core::membership::Member;
 use foxtide_core::time::MonotonicTime;
-use foxtide_mesh::{MeshHandle, MeshOptions};
+use foxtide_mesh::{
+    MeshHandle,
+    MeshOptions, //
+};
 use smol::Timer;
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/crates/foxtide/src/tables.rs
+++ b/crates/foxtide/src/tables.rs
@@ -7,9 +7,16 @@
 
 use arc_swap::ArcSwap;
 use foxtide_core::idempotency::OwnerId;
-use foxtide_core::ids::{AvailabilityZoneId, InstanceId, OrganisationId};
+use foxtide_core::ids::{
+    AvailabilityZoneId,
+    InstanceId,
+    OrganisationId, //
+};
 use foxtide_core::membership::Member;
-use foxtide_core::organisation::{DrainTarget, Organisation};
+use foxtide_core::organisation::{
+    DrainTarget,
+    Organisation, //
+};
 use foxtide_core::time::WallTime;
 use foxtide_core::units::Revision;
 use foxtide_entry::ServingInstance;
@@ -17,7 +24,10 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{
+    AtomicBool,
+    Ordering, //
+};
 
 type Organisations = BTreeMap<OrganisationId, Arc<Organisation>>;
 
--- a/crates/foxtide/src/telemetry.rs
+++ b/crates/foxtide/src/telemetry.rs
@@ -1,6 +1,9 @@
 //! Logs and metrics of the process.
 
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use metrics_exporter_prometheus::{
+    PrometheusBuilder,
+    PrometheusHandle, //
+};
 use std::sync::OnceLock;
 
 /// The level at which numbered events are logged where `RUST_LOG` says nothing.
--- a/crates/foxtide/src/traffic.rs
+++ b/crates/foxtide/src/traffic.rs
@@ -4,10 +4,17 @@
 use crate::readiness::Readiness;
 use crate::tables::Tables;
 use foxtide_core::choice::Sharing;
-use foxtide_core::events::{EventCode, EventFields};
+use foxtide_core::events::{
+    EventCode,
+    EventFields, //
+};
 use foxtide_core::ids::OrganisationId;
 use foxtide_core::time::MonotonicTime;
-use foxtide_entry::{Clock, SystemClock, TrafficTables};
+use foxtide_entry::{
+    Clock,
+    SystemClock,
+    TrafficTables, //
+};
 use foxtide_events::Recorder;
 use foxtide_mesh::MeshHandle;
 use smol::Timer;
--- a/crates/foxtide/tests/at_most_once.rs
+++ b/crates/foxtide/tests/at_most_once.rs
@@ -4,9 +4,21 @@
 
 use foxtide_core::idempotency::IdempotencyKey;
 use foxtide_core::time::WallTime;
-use foxtide_testing::{Availability, HttpAnswer, ServiceTime};
-use processes::{InstanceProcess, Platform, file, wait_for};
-use std::time::{Duration, SystemTime};
+use foxtide_testing::{
+    Availability,
+    HttpAnswer,
+    ServiceTime, //
+};
+use processes::{
+    InstanceProcess,
+    Platform,
+    file,
+    wait_for, //
+};
+use std::time::{
+    Duration,
+    SystemTime, //
+};
 
 /// Long enough for a process to be killed while a request runs.
 const SLOW: ServiceTime = ServiceTime::Fixed(Duration::from_secs(2));
--- a/crates/foxtide/tests/docs.rs
+++ b/crates/foxtide/tests/docs.rs
@@ -2,7 +2,10 @@
 
 use foxtide_core::events::EventCode;
 use std::fs;
-use std::path::{Path, PathBuf};
+use std::path::{
+    Path,
+    PathBuf, //
+};
 
 fn root() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
--- a/crates/foxtide/tests/instance_list.rs
+++ b/crates/foxtide/tests/instance_list.rs
@@ -3,12 +3,20 @@
 use foxtide::node::Node;
 use foxtide_config::Settings;
 use foxtide_testing::{
-    InstanceListOptions, InstanceListServer, ListedInstance, ListedState, StoreOptions,
-    StoreServer, http_call,
+    InstanceListOptions,
+    InstanceListServer,
+    ListedInstance,
+    ListedState,
+    StoreOptions,
+    StoreServer,
+    http_call, //
 };
 use http_types::Method;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 const PATIENCE: Duration = Duration::from_secs(30);
 const POLL: Duration = Duration::from_millis(50);
--- a/crates/foxtide/tests/processes/mod.rs
+++ b/crates/foxtide/tests/processes/mod.rs
@@ -1,14 +1,29 @@
 //! Real instances, each its own process, before stand-ins of the platform.
 
 use foxtide_testing::{
-    HttpAnswer, StoreOptions, StoreServer, UpstreamOptions, UpstreamServer, http_call,
+    HttpAnswer,
+    StoreOptions,
+    StoreServer,
+    UpstreamOptions,
+    UpstreamServer,
+    http_call, //
 };
 use http_types::Method;
 use std::fs;
-use std::io::{BufRead, BufReader};
+use std::io::{
+    BufRead,
+    BufReader, //
+};
 use std::net::SocketAddr;
-use std::process::{Child, Command, Stdio};
-use std::time::{Duration, Instant};
+use std::process::{
+    Child,
+    Command,
+    Stdio, //
+};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 const PATIENCE: Duration = Duration::from_secs(30);
 const POLL: Duration = Duration::from_millis(20);
--- a/crates/foxtide/tests/time_line.rs
+++ b/crates/foxtide/tests/time_line.rs
@@ -2,11 +2,21 @@
 
 use foxtide::node::Node;
 use foxtide_config::Settings;
-use foxtide_core::events::{Event, EventCode};
-use foxtide_testing::{StoreOptions, StoreServer, http_call};
+use foxtide_core::events::{
+    Event,
+    EventCode, //
+};
+use foxtide_testing::{
+    StoreOptions,
+    StoreServer,
+    http_call, //
+};
 use http_types::Method;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 const PATIENCE: Duration = Duration::from_secs(30);
 const POLL: Duration = Duration::from_millis(50);
--- a/crates/foxtidectl/src/admin.rs
+++ b/crates/foxtidectl/src/admin.rs
@@ -2,9 +2,16 @@
 
 use crate::failure::Failure;
 use futures_lite::FutureExt;
-use futures_lite::stream::{self, StreamExt};
+use futures_lite::stream::{
+    self,
+    StreamExt, //
+};
 use http_types::headers::CONTENT_LENGTH;
-use http_types::{Method, Request, Url};
+use http_types::{
+    Method,
+    Request,
+    Url, //
+};
 use serde_json::Value;
 use smol::Timer;
 use smol::net::TcpStream;
--- a/crates/foxtidectl/src/commands/blocks/change.rs
+++ b/crates/foxtidectl/src/commands/blocks/change.rs
@@ -1,6 +1,11 @@
 //! `foxtidectl blocks set` and `foxtidectl blocks remove`.
 
-use super::{accepted, only_shown, site_index, stored};
+use super::{
+    accepted,
+    only_shown,
+    site_index,
+    stored, //
+};
 use crate::failure::Failure;
 use crate::report::Report;
 use crate::session::Session;
--- a/crates/foxtidectl/src/commands/blocks/load.rs
+++ b/crates/foxtidectl/src/commands/blocks/load.rs
@@ -1,14 +1,28 @@
 //! `foxtidectl blocks load`.
 
-use super::{accepted, only_shown, site_index};
+use super::{
+    accepted,
+    only_shown,
+    site_index, //
+};
 use crate::failure::Failure;
 use crate::report::Report;
 use crate::session::Session;
 use argh::FromArgs;
-use foxtide_config::{blocks, document};
-use foxtide_core::blocks::{Block, Site, SiteTable};
+use foxtide_config::{
+    blocks,
+    document, //
+};
+use foxtide_core::blocks::{
+    Block,
+    Site,
+    SiteTable, //
+};
 use ipnet::IpNet;
-use serde::{Deserialize, Serialize};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use std::collections::BTreeMap;
 use std::path::Path;
 
--- a/crates/foxtidectl/src/commands/blocks/mod.rs
+++ b/crates/foxtidectl/src/commands/blocks/mod.rs
@@ -9,8 +9,15 @@
 use crate::report::Report;
 use crate::session::Session;
 use argh::FromArgs;
-use foxtide_config::blocks::{self, PublishedBlocks, StoredManifest};
-use foxtide_core::blocks::{SiteIndex, SiteTable};
+use foxtide_config::blocks::{
+    self,
+    PublishedBlocks,
+    StoredManifest, //
+};
+use foxtide_core::blocks::{
+    SiteIndex,
+    SiteTable, //
+};
 use serde_json::json;
 
 /// Work on client blocks
--- a/crates/foxtidectl/src/commands/blocks/show.rs
+++ b/crates/foxtidectl/src/commands/blocks/show.rs
@@ -2,10 +2,16 @@
 
 use super::stored;
 use crate::failure::Failure;
-use crate::report::{Report, Table};
+use crate::report::{
+    Report,
+    Table, //
+};
 use crate::session::Session;
 use argh::FromArgs;
-use foxtide_core::blocks::{Manifest, Site};
+use foxtide_core::blocks::{
+    Manifest,
+    Site, //
+};
 use serde_json::json;
 
 /// Show the sites and how large the table is
--- a/crates/foxtidectl/src/commands/check.rs
+++ b/crates/foxtidectl/src/commands/check.rs
@@ -3,10 +3,18 @@
 use crate::failure::Failure;
 use crate::report::Report;
 use argh::FromArgs;
-use foxtide_config::{Settings, Template, change, document};
+use foxtide_config::{
+    Settings,
+    Template,
+    change,
+    document, //
+};
 use foxtide_core::ids::OrganisationId;
 use foxtide_core::organisation::Organisation;
-use serde_json::{Value, json};
+use serde_json::{
+    Value,
+    json, //
+};
 use std::path::Path;
 
 /// The name that a template is tried with.
--- a/crates/foxtidectl/src/commands/drain/start.rs
+++ b/crates/foxtidectl/src/commands/drain/start.rs
@@ -5,10 +5,17 @@
 use crate::failure::Failure;
 use crate::report::Report;
 use crate::session::Session;
-use crate::write::{self, Edit};
+use crate::write::{
+    self,
+    Edit, //
+};
 use argh::FromArgs;
 use foxtide_core::ids::DrainId;
-use foxtide_core::organisation::{Drain, DrainTarget, Organisation};
+use foxtide_core::organisation::{
+    Drain,
+    DrainTarget,
+    Organisation, //
+};
 use std::time::Duration;
 
 /// Announce that an upstream, an instance, an availability zone or a region
--- a/crates/foxtidectl/src/commands/drain/status.rs
+++ b/crates/foxtidectl/src/commands/drain/status.rs
@@ -2,10 +2,17 @@
 
 use super::in_words;
 use crate::failure::Failure;
-use crate::report::{Report, Table};
+use crate::report::{
+    Report,
+    Table, //
+};
 use crate::session::Session;
 use argh::FromArgs;
-use foxtide_core::organisation::{Drain, DrainTarget, Organisation};
+use foxtide_core::organisation::{
+    Drain,
+    DrainTarget,
+    Organisation, //
+};
 use foxtide_core::time::WallTime;
 use serde_json::json;
 
--- a/crates/foxtidectl/src/commands/drain/stop.rs
+++ b/crates/foxtidectl/src/commands/drain/stop.rs
@@ -3,7 +3,10 @@
 use crate::failure::Failure;
 use crate::report::Report;
 use crate::session::Session;
-use crate::write::{self, Edit};
+use crate::write::{
+    self,
+    Edit, //
+};
 use argh::FromArgs;
 
 /// Take a drain back: what left takes new work again
--- a/crates/foxtidectl/src/commands/explain/decisions.rs
+++ b/crates/foxtidectl/src/commands/explain/decisions.rs
@@ -2,10 +2,16 @@
 
 use crate::admin;
 use crate::failure::Failure;
-use crate::report::{Report, utc};
+use crate::report::{
+    Report,
+    utc, //
+};
 use crate::session::Session;
 use foxtide_core::time::WallTime;
-use serde_json::{Value, json};
+use serde_json::{
+    Value,
+    json, //
+};
 use std::fmt::Write;
 
 /// Asks all instances for explanations and shows those that there are.
--- a/crates/foxtidectl/src/commands/instances.rs
+++ b/crates/foxtidectl/src/commands/instances.rs
@@ -2,7 +2,10 @@
 
 use crate::admin;
 use crate::failure::Failure;
-use crate::report::{Report, Table};
+use crate::report::{
+    Report,
+    Table, //
+};
 use crate::session::Session;
 use argh::FromArgs;
 
--- a/crates/foxtidectl/src/commands/movement/demand.rs
+++ b/crates/foxtidectl/src/commands/movement/demand.rs
@@ -2,7 +2,10 @@
 
 use super::forecast;
 use crate::failure::Failure;
-use foxtide_core::organisation::{Organisation, PlannedMove};
+use foxtide_core::organisation::{
+    Organisation,
+    PlannedMove, //
+};
 use foxtide_core::units::RequestRate;
 
 /// Checks that the traffic which a move brings in the end fits the link and
--- a/crates/foxtidectl/src/commands/movement/forecast.rs
+++ b/crates/foxtidectl/src/commands/movement/forecast.rs
@@ -1,7 +1,13 @@
 //! What a move will do, and when: the instances' own computation.
 
-use foxtide_core::organisation::{Organisation, PlannedMove};
-use foxtide_core::steering::{PlannedRows, SteeringOptions};
+use foxtide_core::organisation::{
+    Organisation,
+    PlannedMove, //
+};
+use foxtide_core::steering::{
+    PlannedRows,
+    SteeringOptions, //
+};
 use foxtide_core::time::WallTime;
 use std::time::Duration;
 
--- a/crates/foxtidectl/src/commands/movement/pause.rs
+++ b/crates/foxtidectl/src/commands/movement/pause.rs
@@ -3,9 +3,15 @@
 use crate::failure::Failure;
 use crate::report::Report;
 use crate::session::Session;
-use crate::write::{self, Edit};
+use crate::write::{
+    self,
+    Edit, //
+};
 use argh::FromArgs;
-use foxtide_core::organisation::{Organisation, PlannedMove};
+use foxtide_core::organisation::{
+    Organisation,
+    PlannedMove, //
+};
 
 /// Hold a move where it is
 #[derive(Debug, FromArgs)]
--- a/crates/foxtidectl/src/commands/movement/plan.rs
+++ b/crates/foxtidectl/src/commands/movement/plan.rs
@@ -1,13 +1,25 @@
 //! `foxtidectl move plan`.
 
-use super::start::{MoveArguments, planned};
-use super::{demand, forecast};
+use super::start::{
+    MoveArguments,
+    planned, //
+};
+use super::{
+    demand,
+    forecast, //
+};
 use crate::failure::Failure;
-use crate::report::{Report, Table};
+use crate::report::{
+    Report,
+    Table, //
+};
 use crate::session::Session;
 use argh::FromArgs;
 use foxtide_config::change;
-use foxtide_core::organisation::{Organisation, PlannedMove};
+use foxtide_core::organisation::{
+    Organisation,
+    PlannedMove, //
+};
 use foxtide_core::units::RequestRate;
 use serde_json::json;
 use std::time::Duration;
--- a/crates/foxtidectl/src/commands/movement/resume.rs
+++ b/crates/foxtidectl/src/commands/movement/resume.rs
@@ -4,7 +4,10 @@
 use crate::failure::Failure;
 use crate::report::Report;
 use crate::session::Session;
-use crate::write::{self, Edit};
+use crate::write::{
+    self,
+    Edit, //
+};
 use argh::FromArgs;
 use foxtide_core::organisation::PlannedMove;
 use foxtide_core::time::WallTime;
--- a/crates/foxtidectl/src/commands/movement/start.rs
+++ b/crates/foxtidectl/src/commands/movement/start.rs
@@ -3,10 +3,19 @@
 use crate::failure::Failure;
 use crate::report::Report;
 use crate::session::Session;
-use crate::write::{self, Edit};
+use crate::write::{
+    self,
+    Edit, //
+};
 use argh::FromArgs;
-use foxtide_core::ids::{MoveId, ServiceId};
-use foxtide_core::organisation::{Organisation, PlannedMove};
+use foxtide_core::ids::{
+    MoveId,
+    ServiceId, //
+};
+use foxtide_core::organisation::{
+    Organisation,
+    PlannedMove, //
+};
 use std::time::Duration;
 
 /// The default time until a move starts: longer than an accepted change takes
--- a/crates/foxtidectl/src/commands/movement/status.rs
+++ b/crates/foxtidectl/src/commands/movement/status.rs
@@ -2,12 +2,21 @@
 
 use super::forecast;
 use crate::failure::Failure;
-use crate::report::{Report, Table};
+use crate::report::{
+    Report,
+    Table, //
+};
 use crate::session::Session;
 use argh::FromArgs;
-use foxtide_core::organisation::{Organisation, PlannedMove};
+use foxtide_core::organisation::{
+    Organisation,
+    PlannedMove, //
+};
 use foxtide_core::time::WallTime;
-use serde_json::{Value, json};
+use serde_json::{
+    Value,
+    json, //
+};
 
 /// Show the moves of an organisation and how far they are
 #[derive(Debug, FromArgs)]
--- a/crates/foxtidectl/src/commands/organisation/create.rs
+++ b/crates/foxtidectl/src/commands/organisation/create.rs
@@ -4,9 +4,15 @@
 use crate::failure::Failure;
 use crate::report::Report;
 use crate::session::Session;
-use crate::write::{self, Edit};
+use crate::write::{
+    self,
+    Edit, //
+};
 use argh::FromArgs;
-use foxtide_config::{Template, change};
+use foxtide_config::{
+    Template,
+    change, //
+};
 use foxtide_core::ids::OrganisationId;
 use std::path::Path;
 
--- a/crates/foxtidectl/src/commands/organisation/diff.rs
+++ b/crates/foxtidectl/src/commands/organisation/diff.rs
@@ -6,7 +6,10 @@
 use crate::session::Session;
 use crate::write::listed;
 use argh::FromArgs;
-use foxtide_config::{Template, change};
+use foxtide_config::{
+    Template,
+    change, //
+};
 use foxtide_core::organisation::Organisation;
 use serde_json::json;
 use std::path::Path;
--- a/crates/foxtidectl/src/commands/organisation/history.rs
+++ b/crates/foxtidectl/src/commands/organisation/history.rs
@@ -1,7 +1,11 @@
 //! `foxtidectl organisation history`.
 
 use crate::failure::Failure;
-use crate::report::{Report, Table, utc};
+use crate::report::{
+    Report,
+    Table,
+    utc, //
+};
 use crate::session::Session;
 use argh::FromArgs;
 use serde_json::json;
--- a/crates/foxtidectl/src/commands/organisation/list.rs
+++ b/crates/foxtidectl/src/commands/organisation/list.rs
@@ -1,11 +1,20 @@
 //! `foxtidectl organisation list`.
 
 use crate::failure::Failure;
-use crate::report::{Report, Table};
+use crate::report::{
+    Report,
+    Table, //
+};
 use crate::session::Session;
 use argh::FromArgs;
-use foxtide_config::change::{self, Stored};
-use serde_json::{Value, json};
+use foxtide_config::change::{
+    self,
+    Stored, //
+};
+use serde_json::{
+    Value,
+    json, //
+};
 
 /// List the organisations
 #[derive(Debug, FromArgs)]
--- a/crates/foxtidectl/src/commands/organisation/show.rs
+++ b/crates/foxtidectl/src/commands/organisation/show.rs
@@ -1,10 +1,16 @@
 //! `foxtidectl organisation show`.
 
 use crate::failure::Failure;
-use crate::report::{Report, Table};
+use crate::report::{
+    Report,
+    Table, //
+};
 use crate::session::Session;
 use argh::FromArgs;
-use foxtide_core::organisation::{Organisation, Service};
+use foxtide_core::organisation::{
+    Organisation,
+    Service, //
+};
 use serde_json::json;
 
 /// Show an organisation
--- a/crates/foxtidectl/src/commands/promises.rs
+++ b/crates/foxtidectl/src/commands/promises.rs
@@ -2,11 +2,17 @@
 
 use crate::admin;
 use crate::failure::Failure;
-use crate::report::{Report, Table};
+use crate::report::{
+    Report,
+    Table, //
+};
 use crate::session::Session;
 use argh::FromArgs;
 use foxtide_config::document;
-use serde::{Deserialize, Serialize};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use serde_json::json;
 use std::collections::BTreeMap;
 
--- a/crates/foxtidectl/src/commands/template/list.rs
+++ b/crates/foxtidectl/src/commands/template/list.rs
@@ -1,11 +1,20 @@
 //! `foxtidectl template list`.
 
 use crate::failure::Failure;
-use crate::report::{Report, Table};
+use crate::report::{
+    Report,
+    Table, //
+};
 use argh::FromArgs;
-use foxtide_config::{Template, document};
+use foxtide_config::{
+    Template,
+    document, //
+};
 use serde_json::json;
-use std::path::{Path, PathBuf};
+use std::path::{
+    Path,
+    PathBuf, //
+};
 
 /// How the name of a template's file ends.
 const FILE_ENDING: &str = "template.jsonc";
--- a/crates/foxtidectl/src/commands/template/show.rs
+++ b/crates/foxtidectl/src/commands/template/show.rs
@@ -1,7 +1,10 @@
 //! `foxtidectl template show`.
 
 use crate::failure::Failure;
-use crate::report::{Report, Table};
+use crate::report::{
+    Report,
+    Table, //
+};
 use argh::FromArgs;
 use foxtide_config::Template;
 use serde_json::json;
--- a/crates/foxtidectl/src/commands/timeline.rs
+++ b/crates/foxtidectl/src/commands/timeline.rs
@@ -2,13 +2,30 @@
 
 use crate::admin;
 use crate::failure::Failure;
-use crate::report::{Report, utc};
+use crate::report::{
+    Report,
+    utc, //
+};
 use crate::session::Session;
 use argh::FromArgs;
 use foxtide_config::document;
-use foxtide_core::events::{Event, EventCode, EventFilter, HybridTime, Level, merge};
-use foxtide_core::ids::{InstanceId, OrganisationId, RegionId};
-use serde_json::{Value, json};
+use foxtide_core::events::{
+    Event,
+    EventCode,
+    EventFilter,
+    HybridTime,
+    Level,
+    merge, //
+};
+use foxtide_core::ids::{
+    InstanceId,
+    OrganisationId,
+    RegionId, //
+};
+use serde_json::{
+    Value,
+    json, //
+};
 use smol::Timer;
 use std::collections::HashSet;
 use std::io::Write;
--- a/crates/foxtidectl/src/failure.rs
+++ b/crates/foxtidectl/src/failure.rs
@@ -2,9 +2,16 @@
 
 use crate::ExitStatus;
 use foxtide_config::blocks::BlocksChangeError;
-use foxtide_config::change::{ChangeError, Conflict, Difference};
+use foxtide_config::change::{
+    ChangeError,
+    Conflict,
+    Difference, //
+};
 use foxtide_core::blocks::BlocksError;
-use std::fmt::{Display, Write as _};
+use std::fmt::{
+    Display,
+    Write as _, //
+};
 use std::io::Write;
 
 /// A failed command.
--- a/crates/foxtidectl/src/lib.rs
+++ b/crates/foxtidectl/src/lib.rs
@@ -12,7 +12,10 @@
 
 pub use exit::ExitStatus;
 
-use arguments::{Arguments, Command};
+use arguments::{
+    Arguments,
+    Command, //
+};
 use failure::Failure;
 use report::Report;
 use session::Session;
--- a/crates/foxtidectl/src/report.rs
+++ b/crates/foxtidectl/src/report.rs
@@ -4,7 +4,10 @@
 use foxtide_core::time::WallTime;
 use serde_json::Value;
 use std::io::Write;
-use std::time::{Duration, UNIX_EPOCH};
+use std::time::{
+    Duration,
+    UNIX_EPOCH, //
+};
 
 /// The result of a command, in both forms.
 #[derive(Debug)]
--- a/crates/foxtidectl/src/session.rs
+++ b/crates/foxtidectl/src/session.rs
@@ -2,11 +2,21 @@
 
 use crate::arguments::Options;
 use crate::failure::Failure;
-use foxtide_config::change::{self, ChangeError, Stored};
-use foxtide_config::{HttpStore, HttpStoreOptions};
+use foxtide_config::change::{
+    self,
+    ChangeError,
+    Stored, //
+};
+use foxtide_config::{
+    HttpStore,
+    HttpStoreOptions, //
+};
 use foxtide_core::ids::OrganisationId;
 use foxtide_core::time::WallTime;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{
+    SystemTime,
+    UNIX_EPOCH, //
+};
 
 /// One run of the command line.
 #[derive(Debug)]
--- a/crates/foxtidectl/src/write.rs
+++ b/crates/foxtidectl/src/write.rs
@@ -3,7 +3,12 @@
 use crate::failure::Failure;
 use crate::report::Report;
 use crate::session::Session;
-use foxtide_config::change::{self, ChangeRequest, Difference, Stored};
+use foxtide_config::change::{
+    self,
+    ChangeRequest,
+    Difference,
+    Stored, //
+};
 use foxtide_core::organisation::Organisation;
 use foxtide_core::units::Revision;
 use serde_json::json;
--- a/crates/foxtidectl/tests/blocks.rs
+++ b/crates/foxtidectl/tests/blocks.rs
@@ -4,7 +4,11 @@
 mod support;
 
 use foxtidectl::ExitStatus;
-use support::{Operator, Outcome, example};
+use support::{
+    Operator,
+    Outcome,
+    example, //
+};
 
 fn done(outcome: Outcome) -> String {
     assert_eq!(outcome.status, ExitStatus::Done, "{outcome:?}");
--- a/crates/foxtidectl/tests/instances.rs
+++ b/crates/foxtidectl/tests/instances.rs
@@ -4,8 +4,15 @@
 mod support;
 
 use foxtidectl::ExitStatus;
-use http_types::{Request, Response, StatusCode};
-use serde_json::{Value, json};
+use http_types::{
+    Request,
+    Response,
+    StatusCode, //
+};
+use serde_json::{
+    Value,
+    json, //
+};
 use smol::net::TcpListener;
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/crates/foxtidectl/tests/malformed_inputs.rs
+++ b/crates/foxtidectl/tests/malformed_inputs.rs
@@ -6,7 +6,12 @@
 
 use foxtidectl::ExitStatus;
 use std::fmt::Write;
-use support::{KEY, Operator, example, file};
+use support::{
+    KEY,
+    Operator,
+    example,
+    file, //
+};
 
 const SETTINGS: &str = r#"{
   "instance": "khomas-a-1",
--- a/crates/foxtidectl/tests/operations.rs
+++ b/crates/foxtidectl/tests/operations.rs
@@ -5,7 +5,14 @@
 
 use foxtide_testing::Availability;
 use foxtidectl::ExitStatus;
-use support::{KEY, Operator, Outcome, example, run, swallow_after};
+use support::{
+    KEY,
+    Operator,
+    Outcome,
+    example,
+    run,
+    swallow_after, //
+};
 
 fn done(outcome: Outcome) -> String {
     assert_eq!(outcome.status, ExitStatus::Done, "{outcome:?}");
--- a/crates/foxtidectl/tests/support/mod.rs
+++ b/crates/foxtidectl/tests/support/mod.rs
@@ -1,10 +1,16 @@
 //! A store and an operator at the command line.
 
-use foxtide_testing::{StoreOptions, StoreServer};
+use foxtide_testing::{
+    StoreOptions,
+    StoreServer, //
+};
 use foxtidectl::ExitStatus;
 use smol::future::FutureExt;
 use smol::io::AsyncReadExt;
-use smol::net::{TcpListener, TcpStream};
+use smol::net::{
+    TcpListener,
+    TcpStream, //
+};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
