--- a/crates/foxtide-config/src/settings/check.rs
+++ b/crates/foxtide-config/src/settings/check.rs
@@ -153,6 +153,10 @@
         self.range("limits.requests.deadline_max_ms", deadline, 1, 600_000)?;
         let head = requests.head_timeout_ms;
         self.range("limits.requests.head_timeout_ms", head, 1, 600_000)?;
+        let head_size = requests.head_max_bytes;
+        self.range("limits.requests.head_max_bytes", head_size, 256, 1_048_576)?;
+        let body = requests.body_timeout_ms;
+        self.range("limits.requests.body_timeout_ms", body, 1, 3_600_000)?;
         let idle = requests.idle_timeout_ms;
         self.range("limits.requests.idle_timeout_ms", idle, 1, 3_600_000)?;
         let drain = limits.shutdown.drain_max_ms;
--- a/crates/foxtide-config/src/settings/limits.rs
+++ b/crates/foxtide-config/src/settings/limits.rs
@@ -36,12 +36,16 @@
     pub in_flight_max: u32,
     /// The most requests that wait for room at the same time.
     pub waiting_max: u32,
+    /// The largest head of a request, in bytes.
+    pub head_max_bytes: u64,
     /// The largest body of a request, in bytes.
     pub body_max_bytes: u64,
     /// The longest deadline that a caller may name, in milliseconds.
     pub deadline_max_ms: u32,
     /// How long a caller may take to send a request's head, in milliseconds.
     pub head_timeout_ms: u32,
+    /// How long a caller may take to send a request's body, in milliseconds.
+    pub body_timeout_ms: u32,
     /// How long an idle connection is kept, in milliseconds.
     pub idle_timeout_ms: u32,
 }
@@ -52,9 +56,11 @@
             connections_max: 4_000,
             in_flight_max: 2_000,
             waiting_max: 1_000,
+            head_max_bytes: 16 * 1_024,
             body_max_bytes: 8 * 1_024 * 1_024,
             deadline_max_ms: 60_000,
             head_timeout_ms: 10_000,
+            body_timeout_ms: 30_000,
             idle_timeout_ms: 60_000,
         }
     }
--- a/crates/foxtide-config/src/settings/mod.rs
+++ b/crates/foxtide-config/src/settings/mod.rs
@@ -32,7 +32,10 @@
     Deserialize,
     Serialize, //
 };
-use std::net::SocketAddr;
+use std::net::{
+    IpAddr,
+    SocketAddr, //
+};
 use std::path::Path;
 
 /// The settings of one instance.
@@ -64,6 +67,10 @@
     /// The organisations that callers may name; empty: all in the store.
     #[serde(default)]
     pub organisations: Vec<OrganisationId>,
+    /// The address that connections to upstreams are made from, where the
+    /// machine has several; else the system chooses.
+    #[serde(default)]
+    pub upstream_source: Option<IpAddr>,
     /// How many threads run the instance.
     #[serde(default = "default_workers")]
     pub workers: usize,
--- a/crates/foxtide-entry/src/http/stream.rs
+++ b/crates/foxtide-entry/src/http/stream.rs
@@ -1,6 +1,11 @@
 //! A socket with what was read from it beyond the last message.
 
 use smol::Async;
+use socket2::{
+    Domain,
+    Socket,
+    Type, //
+};
 use std::future::pending;
 use std::io::{
     self,
@@ -8,6 +13,7 @@
     Write, //
 };
 use std::net::{
+    IpAddr,
     Shutdown,
     SocketAddr,
     TcpStream, //
@@ -56,8 +62,11 @@
     /// # Errors
     ///
     /// Fails where the peer does not take the connection.
-    pub(crate) async fn connect(address: SocketAddr) -> io::Result<Self> {
-        let socket = Async::<TcpStream>::connect(address).await?;
+    pub(crate) async fn connect(address: SocketAddr, source: Option<IpAddr>) -> io::Result<Self> {
+        let socket = match source {
+            Some(source) => connect_from(source, address).await?,
+            None => Async::<TcpStream>::connect(address).await?,
+        };
         Ok(Self::new(socket))
     }
 
@@ -179,3 +188,29 @@
         }
     }
 }
+
+/// Connects from an address of this machine's own.
+async fn connect_from(source: IpAddr, address: SocketAddr) -> io::Result<Async<TcpStream>> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&SocketAddr::new(source, 0).into())?;
+    match socket.connect(&address.into()) {
+        Ok(()) => {}
+        Err(error) if is_under_way(&error) => {}
+        Err(error) => return Err(error),
+    }
+    let stream = Async::new(TcpStream::from(socket))?;
+    // The connection is made, or has failed, once it can be written to
+    // (connect(2), EINPROGRESS).
+    stream.writable().await?;
+    match stream.get_ref().take_error()? {
+        Some(error) => Err(error),
+        None => Ok(stream),
+    }
+}
+
+/// Tells whether a connection is being made, which is no failure.
+fn is_under_way(error: &io::Error) -> bool {
+    const EINPROGRESS: i32 = 115;
+    error.kind() == io::ErrorKind::WouldBlock || error.raw_os_error() == Some(EINPROGRESS)
+}
--- a/crates/foxtide-entry/src/options.rs
+++ b/crates/foxtide-entry/src/options.rs
@@ -4,6 +4,7 @@
 use foxtide_core::ids::OrganisationId;
 use foxtide_core::units::ByteSize;
 use std::net::{
+    IpAddr,
     Ipv4Addr,
     SocketAddr, //
 };
@@ -126,6 +127,8 @@
     pub idle_time_non_idempotent: Duration,
     /// The time to connect. Default: 1 s.
     pub connect_time: Duration,
+    /// The address to connect from. Default: none, the system chooses.
+    pub source: Option<IpAddr>,
     /// Whether each answer must name its request from the first one on, and
     /// not only once the upstream has done so. Only then can no early or second
     /// answer ever pass for another's; upstreams that never name requests
@@ -140,6 +143,7 @@
             idle_time: Duration::from_secs(30),
             idle_time_non_idempotent: Duration::from_secs(1),
             connect_time: Duration::from_secs(1),
+            source: None,
             request_names_required: false,
         }
     }
--- a/crates/foxtide-entry/src/upstream/exchange.rs
+++ b/crates/foxtide-entry/src/upstream/exchange.rs
@@ -188,7 +188,8 @@
     request: &UpstreamRequest<'_>,
 ) -> Result<BufferedStream, FailureKind> {
     let limit = pools.options().connect_time.min(request.time_left);
-    let connected = within(limit, BufferedStream::connect(request.address)).await;
+    let source = pools.options().source;
+    let connected = within(limit, BufferedStream::connect(request.address, source)).await;
     match connected {
         Ok(connected) => Ok(connected?),
         Err(_) => Err(FailureKind::TimedOut),
--- a/crates/foxtide-entry/tests/path.rs
+++ b/crates/foxtide-entry/tests/path.rs
@@ -5,7 +5,8 @@
 use foxtide_core::events::EventCode;
 use foxtide_entry::{
     DrainOptions,
-    EntryOptions, //
+    EntryOptions,
+    PoolOptions, //
 };
 use std::io::Write;
 use std::sync::atomic::Ordering::SeqCst;
@@ -241,3 +242,26 @@
         answer.ends_with("far")
     });
 }
+
+#[test]
+fn verify_upstreams_are_reached_from_the_address_that_is_set() {
+    let (sender, seen) = std::sync::mpsc::channel();
+    let upstream = RawUpstream::start(move |mut stream, _| {
+        while read_message(&mut stream).is_some() {
+            sender.send(stream.peer_addr().unwrap().ip()).unwrap();
+            stream.write_all(HELLO).unwrap();
+        }
+    });
+    let source = "127.0.0.9".parse().unwrap();
+    let options = EntryOptions {
+        pool: PoolOptions {
+            source: Some(source),
+            ..PoolOptions::default()
+        },
+        ..EntryOptions::default()
+    };
+    let world = World::start_with(&[upstream.address], options);
+    let answer = world.caller().ask(&get("/hamutenya/viewer/1"));
+    assert!(answer.ends_with("hello"), "{answer}");
+    assert_eq!(seen.recv().unwrap(), source);
+}
--- a/crates/foxtide/examples/demo/world.rs
+++ b/crates/foxtide/examples/demo/world.rs
@@ -34,6 +34,7 @@
 };
 use foxtide_core::organisation::{
     Organisation,
+    Region,
     Upstream, //
 };
 use foxtide_core::units::Revision;
@@ -51,6 +52,7 @@
 use smol::Timer;
 use std::collections::BTreeMap;
 use std::net::{
+    IpAddr,
     Ipv4Addr,
     SocketAddr, //
 };
@@ -178,6 +180,7 @@
             region: place.region.clone(),
             availability_zone: place.availability_zone.clone(),
             cluster: self.tenant.name.to_owned(),
+            upstream_source: Some(place.source),
             caller: any_port(),
             admin: any_port(),
             peer: any_port(),
@@ -295,15 +298,18 @@
 /// Where an instance stands.
 struct Place {
     region: RegionId,
+    source: IpAddr,
     availability_zone: AvailabilityZoneId,
 }
 
 fn places(document: &Organisation) -> Vec<Place> {
     let mut places = Vec::new();
+    let sources = sources(document);
     for region in &document.regions {
         for zone in &region.availability_zones {
             places.push(Place {
                 region: region.region.clone(),
+                source: sources[&region.region],
                 availability_zone: zone.clone(),
             });
         }
@@ -321,22 +327,43 @@
 /// Starts a stand-in for every upstream and puts its address into the document.
 async fn start_upstreams(
     document: &mut Organisation,
-    delay: Duration,
+    zone_delay: Duration,
 ) -> Result<BTreeMap<UpstreamId, UpstreamServer>> {
     let mut servers = BTreeMap::new();
+    let sources = sources(document);
+    let links = document.links.clone();
     let upstreams = document
         .services
         .iter_mut()
         .flat_map(|it| &mut it.upstreams);
     for (number, upstream) in upstreams.enumerate() {
         let server = UpstreamServer::start(options_of(upstream, number)).await?;
-        server.set_link_delay(delay);
+        for (region, source) in &sources {
+            let link = links
+                .iter()
+                .find(|it| it.from == *region && it.to == upstream.region);
+            let delay = link.map_or(zone_delay, |it| Duration::from_secs_f64(it.delay_ms / 1e3));
+            server.set_link_delay_to(*source, delay);
+        }
         upstream.address = server.address();
         servers.insert(upstream.upstream.clone(), server);
     }
     Ok(servers)
 }
 
+/// Returns the address from which the instances of each region connect, by
+/// which the upstreams' stand-ins tell how far away they are.
+fn sources(document: &Organisation) -> BTreeMap<RegionId, IpAddr> {
+    let regions = document.regions.iter().zip(1..);
+    let source = |(region, number): (&Region, u8)| {
+        (
+            region.region.clone(),
+            Ipv4Addr::new(127, 0, 1, number).into(),
+        )
+    };
+    regions.map(source).collect()
+}
+
 fn options_of(upstream: &Upstream, number: usize) -> UpstreamOptions {
     UpstreamOptions {
         name: upstream.upstream.to_string(),
--- a/crates/foxtide/src/node/options.rs
+++ b/crates/foxtide/src/node/options.rs
@@ -135,11 +135,13 @@
         lookup_instances: count(limits.lookups.instances_max),
         deadline_max: Duration::from_millis(requests.deadline_max_ms.into()),
         limits: Limits {
+            head: ByteSize::from_bytes(requests.head_max_bytes),
             request_body: ByteSize::from_bytes(requests.body_max_bytes),
             connections: count(requests.connections_max),
             in_flight: count(requests.in_flight_max),
             waiting: count(requests.waiting_max),
             head_time: Duration::from_millis(requests.head_timeout_ms.into()),
+            body_time: Duration::from_millis(requests.body_timeout_ms.into()),
             idle_time: Duration::from_millis(requests.idle_timeout_ms.into()),
             ..Limits::default()
         },
@@ -153,6 +155,7 @@
         pool: PoolOptions {
             connect_time: Duration::from_millis(limits.upstreams.connect_timeout_ms.into()),
             idle_time: Duration::from_millis(limits.upstreams.idle_timeout_ms.into()),
+            source: settings.upstream_source,
             ..PoolOptions::default()
         },
         drain: DrainOptions {
