Notice the store's return and a forgotten history sooner

Three delays added up: a call that the cut had swallowed was waited for 3.5 s, and connecting had no limit of its own; after "history forgotten" the whole reading waited for the next period; registrations in doubt were settled by a timer of 0.5 s.

--- a/crates/foxtide-core/src/registry/phase.rs
+++ b/crates/foxtide-core/src/registry/phase.rs
@@ -6,7 +6,7 @@
 /// How long after an outage of the store upstreams that live may take to
 /// register again: two seconds by the platform's word, and what a call of
 /// ours may take to see it.
-pub const RETURN_TIME: Duration = Duration::from_millis(2_300);
+pub const RETURN_TIME: Duration = Duration::from_millis(2_100);
 
 /// What this instance knows of the store's own health.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/foxtide-core/src/registry/table.rs
+++ b/crates/foxtide-core/src/registry/table.rs
@@ -181,6 +181,11 @@
         self.phase
     }
 
+    /// Tells whether an upstream is missing and kept for now.
+    pub fn has_doubts(&self) -> bool {
+        self.entries.values().any(|entry| entry.is_missing)
+    }
+
     /// Removes the upstreams that were missing when the store was away and
     /// have not come back.
     pub fn expire(&mut self, now: MonotonicTime) -> Vec<RegistryChange> {
--- a/crates/foxtide-gateway/src/follow.rs
+++ b/crates/foxtide-gateway/src/follow.rs
@@ -10,6 +10,8 @@
     StoreError,
     StoreIndex, //
 };
+use event_listener::Event;
+use futures_lite::future::or;
 use smol::Timer;
 use std::sync::Arc;
 use std::time::{
@@ -21,13 +23,40 @@
 /// them comes with the next one, so that a busy store costs one call a period.
 const FOLLOW_PERIOD: Duration = Duration::from_millis(800);
 
-/// How long the store waits for a change. A call that a cut has swallowed is
-/// noticed soon after this.
-const FOLLOW_WAIT: Duration = Duration::from_millis(2_000);
+/// How long the store waits for a change. Whether it can still be reached is
+/// learnt from the lease's renewals meanwhile, which cost a tenth of a call.
+const FOLLOW_WAIT: Duration = Duration::from_secs(10);
 
-/// The first pause after a failed call, and the longest; each is jittered.
+/// How long it waits for a change while its last call failed: its answer tells
+/// that it is back.
+const PROBE_WAIT: Duration = Duration::from_millis(20);
+
+/// The first pause after a failed call, and the longest; each is jittered by a
+/// half. What has changed must be known 4 s after the store's return, 2.1 s of
+/// which are for registrations to return, and a call takes up to 1 s.
 const RETRY_PAUSE_FIRST: Duration = Duration::from_millis(150);
-const RETRY_PAUSE_MAX: Duration = Duration::from_millis(800);
+const RETRY_PAUSE_MAX: Duration = Duration::from_millis(400);
+
+/// Tells the follower that another call to the store has failed, so that it
+/// does not wait on a connection that may be dead.
+#[derive(Debug, Default)]
+pub(crate) struct StoreAlarm(Event);
+
+impl StoreAlarm {
+    /// Raises the alarm.
+    pub(crate) fn raise(&self) {
+        self.0.notify(usize::MAX);
+    }
+
+    async fn raised(&self) -> StoreError {
+        self.0.listen().await;
+        StoreError::Unknown {
+            step: "watch",
+            peer: "store".to_owned(),
+            cause: "the renewal of the lease failed".to_owned(),
+        }
+    }
+}
 
 /// Follows the store for as long as the instance runs.
 pub(crate) async fn follow<D: Dialect, S: FleetStore>(shared: Arc<Shared<D>>, store: S) {
@@ -42,7 +71,9 @@
         match follower.step().await {
             Ok(()) => {
                 follower.answered();
-                Timer::at(started + FOLLOW_PERIOD).await;
+                if follower.index.is_some() {
+                    Timer::at(started + FOLLOW_PERIOD).await;
+                }
             }
             Err(error) => {
                 follower.failed(&error);
@@ -79,7 +110,14 @@
     }
 
     async fn read_changes(&mut self, index: StoreIndex) -> Result<(), StoreError> {
-        match self.store.changes(index, FOLLOW_WAIT).await? {
+        let wait = if self.failures > 0 {
+            PROBE_WAIT
+        } else {
+            FOLLOW_WAIT
+        };
+        let shared = Arc::clone(&self.shared);
+        let alarm = async { Err(shared.store_alarm.raised().await) };
+        match or(self.store.changes(index, wait), alarm).await? {
             Changes::Followed { facts, index } => {
                 let mut state = self.shared.state.lock();
                 state.store_answered();
@@ -89,6 +127,7 @@
             Changes::Forgotten => {
                 log::warn!(event = "store.history_lost", index:% = index; "the store has forgotten its changes, all is read again");
                 self.index = None;
+                self.shared.state.lock().store_answered();
             }
         }
         Ok(())
@@ -110,7 +149,8 @@
     }
 
     fn pause(&self) -> Duration {
-        let doubled = RETRY_PAUSE_FIRST * 2_u32.saturating_pow(self.failures.min(6) - 1);
+        let doublings = self.failures.clamp(1, 6) - 1;
+        let doubled = RETRY_PAUSE_FIRST * 2_u32.saturating_pow(doublings);
         doubled.min(RETRY_PAUSE_MAX).mul_f64(0.5 + fastrand::f64())
     }
 }
--- a/crates/foxtide-gateway/src/gateway.rs
+++ b/crates/foxtide-gateway/src/gateway.rs
@@ -3,7 +3,10 @@
 use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::errors::Result;
-use crate::follow::follow;
+use crate::follow::{
+    StoreAlarm,
+    follow, //
+};
 use crate::lifecycle::Lifecycle;
 use crate::listener::{
     Listener,
@@ -41,6 +44,7 @@
     pub(crate) state: Mutex<State>,
     pub(crate) pool: Pool,
     pub(crate) lifecycle: Lifecycle,
+    pub(crate) store_alarm: StoreAlarm,
     pub(crate) executor: Arc<Executor<'static>>,
 }
 
@@ -79,6 +83,7 @@
             state: Mutex::new(State::new(Arc::clone(&options), clock)),
             pool: Pool::default(),
             lifecycle: Lifecycle::default(),
+            store_alarm: StoreAlarm::default(),
             executor: Arc::clone(&executor),
             options,
         });
--- a/crates/foxtide-gateway/src/membership.rs
+++ b/crates/foxtide-gateway/src/membership.rs
@@ -51,6 +51,7 @@
         }
         loop {
             if let Err(error) = self.step().await {
+                self.shared.store_alarm.raise();
                 log::warn!(event = "lease.call_failed", cause:% = error; "a call for the instance's lease failed");
             }
             Timer::after(RENEW_PERIOD.mul_f64(0.9 + 0.2 * fastrand::f64())).await;
--- a/crates/foxtide-gateway/src/state/pick.rs
+++ b/crates/foxtide-gateway/src/state/pick.rs
@@ -82,6 +82,9 @@
     /// Fails where no upstream may get the request now.
     pub(crate) fn pick(&mut self, request: &PickRequest<'_>) -> Result<Pick, NoUpstream> {
         let now = self.clock.now();
+        if self.registry.has_doubts() {
+            self.expire();
+        }
         let allowed = self.allowed(request);
         if allowed.is_empty() {
             return Err(NoUpstream::NoneRegistered);
