--- /dev/null
+++ b/crates/foxtide-core/tests/placement.rs
@@ -0,0 +1,193 @@
+//! The order of upstreams for an object, region shares, the cold rate, health.
+
+use foxtide_core::ids::{
+    InstanceId,
+    RegionId,
+    UpstreamId, //
+};
+use foxtide_core::placement::{
+    AttemptResult,
+    Candidate,
+    ColdShare,
+    ColdTerms,
+    ObjectKey,
+    UpstreamHealth,
+    rank,
+    shares_of, //
+};
+use foxtide_core::time::MonotonicTime;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+fn upstreams(count: usize) -> Vec<UpstreamId> {
+    (0..count)
+        .map(|number| format!("i-{number}").parse().unwrap())
+        .collect()
+}
+
+fn candidates(upstreams: &[UpstreamId]) -> Vec<Candidate<'_>> {
+    upstreams
+        .iter()
+        .map(|upstream| Candidate {
+            upstream,
+            weight: 4.0,
+        })
+        .collect()
+}
+
+fn first<'a>(key: u64, upstreams: &'a [UpstreamId]) -> &'a UpstreamId {
+    let key = ObjectKey::new(&key.to_be_bytes());
+    &upstreams[rank(key, &candidates(upstreams))[0]]
+}
+
+#[test]
+fn verify_only_the_objects_of_a_leaving_upstream_move() {
+    let all = upstreams(12);
+    let rest: Vec<UpstreamId> = all[1..].to_vec();
+    for key in 0..1_000 {
+        let before = first(key, &all);
+        if *before != all[0] {
+            assert_eq!(first(key, &rest), before, "object {key}");
+        }
+    }
+}
+
+#[test]
+fn verify_objects_follow_the_weights() {
+    let names = upstreams(2);
+    let weighted = [
+        Candidate {
+            upstream: &names[0],
+            weight: 3.0,
+        },
+        Candidate {
+            upstream: &names[1],
+            weight: 1.0,
+        },
+    ];
+    let to_first = (0..10_000_u64)
+        .filter(|key| rank(ObjectKey::new(&key.to_be_bytes()), &weighted)[0] == 0)
+        .count();
+    assert!((7_300..7_700).contains(&to_first), "{to_first} of 10,000");
+}
+
+fn regions(slots: [u32; 3]) -> BTreeMap<RegionId, u32> {
+    ["khomas", "erongo", "oshana"]
+        .into_iter()
+        .zip(slots)
+        .map(|(region, slots)| (region.parse().unwrap(), slots))
+        .collect()
+}
+
+#[test]
+fn verify_a_region_keeps_what_it_can_serve_and_sends_the_rest_where_room_is() {
+    let slots = regions([24, 8, 16]);
+    let shares = shares_of(&"erongo".parse().unwrap(), &slots, 3);
+    let of = |region: &str| shares[&region.parse::<RegionId>().unwrap()];
+    assert!((of("erongo") - 0.5).abs() < 1e-9);
+    assert!((of("khomas") - 0.5).abs() < 1e-9);
+    assert!(of("oshana").abs() < 1e-9);
+    let shares = shares_of(&"khomas".parse().unwrap(), &slots, 3);
+    assert!((shares[&"khomas".parse::<RegionId>().unwrap()] - 1.0).abs() < 1e-9);
+}
+
+#[test]
+fn verify_a_region_without_upstreams_is_served_by_the_others() {
+    let mut slots = regions([24, 0, 24]);
+    slots.remove(&"erongo".parse::<RegionId>().unwrap());
+    let shares = shares_of(&"erongo".parse().unwrap(), &slots, 3);
+    let total: f64 = shares.values().sum();
+    assert!((total - 1.0).abs() < 1e-9, "{shares:?}");
+}
+
+const TERMS: ColdTerms = ColdTerms {
+    rate_rps: 3.1,
+    overshoot: 1.5,
+    slack_rps: 5.0,
+};
+
+fn instances(count: usize) -> Vec<InstanceId> {
+    (0..count)
+        .map(|number| format!("edge-{number}").parse().unwrap())
+        .collect()
+}
+
+/// Lets every instance send as much as it may to one cold upstream, and
+/// returns the most that came in any second.
+fn most_in_a_second(views: &[(InstanceId, Vec<InstanceId>)]) -> usize {
+    let upstream = "i-1".parse().unwrap();
+    let mut shares = vec![ColdShare::default(); views.len()];
+    let mut sent_ms = Vec::new();
+    for ms in 0..5_000 {
+        let now = MonotonicTime::from_ms(ms);
+        for (share, (own, view)) in shares.iter_mut().zip(views) {
+            if share.try_take(&upstream, &TERMS, own, view, now) {
+                sent_ms.push(ms);
+            }
+        }
+    }
+    let in_second = |from: u64| sent_ms.iter().filter(move |&&ms| (from..from + 1_000).contains(&ms));
+    (0..4_000)
+        .map(|from| in_second(from).count())
+        .max()
+        .unwrap_or(0)
+}
+
+#[test]
+fn verify_the_cold_rate_holds_over_all_instances() {
+    for count in [1, 3, 10, 71] {
+        let all = instances(count);
+        let views: Vec<_> = all.iter().map(|own| (own.clone(), all.clone())).collect();
+        let most = most_in_a_second(&views);
+        assert!((1..=9).contains(&most), "{count} instances sent {most}");
+    }
+}
+
+#[test]
+fn verify_the_cold_rate_holds_where_instances_believe_in_different_members() {
+    let all = instances(10);
+    let (some, others) = all.split_at(5);
+    let views: Vec<_> = all
+        .iter()
+        .map(|own| {
+            let view = if some.contains(own) { some } else { others };
+            (own.clone(), view.to_vec())
+        })
+        .collect();
+    let most = most_in_a_second(&views);
+    assert!(most <= 9, "{most} in a second");
+}
+
+#[test]
+fn verify_failures_in_a_row_eject_for_a_growing_time() {
+    let mut health = UpstreamHealth::default();
+    let now = MonotonicTime::from_ms(1_000);
+    for _ in 0..3 {
+        assert!(!health.is_ejected(now));
+        health.begin();
+        health.end(AttemptResult::Faulty, now);
+    }
+    assert!(health.is_ejected(now));
+    let later = now + Duration::from_millis(600);
+    assert!(!health.is_ejected(later));
+    health.begin();
+    health.end(AttemptResult::Faulty, later);
+    assert!(health.is_ejected(later + Duration::from_millis(900)));
+}
+
+#[test]
+fn verify_a_few_failures_among_many_answers_eject_nothing() {
+    let mut health = UpstreamHealth::default();
+    let now = MonotonicTime::from_ms(1_000);
+    let latency = Duration::from_millis(30);
+    for _ in 0..50 {
+        health.begin();
+        health.end(AttemptResult::Faulty, now);
+        for _ in 0..4 {
+            health.begin();
+            health.end(AttemptResult::Answered { latency }, now);
+        }
+    }
+    assert!(!health.is_ejected(now));
+    assert_eq!(health.in_flight(), 0);
+}
--- /dev/null
+++ b/crates/foxtide-core/tests/registry.rs
@@ -0,0 +1,174 @@
+//! Registered upstreams and live instances, also while the store is away.
+
+use foxtide_core::ids::{
+    ServiceId,
+    UpstreamId, //
+};
+use foxtide_core::registry::{
+    Member,
+    Members,
+    RETURN_TIME,
+    Registration,
+    Registry,
+    RegistryChange,
+    StorePhase,
+    UpstreamState, //
+};
+use foxtide_core::time::MonotonicTime;
+use std::collections::HashSet;
+use std::time::Duration;
+
+fn at(ms: u64) -> MonotonicTime {
+    MonotonicTime::from_ms(ms)
+}
+
+fn upstream(name: &str) -> UpstreamId {
+    name.parse().unwrap()
+}
+
+fn service() -> ServiceId {
+    "viewer".parse().unwrap()
+}
+
+fn registration(name: &str) -> Registration {
+    Registration {
+        upstream: upstream(name),
+        service: service(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        availability_zone: "khomas-a".parse().unwrap(),
+        region: "khomas".parse().unwrap(),
+        slots: 4,
+        state: UpstreamState::Ready,
+        cold_remaining: Duration::ZERO,
+    }
+}
+
+fn eligible(registry: &Registry) -> Vec<&str> {
+    let eligible = registry.eligible(&service()).iter();
+    eligible
+        .map(|registered| registered.registration.upstream.as_str())
+        .collect()
+}
+
+#[test]
+fn verify_a_draining_upstream_gets_nothing() {
+    let mut registry = Registry::default();
+    registry.register(registration("i-1"), at(0));
+    let draining = Registration {
+        state: UpstreamState::Draining,
+        ..registration("i-1")
+    };
+    let change = registry.register(draining, at(5));
+    assert_eq!(change, RegistryChange::Left(upstream("i-1")));
+    assert!(eligible(&registry).is_empty());
+}
+
+#[test]
+fn verify_a_missing_upstream_is_gone_at_once_while_the_store_is_steady() {
+    let mut registry = Registry::default();
+    registry.register(registration("i-1"), at(0));
+    registry.unregister(&upstream("i-1"), at(5));
+    assert!(eligible(&registry).is_empty());
+}
+
+#[test]
+fn verify_lapses_of_an_outage_are_doubted_until_upstreams_had_time_to_return() {
+    let mut registry = Registry::default();
+    registry.register(registration("i-1"), at(0));
+    registry.register(registration("i-2"), at(0));
+    registry.store_failed();
+    registry.store_answered(at(1_000));
+    let changes = registry.replace(Vec::new(), at(1_000));
+    assert_eq!(changes.len(), 2);
+    assert_eq!(eligible(&registry), ["i-1", "i-2"]);
+
+    registry.register(registration("i-2"), at(1_500));
+    let settled = at(1_000) + RETURN_TIME + Duration::from_millis(1);
+    assert!(registry.has_doubts());
+    assert_eq!(
+        registry.expire(settled),
+        [RegistryChange::Left(upstream("i-1"))]
+    );
+    assert_eq!(eligible(&registry), ["i-2"]);
+}
+
+#[test]
+fn verify_a_lapse_after_the_return_time_is_believed() {
+    let mut registry = Registry::default();
+    registry.register(registration("i-1"), at(0));
+    registry.store_failed();
+    registry.store_answered(at(1_000));
+    let later = at(1_000) + RETURN_TIME + Duration::from_millis(1);
+    registry.store_answered(later);
+    registry.unregister(&upstream("i-1"), later);
+    assert!(eligible(&registry).is_empty());
+}
+
+#[test]
+fn verify_an_upstream_that_was_leaving_is_not_kept_in_doubt() {
+    let mut registry = Registry::default();
+    let draining = Registration {
+        state: UpstreamState::Draining,
+        ..registration("i-1")
+    };
+    registry.register(draining, at(0));
+    registry.store_failed();
+    let change = registry.unregister(&upstream("i-1"), at(10));
+    assert_eq!(change, RegistryChange::Left(upstream("i-1")));
+}
+
+#[test]
+fn verify_an_incarnation_whose_address_another_has_never_returns() {
+    let mut registry = Registry::default();
+    registry.register(registration("i-1"), at(0));
+    registry.discard(&upstream("i-1"), at(10));
+    registry.register(registration("i-1"), at(20));
+    assert!(eligible(&registry).is_empty());
+}
+
+#[test]
+fn verify_an_evacuated_zone_gets_nothing_and_returns_cold() {
+    let mut registry = Registry::default();
+    let cold = Duration::from_secs(3);
+    registry.register(registration("i-1"), at(0));
+    let zones = HashSet::from(["khomas-a".parse().unwrap()]);
+    registry.set_evacuated(zones, cold, at(100));
+    assert!(eligible(&registry).is_empty());
+    registry.set_evacuated(HashSet::new(), cold, at(200));
+    let returned = &registry.eligible(&service())[0];
+    assert!(returned.is_cold(at(3_100)));
+    assert!(!returned.is_cold(at(3_200)));
+}
+
+fn member(name: &str, region: &str) -> Member {
+    Member {
+        instance: name.parse().unwrap(),
+        caller_address: "127.0.0.1:9".parse().unwrap(),
+        availability_zone: format!("{region}-a").parse().unwrap(),
+        region: region.parse().unwrap(),
+    }
+}
+
+#[test]
+fn verify_callers_are_directed_to_their_region_or_anywhere_where_it_has_none() {
+    let mut members = Members::default();
+    members.join(member("one", "khomas"));
+    members.join(member("two", "erongo"));
+    let near = members.nearest(&"erongo".parse().unwrap());
+    assert_eq!(near, [&member("two", "erongo")]);
+    assert_eq!(members.nearest(&"oshana".parse().unwrap()).len(), 2);
+}
+
+#[test]
+fn verify_a_lease_that_lapses_in_an_outage_does_not_end_an_instance() {
+    let mut members = Members::default();
+    members.join(member("one", "khomas"));
+    let instance = "one".parse().unwrap();
+    assert!(!members.leave(&instance, StorePhase::Away, at(10)));
+    assert_eq!(members.all().count(), 1);
+    let back = StorePhase::Back { since: at(20) };
+    members.expire(back, at(30));
+    assert_eq!(members.all().count(), 1);
+    members.expire(back, at(21) + RETURN_TIME);
+    assert_eq!(members.all().count(), 0);
+}
