Ask a peer what the store says where it turns an instance away

Change: an instance keeps the records that it has read (latest by key, removals among them) and tells peers what has changed after an index, over length-delimited frames with prost, while the store answers it itself. One whose call to the store fails asks a peer. An instance that the members do not count takes no part of a cold upstream's rate.

--- a/crates/foxtide-core/src/registry/members.rs
+++ b/crates/foxtide-core/src/registry/members.rs
@@ -17,6 +17,8 @@
     pub instance: InstanceId,
     /// Where callers send requests.
     pub caller_address: SocketAddr,
+    /// Where other instances ask.
+    pub peer_address: SocketAddr,
     /// Where it stands.
     pub availability_zone: AvailabilityZoneId,
     /// The region of its availability zone.
@@ -89,13 +91,9 @@
         self.entries.values().map(|entry| &entry.member)
     }
 
-    /// Returns the names of all members and of `own`.
-    pub fn names_with(&self, own: &InstanceId) -> Vec<InstanceId> {
-        let mut names: Vec<InstanceId> = self.entries.keys().cloned().collect();
-        if !self.entries.contains_key(own) {
-            names.push(own.clone());
-        }
-        names
+    /// Returns the names of all members.
+    pub fn names(&self) -> Vec<InstanceId> {
+        self.entries.keys().cloned().collect()
     }
 
     /// Returns the members to which callers of `region` are directed: those of
--- a/crates/foxtide-core/tests/registry.rs
+++ b/crates/foxtide-core/tests/registry.rs
@@ -144,6 +144,7 @@
     Member {
         instance: name.parse().unwrap(),
         caller_address: "127.0.0.1:9".parse().unwrap(),
+        peer_address: "127.0.0.1:10".parse().unwrap(),
         availability_zone: format!("{region}-a").parse().unwrap(),
         region: region.parse().unwrap(),
     }
--- a/crates/foxtide-gateway/src/follow.rs
+++ b/crates/foxtide-gateway/src/follow.rs
@@ -2,9 +2,15 @@
 
 use crate::dialect::Dialect;
 use crate::gateway::Shared;
+use crate::relay::{
+    RelayClient,
+    RelayError, //
+};
 use crate::store::{
     Changes,
-    FleetStore, //
+    Fact,
+    FleetStore,
+    Record, //
 };
 use foxtide_core::store::{
     StoreError,
@@ -13,6 +19,7 @@
 use event_listener::Event;
 use futures_lite::future::or;
 use smol::Timer;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{
     Duration,
@@ -63,6 +70,7 @@
     let mut follower = Follower {
         shared,
         store,
+        relay: RelayClient::default(),
         index: None,
         failures: 0,
     };
@@ -76,7 +84,7 @@
                 }
             }
             Err(error) => {
-                follower.failed(&error);
+                follower.failed(&error).await;
                 Timer::after(follower.pause()).await;
             }
         }
@@ -86,6 +94,7 @@
 struct Follower<D, S> {
     shared: Arc<Shared<D>>,
     store: S,
+    relay: RelayClient,
     /// Where to go on from; nothing where all has to be read.
     index: Option<StoreIndex>,
     failures: u32,
@@ -101,11 +110,7 @@
 
     async fn read_all(&mut self) -> Result<(), StoreError> {
         let snapshot = self.store.read_all().await?;
-        let mut state = self.shared.state.lock();
-        state.store_answered();
-        log::info!(event = "store.read", index:% = snapshot.index, facts = snapshot.facts.len(); "all was read from the store");
-        state.replace(snapshot.facts);
-        self.index = Some(snapshot.index);
+        self.replace(snapshot.records, snapshot.index);
         Ok(())
     }
 
@@ -118,12 +123,7 @@
         let shared = Arc::clone(&self.shared);
         let alarm = async { Err(shared.store_alarm.raised().await) };
         match or(self.store.changes(index, wait), alarm).await? {
-            Changes::Followed { facts, index } => {
-                let mut state = self.shared.state.lock();
-                state.store_answered();
-                state.apply(facts);
-                self.index = Some(index);
-            }
+            Changes::Followed { records, index } => self.apply(&records, index),
             Changes::Forgotten => {
                 log::warn!(event = "store.history_lost", index:% = index; "the store has forgotten its changes, all is read again");
                 self.index = None;
@@ -133,19 +133,87 @@
         Ok(())
     }
 
+    /// Takes in all that the store holds.
+    fn replace(&mut self, records: Vec<Record>, index: StoreIndex) {
+        log::info!(event = "store.read", index:% = index, records = records.len(); "all that the store holds was read");
+        let facts = self.facts(&records);
+        let mut state = self.shared.state.lock();
+        state.store_answered();
+        state.log_mut().replace(&records, index);
+        state.replace(facts);
+        self.index = Some(index);
+    }
+
+    /// Takes in what has changed.
+    fn apply(&mut self, records: &[Record], index: StoreIndex) {
+        let facts = self.facts(records);
+        let mut state = self.shared.state.lock();
+        state.store_answered();
+        state.log_mut().append(records, index);
+        state.apply(facts);
+        self.index = Some(index);
+    }
+
+    fn facts(&self, records: &[Record]) -> Vec<Fact> {
+        records
+            .iter()
+            .filter_map(|record| self.store.fact(record))
+            .collect()
+    }
+
     fn answered(&mut self) {
         if self.failures > 0 {
             log::info!(event = "store.regained", failures = self.failures; "the store answers again");
         }
         self.failures = 0;
+        self.shared.state.lock().set_store_followed(true);
     }
 
-    fn failed(&mut self, error: &StoreError) {
+    /// Notes a failed call and asks a peer instead.
+    async fn failed(&mut self, error: &StoreError) {
         if self.failures == 0 {
             log::warn!(event = "store.lost", cause:% = error; "the store does not answer");
         }
         self.failures += 1;
-        self.shared.state.lock().store_failed();
+        self.shared.state.lock().set_store_followed(false);
+        if let Err(error) = self.ask_peer().await {
+            log::debug!(event = "peer.not_asked", cause:% = error; "no peer tells what the store says");
+            self.shared.state.lock().store_failed();
+        }
+    }
+
+    async fn ask_peer(&mut self) -> Result<(), RelayError> {
+        let peers = self.peers();
+        let relayed = self.relay.ask(&peers, self.index).await?;
+        metrics::counter!("foxtide_relay_reads_total").increment(1);
+        if relayed.is_everything {
+            self.replace(relayed.records, relayed.index);
+        } else {
+            self.apply(&relayed.records, relayed.index);
+        }
+        Ok(())
+    }
+
+    /// Returns the addresses of other instances, those of the region first.
+    fn peers(&self) -> Vec<SocketAddr> {
+        let options = &self.shared.options;
+        let state = self.shared.state.lock();
+        let others = state
+            .members()
+            .all()
+            .filter(|member| member.instance != options.place.instance);
+        let (near, far): (Vec<_>, Vec<_>) =
+            others.partition(|member| member.region == options.place.region);
+        let mut peers: Vec<SocketAddr> = near
+            .into_iter()
+            .chain(far)
+            .map(|member| member.peer_address)
+            .collect();
+        if peers.is_empty() {
+            let own = self.shared.addresses.peers;
+            peers.extend(options.seed_peers.iter().filter(|&&seed| seed != own));
+        }
+        peers
     }
 
     fn pause(&self) -> Duration {
--- a/crates/foxtide-gateway/src/gateway.rs
+++ b/crates/foxtide-gateway/src/gateway.rs
@@ -10,7 +10,8 @@
 use crate::lifecycle::Lifecycle;
 use crate::listener::{
     Listener,
-    accept, //
+    accept,
+    bind_peers, //
 };
 use crate::membership::keep_membership;
 use crate::options::{
@@ -18,9 +19,11 @@
     GatewayOptions, //
 };
 use crate::pool::Pool;
+use crate::relay::serve_peers;
 use crate::state::State;
 use crate::store::FleetStore;
 use parking_lot::Mutex;
+use smol::net::TcpListener;
 use smol::{
     Executor,
     Task,
@@ -73,6 +76,7 @@
             callers: listeners.address_of(options.addresses.callers),
             readiness: listeners.address_of(options.addresses.readiness),
             directory: listeners.address_of(options.addresses.directory),
+            peers: listeners.peers_address,
         };
         let options = Arc::new(options);
         let clock = Clock::default();
@@ -88,6 +92,7 @@
             options,
         });
         let mut tasks = Vec::new();
+        tasks.push(executor.spawn(serve_peers(Arc::clone(&shared), listeners.peers)));
         for listener in listeners.bound.into_values() {
             tasks.push(executor.spawn(accept(Arc::clone(&shared), listener)));
         }
@@ -155,9 +160,11 @@
     }
 }
 
-/// The listeners, by the address that was asked for.
+/// The callers' listeners, by the address that was asked for, and the peers'.
 struct Bound {
     bound: BTreeMap<SocketAddr, Listener>,
+    peers: TcpListener,
+    peers_address: SocketAddr,
 }
 
 impl Bound {
@@ -173,5 +180,10 @@
             entry.insert(Listener::bind(address)?);
         }
     }
-    Ok(Bound { bound })
+    let (peers, peers_address) = bind_peers(addresses.peers)?;
+    Ok(Bound {
+        bound,
+        peers,
+        peers_address,
+    })
 }
--- a/crates/foxtide-gateway/src/lib.rs
+++ b/crates/foxtide-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod membership;
 mod options;
 mod pool;
+mod relay;
 mod state;
 mod store;
 
@@ -46,5 +47,6 @@
     Fact,
     FleetStore,
     LeaseId,
+    Record,
     Snapshot, //
 };
--- a/crates/foxtide-gateway/src/listener.rs
+++ b/crates/foxtide-gateway/src/listener.rs
@@ -48,6 +48,16 @@
     }
 }
 
+/// Binds the listener for other instances; returns it and its address.
+///
+/// # Errors
+///
+/// Fails as [`Listener::bind`] does.
+pub(crate) fn bind_peers(address: SocketAddr) -> Result<(smol::net::TcpListener, SocketAddr)> {
+    let bound = Listener::bind(address)?;
+    Ok((bound.socket.into(), bound.address))
+}
+
 /// Accepts connections and serves each in a task of its own.
 pub(crate) async fn accept<D: Dialect>(shared: Arc<Shared<D>>, listener: Listener) {
     loop {
--- a/crates/foxtide-gateway/src/membership.rs
+++ b/crates/foxtide-gateway/src/membership.rs
@@ -79,6 +79,7 @@
         Member {
             instance: place.instance.clone(),
             caller_address: self.shared.addresses.callers,
+            peer_address: self.shared.addresses.peers,
             availability_zone: place.availability_zone.clone(),
             region: place.region.clone(),
         }
--- a/crates/foxtide-gateway/src/options.rs
+++ b/crates/foxtide-gateway/src/options.rs
@@ -19,6 +19,8 @@
     pub place: Place,
     /// Its listeners.
     pub addresses: Addresses,
+    /// Peers to ask before the store has named any.
+    pub seed_peers: Vec<SocketAddr>,
     /// What binds all instances together.
     pub bounds: Bounds,
 }
@@ -60,6 +62,8 @@
     pub readiness: SocketAddr,
     /// Where callers look up instances; may be one of the others.
     pub directory: SocketAddr,
+    /// Where other instances ask; never one of the others.
+    pub peers: SocketAddr,
 }
 
 impl Default for Addresses {
@@ -69,6 +73,7 @@
             callers: any_port,
             readiness: any_port,
             directory: any_port,
+            peers: any_port,
         }
     }
 }
--- /dev/null
+++ b/crates/foxtide-gateway/src/relay/messages.rs
@@ -0,0 +1,62 @@
+//! The messages between instances; the attributes are what a generator would
+//! have written from their schema.
+
+use crate::store::Record;
+use foxtide_core::store::StoreIndex;
+
+/// Asks for what has changed in the store.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct ChangesRequest {
+    /// The index up to which the asker knows the store.
+    #[prost(uint64, optional, tag = "1")]
+    pub(super) after: Option<u64>,
+}
+
+/// What has changed, or all that there is.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct ChangesResponse {
+    /// Whether the store answers this instance itself.
+    #[prost(bool, tag = "1")]
+    pub(super) is_current: bool,
+    /// Whether the records are all that the store holds.
+    #[prost(bool, tag = "2")]
+    pub(super) is_everything: bool,
+    /// The index at which the records are complete.
+    #[prost(uint64, tag = "3")]
+    pub(super) index: u64,
+    /// The records, in the order of their indices.
+    #[prost(message, repeated, tag = "4")]
+    pub(super) records: Vec<RecordMessage>,
+}
+
+/// A key of the store.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct RecordMessage {
+    #[prost(string, tag = "1")]
+    key: String,
+    /// Absent where the key was removed.
+    #[prost(bytes = "vec", optional, tag = "2")]
+    value: Option<Vec<u8>>,
+    #[prost(uint64, tag = "3")]
+    index: u64,
+}
+
+impl From<Record> for RecordMessage {
+    fn from(record: Record) -> Self {
+        Self {
+            key: record.key,
+            value: record.value,
+            index: record.index.get(),
+        }
+    }
+}
+
+impl From<RecordMessage> for Record {
+    fn from(message: RecordMessage) -> Self {
+        Self {
+            key: message.key,
+            value: message.value,
+            index: StoreIndex::new(message.index),
+        }
+    }
+}
--- a/crates/foxtide-gateway/src/state/mod.rs
+++ b/crates/foxtide-gateway/src/state/mod.rs
@@ -13,6 +13,7 @@
 use crate::clock::Clock;
 use crate::journal;
 use crate::options::GatewayOptions;
+use crate::relay::RecordLog;
 use crate::store::Fact;
 use foxtide_core::ids::{
     AvailabilityZoneId,
@@ -70,6 +71,8 @@
     pub(super) members: Members,
     pub(super) health: HashMap<UpstreamId, UpstreamHealth>,
     pub(super) cold: ColdShare,
+    log: RecordLog,
+    is_store_followed: bool,
     splits: HashMap<String, SplitCounter>,
     budgets: HashMap<ServiceId, RetryBudget>,
 }
@@ -85,6 +88,8 @@
             members: Members::default(),
             health: HashMap::new(),
             cold: ColdShare::default(),
+            log: RecordLog::default(),
+            is_store_followed: false,
             splits: HashMap::new(),
             budgets: HashMap::new(),
         }
@@ -100,12 +105,32 @@
         &self.members
     }
 
-    /// Notes that a call to the store failed.
+    /// Returns what was read of the store.
+    pub(crate) fn log(&self) -> &RecordLog {
+        &self.log
+    }
+
+    /// Returns what was read of the store, to be added to.
+    pub(crate) fn log_mut(&mut self) -> &mut RecordLog {
+        &mut self.log
+    }
+
+    /// Tells whether the store itself answers this instance.
+    pub(crate) fn is_store_followed(&self) -> bool {
+        self.is_store_followed
+    }
+
+    /// Notes whether the store itself answers this instance.
+    pub(crate) fn set_store_followed(&mut self, is_followed: bool) {
+        self.is_store_followed = is_followed;
+    }
+
+    /// Notes that neither the store nor a peer tells what the store says.
     pub(crate) fn store_failed(&mut self) {
         self.registry.store_failed();
     }
 
-    /// Notes that a call to the store was answered.
+    /// Notes that the store, or a peer that it answers, has told what it says.
     pub(crate) fn store_answered(&mut self) {
         self.registry.store_answered(self.clock.now());
     }
--- a/crates/foxtide-gateway/src/state/pick.rs
+++ b/crates/foxtide-gateway/src/state/pick.rs
@@ -189,7 +189,8 @@
             slack_rps: self.options.bounds.cold_slack_rps,
         };
         let own = &self.options.place.instance;
-        let instances = self.members.names_with(own);
+        // An instance that the others do not count has no part of the rate.
+        let instances = self.members.names();
         let upstream = &upstream.registration.upstream;
         self.cold.try_take(upstream, &terms, own, &instances, now)
     }
--- a/crates/foxtide-gateway/src/store.rs
+++ b/crates/foxtide-gateway/src/store.rs
@@ -37,11 +37,22 @@
     Left(InstanceId),
 }
 
+/// A key of the store and what it holds, as it is read and passed on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// The key.
+    pub key: String,
+    /// The value; nothing where the key was removed.
+    pub value: Option<Vec<u8>>,
+    /// The index of the change.
+    pub index: StoreIndex,
+}
+
 /// All that the store holds, and where to go on from.
 #[derive(Clone, Debug, Default)]
 pub struct Snapshot {
-    /// What it holds; nothing in it has ended.
-    pub facts: Vec<Fact>,
+    /// What it holds; no record is of a removed key.
+    pub records: Vec<Record>,
     /// All changes after this index are still to be followed.
     pub index: StoreIndex,
 }
@@ -52,7 +63,7 @@
     /// These changes, in their order.
     Followed {
         /// What is new.
-        facts: Vec<Fact>,
+        records: Vec<Record>,
         /// Where to go on from.
         index: StoreIndex,
     },
@@ -75,9 +86,13 @@
 /// # Contract
 ///
 /// An implementer translates and decides nothing. Reads are linearizable; each
-/// call ends within a time that the implementer states. What cannot be decoded
-/// is left out with a log line. The caller paces its calls.
+/// call ends within a time that the implementer states. The caller paces its
+/// calls.
 pub trait FleetStore: Clone + Send + Sync + 'static {
+    /// Returns what a record means; nothing where it is none of the gateway's
+    /// or cannot be read, which is logged.
+    fn fact(&self, record: &Record) -> Option<Fact>;
+
     /// Reads all that the store holds.
     fn read_all(&self) -> impl Future<Output = StoreResult<Snapshot>> + Send;
 
