Test the gateway between stand-ins for store, upstreams and callers

The tests found one fault: an upstream was told 100 ms more than the caller had left.

Change: 21 tests with a store in memory, scripted upstreams and callers; the upstream is told what is left of the caller's and the route's time, and the margin for its own final answer counts at the instance alone.

--- a/crates/foxtide-core/tests/placement.rs
+++ b/crates/foxtide-core/tests/placement.rs
@@ -35,7 +35,7 @@
         .collect()
 }
 
-fn first<'a>(key: u64, upstreams: &'a [UpstreamId]) -> &'a UpstreamId {
+fn first(key: u64, upstreams: &[UpstreamId]) -> &UpstreamId {
     let key = ObjectKey::new(&key.to_be_bytes());
     &upstreams[rank(key, &candidates(upstreams))[0]]
 }
@@ -126,7 +126,11 @@
             }
         }
     }
-    let in_second = |from: u64| sent_ms.iter().filter(move |&&ms| (from..from + 1_000).contains(&ms));
+    let in_second = |from: u64| {
+        sent_ms
+            .iter()
+            .filter(move |&&ms| (from..from + 1_000).contains(&ms))
+    };
     (0..4_000)
         .map(|from| in_second(from).count())
         .max()
--- a/crates/foxtide-gateway/src/follow.rs
+++ b/crates/foxtide-gateway/src/follow.rs
@@ -12,11 +12,11 @@
     FleetStore,
     Record, //
 };
+use event_listener::Event;
 use foxtide_core::store::{
     StoreError,
     StoreIndex, //
 };
-use event_listener::Event;
 use futures_lite::future::or;
 use smol::Timer;
 use std::net::SocketAddr;
--- a/crates/foxtide-gateway/src/forward/attempt.rs
+++ b/crates/foxtide-gateway/src/forward/attempt.rs
@@ -38,6 +38,10 @@
 /// unreachable.
 const UNACKNOWLEDGED_TIME: Duration = Duration::from_millis(1_000);
 
+/// How long a response is waited for beyond the limit that the upstream was
+/// given: its own word that time is up arrives then.
+const LIMIT_MARGIN: Duration = Duration::from_millis(100);
+
 /// The most responses to other requests that are passed over on a connection.
 const STRAY_RESPONSES_MAX: usize = 4;
 
@@ -114,7 +118,7 @@
     let sent_before = stream.sent_bytes();
     let conversed = converse(shared, &mut stream, request, &bytes);
     let timed = async {
-        Timer::at(ends_at).await;
+        Timer::at(ends_at + LIMIT_MARGIN).await;
         None
     };
     let conversed = or(async { Some(conversed.await) }, timed).await;
--- a/crates/foxtide-gateway/src/forward/run.rs
+++ b/crates/foxtide-gateway/src/forward/run.rs
@@ -29,10 +29,6 @@
     Instant, //
 };
 
-/// How long a response is waited for beyond the limit that the upstream was
-/// given: its own word that time is up arrives then.
-const LIMIT_MARGIN: Duration = Duration::from_millis(100);
-
 /// The most upstreams that are tried in vain, where nothing was sent to them.
 const UNSENT_MAX: u32 = 4;
 
@@ -143,7 +139,7 @@
             self.request,
             &pick.registration,
             self.route.is_idempotent,
-            self.ends_at + LIMIT_MARGIN,
+            self.ends_at,
         )
         .await;
         begun.end(&report);
--- a/crates/foxtide-gateway/src/relay/log.rs
+++ b/crates/foxtide-gateway/src/relay/log.rs
@@ -71,7 +71,10 @@
 
     /// Returns all that the store holds, and the index at which it held it.
     pub(crate) fn all(&self) -> (Vec<Record>, StoreIndex) {
-        let present = self.records.values().filter(|record| record.value.is_some());
+        let present = self
+            .records
+            .values()
+            .filter(|record| record.value.is_some());
         (present.cloned().collect(), self.index)
     }
 }
--- /dev/null
+++ b/crates/foxtide-gateway/tests/gateway/following.rs
@@ -0,0 +1,137 @@
+//! What an instance knows, while the store is away, forgets, or turns it away.
+
+use crate::support::{
+    Behaviour,
+    Caller,
+    Fleet,
+    eventually,
+    route, //
+};
+use foxtide_gateway::Fact;
+use std::time::Duration;
+
+#[test]
+fn verify_a_forgotten_history_is_read_again_without_a_gap() {
+    let fleet = Fleet::new();
+    let one = fleet.upstream("i-1", "khomas-a");
+    let instance = fleet.instance("edge-1", "khomas-a");
+    assert_eq!(instance.get("/safe/", "request: r-1\r\n").head.status, 200);
+    let two = fleet.upstream("i-2", "khomas-a");
+    fleet.store.remove(&one.key());
+    fleet.store.forget();
+    let is_moved = || {
+        instance.get("/safe/", "request: r-2\r\n");
+        !two.seen().is_empty()
+    };
+    eventually("the new upstream gets requests", is_moved);
+    let before = one.seen().len();
+    instance.get("/safe/", "request: r-3\r\n");
+    assert_eq!(one.seen().len(), before);
+}
+
+#[test]
+fn verify_requests_go_on_while_the_store_is_away() {
+    let fleet = Fleet::new();
+    let upstream = fleet.upstream("i-1", "khomas-a");
+    let instance = fleet.instance("edge-1", "khomas-a");
+    assert_eq!(instance.get("/safe/", "request: r-1\r\n").head.status, 200);
+    fleet.store.set_away(true);
+    let calls = fleet.store.calls();
+    eventually("calls fail", || fleet.store.calls() > calls + 3);
+    assert_eq!(instance.get("/safe/", "request: r-2\r\n").head.status, 200);
+    assert_eq!(instance.get("/ready", "").head.status, 200);
+    // The registration lapses while the store is away; the upstream returns.
+    fleet.store.remove(&upstream.key());
+    fleet.store.set_away(false);
+    let calls = fleet.store.calls();
+    eventually("calls go on", || fleet.store.calls() > calls + 2);
+    assert_eq!(instance.get("/safe/", "request: r-3\r\n").head.status, 200);
+    fleet.register(&upstream);
+    std::thread::sleep(Duration::from_millis(2_500));
+    assert_eq!(instance.get("/safe/", "request: r-4\r\n").head.status, 200);
+}
+
+#[test]
+fn verify_a_registration_that_stays_away_after_an_outage_is_gone() {
+    let fleet = Fleet::new();
+    let one = fleet.upstream("i-1", "khomas-a");
+    let instance = fleet.instance("edge-1", "khomas-a");
+    assert_eq!(instance.get("/safe/", "request: r-1\r\n").head.status, 200);
+    fleet.store.set_away(true);
+    let calls = fleet.store.calls();
+    eventually("calls fail", || fleet.store.calls() > calls + 1);
+    fleet.store.remove(&one.key());
+    fleet.store.set_away(false);
+    let is_gone = || instance.get("/safe/", "request: r-2\r\n").head.status == 503;
+    eventually("the upstream is given up", is_gone);
+}
+
+#[test]
+fn verify_an_instance_that_the_store_turns_away_learns_from_a_peer() {
+    let fleet = Fleet::new();
+    let one = fleet.upstream("i-1", "khomas-a");
+    let two = fleet.upstream("i-2", "erongo-a");
+    let _peer = fleet.instance("edge-1", "khomas-a");
+    let instance = fleet.instance("edge-2", "khomas-a");
+    let peers_known = || {
+        let body = instance.get("/lookup?region=khomas", "").body;
+        String::from_utf8_lossy(&body).matches(':').count() == 2
+    };
+    eventually("the instances know each other", peers_known);
+    instance.store.set_turned_away(true);
+    let zone = "khomas-a".parse().unwrap();
+    fleet.store.put("evacuated/khomas-a", Fact::Evacuated(zone));
+    let is_evacuated = || {
+        let before = one.seen().len();
+        for number in 0..5 {
+            instance.get("/safe/", &format!("request: r-{number}\r\n"));
+        }
+        one.seen().len() == before
+    };
+    eventually("the zone is evacuated", is_evacuated);
+    assert!(!two.seen().is_empty());
+}
+
+#[test]
+fn verify_versions_of_the_configuration_never_go_back() {
+    let fleet = Fleet::new();
+    let _upstream = fleet.upstream("i-1", "khomas-a");
+    let instance = fleet.instance("edge-1", "khomas-a");
+    fleet.configure(7, vec![route("new", true)]);
+    let has_new = || instance.get("/new/", "request: r-1\r\n").head.status == 200;
+    eventually("the new version is in force", has_new);
+    fleet.configure(5, vec![route("old", true)]);
+    let calls = fleet.store.calls();
+    eventually("the old one was read", || fleet.store.calls() > calls + 3);
+    assert_eq!(instance.get("/old/", "request: r-2\r\n").head.status, 404);
+    assert_eq!(instance.get("/new/", "request: r-3\r\n").head.status, 200);
+}
+
+#[test]
+fn verify_a_stop_cuts_nothing_and_leaves_the_directory() {
+    let fleet = Fleet::new();
+    let upstream = fleet.upstream("i-1", "khomas-a");
+    let peer = fleet.instance("edge-1", "khomas-a");
+    let mut instance = fleet.instance("edge-2", "khomas-a");
+    let named = |count: usize| {
+        let body = peer.get("/lookup?region=khomas", "").body;
+        String::from_utf8_lossy(&body).matches(':').count() == count
+    };
+    eventually("both are named", || named(2));
+    let slow = Behaviour::Respond(200, "late", Duration::from_millis(1_500));
+    upstream.next(slow);
+    let mut caller = Caller::connect(instance.address());
+    caller.send("GET /once/ HTTP/1.1\r\nhost: a.example\r\nrequest: r-1\r\n\r\n");
+    eventually("the request arrives", || upstream.seen().len() == 1);
+    let address = instance.address();
+    let stopping = std::thread::spawn(move || {
+        instance.stop();
+        instance
+    });
+    eventually("the directory forgets it", || named(1));
+    assert_eq!(Caller::connect(address).get("/ready", "").head.status, 503);
+    let response = caller.read();
+    assert_eq!(response.body, b"late");
+    assert!(response.head.close);
+    stopping.join().unwrap();
+}
--- /dev/null
+++ b/crates/foxtide-gateway/tests/gateway/forwarding.rs
@@ -0,0 +1,259 @@
+//! Requests and responses on their way through an instance.
+
+use crate::support::{
+    Behaviour,
+    Caller,
+    FakeUpstream,
+    Fleet,
+    eventually, //
+};
+use foxtide_core::registry::{
+    Registration,
+    UpstreamState, //
+};
+use foxtide_gateway::Fact;
+use std::time::Duration;
+
+fn fleet_of_one() -> (Fleet, FakeUpstream) {
+    let fleet = Fleet::new();
+    let upstream = fleet.upstream("i-1", "khomas-a");
+    (fleet, upstream)
+}
+
+fn fleet_of_two() -> (Fleet, FakeUpstream, FakeUpstream) {
+    let (fleet, one) = fleet_of_one();
+    let two = fleet.upstream("i-2", "khomas-a");
+    (fleet, one, two)
+}
+
+#[test]
+fn verify_a_response_comes_back_unchanged() {
+    let (fleet, upstream) = fleet_of_one();
+    let instance = fleet.instance("edge-1", "khomas-a");
+    let mut caller = Caller::connect(instance.address());
+    caller.send(
+        "POST /once/a%2Fb/../c?d=e HTTP/1.1\r\nhost: A.example:80\r\nrequest: r-1\r\n\
+         time-left-ms: 2000\r\nconnection: x-private\r\nx-private: 1\r\n\
+         transfer-encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+    );
+    let response = caller.read();
+    assert_eq!(response.head.status, 200);
+    assert_eq!(response.head.lines.text("signature"), Some("s-r-1"));
+    assert_eq!(response.body, b"fine");
+    let seen = &upstream.seen()[0];
+    assert_eq!(seen.text, "POST /once/a%2Fb/../c?d=e abcde");
+    assert_eq!(seen.request, "r-1");
+    assert_eq!(seen.incarnation, "i-1");
+    assert!((1..=2_000).contains(&seen.time_left_ms), "{seen:?}");
+}
+
+#[test]
+fn verify_connections_are_kept_on_both_sides() {
+    let (fleet, upstream) = fleet_of_one();
+    let instance = fleet.instance("edge-1", "khomas-a");
+    let mut caller = Caller::connect(instance.address());
+    for number in 0..5 {
+        let response = caller.get("/safe/", &format!("request: r-{number}\r\n"));
+        assert_eq!(response.head.status, 200);
+    }
+    assert_eq!(upstream.connections(), 1);
+}
+
+#[test]
+fn verify_requests_without_a_route_are_not_found() {
+    let (fleet, _upstream) = fleet_of_one();
+    let instance = fleet.instance("edge-1", "khomas-a");
+    let mut caller = Caller::connect(instance.address());
+    assert_eq!(caller.get("/other/", "request: r-1\r\n").head.status, 404);
+    assert_eq!(caller.get("/safe/", "request: r-2\r\n").head.status, 200);
+}
+
+#[test]
+fn verify_an_instance_that_knows_nothing_says_when_to_come_back() {
+    let fleet = Fleet::default();
+    let instance = fleet.starting_instance("edge-1", "khomas-a");
+    let response = instance.get("/safe/", "request: r-1\r\n");
+    assert_eq!(response.head.status, 503);
+    assert!(response.head.lines.get("retry-after").is_some());
+    assert_eq!(instance.get("/ready", "").head.status, 503);
+}
+
+#[test]
+fn verify_a_request_that_did_not_run_is_sent_to_another_upstream() {
+    for path in ["/safe/", "/once/"] {
+        let (fleet, one, two) = fleet_of_two();
+        let instance = fleet.instance("edge-1", "khomas-a");
+        one.next(Behaviour::Full);
+        two.next(Behaviour::Full);
+        // The first is full, and so is the second: told as not run.
+        let response = instance.get(path, "request: r-1\r\n");
+        assert_eq!(response.head.status, 503);
+        assert!(response.head.lines.get("retry-after").is_some());
+        assert!(response.head.lines.get("not-run").is_none());
+        assert_eq!(one.seen().len() + two.seen().len(), 2);
+        one.next(Behaviour::Full);
+        two.next(Behaviour::WELL);
+        assert_eq!(instance.get(path, "request: r-2\r\n").head.status, 200);
+    }
+}
+
+#[test]
+fn verify_only_idempotent_requests_are_sent_again_after_a_break() {
+    for behaviour in [Behaviour::Break, Behaviour::Cut, Behaviour::Unsigned] {
+        let (fleet, one, two) = fleet_of_two();
+        let instance = fleet.instance("edge-1", "khomas-a");
+        for upstream in [&one, &two] {
+            upstream.next(behaviour.clone());
+        }
+        let response = instance.get("/once/", "request: r-1\r\n");
+        assert_eq!(response.head.status, 502, "{behaviour:?}");
+        assert_eq!(one.seen().len() + two.seen().len(), 1);
+
+        // The upstream that broke first may have been either.
+        let response = instance.get("/safe/", "request: r-2\r\n");
+        let expected = if one.seen().len() + two.seen().len() == 2 {
+            [200, 200]
+        } else {
+            [200, 502]
+        };
+        assert!(expected.contains(&response.head.status), "{behaviour:?}");
+    }
+}
+
+#[test]
+fn verify_a_response_to_another_request_is_passed_over() {
+    let (fleet, upstream) = fleet_of_one();
+    let instance = fleet.instance("edge-1", "khomas-a");
+    upstream.next(Behaviour::Stray);
+    let response = instance.get("/once/", "request: r-1\r\n");
+    assert_eq!(response.head.status, 200);
+    assert_eq!(response.body, b"fine");
+}
+
+#[test]
+fn verify_a_response_that_ends_with_its_connection_is_whole() {
+    let (fleet, upstream) = fleet_of_one();
+    let instance = fleet.instance("edge-1", "khomas-a");
+    upstream.next(Behaviour::Unframed);
+    let response = instance.get("/safe/", "request: r-1\r\n");
+    assert_eq!(response.body, b"unframed");
+    assert_eq!(instance.get("/safe/", "request: r-2\r\n").head.status, 200);
+}
+
+#[test]
+fn verify_a_server_error_is_tried_elsewhere_and_else_delivered() {
+    let (fleet, one, two) = fleet_of_two();
+    let instance = fleet.instance("edge-1", "khomas-a");
+    let error = Behaviour::Respond(500, "broken", Duration::ZERO);
+    one.always(error.clone());
+    two.always(error);
+    let response = instance.get("/safe/", "request: r-1\r\n");
+    assert_eq!(response.head.status, 500);
+    assert_eq!(response.head.lines.text("signature"), Some("s-r-1"));
+    assert_eq!(one.seen().len() + two.seen().len(), 2);
+    let response = instance.get("/once/", "request: r-2\r\n");
+    assert_eq!(response.body, b"broken");
+    assert_eq!(one.seen().len() + two.seen().len(), 3);
+}
+
+#[test]
+fn verify_an_address_that_another_incarnation_has_is_not_used_again() {
+    let (fleet, one, two) = fleet_of_two();
+    let instance = fleet.instance("edge-1", "khomas-a");
+    one.always(Behaviour::OtherIncarnation);
+    for number in 0..8 {
+        let response = instance.get("/once/", &format!("request: r-{number}\r\n"));
+        assert_eq!(response.head.status, 200);
+    }
+    assert!(one.seen().len() <= 1);
+    assert_eq!(two.seen().len(), 8);
+}
+
+#[test]
+fn verify_the_time_limit_gets_its_final_answer() {
+    let (fleet, upstream) = fleet_of_one();
+    let instance = fleet.instance("edge-1", "khomas-a");
+    upstream.always(Behaviour::Silent);
+    for path in ["/safe/", "/once/"] {
+        let lines = "request: r-1\r\ntime-left-ms: 100\r\n";
+        assert_eq!(instance.get(path, lines).head.status, 504);
+    }
+    eventually("the upstream sees the end", || upstream.gone() == 2);
+}
+
+#[test]
+fn verify_work_for_a_caller_that_left_is_dropped_only_where_it_may_be_repeated() {
+    let (fleet, upstream) = fleet_of_one();
+    let instance = fleet.instance("edge-1", "khomas-a");
+    upstream.next(Behaviour::Silent);
+    let mut caller = Caller::connect(instance.address());
+    caller.send("GET /safe/ HTTP/1.1\r\nhost: a.example\r\nrequest: r-1\r\n\r\n");
+    eventually("the request arrives", || upstream.seen().len() == 1);
+    drop(caller);
+    eventually("the upstream sees the end", || upstream.gone() == 1);
+
+    let slow = Behaviour::Respond(200, "done", Duration::from_millis(300));
+    upstream.next(slow);
+    let mut caller = Caller::connect(instance.address());
+    caller.send("GET /once/ HTTP/1.1\r\nhost: a.example\r\nrequest: r-2\r\n\r\n");
+    eventually("the request arrives", || upstream.seen().len() == 2);
+    drop(caller);
+    std::thread::sleep(Duration::from_millis(400));
+    assert_eq!(upstream.gone(), 1);
+}
+
+#[test]
+fn verify_an_object_always_goes_to_the_same_upstream_from_everywhere() {
+    let (fleet, one, two) = fleet_of_two();
+    let first = fleet.instance("edge-1", "khomas-a");
+    let second = fleet.instance("edge-2", "khomas-a");
+    for object in 0..10 {
+        for (number, instance) in [&first, &second, &first].into_iter().enumerate() {
+            let lines = format!("request: r-{object}-{number}\r\nobject: {object}\r\n");
+            assert_eq!(instance.get("/safe/", &lines).head.status, 200);
+        }
+    }
+    for upstream in [&one, &two] {
+        let seen = upstream.seen();
+        assert!(!seen.is_empty());
+        assert_eq!(seen.len() % 3, 0, "an object was split: {seen:?}");
+    }
+}
+
+#[test]
+fn verify_a_draining_upstream_gets_nothing_more() {
+    let (fleet, one, two) = fleet_of_two();
+    let instance = fleet.instance("edge-1", "khomas-a");
+    let draining = Registration {
+        state: UpstreamState::Draining,
+        ..one.registration()
+    };
+    fleet.store.put(&one.key(), Fact::Registered(draining));
+    let is_avoided = || {
+        let before = one.seen().len();
+        for number in 0..10 {
+            instance.get("/safe/", &format!("request: r-{number}\r\n"));
+        }
+        one.seen().len() == before
+    };
+    eventually("the upstream is avoided", is_avoided);
+    assert!(!two.seen().is_empty());
+}
+
+#[test]
+fn verify_malformed_requests_are_refused_and_end_the_connection() {
+    let (fleet, upstream) = fleet_of_one();
+    let instance = fleet.instance("edge-1", "khomas-a");
+    for head in [
+        "GET /safe/ HTTP/1.1\r\nhost: a\r\nhost: b\r\n\r\n",
+        "GET /safe/ HTTP/1.1\r\nhost: a.example\r\ncontent-length: 1\r\ntransfer-encoding: chunked\r\n\r\n",
+        "GET /safe/ HTTP/1.1\r\nhost: a.example\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\n",
+        "GET http://a.example/safe/ HTTP/1.1\r\nhost: a.example\r\n\r\n",
+    ] {
+        let mut caller = Caller::connect(instance.address());
+        caller.send(head);
+        assert_eq!(caller.read().head.status, 400, "{head:?}");
+        assert!(caller.is_ended());
+    }
+    assert!(upstream.seen().is_empty());
+}
--- /dev/null
+++ b/crates/foxtide-gateway/tests/gateway/main.rs
@@ -0,0 +1,5 @@
+//! An instance between stand-ins for store, upstreams and callers.
+
+mod following;
+mod forwarding;
+mod support;
--- /dev/null
+++ b/crates/foxtide-gateway/tests/gateway/support/fleet.rs
@@ -0,0 +1,218 @@
+//! Running instances.
+
+use super::{
+    Caller,
+    FakeStore,
+    FakeUpstream,
+    PlainDialect, //
+};
+use foxtide_core::ids::{
+    AvailabilityZoneId,
+    RegionId, //
+};
+use foxtide_core::routing::{
+    CallerLimits,
+    Route,
+    RouteDocument,
+    ServiceTerms,
+    WeightedService, //
+};
+use foxtide_gateway::{
+    Addresses,
+    Bounds,
+    Fact,
+    Gateway,
+    GatewayOptions,
+    Place, //
+};
+use foxtide_http::WholeResponse;
+use smol::Executor;
+use smol::channel::{
+    Sender,
+    bounded, //
+};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+/// How long a condition may take to hold before a test fails.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Waits until a condition holds.
+pub(crate) fn eventually(what: &str, holds: impl Fn() -> bool) {
+    let ends_at = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < ends_at, "never: {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// A store with a configuration and upstreams, to start instances on.
+#[derive(Debug, Default)]
+pub(crate) struct Fleet {
+    /// The store.
+    pub(crate) store: FakeStore,
+}
+
+impl Fleet {
+    /// Returns a fleet with two routes: `/safe/` is idempotent, `/once/` not.
+    pub(crate) fn new() -> Self {
+        let fleet = Self::default();
+        fleet.configure(1, vec![route("safe", true), route("once", false)]);
+        fleet
+    }
+
+    /// Puts a configuration in force.
+    pub(crate) fn configure(&self, version: u64, routes: Vec<Route>) {
+        let document = RouteDocument {
+            version,
+            routes,
+            services: vec![ServiceTerms {
+                service: "viewer".parse().unwrap(),
+                connections_max: 100,
+                cold_duration: Duration::from_secs(3),
+                cold_rate_rps: 3.0,
+            }],
+            limits: CallerLimits::default(),
+        };
+        self.store
+            .put("configuration", Fact::Configuration(document));
+    }
+
+    /// Starts an upstream and registers it.
+    pub(crate) fn upstream(&self, name: &str, zone: &str) -> FakeUpstream {
+        let upstream = FakeUpstream::start(name, zone);
+        self.register(&upstream);
+        upstream
+    }
+
+    /// Registers an upstream.
+    pub(crate) fn register(&self, upstream: &FakeUpstream) {
+        let fact = Fact::Registered(upstream.registration());
+        self.store.put(&upstream.key(), fact);
+    }
+
+    /// Starts an instance and waits until it is ready.
+    pub(crate) fn instance(&self, name: &str, zone: &str) -> Instance {
+        let instance = self.starting_instance(name, zone);
+        eventually("the instance is ready", || instance.gateway().is_ready());
+        instance
+    }
+
+    /// Starts an instance.
+    pub(crate) fn starting_instance(&self, name: &str, zone: &str) -> Instance {
+        Instance::start(options(name, zone), self.store.for_another())
+    }
+}
+
+/// Returns a route that leads to the service `viewer`.
+pub(crate) fn route(name: &str, is_idempotent: bool) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "a.example".to_owned(),
+        path_prefix: format!("/{name}/"),
+        is_idempotent,
+        timeout: Duration::from_secs(5),
+        latency_objective: Duration::from_millis(500),
+        priority: 1,
+        attempts_max: 2,
+        services: vec![WeightedService {
+            service: "viewer".parse().unwrap(),
+            weight: 1.0,
+        }],
+        has_affinity: true,
+        home_regions: Vec::new(),
+    }
+}
+
+fn options(name: &str, zone: &str) -> GatewayOptions {
+    let regions: BTreeMap<AvailabilityZoneId, RegionId> = ["khomas-a", "erongo-a"]
+        .into_iter()
+        .map(|zone| {
+            let region = zone.split('-').next().unwrap();
+            (zone.parse().unwrap(), region.parse().unwrap())
+        })
+        .collect();
+    let zone: AvailabilityZoneId = zone.parse().unwrap();
+    let region = regions[&zone].clone();
+    GatewayOptions {
+        place: Place {
+            instance: name.parse().unwrap(),
+            availability_zone: zone,
+            region,
+            regions,
+        },
+        addresses: Addresses::default(),
+        seed_peers: Vec::new(),
+        bounds: Bounds {
+            grace: Duration::from_secs(3),
+            ..Bounds::default()
+        },
+    }
+}
+
+/// A running instance with a thread of its own.
+#[derive(Debug)]
+pub(crate) struct Instance {
+    gateway: Option<Gateway<PlainDialect>>,
+    /// Its client of the store.
+    pub(crate) store: FakeStore,
+    stop: Sender<()>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Instance {
+    fn start(options: GatewayOptions, store: FakeStore) -> Self {
+        let executor: Arc<Executor<'static>> = Arc::new(Executor::new());
+        let (stop, stopped) = bounded::<()>(1);
+        let running = Arc::clone(&executor);
+        let thread = std::thread::spawn(move || {
+            // Fails once the sender is dropped, which is the stop as well.
+            let _ = smol::block_on(running.run(stopped.recv()));
+        });
+        let gateway = Gateway::start(options, PlainDialect, store.clone(), executor).unwrap();
+        Self {
+            gateway: Some(gateway),
+            store,
+            stop,
+            thread: Some(thread),
+        }
+    }
+
+    /// Returns the running gateway.
+    pub(crate) fn gateway(&self) -> &Gateway<PlainDialect> {
+        self.gateway.as_ref().expect("the instance has not stopped")
+    }
+
+    /// Returns where callers connect.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.gateway().caller_address()
+    }
+
+    /// Sends one request on a connection of its own.
+    pub(crate) fn get(&self, path: &str, lines: &str) -> WholeResponse {
+        Caller::connect(self.address()).get(path, lines)
+    }
+
+    /// Stops gracefully and waits for the end.
+    pub(crate) fn stop(&mut self) {
+        if let Some(gateway) = self.gateway.take() {
+            smol::block_on(gateway.stop());
+        }
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        drop(self.gateway.take());
+        self.stop.close();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxtide-gateway/tests/gateway/support/mod.rs
@@ -0,0 +1,20 @@
+//! Stand-ins for the platform around a gateway: a store, upstreams, callers.
+
+mod caller;
+mod dialect;
+mod fleet;
+mod store;
+mod upstream;
+
+pub(crate) use caller::Caller;
+pub(crate) use dialect::PlainDialect;
+pub(crate) use fleet::{
+    Fleet,
+    eventually,
+    route, //
+};
+pub(crate) use store::FakeStore;
+pub(crate) use upstream::{
+    Behaviour,
+    FakeUpstream, //
+};
--- /dev/null
+++ b/crates/foxtide-gateway/tests/gateway/support/store.rs
@@ -0,0 +1,215 @@
+//! A store in memory that can be away, turn instances away, and forget.
+
+use foxtide_core::registry::Member;
+use foxtide_core::store::{
+    StoreError,
+    StoreIndex,
+    StoreResult, //
+};
+use foxtide_gateway::{
+    Changes,
+    Fact,
+    FleetStore,
+    LeaseId,
+    Record,
+    Snapshot, //
+};
+use smol::Timer;
+use std::collections::{
+    BTreeMap,
+    HashMap, //
+};
+use std::sync::{
+    Arc,
+    Mutex, //
+};
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+/// How often a waiting watch looks for changes.
+const WATCH_STEP: Duration = Duration::from_millis(5);
+
+#[derive(Debug, Default)]
+struct Contents {
+    index: u64,
+    present: BTreeMap<String, Record>,
+    changes: Vec<Record>,
+    /// Changes up to this index are forgotten.
+    forgotten: u64,
+    /// What the values stand for.
+    facts: HashMap<Vec<u8>, Fact>,
+    leases: HashMap<u64, Vec<String>>,
+    is_away: bool,
+    calls: usize,
+}
+
+/// One instance's client of the store; clones for other instances share what
+/// it holds.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FakeStore {
+    contents: Arc<Mutex<Contents>>,
+    is_turned_away: Arc<Mutex<bool>>,
+}
+
+impl FakeStore {
+    /// Returns a client for another instance.
+    pub(crate) fn for_another(&self) -> Self {
+        Self {
+            contents: Arc::clone(&self.contents),
+            is_turned_away: Arc::default(),
+        }
+    }
+
+    /// Writes a key.
+    pub(crate) fn put(&self, key: &str, fact: Fact) {
+        let mut contents = self.contents.lock().unwrap();
+        contents.write(key, Some(fact));
+    }
+
+    /// Removes a key.
+    pub(crate) fn remove(&self, key: &str) {
+        let mut contents = self.contents.lock().unwrap();
+        contents.write(key, None);
+    }
+
+    /// Sets whether the store answers nobody.
+    pub(crate) fn set_away(&self, is_away: bool) {
+        self.contents.lock().unwrap().is_away = is_away;
+    }
+
+    /// Sets whether the store turns this client away.
+    pub(crate) fn set_turned_away(&self, is_turned_away: bool) {
+        *self.is_turned_away.lock().unwrap() = is_turned_away;
+    }
+
+    /// Forgets all changes so far.
+    pub(crate) fn forget(&self) {
+        let mut contents = self.contents.lock().unwrap();
+        contents.forgotten = contents.index;
+        contents.changes.clear();
+    }
+
+    /// Returns the number of calls so far.
+    pub(crate) fn calls(&self) -> usize {
+        self.contents.lock().unwrap().calls
+    }
+
+    fn enter(&self, step: &'static str) -> StoreResult<()> {
+        let mut contents = self.contents.lock().unwrap();
+        contents.calls += 1;
+        if contents.is_away || *self.is_turned_away.lock().unwrap() {
+            return Err(StoreError::Refused {
+                step,
+                peer: "store".to_owned(),
+                status: 503,
+                cause: "away".to_owned(),
+            });
+        }
+        Ok(())
+    }
+}
+
+impl Contents {
+    fn write(&mut self, key: &str, fact: Option<Fact>) {
+        self.index += 1;
+        let value = fact.map(|fact| {
+            let value = self.index.to_be_bytes().to_vec();
+            self.facts.insert(value.clone(), fact);
+            value
+        });
+        let record = Record {
+            key: key.to_owned(),
+            value,
+            index: StoreIndex::new(self.index),
+        };
+        self.changes.push(record.clone());
+        if record.value.is_some() {
+            self.present.insert(key.to_owned(), record);
+        } else {
+            self.present.remove(key);
+        }
+    }
+}
+
+impl FleetStore for FakeStore {
+    fn fact(&self, record: &Record) -> Option<Fact> {
+        let name = || record.key.split_once('/').map(|(_, name)| name);
+        match &record.value {
+            Some(value) => self.contents.lock().unwrap().facts.get(value).cloned(),
+            None if record.key.starts_with("upstream/") => {
+                Some(Fact::Unregistered(name()?.parse().ok()?))
+            }
+            None if record.key.starts_with("evacuated/") => {
+                Some(Fact::TakenBack(name()?.parse().ok()?))
+            }
+            None if record.key.starts_with("instance/") => Some(Fact::Left(name()?.parse().ok()?)),
+            None => None,
+        }
+    }
+
+    async fn read_all(&self) -> StoreResult<Snapshot> {
+        self.enter("read")?;
+        let contents = self.contents.lock().unwrap();
+        Ok(Snapshot {
+            records: contents.present.values().cloned().collect(),
+            index: StoreIndex::new(contents.index),
+        })
+    }
+
+    async fn changes(&self, index: StoreIndex, wait: Duration) -> StoreResult<Changes> {
+        let ends_at = Instant::now() + wait;
+        loop {
+            self.enter("watch")?;
+            {
+                let contents = self.contents.lock().unwrap();
+                if index.get() < contents.forgotten {
+                    return Ok(Changes::Forgotten);
+                }
+                let newer = contents
+                    .changes
+                    .iter()
+                    .filter(|record| record.index > index);
+                let records: Vec<Record> = newer.cloned().collect();
+                if !records.is_empty() || Instant::now() >= ends_at {
+                    let index = StoreIndex::new(contents.index);
+                    return Ok(Changes::Followed { records, index });
+                }
+            }
+            Timer::after(WATCH_STEP).await;
+        }
+    }
+
+    async fn open_lease(&self, _: Duration) -> StoreResult<LeaseId> {
+        self.enter("open_lease")?;
+        let mut contents = self.contents.lock().unwrap();
+        contents.index += 1;
+        let lease = contents.index;
+        contents.leases.insert(lease, Vec::new());
+        Ok(LeaseId(lease))
+    }
+
+    async fn announce(&self, member: &Member, lease: LeaseId) -> StoreResult<bool> {
+        self.enter("announce")?;
+        let mut contents = self.contents.lock().unwrap();
+        let key = format!("instance/{}", member.instance);
+        contents.write(&key, Some(Fact::Joined(member.clone())));
+        let keys = contents.leases.get_mut(&lease.0);
+        Ok(keys.map(|keys| keys.push(key)).is_some())
+    }
+
+    async fn renew(&self, lease: LeaseId) -> StoreResult<bool> {
+        self.enter("renew_lease")?;
+        Ok(self.contents.lock().unwrap().leases.contains_key(&lease.0))
+    }
+
+    async fn end_lease(&self, lease: LeaseId) -> StoreResult<()> {
+        self.enter("end_lease")?;
+        let mut contents = self.contents.lock().unwrap();
+        for key in contents.leases.remove(&lease.0).unwrap_or_default() {
+            contents.write(&key, None);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/foxtide-gateway/tests/gateway/support/upstream.rs
@@ -0,0 +1,245 @@
+//! Upstreams that do as they are told.
+
+use foxtide_core::registry::{
+    Registration,
+    UpstreamState, //
+};
+use foxtide_http::{
+    BufferedStream,
+    ForwardedRequest,
+    read_body,
+    read_head, //
+};
+use smol::{
+    Async,
+    Task,
+    Timer, //
+};
+use std::collections::VecDeque;
+use std::net::{
+    SocketAddr,
+    TcpListener, //
+};
+use std::sync::{
+    Arc,
+    Mutex, //
+};
+use std::time::Duration;
+
+/// What an upstream does with a request.
+#[derive(Clone, Debug)]
+pub(crate) enum Behaviour {
+    /// Responds with this status and body after a while.
+    Respond(u16, &'static str, Duration),
+    /// Says that it is full and did not run the request.
+    Full,
+    /// Says that another incarnation has the address.
+    OtherIncarnation,
+    /// Reads the request and closes the connection.
+    Break,
+    /// Sends half of the body that it states, then closes.
+    Cut,
+    /// Responds without its signature.
+    Unsigned,
+    /// Sends the response to another request, then the right one.
+    Stray,
+    /// Responds without a length and ends with the connection.
+    Unframed,
+    /// Reads the request and never responds.
+    Silent,
+}
+
+impl Behaviour {
+    /// Responds well at once.
+    pub(crate) const WELL: Self = Self::Respond(200, "fine", Duration::ZERO);
+}
+
+/// What an upstream saw.
+#[derive(Clone, Debug)]
+pub(crate) struct Seen {
+    /// The request's identity.
+    pub(crate) request: String,
+    /// The method, target and body.
+    pub(crate) text: String,
+    /// The incarnation that was addressed.
+    pub(crate) incarnation: String,
+    /// The time that was left.
+    pub(crate) time_left_ms: u64,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    script: Mutex<VecDeque<Behaviour>>,
+    otherwise: Mutex<Option<Behaviour>>,
+    seen: Mutex<Vec<Seen>>,
+    connections: Mutex<usize>,
+    gone: Mutex<usize>,
+}
+
+/// A running upstream; it ends when it is dropped.
+#[derive(Debug)]
+pub(crate) struct FakeUpstream {
+    name: String,
+    zone: String,
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    _task: Task<()>,
+}
+
+impl FakeUpstream {
+    /// Starts an upstream that responds well.
+    pub(crate) fn start(name: &str, zone: &str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let listener = Async::new(listener).unwrap();
+        let shared = Arc::new(Shared::default());
+        let serving = Arc::clone(&shared);
+        let task = smol::spawn(async move {
+            let mut tasks = Vec::new();
+            loop {
+                let (socket, _) = listener.accept().await.unwrap();
+                *serving.connections.lock().unwrap() += 1;
+                let stream = BufferedStream::new(socket);
+                tasks.push(smol::spawn(serve(Arc::clone(&serving), stream)));
+            }
+        });
+        Self {
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            address,
+            shared,
+            _task: task,
+        }
+    }
+
+    /// Sets what it does with the next request; several queue up.
+    pub(crate) fn next(&self, behaviour: Behaviour) {
+        self.shared.script.lock().unwrap().push_back(behaviour);
+    }
+
+    /// Sets what it does with requests that nothing else is set for.
+    pub(crate) fn always(&self, behaviour: Behaviour) {
+        *self.shared.otherwise.lock().unwrap() = Some(behaviour);
+    }
+
+    /// Returns what it saw.
+    pub(crate) fn seen(&self) -> Vec<Seen> {
+        self.shared.seen.lock().unwrap().clone()
+    }
+
+    /// Returns how many connections were made to it.
+    pub(crate) fn connections(&self) -> usize {
+        *self.shared.connections.lock().unwrap()
+    }
+
+    /// Returns how many requests were broken off before their response.
+    pub(crate) fn gone(&self) -> usize {
+        *self.shared.gone.lock().unwrap()
+    }
+
+    /// Returns its key in the store.
+    pub(crate) fn key(&self) -> String {
+        format!("upstream/{}", self.name)
+    }
+
+    /// Returns what it registers.
+    pub(crate) fn registration(&self) -> Registration {
+        Registration {
+            upstream: self.name.parse().unwrap(),
+            service: "viewer".parse().unwrap(),
+            address: self.address,
+            availability_zone: self.zone.parse().unwrap(),
+            region: self.zone.split('-').next().unwrap().parse().unwrap(),
+            slots: 4,
+            state: UpstreamState::Ready,
+            cold_remaining: Duration::ZERO,
+        }
+    }
+}
+
+async fn serve(shared: Arc<Shared>, mut stream: BufferedStream) {
+    while let Ok(Some(bytes)) = read_head(&mut stream, 64 * 1_024).await {
+        let head = ForwardedRequest::parse(&bytes).unwrap();
+        let body = read_body(&mut stream, head.length, 1 << 20).await.unwrap();
+        let text = format!(
+            "{} {} {}",
+            head.method,
+            head.target,
+            String::from_utf8_lossy(&body)
+        );
+        let line = |name| head.lines.text(name).unwrap_or_default().to_owned();
+        let request = line("request");
+        shared.seen.lock().unwrap().push(Seen {
+            request: request.clone(),
+            text,
+            incarnation: line("incarnation"),
+            time_left_ms: line("time-left-ms").parse().unwrap_or_default(),
+        });
+        let behaviour = shared.script.lock().unwrap().pop_front();
+        let otherwise = shared.otherwise.lock().unwrap().clone();
+        let behaviour = behaviour.or(otherwise).unwrap_or(Behaviour::WELL);
+        if !respond(&shared, &mut stream, &request, behaviour).await {
+            return;
+        }
+    }
+}
+
+/// Does what is set; tells whether the connection stays open.
+async fn respond(
+    shared: &Shared,
+    stream: &mut BufferedStream,
+    request: &str,
+    behaviour: Behaviour,
+) -> bool {
+    let signed = format!("request: {request}\r\nsignature: s-{request}\r\n");
+    let text = match behaviour {
+        Behaviour::Respond(status, body, after) => {
+            let gone = async {
+                stream.closed_by_peer().await;
+                true
+            };
+            let ready = async {
+                Timer::after(after).await;
+                false
+            };
+            if smol::future::or(ready, gone).await {
+                *shared.gone.lock().unwrap() += 1;
+                return false;
+            }
+            let length = body.len();
+            format!("HTTP/1.1 {status} x\r\n{signed}content-length: {length}\r\n\r\n{body}")
+        }
+        Behaviour::Full => {
+            format!(
+                "HTTP/1.1 503 x\r\nrequest: {request}\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n"
+            )
+        }
+        Behaviour::OtherIncarnation => format!(
+            "HTTP/1.1 421 x\r\nrequest: {request}\r\nother-incarnation: 1\r\ncontent-length: 0\r\n\r\n"
+        ),
+        Behaviour::Break => return false,
+        Behaviour::Cut => {
+            let text = format!("HTTP/1.1 200 x\r\n{signed}content-length: 8\r\n\r\nhalf");
+            stream.write_all(text.as_bytes()).await.unwrap();
+            return false;
+        }
+        Behaviour::Unsigned => {
+            format!("HTTP/1.1 200 x\r\nrequest: {request}\r\ncontent-length: 4\r\n\r\nfake")
+        }
+        Behaviour::Stray => format!(
+            "HTTP/1.1 200 x\r\nrequest: other\r\nsignature: s\r\ncontent-length: 5\r\n\r\nstray\
+             HTTP/1.1 200 x\r\n{signed}content-length: 4\r\n\r\nfine"
+        ),
+        Behaviour::Unframed => {
+            let text = format!("HTTP/1.1 200 x\r\n{signed}\r\nunframed");
+            stream.write_all(text.as_bytes()).await.unwrap();
+            return false;
+        }
+        Behaviour::Silent => {
+            stream.closed_by_peer().await;
+            *shared.gone.lock().unwrap() += 1;
+            return false;
+        }
+    };
+    stream.write_all(text.as_bytes()).await.is_ok()
+}
