Serve metrics, read settings again, and end a wait for changes after 2 s

(2) No metrics were served on the platform, SIGHUP ended the process, and the first lines about failures were left out, since the budget of lines began empty.

Change: (1) a wait lasts 2 s. The test that every event is recorded searches platform/ as well.

--- a/crates/foxtide-core/src/limits/bucket.rs
+++ b/crates/foxtide-core/src/limits/bucket.rs
@@ -61,6 +61,11 @@
         self.tokens = self.tokens.min(self.burst);
     }
 
+    /// Fills the bucket up to its burst.
+    pub fn fill(&mut self) {
+        self.tokens = self.burst;
+    }
+
     /// Tells whether a token is there, without taking it.
     pub fn has_token(&mut self, now: MonotonicTime) -> bool {
         self.refill(now);
--- a/crates/foxtide-events/src/lines.rs
+++ b/crates/foxtide-events/src/lines.rs
@@ -14,8 +14,8 @@
 /// implement `Display` and `:?` for those that implement `Debug`.
 #[macro_export]
 macro_rules! log_event {
-    ($code:ident, $($key:ident $(:$capture:tt)? = $value:expr),* $(,)?) => {{
-        let code = $crate::EventCode::$code;
+    ($code:expr, $($key:ident $(:$capture:tt)? = $value:expr),* $(,)?) => {{
+        let code: $crate::EventCode = $code;
         let number = code.number();
         $crate::log::log!(
             $crate::log_level(code),
@@ -70,11 +70,16 @@
 }
 
 impl LineBudget {
-    /// Returns a budget that fills from now on.
+    /// Returns a budget with room for a few lines at once.
     pub fn new(now: MonotonicTime) -> Self {
+        let bucket = |lines_per_s| {
+            let mut bucket = TokenBucket::new(RequestRate::clamped(lines_per_s), now);
+            bucket.fill();
+            bucket
+        };
         Self {
-            answered: TokenBucket::new(RequestRate::clamped(ANSWERED_LINES_PER_S), now),
-            failed: TokenBucket::new(RequestRate::clamped(FAILED_LINES_PER_S), now),
+            answered: bucket(ANSWERED_LINES_PER_S),
+            failed: bucket(FAILED_LINES_PER_S),
             left_out: LeftOut::default(),
         }
     }
--- /dev/null
+++ b/crates/foxtide-events/tests/lines.rs
@@ -0,0 +1,34 @@
+//! The bound on log lines about requests.
+
+use foxtide_core::time::MonotonicTime;
+use foxtide_events::{
+    LeftOut,
+    LineBudget,
+    LineKind, //
+};
+
+#[test]
+fn verify_lines_about_failures_are_not_displaced_by_others() {
+    let now = MonotonicTime::from_ms(5);
+    let mut budget = LineBudget::new(now);
+    assert!(budget.try_take(LineKind::Failed, now));
+    let taken = (0..10_000)
+        .filter(|_| budget.try_take(LineKind::Answered, now))
+        .count();
+    assert!(taken < 100, "{taken} lines at one moment");
+    assert!(budget.try_take(LineKind::Failed, now));
+}
+
+#[test]
+fn verify_what_is_left_out_is_counted_once() {
+    let mut budget = LineBudget::new(MonotonicTime::ZERO);
+    let mut written = 0;
+    for ms in 0..10_000 {
+        let now = MonotonicTime::from_ms(ms);
+        written += u64::from(budget.try_take(LineKind::Answered, now));
+    }
+    assert!((400..=650).contains(&written), "{written} lines in 10 s");
+    let left_out = budget.take_left_out();
+    assert_eq!(left_out.answered, 10_000 - written);
+    assert_eq!(budget.take_left_out(), LeftOut::default());
+}
--- a/crates/foxtide-gateway/src/directory.rs
+++ b/crates/foxtide-gateway/src/directory.rs
@@ -23,7 +23,8 @@
     if addresses.is_empty() {
         return None;
     }
-    let ttl = LOOKUP_TTL.min(shared.options.bounds.lookup_ttl_max);
+    let ttl_max = shared.state.lock().bounds().lookup_ttl_max;
+    let ttl = LOOKUP_TTL.min(ttl_max);
     Some(shared.dialect.lookup_answer(&addresses, ttl))
 }
 
--- a/crates/foxtide-gateway/src/follow.rs
+++ b/crates/foxtide-gateway/src/follow.rs
@@ -17,7 +17,10 @@
     StoreError,
     StoreIndex, //
 };
-use foxtide_events::log_event;
+use foxtide_events::{
+    EventCode,
+    log_event, //
+};
 use futures_lite::future::or;
 use smol::Timer;
 use std::net::SocketAddr;
@@ -31,9 +34,10 @@
 /// them comes with the next one, so that a busy store costs one call a period.
 const FOLLOW_PERIOD: Duration = Duration::from_millis(800);
 
-/// How long the store waits for a change. Whether it can still be reached is
-/// learnt from the lease's renewals meanwhile, which cost a tenth of a call.
-const FOLLOW_WAIT: Duration = Duration::from_secs(10);
+/// How long the store waits for a change. A wait that begins while the store
+/// forgets its history may hear nothing of what was forgotten; it has to end
+/// within the time in which a change must be in force.
+const FOLLOW_WAIT: Duration = Duration::from_millis(2_000);
 
 /// How long it waits for a change while its last call failed: its answer tells
 /// that it is back.
@@ -133,7 +137,7 @@
     }
 
     fn relay_failed(&mut self, error: &RelayError) {
-        log_event!(RelayLost, cause:% = error);
+        log_event!(EventCode::RelayLost, cause:% = error);
         self.direct_until = Some(Instant::now() + DIRECT_TIME);
     }
 
@@ -183,7 +187,7 @@
         match or(self.store.changes(index, wait), alarm).await? {
             Changes::Followed { records, index } => self.apply(&records, index),
             Changes::Forgotten => {
-                log_event!(StoreForgot, index:% = index);
+                log_event!(EventCode::StoreForgot, index:% = index);
                 self.index = None;
                 self.shared.state.lock().store_answered();
             }
@@ -193,7 +197,7 @@
 
     /// Takes in all that the store holds.
     fn replace(&mut self, records: Vec<Record>, index: StoreIndex) {
-        log_event!(StoreRead, index:% = index, records = records.len());
+        log_event!(EventCode::StoreRead, index:% = index, records = records.len());
         let facts = self.facts(&records);
         let mut state = self.shared.state.lock();
         state.store_answered();
@@ -221,7 +225,7 @@
 
     fn answered(&mut self) {
         if self.failures > 0 {
-            log_event!(StoreReachable, failures = self.failures);
+            log_event!(EventCode::StoreReachable, failures = self.failures);
         }
         self.failures = 0;
     }
@@ -229,7 +233,7 @@
     /// Notes a failed call and asks a peer instead.
     async fn failed(&mut self, error: &StoreError) {
         if self.failures == 0 {
-            log_event!(StoreUnreachable, cause:% = error);
+            log_event!(EventCode::StoreUnreachable, cause:% = error);
         }
         self.failures += 1;
         self.set_followed(false);
--- a/crates/foxtide-gateway/src/gateway.rs
+++ b/crates/foxtide-gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use crate::membership::keep_membership;
 use crate::options::{
     Addresses,
+    Bounds,
     GatewayOptions, //
 };
 use crate::pool::Pool;
@@ -60,8 +61,9 @@
 #[derive(Debug)]
 pub struct Gateway<D> {
     shared: Arc<Shared<D>>,
-    membership: Option<Task<()>>,
-    tasks: Vec<Task<()>>,
+    membership: Mutex<Option<Task<()>>>,
+    /// All that runs besides; ends with the instance.
+    _tasks: Vec<Task<()>>,
 }
 
 impl<D: Dialect> Gateway<D> {
@@ -108,8 +110,8 @@
         let membership = executor.spawn(keep_membership(Arc::clone(&shared), store));
         Ok(Self {
             shared,
-            membership: Some(membership),
-            tasks,
+            membership: Mutex::new(Some(membership)),
+            _tasks: tasks,
         })
     }
 
@@ -133,18 +135,21 @@
         self.shared.is_ready()
     }
 
+    /// Sets what binds all instances together.
+    pub fn set_bounds(&self, bounds: Bounds) {
+        self.shared.state.lock().set_bounds(bounds);
+    }
+
     /// Stops gracefully: leaves the directory, serves until callers know, ends
     /// what is in flight, and returns within the grace time.
-    pub async fn stop(mut self) {
+    pub async fn stop(&self) {
         self.shared.lifecycle.stop();
-        if let Some(membership) = self.membership.take() {
+        let membership = self.membership.lock().take();
+        if let Some(membership) = membership {
             membership.await;
         }
-        self.shared
-            .lifecycle
-            .drained(self.shared.options.bounds.grace)
-            .await;
-        drop(self.tasks);
+        let grace = self.shared.state.lock().bounds().grace;
+        self.shared.lifecycle.drained(grace).await;
     }
 }
 
--- a/crates/foxtide-gateway/src/journal.rs
+++ b/crates/foxtide-gateway/src/journal.rs
@@ -26,6 +26,7 @@
     RegistryChange, //
 };
 use foxtide_events::{
+    EventCode,
     LeftOut,
     LineBudget,
     LineKind,
@@ -56,7 +57,7 @@
         let left_out = self.budget.lock().take_left_out();
         if left_out != LeftOut::default() {
             log_event!(
-                LinesLeftOut,
+                EventCode::LinesLeftOut,
                 answered = left_out.answered,
                 failed = left_out.failed
             );
@@ -83,7 +84,7 @@
         }
         if is_answered {
             log_event!(
-                RequestAnswered,
+                EventCode::RequestAnswered,
                 request = inputs.request.as_str(),
                 status = status,
                 route = inputs.route.as_str(),
@@ -98,7 +99,7 @@
             );
         } else {
             log_event!(
-                RequestFailed,
+                EventCode::RequestFailed,
                 request = inputs.request.as_str(),
                 status = status,
                 source = source,
@@ -126,7 +127,7 @@
         metrics::counter!("foxtide_attempts_failed_total", "outcome" => outcome).increment(1);
         if self.has_room(LineKind::Failed) {
             log_event!(
-                AttemptFailed,
+                EventCode::AttemptFailed,
                 request = request,
                 outcome = outcome,
                 cause = cause,
@@ -143,7 +144,7 @@
     pub(crate) fn no_upstream(&self, request: &str, service: &ServiceId, reason: NoUpstream) {
         if self.has_room(LineKind::Failed) {
             log_event!(
-                RequestUnplaced,
+                EventCode::RequestUnplaced,
                 request = request,
                 service = service.as_str(),
                 reason = reason.as_str()
@@ -155,7 +156,7 @@
     pub(crate) fn stray_response(&self, request: &str, upstream: &UpstreamId) {
         if self.has_room(LineKind::Failed) {
             log_event!(
-                ResponseStray,
+                EventCode::ResponseStray,
                 request = request,
                 upstream = upstream.as_str()
             );
@@ -166,7 +167,7 @@
     pub(crate) fn caller_gone(&self, request: &str) {
         metrics::counter!("foxtide_callers_gone_total").increment(1);
         if self.has_room(LineKind::Failed) {
-            log_event!(RequestCancelled, request = request);
+            log_event!(EventCode::RequestCancelled, request = request);
         }
     }
 
@@ -192,7 +193,7 @@
     metrics::gauge!("foxtide_configuration_version").set(version as f64);
     let before = before.unwrap_or_default();
     log_event!(
-        ConfigurationApplied,
+        EventCode::ConfigurationApplied,
         version = version,
         before = before,
         routes = routes
@@ -204,7 +205,7 @@
     let mut names: Vec<&str> = zones.iter().map(AvailabilityZoneId::as_str).collect();
     names.sort_unstable();
     let zones = names.join(" ");
-    log_event!(ZonesEvacuated, zones = zones.as_str());
+    log_event!(EventCode::ZonesEvacuated, zones = zones.as_str());
 }
 
 /// The registered upstreams have changed.
@@ -212,13 +213,13 @@
     match change {
         RegistryChange::None => {}
         RegistryChange::Joined(upstream) => {
-            log_event!(UpstreamAdded, upstream = upstream.as_str());
+            log_event!(EventCode::UpstreamAdded, upstream = upstream.as_str());
         }
         RegistryChange::Left(upstream) => {
-            log_event!(UpstreamRemoved, upstream = upstream.as_str());
+            log_event!(EventCode::UpstreamRemoved, upstream = upstream.as_str());
         }
         RegistryChange::Doubted(upstream) => {
-            log_event!(UpstreamDoubted, upstream = upstream.as_str());
+            log_event!(EventCode::UpstreamDoubted, upstream = upstream.as_str());
         }
     }
 }
@@ -227,7 +228,7 @@
 pub(crate) fn upstream_ejected(upstream: &UpstreamId, failure_share: f64, result: AttemptResult) {
     metrics::counter!("foxtide_upstream_ejections_total").increment(1);
     log_event!(
-        UpstreamEjected,
+        EventCode::UpstreamEjected,
         upstream = upstream.as_str(),
         failure_share = failure_share,
         result:? = result
@@ -237,7 +238,7 @@
 /// An instance has joined.
 pub(crate) fn member_joined(member: &Member) {
     log_event!(
-        MemberJoined,
+        EventCode::MemberJoined,
         instance = member.instance.as_str(),
         address:% = member.caller_address
     );
@@ -246,8 +247,8 @@
 /// An instance's lease has ended.
 pub(crate) fn member_left(instance: &InstanceId, is_gone: bool) {
     if is_gone {
-        log_event!(MemberLeft, instance = instance.as_str());
+        log_event!(EventCode::MemberLeft, instance = instance.as_str());
     } else {
-        log_event!(MemberDoubted, instance = instance.as_str());
+        log_event!(EventCode::MemberDoubted, instance = instance.as_str());
     }
 }
--- a/crates/foxtide-gateway/src/listener.rs
+++ b/crates/foxtide-gateway/src/listener.rs
@@ -8,7 +8,10 @@
 };
 use crate::front::serve_connection;
 use crate::gateway::Shared;
-use foxtide_events::log_event;
+use foxtide_events::{
+    EventCode,
+    log_event, //
+};
 use foxtide_http::BufferedStream;
 use smol::Async;
 use smol::Timer;
@@ -69,7 +72,7 @@
                 shared.executor.spawn(serving).detach();
             }
             Err(error) => {
-                log_event!(ListenerFailed, address:% = listener.address, cause:% = error);
+                log_event!(EventCode::ListenerFailed, address:% = listener.address, cause:% = error);
                 Timer::after(ACCEPT_PAUSE).await;
             }
         }
--- a/crates/foxtide-gateway/src/membership.rs
+++ b/crates/foxtide-gateway/src/membership.rs
@@ -8,7 +8,10 @@
 };
 use foxtide_core::registry::Member;
 use foxtide_core::store::StoreError;
-use foxtide_events::log_event;
+use foxtide_events::{
+    EventCode,
+    log_event, //
+};
 use futures_lite::future::or;
 use smol::Timer;
 use std::sync::Arc;
@@ -58,7 +61,7 @@
         loop {
             if let Err(error) = self.step().await {
                 self.shared.store_alarm.raise();
-                log_event!(LeaseCallFailed, cause:% = error);
+                log_event!(EventCode::LeaseCallFailed, cause:% = error);
             }
             Timer::after(self.renew_period().mul_f64(0.9 + 0.2 * fastrand::f64())).await;
         }
@@ -69,12 +72,12 @@
             if self.store.renew(lease).await? {
                 return Ok(());
             }
-            log_event!(LeaseLost, lease:% = lease);
+            log_event!(EventCode::LeaseLost, lease:% = lease);
             self.lease = None;
         }
         let lease = self.store.open_lease(LEASE_TTL).await?;
         if self.store.announce(&self.member(), lease).await? {
-            log_event!(LeaseTaken, lease:% = lease);
+            log_event!(EventCode::LeaseTaken, lease:% = lease);
             self.lease = Some(lease);
         }
         Ok(())
@@ -115,10 +118,10 @@
             None
         };
         match or(ended, late).await {
-            Some(Ok(())) => log_event!(LeaseEnded, lease:% = lease),
-            Some(Err(error)) => log_event!(LeaseCallFailed, cause:% = error),
+            Some(Ok(())) => log_event!(EventCode::LeaseEnded, lease:% = lease),
+            Some(Err(error)) => log_event!(EventCode::LeaseCallFailed, cause:% = error),
             None => log_event!(
-                LeaseCallFailed,
+                EventCode::LeaseCallFailed,
                 cause = "no answer in time, the lease lapses"
             ),
         }
--- a/crates/foxtide-gateway/src/options.rs
+++ b/crates/foxtide-gateway/src/options.rs
@@ -26,7 +26,7 @@
 }
 
 /// Where an instance stands, and the places that there are.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Place {
     /// The instance's name.
     pub instance: InstanceId,
@@ -54,7 +54,7 @@
 }
 
 /// The listeners of an instance.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Addresses {
     /// Where callers send requests.
     pub callers: SocketAddr,
--- a/crates/foxtide-gateway/src/relay/server.rs
+++ b/crates/foxtide-gateway/src/relay/server.rs
@@ -12,7 +12,10 @@
 };
 use bytes::Bytes;
 use foxtide_core::store::StoreIndex;
-use foxtide_events::log_event;
+use foxtide_events::{
+    EventCode,
+    log_event, //
+};
 use futures_lite::future::or;
 use futures_util::{
     SinkExt,
@@ -75,7 +78,7 @@
                 executor.spawn(serving).detach();
             }
             Err(error) => {
-                log_event!(ListenerFailed, cause:% = error);
+                log_event!(EventCode::ListenerFailed, cause:% = error);
                 Timer::after(ACCEPT_PAUSE).await;
             }
         }
--- a/crates/foxtide-gateway/src/state/mod.rs
+++ b/crates/foxtide-gateway/src/state/mod.rs
@@ -12,7 +12,10 @@
 
 use crate::clock::Clock;
 use crate::journal;
-use crate::options::GatewayOptions;
+use crate::options::{
+    Bounds,
+    GatewayOptions, //
+};
 use crate::relay::RecordLog;
 use crate::store::Fact;
 use foxtide_core::ids::{
@@ -66,6 +69,7 @@
 #[derive(Debug)]
 pub(crate) struct State {
     pub(super) options: Arc<GatewayOptions>,
+    bounds: Bounds,
     pub(super) clock: Clock,
     pub(super) routes: Option<Arc<RouteTable>>,
     pub(super) registry: Registry,
@@ -84,6 +88,7 @@
     /// Returns the state of an instance that knows nothing yet.
     pub(crate) fn new(options: Arc<GatewayOptions>, clock: Clock) -> Self {
         Self {
+            bounds: options.bounds,
             options,
             clock,
             routes: None,
@@ -99,6 +104,16 @@
         }
     }
 
+    /// Returns what binds all instances together.
+    pub(crate) fn bounds(&self) -> &Bounds {
+        &self.bounds
+    }
+
+    /// Sets what binds all instances together.
+    pub(crate) fn set_bounds(&mut self, bounds: Bounds) {
+        self.bounds = bounds;
+    }
+
     /// Returns the routes in force.
     pub(crate) fn routes(&self) -> Option<Arc<RouteTable>> {
         self.routes.clone()
@@ -303,7 +318,7 @@
 
     fn budget(&mut self, service: &ServiceId) -> &mut RetryBudget {
         let now = self.clock.now();
-        let bounds = &self.options.bounds;
+        let bounds = &self.bounds;
         let instances = self.members.all().count().max(1) as f64;
         let options = RetryBudgetOptions {
             success_share: Share::clamped(bounds.retry_ratio * RETRY_SHARE_USED),
--- a/crates/foxtide-gateway/src/state/pick.rs
+++ b/crates/foxtide-gateway/src/state/pick.rs
@@ -185,8 +185,8 @@
         let terms = routes.and_then(|routes| routes.service(service));
         let terms = ColdTerms {
             rate_rps: terms.map_or(0.0, |terms| terms.cold_rate_rps),
-            overshoot: self.options.bounds.cold_overshoot,
-            slack_rps: self.options.bounds.cold_slack_rps,
+            overshoot: self.bounds().cold_overshoot,
+            slack_rps: self.bounds().cold_slack_rps,
         };
         let own = &self.options.place.instance;
         // An instance that the others do not count has no part of the rate.
--- a/crates/foxtide-gateway/tests/gateway/following.rs
+++ b/crates/foxtide-gateway/tests/gateway/following.rs
@@ -29,6 +29,18 @@
     assert_eq!(one.seen().len(), before);
 }
 
+/// A wait that begins while the store forgets its history may hear nothing until
+/// it ends; a change has to be in force 2.5 s after it was acknowledged.
+#[test]
+fn verify_no_wait_is_longer_than_a_change_may_take() {
+    let fleet = Fleet::new();
+    let _instance = fleet.instance("edge-1", "khomas-a");
+    eventually("a change is waited for", || {
+        fleet.store.longest_wait() > Duration::ZERO
+    });
+    assert!(fleet.store.longest_wait() <= Duration::from_millis(2_000));
+}
+
 #[test]
 fn verify_requests_go_on_while_the_store_is_away() {
     let fleet = Fleet::new();
--- a/crates/foxtide-gateway/tests/gateway/support/store.rs
+++ b/crates/foxtide-gateway/tests/gateway/support/store.rs
@@ -43,6 +43,7 @@
     leases: HashMap<u64, Vec<String>>,
     is_away: bool,
     calls: usize,
+    longest_wait: Duration,
 }
 
 /// One instance's client of the store; clones for other instances share what
@@ -96,6 +97,11 @@
         self.contents.lock().unwrap().calls
     }
 
+    /// Returns the longest wait for a change that was asked for.
+    pub(crate) fn longest_wait(&self) -> Duration {
+        self.contents.lock().unwrap().longest_wait
+    }
+
     fn enter(&self, step: &'static str) -> StoreResult<()> {
         let mut contents = self.contents.lock().unwrap();
         contents.calls += 1;
@@ -159,6 +165,10 @@
     }
 
     async fn changes(&self, index: StoreIndex, wait: Duration) -> StoreResult<Changes> {
+        {
+            let mut contents = self.contents.lock().unwrap();
+            contents.longest_wait = contents.longest_wait.max(wait);
+        }
         let ends_at = Instant::now() + wait;
         loop {
             self.enter("watch")?;
--- a/crates/foxtide/src/command.rs
+++ b/crates/foxtide/src/command.rs
@@ -30,6 +30,10 @@
     /// run on the platform, by the settings file that its environment names
     #[argh(switch)]
     pub platform: bool,
+    /// port on which the platform reads metrics, at the path /metrics; needs
+    /// --platform
+    #[argh(option)]
+    pub metrics_port: Option<u16>,
     /// print the version and exit
     #[argh(switch)]
     pub version: bool,
@@ -47,7 +51,10 @@
         return Ok(());
     }
     if command.platform {
-        return platform::run();
+        return platform::run(command.metrics_port);
+    }
+    if command.metrics_port.is_some() {
+        bail!("--metrics-port needs --platform; else the settings' admin address serves metrics");
     }
     telemetry::start_logging();
     match (&command.check_settings, &command.settings) {
--- a/crates/foxtide/src/signals.rs
+++ b/crates/foxtide/src/signals.rs
@@ -1,6 +1,7 @@
 //! Signals of the operating system, as a channel.
 
 use signal_hook::consts::{
+    SIGHUP,
     SIGINT,
     SIGTERM, //
 };
@@ -18,7 +19,21 @@
 ///
 /// Fails where the handlers or the thread that waits for them cannot be set up.
 pub fn stop_signals() -> io::Result<Receiver<i32>> {
-    let mut signals = Signals::new(STOP_SIGNALS)?;
+    receive(&STOP_SIGNALS)
+}
+
+/// Returns a channel that receives the number of each signal that asks for the
+/// settings to be read again.
+///
+/// # Errors
+///
+/// Fails as [`stop_signals`] does.
+pub fn reload_signals() -> io::Result<Receiver<i32>> {
+    receive(&[SIGHUP])
+}
+
+fn receive(numbers: &[i32]) -> io::Result<Receiver<i32>> {
+    let mut signals = Signals::new(numbers)?;
     let (sender, receiver) = smol::channel::unbounded();
     thread::Builder::new()
         .name("signals".to_owned())
--- a/crates/foxtide/src/telemetry/mod.rs
+++ b/crates/foxtide/src/telemetry/mod.rs
@@ -6,6 +6,7 @@
 use writer::LineWriter;
 
 use metrics_exporter_prometheus::{
+    Matcher,
     PrometheusBuilder,
     PrometheusHandle, //
 };
@@ -14,6 +15,12 @@
 /// The level at which numbered events are logged where `RUST_LOG` says nothing.
 const DEFAULT_LOG_FILTER: &str = "info";
 
+/// The upper bounds of the buckets of latency histograms, in seconds: from a
+/// look-up's time to the longest time limit of a request.
+const LATENCY_BUCKETS_S: [f64; 14] = [
+    0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.0, 1.5, 3.0, 6.0, 12.0,
+];
+
 static METRICS: OnceLock<PrometheusHandle> = OnceLock::new();
 
 /// Starts logging to standard error; a second call changes nothing.
@@ -41,7 +48,13 @@
 /// renders them.
 pub fn start_metrics() -> PrometheusHandle {
     let start = || {
-        let recorder = PrometheusBuilder::new().build_recorder();
+        let seconds = Matcher::Suffix("_seconds".to_owned());
+        let builder = PrometheusBuilder::new();
+        // Fails only without buckets.
+        let builder = builder
+            .set_buckets_for_metric(seconds, &LATENCY_BUCKETS_S)
+            .unwrap_or_default();
+        let recorder = builder.build_recorder();
         let handle = recorder.handle();
         // An embedding process may have its own recorder; ours then stays empty.
         let _ = metrics::set_global_recorder(recorder);
--- a/crates/foxtide/src/telemetry/writer.rs
+++ b/crates/foxtide/src/telemetry/writer.rs
@@ -1,6 +1,9 @@
 //! Standard output behind a bounded queue, so that no request waits for it.
 
-use foxtide_events::log_event;
+use foxtide_events::{
+    EventCode,
+    log_event, //
+};
 use std::io::{
     self,
     Write, //
@@ -68,7 +71,7 @@
         let dropped = DROPPED_LINES.swap(0, Ordering::Relaxed);
         if dropped > 0 {
             // The queue has room again by now.
-            log_event!(LinesDropped, lines = dropped);
+            log_event!(EventCode::LinesDropped, lines = dropped);
         }
         if output
             .write_all(&block)
--- a/crates/foxtide/tests/docs.rs
+++ b/crates/foxtide/tests/docs.rs
@@ -92,6 +92,7 @@
 #[test]
 fn verify_every_event_is_recorded_somewhere() {
     let mut sources = files(&root().join("crates"), "rs");
+    sources.extend(files(&root().join("platform"), "rs"));
     sources.retain(|path| path.components().any(|part| part.as_os_str() == "src"));
     let texts = sources.iter().map(|path| fs::read_to_string(path).unwrap());
     let text: String = texts.collect();
