Tell callers to come back after the time that the upstream takes

Cause: a refused caller was always told 0.2 s, in which a full upstream rarely has a slot; those that came back were refused again.

Change: the time is the mean latency of the object's own upstream, within 0.1 and 1 s; 0.2 s where nothing is known. A reason in the log is that of the reply.

--- a/crates/foxtide-gateway/src/forward/run.rs
+++ b/crates/foxtide-gateway/src/forward/run.rs
@@ -32,10 +32,15 @@
 /// The most upstreams that are tried in vain, where nothing was sent to them.
 const UNSENT_MAX: u32 = 4;
 
-/// When a caller is told to come back where the request has not run: a
-/// request's work is done by then in most services.
+/// When a caller is told to come back where the request has not run and nothing
+/// is known of how long the upstream works on one.
 const RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// The bounds of when a caller is told to come back to an upstream that was
+/// full: a slot of it is free after about the time that a request takes.
+const RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
+const RETRY_AFTER_MAX: Duration = Duration::from_millis(1_000);
+
 /// Forwards a request and returns the reply with what decided it.
 pub(crate) async fn forward<D: Dialect>(
     shared: &Shared<D>,
@@ -168,7 +173,9 @@
                 if is_other_incarnation {
                     self.shared.state.lock().address_taken(&upstream);
                 }
-                self.inputs.reason = "upstream_refused";
+                if self.failure.is_none() {
+                    self.inputs.reason = "upstream_refused";
+                }
                 self.again_or(self.not_run())
             }
             AttemptEnd::NotSent { .. } => {
@@ -230,11 +237,21 @@
     /// The reply where all attempts so far did not run.
     fn not_run(&self) -> Reply {
         let not_run = Refusal::NotRun {
-            retry_after: RETRY_AFTER,
+            retry_after: self.retry_after(),
         };
         self.failure.clone().unwrap_or_else(|| not_run.into())
     }
 
+    /// Returns when the object's own upstream will have room again.
+    fn retry_after(&self) -> Duration {
+        let own = self.tried.first();
+        let state = self.shared.state.lock();
+        let latency = own.and_then(|upstream| state.latency(upstream));
+        latency.map_or(RETRY_AFTER, |latency| {
+            latency.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX)
+        })
+    }
+
     fn no_upstream(&mut self, reason: NoUpstream) -> Reply {
         let journal = &self.shared.journal;
         journal.no_upstream(self.request.id(), self.service, reason);
@@ -244,7 +261,10 @@
 
     /// The reply where time is up between attempts.
     fn out_of_time(&mut self) -> Reply {
-        self.inputs.reason = "time_up_before_sending";
+        // What failed before is the reply, and its reason stays.
+        if self.failure.is_none() {
+            self.inputs.reason = "time_up_before_sending";
+        }
         self.not_run()
     }
 }
--- a/crates/foxtide-gateway/src/state/mod.rs
+++ b/crates/foxtide-gateway/src/state/mod.rs
@@ -275,6 +275,11 @@
         }
     }
 
+    /// Returns how long an upstream takes for a request of late.
+    pub(crate) fn latency(&self, upstream: &UpstreamId) -> Option<Duration> {
+        self.health.get(upstream)?.latency()
+    }
+
     /// Notes that another incarnation has an upstream's address.
     pub(crate) fn address_taken(&mut self, upstream: &UpstreamId) {
         let now = self.clock.now();
--- a/crates/foxtide-gateway/tests/gateway/forwarding.rs
+++ b/crates/foxtide-gateway/tests/gateway/forwarding.rs
@@ -257,3 +257,23 @@
     }
     assert!(upstream.seen().is_empty());
 }
+
+#[test]
+fn verify_a_caller_is_told_to_come_back_when_the_upstream_may_have_room() {
+    let (fleet, upstream) = fleet_of_one();
+    let instance = fleet.instance("edge-1", "khomas-a");
+    let retry_after = |response: &foxtide_http::WholeResponse| -> f64 {
+        let text = response.head.lines.text("retry-after").unwrap();
+        text.parse().unwrap()
+    };
+    upstream.next(Behaviour::Full);
+    let unknown = instance.get("/safe/", "request: r-1\r\n");
+    assert_eq!(retry_after(&unknown), 0.2);
+    let slow = Behaviour::Respond(200, "slow", Duration::from_millis(400));
+    upstream.next(slow);
+    assert_eq!(instance.get("/safe/", "request: r-2\r\n").head.status, 200);
+    upstream.next(Behaviour::Full);
+    let known = instance.get("/safe/", "request: r-3\r\n");
+    let told = retry_after(&known);
+    assert!((0.4..=1.0).contains(&told), "{told}");
+}
