Await the first request of a connection that is made late in a stop

Cause: verify_a_stop_cuts_nothing_and_leaves_the_directory failed once in some 20 runs: after idle connections are closed, a new connection was closed at once, before its first request could arrive. Callers that looked instances up before the stop connect to it until they look up again.

Change: such a connection is kept open for 0.3 s for its first request.

--- a/crates/foxtide-gateway/src/front/connection.rs
+++ b/crates/foxtide-gateway/src/front/connection.rs
@@ -37,6 +37,10 @@
 const DISCARD_MAX_BYTES: usize = 256 * 1_024;
 const DISCARD_TIME: Duration = Duration::from_millis(500);
 
+/// How long a connection that is made late in a stop is kept open for its first
+/// request, which is on its way.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(300);
+
 /// When a caller is told to come back to an instance that knows nothing yet.
 const START_RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -53,6 +57,7 @@
     let mut connection = Connection {
         shared: &shared,
         stream,
+        is_new: true,
     };
     while connection.await_request().await == Next::Request {
         if Box::pin(connection.serve_one()).await == Next::Close {
@@ -64,6 +69,8 @@
 struct Connection<'a, D> {
     shared: &'a Arc<Shared<D>>,
     stream: BufferedStream,
+    /// Whether no request has come on it yet.
+    is_new: bool,
 }
 
 impl<D: Dialect> Connection<'_, D> {
@@ -78,10 +85,17 @@
             return Next::Request;
         }
         let idle_time = self.limits().idle_time;
+        let is_new = std::mem::replace(&mut self.is_new, false);
         let lifecycle = &self.shared.lifecycle;
         let arrived = fill(&mut self.stream);
+        let stopping = async {
+            lifecycle.closing_idle().await;
+            if is_new {
+                Timer::after(FIRST_REQUEST_TIME).await;
+            }
+        };
         let closing = async {
-            or(lifecycle.closing_idle(), async {
+            or(stopping, async {
                 Timer::after(idle_time).await;
             })
             .await;
--- a/crates/foxtide-gateway/tests/gateway/following.rs
+++ b/crates/foxtide-gateway/tests/gateway/following.rs
@@ -185,3 +185,32 @@
     }
     stopping.join().unwrap();
 }
+
+/// Callers that looked instances up before the stop still connect to this one.
+#[test]
+fn verify_a_connection_made_late_in_a_stop_gets_its_first_answer() {
+    let fleet = Fleet::new();
+    let upstream = fleet.upstream("i-1", "khomas-a");
+    let mut instance = fleet.instance("edge-1", "khomas-a");
+    let address = instance.address();
+    // A request that takes long keeps the instance from ending.
+    upstream.next(Behaviour::Respond(
+        200,
+        "late",
+        Duration::from_millis(2_000),
+    ));
+    let mut holding = Caller::connect(address);
+    holding.send("GET /once/ HTTP/1.1\r\nhost: a.example\r\nrequest: r-1\r\n\r\n");
+    eventually("the request arrives", || upstream.seen().len() == 1);
+    let mut idle = Caller::connect(address);
+    assert_eq!(idle.get("/safe/", "request: r-2\r\n").head.status, 200);
+    let stopping = std::thread::spawn(move || instance.stop());
+    assert!(idle.is_ended(), "idle connections are closed");
+    let mut late = Caller::connect(address);
+    std::thread::sleep(Duration::from_millis(30));
+    let response = late.get("/safe/", "request: r-3\r\n");
+    assert_eq!(response.head.status, 200);
+    assert!(response.head.close);
+    assert_eq!(holding.read().body, b"late");
+    stopping.join().unwrap();
+}
