--- a/crates/foxtide-gateway/src/directory.rs
+++ b/crates/foxtide-gateway/src/directory.rs
@@ -4,7 +4,7 @@
     Dialect,
     Lookup, //
 };
-use crate::gateway::Shared;
+use crate::shared::Shared;
 use foxtide_core::registry::Member;
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/foxtide-gateway/src/follow.rs
+++ b/crates/foxtide-gateway/src/follow.rs
@@ -1,18 +1,18 @@
 //! Follows the store: configuration, upstreams and instances.
 
 use crate::dialect::Dialect;
-use crate::gateway::Shared;
+
 use crate::relay::{
     RelayClient,
     RelayError, //
 };
+use crate::shared::Shared;
 use crate::store::{
     Changes,
     Fact,
     FleetStore,
     Record, //
 };
-use event_listener::Event;
 use foxtide_core::store::{
     StoreError,
     StoreIndex, //
@@ -57,27 +57,6 @@
 const RETRY_PAUSE_FIRST: Duration = Duration::from_millis(150);
 const RETRY_PAUSE_MAX: Duration = Duration::from_millis(400);
 
-/// Tells the follower that another call to the store has failed, so that it
-/// does not wait on a connection that may be dead.
-#[derive(Debug, Default)]
-pub(crate) struct StoreAlarm(Event);
-
-impl StoreAlarm {
-    /// Raises the alarm.
-    pub(crate) fn raise(&self) {
-        self.0.notify(usize::MAX);
-    }
-
-    async fn raised(&self) -> StoreError {
-        self.0.listen().await;
-        StoreError::Unknown {
-            step: "watch",
-            peer: "store".to_owned(),
-            cause: "the renewal of the lease failed".to_owned(),
-        }
-    }
-}
-
 /// Follows the store for as long as the instance runs.
 pub(crate) async fn follow<D: Dialect, S: FleetStore>(shared: Arc<Shared<D>>, store: S) {
     let mut follower = Follower {
--- a/crates/foxtide-gateway/src/forward/attempt.rs
+++ b/crates/foxtide-gateway/src/forward/attempt.rs
@@ -5,7 +5,8 @@
     Dialect,
     UpstreamFacts, //
 };
-use crate::gateway::Shared;
+use crate::outcome::AttemptEnd;
+use crate::shared::Shared;
 use foxtide_core::ids::UpstreamId;
 use foxtide_core::placement::{
     AttemptResult,
@@ -49,30 +50,6 @@
 /// The most responses to other requests that are passed over on a connection.
 const STRAY_RESPONSES_MAX: usize = 4;
 
-/// How an attempt ended.
-#[derive(Debug)]
-pub(crate) enum AttemptEnd {
-    /// The upstream's whole response to this request.
-    Responded(Box<WholeResponse>),
-    /// The upstream said that it did not run the request and will not.
-    NotRun {
-        /// Whether another incarnation has the address.
-        is_other_incarnation: bool,
-    },
-    /// No byte of the request left this instance.
-    NotSent {
-        /// Why.
-        cause: String,
-    },
-    /// The request may have run, but no whole response to it came.
-    Unknown {
-        /// Why.
-        cause: String,
-    },
-    /// The time was up before the response; the request may have run.
-    TimedOut,
-}
-
 /// What the attempt tells besides its end.
 #[derive(Debug)]
 pub(super) struct AttemptReport {
--- a/crates/foxtide-gateway/src/forward/run.rs
+++ b/crates/foxtide-gateway/src/forward/run.rs
@@ -1,18 +1,18 @@
 //! The attempts of one request, until it has a reply.
 
 use super::attempt::{
-    AttemptEnd,
     AttemptReport,
     attempt, //
 };
-use super::inputs::Inputs;
-use super::reply::{
+use super::request::CallerRequest;
+use crate::dialect::Dialect;
+use crate::outcome::{
+    AttemptEnd,
+    Inputs,
     Refusal,
     Reply, //
 };
-use super::request::CallerRequest;
-use crate::dialect::Dialect;
-use crate::gateway::Shared;
+use crate::shared::Shared;
 use crate::state::{
     NoUpstream,
     Pick,
@@ -47,7 +47,7 @@
     request: &CallerRequest,
     route: &Route,
 ) -> (Reply, Inputs) {
-    let mut inputs = Inputs::of(request);
+    let mut inputs = Inputs::new(request.id(), "");
     inputs.route.clone_from(&route.name);
     let Some(service) = begin(shared, route, &mut inputs) else {
         inputs.reason = "no_service_has_weight";
--- a/crates/foxtide-gateway/src/front/connection.rs
+++ b/crates/foxtide-gateway/src/front/connection.rs
@@ -9,12 +9,14 @@
 use crate::directory;
 use crate::forward::{
     CallerRequest,
+    forward, //
+};
+use crate::outcome::{
     Inputs,
     Refusal,
-    Reply,
-    forward, //
+    Reply, //
 };
-use crate::gateway::Shared;
+use crate::shared::Shared;
 use foxtide_core::routing::{
     CallerLimits,
     Route, //
@@ -166,12 +168,12 @@
         let routes = self.shared.state.lock().routes();
         let Some(routes) = routes else {
             let retry_after = START_RETRY_AFTER;
-            let inputs = Inputs::refused(request.id(), "no_configuration_yet");
+            let inputs = Inputs::new(request.id(), "no_configuration_yet");
             return Some((Refusal::NotRun { retry_after }.into(), inputs));
         };
         let route = routes.find(&request.head.host, request.head.path());
         let Some(route) = route.cloned() else {
-            let mut inputs = Inputs::refused(request.id(), "no_route");
+            let mut inputs = Inputs::new(request.id(), "no_route");
             inputs.version = routes.version();
             return Some((Refusal::NotFound.into(), inputs));
         };
@@ -228,7 +230,7 @@
             return Next::Close;
         };
         let reply = Reply::from(refusal);
-        let inputs = Inputs::refused("-", refusal.reason());
+        let inputs = Inputs::new("-", refusal.reason());
         let journal = &self.shared.journal;
         journal.request_ended(&inputs, &reply, Duration::ZERO);
         let bytes = reply.encode("GET", true);
--- a/crates/foxtide-gateway/src/front/receive.rs
+++ b/crates/foxtide-gateway/src/front/receive.rs
@@ -1,6 +1,6 @@
 //! Takes one whole request off a connection.
 
-use crate::forward::Refusal;
+use crate::outcome::Refusal;
 use foxtide_core::routing::CallerLimits;
 use foxtide_http::{
     BodyLength,
--- a/crates/foxtide-gateway/src/gateway.rs
+++ b/crates/foxtide-gateway/src/gateway.rs
@@ -1,12 +1,10 @@
 //! One instance: all its parts, from start to stop.
 
+use crate::alarm::StoreAlarm;
 use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::errors::Result;
-use crate::follow::{
-    StoreAlarm,
-    follow, //
-};
+use crate::follow::follow;
 use crate::journal::Journal;
 use crate::lifecycle::Lifecycle;
 use crate::listener::{
@@ -22,6 +20,7 @@
 };
 use crate::pool::Pool;
 use crate::relay::serve_peers;
+use crate::shared::Shared;
 use crate::state::State;
 use crate::store::FleetStore;
 use event_listener::Event;
@@ -40,23 +39,6 @@
 /// How often idle connections are looked over and doubts are settled.
 const HOUSEKEEPING_PERIOD: Duration = Duration::from_millis(500);
 
-/// What all tasks of an instance share.
-#[derive(Debug)]
-pub(crate) struct Shared<D> {
-    pub(crate) dialect: D,
-    pub(crate) options: Arc<GatewayOptions>,
-    pub(crate) addresses: Addresses,
-    pub(crate) clock: Clock,
-    pub(crate) state: Mutex<State>,
-    pub(crate) pool: Pool,
-    pub(crate) lifecycle: Lifecycle,
-    pub(crate) journal: Journal,
-    pub(crate) store_alarm: StoreAlarm,
-    /// Notified when the log of records has changed or is no longer followed.
-    pub(crate) log_changed: Event,
-    pub(crate) executor: Arc<Executor<'static>>,
-}
-
 /// A running instance.
 #[derive(Debug)]
 pub struct Gateway<D> {
@@ -153,14 +135,6 @@
     }
 }
 
-impl<D> Shared<D> {
-    /// Tells whether the instance takes requests: it knows the configuration
-    /// and is not stopping.
-    pub(crate) fn is_ready(&self) -> bool {
-        !self.lifecycle.is_stopping() && self.state.lock().routes().is_some()
-    }
-}
-
 async fn keep_house<D: Dialect>(shared: Arc<Shared<D>>) {
     loop {
         Timer::after(HOUSEKEEPING_PERIOD).await;
--- /dev/null
+++ b/crates/foxtide-gateway/src/journal/beliefs.rs
@@ -0,0 +1,82 @@
+//! Lines about changes of what the instance believes.
+
+use foxtide_core::ids::{
+    AvailabilityZoneId,
+    InstanceId,
+    UpstreamId, //
+};
+use foxtide_core::placement::AttemptResult;
+use foxtide_core::registry::{
+    Member,
+    RegistryChange, //
+};
+use foxtide_events::{
+    EventCode,
+    log_event, //
+};
+use std::collections::HashSet;
+
+/// A new configuration is in force.
+pub(crate) fn configuration_in_force(version: u64, before: Option<u64>, routes: usize) {
+    metrics::gauge!("foxtide_configuration_version").set(version as f64);
+    let before = before.unwrap_or_default();
+    log_event!(
+        EventCode::ConfigurationApplied,
+        version = version,
+        before = before,
+        routes = routes
+    );
+}
+
+/// The availability zones that get nothing have changed.
+pub(crate) fn zones_evacuated(zones: &HashSet<AvailabilityZoneId>) {
+    let mut names: Vec<&str> = zones.iter().map(AvailabilityZoneId::as_str).collect();
+    names.sort_unstable();
+    let zones = names.join(" ");
+    log_event!(EventCode::ZonesEvacuated, zones = zones.as_str());
+}
+
+/// The registered upstreams have changed.
+pub(crate) fn registry_changed(change: &RegistryChange) {
+    match change {
+        RegistryChange::None => {}
+        RegistryChange::Joined(upstream) => {
+            log_event!(EventCode::UpstreamAdded, upstream = upstream.as_str());
+        }
+        RegistryChange::Left(upstream) => {
+            log_event!(EventCode::UpstreamRemoved, upstream = upstream.as_str());
+        }
+        RegistryChange::Doubted(upstream) => {
+            log_event!(EventCode::UpstreamDoubted, upstream = upstream.as_str());
+        }
+    }
+}
+
+/// An upstream is passed over for a while.
+pub(crate) fn upstream_ejected(upstream: &UpstreamId, failure_share: f64, result: AttemptResult) {
+    metrics::counter!("foxtide_upstream_ejections_total").increment(1);
+    log_event!(
+        EventCode::UpstreamEjected,
+        upstream = upstream.as_str(),
+        failure_share = failure_share,
+        result:? = result
+    );
+}
+
+/// An instance has joined.
+pub(crate) fn member_joined(member: &Member) {
+    log_event!(
+        EventCode::MemberJoined,
+        instance = member.instance.as_str(),
+        address:% = member.caller_address
+    );
+}
+
+/// An instance's lease has ended.
+pub(crate) fn member_left(instance: &InstanceId, is_gone: bool) {
+    if is_gone {
+        log_event!(EventCode::MemberLeft, instance = instance.as_str());
+    } else {
+        log_event!(EventCode::MemberDoubted, instance = instance.as_str());
+    }
+}
--- /dev/null
+++ b/crates/foxtide-gateway/src/journal/mod.rs
@@ -0,0 +1,10 @@
+//! One log line for each decision that touches a request or changes what the
+//! instance believes, and the metrics that go with it.
+//!
+//! `docs/OPERATIONS.md` shows how to get from a request's identity to its
+//! cause. Lines about requests are bounded; those left out are counted.
+
+pub(crate) mod beliefs;
+mod requests;
+
+pub(crate) use requests::Journal;
--- a/crates/foxtide-gateway/src/lib.rs
+++ b/crates/foxtide-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! platform calls things is hidden behind two traits: [`Dialect`] for headers
 //! and calls on the wire, [`FleetStore`] for the store.
 
+mod alarm;
 mod clock;
 mod dialect;
 mod directory;
@@ -19,8 +20,10 @@
 mod listener;
 mod membership;
 mod options;
+mod outcome;
 mod pool;
 mod relay;
+mod shared;
 mod state;
 mod store;
 
--- a/crates/foxtide-gateway/src/listener.rs
+++ b/crates/foxtide-gateway/src/listener.rs
@@ -7,7 +7,7 @@
     Step, //
 };
 use crate::front::serve_connection;
-use crate::gateway::Shared;
+use crate::shared::Shared;
 use foxtide_events::{
     EventCode,
     log_event, //
--- a/crates/foxtide-gateway/src/membership.rs
+++ b/crates/foxtide-gateway/src/membership.rs
@@ -1,7 +1,7 @@
 //! Announces the instance in the store for as long as it takes requests.
 
 use crate::dialect::Dialect;
-use crate::gateway::Shared;
+use crate::shared::Shared;
 use crate::store::{
     FleetStore,
     LeaseId, //
--- a/crates/foxtide-gateway/src/forward/inputs.rs
+++ b/crates/foxtide-gateway/src/outcome/inputs.rs
@@ -1,6 +1,5 @@
 //! What decided a request's way, for its log line.
 
-use super::request::CallerRequest;
 use crate::state::Pick;
 
 /// The inputs of the decisions on one request.
@@ -29,17 +28,9 @@
 }
 
 impl Inputs {
-    /// Returns what is known of a request at its beginning.
-    pub(crate) fn of(request: &CallerRequest) -> Self {
-        Self {
-            request: request.id().to_owned(),
-            ..Self::default()
-        }
-    }
-
-    /// Returns what is known of a request that was refused before it was read
-    /// or routed.
-    pub(crate) fn refused(request: &str, reason: &'static str) -> Self {
+    /// Returns what is known of a request at its beginning; `reason` where it is
+    /// refused already, else empty.
+    pub(crate) fn new(request: &str, reason: &'static str) -> Self {
         Self {
             request: request.to_owned(),
             reason,
@@ -48,7 +39,7 @@
     }
 
     /// Notes an attempt.
-    pub(super) fn note(&mut self, pick: &Pick) {
+    pub(crate) fn note(&mut self, pick: &Pick) {
         self.attempts += 1;
         self.upstream = pick.registration.upstream.to_string();
         self.rank = pick.rank;
--- a/crates/foxtide-gateway/src/relay/server.rs
+++ b/crates/foxtide-gateway/src/relay/server.rs
@@ -5,7 +5,7 @@
     ChangesResponse, //
 };
 use crate::dialect::Dialect;
-use crate::gateway::Shared;
+use crate::shared::Shared;
 use crate::store::{
     Changes,
     Record, //
--- /dev/null
+++ b/crates/foxtide-gateway/src/shared.rs
@@ -0,0 +1,41 @@
+//! What all tasks of an instance share.
+
+use crate::alarm::StoreAlarm;
+use crate::clock::Clock;
+use crate::journal::Journal;
+use crate::lifecycle::Lifecycle;
+use crate::options::{
+    Addresses,
+    GatewayOptions, //
+};
+use crate::pool::Pool;
+use crate::state::State;
+use event_listener::Event;
+use parking_lot::Mutex;
+use smol::Executor;
+use std::sync::Arc;
+
+/// The parts of a running instance.
+#[derive(Debug)]
+pub(crate) struct Shared<D> {
+    pub(crate) dialect: D,
+    pub(crate) options: Arc<GatewayOptions>,
+    pub(crate) addresses: Addresses,
+    pub(crate) clock: Clock,
+    pub(crate) state: Mutex<State>,
+    pub(crate) pool: Pool,
+    pub(crate) lifecycle: Lifecycle,
+    pub(crate) journal: Journal,
+    pub(crate) store_alarm: StoreAlarm,
+    /// Notified when the log of records has changed or is no longer followed.
+    pub(crate) log_changed: Event,
+    pub(crate) executor: Arc<Executor<'static>>,
+}
+
+impl<D> Shared<D> {
+    /// Tells whether the instance takes requests: it knows the configuration
+    /// and is not stopping.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.lifecycle.is_stopping() && self.state.lock().routes().is_some()
+    }
+}
--- /dev/null
+++ b/crates/foxtide-gateway/src/state/facts.rs
@@ -0,0 +1,118 @@
+//! What the store says, taken into the state.
+
+use super::State;
+use crate::journal::beliefs;
+use crate::store::Fact;
+use foxtide_core::ids::AvailabilityZoneId;
+use foxtide_core::registry::RegistryChange;
+use foxtide_core::routing::{
+    RouteDocument,
+    RouteTable, //
+};
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long upstreams of a zone that is taken back count as cold where no
+/// service says how long that takes.
+const COLD_DURATION_DEFAULT: Duration = Duration::from_secs(3);
+
+impl State {
+    /// Takes in all that the store holds.
+    pub(crate) fn replace(&mut self, facts: Vec<Fact>) {
+        let now = self.clock.now();
+        let mut registrations = Vec::new();
+        let mut members = Vec::new();
+        let mut evacuated = HashSet::new();
+        for fact in facts {
+            match fact {
+                Fact::Configuration(document) => self.configure(document),
+                Fact::Registered(registration) => registrations.push(registration),
+                Fact::Joined(member) => members.push(member),
+                Fact::Evacuated(zone) => {
+                    evacuated.insert(zone);
+                }
+                Fact::TakenBack(_) | Fact::Unregistered(_) | Fact::Left(_) => {}
+            }
+        }
+        let changes = self.registry.replace(registrations, now);
+        self.note_changes(&changes);
+        self.members.replace(members, self.registry.phase(), now);
+        self.set_evacuated(evacuated);
+    }
+
+    /// Takes in what has changed, in its order.
+    pub(crate) fn apply(&mut self, facts: Vec<Fact>) {
+        for fact in facts {
+            self.apply_one(fact);
+        }
+    }
+
+    fn apply_one(&mut self, fact: Fact) {
+        let now = self.clock.now();
+        match fact {
+            Fact::Configuration(document) => self.configure(document),
+            Fact::Registered(registration) => {
+                let change = self.registry.register(registration, now);
+                self.note_changes(&[change]);
+            }
+            Fact::Unregistered(upstream) => {
+                let change = self.registry.unregister(&upstream, now);
+                self.note_changes(&[change]);
+            }
+            Fact::Joined(member) => {
+                beliefs::member_joined(&member);
+                self.members.join(member);
+            }
+            Fact::Left(instance) => {
+                let phase = self.registry.phase();
+                let is_gone = self.members.leave(&instance, phase, now);
+                beliefs::member_left(&instance, is_gone);
+            }
+            Fact::Evacuated(zone) => {
+                let mut evacuated = self.registry.evacuated().clone();
+                evacuated.insert(zone);
+                self.set_evacuated(evacuated);
+            }
+            Fact::TakenBack(zone) => {
+                let mut evacuated = self.registry.evacuated().clone();
+                evacuated.remove(&zone);
+                self.set_evacuated(evacuated);
+            }
+        }
+    }
+
+    fn configure(&mut self, document: RouteDocument) {
+        let in_force = self.routes.as_ref().map(|routes| routes.version());
+        if in_force.is_some_and(|version| version >= document.version) {
+            return;
+        }
+        let routes = RouteTable::new(document);
+        beliefs::configuration_in_force(routes.version(), in_force, routes.routes_count());
+        self.routes = Some(Arc::new(routes));
+    }
+
+    fn set_evacuated(&mut self, zones: HashSet<AvailabilityZoneId>) {
+        if zones == *self.registry.evacuated() {
+            return;
+        }
+        beliefs::zones_evacuated(&zones);
+        let cold = self.cold_duration_max();
+        self.registry.set_evacuated(zones, cold, self.clock.now());
+    }
+
+    fn cold_duration_max(&self) -> Duration {
+        let routes = self.routes.as_ref();
+        let longest = routes.and_then(|routes| routes.cold_duration_max());
+        longest.unwrap_or(COLD_DURATION_DEFAULT)
+    }
+
+    pub(super) fn note_changes(&mut self, changes: &[RegistryChange]) {
+        for change in changes {
+            beliefs::registry_changed(change);
+            if let RegistryChange::Left(upstream) = change {
+                self.health.remove(upstream);
+            }
+        }
+    }
+}
--- a/crates/foxtide-gateway/src/state/mod.rs
+++ b/crates/foxtide-gateway/src/state/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! One lock covers it all; it is never held across a wait.
 
+mod facts;
 mod pick;
 
 pub(crate) use pick::{
@@ -11,15 +12,13 @@
 };
 
 use crate::clock::Clock;
-use crate::journal;
+use crate::journal::beliefs;
 use crate::options::{
     Bounds,
     GatewayOptions, //
 };
 use crate::relay::RecordLog;
-use crate::store::Fact;
 use foxtide_core::ids::{
-    AvailabilityZoneId,
     ServiceId,
     UpstreamId, //
 };
@@ -32,8 +31,7 @@
 use foxtide_core::registry::{
     Members,
     Registration,
-    Registry,
-    RegistryChange, //
+    Registry, //
 };
 use foxtide_core::retry::{
     RetryBudget,
@@ -41,7 +39,6 @@
 };
 use foxtide_core::routing::{
     Route,
-    RouteDocument,
     RouteTable,
     SplitCounter, //
 };
@@ -50,10 +47,7 @@
     RequestRate,
     Share, //
 };
-use std::collections::{
-    HashMap,
-    HashSet, //
-};
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -61,10 +55,6 @@
 /// instances come and go, so that their parts do not quite add up to one.
 const RETRY_SHARE_USED: f64 = 0.7;
 
-/// How long upstreams of a zone that is taken back count as cold where no
-/// service says how long that takes.
-const COLD_DURATION_DEFAULT: Duration = Duration::from_secs(3);
-
 /// Everything that decisions rest on.
 #[derive(Debug)]
 pub(crate) struct State {
@@ -162,70 +152,6 @@
         self.clock.now() - self.told_at
     }
 
-    /// Takes in all that the store holds.
-    pub(crate) fn replace(&mut self, facts: Vec<Fact>) {
-        let now = self.clock.now();
-        let mut registrations = Vec::new();
-        let mut members = Vec::new();
-        let mut evacuated = HashSet::new();
-        for fact in facts {
-            match fact {
-                Fact::Configuration(document) => self.configure(document),
-                Fact::Registered(registration) => registrations.push(registration),
-                Fact::Joined(member) => members.push(member),
-                Fact::Evacuated(zone) => {
-                    evacuated.insert(zone);
-                }
-                Fact::TakenBack(_) | Fact::Unregistered(_) | Fact::Left(_) => {}
-            }
-        }
-        let changes = self.registry.replace(registrations, now);
-        self.note_changes(&changes);
-        self.members.replace(members, self.registry.phase(), now);
-        self.set_evacuated(evacuated);
-    }
-
-    /// Takes in what has changed, in its order.
-    pub(crate) fn apply(&mut self, facts: Vec<Fact>) {
-        for fact in facts {
-            self.apply_one(fact);
-        }
-    }
-
-    fn apply_one(&mut self, fact: Fact) {
-        let now = self.clock.now();
-        match fact {
-            Fact::Configuration(document) => self.configure(document),
-            Fact::Registered(registration) => {
-                let change = self.registry.register(registration, now);
-                self.note_changes(&[change]);
-            }
-            Fact::Unregistered(upstream) => {
-                let change = self.registry.unregister(&upstream, now);
-                self.note_changes(&[change]);
-            }
-            Fact::Joined(member) => {
-                journal::member_joined(&member);
-                self.members.join(member);
-            }
-            Fact::Left(instance) => {
-                let phase = self.registry.phase();
-                let is_gone = self.members.leave(&instance, phase, now);
-                journal::member_left(&instance, is_gone);
-            }
-            Fact::Evacuated(zone) => {
-                let mut evacuated = self.registry.evacuated().clone();
-                evacuated.insert(zone);
-                self.set_evacuated(evacuated);
-            }
-            Fact::TakenBack(zone) => {
-                let mut evacuated = self.registry.evacuated().clone();
-                evacuated.remove(&zone);
-                self.set_evacuated(evacuated);
-            }
-        }
-    }
-
     /// Drops what was kept in doubt while the store was away, and what is
     /// known of upstreams that are gone.
     pub(crate) fn expire(&mut self) {
@@ -271,7 +197,7 @@
             health.report(load, now);
         }
         if !was_ejected && health.is_ejected(now) {
-            journal::upstream_ejected(upstream, health.failure_share(), result);
+            beliefs::upstream_ejected(upstream, health.failure_share(), result);
         }
     }
 
@@ -287,40 +213,6 @@
         self.note_changes(&[change]);
     }
 
-    fn configure(&mut self, document: RouteDocument) {
-        let in_force = self.routes.as_ref().map(|routes| routes.version());
-        if in_force.is_some_and(|version| version >= document.version) {
-            return;
-        }
-        let routes = RouteTable::new(document);
-        journal::configuration_in_force(routes.version(), in_force, routes.routes_count());
-        self.routes = Some(Arc::new(routes));
-    }
-
-    fn set_evacuated(&mut self, zones: HashSet<AvailabilityZoneId>) {
-        if zones == *self.registry.evacuated() {
-            return;
-        }
-        journal::zones_evacuated(&zones);
-        let cold = self.cold_duration_max();
-        self.registry.set_evacuated(zones, cold, self.clock.now());
-    }
-
-    fn cold_duration_max(&self) -> Duration {
-        let routes = self.routes.as_ref();
-        let longest = routes.and_then(|routes| routes.cold_duration_max());
-        longest.unwrap_or(COLD_DURATION_DEFAULT)
-    }
-
-    fn note_changes(&mut self, changes: &[RegistryChange]) {
-        for change in changes {
-            journal::registry_changed(change);
-            if let RegistryChange::Left(upstream) = change {
-                self.health.remove(upstream);
-            }
-        }
-    }
-
     fn budget(&mut self, service: &ServiceId) -> &mut RetryBudget {
         let now = self.clock.now();
         let bounds = &self.bounds;
--- a/crates/foxtide-http/src/forwarded.rs
+++ b/crates/foxtide-http/src/forwarded.rs
@@ -7,9 +7,10 @@
     CONTINUE,
     HEADER_LINES_MAX,
     HeadError,
-    has_bare_line_feed,
     is_host_byte,
-    stated_length, //
+    request_line,
+    stated_length,
+    status_line, //
 };
 use crate::headers::{
     is_hop_by_hop,
@@ -127,22 +128,11 @@
     ///
     /// Fails where the head cannot be understood in just one way.
     pub fn parse(bytes: &[u8]) -> Result<Self, HeadError> {
-        if has_bare_line_feed(bytes) {
-            return Err(HeadError::Malformed);
-        }
         let mut lines = [httparse::EMPTY_HEADER; HEADER_LINES_MAX];
         let mut parsed = httparse::Request::new(&mut lines);
-        let status = parsed.parse(bytes).map_err(|_| HeadError::Malformed)?;
-        let (Some(method), Some(target), Some(version)) =
-            (parsed.method, parsed.path, parsed.version)
-        else {
+        let (method, target) = request_line(&mut parsed, bytes)?;
+        if !target.starts_with('/') {
             return Err(HeadError::Malformed);
-        };
-        if status.is_partial() || !target.starts_with('/') {
-            return Err(HeadError::Malformed);
-        }
-        if version != 1 {
-            return Err(HeadError::Version);
         }
         let host = request_host(parsed.headers)?;
         let (lines, framing) = take_lines(parsed.headers, BodyLength::None)?;
@@ -194,16 +184,7 @@
     pub fn parse(bytes: &[u8]) -> Result<Self, HeadError> {
         let mut lines = [httparse::EMPTY_HEADER; HEADER_LINES_MAX];
         let mut parsed = httparse::Response::new(&mut lines);
-        let parsing = parsed.parse(bytes).map_err(|_| HeadError::Malformed)?;
-        let (Some(status), Some(version)) = (parsed.code, parsed.version) else {
-            return Err(HeadError::Malformed);
-        };
-        if parsing.is_partial() {
-            return Err(HeadError::Malformed);
-        }
-        if version != 1 {
-            return Err(HeadError::Version);
-        }
+        let status = status_line(&mut parsed, bytes)?;
         let (lines, framing) = take_lines(parsed.headers, BodyLength::UntilClose)?;
         Ok(Self {
             status,
--- a/crates/foxtide-http/src/head.rs
+++ b/crates/foxtide-http/src/head.rs
@@ -102,23 +102,12 @@
     /// Fails where the head cannot be understood in just one way.
     pub fn parse(bytes: &[u8]) -> Result<Self, HeadError> {
         // Headers of http-types hold ASCII alone.
-        if !bytes.is_ascii() || has_bare_line_feed(bytes) {
+        if !bytes.is_ascii() {
             return Err(HeadError::Malformed);
         }
         let mut lines = [httparse::EMPTY_HEADER; HEADER_LINES_MAX];
         let mut parsed = httparse::Request::new(&mut lines);
-        let status = parsed.parse(bytes).map_err(|_| HeadError::Malformed)?;
-        let (Some(method), Some(target), Some(version)) =
-            (parsed.method, parsed.path, parsed.version)
-        else {
-            return Err(HeadError::Malformed);
-        };
-        if status.is_partial() {
-            return Err(HeadError::Malformed);
-        }
-        if version != 1 {
-            return Err(HeadError::Version);
-        }
+        let (method, target) = request_line(&mut parsed, bytes)?;
         let method = Method::from_str(method).map_err(|_| HeadError::Unknown)?;
         let url = request_url(target, parsed.headers)?;
         let head = Head::from_lines(parsed.headers, BodyLength::None)?;
@@ -135,16 +124,7 @@
     pub fn parse(bytes: &[u8]) -> Result<Self, HeadError> {
         let mut lines = [httparse::EMPTY_HEADER; HEADER_LINES_MAX];
         let mut parsed = httparse::Response::new(&mut lines);
-        let parsing = parsed.parse(bytes).map_err(|_| HeadError::Malformed)?;
-        let (Some(code), Some(version)) = (parsed.code, parsed.version) else {
-            return Err(HeadError::Malformed);
-        };
-        if parsing.is_partial() {
-            return Err(HeadError::Malformed);
-        }
-        if version != 1 {
-            return Err(HeadError::Version);
-        }
+        let code = status_line(&mut parsed, bytes)?;
         let status = StatusCode::try_from(code).map_err(|_| HeadError::Unknown)?;
         let head = Head::from_lines(parsed.headers, BodyLength::UntilClose)?;
         Ok(Self { status, head })
@@ -248,12 +228,48 @@
     }
 }
 
+/// Parses the head of a request; returns its method and target.
+pub(crate) fn request_line<'b>(
+    parsed: &mut httparse::Request<'_, 'b>,
+    bytes: &'b [u8],
+) -> Result<(&'b str, &'b str), HeadError> {
+    if has_bare_line_feed(bytes) {
+        return Err(HeadError::Malformed);
+    }
+    let parsing = parsed.parse(bytes).map_err(|_| HeadError::Malformed)?;
+    let (Some(method), Some(target), Some(version)) = (parsed.method, parsed.path, parsed.version)
+    else {
+        return Err(HeadError::Malformed);
+    };
+    match (parsing.is_partial(), version) {
+        (true, _) => Err(HeadError::Malformed),
+        (false, 1) => Ok((method, target)),
+        (false, _) => Err(HeadError::Version),
+    }
+}
+
+/// Parses the head of a response; returns its status code.
+pub(crate) fn status_line<'b>(
+    parsed: &mut httparse::Response<'_, 'b>,
+    bytes: &'b [u8],
+) -> Result<u16, HeadError> {
+    let parsing = parsed.parse(bytes).map_err(|_| HeadError::Malformed)?;
+    let (Some(code), Some(version)) = (parsed.code, parsed.version) else {
+        return Err(HeadError::Malformed);
+    };
+    match (parsing.is_partial(), version) {
+        (true, _) => Err(HeadError::Malformed),
+        (false, 1) => Ok(code),
+        (false, _) => Err(HeadError::Version),
+    }
+}
+
 fn has_body(method: Method, status: StatusCode) -> bool {
     let without = matches!(status, StatusCode::NoContent | StatusCode::NotModified);
     method != Method::Head && !without && !status.is_informational()
 }
 
-pub(crate) fn has_bare_line_feed(bytes: &[u8]) -> bool {
+fn has_bare_line_feed(bytes: &[u8]) -> bool {
     let mut before = b' ';
     for &byte in bytes {
         if byte == b'\n' && before != b'\r' {
