Refuse requests late in a stop that its end would cut

Change: after 0.45 of the grace time a request whose route's timeout is longer than what is left is refused as not run, to come back elsewhere at once.

--- a/crates/foxtide-gateway/src/front/connection.rs
+++ b/crates/foxtide-gateway/src/front/connection.rs
@@ -46,6 +46,13 @@
 /// When a caller is told to come back to an instance that knows nothing yet.
 const START_RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// What a reply may take beyond the route's timeout.
+const REPLY_MARGIN: Duration = Duration::from_millis(200);
+
+/// When a caller that an instance late in its stop refuses is told to come back:
+/// it connects to another one.
+const STOP_RETRY_AFTER: Duration = Duration::from_millis(20);
+
 /// Whether a connection stays open.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Next {
@@ -177,6 +184,15 @@
             inputs.version = routes.version();
             return Some((Refusal::NotFound.into(), inputs));
         };
+        if !self
+            .shared
+            .lifecycle
+            .has_time_for(route.timeout + REPLY_MARGIN)
+        {
+            let retry_after = STOP_RETRY_AFTER;
+            let inputs = Inputs::new(request.id(), "stopping");
+            return Some((Refusal::NotRun { retry_after }.into(), inputs));
+        }
         let gone = async {
             self.stream.closed_by_peer().await;
             None
--- a/crates/foxtide-gateway/src/gateway.rs
+++ b/crates/foxtide-gateway/src/gateway.rs
@@ -125,13 +125,13 @@
     /// Stops gracefully: leaves the directory, serves until callers know, ends
     /// what is in flight, and returns within the grace time.
     pub async fn stop(&self) {
-        self.shared.lifecycle.stop();
+        let grace = self.shared.state.lock().bounds().grace;
+        self.shared.lifecycle.stop(grace);
         let membership = self.membership.lock().take();
         if let Some(membership) = membership {
             membership.await;
         }
-        let grace = self.shared.state.lock().bounds().grace;
-        self.shared.lifecycle.drained(grace).await;
+        self.shared.lifecycle.drained().await;
     }
 }
 
--- a/crates/foxtide-gateway/src/lifecycle.rs
+++ b/crates/foxtide-gateway/src/lifecycle.rs
@@ -3,6 +3,7 @@
 use event_listener::Event;
 use futures_lite::future::or;
 use smol::Timer;
+use std::sync::OnceLock;
 use std::sync::atomic::{
     AtomicBool,
     AtomicUsize,
@@ -19,6 +20,10 @@
 /// the worth of a day on which all instances restart twice from 0.76 to 0.80.
 const IDLE_CLOSE_PART: f64 = 0.25;
 
+/// The part of the grace time in which all requests are taken, also those that
+/// might take longer than is left: callers have not yet been told to go.
+const TAKE_ALL_PART: f64 = 0.45;
+
 /// What is left of the grace time when the process ends by itself.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
 
@@ -29,6 +34,14 @@
     closes_idle: AtomicBool,
     connections: AtomicUsize,
     changed: Event,
+    stop: OnceLock<Stop>,
+}
+
+/// When a stop began, and when it will be over.
+#[derive(Clone, Copy, Debug)]
+struct Stop {
+    began_at: Instant,
+    grace: Duration,
 }
 
 /// A connection that counts as open until it is dropped.
@@ -36,8 +49,10 @@
 pub(crate) struct OpenConnection<'a>(&'a Lifecycle);
 
 impl Lifecycle {
-    /// Begins the stop.
-    pub(crate) fn stop(&self) {
+    /// Begins the stop, which is over after `grace`.
+    pub(crate) fn stop(&self, grace: Duration) {
+        let began_at = Instant::now();
+        self.stop.get_or_init(|| Stop { began_at, grace });
         self.is_stopping.store(true, Ordering::SeqCst);
         self.changed.notify(usize::MAX);
     }
@@ -47,6 +62,17 @@
         self.is_stopping.load(Ordering::SeqCst)
     }
 
+    /// Tells whether a request that may take `time` is still to be taken: late in
+    /// a stop one that could not end before the process does is refused.
+    pub(crate) fn has_time_for(&self, time: Duration) -> bool {
+        let Some(stop) = self.stop.get() else {
+            return true;
+        };
+        let passed = stop.began_at.elapsed();
+        let left = stop.ends_after().saturating_sub(passed);
+        passed < stop.grace.mul_f64(TAKE_ALL_PART) || time < left
+    }
+
     /// Waits until the instance is stopping.
     pub(crate) async fn stopping(&self) {
         self.until(|lifecycle| lifecycle.is_stopping()).await;
@@ -67,14 +93,16 @@
     /// Waits until the stop is complete: idle connections are closed after a
     /// part of the grace time, and the end comes when none is open or the
     /// grace time is nearly over.
-    pub(crate) async fn drained(&self, grace: Duration) {
-        let started = Instant::now();
-        Timer::at(started + grace.mul_f64(IDLE_CLOSE_PART)).await;
+    pub(crate) async fn drained(&self) {
+        let Some(stop) = self.stop.get() else {
+            return;
+        };
+        Timer::at(stop.began_at + stop.grace.mul_f64(IDLE_CLOSE_PART)).await;
         self.closes_idle.store(true, Ordering::SeqCst);
         self.changed.notify(usize::MAX);
         let none_open = self.until(|lifecycle| lifecycle.connections.load(Ordering::SeqCst) == 0);
         let over = async {
-            Timer::at(started + grace.saturating_sub(GRACE_MARGIN)).await;
+            Timer::at(stop.began_at + stop.ends_after()).await;
         };
         or(none_open, over).await;
     }
@@ -93,6 +121,13 @@
     }
 }
 
+impl Stop {
+    /// Returns the time after which the process ends whatever is open.
+    fn ends_after(self) -> Duration {
+        self.grace.saturating_sub(GRACE_MARGIN)
+    }
+}
+
 impl Drop for OpenConnection<'_> {
     fn drop(&mut self) {
         self.0.connections.fetch_sub(1, Ordering::SeqCst);
--- a/crates/foxtide-gateway/tests/gateway/following.rs
+++ b/crates/foxtide-gateway/tests/gateway/following.rs
@@ -214,3 +214,33 @@
     assert_eq!(holding.read().body, b"late");
     stopping.join().unwrap();
 }
+
+/// A request that is taken late in a stop must not be cut by its end.
+#[test]
+fn verify_a_request_that_could_not_end_before_the_stop_does_is_refused() {
+    let fleet = Fleet::new();
+    let upstream = fleet.upstream("i-1", "khomas-a");
+    let mut instance = fleet.instance("edge-1", "khomas-a");
+    let address = instance.address();
+    upstream.next(Behaviour::Respond(
+        200,
+        "late",
+        Duration::from_millis(2_500),
+    ));
+    let mut holding = Caller::connect(address);
+    holding.send("GET /once/ HTTP/1.1\r\nhost: a.example\r\nrequest: r-1\r\n\r\n");
+    eventually("the request arrives", || upstream.seen().len() == 1);
+    let stopping = std::thread::spawn(move || instance.stop());
+    // The route's timeout is 5 s, the grace time 3 s.
+    let is_refused = || {
+        let response = Caller::connect(address).get("/once/", "request: r-2\r\n");
+        response.head.status == 503 && response.head.lines.get("retry-after").is_some()
+    };
+    eventually("late requests are refused", is_refused);
+    let seen = upstream.seen().len();
+    let response = Caller::connect(address).get("/once/", "request: r-3\r\n");
+    assert_eq!(response.head.status, 503);
+    assert_eq!(upstream.seen().len(), seen);
+    drop(holding);
+    stopping.join().unwrap();
+}
