Bound the memory of bodies and the idle connections by what settings allow

Cause: found by reading: the operators' limits allow bodies of 64 MB, of which a few at once end a process of 260 MB; each instance kept up to 8 idle connections to an upstream however many instances there were (600 of them would be 4,800 of 360).

Change: bodies take a sixth of the process's memory together; one for which there is no room is refused before it is read, to come back after 0.3 s. Idle connections to an upstream are half of its limit over the live instances, 1 to 8. Responses are held as before, at most 16 MiB each; their sum is not bounded yet.

--- a/crates/foxtide-gateway/src/forward/attempt.rs
+++ b/crates/foxtide-gateway/src/forward/attempt.rs
@@ -194,10 +194,15 @@
 ) -> AttemptReport {
     if response.keeps_connection() && stream.buffered().is_empty() {
         let keep_alive = response.head.keep_alive;
+        let connections_max = shared
+            .state
+            .lock()
+            .idle_connections_max(&registration.service);
         let now = shared.clock.now();
+        let upstream = &registration.upstream;
         shared
             .pool
-            .put(&registration.upstream, stream, keep_alive, now);
+            .put(upstream, stream, keep_alive, connections_max, now);
     }
     let (end, result) = meaning(response, facts, latency);
     AttemptReport {
--- a/crates/foxtide-gateway/src/forward/request.rs
+++ b/crates/foxtide-gateway/src/forward/request.rs
@@ -1,17 +1,20 @@
 //! A caller's whole request.
 
 use crate::dialect::CallerFacts;
+use crate::memory::Reserved;
 use foxtide_core::placement::ObjectKey;
 use foxtide_core::time::MonotonicTime;
 use foxtide_http::ForwardedRequest;
 
 /// A whole request with what its caller says of it.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct CallerRequest {
     /// The head.
     pub(crate) head: ForwardedRequest,
     /// The body.
     pub(crate) body: Vec<u8>,
+    /// The memory that the body takes.
+    pub(crate) _memory: Reserved,
     /// What the caller says of it.
     pub(crate) facts: CallerFacts,
     /// When its head had arrived.
--- a/crates/foxtide-gateway/src/front/connection.rs
+++ b/crates/foxtide-gateway/src/front/connection.rs
@@ -138,8 +138,9 @@
         if let Some(reply) = self.own_answer(&head) {
             return self.send(&reply, head.close).await;
         }
-        let body = match receive_body(&mut self.stream, &head, &limits).await {
-            Ok(body) => body,
+        let memory = &self.shared.body_memory;
+        let (body, memory) = match receive_body(&mut self.stream, &head, &limits, memory).await {
+            Ok(received) => received,
             Err(reason) => return self.no_request(reason).await,
         };
         let facts = self.shared.dialect.caller_facts(&head.lines);
@@ -148,6 +149,7 @@
         let request = CallerRequest {
             head,
             body,
+            _memory: memory,
             facts,
             received_at,
         };
--- a/crates/foxtide-gateway/src/front/receive.rs
+++ b/crates/foxtide-gateway/src/front/receive.rs
@@ -1,5 +1,9 @@
 //! Takes one whole request off a connection.
 
+use crate::memory::{
+    BodyMemory,
+    Reserved, //
+};
 use crate::outcome::Refusal;
 use foxtide_core::routing::CallerLimits;
 use foxtide_http::{
@@ -21,6 +25,9 @@
 /// How long a body may take to arrive, beyond which its sender has stalled.
 const BODY_TIME: Duration = Duration::from_secs(20);
 
+/// When a caller for whose body there is no memory is told to come back.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// Why there is no request.
 #[derive(Debug)]
 pub(super) enum NoRequest {
@@ -48,15 +55,41 @@
     ForwardedRequest::parse(&bytes).map_err(bad_head)
 }
 
-/// Reads the body that belongs to a head.
+/// Reads the body that belongs to a head, and reserves its memory.
 ///
 /// # Errors
 ///
-/// Fails where no whole body came in time.
+/// Fails where no whole body came in time, or where there is no memory for it.
 pub(super) async fn receive_body(
     stream: &mut BufferedStream,
     head: &ForwardedRequest,
     limits: &CallerLimits,
+    memory: &BodyMemory,
+) -> Result<(Vec<u8>, Reserved), NoRequest> {
+    let stated_bytes = match head.length {
+        BodyLength::Fixed { size_bytes } if size_bytes <= limits.body.get() => size_bytes,
+        _ => 0,
+    };
+    let reserved = reserve(memory, stated_bytes)?;
+    let body = read_whole(stream, head, limits).await?;
+    if body.len() as u64 == stated_bytes {
+        return Ok((body, reserved));
+    }
+    // In chunks, whose size is known only now.
+    let reserved = reserve(memory, body.len() as u64)?;
+    Ok((body, reserved))
+}
+
+fn reserve(memory: &BodyMemory, size_bytes: u64) -> Result<Reserved, NoRequest> {
+    let retry_after = MEMORY_RETRY_AFTER;
+    let refused = NoRequest::Refused(Refusal::NotRun { retry_after });
+    memory.try_reserve(size_bytes).ok_or(refused)
+}
+
+async fn read_whole(
+    stream: &mut BufferedStream,
+    head: &ForwardedRequest,
+    limits: &CallerLimits,
 ) -> Result<Vec<u8>, NoRequest> {
     let limit_bytes = usize::try_from(limits.body.get()).unwrap_or(usize::MAX);
     if head.length == BodyLength::None {
--- a/crates/foxtide-gateway/src/gateway.rs
+++ b/crates/foxtide-gateway/src/gateway.rs
@@ -13,6 +13,7 @@
     bind_peers, //
 };
 use crate::membership::keep_membership;
+use crate::memory::BodyMemory;
 use crate::options::{
     Addresses,
     Bounds,
@@ -24,6 +25,7 @@
 use crate::state::State;
 use crate::store::FleetStore;
 use event_listener::Event;
+use foxtide_core::units::ByteSize;
 use parking_lot::Mutex;
 use smol::net::TcpListener;
 use smol::{
@@ -36,6 +38,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// The part of the memory that callers' bodies may take: a body stands twice
+/// while it is sent on, and responses take as much.
+const BODY_MEMORY_DIVISOR: u64 = 6;
+
 /// How often idle connections are looked over and doubts are settled.
 const HOUSEKEEPING_PERIOD: Duration = Duration::from_millis(500);
 
@@ -67,6 +73,7 @@
             directory: listeners.address_of(options.addresses.directory),
             peers: listeners.peers_address,
         };
+        let body_memory = ByteSize::from_bytes(options.memory.get() / BODY_MEMORY_DIVISOR);
         let options = Arc::new(options);
         let clock = Clock::default();
         let shared = Arc::new(Shared {
@@ -75,6 +82,7 @@
             clock,
             state: Mutex::new(State::new(Arc::clone(&options), clock)),
             pool: Pool::default(),
+            body_memory: BodyMemory::new(body_memory),
             lifecycle: Lifecycle::default(),
             journal: Journal::new(clock),
             store_alarm: StoreAlarm::default(),
--- a/crates/foxtide-gateway/src/lib.rs
+++ b/crates/foxtide-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod lifecycle;
 mod listener;
 mod membership;
+mod memory;
 mod options;
 mod outcome;
 mod pool;
--- /dev/null
+++ b/crates/foxtide-gateway/src/memory.rs
@@ -0,0 +1,48 @@
+//! A bound on the memory that callers' bodies take.
+
+use foxtide_core::units::ByteSize;
+use std::sync::Arc;
+use std::sync::atomic::{
+    AtomicU64,
+    Ordering, //
+};
+
+/// The memory that bodies may take together.
+#[derive(Debug)]
+pub(crate) struct BodyMemory {
+    used_bytes: Arc<AtomicU64>,
+    max: ByteSize,
+}
+
+/// A part of the memory, given back when it is dropped.
+#[derive(Debug)]
+pub(crate) struct Reserved {
+    used_bytes: Arc<AtomicU64>,
+    size_bytes: u64,
+}
+
+impl BodyMemory {
+    /// Returns a bound of which nothing is used.
+    pub(crate) fn new(max: ByteSize) -> Self {
+        Self {
+            used_bytes: Arc::default(),
+            max,
+        }
+    }
+
+    /// Reserves memory for a body; nothing where there is not enough left.
+    pub(crate) fn try_reserve(&self, size_bytes: u64) -> Option<Reserved> {
+        let reserved = Reserved {
+            used_bytes: Arc::clone(&self.used_bytes),
+            size_bytes,
+        };
+        let before = self.used_bytes.fetch_add(size_bytes, Ordering::AcqRel);
+        (before.saturating_add(size_bytes) <= self.max.get()).then_some(reserved)
+    }
+}
+
+impl Drop for Reserved {
+    fn drop(&mut self) {
+        self.used_bytes.fetch_sub(self.size_bytes, Ordering::AcqRel);
+    }
+}
--- a/crates/foxtide-gateway/src/options.rs
+++ b/crates/foxtide-gateway/src/options.rs
@@ -5,6 +5,7 @@
     InstanceId,
     RegionId, //
 };
+use foxtide_core::units::ByteSize;
 use std::collections::BTreeMap;
 use std::net::{
     Ipv4Addr,
@@ -21,6 +22,8 @@
     pub addresses: Addresses,
     /// Peers to ask before the store has named any.
     pub seed_peers: Vec<SocketAddr>,
+    /// The memory of the process.
+    pub memory: ByteSize,
     /// What binds all instances together.
     pub bounds: Bounds,
 }
--- a/crates/foxtide-gateway/src/pool.rs
+++ b/crates/foxtide-gateway/src/pool.rs
@@ -22,10 +22,6 @@
 /// not run twice.
 const NON_IDEMPOTENT_PART: f64 = 0.6;
 
-/// The most idle connections to one upstream. It works on three to five
-/// requests at a time, and other instances hold connections as well.
-const IDLE_CONNECTIONS_MAX: usize = 8;
-
 #[derive(Debug)]
 struct Idle {
     stream: BufferedStream,
@@ -72,12 +68,14 @@
         None
     }
 
-    /// Keeps a connection whose last response was read to its exact end.
+    /// Keeps a connection whose last response was read to its exact end; at most
+    /// `connections_max` to one upstream.
     pub(crate) fn put(
         &self,
         upstream: &UpstreamId,
         stream: BufferedStream,
         keep_alive: Option<Duration>,
+        connections_max: usize,
         now: MonotonicTime,
     ) {
         let limit = keep_alive.map_or(IDLE_TIME_DEFAULT, |time| {
@@ -85,7 +83,7 @@
         });
         let mut idle = self.idle.lock();
         let connections = idle.entry(upstream.clone()).or_default();
-        if connections.len() < IDLE_CONNECTIONS_MAX {
+        if connections.len() < connections_max {
             connections.push(Idle {
                 stream,
                 since: now,
--- a/crates/foxtide-gateway/src/shared.rs
+++ b/crates/foxtide-gateway/src/shared.rs
@@ -4,6 +4,7 @@
 use crate::clock::Clock;
 use crate::journal::Journal;
 use crate::lifecycle::Lifecycle;
+use crate::memory::BodyMemory;
 use crate::options::{
     Addresses,
     GatewayOptions, //
@@ -24,6 +25,7 @@
     pub(crate) clock: Clock,
     pub(crate) state: Mutex<State>,
     pub(crate) pool: Pool,
+    pub(crate) body_memory: BodyMemory,
     pub(crate) lifecycle: Lifecycle,
     pub(crate) journal: Journal,
     pub(crate) store_alarm: StoreAlarm,
--- a/crates/foxtide-gateway/src/state/mod.rs
+++ b/crates/foxtide-gateway/src/state/mod.rs
@@ -55,6 +55,14 @@
 /// instances come and go, so that their parts do not quite add up to one.
 const RETRY_SHARE_USED: f64 = 0.7;
 
+/// The part of an upstream's connections that may be idle; the rest is for
+/// requests under way and for instances that come while others still count.
+const IDLE_CONNECTIONS_SHARE: f64 = 0.5;
+
+/// The most idle connections to one upstream: it works on three to five requests
+/// at a time.
+const IDLE_CONNECTIONS_MAX: usize = 8;
+
 /// Everything that decisions rest on.
 #[derive(Debug)]
 pub(crate) struct State {
@@ -201,6 +209,18 @@
         }
     }
 
+    /// Returns how many idle connections this instance may keep to an upstream of
+    /// a service: its part of what the upstream takes from all instances, at least
+    /// one, and no more than the upstream can be busy with.
+    pub(crate) fn idle_connections_max(&self, service: &ServiceId) -> usize {
+        let routes = self.routes.as_ref();
+        let terms = routes.and_then(|routes| routes.service(service));
+        let allowed = terms.map_or(u32::MAX, |terms| terms.connections_max);
+        let instances = self.members.all().count().max(1);
+        let part = f64::from(allowed) * IDLE_CONNECTIONS_SHARE / instances as f64;
+        (part as usize).clamp(1, IDLE_CONNECTIONS_MAX)
+    }
+
     /// Returns how long an upstream takes for a request of late.
     pub(crate) fn latency(&self, upstream: &UpstreamId) -> Option<Duration> {
         self.health.get(upstream)?.latency()
--- a/crates/foxtide-gateway/tests/gateway/forwarding.rs
+++ b/crates/foxtide-gateway/tests/gateway/forwarding.rs
@@ -277,3 +277,30 @@
     let told = retry_after(&known);
     assert!((0.4..=1.0).contains(&told), "{told}");
 }
+
+#[test]
+fn verify_bodies_take_a_bounded_part_of_the_memory() {
+    let (fleet, upstream) = fleet_of_one();
+    let instance = fleet.instance("edge-1", "khomas-a");
+    // The instance has 6 MiB, of which bodies may take 1 MiB.
+    let size_bytes = 700 * 1_024;
+    let body = "x".repeat(size_bytes);
+    let head = format!(
+        "POST /once/ HTTP/1.1\r\nhost: a.example\r\nrequest: r-1\r\ncontent-length: {size_bytes}\r\n\r\n"
+    );
+    upstream.next(Behaviour::Respond(200, "slow", Duration::from_millis(700)));
+    let mut first = Caller::connect(instance.address());
+    first.send(&head);
+    first.send(&body);
+    eventually("the first is under way", || upstream.seen().len() == 1);
+    let mut second = Caller::connect(instance.address());
+    second.send(&head);
+    let response = second.read();
+    assert_eq!(response.head.status, 503);
+    assert!(response.head.lines.get("retry-after").is_some());
+    assert_eq!(first.read().head.status, 200);
+    let mut third = Caller::connect(instance.address());
+    third.send(&head);
+    third.send(&body);
+    assert_eq!(third.read().head.status, 200);
+}
--- a/crates/foxtide-gateway/tests/gateway/support/fleet.rs
+++ b/crates/foxtide-gateway/tests/gateway/support/fleet.rs
@@ -17,6 +17,7 @@
     ServiceTerms,
     WeightedService, //
 };
+use foxtide_core::units::ByteSize;
 use foxtide_gateway::{
     Addresses,
     Bounds,
@@ -149,6 +150,7 @@
         },
         addresses: Addresses::default(),
         seed_peers: Vec::new(),
+        memory: ByteSize::from_kib(6 * 1_024),
         bounds: Bounds {
             grace: Duration::from_secs(3),
             ..Bounds::default()
