--- a/crates/foxtide/src/command.rs
+++ b/crates/foxtide/src/command.rs
@@ -24,7 +24,8 @@
     /// file with the instance's settings, JSON with comments
     #[argh(option)]
     pub settings: Option<PathBuf>,
-    /// file with settings to check; nothing is started
+    /// file with settings to check, the platform's with --platform; nothing is
+    /// started
     #[argh(option)]
     pub check_settings: Option<PathBuf>,
     /// run on the platform, by the settings file that its environment names
@@ -51,7 +52,10 @@
         return Ok(());
     }
     if command.platform {
-        return platform::run(command.metrics_port);
+        return match &command.check_settings {
+            Some(file) => platform::check(file),
+            None => platform::run(command.metrics_port),
+        };
     }
     if command.metrics_port.is_some() {
         bail!("--metrics-port needs --platform; else the settings' admin address serves metrics");
--- a/crates/foxtide/src/platform/mod.rs
+++ b/crates/foxtide/src/platform/mod.rs
@@ -49,6 +49,19 @@
     smol::block_on(executor.run(serving))
 }
 
+/// Checks a settings file of the platform.
+///
+/// # Errors
+///
+/// Fails where the settings are wrong; the error names file, field and what is
+/// valid.
+pub fn check(file: &Path) -> Result<()> {
+    let settings = PlatformSettings::load(file)?;
+    let instance = settings.gateway.place.instance;
+    println!("{}: valid settings of {instance}", file.display());
+    Ok(())
+}
+
 async fn serve(
     settings: PlatformSettings,
     path: &Path,
--- a/crates/foxtide/tests/platform.rs
+++ b/crates/foxtide/tests/platform.rs
@@ -189,6 +189,9 @@
         error.contains("Khomas A") && error.contains("valid"),
         "{error}"
     );
+    let checked = file.to_str().unwrap();
+    let error = run(None, &["--platform", "--check-settings", checked]);
+    assert!(error.contains("Khomas A"), "{error}");
     let error = run(None, &["--platform"]);
     assert!(error.contains(&settings_variable()), "{error}");
     let error = run(None, &["--metrics-port", "1"]);
