--- a/crates/foxtide-gateway/tests/gateway/main.rs
+++ b/crates/foxtide-gateway/tests/gateway/main.rs
@@ -2,4 +2,5 @@
 
 mod following;
 mod forwarding;
+mod stopping;
 mod support;
--- /dev/null
+++ b/crates/foxtide-gateway/tests/gateway/stopping.rs
@@ -0,0 +1,143 @@
+//! Planned stops: nothing is cut, nothing is read and left unanswered.
+
+use crate::support::{
+    Behaviour,
+    CallError,
+    Caller,
+    FakeUpstream,
+    Fleet,
+    Instance,
+    eventually, //
+};
+use std::time::Duration;
+
+/// Sends a request that its upstream answers after `time`, and waits until it
+/// has arrived there: the instance does not end before.
+fn hold(instance: &Instance, upstream: &FakeUpstream, time: Duration) -> Caller {
+    upstream.next(Behaviour::Respond(200, "late", time));
+    let mut caller = Caller::connect(instance.address());
+    caller.send("GET /once/ HTTP/1.1\r\nhost: a.example\r\nrequest: r-1\r\n\r\n");
+    eventually("the request arrives", || upstream.seen().len() == 1);
+    caller
+}
+
+#[test]
+fn verify_a_stop_cuts_nothing_and_leaves_the_directory() {
+    let fleet = Fleet::new();
+    let upstream = fleet.upstream("i-1", "khomas-a");
+    let peer = fleet.instance("edge-1", "khomas-a");
+    let mut instance = fleet.instance("edge-2", "khomas-a");
+    let named = |count: usize| {
+        let body = peer.get("/lookup?region=khomas", "").body;
+        String::from_utf8_lossy(&body).matches(':').count() == count
+    };
+    eventually("both are named", || named(2));
+    let mut caller = hold(&instance, &upstream, Duration::from_millis(1_500));
+    let address = instance.address();
+    let stopping = std::thread::spawn(move || {
+        instance.stop();
+        instance
+    });
+    eventually("the directory forgets it", || named(1));
+    assert_eq!(Caller::connect(address).get("/ready", "").head.status, 503);
+    let response = caller.read();
+    assert_eq!(response.body, b"late");
+    assert!(response.head.close);
+    stopping.join().unwrap();
+}
+
+/// A request that crosses the close of an idle connection must be reset unread:
+/// one that was read and not answered is lost.
+#[test]
+fn verify_a_stop_reads_nothing_that_it_does_not_answer() {
+    let fleet = Fleet::new();
+    let upstream = fleet.upstream("i-1", "khomas-a");
+    let mut instance = fleet.instance("edge-1", "khomas-a");
+    let mut callers: Vec<Caller> = (0..20)
+        .map(|_| Caller::connect(instance.address()))
+        .collect();
+    for (number, caller) in callers.iter_mut().enumerate() {
+        let response = caller.get("/safe/", &format!("request: before-{number}\r\n"));
+        assert_eq!(response.head.status, 200);
+    }
+    let stopping = std::thread::spawn(move || instance.stop());
+    // Each sends at another moment around the close of its connection.
+    for (number, caller) in callers.iter_mut().enumerate() {
+        std::thread::sleep(Duration::from_millis(60));
+        let request = format!("request: crossing-{number}\r\n");
+        let answered = caller.try_get("/once/", &request);
+        let runs = upstream
+            .seen()
+            .iter()
+            .filter(|seen| seen.request == format!("crossing-{number}"))
+            .count();
+        assert_eq!(
+            runs,
+            usize::from(answered.is_ok()),
+            "{number}: {answered:?}"
+        );
+        if let Err(error) = answered {
+            assert_eq!(error, CallError::Reset, "{number}");
+        }
+    }
+    stopping.join().unwrap();
+}
+
+/// Callers that looked instances up before the stop still connect to this one.
+#[test]
+fn verify_a_connection_made_late_in_a_stop_gets_its_first_answer() {
+    let fleet = Fleet::new();
+    let upstream = fleet.upstream("i-1", "khomas-a");
+    let mut instance = fleet.instance("edge-1", "khomas-a");
+    let address = instance.address();
+    // A request that takes long keeps the instance from ending.
+    upstream.next(Behaviour::Respond(
+        200,
+        "late",
+        Duration::from_millis(2_000),
+    ));
+    let mut holding = Caller::connect(address);
+    holding.send("GET /once/ HTTP/1.1\r\nhost: a.example\r\nrequest: r-1\r\n\r\n");
+    eventually("the request arrives", || upstream.seen().len() == 1);
+    let mut idle = Caller::connect(address);
+    assert_eq!(idle.get("/safe/", "request: r-2\r\n").head.status, 200);
+    let stopping = std::thread::spawn(move || instance.stop());
+    assert!(idle.is_ended(), "idle connections are closed");
+    let mut late = Caller::connect(address);
+    std::thread::sleep(Duration::from_millis(30));
+    let response = late.get("/safe/", "request: r-3\r\n");
+    assert_eq!(response.head.status, 200);
+    assert!(response.head.close);
+    assert_eq!(holding.read().body, b"late");
+    stopping.join().unwrap();
+}
+
+/// A request that is taken late in a stop must not be cut by its end.
+#[test]
+fn verify_a_request_that_could_not_end_before_the_stop_does_is_refused() {
+    let fleet = Fleet::new();
+    let upstream = fleet.upstream("i-1", "khomas-a");
+    let mut instance = fleet.instance("edge-1", "khomas-a");
+    let address = instance.address();
+    upstream.next(Behaviour::Respond(
+        200,
+        "late",
+        Duration::from_millis(2_500),
+    ));
+    let mut holding = Caller::connect(address);
+    holding.send("GET /once/ HTTP/1.1\r\nhost: a.example\r\nrequest: r-1\r\n\r\n");
+    eventually("the request arrives", || upstream.seen().len() == 1);
+    let stopping = std::thread::spawn(move || instance.stop());
+    // The route's timeout is 5 s, the grace time 3 s.
+    let is_refused = || {
+        let response = Caller::connect(address).get("/once/", "request: r-2\r\n");
+        response.head.status == 503 && response.head.lines.get("retry-after").is_some()
+    };
+    eventually("late requests are refused", is_refused);
+    let seen = upstream.seen().len();
+    let response = Caller::connect(address).get("/once/", "request: r-3\r\n");
+    assert_eq!(response.head.status, 503);
+    assert_eq!(upstream.seen().len(), seen);
+    drop(holding);
+    stopping.join().unwrap();
+}
--- a/crates/foxtide-gateway/tests/gateway/support/mod.rs
+++ b/crates/foxtide-gateway/tests/gateway/support/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) use dialect::PlainDialect;
 pub(crate) use fleet::{
     Fleet,
+    Instance,
     eventually,
     route, //
 };
