Tell followers the difference after the store has forgotten its history

A watcher that had to read all again forgot what it had told before, so that each of its followers was sent everything: 3,000 registrations are a megabyte.

Change: the log of records moves to foxtide-core; a second reading is merged, and a key that is missing then counts as removed at its index.

--- a/crates/foxtide-core/src/lib.rs
+++ b/crates/foxtide-core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod outcome;
 pub mod placement;
 pub mod promises;
+pub mod records;
 pub mod registry;
 pub mod retry;
 pub mod routing;
--- /dev/null
+++ b/crates/foxtide-core/src/records.rs
@@ -0,0 +1,99 @@
+//! What was read of the store, kept to be told to others.
+
+use crate::store::StoreIndex;
+use std::collections::{
+    BTreeMap,
+    HashSet, //
+};
+
+/// The most removed keys that are remembered; an upstream that leaves is one.
+const REMOVED_MAX: usize = 4_096;
+
+/// A key of the store and what it holds, as it is read and passed on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// The key.
+    pub key: String,
+    /// The value; nothing where the key was removed.
+    pub value: Option<Vec<u8>>,
+    /// The index of the change.
+    pub index: StoreIndex,
+}
+
+/// The newest record of each key, with keys that were removed of late.
+#[derive(Clone, Debug, Default)]
+pub struct RecordLog {
+    records: BTreeMap<String, Record>,
+    removed: usize,
+    /// All changes after this index are in the log; nothing before the first
+    /// reading.
+    complete_after: Option<StoreIndex>,
+    index: StoreIndex,
+}
+
+impl RecordLog {
+    /// Takes in all that the store held at `index`.
+    ///
+    /// What was known before stays told: a key that is missing now counts as
+    /// removed at `index`, so that one who knows an earlier index is told the
+    /// difference and not everything.
+    pub fn replace(&mut self, records: &[Record], index: StoreIndex) {
+        let present: HashSet<&str> = records.iter().map(|record| record.key.as_str()).collect();
+        let missing: Vec<Record> = self
+            .records
+            .values()
+            .filter(|record| record.value.is_some() && !present.contains(record.key.as_str()))
+            .map(|record| Record {
+                key: record.key.clone(),
+                value: None,
+                index,
+            })
+            .collect();
+        self.complete_after.get_or_insert(index);
+        self.append(&missing, index);
+        self.append(records, index);
+    }
+
+    /// Adds changes in their order.
+    pub fn append(&mut self, records: &[Record], index: StoreIndex) {
+        for record in records {
+            let before = self.records.insert(record.key.clone(), record.clone());
+            let was_removed = before.is_some_and(|before| before.value.is_none());
+            self.removed += usize::from(record.value.is_none());
+            self.removed -= usize::from(was_removed);
+        }
+        self.index = self.index.max(index);
+        if self.removed > REMOVED_MAX {
+            self.records.retain(|_, record| record.value.is_some());
+            self.removed = 0;
+            self.complete_after = Some(self.index);
+        }
+    }
+
+    /// Returns the index up to which the log is complete.
+    pub fn index(&self) -> StoreIndex {
+        self.index
+    }
+
+    /// Returns what has changed after `index`, in the order of the changes;
+    /// nothing where that cannot be told. One who knows more than this log is
+    /// told of no change.
+    pub fn changes_after(&self, index: StoreIndex) -> Option<Vec<Record>> {
+        if self.complete_after.is_none_or(|complete| index < complete) {
+            return None;
+        }
+        let newer = self.records.values().filter(|record| record.index > index);
+        let mut records: Vec<Record> = newer.cloned().collect();
+        records.sort_by_key(|record| record.index);
+        Some(records)
+    }
+
+    /// Returns all that the store holds.
+    pub fn all(&self) -> Vec<Record> {
+        let present = self
+            .records
+            .values()
+            .filter(|record| record.value.is_some());
+        present.cloned().collect()
+    }
+}
--- a/crates/foxtide-gateway/src/follow.rs
+++ b/crates/foxtide-gateway/src/follow.rs
@@ -10,9 +10,9 @@
 use crate::store::{
     Changes,
     Fact,
-    FleetStore,
-    Record, //
+    FleetStore, //
 };
+use foxtide_core::records::Record;
 use foxtide_core::store::{
     StoreError,
     StoreIndex, //
--- a/crates/foxtide-gateway/src/lib.rs
+++ b/crates/foxtide-gateway/src/lib.rs
@@ -51,6 +51,5 @@
     Fact,
     FleetStore,
     LeaseId,
-    Record,
     Snapshot, //
 };
--- a/crates/foxtide-gateway/src/relay/client.rs
+++ b/crates/foxtide-gateway/src/relay/client.rs
@@ -8,8 +8,8 @@
     Frames,
     frames, //
 };
-use crate::store::Record;
 use bytes::Bytes;
+use foxtide_core::records::Record;
 use foxtide_core::store::StoreIndex;
 use futures_lite::future::or;
 use futures_util::{
--- a/crates/foxtide-gateway/src/relay/messages.rs
+++ b/crates/foxtide-gateway/src/relay/messages.rs
@@ -1,7 +1,7 @@
 //! The messages between instances; the attributes are what a generator would
 //! have written from their schema.
 
-use crate::store::Record;
+use foxtide_core::records::Record;
 use foxtide_core::store::StoreIndex;
 
 /// Asks for what has changed in the store.
--- a/crates/foxtide-gateway/src/relay/mod.rs
+++ b/crates/foxtide-gateway/src/relay/mod.rs
@@ -7,7 +7,6 @@
 //! read.
 
 mod client;
-mod log;
 mod messages;
 mod server;
 
@@ -15,5 +14,4 @@
     RelayClient,
     RelayError, //
 };
-pub(crate) use log::RecordLog;
 pub(crate) use server::serve_peers;
--- a/crates/foxtide-gateway/src/relay/server.rs
+++ b/crates/foxtide-gateway/src/relay/server.rs
@@ -6,11 +6,8 @@
 };
 use crate::dialect::Dialect;
 use crate::shared::Shared;
-use crate::store::{
-    Changes,
-    Record, //
-};
 use bytes::Bytes;
+use foxtide_core::records::Record;
 use foxtide_core::store::StoreIndex;
 use foxtide_events::{
     EventCode,
@@ -135,13 +132,11 @@
     if !state.is_store_followed() {
         return ChangesResponse::default();
     }
-    let changes = after.map_or(Changes::Forgotten, |after| state.log().changes_after(after));
-    match changes {
-        Changes::Followed { records, index } => response(records, index, false),
-        Changes::Forgotten => {
-            let (records, index) = state.log().all();
-            response(records, index, true)
-        }
+    let log = state.log();
+    match after.and_then(|after| log.changes_after(after)) {
+        // One that knows more than this log goes on from where it is.
+        Some(records) => response(records, log.index().max(after.unwrap_or_default()), false),
+        None => response(log.all(), log.index(), true),
     }
 }
 
--- a/crates/foxtide-gateway/src/state/mod.rs
+++ b/crates/foxtide-gateway/src/state/mod.rs
@@ -17,7 +17,6 @@
     Bounds,
     GatewayOptions, //
 };
-use crate::relay::RecordLog;
 use foxtide_core::ids::{
     ServiceId,
     UpstreamId, //
@@ -28,6 +27,7 @@
     LoadReport,
     UpstreamHealth, //
 };
+use foxtide_core::records::RecordLog;
 use foxtide_core::registry::{
     Members,
     Registration,
--- a/crates/foxtide-gateway/src/store.rs
+++ b/crates/foxtide-gateway/src/store.rs
@@ -5,6 +5,7 @@
     InstanceId,
     UpstreamId, //
 };
+use foxtide_core::records::Record;
 use foxtide_core::registry::{
     Member,
     Registration, //
@@ -37,17 +38,6 @@
     Left(InstanceId),
 }
 
-/// A key of the store and what it holds, as it is read and passed on.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Record {
-    /// The key.
-    pub key: String,
-    /// The value; nothing where the key was removed.
-    pub value: Option<Vec<u8>>,
-    /// The index of the change.
-    pub index: StoreIndex,
-}
-
 /// All that the store holds, and where to go on from.
 #[derive(Clone, Debug, Default)]
 pub struct Snapshot {
--- a/crates/foxtide-gateway/tests/gateway/support/store.rs
+++ b/crates/foxtide-gateway/tests/gateway/support/store.rs
@@ -1,5 +1,6 @@
 //! A store in memory that can be away, turn instances away, and forget.
 
+use foxtide_core::records::Record;
 use foxtide_core::registry::Member;
 use foxtide_core::store::{
     StoreError,
@@ -11,7 +12,6 @@
     Fact,
     FleetStore,
     LeaseId,
-    Record,
     Snapshot, //
 };
 use smol::Timer;
