Ask those first who follow the store, and spread requests without affinity

Cause: found by reading. An instance that the store turns away in a large fleet asked the members of its region one after the other, of which three in twenty-four can answer. A route's affinity was decoded and not looked at: objects of a route without it were kept together all the same.

Change: where a few of each region follow the store, those are asked, the own region's first. A route without affinity spreads its requests by the weights alone.

--- a/crates/foxtide-core/src/registry/members.rs
+++ b/crates/foxtide-core/src/registry/members.rs
@@ -122,6 +122,22 @@
         watchers.map(|instance| by_name[instance]).collect()
     }
 
+    /// Returns the members that follow the store, those of `region` first.
+    pub fn informed(&self, region: &RegionId) -> Vec<&Member> {
+        let mut regions: Vec<&RegionId> = self.all().map(|member| &member.region).collect();
+        regions.sort_by_key(|of_member| (*of_member != region, *of_member));
+        regions.dedup();
+        let of_region = |of_region: &&RegionId| {
+            let watchers = self.watchers(of_region);
+            if watchers.is_empty() {
+                let members = self.all().filter(|member| member.region == **of_region);
+                return members.collect();
+            }
+            watchers
+        };
+        regions.iter().flat_map(of_region).collect()
+    }
+
     /// Returns the members to which callers of `region` are directed: those of
     /// the region, or all where it has none.
     pub fn nearest(&self, region: &RegionId) -> Vec<&Member> {
--- a/crates/foxtide-core/tests/registry.rs
+++ b/crates/foxtide-core/tests/registry.rs
@@ -173,3 +173,29 @@
     members.expire(back, at(21) + RETURN_TIME);
     assert_eq!(members.all().count(), 0);
 }
+
+#[test]
+fn verify_in_a_large_fleet_a_few_of_each_region_are_asked() {
+    let mut members = Members::default();
+    let own = "khomas".parse().unwrap();
+    for number in 0..8 {
+        members.join(member(&format!("k-{number}"), "khomas"));
+        members.join(member(&format!("e-{number}"), "erongo"));
+    }
+    assert!(members.watchers(&own).is_empty());
+    let informed = members.informed(&own);
+    assert_eq!(informed.len(), 16);
+    assert!(informed[..8].iter().all(|member| member.region == own));
+
+    members.join(member("k-8", "khomas"));
+    let watchers: Vec<_> = members.watchers(&own).into_iter().cloned().collect();
+    assert_eq!(watchers.len(), 3);
+    let informed: Vec<_> = members.informed(&own).into_iter().cloned().collect();
+    assert_eq!(informed.len(), 6);
+    assert_eq!(informed[..3], watchers[..]);
+    // All agree, and only the place of one that leaves is taken by another.
+    members.leave(&watchers[0].instance, StorePhase::Steady, at(1));
+    members.join(member("k-9", "khomas"));
+    let after = members.watchers(&own);
+    assert!(after.contains(&&watchers[1]) || after.contains(&&watchers[2]));
+}
--- a/crates/foxtide-gateway/src/follow.rs
+++ b/crates/foxtide-gateway/src/follow.rs
@@ -234,19 +234,16 @@
         Ok(())
     }
 
-    /// Returns the addresses of other instances, those of the region first.
+    /// Returns the addresses of other instances that may know what the store
+    /// says, those of the region first.
     fn peers(&self) -> Vec<SocketAddr> {
         let options = &self.shared.options;
         let state = self.shared.state.lock();
-        let others = state
+        let mut peers: Vec<SocketAddr> = state
             .members()
-            .all()
-            .filter(|member| member.instance != options.place.instance);
-        let (near, far): (Vec<_>, Vec<_>) =
-            others.partition(|member| member.region == options.place.region);
-        let mut peers: Vec<SocketAddr> = near
+            .informed(&options.place.region)
             .into_iter()
-            .chain(far)
+            .filter(|member| member.instance != options.place.instance)
             .map(|member| member.peer_address)
             .collect();
         if peers.is_empty() {
--- a/crates/foxtide-gateway/src/forward/run.rs
+++ b/crates/foxtide-gateway/src/forward/run.rs
@@ -22,6 +22,10 @@
     ServiceId,
     UpstreamId, //
 };
+use foxtide_core::placement::{
+    AttemptResult,
+    ObjectKey, //
+};
 use foxtide_core::routing::Route;
 use foxtide_http::WholeResponse;
 use std::time::{
@@ -131,9 +135,14 @@
     }
 
     fn pick(&self) -> Result<Pick, NoUpstream> {
+        let object = if self.route.has_affinity {
+            self.request.object()
+        } else {
+            ObjectKey::random(fastrand::u64(..))
+        };
         let request = PickRequest {
             service: self.service,
-            object: self.request.object(),
+            object,
             regions: &self.route.home_regions,
             tried: &self.tried,
         };
@@ -287,9 +296,8 @@
 impl<D: Dialect> Drop for Begun<'_, D> {
     fn drop(&mut self) {
         if !self.is_ended {
-            let abandoned = foxtide_core::placement::AttemptResult::Abandoned;
             let mut state = self.shared.state.lock();
-            state.end_attempt(self.upstream, abandoned, None);
+            state.end_attempt(self.upstream, AttemptResult::Abandoned, None);
         }
     }
 }
--- a/crates/foxtide-gateway/tests/gateway/forwarding.rs
+++ b/crates/foxtide-gateway/tests/gateway/forwarding.rs
@@ -5,7 +5,8 @@
     Caller,
     FakeUpstream,
     Fleet,
-    eventually, //
+    eventually,
+    route, //
 };
 use foxtide_core::registry::{
     Registration,
@@ -304,3 +305,22 @@
     third.send(&body);
     assert_eq!(third.read().head.status, 200);
 }
+
+#[test]
+fn verify_requests_of_a_route_without_affinity_are_spread() {
+    let (fleet, one, two) = fleet_of_two();
+    let instance = fleet.instance("edge-1", "khomas-a");
+    let spread = foxtide_core::routing::Route {
+        has_affinity: false,
+        ..route("spread", true)
+    };
+    fleet.configure(3, vec![spread]);
+    let is_spread = || {
+        for number in 0..10 {
+            let lines = format!("request: r-{number}\r\nobject: 1\r\n");
+            instance.get("/spread/", &lines);
+        }
+        !one.seen().is_empty() && !two.seen().is_empty()
+    };
+    eventually("both upstreams get requests", is_spread);
+}
