--- a/crates/foxtide-gateway/src/follow.rs
+++ b/crates/foxtide-gateway/src/follow.rs
@@ -57,6 +57,11 @@
 const RETRY_PAUSE_FIRST: Duration = Duration::from_millis(150);
 const RETRY_PAUSE_MAX: Duration = Duration::from_millis(400);
 
+/// How often the first reading fails before a peer is asked for everything. When
+/// a whole fleet starts, the store refuses what is above its rate for a moment;
+/// at 300 instances one seed then sent a megabyte to more than a hundred others.
+const START_FAILURES: u32 = 4;
+
 /// Follows the store for as long as the instance runs.
 pub(crate) async fn follow<D: Dialect, S: FleetStore>(shared: Arc<Shared<D>>, store: S) {
     let mut follower = Follower {
@@ -216,6 +221,9 @@
         }
         self.failures += 1;
         self.set_followed(false);
+        if self.index.is_none() && self.failures < START_FAILURES {
+            return;
+        }
         let peers = self.peers();
         if let Err(error) = self.ask_peer(&peers, Duration::ZERO).await {
             log::debug!("no peer tells what the store says: {error}");
--- a/crates/foxtide-gateway/src/gateway.rs
+++ b/crates/foxtide-gateway/src/gateway.rs
@@ -120,6 +120,11 @@
         self.shared.addresses.directory
     }
 
+    /// Returns where other instances ask.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.shared.addresses.peers
+    }
+
     /// Tells whether requests can be forwarded.
     pub fn is_ready(&self) -> bool {
         self.shared.is_ready()
--- a/crates/foxtide-gateway/tests/gateway/following.rs
+++ b/crates/foxtide-gateway/tests/gateway/following.rs
@@ -116,3 +116,13 @@
     assert_eq!(instance.get("/old/", "request: r-2\r\n").head.status, 404);
     assert_eq!(instance.get("/new/", "request: r-3\r\n").head.status, 200);
 }
+
+#[test]
+fn verify_an_instance_that_starts_while_it_is_turned_away_reads_from_a_peer() {
+    let fleet = Fleet::new();
+    let _upstream = fleet.upstream("i-1", "khomas-a");
+    let peer = fleet.instance("edge-1", "khomas-a");
+    let instance = fleet.turned_away_instance("edge-2", "khomas-a", &peer);
+    let is_served = || instance.get("/safe/", "request: r-1\r\n").head.status == 200;
+    eventually("the instance serves", is_served);
+}
--- a/crates/foxtide-gateway/tests/gateway/support/fleet.rs
+++ b/crates/foxtide-gateway/tests/gateway/support/fleet.rs
@@ -105,6 +105,17 @@
         instance
     }
 
+    /// Starts an instance that the store turns away and that knows one peer.
+    pub(crate) fn turned_away_instance(&self, name: &str, zone: &str, peer: &Instance) -> Instance {
+        let store = self.store.for_another();
+        store.set_turned_away(true);
+        let options = GatewayOptions {
+            seed_peers: vec![peer.gateway().peer_address()],
+            ..options(name, zone)
+        };
+        Instance::start(options, store)
+    }
+
     /// Starts an instance.
     pub(crate) fn starting_instance(&self, name: &str, zone: &str) -> Instance {
         Instance::start(options(name, zone), self.store.for_another())
