Correct what is said of the busiest of 300 instances

The finding is open, with what fits by arithmetic: all followers of a region begin at the same watcher and are told of all registrations by it at the start (100 times 1.4 MB).

--- a/crates/foxtide-gateway/src/follow.rs
+++ b/crates/foxtide-gateway/src/follow.rs
@@ -57,9 +57,9 @@
 const RETRY_PAUSE_FIRST: Duration = Duration::from_millis(150);
 const RETRY_PAUSE_MAX: Duration = Duration::from_millis(400);
 
-/// How often the first reading fails before a peer is asked for everything. When
-/// a whole fleet starts, the store refuses what is above its rate for a moment;
-/// at 300 instances one seed then sent a megabyte to more than a hundred others.
+/// How often the first reading fails before a peer is asked for everything, which
+/// may be a megabyte. When a whole fleet starts, the store refuses what is above its
+/// rate for a moment.
 const START_FAILURES: u32 = 4;
 
 /// Follows the store for as long as the instance runs.
