Spread the followers of a region over its watchers

Cause: every follower began with the same watcher of its region's list, and three watchers served a region of any size, so that one instance of 100 answered all. Change: each instance asks watchers in an order of its own (a hash of both names), and a region has one watcher for 16 instances, three at least.

--- a/crates/foxtide-core/src/registry/members.rs
+++ b/crates/foxtide-core/src/registry/members.rs
@@ -13,15 +13,23 @@
 use crate::time::MonotonicTime;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use xxhash_rust::xxh3::{
+    xxh3_64,
+    xxh3_64_with_seed, //
+};
 
 /// The largest fleet in which every instance follows the store by itself: its
 /// calls cost less there than the delay by a peer.
 const ALL_WATCH_MAX: usize = 16;
 
-/// How many instances of a region follow the store in a larger fleet; one may
-/// be stopped and another killed at the same time.
+/// How many instances of a region follow the store in a larger fleet, at least;
+/// one may be stopped and another killed at the same time.
 const WATCHERS_PER_REGION: usize = 3;
 
+/// The instances of a region for each of which there is one watcher beyond that
+/// least number: what a watcher sends grows with those that follow it.
+const INSTANCES_PER_WATCHER: usize = 16;
+
 /// An instance that takes requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Member {
@@ -117,8 +125,9 @@
         let of_region = self.all().filter(|member| member.region == *region);
         let by_name: BTreeMap<&InstanceId, &Member> =
             of_region.map(|member| (&member.instance, member)).collect();
+        let count = by_name.len().div_ceil(INSTANCES_PER_WATCHER);
         let ranked = rank(Role::Watcher, by_name.keys().copied());
-        let watchers = ranked.into_iter().take(WATCHERS_PER_REGION);
+        let watchers = ranked.into_iter().take(count.max(WATCHERS_PER_REGION));
         watchers.map(|instance| by_name[instance]).collect()
     }
 
@@ -138,6 +147,16 @@
         regions.iter().flat_map(of_region).collect()
     }
 
+    /// Sorts `members` as `asker` of `region` asks them: those of its region first,
+    /// and else in an order of its own, so that not all ask the same one.
+    pub fn sort_for_asker(members: &mut [&Member], asker: &InstanceId, region: &RegionId) {
+        let seed = xxh3_64(asker.as_str().as_bytes());
+        members.sort_by_cached_key(|member| {
+            let draw = xxh3_64_with_seed(member.instance.as_str().as_bytes(), seed);
+            (member.region != *region, draw)
+        });
+    }
+
     /// Returns the members to which callers of `region` are directed: those of
     /// the region, or all where it has none.
     pub fn nearest(&self, region: &RegionId) -> Vec<&Member> {
--- a/crates/foxtide-core/tests/registry.rs
+++ b/crates/foxtide-core/tests/registry.rs
@@ -1,6 +1,7 @@
 //! Registered upstreams and live instances, also while the store is away.
 
 use foxtide_core::ids::{
+    InstanceId,
     ServiceId,
     UpstreamId, //
 };
@@ -15,7 +16,10 @@
     UpstreamState, //
 };
 use foxtide_core::time::MonotonicTime;
-use std::collections::HashSet;
+use std::collections::{
+    BTreeMap,
+    HashSet, //
+};
 use std::time::Duration;
 
 fn at(ms: u64) -> MonotonicTime {
@@ -199,3 +203,29 @@
     let after = members.watchers(&own);
     assert!(after.contains(&&watchers[1]) || after.contains(&&watchers[2]));
 }
+
+/// A region of 100 whose followers all asked the same watcher made it send
+/// 3.1 MB a second.
+#[test]
+fn verify_the_followers_of_a_region_spread_over_its_watchers() {
+    let mut members = Members::default();
+    let region = "khomas".parse().unwrap();
+    for number in 0..100 {
+        members.join(member(&format!("k-{number}"), "khomas"));
+        members.join(member(&format!("e-{number}"), "erongo"));
+    }
+    let watchers = members.watchers(&region);
+    assert_eq!(watchers.len(), 7);
+    let mut followers: BTreeMap<InstanceId, usize> = BTreeMap::new();
+    for asker in members.all().filter(|member| member.region == region) {
+        let mut asked = members.informed(&region);
+        Members::sort_for_asker(&mut asked, &asker.instance, &region);
+        assert!(asked[..7].iter().all(|watcher| watchers.contains(watcher)));
+        *followers.entry(asked[0].instance.clone()).or_default() += 1;
+    }
+    assert_eq!(followers.len(), 7);
+    assert!(
+        followers.values().all(|&count| count <= 25),
+        "{followers:?}"
+    );
+}
--- a/crates/foxtide-gateway/src/follow.rs
+++ b/crates/foxtide-gateway/src/follow.rs
@@ -1,7 +1,6 @@
 //! Follows the store: configuration, upstreams and instances.
 
 use crate::dialect::Dialect;
-
 use crate::relay::{
     RelayClient,
     RelayError, //
@@ -13,6 +12,7 @@
     FleetStore, //
 };
 use foxtide_core::records::Record;
+use foxtide_core::registry::Members;
 use foxtide_core::store::{
     StoreError,
     StoreIndex, //
@@ -138,13 +138,14 @@
         self.direct_until = None;
         let place = &self.shared.options.place;
         let state = self.shared.state.lock();
-        let watchers = state.members().watchers(&place.region);
+        let mut watchers = state.members().watchers(&place.region);
         if watchers
             .iter()
             .any(|watcher| watcher.instance == place.instance)
         {
             return Vec::new();
         }
+        Members::sort_for_asker(&mut watchers, &place.instance, &place.region);
         let addresses = watchers.into_iter().map(|watcher| watcher.peer_address);
         addresses.collect()
     }
@@ -246,12 +247,13 @@
     /// says, those of the region first.
     fn peers(&self) -> Vec<SocketAddr> {
         let options = &self.shared.options;
+        let place = &options.place;
         let state = self.shared.state.lock();
-        let mut peers: Vec<SocketAddr> = state
-            .members()
-            .informed(&options.place.region)
+        let mut informed = state.members().informed(&place.region);
+        Members::sort_for_asker(&mut informed, &place.instance, &place.region);
+        let mut peers: Vec<SocketAddr> = informed
             .into_iter()
-            .filter(|member| member.instance != options.place.instance)
+            .filter(|member| member.instance != place.instance)
             .map(|member| member.peer_address)
             .collect();
         if peers.is_empty() {
--- a/crates/foxtide-gateway/src/relay/client.rs
+++ b/crates/foxtide-gateway/src/relay/client.rs
@@ -73,14 +73,16 @@
 pub(crate) struct RelayClient {
     /// The peer that answered last, and the connection to it.
     connected: Option<(SocketAddr, Frames)>,
-    asked: usize,
+    /// Questions that failed: each leads on to the next peer.
+    failures: usize,
 }
 
 impl RelayClient {
     /// Asks one of `peers` for what has changed after `after`, or for
     /// everything where that is nothing; it may wait for a change.
     ///
-    /// The one that answered last is asked again; else the next.
+    /// The one that answered last is asked again; else the first, or after
+    /// failures a later one.
     ///
     /// # Errors
     ///
@@ -95,41 +97,56 @@
         let kept = kept.filter(|(peer, _)| peers.contains(peer));
         let peer = match &kept {
             Some((peer, _)) => *peer,
-            None => self.next(peers)?,
-        };
-        let late = async {
-            Timer::after(PEER_TIME + wait).await;
-            Err(io::ErrorKind::TimedOut.into())
-        };
-        let request = ChangesRequest {
-            after: after.map(StoreIndex::get),
-            wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+            None => self.choose(peers)?,
         };
         let frames = kept.map(|(_, frames)| frames);
-        let answered = or(converse(peer, frames, &request), late).await;
-        let (bytes, frames) = answered.map_err(|source| RelayError::Io { peer, source })?;
-        let response = ChangesResponse::decode(bytes.as_slice());
-        let response = response.map_err(|source| RelayError::Format { peer, source })?;
-        if !response.is_current {
-            return Err(RelayError::NotCurrent { peer });
+        let answered = exchange(peer, frames, after, wait).await;
+        if answered.is_err() {
+            self.failures = self.failures.wrapping_add(1);
         }
+        let (relayed, frames) = answered?;
         self.connected = Some((peer, frames));
-        Ok(Relayed {
-            is_everything: response.is_everything,
-            records: response.records.into_iter().map(Record::from).collect(),
-            index: StoreIndex::new(response.index),
-        })
+        Ok(relayed)
     }
 
-    fn next(&mut self, peers: &[SocketAddr]) -> Result<SocketAddr, RelayError> {
-        if peers.is_empty() {
-            return Err(RelayError::NoPeer);
+    fn choose(&self, peers: &[SocketAddr]) -> Result<SocketAddr, RelayError> {
+        match peers {
+            [] => Err(RelayError::NoPeer),
+            _ => Ok(peers[self.failures % peers.len()]),
         }
-        self.asked += 1;
-        Ok(peers[self.asked % peers.len()])
     }
 }
 
+/// Asks one peer, on the connection given or on a new one.
+async fn exchange(
+    peer: SocketAddr,
+    frames: Option<Frames>,
+    after: Option<StoreIndex>,
+    wait: Duration,
+) -> Result<(Relayed, Frames), RelayError> {
+    let late = async {
+        Timer::after(PEER_TIME + wait).await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    let request = ChangesRequest {
+        after: after.map(StoreIndex::get),
+        wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+    };
+    let answered = or(converse(peer, frames, &request), late).await;
+    let (bytes, frames) = answered.map_err(|source| RelayError::Io { peer, source })?;
+    let response = ChangesResponse::decode(bytes.as_slice());
+    let response = response.map_err(|source| RelayError::Format { peer, source })?;
+    if !response.is_current {
+        return Err(RelayError::NotCurrent { peer });
+    }
+    let relayed = Relayed {
+        is_everything: response.is_everything,
+        records: response.records.into_iter().map(Record::from).collect(),
+        index: StoreIndex::new(response.index),
+    };
+    Ok((relayed, frames))
+}
+
 async fn converse(
     peer: SocketAddr,
     frames: Option<Frames>,
