Keep the weights of upstreams, and index registrations one by one

Change: a placement keeps candidates with hashed names and weights until the registry's generation changes; only the first eight of an object's order are made; the registry's index is kept by insertion, doubts in a set of their own. The object's key stands in the line of an answered request.

--- a/crates/foxtide-core/src/placement/affinity.rs
+++ b/crates/foxtide-core/src/placement/affinity.rs
@@ -1,14 +1,14 @@
 //! The order of upstreams for an object: weighted rendezvous hashing.
 
 use crate::ids::UpstreamId;
-use std::cmp::Ordering;
+use std::fmt;
 use xxhash_rust::xxh3::{
     xxh3_64,
     xxh3_64_with_seed, //
 };
 
 /// The identity of an object within a service, as a hash.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ObjectKey(u64);
 
 impl ObjectKey {
@@ -23,13 +23,30 @@
     }
 }
 
+impl fmt::Display for ObjectKey {
+    /// Writes the key as 16 hexadecimal digits.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// An upstream that could serve a request.
 #[derive(Clone, Copy, Debug)]
-pub struct Candidate<'a> {
-    /// The upstream.
-    pub upstream: &'a UpstreamId,
+pub struct Candidate {
+    /// A hash of the upstream's name.
+    name_hash: u64,
     /// Its part of the objects against the other candidates' parts.
-    pub weight: f64,
+    weight: f64,
+}
+
+impl Candidate {
+    /// Returns an upstream with its part of the objects.
+    pub fn new(upstream: &UpstreamId, weight: f64) -> Self {
+        Self {
+            name_hash: xxh3_64(upstream.as_str().as_bytes()),
+            weight,
+        }
+    }
 }
 
 /// Returns the indices of `candidates`, the first choice first.
@@ -37,26 +54,33 @@
 /// When a candidate comes or goes only its own objects move. The chance of a
 /// candidate to be the first is its share of the weights (Schindelhauer and
 /// Schomaker, "Weighted distributed hash tables", 2005, logarithmic method).
-pub fn rank(key: ObjectKey, candidates: &[Candidate<'_>]) -> Vec<usize> {
-    let distances: Vec<f64> = candidates
-        .iter()
-        .map(|candidate| distance(key, candidate))
+pub fn rank(key: ObjectKey, candidates: &[Candidate]) -> Vec<usize> {
+    first_choices(key, candidates, candidates.len())
+}
+
+/// Returns the first `count` of what [`rank`] returns, without sorting the others.
+pub fn first_choices(key: ObjectKey, candidates: &[Candidate], count: usize) -> Vec<usize> {
+    let distances = candidates.iter().map(|candidate| distance(key, candidate));
+    let mut order: Vec<(f64, usize)> = distances
+        .enumerate()
+        .map(|(index, distance)| (distance, index))
         .collect();
-    let mut order: Vec<usize> = (0..candidates.len()).collect();
-    order.sort_by(|&one, &other| {
-        let compared = distances[one].partial_cmp(&distances[other]);
-        compared.unwrap_or(Ordering::Equal)
-    });
-    order
+    let by_distance = |one: &(f64, usize), other: &(f64, usize)| one.0.total_cmp(&other.0);
+    if count < order.len() {
+        order.select_nth_unstable_by(count, by_distance);
+        order.truncate(count);
+    }
+    order.sort_by(by_distance);
+    order.into_iter().map(|(_, index)| index).collect()
 }
 
 /// Returns an exponential draw with the candidate's weight as its rate.
-fn distance(key: ObjectKey, candidate: &Candidate<'_>) -> f64 {
+fn distance(key: ObjectKey, candidate: &Candidate) -> f64 {
     const BITS: u32 = 53;
     if candidate.weight <= 0.0 {
         return f64::MAX;
     }
-    let hash = xxh3_64_with_seed(candidate.upstream.as_str().as_bytes(), key.0);
+    let hash = xxh3_64_with_seed(&candidate.name_hash.to_le_bytes(), key.0);
     // In (0, 1): 53 bits are what a float holds exactly.
     let uniform = ((hash >> (64 - BITS)) as f64 + 0.5) / (1_u64 << BITS) as f64;
     -uniform.ln() / candidate.weight
--- a/crates/foxtide-core/src/placement/mod.rs
+++ b/crates/foxtide-core/src/placement/mod.rs
@@ -14,6 +14,7 @@
 pub use affinity::{
     Candidate,
     ObjectKey,
+    first_choices,
     rank, //
 };
 pub use cold::{
--- a/crates/foxtide-core/src/registry/table.rs
+++ b/crates/foxtide-core/src/registry/table.rs
@@ -13,6 +13,7 @@
 use crate::time::MonotonicTime;
 use std::collections::{
     BTreeMap,
+    BTreeSet,
     HashMap,
     HashSet, //
 };
@@ -33,6 +34,11 @@
 }
 
 impl Registered {
+    /// Returns the upstream's name.
+    pub fn upstream(&self) -> &UpstreamId {
+        &self.registration.upstream
+    }
+
     /// Tells whether the upstream is cold.
     pub fn is_cold(&self, now: MonotonicTime) -> bool {
         now < self.cold_until
@@ -52,20 +58,19 @@
     Doubted(UpstreamId),
 }
 
-#[derive(Clone, Debug)]
-struct Entry {
-    registered: Registered,
-    is_missing: bool,
-}
-
 /// All registered upstreams and evacuated availability zones.
 ///
 /// A registration that disappears ends an upstream, except while the store is
 /// away and until [`super::RETURN_TIME`] after its return.
 #[derive(Clone, Debug)]
 pub struct Registry {
-    entries: BTreeMap<UpstreamId, Entry>,
+    entries: BTreeMap<UpstreamId, Registered>,
+    /// Those that may get requests, in the order of their names.
     by_service: HashMap<ServiceId, Vec<Registered>>,
+    /// Counts the changes of `by_service`.
+    generation: u64,
+    /// Those whose registration ended while the store was away.
+    missing: BTreeSet<UpstreamId>,
     evacuated: HashSet<AvailabilityZoneId>,
     /// Incarnations that are known to be gone; an incarnation never returns.
     discarded: HashMap<UpstreamId, MonotonicTime>,
@@ -77,6 +82,8 @@
         Self {
             entries: BTreeMap::new(),
             by_service: HashMap::new(),
+            generation: 0,
+            missing: BTreeSet::new(),
             evacuated: HashSet::new(),
             discarded: HashMap::new(),
             phase: StorePhase::Steady,
@@ -91,6 +98,12 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns a number that is another one after each change of what
+    /// [`Registry::eligible`] returns.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
     /// Returns the number of registered upstreams.
     pub fn count(&self) -> usize {
         self.entries.len()
@@ -104,33 +117,29 @@
 
     /// Takes in what an upstream says of itself.
     pub fn register(&mut self, registration: Registration, now: MonotonicTime) -> RegistryChange {
-        let change = self.insert(registration, now);
-        self.index();
-        change
+        self.insert(registration, now)
     }
 
     /// Takes in that a registration is no longer there.
     pub fn unregister(&mut self, upstream: &UpstreamId, now: MonotonicTime) -> RegistryChange {
-        let change = self.miss(upstream, now);
-        self.index();
-        change
+        self.miss(upstream, now)
     }
 
     /// Removes an upstream whose address another one has: it is gone, whatever
     /// the store says.
     pub fn discard(&mut self, upstream: &UpstreamId, now: MonotonicTime) -> RegistryChange {
-        if self.entries.remove(upstream).is_none() {
+        if !self.entries.contains_key(upstream) {
             return RegistryChange::None;
         }
+        self.remove(upstream);
         self.discarded.insert(upstream.clone(), now);
-        self.index();
         RegistryChange::Left(upstream.clone())
     }
 
     /// Returns what an upstream that may get requests says of itself.
     pub fn registration(&self, upstream: &UpstreamId) -> Option<Arc<Registration>> {
         let entry = self.entries.get(upstream)?;
-        let registration = &entry.registered.registration;
+        let registration = &entry.registration;
         self.takes_requests(entry).then(|| Arc::clone(registration))
     }
 
@@ -157,7 +166,6 @@
         for registration in registrations {
             changes.push(self.insert(registration, now));
         }
-        self.index();
         changes.retain(|change| *change != RegistryChange::None);
         changes
     }
@@ -183,7 +191,7 @@
 
     /// Tells whether an upstream is missing and kept for now.
     pub fn has_doubts(&self) -> bool {
-        self.entries.values().any(|entry| entry.is_missing)
+        !self.missing.is_empty()
     }
 
     /// Removes the upstreams that were missing when the store was away and
@@ -194,17 +202,9 @@
         if !self.phase.believes_missing(now) {
             return Vec::new();
         }
-        let gone: Vec<UpstreamId> = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| entry.is_missing)
-            .map(|(upstream, _)| upstream.clone())
-            .collect();
+        let gone = std::mem::take(&mut self.missing);
         for upstream in &gone {
-            self.entries.remove(upstream);
-        }
-        if !gone.is_empty() {
-            self.index();
+            self.remove(upstream);
         }
         gone.into_iter().map(RegistryChange::Left).collect()
     }
@@ -222,13 +222,12 @@
         let returned: Vec<AvailabilityZoneId> =
             self.evacuated.difference(&zones).cloned().collect();
         for entry in self.entries.values_mut() {
-            if returned.contains(&entry.registered.registration.availability_zone) {
-                let cold_until = &mut entry.registered.cold_until;
-                *cold_until = (*cold_until).max(now + cold_duration);
+            if returned.contains(&entry.registration.availability_zone) {
+                entry.cold_until = entry.cold_until.max(now + cold_duration);
             }
         }
         self.evacuated = zones;
-        self.index();
+        self.index_all();
     }
 
     /// Returns the availability zones that get nothing.
@@ -241,17 +240,14 @@
         if self.discarded.contains_key(&upstream) {
             return RegistryChange::None;
         }
-        let cold_until = now + registration.cold_remaining;
-        let registration = Arc::new(registration);
         let was_eligible = self.is_eligible(&upstream);
-        let entry = Entry {
-            registered: Registered {
-                registration,
-                cold_until,
-            },
-            is_missing: false,
+        let registered = Registered {
+            cold_until: now + registration.cold_remaining,
+            registration: Arc::new(registration),
         };
-        self.entries.insert(upstream.clone(), entry);
+        self.remove(&upstream);
+        self.index(&registered);
+        self.entries.insert(upstream.clone(), registered);
         match (was_eligible, self.is_eligible(&upstream)) {
             (false, true) => RegistryChange::Joined(upstream),
             (true, false) => RegistryChange::Left(upstream),
@@ -261,37 +257,61 @@
 
     fn miss(&mut self, upstream: &UpstreamId, now: MonotonicTime) -> RegistryChange {
         let believed = self.phase.believes_missing(now);
-        let Some(entry) = self.entries.get_mut(upstream) else {
+        let Some(entry) = self.entries.get(upstream) else {
             return RegistryChange::None;
         };
-        let is_draining = entry.registered.registration.state == UpstreamState::Draining;
+        let is_draining = entry.registration.state == UpstreamState::Draining;
         if believed || is_draining {
-            self.entries.remove(upstream);
+            self.remove(upstream);
             return RegistryChange::Left(upstream.clone());
         }
-        if std::mem::replace(&mut entry.is_missing, true) {
+        if !self.missing.insert(upstream.clone()) {
             return RegistryChange::None;
         }
         RegistryChange::Doubted(upstream.clone())
     }
 
-    fn takes_requests(&self, entry: &Entry) -> bool {
-        let registration = &entry.registered.registration;
-        registration.state == UpstreamState::Ready
-            && !self.evacuated.contains(&registration.availability_zone)
+    fn takes_requests(&self, entry: &Registered) -> bool {
+        entry.registration.state == UpstreamState::Ready
+            && !self
+                .evacuated
+                .contains(&entry.registration.availability_zone)
     }
 
-    fn index(&mut self) {
-        let mut by_service: HashMap<ServiceId, Vec<Registered>> = HashMap::new();
-        for entry in self.entries.values() {
-            if self.takes_requests(entry) {
-                let service = entry.registered.registration.service.clone();
-                by_service
-                    .entry(service)
-                    .or_default()
-                    .push(entry.registered.clone());
-            }
+    /// Removes an upstream from all tables.
+    fn remove(&mut self, upstream: &UpstreamId) {
+        self.missing.remove(upstream);
+        let Some(entry) = self.entries.remove(upstream) else {
+            return;
+        };
+        let Some(eligible) = self.by_service.get_mut(&entry.registration.service) else {
+            return;
+        };
+        if let Ok(at) = eligible.binary_search_by_key(&upstream, Registered::upstream) {
+            eligible.remove(at);
+            self.generation += 1;
+        }
+    }
+
+    /// Adds an upstream to those of its service, if it may get requests.
+    fn index(&mut self, entry: &Registered) {
+        if !self.takes_requests(entry) {
+            return;
+        }
+        let service = entry.registration.service.clone();
+        let eligible = self.by_service.entry(service).or_default();
+        if let Err(at) = eligible.binary_search_by_key(&entry.upstream(), Registered::upstream) {
+            eligible.insert(at, entry.clone());
+            self.generation += 1;
+        }
+    }
+
+    fn index_all(&mut self) {
+        self.by_service.clear();
+        self.generation += 1;
+        let entries: Vec<Registered> = self.entries.values().cloned().collect();
+        for entry in &entries {
+            self.index(entry);
         }
-        self.by_service = by_service;
     }
 }
--- a/crates/foxtide-core/tests/placement.rs
+++ b/crates/foxtide-core/tests/placement.rs
@@ -12,6 +12,7 @@
     ColdTerms,
     ObjectKey,
     UpstreamHealth,
+    first_choices,
     rank,
     shares_of, //
 };
@@ -25,13 +26,10 @@
         .collect()
 }
 
-fn candidates(upstreams: &[UpstreamId]) -> Vec<Candidate<'_>> {
+fn candidates(upstreams: &[UpstreamId]) -> Vec<Candidate> {
     upstreams
         .iter()
-        .map(|upstream| Candidate {
-            upstream,
-            weight: 4.0,
-        })
+        .map(|upstream| Candidate::new(upstream, 4.0))
         .collect()
 }
 
@@ -56,14 +54,8 @@
 fn verify_objects_follow_the_weights() {
     let names = upstreams(2);
     let weighted = [
-        Candidate {
-            upstream: &names[0],
-            weight: 3.0,
-        },
-        Candidate {
-            upstream: &names[1],
-            weight: 1.0,
-        },
+        Candidate::new(&names[0], 3.0),
+        Candidate::new(&names[1], 1.0),
     ];
     let to_first = (0..10_000_u64)
         .filter(|key| rank(ObjectKey::new(&key.to_be_bytes()), &weighted)[0] == 0)
@@ -195,3 +187,15 @@
     assert!(!health.is_ejected(now));
     assert_eq!(health.in_flight(), 0);
 }
+
+#[test]
+fn verify_the_first_choices_are_those_of_the_whole_order() {
+    let names = upstreams(50);
+    let candidates = candidates(&names);
+    for key in 0..100_u64 {
+        let object = ObjectKey::new(&key.to_be_bytes());
+        let whole = rank(object, &candidates);
+        assert_eq!(first_choices(object, &candidates, 8), whole[..8]);
+        assert_eq!(first_choices(object, &candidates, 80), whole);
+    }
+}
--- a/crates/foxtide-core/tests/registry.rs
+++ b/crates/foxtide-core/tests/registry.rs
@@ -229,3 +229,33 @@
         "{followers:?}"
     );
 }
+
+#[test]
+fn verify_the_generation_tells_of_each_change_of_what_may_get_requests() {
+    let mut registry = Registry::default();
+    let mut before = registry.generation();
+    let mut changes = |registry: &Registry| {
+        let now = registry.generation();
+        now != std::mem::replace(&mut before, now)
+    };
+    registry.register(registration("i-1"), at(0));
+    assert!(changes(&registry));
+    let draining = Registration {
+        state: UpstreamState::Draining,
+        ..registration("i-2")
+    };
+    registry.register(draining, at(1));
+    assert!(!changes(&registry), "it may get nothing");
+    registry.set_evacuated(
+        HashSet::from(["khomas-a".parse().unwrap()]),
+        Duration::ZERO,
+        at(2),
+    );
+    assert!(changes(&registry));
+    registry.set_evacuated(HashSet::new(), Duration::ZERO, at(3));
+    assert!(changes(&registry));
+    registry.unregister(&upstream("i-1"), at(4));
+    assert!(changes(&registry));
+    registry.unregister(&upstream("i-1"), at(5));
+    assert!(!changes(&registry));
+}
--- a/crates/foxtide-gateway/src/forward/request.rs
+++ b/crates/foxtide-gateway/src/forward/request.rs
@@ -27,12 +27,8 @@
         self.facts.request_id.as_deref().unwrap_or("-")
     }
 
-    /// Returns the key of the object that the request concerns, or a random
-    /// one where it names none.
-    pub(crate) fn object(&self) -> ObjectKey {
-        match &self.facts.object {
-            Some(name) => ObjectKey::new(name),
-            None => ObjectKey::random(fastrand::u64(..)),
-        }
+    /// Returns the key of the object that the request concerns, if it names one.
+    pub(crate) fn object(&self) -> Option<ObjectKey> {
+        self.facts.object.as_deref().map(ObjectKey::new)
     }
 }
--- a/crates/foxtide-gateway/src/forward/run.rs
+++ b/crates/foxtide-gateway/src/forward/run.rs
@@ -58,11 +58,14 @@
         let retry_after = RETRY_AFTER;
         return (Refusal::NotRun { retry_after }.into(), inputs);
     };
+    let object = request.object().filter(|_| route.has_affinity);
+    inputs.object = object.map_or_else(String::new, |object| object.to_string());
     let mut run = Run {
         shared,
         request,
         route,
         service: &service,
+        object,
         ends_at: ends_at(shared, request, route),
         tried: Vec::new(),
         sent: 0,
@@ -100,6 +103,8 @@
     request: &'a CallerRequest,
     route: &'a Route,
     service: &'a ServiceId,
+    /// What decides the order of the upstreams; nothing where any will do.
+    object: Option<ObjectKey>,
     ends_at: Instant,
     tried: Vec<UpstreamId>,
     /// Attempts of which some byte was sent.
@@ -135,14 +140,9 @@
     }
 
     fn pick(&self) -> Result<Pick, NoUpstream> {
-        let object = if self.route.has_affinity {
-            self.request.object()
-        } else {
-            ObjectKey::random(fastrand::u64(..))
-        };
         let request = PickRequest {
             service: self.service,
-            object,
+            object: self.object,
             regions: &self.route.home_regions,
             tried: &self.tried,
         };
--- a/crates/foxtide-gateway/src/outcome/inputs.rs
+++ b/crates/foxtide-gateway/src/outcome/inputs.rs
@@ -11,6 +11,8 @@
     pub(crate) route: String,
     /// The service.
     pub(crate) service: String,
+    /// The key of the request's object; empty where any upstream will do.
+    pub(crate) object: String,
     /// The upstream of the last attempt.
     pub(crate) upstream: String,
     /// The attempts so far.
--- a/crates/foxtide-gateway/src/state/mod.rs
+++ b/crates/foxtide-gateway/src/state/mod.rs
@@ -4,6 +4,7 @@
 
 mod facts;
 mod pick;
+mod placement;
 
 pub(crate) use pick::{
     NoUpstream,
@@ -18,6 +19,7 @@
     GatewayOptions, //
 };
 use foxtide_core::ids::{
+    RegionId,
     ServiceId,
     UpstreamId, //
 };
@@ -47,6 +49,7 @@
     RequestRate,
     Share, //
 };
+use placement::Placement;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -74,6 +77,8 @@
     pub(super) members: Members,
     pub(super) health: HashMap<UpstreamId, UpstreamHealth>,
     pub(super) cold: ColdShare,
+    /// By service and the regions that may serve.
+    pub(super) placements: HashMap<(ServiceId, Vec<RegionId>), Placement>,
     log: RecordLog,
     is_store_followed: bool,
     /// When the store, or a peer in its place, last told what it says.
@@ -94,6 +99,7 @@
             members: Members::default(),
             health: HashMap::new(),
             cold: ColdShare::default(),
+            placements: HashMap::new(),
             log: RecordLog::default(),
             is_store_followed: false,
             told_at: MonotonicTime::ZERO,
@@ -168,6 +174,8 @@
         self.note_changes(&changes);
         self.members.expire(self.registry.phase(), now);
         self.cold.prune(now);
+        self.placements
+            .retain(|_, placement| placement.is_used(now));
     }
 
     /// Picks the service of a route's next request.
--- a/crates/foxtide-gateway/src/state/pick.rs
+++ b/crates/foxtide-gateway/src/state/pick.rs
@@ -7,32 +7,28 @@
     UpstreamId, //
 };
 use foxtide_core::placement::{
-    Candidate,
     ColdTerms,
-    ObjectKey,
-    RegionShares,
-    rank,
-    shares_of, //
+    ObjectKey, //
 };
 use foxtide_core::registry::{
     Registered,
     Registration, //
 };
 use foxtide_core::time::MonotonicTime;
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// The weight of a slot in a region that has no share of the requests: such an
-/// upstream comes after all others.
-const LAST_RESORT_WEIGHT: f64 = 1e-9;
+/// How many upstreams of an object's order are looked at first: four may be out
+/// of reach and as many refuse. The whole order is made only where none of these
+/// may get the request.
+const FIRST_CHOICES: usize = 8;
 
 /// What is asked for.
 #[derive(Debug)]
 pub(crate) struct PickRequest<'a> {
     /// The service.
     pub(crate) service: &'a ServiceId,
-    /// The object that the request concerns.
-    pub(crate) object: ObjectKey,
+    /// The object that the request concerns, if it does any.
+    pub(crate) object: Option<ObjectKey>,
     /// The only regions that may serve it; empty: all.
     pub(crate) regions: &'a [RegionId],
     /// Upstreams that have been tried.
@@ -85,36 +81,47 @@
         if self.registry.has_doubts() {
             self.expire();
         }
-        let allowed = self.allowed(request);
-        if allowed.is_empty() {
+        let order = request.object;
+        let order = order.unwrap_or_else(|| ObjectKey::random(fastrand::u64(..)));
+        match self.pick_of(request, order, FIRST_CHOICES, now) {
+            Ok(pick) => Ok(pick),
+            Err(_) => self.pick_of(request, order, usize::MAX, now),
+        }
+    }
+
+    /// Picks one of the first `count` upstreams in an object's order.
+    fn pick_of(
+        &mut self,
+        request: &PickRequest<'_>,
+        order: ObjectKey,
+        count: usize,
+        now: MonotonicTime,
+    ) -> Result<Pick, NoUpstream> {
+        let key = (request.service.clone(), request.regions.to_vec());
+        let placement = self.placements.entry(key).or_default();
+        placement.refresh(request, &self.registry, &self.options.place);
+        let placed = placement.choices(order, count, now);
+        if placed.is_empty() {
             return Err(NoUpstream::NoneRegistered);
         }
-        let untried: Vec<Registered> = allowed
-            .iter()
-            .filter(|upstream| !request.tried.contains(&upstream.registration.upstream))
-            .cloned()
+        let untried: Vec<(usize, Registered)> = placed
+            .into_iter()
+            .enumerate()
+            .filter(|(_, upstream)| !request.tried.contains(upstream.upstream()))
             .collect();
         if untried.is_empty() {
             return Err(NoUpstream::AllTried);
         }
-        let order = self.order(request.object, &allowed, &untried);
-        let healthy = |state: &Self, index: usize| !state.is_ejected(&untried[index], now);
-        let mut preferred: Vec<usize> = Vec::new();
-        let mut passed_over: Vec<usize> = Vec::new();
-        for &index in &order {
-            if healthy(self, index) {
-                preferred.push(index);
-            } else {
-                passed_over.push(index);
-            }
+        let is_ejected = |(_, upstream): &(usize, Registered)| self.is_ejected(upstream, now);
+        let (ejected, mut usable): (Vec<_>, Vec<_>) = untried.into_iter().partition(is_ejected);
+        if count == usize::MAX {
+            usable.extend(ejected);
         }
-        for index in preferred.into_iter().chain(passed_over) {
-            let upstream = &untried[index];
-            if upstream.is_cold(now) && !self.take_cold(request.service, upstream, now) {
+        for (rank, upstream) in usable {
+            if upstream.is_cold(now) && !self.take_cold(request.service, &upstream, now) {
                 continue;
             }
-            let rank = order.iter().position(|&at| at == index).unwrap_or(index);
-            return Ok(self.begin(upstream, rank, now));
+            return Ok(self.begin(&upstream, rank, now));
         }
         Err(NoUpstream::AllCold)
     }
@@ -135,41 +142,6 @@
         }
     }
 
-    fn allowed(&self, request: &PickRequest<'_>) -> Vec<Registered> {
-        let eligible = self.registry.eligible(request.service).iter();
-        let is_allowed = |upstream: &&Registered| {
-            request.regions.is_empty() || request.regions.contains(&upstream.registration.region)
-        };
-        eligible.filter(is_allowed).cloned().collect()
-    }
-
-    /// Returns the indices of `untried` in the order of the object.
-    ///
-    /// The weights are those among all that are allowed, so that an upstream
-    /// that was tried does not move the objects of the others.
-    fn order(
-        &self,
-        object: ObjectKey,
-        allowed: &[Registered],
-        untried: &[Registered],
-    ) -> Vec<usize> {
-        let mut slots: BTreeMap<RegionId, u32> = BTreeMap::new();
-        for upstream in allowed {
-            let registration = &upstream.registration;
-            *slots.entry(registration.region.clone()).or_default() += registration.slots;
-        }
-        let place = &self.options.place;
-        let shares = shares_of(&place.region, &slots, place.regions_count());
-        let candidates: Vec<Candidate<'_>> = untried
-            .iter()
-            .map(|upstream| Candidate {
-                upstream: &upstream.registration.upstream,
-                weight: weight(&upstream.registration, &shares, &slots),
-            })
-            .collect();
-        rank(object, &candidates)
-    }
-
     fn is_ejected(&self, upstream: &Registered, now: MonotonicTime) -> bool {
         let health = self.health.get(&upstream.registration.upstream);
         health.is_some_and(|health| health.is_ejected(now))
@@ -195,14 +167,3 @@
         self.cold.try_take(upstream, &terms, own, &instances, now)
     }
 }
-
-fn weight(
-    registration: &Registration,
-    shares: &RegionShares,
-    slots: &BTreeMap<RegionId, u32>,
-) -> f64 {
-    let own_slots = f64::from(registration.slots);
-    let region_slots = slots.get(&registration.region).copied().unwrap_or(1).max(1);
-    let share = shares.get(&registration.region).copied().unwrap_or(0.0);
-    own_slots * (share / f64::from(region_slots)).max(LAST_RESORT_WEIGHT)
-}
--- /dev/null
+++ b/crates/foxtide-gateway/src/state/placement.rs
@@ -0,0 +1,102 @@
+//! The upstreams that may serve the requests of a service, with their weights.
+
+use super::PickRequest;
+use crate::options::Place;
+use foxtide_core::ids::RegionId;
+use foxtide_core::placement::{
+    Candidate,
+    ObjectKey,
+    RegionShares,
+    first_choices,
+    shares_of, //
+};
+use foxtide_core::registry::{
+    Registered,
+    Registration,
+    Registry, //
+};
+use foxtide_core::time::MonotonicTime;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// The weight of a slot in a region that has no share of the requests: such an
+/// upstream comes after all others.
+const LAST_RESORT_WEIGHT: f64 = 1e-9;
+
+/// How long a placement without requests is kept: its route may be gone.
+const UNUSED_TIME: Duration = Duration::from_secs(60);
+
+/// The upstreams of a service in the regions that may serve a route.
+#[derive(Debug, Default)]
+pub(crate) struct Placement {
+    /// The generation of the registry from which the rest was made.
+    generation: Option<u64>,
+    upstreams: Vec<Registered>,
+    /// The upstreams' weights, in the same order.
+    candidates: Vec<Candidate>,
+    used_at: MonotonicTime,
+}
+
+impl Placement {
+    /// Takes in what has changed in the registry.
+    pub(super) fn refresh(
+        &mut self,
+        request: &PickRequest<'_>,
+        registry: &Registry,
+        place: &Place,
+    ) {
+        if self.generation == Some(registry.generation()) {
+            return;
+        }
+        self.generation = Some(registry.generation());
+        let is_allowed = |upstream: &&Registered| {
+            request.regions.is_empty() || request.regions.contains(&upstream.registration.region)
+        };
+        let eligible = registry.eligible(request.service).iter();
+        self.upstreams = eligible.filter(is_allowed).cloned().collect();
+        self.candidates = self.weighted(place);
+    }
+
+    /// Returns the first `count` upstreams in the order of an object.
+    pub(super) fn choices(
+        &mut self,
+        object: ObjectKey,
+        count: usize,
+        now: MonotonicTime,
+    ) -> Vec<Registered> {
+        self.used_at = now;
+        let choices = first_choices(object, &self.candidates, count);
+        let upstream = |index: usize| self.upstreams[index].clone();
+        choices.into_iter().map(upstream).collect()
+    }
+
+    /// Tells whether there was a request of late.
+    pub(super) fn is_used(&self, now: MonotonicTime) -> bool {
+        now - self.used_at < UNUSED_TIME
+    }
+
+    fn weighted(&self, place: &Place) -> Vec<Candidate> {
+        let mut slots: BTreeMap<RegionId, u32> = BTreeMap::new();
+        for upstream in &self.upstreams {
+            let registration = &upstream.registration;
+            *slots.entry(registration.region.clone()).or_default() += registration.slots;
+        }
+        let shares = shares_of(&place.region, &slots, place.regions_count());
+        let candidate = |upstream: &Registered| {
+            let weight = weight(&upstream.registration, &shares, &slots);
+            Candidate::new(upstream.upstream(), weight)
+        };
+        self.upstreams.iter().map(candidate).collect()
+    }
+}
+
+fn weight(
+    registration: &Registration,
+    shares: &RegionShares,
+    slots: &BTreeMap<RegionId, u32>,
+) -> f64 {
+    let own_slots = f64::from(registration.slots);
+    let region_slots = slots.get(&registration.region).copied().unwrap_or(1).max(1);
+    let share = shares.get(&registration.region).copied().unwrap_or(0.0);
+    own_slots * (share / f64::from(region_slots)).max(LAST_RESORT_WEIGHT)
+}
--- a/crates/foxtide-gateway/tests/gateway/forwarding.rs
+++ b/crates/foxtide-gateway/tests/gateway/forwarding.rs
@@ -324,3 +324,22 @@
     };
     eventually("both upstreams get requests", is_spread);
 }
+
+/// More upstreams are out of reach than are looked at first for one request.
+#[test]
+fn verify_the_only_upstream_of_many_that_can_be_reached_is_found() {
+    let (fleet, upstream) = fleet_of_one();
+    for number in 0..20 {
+        let dead = Registration {
+            upstream: format!("i-dead-{number}").parse().unwrap(),
+            // Nothing listens on the port that is meant for discarding.
+            address: "127.0.0.1:9".parse().unwrap(),
+            ..upstream.registration()
+        };
+        let key = format!("upstream/{}", dead.upstream);
+        fleet.store.put(&key, Fact::Registered(dead));
+    }
+    let instance = fleet.instance("edge-1", "khomas-a");
+    let is_served = || instance.get("/safe/", "request: r-1\r\n").head.status == 200;
+    eventually("the upstream is found", is_served);
+}
