--- a/crates/foxtide-core/src/registry/members.rs
+++ b/crates/foxtide-core/src/registry/members.rs
@@ -26,8 +26,8 @@
 /// one may be stopped and another killed at the same time.
 const WATCHERS_PER_REGION: usize = 3;
 
-/// The instances of a region for each of which there is one watcher beyond that
-/// least number: what a watcher sends grows with those that follow it.
+/// The instances of an availability zone for which one watcher stands: what it
+/// sends grows with those that follow it, and bytes within a zone are free.
 const INSTANCES_PER_WATCHER: usize = 16;
 
 /// An instance that takes requests.
@@ -45,6 +45,17 @@
     pub region: RegionId,
 }
 
+/// An instance that asks others.
+#[derive(Clone, Copy, Debug)]
+pub struct Asker<'a> {
+    /// Its name.
+    pub instance: &'a InstanceId,
+    /// Where it stands.
+    pub availability_zone: &'a AvailabilityZoneId,
+    /// The region of its availability zone.
+    pub region: &'a RegionId,
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     member: Member,
@@ -118,6 +129,9 @@
 
     /// Returns the members of a region that follow the store for the others of
     /// the region; nothing where the fleet is so small that each does.
+    ///
+    /// Each availability zone has one for a number of instances, and the region a
+    /// least number in all.
     pub fn watchers(&self, region: &RegionId) -> Vec<&Member> {
         if self.entries.len() <= ALL_WATCH_MAX {
             return Vec::new();
@@ -125,10 +139,27 @@
         let of_region = self.all().filter(|member| member.region == *region);
         let by_name: BTreeMap<&InstanceId, &Member> =
             of_region.map(|member| (&member.instance, member)).collect();
-        let count = by_name.len().div_ceil(INSTANCES_PER_WATCHER);
+        let mut places: BTreeMap<&AvailabilityZoneId, usize> = BTreeMap::new();
+        for member in by_name.values() {
+            *places.entry(&member.availability_zone).or_default() += 1;
+        }
+        for places in places.values_mut() {
+            *places = places.div_ceil(INSTANCES_PER_WATCHER);
+        }
+        let mut more = WATCHERS_PER_REGION.saturating_sub(places.values().sum());
         let ranked = rank(Role::Watcher, by_name.keys().copied());
-        let watchers = ranked.into_iter().take(count.max(WATCHERS_PER_REGION));
-        watchers.map(|instance| by_name[instance]).collect()
+        let ranked = ranked.into_iter().map(|instance| by_name[instance]);
+        let holds_place = |member: &&Member| {
+            let of_zone = places.get_mut(&member.availability_zone);
+            let left = match of_zone {
+                Some(left) if *left > 0 => left,
+                _ => &mut more,
+            };
+            let holds = *left > 0;
+            *left = left.saturating_sub(1);
+            holds
+        };
+        ranked.filter(holds_place).collect()
     }
 
     /// Returns the members that follow the store, those of `region` first.
@@ -147,13 +178,16 @@
         regions.iter().flat_map(of_region).collect()
     }
 
-    /// Sorts `members` as `asker` of `region` asks them: those of its region first,
-    /// and else in an order of its own, so that not all ask the same one.
-    pub fn sort_for_asker(members: &mut [&Member], asker: &InstanceId, region: &RegionId) {
-        let seed = xxh3_64(asker.as_str().as_bytes());
+    /// Sorts `members` as an instance asks them: those of its availability zone
+    /// first, then those of its region, and else in an order of its own, so that
+    /// not all ask the same one.
+    pub fn sort_for_asker(members: &mut [&Member], asker: &Asker<'_>) {
+        let seed = xxh3_64(asker.instance.as_str().as_bytes());
         members.sort_by_cached_key(|member| {
             let draw = xxh3_64_with_seed(member.instance.as_str().as_bytes(), seed);
-            (member.region != *region, draw)
+            let is_elsewhere = member.region != *asker.region;
+            let is_next_door = member.availability_zone != *asker.availability_zone;
+            (is_elsewhere, is_next_door, draw)
         });
     }
 
--- a/crates/foxtide-core/src/registry/mod.rs
+++ b/crates/foxtide-core/src/registry/mod.rs
@@ -6,6 +6,7 @@
 mod table;
 
 pub use members::{
+    Asker,
     Member,
     Members, //
 };
--- a/crates/foxtide-core/tests/registry.rs
+++ b/crates/foxtide-core/tests/registry.rs
@@ -6,6 +6,7 @@
     UpstreamId, //
 };
 use foxtide_core::registry::{
+    Asker,
     Member,
     Members,
     RETURN_TIME,
@@ -207,20 +208,35 @@
 /// A region of 100 whose followers all asked the same watcher made it send
 /// 3.1 MB a second.
 #[test]
-fn verify_the_followers_of_a_region_spread_over_its_watchers() {
+fn verify_the_followers_of_a_zone_spread_over_its_watchers() {
     let mut members = Members::default();
     let region = "khomas".parse().unwrap();
     for number in 0..100 {
-        members.join(member(&format!("k-{number}"), "khomas"));
+        let zone = if number < 60 { "khomas-a" } else { "khomas-b" };
+        members.join(Member {
+            availability_zone: zone.parse().unwrap(),
+            ..member(&format!("k-{number}"), "khomas")
+        });
         members.join(member(&format!("e-{number}"), "erongo"));
     }
-    let watchers = members.watchers(&region);
-    assert_eq!(watchers.len(), 7);
+    let in_zone = |name: &str| {
+        let watchers = members.watchers(&region).into_iter();
+        watchers
+            .filter(|watcher| watcher.availability_zone.as_str() == name)
+            .count()
+    };
+    assert_eq!((in_zone("khomas-a"), in_zone("khomas-b")), (4, 3));
     let mut followers: BTreeMap<InstanceId, usize> = BTreeMap::new();
-    for asker in members.all().filter(|member| member.region == region) {
+    for own in members.all().filter(|member| member.region == region) {
+        let asker = Asker {
+            instance: &own.instance,
+            availability_zone: &own.availability_zone,
+            region: &own.region,
+        };
         let mut asked = members.informed(&region);
-        Members::sort_for_asker(&mut asked, &asker.instance, &region);
-        assert!(asked[..7].iter().all(|watcher| watchers.contains(watcher)));
+        Members::sort_for_asker(&mut asked, &asker);
+        assert!(asked[..7].iter().all(|watcher| watcher.region == region));
+        assert_eq!(asked[0].availability_zone, own.availability_zone);
         *followers.entry(asked[0].instance.clone()).or_default() += 1;
     }
     assert_eq!(followers.len(), 7);
--- a/crates/foxtide-gateway/src/follow.rs
+++ b/crates/foxtide-gateway/src/follow.rs
@@ -145,7 +145,7 @@
         {
             return Vec::new();
         }
-        Members::sort_for_asker(&mut watchers, &place.instance, &place.region);
+        Members::sort_for_asker(&mut watchers, &place.asker());
         let addresses = watchers.into_iter().map(|watcher| watcher.peer_address);
         addresses.collect()
     }
@@ -250,7 +250,7 @@
         let place = &options.place;
         let state = self.shared.state.lock();
         let mut informed = state.members().informed(&place.region);
-        Members::sort_for_asker(&mut informed, &place.instance, &place.region);
+        Members::sort_for_asker(&mut informed, &place.asker());
         let mut peers: Vec<SocketAddr> = informed
             .into_iter()
             .filter(|member| member.instance != place.instance)
--- a/crates/foxtide-gateway/src/options.rs
+++ b/crates/foxtide-gateway/src/options.rs
@@ -5,6 +5,7 @@
     InstanceId,
     RegionId, //
 };
+use foxtide_core::registry::Asker;
 use foxtide_core::units::ByteSize;
 use std::collections::BTreeMap;
 use std::net::{
@@ -47,6 +48,15 @@
         self.regions.get(zone)
     }
 
+    /// Returns the instance as one that asks others.
+    pub(crate) fn asker(&self) -> Asker<'_> {
+        Asker {
+            instance: &self.instance,
+            availability_zone: &self.availability_zone,
+            region: &self.region,
+        }
+    }
+
     /// Returns the number of regions.
     pub(crate) fn regions_count(&self) -> usize {
         let mut regions: Vec<&RegionId> = self.regions.values().collect();
