--- a/crates/foxtide-events/src/lines.rs
+++ b/crates/foxtide-events/src/lines.rs
@@ -4,9 +4,7 @@
     EventCode,
     Level, //
 };
-use foxtide_core::limits::TokenBucket;
 use foxtide_core::time::MonotonicTime;
-use foxtide_core::units::RequestRate;
 
 /// Writes a numbered event with fields as one log line.
 ///
@@ -35,21 +33,30 @@
     }
 }
 
-/// Lines a second about requests that were answered well. Writing one takes 3.1 us
-/// (286 bytes, measured over 200,000), so that these take 0.02 % of a core.
+/// Lines a second about requests that were answered well, and at one moment. Writing
+/// one takes 3.1 us (286 bytes, measured over 200,000), so that these take 0.02 % of a
+/// core.
 const ANSWERED_LINES_PER_S: f64 = 60.0;
+const ANSWERED_LINES_AT_ONCE: f64 = 30.0;
 
-/// Lines a second about requests that were not. They are what an engineer looks
-/// for, and come in bursts when something fails.
+/// Lines a second about requests that were not, and at one moment. They are what an
+/// engineer looks for, and come in bursts when something fails: 40 callers whose
+/// requests fail together make 120 lines.
 const FAILED_LINES_PER_S: f64 = 300.0;
+const FAILED_LINES_AT_ONCE: f64 = 600.0;
+
+/// The part of those that only ends of requests may use, not their attempts.
+const ENDS_ONLY_SHARE: f64 = 0.5;
 
 /// What a line about a request tells of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LineKind {
     /// The request was answered well.
     Answered,
-    /// It was not, or an attempt of it failed.
+    /// It was not.
     Failed,
+    /// An attempt of it failed, or another step on its way.
+    Step,
 }
 
 /// Lines that were left out.
@@ -57,29 +64,24 @@
 pub struct LeftOut {
     /// About requests that were answered well.
     pub answered: u64,
-    /// About requests that were not.
+    /// About requests that were not, and steps on their way.
     pub failed: u64,
 }
 
 /// Bounds the lines about requests and counts those that are left out.
 #[derive(Clone, Debug)]
 pub struct LineBudget {
-    answered: TokenBucket,
-    failed: TokenBucket,
+    answered: Reservoir,
+    failed: Reservoir,
     left_out: LeftOut,
 }
 
 impl LineBudget {
     /// Returns a budget with room for a few lines at once.
     pub fn new(now: MonotonicTime) -> Self {
-        let bucket = |lines_per_s| {
-            let mut bucket = TokenBucket::new(RequestRate::clamped(lines_per_s), now);
-            bucket.fill();
-            bucket
-        };
         Self {
-            answered: bucket(ANSWERED_LINES_PER_S),
-            failed: bucket(FAILED_LINES_PER_S),
+            answered: Reservoir::new(ANSWERED_LINES_PER_S, ANSWERED_LINES_AT_ONCE, now),
+            failed: Reservoir::new(FAILED_LINES_PER_S, FAILED_LINES_AT_ONCE, now),
             left_out: LeftOut::default(),
         }
     }
@@ -87,16 +89,20 @@
     /// Takes one line out of the budget; one for which there is no room is
     /// counted as left out.
     pub fn try_take(&mut self, kind: LineKind, now: MonotonicTime) -> bool {
-        let (bucket, left_out) = match kind {
-            LineKind::Answered => (&mut self.answered, &mut self.left_out.answered),
-            LineKind::Failed => (&mut self.failed, &mut self.left_out.failed),
+        let left_out = match kind {
+            LineKind::Answered => &mut self.left_out.answered,
+            LineKind::Failed | LineKind::Step => &mut self.left_out.failed,
         };
-        if bucket.has_token(now) {
-            bucket.take();
-            return true;
-        }
-        *left_out += 1;
-        false
+        let is_taken = match kind {
+            LineKind::Answered => self.answered.try_take(0.0, now),
+            LineKind::Failed => self.failed.try_take(0.0, now),
+            LineKind::Step => {
+                let reserved = FAILED_LINES_AT_ONCE * ENDS_ONLY_SHARE;
+                self.failed.try_take(reserved, now)
+            }
+        };
+        *left_out += u64::from(!is_taken);
+        is_taken
     }
 
     /// Returns the lines left out since the last call.
@@ -104,3 +110,36 @@
         std::mem::take(&mut self.left_out)
     }
 }
+
+/// Lines that may be written: a plain token bucket, full at first. What limits
+/// requests is stricter, since it lets through no more than its rate in any second.
+#[derive(Clone, Debug)]
+struct Reservoir {
+    per_s: f64,
+    most: f64,
+    lines: f64,
+    refilled_at: MonotonicTime,
+}
+
+impl Reservoir {
+    fn new(per_s: f64, most: f64, now: MonotonicTime) -> Self {
+        Self {
+            per_s,
+            most,
+            lines: most,
+            refilled_at: now,
+        }
+    }
+
+    /// Takes one line where more than `reserved` are left.
+    fn try_take(&mut self, reserved: f64, now: MonotonicTime) -> bool {
+        let passed_s = now.since(self.refilled_at).as_secs_f64();
+        self.refilled_at = self.refilled_at.max(now);
+        self.lines = (self.lines + passed_s * self.per_s).min(self.most);
+        let is_there = self.lines >= reserved + 1.0;
+        if is_there {
+            self.lines -= 1.0;
+        }
+        is_there
+    }
+}
--- a/crates/foxtide-events/tests/lines.rs
+++ b/crates/foxtide-events/tests/lines.rs
@@ -32,3 +32,25 @@
     assert_eq!(left_out.answered, 10_000 - written);
     assert_eq!(budget.take_left_out(), LeftOut::default());
 }
+
+/// Forty callers whose requests fail at the same moment have each its lines.
+#[test]
+fn verify_a_burst_of_failures_keeps_its_lines() {
+    let now = MonotonicTime::from_ms(5);
+    let mut budget = LineBudget::new(now);
+    for _ in 0..40 {
+        assert!(budget.try_take(LineKind::Step, now));
+        assert!(budget.try_take(LineKind::Step, now));
+        assert!(budget.try_take(LineKind::Failed, now));
+    }
+}
+
+#[test]
+fn verify_steps_leave_room_for_the_ends_of_requests() {
+    let now = MonotonicTime::from_ms(5);
+    let mut budget = LineBudget::new(now);
+    let steps = (0..10_000).filter(|_| budget.try_take(LineKind::Step, now));
+    assert!(steps.count() < 400);
+    let ends = (0..10_000).filter(|_| budget.try_take(LineKind::Failed, now));
+    assert!(ends.count() >= 250);
+}
--- a/crates/foxtide-gateway/src/forward/run.rs
+++ b/crates/foxtide-gateway/src/forward/run.rs
@@ -53,6 +53,8 @@
 ) -> (Reply, Inputs) {
     let mut inputs = Inputs::new(request.id(), "");
     inputs.route.clone_from(&route.name);
+    inputs.is_idempotent = route.is_idempotent;
+    inputs.latency_objective = route.latency_objective;
     let Some(service) = begin(shared, route, &mut inputs) else {
         inputs.reason = "no_service_has_weight";
         let retry_after = RETRY_AFTER;
@@ -262,9 +264,12 @@
     }
 
     fn no_upstream(&mut self, reason: NoUpstream) -> Reply {
-        let journal = &self.shared.journal;
-        journal.no_upstream(self.request.id(), self.service, reason);
-        self.inputs.reason = reason.as_str();
+        // Where all were tried, why they did not serve it is the reason.
+        if reason != NoUpstream::AllTried || self.inputs.reason.is_empty() {
+            let journal = &self.shared.journal;
+            journal.no_upstream(self.request.id(), self.service, reason);
+            self.inputs.reason = reason.as_str();
+        }
         self.not_run()
     }
 
--- a/crates/foxtide-gateway/src/journal/mod.rs
+++ b/crates/foxtide-gateway/src/journal/mod.rs
@@ -5,6 +5,7 @@
 //! cause. Lines about requests are bounded; those left out are counted.
 
 pub(crate) mod beliefs;
+mod labels;
 mod requests;
 
 pub(crate) use requests::Journal;
--- a/crates/foxtide-gateway/src/journal/requests.rs
+++ b/crates/foxtide-gateway/src/journal/requests.rs
@@ -1,5 +1,6 @@
 //! Lines about requests, bounded, and the metrics that go with them.
 
+use super::labels::RouteLabels;
 use crate::clock::Clock;
 use crate::outcome::{
     AttemptEnd,
@@ -29,6 +30,7 @@
 pub(crate) struct Journal {
     clock: Clock,
     budget: Mutex<LineBudget>,
+    routes: RouteLabels,
 }
 
 impl Journal {
@@ -37,6 +39,7 @@
         Self {
             clock,
             budget: Mutex::new(LineBudget::new(clock.now())),
+            routes: RouteLabels::default(),
         }
     }
 
@@ -59,14 +62,16 @@
             Reply::Response(_) => "upstream",
             Reply::Refused(_) => "instance",
         };
-        count_request(inputs, status, source, latency);
+        self.count_request(inputs, status, source, latency);
         let latency_ms = latency.as_secs_f64() * 1_000.0;
         let is_answered = status < 400;
-        let kind = if is_answered {
+        // A late answer is a failure to those who ask after it.
+        let kind = if is_answered && latency <= inputs.latency_objective {
             LineKind::Answered
         } else {
             LineKind::Failed
         };
+        let objective_ms = inputs.latency_objective.as_millis() as u64;
         if !self.has_room(kind) {
             return;
         }
@@ -84,6 +89,7 @@
                 occupancy = inputs.occupancy,
                 version = inputs.version,
                 knowledge_age_ms = inputs.knowledge_age_ms,
+                objective_ms = objective_ms,
                 latency_ms = latency_ms
             );
         } else {
@@ -94,6 +100,7 @@
                 source = source,
                 reason = inputs.reason,
                 route = inputs.route.as_str(),
+                is_idempotent = inputs.is_idempotent,
                 service = inputs.service.as_str(),
                 object = inputs.object.as_str(),
                 upstream = inputs.upstream.as_str(),
@@ -115,7 +122,7 @@
             AttemptEnd::TimedOut => ("timed_out", "no response in time"),
         };
         metrics::counter!("foxtide_attempts_failed_total", "outcome" => outcome).increment(1);
-        if self.has_room(LineKind::Failed) {
+        if self.has_room(LineKind::Step) {
             log_event!(
                 EventCode::AttemptFailed,
                 request = request,
@@ -132,7 +139,7 @@
 
     /// No upstream may get a request.
     pub(crate) fn no_upstream(&self, request: &str, service: &ServiceId, reason: NoUpstream) {
-        if self.has_room(LineKind::Failed) {
+        if self.has_room(LineKind::Step) {
             log_event!(
                 EventCode::RequestUnplaced,
                 request = request,
@@ -144,7 +151,7 @@
 
     /// A response to another request came on a connection.
     pub(crate) fn stray_response(&self, request: &str, upstream: &UpstreamId) {
-        if self.has_room(LineKind::Failed) {
+        if self.has_room(LineKind::Step) {
             log_event!(
                 EventCode::ResponseStray,
                 request = request,
@@ -165,15 +172,20 @@
         let now = self.clock.now();
         self.budget.lock().try_take(kind, now)
     }
-}
 
-fn count_request(inputs: &Inputs, status: u16, source: &'static str, latency: Duration) {
-    let service = inputs.service.clone();
-    metrics::counter!(
-        "foxtide_requests_total",
-        "service" => service.clone(), "source" => source, "status" => status.to_string()
-    )
-    .increment(1);
-    metrics::histogram!("foxtide_request_seconds", "service" => service, "source" => source)
+    fn count_request(&self, inputs: &Inputs, status: u16, source: &'static str, latency: Duration) {
+        let route = self.routes.label(&inputs.route);
+        let service = inputs.service.clone();
+        metrics::counter!(
+            "foxtide_requests_total",
+            "route" => route.clone(), "service" => service.clone(),
+            "source" => source, "status" => status.to_string()
+        )
+        .increment(1);
+        metrics::histogram!(
+            "foxtide_request_seconds",
+            "route" => route, "service" => service, "source" => source
+        )
         .record(latency.as_secs_f64());
+    }
 }
--- a/crates/foxtide-gateway/src/outcome/inputs.rs
+++ b/crates/foxtide-gateway/src/outcome/inputs.rs
@@ -1,6 +1,7 @@
 //! What decided a request's way, for its log line.
 
 use crate::state::Pick;
+use std::time::Duration;
 
 /// The inputs of the decisions on one request.
 #[derive(Clone, Debug, Default)]
@@ -9,6 +10,10 @@
     pub(crate) request: String,
     /// The route's name.
     pub(crate) route: String,
+    /// Whether the route's requests may run more than once.
+    pub(crate) is_idempotent: bool,
+    /// How long the route's requests are to take at most.
+    pub(crate) latency_objective: Duration,
     /// The service.
     pub(crate) service: String,
     /// The key of the request's object; empty where any upstream will do.
--- a/crates/foxtide/src/platform/mod.rs
+++ b/crates/foxtide/src/platform/mod.rs
@@ -44,6 +44,7 @@
     telemetry::start_structured_logging();
     let path = settings_path()?;
     let settings = PlatformSettings::load(&path)?;
+    telemetry::name_instance(&settings.gateway.place.instance);
     let executor = Arc::new(Executor::new());
     let serving = serve(settings, &path, metrics_port, Arc::clone(&executor));
     smol::block_on(executor.run(serving))
--- a/crates/foxtide/src/telemetry/mod.rs
+++ b/crates/foxtide/src/telemetry/mod.rs
@@ -3,6 +3,7 @@
 mod structured;
 mod writer;
 
+pub(crate) use structured::name_instance;
 use writer::LineWriter;
 
 use metrics_exporter_prometheus::{
--- a/crates/foxtide/src/telemetry/structured.rs
+++ b/crates/foxtide/src/telemetry/structured.rs
@@ -1,5 +1,6 @@
 //! Log lines as JSON objects.
 
+use foxtide_core::ids::InstanceId;
 use log::Record;
 use log::kv::{
     Error,
@@ -15,11 +16,21 @@
     self,
     Write, //
 };
+use std::sync::OnceLock;
 use std::time::{
     SystemTime,
     UNIX_EPOCH, //
 };
 
+/// The name of the instance, once its settings are read.
+static INSTANCE: OnceLock<String> = OnceLock::new();
+
+/// Has all lines from now on name the instance that writes them.
+pub(crate) fn name_instance(instance: &InstanceId) {
+    // A process is one instance: the first name stays.
+    INSTANCE.get_or_init(|| instance.to_string());
+}
+
 /// Writes a record as one line.
 ///
 /// # Errors
@@ -32,6 +43,11 @@
     fields.0.insert("time_s".to_owned(), time_s.into());
     let level = record.level().as_str().to_ascii_lowercase();
     fields.0.insert("level".to_owned(), level.into());
+    if let Some(instance) = INSTANCE.get() {
+        fields
+            .0
+            .insert("instance".to_owned(), instance.as_str().into());
+    }
     if let Err(error) = record.key_values().visit(&mut fields) {
         let cause = error.to_string();
         fields.0.insert("unreadable_field".to_owned(), cause.into());
--- a/crates/foxtide/tests/platform.rs
+++ b/crates/foxtide/tests/platform.rs
@@ -197,3 +197,35 @@
     let error = run(None, &["--metrics-port", "1"]);
     assert!(error.contains("--platform"), "{error}");
 }
+
+/// Lines wait for whoever reads them; requests do not. Each line is written, left out
+/// to bound the volume, or dropped, and counted.
+#[test]
+fn verify_requests_do_not_wait_for_standard_output() {
+    const REQUESTS: usize = 3_000;
+    let mut process = Process::start("platform-unread.toml");
+    let started = process.await_event("process-started");
+    let callers: SocketAddr = started["callers"].as_str().unwrap().parse().unwrap();
+    smol::block_on(async {
+        let mut stream = BufferedStream::connect(callers, None).await.unwrap();
+        for _ in 0..REQUESTS {
+            let request = b"GET /nothing/ HTTP/1.1\r\nhost: a.example\r\n\r\n";
+            stream.write_all(request).await.unwrap();
+            let response = read_response(&mut stream, "GET", 1 << 20).await.unwrap();
+            assert_eq!(response.head.status, 503);
+        }
+    });
+    let mut told = 0;
+    while told < REQUESTS {
+        let line = process.lines.next().expect("the process goes on").unwrap();
+        let line: Value = serde_json::from_str(&line).unwrap();
+        let count = |field: &str| line[field].as_u64().unwrap() as usize;
+        told += match line["event"].as_str().unwrap() {
+            "request-failed" => 1,
+            "lines-left-out" => count("failed"),
+            "lines-dropped" => count("lines"),
+            _ => 0,
+        };
+    }
+    assert_eq!(told, REQUESTS);
+}
--- /dev/null
+++ b/crates/foxtidectl/src/commands/explain/request/cause.rs
@@ -0,0 +1,191 @@
+//! From the lines about a request to its cause.
+
+use super::lines::LogLine;
+use super::story::Story;
+
+/// The age from which knowledge of the store is old, in milliseconds: an instance
+/// asks it, or a peer, each 0.8 s and waits 2 s at most.
+const OLD_KNOWLEDGE_MS: f64 = 3_000.0;
+
+/// Returns why a request ended as it did.
+pub(super) fn in_words(story: &Story<'_>) -> String {
+    let Some(end) = story.end() else {
+        return "its end is not in these lines: the instance was killed, or the line was left out"
+            .to_owned();
+    };
+    match end.event.as_str() {
+        "request-cancelled" => "its caller went away before the reply".to_owned(),
+        "request-answered" => answered(story, end),
+        _ => failed(story, end),
+    }
+}
+
+fn failed(story: &Story<'_>, end: &LogLine) -> String {
+    let status = end.field("status");
+    let reason = match end.field("reason").as_str() {
+        "upstream_refused" => format!(
+            "it did not run: each upstream that was asked had no room ({})",
+            occupancies(story)
+        ),
+        "upstreams_unreachable" => format!(
+            "it did not run: no connection could be made ({})",
+            causes(story)
+        ),
+        "upstreams_cold" => "it did not run: the upstreams that are left have just started and \
+                             had their part of requests"
+            .to_owned(),
+        "no_upstream_registered" => "it did not run: no upstream of the service is registered \
+                                     where the route may be served"
+            .to_owned(),
+        "upstreams_tried" => format!("it did not run anywhere ({})", causes(story)),
+        "time_up_before_sending" => "it did not run: its time passed between attempts".to_owned(),
+        "no_configuration_yet" => "it did not run: the instance had just started and had not \
+                                   read the configuration"
+            .to_owned(),
+        "no_service_has_weight" => {
+            "it did not run: no service of its route has a weight".to_owned()
+        }
+        "stopping" => "it did not run: the instance was stopping and would have ended before \
+                       the route's timeout"
+            .to_owned(),
+        "response_lost" => format!(
+            "it may have run: the response was lost ({}){}",
+            causes(story),
+            resent(end)
+        ),
+        "time_up_at_upstream" => format!(
+            "it may have run: upstream {} did not respond within the time limit{}",
+            end.field("upstream"),
+            resent(end)
+        ),
+        "upstream_error" => format!("upstream {} responded with an error", end.field("upstream")),
+        "no_route" => format!(
+            "version {} of the configuration has no route for it",
+            end.field("version")
+        ),
+        "malformed" => "the request cannot be understood".to_owned(),
+        "head_too_long" | "body_too_long" => "the request is longer than the limits".to_owned(),
+        "caller_too_slow" => "the caller took too long to send it".to_owned(),
+        other => format!("{other}; docs/OPERATIONS.md lists the reasons"),
+    };
+    format!("status {status}: {reason}{}", outage(story, end))
+}
+
+/// An answered request is explained where it came late or went elsewhere.
+fn answered(story: &Story<'_>, end: &LogLine) -> String {
+    let upstream = end.field("upstream");
+    let latency_ms = end.number("latency_ms").unwrap_or_default();
+    let objective_ms = end.number("objective_ms").unwrap_or(f64::MAX);
+    let mut text = format!("answered by upstream {upstream} after {latency_ms:.0} ms");
+    if latency_ms > objective_ms {
+        text.push_str(&format!(
+            ", later than the {objective_ms:.0} ms it is to take"
+        ));
+    }
+    let attempts = story.failed_attempts().count();
+    if attempts > 0 {
+        text.push_str(&format!(
+            "; {attempts} attempts before it failed ({})",
+            causes(story)
+        ));
+    }
+    if end.number("rank").is_some_and(|rank| rank > 0.0) {
+        text.push_str(
+            "; the object's own upstream was passed over, so this one may not have \
+                       had the object before",
+        );
+    }
+    let occupancy = end.number("occupancy").unwrap_or_default();
+    if occupancy > 0.0 {
+        text.push_str(&format!(
+            "; {occupancy} requests were at the upstream before it"
+        ));
+    }
+    if let Some(evacuated) = story.belief("zones-evacuated") {
+        let zones = evacuated.field("zones");
+        if zones != "-" {
+            text.push_str(&format!("; availability zones that get nothing: {zones}"));
+        }
+    }
+    text.push_str(&outage(story, end));
+    text
+}
+
+/// Tells of an outage of the store that the decisions rested on.
+fn outage(story: &Story<'_>, end: &LogLine) -> String {
+    let age_ms = end.number("knowledge_age_ms").unwrap_or_default();
+    if age_ms < OLD_KNOWLEDGE_MS {
+        return String::new();
+    }
+    let since = match story.belief("store-unreachable") {
+        Some(lost) => format!(" (lost at {}: {})", lost.time(), lost.field("cause")),
+        None => String::new(),
+    };
+    let age_s = age_ms / 1_000.0;
+    format!("; the instance decided by what the store said {age_s:.1} s before{since}")
+}
+
+fn resent(end: &LogLine) -> &'static str {
+    match end.is("is_idempotent") {
+        Some(false) => "; it was not sent again since it must not run twice",
+        _ => "",
+    }
+}
+
+fn occupancies(story: &Story<'_>) -> String {
+    let of_attempt = |line: &LogLine| {
+        let (upstream, occupancy) = (line.field("upstream"), line.field("occupancy"));
+        format!("{upstream} had {occupancy} requests")
+    };
+    let attempts: Vec<String> = story.failed_attempts().map(of_attempt).collect();
+    attempts.join(", ")
+}
+
+fn causes(story: &Story<'_>) -> String {
+    let of_attempt =
+        |line: &LogLine| format!("{}: {}", line.field("upstream"), line.field("cause"));
+    let attempts: Vec<String> = story.failed_attempts().map(of_attempt).collect();
+    attempts.join(", ")
+}
+
+/// Returns one line as people read it.
+pub(super) fn line_in_words(line: &LogLine) -> String {
+    let field = |name: &str| line.field(name);
+    match line.event.as_str() {
+        "attempt-failed" => format!(
+            "attempt at {} in {}, place {} of the object's order, {} requests there: {}, {}",
+            field("upstream"),
+            field("zone"),
+            field("rank"),
+            field("occupancy"),
+            field("outcome"),
+            field("cause")
+        ),
+        "request-answered" => format!(
+            "answered {} by {} after {} attempts, {} ms",
+            field("status"),
+            field("upstream"),
+            field("attempts"),
+            field("latency_ms")
+        ),
+        "request-failed" => format!(
+            "failed {}: {} after {} attempts, {} ms",
+            field("status"),
+            field("reason"),
+            field("attempts"),
+            field("latency_ms")
+        ),
+        "configuration-applied" => format!("configuration version {} in force", field("version")),
+        "zones-evacuated" => format!("availability zones that get nothing: {}", field("zones")),
+        "store-unreachable" => format!("the store does not answer: {}", field("cause")),
+        "store-reachable" => "the store answers".to_owned(),
+        "relay-lost" => format!(
+            "a peer does not tell what the store says: {}",
+            field("cause")
+        ),
+        event if event.starts_with("upstream-") => {
+            format!("{event} {}", field("upstream"))
+        }
+        event => event.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/foxtidectl/src/commands/explain/request/mod.rs
@@ -0,0 +1,46 @@
+//! `foxtidectl explain request`.
+
+mod cause;
+mod lines;
+mod story;
+
+use super::decisions;
+use crate::failure::Failure;
+use crate::report::Report;
+use crate::session::Session;
+use argh::FromArgs;
+use foxtide_core::events::RequestId;
+use story::Story;
+
+/// Explain where a request went
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "request")]
+pub(super) struct Request {
+    /// the request's id, from the answer's `foxtide-request-id`; with --lines as
+    /// the caller sent it
+    #[argh(positional)]
+    id: String,
+    /// a file with the structured lines of instances, `-` for standard input; can
+    /// be given several times. No instance is asked then
+    #[argh(option)]
+    lines: Vec<String>,
+}
+
+impl Request {
+    /// Reads the lines that were given, or asks all instances.
+    pub(super) async fn run(self, session: &Session) -> Result<Report, Failure> {
+        if self.lines.is_empty() {
+            let id: RequestId = self.id.parse()?;
+            return decisions::ask(session, &format!("request={id}"), "that request").await;
+        }
+        let lines = lines::read(&self.lines)?;
+        match Story::of(&self.id, &lines) {
+            Some(story) => Ok(story.report()),
+            None => Err(Failure::refused(
+                format!("no line of {} tells of request {}", lines.len(), self.id),
+                "give the lines of all instances; look for lines-left-out (F1011) and \
+                 lines-dropped (F1012) at the time of the request",
+            )),
+        }
+    }
+}
