Let followers ask a store that failed them rarely

Cause: while the store was away each of 66 instances asked it by itself every 0.15 to 0.6 s, besides the nine watchers whose word they follow; calls are priced, also refused ones, and a returning store gets them all. Change: an instance that follows others asks a store that has failed it after 1 to 3 s again; peers are asked as before, and the watchers go on asking it.

--- a/crates/foxtide-core/src/registry/mod.rs
+++ b/crates/foxtide-core/src/registry/mod.rs
@@ -1,10 +1,12 @@
 //! Upstreams that have registered themselves, and instances that are alive.
 
+mod asking;
 mod members;
 mod phase;
 mod registration;
 mod table;
 
+pub use asking::StoreAsking;
 pub use members::{
     Asker,
     Member,
--- a/crates/foxtide-core/tests/registry.rs
+++ b/crates/foxtide-core/tests/registry.rs
@@ -13,6 +13,7 @@
     Registration,
     Registry,
     RegistryChange,
+    StoreAsking,
     StorePhase,
     UpstreamState, //
 };
@@ -275,3 +276,24 @@
     registry.unregister(&upstream("i-1"), at(5));
     assert!(!changes(&registry));
 }
+
+/// 66 instances whose watchers told them that the store was away asked it 1,300 times in
+/// 8 s.
+#[test]
+fn verify_a_follower_asks_a_store_that_failed_it_rarely() {
+    let mut asking = StoreAsking::default();
+    let mut asked = 0;
+    for ms in 0..8_000 {
+        let now = at(ms);
+        if asking.is_due(now) {
+            asked += 1;
+            asking.failed(now, 0.5);
+        }
+    }
+    assert_eq!(asked, 4);
+    asking.failed(at(8_000), 0.0);
+    assert!(!asking.is_due(at(8_999)));
+    assert!(asking.is_due(at(9_000)));
+    asking.answered();
+    assert!(asking.is_due(at(8_001)));
+}
--- a/crates/foxtide-gateway/src/follow.rs
+++ b/crates/foxtide-gateway/src/follow.rs
@@ -12,7 +12,11 @@
     FleetStore, //
 };
 use foxtide_core::records::Record;
-use foxtide_core::registry::Members;
+use foxtide_core::registry::{
+    Member,
+    Members,
+    StoreAsking, //
+};
 use foxtide_core::store::{
     StoreError,
     StoreIndex, //
@@ -71,6 +75,7 @@
         index: None,
         failures: 0,
         direct_until: None,
+        asking: StoreAsking::default(),
     };
     loop {
         let started = Instant::now();
@@ -98,6 +103,7 @@
     failures: u32,
     /// Until when the store is asked itself, after a peer has failed.
     direct_until: Option<Instant>,
+    asking: StoreAsking,
 }
 
 impl<D: Dialect, S: FleetStore> Follower<D, S> {
@@ -112,12 +118,41 @@
                 Err(error) => self.relay_failed(&error),
             }
         }
-        match self.index {
-            None => self.read_all().await?,
-            Some(index) => self.read_changes(index).await?,
+        self.ask_store().await
+    }
+
+    /// Asks the store itself, where that is due.
+    async fn ask_store(&mut self) -> Result<(), StoreError> {
+        let now = self.shared.clock.now();
+        let asks_others = self.index.is_some() && self.is_follower();
+        if asks_others && !self.asking.is_due(now) {
+            return Err(StoreError::NotSent {
+                step: "watch",
+                peer: "store".to_owned(),
+                cause: "it did not answer a moment ago".to_owned(),
+            });
         }
-        self.set_followed(true);
-        Ok(())
+        let read = match self.index {
+            None => self.read_all().await,
+            Some(index) => self.read_changes(index).await,
+        };
+        match &read {
+            Ok(()) => {
+                self.asking.answered();
+                self.set_followed(true);
+            }
+            Err(_) => self.asking.failed(self.shared.clock.now(), fastrand::f64()),
+        }
+        read
+    }
+
+    /// Tells whether others follow the store for this instance.
+    fn is_follower(&self) -> bool {
+        let place = &self.shared.options.place;
+        let state = self.shared.state.lock();
+        let watchers = state.members().watchers(&place.region);
+        let is_own = |watcher: &&Member| watcher.instance == place.instance;
+        !watchers.is_empty() && !watchers.iter().any(is_own)
     }
 
     fn relay_failed(&mut self, error: &RelayError) {
@@ -136,15 +171,12 @@
             return Vec::new();
         }
         self.direct_until = None;
+        if !self.is_follower() {
+            return Vec::new();
+        }
         let place = &self.shared.options.place;
         let state = self.shared.state.lock();
         let mut watchers = state.members().watchers(&place.region);
-        if watchers
-            .iter()
-            .any(|watcher| watcher.instance == place.instance)
-        {
-            return Vec::new();
-        }
         Members::sort_for_asker(&mut watchers, &place.asker());
         let addresses = watchers.into_iter().map(|watcher| watcher.peer_address);
         addresses.collect()
