Leave large changes to the store, and ask a second watcher before it

Cause of the calls: a follower whose watcher had ended asked the store itself for 5 s, six calls for each of about eleven, each time that a watcher was restarted. Change: it asks another watcher first. Change: changes of more than 128 KB are not told but read from the store; an instance that the store turns away is still told everything.

--- a/crates/foxtide-core/tests/records.rs
+++ b/crates/foxtide-core/tests/records.rs
@@ -2,7 +2,8 @@
 
 use foxtide_core::records::{
     Record,
-    RecordLog, //
+    RecordLog,
+    are_told, //
 };
 use foxtide_core::store::StoreIndex;
 
@@ -78,3 +79,22 @@
     assert_eq!(log.changes_after(at(1)), None);
     assert_eq!(log.changes_after(at(5_001)).unwrap(), []);
 }
+
+/// A configuration that had grown by 1,700 routes did not reach followers of a watcher
+/// with a slow link in time.
+#[test]
+fn verify_large_changes_are_left_to_the_store() {
+    let routes = "r".repeat(700_000);
+    assert!(!are_told(&[record("configuration", Some(&routes), 2)]));
+    let registrations: Vec<Record> = (0..200)
+        .map(|number| {
+            record(
+                &format!("upstream-{number}"),
+                Some(&"u".repeat(300)),
+                number,
+            )
+        })
+        .collect();
+    assert!(are_told(&registrations));
+    assert!(are_told(&[]));
+}
--- a/crates/foxtide-gateway/src/follow.rs
+++ b/crates/foxtide-gateway/src/follow.rs
@@ -2,6 +2,7 @@
 
 use crate::dialect::Dialect;
 use crate::relay::{
+    Question,
     RelayClient,
     RelayError, //
 };
@@ -51,8 +52,12 @@
 /// after this.
 const RELAY_WAIT: Duration = Duration::from_millis(1_000);
 
-/// How long the store is asked itself after a peer has failed: its successor
-/// is known by then.
+/// How many watchers are asked before the store itself. One that lost power takes
+/// 1.6 s to be noticed, and a change must be in force in 2.5 s.
+const WATCHERS_ASKED_MAX: usize = 2;
+
+/// How long the store is asked itself after watchers have failed: their successors
+/// are known by then.
 const DIRECT_TIME: Duration = Duration::from_secs(5);
 
 /// The first pause after a failed call, and the longest; each is jittered by a
@@ -109,18 +114,40 @@
 impl<D: Dialect, S: FleetStore> Follower<D, S> {
     async fn step(&mut self) -> Result<(), StoreError> {
         let watchers = self.watchers();
-        if let (Some(_), false) = (self.index, watchers.is_empty()) {
-            match self.ask_peer(&watchers, RELAY_WAIT).await {
+        if self.index.is_some() && !watchers.is_empty() {
+            match self.ask_watchers(&watchers).await {
                 Ok(()) => {
                     self.set_followed(false);
                     return Ok(());
                 }
-                Err(error) => self.relay_failed(&error),
+                Err(RelayError::Large { .. }) => {}
+                Err(_) => self.direct_until = Some(Instant::now() + DIRECT_TIME),
             }
         }
         self.ask_store().await
     }
 
+    /// Asks the watcher that answered last, and another one where it fails.
+    async fn ask_watchers(&mut self, watchers: &[SocketAddr]) -> Result<(), RelayError> {
+        let question = Question {
+            after: self.index,
+            wait: RELAY_WAIT,
+            reads_large: true,
+        };
+        let mut asked = 0;
+        loop {
+            asked += 1;
+            let error = match self.ask_peer(watchers, question).await {
+                Err(error) if !matches!(error, RelayError::Large { .. }) => error,
+                answered => return answered,
+            };
+            log_event!(EventCode::RelayLost, cause:% = error);
+            if asked >= WATCHERS_ASKED_MAX.min(watchers.len()) {
+                return Err(error);
+            }
+        }
+    }
+
     /// Asks the store itself, where that is due.
     async fn ask_store(&mut self) -> Result<(), StoreError> {
         let now = self.shared.clock.now();
@@ -155,11 +182,6 @@
         !watchers.is_empty() && !watchers.iter().any(is_own)
     }
 
-    fn relay_failed(&mut self, error: &RelayError) {
-        log_event!(EventCode::RelayLost, cause:% = error);
-        self.direct_until = Some(Instant::now() + DIRECT_TIME);
-    }
-
     /// Returns the peers to be asked in place of the store; none where this
     /// instance is to ask the store itself.
     fn watchers(&mut self) -> Vec<SocketAddr> {
@@ -258,14 +280,23 @@
             return;
         }
         let peers = self.peers();
-        if let Err(error) = self.ask_peer(&peers, Duration::ZERO).await {
+        let question = Question {
+            after: self.index,
+            wait: Duration::ZERO,
+            reads_large: false,
+        };
+        if let Err(error) = self.ask_peer(&peers, question).await {
             log::debug!("no peer tells what the store says: {error}");
             self.shared.state.lock().store_failed();
         }
     }
 
-    async fn ask_peer(&mut self, peers: &[SocketAddr], wait: Duration) -> Result<(), RelayError> {
-        let relayed = self.relay.ask(peers, self.index, wait).await?;
+    async fn ask_peer(
+        &mut self,
+        peers: &[SocketAddr],
+        question: Question,
+    ) -> Result<(), RelayError> {
+        let relayed = self.relay.ask(peers, question).await?;
         metrics::counter!("foxtide_relay_reads_total").increment(1);
         if relayed.is_everything {
             self.replace(relayed.records, relayed.index);
--- a/crates/foxtide-gateway/src/relay/client.rs
+++ b/crates/foxtide-gateway/src/relay/client.rs
@@ -49,6 +49,12 @@
         /// What is wrong.
         source: prost::DecodeError,
     },
+    /// The changes are larger than a peer tells.
+    #[error("peer {peer}: the changes are to be read from the store")]
+    Large {
+        /// The peer.
+        peer: SocketAddr,
+    },
     /// The store does not answer the peer either.
     #[error("peer {peer}: the store does not answer it either")]
     NotCurrent {
@@ -57,6 +63,18 @@
     },
 }
 
+/// What is asked of a peer.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Question {
+    /// The index up to which the asker knows the store; nothing where it is to be
+    /// told everything.
+    pub(crate) after: Option<StoreIndex>,
+    /// How long the peer may wait for a change.
+    pub(crate) wait: Duration,
+    /// Whether the asker reads large changes from the store itself.
+    pub(crate) reads_large: bool,
+}
+
 /// What a peer knows of the store.
 #[derive(Debug)]
 pub(crate) struct Relayed {
@@ -78,8 +96,7 @@
 }
 
 impl RelayClient {
-    /// Asks one of `peers` for what has changed after `after`, or for
-    /// everything where that is nothing; it may wait for a change.
+    /// Asks one of `peers` for what has changed.
     ///
     /// The one that answered last is asked again; else the first, or after
     /// failures a later one.
@@ -90,8 +107,7 @@
     pub(crate) async fn ask(
         &mut self,
         peers: &[SocketAddr],
-        after: Option<StoreIndex>,
-        wait: Duration,
+        question: Question,
     ) -> Result<Relayed, RelayError> {
         let kept = self.connected.take();
         let kept = kept.filter(|(peer, _)| peers.contains(peer));
@@ -100,13 +116,20 @@
             None => self.choose(peers)?,
         };
         let frames = kept.map(|(_, frames)| frames);
-        let answered = exchange(peer, frames, after, wait).await;
+        let answered = exchange(peer, frames, question).await;
         if answered.is_err() {
             self.failures = self.failures.wrapping_add(1);
         }
-        let (relayed, frames) = answered?;
+        let (response, frames) = answered?;
         self.connected = Some((peer, frames));
-        Ok(relayed)
+        if response.is_large {
+            return Err(RelayError::Large { peer });
+        }
+        Ok(Relayed {
+            is_everything: response.is_everything,
+            records: response.records.into_iter().map(Record::from).collect(),
+            index: StoreIndex::new(response.index),
+        })
     }
 
     fn choose(&self, peers: &[SocketAddr]) -> Result<SocketAddr, RelayError> {
@@ -121,16 +144,16 @@
 async fn exchange(
     peer: SocketAddr,
     frames: Option<Frames>,
-    after: Option<StoreIndex>,
-    wait: Duration,
-) -> Result<(Relayed, Frames), RelayError> {
+    question: Question,
+) -> Result<(ChangesResponse, Frames), RelayError> {
     let late = async {
-        Timer::after(PEER_TIME + wait).await;
+        Timer::after(PEER_TIME + question.wait).await;
         Err(io::ErrorKind::TimedOut.into())
     };
     let request = ChangesRequest {
-        after: after.map(StoreIndex::get),
-        wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+        after: question.after.map(StoreIndex::get),
+        wait_ms: u32::try_from(question.wait.as_millis()).unwrap_or(u32::MAX),
+        reads_large: question.reads_large,
     };
     let answered = or(converse(peer, frames, &request), late).await;
     let (bytes, frames) = answered.map_err(|source| RelayError::Io { peer, source })?;
@@ -139,12 +162,7 @@
     if !response.is_current {
         return Err(RelayError::NotCurrent { peer });
     }
-    let relayed = Relayed {
-        is_everything: response.is_everything,
-        records: response.records.into_iter().map(Record::from).collect(),
-        index: StoreIndex::new(response.index),
-    };
-    Ok((relayed, frames))
+    Ok((response, frames))
 }
 
 async fn converse(
--- a/crates/foxtide-gateway/src/relay/messages.rs
+++ b/crates/foxtide-gateway/src/relay/messages.rs
@@ -13,6 +13,9 @@
     /// How long the answer may wait for a change.
     #[prost(uint32, tag = "2")]
     pub(super) wait_ms: u32,
+    /// Whether the asker reads large changes from the store itself.
+    #[prost(bool, tag = "3")]
+    pub(super) reads_large: bool,
 }
 
 /// What has changed, or all that there is.
@@ -30,6 +33,10 @@
     /// The records, in the order of their indices.
     #[prost(message, repeated, tag = "4")]
     pub(super) records: Vec<RecordMessage>,
+    /// Whether there are records that the asker reads from the store itself; none is
+    /// told then.
+    #[prost(bool, tag = "5")]
+    pub(super) is_large: bool,
 }
 
 /// A key of the store.
--- a/crates/foxtide-gateway/src/relay/mod.rs
+++ b/crates/foxtide-gateway/src/relay/mod.rs
@@ -11,6 +11,7 @@
 mod server;
 
 pub(crate) use client::{
+    Question,
     RelayClient,
     RelayError, //
 };
--- a/crates/foxtide-gateway/src/relay/server.rs
+++ b/crates/foxtide-gateway/src/relay/server.rs
@@ -7,7 +7,7 @@
 use crate::dialect::Dialect;
 use crate::shared::Shared;
 use bytes::Bytes;
-use foxtide_core::records::Record;
+use foxtide_core::records::are_told;
 use foxtide_core::store::StoreIndex;
 use foxtide_events::{
     EventCode,
@@ -94,26 +94,25 @@
             return Ok(());
         };
         let request = ChangesRequest::decode(question?).map_err(io::Error::other)?;
-        let after = request.after.map(StoreIndex::new);
-        let wait = Duration::from_millis(request.wait_ms.into()).min(WAIT_MAX);
-        let response = answer_when_due(shared, after, wait).await;
+        let response = answer_when_due(shared, &request).await;
         metrics::counter!("foxtide_relayed_total", "current" => response.is_current.to_string())
             .increment(1);
         frames.send(Bytes::from(response.encode_to_vec())).await?;
     }
 }
 
-/// Waits until there is something to tell, but no longer than `wait`.
+/// Waits until there is something to tell, but no longer than the asker says.
 async fn answer_when_due<D: Dialect>(
     shared: &Shared<D>,
-    after: Option<StoreIndex>,
-    wait: Duration,
+    request: &ChangesRequest,
 ) -> ChangesResponse {
+    let wait = Duration::from_millis(request.wait_ms.into()).min(WAIT_MAX);
     let due = async {
         loop {
             let changed = shared.log_changed.listen();
-            let response = answer(shared, after);
-            let has_news = !response.is_current || !response.records.is_empty();
+            let response = answer(shared, request);
+            let has_news =
+                !response.is_current || response.is_large || !response.records.is_empty();
             if has_news {
                 return response;
             }
@@ -122,29 +121,34 @@
     };
     let late = async {
         Timer::after(wait).await;
-        answer(shared, after)
+        answer(shared, request)
     };
     or(due, late).await
 }
 
-fn answer<D: Dialect>(shared: &Shared<D>, after: Option<StoreIndex>) -> ChangesResponse {
+fn answer<D: Dialect>(shared: &Shared<D>, request: &ChangesRequest) -> ChangesResponse {
     let state = shared.state.lock();
     if !state.is_store_followed() {
         return ChangesResponse::default();
     }
     let log = state.log();
-    match after.and_then(|after| log.changes_after(after)) {
-        // One that knows more than this log goes on from where it is.
-        Some(records) => response(records, log.index().max(after.unwrap_or_default()), false),
-        None => response(log.all(), log.index(), true),
+    let after = request.after.map(StoreIndex::new);
+    let changes = after.and_then(|after| log.changes_after(after));
+    let is_everything = changes.is_none();
+    let records = changes.unwrap_or_else(|| log.all());
+    if request.reads_large && !are_told(&records) {
+        return ChangesResponse {
+            is_current: true,
+            is_large: true,
+            ..ChangesResponse::default()
+        };
     }
-}
-
-fn response(records: Vec<Record>, index: StoreIndex, is_everything: bool) -> ChangesResponse {
     ChangesResponse {
         is_current: true,
         is_everything,
-        index: index.get(),
+        // One that knows more than this log goes on from where it is.
+        index: log.index().max(after.unwrap_or_default()).get(),
         records: records.into_iter().map(Into::into).collect(),
+        is_large: false,
     }
 }
