Untie the circles of imports in the entry, the wire forms and the operator's tool

Cause: types that two modules share stood in one of them. Change: the traffic's options, what admission says, choosing a place, the error of unreadable messages and the tool's options have modules of their own; the story of a request no longer prints itself.

--- a/crates/foxtide-entry/src/proxy/hedged.rs
+++ b/crates/foxtide-entry/src/proxy/hedged.rs
@@ -1,7 +1,7 @@
 //! One attempt, and a second beside it where the first is slow.
 
+use super::admission::Admitted;
 use super::attempt::AttemptEnd;
-use super::place::Admitted;
 use super::run::{
     Destination,
     Ended,
--- a/crates/foxtide-entry/src/proxy/journal.rs
+++ b/crates/foxtide-entry/src/proxy/journal.rs
@@ -1,8 +1,8 @@
 //! Tells what became of requests: events and explanations.
 
+use super::admission::Admitted;
 use super::attempt::AttemptEnd;
 use super::keys::Settled;
-use super::place::Admitted;
 use super::run::Proxy;
 use crate::answer::{
     Answer,
--- a/crates/foxtide-entry/src/proxy/mod.rs
+++ b/crates/foxtide-entry/src/proxy/mod.rs
@@ -1,5 +1,6 @@
 //! Sends requests to upstreams and decides what follows from each attempt.
 
+mod admission;
 mod attempt;
 mod hedged;
 mod journal;
--- a/crates/foxtide-entry/src/proxy/place.rs
+++ b/crates/foxtide-entry/src/proxy/place.rs
@@ -1,5 +1,9 @@
 //! Waits until a request may be sent and has a place at an upstream.
 
+use super::admission::{
+    Admitted,
+    Unplaced, //
+};
 use super::run::Proxy;
 use crate::answer::Refusal;
 use crate::bounded::Entered;
@@ -16,10 +20,7 @@
     RegionId,
     UpstreamId, //
 };
-use foxtide_core::steering::{
-    Admission,
-    RefusalReason, //
-};
+use foxtide_core::steering::Admission;
 use foxtide_core::time::MonotonicTime;
 use http_types::StatusCode;
 use smol::Timer;
@@ -27,24 +28,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Where a request may be sent.
-#[derive(Clone, Debug)]
-pub(super) struct Admitted {
-    /// The region.
-    pub(super) region: RegionId,
-    /// The rule that decided.
-    pub(super) rule: Rule,
-}
-
-/// Why a request was not sent.
-#[derive(Clone, Debug)]
-pub(super) struct Unplaced {
-    /// What the caller is told.
-    pub(super) refusal: Refusal,
-    /// The rule that decided.
-    pub(super) rule: Rule,
-}
-
 impl<P: Parts> Proxy<P> {
     /// Waits until the request may be sent to a region.
     pub(super) async fn admit(&self, facts: &Facts) -> Result<Admitted, Unplaced> {
@@ -150,39 +133,6 @@
     }
 }
 
-impl Unplaced {
-    fn queue_full() -> Self {
-        Self {
-            refusal: Refusal::not_run(StatusCode::ServiceUnavailable, "queue-full"),
-            rule: Rule::Deadline,
-        }
-    }
-
-    fn not_admitted(reason: RefusalReason, retry_after: Duration) -> Self {
-        let (rule, reason) = match reason {
-            RefusalReason::NotReady => (Rule::NoUpstream, "not-ready"),
-            RefusalReason::UnknownService => (Rule::Malformed, "unknown-service"),
-            RefusalReason::NoRegion => (Rule::NoUpstream, "no-region"),
-            RefusalReason::ShiftCap => (Rule::SpillLimit, "shift-cap"),
-            RefusalReason::RegionLimit => (Rule::RegionLimit, "region-limit"),
-            RefusalReason::LinkLimit => (Rule::LinkLimit, "link-limit"),
-        };
-        let refusal = Refusal::not_run(StatusCode::ServiceUnavailable, reason);
-        let refusal = Refusal {
-            retry_after,
-            ..refusal
-        };
-        Self { refusal, rule }
-    }
-
-    fn no_upstream() -> Self {
-        Self {
-            refusal: Refusal::not_run(StatusCode::ServiceUnavailable, "no-upstream"),
-            rule: Rule::NoUpstream,
-        }
-    }
-}
-
 /// Gives a request up at once that cannot be answered in time.
 fn check_time(facts: &Facts, next: MonotonicTime, reason: &'static str) -> Result<(), Unplaced> {
     if next < facts.terms.deadline {
--- a/crates/foxtide-entry/src/proxy/run.rs
+++ b/crates/foxtide-entry/src/proxy/run.rs
@@ -1,5 +1,9 @@
 //! Runs a request over its attempts.
 
+use super::admission::{
+    Admitted,
+    Unplaced, //
+};
 use super::attempt::AttemptEnd;
 use super::keys::{
     HeldClaim,
@@ -8,10 +12,6 @@
     Settled,
     begin, //
 };
-use super::place::{
-    Admitted,
-    Unplaced, //
-};
 use super::prepare::Prepared;
 use crate::answer::{
     Answer,
--- a/crates/foxtide-entry/src/traffic/mod.rs
+++ b/crates/foxtide-entry/src/traffic/mod.rs
@@ -11,6 +11,7 @@
 //! are held at a time, and none while a task waits.
 
 mod metrics;
+mod options;
 mod organisation;
 mod place;
 mod poller;
@@ -19,18 +20,18 @@
 mod tables;
 mod view;
 
+pub use options::TrafficOptions;
 pub(crate) use organisation::OrganisationTraffic;
-pub(crate) use place::Place;
-pub(crate) use poller::Poller;
-pub(crate) use region::{
+pub(crate) use place::{
     Choice,
-    RegionTraffic, //
+    Place, //
 };
+pub(crate) use poller::Poller;
+pub(crate) use region::RegionTraffic;
 pub(crate) use service::ServiceTraffic;
 pub(crate) use tables::UpstreamChange;
 pub use tables::{
     SentCount,
-    TrafficOptions,
     TrafficTables,
     UpstreamState, //
 };
--- a/crates/foxtide-entry/src/traffic/organisation.rs
+++ b/crates/foxtide-entry/src/traffic/organisation.rs
@@ -1,7 +1,7 @@
 //! An organisation's steering and its services.
 
+use super::options::TrafficOptions;
 use super::service::ServiceTraffic;
-use super::tables::TrafficOptions;
 use arc_swap::ArcSwap;
 use foxtide_core::choice::Sharing;
 use foxtide_core::ids::{
--- a/crates/foxtide-entry/src/traffic/place.rs
+++ b/crates/foxtide-entry/src/traffic/place.rs
@@ -4,8 +4,10 @@
 use foxtide_core::choice::{
     Completion,
     CompletionKind,
+    Pick,
     Ticket, //
 };
+use foxtide_core::ids::UpstreamId;
 use foxtide_core::organisation::Upstream;
 use foxtide_core::time::MonotonicTime;
 use std::sync::Arc;
@@ -14,6 +16,27 @@
     Instant, //
 };
 
+/// What a try to take a place brought.
+pub(crate) enum Choice {
+    /// A place.
+    Taken(Place),
+    /// All are taken; the next may be free after this time.
+    Wait(Duration),
+    /// No upstream serves.
+    Empty,
+}
+
+impl RegionTraffic {
+    /// Takes a place at the best upstream, preferably none of `tried`.
+    pub(crate) fn take(self: &Arc<Self>, tried: &[UpstreamId], now: MonotonicTime) -> Choice {
+        match self.pick(tried, now) {
+            Pick::Take(ticket) => Choice::Taken(Place::new(Arc::clone(self), ticket, now)),
+            Pick::Wait { retry_in } => Choice::Wait(retry_in),
+            Pick::Empty => Choice::Empty,
+        }
+    }
+}
+
 /// A place at an upstream, given back when it is dropped.
 ///
 /// An attempt may be dropped at any point, because its caller went away or
@@ -28,7 +51,7 @@
 
 impl Place {
     /// Holds a place.
-    pub(super) fn new(region: Arc<RegionTraffic>, ticket: Ticket, now: MonotonicTime) -> Self {
+    fn new(region: Arc<RegionTraffic>, ticket: Ticket, now: MonotonicTime) -> Self {
         Self {
             region,
             upstream: ticket.upstream().clone(),
--- a/crates/foxtide-entry/src/traffic/region.rs
+++ b/crates/foxtide-entry/src/traffic/region.rs
@@ -21,9 +21,6 @@
     AtomicU64,
     Ordering, //
 };
-use std::time::Duration;
-
-use super::place::Place;
 
 /// The upstreams of one service in one region.
 #[derive(Debug)]
@@ -35,16 +32,6 @@
     sent_spilled: AtomicU64,
 }
 
-/// What a try to take a place brought.
-pub(crate) enum Choice {
-    /// A place.
-    Taken(Place),
-    /// All are taken; the next may be free after this time.
-    Wait(Duration),
-    /// No upstream serves.
-    Empty,
-}
-
 impl RegionTraffic {
     /// Returns a region without upstreams.
     pub(super) fn new(options: BalancerOptions, seed: u64) -> Arc<Self> {
@@ -56,15 +43,10 @@
         })
     }
 
-    /// Takes a place at the best upstream, preferably none of `tried`.
-    pub(crate) fn take(self: &Arc<Self>, tried: &[UpstreamId], now: MonotonicTime) -> Choice {
+    /// Picks the best upstream, preferably none of `tried`.
+    pub(super) fn pick(&self, tried: &[UpstreamId], now: MonotonicTime) -> Pick {
         let draw = fastrand::u64(..);
-        let picked = self.balancer.lock().pick_other(now, draw, tried);
-        match picked {
-            Pick::Take(ticket) => Choice::Taken(Place::new(Arc::clone(self), ticket, now)),
-            Pick::Wait { retry_in } => Choice::Wait(retry_in),
-            Pick::Empty => Choice::Empty,
-        }
+        self.balancer.lock().pick_other(now, draw, tried)
     }
 
     /// Counts an attempt that is sent here.
--- a/crates/foxtide-entry/src/traffic/service.rs
+++ b/crates/foxtide-entry/src/traffic/service.rs
@@ -1,8 +1,8 @@
 //! A service's regions and its retries.
 
 use super::metrics::ServiceMetrics;
+use super::options::TrafficOptions;
 use super::region::RegionTraffic;
-use super::tables::TrafficOptions;
 use arc_swap::ArcSwap;
 use foxtide_core::choice::Sharing;
 use foxtide_core::explain::ViewId;
--- a/crates/foxtide-entry/src/traffic/tables.rs
+++ b/crates/foxtide-entry/src/traffic/tables.rs
@@ -1,8 +1,8 @@
 //! All organisations of an instance.
 
+use super::options::TrafficOptions;
 use super::organisation::OrganisationTraffic;
 use foxtide_core::choice::{
-    BalancerOptions,
     Sharing,
     StatusChange,
     UpstreamStatus, //
@@ -16,15 +16,10 @@
     Organisation,
     Upstream, //
 };
-use foxtide_core::retry::{
-    RetryBudgetOptions,
-    RetryOptions, //
-};
 use foxtide_core::steering::{
     FleetView,
     InstanceReport,
-    Steering,
-    SteeringOptions, //
+    Steering, //
 };
 use foxtide_core::time::{
     MonotonicTime,
@@ -41,38 +36,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// The settings of [`TrafficTables`].
-#[derive(Clone, Debug)]
-pub struct TrafficOptions {
-    /// The region of this instance.
-    pub origin: RegionId,
-    /// What tells this instance's choices from those of others; best derived
-    /// from its name. Default: 0.
-    pub seed: u64,
-    /// Where requests go.
-    pub steering: SteeringOptions,
-    /// Which upstream takes them. The availability zone is set here.
-    pub balancer: BalancerOptions,
-    /// How often a request is tried.
-    pub retry: RetryOptions,
-    /// How many retries and hedges a service may have.
-    pub retry_budget: RetryBudgetOptions,
-}
-
-impl TrafficOptions {
-    /// Returns the defaults for an instance in `origin`.
-    pub fn new(origin: RegionId) -> Self {
-        Self {
-            origin,
-            seed: 0,
-            steering: SteeringOptions::default(),
-            balancer: BalancerOptions::default(),
-            retry: RetryOptions::default(),
-            retry_budget: RetryBudgetOptions::default(),
-        }
-    }
-}
-
 /// An upstream with what this instance makes of it.
 #[derive(Clone, Debug)]
 pub struct UpstreamState {
--- a/crates/foxtide-mesh/src/wire/convert.rs
+++ b/crates/foxtide-mesh/src/wire/convert.rs
@@ -2,6 +2,7 @@
 
 use super::messages as wire;
 use super::messages::datagram::Body;
+use super::unreadable::Unreadable;
 use foxtide_core::idempotency::ProcessNumber;
 use foxtide_core::membership as core;
 use foxtide_core::membership::{
@@ -19,22 +20,6 @@
     SocketAddr, //
 };
 
-/// A message that cannot be read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Unreadable;
-
-impl From<foxtide_core::Error> for Unreadable {
-    fn from(_: foxtide_core::Error) -> Self {
-        Self
-    }
-}
-
-impl From<prost::DecodeError> for Unreadable {
-    fn from(_: prost::DecodeError) -> Self {
-        Self
-    }
-}
-
 /// Returns a packet in its encoded form.
 pub(crate) fn to_datagram(header: wire::Header, packet: Packet) -> wire::Datagram {
     let mut datagram = wire::Datagram {
--- a/crates/foxtide-mesh/src/wire/load.rs
+++ b/crates/foxtide-mesh/src/wire/load.rs
@@ -2,7 +2,7 @@
 //!
 //! Names stand once in each message; records refer to them by place.
 
-use super::convert::Unreadable;
+use super::unreadable::Unreadable;
 use foxtide_core::ids::{
     OrganisationId,
     RegionId,
--- a/crates/foxtide-mesh/src/wire/mod.rs
+++ b/crates/foxtide-mesh/src/wire/mod.rs
@@ -5,9 +5,9 @@
 mod convert;
 mod load;
 mod messages;
+mod unreadable;
 
 pub(crate) use convert::{
-    Unreadable,
     read_datagram,
     read_document,
     read_member,
@@ -30,3 +30,4 @@
     request,
     response, //
 };
+pub(crate) use unreadable::Unreadable;
--- /dev/null
+++ b/crates/foxtide-mesh/src/wire/unreadable.rs
@@ -0,0 +1,17 @@
+//! The error of messages that cannot be read.
+
+/// A message that cannot be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Unreadable;
+
+impl From<foxtide_core::Error> for Unreadable {
+    fn from(_: foxtide_core::Error) -> Self {
+        Self
+    }
+}
+
+impl From<prost::DecodeError> for Unreadable {
+    fn from(_: prost::DecodeError) -> Self {
+        Self
+    }
+}
--- a/crates/foxtidectl/src/commands/explain/request/mod.rs
+++ b/crates/foxtidectl/src/commands/explain/request/mod.rs
@@ -3,6 +3,7 @@
 mod cause;
 mod lines;
 mod story;
+mod told;
 
 use super::decisions;
 use crate::failure::Failure;
@@ -35,7 +36,7 @@
         }
         let lines = lines::read(&self.lines)?;
         match Story::of(&self.id, &lines) {
-            Some(story) => Ok(story.report()),
+            Some(story) => Ok(told::report(&story)),
             None => Err(Failure::refused(
                 format!("no line of {} tells of request {}", lines.len(), self.id),
                 "give the lines of all instances; look for lines-left-out (F1011) and \
--- a/crates/foxtidectl/src/commands/explain/request/story.rs
+++ b/crates/foxtidectl/src/commands/explain/request/story.rs
@@ -1,13 +1,6 @@
 //! What the lines of all instances tell of one request.
 
-use super::cause;
 use super::lines::LogLine;
-use crate::report::Report;
-use serde_json::{
-    Value,
-    json, //
-};
-use std::fmt::Write;
 
 /// How far back an event about an upstream still tells of a request, in seconds:
 /// the longest time for which an upstream is passed over, and the longest time
@@ -17,7 +10,8 @@
 /// A request, and what the instance that had it believed.
 #[derive(Debug)]
 pub(super) struct Story<'a> {
-    id: &'a str,
+    /// Its identity.
+    pub(super) id: &'a str,
     /// The lines that name the request, in their order.
     pub(super) own: Vec<&'a LogLine>,
     /// What the instance believed when the request ended.
@@ -62,22 +56,6 @@
         let beliefs = self.beliefs.iter().rev();
         beliefs.copied().find(|line| line.event == event)
     }
-
-    /// Returns the story for people and for programs.
-    pub(super) fn report(&self) -> Report {
-        let cause = cause::in_words(self);
-        let mut text = format!("request {}\ncause: {cause}\n", self.id);
-        append(&mut text, "what happened to it:", &self.own);
-        append(&mut text, "what the instance believed:", &self.beliefs);
-        let json_of = |lines: &[&LogLine]| lines.iter().map(|line| line.json()).collect::<Value>();
-        let json = json!({
-            "request": self.id,
-            "cause": cause,
-            "lines": json_of(&self.own),
-            "beliefs": json_of(&self.beliefs),
-        });
-        Report::new(text, json)
-    }
 }
 
 /// Returns the latest configuration and evacuation, the state of the store, and
@@ -103,17 +81,3 @@
     beliefs.sort_by(|one, other| one.seconds_after(other).total_cmp(&0.0));
     beliefs
 }
-
-fn append(text: &mut String, title: &str, lines: &[&LogLine]) {
-    // Writing to a string cannot fail.
-    let _ = writeln!(text, "{title}");
-    for line in lines {
-        let _ = writeln!(
-            text,
-            "  {} {} {}",
-            line.time(),
-            line.instance(),
-            cause::line_in_words(line)
-        );
-    }
-}
--- a/crates/foxtidectl/src/lib.rs
+++ b/crates/foxtidectl/src/lib.rs
@@ -6,6 +6,7 @@
 mod commands;
 mod exit;
 mod failure;
+mod options;
 mod report;
 mod session;
 mod write;
--- a/crates/foxtidectl/src/session.rs
+++ b/crates/foxtidectl/src/session.rs
@@ -1,7 +1,7 @@
 //! What all commands share: the store and the options.
 
-use crate::arguments::Options;
 use crate::failure::Failure;
+use crate::options::Options;
 use foxtide_config::change::{
     self,
     ChangeError,
