--- a/crates/foxtide-gateway/src/follow.rs
+++ b/crates/foxtide-gateway/src/follow.rs
@@ -4,7 +4,8 @@
 use crate::relay::{
     Question,
     RelayClient,
-    RelayError, //
+    RelayError,
+    Relayed, //
 };
 use crate::shared::Shared;
 use crate::store::{
@@ -71,6 +72,10 @@
 /// rate for a moment.
 const START_FAILURES: u32 = 4;
 
+/// How long a starting instance goes on from peer to peer before it asks the store
+/// again. A peer that lost power takes 0.6 s, one that runs a round trip.
+const ASK_AROUND_TIME: Duration = Duration::from_millis(800);
+
 /// Follows the store for as long as the instance runs.
 pub(crate) async fn follow<D: Dialect, S: FleetStore>(shared: Arc<Shared<D>>, store: S) {
     let mut follower = Follower {
@@ -133,6 +138,7 @@
             after: self.index,
             wait: RELAY_WAIT,
             reads_large: true,
+            takes_old: false,
         };
         let mut asked = 0;
         loop {
@@ -245,6 +251,20 @@
         self.index = Some(index);
     }
 
+    /// Starts from what a peer last knew of a store that is away: it serves callers
+    /// as the peer does, and follows the store from there once it is back.
+    fn adopt(&mut self, relayed: Relayed) {
+        log_event!(EventCode::StoreAdopted, index:% = relayed.index, records = relayed.records.len());
+        let facts = self.facts(&relayed.records);
+        let mut state = self.shared.state.lock();
+        state.log_mut().replace(&relayed.records, relayed.index);
+        state.replace(facts);
+        state.store_failed();
+        self.index = Some(relayed.index);
+        drop(state);
+        self.shared.log_changed.notify(usize::MAX);
+    }
+
     /// Takes in what has changed.
     fn apply(&mut self, records: &[Record], index: StoreIndex) {
         let facts = self.facts(records);
@@ -280,15 +300,40 @@
             return;
         }
         let peers = self.peers();
+        if let Err(error) = self.ask_around(&peers).await {
+            log::debug!("no peer tells what the store says: {error}");
+            self.shared.state.lock().store_failed();
+        }
+    }
+
+    /// Asks a peer what the store says. While nothing is known, each is asked in
+    /// turn, and then each for what it last knew: instances are replaced also while
+    /// the store is away.
+    async fn ask_around(&mut self, peers: &[SocketAddr]) -> Result<(), RelayError> {
         let question = Question {
             after: self.index,
             wait: Duration::ZERO,
             reads_large: false,
+            takes_old: false,
         };
-        if let Err(error) = self.ask_peer(&peers, question).await {
-            log::debug!("no peer tells what the store says: {error}");
-            self.shared.state.lock().store_failed();
+        if self.index.is_some() {
+            return self.ask_peer(peers, question).await;
+        }
+        let ends_at = Instant::now() + ASK_AROUND_TIME;
+        let mut answered = Err(RelayError::NoPeer);
+        for takes_old in [false, true] {
+            for _ in peers {
+                let question = Question {
+                    takes_old,
+                    ..question
+                };
+                answered = self.ask_peer(peers, question).await;
+                if answered.is_ok() || Instant::now() > ends_at {
+                    return answered;
+                }
+            }
         }
+        answered
     }
 
     async fn ask_peer(
@@ -298,7 +343,9 @@
     ) -> Result<(), RelayError> {
         let relayed = self.relay.ask(peers, question).await?;
         metrics::counter!("foxtide_relay_reads_total").increment(1);
-        if relayed.is_everything {
+        if !relayed.is_current {
+            self.adopt(relayed);
+        } else if relayed.is_everything {
             self.replace(relayed.records, relayed.index);
         } else {
             self.apply(&relayed.records, relayed.index);
--- a/crates/foxtide-gateway/src/relay/client.rs
+++ b/crates/foxtide-gateway/src/relay/client.rs
@@ -73,11 +73,15 @@
     pub(crate) wait: Duration,
     /// Whether the asker reads large changes from the store itself.
     pub(crate) reads_large: bool,
+    /// Whether the asker takes everything from one that the store does not answer.
+    pub(crate) takes_old: bool,
 }
 
 /// What a peer knows of the store.
 #[derive(Debug)]
 pub(crate) struct Relayed {
+    /// Whether the store answers the peer, so that this is what it says now.
+    pub(crate) is_current: bool,
     /// Whether the records are all that the store holds.
     pub(crate) is_everything: bool,
     /// The records, in the order of their indices.
@@ -126,6 +130,7 @@
             return Err(RelayError::Large { peer });
         }
         Ok(Relayed {
+            is_current: response.is_current,
             is_everything: response.is_everything,
             records: response.records.into_iter().map(Record::from).collect(),
             index: StoreIndex::new(response.index),
@@ -154,12 +159,14 @@
         after: question.after.map(StoreIndex::get),
         wait_ms: u32::try_from(question.wait.as_millis()).unwrap_or(u32::MAX),
         reads_large: question.reads_large,
+        takes_old: question.takes_old,
     };
     let answered = or(converse(peer, frames, &request), late).await;
     let (bytes, frames) = answered.map_err(|source| RelayError::Io { peer, source })?;
     let response = ChangesResponse::decode(bytes.as_slice());
     let response = response.map_err(|source| RelayError::Format { peer, source })?;
-    if !response.is_current {
+    let is_old = question.takes_old && !response.records.is_empty();
+    if !response.is_current && !is_old {
         return Err(RelayError::NotCurrent { peer });
     }
     Ok((response, frames))
--- a/crates/foxtide-gateway/src/relay/messages.rs
+++ b/crates/foxtide-gateway/src/relay/messages.rs
@@ -16,6 +16,9 @@
     /// Whether the asker reads large changes from the store itself.
     #[prost(bool, tag = "3")]
     pub(super) reads_large: bool,
+    /// Whether the asker takes everything from one that the store does not answer.
+    #[prost(bool, tag = "4")]
+    pub(super) takes_old: bool,
 }
 
 /// What has changed, or all that there is.
--- a/crates/foxtide-gateway/src/relay/mod.rs
+++ b/crates/foxtide-gateway/src/relay/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) use client::{
     Question,
     RelayClient,
-    RelayError, //
+    RelayError,
+    Relayed, //
 };
 pub(crate) use server::serve_peers;
--- a/crates/foxtide-gateway/src/relay/server.rs
+++ b/crates/foxtide-gateway/src/relay/server.rs
@@ -128,10 +128,19 @@
 
 fn answer<D: Dialect>(shared: &Shared<D>, request: &ChangesRequest) -> ChangesResponse {
     let state = shared.state.lock();
+    let log = state.log();
     if !state.is_store_followed() {
-        return ChangesResponse::default();
+        return if request.takes_old {
+            ChangesResponse {
+                is_everything: true,
+                index: log.index().get(),
+                records: log.all().into_iter().map(Into::into).collect(),
+                ..ChangesResponse::default()
+            }
+        } else {
+            ChangesResponse::default()
+        };
     }
-    let log = state.log();
     let after = request.after.map(StoreIndex::new);
     let changes = after.and_then(|after| log.changes_after(after));
     let is_everything = changes.is_none();
--- a/crates/foxtide-gateway/tests/gateway/following.rs
+++ b/crates/foxtide-gateway/tests/gateway/following.rs
@@ -147,3 +147,22 @@
     };
     eventually("a request waits", is_served);
 }
+
+/// Instances are replaced also while the store is away.
+#[test]
+fn verify_an_instance_that_starts_while_the_store_is_away_begins_from_a_peer() {
+    let fleet = Fleet::new();
+    let upstream = fleet.upstream("i-1", "khomas-a");
+    let peer = fleet.instance("edge-1", "khomas-a");
+    assert_eq!(peer.get("/safe/", "request: r-1\r\n").head.status, 200);
+    fleet.store.set_away(true);
+    let instance = fleet.turned_away_instance("edge-2", "khomas-a", &peer);
+    let is_served = || instance.get("/safe/", "request: r-2\r\n").head.status == 200;
+    eventually("the instance serves", is_served);
+    // It follows the store from there once that is back.
+    instance.store.set_turned_away(false);
+    fleet.store.remove(&upstream.key());
+    fleet.store.set_away(false);
+    let is_gone = || instance.get("/safe/", "request: r-3\r\n").head.status == 503;
+    eventually("the upstream is given up", is_gone);
+}
