Wait for the last lines at the end of a process

The logger's flush, which was called there, does nothing. A real fault: the line that tells of a stop could be lost under load. Change: the writer counts lines queued and written, and the end of the process waits until they are equal, 0.3 s at most.

--- a/crates/foxtide/src/platform/mod.rs
+++ b/crates/foxtide/src/platform/mod.rs
@@ -91,6 +91,6 @@
     log_event!(EventCode::ProcessStopping, signal = signal);
     gateway.stop().await;
     log_event!(EventCode::ProcessStopped, signal = signal);
-    log::logger().flush();
+    telemetry::await_lines();
     Ok(())
 }
--- a/crates/foxtide/src/telemetry/mod.rs
+++ b/crates/foxtide/src/telemetry/mod.rs
@@ -45,6 +45,11 @@
         .try_init();
 }
 
+/// Waits until the lines so far are on standard output, for 0.3 s at most.
+pub(crate) fn await_lines() {
+    writer::await_written();
+}
+
 /// Starts to collect metrics, once a process, and returns the handle that
 /// renders them.
 pub fn start_metrics() -> PrometheusHandle {
--- a/crates/foxtide/src/telemetry/writer.rs
+++ b/crates/foxtide/src/telemetry/writer.rs
@@ -19,10 +19,25 @@
     sync_channel, //
 };
 use std::thread;
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 /// The most lines that wait to be written: 2 MB at 500 bytes a line.
 const WAITING_LINES_MAX: usize = 4_096;
 
+/// How long the end of the process waits for lines that are still to be written;
+/// where nobody reads them they are lost with it.
+const END_TIME: Duration = Duration::from_millis(300);
+
+/// How often it is looked whether they are.
+const END_STEP: Duration = Duration::from_millis(1);
+
+/// Lines that were put into the queue, and lines that were taken out and written.
+static QUEUED_LINES: AtomicU64 = AtomicU64::new(0);
+static WRITTEN_LINES: AtomicU64 = AtomicU64::new(0);
+
 /// Lines that found the queue full since the last line that was written.
 static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
 
@@ -49,8 +64,12 @@
 
 impl Write for LineWriter {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        if let Err(TrySendError::Full(_)) = self.lines.try_send(line.to_vec()) {
-            DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
+        QUEUED_LINES.fetch_add(1, Ordering::SeqCst);
+        if let Err(error) = self.lines.try_send(line.to_vec()) {
+            WRITTEN_LINES.fetch_add(1, Ordering::SeqCst);
+            if matches!(error, TrySendError::Full(_)) {
+                DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
+            }
         }
         Ok(line.len())
     }
@@ -60,13 +79,25 @@
     }
 }
 
+/// Waits until the lines so far are written, for a bounded time: the last ones tell
+/// that the process has stopped.
+pub(super) fn await_written() {
+    let ends_at = Instant::now() + END_TIME;
+    let queued = QUEUED_LINES.load(Ordering::SeqCst);
+    while WRITTEN_LINES.load(Ordering::SeqCst) < queued && Instant::now() < ends_at {
+        thread::sleep(END_STEP);
+    }
+}
+
 /// Writes lines until the process ends or standard output is closed.
 fn write_lines(lines: &Receiver<Vec<u8>>) {
     let mut output = io::stdout();
     while let Ok(first) = lines.recv() {
         let mut block = first;
+        let mut count = 1;
         for line in lines.try_iter() {
             block.extend_from_slice(&line);
+            count += 1;
         }
         let dropped = DROPPED_LINES.swap(0, Ordering::Relaxed);
         if dropped > 0 {
@@ -80,5 +111,6 @@
         {
             return;
         }
+        WRITTEN_LINES.fetch_add(count, Ordering::SeqCst);
     }
 }
