--- a/crates/foxtide-core/src/events/code.rs
+++ b/crates/foxtide-core/src/events/code.rs
@@ -133,6 +133,7 @@
     2014 ClientBlocksApplied "client-blocks-applied" Info "A newer table of client blocks is in force."
     2015 ClientBlocksRejected "client-blocks-rejected" Error "A table of client blocks failed its checks; the last good one stays in force."
     2016 EntryUnreadable "entry-unreadable" Error "An entry of the store cannot be read and is left out."
+    2017 RouteKindUnknown "route-kind-unknown" Warn "A route's kind of requests is not known; they are not sent twice."
 
     3001 MemberJoined "member-joined" Info "An instance joined the members."
     3002 MemberSuspected "member-suspected" Warn "A member did not answer probes and is suspected to have failed."
