Take objects as known from the beginning of their first request

Cause: requests waited for the end of their object's first touch.

Change: nothing waits for a first touch any more, and an object counts as known from the grant on; one whose first request failed does not.

--- a/crates/foxtide-core/src/admission/objects.rs
+++ b/crates/foxtide-core/src/admission/objects.rs
@@ -27,4 +27,9 @@
             self.objects.pop_front();
         }
     }
+
+    /// Notes that an object was not served after all.
+    pub(super) fn forget(&mut self, object: ObjectKey) {
+        self.objects.retain(|known| *known != object);
+    }
 }
--- a/crates/foxtide-core/src/admission/queue.rs
+++ b/crates/foxtide-core/src/admission/queue.rs
@@ -134,7 +134,7 @@
             lapses_at: now + request.time_left,
             is_measured: false,
         };
-        self.running.insert(request.ticket, running);
+        self.begin(request.ticket, running);
     }
 
     /// Takes in that a request ended or that its asker waits no longer.
@@ -146,20 +146,23 @@
         answers: &mut Vec<(Ticket, Answer)>,
     ) {
         self.waiting.retain(|waiting| waiting.ticket != ticket);
-        if let Some(running) = self.running.remove(&ticket)
-            && ending == Ending::Served
-        {
-            self.served(running, now);
+        if let Some(running) = self.running.remove(&ticket) {
+            self.ended(running, ending, now);
         }
         self.settle(now, answers);
     }
 
-    fn served(&mut self, running: Running, now: MonotonicTime) {
-        if running.is_measured {
-            self.times.record(running.touch, now - running.began_at);
-        }
-        if let Some(object) = running.object {
-            self.objects.note(object);
+    fn ended(&mut self, running: Running, ending: Ending, now: MonotonicTime) {
+        match ending {
+            Ending::Served if running.is_measured => {
+                self.times.record(running.touch, now - running.began_at);
+            }
+            Ending::NotServed if running.touch == Touch::First => {
+                if let Some(object) = running.object {
+                    self.objects.forget(object);
+                }
+            }
+            Ending::Served | Ending::NotServed => {}
         }
     }
 
@@ -191,7 +194,15 @@
             lapses_at,
             is_measured: true,
         };
-        self.running.insert(waiting.ticket, running);
+        self.begin(waiting.ticket, running);
+    }
+
+    /// Counts a request as begun; from then on the upstream knows its object.
+    fn begin(&mut self, ticket: Ticket, running: Running) {
+        if let Some(object) = running.object {
+            self.objects.note(object);
+        }
+        self.running.insert(ticket, running);
     }
 
     fn refuse_lost(&mut self, now: MonotonicTime, answers: &mut Vec<(Ticket, Answer)>) {
@@ -211,8 +222,7 @@
 
     /// Returns which of the waiting is to be served next.
     fn next(&self, now: MonotonicTime) -> Option<usize> {
-        let candidates = (0..self.waiting.len()).filter(|&at| !self.waits_for_object(at, now));
-        candidates.min_by_key(|&at| {
+        (0..self.waiting.len()).min_by_key(|&at| {
             let waiting = &self.waiting[at];
             (
                 waiting.priority,
@@ -245,25 +255,6 @@
         }
     }
 
-    /// Tells whether a request is better served after the first touch of its object
-    /// that is under way: the upstream works on it in a fraction of the time then.
-    fn waits_for_object(&self, at: usize, now: MonotonicTime) -> bool {
-        let waiting = &self.waiting[at];
-        let Some(object) = waiting.object else {
-            return false;
-        };
-        let is_first_touch =
-            |running: &&Running| running.object == Some(object) && running.touch == Touch::First;
-        let Some(first) = self.running.values().find(is_first_touch) else {
-            return false;
-        };
-        let expected = |touch| self.times.expected(touch).unwrap_or_default();
-        let served_at = (first.began_at + expected(Touch::First)).max(now);
-        let after_it = served_at + expected(Touch::Repeated);
-        let at_once = now + expected(Touch::First);
-        after_it <= at_once || at_once > waiting.objective_at
-    }
-
     fn touch(&self, object: Option<ObjectKey>) -> Touch {
         touch_of(&self.objects, object)
     }
