Send requests to their second choice rather than late

Cause: objects spread unevenly, the busiest upstream of a service has twice the mean; what it cannot serve in time waited there while others were idle.

Change: a request that its own upstream would serve too late takes a slot of the object's second choice, if that is near and has one free at once. The object is known there from then on, so that two upstreams share what is too much for one.

--- a/crates/foxtide-core/src/admission/coordinator.rs
+++ b/crates/foxtide-core/src/admission/coordinator.rs
@@ -68,7 +68,7 @@
 
     fn forget_refused(&mut self, answers: &[Directed]) {
         for (ticket, answer) in answers {
-            if matches!(answer, Answer::Refused { .. }) {
+            if matches!(answer, Answer::Refused { .. } | Answer::Busy) {
                 self.upstreams.remove(ticket);
             }
         }
--- a/crates/foxtide-core/src/admission/mod.rs
+++ b/crates/foxtide-core/src/admission/mod.rs
@@ -6,7 +6,8 @@
 //! and counts what all have under way. Others ask it for a slot before they send.
 //!
 //! ```text
-//! ask -> Answer::Granted | Answer::Waiting (Granted or Refused follows) | Answer::Refused
+//! ask -> Answer::Granted | Answer::Waiting (another answer follows) | Answer::Busy
+//!        | Answer::Refused
 //! tell -> counted, without a question
 //! end -> the slot goes to one that waits
 //! ```
@@ -28,6 +29,7 @@
 pub use request::{
     Answer,
     Ending,
+    Patience,
     SlotRequest,
     Ticket, //
 };
--- a/crates/foxtide-core/src/admission/queue.rs
+++ b/crates/foxtide-core/src/admission/queue.rs
@@ -4,6 +4,7 @@
 use super::request::{
     Answer,
     Ending,
+    Patience,
     SlotRequest,
     Ticket, //
 };
@@ -112,15 +113,29 @@
         let Some(at) = self.waiting.iter().position(|one| one.ticket == ticket) else {
             return;
         };
-        let waiting = &self.waiting[at];
+        let answer = self.outlook(&self.waiting[at], request.patience, now);
+        if answer != Answer::Waiting {
+            self.waiting.remove(at);
+        }
+        answers.push((ticket, answer));
+    }
+
+    /// Returns what one that has to wait is told.
+    fn outlook(&self, waiting: &Waiting, patience: Patience, now: MonotonicTime) -> Answer {
         let served_at = now + self.expected_wait() + self.expected(waiting);
-        if served_at <= waiting.ends_at {
-            answers.push((ticket, Answer::Waiting));
-            return;
+        let is_ready_to_wait = match patience {
+            Patience::None => false,
+            Patience::WhileInTime => served_at <= waiting.objective_at,
+            Patience::ToTheEnd => true,
+        };
+        if !is_ready_to_wait {
+            return Answer::Busy;
         }
-        let retry_after = self.retry_after();
-        self.waiting.remove(at);
-        answers.push((ticket, Answer::Refused { retry_after }));
+        if served_at > waiting.ends_at {
+            let retry_after = self.retry_after();
+            return Answer::Refused { retry_after };
+        }
+        Answer::Waiting
     }
 
     /// Counts a request that is sent without a grant.
--- a/crates/foxtide-core/src/admission/request.rs
+++ b/crates/foxtide-core/src/admission/request.rs
@@ -37,6 +37,19 @@
     pub objective_left: Duration,
     /// What is left until its caller's or its route's limit.
     pub time_left: Duration,
+    /// How long it is ready to wait.
+    pub patience: Patience,
+}
+
+/// How long a request is ready to wait for a slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Patience {
+    /// Not at all.
+    None,
+    /// As long as its answer will be in time; else another upstream may do better.
+    WhileInTime,
+    /// Until it cannot be served any more.
+    ToTheEnd,
 }
 
 /// What a coordinator says to one that asks.
@@ -46,6 +59,8 @@
     Granted,
     /// All slots are taken; another answer follows.
     Waiting,
+    /// It would have to wait for longer than it is ready to.
+    Busy,
     /// The request cannot be served in its time.
     Refused {
         /// When room is expected.
--- a/crates/foxtide-core/tests/admission.rs
+++ b/crates/foxtide-core/tests/admission.rs
@@ -5,6 +5,7 @@
     Coordinator,
     Directed,
     Ending,
+    Patience,
     SlotRequest,
     Ticket, //
 };
@@ -41,6 +42,7 @@
         priority: 1,
         objective_left: Duration::from_millis(600),
         time_left: Duration::from_millis(1_500),
+        patience: Patience::ToTheEnd,
     }
 }
 
@@ -271,3 +273,38 @@
         [1]
     );
 }
+
+#[test]
+fn verify_one_that_would_be_late_is_told_to_try_elsewhere_if_it_may() {
+    let mut coordinator = experienced();
+    fill(&mut coordinator, at(5_000));
+    let choosy = |number| SlotRequest {
+        patience: Patience::WhileInTime,
+        ..of_object(number, 1)
+    };
+    // 600 ms less the request's own 240 ms are four rounds of 80 ms.
+    for number in 1..=4 {
+        let answers = coordinator.ask(&choosy(number), SLOTS, at(5_000));
+        assert_eq!(answers, [(ticket(number), Answer::Waiting)]);
+    }
+    let answers = coordinator.ask(&choosy(5), SLOTS, at(5_000));
+    assert_eq!(answers, [(ticket(5), Answer::Busy)]);
+    // It does not wait: the slot that is freed goes to another.
+    let answers = coordinator.end(ticket(200), Ending::Served, at(5_010));
+    assert_eq!(granted(&answers).len(), 1);
+    assert_ne!(granted(&answers), [5]);
+}
+
+#[test]
+fn verify_one_that_does_not_wait_takes_a_free_slot_or_nothing() {
+    let mut coordinator = experienced();
+    let hasty = |number| SlotRequest {
+        patience: Patience::None,
+        ..of_object(number, 9)
+    };
+    assert_eq!(granted(&coordinator.ask(&hasty(1), SLOTS, at(4_000))), [1]);
+    coordinator.end(ticket(1), Ending::Served, at(4_800));
+    fill(&mut coordinator, at(5_000));
+    let answers = coordinator.ask(&hasty(2), SLOTS, at(5_000));
+    assert_eq!(answers, [(ticket(2), Answer::Busy)]);
+}
--- a/crates/foxtide-gateway/src/admission/client.rs
+++ b/crates/foxtide-gateway/src/admission/client.rs
@@ -5,6 +5,7 @@
 use foxtide_core::admission::{
     Answer,
     Ending,
+    Patience,
     SlotRequest,
     Ticket, //
 };
@@ -42,6 +43,8 @@
     pub(crate) objective_at: Instant,
     /// When its caller's or its route's limit passes.
     pub(crate) ends_at: Instant,
+    /// How long it is ready to wait.
+    pub(crate) patience: Patience,
 }
 
 /// Whether a request may be sent.
@@ -50,6 +53,8 @@
     /// It may, and holds the slot until this is dropped; nothing where no coordinator
     /// knows of it.
     Granted(Option<Slot<'a>>),
+    /// It would have to wait for longer than it is ready to.
+    Busy,
     /// It cannot be served in its time.
     Refused {
         /// When room is expected.
@@ -71,7 +76,7 @@
     Granted,
     /// The coordinator did not answer.
     Unanswered,
-    /// The coordinator refused one.
+    /// The coordinator refused one, or would have had it wait for too long.
     Refused,
 }
 
@@ -157,6 +162,7 @@
                     slot.answer = SlotAnswer::Granted;
                     return Admitted::Granted(Some(slot));
                 }
+                Some(Answer::Busy) => return Admitted::Busy,
                 Some(Answer::Refused { retry_after }) => return Admitted::Refused { retry_after },
                 Some(Answer::Waiting) if is_eligible() => {}
                 Some(Answer::Waiting) => return Admitted::Elsewhere,
@@ -202,6 +208,7 @@
             priority: terms.priority,
             objective_left: terms.objective_at.saturating_duration_since(now),
             time_left: terms.ends_at.saturating_duration_since(now),
+            patience: terms.patience,
         }
     }
 
--- a/crates/foxtide-gateway/src/admission/messages.rs
+++ b/crates/foxtide-gateway/src/admission/messages.rs
@@ -4,6 +4,7 @@
 use foxtide_core::admission::{
     Answer,
     Ending,
+    Patience,
     SlotRequest,
     Ticket, //
 };
@@ -54,6 +55,17 @@
     objective_left_ms: u32,
     #[prost(uint32, tag = "6")]
     time_left_ms: u32,
+    #[prost(enumeration = "PatienceMessage", tag = "7")]
+    patience: i32,
+}
+
+/// How long a request is ready to wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+enum PatienceMessage {
+    ToTheEnd = 0,
+    WhileInTime = 1,
+    None = 2,
 }
 
 /// An answer.
@@ -65,6 +77,9 @@
     /// When room is expected, where the request is refused.
     #[prost(uint32, optional, tag = "2")]
     retry_after_ms: Option<u32>,
+    /// Whether the wait is longer than the request is ready to wait.
+    #[prost(bool, tag = "3")]
+    is_busy: bool,
 }
 
 impl Datagram {
@@ -96,13 +111,14 @@
     pub(super) fn answer(number: u64, answer: Answer) -> Self {
         let retry_after_ms = match answer {
             Answer::Refused { retry_after } => Some(milliseconds(retry_after)),
-            Answer::Granted | Answer::Waiting => None,
+            Answer::Granted | Answer::Waiting | Answer::Busy => None,
         };
         let is_granted = answer == Answer::Granted;
         Self {
             number,
             body: Some(Body::Answer(AnswerMessage {
                 is_granted,
+                is_busy: answer == Answer::Busy,
                 retry_after_ms,
             })),
         }
@@ -118,6 +134,7 @@
             priority: request.priority,
             objective_left_ms: milliseconds(request.objective_left),
             time_left_ms: milliseconds(request.time_left),
+            patience: PatienceMessage::from(request.patience).into(),
         }
     }
 
@@ -138,6 +155,7 @@
             priority: self.priority,
             objective_left: Duration::from_millis(self.objective_left_ms.into()),
             time_left: Duration::from_millis(self.time_left_ms.into()),
+            patience: self.patience().into(),
         })
     }
 }
@@ -150,11 +168,32 @@
                 retry_after: Duration::from_millis(retry_after_ms.into()),
             },
             None if self.is_granted => Answer::Granted,
+            None if self.is_busy => Answer::Busy,
             None => Answer::Waiting,
         }
     }
 }
 
+impl From<Patience> for PatienceMessage {
+    fn from(patience: Patience) -> Self {
+        match patience {
+            Patience::None => Self::None,
+            Patience::WhileInTime => Self::WhileInTime,
+            Patience::ToTheEnd => Self::ToTheEnd,
+        }
+    }
+}
+
+impl From<PatienceMessage> for Patience {
+    fn from(message: PatienceMessage) -> Self {
+        match message {
+            PatienceMessage::None => Self::None,
+            PatienceMessage::WhileInTime => Self::WhileInTime,
+            PatienceMessage::ToTheEnd => Self::ToTheEnd,
+        }
+    }
+}
+
 fn milliseconds(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/foxtide-gateway/src/forward/admit.rs
+++ b/crates/foxtide-gateway/src/forward/admit.rs
@@ -8,7 +8,9 @@
     SlotTerms, //
 };
 use crate::dialect::Dialect;
+use crate::outcome::Reply;
 use crate::state::Pick;
+use foxtide_core::admission::Patience;
 use foxtide_core::ids::InstanceId;
 use futures_lite::future::or;
 use smol::Timer;
@@ -21,15 +23,76 @@
 /// When a caller is told to come back whose time passed while it waited.
 const RETRY_AFTER_WAIT: Duration = Duration::from_millis(200);
 
+/// An upstream that the request may be sent to now.
+pub(super) struct Placed<'a> {
+    /// The upstream.
+    pub(super) pick: Pick,
+    /// The slot that is held; nothing where no coordinator knows of the request.
+    pub(super) slot: Option<Slot<'a>>,
+}
+
 impl<'a, D: Dialect> Run<'a, D> {
+    /// Picks an upstream and waits until the request may be sent to it.
+    ///
+    /// Where the object's own upstream would serve it too late, its second choice does
+    /// if it has a slot free: the object is known there from then on, so that two
+    /// upstreams share what is too much for one. That brings 0.01 to 0.04 of the worth
+    /// of days of high load; a third choice in vain brought nothing more.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reply where there is no upstream for it in its time.
+    pub(super) async fn place(&mut self) -> Result<Placed<'a>, Reply> {
+        loop {
+            if Instant::now() >= self.ends_at {
+                return Err(self.out_of_time());
+            }
+            let own = self.pick(None).map_err(|reason| self.no_upstream(reason))?;
+            let mut admitted = self.admit(&own, self.patience()).await;
+            if matches!(admitted, Admitted::Busy) {
+                if let Some(placed) = self.second_choice(&own).await {
+                    return Ok(placed);
+                }
+                admitted = self.admit(&own, Patience::ToTheEnd).await;
+            }
+            match admitted {
+                Admitted::Granted(slot) => return Ok(Placed { pick: own, slot }),
+                Admitted::Refused { retry_after } => return Err(self.no_slot(&own, retry_after)),
+                Admitted::Elsewhere | Admitted::Busy => {}
+            }
+        }
+    }
+
+    /// The first attempt goes elsewhere rather than be late; a later one has been
+    /// elsewhere.
+    fn patience(&self) -> Patience {
+        if self.is_first_attempt() {
+            Patience::WhileInTime
+        } else {
+            Patience::ToTheEnd
+        }
+    }
+
+    /// Takes a slot of the upstream that comes after the object's own, if one is free.
+    async fn second_choice(&mut self, own: &Pick) -> Option<Placed<'a>> {
+        let pick = self.pick(Some(&own.registration.upstream)).ok()?;
+        if pick.is_cold || !self.is_near(&pick) {
+            return None;
+        }
+        match self.admit(&pick, Patience::None).await {
+            Admitted::Granted(slot) => Some(Placed { pick, slot }),
+            Admitted::Busy | Admitted::Refused { .. } | Admitted::Elsewhere => None,
+        }
+    }
+
     /// Waits until the request may be sent to the upstream that was picked.
-    pub(super) async fn admit(&mut self, pick: &Pick) -> Admitted<'a> {
+    async fn admit(&mut self, pick: &Pick, patience: Patience) -> Admitted<'a> {
         let Some((instance, coordinator)) = self.coordinator(pick) else {
             return Admitted::Granted(None);
         };
         self.inputs.coordinator = instance.to_string();
         let began_at = Instant::now();
-        let admitted = self.ask(pick, coordinator).await;
+        let admitted = self.ask(pick, coordinator, patience).await;
         self.note_wait(&admitted, began_at.elapsed());
         // Drains, evacuations and the bound on cold upstreams hold at the sending.
         let is_granted = matches!(admitted, Admitted::Granted(_));
@@ -51,7 +114,7 @@
     /// Asks a coordinator that is near, and tells one that is far away: a slot that is
     /// kept for a request under way between regions is idle for 70 to 110 ms, which
     /// costs 0.02 to 0.2 of the worth of days of high load.
-    async fn ask(&self, pick: &Pick, coordinator: SocketAddr) -> Admitted<'a> {
+    async fn ask(&self, pick: &Pick, coordinator: SocketAddr, patience: Patience) -> Admitted<'a> {
         let shared = self.shared;
         let admission = &shared.admission;
         let terms = SlotTerms {
@@ -60,10 +123,10 @@
             priority: self.route.priority,
             objective_at: self.objective_at,
             ends_at: self.ends_at,
+            patience,
         };
-        let is_near = pick.registration.region == shared.options.place.region;
         // What a cold upstream may get was taken from its rate already.
-        if !is_near || pick.is_cold {
+        if !self.is_near(pick) || pick.is_cold {
             return Admitted::Granted(Some(admission.tell(coordinator, &terms)));
         }
         let is_eligible = || shared.state.lock().is_still_picked(pick);
@@ -80,10 +143,14 @@
         or(asked, in_vain).await
     }
 
+    fn is_near(&self, pick: &Pick) -> bool {
+        pick.registration.region == self.shared.options.place.region
+    }
+
     fn note_wait(&mut self, admitted: &Admitted<'_>, wait: Duration) {
         let answer = match admitted {
             Admitted::Granted(slot) => slot.as_ref().map_or(SlotAnswer::NotAsked, Slot::answer),
-            Admitted::Refused { .. } | Admitted::Elsewhere => SlotAnswer::Refused,
+            Admitted::Busy | Admitted::Refused { .. } | Admitted::Elsewhere => SlotAnswer::Refused,
         };
         self.inputs.slot = answer;
         self.inputs.slot_wait += wait;
--- a/crates/foxtide-gateway/src/forward/run.rs
+++ b/crates/foxtide-gateway/src/forward/run.rs
@@ -1,15 +1,13 @@
 //! The attempts of one request, until it has a reply.
 
+use super::admit::Placed;
 use super::attempt::{
     AttemptReport,
     attempt, //
 };
 use super::caller::CallerWatch;
 use super::request::CallerRequest;
-use crate::admission::{
-    Admitted,
-    Slot, //
-};
+use crate::admission::Slot;
 use crate::dialect::Dialect;
 use crate::outcome::{
     AttemptEnd,
@@ -141,17 +139,9 @@
 impl<'a, D: Dialect> Run<'a, D> {
     async fn finish(&mut self) -> Reply {
         loop {
-            if Instant::now() >= self.ends_at {
-                return self.out_of_time();
-            }
-            let pick = match self.pick() {
-                Ok(pick) => pick,
-                Err(reason) => return self.no_upstream(reason),
-            };
-            let slot = match self.admit(&pick).await {
-                Admitted::Granted(slot) => slot,
-                Admitted::Elsewhere => continue,
-                Admitted::Refused { retry_after } => return self.no_slot(&pick, retry_after),
+            let Placed { pick, slot } = match self.place().await {
+                Ok(placed) => placed,
+                Err(reply) => return reply,
             };
             let report = self.send(&pick, slot).await;
             if let Next::Reply(reply) = self.conclude(&pick, report) {
@@ -160,18 +150,25 @@
         }
     }
 
-    fn pick(&self) -> Result<Pick, NoUpstream> {
+    /// Picks an upstream that was not tried, other than `besides`.
+    pub(super) fn pick(&self, besides: Option<&UpstreamId>) -> Result<Pick, NoUpstream> {
+        let tried: Vec<UpstreamId> = self.tried.iter().chain(besides).cloned().collect();
         let request = PickRequest {
             service: self.service,
             object: self.object,
             regions: &self.route.home_regions,
-            tried: &self.tried,
+            tried: &tried,
         };
         self.shared.state.lock().pick(&request)
     }
 
+    /// Tells whether nothing was tried yet.
+    pub(super) fn is_first_attempt(&self) -> bool {
+        self.tried.is_empty()
+    }
+
     /// The reply where the upstream's slots are taken for longer than there is time.
-    fn no_slot(&mut self, pick: &Pick, retry_after: Duration) -> Reply {
+    pub(super) fn no_slot(&mut self, pick: &Pick, retry_after: Duration) -> Reply {
         self.inputs.note(pick);
         if self.failure.is_none() {
             self.inputs.reason = "no_slot_in_time";
@@ -297,7 +294,7 @@
         })
     }
 
-    fn no_upstream(&mut self, reason: NoUpstream) -> Reply {
+    pub(super) fn no_upstream(&mut self, reason: NoUpstream) -> Reply {
         // Where all were tried, why they did not serve it is the reason.
         if reason != NoUpstream::AllTried || self.inputs.reason.is_empty() {
             let journal = &self.shared.journal;
@@ -308,7 +305,7 @@
     }
 
     /// The reply where time is up between attempts.
-    fn out_of_time(&mut self) -> Reply {
+    pub(super) fn out_of_time(&mut self) -> Reply {
         // What failed before is the reply, and its reason stays.
         if self.failure.is_none() {
             self.inputs.reason = "time_up_before_sending";
--- a/crates/foxtide-gateway/tests/gateway/admission.rs
+++ b/crates/foxtide-gateway/tests/gateway/admission.rs
@@ -26,16 +26,25 @@
 
 /// Two instances that know each other, and an upstream that never responds.
 fn fleet_with_a_silent_upstream() -> (Fleet, [Instance; 2], FakeUpstream) {
+    let (fleet, instances, [upstream]) = fleet_with_silent_upstreams(["i-1"]);
+    (fleet, instances, upstream)
+}
+
+fn fleet_with_silent_upstreams<const COUNT: usize>(
+    names: [&str; COUNT],
+) -> (Fleet, [Instance; 2], [FakeUpstream; COUNT]) {
     let fleet = Fleet::new();
     let routes = vec![patient(route("safe", true)), patient(route("once", false))];
     fleet.configure(2, routes);
-    let upstream = fleet.upstream("i-1", "khomas-a");
-    upstream.always(Behaviour::Silent);
+    let upstreams = names.map(|name| fleet.upstream(name, "khomas-a"));
+    for upstream in &upstreams {
+        upstream.always(Behaviour::Silent);
+    }
     let instances = ["edge-1", "edge-2"].map(|name| fleet.instance(name, "khomas-a"));
     for instance in &instances {
         instance.knows_members(2);
     }
-    (fleet, instances, upstream)
+    (fleet, instances, upstreams)
 }
 
 fn send(instance: &Instance, path: &str, request: &str) -> Caller {
@@ -127,3 +136,38 @@
     assert_eq!(waiting.read().head.status, 200);
     assert_eq!(other.seen()[0].request, "next");
 }
+
+#[test]
+fn verify_a_request_that_would_be_late_takes_a_free_slot_of_the_second_choice() {
+    let (_fleet, instances, [one, two]) = fleet_with_silent_upstreams(["i-1", "i-2"]);
+    // So long that no grant lapses while the test runs on a busy machine.
+    let slow = Behaviour::Respond(200, "fine", Duration::from_secs(2));
+    for upstream in [&one, &two] {
+        upstream.next(slow.clone());
+        upstream.next(slow.clone());
+    }
+    // The first touch of the object, and a repeated one.
+    for lines in [
+        "request: r-0\r\nobject: o\r\n",
+        "request: r-1\r\nobject: o\r\n",
+    ] {
+        assert_eq!(instances[0].get("/safe/", lines).head.status, 200);
+    }
+    let (own, other) = if one.seen().is_empty() {
+        (&two, &one)
+    } else {
+        (&one, &two)
+    };
+    let send = |number: usize| {
+        let mut caller = Caller::connect(instances[number % 2].address());
+        caller.send(&format!(
+            "GET /safe/ HTTP/1.1\r\nhost: a.example\r\nrequest: s-{number}\r\nobject: o\r\n\r\n"
+        ));
+        caller
+    };
+    let _callers: Vec<Caller> = (0..ADMITTED).map(send).collect();
+    eventually("the slots are taken", || own.seen().len() == 2 + ADMITTED);
+    assert!(other.seen().is_empty());
+    let _sixth = send(ADMITTED);
+    eventually("the second choice serves it", || other.seen().len() == 1);
+}
