Use new connections after one has fallen silent

Cause: open connections may fall silent for good while new ones work. The store's client and the pool of upstream connections then used the next idle one, which is as silent: each costs a call's time (1 s) or a request's limit again.

A peer that takes a question and says nothing is passed over after 0.6 s and the wait that was asked for; a test shows that this held already.

A fresh connection for each non-idempotent request was not taken: nothing was lost there.

--- a/crates/foxtide-gateway/src/forward/attempt.rs
+++ b/crates/foxtide-gateway/src/forward/attempt.rs
@@ -109,8 +109,16 @@
             let latency = started.elapsed();
             judge(shared, registration, stream, response, &facts, latency)
         }
-        Some(Err(error)) => broken(&error, is_sent),
-        None => AttemptReport::new(AttemptEnd::TimedOut, AttemptResult::Faulty),
+        Some(Err(error)) => {
+            if is_silence(&error) {
+                shared.pool.forget(&registration.upstream);
+            }
+            broken(&error, is_sent)
+        }
+        None => {
+            shared.pool.forget(&registration.upstream);
+            AttemptReport::new(AttemptEnd::TimedOut, AttemptResult::Faulty)
+        }
     }
 }
 
@@ -173,6 +181,11 @@
     Err(MessageError::Surplus)
 }
 
+/// Tells whether a connection failed since what was sent stayed unacknowledged.
+fn is_silence(error: &MessageError) -> bool {
+    matches!(error, MessageError::Io(error) if error.kind() == io::ErrorKind::TimedOut)
+}
+
 fn broken(error: &MessageError, is_sent: bool) -> AttemptReport {
     let cause = error.to_string();
     if is_sent {
--- a/crates/foxtide-gateway/src/pool.rs
+++ b/crates/foxtide-gateway/src/pool.rs
@@ -92,6 +92,12 @@
         }
     }
 
+    /// Closes the idle connections to an upstream: one beside them has fallen silent,
+    /// and so may they, while new ones work.
+    pub(crate) fn forget(&self, upstream: &UpstreamId) {
+        self.idle.lock().remove(upstream);
+    }
+
     /// Closes connections that were idle for too long or that their upstream
     /// has closed, and those to upstreams that `is_known` does not know.
     pub(crate) fn prune(&self, now: MonotonicTime, is_known: impl Fn(&UpstreamId) -> bool) {
--- a/crates/foxtide-gateway/tests/gateway/following.rs
+++ b/crates/foxtide-gateway/tests/gateway/following.rs
@@ -7,6 +7,7 @@
     route, //
 };
 use foxtide_gateway::Fact;
+use std::net::TcpListener;
 use std::time::Duration;
 
 #[test]
@@ -128,6 +129,19 @@
     eventually("the instance serves", is_served);
 }
 
+/// A peer whose connection takes the question and says nothing.
+#[test]
+fn verify_a_silent_peer_is_passed_over() {
+    let fleet = Fleet::new();
+    let _upstream = fleet.upstream("i-1", "khomas-a");
+    let peer = fleet.instance("edge-1", "khomas-a");
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let peers = vec![silent.local_addr().unwrap(), peer.gateway().peer_address()];
+    let instance = fleet.turned_away_instance_asking("edge-2", "khomas-a", peers);
+    let is_served = || instance.get("/safe/", "request: r-1\r\n").head.status == 200;
+    eventually("the instance serves", is_served);
+}
+
 /// Callers come back at once after all instances have lost power, and each of them
 /// asks again only once.
 #[test]
--- a/crates/foxtide-gateway/tests/gateway/forwarding.rs
+++ b/crates/foxtide-gateway/tests/gateway/forwarding.rs
@@ -343,3 +343,32 @@
     let is_served = || instance.get("/safe/", "request: r-1\r\n").head.status == 200;
     eventually("the upstream is found", is_served);
 }
+
+/// A request on a connection that has fallen silent ends at its limit, and the other
+/// connections that were open then are not used again.
+#[test]
+fn verify_after_a_silent_connection_an_upstream_is_reached_over_a_new_one() {
+    for path in ["/safe/", "/once/"] {
+        let (fleet, upstream) = fleet_of_one();
+        let instance = fleet.instance("edge-1", "khomas-a");
+        // Two requests at the same time leave two connections.
+        let slow = Behaviour::Respond(200, "fine", Duration::from_millis(300));
+        upstream.always(slow);
+        let mut callers = [(); 2].map(|()| Caller::connect(instance.address()));
+        for caller in &mut callers {
+            caller.send(&format!(
+                "GET {path} HTTP/1.1\r\nhost: a.example\r\nrequest: r-1\r\n\r\n"
+            ));
+        }
+        for caller in &mut callers {
+            assert_eq!(caller.read().head.status, 200);
+        }
+        let connections = upstream.connections();
+        upstream.always(Behaviour::WELL);
+        upstream.next(Behaviour::Silent);
+        let lines = "request: r-2\r\ntime-left-ms: 400\r\n";
+        assert_eq!(instance.get(path, lines).head.status, 504, "{path}");
+        assert_eq!(instance.get(path, "request: r-3\r\n").head.status, 200);
+        assert_eq!(upstream.connections(), connections + 1, "{path}");
+    }
+}
--- a/crates/foxtide-gateway/tests/gateway/support/fleet.rs
+++ b/crates/foxtide-gateway/tests/gateway/support/fleet.rs
@@ -108,10 +108,20 @@
 
     /// Starts an instance that the store turns away and that knows one peer.
     pub(crate) fn turned_away_instance(&self, name: &str, zone: &str, peer: &Instance) -> Instance {
+        self.turned_away_instance_asking(name, zone, vec![peer.gateway().peer_address()])
+    }
+
+    /// Starts an instance that the store turns away and that knows these peers.
+    pub(crate) fn turned_away_instance_asking(
+        &self,
+        name: &str,
+        zone: &str,
+        seed_peers: Vec<SocketAddr>,
+    ) -> Instance {
         let store = self.store.for_another();
         store.set_turned_away(true);
         let options = GatewayOptions {
-            seed_peers: vec![peer.gateway().peer_address()],
+            seed_peers,
             ..options(name, zone)
         };
         Instance::start(options, store)
