Sum up what requests lost from the lines of instances

Change: foxtidectl losses reads lines of all instances and counts, by service, route and window, requests in time, late, refused and failed, reasons, attempts in vain with their seconds, waits for slots, first and moved objects, and the age of knowledge. Lines that are no events are counted and named.

--- a/crates/foxtide-gateway/src/forward/run.rs
+++ b/crates/foxtide-gateway/src/forward/run.rs
@@ -143,8 +143,9 @@
                 Ok(placed) => placed,
                 Err(reply) => return reply,
             };
+            let began_at = Instant::now();
             let report = self.send(&pick, slot).await;
-            if let Next::Reply(reply) = self.conclude(&pick, report) {
+            if let Next::Reply(reply) = self.conclude(&pick, report, began_at.elapsed()) {
                 return reply;
             }
         }
@@ -200,10 +201,10 @@
         report
     }
 
-    fn conclude(&mut self, pick: &Pick, report: AttemptReport) -> Next {
+    fn conclude(&mut self, pick: &Pick, report: AttemptReport, took: Duration) -> Next {
         let upstream = pick.registration.upstream.clone();
         let journal = &self.shared.journal;
-        journal.attempt_failed(self.request.id(), pick, &report.end);
+        journal.attempt_failed(&self.inputs, pick, &report.end, took);
         self.inputs.note(pick);
         self.tried.push(upstream.clone());
         match report.end {
--- a/crates/foxtide-gateway/src/journal/requests.rs
+++ b/crates/foxtide-gateway/src/journal/requests.rs
@@ -120,7 +120,13 @@
     }
 
     /// An attempt at an upstream has ended without a response to deliver.
-    pub(crate) fn attempt_failed(&self, request: &str, pick: &Pick, end: &AttemptEnd) {
+    pub(crate) fn attempt_failed(
+        &self,
+        inputs: &Inputs,
+        pick: &Pick,
+        end: &AttemptEnd,
+        took: Duration,
+    ) {
         let (outcome, cause) = match end {
             AttemptEnd::Responded(_) => return,
             AttemptEnd::NotRun { .. } => ("not_run", "the upstream said so"),
@@ -132,14 +138,17 @@
         if self.has_room(LineKind::Step) {
             log_event!(
                 EventCode::AttemptFailed,
-                request = request,
+                request = inputs.request.as_str(),
+                route = inputs.route.as_str(),
+                service = inputs.service.as_str(),
                 outcome = outcome,
                 cause = cause,
                 upstream = pick.registration.upstream.as_str(),
                 zone = pick.registration.availability_zone.as_str(),
                 rank = pick.rank,
                 occupancy = pick.occupancy,
-                is_cold = pick.is_cold
+                is_cold = pick.is_cold,
+                took_ms = took.as_secs_f64() * 1_000.0
             );
         }
     }
--- a/crates/foxtidectl/src/arguments.rs
+++ b/crates/foxtidectl/src/arguments.rs
@@ -6,6 +6,7 @@
 use crate::commands::drain::DrainCommand;
 use crate::commands::explain::ExplainCommand;
 use crate::commands::instances::Instances;
+use crate::commands::losses::Losses;
 use crate::commands::movement::MoveCommand;
 use crate::commands::organisation::OrganisationCommand;
 use crate::commands::promises::Promises;
@@ -80,6 +81,8 @@
     Promises(Promises),
     /// Explains decisions.
     Explain(ExplainCommand),
+    /// Sums up what requests lost.
+    Losses(Losses),
     /// Shows the time line.
     TimeLine(TimeLine),
 }
--- a/crates/foxtidectl/src/commands/explain/request/cause.rs
+++ b/crates/foxtidectl/src/commands/explain/request/cause.rs
@@ -1,7 +1,7 @@
 //! From the lines about a request to its cause.
 
-use super::lines::LogLine;
 use super::story::Story;
+use crate::commands::lines::LogLine;
 
 /// The age from which knowledge of the store is old, in milliseconds: an instance
 /// asks it, or a peer, each 0.8 s and waits 2 s at most.
@@ -27,6 +27,13 @@
             "it did not run: each upstream that was asked had no room ({})",
             occupancies(story)
         ),
+        "no_slot_in_time" => format!(
+            "it did not run: it waited {:.0} ms for a slot of upstream {}, and none was expected \
+             in its time (coordinator {})",
+            end.number("slot_wait_ms").unwrap_or_default(),
+            end.field("upstream"),
+            end.field("coordinator")
+        ),
         "upstreams_unreachable" => format!(
             "it did not run: no connection could be made ({})",
             causes(story)
--- a/crates/foxtidectl/src/commands/explain/request/mod.rs
+++ b/crates/foxtidectl/src/commands/explain/request/mod.rs
@@ -1,11 +1,11 @@
 //! `foxtidectl explain request`.
 
 mod cause;
-mod lines;
 mod story;
 mod told;
 
 use super::decisions;
+use crate::commands::lines;
 use crate::failure::Failure;
 use crate::report::Report;
 use crate::session::Session;
@@ -34,7 +34,7 @@
             let id: RequestId = self.id.parse()?;
             return decisions::ask(session, &format!("request={id}"), "that request").await;
         }
-        let lines = lines::read(&self.lines)?;
+        let lines = lines::read(&self.lines)?.events;
         match Story::of(&self.id, &lines) {
             Some(story) => Ok(told::report(&story)),
             None => Err(Failure::refused(
--- a/crates/foxtidectl/src/commands/explain/request/story.rs
+++ b/crates/foxtidectl/src/commands/explain/request/story.rs
@@ -1,6 +1,6 @@
 //! What the lines of all instances tell of one request.
 
-use super::lines::LogLine;
+use crate::commands::lines::LogLine;
 
 /// How far back an event about an upstream still tells of a request, in seconds:
 /// the longest time for which an upstream is passed over, and the longest time
--- a/crates/foxtidectl/src/commands/explain/request/told.rs
+++ b/crates/foxtidectl/src/commands/explain/request/told.rs
@@ -1,8 +1,8 @@
 //! A request's story, for people and for programs.
 
 use super::cause;
-use super::lines::LogLine;
 use super::story::Story;
+use crate::commands::lines::LogLine;
 use crate::report::Report;
 use serde_json::{
     Value,
--- a/crates/foxtidectl/src/commands/explain/request/lines.rs
+++ b/crates/foxtidectl/src/commands/lines.rs
@@ -23,11 +23,11 @@
 
 /// One event as an instance wrote it.
 #[derive(Clone, Debug, Deserialize)]
-pub(super) struct LogLine {
+pub(crate) struct LogLine {
     /// Seconds since 1970 by the instance's clock.
     time_s: f64,
     /// The event's name.
-    pub(super) event: String,
+    pub(crate) event: String,
     /// The instance's name.
     #[serde(default)]
     instance: Option<String>,
@@ -38,22 +38,27 @@
 
 impl LogLine {
     /// Returns the instance that wrote the line.
-    pub(super) fn instance(&self) -> &str {
+    pub(crate) fn instance(&self) -> &str {
         self.instance.as_deref().unwrap_or(UNNAMED)
     }
 
+    /// Returns the seconds since 1970 by the instance's clock.
+    pub(crate) fn time_s(&self) -> f64 {
+        self.time_s
+    }
+
     /// Returns the seconds from `earlier` to this line, by the instances' clocks.
-    pub(super) fn seconds_after(&self, earlier: &Self) -> f64 {
+    pub(crate) fn seconds_after(&self, earlier: &Self) -> f64 {
         self.time_s - earlier.time_s
     }
 
     /// Returns the time as people read it.
-    pub(super) fn time(&self) -> String {
+    pub(crate) fn time(&self) -> String {
         utc(WallTime::from_us((self.time_s.max(0.0) * 1e6) as u64))
     }
 
     /// Returns a field as text; `-` where it is missing or empty.
-    pub(super) fn field(&self, name: &str) -> String {
+    pub(crate) fn field(&self, name: &str) -> String {
         match self.fields.get(name) {
             None | Some(Value::Null) => "-".to_owned(),
             Some(Value::String(text)) if text.is_empty() => "-".to_owned(),
@@ -63,22 +68,22 @@
     }
 
     /// Returns a field that holds a number.
-    pub(super) fn number(&self, name: &str) -> Option<f64> {
+    pub(crate) fn number(&self, name: &str) -> Option<f64> {
         self.fields.get(name).and_then(Value::as_f64)
     }
 
     /// Returns a field that holds a yes or no.
-    pub(super) fn is(&self, name: &str) -> Option<bool> {
+    pub(crate) fn is(&self, name: &str) -> Option<bool> {
         self.fields.get(name).and_then(Value::as_bool)
     }
 
     /// Tells whether a field holds a text.
-    pub(super) fn holds(&self, name: &str, text: &str) -> bool {
+    pub(crate) fn holds(&self, name: &str, text: &str) -> bool {
         self.fields.get(name).and_then(Value::as_str) == Some(text)
     }
 
     /// Returns the line as JSON.
-    pub(super) fn json(&self) -> Value {
+    pub(crate) fn json(&self) -> Value {
         let mut fields = self.fields.clone();
         fields.insert("time_s".to_owned(), self.time_s.into());
         fields.insert("event".to_owned(), self.event.clone().into());
@@ -87,24 +92,44 @@
     }
 }
 
-/// Reads files of lines, in the order of their times. Lines that are no events
-/// are passed over: files may hold what other programs wrote.
+/// The events of files, in the order of their times, and what else they hold.
+#[derive(Debug, Default)]
+pub(crate) struct Lines {
+    /// The events.
+    pub(crate) events: Vec<LogLine>,
+    /// Lines that are no events: files may hold what other programs wrote.
+    pub(crate) unreadable: Vec<Unreadable>,
+}
+
+/// A line that is no event.
+#[derive(Debug)]
+pub(crate) struct Unreadable {
+    /// The file.
+    pub(crate) file: String,
+    /// The line's number, from 1.
+    pub(crate) number: usize,
+    /// Why it cannot be read.
+    pub(crate) cause: String,
+}
+
+/// Reads files of lines.
 ///
 /// # Errors
 ///
 /// Fails where a file cannot be read or holds no event at all.
-pub(super) fn read(files: &[String]) -> Result<Vec<LogLine>, Failure> {
-    let mut lines = Vec::new();
+pub(crate) fn read(files: &[String]) -> Result<Lines, Failure> {
+    let mut lines = Lines::default();
     for file in files {
-        let before = lines.len();
+        let before = lines.events.len();
         let read = match file.as_str() {
-            STANDARD_INPUT => collect(io::stdin().lock(), &mut lines),
-            path => File::open(path).and_then(|file| collect(BufReader::new(file), &mut lines)),
+            STANDARD_INPUT => collect(file, io::stdin().lock(), &mut lines),
+            path => File::open(path)
+                .and_then(|opened| collect(path, BufReader::new(opened), &mut lines)),
         };
         read.map_err(|error| {
             Failure::refused(format!("{file}: {error}"), "give a file that can be read")
         })?;
-        if lines.len() == before {
+        if lines.events.len() == before {
             return Err(Failure::refused(
                 format!("{file}: none of its lines is an event"),
                 "valid: what instances wrote to standard output, one JSON object a line with \
@@ -112,14 +137,21 @@
             ));
         }
     }
-    lines.sort_by(|one: &LogLine, other| one.time_s.total_cmp(&other.time_s));
+    lines
+        .events
+        .sort_by(|one, other| one.time_s.total_cmp(&other.time_s));
     Ok(lines)
 }
 
-fn collect(reader: impl BufRead, lines: &mut Vec<LogLine>) -> io::Result<()> {
-    for line in reader.lines() {
-        if let Ok(line) = serde_json::from_str(&line?) {
-            lines.push(line);
+fn collect(file: &str, reader: impl BufRead, lines: &mut Lines) -> io::Result<()> {
+    for (index, line) in reader.lines().enumerate() {
+        match serde_json::from_str(&line?) {
+            Ok(event) => lines.events.push(event),
+            Err(error) => lines.unreadable.push(Unreadable {
+                file: file.to_owned(),
+                number: index + 1,
+                cause: error.to_string(),
+            }),
         }
     }
     Ok(())
--- /dev/null
+++ b/crates/foxtidectl/src/commands/losses/mod.rs
@@ -0,0 +1,45 @@
+//! `foxtidectl losses`: where and when requests were late, refused or failed, and why.
+
+mod objects;
+mod tally;
+mod told;
+
+use super::lines;
+use crate::failure::Failure;
+use crate::report::Report;
+use argh::FromArgs;
+use tally::Tally;
+
+/// Sum up from the structured lines of instances how requests ended
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "losses")]
+pub(crate) struct Losses {
+    /// a file with the structured lines of instances, `-` for standard input; can
+    /// be given several times
+    #[argh(option)]
+    lines: Vec<String>,
+    /// length of a window in seconds, default 2
+    #[argh(option, default = "2.0")]
+    window_s: f64,
+}
+
+impl Losses {
+    /// Reads the lines and sums them up.
+    pub(crate) fn run(self) -> Result<Report, Failure> {
+        if self.lines.is_empty() {
+            return Err(Failure::refused(
+                "no lines were given",
+                "give the lines of all instances with --lines FILE, `-` for standard input",
+            ));
+        }
+        if !(self.window_s.is_finite() && self.window_s > 0.0) {
+            return Err(Failure::refused(
+                format!("--window-s {}: not a length", self.window_s),
+                "valid: a number of seconds above 0",
+            ));
+        }
+        let lines = lines::read(&self.lines)?;
+        let tally = Tally::of(&lines.events, self.window_s);
+        Ok(told::report(&tally, &lines.unreadable))
+    }
+}
--- /dev/null
+++ b/crates/foxtidectl/src/commands/losses/tally.rs
@@ -0,0 +1,195 @@
+//! How requests and attempts ended, by service, route and window of time.
+
+use super::objects::{
+    Arrival,
+    Objects, //
+};
+use crate::commands::lines::LogLine;
+use std::collections::BTreeMap;
+
+/// The status of a request that did not run.
+const NOT_RUN_STATUS: f64 = 503.0;
+
+/// How long an attempt that an upstream refused may take without having waited there,
+/// in milliseconds: a new connection and an exchange between the regions that are
+/// furthest apart.
+const REFUSED_AT_ONCE_MS: f64 = 250.0;
+
+/// The requests of one service and route in one window.
+#[derive(Clone, Debug, Default, serde::Serialize)]
+pub(super) struct Counts {
+    /// Answered within the latency objective.
+    pub(super) in_time: u64,
+    /// Answered later.
+    pub(super) late: u64,
+    /// Refused: they did not run.
+    pub(super) refused: u64,
+    /// Failed, or their outcome is unknown.
+    pub(super) failed: u64,
+    /// Refusals and failures by reason.
+    pub(super) reasons: BTreeMap<String, u64>,
+    /// Attempts that were cut by a limit of time.
+    pub(super) attempts_cut: u64,
+    /// Attempts that an upstream refused after they had waited there.
+    pub(super) attempts_refused_late: u64,
+    /// Attempts that an upstream refused at once.
+    pub(super) attempts_refused: u64,
+    /// Attempts whose answer was lost or wrong.
+    pub(super) attempts_lost: u64,
+    /// Seconds that attempts in vain spent at upstreams, waits there included.
+    pub(super) vain_s: f64,
+    /// Seconds that requests waited for slots.
+    pub(super) slot_wait_s: f64,
+    /// Requests of objects that no upstream had served before.
+    pub(super) objects_first: u64,
+    /// Requests of objects that another upstream had served before.
+    pub(super) objects_moved: u64,
+    /// The oldest knowledge that decided a request, in milliseconds.
+    pub(super) knowledge_age_max_ms: f64,
+}
+
+/// What is counted together.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Key {
+    pub(super) service: String,
+    pub(super) route: String,
+    pub(super) window: u64,
+}
+
+/// All counts.
+#[derive(Debug, Default)]
+pub(super) struct Tally {
+    pub(super) counts: BTreeMap<Key, Counts>,
+    /// The length of a window in seconds.
+    pub(super) window_s: f64,
+    /// When the first window begins, in seconds since 1970.
+    pub(super) begins_s: f64,
+    /// Requests whose callers left.
+    pub(super) cancelled: u64,
+    /// Lines that instances left out: of requests that were answered in time, and of
+    /// others.
+    pub(super) left_out: (u64, u64),
+    /// Lines that were dropped since standard output was not read.
+    pub(super) dropped: u64,
+    objects: Objects,
+}
+
+impl Tally {
+    /// Counts events, which are in the order of their times.
+    pub(super) fn of(events: &[LogLine], window_s: f64) -> Self {
+        let mut tally = Self {
+            window_s,
+            begins_s: events.first().map_or(0.0, LogLine::time_s),
+            ..Self::default()
+        };
+        for event in events {
+            tally.take_in(event);
+        }
+        tally
+    }
+
+    fn take_in(&mut self, line: &LogLine) {
+        match line.event.as_str() {
+            "request-answered" => self.answered(line),
+            "request-failed" => self.failed(line),
+            "attempt-failed" => self.attempt_failed(line),
+            "request-cancelled" => self.cancelled += 1,
+            "lines-left-out" => {
+                self.left_out.0 += count(line, "answered");
+                self.left_out.1 += count(line, "failed");
+            }
+            "lines-dropped" => self.dropped += count(line, "lines"),
+            _ => {}
+        }
+    }
+
+    fn answered(&mut self, line: &LogLine) {
+        let object = line.field("object");
+        let arrival = if object == "-" {
+            Arrival::Known
+        } else {
+            let (service, upstream) = (line.field("service"), line.field("upstream"));
+            self.objects.serve(&service, &object, &upstream)
+        };
+        let counts = self.counts_of(line);
+        let latency_ms = line.number("latency_ms").unwrap_or_default();
+        let objective_ms = line.number("objective_ms").unwrap_or(f64::MAX);
+        if latency_ms <= objective_ms {
+            counts.in_time += 1;
+        } else {
+            counts.late += 1;
+        }
+        match arrival {
+            Arrival::Known => {}
+            Arrival::First => counts.objects_first += 1,
+            Arrival::Moved => counts.objects_moved += 1,
+        }
+        counts.decided_by(line);
+    }
+
+    fn failed(&mut self, line: &LogLine) {
+        let counts = self.counts_of(line);
+        if line.number("status") == Some(NOT_RUN_STATUS) && line.holds("source", "instance") {
+            counts.refused += 1;
+        } else {
+            counts.failed += 1;
+        }
+        *counts.reasons.entry(line.field("reason")).or_default() += 1;
+        counts.decided_by(line);
+    }
+
+    fn attempt_failed(&mut self, line: &LogLine) {
+        let counts = self.counts_of(line);
+        let took_ms = line.number("took_ms").unwrap_or_default();
+        match line.field("outcome").as_str() {
+            "timed_out" => counts.attempts_cut += 1,
+            "not_run" if took_ms > REFUSED_AT_ONCE_MS => counts.attempts_refused_late += 1,
+            "not_run" => counts.attempts_refused += 1,
+            "unknown" => counts.attempts_lost += 1,
+            _ => return,
+        }
+        counts.vain_s += took_ms / 1_000.0;
+    }
+
+    fn counts_of(&mut self, line: &LogLine) -> &mut Counts {
+        let window = (line.time_s() - self.begins_s) / self.window_s;
+        let key = Key {
+            service: line.field("service"),
+            route: line.field("route"),
+            window: window.max(0.0) as u64,
+        };
+        self.counts.entry(key).or_default()
+    }
+}
+
+impl Counts {
+    fn decided_by(&mut self, line: &LogLine) {
+        let age_ms = line.number("knowledge_age_ms").unwrap_or_default();
+        self.knowledge_age_max_ms = self.knowledge_age_max_ms.max(age_ms);
+        self.slot_wait_s += line.number("slot_wait_ms").unwrap_or_default() / 1_000.0;
+    }
+
+    /// Adds what was counted elsewhere.
+    pub(super) fn add(&mut self, other: &Self) {
+        self.in_time += other.in_time;
+        self.late += other.late;
+        self.refused += other.refused;
+        self.failed += other.failed;
+        for (reason, count) in &other.reasons {
+            *self.reasons.entry(reason.clone()).or_default() += count;
+        }
+        self.attempts_cut += other.attempts_cut;
+        self.attempts_refused_late += other.attempts_refused_late;
+        self.attempts_refused += other.attempts_refused;
+        self.attempts_lost += other.attempts_lost;
+        self.vain_s += other.vain_s;
+        self.slot_wait_s += other.slot_wait_s;
+        self.objects_first += other.objects_first;
+        self.objects_moved += other.objects_moved;
+        self.knowledge_age_max_ms = self.knowledge_age_max_ms.max(other.knowledge_age_max_ms);
+    }
+}
+
+fn count(line: &LogLine, field: &str) -> u64 {
+    line.number(field).unwrap_or_default() as u64
+}
--- /dev/null
+++ b/crates/foxtidectl/src/commands/losses/told.rs
@@ -0,0 +1,150 @@
+//! The sums, for people and for programs.
+
+use super::tally::{
+    Counts,
+    Key,
+    Tally, //
+};
+use crate::commands::lines::Unreadable;
+use crate::report::{
+    Report,
+    Table, //
+};
+use serde_json::{
+    Value,
+    json, //
+};
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+/// How many lines that cannot be read are named; all are counted.
+const UNREADABLE_NAMED_MAX: usize = 10;
+
+/// Returns the report of a tally.
+pub(super) fn report(tally: &Tally, unreadable: &[Unreadable]) -> Report {
+    let routes = sums(tally, |key| (key.service.clone(), key.route.clone()));
+    let windows = sums(tally, |key| key.window);
+    let mut text = String::from("by service and route\n");
+    text.push_str(&table(
+        ["service", "route"],
+        routes.iter(),
+        |(service, route)| vec![service.clone(), route.clone()],
+    ));
+    text.push_str("\nby window, from second\n");
+    text.push_str(&table(["second"], windows.iter(), |&window| {
+        vec![second(tally, window)]
+    }));
+    text.push_str(&reasons(&routes));
+    text.push_str(&caveats(tally, unreadable));
+    Report::new(text, in_json(tally, unreadable))
+}
+
+fn sums<K: Ord>(tally: &Tally, key_of: impl Fn(&Key) -> K) -> BTreeMap<K, Counts> {
+    let mut sums: BTreeMap<K, Counts> = BTreeMap::new();
+    for (key, counts) in &tally.counts {
+        sums.entry(key_of(key)).or_default().add(counts);
+    }
+    sums
+}
+
+fn second(tally: &Tally, window: u64) -> String {
+    format!("{:.0}", window as f64 * tally.window_s)
+}
+
+fn table<'a, K: 'a, const N: usize>(
+    names: [&str; N],
+    rows: impl Iterator<Item = (&'a K, &'a Counts)>,
+    cells_of: impl Fn(&K) -> Vec<String>,
+) -> String {
+    let figures = [
+        "in time",
+        "late",
+        "refused",
+        "failed",
+        "cut",
+        "refused late",
+        "refused at once",
+        "lost",
+        "in vain s",
+        "slot wait s",
+        "first",
+        "moved",
+        "oldest ms",
+    ];
+    let headings = names.into_iter().chain(figures).map(str::to_owned);
+    let mut table = Table::with_columns(headings);
+    for (key, counts) in rows {
+        let mut cells = cells_of(key);
+        cells.extend(figures_of(counts));
+        table.cells(cells.into_iter());
+    }
+    table.text()
+}
+
+fn figures_of(counts: &Counts) -> [String; 13] {
+    [
+        counts.in_time.to_string(),
+        counts.late.to_string(),
+        counts.refused.to_string(),
+        counts.failed.to_string(),
+        counts.attempts_cut.to_string(),
+        counts.attempts_refused_late.to_string(),
+        counts.attempts_refused.to_string(),
+        counts.attempts_lost.to_string(),
+        format!("{:.1}", counts.vain_s),
+        format!("{:.1}", counts.slot_wait_s),
+        counts.objects_first.to_string(),
+        counts.objects_moved.to_string(),
+        format!("{:.0}", counts.knowledge_age_max_ms),
+    ]
+}
+
+fn reasons(routes: &BTreeMap<(String, String), Counts>) -> String {
+    let mut table = Table::new(["service", "route", "reason", "requests"]);
+    for ((service, route), counts) in routes {
+        for (reason, count) in &counts.reasons {
+            let cells = [service, route, reason].map(Clone::clone);
+            table.cells(cells.into_iter().chain([count.to_string()]));
+        }
+    }
+    format!("\nby reason\n{}", table.text())
+}
+
+/// What the sums leave out; writing to a string cannot fail.
+fn caveats(tally: &Tally, unreadable: &[Unreadable]) -> String {
+    let mut text = format!("\ncallers that left: {}\n", tally.cancelled);
+    let (answered, others) = tally.left_out;
+    let _ = writeln!(
+        text,
+        "lines that instances left out: {answered} of requests answered in time, {others} of \
+         others; dropped: {}",
+        tally.dropped
+    );
+    let _ = writeln!(text, "lines that are no events: {}", unreadable.len());
+    for line in unreadable.iter().take(UNREADABLE_NAMED_MAX) {
+        let _ = writeln!(text, "  {}:{}: {}", line.file, line.number, line.cause);
+    }
+    text
+}
+
+fn in_json(tally: &Tally, unreadable: &[Unreadable]) -> Value {
+    let row = |(key, counts): (&Key, &Counts)| {
+        json!({
+            "service": key.service,
+            "route": key.route,
+            "from_s": key.window as f64 * tally.window_s,
+            "counts": counts,
+        })
+    };
+    let named =
+        |line: &Unreadable| json!({"file": line.file, "line": line.number, "cause": line.cause});
+    json!({
+        "window_s": tally.window_s,
+        "begins_s": tally.begins_s,
+        "rows": tally.counts.iter().map(row).collect::<Value>(),
+        "callers_left": tally.cancelled,
+        "lines_left_out": {"answered": tally.left_out.0, "others": tally.left_out.1},
+        "lines_dropped": tally.dropped,
+        "unreadable": unreadable.iter().map(named).collect::<Value>(),
+    })
+}
--- a/crates/foxtidectl/src/commands/mod.rs
+++ b/crates/foxtidectl/src/commands/mod.rs
@@ -5,6 +5,8 @@
 pub(crate) mod drain;
 pub(crate) mod explain;
 pub(crate) mod instances;
+pub(crate) mod lines;
+pub(crate) mod losses;
 pub(crate) mod movement;
 pub(crate) mod organisation;
 pub(crate) mod promises;
--- a/crates/foxtidectl/src/lib.rs
+++ b/crates/foxtidectl/src/lib.rs
@@ -53,6 +53,7 @@
         Command::Instances(command) => command.run(session).await,
         Command::Promises(command) => command.run(session).await,
         Command::Explain(command) => command.run(session).await,
+        Command::Losses(command) => command.run(),
         Command::TimeLine(command) => command.run(session, output).await,
     }
 }
--- a/crates/foxtidectl/tests/explain_lines.rs
+++ b/crates/foxtidectl/tests/explain_lines.rs
@@ -19,6 +19,7 @@
 {"event":"attempt-failed","instance":"edge-1","time_s":106.4,"number":5032,"request":"lost","outcome":"unknown","cause":"reset","upstream":"i-1","zone":"khomas-a","rank":0,"occupancy":1,"is_cold":false}
 {"event":"request-failed","instance":"edge-1","time_s":106.5,"number":5031,"request":"lost","status":502,"source":"instance","reason":"response_lost","route":"r","is_idempotent":false,"service":"notices","upstream":"i-1","attempts":1,"version":4,"knowledge_age_ms":100,"latency_ms":8.5}
 {"event":"request-answered","instance":"edge-1","time_s":107.0,"number":5030,"request":"late","status":200,"route":"r","service":"viewer","object":"0a","upstream":"i-2","attempts":1,"rank":1,"occupancy":3,"version":4,"knowledge_age_ms":5000,"objective_ms":600,"latency_ms":1180.2}
+{"event":"request-failed","instance":"edge-1","time_s":107.05,"number":5031,"request":"unslotted","status":503,"source":"instance","reason":"no_slot_in_time","route":"r","is_idempotent":true,"service":"viewer","upstream":"i-2","attempts":1,"slot":"refused","slot_wait_ms":310,"coordinator":"edge-2","version":4,"knowledge_age_ms":100,"latency_ms":311.0}
 {"event":"attempt-failed","instance":"edge-1","time_s":107.1,"number":5032,"request":"open","outcome":"unknown","cause":"reset","upstream":"i-1","zone":"khomas-a","rank":0,"occupancy":1,"is_cold":false}
 "#;
 
@@ -102,3 +103,11 @@
     assert_eq!(status, ExitStatus::Refused);
     assert!(text.contains("there-is-no-such.log"), "{text}");
 }
+
+#[test]
+fn verify_a_refusal_for_want_of_a_slot_names_the_wait_and_the_coordinator() {
+    let (_, text) = explain("unslotted.log", LINES, "unslotted");
+    let cause = "cause: status 503: it did not run: it waited 310 ms for a slot of upstream i-2, \
+                 and none was expected in its time (coordinator edge-2)";
+    assert!(text.contains(cause), "{text}");
+}
--- /dev/null
+++ b/crates/foxtidectl/tests/losses.rs
@@ -0,0 +1,79 @@
+//! What requests lost, summed up from the structured lines of instances.
+
+use foxtidectl::ExitStatus;
+use serde_json::Value;
+use std::path::PathBuf;
+
+/// Two windows of 2 s: an object that moves, an attempt that is cut, one that is
+/// refused after a wait, a refusal, a failure, and lines that are no events.
+const LINES: &str = r#"
+{"event":"process-started","instance":"edge-1","time_s":100.0,"number":1001}
+{"event":"request-answered","instance":"edge-1","time_s":100.5,"number":5030,"request":"a","status":200,"route":"r","service":"viewer","object":"0a","upstream":"i-1","attempts":1,"rank":0,"slot":"granted","slot_wait_ms":20,"knowledge_age_ms":100,"objective_ms":600,"latency_ms":300.0}
+{"event":"request-answered","instance":"edge-2","time_s":100.6,"number":5030,"request":"b","status":200,"route":"r","service":"viewer","object":"0a","upstream":"i-2","attempts":1,"rank":1,"slot":"granted","slot_wait_ms":500,"knowledge_age_ms":900,"objective_ms":600,"latency_ms":900.0}
+not a line of an instance
+{"event":"attempt-failed","instance":"edge-1","time_s":102.1,"number":5032,"request":"c","route":"r","service":"viewer","outcome":"not_run","upstream":"i-1","took_ms":800.0}
+{"event":"attempt-failed","instance":"edge-1","time_s":102.2,"number":5032,"request":"c","route":"r","service":"viewer","outcome":"not_run","upstream":"i-2","took_ms":3.0}
+{"event":"request-failed","instance":"edge-1","time_s":102.3,"number":5031,"request":"c","status":503,"source":"instance","reason":"upstream_refused","route":"r","service":"viewer","knowledge_age_ms":100,"latency_ms":803.0}
+{"event":"attempt-failed","instance":"edge-1","time_s":103.1,"number":5032,"request":"d","route":"once","service":"notices","outcome":"timed_out","upstream":"i-7","took_ms":2000.0}
+{"event":"request-failed","instance":"edge-1","time_s":103.2,"number":5031,"request":"d","status":504,"source":"instance","reason":"time_up_at_upstream","route":"once","service":"notices","knowledge_age_ms":100,"latency_ms":2000.0}
+{"event":"request-cancelled","instance":"edge-1","time_s":103.3,"number":5015,"request":"e"}
+{"event":"lines-left-out","instance":"edge-1","time_s":103.5,"number":1011,"answered":7,"failed":2}
+{"event":"lines-dropped","instance":"edge-1","time_s":103.6,"number":1012,"lines":3}
+{"time_s":
+"#;
+
+fn losses(name: &str, lines: &str, more: &[&str]) -> (ExitStatus, String) {
+    let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&file, lines).unwrap();
+    let file = file.display().to_string();
+    let mut arguments: Vec<String> = more.iter().map(|&word| word.to_owned()).collect();
+    arguments.extend(["losses", "--lines", &file].map(str::to_owned));
+    let (mut output, mut errors) = (Vec::new(), Vec::new());
+    let status = foxtidectl::run(&arguments, &mut output, &mut errors);
+    output.extend(errors);
+    let text = String::from_utf8(output).unwrap();
+    (status, text.replace(&file, "FILE"))
+}
+
+#[test]
+fn verify_requests_and_attempts_are_summed_up() {
+    let (status, text) = losses("losses.log", LINES, &[]);
+    assert_eq!(status, ExitStatus::Done, "{text}");
+    insta::assert_snapshot!(text);
+}
+
+#[test]
+fn verify_programs_get_every_window_and_every_unreadable_line() {
+    let (_, text) = losses("losses-json.log", LINES, &["--json"]);
+    let json: Value = serde_json::from_str(&text).unwrap();
+    assert_eq!(json["rows"].as_array().unwrap().len(), 3);
+    let viewer = &json["rows"][1]["counts"];
+    assert_eq!(viewer["in_time"], 1);
+    assert_eq!(viewer["objects_moved"], 1);
+    assert_eq!(json["unreadable"].as_array().unwrap().len(), 3);
+    assert_eq!(json["lines_left_out"]["answered"], 7);
+    assert_eq!(json["lines_dropped"], 3);
+}
+
+#[test]
+fn verify_a_file_without_events_is_refused() {
+    let (status, text) = losses("losses-none.log", "nothing\n", &[]);
+    assert_eq!(status, ExitStatus::Refused);
+    assert!(
+        text.contains("FILE: none of its lines is an event"),
+        "{text}"
+    );
+}
+
+#[test]
+fn verify_a_window_without_length_is_refused() {
+    let arguments = ["losses", "--window-s", "0", "--lines", "x"].map(str::to_owned);
+    let (mut output, mut errors) = (Vec::new(), Vec::new());
+    let status = foxtidectl::run(&arguments, &mut output, &mut errors);
+    assert_eq!(status, ExitStatus::Refused);
+    let text = String::from_utf8(errors).unwrap();
+    assert!(
+        text.contains("valid: a number of seconds above 0"),
+        "{text}"
+    );
+}
