Let the test of a granted slot wait until members are known

Cause: an instance asks for slots once it counts itself among the members; a look-up names its own address also before that, so that the test's wait was none.

Change: the test waits until the instance knows another one.

--- a/crates/foxtide-gateway/tests/gateway/forwarding.rs
+++ b/crates/foxtide-gateway/tests/gateway/forwarding.rs
@@ -105,7 +105,9 @@
 fn verify_a_request_that_is_refused_in_a_granted_slot_goes_there_again() {
     let (fleet, one, two) = fleet_of_two();
     let instance = fleet.instance("edge-1", "khomas-a");
-    instance.knows_members(1);
+    // One that knows another knows itself: it asks for slots.
+    let _other = fleet.instance("edge-2", "khomas-a");
+    instance.knows_members(2);
     for upstream in [&one, &two] {
         upstream.next(Behaviour::Full);
     }
