Model load on a service without network

Change: foxtide-testing plays one service on virtual time, from a seed and a file of JSON with comments: upstreams with slots, a queue and objects that they know, callers who come back, faults of upstreams and of coordinators. The order of upstreams, the regions' shares and the coordinators are those of foxtide-core. An example prints windows and causes and draws worth and load.

--- /dev/null
+++ b/crates/foxtide-testing/examples/load_model.rs
@@ -0,0 +1,64 @@
+//! Plays loads from files and prints how they were served, with coordinated slots and
+//! without; draws worth and load over time.
+//!
+//!     cargo run -p foxtide-testing --example load_model -- crates/foxtide-testing/loads/high.jsonc
+
+use anyhow::Result;
+use argh::FromArgs;
+use foxtide_testing::load_model::{
+    LoadSettings,
+    play,
+    plot, //
+};
+use std::path::PathBuf;
+
+/// Plays loads on a service.
+#[derive(Debug, FromArgs)]
+struct Arguments {
+    /// files of loads
+    #[argh(positional)]
+    loads: Vec<PathBuf>,
+    /// the first seed, default 1
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// how many seeds are played, default 3
+    #[argh(option, default = "3")]
+    seeds: u64,
+    /// an SVG file for the first load and seed
+    #[argh(option)]
+    plot: Option<PathBuf>,
+}
+
+fn main() -> Result<()> {
+    let arguments: Arguments = argh::from_env();
+    for load in &arguments.loads {
+        let coordinated = LoadSettings::load(load)?;
+        let alone = LoadSettings {
+            is_coordinated: false,
+            ..coordinated.clone()
+        };
+        for seed in arguments.seed..arguments.seed + arguments.seeds {
+            println!("{} seed {seed}, each instance alone:", load.display());
+            println!("{}\n", play(&alone, seed));
+            println!("{} seed {seed}, coordinated slots:", load.display());
+            println!("{}\n", play(&coordinated, seed));
+        }
+    }
+    let (Some(path), Some(load)) = (&arguments.plot, arguments.loads.first()) else {
+        return Ok(());
+    };
+    let coordinated = LoadSettings::load(load)?;
+    let alone = LoadSettings {
+        is_coordinated: false,
+        ..coordinated.clone()
+    };
+    let (before, after) = (
+        play(&alone, arguments.seed),
+        play(&coordinated, arguments.seed),
+    );
+    let plays = [
+        ("each instance alone", &before),
+        ("coordinated slots", &after),
+    ];
+    plot(path, &plays).map_err(|error| anyhow::anyhow!("{}: {error}", path.display()))
+}
--- a/crates/foxtide-testing/src/lib.rs
+++ b/crates/foxtide-testing/src/lib.rs
@@ -7,11 +7,14 @@
 //! * [`StoreServer`]: the key-value store with leases and watches.
 //! * [`InstanceListServer`]: the platform's lagging list of instances.
 //! * [`UpstreamServer`]: one target of a service.
+//!
+//! [`load_model`] plays load on a service without network, on virtual time.
 
 mod client;
 mod duration;
 mod http;
 mod instance_list;
+pub mod load_model;
 pub mod scenario;
 mod store;
 mod upstream;
--- /dev/null
+++ b/crates/foxtide-testing/src/load_model/asking.rs
@@ -0,0 +1,223 @@
+//! Instances that ask for slots, and coordinators that answer.
+
+use super::fleet::Fleet;
+use super::outcome::Cause;
+use super::request::{
+    RequestId,
+    Stage, //
+};
+use super::settings::{
+    CoordinatorFaultKind,
+    milliseconds, //
+};
+use super::world::{
+    Event,
+    World, //
+};
+use foxtide_core::admission::{
+    Answer,
+    Directed,
+    Ending,
+    Patience,
+    SlotRequest,
+    Ticket, //
+};
+use foxtide_core::placement::ObjectKey;
+
+/// What the gateway's settings say by default, in milliseconds.
+const ANSWER_TIME_MS: f64 = 40.0;
+const ASK_AGAIN_PERIOD_MS: f64 = 150.0;
+
+/// The number alone names a request here, whichever instance has it.
+fn ticket(id: RequestId) -> Ticket {
+    Ticket {
+        asker: Fleet::address(0),
+        number: id.0,
+    }
+}
+
+impl World<'_> {
+    /// Asks the coordinator of the request's upstream, or sends where none is asked.
+    pub(super) fn ask(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.is_answered = false;
+        let (asker, upstream, region) = (request.instance, request.upstream, request.region);
+        let patience = match request.stage {
+            Stage::Own => Patience::WhileInTime,
+            Stage::Second => Patience::None,
+            Stage::Patient => Patience::ToTheEnd,
+            Stage::Sent | Stage::Ended => return,
+        };
+        let coordinator = self.fleet.coordinator(asker, upstream);
+        let (true, Some(coordinator)) = (self.settings.is_coordinated, coordinator) else {
+            return self.send(id);
+        };
+        let is_near = self.fleet.is_near(region, upstream);
+        let event = Event::Heard {
+            request: id,
+            coordinator,
+            patience,
+            is_question: is_near,
+        };
+        self.after(self.delay(region, upstream), event);
+        if is_near {
+            self.after(milliseconds(ANSWER_TIME_MS), Event::AnswerLate(id));
+            self.after(milliseconds(ASK_AGAIN_PERIOD_MS), Event::AskAgain(id));
+        } else {
+            self.send(id);
+        }
+    }
+
+    pub(super) fn ask_again(&mut self, id: RequestId) {
+        let is_waiting = self.requests.get(&id).is_some_and(|request| {
+            request.is_answered && matches!(request.stage, Stage::Own | Stage::Patient)
+        });
+        if is_waiting {
+            self.ask(id);
+        }
+    }
+
+    /// Without an answer the request is sent, and the coordinator is told.
+    pub(super) fn answer_late(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let is_waiting = matches!(request.stage, Stage::Own | Stage::Second | Stage::Patient);
+        if !is_waiting || request.is_answered {
+            return;
+        }
+        let (asker, upstream, region) = (request.instance, request.upstream, request.region);
+        if let Some(coordinator) = self.fleet.coordinator(asker, upstream) {
+            let event = Event::Heard {
+                request: id,
+                coordinator,
+                patience: Patience::ToTheEnd,
+                is_question: false,
+            };
+            self.after(self.delay(region, upstream), event);
+        }
+        self.send(id);
+    }
+
+    /// A coordinator hears a question or of an end, unless it does not run.
+    pub(super) fn hear(&mut self, coordinator: usize, event: Event) {
+        match self.fleet.instances[coordinator].fault {
+            Some(CoordinatorFaultKind::Killed) => {}
+            Some(CoordinatorFaultKind::Paused) => self.unheard.push((coordinator, event)),
+            Some(CoordinatorFaultKind::Mute) => drop(self.coordinate(coordinator, event)),
+            Some(CoordinatorFaultKind::DoublyBelieved) | None => {
+                let answers = self.coordinate(coordinator, event);
+                self.tell(answers);
+            }
+        }
+    }
+
+    pub(super) fn coordinate(&mut self, coordinator: usize, event: Event) -> Vec<Directed> {
+        let now = self.now;
+        let slots = self.settings.slots;
+        match event {
+            Event::Heard {
+                request,
+                patience,
+                is_question,
+                ..
+            } => {
+                let Some(asked) = self.slot_request(request, patience) else {
+                    return Vec::new();
+                };
+                let own = &mut self.fleet.instances[coordinator].coordinator;
+                if is_question {
+                    return own.ask(&asked, slots, now);
+                }
+                own.tell(&asked, slots, now);
+                Vec::new()
+            }
+            Event::Ended {
+                request, ending, ..
+            } => {
+                let own = &mut self.fleet.instances[coordinator].coordinator;
+                own.end(ticket(request), ending, now)
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    pub(super) fn slot_request(&self, id: RequestId, patience: Patience) -> Option<SlotRequest> {
+        let request = self.requests.get(&id)?;
+        let objective_at = request.came_at + self.settings.objective();
+        let ends_at = request.came_at + self.settings.limit();
+        Some(SlotRequest {
+            ticket: ticket(id),
+            upstream: self.fleet.upstream(request.upstream).clone(),
+            object: Some(ObjectKey::new(&request.object.to_le_bytes())),
+            priority: 1,
+            objective_left: objective_at.since(self.now),
+            time_left: ends_at.since(self.now),
+            patience,
+        })
+    }
+
+    pub(super) fn tell(&mut self, answers: Vec<Directed>) {
+        for (ticket, answer) in answers {
+            let request = RequestId(ticket.number);
+            self.after(
+                self.settings.near_delay(),
+                Event::Answered { request, answer },
+            );
+        }
+    }
+
+    pub(super) fn answered(&mut self, id: RequestId, answer: Answer) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.is_answered = true;
+        let stage = request.stage;
+        if matches!(stage, Stage::Sent | Stage::Ended) {
+            return;
+        }
+        match answer {
+            Answer::Granted => self.send(id),
+            Answer::Waiting => {}
+            Answer::Busy => self.busy(id),
+            Answer::Refused { retry_after } => self.end(id, Cause::RefusedNoSlot, retry_after),
+        }
+    }
+
+    /// The second choice if it is near, else the own upstream as long as there is time.
+    pub(super) fn busy(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let second = request.order.get(1).copied();
+        let near = second.filter(|&second| self.fleet.is_near(request.region, second));
+        match (request.stage, near) {
+            (Stage::Own, Some(second)) => {
+                request.stage = Stage::Second;
+                request.upstream = second;
+            }
+            _ => {
+                request.stage = Stage::Patient;
+                request.upstream = request.order[0];
+            }
+        }
+        self.ask(id);
+    }
+
+    pub(super) fn tell_end(&mut self, id: RequestId, ending: Ending) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let (asker, upstream, region) = (request.instance, request.upstream, request.region);
+        if let Some(coordinator) = self.fleet.coordinator(asker, upstream) {
+            let event = Event::Ended {
+                request: id,
+                coordinator,
+                ending,
+            };
+            self.after(self.delay(region, upstream), event);
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxtide-testing/src/load_model/callers.rs
@@ -0,0 +1,154 @@
+//! Callers: how requests arise, end and come back.
+
+use super::outcome::{
+    Cause,
+    LoadWindow, //
+};
+use super::request::{
+    Request,
+    RequestId,
+    Stage, //
+};
+use super::settings::milliseconds;
+use super::world::{
+    Event,
+    WINDOW_S,
+    World, //
+};
+use foxtide_core::admission::Ending;
+use foxtide_core::placement::ObjectKey;
+use foxtide_core::time::MonotonicTime;
+use rand::RngExt;
+use std::time::Duration;
+
+/// The most returns of a caller that waits as told, and of one that does not.
+const RETURNS_MAX: u32 = 1;
+const IMPATIENT_RETURNS_MAX: u32 = 3;
+
+/// When a caller comes back that was cut or does not wait, and when one is told to whose
+/// time passed, in milliseconds.
+pub(super) const IMPATIENT_MS: f64 = 5.0;
+pub(super) const RETRY_AFTER_MS: f64 = 300.0;
+
+impl World<'_> {
+    pub(super) fn schedule_arrival(&mut self, region: usize) {
+        let load = &self.settings.regions[region];
+        let phase = region as f64 / self.settings.regions.len() as f64;
+        let turns = self.elapsed_s() / self.settings.swing_period_s + phase;
+        let swing = 1.0 + self.settings.swing * (turns * std::f64::consts::TAU).sin();
+        let rate_rps = (load.rate_rps * swing).max(0.01);
+        let draw: f64 = self.arrivals.random();
+        let pause_s = -(1.0 - draw).ln() / rate_rps;
+        if self.elapsed_s() + pause_s < self.settings.length_s {
+            self.after(milliseconds(pause_s * 1_000.0), Event::Arise(region));
+        }
+    }
+
+    pub(super) fn arise(&mut self, region: usize) {
+        self.schedule_arrival(region);
+        let object = self
+            .random
+            .random_range(0..self.settings.regions[region].objects);
+        let object = object + 1_000_000 * region as u64;
+        let draw: f64 = self.arrivals.random();
+        let request = Request {
+            region,
+            instance: 0,
+            object,
+            first_at: self.now,
+            came_at: self.now,
+            returns: 0,
+            is_impatient: draw < self.settings.impatient_share,
+            order: Vec::new(),
+            upstream: 0,
+            refusals: 0,
+            stage: Stage::Own,
+            is_answered: false,
+        };
+        self.window_of(&request).asked += 1;
+        self.take_in(request);
+    }
+
+    pub(super) fn come_back(&mut self, former: RequestId) {
+        let Some(former) = self.requests.remove(&former) else {
+            return;
+        };
+        self.take_in(Request {
+            came_at: self.now,
+            returns: former.returns + 1,
+            refusals: 0,
+            stage: Stage::Own,
+            is_answered: false,
+            ..former
+        });
+    }
+
+    /// An instance of the caller's region gets an attempt.
+    pub(super) fn take_in(&mut self, mut request: Request) {
+        let of_region: Vec<usize> = (0..self.fleet.instances.len())
+            .filter(|&number| self.fleet.instances[number].region == request.region)
+            .collect();
+        request.instance = of_region[self.random.random_range(0..of_region.len())];
+        let key = ObjectKey::new(&request.object.to_le_bytes());
+        request.order = self.fleet.order(request.region, key);
+        request.upstream = request.order[0];
+        let id = RequestId(self.next_request);
+        self.next_request += 1;
+        self.requests.insert(id, request);
+        self.after(self.settings.limit(), Event::Limit(id));
+        self.ask(id);
+    }
+
+    pub(super) fn limit(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let (stage, upstream) = (request.stage, request.upstream);
+        match stage {
+            Stage::Sent => {
+                self.free(id, upstream);
+                self.end(id, Cause::Cut, milliseconds(IMPATIENT_MS));
+            }
+            Stage::Own | Stage::Second | Stage::Patient => {
+                self.end(id, Cause::RefusedNoSlot, milliseconds(RETRY_AFTER_MS));
+            }
+            Stage::Ended => {}
+        }
+    }
+
+    /// An attempt has ended without an answer; its caller may come back.
+    pub(super) fn end(&mut self, id: RequestId, cause: Cause, retry_after: Duration) {
+        self.tell_end(id, Ending::NotServed);
+        self.known.remove(&id);
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.stage = Stage::Ended;
+        let returns_max = if request.is_impatient {
+            IMPATIENT_RETURNS_MAX
+        } else {
+            RETURNS_MAX
+        };
+        if request.returns < returns_max {
+            let wait = if request.is_impatient {
+                milliseconds(IMPATIENT_MS)
+            } else {
+                retry_after
+            };
+            self.after(wait, Event::ComeBack(id));
+            return;
+        }
+        if request.returns > 0 && matches!(cause, Cause::RefusedNoSlot | Cause::RefusedByUpstream) {
+            self.outcome.refused_again += 1;
+        }
+        self.requests.remove(&id);
+        *self.outcome.causes.entry(cause).or_default() += 1;
+    }
+
+    pub(super) fn window_of(&mut self, request: &Request) -> &mut LoadWindow {
+        let since = request.first_at - MonotonicTime::from_ms(1_000);
+        let number = (since.as_secs_f64() / WINDOW_S) as usize;
+        let last = self.outcome.windows.len() - 1;
+        &mut self.outcome.windows[number.min(last)]
+    }
+}
--- /dev/null
+++ b/crates/foxtide-testing/src/load_model/faults.rs
@@ -0,0 +1,85 @@
+//! Faults of upstreams and coordinators.
+
+use super::callers::IMPATIENT_MS;
+use super::outcome::Cause;
+use super::settings::{
+    CoordinatorFaultKind,
+    UpstreamFaultKind,
+    milliseconds, //
+};
+use super::world::{
+    Event,
+    World, //
+};
+use std::time::Duration;
+
+/// How long an instance that is gone is still believed in: its lease.
+const LEASE_MS: f64 = 2_200.0;
+
+impl World<'_> {
+    pub(super) fn upstream_fault(&mut self, number: usize, begins: bool) {
+        let fault = self.settings.upstream_faults[number];
+        let count = self.upstreams.len();
+        let part = |share: f64| (count as f64 * share).round() as usize;
+        let first = part(fault.from).min(count);
+        for upstream in first..(first + part(fault.share)).min(count) {
+            let own = &mut self.upstreams[upstream];
+            match fault.kind {
+                UpstreamFaultKind::Slow(times) => own.slowness = if begins { times } else { 1.0 },
+                UpstreamFaultKind::Refusing(share) => {
+                    own.refusing_share = if begins { share } else { 0.0 };
+                }
+                UpstreamFaultKind::Away => {
+                    own.is_away = begins;
+                    for lost in own.lose_all() {
+                        self.end(lost, Cause::Lost, milliseconds(IMPATIENT_MS));
+                    }
+                }
+            }
+        }
+        let away: Vec<bool> = self.upstreams.iter().map(|one| one.is_away).collect();
+        self.fleet.weigh(self.settings, &away);
+    }
+
+    pub(super) fn coordinator_fault(&mut self, number: usize, begins: bool) {
+        let fault = self.settings.coordinator_faults[number];
+        let instance = fault.instance;
+        self.fleet.instances[instance].fault = begins.then_some(fault.kind);
+        match fault.kind {
+            CoordinatorFaultKind::Killed => {
+                self.fleet.instances[instance].coordinator = Default::default();
+                let time = if begins {
+                    milliseconds(LEASE_MS)
+                } else {
+                    Duration::ZERO
+                };
+                let is_alive = !begins;
+                self.after(time, Event::Believe { instance, is_alive });
+            }
+            CoordinatorFaultKind::DoublyBelieved => {
+                // One half of the instances believes in it, the other does not.
+                for asker in (0..self.fleet.instances.len()).step_by(2) {
+                    self.fleet.believe(asker, instance, !begins);
+                }
+            }
+            CoordinatorFaultKind::Paused => {
+                let (mine, others): (Vec<_>, Vec<_>) = std::mem::take(&mut self.unheard)
+                    .into_iter()
+                    .partition(|(coordinator, _)| *coordinator == instance);
+                self.unheard = others;
+                for (_, event) in mine {
+                    self.after(Duration::ZERO, event);
+                }
+            }
+            CoordinatorFaultKind::Mute => {}
+        }
+    }
+
+    pub(super) fn delay(&self, region: usize, upstream: usize) -> Duration {
+        if self.fleet.is_near(region, upstream) {
+            self.settings.near_delay()
+        } else {
+            self.settings.far_delay()
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxtide-testing/src/load_model/fleet.rs
@@ -0,0 +1,189 @@
+//! The instances: whom they believe in, how they order upstreams, and their
+//! coordinators.
+
+use super::settings::{
+    CoordinatorFaultKind,
+    LoadSettings, //
+};
+use foxtide_core::admission::Coordinator;
+use foxtide_core::ids::{
+    RegionId,
+    UpstreamId, //
+};
+use foxtide_core::placement::{
+    Candidate,
+    ObjectKey,
+    first_choices,
+    shares_of, //
+};
+use foxtide_core::registry::{
+    Member,
+    Members,
+    StorePhase, //
+};
+use foxtide_core::time::MonotonicTime;
+use std::collections::BTreeMap;
+use std::net::{
+    Ipv4Addr,
+    SocketAddr, //
+};
+
+/// Far below any other weight: such an upstream comes last.
+const LAST_RESORT_WEIGHT: f64 = 1e-9;
+
+/// How many upstreams of an object's order are looked at.
+const CHOICES: usize = 4;
+
+/// One instance.
+#[derive(Debug)]
+pub(super) struct Instance {
+    pub(super) region: usize,
+    /// Its own view of who is alive.
+    pub(super) members: Members,
+    pub(super) coordinator: Coordinator,
+    /// What happens to it as a coordinator.
+    pub(super) fault: Option<CoordinatorFaultKind>,
+}
+
+/// All instances, and where upstreams stand.
+#[derive(Debug)]
+pub(super) struct Fleet {
+    pub(super) instances: Vec<Instance>,
+    regions: Vec<RegionId>,
+    upstreams: Vec<(UpstreamId, usize)>,
+    /// By the region in which requests arise.
+    candidates: Vec<Vec<Candidate>>,
+}
+
+impl Fleet {
+    /// Returns a fleet in which all know all.
+    pub(super) fn new(settings: &LoadSettings) -> Self {
+        let regions: Vec<RegionId> = settings
+            .regions
+            .iter()
+            .map(|region| region.name.parse().expect("names of regions are names"))
+            .collect();
+        let mut upstreams = Vec::new();
+        let mut instances = Vec::new();
+        for (number, region) in settings.regions.iter().enumerate() {
+            for _ in 0..region.upstreams {
+                let name = format!("i-{}", upstreams.len());
+                upstreams.push((name.parse().expect("a name"), number));
+            }
+            for _ in 0..region.instances {
+                instances.push(number);
+            }
+        }
+        let all: Vec<Member> = instances
+            .iter()
+            .enumerate()
+            .map(|(number, &region)| member(number, &regions[region]))
+            .collect();
+        let instances = instances
+            .into_iter()
+            .map(|region| Instance {
+                region,
+                members: members_of(&all),
+                coordinator: Coordinator::default(),
+                fault: None,
+            })
+            .collect();
+        let mut fleet = Self {
+            instances,
+            regions,
+            upstreams,
+            candidates: Vec::new(),
+        };
+        let away = vec![false; fleet.upstreams.len()];
+        fleet.weigh(settings, &away);
+        fleet
+    }
+
+    /// Takes in which upstreams are away.
+    pub(super) fn weigh(&mut self, settings: &LoadSettings, away: &[bool]) {
+        let mut slots: BTreeMap<RegionId, u32> = BTreeMap::new();
+        for (number, (_, region)) in self.upstreams.iter().enumerate() {
+            if !away[number] {
+                *slots.entry(self.regions[*region].clone()).or_default() += settings.slots;
+            }
+        }
+        self.candidates = (0..self.regions.len())
+            .map(|origin| {
+                let shares = shares_of(&self.regions[origin], &slots, self.regions.len());
+                let weigh = |(number, (name, region)): (usize, &(UpstreamId, usize))| {
+                    let region = &self.regions[*region];
+                    let share = shares.get(region).copied().unwrap_or(0.0);
+                    let of_region = f64::from(slots.get(region).copied().unwrap_or(1).max(1));
+                    let weight = (share / of_region).max(LAST_RESORT_WEIGHT);
+                    Candidate::new(name, if away[number] { 0.0 } else { weight })
+                };
+                self.upstreams.iter().enumerate().map(weigh).collect()
+            })
+            .collect()
+    }
+
+    /// Returns the first upstreams in the order of an object that arises in a region.
+    pub(super) fn order(&self, region: usize, object: ObjectKey) -> Vec<usize> {
+        first_choices(object, &self.candidates[region], CHOICES)
+    }
+
+    /// Returns an upstream's name.
+    pub(super) fn upstream(&self, number: usize) -> &UpstreamId {
+        &self.upstreams[number].0
+    }
+
+    /// Tells whether an upstream stands in a region.
+    pub(super) fn is_near(&self, region: usize, upstream: usize) -> bool {
+        self.upstreams[upstream].1 == region
+    }
+
+    /// Returns the instance that `asker` takes for the coordinator of an upstream.
+    pub(super) fn coordinator(&self, asker: usize, upstream: usize) -> Option<usize> {
+        let (name, region) = &self.upstreams[upstream];
+        let members = &self.instances[asker].members;
+        let member = members.coordinator(name, &self.regions[*region])?;
+        Some(number_of(member))
+    }
+
+    /// Sets whether `asker` believes that `instance` is alive.
+    pub(super) fn believe(&mut self, asker: usize, instance: usize, is_alive: bool) {
+        let region = self.regions[self.instances[instance].region].clone();
+        let member = member(instance, &region);
+        let members = &mut self.instances[asker].members;
+        if is_alive {
+            members.join(member);
+        } else {
+            members.leave(&member.instance, StorePhase::Steady, MonotonicTime::ZERO);
+        }
+    }
+
+    /// Returns the address of an instance as an asker.
+    pub(super) fn address(instance: usize) -> SocketAddr {
+        let port = 10_000 + u16::try_from(instance).expect("a model has few instances");
+        SocketAddr::from((Ipv4Addr::LOCALHOST, port))
+    }
+}
+
+fn members_of(all: &[Member]) -> Members {
+    let mut members = Members::default();
+    for member in all {
+        members.join(member.clone());
+    }
+    members
+}
+
+fn member(number: usize, region: &RegionId) -> Member {
+    let address = Fleet::address(number);
+    Member {
+        instance: format!("edge-{number}").parse().expect("a name"),
+        caller_address: address,
+        peer_address: address,
+        datagram_address: address,
+        availability_zone: format!("{region}-a").parse().expect("a name"),
+        region: region.clone(),
+    }
+}
+
+fn number_of(member: &Member) -> usize {
+    usize::from(member.datagram_address.port()) - 10_000
+}
--- /dev/null
+++ b/crates/foxtide-testing/src/load_model/world.rs
@@ -0,0 +1,243 @@
+//! The events of a load, in the order of their times.
+
+use super::fleet::Fleet;
+use super::outcome::{
+    LoadOutcome,
+    LoadWindow, //
+};
+use super::request::{
+    Request,
+    RequestId, //
+};
+use super::settings::{
+    LoadSettings,
+    milliseconds, //
+};
+use super::upstream::Upstream;
+use foxtide_core::admission::{
+    Answer,
+    Ending,
+    Patience, //
+};
+use foxtide_core::time::MonotonicTime;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use std::cmp::Ordering;
+use std::collections::{
+    BinaryHeap,
+    HashMap, //
+};
+use std::time::Duration;
+
+/// How often the load of upstreams is looked at, and the length of a window.
+pub(super) const LOOK_MS: f64 = 100.0;
+pub(super) const WINDOW_S: f64 = 2.0;
+
+/// What happens next.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Event {
+    Arise(usize),
+    ComeBack(RequestId),
+    AskAgain(RequestId),
+    AnswerLate(RequestId),
+    Heard {
+        request: RequestId,
+        coordinator: usize,
+        patience: Patience,
+        is_question: bool,
+    },
+    Ended {
+        request: RequestId,
+        coordinator: usize,
+        ending: Ending,
+    },
+    Answered {
+        request: RequestId,
+        answer: Answer,
+    },
+    Reach(RequestId),
+    Refused(RequestId),
+    Worked(RequestId),
+    Replied(RequestId),
+    Limit(RequestId),
+    UpstreamFault {
+        number: usize,
+        begins: bool,
+    },
+    CoordinatorFault {
+        number: usize,
+        begins: bool,
+    },
+    Believe {
+        instance: usize,
+        is_alive: bool,
+    },
+    Look,
+}
+
+struct Scheduled {
+    at: MonotonicTime,
+    number: u64,
+    event: Event,
+}
+
+impl PartialEq for Scheduled {
+    fn eq(&self, other: &Self) -> bool {
+        self.number == other.number
+    }
+}
+
+impl Eq for Scheduled {}
+
+impl PartialOrd for Scheduled {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Scheduled {
+    /// The greatest is the one that happens first.
+    fn cmp(&self, other: &Self) -> Ordering {
+        (other.at, other.number).cmp(&(self.at, self.number))
+    }
+}
+
+/// Plays a load with a seed.
+pub fn play(settings: &LoadSettings, seed: u64) -> LoadOutcome {
+    let mut world = World::new(settings, seed);
+    world.run();
+    world.outcome
+}
+
+pub(super) struct World<'a> {
+    pub(super) settings: &'a LoadSettings,
+    /// What arises, so that the same load comes whatever is decided.
+    pub(super) arrivals: StdRng,
+    pub(super) random: StdRng,
+    pub(super) now: MonotonicTime,
+    events: BinaryHeap<Scheduled>,
+    scheduled: u64,
+    pub(super) fleet: Fleet,
+    pub(super) upstreams: Vec<Upstream>,
+    pub(super) requests: HashMap<RequestId, Request>,
+    /// Events that an instance has not heard since it stands still.
+    pub(super) unheard: Vec<(usize, Event)>,
+    /// Work that is under way: whether its object was known.
+    pub(super) known: HashMap<RequestId, bool>,
+    pub(super) next_request: u64,
+    pub(super) outcome: LoadOutcome,
+}
+
+impl<'a> World<'a> {
+    fn new(settings: &'a LoadSettings, seed: u64) -> Self {
+        let count = settings.regions.iter().map(|region| region.upstreams).sum();
+        let windows = (settings.length_s / WINDOW_S).ceil() as usize;
+        let mut world = Self {
+            settings,
+            arrivals: StdRng::seed_from_u64(seed),
+            random: StdRng::seed_from_u64(seed.wrapping_add(1)),
+            now: MonotonicTime::from_ms(1_000),
+            events: BinaryHeap::new(),
+            scheduled: 0,
+            fleet: Fleet::new(settings),
+            upstreams: (0..count).map(|_| Upstream::new()).collect(),
+            requests: HashMap::new(),
+            unheard: Vec::new(),
+            known: HashMap::new(),
+            next_request: 0,
+            outcome: LoadOutcome {
+                windows: vec![LoadWindow::default(); windows],
+                ..LoadOutcome::default()
+            },
+        };
+        for region in 0..settings.regions.len() {
+            world.schedule_arrival(region);
+        }
+        for (number, fault) in settings.upstream_faults.iter().enumerate() {
+            world.at_s(
+                fault.at_s,
+                Event::UpstreamFault {
+                    number,
+                    begins: true,
+                },
+            );
+            let ends_s = fault.at_s + fault.for_s;
+            world.at_s(
+                ends_s,
+                Event::UpstreamFault {
+                    number,
+                    begins: false,
+                },
+            );
+        }
+        for (number, fault) in settings.coordinator_faults.iter().enumerate() {
+            world.at_s(
+                fault.at_s,
+                Event::CoordinatorFault {
+                    number,
+                    begins: true,
+                },
+            );
+            let ends_s = fault.at_s + fault.for_s;
+            world.at_s(
+                ends_s,
+                Event::CoordinatorFault {
+                    number,
+                    begins: false,
+                },
+            );
+        }
+        world.after(milliseconds(LOOK_MS), Event::Look);
+        world
+    }
+
+    fn run(&mut self) {
+        while let Some(next) = self.events.pop() {
+            self.now = next.at;
+            self.happen(next.event);
+        }
+    }
+
+    fn at_s(&mut self, at_s: f64, event: Event) {
+        self.after(milliseconds(at_s * 1_000.0), event);
+    }
+
+    pub(super) fn after(&mut self, time: Duration, event: Event) {
+        self.scheduled += 1;
+        self.events.push(Scheduled {
+            at: self.now + time,
+            number: self.scheduled,
+            event,
+        });
+    }
+
+    pub(super) fn elapsed_s(&self) -> f64 {
+        (self.now - MonotonicTime::from_ms(1_000)).as_secs_f64()
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Arise(region) => self.arise(region),
+            Event::ComeBack(request) => self.come_back(request),
+            Event::AskAgain(request) => self.ask_again(request),
+            Event::AnswerLate(request) => self.answer_late(request),
+            Event::Heard { coordinator, .. } | Event::Ended { coordinator, .. } => {
+                self.hear(coordinator, event);
+            }
+            Event::Answered { request, answer } => self.answered(request, answer),
+            Event::Reach(request) => self.reach(request),
+            Event::Refused(request) => self.refused(request),
+            Event::Worked(request) => self.worked(request),
+            Event::Replied(request) => self.replied(request),
+            Event::Limit(request) => self.limit(request),
+            Event::UpstreamFault { number, begins } => self.upstream_fault(number, begins),
+            Event::CoordinatorFault { number, begins } => self.coordinator_fault(number, begins),
+            Event::Believe { instance, is_alive } => {
+                for asker in 0..self.fleet.instances.len() {
+                    self.fleet.believe(asker, instance, is_alive);
+                }
+            }
+            Event::Look => self.look(),
+        }
+    }
+}
