Keep the weights of upstreams in the core

Cause: the gateway and the model of load worked out an upstream's weight each.

Change: placement::UpstreamWeights does it for both.

--- a/crates/foxtide-core/src/placement/mod.rs
+++ b/crates/foxtide-core/src/placement/mod.rs
@@ -28,5 +28,6 @@
 };
 pub use regions::{
     RegionShares,
+    UpstreamWeights,
     shares_of, //
 };
--- a/crates/foxtide-core/src/placement/regions.rs
+++ b/crates/foxtide-core/src/placement/regions.rs
@@ -43,3 +43,32 @@
         })
         .collect()
 }
+
+/// The weight of a slot in a region that has no share of the requests: such an upstream
+/// comes after all others.
+const LAST_RESORT_WEIGHT: f64 = 1e-9;
+
+/// The part of the objects that arise in one region which goes to each upstream.
+#[derive(Clone, Debug, Default)]
+pub struct UpstreamWeights {
+    shares: RegionShares,
+    slots: BTreeMap<RegionId, u32>,
+}
+
+impl UpstreamWeights {
+    /// Returns the weights for requests that arise in `origin`; `slots` and `origins` as
+    /// in [`shares_of`].
+    pub fn new(origin: &RegionId, slots: BTreeMap<RegionId, u32>, origins: usize) -> Self {
+        Self {
+            shares: shares_of(origin, &slots, origins),
+            slots,
+        }
+    }
+
+    /// Returns the weight of an upstream with `slots` slots in `region`.
+    pub fn of(&self, region: &RegionId, slots: u32) -> f64 {
+        let of_region = self.slots.get(region).copied().unwrap_or(1).max(1);
+        let share = self.shares.get(region).copied().unwrap_or(0.0);
+        f64::from(slots) * (share / f64::from(of_region)).max(LAST_RESORT_WEIGHT)
+    }
+}
--- a/crates/foxtide-gateway/src/state/placement.rs
+++ b/crates/foxtide-gateway/src/state/placement.rs
@@ -6,23 +6,17 @@
 use foxtide_core::placement::{
     Candidate,
     ObjectKey,
-    RegionShares,
-    first_choices,
-    shares_of, //
+    UpstreamWeights,
+    first_choices, //
 };
 use foxtide_core::registry::{
     Registered,
-    Registration,
     Registry, //
 };
 use foxtide_core::time::MonotonicTime;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// The weight of a slot in a region that has no share of the requests: such an
-/// upstream comes after all others.
-const LAST_RESORT_WEIGHT: f64 = 1e-9;
-
 /// How long a placement without requests is kept: its route may be gone.
 const UNUSED_TIME: Duration = Duration::from_secs(60);
 
@@ -81,22 +75,12 @@
             let registration = &upstream.registration;
             *slots.entry(registration.region.clone()).or_default() += registration.slots;
         }
-        let shares = shares_of(&place.region, &slots, place.regions_count());
+        let weights = UpstreamWeights::new(&place.region, slots, place.regions_count());
         let candidate = |upstream: &Registered| {
-            let weight = weight(&upstream.registration, &shares, &slots);
+            let registration = &upstream.registration;
+            let weight = weights.of(&registration.region, registration.slots);
             Candidate::new(upstream.upstream(), weight)
         };
         self.upstreams.iter().map(candidate).collect()
     }
 }
-
-fn weight(
-    registration: &Registration,
-    shares: &RegionShares,
-    slots: &BTreeMap<RegionId, u32>,
-) -> f64 {
-    let own_slots = f64::from(registration.slots);
-    let region_slots = slots.get(&registration.region).copied().unwrap_or(1).max(1);
-    let share = shares.get(&registration.region).copied().unwrap_or(0.0);
-    own_slots * (share / f64::from(region_slots)).max(LAST_RESORT_WEIGHT)
-}
--- a/crates/foxtide-testing/src/load_model/fleet.rs
+++ b/crates/foxtide-testing/src/load_model/fleet.rs
@@ -13,8 +13,8 @@
 use foxtide_core::placement::{
     Candidate,
     ObjectKey,
-    first_choices,
-    shares_of, //
+    UpstreamWeights,
+    first_choices, //
 };
 use foxtide_core::registry::{
     Member,
@@ -28,9 +28,6 @@
     SocketAddr, //
 };
 
-/// Far below any other weight: such an upstream comes last.
-const LAST_RESORT_WEIGHT: f64 = 1e-9;
-
 /// How many upstreams of an object's order are looked at.
 const CHOICES: usize = 4;
 
@@ -107,19 +104,15 @@
                 *slots.entry(self.regions[*region].clone()).or_default() += settings.slots;
             }
         }
-        self.candidates = (0..self.regions.len())
-            .map(|origin| {
-                let shares = shares_of(&self.regions[origin], &slots, self.regions.len());
-                let weigh = |(number, (name, region)): (usize, &(UpstreamId, usize))| {
-                    let region = &self.regions[*region];
-                    let share = shares.get(region).copied().unwrap_or(0.0);
-                    let of_region = f64::from(slots.get(region).copied().unwrap_or(1).max(1));
-                    let weight = (share / of_region).max(LAST_RESORT_WEIGHT);
-                    Candidate::new(name, if away[number] { 0.0 } else { weight })
-                };
-                self.upstreams.iter().enumerate().map(weigh).collect()
-            })
-            .collect()
+        let of_origin = |origin: &RegionId| {
+            let weights = UpstreamWeights::new(origin, slots.clone(), self.regions.len());
+            let candidate = |(number, (name, region)): (usize, &(UpstreamId, usize))| {
+                let slots = if away[number] { 0 } else { settings.slots };
+                Candidate::new(name, weights.of(&self.regions[*region], slots))
+            };
+            self.upstreams.iter().enumerate().map(candidate).collect()
+        };
+        self.candidates = self.regions.iter().map(of_origin).collect();
     }
 
     /// Returns the first upstreams in the order of an object that arises in a region.
