Let a grant lapse at its request's limit

Cause: an incident shows a request that waited 2 s in the queue of an upstream that had turned slow: grants lapsed after four times the usual work, while the slots were still taken.

Change: a grant lapses at the request's limit alone; its test says so at both sides of it.

--- a/crates/foxtide-core/src/admission/queue.rs
+++ b/crates/foxtide-core/src/admission/queue.rs
@@ -18,10 +18,6 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// By how much longer than expected a request may hold a slot before its grant
-/// lapses: times of work spread by 15 % or so, and an end is seldom lost.
-const LAPSE_FACTOR: f64 = 4.0;
-
 /// How many requests wait at the upstream itself, so that no slot is idle while the
 /// end of one request and the grant of the next are on their way. Against none, one
 /// brings 0.003 to 0.027 of the worth of days of high load, most where work is short;
@@ -38,6 +34,8 @@
     object: Option<ObjectKey>,
     touch: Touch,
     began_at: MonotonicTime,
+    /// The request's limit: an upstream that has turned slow keeps its slots taken
+    /// until then, and an asker that is gone or stands still cannot for longer.
     lapses_at: MonotonicTime,
     /// Whether its time tells how long the upstream works: not so for one that
     /// was sent without a grant, which may wait at the upstream.
@@ -200,15 +198,11 @@
 
     fn grant(&mut self, waiting: &Waiting, now: MonotonicTime) {
         let touch = self.touch(waiting.object);
-        let lapses_at = match self.times.expected(touch) {
-            Some(time) => (now + time.mul_f64(LAPSE_FACTOR)).min(waiting.ends_at),
-            None => waiting.ends_at,
-        };
         let running = Running {
             object: waiting.object,
             touch,
             began_at: now,
-            lapses_at,
+            lapses_at: waiting.ends_at,
             is_measured: true,
         };
         self.begin(waiting.ticket, running);
