--- a/crates/foxtide-core/src/admission/coordinator.rs
+++ b/crates/foxtide-core/src/admission/coordinator.rs
@@ -22,8 +22,8 @@
 }
 
 impl Coordinator {
-    /// Takes in a question about an upstream with `slots` slots; asking again
-    /// changes nothing and is answered again.
+    /// Takes in a question about an upstream with `slots` slots; one that asks again
+    /// keeps its place and is answered as things stand then.
     pub fn ask(&mut self, request: &SlotRequest, slots: u32, now: MonotonicTime) -> Vec<Directed> {
         let mut answers = Vec::new();
         let queue = self.queues.entry(request.upstream.clone()).or_default();
--- a/crates/foxtide-core/src/admission/queue.rs
+++ b/crates/foxtide-core/src/admission/queue.rs
@@ -265,7 +265,7 @@
         self.times.expected(touch).unwrap_or_default()
     }
 
-    /// Returns how long the requests that wait keep the slots busy.
+    /// Returns how long the requests that wait, this one among them, keep the slots busy.
     fn expected_wait(&self) -> Duration {
         let work: Duration = self.waiting.iter().map(|one| self.expected(one)).sum();
         work / self.slots.max(1) as u32
--- a/crates/foxtide-gateway/src/admission/mod.rs
+++ b/crates/foxtide-gateway/src/admission/mod.rs
@@ -3,8 +3,9 @@
 //! Datagrams carry questions and answers: they cost one system call each, a lost
 //! one only costs the time of an answer, and no connection can fall silent.
 //!
-//! Locks: `coordinator`, `pending` and `silent` each stand alone; none is taken while
-//! another or the state is held.
+//! Locks: of `coordinator`, `pending` and `silent` none is taken while another is held.
+//! The state may be taken while `coordinator` is held (housekeeping), never the other way
+//! round.
 
 mod client;
 mod messages;
