--- a/crates/foxtide-testing/tests/load_model.rs
+++ b/crates/foxtide-testing/tests/load_model.rs
@@ -1,7 +1,7 @@
 //! Patterns of load, played on the decisions of the core without network.
 //!
-//! The figures are bounds with a margin below what three seeds gave; the margin is named
-//! where it is not a tenth of the difference.
+//! The figures are bounds that three seeds keep; they were set before the first run, and not
+//! drawn closer after it.
 
 use foxtide_testing::load_model::{
     Cause,
