Count the calls to the store by what they are for

Cause: calls to the store are the largest loss of a fleet of hundreds, and nothing told what they were made for. Change: a metric and a line each 3 s by purpose (start, record, renewal, following, recovery); `foxtidectl losses` sums them up by window.

--- a/crates/foxtide-core/src/events/code.rs
+++ b/crates/foxtide-core/src/events/code.rs
@@ -210,6 +210,7 @@
     7008 LeaseEnded "lease-ended" Info "The instance has withdrawn its announcement."
     7009 RelayLost "relay-lost" Info "No peer tells what the store says; it is asked itself."
     7010 StoreAdopted "store-adopted" Warn "A starting instance took what a peer last knew of a store that is away."
+    7011 StoreCalls "store-calls" Info "The calls to the store since the last such line, by what they were for."
 
     8005 PromiseBroken "promise-broken" Error "A promise to an organisation is not kept; the detail says which."
     8006 PromiseKept "promise-kept" Info "A promise is kept again."
--- a/crates/foxtide-gateway/src/follow/mod.rs
+++ b/crates/foxtide-gateway/src/follow/mod.rs
@@ -4,6 +4,7 @@
 mod peers;
 
 use crate::dialect::Dialect;
+use crate::ledger::CallPurpose;
 use crate::relay::{
     RelayClient,
     RelayError, //
@@ -140,17 +141,34 @@
     }
 
     async fn read_all(&mut self) -> Result<(), StoreError> {
-        let snapshot = self.store.read_all().await?;
+        let read = self.store.read_all().await;
+        let calls = read.as_ref().map_or(1, |snapshot| snapshot.calls);
+        self.shared.ledger.count(self.purpose_of_reading(), calls);
+        let snapshot = read?;
         self.replace(snapshot.records, snapshot.index);
         Ok(())
     }
 
+    fn purpose_of_reading(&self) -> CallPurpose {
+        if self.shared.state.lock().routes().is_none() {
+            CallPurpose::Start
+        } else {
+            CallPurpose::Recovery
+        }
+    }
+
     async fn read_changes(&mut self, index: StoreIndex) -> Result<(), StoreError> {
         let wait = if self.failures > 0 {
             PROBE_WAIT
         } else {
             FOLLOW_WAIT
         };
+        let purpose = if self.failures > 0 {
+            CallPurpose::Recovery
+        } else {
+            CallPurpose::Following
+        };
+        self.shared.ledger.count(purpose, 1);
         let shared = Arc::clone(&self.shared);
         let alarm = async { Err(shared.store_alarm.raised().await) };
         match or(self.store.changes(index, wait), alarm).await? {
--- a/crates/foxtide-gateway/src/gateway.rs
+++ b/crates/foxtide-gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 use crate::errors::Result;
 use crate::follow::follow;
 use crate::journal::Journal;
+use crate::ledger::StoreLedger;
 use crate::lifecycle::Lifecycle;
 use crate::listener::{
     Listener,
@@ -50,6 +51,10 @@
 /// How often idle connections are looked over and doubts are settled.
 const HOUSEKEEPING_PERIOD: Duration = Duration::from_millis(500);
 
+/// After how many rounds of housekeeping a line tells of the calls to the store: a
+/// line of each of 600 instances in 3 s is 200 a second.
+const LEDGER_ROUNDS: u32 = 6;
+
 /// A running instance.
 #[derive(Debug)]
 pub struct Gateway<D> {
@@ -93,6 +98,7 @@
             body_memory: BodyMemory::new(body_memory),
             lifecycle: Lifecycle::default(),
             journal: Journal::new(clock),
+            ledger: StoreLedger::default(),
             store_alarm: StoreAlarm::default(),
             log_changed: Event::new(),
             executor: Arc::clone(&executor),
@@ -154,12 +160,16 @@
             membership.await;
         }
         self.shared.lifecycle.drained().await;
+        self.shared.ledger.tell();
     }
 }
 
 async fn keep_house<D: Dialect>(shared: Arc<Shared<D>>) {
-    loop {
+    for round in 1_u32.. {
         Timer::after(HOUSEKEEPING_PERIOD).await;
+        if round.is_multiple_of(LEDGER_ROUNDS) {
+            shared.ledger.tell();
+        }
         let now = shared.clock.now();
         shared.state.lock().expire();
         shared.journal.summarise();
--- /dev/null
+++ b/crates/foxtide-gateway/src/ledger.rs
@@ -0,0 +1,86 @@
+//! Counts the calls to the store by what they are for.
+//!
+//! The platform prices each call and bounds their rate, so what causes them has to be
+//! seen: as a metric, and as a line that tells what has been called since the last one.
+
+use foxtide_events::{
+    EventCode,
+    log_event, //
+};
+use std::sync::atomic::{
+    AtomicU64,
+    Ordering, //
+};
+
+/// What a call to the store is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CallPurpose {
+    /// An instance that knows nothing reads what there is.
+    Start,
+    /// A lease is opened or ended, or a record is written or removed under one.
+    Record,
+    /// A lease is renewed, which the platform prices at a tenth.
+    Renewal,
+    /// Changes are waited for.
+    Following,
+    /// A call after one that failed, or after the store has forgotten its history.
+    Recovery,
+}
+
+impl CallPurpose {
+    const ALL: [Self; 5] = [
+        Self::Start,
+        Self::Record,
+        Self::Renewal,
+        Self::Following,
+        Self::Recovery,
+    ];
+
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Start => "start",
+            Self::Record => "record",
+            Self::Renewal => "renewal",
+            Self::Following => "following",
+            Self::Recovery => "recovery",
+        }
+    }
+}
+
+/// The calls that an instance has made to the store.
+#[derive(Debug, Default)]
+pub(crate) struct StoreLedger {
+    /// Calls by purpose that no line has told yet, in the order of
+    /// [`CallPurpose::ALL`].
+    untold: [AtomicU64; CallPurpose::ALL.len()],
+}
+
+impl StoreLedger {
+    /// Counts `calls` calls.
+    pub(crate) fn count(&self, purpose: CallPurpose, calls: u32) {
+        self.untold[purpose as usize].fetch_add(calls.into(), Ordering::Relaxed);
+        metrics::counter!("foxtide_store_calls_by_purpose_total", "purpose" => purpose.as_str())
+            .increment(calls.into());
+    }
+
+    /// Writes a line about the calls since the last one, if there were any.
+    pub(crate) fn tell(&self) {
+        let [start, record, renewal, following, recovery] =
+            CallPurpose::ALL.map(|purpose| self.take(purpose));
+        if start + record + renewal + following + recovery == 0 {
+            return;
+        }
+        log_event!(
+            EventCode::StoreCalls,
+            start = start,
+            record = record,
+            renewal = renewal,
+            following = following,
+            recovery = recovery
+        );
+    }
+
+    fn take(&self, purpose: CallPurpose) -> u64 {
+        self.untold[purpose as usize].swap(0, Ordering::Relaxed)
+    }
+}
--- a/crates/foxtide-gateway/src/lib.rs
+++ b/crates/foxtide-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod front;
 mod gateway;
 mod journal;
+mod ledger;
 mod lifecycle;
 mod listener;
 mod membership;
--- a/crates/foxtide-gateway/src/membership.rs
+++ b/crates/foxtide-gateway/src/membership.rs
@@ -1,6 +1,7 @@
 //! Announces the instance in the store for as long as it takes requests.
 
 use crate::dialect::Dialect;
+use crate::ledger::CallPurpose;
 use crate::shared::Shared;
 use crate::store::{
     FleetStore,
@@ -70,12 +71,15 @@
 
     async fn step(&mut self) -> Result<(), StoreError> {
         if let Some(lease) = self.lease {
+            self.shared.ledger.count(CallPurpose::Renewal, 1);
             if self.store.renew(lease).await? {
                 return Ok(());
             }
             log_event!(EventCode::LeaseLost, lease:% = lease);
             self.lease = None;
         }
+        // The lease, and the record under it.
+        self.shared.ledger.count(CallPurpose::Record, 2);
         let lease = self.store.open_lease(LEASE_TTL).await?;
         if self.store.announce(&self.member(), lease).await? {
             log_event!(EventCode::LeaseTaken, lease:% = lease);
@@ -114,6 +118,7 @@
         let Some(lease) = self.lease.take() else {
             return;
         };
+        self.shared.ledger.count(CallPurpose::Record, 1);
         let ended = async { Some(self.store.end_lease(lease).await) };
         let late = async {
             Timer::after(LEAVE_TIME).await;
--- a/crates/foxtide-gateway/src/shared.rs
+++ b/crates/foxtide-gateway/src/shared.rs
@@ -4,6 +4,7 @@
 use crate::alarm::StoreAlarm;
 use crate::clock::Clock;
 use crate::journal::Journal;
+use crate::ledger::StoreLedger;
 use crate::lifecycle::Lifecycle;
 use crate::memory::BodyMemory;
 use crate::options::{
@@ -30,6 +31,7 @@
     pub(crate) body_memory: BodyMemory,
     pub(crate) lifecycle: Lifecycle,
     pub(crate) journal: Journal,
+    pub(crate) ledger: StoreLedger,
     pub(crate) store_alarm: StoreAlarm,
     /// Notified when the log of records has changed or is no longer followed.
     pub(crate) log_changed: Event,
--- a/crates/foxtide-gateway/src/store.rs
+++ b/crates/foxtide-gateway/src/store.rs
@@ -45,6 +45,8 @@
     pub records: Vec<Record>,
     /// All changes after this index are still to be followed.
     pub index: StoreIndex,
+    /// How many calls the reading took.
+    pub calls: u32,
 }
 
 /// What has changed after an index.
--- a/crates/foxtide-gateway/tests/gateway/support/store.rs
+++ b/crates/foxtide-gateway/tests/gateway/support/store.rs
@@ -161,6 +161,7 @@
         Ok(Snapshot {
             records: contents.present.values().cloned().collect(),
             index: StoreIndex::new(contents.index),
+            calls: 1,
         })
     }
 
--- /dev/null
+++ b/crates/foxtidectl/src/commands/losses/calls.rs
@@ -0,0 +1,65 @@
+//! The calls to the store, by what they were for and by window of time.
+
+use crate::commands::lines::LogLine;
+use crate::report::Table;
+use serde_json::{
+    Value,
+    json, //
+};
+use std::collections::BTreeMap;
+
+/// What calls are for, as the fields of the lines are named.
+const PURPOSES: [&str; 5] = ["start", "record", "renewal", "following", "recovery"];
+
+/// Calls by window, in the order of [`PURPOSES`].
+#[derive(Debug, Default)]
+pub(super) struct Calls {
+    windows: BTreeMap<u64, [u64; PURPOSES.len()]>,
+}
+
+impl Calls {
+    /// Adds the calls that a line tells of.
+    pub(super) fn add(&mut self, line: &LogLine, window: u64) {
+        let calls = self.windows.entry(window).or_default();
+        for (count, purpose) in calls.iter_mut().zip(PURPOSES) {
+            *count += line.number(purpose).unwrap_or_default() as u64;
+        }
+    }
+
+    /// Returns the table, with a row for all windows; nothing where no line told of
+    /// calls.
+    pub(super) fn text(&self, window_s: f64) -> String {
+        if self.windows.is_empty() {
+            return String::new();
+        }
+        let headings = ["second"].into_iter().chain(PURPOSES);
+        let mut table = Table::with_columns(headings.map(str::to_owned));
+        for (&window, calls) in &self.windows {
+            table.cells(row(format!("{:.0}", window as f64 * window_s), calls));
+        }
+        table.cells(row("all".to_owned(), &self.sum()));
+        let text = table.text();
+        format!("\ncalls to the store, told up to 3 s after they were made\n{text}")
+    }
+
+    /// Returns the sums of all windows.
+    pub(super) fn in_json(&self) -> Value {
+        let sums = PURPOSES.into_iter().zip(self.sum());
+        sums.map(|(purpose, calls)| (purpose.to_owned(), json!(calls)))
+            .collect()
+    }
+
+    fn sum(&self) -> [u64; PURPOSES.len()] {
+        let mut sum = [0; PURPOSES.len()];
+        for calls in self.windows.values() {
+            for (sum, calls) in sum.iter_mut().zip(calls) {
+                *sum += calls;
+            }
+        }
+        sum
+    }
+}
+
+fn row(name: String, calls: &[u64; PURPOSES.len()]) -> impl Iterator<Item = String> {
+    std::iter::once(name).chain(calls.map(|calls| calls.to_string()))
+}
--- a/crates/foxtidectl/src/commands/losses/mod.rs
+++ b/crates/foxtidectl/src/commands/losses/mod.rs
@@ -1,5 +1,6 @@
 //! `foxtidectl losses`: where and when requests were late, refused or failed, and why.
 
+mod calls;
 mod objects;
 mod tally;
 mod told;
--- a/crates/foxtidectl/src/commands/losses/tally.rs
+++ b/crates/foxtidectl/src/commands/losses/tally.rs
@@ -1,5 +1,6 @@
 //! How requests and attempts ended, by service, route and window of time.
 
+use super::calls::Calls;
 use super::objects::{
     Arrival,
     Objects, //
@@ -71,6 +72,8 @@
     pub(super) left_out: (u64, u64),
     /// Lines that were dropped since standard output was not read.
     pub(super) dropped: u64,
+    /// The calls to the store.
+    pub(super) calls: Calls,
     objects: Objects,
 }
 
@@ -98,6 +101,10 @@
                 self.left_out.0 += count(line, "answered");
                 self.left_out.1 += count(line, "failed");
             }
+            "store-calls" => {
+                let window = self.window_of(line);
+                self.calls.add(line, window);
+            }
             "lines-dropped" => self.dropped += count(line, "lines"),
             _ => {}
         }
@@ -151,12 +158,16 @@
         counts.vain_s += took_ms / 1_000.0;
     }
 
-    fn counts_of(&mut self, line: &LogLine) -> &mut Counts {
+    fn window_of(&self, line: &LogLine) -> u64 {
         let window = (line.time_s() - self.begins_s) / self.window_s;
+        window.max(0.0) as u64
+    }
+
+    fn counts_of(&mut self, line: &LogLine) -> &mut Counts {
         let key = Key {
             service: line.field("service"),
             route: line.field("route"),
-            window: window.max(0.0) as u64,
+            window: self.window_of(line),
         };
         self.counts.entry(key).or_default()
     }
--- a/crates/foxtidectl/tests/losses.rs
+++ b/crates/foxtidectl/tests/losses.rs
@@ -55,6 +55,24 @@
     assert_eq!(json["lines_dropped"], 3);
 }
 
+/// The lines of a start, and of an outage in the window after it.
+const CALLS: &str = r#"
+{"event":"store-calls","instance":"edge-1","time_s":100.0,"number":7011,"start":4,"record":2,"renewal":3,"following":2,"recovery":0}
+{"event":"store-calls","instance":"edge-2","time_s":101.0,"number":7011,"start":4,"record":2,"renewal":4,"following":0,"recovery":0}
+{"event":"store-calls","instance":"edge-1","time_s":103.0,"number":7011,"start":0,"record":0,"renewal":4,"following":1,"recovery":9}
+"#;
+
+#[test]
+fn verify_calls_to_the_store_are_summed_up_by_purpose() {
+    let (status, text) = losses("losses-calls.log", CALLS, &[]);
+    assert_eq!(status, ExitStatus::Done, "{text}");
+    insta::assert_snapshot!(text);
+    let (_, text) = losses("losses-calls-json.log", CALLS, &["--json"]);
+    let json: Value = serde_json::from_str(&text).unwrap();
+    assert_eq!(json["store_calls"]["start"], 8);
+    assert_eq!(json["store_calls"]["recovery"], 9);
+}
+
 #[test]
 fn verify_a_file_without_events_is_refused() {
     let (status, text) = losses("losses-none.log", "nothing\n", &[]);
