Spread the readings of instances that start together

Change: the gateway reads page by page; a start waits after the first one for a part of the time in which the store could tell everything to all instances that this page names. The first are ready at once, half of them after half of the time.

--- a/crates/foxtide-gateway/src/follow/intake.rs
+++ b/crates/foxtide-gateway/src/follow/intake.rs
@@ -1,12 +1,12 @@
 //! What was read of the store, taken into the state.
 
 use super::Follower;
+use super::start::Snapshot;
 use crate::dialect::Dialect;
 use crate::relay::Relayed;
 use crate::store::{
     Fact,
-    FleetStore,
-    Snapshot, //
+    FleetStore, //
 };
 use foxtide_core::records::{
     Record,
--- a/crates/foxtide-gateway/src/follow/start.rs
+++ b/crates/foxtide-gateway/src/follow/start.rs
@@ -12,8 +12,7 @@
     Changes,
     Fact,
     FleetStore,
-    Freshness,
-    Snapshot, //
+    Freshness, //
 };
 use foxtide_core::records::Record;
 use foxtide_core::registry::Members;
@@ -31,6 +30,26 @@
 /// never run.
 const FIRST_START_SPREAD: Duration = Duration::from_millis(1_500);
 
+/// The most pages of one reading: 500 keys each.
+const PAGES_MAX: usize = 1_000;
+
+/// How long the store takes to tell everything to one instance: half a megabyte at 1,000
+/// Mbit/s, as some 1,600 keys are.
+const WHOLE_READING_TIME: Duration = Duration::from_millis(4);
+
+/// The longest time over which the readings of starting instances spread: a single one
+/// that starts again is that late.
+const READING_SPREAD_MAX: Duration = Duration::from_millis(1_500);
+
+/// All that the store holds, and where to go on from.
+#[derive(Debug, Default)]
+pub(super) struct Snapshot {
+    /// What it holds.
+    pub(super) records: Vec<Record>,
+    /// All changes after this index are still to be followed.
+    pub(super) index: StoreIndex,
+}
+
 impl<D: Dialect, S: FleetStore> Follower<D, S> {
     /// Waits for a part of the time over which a whole system starts.
     pub(super) async fn spread_first_start(&self) {
@@ -60,10 +79,43 @@
         freshness: Freshness,
         purpose: CallPurpose,
     ) -> Result<Snapshot, StoreError> {
-        let read = self.store.read_all(freshness).await;
-        let calls = read.as_ref().map_or(1, |snapshot| snapshot.calls);
-        self.shared.ledger.count(purpose, calls);
-        read
+        let mut snapshot = Snapshot::default();
+        let mut after = String::new();
+        for page in 0..PAGES_MAX {
+            self.shared.ledger.count(purpose, 1);
+            let read = self.store.read_page(&after, freshness).await?;
+            // Pages are not of one moment: changes since the oldest are followed.
+            snapshot.index = match page {
+                0 => read.index,
+                _ => snapshot.index.min(read.index),
+            };
+            if let Some(last) = read.records.last() {
+                after.clone_from(&last.key);
+            }
+            let is_last = !read.has_more || read.records.is_empty();
+            snapshot.records.extend(read.records);
+            if is_last {
+                break;
+            }
+            if page == 0 && purpose == CallPurpose::StartOld {
+                self.spread_reading(&snapshot).await;
+            }
+        }
+        Ok(snapshot)
+    }
+
+    /// Waits for a part of the time in which the store can tell everything to all
+    /// instances that its first page names: they may all have lost power.
+    ///
+    /// Were they to read at the same time, all would be ready only at the end of it, 1.2 s
+    /// after the start for 295 instances. So the first are ready at once, and half of them
+    /// after half of the time; none is later than before.
+    async fn spread_reading(&self, first_page: &Snapshot) {
+        let facts = self.facts(&first_page.records);
+        let is_member = |fact: &&Fact| matches!(fact, Fact::Joined(_));
+        let instances = facts.iter().filter(is_member).count() as u32;
+        let time = (WHOLE_READING_TIME * instances).min(READING_SPREAD_MAX);
+        Timer::after(time.mul_f64(fastrand::f64())).await;
     }
 
     /// Begins from pages that may be old and from what has changed since; tells whether
--- a/crates/foxtide-gateway/src/lib.rs
+++ b/crates/foxtide-gateway/src/lib.rs
@@ -55,6 +55,6 @@
     FleetStore,
     Freshness,
     LeaseId,
-    RECORDS_MAX,
-    Snapshot, //
+    Page,
+    RECORDS_MAX, //
 };
--- a/crates/foxtide-gateway/src/store.rs
+++ b/crates/foxtide-gateway/src/store.rs
@@ -54,15 +54,15 @@
     MayBeOld,
 }
 
-/// All that the store holds, and where to go on from.
+/// A part of what the store holds.
 #[derive(Clone, Debug, Default)]
-pub struct Snapshot {
-    /// What it holds; no record is of a removed key.
+pub struct Page {
+    /// Keys and their values in the order of the keys; no record is of a removed key.
     pub records: Vec<Record>,
-    /// All changes after this index are still to be followed.
+    /// All changes to these keys after this index are still to be followed.
     pub index: StoreIndex,
-    /// How many calls the reading took.
-    pub calls: u32,
+    /// Whether there are keys after the last one.
+    pub has_more: bool,
 }
 
 /// What has changed after an index.
@@ -101,8 +101,12 @@
     /// cannot be read, which is logged, ends what was registered under its key.
     fn fact(&self, record: &Record) -> Option<Fact>;
 
-    /// Reads all that the store holds; the index is that of its oldest part.
-    fn read_all(&self, freshness: Freshness) -> impl Future<Output = StoreResult<Snapshot>> + Send;
+    /// Reads the first keys after `after`, of all that the store holds.
+    fn read_page(
+        &self,
+        after: &str,
+        freshness: Freshness,
+    ) -> impl Future<Output = StoreResult<Page>> + Send;
 
     /// Waits for changes after `index`, for at most `wait`.
     fn changes(
--- a/crates/foxtide-gateway/tests/gateway/following.rs
+++ b/crates/foxtide-gateway/tests/gateway/following.rs
@@ -2,10 +2,15 @@
 
 use crate::support::{
     Caller,
+    FakeUpstream,
     Fleet,
     eventually,
     route, //
 };
+use foxtide_core::registry::{
+    Registration,
+    UpstreamState, //
+};
 use foxtide_gateway::Fact;
 use std::net::TcpListener;
 use std::time::Duration;
@@ -231,3 +236,43 @@
     };
     eventually("the new upstream gets requests", is_moved);
 }
+
+/// Registers more upstreams than a page holds, and one whose key is the last.
+fn fleet_of_pages() -> (Fleet, FakeUpstream) {
+    let fleet = Fleet::new();
+    let last = fleet.upstream("i-99", "khomas-a");
+    for number in 10..55 {
+        let registration = Registration {
+            upstream: format!("i-{number}").parse().unwrap(),
+            state: UpstreamState::Draining,
+            ..last.registration()
+        };
+        let key = format!("upstream/i-{number}");
+        fleet.store.put(&key, Fact::Registered(registration));
+    }
+    (fleet, last)
+}
+
+#[test]
+fn verify_pages_are_read_to_the_last() {
+    let (fleet, last) = fleet_of_pages();
+    let instance = fleet.instance("edge-1", "khomas-a");
+    assert_eq!(instance.get("/safe/", "request: r-1\r\n").head.status, 200);
+    assert_eq!(last.seen().len(), 1);
+}
+
+/// Pages are not of one moment: what changed on the first while others were read has to
+/// be followed.
+#[test]
+fn verify_changes_are_followed_from_the_oldest_page() {
+    let (fleet, last) = fleet_of_pages();
+    let first = fleet.upstream("i-01", "khomas-a");
+    fleet.store.remove_after_page(&first.key());
+    let instance = fleet.instance("edge-1", "khomas-a");
+    for number in 0..5 {
+        let response = instance.get("/safe/", &format!("request: r-{number}\r\n"));
+        assert_eq!(response.head.status, 200);
+    }
+    assert_eq!(last.seen().len(), 5);
+    assert!(first.seen().is_empty());
+}
--- a/crates/foxtide-gateway/tests/gateway/support/store.rs
+++ b/crates/foxtide-gateway/tests/gateway/support/store.rs
@@ -13,8 +13,8 @@
     FleetStore,
     Freshness,
     LeaseId,
-    RECORDS_MAX,
-    Snapshot, //
+    Page,
+    RECORDS_MAX, //
 };
 use smol::Timer;
 use std::collections::{
@@ -37,6 +37,9 @@
 /// How often a waiting watch looks for changes.
 const WATCH_STEP: Duration = Duration::from_millis(5);
 
+/// How many keys a page has; more than most tests write.
+const PAGE_KEYS: usize = 20;
+
 #[derive(Debug, Default)]
 struct Contents {
     index: u64,
@@ -49,7 +52,9 @@
     leases: HashMap<u64, Vec<String>>,
     is_away: bool,
     /// What readings show that may be old.
-    old: Option<Snapshot>,
+    old: Option<(BTreeMap<String, Record>, u64)>,
+    /// A key that is removed once the next page has been read.
+    removed_after_page: Option<String>,
     calls: usize,
     /// Writes of instances' records.
     writes: usize,
@@ -110,11 +115,12 @@
     /// Lets readings that may be old show what the store holds now.
     pub(crate) fn keep_old(&self) {
         let mut contents = self.contents.lock().unwrap();
-        contents.old = Some(Snapshot {
-            records: contents.present.values().cloned().collect(),
-            index: StoreIndex::new(contents.index),
-            calls: 1,
-        });
+        contents.old = Some((contents.present.clone(), contents.index));
+    }
+
+    /// Removes a key once the next page has been read.
+    pub(crate) fn remove_after_page(&self, key: &str) {
+        self.contents.lock().unwrap().removed_after_page = Some(key.to_owned());
     }
 
     /// Cuts all waits for changes, as a store does that drops its history.
@@ -185,6 +191,22 @@
 }
 
 impl Contents {
+    fn page(&self, after: &str, freshness: Freshness) -> Page {
+        let (present, index) = match (freshness, &self.old) {
+            (Freshness::MayBeOld, Some((present, index))) => (present, *index),
+            _ => (&self.present, self.index),
+        };
+        let mut later = present
+            .values()
+            .filter(|record| record.key.as_str() > after);
+        let records = later.by_ref().take(PAGE_KEYS).cloned().collect();
+        Page {
+            records,
+            index: StoreIndex::new(index),
+            has_more: later.next().is_some(),
+        }
+    }
+
     fn write(&mut self, key: &str, fact: Option<Fact>) {
         self.index += 1;
         let value = fact.map(|fact| {
@@ -222,17 +244,14 @@
         }
     }
 
-    async fn read_all(&self, freshness: Freshness) -> StoreResult<Snapshot> {
+    async fn read_page(&self, after: &str, freshness: Freshness) -> StoreResult<Page> {
         self.enter("read")?;
-        let contents = self.contents.lock().unwrap();
-        if let (Freshness::MayBeOld, Some(old)) = (freshness, &contents.old) {
-            return Ok(old.clone());
+        let mut contents = self.contents.lock().unwrap();
+        let page = contents.page(after, freshness);
+        if let Some(key) = contents.removed_after_page.take() {
+            contents.write(&key, None);
         }
-        Ok(Snapshot {
-            records: contents.present.values().cloned().collect(),
-            index: StoreIndex::new(contents.index),
-            calls: 1,
-        })
+        Ok(page)
     }
 
     async fn changes(&self, index: StoreIndex, wait: Duration) -> StoreResult<Changes> {
