--- a/crates/foxtide-gateway/src/follow/start.rs
+++ b/crates/foxtide-gateway/src/follow/start.rs
@@ -28,7 +28,7 @@
 /// readings: the first of them become known meanwhile, and the others ask these instead
 /// of the store and need no lease of their own. No caller waits for a system that has
 /// never run.
-const FIRST_START_SPREAD: Duration = Duration::from_millis(1_500);
+const FIRST_START_SPREAD: Duration = Duration::from_millis(3_000);
 
 /// The most pages of one reading: 500 keys each.
 const PAGES_MAX: usize = 1_000;
