--- a/crates/foxtide-gateway/src/follow/mod.rs
+++ b/crates/foxtide-gateway/src/follow/mod.rs
@@ -37,6 +37,11 @@
 /// them comes with the next one, so that a busy store costs one call a period.
 const FOLLOW_PERIOD: Duration = Duration::from_millis(800);
 
+/// The same for one that follows the store for others in a large fleet: its calls are most
+/// of what the fleet makes at rest, a third of which this saves, and a change is in force
+/// everywhere within 1.5 s of the 3 s that deployments of that size allow.
+const WATCHER_PERIOD: Duration = Duration::from_millis(1_200);
+
 /// How long the store waits for a change. A wait that begins while the store
 /// forgets its history may hear nothing of what was forgotten; it has to end
 /// within the time in which a change must be in force.
@@ -80,7 +85,7 @@
                 follower.answered();
                 // One that has begun asks at once that its record be kept.
                 if follower.index.is_some() && !(is_first && follower.is_follower()) {
-                    Timer::at(started + FOLLOW_PERIOD).await;
+                    Timer::at(started + follower.period()).await;
                 }
             }
             Err(error) => {
@@ -210,6 +215,14 @@
         }
     }
 
+    fn period(&self) -> Duration {
+        if self.shared.state.lock().follows_for_others() {
+            WATCHER_PERIOD
+        } else {
+            FOLLOW_PERIOD
+        }
+    }
+
     fn pause(&self) -> Duration {
         if self.index.is_some() && self.is_follower() {
             // Watchers notice the store's return; to ask them more often would take a
--- a/crates/foxtide-gateway/src/state/mod.rs
+++ b/crates/foxtide-gateway/src/state/mod.rs
@@ -148,10 +148,19 @@
     /// Tells whether this instance keeps its own record: it follows the store itself, for
     /// others or since the fleet is small.
     pub(crate) fn should_keep_own_record(&self) -> bool {
-        let place = &self.options.place;
-        let watchers = self.members.watchers(&place.region);
-        let is_own = |watcher: &&Member| watcher.instance == place.instance;
-        watchers.is_empty() || watchers.iter().any(is_own)
+        let watchers = self.members.watchers(&self.options.place.region);
+        watchers.is_empty() || self.is_among(&watchers)
+    }
+
+    /// Tells whether this instance follows the store for others.
+    pub(crate) fn follows_for_others(&self) -> bool {
+        let watchers = self.members.watchers(&self.options.place.region);
+        self.is_among(&watchers)
+    }
+
+    fn is_among(&self, members: &[&Member]) -> bool {
+        let own = &self.options.place.instance;
+        members.iter().any(|member| member.instance == *own)
     }
 
     /// Tells whether another instance is to keep this one's record: that is how it is, or
