--- a/crates/foxtide-core/src/registry/table.rs
+++ b/crates/foxtide-core/src/registry/table.rs
@@ -1,5 +1,9 @@
 //! The table of registered upstreams.
 
+use super::incarnations::{
+    Age,
+    Incarnations, //
+};
 use super::{
     Registration,
     StorePhase,
@@ -10,10 +14,7 @@
     ServiceId,
     UpstreamId, //
 };
-use crate::time::{
-    MonotonicTime,
-    WallTime, //
-};
+use crate::time::MonotonicTime;
 use std::collections::{
     BTreeMap,
     BTreeSet,
@@ -23,14 +24,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// How long an incarnation that is known to be gone is remembered: its
-/// registration lapses long before.
-const DISCARDED_TIME: Duration = Duration::from_secs(60);
-
-/// How long it is remembered when the newest incarnation of a name started that is no
-/// longer registered: no instance or store tells of older ones after that.
-const BORN_TIME: Duration = Duration::from_secs(600);
-
 /// An upstream that may get requests.
 #[derive(Clone, Debug)]
 pub struct Registered {
@@ -82,32 +75,10 @@
     /// Those whose registration ended while the store was away.
     missing: BTreeSet<UpstreamId>,
     evacuated: HashSet<AvailabilityZoneId>,
-    /// Incarnations that are known to be gone; an incarnation never returns.
-    discarded: HashMap<UpstreamId, Discarded>,
-    /// When the newest incarnation of each name started, and when it was last told of:
-    /// an older one never takes its place, whichever way its registration comes.
-    newest: HashMap<UpstreamId, (WallTime, MonotonicTime)>,
+    incarnations: Incarnations,
     phase: StorePhase,
 }
 
-/// An incarnation beside the newest of its name.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Age {
-    /// It is the newest, or the same.
-    Newest,
-    /// A newer one is known.
-    Older,
-    /// It does not tell when it started, although its name has told before.
-    Untold,
-}
-
-/// An incarnation that is gone.
-#[derive(Clone, Copy, Debug)]
-struct Discarded {
-    born_at: Option<WallTime>,
-    since: MonotonicTime,
-}
-
 impl Default for Registry {
     fn default() -> Self {
         Self {
@@ -116,8 +87,7 @@
             generation: 0,
             missing: BTreeSet::new(),
             evacuated: HashSet::new(),
-            discarded: HashMap::new(),
-            newest: HashMap::new(),
+            incarnations: Incarnations::default(),
             phase: StorePhase::Steady,
         }
     }
@@ -174,12 +144,8 @@
             return RegistryChange::None;
         }
         let upstream = &registration.upstream;
-        let discarded = Discarded {
-            born_at: registration.born_at,
-            since: now,
-        };
         self.remove(upstream);
-        self.discarded.insert(upstream.clone(), discarded);
+        self.incarnations.discard(registration, now);
         RegistryChange::Left(upstream.clone())
     }
 
@@ -255,12 +221,9 @@
     /// Removes the upstreams that were missing when the store was away and
     /// have not come back.
     pub fn expire(&mut self, now: MonotonicTime) -> Vec<RegistryChange> {
-        self.discarded
-            .retain(|_, discarded| now - discarded.since < DISCARDED_TIME);
         let entries = &self.entries;
-        self.newest.retain(|upstream, (_, told_at)| {
-            entries.contains_key(upstream) || now - *told_at < BORN_TIME
-        });
+        self.incarnations
+            .prune(now, |upstream| entries.contains_key(upstream));
         if !self.phase.believes_missing(now) {
             return Vec::new();
         }
@@ -299,18 +262,10 @@
 
     fn insert(&mut self, registration: Registration, now: MonotonicTime) -> RegistryChange {
         let upstream = registration.upstream.clone();
-        match self.age_of(&registration) {
-            Age::Older => return RegistryChange::None,
+        match self.incarnations.age_of(&registration) {
+            Age::Over => return RegistryChange::None,
             Age::Untold => return self.withdraw(&upstream),
-            Age::Newest => {}
-        }
-        let discarded = self.discarded.get(&upstream);
-        if discarded.is_some_and(|discarded| discarded.born_at == registration.born_at) {
-            return RegistryChange::None;
-        }
-        self.discarded.remove(&upstream);
-        if let Some(born_at) = registration.born_at {
-            self.newest.insert(upstream.clone(), (born_at, now));
+            Age::Newest => self.incarnations.note(&registration, now),
         }
         let before = self.entries.get(&upstream);
         let is_restarted =
@@ -331,19 +286,6 @@
         }
     }
 
-    /// Tells how old an incarnation is beside the newest of its name. Where a name has
-    /// told when it started, an entry that does not is not its own.
-    fn age_of(&self, registration: &Registration) -> Age {
-        let Some((newest, _)) = self.newest.get(&registration.upstream) else {
-            return Age::Newest;
-        };
-        match registration.born_at {
-            None => Age::Untold,
-            Some(born_at) if born_at < *newest => Age::Older,
-            Some(_) => Age::Newest,
-        }
-    }
-
     fn miss(&mut self, upstream: &UpstreamId, now: MonotonicTime) -> RegistryChange {
         let believed = self.phase.believes_missing(now);
         let Some(entry) = self.entries.get(upstream) else {
