--- a/crates/foxtidectl/src/commands/lines.rs
+++ b/crates/foxtidectl/src/commands/lines.rs
@@ -145,7 +145,7 @@
 
 fn collect(file: &str, reader: impl BufRead, lines: &mut Lines) -> io::Result<()> {
     for (index, line) in reader.lines().enumerate() {
-        match serde_json::from_str(&line?) {
+        match parse(&line?) {
             Ok(event) => lines.events.push(event),
             Err(error) => lines.unreadable.push(Unreadable {
                 file: file.to_owned(),
@@ -156,3 +156,16 @@
     }
     Ok(())
 }
+
+/// Reads a line; where a log collector has put a time and a name before it, from its first
+/// brace on.
+fn parse(line: &str) -> serde_json::Result<LogLine> {
+    let whole = serde_json::from_str(line);
+    match line.find('{') {
+        Some(at) if at > 0 => whole.or_else(|error| {
+            let event = serde_json::from_str(&line[at..]);
+            event.map_err(|_: serde_json::Error| error)
+        }),
+        _ => whole,
+    }
+}
--- a/crates/foxtidectl/tests/losses.rs
+++ b/crates/foxtidectl/tests/losses.rs
@@ -73,6 +73,17 @@
     assert_eq!(json["store_calls"]["recovery"], 9);
 }
 
+/// Collectors put a time and the machine's name before each line.
+#[test]
+fn verify_lines_of_a_collector_are_read() {
+    let lines = CALLS.replace("{\"event\"", "2026-03-01T10:00:00Z edge-1 {\"event\"");
+    let (_, text) = losses("losses-collector.log", &lines, &["--json"]);
+    let json: Value = serde_json::from_str(&text).unwrap();
+    assert_eq!(json["store_calls"]["start"], 8);
+    // The empty line at the beginning is none.
+    assert_eq!(json["unreadable"].as_array().unwrap().len(), 1);
+}
+
 #[test]
 fn verify_a_file_without_events_is_refused() {
     let (status, text) = losses("losses-none.log", "nothing\n", &[]);
