--- a/crates/foxtide-core/src/registry/mod.rs
+++ b/crates/foxtide-core/src/registry/mod.rs
@@ -6,6 +6,7 @@
 mod phase;
 mod registrar;
 mod registration;
+mod starting;
 mod table;
 
 pub use asking::StoreAsking;
@@ -26,6 +27,7 @@
     Registration,
     UpstreamState, //
 };
+pub use starting::reading_wait;
 pub use table::{
     Registered,
     Registry,
--- a/crates/foxtide-gateway/src/follow/start.rs
+++ b/crates/foxtide-gateway/src/follow/start.rs
@@ -15,7 +15,10 @@
     Freshness, //
 };
 use foxtide_core::records::Record;
-use foxtide_core::registry::Members;
+use foxtide_core::registry::{
+    Members,
+    reading_wait, //
+};
 use foxtide_core::store::{
     StoreError,
     StoreIndex, //
@@ -33,13 +36,8 @@
 /// The most pages of one reading: 500 keys each.
 const PAGES_MAX: usize = 1_000;
 
-/// How long the store takes to tell everything to one instance: half a megabyte at 1,000
-/// Mbit/s, as some 1,600 keys are.
-const WHOLE_READING_TIME: Duration = Duration::from_millis(4);
-
-/// The longest time over which the readings of starting instances spread: a single one
-/// that starts again is that late.
-const READING_SPREAD_MAX: Duration = Duration::from_millis(1_500);
+/// How long the pages after the first take an instance on a link of 20 Mbit/s.
+const READING_REST: Duration = Duration::from_millis(300);
 
 /// All that the store holds, and where to go on from.
 #[derive(Debug, Default)]
@@ -104,18 +102,18 @@
         Ok(snapshot)
     }
 
-    /// Waits for a part of the time in which the store can tell everything to all
-    /// instances that its first page names: they may all have lost power.
-    ///
-    /// Were they to read at the same time, all would be ready only at the end of it, 1.2 s
-    /// after the start for 295 instances. So the first are ready at once, and half of them
-    /// after half of the time; none is later than before.
+    /// Waits so that instances that start together do not read at the same time; callers
+    /// that come meanwhile are told when to come back.
     async fn spread_reading(&self, first_page: &Snapshot) {
         let facts = self.facts(&first_page.records);
         let is_member = |fact: &&Fact| matches!(fact, Fact::Joined(_));
-        let instances = facts.iter().filter(is_member).count() as u32;
-        let time = (WHOLE_READING_TIME * instances).min(READING_SPREAD_MAX);
-        Timer::after(time.mul_f64(fastrand::f64())).await;
+        let instances = facts.iter().filter(is_member).count();
+        let wait = reading_wait(instances, fastrand::f64());
+        self.shared
+            .state
+            .lock()
+            .expect_ready_after(wait + READING_REST);
+        Timer::after(wait).await;
     }
 
     /// Begins from pages that may be old and from what has changed since; tells whether
--- a/crates/foxtide-gateway/src/front/connection.rs
+++ b/crates/foxtide-gateway/src/front/connection.rs
@@ -53,7 +53,8 @@
 /// request, which is on its way.
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(300);
 
-/// When a caller is told to come back to an instance that knows nothing yet.
+/// The least time after which a caller is told to come back to an instance that knows
+/// nothing yet.
 const START_RETRY_AFTER: Duration = Duration::from_millis(250);
 
 /// How long after its start an instance lets requests wait for the configuration, and
@@ -192,7 +193,8 @@
     /// Returns the reply to a request; nothing where its caller is gone.
     async fn reply(&self, request: CallerRequest) -> Option<(Reply, Inputs)> {
         let Some(routes) = self.await_routes(request.facts.time_left).await else {
-            let retry_after = START_RETRY_AFTER;
+            let ready_after = self.shared.state.lock().ready_after();
+            let retry_after = ready_after.max(START_RETRY_AFTER);
             let inputs = Inputs::new(request.id(), "no_configuration_yet");
             return Some((Refusal::NotRun { retry_after }.into(), inputs));
         };
--- a/crates/foxtide-gateway/src/state/mod.rs
+++ b/crates/foxtide-gateway/src/state/mod.rs
@@ -93,6 +93,8 @@
     is_store_followed: bool,
     /// When the store, or a peer in its place, last told what it says.
     told_at: MonotonicTime,
+    /// When an instance that knows nothing yet expects to know the configuration.
+    ready_at: MonotonicTime,
     splits: HashMap<String, SplitCounter>,
     budgets: HashMap<ServiceId, RetryBudget>,
 }
@@ -115,6 +117,7 @@
             log: RecordLog::default(),
             is_store_followed: false,
             told_at: MonotonicTime::ZERO,
+            ready_at: MonotonicTime::ZERO,
             splits: HashMap::new(),
             budgets: HashMap::new(),
         }
@@ -217,6 +220,16 @@
         self.registry.store_answered(now);
     }
 
+    /// Notes when the first reading is expected to end.
+    pub(crate) fn expect_ready_after(&mut self, time: Duration) {
+        self.ready_at = self.clock.now() + time;
+    }
+
+    /// Returns how long the first reading is expected to take from now on.
+    pub(crate) fn ready_after(&self) -> Duration {
+        self.ready_at - self.clock.now()
+    }
+
     /// Returns how long ago the store, or a peer in its place, told what it
     /// says.
     pub(crate) fn knowledge_age(&self) -> Duration {
