Ask the nearest watcher, also after one further away has answered

Cause: a follower stayed with the watcher that answered last. Change: the first in the order of distance that has not failed of late is asked.

--- a/crates/foxtide-gateway/src/follow/peers.rs
+++ b/crates/foxtide-gateway/src/follow/peers.rs
@@ -59,7 +59,7 @@
         (wants && self.shared.is_ready()).then(|| self.shared.member())
     }
 
-    /// Asks the watcher that answered last, and another one where it fails.
+    /// Asks the nearest watcher that has not failed of late, and another one where it fails.
     pub(super) async fn ask_watchers(&mut self, watchers: &[SocketAddr]) -> Result<(), RelayError> {
         let question = Question {
             after: self.index,
--- a/crates/foxtide-gateway/src/relay/client.rs
+++ b/crates/foxtide-gateway/src/relay/client.rs
@@ -120,8 +120,10 @@
 impl RelayClient {
     /// Asks one of `peers` for what has changed.
     ///
-    /// The one that answered last is asked again; else the first that has not failed of
-    /// late, and where all have, the one whose failure is longest ago.
+    /// The first that has not failed of late is, and where all have, the one whose failure
+    /// is longest ago. One that answered from further away is left for a nearer one as soon
+    /// as there is one: while a fleet starts, the first watchers stand in other zones, and
+    /// what they tell all day costs bytes between zones.
     ///
     /// # Errors
     ///
@@ -131,13 +133,9 @@
         peers: &[SocketAddr],
         question: &Question,
     ) -> Result<Relayed, RelayError> {
+        let peer = self.choose(peers)?;
         let kept = self.connected.take();
-        let kept = kept.filter(|(peer, _)| peers.contains(peer));
-        let peer = match &kept {
-            Some((peer, _)) => *peer,
-            None => self.choose(peers)?,
-        };
-        let frames = kept.map(|(_, frames)| frames);
+        let frames = kept.and_then(|(kept, frames)| (kept == peer).then_some(frames));
         let answered = exchange(peer, frames, question).await;
         if let Err(error) = &answered {
             self.avoid(peer, error);
@@ -234,3 +232,28 @@
     stream.set_nodelay(true)?;
     Ok(frames(stream))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn peer(port: u16) -> SocketAddr {
+        SocketAddr::from(([127, 0, 0, 1], port))
+    }
+
+    /// Peers come in the order of their distance.
+    #[test]
+    fn verify_the_nearest_peer_that_has_not_failed_of_late_is_asked() {
+        let peers = [peer(1), peer(2)];
+        let mut client = RelayClient::default();
+        assert_eq!(client.choose(&peers[1..]).unwrap(), peer(2));
+        assert_eq!(client.choose(&peers).unwrap(), peer(1));
+        client.avoid(peer(1), &RelayError::NoPeer);
+        assert_eq!(client.choose(&peers).unwrap(), peer(2));
+        // Where all have failed, the one that is avoided for the shortest time is.
+        client.avoid(peer(2), &RelayError::NotCurrent { peer: peer(2) });
+        assert_eq!(client.choose(&peers).unwrap(), peer(2));
+        client.avoided.clear();
+        assert_eq!(client.choose(&peers).unwrap(), peer(1));
+    }
+}
