Tell the region, the second choice and the regions' shares in the lines

Cause: lines and metrics could not part the hypotheses of the incident: whether shares of regions moved, whether a region as a whole was full, or whether the neighbours of a full upstream were not asked.

Change: a request's line tells the region of its upstream and what became of the object's second choice; F4001 tells the regions' shares of a service where one has moved by 0.05; counters of both. No change of what is decided.

--- a/crates/foxtide-core/src/placement/regions.rs
+++ b/crates/foxtide-core/src/placement/regions.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Returns the share of the requests that each region serves.
+    pub fn shares(&self) -> &RegionShares {
+        &self.shares
+    }
+
     /// Returns the weight of an upstream with `slots` slots in `region`.
     pub fn of(&self, region: &RegionId, slots: u32) -> f64 {
         let of_region = self.slots.get(region).copied().unwrap_or(1).max(1);
--- a/crates/foxtide-gateway/src/forward/admit.rs
+++ b/crates/foxtide-gateway/src/forward/admit.rs
@@ -9,7 +9,10 @@
     SlotTerms, //
 };
 use crate::dialect::Dialect;
-use crate::outcome::Reply;
+use crate::outcome::{
+    Reply,
+    SecondChoice, //
+};
 use crate::state::Pick;
 use foxtide_core::admission::Patience;
 use foxtide_core::ids::InstanceId;
@@ -68,13 +71,27 @@
 
     /// Takes a slot of the upstream that comes after the object's own, if one is free.
     async fn second_choice(&mut self, own: &Pick) -> Option<Placed<'a>> {
-        let pick = self.pick(Some(&own.registration.upstream)).ok()?;
-        if pick.is_cold || !self.is_near(&pick) {
-            return None;
+        let (end, placed) = self.try_second_choice(own).await;
+        self.inputs.second_choice = end;
+        metrics::counter!("foxtide_second_choices_total", "end" => end.as_str()).increment(1);
+        placed
+    }
+
+    async fn try_second_choice(&mut self, own: &Pick) -> (SecondChoice, Option<Placed<'a>>) {
+        let Ok(pick) = self.pick(Some(&own.registration.upstream)) else {
+            return (SecondChoice::Missing, None);
+        };
+        if !self.is_near(&pick) {
+            return (SecondChoice::OtherRegion, None);
+        }
+        if pick.is_cold {
+            return (SecondChoice::Cold, None);
         }
         match self.admit(&pick, Patience::None).await {
-            Admitted::Granted(slot) => Some(Placed { pick, slot }),
-            Admitted::Busy | Admitted::Refused { .. } | Admitted::Elsewhere => None,
+            Admitted::Granted(slot) => (SecondChoice::Granted, Some(Placed { pick, slot })),
+            Admitted::Busy | Admitted::Refused { .. } | Admitted::Elsewhere => {
+                (SecondChoice::Busy, None)
+            }
         }
     }
 
--- a/crates/foxtide-gateway/src/journal/beliefs.rs
+++ b/crates/foxtide-gateway/src/journal/beliefs.rs
@@ -3,9 +3,13 @@
 use foxtide_core::ids::{
     AvailabilityZoneId,
     InstanceId,
+    ServiceId,
     UpstreamId, //
 };
-use foxtide_core::placement::AttemptResult;
+use foxtide_core::placement::{
+    AttemptResult,
+    RegionShares, //
+};
 use foxtide_core::registry::{
     Member,
     RegistryChange, //
@@ -83,3 +87,16 @@
         log_event!(EventCode::MemberDoubted, instance = instance.as_str());
     }
 }
+
+/// The shares of its own region's requests that regions serve have changed.
+pub(crate) fn region_shares_changed(service: &ServiceId, shares: &RegionShares) {
+    let shares = shares
+        .iter()
+        .map(|(region, share)| format!("{region}={share:.3}"));
+    let shares = shares.collect::<Vec<_>>().join(" ");
+    log_event!(
+        EventCode::WeightsShifted,
+        service = service.as_str(),
+        shares = shares.as_str()
+    );
+}
--- a/crates/foxtide-gateway/src/journal/requests.rs
+++ b/crates/foxtide-gateway/src/journal/requests.rs
@@ -85,9 +85,11 @@
                 service = inputs.service.as_str(),
                 object = inputs.object.as_str(),
                 upstream = inputs.upstream.as_str(),
+                region = inputs.region.as_str(),
                 attempts = inputs.attempts,
                 rank = inputs.rank,
                 occupancy = inputs.occupancy,
+                second_choice = inputs.second_choice.as_str(),
                 slot = inputs.slot.as_str(),
                 slot_wait_ms = slot_wait_ms,
                 coordinator = inputs.coordinator.as_str(),
@@ -108,7 +110,9 @@
                 service = inputs.service.as_str(),
                 object = inputs.object.as_str(),
                 upstream = inputs.upstream.as_str(),
+                region = inputs.region.as_str(),
                 attempts = inputs.attempts,
+                second_choice = inputs.second_choice.as_str(),
                 slot = inputs.slot.as_str(),
                 slot_wait_ms = slot_wait_ms,
                 coordinator = inputs.coordinator.as_str(),
@@ -198,6 +202,14 @@
             "source" => source, "status" => status.to_string()
         )
         .increment(1);
+        if !inputs.region.is_empty() {
+            metrics::counter!(
+                "foxtide_region_requests_total",
+                "service" => service.clone(), "region" => inputs.region.clone(),
+                "source" => source
+            )
+            .increment(1);
+        }
         metrics::histogram!(
             "foxtide_request_seconds",
             "route" => route, "service" => service, "source" => source
--- a/crates/foxtide-gateway/src/outcome/inputs.rs
+++ b/crates/foxtide-gateway/src/outcome/inputs.rs
@@ -1,5 +1,6 @@
 //! What decided a request's way, for its log line.
 
+use super::SecondChoice;
 use crate::admission::SlotAnswer;
 use crate::state::Pick;
 use std::time::Duration;
@@ -21,6 +22,8 @@
     pub(crate) object: String,
     /// The upstream of the last attempt.
     pub(crate) upstream: String,
+    /// The region in which that upstream stands.
+    pub(crate) region: String,
     /// The attempts so far.
     pub(crate) attempts: u32,
     /// The upstream's place in the object's order.
@@ -33,6 +36,8 @@
     pub(crate) knowledge_age_ms: u64,
     /// How its last attempt came to be sent.
     pub(crate) slot: SlotAnswer,
+    /// What became of the object's second choice.
+    pub(crate) second_choice: SecondChoice,
     /// The instance that coordinates the upstream's slots.
     pub(crate) coordinator: String,
     /// How long it waited for slots.
@@ -56,6 +61,7 @@
     pub(crate) fn note(&mut self, pick: &Pick) {
         self.attempts += 1;
         self.upstream = pick.registration.upstream.to_string();
+        self.region = pick.registration.region.to_string();
         self.rank = pick.rank;
         self.occupancy = pick.occupancy;
     }
--- a/crates/foxtide-gateway/src/outcome/mod.rs
+++ b/crates/foxtide-gateway/src/outcome/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod inputs;
 mod reply;
+mod second_choice;
 
 pub(crate) use attempt::AttemptEnd;
 pub(crate) use inputs::Inputs;
@@ -10,3 +11,4 @@
     Refusal,
     Reply, //
 };
+pub(crate) use second_choice::SecondChoice;
--- a/crates/foxtide-gateway/src/state/placement.rs
+++ b/crates/foxtide-gateway/src/state/placement.rs
@@ -1,11 +1,13 @@
 //! The upstreams that may serve the requests of a service, with their weights.
 
 use super::PickRequest;
+use crate::journal::beliefs;
 use crate::options::Place;
 use foxtide_core::ids::RegionId;
 use foxtide_core::placement::{
     Candidate,
     ObjectKey,
+    RegionShares,
     UpstreamWeights,
     first_choices, //
 };
@@ -20,6 +22,11 @@
 /// How long a placement without requests is kept: its route may be gone.
 const UNUSED_TIME: Duration = Duration::from_secs(60);
 
+/// How far a region's share moves before a line tells it: a third of the shift that
+/// organisations are usually promised (0.15), so that no larger one goes untold, and a
+/// region that loses its upstreams one by one writes twenty lines at most.
+const SHARE_STEP: f64 = 0.05;
+
 /// The upstreams of a service in the regions that may serve a route.
 #[derive(Debug, Default)]
 pub(crate) struct Placement {
@@ -28,6 +35,8 @@
     upstreams: Vec<Registered>,
     /// The upstreams' weights, in the same order.
     candidates: Vec<Candidate>,
+    /// The regions' shares that were last told in the log.
+    told_shares: RegionShares,
     used_at: MonotonicTime,
 }
 
@@ -48,7 +57,9 @@
         };
         let eligible = registry.eligible(request.service).iter();
         self.upstreams = eligible.filter(is_allowed).cloned().collect();
-        self.candidates = self.weighted(place);
+        let weights = self.weights(place);
+        self.candidates = self.weighted(&weights);
+        self.tell_shares(request, weights.shares());
     }
 
     /// Returns the first `count` upstreams in the order of an object.
@@ -69,13 +80,27 @@
         now - self.used_at < UNUSED_TIME
     }
 
-    fn weighted(&self, place: &Place) -> Vec<Candidate> {
+    /// Writes a line where a region's share has moved by a step since the last one.
+    fn tell_shares(&mut self, request: &PickRequest<'_>, shares: &RegionShares) {
+        let told = |region: &RegionId| self.told_shares.get(region).copied().unwrap_or(0.0);
+        let has_moved =
+            |(region, share): (&RegionId, &f64)| (share - told(region)).abs() >= SHARE_STEP;
+        if shares.iter().any(has_moved) {
+            beliefs::region_shares_changed(request.service, shares);
+            self.told_shares = shares.clone();
+        }
+    }
+
+    fn weights(&self, place: &Place) -> UpstreamWeights {
         let mut slots: BTreeMap<RegionId, u32> = BTreeMap::new();
         for upstream in &self.upstreams {
             let registration = &upstream.registration;
             *slots.entry(registration.region.clone()).or_default() += registration.slots;
         }
-        let weights = UpstreamWeights::new(&place.region, slots, place.regions_count());
+        UpstreamWeights::new(&place.region, slots, place.regions_count())
+    }
+
+    fn weighted(&self, weights: &UpstreamWeights) -> Vec<Candidate> {
         let candidate = |upstream: &Registered| {
             let registration = &upstream.registration;
             let weight = weights.of(&registration.region, registration.slots);
