--- a/crates/foxtide-gateway/tests/gateway/small_region.rs
+++ b/crates/foxtide-gateway/tests/gateway/small_region.rs
@@ -2,15 +2,15 @@
 //!
 //! What was seen: in a region that keeps a third of its requests, one upstream refused
 //! ten requests a second after waits of up to 0.9 s, while its neighbours in the region
-//! waited for work. When callers stopped asking for anything new, only those who had
-//! been refused came back, and all to that region: within 2 s the part of the requests
-//! that it served went from 0.31 to 0.86.
+//! waited for work. When callers stopped asking for anything new, those who had been
+//! refused came back, nearly all to that region: it served 0.31 of the requests that had
+//! come in the 2 s before, and 0.86 of those that came in the 2 s after.
 //!
-//! How it came about: by chance one upstream had two thirds of the region's objects of a
-//! service. What is too much for one upstream goes to the object's second choice, but
-//! that was drawn from all regions, and one that stands elsewhere is not asked. In a
-//! region that keeps nearly all of its objects the second choice is a neighbour; in one
-//! that keeps a third it hardly ever is.
+//! How it came about: by chance one upstream had 8 of the region's 19 objects of a
+//! service, more than its slots can serve. What is too much for one upstream goes to the
+//! object's second choice, but that was drawn from all regions, and one that stands
+//! elsewhere is not asked. In a region that keeps nearly all of its objects the second
+//! choice is a neighbour; in one that keeps a third it is one time out of three.
 //!
 //! What proved it: the lines of 153 refused requests tell what became of the second
 //! choice; 136 stood in another region, 11 were busy.
