Log each end of an upstream under a request, and who learns of a verdict

The lines could not tell the three hypotheses apart: only a judge logged that a request is held back. F5037 has each end that an instance sees with what it counts for, F5038 each verdict that it learns and from whom, F5039 the end of a hold.

--- a/crates/foxtide-core/src/events/code.rs
+++ b/crates/foxtide-core/src/events/code.rs
@@ -194,6 +194,9 @@
     5034 ResponseStray "response-stray" Info "A response to another request came on a connection and was passed over."
     5035 UpstreamRestarted "upstream-restarted" Info "An upstream has started again under its name; what was known of it has ended."
     5036 RequestHeldBack "request-held-back" Warn "Upstreams end under a request wherever it is sent: all instances hold it back for a while."
+    5037 UpstreamEnded "upstream-ended" Info "An upstream ended while it worked on a request; the fields tell what else was under way there, and what the end counts for."
+    5038 HoldLearnt "hold-learnt" Info "The instance holds a request back from now on; the fields tell who said so."
+    5039 HoldEnded "hold-ended" Info "The instance no longer holds a request back."
 
     6001 KeyReplayed "key-replayed" Info "A request with a known idempotency key got the first one's answer."
     6002 KeyInProgress "key-in-progress" Debug "A request came again while its idempotency key was running."
--- a/crates/foxtide-core/src/poison/held.rs
+++ b/crates/foxtide-core/src/poison/held.rs
@@ -47,8 +47,10 @@
         (now < until).then(|| until - now)
     }
 
-    /// Forgets those that are let through again.
-    pub fn prune(&mut self, now: MonotonicTime) {
-        self.0.retain(|_, &mut until| now < until);
+    /// Forgets those that are let through again, and returns them.
+    pub fn prune(&mut self, now: MonotonicTime) -> Vec<Fingerprint> {
+        let is_over = |_: &Fingerprint, until: &mut MonotonicTime| *until <= now;
+        let over = self.0.extract_if(is_over);
+        over.map(|(fingerprint, _)| fingerprint).collect()
     }
 }
--- a/crates/foxtide-gateway/src/admission/server.rs
+++ b/crates/foxtide-gateway/src/admission/server.rs
@@ -52,7 +52,7 @@
         Some(Body::QuotaAnswer(message)) => shared.quotas.deliver(number, message.answer()),
         Some(Body::Blame(message)) => poison::take_in_blame(shared, from, &message),
         Some(Body::Cleared(hash)) => poison::take_in_cleared(shared, hash),
-        Some(Body::Hold(message)) => poison::take_in_hold(shared, &message),
+        Some(Body::Hold(message)) => poison::take_in_hold(shared, from, &message),
         body => shared.admission.take_in(from, number, body),
     }
 }
--- a/crates/foxtide-gateway/src/journal/beliefs.rs
+++ b/crates/foxtide-gateway/src/journal/beliefs.rs
@@ -11,7 +11,10 @@
     AttemptResult,
     RegionShares, //
 };
-use foxtide_core::poison::Blame;
+use foxtide_core::poison::{
+    Blame,
+    Fingerprint, //
+};
 use foxtide_core::registry::{
     Member,
     RegistryChange, //
@@ -26,6 +29,7 @@
     log_event, //
 };
 use std::collections::HashSet;
+use std::fmt::Display;
 use std::time::Duration;
 
 /// A new configuration is in force.
@@ -53,6 +57,35 @@
     );
 }
 
+/// An upstream has ended under a request, beside which this instance had others there:
+/// `under_way`, that one among them.
+pub(crate) fn upstream_ended(blame: &Blame, under_way: u32, is_told: bool) {
+    metrics::counter!("foxtide_upstream_ends_total").increment(1);
+    log_event!(
+        EventCode::UpstreamEnded,
+        fingerprint:% = blame.fingerprint,
+        upstream = blame.upstream.as_str(),
+        under_way = under_way,
+        likelihood = blame.likelihood,
+        told = is_told
+    );
+}
+
+/// This instance holds a request back, as `from` says.
+pub(crate) fn hold_learnt(fingerprint: Fingerprint, from: &dyn Display, time: Duration) {
+    log_event!(
+        EventCode::HoldLearnt,
+        fingerprint:% = fingerprint,
+        from:% = from,
+        time_ms = time.as_millis() as u64
+    );
+}
+
+/// This instance holds a request back no longer.
+pub(crate) fn hold_ended(fingerprint: Fingerprint) {
+    log_event!(EventCode::HoldEnded, fingerprint:% = fingerprint);
+}
+
 /// The store, or a peer, tells an older version than the one in force.
 pub(crate) fn configuration_kept(told: u64, in_force: Option<u64>) {
     let in_force = in_force.unwrap_or_default();
--- a/crates/foxtide-gateway/src/poison.rs
+++ b/crates/foxtide-gateway/src/poison.rs
@@ -61,7 +61,9 @@
     pub(crate) fn prune(&self, now: MonotonicTime) {
         self.ends.lock().prune(now);
         self.suspects.lock().prune(now);
-        self.held.lock().prune(now);
+        for fingerprint in self.held.lock().prune(now) {
+            beliefs::hold_ended(fingerprint);
+        }
         self.blamed.lock().retain(|_, &mut until| now < until);
     }
 
@@ -105,16 +107,18 @@
         let mut ends = poison.ends.lock();
         ends.likelihood(fingerprint, upstream, under_way, now)
     };
-    if !poison.may_tell(now) {
-        return;
-    }
-    poison.note_blamed(fingerprint, now);
     let blame = Blame {
         fingerprint,
         upstream: upstream.clone(),
         born_at: registration.born_at,
         likelihood,
     };
+    let is_told = poison.may_tell(now);
+    beliefs::upstream_ended(&blame, under_way, is_told);
+    if !is_told {
+        return;
+    }
+    poison.note_blamed(fingerprint, now);
     let number = shared.admission.number();
     let datagram = Datagram::blame(number, &blame);
     tell_judges(shared, fingerprint, &datagram, || judge(shared, &blame));
@@ -153,9 +157,14 @@
 }
 
 /// Takes in that a request is to be held back.
-pub(crate) fn take_in_hold<D: Dialect>(shared: &Shared<D>, message: &HoldMessage) {
+pub(crate) fn take_in_hold<D: Dialect>(
+    shared: &Shared<D>,
+    from: SocketAddr,
+    message: &HoldMessage,
+) {
     let now = shared.clock.now();
     let fingerprint = message.fingerprint();
+    beliefs::hold_learnt(fingerprint, &from, message.time());
     shared.poison.hold(fingerprint, message.time(), now);
 }
 
