Show with two failing tests that restarted instances send on what was held back

Callers saw 502 and upstreams went on ending after two rolling restarts: 43 to 53 under one request.

--- a/crates/foxtide-gateway/tests/gateway/poison.rs
+++ b/crates/foxtide-gateway/tests/gateway/poison.rs
@@ -70,6 +70,48 @@
     assert_eq!(other.head.status, 200);
 }
 
+/// Sends a request that ends its upstreams until both instances refuse it.
+fn send_until_refused(instances: &[Instance; 2]) {
+    eventually("it is held back", || {
+        let mut responses = instances.iter().map(send_deadly);
+        responses.all(|response| response.head.status == 503)
+    });
+}
+
+fn send_deadly(instance: &Instance) -> foxtide_http::WholeResponse {
+    instance.get("/safe/deadly", "request: r\r\nobject: o\r\n")
+}
+
+/// Guards against an instance that starts after the verdict and sends the request on.
+#[test]
+fn verify_an_instance_that_starts_later_holds_back_what_the_others_do() {
+    let (fleet, instances, upstreams) = fleet(&Behaviour::End(Duration::from_millis(50)));
+    send_until_refused(&instances);
+    let before = ended(&upstreams);
+    let later = fleet.instance("edge-3", "khomas-a");
+    for _ in 0..5 {
+        assert_eq!(send_deadly(&later).head.status, 503);
+    }
+    assert_eq!(ended(&upstreams), before);
+}
+
+/// Guards against a restart of all instances that forgets the verdict.
+#[test]
+fn verify_a_restart_of_all_instances_lets_no_held_request_through() {
+    let (fleet, instances, upstreams) = fleet(&Behaviour::End(Duration::from_millis(50)));
+    send_until_refused(&instances);
+    let before = ended(&upstreams);
+    drop(instances);
+    for name in ["edge-1", "edge-2"] {
+        fleet.store.lapse(name);
+    }
+    let later = fleet.instance("edge-3", "khomas-a");
+    for _ in 0..5 {
+        assert_eq!(send_deadly(&later).head.status, 503);
+    }
+    assert_eq!(ended(&upstreams), before);
+}
+
 /// A connection that ends while the upstream lives is no end of it.
 #[test]
 fn verify_broken_connections_to_living_upstreams_hold_nothing_back() {
