Wait for the refusal of a far upstream before its end is ruled out

Callers saw further upstreams end under a request whose ends had not been counted. It now waits as long as a connection to that upstream may take.

Loopback has no such delay, so that the test looks at the figure alone; the one before (80 ms) fails it.

--- a/crates/foxtide-gateway/src/forward/attempt.rs
+++ b/crates/foxtide-gateway/src/forward/attempt.rs
@@ -41,10 +41,6 @@
 /// trips that deployments have (110 ms).
 const CONNECT_TIME_FAR: Duration = Duration::from_millis(350);
 
-/// How long it is looked whether an upstream still takes connections that has closed one:
-/// a refusal takes a round trip, and one that lost power says nothing.
-const CHECK_TIME: Duration = Duration::from_millis(80);
-
 /// When it is looked once more: a process that ends closes what it has one after the other,
 /// and with many connections it does so for some milliseconds.
 const CHECK_AGAIN_AFTER: Duration = Duration::from_millis(20);
@@ -130,7 +126,7 @@
             if is_silence(&error) {
                 shared.pool.forget(&registration.upstream);
             }
-            let has_ended = is_sent && is_closed(&error) && is_gone(registration).await;
+            let has_ended = is_sent && is_closed(&error) && is_gone(shared, registration).await;
             AttemptReport {
                 has_ended,
                 ..broken(&error, is_sent)
@@ -154,13 +150,7 @@
         return Ok(stream);
     }
     metrics::counter!("foxtide_upstream_connections_total").increment(1);
-    let is_near = registration.region == shared.options.place.region;
-    let connect_time = if is_near {
-        CONNECT_TIME_NEAR
-    } else {
-        CONNECT_TIME_FAR
-    };
-    let limit = ends_at.min(Instant::now() + connect_time);
+    let limit = ends_at.min(Instant::now() + connect_time(shared, registration));
     let timed = async {
         Timer::at(limit).await;
         Err(io::ErrorKind::TimedOut.into())
@@ -173,6 +163,19 @@
     Ok(stream)
 }
 
+/// Returns how long a connection to an upstream may take to be made, or to be refused.
+fn connect_time<D>(shared: &Shared<D>, registration: &Registration) -> Duration {
+    connect_time_within(registration.region == shared.options.place.region)
+}
+
+fn connect_time_within(is_own_region: bool) -> Duration {
+    if is_own_region {
+        CONNECT_TIME_NEAR
+    } else {
+        CONNECT_TIME_FAR
+    }
+}
+
 /// Writes the request and reads until the response that names it.
 async fn converse<D: Dialect>(
     shared: &Shared<D>,
@@ -224,10 +227,10 @@
 
 /// Tells whether nobody takes connections at an upstream's address any more. An upstream
 /// that lost one answer, or forgot an idle connection, does.
-async fn is_gone(registration: &Registration) -> bool {
+async fn is_gone<D>(shared: &Shared<D>, registration: &Registration) -> bool {
     let is_refused = || async {
         let late = async {
-            Timer::after(CHECK_TIME).await;
+            Timer::after(connect_time(shared, registration)).await;
             Err(io::ErrorKind::TimedOut.into())
         };
         let connected = or(BufferedStream::connect(registration.address, None), late).await;
@@ -303,3 +306,16 @@
     };
     (AttemptEnd::Responded(Box::new(response)), result)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against ends of upstreams in other regions that are taken for broken
+    /// connections, since the refusal of a new one comes after the check has given up.
+    #[test]
+    fn verify_the_refusal_of_a_far_upstream_is_waited_for() {
+        let longest_round_trip = Duration::from_millis(110);
+        assert!(connect_time_within(false) >= 2 * longest_round_trip);
+    }
+}
