--- a/crates/foxtide-core/src/events/code.rs
+++ b/crates/foxtide-core/src/events/code.rs
@@ -193,10 +193,11 @@
     5033 RequestUnplaced "request-unplaced" Info "No upstream may get a request now; the fields give the reason."
     5034 ResponseStray "response-stray" Info "A response to another request came on a connection and was passed over."
     5035 UpstreamRestarted "upstream-restarted" Info "An upstream has started again under its name; what was known of it has ended."
-    5036 RequestHeldBack "request-held-back" Warn "Upstreams end under a request wherever it is sent: all instances hold it back for a while."
+    5036 RequestQuarantined "request-quarantined" Warn "Upstreams end under a request wherever it is sent: no instance sends it on, but for trials."
     5037 UpstreamEnded "upstream-ended" Info "An upstream ended while it worked on a request; the fields tell what else was under way there, and what the end counts for."
-    5038 HoldLearnt "hold-learnt" Info "The instance holds a request back from now on; the fields tell who said so."
-    5039 HoldEnded "hold-ended" Info "The instance no longer holds a request back."
+    5038 QuarantineLearnt "quarantine-learnt" Info "The instance has learnt that a request is quarantined; the fields tell from whom."
+    5039 RequestReleased "request-released" Info "A request is no longer quarantined: it was served, or an operator has removed its key."
+    5040 TrialClaimed "trial-claimed" Info "The instance has asked the store whether it may send a quarantined request once; `claimed` tells the answer."
 
     6001 KeyReplayed "key-replayed" Info "A request with a known idempotency key got the first one's answer."
     6002 KeyInProgress "key-in-progress" Debug "A request came again while its idempotency key was running."
@@ -223,6 +224,7 @@
     7011 StoreCalls "store-calls" Info "The calls to the store since the last such line, by what they were for."
     7012 RecordWithdrawn "record-withdrawn" Info "The instance that keeps this one's record was told to remove it."
     7013 StoreRestored "store-restored" Warn "The store has come back from an older copy: what it had acknowledged since is gone, and is kept here until it is written again."
+    7014 QuarantineCallFailed "quarantine-call-failed" Warn "A call to the store about a quarantined request failed; it is made again."
 
     8005 PromiseBroken "promise-broken" Error "A promise to an organisation is not kept; the detail says which."
     8006 PromiseKept "promise-kept" Info "A promise is kept again."
--- a/crates/foxtide-core/src/poison/fingerprint.rs
+++ b/crates/foxtide-core/src/poison/fingerprint.rs
@@ -1,8 +1,16 @@
 //! The identity of a request by its content.
 
+use crate::{
+    Error,
+    Result, //
+};
 use std::fmt;
+use std::str::FromStr;
 use xxhash_rust::xxh3::Xxh3;
 
+/// The digits of a fingerprint as text.
+const DIGITS: usize = 16;
+
 /// What two requests have in common that ask for the same in the same words.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Fingerprint(u64);
@@ -19,12 +27,12 @@
         Self(hash.digest())
     }
 
-    /// Returns the fingerprint that another instance told.
+    /// Returns the fingerprint that another instance has sent.
     pub fn from_hash(hash: u64) -> Self {
         Self(hash)
     }
 
-    /// Returns the hash, to tell another instance.
+    /// Returns the hash, to be sent to another instance.
     pub fn hash(self) -> u64 {
         self.0
     }
@@ -36,3 +44,15 @@
         write!(f, "{:016x}", self.0)
     }
 }
+
+impl FromStr for Fingerprint {
+    type Err = Error;
+
+    /// Reads 16 hexadecimal digits.
+    fn from_str(text: &str) -> Result<Self> {
+        let hash = u64::from_str_radix(text, 16).ok();
+        let hash = hash.filter(|_| text.len() == DIGITS);
+        hash.map(Self)
+            .ok_or_else(|| Error::parse(text, "16 hexadecimal digits"))
+    }
+}
--- a/crates/foxtide-core/src/poison/mod.rs
+++ b/crates/foxtide-core/src/poison/mod.rs
@@ -6,12 +6,17 @@
 //! a kind was such a one.
 //!
 //! What tells it apart is that upstreams end under it wherever it is sent, and that it is
-//! never served in between. An instance that sees an upstream end tells the judges of the
-//! request, one of each region and the same ones in everybody's eyes, how likely it was that
-//! request ([`EndWatch`]). Each judge adds up ([`Suspects`]) and tells the instances of its
-//! region to hold the request back for a while ([`HeldRequests`]). A request that is served
-//! is beyond suspicion again. What is repeated after an end waits until a verdict can have
-//! come ([`REPEAT_WAIT`]).
+//! never served in between. An instance that sees an upstream end reports to the aggregators
+//! of the request, the same ones in everybody's eyes, how likely it was that request
+//! ([`EndWatch`]). An aggregator adds up ([`Suspects`]), tells the instances of its region to
+//! quarantine the request, and writes that to the platform's store, from which all others
+//! learn it, and those that start later ([`Quarantine`]).
+//!
+//! A quarantine does not end by time. A request may be there for the failures of others, so
+//! that it is tried again: one instance at a time, which claims the trial in the store, and a
+//! few times at most. One that is served is let through everywhere; one that has used up its
+//! trials stays until an operator removes its key. What is repeated after an end waits until
+//! a quarantine can have become known ([`REPEAT_WAIT`]).
 //!
 //! Evidence is kept by the whole content of a request ([`Fingerprint`]). Requests for the
 //! same object in other words are served all the while, and would be held back for nothing
@@ -19,14 +24,20 @@
 
 mod ends;
 mod fingerprint;
-mod held;
+mod quarantine;
 mod suspects;
 
 pub use ends::EndWatch;
 pub use fingerprint::Fingerprint;
-pub use held::HeldRequests;
+pub use quarantine::{
+    Clearance,
+    Origin,
+    Quarantine,
+    QuarantineEntry,
+    StoredEntry, //
+};
 pub use suspects::{
-    Blame,
+    EndReport,
     REPEAT_WAIT,
     Suspects, //
 };
--- a/crates/foxtide-core/src/poison/suspects.rs
+++ b/crates/foxtide-core/src/poison/suspects.rs
@@ -31,22 +31,16 @@
 /// upstream takes down, which is all that waits, each is served later by this much.
 pub const REPEAT_WAIT: Duration = Duration::from_millis(100);
 
-/// How long ends are remembered, and the verdict on one that was held back: upstreams that
-/// end for other causes are hours apart.
+/// How long ends are remembered: upstreams that end for other causes are hours apart.
 const MEMORY_TIME: Duration = Duration::from_secs(600);
 
-/// How long a request is held back at first, and at most. It doubles with each end that
-/// follows: a request that still ends its upstream costs one each time.
-const HELD_TIME_FIRST: Duration = Duration::from_secs(30);
-const HELD_TIME_MAX: Duration = Duration::from_secs(600);
-
-/// The most requests that are remembered: what all instances tell in a minute in which a
+/// The most requests that are remembered: what all instances report in a minute in which a
 /// zone is lost, on deployments of today.
 const SUSPECTS_MAX: usize = 4_096;
 
 /// An upstream has ended under a request.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Blame {
+pub struct EndReport {
     /// The request.
     pub fingerprint: Fingerprint,
     /// The upstream.
@@ -60,53 +54,43 @@
 #[derive(Clone, Debug)]
 struct Suspect {
     ends: Vec<End>,
-    /// How often it was held back, and until when the last time.
-    verdicts: u32,
-    held_until: MonotonicTime,
-    blamed_at: MonotonicTime,
+    is_quarantined: bool,
+    reported_at: MonotonicTime,
 }
 
 #[derive(Clone, Debug)]
 struct End {
     upstream: UpstreamId,
     born_at: Option<WallTime>,
-    /// The highest likelihood that was told.
+    /// The highest likelihood that was reported.
     likelihood: f64,
     at: MonotonicTime,
 }
 
-/// The requests that one instance judges.
+/// The requests whose ends one instance adds up.
 #[derive(Clone, Debug, Default)]
 pub struct Suspects(HashMap<Fingerprint, Suspect>);
 
 impl Suspects {
-    /// Takes in that an upstream has ended under a request; returns for how long the request
-    /// is to be held back, where it is.
-    pub fn blame(&mut self, blame: &Blame, now: MonotonicTime) -> Option<Duration> {
-        if self.0.len() >= SUSPECTS_MAX && !self.0.contains_key(&blame.fingerprint) {
+    /// Takes in that an upstream has ended under a request; returns how many have, where the
+    /// request is to be quarantined.
+    pub fn report(&mut self, report: &EndReport, now: MonotonicTime) -> Option<u32> {
+        if self.0.len() >= SUSPECTS_MAX && !self.0.contains_key(&report.fingerprint) {
             self.forget_oldest();
         }
-        let suspect = self.0.entry(blame.fingerprint).or_insert(Suspect {
+        let suspect = self.0.entry(report.fingerprint).or_insert(Suspect {
             ends: Vec::new(),
-            verdicts: 0,
-            held_until: MonotonicTime::ZERO,
-            blamed_at: now,
+            is_quarantined: false,
+            reported_at: now,
         });
-        suspect.blamed_at = now;
-        let is_new = suspect.add(blame, now);
-        let is_known = suspect.verdicts > 0;
-        if !is_new || !(is_known || suspect.is_guilty()) {
+        suspect.reported_at = now;
+        let is_new = suspect.add(report, now);
+        if !is_new || !(suspect.is_quarantined || suspect.is_guilty()) {
             return None;
         }
-        if now < suspect.held_until {
-            // It was under way, or an instance has not heard of the verdict.
-            return Some(suspect.held_until - now);
-        }
-        let doubled = HELD_TIME_FIRST * 2_u32.saturating_pow(suspect.verdicts.min(8));
-        suspect.verdicts += 1;
-        let time = doubled.min(HELD_TIME_MAX);
-        suspect.held_until = now + time;
-        Some(time)
+        // Each further end is told: an instance may not know of the quarantine.
+        suspect.is_quarantined = true;
+        Some(suspect.ends.len() as u32)
     }
 
     /// Takes in that a request was served: it is not the one.
@@ -114,21 +98,14 @@
         self.0.remove(&fingerprint);
     }
 
-    /// Returns how many upstreams have ended under a request.
-    pub fn ends(&self, fingerprint: Fingerprint) -> usize {
-        self.0
-            .get(&fingerprint)
-            .map_or(0, |suspect| suspect.ends.len())
-    }
-
     /// Forgets what is long past.
     pub fn prune(&mut self, now: MonotonicTime) {
         self.0
-            .retain(|_, suspect| now - suspect.blamed_at < MEMORY_TIME);
+            .retain(|_, suspect| now - suspect.reported_at < MEMORY_TIME);
     }
 
     fn forget_oldest(&mut self) {
-        let oldest = self.0.iter().min_by_key(|(_, suspect)| suspect.blamed_at);
+        let oldest = self.0.iter().min_by_key(|(_, suspect)| suspect.reported_at);
         if let Some(oldest) = oldest.map(|(&fingerprint, _)| fingerprint) {
             self.0.remove(&oldest);
         }
@@ -137,19 +114,20 @@
 
 impl Suspect {
     /// Adds an end; tells whether it was not known. Each instance that had the request there
-    /// tells of it.
-    fn add(&mut self, blame: &Blame, now: MonotonicTime) -> bool {
+    /// reports it.
+    fn add(&mut self, report: &EndReport, now: MonotonicTime) -> bool {
         let mut ends = self.ends.iter_mut();
-        let known = ends.find(|end| end.upstream == blame.upstream && end.born_at == blame.born_at);
+        let known =
+            ends.find(|end| end.upstream == report.upstream && end.born_at == report.born_at);
         if let Some(end) = known {
-            let is_more = blame.likelihood > end.likelihood;
-            end.likelihood = end.likelihood.max(blame.likelihood);
+            let is_more = report.likelihood > end.likelihood;
+            end.likelihood = end.likelihood.max(report.likelihood);
             return is_more;
         }
         self.ends.push(End {
-            upstream: blame.upstream.clone(),
-            born_at: blame.born_at,
-            likelihood: blame.likelihood,
+            upstream: report.upstream.clone(),
+            born_at: report.born_at,
+            likelihood: report.likelihood,
             at: now,
         });
         true
--- a/crates/foxtide-core/src/registry/members.rs
+++ b/crates/foxtide-core/src/registry/members.rs
@@ -245,10 +245,10 @@
         self.of_each_region(xxh3_64(organisation.as_str().as_bytes()), own)
     }
 
-    /// Returns the members that judge whether a request ends its upstreams, one of each
+    /// Returns the members that add up whether a request ends its upstreams, one of each
     /// region that has members, the own region's first: upstreams of all regions may end
     /// under it, and each region is to know as soon as its own instances do.
-    pub fn judges(&self, fingerprint: Fingerprint, own: &RegionId) -> Vec<&Member> {
+    pub fn aggregators(&self, fingerprint: Fingerprint, own: &RegionId) -> Vec<&Member> {
         self.of_each_region(fingerprint.hash(), own)
     }
 
--- a/crates/foxtide-gateway/src/admission/server.rs
+++ b/crates/foxtide-gateway/src/admission/server.rs
@@ -50,9 +50,9 @@
     match datagram.body {
         Some(Body::QuotaQuestion(message)) => quotas::answer(shared, from, number, &message),
         Some(Body::QuotaAnswer(message)) => shared.quotas.deliver(number, message.answer()),
-        Some(Body::Blame(message)) => poison::take_in_blame(shared, from, &message),
-        Some(Body::Cleared(hash)) => poison::take_in_cleared(shared, hash),
-        Some(Body::Hold(message)) => poison::take_in_hold(shared, from, &message),
+        Some(Body::EndReport(message)) => poison::take_in_end(shared, from, &message),
+        Some(Body::Cleared(hash)) => poison::take_in_cleared(&shared.poison, hash),
+        Some(Body::Quarantine(message)) => poison::take_in_quarantine(shared, from, &message),
         body => shared.admission.take_in(from, number, body),
     }
 }
--- a/crates/foxtide-gateway/src/datagram/poison.rs
+++ b/crates/foxtide-gateway/src/datagram/poison.rs
@@ -2,19 +2,18 @@
 
 use super::{
     Body,
-    Datagram,
-    milliseconds, //
+    Datagram, //
 };
 use foxtide_core::poison::{
-    Blame,
-    Fingerprint, //
+    EndReport,
+    Fingerprint,
+    QuarantineEntry, //
 };
 use foxtide_core::time::WallTime;
-use std::time::Duration;
 
 /// An upstream has ended under a request.
 #[derive(Clone, PartialEq, prost::Message)]
-pub(crate) struct BlameMessage {
+pub(crate) struct EndMessage {
     #[prost(fixed64, tag = "1")]
     fingerprint: u64,
     #[prost(string, tag = "2")]
@@ -26,31 +25,35 @@
     likelihood: f64,
 }
 
-/// A request is to be held back.
+/// A quarantined request.
 #[derive(Clone, PartialEq, prost::Message)]
-pub(crate) struct HoldMessage {
+pub(crate) struct QuarantineMessage {
     #[prost(fixed64, tag = "1")]
     fingerprint: u64,
-    #[prost(uint32, tag = "2")]
-    time_ms: u32,
+    /// The upstreams that have ended under it.
+    #[prost(uint32, tag = "3")]
+    ends: u32,
+    /// How often an instance was allowed to send it after that.
+    #[prost(uint32, tag = "4")]
+    trials: u32,
 }
 
 impl Datagram {
     /// Returns the news that an upstream has ended under a request.
-    pub(crate) fn blame(number: u64, blame: &Blame) -> Self {
-        let message = BlameMessage {
-            fingerprint: blame.fingerprint.hash(),
-            upstream: blame.upstream.to_string(),
-            born_ms: blame.born_at.map(WallTime::as_ms),
-            likelihood: blame.likelihood,
+    pub(crate) fn end_report(number: u64, report: &EndReport) -> Self {
+        let message = EndMessage {
+            fingerprint: report.fingerprint.hash(),
+            upstream: report.upstream.to_string(),
+            born_ms: report.born_at.map(WallTime::as_ms),
+            likelihood: report.likelihood,
         };
         Self {
             number,
-            body: Some(Body::Blame(message)),
+            body: Some(Body::EndReport(message)),
         }
     }
 
-    /// Returns the news that a request which was blamed has been served.
+    /// Returns the news that a request has been served under which an end was reported.
     pub(crate) fn cleared(number: u64, fingerprint: Fingerprint) -> Self {
         Self {
             number,
@@ -58,27 +61,28 @@
         }
     }
 
-    /// Returns the news that a request is to be held back.
-    pub(crate) fn hold(number: u64, fingerprint: Fingerprint, time: Duration) -> Self {
-        let message = HoldMessage {
-            fingerprint: fingerprint.hash(),
-            time_ms: milliseconds(time),
-        };
+    /// Returns the news that a request is quarantined.
+    pub(crate) fn quarantine(
+        number: u64,
+        fingerprint: Fingerprint,
+        entry: QuarantineEntry,
+    ) -> Self {
+        let message = QuarantineMessage::new(fingerprint, entry);
         Self {
             number,
-            body: Some(Body::Hold(message)),
+            body: Some(Body::Quarantine(message)),
         }
     }
 }
 
-impl BlameMessage {
-    /// Returns what is told.
+impl EndMessage {
+    /// Returns what is reported.
     ///
     /// # Errors
     ///
     /// Fails where the upstream's name is none.
-    pub(crate) fn blame(&self) -> foxtide_core::Result<Blame> {
-        Ok(Blame {
+    pub(crate) fn report(&self) -> foxtide_core::Result<EndReport> {
+        Ok(EndReport {
             fingerprint: Fingerprint::from_hash(self.fingerprint),
             upstream: self.upstream.parse()?,
             born_at: self.born_ms.map(WallTime::from_ms),
@@ -87,14 +91,26 @@
     }
 }
 
-impl HoldMessage {
+impl QuarantineMessage {
+    /// Returns the message about a request.
+    pub(crate) fn new(fingerprint: Fingerprint, entry: QuarantineEntry) -> Self {
+        Self {
+            fingerprint: fingerprint.hash(),
+            ends: entry.ends,
+            trials: entry.trials,
+        }
+    }
+
     /// Returns the request.
     pub(crate) fn fingerprint(&self) -> Fingerprint {
         Fingerprint::from_hash(self.fingerprint)
     }
 
-    /// Returns for how long it is held back.
-    pub(crate) fn time(&self) -> Duration {
-        Duration::from_millis(self.time_ms.into())
+    /// Returns what the sender knows of it.
+    pub(crate) fn entry(&self) -> QuarantineEntry {
+        QuarantineEntry {
+            ends: self.ends,
+            trials: self.trials,
+        }
     }
 }
--- a/crates/foxtide-gateway/src/follow/intake.rs
+++ b/crates/foxtide-gateway/src/follow/intake.rs
@@ -29,6 +29,7 @@
     pub(super) fn replace(&mut self, records: Vec<Record>, index: StoreIndex) {
         log_event!(EventCode::StoreRead, index:% = index, records = records.len());
         let reading = self.read(&records);
+        self.replace_quarantine(&reading, index);
         let mut state = self.shared.state.lock();
         self.note_era(&mut state, index);
         state.store_answered();
@@ -41,12 +42,34 @@
 
     /// Notes where the store has come back from an older copy since it was last read.
     fn note_era(&self, state: &mut State, index: StoreIndex) {
-        let known = self.known_at;
-        if known.is_some_and(|known| known.era() < index.era()) {
+        if self.is_restored(index) {
             state.store_restored(index);
         }
     }
 
+    fn is_restored(&self, index: StoreIndex) -> bool {
+        let known = self.known_at;
+        known.is_some_and(|known| known.era() < index.era())
+    }
+
+    /// Takes in the quarantined requests of a whole reading; before all else, since the
+    /// instance takes requests as soon as it knows the configuration.
+    fn replace_quarantine(&self, reading: &Reading, index: StoreIndex) {
+        let now = self.shared.clock.now();
+        let is_restored = self.is_restored(index);
+        let poison = &self.shared.poison;
+        poison.replace(&reading.facts, is_restored, now);
+    }
+
+    /// Takes in the quarantined requests that a peer knows and the store may lack.
+    pub(super) fn learn_quarantine(&self, relayed: &Relayed) {
+        let now = self.shared.clock.now();
+        for &(fingerprint, entry) in &relayed.quarantine {
+            let poison = &self.shared.poison;
+            poison.learn(fingerprint, entry, &relayed.peer, now);
+        }
+    }
+
     /// Takes in a reading that was old, together with what has changed since.
     pub(super) fn begin(&mut self, old: &Snapshot, changes: &[Record], index: StoreIndex) {
         let mut log = RecordLog::default();
@@ -55,6 +78,7 @@
         let records = log.all();
         log_event!(EventCode::StoreRead, index:% = index, records = records.len());
         let reading = self.read(&records);
+        self.replace_quarantine(&reading, index);
         let mut state = self.shared.state.lock();
         state.store_answered();
         // Others that read the same old pages are told the changes alone.
@@ -70,6 +94,7 @@
     pub(super) fn adopt(&mut self, relayed: Relayed) {
         log_event!(EventCode::StoreAdopted, index:% = relayed.index, records = relayed.records.len());
         let reading = self.read(&relayed.records);
+        self.replace_quarantine(&reading, relayed.index);
         let mut state = self.shared.state.lock();
         state.log_mut().replace(&relayed.records, relayed.index);
         reading.note_configuration(&mut state);
@@ -84,6 +109,8 @@
     /// Takes in what has changed.
     pub(super) fn apply(&mut self, records: &[Record], index: StoreIndex) {
         let reading = self.read(records);
+        let now = self.shared.clock.now();
+        self.shared.poison.apply(&reading.facts, now);
         let mut state = self.shared.state.lock();
         self.note_era(&mut state, index);
         state.store_answered();
--- a/crates/foxtide-gateway/src/follow/peers.rs
+++ b/crates/foxtide-gateway/src/follow/peers.rs
@@ -145,6 +145,7 @@
     ) -> Result<(), RelayError> {
         let question = &self.with_version(question.clone());
         let mut relayed = self.relay.ask(peers, question).await?;
+        self.learn_quarantine(&relayed);
         self.peer_version = relayed.version;
         let newer = relayed.configuration.take();
         if question.announcement.is_some() {
--- a/crates/foxtide-gateway/src/follow/start.rs
+++ b/crates/foxtide-gateway/src/follow/start.rs
@@ -151,6 +151,7 @@
         old: &Snapshot,
     ) -> Result<Option<(Vec<Record>, StoreIndex)>, StoreError> {
         if let Ok(relayed) = self.ask_watcher_of(old).await {
+            self.learn_quarantine(&relayed);
             self.newer = relayed.configuration;
             if !relayed.is_everything {
                 return Ok(Some((relayed.records, relayed.index)));
--- a/crates/foxtide-gateway/src/forward/entry.rs
+++ b/crates/foxtide-gateway/src/forward/entry.rs
@@ -3,7 +3,7 @@
 use super::caller::CallerWatch;
 use super::order::Order;
 use super::request::CallerRequest;
-use super::review::HELD_BACK;
+use super::review::QUARANTINED;
 use super::run::{
     RETRY_AFTER,
     Run, //
@@ -14,6 +14,7 @@
     Refusal,
     Reply, //
 };
+use crate::poison;
 use crate::quotas::{
     self,
     QuotaRefusal, //
@@ -40,10 +41,6 @@
     }
     let fingerprint = request.fingerprint();
     inputs.fingerprint = fingerprint.to_string();
-    if let Some(retry_after) = shared.poison.held_for(fingerprint, shared.clock.now()) {
-        inputs.reason = HELD_BACK;
-        return (Refusal::NotRun { retry_after }.into(), inputs);
-    }
     let Some(home_regions) = order.home_regions() else {
         inputs.reason = "no_common_home";
         let retry_after = RETRY_AFTER;
@@ -55,6 +52,13 @@
         inputs.reason = refused.reason();
         return (refused.into(), inputs);
     }
+    let sending = match poison::admit(shared, fingerprint).await {
+        Ok(sending) => sending,
+        Err(retry_after) => {
+            inputs.reason = QUARANTINED;
+            return (Refusal::NotRun { retry_after }.into(), inputs);
+        }
+    };
     let Some(service) = begin(shared, route, &mut inputs) else {
         inputs.reason = "no_service_has_weight";
         let retry_after = RETRY_AFTER;
@@ -69,6 +73,7 @@
         route,
         home_regions,
         fingerprint,
+        sending,
         caller,
         service: &service,
         object,
--- a/crates/foxtide-gateway/src/forward/review.rs
+++ b/crates/foxtide-gateway/src/forward/review.rs
@@ -9,13 +9,17 @@
     Refusal,
     Reply, //
 };
+use crate::poison::Sending;
 use foxtide_core::poison::REPEAT_WAIT;
 use futures_lite::future::or;
 use smol::Timer;
-use std::time::Instant;
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 /// The reason in logs where a request ends its upstreams.
-pub(super) const HELD_BACK: &str = "ends_its_upstreams";
+pub(super) const QUARANTINED: &str = "ends_its_upstreams";
 
 /// Tells whether two versions of the configuration take a caller for the same.
 fn is_same(one: &CallerIdentity, other: &CallerIdentity) -> bool {
@@ -31,10 +35,9 @@
     /// upstreams, or the caller's key was taken away. It may have waited for a slot, or have
     /// been sent in vain before.
     pub(super) fn refused_meanwhile(&mut self) -> Option<Reply> {
-        let now = self.shared.clock.now();
-        if let Some(retry_after) = self.shared.poison.held_for(self.fingerprint, now) {
+        if let Some(retry_after) = self.quarantined_for() {
             if self.failure.is_none() {
-                self.inputs.reason = HELD_BACK;
+                self.inputs.reason = QUARANTINED;
             }
             let refused = Refusal::NotRun { retry_after };
             return Some(self.failure.clone().unwrap_or_else(|| refused.into()));
@@ -56,6 +59,16 @@
         Some(self.failure.clone().unwrap_or(refused))
     }
 
+    /// Returns when the caller may come back where the request is quarantined and may not be
+    /// sent once more as its trial.
+    fn quarantined_for(&self) -> Option<Duration> {
+        if self.sending == Sending::Once && self.sent == 0 {
+            return None;
+        }
+        let now = self.shared.clock.now();
+        self.shared.poison.held_for(self.fingerprint, now)
+    }
+
     /// Waits until it can be known whether the request ends its upstreams, unless its
     /// caller leaves.
     pub(super) async fn wait_for_verdict(&self) {
--- a/crates/foxtide-gateway/src/forward/run.rs
+++ b/crates/foxtide-gateway/src/forward/run.rs
@@ -20,7 +20,10 @@
     Refusal,
     Reply, //
 };
-use crate::poison;
+use crate::poison::{
+    self,
+    Sending, //
+};
 use crate::shared::Shared;
 use crate::state::{
     NoUpstream,
@@ -66,6 +69,8 @@
     pub(super) home_regions: Vec<RegionId>,
     /// The identity of its content.
     pub(super) fingerprint: Fingerprint,
+    /// How often it may be sent.
+    pub(super) sending: Sending,
     pub(super) caller: &'a CallerWatch,
     pub(super) service: &'a ServiceId,
     /// What decides the order of the upstreams; nothing where any will do.
--- a/crates/foxtide-gateway/src/gateway.rs
+++ b/crates/foxtide-gateway/src/gateway.rs
@@ -24,7 +24,10 @@
     Bounds,
     GatewayOptions, //
 };
-use crate::poison::Poison;
+use crate::poison::{
+    Poison,
+    keep_quarantine, //
+};
 use crate::pool::Pool;
 use crate::quotas::Quotas;
 use crate::relay::serve_peers;
@@ -129,6 +132,8 @@
             tasks.push(executor.spawn(accept(Arc::clone(&shared), listener)));
         }
         tasks.push(executor.spawn(follow(Arc::clone(&shared), store.clone())));
+        let keeper = keep_quarantine(Arc::clone(&shared), store.clone());
+        tasks.push(executor.spawn(keeper));
         tasks.push(executor.spawn(keep_house(Arc::clone(&shared))));
         let membership = executor.spawn(keep_membership(Arc::clone(&shared), store));
         Ok(Self {
--- a/crates/foxtide-gateway/src/journal/beliefs.rs
+++ b/crates/foxtide-gateway/src/journal/beliefs.rs
@@ -12,8 +12,10 @@
     RegionShares, //
 };
 use foxtide_core::poison::{
-    Blame,
-    Fingerprint, //
+    EndReport,
+    Fingerprint,
+    QuarantineEntry,
+    StoredEntry, //
 };
 use foxtide_core::registry::{
     Member,
@@ -30,7 +32,6 @@
 };
 use std::collections::HashSet;
 use std::fmt::Display;
-use std::time::Duration;
 
 /// A new configuration is in force.
 pub(crate) fn configuration_in_force(version: u64, before: Option<u64>, routes: usize) {
@@ -44,46 +45,61 @@
     );
 }
 
-/// Upstreams have ended under a request: all instances hold it back.
-pub(crate) fn request_held_back(blame: &Blame, upstreams: usize, time: Duration) {
-    metrics::counter!("foxtide_requests_held_back_total").increment(1);
+/// A request is quarantined: `ends` upstreams have ended under it.
+pub(crate) fn request_quarantined(report: &EndReport, ends: u32) {
+    metrics::counter!("foxtide_requests_quarantined_total").increment(1);
     log_event!(
-        EventCode::RequestHeldBack,
-        fingerprint:% = blame.fingerprint,
-        upstreams = upstreams,
-        upstream = blame.upstream.as_str(),
-        likelihood = blame.likelihood,
-        time_ms = time.as_millis() as u64
+        EventCode::RequestQuarantined,
+        fingerprint:% = report.fingerprint,
+        ends = ends,
+        upstream = report.upstream.as_str(),
+        likelihood = report.likelihood
     );
 }
 
 /// An upstream has ended under a request, beside which this instance had others there:
 /// `under_way`, that one among them.
-pub(crate) fn upstream_ended(blame: &Blame, under_way: u32, is_told: bool) {
+pub(crate) fn upstream_ended(report: &EndReport, under_way: u32, is_reported: bool) {
     metrics::counter!("foxtide_upstream_ends_total").increment(1);
     log_event!(
         EventCode::UpstreamEnded,
-        fingerprint:% = blame.fingerprint,
-        upstream = blame.upstream.as_str(),
+        fingerprint:% = report.fingerprint,
+        upstream = report.upstream.as_str(),
         under_way = under_way,
-        likelihood = blame.likelihood,
-        told = is_told
+        likelihood = report.likelihood,
+        reported = is_reported
     );
 }
 
-/// This instance holds a request back, as `from` says.
-pub(crate) fn hold_learnt(fingerprint: Fingerprint, from: &dyn Display, time: Duration) {
+/// This instance has learnt that a request is quarantined.
+pub(crate) fn quarantine_learnt(
+    fingerprint: Fingerprint,
+    entry: QuarantineEntry,
+    from: &dyn Display,
+) {
     log_event!(
-        EventCode::HoldLearnt,
+        EventCode::QuarantineLearnt,
         fingerprint:% = fingerprint,
         from:% = from,
-        time_ms = time.as_millis() as u64
+        ends = entry.ends,
+        trials = entry.trials
     );
 }
 
-/// This instance holds a request back no longer.
-pub(crate) fn hold_ended(fingerprint: Fingerprint) {
-    log_event!(EventCode::HoldEnded, fingerprint:% = fingerprint);
+/// This instance lets a request through that was quarantined.
+pub(crate) fn request_released(fingerprint: Fingerprint) {
+    log_event!(EventCode::RequestReleased, fingerprint:% = fingerprint);
+}
+
+/// This instance has asked for the trial of a quarantined request.
+pub(crate) fn trial_claimed(trial: &StoredEntry, is_claimed: bool) {
+    log_event!(
+        EventCode::TrialClaimed,
+        fingerprint:% = trial.fingerprint,
+        ends = trial.entry.ends,
+        trial = trial.entry.trials,
+        claimed = is_claimed
+    );
 }
 
 /// The store, or a peer, tells an older version than the one in force.
--- a/crates/foxtide-gateway/src/ledger.rs
+++ b/crates/foxtide-gateway/src/ledger.rs
@@ -27,16 +27,19 @@
     Following,
     /// A call after one that failed, or after the store has forgotten its history.
     Recovery,
+    /// A request is quarantined, tried again or let through.
+    Quarantine,
 }
 
 impl CallPurpose {
-    const ALL: [Self; 6] = [
+    const ALL: [Self; 7] = [
         Self::Start,
         Self::StartOld,
         Self::Record,
         Self::Renewal,
         Self::Following,
         Self::Recovery,
+        Self::Quarantine,
     ];
 
     const fn as_str(self) -> &'static str {
@@ -47,6 +50,7 @@
             Self::Renewal => "renewal",
             Self::Following => "following",
             Self::Recovery => "recovery",
+            Self::Quarantine => "quarantine",
         }
     }
 }
@@ -69,9 +73,16 @@
 
     /// Writes a line about the calls since the last one, if there were any.
     pub(crate) fn tell(&self) {
-        let [start, start_old, record, renewal, following, recovery] =
-            CallPurpose::ALL.map(|purpose| self.take(purpose));
-        if start + start_old + record + renewal + following + recovery == 0 {
+        let [
+            start,
+            start_old,
+            record,
+            renewal,
+            following,
+            recovery,
+            quarantine,
+        ] = CallPurpose::ALL.map(|purpose| self.take(purpose));
+        if start + start_old + record + renewal + following + recovery + quarantine == 0 {
             return;
         }
         log_event!(
@@ -81,7 +92,8 @@
             record = record,
             renewal = renewal,
             following = following,
-            recovery = recovery
+            recovery = recovery,
+            quarantine = quarantine
         );
     }
 
--- /dev/null
+++ b/crates/foxtide-gateway/src/poison/keeper.rs
@@ -0,0 +1,151 @@
+//! Keeps the quarantine in the platform's store, which outlives all instances.
+
+use crate::dialect::Dialect;
+use crate::ledger::CallPurpose;
+use crate::shared::Shared;
+use crate::store::FleetStore;
+use foxtide_core::poison::{
+    Fingerprint,
+    StoredEntry, //
+};
+use foxtide_core::store::{
+    StoreIndex,
+    StoreResult, //
+};
+use foxtide_events::{
+    EventCode,
+    log_event, //
+};
+use futures_lite::future::or;
+use smol::Timer;
+use smol::channel::{
+    Receiver,
+    Sender,
+    bounded,
+    unbounded, //
+};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How often it is looked whether an entry is to be written that another instance has not
+/// written, or that the store has lost.
+const TICK: Duration = Duration::from_millis(500);
+
+/// The pause after a call that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(700);
+
+/// How often the removal of an entry is tried. Where all fail, the request is tried and
+/// served again after the next pause.
+const REMOVALS_MAX: u32 = 5;
+
+/// A change of the quarantine that the store has to agree to.
+#[derive(Debug)]
+enum Order {
+    /// An instance wants to send a quarantined request once.
+    Claim(StoredEntry, Sender<bool>),
+    /// A quarantined request was served.
+    Remove(Fingerprint),
+    /// This instance has quarantined a request.
+    Write,
+}
+
+/// Takes orders from the requests that need the store.
+#[derive(Debug)]
+pub(super) struct Keeper {
+    orders: Sender<Order>,
+    taken: Receiver<Order>,
+}
+
+impl Default for Keeper {
+    fn default() -> Self {
+        let (orders, taken) = unbounded();
+        Self { orders, taken }
+    }
+}
+
+impl Keeper {
+    /// Claims a trial; tells whether this instance has it.
+    pub(super) async fn claim(&self, trial: StoredEntry) -> bool {
+        let (answer, answered) = bounded(1);
+        let order = Order::Claim(trial, answer);
+        self.orders.try_send(order).is_ok() && answered.recv().await.unwrap_or(false)
+    }
+
+    /// Has entries written that are due, without waiting for the next look: an instance that
+    /// starts now learns of them from the store alone.
+    pub(super) fn write(&self) {
+        // Fails only where the instance has ended.
+        let _ = self.orders.try_send(Order::Write);
+    }
+
+    /// Has an entry removed.
+    pub(super) fn remove(&self, fingerprint: Fingerprint) {
+        // Fails only where the instance has ended.
+        let _ = self.orders.try_send(Order::Remove(fingerprint));
+    }
+}
+
+/// Writes to the store what it lacks of the quarantine, for as long as the instance runs.
+pub(crate) async fn keep_quarantine<D: Dialect, S: FleetStore>(shared: Arc<Shared<D>>, store: S) {
+    let orders = shared.poison.keeper.taken.clone();
+    loop {
+        let tick = async {
+            Timer::after(TICK).await;
+            None
+        };
+        match or(async { orders.recv().await.ok() }, tick).await {
+            Some(Order::Claim(trial, answer)) => {
+                let is_claimed = write(&shared, &store, &trial).await;
+                // Fails where the caller has left: the trial is not used then.
+                let _ = answer.send(matches!(is_claimed, Ok(true))).await;
+            }
+            Some(Order::Remove(fingerprint)) => remove(&shared, &store, fingerprint).await,
+            Some(Order::Write) | None => write_due(&shared, &store).await,
+        }
+    }
+}
+
+async fn write_due<D: Dialect, S: FleetStore>(shared: &Shared<D>, store: &S) {
+    let now = shared.clock.now();
+    let due = shared.poison.quarantine.lock().due(now);
+    let Some((fingerprint, entry)) = due else {
+        return;
+    };
+    let new = StoredEntry {
+        fingerprint,
+        entry,
+        index: StoreIndex::ABSENT,
+    };
+    if write(shared, store, &new).await.is_err() {
+        Timer::after(RETRY_PAUSE).await;
+        return;
+    }
+    // Where another has written it, the store's word on that is on its way.
+    let now = shared.clock.now();
+    shared.poison.quarantine.lock().note_write(fingerprint, now);
+}
+
+async fn write<D: Dialect, S: FleetStore>(
+    shared: &Shared<D>,
+    store: &S,
+    entry: &StoredEntry,
+) -> StoreResult<bool> {
+    shared.ledger.count(CallPurpose::Quarantine, 1);
+    let written = store.write_quarantine(entry).await;
+    written.inspect_err(|error| log_event!(EventCode::QuarantineCallFailed, cause:% = error))
+}
+
+async fn remove<D: Dialect, S: FleetStore>(
+    shared: &Shared<D>,
+    store: &S,
+    fingerprint: Fingerprint,
+) {
+    for _ in 0..REMOVALS_MAX {
+        shared.ledger.count(CallPurpose::Quarantine, 1);
+        match store.remove_quarantine(fingerprint).await {
+            Ok(()) => return,
+            Err(error) => log_event!(EventCode::QuarantineCallFailed, cause:% = error),
+        }
+        Timer::after(RETRY_PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/foxtide-gateway/src/poison/mod.rs
@@ -0,0 +1,212 @@
+//! Finds the requests that end their upstreams, with the other instances, and keeps them
+//! from further upstreams.
+//!
+//! Locks: of those of [`Poison`] none is taken while another or the state is held.
+
+mod keeper;
+mod reports;
+
+pub(crate) use keeper::keep_quarantine;
+pub(crate) use reports::{
+    served,
+    take_in_cleared,
+    take_in_end,
+    take_in_quarantine,
+    upstream_ended, //
+};
+
+use crate::dialect::Dialect;
+use crate::journal::beliefs;
+use crate::shared::Shared;
+use crate::store::Fact;
+use foxtide_core::poison::{
+    Clearance,
+    EndWatch,
+    Fingerprint,
+    Origin,
+    Quarantine,
+    QuarantineEntry,
+    StoredEntry,
+    Suspects, //
+};
+use foxtide_core::time::MonotonicTime;
+use keeper::Keeper;
+use parking_lot::Mutex;
+use std::collections::HashMap;
+use std::fmt::Display;
+use std::time::Duration;
+
+/// For how long an instance reports that a request was served under which it has seen an
+/// upstream end.
+const REPORTED_TIME: Duration = Duration::from_secs(60);
+
+/// The most requests that it remembers for that.
+const REPORTED_MAX: usize = 1_024;
+
+/// The most ends that an instance reports in a second: a request that ends its upstreams
+/// needs three, and all those that are under way when a zone is lost need none.
+const REPORTS_PER_S: u32 = 20;
+
+/// When a caller is to come back whose request waits for another instance's trial.
+const RETRY_AFTER_TRIAL: Duration = Duration::from_secs(1);
+
+/// What an instance knows of requests that end their upstreams.
+#[derive(Debug, Default)]
+pub(crate) struct Poison {
+    ends: Mutex<EndWatch>,
+    suspects: Mutex<Suspects>,
+    quarantine: Mutex<Quarantine>,
+    /// The requests under which this instance has reported an end, and until when it reports
+    /// that they are served.
+    reported: Mutex<HashMap<Fingerprint, MonotonicTime>>,
+    /// The second of the last report, and how many were made in it.
+    pace: Mutex<(u64, u32)>,
+    keeper: Keeper,
+}
+
+/// How a request may be sent that is not refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Sending {
+    /// As any other.
+    Freely,
+    /// Once, as the trial of a quarantined request.
+    Once,
+}
+
+impl Poison {
+    /// Returns when the caller of a quarantined request may come back; nothing for any other
+    /// request.
+    pub(crate) fn held_for(
+        &self,
+        fingerprint: Fingerprint,
+        now: MonotonicTime,
+    ) -> Option<Duration> {
+        match self.quarantine.lock().clearance(fingerprint, now) {
+            Clearance::Open => None,
+            Clearance::Held(time) => Some(time),
+            Clearance::TrialDue => Some(RETRY_AFTER_TRIAL),
+        }
+    }
+
+    /// Returns the entries that the store is not known to hold, for peers that ask what it
+    /// holds.
+    pub(crate) fn unstored(&self) -> Vec<(Fingerprint, QuarantineEntry)> {
+        self.quarantine.lock().unstored()
+    }
+
+    /// Takes in an entry that a peer knows.
+    pub(crate) fn learn(
+        &self,
+        fingerprint: Fingerprint,
+        entry: QuarantineEntry,
+        from: &dyn Display,
+        now: MonotonicTime,
+    ) {
+        let draw = fastrand::f64();
+        let mut quarantine = self.quarantine.lock();
+        let is_new = quarantine.learn(fingerprint, entry, Origin::Peer, draw, now);
+        drop(quarantine);
+        if is_new {
+            beliefs::quarantine_learnt(fingerprint, entry, from);
+        }
+    }
+
+    /// Takes in what has changed in the store.
+    pub(crate) fn apply(&self, facts: &[Fact], now: MonotonicTime) {
+        for fact in facts {
+            match fact {
+                Fact::Quarantined(stored) => {
+                    let draw = fastrand::f64();
+                    if self.quarantine.lock().take_in(stored, draw, now) {
+                        beliefs::quarantine_learnt(stored.fingerprint, stored.entry, &"store");
+                    }
+                }
+                Fact::Released(fingerprint) => self.release(*fingerprint),
+                _ => {}
+            }
+        }
+    }
+
+    /// Takes in all that the store holds; `is_restored` where it has come back from an older
+    /// copy since it was last read.
+    pub(crate) fn replace(&self, facts: &[Fact], is_restored: bool, now: MonotonicTime) {
+        let stored = facts.iter().filter_map(|fact| match fact {
+            Fact::Quarantined(stored) => Some(*stored),
+            _ => None,
+        });
+        let stored: Vec<StoredEntry> = stored.collect();
+        let mut quarantine = self.quarantine.lock();
+        let new = quarantine.replace(&stored, is_restored, fastrand::f64(), now);
+        drop(quarantine);
+        for one in stored.iter().filter(|one| new.contains(&one.fingerprint)) {
+            beliefs::quarantine_learnt(one.fingerprint, one.entry, &"store");
+        }
+    }
+
+    /// Forgets what is past.
+    pub(crate) fn prune(&self, now: MonotonicTime) {
+        self.ends.lock().prune(now);
+        self.suspects.lock().prune(now);
+        self.reported.lock().retain(|_, &mut until| now < until);
+    }
+
+    fn release(&self, fingerprint: Fingerprint) {
+        let was_quarantined = self.quarantine.lock().release(fingerprint);
+        self.suspects.lock().clear(fingerprint);
+        if was_quarantined {
+            beliefs::request_released(fingerprint);
+        }
+    }
+
+    /// Tells whether an end may be reported now.
+    fn may_report(&self, now: MonotonicTime) -> bool {
+        let second = now.as_ms() / 1_000;
+        let mut pace = self.pace.lock();
+        if pace.0 != second {
+            *pace = (second, 0);
+        }
+        pace.1 += 1;
+        pace.1 <= REPORTS_PER_S
+    }
+
+    fn note_reported(&self, fingerprint: Fingerprint, now: MonotonicTime) {
+        let mut reported = self.reported.lock();
+        if reported.len() < REPORTED_MAX {
+            reported.insert(fingerprint, now + REPORTED_TIME);
+        }
+    }
+}
+
+/// Decides how a request may be sent; claims the trial of a quarantined one where it is due.
+///
+/// # Errors
+///
+/// Fails with the time after which its caller may come back.
+pub(crate) async fn admit<D: Dialect>(
+    shared: &Shared<D>,
+    fingerprint: Fingerprint,
+) -> Result<Sending, Duration> {
+    let poison = &shared.poison;
+    let now = shared.clock.now();
+    let trial = {
+        let mut quarantine = poison.quarantine.lock();
+        match quarantine.clearance(fingerprint, now) {
+            Clearance::Open => return Ok(Sending::Freely),
+            Clearance::Held(time) => return Err(time),
+            Clearance::TrialDue => {
+                let trial = quarantine.next_trial(fingerprint, now);
+                trial.inspect(|trial| quarantine.claim(trial, fastrand::f64(), now))
+            }
+        }
+    };
+    let Some(trial) = trial else {
+        return Err(RETRY_AFTER_TRIAL);
+    };
+    let is_claimed = poison.keeper.claim(trial).await;
+    beliefs::trial_claimed(&trial, is_claimed);
+    if is_claimed {
+        Ok(Sending::Once)
+    } else {
+        Err(RETRY_AFTER_TRIAL)
+    }
+}
--- /dev/null
+++ b/crates/foxtide-gateway/src/poison/reports.rs
@@ -0,0 +1,156 @@
+//! What instances tell each other of upstreams that end.
+
+use super::Poison;
+use crate::datagram::{
+    Datagram,
+    EndMessage,
+    QuarantineMessage, //
+};
+use crate::dialect::Dialect;
+use crate::journal::beliefs;
+use crate::shared::Shared;
+use foxtide_core::poison::{
+    EndReport,
+    Fingerprint,
+    Origin,
+    QuarantineEntry, //
+};
+use foxtide_core::registry::Registration;
+use std::net::SocketAddr;
+
+/// Takes in that an upstream has ended while it worked on a request, beside which this
+/// instance had others there: `under_way`, that one among them.
+pub(crate) fn upstream_ended<D: Dialect>(
+    shared: &Shared<D>,
+    fingerprint: Fingerprint,
+    registration: &Registration,
+    under_way: u32,
+) {
+    let now = shared.clock.now();
+    let poison = &shared.poison;
+    let upstream = &registration.upstream;
+    let likelihood = {
+        let mut ends = poison.ends.lock();
+        ends.likelihood(fingerprint, upstream, under_way, now)
+    };
+    let report = EndReport {
+        fingerprint,
+        upstream: upstream.clone(),
+        born_at: registration.born_at,
+        likelihood,
+    };
+    let is_reported = poison.may_report(now);
+    beliefs::upstream_ended(&report, under_way, is_reported);
+    if !is_reported {
+        return;
+    }
+    poison.note_reported(fingerprint, now);
+    let number = shared.admission.number();
+    let datagram = Datagram::end_report(number, &report);
+    send_to_aggregators(shared, fingerprint, &datagram, || {
+        aggregate(shared, &report)
+    });
+}
+
+/// Takes in that a request was served: where this instance has reported an end under it, or
+/// it is quarantined, it is not the cause.
+pub(crate) fn served<D: Dialect>(shared: &Shared<D>, fingerprint: Fingerprint) {
+    let poison = &shared.poison;
+    let was_reported = poison.reported.lock().remove(&fingerprint).is_some();
+    let is_quarantined = poison.quarantine.lock().contains(fingerprint);
+    if !was_reported && !is_quarantined {
+        return;
+    }
+    if is_quarantined {
+        poison.release(fingerprint);
+        poison.keeper.remove(fingerprint);
+    }
+    let number = shared.admission.number();
+    let datagram = Datagram::cleared(number, fingerprint);
+    send_to_aggregators(shared, fingerprint, &datagram, || {
+        shared.poison.suspects.lock().clear(fingerprint);
+    });
+}
+
+/// Takes in an upstream's end that another instance reports.
+pub(crate) fn take_in_end<D: Dialect>(shared: &Shared<D>, from: SocketAddr, message: &EndMessage) {
+    match message.report() {
+        Ok(report) => aggregate(shared, &report),
+        Err(error) => log::debug!("what {from} reports of an upstream is wrong: {error}"),
+    }
+}
+
+/// Takes in that another instance has had a request served under which it had reported an end.
+pub(crate) fn take_in_cleared(poison: &Poison, hash: u64) {
+    let fingerprint = Fingerprint::from_hash(hash);
+    poison.suspects.lock().clear(fingerprint);
+}
+
+/// Takes in that a request is quarantined.
+pub(crate) fn take_in_quarantine<D: Dialect>(
+    shared: &Shared<D>,
+    from: SocketAddr,
+    message: &QuarantineMessage,
+) {
+    let now = shared.clock.now();
+    let poison = &shared.poison;
+    poison.learn(message.fingerprint(), message.entry(), &from, now);
+}
+
+/// Adds up, and tells the region's instances where a request is to be quarantined; the
+/// aggregators of the others hear of the same ends.
+fn aggregate<D: Dialect>(shared: &Shared<D>, report: &EndReport) {
+    let now = shared.clock.now();
+    let verdict = shared.poison.suspects.lock().report(report, now);
+    let Some(ends) = verdict else {
+        return;
+    };
+    let entry = QuarantineEntry { ends, trials: 0 };
+    beliefs::request_quarantined(report, ends);
+    let draw = fastrand::f64();
+    let fingerprint = report.fingerprint;
+    let mut quarantine = shared.poison.quarantine.lock();
+    let is_new = quarantine.learn(fingerprint, entry, Origin::Own, draw, now);
+    drop(quarantine);
+    if is_new {
+        shared.poison.keeper.write();
+    }
+    let own = shared.admission.address();
+    let region = &shared.options.place.region;
+    let neighbours: Vec<SocketAddr> = {
+        let state = shared.state.lock();
+        let members = state.members().all();
+        let of_region = members.filter(|member| member.region == *region);
+        let addresses = of_region.map(|member| member.datagram_address);
+        addresses.filter(|address| *address != own).collect()
+    };
+    let number = shared.admission.number();
+    let datagram = Datagram::quarantine(number, fingerprint, entry);
+    for neighbour in neighbours {
+        shared.admission.send(neighbour, &datagram);
+    }
+}
+
+/// Sends a datagram to the aggregators of a request; `take_in` is what this instance does
+/// where it is one of them, or where none is known.
+fn send_to_aggregators<D: Dialect>(
+    shared: &Shared<D>,
+    fingerprint: Fingerprint,
+    datagram: &Datagram,
+    take_in: impl FnOnce(),
+) {
+    let aggregators: Vec<SocketAddr> = {
+        let state = shared.state.lock();
+        let region = &shared.options.place.region;
+        let aggregators = state.members().aggregators(fingerprint, region);
+        let addresses = aggregators.iter().map(|member| member.datagram_address);
+        addresses.collect()
+    };
+    let own = shared.admission.address();
+    for aggregator in aggregators.iter().filter(|address| **address != own) {
+        shared.admission.send(*aggregator, datagram);
+    }
+    if aggregators.is_empty() || aggregators.contains(&own) {
+        take_in();
+    }
+}
--- a/crates/foxtide-gateway/src/relay/client.rs
+++ b/crates/foxtide-gateway/src/relay/client.rs
@@ -13,6 +13,10 @@
     frames, //
 };
 use bytes::Bytes;
+use foxtide_core::poison::{
+    Fingerprint,
+    QuarantineEntry, //
+};
 use foxtide_core::records::Record;
 use foxtide_core::registry::Member;
 use foxtide_core::store::StoreIndex;
@@ -126,6 +130,8 @@
     pub(crate) version: u64,
     /// The peer's configuration, where the asker's is older and the records do not bring it.
     pub(crate) configuration: Option<Record>,
+    /// The quarantined requests that the store may lack.
+    pub(crate) quarantine: Vec<(Fingerprint, QuarantineEntry)>,
 }
 
 /// Asks peers, one after the other as they fail.
@@ -173,6 +179,11 @@
             index: StoreIndex::new(response.index).in_era(response.era),
             version: response.version,
             configuration: response.configuration.map(Record::from),
+            quarantine: response
+                .quarantine
+                .iter()
+                .map(|message| (message.fingerprint(), message.entry()))
+                .collect(),
         })
     }
 
--- a/crates/foxtide-gateway/src/relay/messages.rs
+++ b/crates/foxtide-gateway/src/relay/messages.rs
@@ -1,6 +1,7 @@
 //! The messages between instances; the attributes are what a generator would
 //! have written from their schema.
 
+use crate::datagram::QuarantineMessage;
 use foxtide_core::ids::InstanceId;
 use foxtide_core::records::Record;
 use foxtide_core::registry::Member;
@@ -146,6 +147,9 @@
     /// The records, where they are packed; none stands outside then.
     #[prost(message, optional, tag = "9")]
     pub(super) packed: Option<Packed>,
+    /// The quarantined requests that the store is not known to hold.
+    #[prost(message, repeated, tag = "10")]
+    pub(super) quarantine: Vec<QuarantineMessage>,
 }
 
 /// Records in bulk, compressed.
--- a/crates/foxtide-gateway/src/relay/server.rs
+++ b/crates/foxtide-gateway/src/relay/server.rs
@@ -6,6 +6,7 @@
     RecordMessage, //
 };
 use super::packing::pack;
+use crate::datagram::QuarantineMessage;
 use crate::dialect::Dialect;
 use crate::shared::Shared;
 use crate::state::State;
@@ -99,7 +100,11 @@
         let request = ChangesRequest::decode(question?).map_err(io::Error::other)?;
         take_in_asker(shared, &request);
         take_in_configuration(shared, &request);
-        let response = answer_when_due(shared, &request).await;
+        let mut response = answer_when_due(shared, &request).await;
+        let unstored = shared.poison.unstored().into_iter();
+        response.quarantine = unstored
+            .map(|(fingerprint, entry)| QuarantineMessage::new(fingerprint, entry))
+            .collect();
         let is_everything = response.is_everything;
         metrics::counter!("foxtide_relayed_total", "current" => response.is_current.to_string())
             .increment(1);
@@ -231,7 +236,7 @@
         is_large: false,
         version: state.version(),
         configuration: configuration_for(&state, request),
-        packed: None,
+        ..ChangesResponse::default()
     }
 }
 
--- a/crates/foxtide-gateway/src/state/facts.rs
+++ b/crates/foxtide-gateway/src/state/facts.rs
@@ -35,7 +35,11 @@
                     evacuated.insert(zone);
                 }
                 Fact::UpstreamUnreadable(upstream) => unreadable.push(upstream),
-                Fact::TakenBack(_) | Fact::Unregistered(_) | Fact::Left(_) => {}
+                Fact::TakenBack(_)
+                | Fact::Unregistered(_)
+                | Fact::Left(_)
+                | Fact::Quarantined(_)
+                | Fact::Released(_) => {}
             }
         }
         let mut changes: Vec<RegistryChange> = unreadable
@@ -77,6 +81,7 @@
                 self.registrar.see(&member, now);
                 self.members.join(member, now);
             }
+            Fact::Quarantined(_) | Fact::Released(_) => {}
             Fact::Left(instance) => {
                 self.registrar.miss(&instance);
                 let phase = self.registry.phase();
--- a/crates/foxtide-gateway/src/store.rs
+++ b/crates/foxtide-gateway/src/store.rs
@@ -5,6 +5,10 @@
     InstanceId,
     UpstreamId, //
 };
+use foxtide_core::poison::{
+    Fingerprint,
+    StoredEntry, //
+};
 use foxtide_core::records::Record;
 use foxtide_core::registry::{
     Member,
@@ -42,6 +46,10 @@
     Joined(Member),
     /// An instance's lease has ended.
     Left(InstanceId),
+    /// A request is quarantined.
+    Quarantined(StoredEntry),
+    /// A request is no longer quarantined.
+    Released(Fingerprint),
 }
 
 /// How new a reading has to be.
@@ -131,4 +139,17 @@
 
     /// Ends a lease, and with it what was announced under it.
     fn end_lease(&self, lease: LeaseId) -> impl Future<Output = StoreResult<()>> + Send;
+
+    /// Writes what is known of a quarantined request where the last change of its key is at
+    /// the entry's index; tells whether it was.
+    fn write_quarantine(
+        &self,
+        entry: &StoredEntry,
+    ) -> impl Future<Output = StoreResult<bool>> + Send;
+
+    /// Removes a request from the quarantine, whether it is there or not.
+    fn remove_quarantine(
+        &self,
+        fingerprint: Fingerprint,
+    ) -> impl Future<Output = StoreResult<()>> + Send;
 }
--- a/crates/foxtide-gateway/tests/gateway/poison.rs
+++ b/crates/foxtide-gateway/tests/gateway/poison.rs
@@ -112,6 +112,61 @@
     assert_eq!(ended(&upstreams), before);
 }
 
+/// Guards against a store that comes back from an older copy, without the verdict, before all
+/// instances are restarted.
+#[test]
+fn verify_an_older_store_and_a_restart_of_all_let_no_held_request_through() {
+    let (fleet, instances, upstreams) = fleet(&Behaviour::End(Duration::from_millis(50)));
+    fleet.store.make_copy();
+    send_until_refused(&instances);
+    eventually("the store holds the verdict", || {
+        fleet.store.quarantined() == 1
+    });
+    let before = ended(&upstreams);
+    fleet.store.restore_copy();
+    assert_eq!(fleet.store.quarantined(), 0);
+    eventually("it is written again", || fleet.store.quarantined() == 1);
+    drop(instances);
+    for name in ["edge-1", "edge-2"] {
+        fleet.store.lapse(name);
+    }
+    let later = fleet.instance("edge-3", "khomas-a");
+    assert_eq!(send_deadly(&later).head.status, 503);
+    assert_eq!(ended(&upstreams), before);
+}
+
+/// Guards against an instance that starts while the store is away, from what a peer knows.
+#[test]
+fn verify_an_instance_that_starts_without_the_store_learns_the_verdict_from_a_peer() {
+    let (fleet, instances, upstreams) = fleet(&Behaviour::End(Duration::from_millis(50)));
+    fleet.store.set_away(true);
+    send_until_refused(&instances);
+    assert_eq!(fleet.store.quarantined(), 0);
+    let before = ended(&upstreams);
+    let later = fleet.turned_away_instance("edge-3", "khomas-a", &instances[0]);
+    eventually("it knows the configuration", || later.gateway().is_ready());
+    assert_eq!(send_deadly(&later).head.status, 503);
+    assert_eq!(ended(&upstreams), before);
+    fleet.store.set_away(false);
+    eventually("the store holds the verdict", || {
+        fleet.store.quarantined() == 1
+    });
+}
+
+/// Upstreams that fail under everything for a while do not keep a request out for good.
+#[test]
+fn verify_a_request_that_is_served_in_its_trial_is_let_through_everywhere() {
+    let (fleet, instances, upstreams) = fleet(&Behaviour::End(Duration::from_millis(50)));
+    send_until_refused(&instances);
+    for upstream in &upstreams {
+        upstream.always(Behaviour::WELL);
+    }
+    for instance in &instances {
+        eventually("it is served", || send_deadly(instance).head.status == 200);
+    }
+    eventually("the store has let it go", || fleet.store.quarantined() == 0);
+}
+
 /// A connection that ends while the upstream lives is no end of it.
 #[test]
 fn verify_broken_connections_to_living_upstreams_hold_nothing_back() {
--- a/crates/foxtidectl/src/commands/explain/request/cause.rs
+++ b/crates/foxtidectl/src/commands/explain/request/cause.rs
@@ -210,10 +210,15 @@
             "organisation {} has used up its quota",
             field("organisation")
         ),
-        "request-held-back" => format!(
-            "requests of content {} are held back: {} upstreams ended under them",
+        "request-quarantined" => format!(
+            "requests of content {} are quarantined: {} upstreams ended under them",
             field("fingerprint"),
-            field("upstreams")
+            field("ends")
+        ),
+        "quarantine-learnt" => format!(
+            "requests of content {} are quarantined, as {} says",
+            field("fingerprint"),
+            field("from")
         ),
         "store-restored" => format!(
             "the store has come back from an older copy: {}",
--- a/crates/foxtidectl/src/commands/losses/calls.rs
+++ b/crates/foxtidectl/src/commands/losses/calls.rs
@@ -9,13 +9,14 @@
 use std::collections::BTreeMap;
 
 /// What calls are for, as the fields of the lines are named.
-const PURPOSES: [&str; 6] = [
+const PURPOSES: [&str; 7] = [
     "start",
     "start_old",
     "record",
     "renewal",
     "following",
     "recovery",
+    "quarantine",
 ];
 
 /// Calls by window, in the order of [`PURPOSES`].
