Measure time by a clock that counts suspensions

While a machine is suspended the clock behind std's Instant stands still. Leases that were due for renewal, granted slots, quota tokens, ages of what is believed and quarantines were then taken for younger than they are, while everybody else had counted on. The gateway, the entry and the mesh now share one steady clock over CLOCK_BOOTTIME, and the paces of the lease follow it; it is a crate of its own, so that there is one copy. Timers still run by the other clock: they fire late by the suspension, and what they guard is checked by this one. Not changed: for how long a peer is avoided after a failure (5 s at most), and the store's budget of the product's own interface.

--- a/crates/foxtide-entry/src/clock.rs
+++ b/crates/foxtide-entry/src/clock.rs
@@ -1,12 +1,12 @@
 //! The clocks of the request path.
 
+use foxtide_clock::SteadyClock;
 use foxtide_core::time::{
     MonotonicTime,
     WallTime, //
 };
 use std::time::{
     Duration,
-    Instant,
     SystemTime,
     UNIX_EPOCH, //
 };
@@ -20,29 +20,21 @@
 }
 
 /// The clocks of the operating system.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct SystemClock {
-    origin: Instant,
-}
-
-impl Default for SystemClock {
-    fn default() -> Self {
-        Self {
-            origin: Instant::now(),
-        }
-    }
+    steady: SteadyClock,
 }
 
 impl SystemClock {
-    /// Returns the moment at which the steady clock reads zero.
-    pub fn origin(&self) -> Instant {
-        self.origin
+    /// Returns the steady clock, for parts that are to share its readings.
+    pub fn steady(&self) -> SteadyClock {
+        self.steady
     }
 }
 
 impl Clock for SystemClock {
     fn now(&self) -> MonotonicTime {
-        MonotonicTime::ZERO + self.origin.elapsed()
+        self.steady.now()
     }
 
     fn wall(&self) -> WallTime {
--- a/crates/foxtide-gateway/src/admission/mod.rs
+++ b/crates/foxtide-gateway/src/admission/mod.rs
@@ -19,11 +19,11 @@
 };
 pub(crate) use server::serve_admission;
 
-use crate::clock::Clock;
 use crate::datagram::Datagram;
 use crate::errors::Result;
 use crate::options::AdmissionOptions;
 use crate::traffic::Traffic;
+use foxtide_clock::SteadyClock;
 use foxtide_core::admission::{
     Answer,
     Coordinator,
@@ -55,7 +55,7 @@
 #[derive(Debug)]
 pub(crate) struct Admission {
     options: AdmissionOptions,
-    clock: Clock,
+    clock: SteadyClock,
     traffic: Arc<Traffic>,
     socket: Async<UdpSocket>,
     address: SocketAddr,
@@ -76,7 +76,7 @@
     pub(crate) fn bind(
         address: SocketAddr,
         options: AdmissionOptions,
-        clock: Clock,
+        clock: SteadyClock,
         traffic: Arc<Traffic>,
     ) -> Result<Self> {
         let (socket, address) = socket::bind(address)?;
--- a/crates/foxtide-gateway/src/gateway.rs
+++ b/crates/foxtide-gateway/src/gateway.rs
@@ -5,7 +5,6 @@
     serve_admission, //
 };
 use crate::alarm::StoreAlarm;
-use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::errors::Result;
 use crate::follow::follow;
@@ -36,6 +35,7 @@
 use crate::store::FleetStore;
 use crate::traffic::Traffic;
 use event_listener::Event;
+use foxtide_clock::SteadyClock;
 use foxtide_core::ids::{
     InstanceId,
     UpstreamId, //
@@ -88,7 +88,7 @@
         executor: Arc<Executor<'static>>,
     ) -> Result<Self> {
         let listeners = bind(&options.addresses)?;
-        let clock = Clock::default();
+        let clock = SteadyClock::default();
         let traffic = Arc::new(Traffic::default());
         let admission = Admission::bind(
             options.addresses.datagrams,
--- a/crates/foxtide-gateway/src/journal/requests.rs
+++ b/crates/foxtide-gateway/src/journal/requests.rs
@@ -1,7 +1,6 @@
 //! Lines about requests, bounded, and the metrics that go with them.
 
 use super::labels::RouteLabels;
-use crate::clock::Clock;
 use crate::outcome::{
     AttemptEnd,
     Inputs,
@@ -11,6 +10,7 @@
     NoUpstream,
     Pick, //
 };
+use foxtide_clock::SteadyClock;
 use foxtide_core::ids::{
     ServiceId,
     UpstreamId, //
@@ -28,14 +28,14 @@
 /// Writes the lines about requests.
 #[derive(Debug)]
 pub(crate) struct Journal {
-    clock: Clock,
+    clock: SteadyClock,
     budget: Mutex<LineBudget>,
     routes: RouteLabels,
 }
 
 impl Journal {
     /// Returns a journal whose budget fills from now on.
-    pub(crate) fn new(clock: Clock) -> Self {
+    pub(crate) fn new(clock: SteadyClock) -> Self {
         Self {
             clock,
             budget: Mutex::new(LineBudget::new(clock.now())),
--- a/crates/foxtide-gateway/src/lib.rs
+++ b/crates/foxtide-gateway/src/lib.rs
@@ -8,7 +8,6 @@
 
 mod admission;
 mod alarm;
-mod clock;
 mod datagram;
 mod dialect;
 mod directory;
--- a/crates/foxtide-gateway/src/membership.rs
+++ b/crates/foxtide-gateway/src/membership.rs
@@ -19,6 +19,7 @@
 };
 use foxtide_core::registry::RecordChanges;
 use foxtide_core::store::StoreError;
+use foxtide_core::time::MonotonicTime;
 use foxtide_events::{
     EventCode,
     log_event, //
@@ -26,10 +27,7 @@
 use futures_lite::future::or;
 use smol::Timer;
 use std::sync::Arc;
-use std::time::{
-    Duration,
-    Instant, //
-};
+use std::time::Duration;
 
 /// How long the lease lives without a renewal: callers are directed to an instance that
 /// lost power for no longer. The neighbours of one that keeps their records have noticed
@@ -72,7 +70,7 @@
 
 /// Announces the instance until it is stopped, then withdraws it.
 pub(crate) async fn keep_membership<D: Dialect, S: FleetStore>(shared: Arc<Shared<D>>, store: S) {
-    let now = Instant::now();
+    let now = shared.clock.now();
     let mut membership = Membership {
         shared: Arc::clone(&shared),
         store,
@@ -89,25 +87,25 @@
 /// When a call may be made again.
 #[derive(Clone, Copy, Debug)]
 struct Pace {
-    due_at: Instant,
+    due_at: MonotonicTime,
     /// How often in turn it has failed.
     failures: u32,
 }
 
 impl Pace {
-    fn new(due_at: Instant) -> Self {
+    fn new(due_at: MonotonicTime) -> Self {
         Self {
             due_at,
             failures: 0,
         }
     }
 
-    fn is_due(&self) -> bool {
-        Instant::now() >= self.due_at
+    fn is_due(&self, now: MonotonicTime) -> bool {
+        now >= self.due_at
     }
 
     /// Notes how a call ended.
-    fn note(&mut self, is_answered: bool) {
+    fn note(&mut self, is_answered: bool, now: MonotonicTime) {
         let pause = if is_answered {
             self.failures = 0;
             WRITE_PERIOD
@@ -117,7 +115,7 @@
             let pause = RETRY_PAUSE_FIRST * 2_u32.pow(doublings);
             pause.min(RETRY_PAUSE_MAX).mul_f64(0.5 + fastrand::f64())
         };
-        self.due_at = Instant::now() + pause;
+        self.due_at = now + pause;
     }
 }
 
@@ -125,9 +123,9 @@
 #[derive(Clone, Copy, Debug)]
 struct Lease {
     id: LeaseId,
-    renew_at: Instant,
+    renew_at: MonotonicTime,
     /// When the own record was written under it, if it was.
-    announced_at: Option<Instant>,
+    announced_at: Option<MonotonicTime>,
     /// How often the store had come back from an older copy when it was opened. After that
     /// it may be gone, or its number another's.
     restorations: u64,
@@ -142,7 +140,7 @@
     /// When records may be written.
     write: Pace,
     /// Since when nobody keeps the own record.
-    unkept_since: Option<Instant>,
+    unkept_since: Option<MonotonicTime>,
 }
 
 impl<D: Dialect, S: FleetStore> Membership<D, S> {
@@ -181,23 +179,23 @@
             self.unkept_since = None;
             return should_keep;
         }
-        let now = Instant::now();
+        let now = self.shared.clock.now();
         let since = *self.unkept_since.get_or_insert(now);
         self.lease.is_some() || now - since > UNKEPT_TIME
     }
 
     async fn open_lease(&mut self) -> Result<(), StoreError> {
-        if !self.open.is_due() {
+        if !self.open.is_due(self.shared.clock.now()) {
             return Ok(());
         }
         self.shared.ledger.count(CallPurpose::Record, 1);
         let opened = self.store.open_lease(LEASE_TTL).await;
-        self.open.note(opened.is_ok());
+        self.open.note(opened.is_ok(), self.shared.clock.now());
         let id = opened?;
         let restorations = self.shared.state.lock().restorations();
         self.lease = Some(Lease {
             id,
-            renew_at: Instant::now() + renew_pause(),
+            renew_at: self.shared.clock.now() + renew_pause(),
             announced_at: None,
             restorations,
         });
@@ -214,10 +212,10 @@
             self.lose_lease(id);
             return Ok(());
         }
-        if Instant::now() < lease.renew_at {
+        if self.shared.clock.now() < lease.renew_at {
             return Ok(());
         }
-        lease.renew_at = Instant::now() + renew_pause();
+        lease.renew_at = self.shared.clock.now() + renew_pause();
         let id = lease.id;
         self.shared.ledger.count(CallPurpose::Renewal, 1);
         if !self.store.renew(id).await? {
@@ -254,12 +252,12 @@
         if announces {
             changes.written.push(self.shared.member());
         }
-        if changes.is_empty() || !self.write.is_due() {
+        if changes.is_empty() || !self.write.is_due(now) {
             return Ok(());
         }
         self.shared.ledger.count(CallPurpose::Record, 1);
         let written = self.store.write_records(&changes, lease.id).await;
-        self.write.note(written.is_ok());
+        self.write.note(written.is_ok(), self.shared.clock.now());
         if !written? {
             self.lose_lease(lease.id);
             return Ok(());
@@ -267,7 +265,7 @@
         self.shared.state.lock().registrar_mut().confirm(&changes);
         if announces {
             log_event!(EventCode::LeaseTaken, lease:% = lease.id);
-            let announced_at = Some(Instant::now());
+            let announced_at = Some(self.shared.clock.now());
             self.lease = Some(Lease {
                 announced_at,
                 ..lease
@@ -282,7 +280,7 @@
             return true;
         };
         let state = self.shared.state.lock();
-        announced_at.elapsed() > SEEN_TIME
+        self.shared.clock.now() - announced_at > SEEN_TIME
             && state.own_record().is_none_or(|own| own.registrar.is_some())
     }
 
--- a/crates/foxtide-gateway/src/shared.rs
+++ b/crates/foxtide-gateway/src/shared.rs
@@ -2,7 +2,6 @@
 
 use crate::admission::Admission;
 use crate::alarm::StoreAlarm;
-use crate::clock::Clock;
 use crate::journal::Journal;
 use crate::ledger::StoreLedger;
 use crate::lifecycle::Lifecycle;
@@ -17,6 +16,7 @@
 use crate::state::State;
 use crate::traffic::Traffic;
 use event_listener::Event;
+use foxtide_clock::SteadyClock;
 use foxtide_core::records::Record;
 use foxtide_core::registry::Member;
 use parking_lot::Mutex;
@@ -29,7 +29,7 @@
     pub(crate) dialect: D,
     pub(crate) options: Arc<GatewayOptions>,
     pub(crate) addresses: Addresses,
-    pub(crate) clock: Clock,
+    pub(crate) clock: SteadyClock,
     pub(crate) state: Mutex<State>,
     pub(crate) pool: Pool,
     pub(crate) admission: Admission,
--- a/crates/foxtide-gateway/src/state/mod.rs
+++ b/crates/foxtide-gateway/src/state/mod.rs
@@ -14,12 +14,12 @@
     PickRequest, //
 };
 
-use crate::clock::Clock;
 use crate::journal::beliefs;
 use crate::options::{
     Bounds,
     GatewayOptions, //
 };
+use foxtide_clock::SteadyClock;
 use foxtide_core::ids::{
     AvailabilityZoneId,
     RegionId,
@@ -88,7 +88,7 @@
 pub(crate) struct State {
     pub(super) options: Arc<GatewayOptions>,
     bounds: Bounds,
-    pub(super) clock: Clock,
+    pub(super) clock: SteadyClock,
     pub(super) routes: Option<Arc<RouteTable>>,
     pub(super) registry: Registry,
     pub(super) members: Members,
@@ -125,7 +125,7 @@
 
 impl State {
     /// Returns the state of an instance that knows nothing yet.
-    pub(crate) fn new(options: Arc<GatewayOptions>, clock: Clock) -> Self {
+    pub(crate) fn new(options: Arc<GatewayOptions>, clock: SteadyClock) -> Self {
         Self {
             bounds: options.bounds,
             registrar: Registrar::new(options.place.instance.clone()),
--- a/crates/foxtide-mesh/src/handle.rs
+++ b/crates/foxtide-mesh/src/handle.rs
@@ -212,7 +212,7 @@
 
     /// Returns what is known of an organisation's load in all regions.
     ///
-    /// Its times are on the clock that began at [`MeshOptions::clock_origin`].
+    /// Its times are on [`MeshOptions::clock`].
     pub fn fleet_view(&self, organisation: &OrganisationId) -> FleetView {
         let now = load::moment(&self.shared);
         let state = self.shared.state.lock();
--- a/crates/foxtide-mesh/src/options.rs
+++ b/crates/foxtide-mesh/src/options.rs
@@ -1,6 +1,7 @@
 //! Settings of the mesh.
 
 use crate::faults::Faults;
+use foxtide_clock::SteadyClock;
 use foxtide_core::idempotency::ProcessNumber;
 use foxtide_core::ids::{
     AvailabilityZoneId,
@@ -11,10 +12,7 @@
 use foxtide_core::spreading::LoadOptions;
 use foxtide_events::Recorder;
 use std::net::SocketAddr;
-use std::time::{
-    Duration,
-    Instant, //
-};
+use std::time::Duration;
 
 /// Who an instance is and where it stands.
 #[derive(Clone, Debug)]
@@ -56,8 +54,8 @@
     pub join_peers: usize,
     /// Instances of each availability zone that watch the store. Default 2.
     pub watchers_per_zone: usize,
-    /// The beginning of the monotonic clock. Default: the time of the call.
-    pub clock_origin: Instant,
+    /// The steady clock. Default: one that begins with the call.
+    pub clock: SteadyClock,
     /// Seed of all random choices; `None` draws one. Default `None`.
     pub seed: Option<u64>,
     /// The recorder whose hybrid clock goes along with every message, so that
@@ -79,7 +77,7 @@
             exchange_timeout: Duration::from_secs(5),
             join_peers: 3,
             watchers_per_zone: 2,
-            clock_origin: Instant::now(),
+            clock: SteadyClock::default(),
             seed: None,
             recorder: None,
             faults: Faults::default(),
--- a/crates/foxtide-mesh/src/shared.rs
+++ b/crates/foxtide-mesh/src/shared.rs
@@ -123,7 +123,7 @@
         socket: smol::Async<UdpSocket>,
         epoch_us: u64,
     ) -> Self {
-        let now = MonotonicTime::ZERO + options.clock_origin.elapsed();
+        let now = options.clock.now();
         let seed = options.seed.unwrap_or_else(random_seed);
         let instance = own.instance.clone();
         let address = own.peer_address;
@@ -155,7 +155,7 @@
 
     /// Returns the present time.
     pub(crate) fn now(&self) -> MonotonicTime {
-        MonotonicTime::ZERO + self.options.clock_origin.elapsed()
+        self.options.clock.now()
     }
 
     /// Returns the header of the next message.
--- a/crates/foxtide/src/node/options.rs
+++ b/crates/foxtide/src/node/options.rs
@@ -75,7 +75,7 @@
         recorder: Some(recorder.clone()),
         joins_first: true,
         // Times in the view of the fleet then read as the request path's do.
-        clock_origin: clock.origin(),
+        clock: clock.steady(),
         ..MeshOptions::default()
     };
     Mesh::start(identity, &settings.seed_peers, options).context("start the mesh")
