Let requests wait after a standstill until the instance knows what the others know

A frozen or suspended instance goes on by what it believed before, so that callers' requests that came meanwhile were sent to upstreams before the news of a quarantine was read.

--- a/crates/foxtide-gateway/src/alarm.rs
+++ b/crates/foxtide-gateway/src/alarm.rs
@@ -1,10 +1,10 @@
-//! The alarm that a call to the store has failed.
+//! The alarm that a call to the store has failed, or that the process has stood still.
 
 use event_listener::Event;
 use foxtide_core::store::StoreError;
 
-/// Tells the follower that another call to the store has failed, so that it
-/// does not wait on a connection that may be dead.
+/// Tells the follower that another call to the store has failed, or that the process has
+/// stood still, so that it does not wait on a connection that may be dead.
 #[derive(Debug, Default)]
 pub(crate) struct StoreAlarm(Event);
 
@@ -20,7 +20,7 @@
         StoreError::Unknown {
             step: "watch",
             peer: "store".to_owned(),
-            cause: "the renewal of the lease failed".to_owned(),
+            cause: "another call failed, or the process has stood still".to_owned(),
         }
     }
 }
--- a/crates/foxtide-gateway/src/follow/mod.rs
+++ b/crates/foxtide-gateway/src/follow/mod.rs
@@ -84,10 +84,12 @@
     follower.spread_first_start().await;
     loop {
         let started = Instant::now();
+        let began_at = follower.shared.clock.now();
         let is_first = follower.index.is_none();
         match follower.step().await {
             Ok(()) => {
                 follower.answered();
+                follower.shared.standstill.heard(began_at);
                 // One that has begun asks at once that its record be kept.
                 if follower.index.is_some() && !(is_first && follower.is_follower()) {
                     Timer::at(started + follower.period()).await;
@@ -95,6 +97,7 @@
             }
             Err(error) => {
                 follower.failed(&error).await;
+                follower.shared.standstill.heard(began_at);
                 Timer::after(follower.pause()).await;
             }
         }
--- a/crates/foxtide-gateway/src/forward/entry.rs
+++ b/crates/foxtide-gateway/src/forward/entry.rs
@@ -53,6 +53,7 @@
         inputs.reason = refused.reason();
         return (refused.into(), inputs);
     }
+    shared.catch_up().await;
     let sending = match poison::admit(shared, fingerprint).await {
         Ok(sending) => sending,
         Err(retry_after) => {
--- a/crates/foxtide-gateway/src/forward/run.rs
+++ b/crates/foxtide-gateway/src/forward/run.rs
@@ -104,6 +104,7 @@
                 Ok(placed) => placed,
                 Err(reply) => return reply,
             };
+            self.shared.catch_up().await;
             if let Some(reply) = self.refused_meanwhile() {
                 return reply;
             }
--- a/crates/foxtide-gateway/src/gateway.rs
+++ b/crates/foxtide-gateway/src/gateway.rs
@@ -31,6 +31,7 @@
 use crate::quotas::Quotas;
 use crate::relay::serve_peers;
 use crate::shared::Shared;
+use crate::standstill::Standstill;
 use crate::state::State;
 use crate::store::FleetStore;
 use crate::traffic::Traffic;
@@ -114,6 +115,7 @@
             admission,
             quotas: Quotas::default(),
             poison: Poison::default(),
+            standstill: Standstill::default(),
             body_memory: BodyMemory::new(body_memory),
             lifecycle: Lifecycle::default(),
             journal: Journal::new(clock),
@@ -202,6 +204,7 @@
 async fn keep_house<D: Dialect>(shared: Arc<Shared<D>>) {
     for round in 1_u32.. {
         Timer::after(HOUSEKEEPING_PERIOD).await;
+        shared.beat();
         if round.is_multiple_of(LEDGER_ROUNDS) {
             shared.ledger.tell();
             shared.traffic.tell();
--- a/crates/foxtide-gateway/src/lib.rs
+++ b/crates/foxtide-gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod quotas;
 mod relay;
 mod shared;
+mod standstill;
 mod state;
 mod store;
 mod traffic;
--- a/crates/foxtide-gateway/src/shared.rs
+++ b/crates/foxtide-gateway/src/shared.rs
@@ -13,12 +13,17 @@
 use crate::poison::Poison;
 use crate::pool::Pool;
 use crate::quotas::Quotas;
+use crate::standstill::Standstill;
 use crate::state::State;
 use crate::traffic::Traffic;
 use event_listener::Event;
 use foxtide_clock::SteadyClock;
 use foxtide_core::records::Record;
 use foxtide_core::registry::Member;
+use foxtide_events::{
+    EventCode,
+    log_event, //
+};
 use parking_lot::Mutex;
 use smol::Executor;
 use std::sync::Arc;
@@ -35,6 +40,7 @@
     pub(crate) admission: Admission,
     pub(crate) quotas: Quotas,
     pub(crate) poison: Poison,
+    pub(crate) standstill: Standstill,
     pub(crate) body_memory: BodyMemory,
     pub(crate) lifecycle: Lifecycle,
     pub(crate) journal: Journal,
@@ -65,6 +71,22 @@
         }
     }
 
+    /// Notes that the process runs. Where it has stood still, what it knows is asked for anew.
+    pub(crate) fn beat(&self) {
+        if let Some(time) = self.standstill.beat(self.clock.now()) {
+            log_event!(EventCode::StoodStill, time_ms = time.as_millis() as u64);
+            self.store_alarm.raise();
+        }
+    }
+
+    /// Waits, after the process has stood still, until it knows what the others know.
+    pub(crate) async fn catch_up(&self) {
+        self.beat();
+        if !self.standstill.is_over() {
+            self.standstill.wait().await;
+        }
+    }
+
     /// Tells whether the instance takes requests: it knows the configuration
     /// and is not stopping.
     pub(crate) fn is_ready(&self) -> bool {
--- a/crates/foxtide-gateway/tests/gateway/poison.rs
+++ b/crates/foxtide-gateway/tests/gateway/poison.rs
@@ -8,6 +8,13 @@
     eventually, //
 };
 
+use foxtide_core::poison::{
+    Fingerprint,
+    QuarantineEntry,
+    StoredEntry, //
+};
+use foxtide_core::store::StoreIndex;
+use foxtide_gateway::Fact;
 use std::time::Duration;
 
 const UPSTREAMS: usize = 6;
@@ -124,6 +131,29 @@
     assert_eq!(ended(&upstreams), before);
 }
 
+/// Guards against an instance that sends a request as soon as it runs again, by what it knew
+/// before it stood still.
+#[test]
+fn verify_an_instance_that_stood_still_learns_the_verdict_before_it_sends() {
+    let (fleet, instances, upstreams) = fleet(&Behaviour::End(Duration::from_millis(50)));
+    let [first, second] = instances;
+    second.freeze(Duration::from_secs(3));
+    let parts: [&[u8]; 4] = [b"GET", b"a.example", b"/safe/deadly", b""];
+    let entry = StoredEntry {
+        fingerprint: Fingerprint::new(&parts),
+        entry: QuarantineEntry { ends: 3, trials: 0 },
+        index: StoreIndex::ABSENT,
+    };
+    let key = format!("quarantine/{}", entry.fingerprint);
+    fleet.store.put(&key, Fact::Quarantined(entry));
+    eventually("the other one knows", || {
+        send_deadly(&first).head.status == 503
+    });
+    let before = ended(&upstreams);
+    assert_eq!(send_deadly(&second).head.status, 503);
+    assert_eq!(ended(&upstreams), before);
+}
+
 /// Guards against a restart of all instances that forgets the verdict.
 #[test]
 fn verify_a_restart_of_all_instances_lets_no_held_request_through() {
--- a/crates/foxtide-gateway/tests/gateway/support/fleet.rs
+++ b/crates/foxtide-gateway/tests/gateway/support/fleet.rs
@@ -218,6 +218,7 @@
     gateway: Option<Gateway<PlainDialect>>,
     /// Its client of the store.
     pub(crate) store: FakeStore,
+    executor: Arc<Executor<'static>>,
     stop: Sender<()>,
     thread: Option<JoinHandle<()>>,
 }
@@ -231,8 +232,10 @@
             // Fails once the sender is dropped, which is the stop as well.
             let _ = smol::block_on(running.run(stopped.recv()));
         });
-        let gateway = Gateway::start(options, PlainDialect, store.clone(), executor).unwrap();
+        let shared = Arc::clone(&executor);
+        let gateway = Gateway::start(options, PlainDialect, store.clone(), shared).unwrap();
         Self {
+            executor,
             gateway: Some(gateway),
             store,
             stop,
@@ -245,6 +248,17 @@
         self.gateway.as_ref().expect("the instance has not stopped")
     }
 
+    /// Lets the instance stand still for a while, from now on.
+    pub(crate) fn freeze(&self, time: Duration) {
+        let (frozen, is_frozen) = std::sync::mpsc::channel();
+        let standing = async move {
+            let _ = frozen.send(());
+            std::thread::sleep(time);
+        };
+        self.executor.spawn(standing).detach();
+        is_frozen.recv().expect("the instance runs");
+    }
+
     /// Returns where callers connect.
     pub(crate) fn address(&self) -> SocketAddr {
         self.gateway().caller_address()
