Quarantine a request for its organisation alone

The identity of a content had no caller: one organisation's request that ends its upstreams would have kept the same method, host and target of every other organisation out, for good since the quarantine stands. The organisation is now part of it.

--- a/crates/foxtide-core/src/poison/fingerprint.rs
+++ b/crates/foxtide-core/src/poison/fingerprint.rs
@@ -16,8 +16,8 @@
 pub struct Fingerprint(u64);
 
 impl Fingerprint {
-    /// Returns the fingerprint of a request's content: its method, host, target and body,
-    /// each with its length, so that no part runs into the next.
+    /// Returns the fingerprint of a request's content: its organisation, method, host, target
+    /// and body, each with its length, so that no part runs into the next.
     pub fn new(parts: &[&[u8]]) -> Self {
         let mut hash = Xxh3::new();
         for part in parts {
--- a/crates/foxtide-gateway/src/forward/entry.rs
+++ b/crates/foxtide-gateway/src/forward/entry.rs
@@ -40,7 +40,7 @@
     if let Some(terms) = order.caller.organisation() {
         inputs.organisation = terms.organisation.to_string();
     }
-    let fingerprint = request.fingerprint();
+    let fingerprint = request.fingerprint(&order.caller);
     inputs.fingerprint = fingerprint.to_string();
     let Some(home_regions) = order.home_regions() else {
         inputs.reason = "no_common_home";
--- a/crates/foxtide-gateway/src/forward/request.rs
+++ b/crates/foxtide-gateway/src/forward/request.rs
@@ -6,6 +6,7 @@
     Credentials, //
 };
 use crate::memory::Reserved;
+use foxtide_core::ids::OrganisationId;
 use foxtide_core::placement::ObjectKey;
 use foxtide_core::poison::Fingerprint;
 use foxtide_core::routing::{
@@ -70,10 +71,13 @@
         Err(reason)
     }
 
-    /// Returns the identity of the request's content.
-    pub(crate) fn fingerprint(&self) -> Fingerprint {
+    /// Returns the identity of the request's content. What one organisation sends may end
+    /// upstreams and be another's everyday request.
+    pub(crate) fn fingerprint(&self, caller: &CallerIdentity) -> Fingerprint {
         let head = &self.head;
+        let organisation = caller.organisation().map(|terms| &terms.organisation);
         Fingerprint::new(&[
+            organisation.map_or("", OrganisationId::as_str).as_bytes(),
             head.method.as_bytes(),
             head.host.as_bytes(),
             head.target.as_bytes(),
--- a/crates/foxtide-gateway/tests/gateway/organisations.rs
+++ b/crates/foxtide-gateway/tests/gateway/organisations.rs
@@ -330,3 +330,30 @@
     let response = instance.get("/safe/", "request: r\r\nkey: k-1\r\n");
     assert_eq!(status(&response), 503);
 }
+
+/// Guards against one organisation's request that keeps another's out.
+#[test]
+fn verify_a_request_is_quarantined_for_its_organisation_alone() {
+    let (fleet, first, instance) = fleet_of(vec![
+        organisation("acme", &["one"]),
+        organisation("other", &["two"]),
+    ]);
+    let more = (2..=6).map(|number| fleet.upstream(&format!("i-{number}"), "khomas-a"));
+    let mut upstreams: Vec<FakeUpstream> = more.collect();
+    upstreams.push(first);
+    for upstream in &upstreams {
+        upstream.always(Behaviour::End(Duration::from_millis(50)));
+    }
+    let send = |key: &str| {
+        let lines = format!("key: {key}\r\nrequest: r\r\nobject: o\r\n");
+        status(&instance.get("/safe/deadly", &lines))
+    };
+    eventually("it is quarantined", || {
+        send("one") == 503 && fleet.store.quarantined() == 1
+    });
+    for upstream in &upstreams {
+        upstream.always(Behaviour::WELL);
+    }
+    assert_eq!(send("two"), 200);
+    assert_eq!(send("one"), 503);
+}
--- a/crates/foxtide-gateway/tests/gateway/poison.rs
+++ b/crates/foxtide-gateway/tests/gateway/poison.rs
@@ -138,7 +138,7 @@
     let (fleet, instances, upstreams) = fleet(&Behaviour::End(Duration::from_millis(50)));
     let [first, second] = instances;
     second.freeze(Duration::from_secs(3));
-    let parts: [&[u8]; 4] = [b"GET", b"a.example", b"/safe/deadly", b""];
+    let parts: [&[u8]; 5] = [b"", b"GET", b"a.example", b"/safe/deadly", b""];
     let entry = StoredEntry {
         fingerprint: Fingerprint::new(&parts),
         entry: QuarantineEntry { ends: 3, trials: 0 },
