Count ends behind a cut before a quarantined request is tried again

An instance that learns from the store that a request is quarantined now reports the ends that it knows again, and there is no trial from four known ends and trials on, in place of five. The soak holds that never more than six upstreams end under one content, whatever happens; the bound for calm times stays at four.

--- a/crates/foxtide-core/src/poison/quarantine.rs
+++ b/crates/foxtide-core/src/poison/quarantine.rs
@@ -6,10 +6,10 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// How often the fleet sends a request, at most, that ends an upstream each time: the known
-/// ends and the trials together. Three ends are evidence, three more are what operators
-/// accept after that; one of these is left for a send whose end nobody saw.
-const SENDS_MAX: u32 = 5;
+/// From how many known ends and trials together on a request is not tried again. Three ends
+/// are evidence, and operators accept three more sends: two of these are left for sends that
+/// were under way and for ends that instances have seen which were cut off.
+const SENDS_MAX: u32 = 4;
 
 /// The pauses before the trials of a quarantined request. A request that was quarantined for
 /// the failures of others is served again after the first; one that ends its upstreams costs
--- a/crates/foxtide-core/src/poison/suspects.rs
+++ b/crates/foxtide-core/src/poison/suspects.rs
@@ -127,6 +127,18 @@
         }
     }
 
+    /// Returns the known ends under a request.
+    pub fn reports(&self, fingerprint: Fingerprint) -> Vec<EndReport> {
+        let suspect = self.suspects.get(&fingerprint);
+        let ends = suspect.map_or(&[][..], |suspect| &suspect.ends);
+        let reports = ends.iter().map(|end| EndReport {
+            fingerprint,
+            upstream: end.upstream.clone(),
+            born_at: end.born_at,
+        });
+        reports.collect()
+    }
+
     /// Takes in that a request was served: it is not the one.
     pub fn clear(&mut self, fingerprint: Fingerprint) {
         self.suspects.remove(&fingerprint);
--- a/crates/foxtide-core/tests/poison.rs
+++ b/crates/foxtide-core/tests/poison.rs
@@ -95,6 +95,23 @@
     }
 }
 
+/// Guards against trials that are allowed since ends behind a cut are not known.
+#[test]
+fn verify_known_ends_can_be_reported_again() {
+    let mut behind_a_cut = Suspects::default();
+    for upstream in ["a", "b"] {
+        behind_a_cut.report(&end(1, upstream), at(0));
+    }
+    let mut others = Suspects::default();
+    for upstream in ["c", "d", "e"] {
+        others.report(&end(1, upstream), at(0));
+    }
+    let again = behind_a_cut.reports(Fingerprint::from_hash(1));
+    let ends = again.iter().map(|report| others.report(report, at(1)));
+    let ends: Vec<Option<u32>> = ends.map(ends_of).collect();
+    assert_eq!(ends, [Some(4), Some(5)]);
+}
+
 /// The same upstream under its old name is another one once it has started again.
 #[test]
 fn verify_incarnations_of_an_upstream_end_one_by_one() {
--- a/crates/foxtide-gateway/src/follow/intake.rs
+++ b/crates/foxtide-gateway/src/follow/intake.rs
@@ -3,6 +3,7 @@
 use super::Follower;
 use super::start::Snapshot;
 use crate::dialect::Dialect;
+use crate::poison;
 use crate::relay::Relayed;
 use crate::state::State;
 use crate::store::{
@@ -57,8 +58,9 @@
     fn replace_quarantine(&self, reading: &Reading, index: StoreIndex) {
         let now = self.shared.clock.now();
         let is_restored = self.is_restored(index);
-        let poison = &self.shared.poison;
-        poison.replace(&reading.facts, is_restored, now);
+        let known = &self.shared.poison;
+        let new = known.replace(&reading.facts, is_restored, now);
+        poison::report_again(&self.shared, &new);
     }
 
     /// Takes in the quarantined requests that a peer knows and the store may lack.
@@ -110,7 +112,8 @@
     pub(super) fn apply(&mut self, records: &[Record], index: StoreIndex) {
         let reading = self.read(records);
         let now = self.shared.clock.now();
-        self.shared.poison.apply(&reading.facts, now);
+        let new = self.shared.poison.apply(&reading.facts, now);
+        poison::report_again(&self.shared, &new);
         let mut state = self.shared.state.lock();
         self.note_era(&mut state, index);
         state.store_answered();
--- a/crates/foxtide-gateway/src/poison/mod.rs
+++ b/crates/foxtide-gateway/src/poison/mod.rs
@@ -8,6 +8,7 @@
 
 pub(crate) use keeper::keep_quarantine;
 pub(crate) use reports::{
+    report_again,
     served,
     take_in_cleared,
     take_in_end,
@@ -109,25 +110,34 @@
         }
     }
 
-    /// Takes in what has changed in the store.
-    pub(crate) fn apply(&self, facts: &[Fact], now: MonotonicTime) {
+    /// Takes in what has changed in the store; returns the requests that are newly
+    /// quarantined.
+    pub(crate) fn apply(&self, facts: &[Fact], now: MonotonicTime) -> Vec<Fingerprint> {
+        let mut new = Vec::new();
         for fact in facts {
             match fact {
                 Fact::Quarantined(stored) => {
                     let draw = fastrand::f64();
                     if self.quarantine.lock().take_in(stored, draw, now) {
                         beliefs::quarantine_learnt(stored.fingerprint, stored.entry, &"store");
+                        new.push(stored.fingerprint);
                     }
                 }
                 Fact::Released(fingerprint) => self.release(*fingerprint),
                 _ => {}
             }
         }
+        new
     }
 
     /// Takes in all that the store holds; `is_restored` where it has come back from an older
-    /// copy since it was last read.
-    pub(crate) fn replace(&self, facts: &[Fact], is_restored: bool, now: MonotonicTime) {
+    /// copy since it was last read. Returns the requests that are newly quarantined.
+    pub(crate) fn replace(
+        &self,
+        facts: &[Fact],
+        is_restored: bool,
+        now: MonotonicTime,
+    ) -> Vec<Fingerprint> {
         let stored = facts.iter().filter_map(|fact| match fact {
             Fact::Quarantined(stored) => Some(*stored),
             _ => None,
@@ -139,6 +149,7 @@
         for one in stored.iter().filter(|one| new.contains(&one.fingerprint)) {
             beliefs::quarantine_learnt(one.fingerprint, one.entry, &"store");
         }
+        new
     }
 
     /// Forgets what is past.
--- a/crates/foxtide-gateway/src/poison/reports.rs
+++ b/crates/foxtide-gateway/src/poison/reports.rs
@@ -56,6 +56,19 @@
     aggregate(shared, &report);
 }
 
+/// Reports the ends that this instance knows under requests which others have quarantined: it
+/// may have been cut off, and trials depend on how many there are.
+pub(crate) fn report_again<D: Dialect>(shared: &Arc<Shared<D>>, quarantined: &[Fingerprint]) {
+    for &fingerprint in quarantined {
+        let reports = shared.poison.suspects.lock().reports(fingerprint);
+        for report in reports {
+            let number = shared.admission.number();
+            let datagram = Datagram::end_report(number, &report);
+            send_to_aggregators(shared, fingerprint, &datagram);
+        }
+    }
+}
+
 /// Takes in that a request was served: where this instance has reported an end under it, or
 /// it is quarantined, it is not the cause.
 pub(crate) fn served<D: Dialect>(shared: &Arc<Shared<D>>, fingerprint: Fingerprint) {
