Bound the wait for a trial, and take absurd entries of the quarantine

A request waited for the store's word on its trial behind all else that the keeper does, which is 8.5 s where the store does not answer: it is now refused after 1 s. An entry of the store or a datagram with counts near the largest number overflowed (a panic in a debug build, by the new test; a trial in a release build): sums saturate. The verdict that nothing used is gone from the evidence.

--- a/crates/foxtide-core/src/poison/mod.rs
+++ b/crates/foxtide-core/src/poison/mod.rs
@@ -38,6 +38,5 @@
     EndReport,
     EvidenceOptions,
     REPEAT_WAIT,
-    Suspects,
-    Verdict, //
+    Suspects, //
 };
--- a/crates/foxtide-core/src/poison/quarantine.rs
+++ b/crates/foxtide-core/src/poison/quarantine.rs
@@ -50,8 +50,8 @@
 impl QuarantineEntry {
     /// Returns the entry with another trial, unless there have been enough.
     pub fn with_trial(self) -> Option<Self> {
-        let is_left = self.ends + self.trials < SENDS_MAX;
-        is_left.then_some(Self {
+        let is_left = self.ends.saturating_add(self.trials) < SENDS_MAX;
+        is_left.then(|| Self {
             trials: self.trials + 1,
             ..self
         })
--- a/crates/foxtide-core/src/poison/suspects.rs
+++ b/crates/foxtide-core/src/poison/suspects.rs
@@ -9,9 +9,6 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// From how many ends on a request is watched everywhere for being served.
-const SUSPECTED_FROM: usize = 2;
-
 /// How long the repeat of a request waits under which an upstream has ended, for the reports
 /// of ends and the quarantine to arrive within a region, also at instances that share their
 /// core. Where nothing waits, a request that ends upstreams at once ends as many as it is
@@ -56,24 +53,9 @@
     }
 }
 
-/// What an end tells of its request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Verdict {
-    /// Nothing yet, or nothing new.
-    Open,
-    /// Several upstreams have ended under it: it is cleared by being served anywhere.
-    Suspected,
-    /// It is to be quarantined: so many upstreams have ended under it.
-    Quarantined {
-        /// The upstreams.
-        ends: u32,
-    },
-}
-
 #[derive(Clone, Debug)]
 struct Suspect {
     ends: Vec<End>,
-    is_quarantined: bool,
     reported_at: MonotonicTime,
 }
 
@@ -99,32 +81,24 @@
         }
     }
 
-    /// Takes in that an upstream has ended under a request.
-    pub fn report(&mut self, report: &EndReport, now: MonotonicTime) -> Verdict {
+    /// Takes in that an upstream has ended under a request; returns how many have, where the
+    /// request is to be quarantined.
+    pub fn report(&mut self, report: &EndReport, now: MonotonicTime) -> Option<u32> {
         let fingerprint = report.fingerprint;
         if self.suspects.len() >= SUSPECTS_MAX && !self.suspects.contains_key(&fingerprint) {
             self.forget_oldest();
         }
         let suspect = self.suspects.entry(fingerprint).or_insert(Suspect {
             ends: Vec::new(),
-            is_quarantined: false,
             reported_at: now,
         });
         suspect.reported_at = now;
         if !suspect.add(report) {
-            return Verdict::Open;
+            return None;
         }
         // Each further end is told: an instance may not know of the quarantine.
-        suspect.is_quarantined |= suspect.ends.len() >= self.options.ends_max;
-        if suspect.is_quarantined {
-            let ends = suspect.ends.len() as u32;
-            return Verdict::Quarantined { ends };
-        }
-        if suspect.ends.len() >= SUSPECTED_FROM {
-            Verdict::Suspected
-        } else {
-            Verdict::Open
-        }
+        let ends = suspect.ends.len();
+        (ends >= self.options.ends_max).then_some(ends as u32)
     }
 
     /// Returns the known ends under a request.
--- a/crates/foxtide-core/tests/poison.rs
+++ b/crates/foxtide-core/tests/poison.rs
@@ -22,8 +22,7 @@
     Origin,
     Quarantine,
     QuarantineEntry,
-    Suspects,
-    Verdict, //
+    Suspects, //
 };
 use foxtide_core::time::{
     MonotonicTime,
@@ -57,24 +56,17 @@
     assert_ne!(of(&["GET", ""]), of(&["", "GET"]));
 }
 
-fn ends_of(verdict: Verdict) -> Option<u32> {
-    match verdict {
-        Verdict::Quarantined { ends } => Some(ends),
-        Verdict::Suspected | Verdict::Open => None,
-    }
-}
-
 #[test]
 fn verify_three_ends_quarantine_a_request_and_each_further_one_is_told() {
     let mut suspects = Suspects::default();
     let ends = [
-        ("a", Verdict::Open),
+        ("a", None),
         // Another instance reports the same end.
-        ("a", Verdict::Open),
-        ("b", Verdict::Suspected),
-        ("c", Verdict::Quarantined { ends: 3 }),
-        ("c", Verdict::Open),
-        ("d", Verdict::Quarantined { ends: 4 }),
+        ("a", None),
+        ("b", None),
+        ("c", Some(3)),
+        ("c", None),
+        ("d", Some(4)),
     ];
     for (number, (upstream, verdict)) in ends.into_iter().enumerate() {
         let now = at(number as u64 * 1_000);
@@ -88,7 +80,7 @@
     let mut suspects = Suspects::default();
     for upstream in ["a", "b", "c", "d", "e"] {
         let verdict = suspects.report(&end(2, upstream), at(0));
-        assert_eq!(ends_of(verdict), None, "{upstream}");
+        assert_eq!(verdict, None, "{upstream}");
         if upstream == "b" || upstream == "d" {
             suspects.clear(Fingerprint::from_hash(2));
         }
@@ -108,7 +100,7 @@
     }
     let again = behind_a_cut.reports(Fingerprint::from_hash(1));
     let ends = again.iter().map(|report| others.report(report, at(1)));
-    let ends: Vec<Option<u32>> = ends.map(ends_of).collect();
+    let ends: Vec<Option<u32>> = ends.collect();
     assert_eq!(ends, [Some(4), Some(5)]);
 }
 
@@ -121,7 +113,7 @@
             born_at: Some(WallTime::from_ms(born_ms)),
             ..end(1, "a")
         };
-        ends_of(suspects.report(&report, at(born_ms)))
+        suspects.report(&report, at(born_ms))
     });
     assert_eq!(verdicts, [None, None, Some(3)]);
 }
@@ -249,8 +241,7 @@
         for news in self.news.remove(&now_ms).unwrap_or_default() {
             match news {
                 News::End(report) => {
-                    let verdict = self.suspects.report(&report, at(now_ms));
-                    if let Some(ends) = ends_of(verdict) {
+                    if let Some(ends) = self.suspects.report(&report, at(now_ms)) {
                         self.ever_held.insert(report.fingerprint.hash());
                         let entry = QuarantineEntry { ends, trials: 0 };
                         self.tell(News::Quarantined(report.fingerprint, entry), now_ms);
--- a/crates/foxtide-core/tests/poison_model/world.rs
+++ b/crates/foxtide-core/tests/poison_model/world.rs
@@ -19,8 +19,7 @@
     QuarantineEntry,
     REPEAT_WAIT,
     StoredEntry,
-    Suspects,
-    Verdict, //
+    Suspects, //
 };
 use foxtide_core::store::StoreIndex;
 use foxtide_core::time::{
@@ -580,9 +579,8 @@
         let now = at(self.now_ms);
         let draw = self.draws.f64();
         let one = &mut self.instances[instance];
-        let ends = match one.suspects.report(report, now) {
-            Verdict::Quarantined { ends } => ends,
-            Verdict::Suspected | Verdict::Open => return,
+        let Some(ends) = one.suspects.report(report, now) else {
+            return;
         };
         let fingerprint = report.fingerprint;
         let entry = QuarantineEntry { ends, trials: 0 };
--- a/crates/foxtide-core/tests/quarantine.rs
+++ b/crates/foxtide-core/tests/quarantine.rs
@@ -78,6 +78,15 @@
     ));
 }
 
+/// An entry is whatever stands in the store, or a datagram of anybody says.
+#[test]
+fn verify_absurd_entries_keep_a_request_out() {
+    let mut quarantine = Quarantine::default();
+    quarantine.take_in(&stored(entry(u32::MAX, u32::MAX), 1), 0.5, at(0));
+    let clearance = quarantine.clearance(request(), at(DAY_MS));
+    assert!(matches!(clearance, Clearance::Held(_)));
+}
+
 /// Ends that become known after the quarantine leave fewer trials.
 #[test]
 fn verify_late_ends_take_the_trials() {
--- a/crates/foxtide-gateway/src/poison/mod.rs
+++ b/crates/foxtide-gateway/src/poison/mod.rs
@@ -30,8 +30,10 @@
     Suspects, //
 };
 use foxtide_core::time::MonotonicTime;
+use futures_lite::future::or;
 use keeper::Keeper;
 use parking_lot::Mutex;
+use smol::Timer;
 use std::collections::HashMap;
 use std::fmt::Display;
 use std::time::Duration;
@@ -50,6 +52,10 @@
 /// When a caller is to come back whose request waits for another instance's trial.
 const RETRY_AFTER_TRIAL: Duration = Duration::from_secs(1);
 
+/// How long a request waits for the store's word on its trial. The trial is used up where the
+/// word comes later.
+const CLAIM_TIME: Duration = Duration::from_secs(1);
+
 /// What an instance knows of requests that end their upstreams.
 #[derive(Debug, Default)]
 pub(crate) struct Poison {
@@ -214,7 +220,11 @@
     let Some(trial) = trial else {
         return Err(RETRY_AFTER_TRIAL);
     };
-    let is_claimed = poison.keeper.claim(trial).await;
+    let late = async {
+        Timer::after(CLAIM_TIME).await;
+        false
+    };
+    let is_claimed = or(poison.keeper.claim(trial), late).await;
     beliefs::trial_claimed(&trial, is_claimed);
     if is_claimed {
         Ok(Sending::Once)
--- a/crates/foxtide-gateway/src/poison/reports.rs
+++ b/crates/foxtide-gateway/src/poison/reports.rs
@@ -13,8 +13,7 @@
     EndReport,
     Fingerprint,
     Origin,
-    QuarantineEntry,
-    Verdict, //
+    QuarantineEntry, //
 };
 use foxtide_core::registry::Registration;
 use smol::Timer;
@@ -122,7 +121,7 @@
 fn aggregate<D: Dialect>(shared: &Arc<Shared<D>>, report: &EndReport) {
     let now = shared.clock.now();
     let verdict = shared.poison.suspects.lock().report(report, now);
-    let Verdict::Quarantined { ends } = verdict else {
+    let Some(ends) = verdict else {
         return;
     };
     let entry = QuarantineEntry { ends, trials: 0 };
