--- a/crates/foxtide-core/src/events/code.rs
+++ b/crates/foxtide-core/src/events/code.rs
@@ -124,7 +124,7 @@
     1012 LinesDropped "lines-dropped" Warn "Log lines were dropped because standard output was not read."
     1013 SettingsReloaded "settings-reloaded" Info "The settings were read again after a signal; the fields tell what of them is in force."
     1014 SettingsRejected "settings-rejected" Error "The settings that were read after a signal cannot be used; the former stay in force."
-    1015 StoodStill "stood-still" Warn "The process has stood still for a second or more; requests wait a moment until it knows what the others know."
+    1015 StoodStill "stood-still" Warn "The process has stood still for a second or more; requests wait until its state is in sync with the store, 0.3 s at most."
 
     2002 ConfigurationApplied "configuration-applied" Info "This instance works by a newer revision."
     2008 ConfigurationUnreadable "configuration-unreadable" Error "A stored document cannot be read; the last good revision stays in force."
--- a/crates/foxtide-core/src/poison/suspects.rs
+++ b/crates/foxtide-core/src/poison/suspects.rs
@@ -96,7 +96,7 @@
         if !suspect.add(report) {
             return None;
         }
-        // Each further end is told: an instance may not know of the quarantine.
+        // Further ends are returned as well: an instance may not know of the quarantine.
         let ends = suspect.ends.len();
         (ends >= self.options.ends_max).then_some(ends as u32)
     }
--- a/crates/foxtide-gateway/src/datagram/poison.rs
+++ b/crates/foxtide-gateway/src/datagram/poison.rs
@@ -1,4 +1,4 @@
-//! News of requests that end their upstreams.
+//! Messages about requests that end their upstreams.
 
 use super::{
     Body,
@@ -37,7 +37,7 @@
 }
 
 impl Datagram {
-    /// Returns the news that an upstream has ended under a request.
+    /// Returns the message that an upstream has ended under a request.
     pub(crate) fn end_report(number: u64, report: &EndReport) -> Self {
         let message = EndMessage {
             fingerprint: report.fingerprint.hash(),
@@ -50,7 +50,7 @@
         }
     }
 
-    /// Returns the news that a request has been served under which an end was reported.
+    /// Returns the message that a request has been served under which an end was reported.
     pub(crate) fn cleared(number: u64, fingerprint: Fingerprint) -> Self {
         Self {
             number,
@@ -58,7 +58,7 @@
         }
     }
 
-    /// Returns the news that a request is quarantined.
+    /// Returns the message that a request is quarantined.
     pub(crate) fn quarantine(
         number: u64,
         fingerprint: Fingerprint,
--- a/crates/foxtide-gateway/src/follow/mod.rs
+++ b/crates/foxtide-gateway/src/follow/mod.rs
@@ -89,7 +89,7 @@
         match follower.step().await {
             Ok(()) => {
                 follower.answered();
-                follower.shared.standstill.heard(began_at);
+                follower.shared.standstill.synced(began_at);
                 // One that has begun asks at once that its record be kept.
                 if follower.index.is_some() && !(is_first && follower.is_follower()) {
                     Timer::at(started + follower.period()).await;
@@ -97,7 +97,7 @@
             }
             Err(error) => {
                 follower.failed(&error).await;
-                follower.shared.standstill.heard(began_at);
+                follower.shared.standstill.synced(began_at);
                 Timer::after(follower.pause()).await;
             }
         }
--- a/crates/foxtide-gateway/src/shared.rs
+++ b/crates/foxtide-gateway/src/shared.rs
@@ -71,7 +71,7 @@
         }
     }
 
-    /// Notes that the process runs. Where it has stood still, what it knows is asked for anew.
+    /// Records a heartbeat. Where the process has stood still, its state is read anew.
     pub(crate) fn beat(&self) {
         if let Some(time) = self.standstill.beat(self.clock.now()) {
             log_event!(EventCode::StoodStill, time_ms = time.as_millis() as u64);
@@ -79,10 +79,10 @@
         }
     }
 
-    /// Waits, after the process has stood still, until it knows what the others know.
+    /// Waits, after the process has stood still, until its state is in sync with the store.
     pub(crate) async fn catch_up(&self) {
         self.beat();
-        if !self.standstill.is_over() {
+        if !self.standstill.is_synced() {
             self.standstill.wait().await;
         }
     }
--- a/crates/foxtide-gateway/src/standstill.rs
+++ b/crates/foxtide-gateway/src/standstill.rs
@@ -1,8 +1,8 @@
-//! Notices that the process has stood still, and lets requests wait until it knows again what
-//! the others know.
+//! Detects that the process has stood still, and delays requests until its state is in sync
+//! with the store again.
 //!
-//! A process that is frozen, or whose machine is suspended, goes on with what it believed
-//! before. Requests that come at once would be sent by that, though all others know better.
+//! A process that is frozen, or whose machine is suspended, resumes with stale state. Requests
+//! that come at once would be sent by it.
 
 use event_listener::Event;
 use foxtide_core::time::MonotonicTime;
@@ -11,73 +11,73 @@
 use smol::Timer;
 use std::time::Duration;
 
-/// From how long a silence of housekeeping on, which comes each 0.5 s, the process has stood
-/// still; a busy one is late by less.
+/// From what gap between two heartbeats on, which come each 0.5 s, the process counts as having
+/// stood still; a busy one is late by less.
 const STANDSTILL_MIN: Duration = Duration::from_millis(1_500);
 
-/// How long a request waits for the news, at most: where neither the store nor a peer answers
-/// in a few round trips, it is not known when one will.
-const NEWS_WAIT: Duration = Duration::from_millis(300);
+/// How long a request waits for the state to be in sync, at most: where neither the store nor
+/// a peer answers in a few round trips, it is not known when one will.
+const SYNC_WAIT: Duration = Duration::from_millis(300);
 
-/// Whether the process has stood still since it last heard the news.
+/// Whether the process has stood still since its state was last in sync.
 #[derive(Debug, Default)]
 pub(crate) struct Standstill {
     state: Mutex<StandstillState>,
-    over: Event,
+    synced: Event,
 }
 
 #[derive(Debug, Default)]
 struct StandstillState {
-    /// When the process last showed that it runs.
+    /// The last heartbeat.
     beat_at: MonotonicTime,
-    /// When it was noticed that it had stood still; nothing once the news were heard.
-    noticed_at: Option<MonotonicTime>,
+    /// When the process resumed; nothing once its state is in sync.
+    resumed_at: Option<MonotonicTime>,
 }
 
 impl Standstill {
-    /// Notes that the process runs; returns how long it has just stood still, where it has.
+    /// Records a heartbeat; returns how long the process has just stood still, where it has.
     pub(crate) fn beat(&self, now: MonotonicTime) -> Option<Duration> {
         let mut state = self.state.lock();
-        let silence = now - state.beat_at;
+        let gap = now - state.beat_at;
         state.beat_at = now;
-        let stood = (silence > STANDSTILL_MIN).then_some(silence);
+        let stood = (gap > STANDSTILL_MIN).then_some(gap);
         if stood.is_some() {
-            state.noticed_at = Some(now);
+            state.resumed_at = Some(now);
         }
         stood
     }
 
-    /// Notes that the store, or peers in its place, have been asked since `began_at` and that
-    /// what they know is taken in.
-    pub(crate) fn heard(&self, began_at: MonotonicTime) {
+    /// Records that an exchange with the store, or with peers in its place, has ended that began
+    /// at `began_at`.
+    pub(crate) fn synced(&self, began_at: MonotonicTime) {
         let mut state = self.state.lock();
-        if state.noticed_at.is_some_and(|noticed| noticed <= began_at) {
-            state.noticed_at = None;
+        if state.resumed_at.is_some_and(|resumed| resumed <= began_at) {
+            state.resumed_at = None;
             drop(state);
-            self.over.notify(usize::MAX);
+            self.synced.notify(usize::MAX);
         }
     }
 
-    /// Tells whether the news have been heard since the process stood still last.
-    pub(crate) fn is_over(&self) -> bool {
-        self.state.lock().noticed_at.is_none()
+    /// Tells whether the state has been in sync since the process resumed.
+    pub(crate) fn is_synced(&self) -> bool {
+        self.state.lock().resumed_at.is_none()
     }
 
-    /// Waits until they have, for a short time.
+    /// Waits until the state is in sync, for a short time.
     pub(crate) async fn wait(&self) {
-        let heard = async {
+        let synced = async {
             loop {
-                let over = self.over.listen();
-                if self.is_over() {
+                let listener = self.synced.listen();
+                if self.is_synced() {
                     return;
                 }
-                over.await;
+                listener.await;
             }
         };
         let late = async {
-            Timer::after(NEWS_WAIT).await;
+            Timer::after(SYNC_WAIT).await;
         };
-        or(heard, late).await;
+        or(synced, late).await;
     }
 }
 
@@ -91,7 +91,7 @@
 
     /// Guards against a thawed instance that sends requests by what it knew before.
     #[test]
-    fn verify_after_a_standstill_only_later_news_count() {
+    fn verify_after_a_standstill_only_later_exchanges_count() {
         let standstill = Standstill::default();
         for ms in (0..3_000).step_by(500) {
             assert_eq!(standstill.beat(at(ms)), None);
@@ -100,20 +100,20 @@
             standstill.beat(at(7_000)),
             Some(Duration::from_millis(4_500))
         );
-        assert!(!standstill.is_over());
-        // What was asked before it stood still is no news.
-        standstill.heard(at(2_900));
-        assert!(!standstill.is_over());
-        standstill.heard(at(7_001));
-        assert!(standstill.is_over());
+        assert!(!standstill.is_synced());
+        // That exchange began before.
+        standstill.synced(at(2_900));
+        assert!(!standstill.is_synced());
+        standstill.synced(at(7_001));
+        assert!(standstill.is_synced());
         assert_eq!(standstill.beat(at(7_500)), None);
     }
 
     #[test]
-    fn verify_nobody_waits_for_news_that_do_not_come() {
+    fn verify_the_wait_ends_where_nobody_answers() {
         let standstill = Standstill::default();
         standstill.beat(at(9_000));
         smol::block_on(standstill.wait());
-        assert!(!standstill.is_over());
+        assert!(!standstill.is_synced());
     }
 }
