Send nothing on for a caller who has disconnected

Cause: the disconnect of such a caller was noticed only inside the waits for a slot and for a verdict. After an answer that did not run, the next attempt took a free slot, or one of another region or of a cold upstream, without any wait.

Change: each attempt begins with a check that the caller is still there, whatever led to it. Idempotent requests are cancelled by dropping their work, and the other request path (foxtide-entry) drops its work for every request without a key, so both were right before.

Measured: verify_a_rejected_request_is_not_sent_on_after_its_caller_disconnects saw two sends of /once/ before and sees one now.

--- a/crates/foxtide-gateway/src/forward/attempt_loop.rs
+++ b/crates/foxtide-gateway/src/forward/attempt_loop.rs
@@ -277,7 +277,7 @@
     }
 
     /// Returns the reply if no attempt ran the request.
-    fn not_run(&self) -> Reply {
+    pub(super) fn not_run(&self) -> Reply {
         let not_run = Refusal::NotRun {
             retry_after: self.retry_after(),
         };
--- a/crates/foxtide-gateway/src/forward/caller.rs
+++ b/crates/foxtide-gateway/src/forward/caller.rs
@@ -19,6 +19,11 @@
         }
     }
 
+    /// Tells whether the caller has disconnected.
+    pub(crate) fn is_disconnected(&self) -> bool {
+        self.connection.as_ref().is_some_and(Receiver::is_closed)
+    }
+
     /// Waits until the caller disconnects.
     pub(crate) async fn disconnected(&self) {
         match &self.connection {
@@ -28,3 +33,19 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use smol::channel::bounded;
+
+    #[test]
+    fn verify_a_disconnect_is_seen_without_waiting() {
+        let (present, open) = bounded(1);
+        let caller = CallerWatch::new(open);
+        assert!(!caller.is_disconnected());
+        drop(present);
+        assert!(caller.is_disconnected());
+        assert!(!CallerWatch::default().is_disconnected());
+    }
+}
--- a/crates/foxtide-gateway/src/forward/recheck.rs
+++ b/crates/foxtide-gateway/src/forward/recheck.rs
@@ -31,9 +31,13 @@
 }
 
 impl<D: Dialect> AttemptLoop<'_, D> {
-    /// Returns the reply if the request may not be sent any more: it was quarantined, or the
-    /// key of the caller was revoked.
+    /// Returns the reply if the request may not be sent any more: its caller has disconnected,
+    /// it was quarantined, or the key of the caller was revoked.
     pub(super) fn recheck(&mut self) -> Option<Reply> {
+        if self.caller.is_disconnected() {
+            // Nobody reads the reply.
+            return Some(self.not_run());
+        }
         if let Some(retry_after) = self.quarantine_retry_after() {
             if self.failure.is_none() {
                 self.trace.reason = QUARANTINED_REASON;
--- a/crates/foxtide-gateway/tests/gateway/admission.rs
+++ b/crates/foxtide-gateway/tests/gateway/admission.rs
@@ -112,6 +112,35 @@
     }
 }
 
+/// Guards against work for nobody: an upstream that rejects a request after its caller has left
+/// must not lead to an attempt at another upstream.
+#[test]
+fn verify_a_rejected_request_is_not_sent_on_after_its_caller_disconnects() {
+    for path in ["/safe/", "/once/"] {
+        let fleet = Fleet::new();
+        let upstreams = ["i-1", "i-2"].map(|name| fleet.upstream(name, "khomas-a"));
+        let instance = fleet.instance("edge-1", "khomas-a");
+        let seen = || {
+            let all = upstreams.iter().flat_map(FakeUpstream::seen);
+            all.map(|seen| seen.request).collect::<Vec<String>>()
+        };
+        for upstream in &upstreams {
+            upstream.next(Behaviour::FullAfter(Duration::from_millis(300)));
+        }
+        let left = send(&instance, path, "left");
+        eventually("the request arrives", || seen() == ["left"]);
+        drop(left);
+        // The rejection has passed once both upstreams have answered later requests.
+        std::thread::sleep(Duration::from_millis(600));
+        for number in 0..8 {
+            let lines = format!("request: later-{number}\r\nobject: {number}\r\n");
+            instance.get("/safe/", &lines);
+        }
+        let sent = seen().iter().filter(|request| *request == "left").count();
+        assert_eq!(sent, 1, "{path}");
+    }
+}
+
 #[test]
 fn verify_requests_go_on_without_their_coordinator() {
     let fleet = Fleet::new();
--- a/crates/foxtide-gateway/tests/gateway/support/upstream.rs
+++ b/crates/foxtide-gateway/tests/gateway/support/upstream.rs
@@ -35,6 +35,8 @@
     Respond(u16, &'static str, Duration),
     /// Responds that it is full and did not run the request.
     Full,
+    /// Responds the same after a delay, also if the connection is closed meanwhile.
+    FullAfter(Duration),
     /// Responds that another incarnation has the address.
     OtherIncarnation,
     /// Reads the request and closes the connection.
@@ -241,7 +243,10 @@
             let length = body.len();
             format!("HTTP/1.1 {status} x\r\n{signed}content-length: {length}\r\n\r\n{body}")
         }
-        Behaviour::Full => {
+        Behaviour::Full | Behaviour::FullAfter(_) => {
+            if let Behaviour::FullAfter(delay) = behaviour {
+                Timer::after(delay).await;
+            }
             format!(
                 "HTTP/1.1 503 x\r\nrequest: {request}\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n"
             )
