Compare members with a full read in linear time

Each known instance was searched in the list of those that were read: a comparison for each pair of instances, on every full read of every instance. The search is in a set now. No behaviour changes.

--- a/crates/foxtide-core/src/registry/members.rs
+++ b/crates/foxtide-core/src/registry/members.rs
@@ -15,7 +15,10 @@
 use crate::poison::Fingerprint;
 use crate::time::MonotonicTime;
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::{
     xxh3_64,
@@ -121,10 +124,12 @@
 
     /// Replaces the members with all instances that have a lease.
     pub fn replace(&mut self, members: Vec<Member>, phase: StorePhase, now: MonotonicTime) {
+        let present: BTreeSet<&InstanceId> =
+            members.iter().map(|member| &member.instance).collect();
         let missing: Vec<InstanceId> = self
             .entries
             .keys()
-            .filter(|instance| members.iter().all(|member| member.instance != **instance))
+            .filter(|instance| !present.contains(*instance))
             .cloned()
             .collect();
         for instance in missing {
