Bound the lines about changes that arrive together

Cause: each upstream and each instance that appears, restarts or leaves got a line on every instance.

Change: of a batch of changes the first 32 get a line, the others are counted and the counts logged in one (store-changes-summarised).

--- a/crates/foxtide-core/src/events/code.rs
+++ b/crates/foxtide-core/src/events/code.rs
@@ -225,6 +225,7 @@
     7012 RecordWithdrawn "record-withdrawn" Info "The instance's registrar was asked to remove the instance's record."
     7013 StoreRestored "store-restored" Warn "The store was restored from an older backup; changes acknowledged since are lost in the store, and the instance keeps them until they are written again."
     7014 QuarantineCallFailed "quarantine-call-failed" Warn "A store call for a quarantined request failed; it is retried."
+    7015 StoreChangesSummarised "store-changes-summarised" Info "Further changes of upstreams and instances that arrived together, beyond those with lines of their own."
 
     8005 PromiseBroken "promise-broken" Error "A promise to an organisation is broken; the detail names it."
     8006 PromiseKept "promise-kept" Info "A broken promise to an organisation holds again."
--- a/crates/foxtide-gateway/src/state/facts.rs
+++ b/crates/foxtide-gateway/src/state/facts.rs
@@ -1,7 +1,10 @@
 //! Applies the contents and changes of the store to the state.
 
 use super::State;
-use crate::journal::state_changes;
+use crate::journal::{
+    ChangeLines,
+    state_changes, //
+};
 use crate::store::Fact;
 use foxtide_core::ids::AvailabilityZoneId;
 use foxtide_core::registry::RegistryChange;
@@ -47,7 +50,7 @@
             .map(|upstream| self.registry.remove_unreadable(upstream))
             .collect();
         changes.extend(self.registry.replace(registrations, now));
-        self.handle_registry_changes(&changes);
+        self.handle_registry_changes(&changes, &mut ChangeLines::default());
         self.registrar.observe_all(&members, now);
         self.members.replace(members, self.registry.phase(), now);
         self.handle_evacuated_zones(evacuated);
@@ -55,29 +58,30 @@
 
     /// Applies changes in order.
     pub(crate) fn apply(&mut self, facts: Vec<Fact>) {
+        let mut lines = ChangeLines::default();
         for fact in facts {
-            self.apply_one(fact);
+            self.apply_one(fact, &mut lines);
         }
     }
 
-    fn apply_one(&mut self, fact: Fact) {
+    fn apply_one(&mut self, fact: Fact, lines: &mut ChangeLines) {
         let now = self.clock.now();
         match fact {
             Fact::Configuration(document) => self.configure(document),
             Fact::Registered(registration) => {
                 let change = self.registry.register(registration, now);
-                self.handle_registry_changes(&[change]);
+                self.handle_registry_changes(&[change], lines);
             }
             Fact::UpstreamUnreadable(upstream) => {
                 let change = self.registry.remove_unreadable(&upstream);
-                self.handle_registry_changes(&[change]);
+                self.handle_registry_changes(&[change], lines);
             }
             Fact::Unregistered(upstream) => {
                 let change = self.registry.unregister(&upstream, now);
-                self.handle_registry_changes(&[change]);
+                self.handle_registry_changes(&[change], lines);
             }
             Fact::Joined(member) => {
-                state_changes::member_joined(&member);
+                lines.member_joined(&member);
                 self.registrar.observe(&member, now);
                 self.members.join(member, now);
             }
@@ -86,7 +90,7 @@
                 self.registrar.observe_missing(&instance);
                 let phase = self.registry.phase();
                 let is_gone = self.members.leave(&instance, phase, now);
-                state_changes::member_left(&instance, is_gone);
+                lines.member_left(&instance, is_gone);
             }
             Fact::Evacuated(zone) => {
                 let mut evacuated = self.registry.evacuated().clone();
@@ -154,9 +158,13 @@
         longest.unwrap_or(COLD_DURATION_DEFAULT)
     }
 
-    pub(super) fn handle_registry_changes(&mut self, changes: &[RegistryChange]) {
+    pub(super) fn handle_registry_changes(
+        &mut self,
+        changes: &[RegistryChange],
+        lines: &mut ChangeLines,
+    ) {
         for change in changes {
-            state_changes::registry_changed(change);
+            lines.registry_changed(change);
             if let RegistryChange::Left(upstream) | RegistryChange::Restarted(upstream) = change {
                 self.health.remove(upstream);
             }
--- a/crates/foxtide-gateway/src/state/mod.rs
+++ b/crates/foxtide-gateway/src/state/mod.rs
@@ -14,7 +14,10 @@
     PickRequest, //
 };
 
-use crate::journal::state_changes;
+use crate::journal::{
+    ChangeLines,
+    state_changes, //
+};
 use crate::options::{
     Bounds,
     GatewayOptions, //
@@ -237,7 +240,7 @@
     pub(crate) fn expire(&mut self) {
         let now = self.clock.now();
         let changes = self.registry.expire(now);
-        self.handle_registry_changes(&changes);
+        self.handle_registry_changes(&changes, &mut ChangeLines::default());
         self.members.expire(self.registry.phase(), now);
         self.drop_missing_evacuations(now);
         self.cold.prune(now);
@@ -312,7 +315,7 @@
     pub(crate) fn discard_reused_address(&mut self, registration: &Registration) {
         let now = self.clock.now();
         let change = self.registry.discard(registration, now);
-        self.handle_registry_changes(&[change]);
+        self.handle_registry_changes(&[change], &mut ChangeLines::default());
     }
 
     fn budget(&mut self, service: &ServiceId) -> &mut RetryBudget {
