Start instances from copies of others

Cause: each instance read the whole store itself, 55 pages of 200 registrations and a configuration of 264 routes. The contents grow with the deployment and so does the number of readers, so the bytes on the store's link grow with the square: worked out 4 MB for each of 985 instances, 32 s of 1,000 Mbit/s. Beyond its capacity every call of a second runs into its timeout and is repeated.

Change: instances that keep their own record list themselves as sources beside it, by zone. A starting instance asks them, or the seeds if none is listed, for a copy; sources that start themselves answer as soon as they have one. Who reads the store is decided by core::registry::Startup: seeds, lone instances and few that are listed from before at once, the others by a share that falls with the number of sources and the store's latency and doubles each second, and never while a source has a copy. A copy is packed once and shared, sent in parts (so that a timeout limits a part and not the whole, and no change is too large to relay), to as many receivers at a time as fill the link. A page that fails is read again alone. The spread of first starts over 3 s goes, and with it the setting that asked for it.

--- a/crates/foxtide-core/src/records.rs
+++ b/crates/foxtide-core/src/records.rs
@@ -12,13 +12,14 @@
 /// The maximum number of gaps; a full read of the store adds one.
 const GAPS_MAX: usize = 8;
 
-/// The maximum total size of relayed records, since a watcher sends them to many peers.
+/// The maximum total size of records that are relayed in one message, to instances that do not
+/// read them in parts.
 const RELAYED_BYTES_MAX: usize = 128 * 1_024;
 
-/// Returns whether records are small enough to relay; peers read larger ones from the store.
+/// Returns whether records are small enough to relay in one message; peers that do not read
+/// parts read larger ones from the store.
 pub fn fit_relay_limit(records: &[Record]) -> bool {
-    let size = |record: &Record| record.key.len() + record.value.as_ref().map_or(0, Vec::len);
-    records.iter().map(size).sum::<usize>() <= RELAYED_BYTES_MAX
+    records.iter().map(Record::size_bytes).sum::<usize>() <= RELAYED_BYTES_MAX
 }
 
 /// The state of one key of the store.
@@ -32,6 +33,13 @@
     pub index: StoreIndex,
 }
 
+impl Record {
+    /// Returns the size of the key and the value.
+    pub fn size_bytes(&self) -> usize {
+        self.key.len() + self.value.as_ref().map_or(0, Vec::len)
+    }
+}
+
 /// The latest record of each key, with tombstones of recently removed keys.
 #[derive(Clone, Debug, Default)]
 pub struct RecordLog {
--- a/crates/foxtide-core/src/registry/mod.rs
+++ b/crates/foxtide-core/src/registry/mod.rs
@@ -33,5 +33,10 @@
     Registration,
     UpstreamState, //
 };
-pub use startup::startup_read_delay;
+pub use startup::{
+    SourceListing,
+    Startup,
+    StartupOptions,
+    StartupStep, //
+};
 pub use table::Registry;
--- a/crates/foxtide-core/src/registry/registrar.rs
+++ b/crates/foxtide-core/src/registry/registrar.rs
@@ -29,6 +29,8 @@
     pub written: Vec<Member>,
     /// Instances whose records to remove.
     pub removed: Vec<InstanceId>,
+    /// The instance that writes, if it is to be listed as a source of copies.
+    pub source: Option<Member>,
 }
 
 impl RecordChanges {
--- a/crates/foxtide-core/tests/registrar.rs
+++ b/crates/foxtide-core/tests/registrar.rs
@@ -50,14 +50,14 @@
 fn written(names: &[&str]) -> RecordChanges {
     RecordChanges {
         written: names.iter().map(|name| member(name)).collect(),
-        removed: Vec::new(),
+        ..RecordChanges::default()
     }
 }
 
 fn removed(names: &[&str]) -> RecordChanges {
     RecordChanges {
-        written: Vec::new(),
         removed: names.iter().map(|name| instance(name)).collect(),
+        ..RecordChanges::default()
     }
 }
 
--- a/crates/foxtide-gateway/src/follow/mod.rs
+++ b/crates/foxtide-gateway/src/follow/mod.rs
@@ -2,6 +2,7 @@
 //! instances.
 
 mod apply;
+mod copy;
 mod peers;
 mod start;
 
@@ -17,7 +18,11 @@
 };
 use crate::store_calls::CallPurpose;
 use foxtide_core::records::Record;
-use foxtide_core::registry::FollowerBackoff;
+use foxtide_core::registry::{
+    FollowerBackoff,
+    Startup,
+    StartupOptions, //
+};
 use foxtide_core::store::{
     StoreError,
     StoreIndex,
@@ -62,9 +67,15 @@
 
 /// Follows the store for as long as the instance runs.
 pub(crate) async fn follow<D: Dialect, S: FleetStore>(shared: Arc<Shared<D>>, store: S) {
+    let startup = Startup::new(
+        shared.clock.now(),
+        startup_options(&shared),
+        fastrand::f64(),
+    );
     let mut follower = Follower {
         shared,
         store,
+        startup,
         relay: RelayClient::default(),
         index: None,
         last_index: None,
@@ -73,7 +84,6 @@
         failures: 0,
         backoff: FollowerBackoff::default(),
     };
-    follower.delay_first_start().await;
     loop {
         let started = Instant::now();
         let began_at = follower.shared.clock.now();
@@ -82,8 +92,11 @@
             Ok(()) => {
                 follower.handle_success();
                 follower.shared.stall.synced(began_at);
-                // A follower asks a watcher to register it right after the initial read.
-                if follower.index.is_some() && !(is_first && follower.is_follower()) {
+                // A follower asks a watcher to register it right after the initial read, and an
+                // instance that started from a copy asks for the changes since.
+                let is_complete = follower.shared.state.lock().is_store_followed();
+                let goes_on = is_first && (!is_complete || follower.is_follower());
+                if follower.index.is_some() && !goes_on {
                     Timer::at(started + follower.period()).await;
                 }
             }
@@ -96,9 +109,21 @@
     }
 }
 
+fn startup_options<D>(shared: &Shared<D>) -> StartupOptions {
+    let own = shared.addresses.peers;
+    let seeds = &shared.options.seed_peers;
+    StartupOptions {
+        link_mbps: shared.options.link_mbps,
+        is_seed: seeds.contains(&own),
+        is_alone: seeds.iter().all(|&seed| seed == own),
+    }
+}
+
 struct Follower<D, S> {
     shared: Arc<Shared<D>>,
     store: S,
+    /// Decides when this instance reads the store itself at its start.
+    startup: Startup,
     relay: RelayClient,
     /// The index to continue from; `None` if everything has to be read.
     index: Option<StoreIndex>,
@@ -115,6 +140,10 @@
 impl<D: Dialect, S: FleetStore> Follower<D, S> {
     async fn step(&mut self) -> Result<(), StoreError> {
         self.apply_offered_configuration();
+        if self.index.is_none() && !self.has_configuration() && self.start_from_copy().await? {
+            self.set_followed(false);
+            return Ok(());
+        }
         if self.index.is_some() && self.is_follower() {
             let watchers = self.watchers();
             match self.ask_watchers(&watchers).await {
@@ -200,6 +229,10 @@
         self.store.changes(index, RECOVERY_WAIT).await
     }
 
+    fn has_configuration(&self) -> bool {
+        self.shared.state.lock().routes().is_some()
+    }
+
     fn handle_success(&mut self) {
         if self.failures > 0 {
             log_event!(EventCode::StoreReachable, failures = self.failures);
--- a/crates/foxtide-gateway/src/follow/peers.rs
+++ b/crates/foxtide-gateway/src/follow/peers.rs
@@ -135,7 +135,7 @@
         peers
     }
 
-    async fn ask_peer(
+    pub(super) async fn ask_peer(
         &mut self,
         peers: &[SocketAddr],
         query: &ChangesQuery,
--- a/crates/foxtide-gateway/src/follow/start.rs
+++ b/crates/foxtide-gateway/src/follow/start.rs
@@ -11,14 +11,12 @@
     Changes,
     Fact,
     FleetStore,
-    Freshness, //
+    Freshness,
+    Page, //
 };
 use crate::store_calls::CallPurpose;
 use foxtide_core::records::Record;
-use foxtide_core::registry::{
-    Members,
-    startup_read_delay, //
-};
+use foxtide_core::registry::Members;
 use foxtide_core::store::{
     StoreError,
     StoreIndex, //
@@ -27,15 +25,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// The time over which instances spread their initial reads when the system starts for the
-/// first time, so that the later ones can ask the earlier ones instead of the store.
-const FIRST_START_JITTER: Duration = Duration::from_millis(3_000);
-
 /// The maximum number of pages of one read.
 const PAGES_MAX: usize = 1_000;
 
-/// The expected time to read the pages after the first on a slow link.
-const REMAINING_PAGES_TIME: Duration = Duration::from_millis(300);
+/// How often a page other than the first is read again after a failure.
+const PAGE_RETRIES_MAX: u32 = 4;
+
+/// The mean pause before a page is read again.
+const PAGE_RETRY_PAUSE: Duration = Duration::from_millis(200);
 
 /// The contents of the store at an index.
 #[derive(Debug, Default)]
@@ -47,23 +44,16 @@
 }
 
 impl<D: Dialect, S: FleetStore> Follower<D, S> {
-    /// Waits for a random time if the whole system starts for the first time.
-    pub(super) async fn delay_first_start(&self) {
-        if self.shared.options.is_first_start {
-            Timer::after(FIRST_START_JITTER.mul_f64(fastrand::f64())).await;
-        }
-    }
-
     /// Reads the whole store.
     pub(super) async fn read_all(&mut self) -> Result<(), StoreError> {
-        let has_no_configuration = self.shared.state.lock().routes().is_none();
-        if has_no_configuration && self.start_from_stale().await? {
+        let has_configuration = self.has_configuration();
+        if !has_configuration && self.start_from_stale().await? {
             return Ok(());
         }
-        let purpose = if has_no_configuration {
-            CallPurpose::Start
-        } else {
+        let purpose = if has_configuration {
             CallPurpose::Recovery
+        } else {
+            CallPurpose::Start
         };
         let snapshot = self.read_pages(Freshness::Current, purpose).await?;
         self.replace(snapshot.records, snapshot.index);
@@ -78,8 +68,7 @@
         let mut snapshot = Snapshot::default();
         let mut after = String::new();
         for page in 0..PAGES_MAX {
-            self.shared.store_calls.count(purpose, 1);
-            let read = self.store.read_page(&after, freshness).await?;
+            let read = self.read_page(&after, freshness, purpose).await?;
             if page > 0 && snapshot.index.era() != read.index.era() {
                 // Changes of one era do not complete the pages of another.
                 return Err(StoreError::Unknown {
@@ -101,25 +90,33 @@
             if is_last {
                 break;
             }
-            if page == 0 && purpose == CallPurpose::StartStale {
-                self.delay_reading(&snapshot).await;
-            }
         }
         Ok(snapshot)
     }
 
-    /// Delays the remaining pages, so that instances that start together do not read at the
-    /// same time, and announces when the instance will be ready.
-    async fn delay_reading(&self, first_page: &Snapshot) {
-        let facts = self.facts(&first_page.records);
-        let is_member = |fact: &&Fact| matches!(fact, Fact::Joined(_));
-        let instances = facts.iter().filter(is_member).count();
-        let wait = startup_read_delay(instances, fastrand::f64());
-        self.shared
-            .state
-            .lock()
-            .expect_ready_after(wait + REMAINING_PAGES_TIME);
-        Timer::after(wait).await;
+    /// Reads a page, with retries: a read of many pages that began again after each failure
+    /// would never end while the store is slow.
+    async fn read_page(
+        &self,
+        after: &str,
+        freshness: Freshness,
+        purpose: CallPurpose,
+    ) -> Result<Page, StoreError> {
+        let retries = if after.is_empty() {
+            0
+        } else {
+            PAGE_RETRIES_MAX
+        };
+        for _ in 0..retries {
+            self.shared.store_calls.count(purpose, 1);
+            match self.store.read_page(after, freshness).await {
+                Ok(page) => return Ok(page),
+                Err(error) => log::debug!("failed to read a page: {error}"),
+            }
+            Timer::after(PAGE_RETRY_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
+        }
+        self.shared.store_calls.count(purpose, 1);
+        self.store.read_page(after, freshness).await
     }
 
     /// Starts from stale pages, which are cheaper, and the changes since; returns `false` if
--- a/crates/foxtide-gateway/src/gateway.rs
+++ b/crates/foxtide-gateway/src/gateway.rs
@@ -28,6 +28,7 @@
 };
 use crate::pool::Pool;
 use crate::quotas::Quotas;
+use crate::relay::Copies;
 use crate::relay::serve_peers;
 use crate::shared::Shared;
 use crate::stall::StallDetector;
@@ -120,6 +121,7 @@
             journal: Journal::new(clock),
             store_calls: StoreCalls::default(),
             traffic,
+            copies: Copies::new(options.link_mbps),
             store_alarm: StoreAlarm::default(),
             offered_configuration: Mutex::default(),
             log_changed: Event::new(),
@@ -217,6 +219,7 @@
         shared.admission.prune(now, is_known);
         shared.quotas.prune(now);
         shared.poison.prune(now);
+        shared.copies.prune(now);
     }
 }
 
--- a/crates/foxtide-gateway/src/lib.rs
+++ b/crates/foxtide-gateway/src/lib.rs
@@ -62,5 +62,5 @@
     Freshness,
     LeaseId,
     Page,
-    RECORDS_MAX, //
+    WRITTEN_KEYS_MAX, //
 };
--- a/crates/foxtide-gateway/src/membership.rs
+++ b/crates/foxtide-gateway/src/membership.rs
@@ -13,7 +13,7 @@
 use crate::store::{
     FleetStore,
     LeaseId,
-    RECORDS_MAX, //
+    WRITTEN_KEYS_MAX, //
 };
 use crate::store_calls::CallPurpose;
 use foxtide_core::registry::RecordChanges;
@@ -41,6 +41,9 @@
 /// The minimum time between two writes of records; batches changes while a fleet starts.
 const WRITE_PERIOD: Duration = Duration::from_millis(500);
 
+/// The most records of neighbours in one write, beside the two keys of the own record.
+const NEIGHBOURS_WRITTEN_MAX: usize = WRITTEN_KEYS_MAX - 2;
+
 /// How long a written record may be missing from the followed changes before it is written
 /// again.
 const CONFIRMATION_TIME: Duration = Duration::from_millis(2_000);
@@ -120,6 +123,8 @@
     renew_at: MonotonicTime,
     /// When the own record was written under the lease.
     announced_at: Option<MonotonicTime>,
+    /// Whether it lists this instance as a source of copies.
+    is_source: bool,
     /// The restorations of the store when the lease was opened; after another one the lease
     /// may be missing or its id reused.
     restorations: u64,
@@ -190,6 +195,7 @@
             id,
             renew_at: self.shared.clock.now() + renew_pause(),
             announced_at: None,
+            is_source: false,
             restorations,
         });
         Ok(())
@@ -233,16 +239,22 @@
     /// Writes changed records of neighbours and, if `writes_own`, the own record.
     async fn write_records(&mut self, writes_own: bool) -> Result<(), StoreError> {
         let now = self.shared.clock.now();
-        let mut changes = {
+        let (mut changes, is_source) = {
             let mut state = self.shared.state.lock();
-            state.registrar_mut().pending_changes(RECORDS_MAX - 1, now)
+            let is_source = state.should_keep_own_record();
+            let registrar = state.registrar_mut();
+            (
+                registrar.pending_changes(NEIGHBOURS_WRITTEN_MAX, now),
+                is_source,
+            )
         };
         let Some(lease) = self.lease else {
             return Ok(());
         };
-        let announces = writes_own && self.is_own_record_due(&lease);
+        let announces = writes_own && self.is_own_record_due(&lease, is_source);
         if announces {
             changes.written.push(self.shared.member());
+            changes.source = is_source.then(|| self.shared.member());
         }
         if changes.is_empty() || !self.write.is_due(now) {
             return Ok(());
@@ -261,17 +273,22 @@
             let announced_at = Some(self.shared.clock.now());
             self.lease = Some(Lease {
                 announced_at,
+                is_source,
                 ..lease
             });
         }
         Ok(())
     }
 
-    /// Tells whether the own record has not been written, or the store holds another one.
-    fn is_own_record_due(&self, lease: &Lease) -> bool {
+    /// Tells whether the own record has not been written, the store holds another one, or this
+    /// instance has become a source.
+    fn is_own_record_due(&self, lease: &Lease, is_source: bool) -> bool {
         let Some(announced_at) = lease.announced_at else {
             return true;
         };
+        if is_source && !lease.is_source {
+            return true;
+        }
         let state = self.shared.state.lock();
         self.shared.clock.now() - announced_at > CONFIRMATION_TIME
             && state.own_record().is_none_or(|own| own.registrar.is_some())
--- a/crates/foxtide-gateway/src/options.rs
+++ b/crates/foxtide-gateway/src/options.rs
@@ -24,8 +24,6 @@
     pub addresses: Addresses,
     /// Peers to query before any is known from the store.
     pub seed_peers: Vec<SocketAddr>,
-    /// Whether the whole system starts for the first time.
-    pub is_first_start: bool,
     /// The memory of the process.
     pub memory: ByteSize,
     /// The link speed of the machine in Mbit/s; 0 if unknown.
--- a/crates/foxtide-gateway/src/relay/client.rs
+++ b/crates/foxtide-gateway/src/relay/client.rs
@@ -12,7 +12,10 @@
     Frames,
     frames, //
 };
-use bytes::Bytes;
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
 use foxtide_core::poison::{
     Fingerprint,
     QuarantineEntry, //
@@ -29,6 +32,7 @@
 use smol::Timer;
 use smol::net::TcpStream;
 use std::collections::HashMap;
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::time::{
@@ -36,7 +40,8 @@
     Instant, //
 };
 
-/// The timeout of an exchange with a peer, including the connection.
+/// The timeout of an exchange with a peer, including the connection, and of each further part of
+/// its response.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// How long a peer that did not answer is avoided; the lease of a dead one lapses meanwhile.
@@ -45,6 +50,9 @@
 /// How long a peer that does not follow the store is avoided.
 const NOT_CURRENT_BACKOFF: Duration = Duration::from_millis(1_000);
 
+/// How long a peer that sends as many copies as its link carries is avoided.
+const BUSY_BACKOFF: Duration = Duration::from_millis(300);
+
 /// An error of a query for changes.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum RelayError {
@@ -87,6 +95,12 @@
         /// The peer.
         peer: SocketAddr,
     },
+    /// The peer sends as many copies of the store's contents as its link carries.
+    #[error("peer {peer}: the peer sends as many copies as its link carries")]
+    Busy {
+        /// The peer.
+        peer: SocketAddr,
+    },
 }
 
 /// A query for changes.
@@ -104,6 +118,8 @@
     pub(crate) announcement: Option<Member>,
     /// Whether the record is to be removed.
     pub(crate) is_leaving: bool,
+    /// Whether a peer that starts itself may answer as soon as it has a copy.
+    pub(crate) waits_for_copy: bool,
     /// The version of the client's configuration; 0 for none.
     pub(crate) version: u64,
     /// The client's configuration, if the peer last had an older one.
@@ -164,6 +180,11 @@
         if response.is_too_large {
             return Err(RelayError::TooLarge { peer });
         }
+        if response.is_busy {
+            let error = RelayError::Busy { peer };
+            self.avoid(peer, &error);
+            return Err(error);
+        }
         Ok(RelayedChanges {
             peer,
             is_current: response.is_current,
@@ -191,6 +212,7 @@
         let now = Instant::now();
         let time = match error {
             RelayError::NotCurrent { .. } => NOT_CURRENT_BACKOFF,
+            RelayError::Busy { .. } => BUSY_BACKOFF,
             _ => UNRESPONSIVE_BACKOFF,
         };
         self.avoided.retain(|_, until| now < *until);
@@ -214,10 +236,6 @@
     frames: Option<Frames>,
     query: &ChangesQuery,
 ) -> Result<(ChangesResponse, Frames), RelayError> {
-    let late = async {
-        Timer::after(EXCHANGE_TIMEOUT + query.wait).await;
-        Err(io::ErrorKind::TimedOut.into())
-    };
     let request = ChangesRequest {
         after: query.after.map(StoreIndex::get),
         wait_ms: u32::try_from(query.wait.as_millis()).unwrap_or(u32::MAX),
@@ -229,15 +247,24 @@
         version: query.version,
         configuration: query.configuration.clone().map(Into::into),
         reads_packed: true,
+        reads_parts: true,
+        waits_for_copy: query.waits_for_copy,
     };
-    let answered = or(send_request(peer, frames, &request), late).await;
-    let (bytes, frames) = answered.map_err(|source| RelayError::Io { peer, source })?;
-    let response = ChangesResponse::decode(bytes.as_slice());
-    let mut response = response.map_err(|source| RelayError::Format { peer, source })?;
-    if let Some(packed) = response.packed.take() {
-        let unpacked = unpack(&packed);
-        response.records = unpacked.map_err(|source| RelayError::Packing { peer, source })?;
-    }
+    let io_error = |source| RelayError::Io { peer, source };
+    let sent = within(EXCHANGE_TIMEOUT, send_request(peer, frames, &request)).await;
+    let mut frames = sent.map_err(io_error)?;
+    let mut patience = EXCHANGE_TIMEOUT + query.wait;
+    let mut records = Vec::new();
+    let mut response = loop {
+        let bytes = within(patience, next_frame(&mut frames)).await;
+        let mut part = decode(&bytes.map_err(io_error)?, peer)?;
+        records.append(&mut part.records);
+        if !part.has_more {
+            break part;
+        }
+        patience = EXCHANGE_TIMEOUT;
+    };
+    response.records = records;
     let is_stale = query.accepts_stale && !response.records.is_empty();
     if !response.is_current && !is_stale {
         return Err(RelayError::NotCurrent { peer });
@@ -249,18 +276,41 @@
     peer: SocketAddr,
     frames: Option<Frames>,
     request: &ChangesRequest,
-) -> io::Result<(Vec<u8>, Frames)> {
+) -> io::Result<Frames> {
     let mut frames = match frames {
         Some(frames) => frames,
         None => connect(peer).await?,
     };
     frames.send(Bytes::from(request.encode_to_vec())).await?;
+    Ok(frames)
+}
+
+async fn next_frame(frames: &mut Frames) -> io::Result<BytesMut> {
     match frames.next().await {
-        Some(answer) => Ok((answer?.to_vec(), frames)),
+        Some(frame) => frame,
         None => Err(io::ErrorKind::UnexpectedEof.into()),
     }
 }
 
+/// Decodes a message and unpacks its records.
+fn decode(bytes: &[u8], peer: SocketAddr) -> Result<ChangesResponse, RelayError> {
+    let decoded = ChangesResponse::decode(bytes);
+    let mut response = decoded.map_err(|source| RelayError::Format { peer, source })?;
+    if let Some(packed) = response.packed.take() {
+        let unpacked = unpack(&packed);
+        response.records = unpacked.map_err(|source| RelayError::Packing { peer, source })?;
+    }
+    Ok(response)
+}
+
+async fn within<T>(time: Duration, work: impl Future<Output = io::Result<T>>) -> io::Result<T> {
+    let late = async {
+        Timer::after(time).await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    or(work, late).await
+}
+
 async fn connect(peer: SocketAddr) -> io::Result<Frames> {
     let stream = TcpStream::connect(peer).await?;
     stream.set_nodelay(true)?;
--- a/crates/foxtide-gateway/src/relay/messages.rs
+++ b/crates/foxtide-gateway/src/relay/messages.rs
@@ -40,6 +40,12 @@
     /// Whether the client supports packed records; older versions do not.
     #[prost(bool, tag = "10")]
     pub(super) reads_packed: bool,
+    /// Whether the client reads responses in parts; older versions do not.
+    #[prost(bool, tag = "11")]
+    pub(super) reads_parts: bool,
+    /// Whether a peer that starts itself may answer as soon as it has a copy.
+    #[prost(bool, tag = "12")]
+    pub(super) waits_for_copy: bool,
 }
 
 impl ChangesRequest {
@@ -148,6 +154,12 @@
     /// The quarantined requests that the store may lack.
     #[prost(message, repeated, tag = "10")]
     pub(super) quarantine: Vec<QuarantineMessage>,
+    /// Whether this is a part that holds only records; the last message holds the rest.
+    #[prost(bool, tag = "11")]
+    pub(super) has_more: bool,
+    /// Whether this instance sends as many copies of the contents as its link carries.
+    #[prost(bool, tag = "12")]
+    pub(super) is_busy: bool,
 }
 
 /// Compressed records.
--- a/crates/foxtide-gateway/src/relay/mod.rs
+++ b/crates/foxtide-gateway/src/relay/mod.rs
@@ -6,6 +6,7 @@
 //! follows the store itself.
 
 mod client;
+mod copies;
 mod messages;
 mod packing;
 mod server;
@@ -16,4 +17,5 @@
     RelayError,
     RelayedChanges, //
 };
+pub(crate) use copies::Copies;
 pub(crate) use server::serve_peers;
--- a/crates/foxtide-gateway/src/relay/server.rs
+++ b/crates/foxtide-gateway/src/relay/server.rs
@@ -1,5 +1,11 @@
 //! Serves changes of the store to peers.
 
+use super::copies::{
+    PackedCopy,
+    SendingCopy,
+    encode_parts,
+    fit_one_part, //
+};
 use super::messages::{
     ChangesRequest,
     ChangesResponse,
@@ -12,7 +18,11 @@
 use crate::state::State;
 use crate::traffic::TrafficKind;
 use bytes::Bytes;
-use foxtide_core::records::fit_relay_limit;
+use foxtide_core::records::{
+    Record,
+    RecordLog,
+    fit_relay_limit, //
+};
 use foxtide_events::{
     EventCode,
     log_event, //
@@ -49,6 +59,9 @@
 /// The longest wait for a change that a client may request.
 const WAIT_MAX: Duration = Duration::from_secs(2);
 
+/// How long a client may take to read one part of a response.
+const PART_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// The pause after a failed accept, such as with too many open files.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -99,23 +112,92 @@
         let request = ChangesRequest::decode(frame?).map_err(io::Error::other)?;
         update_record(shared, &request);
         store_offered_configuration(shared, &request);
-        let mut response = wait_for_answer(shared, &request).await;
+        let mut answer = wait_for_answer(shared, &request).await;
+        let response = &mut answer.response;
         let unstored = shared.poison.unstored().into_iter();
         response.quarantine = unstored
             .map(|(fingerprint, entry)| QuarantineMessage::new(fingerprint, entry))
             .collect();
-        let is_full = response.is_full;
         metrics::counter!("foxtide_relayed_total", "current" => response.is_current.to_string())
             .increment(1);
-        let bytes = pack_records(response, &request).encode_to_vec();
-        let kind = if is_full {
-            TrafficKind::Everything
-        } else {
-            TrafficKind::Changes
+        send(shared, &mut frames, &request, answer).await?;
+    }
+}
+
+/// The response to a request, with the messages that precede it.
+#[derive(Default)]
+struct Answer {
+    parts: Vec<Bytes>,
+    response: ChangesResponse,
+    _sending: Option<SendingCopy>,
+}
+
+impl Answer {
+    /// Returns the answer with a copy of the contents of the store.
+    fn with_copy(copy: &PackedCopy, sending: SendingCopy, response: ChangesResponse) -> Self {
+        Self {
+            parts: copy.parts.clone(),
+            response: ChangesResponse {
+                is_full: true,
+                index: copy.index.get(),
+                era: copy.index.era(),
+                ..response
+            },
+            _sending: Some(sending),
+        }
+    }
+
+    /// Returns the answer with records, in parts if they are large.
+    fn with_records(
+        records: Vec<Record>,
+        request: &ChangesRequest,
+        response: ChangesResponse,
+    ) -> Self {
+        if request.reads_parts && !fit_one_part(&records) {
+            return Self {
+                parts: encode_parts(records),
+                response,
+                ..Self::default()
+            };
+        }
+        let records = records.into_iter().map(Into::into).collect();
+        Self::from(ChangesResponse {
+            records,
+            ..response
+        })
+    }
+}
+
+impl From<ChangesResponse> for Answer {
+    fn from(response: ChangesResponse) -> Self {
+        Self {
+            response,
+            ..Self::default()
+        }
+    }
+}
+
+async fn send<D: Dialect>(
+    shared: &Shared<D>,
+    frames: &mut Frames,
+    request: &ChangesRequest,
+    answer: Answer,
+) -> io::Result<()> {
+    let kind = if answer.response.is_full {
+        TrafficKind::Everything
+    } else {
+        TrafficKind::Changes
+    };
+    let last = pack_records(answer.response, request).encode_to_vec();
+    for part in answer.parts.into_iter().chain([Bytes::from(last)]) {
+        shared.traffic.count(kind, part.len());
+        let late = async {
+            Timer::after(PART_TIMEOUT).await;
+            Err(io::ErrorKind::TimedOut.into())
         };
-        shared.traffic.count(kind, bytes.len());
-        frames.send(Bytes::from(bytes)).await?;
+        or(frames.send(part), late).await?;
     }
+    Ok(())
 }
 
 /// Packs the records of a response if the client supports that.
@@ -165,21 +247,23 @@
 }
 
 /// Waits for changes, for at most the time that the client requests.
-async fn wait_for_answer<D: Dialect>(
-    shared: &Shared<D>,
-    request: &ChangesRequest,
-) -> ChangesResponse {
+async fn wait_for_answer<D: Dialect>(shared: &Shared<D>, request: &ChangesRequest) -> Answer {
     let wait = Duration::from_millis(request.wait_ms.into()).min(WAIT_MAX);
     let due = async {
         loop {
             let changed = shared.log_changed.listen();
-            let response = answer(shared, request);
-            let has_changes = !response.is_current
+            let answer = answer(shared, request);
+            let response = &answer.response;
+            let waits = request.waits_for_copy && !shared.lifecycle.is_stopping();
+            let has_changes = (!response.is_current && !waits)
                 || response.is_too_large
+                || response.is_busy
+                || response.is_full
                 || response.configuration.is_some()
+                || !answer.parts.is_empty()
                 || !response.records.is_empty();
             if has_changes {
-                return response;
+                return answer;
             }
             changed.await;
         }
@@ -191,52 +275,79 @@
     or(due, late).await
 }
 
-fn answer<D: Dialect>(shared: &Shared<D>, request: &ChangesRequest) -> ChangesResponse {
+fn answer<D: Dialect>(shared: &Shared<D>, request: &ChangesRequest) -> Answer {
     if shared.lifecycle.is_stopping() {
         // The client has to find another peer before this instance's lease ends.
-        return ChangesResponse::default();
+        return Answer::default();
     }
     let state = shared.state.lock();
+    let is_current = state.is_store_followed();
+    if !is_current && !request.accepts_stale {
+        return Answer::default();
+    }
+    let response = ChangesResponse {
+        is_current,
+        version: state.version(),
+        configuration: configuration_for(&state, request),
+        ..ChangesResponse::default()
+    };
     let log = state.log();
-    if !state.is_store_followed() {
-        return if request.accepts_stale {
-            ChangesResponse {
-                is_full: true,
-                index: log.index().get(),
-                era: log.index().era(),
-                version: state.version(),
-                configuration: configuration_for(&state, request),
-                records: log.all().into_iter().map(Into::into).collect(),
+    let after = request.position().filter(|_| is_current);
+    let Some(records) = after.and_then(|after| log.changes_after(after)) else {
+        return answer_with_everything(shared, log, request, response);
+    };
+    if request.fetches_large && !request.reads_parts && !fit_relay_limit(&records) {
+        return too_large();
+    }
+    // A client that is ahead of this log continues from its own index.
+    let index = log.index().max(after.unwrap_or_default());
+    let response = ChangesResponse {
+        index: index.get(),
+        era: index.era(),
+        ..response
+    };
+    Answer::with_records(records, request, response)
+}
+
+/// Answers with the whole contents of the store.
+fn answer_with_everything<D: Dialect>(
+    shared: &Shared<D>,
+    log: &RecordLog,
+    request: &ChangesRequest,
+    response: ChangesResponse,
+) -> Answer {
+    if request.reads_parts {
+        let Some(sending) = shared.copies.begin() else {
+            return Answer::from(ChangesResponse {
+                is_current: response.is_current,
+                is_busy: true,
                 ..ChangesResponse::default()
-            }
-        } else {
-            ChangesResponse::default()
+            });
         };
+        let after = request.position().unwrap_or_default();
+        let copy = shared.copies.copy(log, after, shared.clock.now());
+        return Answer::with_copy(&copy, sending, response);
     }
-    let after = request.position();
-    let changes = after.and_then(|after| log.changes_after(after));
-    let is_full = changes.is_none();
-    let records = changes.unwrap_or_else(|| log.all());
-    if request.fetches_large && !fit_relay_limit(&records) {
-        return ChangesResponse {
-            is_current: true,
-            is_too_large: true,
-            ..ChangesResponse::default()
-        };
+    let records = log.all();
+    if response.is_current && request.fetches_large && !fit_relay_limit(&records) {
+        return too_large();
     }
-    // A client that is ahead of this log continues from its own index.
-    let index = log.index().max(after.unwrap_or_default());
-    ChangesResponse {
-        is_current: true,
-        is_full,
+    let index = log.index().max(request.position().unwrap_or_default());
+    let response = ChangesResponse {
+        is_full: true,
         index: index.get(),
         era: index.era(),
-        records: records.into_iter().map(Into::into).collect(),
-        is_too_large: false,
-        version: state.version(),
-        configuration: configuration_for(&state, request),
+        ..response
+    };
+    Answer::with_records(records, request, response)
+}
+
+fn too_large() -> Answer {
+    Answer::from(ChangesResponse {
+        is_current: true,
+        is_too_large: true,
         ..ChangesResponse::default()
-    }
+    })
 }
 
 /// Returns the configuration in force if both the client and the store have an older one.
--- a/crates/foxtide-gateway/src/shared.rs
+++ b/crates/foxtide-gateway/src/shared.rs
@@ -12,6 +12,7 @@
 use crate::poison::Poison;
 use crate::pool::Pool;
 use crate::quotas::Quotas;
+use crate::relay::Copies;
 use crate::stall::StallDetector;
 use crate::state::State;
 use crate::store_calls::StoreCalls;
@@ -46,6 +47,7 @@
     pub(crate) journal: Journal,
     pub(crate) store_calls: StoreCalls,
     pub(crate) traffic: Arc<Traffic>,
+    pub(crate) copies: Copies,
     pub(crate) store_alarm: StoreAlarm,
     /// A configuration from another instance that is newer than the one in force.
     pub(crate) offered_configuration: Mutex<Option<Record>>,
--- a/crates/foxtide-gateway/src/store.rs
+++ b/crates/foxtide-gateway/src/store.rs
@@ -24,8 +24,8 @@
 use std::future::Future;
 use std::time::Duration;
 
-/// The maximum number of records in one write.
-pub const RECORDS_MAX: usize = 32;
+/// The maximum number of keys in one write.
+pub const WRITTEN_KEYS_MAX: usize = 32;
 
 /// The meaning of a record, or of its removal.
 #[derive(Clone, Debug, PartialEq)]
@@ -115,6 +115,13 @@
         freshness: Freshness,
     ) -> impl Future<Output = StoreResult<Page>> + Send;
 
+    /// Returns the instances that are listed as sources of copies, of `zone` or of all zones.
+    /// The list may be seconds old.
+    fn sources(
+        &self,
+        zone: Option<&AvailabilityZoneId>,
+    ) -> impl Future<Output = StoreResult<Vec<Member>>> + Send;
+
     /// Waits for changes after `index`, for at most `wait`.
     fn changes(
         &self,
@@ -125,8 +132,9 @@
     /// Opens a lease that lapses `ttl` after its last renewal.
     fn open_lease(&self, ttl: Duration) -> impl Future<Output = StoreResult<LeaseId>> + Send;
 
-    /// Writes and removes at most [`RECORDS_MAX`] records of instances atomically. Written
-    /// records last as long as the lease. Returns whether the lease existed.
+    /// Writes and removes the keys of instances atomically, at most [`WRITTEN_KEYS_MAX`] of
+    /// them; a source takes one more key. What is written lasts as long as the lease. Returns
+    /// whether the lease existed.
     fn write_records(
         &self,
         changes: &RecordChanges,
--- a/crates/foxtide-gateway/tests/gateway/following.rs
+++ b/crates/foxtide-gateway/tests/gateway/following.rs
@@ -46,6 +46,38 @@
     assert!(fleet.store.longest_wait() <= Duration::from_millis(2_000));
 }
 
+/// Pattern: hundreds of instances start beside others that have a copy; each page that one of
+/// them reads comes over the link that all share.
+#[test]
+fn verify_an_instance_starts_from_a_copy_of_another_one() {
+    let fleet = Fleet::new();
+    let upstreams = (0..40).map(|number| fleet.upstream(&format!("i-{number}"), "khomas-a"));
+    let _upstreams: Vec<FakeUpstream> = upstreams.collect();
+    let first = fleet.instance("edge-1", "khomas-a");
+    assert!(first.store.pages() > 1);
+    eventually("it is listed as a source", || {
+        fleet.store.listed_sources() == 1
+    });
+    let second = fleet.instance("edge-2", "erongo-a");
+    assert_eq!(second.store.pages(), 0);
+    assert_eq!(second.get("/safe/", "request: r-1\r\n").head.status, 200);
+}
+
+/// A source that is listed but gone must not keep another instance from starting.
+#[test]
+fn verify_an_instance_starts_beside_a_source_that_is_gone() {
+    let fleet = Fleet::new();
+    let _upstream = fleet.upstream("i-1", "khomas-a");
+    let first = fleet.instance("edge-1", "khomas-a");
+    eventually("it is listed as a source", || {
+        fleet.store.listed_sources() == 1
+    });
+    drop(first);
+    let second = fleet.instance_with_default_timeouts("edge-2", "khomas-a");
+    assert!(second.store.pages() > 0);
+    assert_eq!(second.get("/safe/", "request: r-1\r\n").head.status, 200);
+}
+
 #[test]
 fn verify_requests_are_served_while_the_store_is_unavailable() {
     let fleet = Fleet::new();
--- a/crates/foxtide-gateway/tests/gateway/support/fleet.rs
+++ b/crates/foxtide-gateway/tests/gateway/support/fleet.rs
@@ -200,7 +200,6 @@
         },
         addresses: Addresses::default(),
         seed_peers: Vec::new(),
-        is_first_start: false,
         memory: ByteSize::from_kib(6 * 1_024),
         link_mbps: 0,
         bounds: Bounds {
--- a/crates/foxtide-gateway/tests/gateway/support/store.rs
+++ b/crates/foxtide-gateway/tests/gateway/support/store.rs
@@ -1,11 +1,15 @@
 //! An in-memory store that can fail, reject clients, compact and restore a backup.
 
+use foxtide_core::ids::AvailabilityZoneId;
 use foxtide_core::poison::{
     Fingerprint,
     StoredEntry, //
 };
 use foxtide_core::records::Record;
-use foxtide_core::registry::RecordChanges;
+use foxtide_core::registry::{
+    Member,
+    RecordChanges, //
+};
 use foxtide_core::store::{
     StoreError,
     StoreIndex,
@@ -18,7 +22,7 @@
     Freshness,
     LeaseId,
     Page,
-    RECORDS_MAX, //
+    WRITTEN_KEYS_MAX, //
 };
 use smol::Timer;
 use std::collections::{
@@ -57,6 +61,8 @@
     /// The facts that the values represent.
     facts: HashMap<Vec<u8>, Fact>,
     leases: HashMap<u64, Vec<String>>,
+    /// The listed sources, by lease.
+    sources: BTreeMap<u64, Member>,
     is_unavailable: bool,
     /// The snapshot that stale reads return.
     stale: Option<(BTreeMap<String, Record>, u64)>,
@@ -83,6 +89,8 @@
     is_rejected: Arc<Mutex<bool>>,
     /// The number of waits that this client has begun.
     waits: Arc<AtomicUsize>,
+    /// The number of pages that this client has read.
+    pages: Arc<AtomicUsize>,
 }
 
 impl FakeStore {
@@ -92,6 +100,7 @@
             contents: Arc::clone(&self.contents),
             is_rejected: Arc::default(),
             waits: Arc::default(),
+            pages: Arc::default(),
         }
     }
 
@@ -169,6 +178,20 @@
         self.waits.load(Ordering::SeqCst)
     }
 
+    /// Returns how many pages this client has read.
+    pub(crate) fn pages(&self) -> usize {
+        self.pages.load(Ordering::SeqCst)
+    }
+
+    /// Returns the number of listed sources.
+    pub(crate) fn listed_sources(&self) -> usize {
+        let contents = self.contents.lock().unwrap();
+        let leases = contents.sources.keys();
+        leases
+            .filter(|lease| contents.leases.contains_key(lease))
+            .count()
+    }
+
     /// Expires the lease of an instance's record.
     pub(crate) fn expire_lease(&self, instance: &str) {
         let mut contents = self.contents.lock().unwrap();
@@ -304,6 +327,7 @@
 
     async fn read_page(&self, after: &str, freshness: Freshness) -> StoreResult<Page> {
         self.begin_call("read")?;
+        self.pages.fetch_add(1, Ordering::SeqCst);
         let mut contents = self.contents.lock().unwrap();
         let page = contents.page(after, freshness);
         if let Some(key) = contents.removed_after_page.take() {
@@ -312,6 +336,17 @@
         Ok(page)
     }
 
+    async fn sources(&self, zone: Option<&AvailabilityZoneId>) -> StoreResult<Vec<Member>> {
+        self.begin_call("sources")?;
+        let contents = self.contents.lock().unwrap();
+        let is_of_zone =
+            |member: &&Member| zone.is_none_or(|zone| member.availability_zone == *zone);
+        let listed = contents.sources.iter();
+        let live = listed.filter(|(lease, _)| contents.leases.contains_key(lease));
+        let of_zone = live.map(|(_, member)| member).filter(is_of_zone);
+        Ok(of_zone.cloned().collect())
+    }
+
     async fn changes(&self, index: StoreIndex, wait: Duration) -> StoreResult<Changes> {
         self.waits.fetch_add(1, Ordering::SeqCst);
         let closes = {
@@ -360,7 +395,9 @@
 
     async fn write_records(&self, changes: &RecordChanges, lease: LeaseId) -> StoreResult<bool> {
         self.begin_call("write_records")?;
-        assert!(changes.written.len() + changes.removed.len() <= RECORDS_MAX);
+        let sources = usize::from(changes.source.is_some());
+        let keys = changes.written.len() + changes.removed.len() + sources;
+        assert!(keys <= WRITTEN_KEYS_MAX);
         let mut contents = self.contents.lock().unwrap();
         if !contents.leases.contains_key(&lease.0) {
             return Ok(false);
@@ -377,6 +414,9 @@
         for instance in &changes.removed {
             contents.write(&format!("instance/{instance}"), None);
         }
+        if let Some(source) = &changes.source {
+            contents.sources.insert(lease.0, source.clone());
+        }
         Ok(true)
     }
 
