Let watchers catch up with a stream of changes

Cause: a watcher took one answer of the store a period of 1.2 s, and the store limits an answer's changes without saying that there are more. Records of instances were seen as late, so that nobody knew its registrar and all kept leases of their own: 320 renewals in 6 s by 43 instances.

Change: core::registry::FollowPace. After an answer that may have been cut short (48 changes or more, and nine tenths of the largest so far) the next call follows at once.

Test: verify_a_watcher_does_not_fall_behind, a minute at 100 to 600 changes a second with answers of 50 to 500; one answer a period is 10,000 behind there.

--- a/crates/foxtide-core/src/registry/mod.rs
+++ b/crates/foxtide-core/src/registry/mod.rs
@@ -1,6 +1,7 @@
 //! Registered upstreams and live instances, as the store reports them.
 
 mod departures;
+mod follow_pace;
 mod follower_backoff;
 mod incarnations;
 mod members;
@@ -11,6 +12,7 @@
 mod startup;
 mod table;
 
+pub use follow_pace::FollowPace;
 pub use follower_backoff::FollowerBackoff;
 pub use members::{
     Member,
--- a/crates/foxtide-gateway/src/follow/mod.rs
+++ b/crates/foxtide-gateway/src/follow/mod.rs
@@ -19,6 +19,7 @@
 use crate::store_calls::CallPurpose;
 use foxtide_core::records::Record;
 use foxtide_core::registry::{
+    FollowPace,
     FollowerBackoff,
     Startup,
     StartupOptions, //
@@ -82,6 +83,8 @@
         peer_version: 0,
         newer_configuration: None,
         failures: 0,
+        pace: FollowPace::default(),
+        changes: 0,
         backoff: FollowerBackoff::default(),
     };
     loop {
@@ -97,7 +100,7 @@
                 let is_complete = follower.shared.state.lock().is_store_followed();
                 let goes_on = is_first && (!is_complete || follower.is_follower());
                 if follower.index.is_some() && !goes_on {
-                    Timer::at(started + follower.period()).await;
+                    Timer::after(follower.pace(started.elapsed())).await;
                 }
             }
             Err(error) => {
@@ -134,11 +137,15 @@
     /// A configuration that a peer sent at startup and that the store has lost.
     newer_configuration: Option<Record>,
     failures: u32,
+    pace: FollowPace,
+    /// The number of changes in the store's answer, if it was asked in this step.
+    changes: usize,
     backoff: FollowerBackoff,
 }
 
 impl<D: Dialect, S: FleetStore> Follower<D, S> {
     async fn step(&mut self) -> Result<(), StoreError> {
+        self.changes = 0;
         self.apply_offered_configuration();
         if self.index.is_none() && !self.has_configuration() && self.start_from_copy().await? {
             self.set_followed(false);
@@ -204,7 +211,10 @@
         let shared = Arc::clone(&self.shared);
         let alarm = async { Err(shared.store_alarm.raised().await) };
         match or(self.wait_for_changes(index, wait), alarm).await? {
-            Changes::Followed { records, index } => self.apply(&records, index),
+            Changes::Followed { records, index } => {
+                self.changes = records.len();
+                self.apply(&records, index);
+            }
             Changes::Compacted => {
                 log_event!(EventCode::StoreForgot, index:% = index);
                 self.index = None;
@@ -257,12 +267,15 @@
         }
     }
 
-    fn period(&self) -> Duration {
-        if self.shared.state.lock().follows_for_others() {
+    /// Returns the pause after a successful step.
+    fn pace(&mut self, elapsed: Duration) -> Duration {
+        let is_watcher = self.shared.state.lock().follows_for_others();
+        let period = if is_watcher {
             WATCHER_PERIOD
         } else {
             FOLLOW_PERIOD
-        }
+        };
+        self.pace.pause(self.changes, elapsed, period)
     }
 
     fn pause(&self) -> Duration {
