--- a/crates/foxtide-mesh/tests/mesh/rejections.rs
+++ b/crates/foxtide-mesh/tests/mesh/rejections.rs
@@ -212,8 +212,8 @@
     // A busy instance may still have a full buffer and drop it, so it is sent until it is
     // answered. Copies of it are replays.
     fixture.send_until_acked(&last, u64::MAX);
+    let before = fixture.instance.traffic().replayed;
     wait_until("a copy counts as a replay", || {
-        let before = fixture.instance.traffic().replayed;
         fixture.send(&last);
         fixture.instance.traffic().replayed > before
     });
