Log and count the rate limits that upstreams state

Cause: no line or metric told whether an instance had heard of an upstream's rate limit, so the hypotheses on the incident could not be told apart.

Change: the platform's header is decoded, each head of a response is examined as soon as it is read (also of interim, stray and cut responses), and a change of an upstream's limit gives a line with the request (F5041) and counters; unreadable values are counted and ignored (F5042). Nothing acts on a limit yet.

Measured: tests of the gateway, the platform and the core pass; the new ones hold that a response to an earlier request lifts no limit, and that malformed or repeated values are told apart.

--- a/crates/foxtide-core/src/lib.rs
+++ b/crates/foxtide-core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod routing;
 pub mod steering;
 pub mod store;
+pub mod throttle;
 pub mod time;
 pub mod units;
 
--- a/crates/foxtide-gateway/src/dialect.rs
+++ b/crates/foxtide-gateway/src/dialect.rs
@@ -9,6 +9,7 @@
     ApiKey,
     OrganisationTerms, //
 };
+use foxtide_core::units::RequestRate;
 use foxtide_http::{
     ForwardedRequest,
     ForwardedResponse,
@@ -103,7 +104,7 @@
 }
 
 /// The values of the headers of an upstream's response.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct UpstreamHeaders {
     /// The identity of the request to which it responds.
     pub request_id: Option<String>,
@@ -117,6 +118,20 @@
     pub is_encoded: bool,
     /// The upstream's load.
     pub load: Option<LoadReport>,
+    /// The requests per second that the upstream accepts from all instances together.
+    pub rate_limit: Statement<RequestRate>,
+}
+
+/// A value that an upstream may state in a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Statement<T> {
+    /// The response states none.
+    #[default]
+    Absent,
+    /// The response states this value.
+    Valid(T),
+    /// The header line is malformed or repeated.
+    Unreadable,
 }
 
 /// A look-up of instances.
--- a/crates/foxtide-gateway/src/forward/attempt.rs
+++ b/crates/foxtide-gateway/src/forward/attempt.rs
@@ -1,6 +1,7 @@
 //! Sends a request to one upstream and evaluates the response.
 
 use super::request::CallerRequest;
+use super::statements::Exchange;
 use crate::dialect::{
     CallerIdentity,
     Dialect,
@@ -9,7 +10,6 @@
 };
 use crate::outcome::AttemptEnd;
 use crate::shared::Shared;
-use foxtide_core::ids::UpstreamId;
 use foxtide_core::placement::{
     AttemptResult,
     LoadReport, //
@@ -17,9 +17,10 @@
 use foxtide_core::registry::Registration;
 use foxtide_http::{
     BufferedStream,
+    ForwardedResponse,
     MessageError,
     WholeResponse,
-    read_response, //
+    read_response_observed, //
 };
 use futures_lite::future::or;
 use smol::Timer;
@@ -109,7 +110,13 @@
         .write_forward_headers(&mut head.lines, &values);
     let bytes = head.encode(&request.body);
     let sent_before = stream.sent_bytes();
-    let exchanged = exchange(shared, &mut stream, request, &registration.upstream, &bytes);
+    let observed = Exchange {
+        shared,
+        request,
+        registration,
+        sent_at: shared.clock.now(),
+    };
+    let exchanged = exchange(&observed, &mut stream, &bytes);
     let timed = async {
         Timer::at(deadline + DEADLINE_MARGIN).await;
         None
@@ -178,16 +185,19 @@
 
 /// Writes the request and reads the response that carries its identity.
 async fn exchange<D: Dialect>(
-    shared: &Shared<D>,
+    exchange: &Exchange<'_, D>,
     stream: &mut BufferedStream,
-    request: &CallerRequest,
-    upstream: &UpstreamId,
     bytes: &[u8],
 ) -> Result<(WholeResponse, UpstreamHeaders), MessageError> {
+    let Exchange {
+        shared, request, ..
+    } = exchange;
+    let method = &request.head.method;
+    let observe = |head: &ForwardedResponse| exchange.record(head);
     // An upstream may respond and close before it has read the whole request.
     let written = stream.write_all(bytes).await;
     for _ in 0..STRAY_RESPONSES_MAX {
-        let read = read_response(stream, &request.head.method, RESPONSE_MAX_BYTES).await;
+        let read = read_response_observed(stream, method, RESPONSE_MAX_BYTES, observe).await;
         let mut response = read.map_err(|error| match &written {
             Err(unwritten) => MessageError::Io(unwritten.kind().into()),
             Ok(()) => error,
@@ -200,6 +210,7 @@
         if request.headers.request_id.is_none() && headers.is_not_run {
             return Ok((response, headers));
         }
+        let upstream = &exchange.registration.upstream;
         shared.journal.stray_response(request.id(), upstream);
     }
     Err(MessageError::TrailingBytes)
--- a/crates/foxtide-gateway/src/forward/mod.rs
+++ b/crates/foxtide-gateway/src/forward/mod.rs
@@ -9,6 +9,7 @@
 mod recheck;
 mod request;
 mod route_match;
+mod statements;
 mod target;
 
 pub(crate) use caller::CallerWatch;
--- a/crates/foxtide-gateway/src/journal/requests.rs
+++ b/crates/foxtide-gateway/src/journal/requests.rs
@@ -15,6 +15,7 @@
     ServiceId,
     UpstreamId, //
 };
+use foxtide_core::units::RequestRate;
 use foxtide_events::{
     EventCode,
     LineKind,
@@ -184,6 +185,44 @@
         }
     }
 
+    /// Logs and counts an upstream that states another rate limit, or none any more.
+    pub(crate) fn limit_stated(
+        &self,
+        request: &str,
+        upstream: &UpstreamId,
+        limit: Option<RequestRate>,
+    ) {
+        metrics::counter!("foxtide_upstream_limits_stated_total").increment(1);
+        let limit = limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
+        if self.may_log(LineKind::Step) {
+            log_event!(
+                EventCode::UpstreamLimitStated,
+                request = request,
+                upstream = upstream.as_str(),
+                limit = limit.as_str()
+            );
+        }
+    }
+
+    /// Logs and counts an upstream's statement that cannot be decoded.
+    pub(crate) fn statement_unreadable(
+        &self,
+        request: &str,
+        upstream: &UpstreamId,
+        statement: &'static str,
+    ) {
+        metrics::counter!("foxtide_statements_unreadable_total", "statement" => statement)
+            .increment(1);
+        if self.may_log(LineKind::Step) {
+            log_event!(
+                EventCode::StatementUnreadable,
+                request = request,
+                upstream = upstream.as_str(),
+                statement = statement
+            );
+        }
+    }
+
     /// Logs and counts a caller that disconnected before its reply.
     pub(crate) fn caller_gone(&self, request: &str) {
         metrics::counter!("foxtide_callers_gone_total").increment(1);
--- a/crates/foxtide-gateway/src/lib.rs
+++ b/crates/foxtide-gateway/src/lib.rs
@@ -40,6 +40,7 @@
     Dialect,
     ForwardHeaders,
     Lookup,
+    Statement,
     UpstreamHeaders, //
 };
 pub use errors::{
--- a/crates/foxtide-gateway/src/state/mod.rs
+++ b/crates/foxtide-gateway/src/state/mod.rs
@@ -7,6 +7,7 @@
 mod pick;
 mod placement;
 mod stored;
+mod throttle;
 
 pub(crate) use pick::{
     NoUpstream,
@@ -56,6 +57,7 @@
     RouteTable,
     WeightedRoundRobin, //
 };
+use foxtide_core::throttle::StatedLimits;
 use foxtide_core::time::{
     MonotonicTime,
     WallTime, //
@@ -96,6 +98,8 @@
     pub(super) members: Members,
     pub(super) health: HashMap<UpstreamId, UpstreamHealth>,
     pub(super) cold: ColdRateLimiter,
+    /// The rate limits that upstreams state.
+    pub(super) limits: StatedLimits,
     /// Keyed by service and the regions that may serve.
     pub(super) placements: HashMap<(ServiceId, Vec<RegionId>), Placement>,
     homed: HomedTraffic,
@@ -139,6 +143,7 @@
             members: Members::default(),
             health: HashMap::new(),
             cold: ColdRateLimiter::default(),
+            limits: StatedLimits::default(),
             placements: HashMap::new(),
             homed: HomedTraffic::default(),
             log: RecordLog::default(),
@@ -244,6 +249,7 @@
         self.members.expire(self.registry.phase(), now);
         self.drop_missing_evacuations(now);
         self.cold.prune(now);
+        self.prune_limits();
         self.homed.advance(self.routes.as_deref(), now);
         self.placements
             .retain(|_, placement| placement.is_used(now));
--- a/crates/foxtide-gateway/tests/gateway/support/dialect.rs
+++ b/crates/foxtide-gateway/tests/gateway/support/dialect.rs
@@ -1,6 +1,7 @@
 //! A simple dialect, independent of the platform's.
 
 use foxtide_core::placement::LoadReport;
+use foxtide_core::units::RequestRate;
 use foxtide_gateway::{
     CallerHeaders,
     CallerIdentity,
@@ -8,6 +9,7 @@
     Dialect,
     ForwardHeaders,
     Lookup,
+    Statement,
     UpstreamHeaders, //
 };
 use foxtide_http::{
@@ -58,6 +60,7 @@
             is_signed: lines.get("signature").is_some(),
             is_encoded: false,
             load: None::<LoadReport>,
+            rate_limit: rate_limit(lines),
         }
     }
 
@@ -85,3 +88,10 @@
         Some(key) => key.parse().map_or(Credentials::Malformed, Credentials::Key),
     }
 }
+
+fn rate_limit(lines: &HeaderLines) -> Statement<RequestRate> {
+    match lines.text("rate-limit") {
+        None => Statement::Absent,
+        Some(text) => text.parse().map_or(Statement::Unreadable, Statement::Valid),
+    }
+}
--- a/crates/foxtide-http/src/exchange.rs
+++ b/crates/foxtide-http/src/exchange.rs
@@ -45,7 +45,22 @@
     method: &str,
     limit_bytes: usize,
 ) -> Result<WholeResponse, MessageError> {
-    let head = read_final_head(stream).await?;
+    read_response_observed(stream, method, limit_bytes, |_| {}).await
+}
+
+/// Reads a response like [`read_response`] and passes each head to `observe` as soon as it is
+/// read, also those of interim responses.
+///
+/// # Errors
+///
+/// Returns the errors of [`read_response`].
+pub async fn read_response_observed(
+    stream: &mut BufferedStream,
+    method: &str,
+    limit_bytes: usize,
+    observe: impl FnMut(&ForwardedResponse),
+) -> Result<WholeResponse, MessageError> {
+    let head = read_final_head(stream, observe).await?;
     let body = match head.body_length(method) {
         BodyLength::UntilClose => read_until_close(stream, limit_bytes).await?,
         length => read_body(stream, length, limit_bytes).await?,
@@ -53,11 +68,15 @@
     Ok(WholeResponse { head, body })
 }
 
-async fn read_final_head(stream: &mut BufferedStream) -> Result<ForwardedResponse, MessageError> {
+async fn read_final_head(
+    stream: &mut BufferedStream,
+    mut observe: impl FnMut(&ForwardedResponse),
+) -> Result<ForwardedResponse, MessageError> {
     for _ in 0..INTERIM_RESPONSES_MAX {
         let bytes = read_head(stream, RESPONSE_HEAD_MAX_BYTES).await?;
         let bytes = bytes.ok_or(MessageError::Truncated)?;
         let head = ForwardedResponse::parse(&bytes)?;
+        observe(&head);
         if !head.is_interim() {
             return Ok(head);
         }
--- a/crates/foxtide-http/src/lib.rs
+++ b/crates/foxtide-http/src/lib.rs
@@ -13,7 +13,8 @@
 
 pub use exchange::{
     WholeResponse,
-    read_response, //
+    read_response,
+    read_response_observed, //
 };
 pub use forwarded::{
     ForwardedRequest,
