Reproduce the exceeded rate limits in tests

Cause: an upstream's rate limit is read and logged, and nothing acts on it.

Change: three tests of the gateway with upstreams that state a limit of 2 requests a second: three instances of one region with another upstream beside it, two instances of another region, and no other upstream at all. Upstreams of the tests can state a limit.

--- a/crates/foxtide-gateway/tests/gateway/main.rs
+++ b/crates/foxtide-gateway/tests/gateway/main.rs
@@ -10,3 +10,4 @@
 mod small_region;
 mod stopping;
 mod support;
+mod throttle;
--- a/crates/foxtide-gateway/tests/gateway/support/upstream.rs
+++ b/crates/foxtide-gateway/tests/gateway/support/upstream.rs
@@ -85,6 +85,8 @@
     connections: Mutex<usize>,
     ended: Event,
     cancelled: Mutex<usize>,
+    /// Header lines of all responses.
+    lines: Mutex<String>,
 }
 
 /// A running upstream; it ends when it is dropped.
@@ -146,6 +148,12 @@
         *self.shared.default_behaviour.lock().unwrap() = Some(behaviour);
     }
 
+    /// Sets the rate limit that all responses state.
+    pub(crate) fn state_rate_limit(&self, limit_rps: Option<f64>) {
+        let line = limit_rps.map(|limit_rps| format!("rate-limit: {limit_rps}\r\n"));
+        *self.shared.lines.lock().unwrap() = line.unwrap_or_default();
+    }
+
     /// Returns the received requests.
     pub(crate) fn seen(&self) -> Vec<Seen> {
         self.shared.seen.lock().unwrap().clone()
@@ -225,7 +233,8 @@
     request: &str,
     behaviour: Behaviour,
 ) -> bool {
-    let signed = format!("request: {request}\r\nsignature: s-{request}\r\n");
+    let lines = shared.lines.lock().unwrap().clone();
+    let signed = format!("request: {request}\r\nsignature: s-{request}\r\n{lines}");
     let text = match behaviour {
         Behaviour::Respond(status, body, delay) => {
             let cancelled = async {
@@ -248,7 +257,7 @@
                 Timer::after(delay).await;
             }
             format!(
-                "HTTP/1.1 503 x\r\nrequest: {request}\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n"
+                "HTTP/1.1 503 x\r\nrequest: {request}\r\nnot-run: 1\r\n{lines}content-length: 0\r\n\r\n"
             )
         }
         Behaviour::OtherIncarnation => format!(
