Keep upstreams' rate limits across all instances

What callers saw: little. Upstreams that had stated a limit of 1 and 2.6 requests a second got 12 and 23 in 4 s, where 11 and 21 are accepted, so an upstream in need was given the load from which it had asked to be relieved.

Cause: a limit that binds the sum of all instances was in no decision. The class: what an upstream says of itself in its responses was not an input. The restart in the record is not the cause: the limit was exceeded before it.

Change: the instance that coordinates an upstream's slots hands out its rate as well (core::throttle). Each request for a slot carries what the requester has heard of the limit, and when; so a new coordinator knows it with the first request, and the latest statement wins. Who knows of a limit asks, also from another region and for a cold upstream. A new coordinator begins without tokens and hands out a quarter for four seconds; one with old data hands out nothing; without an answer an instance has its tokens of a tenth of the limit. What gets no token goes to the object's next upstream, in the same region if there is one, or is rejected at once with the time of the next token. The absence of a limit counts from when its request was sent, and a limit of 0 lets a request through every four seconds, so that its end is learnt.

Why it works: the sum is kept at one place for each upstream, which holds no state that a successor would need; what can be wrong about that place is bounded by the slack of the limit.

--- a/crates/foxtide-core/src/admission/coordinator.rs
+++ b/crates/foxtide-core/src/admission/coordinator.rs
@@ -50,6 +50,25 @@
         answers
     }
 
+    /// Tells whether a request concerns an upstream that limits its rate, so that
+    /// [`Self::set_coordinating`] is called first.
+    pub fn is_limited(&self, request: &SlotRequest) -> bool {
+        let is_reported = request.limit.is_some_and(|report| report.limit.is_some());
+        let incarnation = self.queues.get(&request.upstream);
+        is_reported || incarnation.is_some_and(|incarnation| incarnation.queue.is_limited())
+    }
+
+    /// Records whether this instance coordinates the upstream of a request: `since` is when it
+    /// may have become the coordinator, or `None` if it is not.
+    pub fn set_coordinating(
+        &mut self,
+        request: &SlotRequest,
+        since: Option<MonotonicTime>,
+        now: MonotonicTime,
+    ) {
+        self.queue_of(request).set_coordinating(since, now);
+    }
+
     /// Counts a request that is sent without a grant.
     pub fn record_ungranted(&mut self, request: &SlotRequest, slots: u32, now: MonotonicTime) {
         let queue = self.queue_of(request);
@@ -102,7 +121,7 @@
 
     fn remove_rejected(&mut self, answers: &[AddressedAnswer]) {
         for (ticket, answer) in answers {
-            if matches!(answer, Answer::Rejected { .. } | Answer::Busy) {
+            if !matches!(answer, Answer::Granted | Answer::Waiting) {
                 self.upstreams.remove(ticket);
             }
         }
--- a/crates/foxtide-core/src/admission/mod.rs
+++ b/crates/foxtide-core/src/admission/mod.rs
@@ -6,11 +6,13 @@
 //!
 //! ```text
 //! ask -> Answer::Granted | Answer::Waiting (another answer follows) | Answer::Busy
-//!        | Answer::Rejected
+//!        | Answer::Rejected | Answer::Throttled | Answer::NotCoordinator
 //! record_ungranted -> counted without a grant
 //! end -> frees the slot for a waiting request
 //! ```
 //!
+//! A coordinator also hands out the rate of an upstream that limits it ([`crate::throttle`]).
+//!
 //! Grants are advisory: the upstream may still reject the request. A grant that is not
 //! released expires, a new coordinator starts with all slots free, and a request is sent
 //! without a grant if the coordinator does not answer.
--- a/crates/foxtide-core/src/admission/queue.rs
+++ b/crates/foxtide-core/src/admission/queue.rs
@@ -13,6 +13,7 @@
     ServiceTimes, //
 };
 use crate::placement::ObjectKey;
+use crate::throttle::Throttle;
 use crate::time::MonotonicTime;
 use std::cmp::Reverse;
 use std::collections::HashMap;
@@ -85,6 +86,7 @@
     waiting: Vec<Waiting>,
     objects: RecentObjects,
     times: ServiceTimes,
+    throttle: Throttle,
 }
 
 impl SlotQueue {
@@ -93,6 +95,16 @@
         self.slots = slots.max(1) as usize;
     }
 
+    /// Returns whether the upstream limits its rate.
+    pub(super) fn is_limited(&self) -> bool {
+        self.throttle.is_limited()
+    }
+
+    /// Records whether this instance coordinates the upstream, and since when at the earliest.
+    pub(super) fn set_coordinating(&mut self, since: Option<MonotonicTime>, now: MonotonicTime) {
+        self.throttle.set_coordinating(since, now);
+    }
+
     /// Returns whether a request waits or holds a slot.
     pub(super) fn contains(&self, ticket: Ticket) -> bool {
         let is_waiting = self.waiting.iter().any(|waiting| waiting.ticket == ticket);
@@ -112,12 +124,21 @@
             answers.push((ticket, Answer::Granted));
             return;
         }
+        if let Some(report) = request.limit {
+            self.throttle.apply(report, now);
+        }
+        let is_waiting = self.waiting.iter().any(|one| one.ticket == ticket);
+        if let Some(answer) = self.throttled(is_waiting, now) {
+            self.waiting.retain(|one| one.ticket != ticket);
+            answers.push((ticket, answer));
+            return;
+        }
         self.drop_expired_grants(now);
         if request.patience == Patience::NoWait && !self.has_immediate_room(request.object) {
             answers.push((ticket, Answer::Busy));
             return;
         }
-        if !self.waiting.iter().any(|one| one.ticket == ticket) {
+        if !is_waiting {
             self.waiting.push(Waiting {
                 ticket,
                 object: request.object,
@@ -139,6 +160,20 @@
         answers.push((ticket, answer));
     }
 
+    /// Returns the answer to a request that the upstream's rate limit excludes. A waiting
+    /// request keeps its place, as new ones leave it a token.
+    fn throttled(&mut self, is_waiting: bool, now: MonotonicTime) -> Option<Answer> {
+        if !self.throttle.is_limited() {
+            return None;
+        }
+        if !self.throttle.is_coordinating() {
+            return Some(Answer::NotCoordinator);
+        }
+        let retry_after = self.throttle.next_token_in(self.waiting.len(), now);
+        let is_exhausted = !is_waiting && !retry_after.is_zero();
+        is_exhausted.then_some(Answer::Throttled { retry_after })
+    }
+
     /// Returns whether a request that does not wait may have a slot.
     ///
     /// A first access takes longer here than at the upstream that cached the object. It
@@ -173,6 +208,10 @@
     /// Counts a request that is sent without a grant.
     pub(super) fn record_ungranted(&mut self, request: &SlotRequest, now: MonotonicTime) {
         self.waiting.retain(|one| one.ticket != request.ticket);
+        if let Some(report) = request.limit {
+            self.throttle.apply(report, now);
+        }
+        self.throttle.take(now);
         let access = self.access(request.object);
         let running = Running {
             object: request.object,
@@ -221,7 +260,9 @@
     /// deadline.
     fn dispatch(&mut self, now: MonotonicTime, answers: &mut Vec<(Ticket, Answer)>) {
         self.drop_expired_grants(now);
-        while self.running.len() < self.slots + UPSTREAM_BACKLOG {
+        while self.running.len() < self.slots + UPSTREAM_BACKLOG
+            && self.throttle.next_token_in(0, now).is_zero()
+        {
             let Some(index) = self.next_waiting(now) else {
                 break;
             };
@@ -233,6 +274,7 @@
     }
 
     fn grant(&mut self, waiting: &Waiting, now: MonotonicTime) {
+        self.throttle.take(now);
         let access = self.access(waiting.object);
         let expires_at = match self.times.expected(access) {
             Some(time) => (now + time * GRANT_TIMEOUT_FACTOR).min(waiting.deadline),
--- a/crates/foxtide-core/src/admission/request.rs
+++ b/crates/foxtide-core/src/admission/request.rs
@@ -2,6 +2,7 @@
 
 use crate::ids::UpstreamId;
 use crate::placement::ObjectKey;
+use crate::throttle::LimitReport;
 use crate::time::WallTime;
 use std::fmt;
 use std::net::SocketAddr;
@@ -24,7 +25,7 @@
 }
 
 /// A request for a slot of an upstream.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct SlotRequest {
     /// The ticket that identifies the request.
     pub ticket: Ticket,
@@ -42,6 +43,8 @@
     pub time_left: Duration,
     /// The limit of the wait for a slot.
     pub patience: Patience,
+    /// What the requester has heard of the upstream's rate limit.
+    pub limit: Option<LimitReport>,
 }
 
 /// The limit of a request's wait for a slot.
@@ -69,6 +72,13 @@
         /// When a slot is expected to be free.
         retry_after: Duration,
     },
+    /// The upstream's rate limit is exhausted.
+    Throttled {
+        /// When the limit allows another request.
+        retry_after: Duration,
+    },
+    /// The upstream limits its rate, and the instance cannot tell whether it coordinates it.
+    NotCoordinator,
 }
 
 /// How a request that held a slot ended.
--- a/crates/foxtide-core/src/throttle/statement.rs
+++ b/crates/foxtide-core/src/throttle/statement.rs
@@ -27,6 +27,25 @@
     pub held_at: MonotonicTime,
 }
 
+/// A statement as one instance passes it to another.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitReport {
+    /// The limit; `None` if a response stated none.
+    pub limit: Option<RequestRate>,
+    /// The time since the statement held.
+    pub age: Duration,
+}
+
+impl LimitReport {
+    /// Returns the statement on the receiver's clock.
+    pub(super) fn statement(&self, now: MonotonicTime) -> LimitStatement {
+        LimitStatement {
+            limit: self.limit,
+            held_at: now.saturating_sub(self.age),
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Entry {
     /// When the incarnation of the upstream started.
--- a/crates/foxtide-core/tests/admission.rs
+++ b/crates/foxtide-core/tests/admission.rs
@@ -47,6 +47,7 @@
         objective_left: Duration::from_millis(600),
         time_left: Duration::from_millis(1_500),
         patience: Patience::UntilDeadline,
+        limit: None,
     }
 }
 
--- a/crates/foxtide-gateway/src/admission/client.rs
+++ b/crates/foxtide-gateway/src/admission/client.rs
@@ -2,6 +2,10 @@
 
 use super::Admission;
 use crate::datagram::Datagram;
+use crate::state::{
+    Pick,
+    State, //
+};
 use foxtide_core::admission::{
     Answer,
     Ending,
@@ -11,7 +15,9 @@
 };
 use foxtide_core::placement::ObjectKey;
 use foxtide_core::registry::Registration;
+use foxtide_core::throttle::LimitReport;
 use futures_lite::future::or;
+use parking_lot::Mutex;
 use smol::Timer;
 use smol::channel::{
     Receiver,
@@ -27,6 +33,10 @@
 /// coordinator expire lapsed grants.
 const ASK_AGAIN_PERIOD: Duration = Duration::from_millis(150);
 
+/// How often a coordinator is asked for a request to an upstream that limits its rate before it
+/// counts as unresponsive: single datagrams are lost.
+const LIMITED_ASKS_MAX: u32 = 2;
+
 /// The capacity for unread answers: one of each kind.
 const ANSWERS_MAX: usize = 4;
 
@@ -44,6 +54,17 @@
     pub(crate) deadline: Instant,
     /// How long it may wait.
     pub(crate) patience: Patience,
+    /// What is known of the upstream's rate limit.
+    pub(crate) limit: Option<LimitReport>,
+    /// How long the coordinator may take to answer.
+    pub(crate) answer_time: Duration,
+}
+
+impl SlotTerms<'_> {
+    /// Tells whether the upstream limits its rate.
+    pub(crate) fn is_limited(&self) -> bool {
+        self.limit.is_some_and(|report| report.limit.is_some())
+    }
 }
 
 /// The result of asking for a slot.
@@ -60,6 +81,13 @@
     },
     /// The upstream takes no more requests; another one has to be picked.
     PickAgain,
+    /// The upstream's rate limit is exhausted.
+    Throttled {
+        /// When the limit allows another request.
+        retry_after: Duration,
+    },
+    /// The upstream limits its rate, and no coordinator hands it out.
+    Uncoordinated,
 }
 
 /// How a coordinator answered a request for a slot.
@@ -76,6 +104,8 @@
     Unanswered,
     /// The coordinator refused a slot, or the wait would be too long.
     Refused,
+    /// The upstream's rate limit was exhausted.
+    Throttled,
 }
 
 impl SlotAnswer {
@@ -87,6 +117,7 @@
             Self::Granted => "granted",
             Self::Unanswered => "unanswered",
             Self::Refused => "refused",
+            Self::Throttled => "throttled",
         }
     }
 }
@@ -139,45 +170,66 @@
 
     /// Asks a coordinator for a slot and waits for it.
     ///
-    /// If the coordinator does not answer, the request is sent all the same.
+    /// If the coordinator does not answer, the request is sent all the same, unless the upstream
+    /// limits its rate.
     pub(crate) async fn ask(
         &self,
         coordinator: SocketAddr,
         terms: &SlotTerms<'_>,
-        is_eligible: impl Fn() -> bool,
+        pick: &Pick,
+        state: &Mutex<State>,
     ) -> Admitted<'_> {
         if self.is_unresponsive(coordinator) {
-            return Admitted::Granted(Some(self.notify(coordinator, terms)));
+            return self.unanswered(coordinator, terms);
         }
         let mut slot = self.slot(coordinator);
         let (answered, answers) = bounded(ANSWERS_MAX);
         self.pending.lock().insert(slot.number, answered);
+        let mut unanswered_asks = 0;
         loop {
             let request = self.request(slot.number, terms);
-            self.send_ask(coordinator, &request, terms);
-            match self.receive_answer(&answers).await {
+            self.send_ask(coordinator, &request, terms, state);
+            match self.receive_answer(&answers, terms.answer_time).await {
                 Some(Answer::Granted) => {
                     slot.answer = SlotAnswer::Granted;
                     return Admitted::Granted(Some(slot));
                 }
                 Some(Answer::Busy) => return Admitted::Busy,
                 Some(Answer::Rejected { retry_after }) => return Admitted::Refused { retry_after },
-                Some(Answer::Waiting) if is_eligible() => {}
+                Some(Answer::Throttled { retry_after }) => {
+                    return Admitted::Throttled { retry_after };
+                }
+                Some(Answer::NotCoordinator) => return Admitted::Uncoordinated,
+                Some(Answer::Waiting) if state.lock().is_pick_valid(pick) => {}
                 Some(Answer::Waiting) => return Admitted::PickAgain,
                 None => {
-                    self.mark_unresponsive(coordinator);
-                    slot.answer = SlotAnswer::Unanswered;
-                    let request = self.request(slot.number, terms);
-                    self.send_notice(coordinator, &request, terms);
-                    return Admitted::Granted(Some(slot));
+                    unanswered_asks += 1;
+                    if !terms.is_limited() || unanswered_asks >= LIMITED_ASKS_MAX {
+                        self.mark_unresponsive(coordinator);
+                        return self.unanswered(coordinator, terms);
+                    }
                 }
             }
         }
     }
 
+    /// Returns the outcome for a request whose coordinator does not answer.
+    fn unanswered(&self, coordinator: SocketAddr, terms: &SlotTerms<'_>) -> Admitted<'_> {
+        if terms.is_limited() {
+            return Admitted::Uncoordinated;
+        }
+        let mut slot = self.notify(coordinator, terms);
+        slot.answer = SlotAnswer::Unanswered;
+        Admitted::Granted(Some(slot))
+    }
+
     /// Returns the answer to a question; `None` after a timeout.
-    async fn receive_answer(&self, answers: &Receiver<Answer>) -> Option<Answer> {
-        let answer = receive_within(self.options.answer_time, answers).await?;
+    async fn receive_answer(
+        &self,
+        answers: &Receiver<Answer>,
+        answer_time: Duration,
+    ) -> Option<Answer> {
+        let answer = receive_within(answer_time, answers).await?;
         if answer != Answer::Waiting {
             return Some(answer);
         }
@@ -212,13 +264,20 @@
             objective_left: terms.objective_at.saturating_duration_since(now),
             time_left: terms.deadline.saturating_duration_since(now),
             patience: terms.patience,
+            limit: terms.limit,
         }
     }
 
-    fn send_ask(&self, coordinator: SocketAddr, request: &SlotRequest, terms: &SlotTerms<'_>) {
+    fn send_ask(
+        &self,
+        coordinator: SocketAddr,
+        request: &SlotRequest,
+        terms: &SlotTerms<'_>,
+        state: &Mutex<State>,
+    ) {
         let slots = terms.registration.slots;
         if coordinator == self.address {
-            self.with_coordinator(|own, now| own.ask(request, slots, now));
+            self.answer_ask(request, slots, state);
         } else {
             self.send(coordinator, &Datagram::ask(request, slots));
         }
--- a/crates/foxtide-gateway/src/admission/mod.rs
+++ b/crates/foxtide-gateway/src/admission/mod.rs
@@ -4,7 +4,7 @@
 //! the answer timeout.
 //!
 //! Locks: at most one of `coordinator`, `pending` and `unresponsive` is held at a time. The
-//! state may be locked while `coordinator` is held (housekeeping), never the other way round.
+//! state may be locked while `coordinator` is held, never the other way round.
 
 mod client;
 mod server;
@@ -21,12 +21,14 @@
 use crate::datagram::Datagram;
 use crate::errors::Result;
 use crate::options::AdmissionOptions;
+use crate::state::State;
 use crate::traffic::Traffic;
 use foxtide_clock::SteadyClock;
 use foxtide_core::admission::{
     AddressedAnswer,
     Answer,
     Coordinator,
+    SlotRequest,
     Ticket, //
 };
 use foxtide_core::ids::UpstreamId;
@@ -110,6 +112,17 @@
         }
     }
 
+    /// Answers a request for a slot.
+    fn answer_ask(&self, request: &SlotRequest, slots: u32, state: &Mutex<State>) {
+        self.with_coordinator(|own, now| {
+            if own.is_limited(request) {
+                let since = state.lock().coordinates_since(&request.upstream);
+                own.set_coordinating(request, since, now);
+            }
+            own.ask(request, slots, now)
+        });
+    }
+
     /// Drops incarnations that `is_known` does not know, and unresponsive coordinators that may
     /// be asked again.
     pub(crate) fn prune(
--- a/crates/foxtide-gateway/src/admission/server.rs
+++ b/crates/foxtide-gateway/src/admission/server.rs
@@ -10,10 +10,12 @@
 use crate::poison;
 use crate::quotas;
 use crate::shared::Shared;
+use crate::state::State;
 use foxtide_core::admission::{
     Ending,
     Ticket, //
 };
+use parking_lot::Mutex;
 use prost::Message;
 use smol::Timer;
 use std::net::SocketAddr;
@@ -53,12 +55,20 @@
         Some(Body::EndReport(message)) => poison::receive_end_report(shared, from, &message),
         Some(Body::Cleared(hash)) => poison::receive_cleared(&shared.poison, hash),
         Some(Body::Quarantine(message)) => poison::receive_quarantine(shared, from, &message),
-        body => shared.admission.handle_slot_message(from, number, body),
+        body => shared
+            .admission
+            .handle_slot_message(from, number, body, &shared.state),
     }
 }
 
 impl Admission {
-    fn handle_slot_message(&self, from: SocketAddr, number: u64, body: Option<Body>) {
+    fn handle_slot_message(
+        &self,
+        from: SocketAddr,
+        number: u64,
+        body: Option<Body>,
+        state: &Mutex<State>,
+    ) {
         let request = |message: &RequestMessage| {
             let request = message.request(from, number);
             request
@@ -68,7 +78,7 @@
         match body {
             Some(Body::Ask(message)) => {
                 if let Some(request) = request(&message) {
-                    self.with_coordinator(|own, now| own.ask(&request, message.slots, now));
+                    self.answer_ask(&request, message.slots, state);
                 }
             }
             Some(Body::Notify(message)) => {
--- a/crates/foxtide-gateway/src/datagram/mod.rs
+++ b/crates/foxtide-gateway/src/datagram/mod.rs
@@ -84,6 +84,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use foxtide_core::admission::Answer;
     use foxtide_core::poison::{
         EndReport,
         Fingerprint,
@@ -164,6 +165,27 @@
             let read = Datagram::decode(sample.encode_to_vec().as_slice()).unwrap();
             assert_eq!(read, sample);
         }
+        let retry_after = Duration::from_millis(30);
+        let throttled = Answer::Throttled {
+            retry_after: Duration::from_millis(31),
+        };
+        for (sent, received) in [
+            (Answer::Granted, Answer::Granted),
+            (Answer::Waiting, Answer::Waiting),
+            (Answer::Busy, Answer::Busy),
+            (
+                Answer::Rejected { retry_after },
+                Answer::Rejected { retry_after },
+            ),
+            // A throttled request comes back after the token, not before it.
+            (Answer::Throttled { retry_after }, throttled),
+            (Answer::NotCoordinator, Answer::NotCoordinator),
+        ] {
+            let Some(Body::Answer(message)) = Datagram::answer(1, sent).body else {
+                panic!("not an answer");
+            };
+            assert_eq!(message.answer(), received);
+        }
         let wrong = UpstreamEndMessage::default();
         assert!(wrong.report().is_err());
         assert!(QuotaQuestionMessage::default().request().is_err());
--- a/crates/foxtide-gateway/src/datagram/slots.rs
+++ b/crates/foxtide-gateway/src/datagram/slots.rs
@@ -13,7 +13,9 @@
     Ticket, //
 };
 use foxtide_core::placement::ObjectKey;
+use foxtide_core::throttle::LimitReport;
 use foxtide_core::time::WallTime;
+use foxtide_core::units::RequestRate;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -37,6 +39,18 @@
     /// When the upstream started, in milliseconds since 1970.
     #[prost(uint64, optional, tag = "8")]
     born_ms: Option<u64>,
+    #[prost(message, optional, tag = "9")]
+    limit: Option<LimitMessage>,
+}
+
+/// What the requester has heard of the upstream's rate limit.
+#[derive(Clone, PartialEq, prost::Message)]
+struct LimitMessage {
+    /// The limit; absent if a response stated none.
+    #[prost(double, optional, tag = "1")]
+    limit_rps: Option<f64>,
+    #[prost(uint32, tag = "2")]
+    age_ms: u32,
 }
 
 /// How long a request may wait.
@@ -60,8 +74,19 @@
     /// Whether the wait would be longer than the request may wait.
     #[prost(bool, tag = "3")]
     is_busy: bool,
+    /// Whether the upstream's rate limit is why the request is refused. An instance without
+    /// support for rate limits treats the request as refused for lack of a slot.
+    #[prost(bool, tag = "4")]
+    is_throttled: bool,
+    /// Whether the instance does not coordinate an upstream that limits its rate.
+    #[prost(bool, tag = "5")]
+    is_not_coordinator: bool,
 }
 
+/// Retry delay for an instance without support for rate limits, if the answering one is not the
+/// coordinator.
+const RETRY_AFTER_NOT_COORDINATOR: Duration = Duration::from_millis(200);
+
 impl Datagram {
     /// Returns the question for a slot.
     pub(crate) fn ask(request: &SlotRequest, slots: u32) -> Self {
@@ -91,6 +116,9 @@
     pub(crate) fn answer(number: u64, answer: Answer) -> Self {
         let retry_after_ms = match answer {
             Answer::Rejected { retry_after } => Some(milliseconds(retry_after)),
+            // Rounded up: a token is available at the end of the delay.
+            Answer::Throttled { retry_after } => Some(milliseconds(retry_after).saturating_add(1)),
+            Answer::NotCoordinator => Some(milliseconds(RETRY_AFTER_NOT_COORDINATOR)),
             Answer::Granted | Answer::Waiting | Answer::Busy => None,
         };
         let is_granted = answer == Answer::Granted;
@@ -99,6 +127,8 @@
             body: Some(Body::Answer(AnswerMessage {
                 is_granted,
                 is_busy: answer == Answer::Busy,
+                is_throttled: matches!(answer, Answer::Throttled { .. }),
+                is_not_coordinator: answer == Answer::NotCoordinator,
                 retry_after_ms,
             })),
         }
@@ -116,6 +146,7 @@
             time_left_ms: milliseconds(request.time_left),
             patience: PatienceMessage::from(request.patience).into(),
             born_ms: request.born_at.map(WallTime::as_ms),
+            limit: request.limit.map(LimitMessage::from),
         }
     }
 
@@ -138,6 +169,7 @@
             time_left: Duration::from_millis(self.time_left_ms.into()),
             patience: self.patience().into(),
             born_at: self.born_ms.map(WallTime::from_ms),
+            limit: self.limit.as_ref().map(LimitReport::from),
         })
     }
 }
@@ -145,10 +177,14 @@
 impl AnswerMessage {
     /// Returns the answer.
     pub(crate) fn answer(&self) -> Answer {
-        match self.retry_after_ms {
-            Some(retry_after_ms) => Answer::Rejected {
-                retry_after: Duration::from_millis(retry_after_ms.into()),
-            },
+        let retry_after = self
+            .retry_after_ms
+            .map(u64::from)
+            .map(Duration::from_millis);
+        match retry_after {
+            Some(_) if self.is_not_coordinator => Answer::NotCoordinator,
+            Some(retry_after) if self.is_throttled => Answer::Throttled { retry_after },
+            Some(retry_after) => Answer::Rejected { retry_after },
             None if self.is_granted => Answer::Granted,
             None if self.is_busy => Answer::Busy,
             None => Answer::Waiting,
@@ -156,6 +192,24 @@
     }
 }
 
+impl From<LimitReport> for LimitMessage {
+    fn from(report: LimitReport) -> Self {
+        Self {
+            limit_rps: report.limit.map(RequestRate::get),
+            age_ms: milliseconds(report.age),
+        }
+    }
+}
+
+impl From<&LimitMessage> for LimitReport {
+    fn from(message: &LimitMessage) -> Self {
+        Self {
+            limit: message.limit_rps.map(RequestRate::clamped),
+            age: Duration::from_millis(message.age_ms.into()),
+        }
+    }
+}
+
 impl From<Patience> for PatienceMessage {
     fn from(patience: Patience) -> Self {
         match patience {
--- a/crates/foxtide-gateway/src/forward/admit.rs
+++ b/crates/foxtide-gateway/src/forward/admit.rs
@@ -30,6 +30,13 @@
 /// Retry-After of a request whose deadline passed while it waited for a slot.
 const RETRY_AFTER_WAIT: Duration = Duration::from_millis(200);
 
+/// Answer timeout of a coordinator in another region; the longest round trip is 110 ms.
+const ANSWER_TIMEOUT_OTHER_REGION: Duration = Duration::from_millis(250);
+
+/// Retry-After of a request to an upstream that limits its rate while no coordinator hands it
+/// out; an instance that does not answer is not asked for that time.
+const RETRY_AFTER_UNCOORDINATED: Duration = Duration::from_millis(500);
+
 impl<'a, D: Dialect> AttemptLoop<'a, D> {
     /// Picks an upstream and waits for one of its slots.
     ///
@@ -61,7 +68,10 @@
                     let overflow = self.overflow().await;
                     return overflow.ok_or_else(|| self.no_slot(&own, retry_after));
                 }
-                Admitted::PickAgain | Admitted::Busy => {}
+                Admitted::PickAgain
+                | Admitted::Busy
+                | Admitted::Throttled { .. }
+                | Admitted::Uncoordinated => {}
             }
         }
     }
@@ -92,9 +102,7 @@
         };
         match self.admit(&pick, Patience::NoWait).await {
             Admitted::Granted(slot) => (SecondChoice::Granted, Some(Target { pick, slot })),
-            Admitted::Busy | Admitted::Refused { .. } | Admitted::PickAgain => {
-                (SecondChoice::Busy, None)
-            }
+            _ => (SecondChoice::Busy, None),
         }
     }
 
@@ -110,6 +118,7 @@
             object: self.object,
             regions: &self.home_regions,
             tried: &self.tried,
+            throttled: &self.throttled,
             requires_warm: true,
         };
         let pick = {
@@ -122,19 +131,32 @@
                 metrics::counter!("foxtide_overflows_total").increment(1);
                 Some(Target { pick, slot })
             }
-            Admitted::Busy | Admitted::Refused { .. } | Admitted::PickAgain => None,
+            _ => None,
         }
     }
 
     /// Acquires a slot of the picked upstream and checks the pick again.
     async fn admit(&mut self, pick: &Pick, patience: Patience) -> Admitted<'a> {
-        let Some((instance, coordinator)) = self.coordinator(pick) else {
-            return Admitted::Granted(None);
-        };
-        self.trace.coordinator = instance.to_string();
+        let coordinator = self.coordinator(pick);
         let began_at = Instant::now();
-        let admitted = self.ask(pick, coordinator, patience).await;
+        let asked = match &coordinator {
+            Some((instance, address)) => {
+                self.trace.coordinator = instance.to_string();
+                self.ask(pick, *address, patience).await
+            }
+            None => Admitted::Uncoordinated,
+        };
+        let admitted = match asked {
+            Admitted::Uncoordinated => {
+                let address = coordinator.map(|(_, address)| address);
+                self.admit_uncoordinated(pick, address)
+            }
+            asked => asked,
+        };
         self.record_wait(&admitted, began_at.elapsed());
+        if let Admitted::Throttled { retry_after } = admitted {
+            self.record_throttled(pick, retry_after);
+        }
         // The upstream may have been drained, evacuated or restarted during the wait.
         let is_granted = matches!(admitted, Admitted::Granted(_));
         if is_granted && !self.shared.state.lock().is_pick_valid(pick) {
@@ -143,6 +165,35 @@
         admitted
     }
 
+    /// Admits a request without a coordinator, within this instance's part of the upstream's
+    /// rate limit.
+    fn admit_uncoordinated(&self, pick: &Pick, coordinator: Option<SocketAddr>) -> Admitted<'a> {
+        let shared = self.shared;
+        if !shared.state.lock().try_take_uncoordinated(pick) {
+            return Admitted::Throttled {
+                retry_after: RETRY_AFTER_UNCOORDINATED,
+            };
+        }
+        let notify = |address| {
+            let terms = self.slot_terms(pick, Patience::NoWait);
+            shared.admission.notify(address, &terms)
+        };
+        Admitted::Granted(coordinator.map(notify))
+    }
+
+    /// Excludes a throttled upstream from further picks.
+    fn record_throttled(&mut self, pick: &Pick, retry_after: Duration) {
+        let upstream = &pick.registration.upstream;
+        let report = {
+            let mut state = self.shared.state.lock();
+            state.set_exhausted(upstream, retry_after);
+            state.limit_report(&pick.registration)
+        };
+        let journal = &self.shared.journal;
+        journal.request_throttled(&self.trace, upstream, report, retry_after);
+        self.throttled.push(upstream.clone());
+    }
+
     /// Returns the instance that coordinates the upstream's slots, with its datagram address.
     fn coordinator(&self, pick: &Pick) -> Option<(InstanceId, SocketAddr)> {
         let registration = &pick.registration;
@@ -153,24 +204,18 @@
     }
 
     /// Asks a coordinator of the own region, and only notifies one of another region: a slot
-    /// that is reserved for a request in transit would idle for a round trip.
+    /// that is reserved for a request in transit would idle for a round trip. The rate of an
+    /// upstream that limits it is always asked for.
     async fn ask(&self, pick: &Pick, coordinator: SocketAddr, patience: Patience) -> Admitted<'a> {
         let shared = self.shared;
         let admission = &shared.admission;
-        let terms = SlotTerms {
-            registration: &pick.registration,
-            object: self.object,
-            priority: self.route_match.priority(),
-            objective_at: self.objective_at,
-            deadline: self.deadline,
-            patience,
-        };
+        let terms = self.slot_terms(pick, patience);
         // The pick has already spent a cold upstream's rate.
-        if !self.is_near(pick) || pick.is_cold {
+        let is_asked = self.is_near(pick) && !pick.is_cold;
+        if !is_asked && !terms.is_limited() {
             return Admitted::Granted(Some(admission.notify(coordinator, &terms)));
         }
-        let is_eligible = || shared.state.lock().is_pick_valid(pick);
-        let asked = admission.ask(coordinator, &terms, is_eligible);
+        let asked = admission.ask(coordinator, &terms, pick, &shared.state);
         let in_vain = async {
             let late = async {
                 Timer::at(self.deadline).await;
@@ -183,6 +228,24 @@
         or(asked, in_vain).await
     }
 
+    fn slot_terms<'b>(&self, pick: &'b Pick, patience: Patience) -> SlotTerms<'b> {
+        let registration = &*pick.registration;
+        SlotTerms {
+            registration,
+            object: self.object,
+            priority: self.route_match.priority(),
+            objective_at: self.objective_at,
+            deadline: self.deadline,
+            patience,
+            limit: self.shared.state.lock().limit_report(registration),
+            answer_time: if self.is_near(pick) {
+                self.shared.admission.answer_time()
+            } else {
+                ANSWER_TIMEOUT_OTHER_REGION
+            },
+        }
+    }
+
     fn is_near(&self, pick: &Pick) -> bool {
         pick.registration.region == self.shared.options.place.region
     }
@@ -190,7 +253,8 @@
     fn record_wait(&mut self, admitted: &Admitted<'_>, wait: Duration) {
         let answer = match admitted {
             Admitted::Granted(slot) => slot.as_ref().map_or(SlotAnswer::NotAsked, Slot::answer),
-            Admitted::Busy | Admitted::Refused { .. } | Admitted::PickAgain => SlotAnswer::Refused,
+            Admitted::Throttled { .. } => SlotAnswer::Throttled,
+            _ => SlotAnswer::Refused,
         };
         self.trace.slot = answer;
         self.trace.slot_wait += wait;
--- a/crates/foxtide-gateway/src/forward/attempt_loop.rs
+++ b/crates/foxtide-gateway/src/forward/attempt_loop.rs
@@ -79,6 +79,8 @@
     /// The earlier of the caller's and the route's time limit.
     pub(super) deadline: Instant,
     pub(super) tried: Vec<UpstreamId>,
+    /// Upstreams whose rate limits left it no token.
+    pub(super) throttled: Vec<UpstreamId>,
     /// Attempts of which some byte was sent.
     pub(super) sent_attempts: u32,
     /// Attempts of which no byte was sent.
@@ -106,6 +108,9 @@
             if let Some(reply) = self.recheck() {
                 return reply;
             }
+            if self.lacks_grant(&pick, slot.as_ref()) {
+                continue;
+            }
             let began_at = Instant::now();
             let report = self.send(&pick, slot).await;
             let has_ended = report.has_ended;
@@ -118,6 +123,13 @@
         }
     }
 
+    /// Tells whether the upstream has begun to limit its rate after the request was placed there
+    /// without a grant.
+    fn lacks_grant(&self, pick: &Pick, slot: Option<&Slot<'_>>) -> bool {
+        let is_unasked = slot.is_none_or(|slot| slot.answer() == SlotAnswer::Notified);
+        is_unasked && !pick.is_limited && self.shared.state.lock().is_limited(&pick.registration)
+    }
+
     /// Picks an upstream that was not tried.
     pub(super) fn pick(&self) -> Result<Pick, NoUpstream> {
         self.shared.state.lock().pick(&PickRequest {
@@ -125,6 +137,7 @@
             object: self.object,
             regions: &self.home_regions,
             tried: &self.tried,
+            throttled: &self.throttled,
             requires_warm: false,
         })
     }
@@ -137,6 +150,7 @@
             object: self.object,
             regions: std::slice::from_ref(&self.shared.options.place.region),
             tried: &tried,
+            throttled: &self.throttled,
             requires_warm: true,
         })
     }
@@ -301,7 +315,12 @@
             journal.no_upstream(self.request.id(), self.service, reason);
             self.trace.reason = reason.as_str();
         }
-        self.not_run()
+        let NoUpstream::AllThrottled { retry_after } = reason else {
+            return self.not_run();
+        };
+        let retry_after = retry_after.max(RETRY_AFTER_MIN);
+        let refused = Refusal::NotRun { retry_after };
+        self.failure.clone().unwrap_or_else(|| refused.into())
     }
 
     /// Returns the reply if the deadline passes between attempts.
--- a/crates/foxtide-gateway/src/forward/entry.rs
+++ b/crates/foxtide-gateway/src/forward/entry.rs
@@ -84,6 +84,7 @@
             .instant(request.received_at + route.latency_objective),
         deadline: deadline(shared, request, route),
         tried: Vec::new(),
+        throttled: Vec::new(),
         sent_attempts: 0,
         unsent_attempts: 0,
         failure: None,
--- a/crates/foxtide-gateway/src/journal/requests.rs
+++ b/crates/foxtide-gateway/src/journal/requests.rs
@@ -15,6 +15,7 @@
     ServiceId,
     UpstreamId, //
 };
+use foxtide_core::throttle::LimitReport;
 use foxtide_core::units::RequestRate;
 use foxtide_events::{
     EventCode,
@@ -204,6 +205,32 @@
         }
     }
 
+    /// Logs and counts a request that an upstream's rate limit excludes there.
+    pub(crate) fn request_throttled(
+        &self,
+        trace: &RequestTrace,
+        upstream: &UpstreamId,
+        report: Option<LimitReport>,
+        retry_after: Duration,
+    ) {
+        metrics::counter!("foxtide_requests_throttled_total").increment(1);
+        let limit = report.and_then(|report| report.limit);
+        if self.may_log(LineKind::Step) {
+            log_event!(
+                EventCode::RequestThrottled,
+                request = trace.request.as_str(),
+                service = trace.service.as_str(),
+                upstream = upstream.as_str(),
+                coordinator = trace.coordinator.as_str(),
+                limit = limit
+                    .map_or_else(String::new, |limit| limit.to_string())
+                    .as_str(),
+                limit_age_ms = report.map_or(0, |report| report.age.as_millis() as u64),
+                retry_after_ms = retry_after.as_millis() as u64
+            );
+        }
+    }
+
     /// Logs and counts an upstream's statement that cannot be decoded.
     pub(crate) fn statement_unreadable(
         &self,
--- a/crates/foxtide-gateway/src/state/mod.rs
+++ b/crates/foxtide-gateway/src/state/mod.rs
@@ -57,7 +57,7 @@
     RouteTable,
     WeightedRoundRobin, //
 };
-use foxtide_core::throttle::StatedLimits;
+use foxtide_core::throttle::LocalThrottle;
 use foxtide_core::time::{
     MonotonicTime,
     WallTime, //
@@ -93,13 +93,14 @@
     pub(super) options: Arc<GatewayOptions>,
     bounds: Bounds,
     pub(super) clock: SteadyClock,
+    started_at: MonotonicTime,
     pub(super) routes: Option<Arc<RouteTable>>,
     pub(super) registry: Registry,
     pub(super) members: Members,
     pub(super) health: HashMap<UpstreamId, UpstreamHealth>,
     pub(super) cold: ColdRateLimiter,
     /// The rate limits that upstreams state.
-    pub(super) limits: StatedLimits,
+    pub(super) throttle: LocalThrottle,
     /// Keyed by service and the regions that may serve.
     pub(super) placements: HashMap<(ServiceId, Vec<RegionId>), Placement>,
     homed: HomedTraffic,
@@ -132,6 +133,7 @@
 impl State {
     /// Returns the state of an instance that has not read the store yet.
     pub(crate) fn new(options: Arc<GatewayOptions>, clock: SteadyClock) -> Self {
+        let started_at = clock.now();
         Self {
             bounds: options.bounds,
             registrar: Registrar::new(options.place.instance.clone()),
@@ -143,7 +145,8 @@
             members: Members::default(),
             health: HashMap::new(),
             cold: ColdRateLimiter::default(),
-            limits: StatedLimits::default(),
+            throttle: LocalThrottle::default(),
+            started_at,
             placements: HashMap::new(),
             homed: HomedTraffic::default(),
             log: RecordLog::default(),
@@ -249,7 +252,7 @@
         self.members.expire(self.registry.phase(), now);
         self.drop_missing_evacuations(now);
         self.cold.prune(now);
-        self.prune_limits();
+        self.prune_throttle();
         self.homed.advance(self.routes.as_deref(), now);
         self.placements
             .retain(|_, placement| placement.is_used(now));
--- a/crates/foxtide-gateway/src/state/pick.rs
+++ b/crates/foxtide-gateway/src/state/pick.rs
@@ -19,6 +19,7 @@
 use foxtide_core::time::MonotonicTime;
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// How many upstreams of an object's order are considered first: enough for four unreachable
 /// ones and four refusals. The whole order is computed only if none of these is usable.
@@ -34,6 +35,8 @@
     pub(crate) regions: &'a [RegionId],
     /// Upstreams that were tried before.
     pub(crate) tried: &'a [UpstreamId],
+    /// Upstreams whose rate limits left the request no token.
+    pub(crate) throttled: &'a [UpstreamId],
     /// Whether cold and ejected upstreams are excluded.
     pub(crate) requires_warm: bool,
 }
@@ -45,6 +48,8 @@
     /// Its place in the object's order; 0 is the first choice.
     pub(crate) rank: usize,
     pub(crate) is_cold: bool,
+    /// Whether it states a rate limit.
+    pub(crate) is_limited: bool,
     /// Its occupancy as known to this instance.
     pub(crate) occupancy: u32,
 }
@@ -58,6 +63,11 @@
     AllCold,
     /// All have been tried.
     AllTried,
+    /// The rate limits of all that are left are exhausted.
+    AllThrottled {
+        /// When the first one allows another request.
+        retry_after: Duration,
+    },
 }
 
 impl NoUpstream {
@@ -67,6 +77,7 @@
             Self::NoneRegistered => "no_upstream_registered",
             Self::AllCold => "upstreams_cold",
             Self::AllTried => "upstreams_tried",
+            Self::AllThrottled { .. } => "upstreams_limited",
         }
     }
 }
@@ -149,6 +160,7 @@
         if untried.is_empty() {
             return Err(NoUpstream::AllTried);
         }
+        let untried = self.without_throttled(request, untried, now)?;
         let is_ejected = |(_, upstream): &(usize, Registered)| self.is_ejected(upstream, now);
         let (ejected, mut usable): (Vec<_>, Vec<_>) = untried.into_iter().partition(is_ejected);
         if count == usize::MAX {
@@ -163,12 +175,52 @@
         Err(NoUpstream::AllCold)
     }
 
+    /// Removes the upstreams whose rate limits are exhausted. Those of the region of the first
+    /// choice come first if that is removed, so that a rate limit moves no traffic between
+    /// regions.
+    ///
+    /// # Errors
+    ///
+    /// Fails if none is left.
+    fn without_throttled(
+        &self,
+        request: &PickRequest<'_>,
+        mut choices: Vec<(usize, Registered)>,
+        now: MonotonicTime,
+    ) -> Result<Vec<(usize, Registered)>, NoUpstream> {
+        if request.throttled.is_empty() && !self.throttle.has_exhausted() {
+            return Ok(choices);
+        }
+        let region = |upstream: &Registered| upstream.registration.region.clone();
+        let Some(first) = choices.first().map(|(rank, first)| (*rank, region(first))) else {
+            return Ok(choices);
+        };
+        let mut earliest: Option<Duration> = None;
+        choices.retain(|(_, upstream)| {
+            let name = upstream.upstream();
+            let exhausted_for = self.throttle.exhausted_for(name, now);
+            if let Some(time) = exhausted_for {
+                earliest = Some(earliest.map_or(time, |known| known.min(time)));
+            }
+            exhausted_for.is_none() && !request.throttled.contains(name)
+        });
+        let Some((rank, _)) = choices.first() else {
+            let retry_after = earliest.unwrap_or_default();
+            return Err(NoUpstream::AllThrottled { retry_after });
+        };
+        if *rank != first.0 {
+            choices.sort_by_key(|(_, upstream)| region(upstream) != first.1);
+        }
+        Ok(choices)
+    }
+
     fn pick_with_rank(&self, upstream: &Registered, rank: usize, now: MonotonicTime) -> Pick {
         let registration = Arc::clone(&upstream.registration);
         let health = self.health.get(&registration.upstream);
         Pick {
             rank,
             is_cold: upstream.is_cold(now),
+            is_limited: self.is_limited(&registration),
             occupancy: health.map_or(0, |health| health.occupancy(now)),
             registration,
         }
--- a/crates/foxtide-testing/src/load_model/slot_requests.rs
+++ b/crates/foxtide-testing/src/load_model/slot_requests.rs
@@ -173,6 +173,7 @@
             objective_left: objective_at.since(self.now),
             time_left: ends_at.since(self.now),
             patience,
+            limit: None,
         })
     }
 
@@ -199,6 +200,8 @@
             Answer::Granted => self.send(id),
             Answer::Waiting => {}
             Answer::Busy => self.handle_busy(id),
+            // The model's upstreams state no rate limits.
+            Answer::Throttled { .. } | Answer::NotCoordinator => {}
             Answer::Rejected { retry_after } => {
                 if !self.overflow(id) {
                     self.end(id, Cause::RefusedNoSlot, retry_after);
