Keep upstreams' rate limits in the entry

What callers see: an upstream that states foxtide-rate-limit got whatever the balancer chose for it; a caller whose upstreams are all at their limits now gets 503 rate-limited at once, with the time until the next request.

Cause: the same class as in the gateway: what an upstream says of itself was no input of the choice. The entry has no coordinator of slots; its instances share each cap by parts.

Change: the tokens of a limit for 4 s are dealt out to the instances by rank (choice::rate_share), beginning with another instance for each upstream. An upstream without a token is passed over. Statements are read from the head of each answer, also of polls, and the absence of a limit counts from when its request was sent.

Unlike in the gateway, an instance without callers leaves its part unused.

--- a/crates/foxtide-core/src/choice/balancer.rs
+++ b/crates/foxtide-core/src/choice/balancer.rs
@@ -15,6 +15,7 @@
     Poll,
     PollResult,
     Rank,
+    StatedRate,
     StatusChange,
     Ticket, //
 };
@@ -182,6 +183,7 @@
         let has_free_slot = candidate.free_at(now).is_some_and(|from| from <= now);
         has_free_slot
             && self.is_open(candidate, now)
+            && candidate.rate.next_token_in(now).is_zero()
             && (self.rejection_budget.allows_speculation()
                 || candidate.expects_free_slot(&self.options, &self.stats, now))
     }
@@ -193,14 +195,19 @@
     }
 
     fn wait_or_empty(&self, now: MonotonicTime) -> Pick {
-        let open = self.candidates.iter().filter(|c| self.is_open(c, now));
+        let open = || self.candidates.iter().filter(|c| self.is_open(c, now));
+        let next_token_in = open().map(|c| c.rate.next_token_in(now)).min();
+        if let Some(retry_in) = next_token_in.filter(|time| !time.is_zero()) {
+            return Pick::Throttled { retry_in };
+        }
         let latency = self.stats.latency();
         let token_in = self.rejection_budget.next_token_in(&self.options, latency);
         let wait_for = |candidate: &Candidate| match candidate.free_at(now) {
             Some(from) => (from - now).max(token_in),
             None => latency,
         };
-        match open.map(wait_for).min() {
+        let unthrottled = open().filter(|c| c.rate.next_token_in(now).is_zero());
+        match unthrottled.map(wait_for).min() {
             Some(retry_in) => Pick::Wait {
                 retry_in: retry_in.max(WAIT_MIN),
             },
@@ -208,6 +215,48 @@
         }
     }
 
+    /// Records what a response states on its upstream's rate; the request was sent at
+    /// `sent_at`. Returns whether the upstream begins or ends to limit its rate.
+    pub fn record_stated_rate(
+        &mut self,
+        ticket: &Ticket,
+        stated: StatedRate,
+        sent_at: MonotonicTime,
+        now: MonotonicTime,
+    ) -> bool {
+        self.record_rate_of(ticket.incarnation, stated, sent_at, now)
+    }
+
+    /// Records what the response to a poll states on its upstream's rate.
+    pub fn record_polled_rate(
+        &mut self,
+        poll: &Poll,
+        stated: StatedRate,
+        sent_at: MonotonicTime,
+        now: MonotonicTime,
+    ) -> bool {
+        self.record_rate_of(poll.incarnation, stated, sent_at, now)
+    }
+
+    fn record_rate_of(
+        &mut self,
+        incarnation: u64,
+        stated: StatedRate,
+        sent_at: MonotonicTime,
+        now: MonotonicTime,
+    ) -> bool {
+        let Some(index) = self.position(incarnation) else {
+            return false;
+        };
+        let (rank, instances) = (self.rank, self.sharing_instances);
+        let candidate = &mut self.candidates[index];
+        let was_limited = candidate.rate.is_limited();
+        candidate.rate.record(stated, sent_at, now);
+        let upstream = &candidate.upstream.upstream;
+        candidate.rate.assign(upstream, rank, instances);
+        candidate.rate.is_limited() != was_limited
+    }
+
     /// Takes back a ticket and records the result of its request.
     pub fn finish(&mut self, ticket: Ticket, completion: Completion, now: MonotonicTime) {
         let Some(index) = self.position(ticket.incarnation) else {
@@ -317,6 +366,11 @@
             seed: self.seed,
         };
         assignment.apply(&mut self.candidates, &self.options);
+        for candidate in &mut self.candidates {
+            let upstream = &candidate.upstream.upstream;
+            let (rank, instances) = (self.rank, self.sharing_instances);
+            candidate.rate.assign(upstream, rank, instances);
+        }
         self.end_excess_ejections(now);
     }
 
--- a/crates/foxtide-core/src/choice/candidate.rs
+++ b/crates/foxtide-core/src/choice/candidate.rs
@@ -9,6 +9,7 @@
 use super::ejection::FailureRecord;
 use super::liveness::Liveness;
 use super::occupancy::Occupancy;
+use super::rate_share::RateShare;
 use super::status::UpstreamStatus;
 use crate::ids::UpstreamId;
 use crate::organisation::Upstream;
@@ -62,6 +63,8 @@
     pub(crate) in_flight: u32,
     pub(crate) liveness: Liveness,
     pub(crate) failures: FailureRecord,
+    /// This instance's part of the rate that the upstream accepts.
+    pub(crate) rate: RateShare,
     /// The status last returned to the caller.
     pub(crate) reported_status: UpstreamStatus,
     occupancy: Occupancy,
@@ -87,6 +90,7 @@
             in_flight: 0,
             liveness: Liveness::new(now),
             failures: FailureRecord::default(),
+            rate: RateShare::default(),
             reported_status: UpstreamStatus::Serving,
             occupancy: Occupancy::new(),
             ramp_started_at: None,
@@ -207,6 +211,7 @@
 
     pub(crate) fn record_sent(&mut self, options: &BalancerOptions, now: MonotonicTime) {
         self.in_flight += 1;
+        self.rate.take(now);
         self.freed_at = None;
         self.liveness.record_sent(&options.liveness, now);
     }
--- a/crates/foxtide-core/src/choice/completion.rs
+++ b/crates/foxtide-core/src/choice/completion.rs
@@ -1,6 +1,7 @@
 //! Results of attempts and polls.
 
 use super::LoadReport;
+use crate::units::RequestRate;
 use std::time::Duration;
 
 /// How an attempt ended.
@@ -39,6 +40,17 @@
     }
 }
 
+/// What a response states on the rate that its upstream accepts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum StatedRate {
+    /// The upstream limits the requests of all instances together.
+    Limit(RequestRate),
+    /// It does not limit them.
+    NoLimit,
+    /// The statement cannot be decoded; what is known stays in effect.
+    Unreadable,
+}
+
 /// The result of an attempt.
 #[derive(Clone, Debug)]
 pub struct Completion {
--- a/crates/foxtide-core/src/choice/mod.rs
+++ b/crates/foxtide-core/src/choice/mod.rs
@@ -24,6 +24,7 @@
 mod occupancy;
 mod options;
 mod pick;
+mod rate_share;
 mod rejection_budget;
 mod sharing;
 mod status;
@@ -34,7 +35,8 @@
 pub use completion::{
     Completion,
     CompletionKind,
-    PollResult, //
+    PollResult,
+    StatedRate, //
 };
 pub use load_report::LoadReport;
 pub use options::{
--- a/crates/foxtide-core/src/choice/pick.rs
+++ b/crates/foxtide-core/src/choice/pick.rs
@@ -17,6 +17,11 @@
         /// The time until an upstream is expected to have a free slot.
         retry_in: Duration,
     },
+    /// The rate that the upstreams accept is used up.
+    Throttled {
+        /// The time until a request may be sent.
+        retry_in: Duration,
+    },
     /// No upstream is available.
     Empty,
 }
--- a/crates/foxtide-entry/src/proxy/admission.rs
+++ b/crates/foxtide-entry/src/proxy/admission.rs
@@ -51,6 +51,18 @@
         Self { refusal, rule }
     }
 
+    /// Returns the error for upstreams whose rate is used up.
+    pub(super) fn rate_limited(retry_after: Duration) -> Self {
+        let refusal = Refusal::not_run(StatusCode::ServiceUnavailable, "rate-limited");
+        Self {
+            refusal: Refusal {
+                retry_after,
+                ..refusal
+            },
+            rule: Rule::NoUpstream,
+        }
+    }
+
     /// Returns the error for a region without available upstreams.
     pub(super) fn no_upstream() -> Self {
         Self {
--- a/crates/foxtide-entry/src/proxy/attempt.rs
+++ b/crates/foxtide-entry/src/proxy/attempt.rs
@@ -5,11 +5,13 @@
 use crate::upstream::{
     Failure,
     FailureKind,
-    announces_drain, //
+    announces_drain,
+    stated_rate, //
 };
 use foxtide_core::choice::{
     Completion,
-    CompletionKind, //
+    CompletionKind,
+    StatedRate, //
 };
 use foxtide_core::explain;
 use foxtide_core::outcome::Outcome;
@@ -93,6 +95,11 @@
         }
     }
 
+    /// Returns what the answer states on the upstream's rate, if there is one.
+    pub(crate) fn stated_rate(&self) -> Option<StatedRate> {
+        self.headers().map(stated_rate)
+    }
+
     fn headers(&self) -> Option<&Headers> {
         match self {
             Self::Answered(answer) | Self::Refused(answer) => Some(&answer.headers),
--- a/crates/foxtide-entry/src/proxy/queue.rs
+++ b/crates/foxtide-entry/src/proxy/queue.rs
@@ -108,6 +108,9 @@
             let now = self.deps.clock().now();
             match region.take(tried, now) {
                 SlotChoice::Taken(slot) => return Ok(slot),
+                SlotChoice::Throttled(retry_in) => {
+                    return Err(AdmissionError::rate_limited(retry_in));
+                }
                 SlotChoice::NoUpstream => return Err(AdmissionError::no_upstream()),
                 SlotChoice::Wait(retry_in) => {
                     check_deadline(context, now, "no-slot")?;
--- a/crates/foxtide-entry/src/proxy/recording.rs
+++ b/crates/foxtide-entry/src/proxy/recording.rs
@@ -12,10 +12,12 @@
 use crate::dependencies::Dependencies;
 use crate::errors::Step;
 use crate::request_context::RequestContext;
+use crate::traffic::Slot;
 use crate::upstream::{
     Failure,
     FailureKind, //
 };
+use foxtide_core::choice::StatedRate;
 use foxtide_core::events::{
     EventCode,
     EventFields, //
@@ -37,6 +39,33 @@
         decision.with_request(&context.request)
     }
 
+    /// Records what an answer states on the rate of its upstream.
+    pub(super) fn record_stated_rate(
+        &self,
+        context: &RequestContext,
+        slot: &Slot,
+        end: &AttemptEnd,
+    ) {
+        let Some(stated) = end.stated_rate() else {
+            return;
+        };
+        if !slot.record_stated_rate(stated) {
+            return;
+        }
+        metrics::counter!("foxtide_upstream_limits_stated_total").increment(1);
+        let detail = match stated {
+            StatedRate::Limit(limit) => format!("limit={limit}"),
+            StatedRate::NoLimit | StatedRate::Unreadable => "limit=none".to_owned(),
+        };
+        let fields = EventFields {
+            upstream: Some(slot.upstream().upstream.clone()),
+            detail,
+            ..context.event_fields()
+        };
+        let recorder = self.deps.recorder();
+        recorder.record(EventCode::UpstreamLimitStated, fields);
+    }
+
     /// Counts an attempt and records an event if it failed.
     pub(super) fn record_attempt(
         &self,
--- a/crates/foxtide-entry/src/traffic/poller.rs
+++ b/crates/foxtide-entry/src/traffic/poller.rs
@@ -18,7 +18,8 @@
     RequestIdEcho,
     UpstreamRequest,
     announces_drain,
-    exchange, //
+    exchange,
+    stated_rate, //
 };
 use foxtide_core::choice::{
     LoadReport,
@@ -62,8 +63,16 @@
 
     async fn poll(&self, due: DuePoll) {
         let address = due.poll.upstream().address;
+        let sent_at = self.deps.clock().now();
         let result = match self.request_load(address).await {
-            Ok(answer) => read_report(answer),
+            Ok(answer) => {
+                let stated = stated_rate(&answer.headers);
+                let now = self.deps.clock().now();
+                due.region.with_balancer(|balancer| {
+                    balancer.record_polled_rate(&due.poll, stated, sent_at, now);
+                });
+                read_report(answer)
+            }
             Err(failure) if failure.step == Step::Connect => PollResult::Unreachable,
             Err(_) => PollResult::TimedOut,
         };
--- a/crates/foxtide-entry/src/traffic/slot.rs
+++ b/crates/foxtide-entry/src/traffic/slot.rs
@@ -5,6 +5,7 @@
     Completion,
     CompletionKind,
     Pick,
+    StatedRate,
     Ticket, //
 };
 use foxtide_core::ids::UpstreamId;
@@ -21,6 +22,8 @@
     Taken(Slot),
     /// All slots are taken; the next may be free after this time.
     Wait(Duration),
+    /// The rate that the upstreams accept is used up for this time.
+    Throttled(Duration),
     /// No upstream is available.
     NoUpstream,
 }
@@ -32,6 +35,7 @@
         match self.pick(tried, now) {
             Pick::Take(ticket) => SlotChoice::Taken(Slot::new(Arc::clone(self), ticket, now)),
             Pick::Wait { retry_in } => SlotChoice::Wait(retry_in),
+            Pick::Throttled { retry_in } => SlotChoice::Throttled(retry_in),
             Pick::Empty => SlotChoice::NoUpstream,
         }
     }
@@ -75,6 +79,17 @@
         self.release(completion);
     }
 
+    /// Records what a response states on the upstream's rate; returns whether the upstream
+    /// begins or ends to limit it.
+    pub(crate) fn record_stated_rate(&self, stated: StatedRate) -> bool {
+        let Some(ticket) = &self.ticket else {
+            return false;
+        };
+        let (sent_at, now) = (self.taken_at, self.taken_at + self.held());
+        self.region
+            .with_balancer(|balancer| balancer.record_stated_rate(ticket, stated, sent_at, now))
+    }
+
     /// Returns how long the slot has been held.
     pub(crate) fn held(&self) -> Duration {
         self.taken.elapsed()
--- a/crates/foxtide-entry/src/upstream/exchange.rs
+++ b/crates/foxtide-entry/src/upstream/exchange.rs
@@ -19,6 +19,7 @@
     size, //
 };
 use crate::timeout::timeout;
+use foxtide_core::choice::StatedRate;
 use foxtide_core::time::MonotonicTime;
 use foxtide_http::{
     BodyLength,
@@ -294,6 +295,20 @@
     }
 }
 
+/// Returns what the headers of an answer state on the upstream's rate.
+pub(crate) fn stated_rate(headers: &Headers) -> StatedRate {
+    let Some(values) = headers.get(name::RATE_LIMIT) else {
+        return StatedRate::NoLimit;
+    };
+    let rate = values.as_str().parse().ok();
+    let rate = rate.filter(|_| values.iter().count() == 1);
+    if rate.is_none() {
+        metrics::counter!("foxtide_statements_unreadable_total", "statement" => "rate_limit")
+            .increment(1);
+    }
+    rate.map_or(StatedRate::Unreadable, StatedRate::Limit)
+}
+
 /// Returns whether the headers of an answer announce that the upstream is
 /// draining.
 pub(crate) fn announces_drain(headers: &Headers) -> bool {
--- a/crates/foxtide-entry/src/upstream/mod.rs
+++ b/crates/foxtide-entry/src/upstream/mod.rs
@@ -9,7 +9,8 @@
     RequestIdEcho,
     UpstreamRequest,
     announces_drain,
-    exchange, //
+    exchange,
+    stated_rate, //
 };
 pub(crate) use failure::{
     Failure,
--- a/crates/foxtide-http/src/headers.rs
+++ b/crates/foxtide-http/src/headers.rs
@@ -39,6 +39,8 @@
     pub const REQUEST_ID: &str = "foxtide-request-id";
     /// State that an upstream announces, such as draining.
     pub const UPSTREAM_STATE: &str = "foxtide-upstream-state";
+    /// Requests per second that an upstream accepts from all instances together.
+    pub const RATE_LIMIT: &str = "foxtide-rate-limit";
     /// Load report of an upstream (Open Request Cost Aggregation).
     pub const LOAD_METRICS: &str = "endpoint-load-metrics";
 }
