Log and count rests and drains that upstreams state in responses

Change: both headers are decoded; a rejection that asks for rest (F5044) and a response that states a drain (F5045) give lines with the request, and counters. What is no decimal number of seconds, or repeated, is counted and ignored (F5042). Nothing acts on either yet.

--- a/crates/foxtide-core/src/events/code.rs
+++ b/crates/foxtide-core/src/events/code.rs
@@ -201,6 +201,8 @@
     5041 UpstreamLimitStated "upstream-limit-stated" Info "An upstream stated another rate limit in a response, or none any more; `request` is the request that it responded to."
     5042 StatementUnreadable "statement-unreadable" Warn "A statement in an upstream's response cannot be decoded and is ignored."
     5043 RequestThrottled "request-throttled" Info "The rate limit that an upstream states left a request no token there; `limit_age_ms` is the time since this instance heard of the limit."
+    5044 UpstreamRestRequested "upstream-rest-requested" Info "An upstream rejected a request and asked this instance to send nothing for a time."
+    5045 UpstreamDrainStated "upstream-drain-stated" Info "An upstream stated in a response that it is leaving."
 
     6001 KeyReplayed "key-replayed" Info "A request with a known idempotency key got the stored response."
     6002 KeyInProgress "key-in-progress" Debug "A request was repeated while the first one with its idempotency key was running."
--- a/crates/foxtide-gateway/src/dialect.rs
+++ b/crates/foxtide-gateway/src/dialect.rs
@@ -120,6 +120,10 @@
     pub load: Option<LoadReport>,
     /// The requests per second that the upstream accepts from all instances together.
     pub rate_limit: Statement<RequestRate>,
+    /// How long a rejecting upstream wants no requests from this instance.
+    pub retry_after: Statement<Duration>,
+    /// Whether the upstream is leaving.
+    pub is_draining: Statement<bool>,
 }
 
 /// A value that an upstream may state in a response.
--- a/crates/foxtide-gateway/src/forward/statements.rs
+++ b/crates/foxtide-gateway/src/forward/statements.rs
@@ -11,6 +11,11 @@
 use foxtide_core::throttle::LimitStatement;
 use foxtide_core::time::MonotonicTime;
 use foxtide_http::ForwardedResponse;
+use std::time::Duration;
+
+/// The status with which an upstream rejects a request for lack of capacity (RFC 9110,
+/// section 15.6.4).
+const REJECTED_STATUS: u16 = 503;
 
 /// An exchange whose responses are examined.
 pub(super) struct Exchange<'a, D> {
@@ -30,6 +35,30 @@
             return;
         }
         self.record_rate_limit(&headers, head.is_interim());
+        if head.status == REJECTED_STATUS {
+            self.record_rest(headers.retry_after);
+        }
+        self.record_drain(headers.is_draining);
+    }
+
+    fn record_rest(&self, retry_after: Statement<Duration>) {
+        let (request, upstream) = (self.request.id(), &self.registration.upstream);
+        let journal = &self.shared.journal;
+        match retry_after {
+            Statement::Valid(time) => journal.rest_requested(request, upstream, time),
+            Statement::Unreadable => journal.statement_unreadable(request, upstream, "retry_after"),
+            Statement::Absent => {}
+        }
+    }
+
+    fn record_drain(&self, is_draining: Statement<bool>) {
+        let (request, upstream) = (self.request.id(), &self.registration.upstream);
+        let journal = &self.shared.journal;
+        match is_draining {
+            Statement::Valid(true) => journal.drain_stated(request, upstream),
+            Statement::Unreadable => journal.statement_unreadable(request, upstream, "drain"),
+            Statement::Valid(false) | Statement::Absent => {}
+        }
     }
 
     fn record_rate_limit(&self, headers: &UpstreamHeaders, is_interim: bool) {
--- a/crates/foxtide-gateway/src/journal/requests.rs
+++ b/crates/foxtide-gateway/src/journal/requests.rs
@@ -231,6 +231,31 @@
         }
     }
 
+    /// Logs and counts an upstream that asks this instance to send nothing for a time.
+    pub(crate) fn rest_requested(&self, request: &str, upstream: &UpstreamId, time: Duration) {
+        metrics::counter!("foxtide_upstream_rests_requested_total").increment(1);
+        if self.may_log(LineKind::Step) {
+            log_event!(
+                EventCode::UpstreamRestRequested,
+                request = request,
+                upstream = upstream.as_str(),
+                time_ms = time.as_millis() as u64
+            );
+        }
+    }
+
+    /// Logs and counts an upstream that states that it is leaving.
+    pub(crate) fn drain_stated(&self, request: &str, upstream: &UpstreamId) {
+        metrics::counter!("foxtide_upstream_drains_stated_total").increment(1);
+        if self.may_log(LineKind::Step) {
+            log_event!(
+                EventCode::UpstreamDrainStated,
+                request = request,
+                upstream = upstream.as_str()
+            );
+        }
+    }
+
     /// Logs and counts an upstream's statement that cannot be decoded.
     pub(crate) fn statement_unreadable(
         &self,
--- a/crates/foxtide-gateway/tests/gateway/support/dialect.rs
+++ b/crates/foxtide-gateway/tests/gateway/support/dialect.rs
@@ -1,7 +1,6 @@
 //! A simple dialect, independent of the platform's.
 
 use foxtide_core::placement::LoadReport;
-use foxtide_core::units::RequestRate;
 use foxtide_gateway::{
     CallerHeaders,
     CallerIdentity,
@@ -60,7 +59,13 @@
             is_signed: lines.get("signature").is_some(),
             is_encoded: false,
             load: None::<LoadReport>,
-            rate_limit: rate_limit(lines),
+            rate_limit: statement(lines, "rate-limit"),
+            retry_after: match statement::<f64>(lines, "retry-after") {
+                Statement::Valid(seconds) => Statement::Valid(Duration::from_secs_f64(seconds)),
+                Statement::Absent => Statement::Absent,
+                Statement::Unreadable => Statement::Unreadable,
+            },
+            is_draining: statement(lines, "draining"),
         }
     }
 
@@ -89,8 +94,8 @@
     }
 }
 
-fn rate_limit(lines: &HeaderLines) -> Statement<RequestRate> {
-    match lines.text("rate-limit") {
+fn statement<T: std::str::FromStr>(lines: &HeaderLines, name: &str) -> Statement<T> {
+    match lines.text(name) {
         None => Statement::Absent,
         Some(text) => text.parse().map_or(Statement::Unreadable, Statement::Valid),
     }
