Reproduce the disregarded rests and drains in tests

Cause: both are read and logged, and nothing acts on them.

Change: seven tests of the gateway, in two regions, with idempotent and other requests: an upstream that asks for rest, one that states a drain (also while its registration says ready), requests that wait for a slot when the word comes, services whose upstreams all rest or all leave, and the end of a rest.

--- a/crates/foxtide-gateway/tests/gateway/main.rs
+++ b/crates/foxtide-gateway/tests/gateway/main.rs
@@ -11,3 +11,4 @@
 mod stopping;
 mod support;
 mod throttle;
+mod withdrawals;
--- a/crates/foxtide-gateway/tests/gateway/support/upstream.rs
+++ b/crates/foxtide-gateway/tests/gateway/support/upstream.rs
@@ -151,7 +151,12 @@
     /// Sets the rate limit that all responses state.
     pub(crate) fn state_rate_limit(&self, limit_rps: Option<f64>) {
         let line = limit_rps.map(|limit_rps| format!("rate-limit: {limit_rps}\r\n"));
-        *self.shared.lines.lock().unwrap() = line.unwrap_or_default();
+        self.state(&line.unwrap_or_default());
+    }
+
+    /// Sets the additional header lines of all responses.
+    pub(crate) fn state(&self, lines: &str) {
+        *self.shared.lines.lock().unwrap() = lines.to_owned();
     }
 
     /// Returns the received requests.
