Send nothing to an upstream that has asked for rest

What callers saw: 503 for a quarter of the requests of one kind. Upstreams that rejected a request and asked the instance for 3 s of rest got 11 to 22 more from it in that time, each of which cost a caller an attempt.

Cause: Retry-After of an upstream was read nowhere, and a rejection only ended its attempt; the next request for the same object went to the same upstream. The class: what an upstream says of itself in its responses was no input of the choice.

The choice passes over such an upstream, prefers the region of the object's first choice, and is checked again after each wait and once more when the connection is open. Where all rest, a request is rejected at once; Retry-After is the shortest rest left, spread by a quarter so that callers do not return together.

The test of the waiting requests now has two instances: one alone did not coordinate the slots yet, so nothing waited. With this, it fails without the change (40 requests).

--- a/crates/foxtide-core/src/lib.rs
+++ b/crates/foxtide-core/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod throttle;
 pub mod time;
 pub mod units;
+pub mod withdrawal;
 
 mod owned_tokens;
 
--- a/crates/foxtide-gateway/src/forward/attempt.rs
+++ b/crates/foxtide-gateway/src/forward/attempt.rs
@@ -98,6 +98,10 @@
             return AttemptReport::new(AttemptEnd::NotSent { cause }, AttemptResult::Unreachable);
         }
     };
+    // The upstream may have spoken on another connection while this one was opened.
+    if shared.state.lock().has_withdrawn(registration) {
+        return AttemptReport::new(AttemptEnd::Withdrawn, AttemptResult::Abandoned);
+    }
     let time_left = deadline.saturating_duration_since(Instant::now());
     let mut head = request.head.clone();
     let values = ForwardHeaders {
--- a/crates/foxtide-gateway/src/forward/attempt_loop.rs
+++ b/crates/foxtide-gateway/src/forward/attempt_loop.rs
@@ -59,6 +59,10 @@
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
 const RETRY_AFTER_MAX: Duration = Duration::from_millis(1_000);
 
+/// The share by which Retry-After may exceed the time until an upstream gets requests again, so
+/// that callers do not return all at once.
+const RETURN_SPREAD: f64 = 0.25;
+
 /// The state of a request between its attempts.
 pub(super) struct AttemptLoop<'a, D> {
     pub(super) shared: &'a Arc<Shared<D>>,
@@ -108,7 +112,8 @@
             if let Some(reply) = self.recheck() {
                 return reply;
             }
-            if self.lacks_grant(&pick, slot.as_ref()) {
+            let is_valid = self.shared.state.lock().is_pick_valid(&pick);
+            if !is_valid || self.lacks_grant(&pick, slot.as_ref()) {
                 continue;
             }
             let began_at = Instant::now();
@@ -204,11 +209,15 @@
         let upstream = pick.registration.upstream.clone();
         let journal = &self.shared.journal;
         journal.attempt_failed(&self.trace, pick, &report.end, took);
+        if matches!(report.end, AttemptEnd::Withdrawn) {
+            return Next::Retry;
+        }
         self.trace.record_attempt(pick);
         if !self.may_retry_same_upstream(&report.end) {
             self.tried.push(upstream);
         }
         match report.end {
+            AttemptEnd::Withdrawn => Next::Retry,
             AttemptEnd::Responded(response) => self.responded(response),
             AttemptEnd::NotRun {
                 is_other_incarnation,
@@ -315,11 +324,18 @@
             journal.no_upstream(self.request.id(), self.service, reason);
             self.trace.reason = reason.as_str();
         }
-        let NoUpstream::AllThrottled { retry_after } = reason else {
+        let available_in = match reason {
+            NoUpstream::AllUnavailable { retry_after, .. } => Some(retry_after),
+            NoUpstream::AllTried => self.shared.state.lock().rest_left(&self.tried),
+            NoUpstream::NoneRegistered | NoUpstream::AllCold => None,
+        };
+        let Some(available_in) = available_in else {
             return self.not_run();
         };
-        let retry_after = retry_after.max(RETRY_AFTER_MIN);
-        let refused = Refusal::NotRun { retry_after };
+        let spread = 1.0 + RETURN_SPREAD * fastrand::f64();
+        let refused = Refusal::NotRun {
+            retry_after: available_in.max(RETRY_AFTER_MIN).mul_f64(spread),
+        };
         self.failure.clone().unwrap_or_else(|| refused.into())
     }
 
--- a/crates/foxtide-gateway/src/forward/statements.rs
+++ b/crates/foxtide-gateway/src/forward/statements.rs
@@ -45,7 +45,11 @@
         let (request, upstream) = (self.request.id(), &self.registration.upstream);
         let journal = &self.shared.journal;
         match retry_after {
-            Statement::Valid(time) => journal.rest_requested(request, upstream, time),
+            Statement::Valid(time) => {
+                journal.rest_requested(request, upstream, time);
+                let mut state = self.shared.state.lock();
+                state.record_rest(self.registration, time);
+            }
             Statement::Unreadable => journal.statement_unreadable(request, upstream, "retry_after"),
             Statement::Absent => {}
         }
--- a/crates/foxtide-gateway/src/journal/requests.rs
+++ b/crates/foxtide-gateway/src/journal/requests.rs
@@ -139,6 +139,7 @@
         let (outcome, cause) = match end {
             AttemptEnd::Responded(_) => return,
             AttemptEnd::NotRun { .. } => ("not_run", "the upstream said so"),
+            AttemptEnd::Withdrawn => ("not_sent", "the upstream wants no requests"),
             AttemptEnd::NotSent { cause } => ("not_sent", cause.as_str()),
             AttemptEnd::Unknown { cause } => ("unknown", cause.as_str()),
             AttemptEnd::TimedOut => ("timed_out", "no response in time"),
--- a/crates/foxtide-gateway/src/outcome/attempt.rs
+++ b/crates/foxtide-gateway/src/outcome/attempt.rs
@@ -12,6 +12,8 @@
         /// Whether another incarnation uses the address now.
         is_other_incarnation: bool,
     },
+    /// The upstream told this instance to send nothing before any byte was sent.
+    Withdrawn,
     /// No byte of the request left this instance.
     NotSent { cause: String },
     /// The request may have run, but no whole response arrived.
--- a/crates/foxtide-gateway/src/state/mod.rs
+++ b/crates/foxtide-gateway/src/state/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! One lock protects it; the lock is never held across an await.
 
+mod availability;
 mod facts;
 mod homed;
 mod pick;
@@ -9,6 +10,7 @@
 mod stored;
 mod throttle;
 
+pub(crate) use availability::Unavailability;
 pub(crate) use pick::{
     NoUpstream,
     Pick,
@@ -66,6 +68,7 @@
     RequestRate,
     Share, //
 };
+use foxtide_core::withdrawal::Withdrawals;
 use homed::HomedTraffic;
 use placement::Placement;
 use std::collections::{
@@ -101,6 +104,8 @@
     pub(super) cold: ColdRateLimiter,
     /// The rate limits that upstreams state.
     pub(super) throttle: LocalThrottle,
+    /// The upstreams that have told this instance to send them nothing.
+    pub(super) withdrawals: Withdrawals,
     /// Keyed by service and the regions that may serve.
     pub(super) placements: HashMap<(ServiceId, Vec<RegionId>), Placement>,
     homed: HomedTraffic,
@@ -146,6 +151,7 @@
             health: HashMap::new(),
             cold: ColdRateLimiter::default(),
             throttle: LocalThrottle::default(),
+            withdrawals: Withdrawals::default(),
             started_at,
             placements: HashMap::new(),
             homed: HomedTraffic::default(),
@@ -253,6 +259,7 @@
         self.drop_missing_evacuations(now);
         self.cold.prune(now);
         self.prune_throttle();
+        self.withdrawals.prune(now);
         self.homed.advance(self.routes.as_deref(), now);
         self.placements
             .retain(|_, placement| placement.is_used(now));
--- a/crates/foxtide-gateway/src/state/pick.rs
+++ b/crates/foxtide-gateway/src/state/pick.rs
@@ -1,6 +1,9 @@
 //! Picks the upstream of an attempt.
 
-use super::State;
+use super::{
+    State,
+    Unavailability, //
+};
 use foxtide_core::ids::{
     RegionId,
     ServiceId,
@@ -63,9 +66,11 @@
     AllCold,
     /// All have been tried.
     AllTried,
-    /// The rate limits of all that are left are exhausted.
-    AllThrottled {
-        /// When the first one allows another request.
+    /// All that are left get no requests for some time.
+    AllUnavailable {
+        /// Why the one that gets requests first does not get them now.
+        cause: Unavailability,
+        /// When that one gets requests.
         retry_after: Duration,
     },
 }
@@ -77,7 +82,7 @@
             Self::NoneRegistered => "no_upstream_registered",
             Self::AllCold => "upstreams_cold",
             Self::AllTried => "upstreams_tried",
-            Self::AllThrottled { .. } => "upstreams_limited",
+            Self::AllUnavailable { cause, .. } => cause.as_str(),
         }
     }
 }
@@ -160,7 +165,7 @@
         if untried.is_empty() {
             return Err(NoUpstream::AllTried);
         }
-        let untried = self.without_throttled(request, untried, now)?;
+        let untried = self.without_unavailable(request, untried)?;
         let is_ejected = |(_, upstream): &(usize, Registered)| self.is_ejected(upstream, now);
         let (ejected, mut usable): (Vec<_>, Vec<_>) = untried.into_iter().partition(is_ejected);
         if count == usize::MAX {
@@ -175,38 +180,38 @@
         Err(NoUpstream::AllCold)
     }
 
-    /// Removes the upstreams whose rate limits are exhausted. Those of the region of the first
-    /// choice come first if that is removed, so that a rate limit moves no traffic between
-    /// regions.
+    /// Removes the upstreams that get no requests now. Those of the region of the first choice
+    /// come first if that is removed, so that no traffic moves between regions.
     ///
     /// # Errors
     ///
     /// Fails if none is left.
-    fn without_throttled(
+    fn without_unavailable(
         &self,
         request: &PickRequest<'_>,
         mut choices: Vec<(usize, Registered)>,
-        now: MonotonicTime,
     ) -> Result<Vec<(usize, Registered)>, NoUpstream> {
-        if request.throttled.is_empty() && !self.throttle.has_exhausted() {
+        if request.throttled.is_empty() && !self.has_unavailable() {
             return Ok(choices);
         }
         let region = |upstream: &Registered| upstream.registration.region.clone();
         let Some(first) = choices.first().map(|(rank, first)| (*rank, region(first))) else {
             return Ok(choices);
         };
-        let mut earliest: Option<Duration> = None;
+        let mut earliest = None;
         choices.retain(|(_, upstream)| {
-            let name = upstream.upstream();
-            let exhausted_for = self.throttle.exhausted_for(name, now);
-            if let Some(time) = exhausted_for {
-                earliest = Some(earliest.map_or(time, |known| known.min(time)));
+            let unavailability = self.unavailability(&upstream.registration);
+            if let Some((cause, time)) = unavailability
+                && earliest.is_none_or(|(_, known)| time < known)
+            {
+                earliest = Some((cause, time));
             }
-            exhausted_for.is_none() && !request.throttled.contains(name)
+            unavailability.is_none() && !request.throttled.contains(upstream.upstream())
         });
         let Some((rank, _)) = choices.first() else {
-            let retry_after = earliest.unwrap_or_default();
-            return Err(NoUpstream::AllThrottled { retry_after });
+            let (cause, retry_after) =
+                earliest.unwrap_or((Unavailability::Throttled, Duration::ZERO));
+            return Err(NoUpstream::AllUnavailable { cause, retry_after });
         };
         if *rank != first.0 {
             choices.sort_by_key(|(_, upstream)| region(upstream) != first.1);
@@ -227,7 +232,7 @@
     }
 
     /// Tells whether a picked upstream may still get the request: it is neither draining nor
-    /// restarted, and has not turned cold.
+    /// restarted, has not turned cold and wants requests.
     pub(crate) fn is_pick_valid(&self, pick: &Pick) -> bool {
         let now = self.clock.now();
         let upstream = &pick.registration.upstream;
@@ -237,6 +242,7 @@
                 .registration
                 .is_incarnation_of(&pick.registration)
                 && (pick.is_cold || !registered.is_cold(now))
+                && !self.has_withdrawn(&pick.registration)
         })
     }
 
--- a/crates/foxtide-gateway/tests/gateway/withdrawals.rs
+++ b/crates/foxtide-gateway/tests/gateway/withdrawals.rs
@@ -59,11 +59,14 @@
 fn verify_a_waiting_request_is_not_sent_to_a_resting_upstream() {
     let fleet = Fleet::new();
     let upstream = fleet.upstream("i-1", "khomas-a");
-    let instance = fleet.instance("edge-1", "khomas-a");
+    let instances = ["edge-1", "edge-2"].map(|name| fleet.instance(name, "khomas-a"));
+    for instance in &instances {
+        instance.wait_for_members(2);
+    }
     upstream.state(LONG_REST);
     upstream.always(Behaviour::FullAfter(Duration::from_millis(300)));
     let send = |number: usize| {
-        let mut caller = Caller::connect(instance.address());
+        let mut caller = Caller::connect(instances[0].address());
         caller.send(&format!(
             "GET /once/ HTTP/1.1\r\nhost: a.example\r\nrequest: r-{number}\r\n\r\n"
         ));
