Send nothing to an upstream that has stated its drain

What callers saw: nothing yet; requests reached a leaving upstream 2.8 and 3.2 s after its responses had told the sending instance, and would have been cut when it ended. Its report had not reached the store, which was away.

Cause: whether an upstream leaves was known from the store alone. The class is that of the rests: what an upstream says of itself was no input of the choice.

Change: a stated drain is recorded when the head of a response arrives, and takes the upstream out of this instance's choice at once, on every way to it that a rest takes it from. It holds for the incarnation: no registration that still says ready, no eviction from the registry and no other response ends it; it is forgotten a minute after an upstream that is not registered last spoke. Where all upstreams leave, a request is rejected at once and may return after a second.

--- a/crates/foxtide-core/src/withdrawal/mod.rs
+++ b/crates/foxtide-core/src/withdrawal/mod.rs
@@ -1,8 +1,9 @@
 //! Upstreams that have told this instance to send them nothing.
 //!
-//! An upstream that rejects a request may ask its sender for rest. The rest binds the instance
-//! that was told, until its time has passed or the upstream starts anew; neither a registration
-//! nor a later response ends it.
+//! An upstream that rejects a request may ask its sender for rest, and one that is leaving says
+//! so in its responses. Either binds the instance that was told, a rest until its time has
+//! passed, a drain until the upstream starts anew; neither a registration nor a later response
+//! ends it.
 
 mod table;
 
--- a/crates/foxtide-core/src/withdrawal/table.rs
+++ b/crates/foxtide-core/src/withdrawal/table.rs
@@ -12,6 +12,10 @@
 /// that a wrong value does not take it out of service for good.
 const REST_MAX: Duration = Duration::from_secs(600);
 
+/// How long the drain of an upstream that is not registered is remembered: its registration may
+/// return from an instance or a store that knows less.
+const UNREGISTERED_TTL: Duration = Duration::from_secs(60);
+
 /// Why an upstream gets no requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Withdrawal {
@@ -20,6 +24,8 @@
         /// How much longer it rests.
         time_left: Duration,
     },
+    /// It is leaving.
+    Draining,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -27,6 +33,8 @@
     /// When the incarnation of the upstream started.
     born_at: Option<WallTime>,
     rests_until: MonotonicTime,
+    /// When it last stated that it is leaving.
+    drain_stated_at: Option<MonotonicTime>,
 }
 
 /// The upstreams that have told this instance to send them nothing.
@@ -50,6 +58,19 @@
         }
     }
 
+    /// Records that an incarnation of an upstream is leaving; returns whether this is new.
+    pub fn drain(
+        &mut self,
+        upstream: &UpstreamId,
+        born_at: Option<WallTime>,
+        now: MonotonicTime,
+    ) -> bool {
+        let Some(entry) = self.entry(upstream, born_at) else {
+            return false;
+        };
+        entry.drain_stated_at.replace(now).is_none()
+    }
+
     /// Returns why an incarnation of an upstream gets no requests; `None` if it may get some.
     pub fn get(
         &self,
@@ -58,7 +79,13 @@
         now: MonotonicTime,
     ) -> Option<Withdrawal> {
         let entry = self.entries.get(upstream)?;
-        let is_resting = entry.born_at == born_at && now < entry.rests_until;
+        if entry.born_at != born_at {
+            return None;
+        }
+        if entry.drain_stated_at.is_some() {
+            return Some(Withdrawal::Draining);
+        }
+        let is_resting = now < entry.rests_until;
         is_resting.then(|| Withdrawal::Resting {
             time_left: entry.rests_until - now,
         })
@@ -69,9 +96,15 @@
         self.entries.is_empty()
     }
 
-    /// Drops what has no effect any more.
-    pub fn prune(&mut self, now: MonotonicTime) {
-        self.entries.retain(|_, entry| now < entry.rests_until);
+    /// Drops rests that are over, and drains of upstreams that `is_registered` does not accept
+    /// and that have stated nothing for long.
+    pub fn prune(&mut self, now: MonotonicTime, is_registered: impl Fn(&UpstreamId) -> bool) {
+        self.entries.retain(|upstream, entry| {
+            let is_draining = entry
+                .drain_stated_at
+                .is_some_and(|at| now - at < UNREGISTERED_TTL || is_registered(upstream));
+            is_draining || now < entry.rests_until
+        });
     }
 
     /// Returns the entry of an incarnation; `None` if a later one is known.
@@ -79,6 +112,7 @@
         let new = Entry {
             born_at,
             rests_until: MonotonicTime::ZERO,
+            drain_stated_at: None,
         };
         let entry = self.entries.entry(upstream.clone()).or_insert(new);
         if entry.born_at < born_at {
--- a/crates/foxtide-core/tests/withdrawal.rs
+++ b/crates/foxtide-core/tests/withdrawal.rs
@@ -30,7 +30,7 @@
     withdrawals.rest(&upstream(), None, Duration::from_secs(3), at(0));
     withdrawals.rest(&upstream(), None, Duration::ZERO, at(100));
     withdrawals.rest(&upstream(), None, Duration::from_secs(1), at(200));
-    withdrawals.prune(at(2_999));
+    withdrawals.prune(at(2_999), |_| false);
     assert_eq!(
         withdrawals.get(&upstream(), None, at(2_000)),
         Some(Withdrawal::Resting {
@@ -63,3 +63,33 @@
     assert_eq!(withdrawals.get(&upstream(), first, at(3)), None);
     assert_eq!(withdrawals.get(&upstream(), second, at(3)), None);
 }
+
+/// Guards against a drain that is forgotten while the upstream is registered, or soon after.
+#[test]
+fn verify_a_drain_outlasts_registrations() {
+    let mut withdrawals = Withdrawals::default();
+    assert!(withdrawals.drain(&upstream(), None, at(0)));
+    assert!(!withdrawals.drain(&upstream(), None, at(10)));
+    withdrawals.rest(&upstream(), None, Duration::from_secs(1), at(20));
+    withdrawals.prune(at(3_600_000), |_| true);
+    assert_eq!(
+        withdrawals.get(&upstream(), None, at(3_600_000)),
+        Some(Withdrawal::Draining)
+    );
+    withdrawals.prune(at(59_000), |_| false);
+    assert!(rests(&withdrawals, 59_000));
+    withdrawals.prune(at(61_000), |_| false);
+    assert!(withdrawals.is_empty());
+}
+
+/// Guards against a restarted upstream that counts as leaving.
+#[test]
+fn verify_a_new_incarnation_is_not_leaving() {
+    let (first, second) = (Some(WallTime::from_ms(1)), Some(WallTime::from_ms(2)));
+    let mut withdrawals = Withdrawals::default();
+    withdrawals.drain(&upstream(), first, at(0));
+    assert_eq!(withdrawals.get(&upstream(), second, at(1)), None);
+    withdrawals.rest(&upstream(), second, Duration::ZERO, at(1));
+    assert!(!withdrawals.drain(&upstream(), first, at(2)));
+    assert_eq!(withdrawals.get(&upstream(), second, at(3)), None);
+}
--- a/crates/foxtide-gateway/src/forward/statements.rs
+++ b/crates/foxtide-gateway/src/forward/statements.rs
@@ -59,7 +59,11 @@
         let (request, upstream) = (self.request.id(), &self.registration.upstream);
         let journal = &self.shared.journal;
         match is_draining {
-            Statement::Valid(true) => journal.drain_stated(request, upstream),
+            Statement::Valid(true) => {
+                if self.shared.state.lock().record_drain(self.registration) {
+                    journal.drain_stated(request, upstream);
+                }
+            }
             Statement::Unreadable => journal.statement_unreadable(request, upstream, "drain"),
             Statement::Valid(false) | Statement::Absent => {}
         }
--- a/crates/foxtide-gateway/src/state/availability.rs
+++ b/crates/foxtide-gateway/src/state/availability.rs
@@ -6,6 +6,10 @@
 use foxtide_core::withdrawal::Withdrawal;
 use std::time::Duration;
 
+/// When callers may return to a service whose upstreams are all leaving: a replacement takes a
+/// moment to register.
+const REPLACEMENT_TIME: Duration = Duration::from_secs(1);
+
 /// Why an upstream gets no requests for some time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Unavailability {
@@ -13,6 +17,8 @@
     Throttled,
     /// It has asked this instance for rest.
     Resting,
+    /// It has stated that it is leaving.
+    Draining,
 }
 
 impl Unavailability {
@@ -21,6 +27,7 @@
         match self {
             Self::Throttled => "upstreams_limited",
             Self::Resting => "upstreams_resting",
+            Self::Draining => "upstreams_draining",
         }
     }
 }
@@ -34,6 +41,13 @@
             .rest(upstream, registration.born_at, time, now);
     }
 
+    /// Records that an upstream is leaving; returns whether this is new.
+    pub(crate) fn record_drain(&mut self, registration: &Registration) -> bool {
+        let now = self.clock.now();
+        let upstream = &registration.upstream;
+        self.withdrawals.drain(upstream, registration.born_at, now)
+    }
+
     /// Tells whether an upstream has told this instance to send it nothing.
     pub(crate) fn has_withdrawn(&self, registration: &Registration) -> bool {
         self.withdrawal(registration).is_some()
@@ -43,8 +57,9 @@
     pub(crate) fn rest_left(&self, upstreams: &[UpstreamId]) -> Option<Duration> {
         let registrations = upstreams.iter().filter_map(|name| self.registration(name));
         let withdrawals = registrations.filter_map(|one| self.withdrawal(&one));
-        let rests = withdrawals.map(|withdrawal| match withdrawal {
-            Withdrawal::Resting { time_left } => time_left,
+        let rests = withdrawals.filter_map(|withdrawal| match withdrawal {
+            Withdrawal::Resting { time_left } => Some(time_left),
+            Withdrawal::Draining => None,
         });
         rests.min()
     }
@@ -63,6 +78,9 @@
             Some(Withdrawal::Resting { time_left }) => {
                 return Some((Unavailability::Resting, time_left));
             }
+            Some(Withdrawal::Draining) => {
+                return Some((Unavailability::Draining, REPLACEMENT_TIME));
+            }
             None => {}
         }
         let now = self.clock.now();
--- a/crates/foxtide-gateway/src/state/mod.rs
+++ b/crates/foxtide-gateway/src/state/mod.rs
@@ -259,7 +259,9 @@
         self.drop_missing_evacuations(now);
         self.cold.prune(now);
         self.prune_throttle();
-        self.withdrawals.prune(now);
+        let registry = &self.registry;
+        self.withdrawals
+            .prune(now, |upstream| registry.is_eligible(upstream));
         self.homed.advance(self.routes.as_deref(), now);
         self.placements
             .retain(|_, placement| placement.is_used(now));
