Send nothing to a resting upstream from the entry

What callers see: requests went to upstreams that had asked for rest, and a caller whose upstreams all rest waited for nothing. It now gets 503 upstreams-resting at once, with the time until the first rest ends.

Cause: the entry read Retry-After of a rejection only to tell the caller, not to leave the upstream alone.

Change: a 503 with Retry-After takes the upstream out of this instance's choice until that time is over, ten minutes at most; polls stop as well, and the upstream ramps up afterwards. What is no whole number of seconds, or repeated, is counted and ignored. The stand-in upstream sends the header only when it sheds load, since an upstream that is merely full wants the next request as soon as a slot is free; its test holds unchanged.

Tests of the choice, the entry and the scenarios pass.

--- a/crates/foxtide-core/src/choice/balancer.rs
+++ b/crates/foxtide-core/src/choice/balancer.rs
@@ -190,6 +190,11 @@
 
     /// Returns whether an upstream accepts new requests, free slots aside.
     fn is_open(&self, candidate: &Candidate, now: MonotonicTime) -> bool {
+        self.is_usable(candidate, now) && candidate.rest_left(now).is_zero()
+    }
+
+    /// Returns whether an upstream accepts new requests, free slots and rests aside.
+    fn is_usable(&self, candidate: &Candidate, now: MonotonicTime) -> bool {
         let status = candidate.status(&self.options, now);
         matches!(status, UpstreamStatus::Serving | UpstreamStatus::Ramping)
     }
@@ -211,10 +216,26 @@
             Some(retry_in) => Pick::Wait {
                 retry_in: retry_in.max(WAIT_MIN),
             },
+            None => self.resting_or_empty(now),
+        }
+    }
+
+    fn resting_or_empty(&self, now: MonotonicTime) -> Pick {
+        let usable = self.candidates.iter().filter(|c| self.is_usable(c, now));
+        let rests = usable.map(|c| c.rest_left(now));
+        match rests.filter(|time| !time.is_zero()).min() {
+            Some(retry_in) => Pick::Resting { retry_in },
             None => Pick::Empty,
         }
     }
 
+    /// Records that the upstream of a ticket wants rest from this instance.
+    pub fn rest(&mut self, ticket: &Ticket, time: Duration, now: MonotonicTime) {
+        if let Some(index) = self.position(ticket.incarnation) {
+            self.candidates[index].rest(time, now);
+        }
+    }
+
     /// Records what a response states on its upstream's rate; the request was sent at
     /// `sent_at`. Returns whether the upstream begins or ends to limit its rate.
     pub fn record_stated_rate(
--- a/crates/foxtide-core/src/choice/candidate.rs
+++ b/crates/foxtide-core/src/choice/candidate.rs
@@ -14,6 +14,7 @@
 use crate::ids::UpstreamId;
 use crate::organisation::Upstream;
 use crate::time::MonotonicTime;
+use crate::withdrawal::REST_MAX;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -65,6 +66,8 @@
     pub(crate) failures: FailureRecord,
     /// This instance's part of the rate that the upstream accepts.
     pub(crate) rate: RateShare,
+    /// When the rest ends that the upstream asked this instance for.
+    rests_until: MonotonicTime,
     /// The status last returned to the caller.
     pub(crate) reported_status: UpstreamStatus,
     occupancy: Occupancy,
@@ -91,6 +94,7 @@
             liveness: Liveness::new(now),
             failures: FailureRecord::default(),
             rate: RateShare::default(),
+            rests_until: MonotonicTime::ZERO,
             reported_status: UpstreamStatus::Serving,
             occupancy: Occupancy::new(),
             ramp_started_at: None,
@@ -108,6 +112,21 @@
         self.ramp_started_at = Some(now);
     }
 
+    /// Records that the upstream wants rest; it ramps up afterwards. A shorter rest does not
+    /// end a longer one.
+    pub(crate) fn rest(&mut self, time: Duration, now: MonotonicTime) {
+        let until = now + time.min(REST_MAX);
+        if until > self.rests_until.max(now) {
+            self.rests_until = until;
+            self.start_ramp(until);
+        }
+    }
+
+    /// Returns the time until a rest ends; zero if the upstream does not rest.
+    pub(crate) fn rest_left(&self, now: MonotonicTime) -> Duration {
+        self.rests_until - now
+    }
+
     /// Returns whether the upstream may belong to a subset.
     pub(crate) fn is_eligible(&self) -> bool {
         !self.leaving && !self.draining
@@ -280,6 +299,7 @@
     pub(crate) fn poll_is_due(&self, options: &BalancerOptions, now: MonotonicTime) -> bool {
         let watched = self.in_subset || self.draining;
         watched
+            && self.rest_left(now).is_zero()
             && self
                 .liveness
                 .poll_is_due(&options.liveness, self.in_flight == 0, now)
--- a/crates/foxtide-core/src/choice/pick.rs
+++ b/crates/foxtide-core/src/choice/pick.rs
@@ -22,6 +22,11 @@
         /// The time until a request may be sent.
         retry_in: Duration,
     },
+    /// The upstreams have asked this instance for rest.
+    Resting {
+        /// The time until the first rest ends.
+        retry_in: Duration,
+    },
     /// No upstream is available.
     Empty,
 }
--- a/crates/foxtide-core/src/withdrawal/mod.rs
+++ b/crates/foxtide-core/src/withdrawal/mod.rs
@@ -7,6 +7,7 @@
 
 mod table;
 
+pub(crate) use table::REST_MAX;
 pub use table::{
     Withdrawal,
     Withdrawals, //
--- a/crates/foxtide-core/src/withdrawal/table.rs
+++ b/crates/foxtide-core/src/withdrawal/table.rs
@@ -10,7 +10,7 @@
 
 /// The longest rest. An upstream that asks for more gets a request at the end of this time, so
 /// that a wrong value does not take it out of service for good.
-const REST_MAX: Duration = Duration::from_secs(600);
+pub(crate) const REST_MAX: Duration = Duration::from_secs(600);
 
 /// How long the drain of an upstream that is not registered is remembered: its registration may
 /// return from an instance or a store that knows less.
--- a/crates/foxtide-entry/src/proxy/admission.rs
+++ b/crates/foxtide-entry/src/proxy/admission.rs
@@ -53,7 +53,16 @@
 
     /// Returns the error for upstreams whose rate is used up.
     pub(super) fn rate_limited(retry_after: Duration) -> Self {
-        let refusal = Refusal::not_run(StatusCode::ServiceUnavailable, "rate-limited");
+        Self::unavailable_for(retry_after, "rate-limited")
+    }
+
+    /// Returns the error for upstreams that have asked for rest.
+    pub(super) fn upstreams_resting(retry_after: Duration) -> Self {
+        Self::unavailable_for(retry_after, "upstreams-resting")
+    }
+
+    fn unavailable_for(retry_after: Duration, reason: &'static str) -> Self {
+        let refusal = Refusal::not_run(StatusCode::ServiceUnavailable, reason);
         Self {
             refusal: Refusal {
                 retry_after,
--- a/crates/foxtide-entry/src/proxy/attempt.rs
+++ b/crates/foxtide-entry/src/proxy/attempt.rs
@@ -95,6 +95,18 @@
         }
     }
 
+    /// Returns how long the upstream wants rest from this instance, if it has asked for it.
+    pub(crate) fn requested_rest(&self) -> Option<Duration> {
+        match self {
+            Self::Answered(answer) | Self::Refused(answer)
+                if answer.status == StatusCode::ServiceUnavailable =>
+            {
+                retry_after(&answer.headers)
+            }
+            _ => None,
+        }
+    }
+
     /// Returns what the answer states on the upstream's rate, if there is one.
     pub(crate) fn stated_rate(&self) -> Option<StatedRate> {
         self.headers().map(stated_rate)
@@ -116,6 +128,12 @@
 }
 
 fn retry_after(headers: &Headers) -> Option<Duration> {
-    let seconds = headers.get(name::RETRY_AFTER)?.as_str().parse().ok()?;
-    Some(Duration::from_secs(seconds))
+    let values = headers.get(name::RETRY_AFTER)?;
+    let seconds = values.as_str().parse().ok();
+    let seconds = seconds.filter(|_| values.iter().count() == 1);
+    if seconds.is_none() {
+        metrics::counter!("foxtide_statements_unreadable_total", "statement" => "retry_after")
+            .increment(1);
+    }
+    seconds.map(Duration::from_secs)
 }
--- a/crates/foxtide-entry/src/proxy/queue.rs
+++ b/crates/foxtide-entry/src/proxy/queue.rs
@@ -111,6 +111,9 @@
                 SlotChoice::Throttled(retry_in) => {
                     return Err(AdmissionError::rate_limited(retry_in));
                 }
+                SlotChoice::Resting(retry_in) => {
+                    return Err(AdmissionError::upstreams_resting(retry_in));
+                }
                 SlotChoice::NoUpstream => return Err(AdmissionError::no_upstream()),
                 SlotChoice::Wait(retry_in) => {
                     check_deadline(context, now, "no-slot")?;
--- a/crates/foxtide-entry/src/proxy/recording.rs
+++ b/crates/foxtide-entry/src/proxy/recording.rs
@@ -66,6 +66,27 @@
         recorder.record(EventCode::UpstreamLimitStated, fields);
     }
 
+    /// Records that the upstream of an attempt wants rest.
+    pub(super) fn record_requested_rest(
+        &self,
+        context: &RequestContext,
+        slot: &Slot,
+        end: &AttemptEnd,
+    ) {
+        let Some(time) = end.requested_rest() else {
+            return;
+        };
+        slot.rest(time);
+        metrics::counter!("foxtide_upstream_rests_requested_total").increment(1);
+        let fields = EventFields {
+            upstream: Some(slot.upstream().upstream.clone()),
+            detail: format!("time_s={}", time.as_secs()),
+            ..context.event_fields()
+        };
+        let recorder = self.deps.recorder();
+        recorder.record(EventCode::UpstreamRestRequested, fields);
+    }
+
     /// Counts an attempt and records an event if it failed.
     pub(super) fn record_attempt(
         &self,
--- a/crates/foxtide-entry/src/proxy/run.rs
+++ b/crates/foxtide-entry/src/proxy/run.rs
@@ -281,6 +281,7 @@
         let end = &mut ended.end;
         let upstream = slot.upstream().clone();
         self.record_stated_rate(run.context, &slot, end);
+        self.record_requested_rest(run.context, &slot, end);
         self.record_attempt(run.context, admitted, &upstream, end);
         let held = slot.held();
         end.release_slot(slot, held);
--- a/crates/foxtide-entry/src/traffic/slot.rs
+++ b/crates/foxtide-entry/src/traffic/slot.rs
@@ -24,6 +24,8 @@
     Wait(Duration),
     /// The rate that the upstreams accept is used up for this time.
     Throttled(Duration),
+    /// The upstreams rest for this time.
+    Resting(Duration),
     /// No upstream is available.
     NoUpstream,
 }
@@ -36,6 +38,7 @@
             Pick::Take(ticket) => SlotChoice::Taken(Slot::new(Arc::clone(self), ticket, now)),
             Pick::Wait { retry_in } => SlotChoice::Wait(retry_in),
             Pick::Throttled { retry_in } => SlotChoice::Throttled(retry_in),
+            Pick::Resting { retry_in } => SlotChoice::Resting(retry_in),
             Pick::Empty => SlotChoice::NoUpstream,
         }
     }
@@ -90,6 +93,15 @@
             .with_balancer(|balancer| balancer.record_stated_rate(ticket, stated, sent_at, now))
     }
 
+    /// Records that the upstream wants rest from this instance.
+    pub(crate) fn rest(&self, time: Duration) {
+        if let Some(ticket) = &self.ticket {
+            let now = self.taken_at + self.held();
+            self.region
+                .with_balancer(|balancer| balancer.rest(ticket, time, now));
+        }
+    }
+
     /// Returns how long the slot has been held.
     pub(crate) fn held(&self) -> Duration {
         self.taken.elapsed()
--- a/crates/foxtide-testing/src/scenario/requests.rs
+++ b/crates/foxtide-testing/src/scenario/requests.rs
@@ -231,7 +231,7 @@
         };
         match balancer.pick_avoiding(now, draw, &tried) {
             Pick::Take(ticket) => self.send_attempt(number, region, ticket),
-            Pick::Wait { retry_in } | Pick::Throttled { retry_in } => {
+            Pick::Wait { retry_in } | Pick::Throttled { retry_in } | Pick::Resting { retry_in } => {
                 let retry_in = retry_in.min(PICK_DELAY_MAX);
                 self.send(index, retry_in, Delivery::Proceed(number));
             }
--- a/crates/foxtide-testing/src/upstream/answer.rs
+++ b/crates/foxtide-testing/src/upstream/answer.rs
@@ -22,7 +22,7 @@
 const KEY_HEADER: &str = "idempotency-key";
 const STATE_HEADER: &str = "foxtide-upstream-state";
 
-/// The `retry-after` of a refusal, in seconds.
+/// The rest that an upstream asks for when it sheds load, in seconds.
 const RETRY_AFTER_S: &str = "1";
 
 /// By how much a wrong `content-length` differs from the body's length.
@@ -82,13 +82,17 @@
 pub(super) fn refusal(call: &Call, reason: &str) -> Response {
     let mut response = text(StatusCode::ServiceUnavailable, reason);
     response.insert_header(OUTCOME_HEADER, "not-run");
-    response.insert_header("retry-after", RETRY_AFTER_S);
     if let Some(id) = call.header(REQUEST_ID_HEADER) {
         response.insert_header(REQUEST_ID_HEADER, id);
     }
     response
 }
 
+/// Asks the sender of a refused request for rest.
+pub(super) fn ask_for_rest(response: &mut Response) {
+    response.insert_header("retry-after", RETRY_AFTER_S);
+}
+
 /// Adds the headers for the upstream's load and draining state.
 pub(super) fn add_status_headers(response: &mut Response, load: Option<String>, drains: bool) {
     if let Some(load) = load {
--- a/crates/foxtide-testing/src/upstream/endpoint.rs
+++ b/crates/foxtide-testing/src/upstream/endpoint.rs
@@ -7,6 +7,7 @@
     RequestIdentity,
     add_status_headers,
     apply_fault,
+    ask_for_rest,
     early_answer,
     refusal, //
 };
@@ -127,6 +128,10 @@
     fn shed(&self, call: &Call, reason: &str) -> Reply {
         self.records.lock().stats.shed += 1;
         let mut response = refusal(call, reason);
+        // One that is merely full takes the next request once a slot is free.
+        if self.behaviour.lock().sheds {
+            ask_for_rest(&mut response);
+        }
         self.add_status_headers(&mut response);
         Reply::whole(response)
     }
--- a/crates/foxtide/examples/measure/choice/balancer.rs
+++ b/crates/foxtide/examples/measure/choice/balancer.rs
@@ -64,7 +64,9 @@
         let tried: Vec<UpstreamId> = tried.iter().map(|n| self.names[*n].clone()).collect();
         match self.balancer.pick_avoiding(now, draw, &tried) {
             Pick::Take(ticket) => Choice::Send(self.index(ticket.upstream()), Some(ticket)),
-            Pick::Wait { retry_in } | Pick::Throttled { retry_in } => Choice::Wait(retry_in),
+            Pick::Wait { retry_in } | Pick::Throttled { retry_in } | Pick::Resting { retry_in } => {
+                Choice::Wait(retry_in)
+            }
             Pick::Empty => Choice::Wait(COMPLETION_WAIT),
         }
     }
