Count a drain from the head of a long answer

What callers see: nothing yet; an upstream that announced its drain in the head of an answer that is streamed got more requests until its body had ended.

Cause: the entry heard of a drain when the attempt was finished, and a long answer holds its attempt until the last byte.

Change: the drain is recorded when the head has arrived.

--- a/crates/foxtide-core/src/choice/balancer.rs
+++ b/crates/foxtide-core/src/choice/balancer.rs
@@ -229,6 +229,17 @@
         }
     }
 
+    /// Records that the upstream of a ticket has announced that it is draining, before the
+    /// request is finished.
+    pub fn record_draining(&mut self, ticket: &Ticket, now: MonotonicTime) {
+        let Some(index) = self.position(ticket.incarnation) else {
+            return;
+        };
+        if !std::mem::replace(&mut self.candidates[index].draining, true) {
+            self.reassign(now);
+        }
+    }
+
     /// Records that the upstream of a ticket wants rest from this instance.
     pub fn rest(&mut self, ticket: &Ticket, time: Duration, now: MonotonicTime) {
         if let Some(index) = self.position(ticket.incarnation) {
--- a/crates/foxtide-entry/src/proxy/attempt.rs
+++ b/crates/foxtide-entry/src/proxy/attempt.rs
@@ -66,7 +66,7 @@
             kind: self.completion_kind(),
             latency,
             load: load.and_then(|values| values.as_str().parse().ok()),
-            draining: headers.is_some_and(announces_drain),
+            draining: self.announces_drain(),
         }
     }
 
@@ -112,6 +112,11 @@
         self.headers().map(stated_rate)
     }
 
+    /// Returns whether the answer announces that the upstream is draining.
+    pub(crate) fn announces_drain(&self) -> bool {
+        self.headers().is_some_and(announces_drain)
+    }
+
     fn headers(&self) -> Option<&Headers> {
         match self {
             Self::Answered(answer) | Self::Refused(answer) => Some(&answer.headers),
--- a/crates/foxtide-entry/src/proxy/run.rs
+++ b/crates/foxtide-entry/src/proxy/run.rs
@@ -282,6 +282,10 @@
         let upstream = slot.upstream().clone();
         self.record_stated_rate(run.context, &slot, end);
         self.record_requested_rest(run.context, &slot, end);
+        // The body of a long answer may end much later.
+        if end.announces_drain() {
+            slot.record_draining();
+        }
         self.record_attempt(run.context, admitted, &upstream, end);
         let held = slot.held();
         end.release_slot(slot, held);
--- a/crates/foxtide-entry/src/traffic/slot.rs
+++ b/crates/foxtide-entry/src/traffic/slot.rs
@@ -93,6 +93,15 @@
             .with_balancer(|balancer| balancer.record_stated_rate(ticket, stated, sent_at, now))
     }
 
+    /// Records that the upstream has announced that it is draining.
+    pub(crate) fn record_draining(&self) {
+        if let Some(ticket) = &self.ticket {
+            let now = self.taken_at + self.held();
+            self.region
+                .with_balancer(|balancer| balancer.record_draining(ticket, now));
+        }
+    }
+
     /// Records that the upstream wants rest from this instance.
     pub(crate) fn rest(&self, time: Duration) {
         if let Some(ticket) = &self.ticket {
