Reproduce callers who send ahead and leave unnoticed

Cause: the end of a caller's connection is looked for in its bytes; a byte of a later request that is not read yet hides it.

--- a/crates/foxtide-gateway/tests/gateway/admission.rs
+++ b/crates/foxtide-gateway/tests/gateway/admission.rs
@@ -141,6 +141,55 @@
     }
 }
 
+/// Guards against work for nobody: bytes that a caller has sent ahead must not hide that it
+/// has left, with a close or a reset.
+#[test]
+fn verify_a_caller_that_has_sent_ahead_is_seen_to_leave() {
+    for is_reset in [false, true] {
+        let (_fleet, [instance, _], upstream) = fleet_with_a_silent_upstream();
+        let mut caller = send(&instance, "/safe/", "first");
+        eventually("the request arrives", || upstream.seen().len() == 1);
+        caller.send("GET /safe/ HTTP/1.1\r\nhost: a.example\r\nrequest: ahead\r\n\r\n");
+        // Requests on new connections are served after these bytes have been noticed.
+        for _ in 0..2 {
+            instance.get("/ready", "");
+        }
+        if is_reset {
+            caller.reset();
+        } else {
+            drop(caller);
+        }
+        eventually("the request is cancelled", || upstream.cancelled() == 1);
+        assert_eq!(upstream.seen().len(), 1, "reset: {is_reset}");
+    }
+}
+
+/// Guards against a request that is sent after its caller has left, which bytes sent ahead hide.
+#[test]
+fn verify_a_waiting_request_is_not_sent_after_its_caller_has_sent_ahead_and_left() {
+    for path in ["/safe/", "/once/"] {
+        let (_fleet, instances, upstream) = fleet_with_a_silent_upstream();
+        let mut callers = fill_slots(&instances, &upstream);
+        let mut left = send(&instances[0], path, "left");
+        let _stays = send(&instances[1], path, "stays");
+        instances[0].get("/ready", "");
+        left.send("GET /safe/ HTTP/1.1\r\nhost: a.example\r\nrequest: ahead\r\n\r\n");
+        instances[0].get("/ready", "");
+        drop(left);
+        for _ in 0..2 {
+            instances[0].get("/ready", "");
+        }
+        drop(callers.pop());
+        drop(callers.pop());
+        let _later = send(&instances[0], "/safe/", "later");
+        let seen = |request: &str| upstream.seen().iter().any(|seen| seen.request == request);
+        eventually("those that stay are served", || {
+            seen("stays") && seen("later")
+        });
+        assert!(!seen("left"), "{path}");
+    }
+}
+
 #[test]
 fn verify_requests_go_on_without_their_coordinator() {
     let fleet = Fleet::new();
--- a/crates/foxtide-gateway/tests/gateway/support/caller.rs
+++ b/crates/foxtide-gateway/tests/gateway/support/caller.rs
@@ -35,6 +35,11 @@
         smol::block_on(self.stream.write_all(text.as_bytes())).unwrap();
     }
 
+    /// Closes the connection with a reset.
+    pub(crate) fn reset(self) {
+        self.stream.reset_on_close();
+    }
+
     /// Reads a response.
     pub(crate) fn read(&mut self) -> WholeResponse {
         smol::block_on(read_response(&mut self.stream, "GET", 1 << 20)).unwrap()
--- a/crates/foxtide-http/src/stream.rs
+++ b/crates/foxtide-http/src/stream.rs
@@ -180,6 +180,11 @@
         }
     }
 
+    /// Makes a close reset the connection and discard unsent data.
+    pub fn reset_on_close(&self) {
+        let _ = SockRef::from(self.socket.get_ref()).set_linger(Some(Duration::ZERO));
+    }
+
     /// Shuts down the sending half.
     pub fn shutdown_write(&self) {
         let _ = self.socket.get_ref().shutdown(Shutdown::Write);
