Clear the names and one guard of the statements for a newcomer

Cause: reading the diff, the function exchange took a parameter of its own name, an early return stood beside a match arm for the same case, the fallback copied the names of all instances also without a limit, and a request whose coordinator had not answered was not checked again for a limit that came meanwhile.

Change: the observer of responses is called so, the case has one place, the fallback asks for a limit first, and every request without a grant is checked.

--- a/crates/foxtide-gateway/src/forward/attempt.rs
+++ b/crates/foxtide-gateway/src/forward/attempt.rs
@@ -1,7 +1,7 @@
 //! Sends a request to one upstream and evaluates the response.
 
 use super::request::CallerRequest;
-use super::statements::Exchange;
+use super::statements::ResponseObserver;
 use crate::dialect::{
     CallerIdentity,
     Dialect,
@@ -114,13 +114,13 @@
         .write_forward_headers(&mut head.lines, &values);
     let bytes = head.encode(&request.body);
     let sent_before = stream.sent_bytes();
-    let observed = Exchange {
+    let observer = ResponseObserver {
         shared,
         request,
         registration,
         sent_at: shared.clock.now(),
     };
-    let exchanged = exchange(&observed, &mut stream, &bytes);
+    let exchanged = exchange(&observer, &mut stream, &bytes);
     let timed = async {
         Timer::at(deadline + DEADLINE_MARGIN).await;
         None
@@ -189,15 +189,15 @@
 
 /// Writes the request and reads the response that carries its identity.
 async fn exchange<D: Dialect>(
-    exchange: &Exchange<'_, D>,
+    observer: &ResponseObserver<'_, D>,
     stream: &mut BufferedStream,
     bytes: &[u8],
 ) -> Result<(WholeResponse, UpstreamHeaders), MessageError> {
-    let Exchange {
+    let ResponseObserver {
         shared, request, ..
-    } = exchange;
+    } = observer;
     let method = &request.head.method;
-    let observe = |head: &ForwardedResponse| exchange.record(head);
+    let observe = |head: &ForwardedResponse| observer.record(head);
     // An upstream may respond and close before it has read the whole request.
     let written = stream.write_all(bytes).await;
     for _ in 0..STRAY_RESPONSES_MAX {
@@ -214,7 +214,7 @@
         if request.headers.request_id.is_none() && headers.is_not_run {
             return Ok((response, headers));
         }
-        let upstream = &exchange.registration.upstream;
+        let upstream = &observer.registration.upstream;
         shared.journal.stray_response(request.id(), upstream);
     }
     Err(MessageError::TrailingBytes)
--- a/crates/foxtide-gateway/src/forward/attempt_loop.rs
+++ b/crates/foxtide-gateway/src/forward/attempt_loop.rs
@@ -131,8 +131,8 @@
     /// Tells whether the upstream has begun to limit its rate after the request was placed there
     /// without a grant.
     fn lacks_grant(&self, pick: &Pick, slot: Option<&Slot<'_>>) -> bool {
-        let is_unasked = slot.is_none_or(|slot| slot.answer() == SlotAnswer::Notified);
-        is_unasked && !pick.is_limited && self.shared.state.lock().is_limited(&pick.registration)
+        let is_granted = slot.is_some_and(|slot| slot.answer() == SlotAnswer::Granted);
+        !is_granted && !pick.is_limited && self.shared.state.lock().is_limited(&pick.registration)
     }
 
     /// Picks an upstream that was not tried.
@@ -209,11 +209,11 @@
         let upstream = pick.registration.upstream.clone();
         let journal = &self.shared.journal;
         journal.attempt_failed(&self.trace, pick, &report.end, took);
-        if matches!(report.end, AttemptEnd::Withdrawn) {
-            return Next::Retry;
+        let is_begun = !matches!(report.end, AttemptEnd::Withdrawn);
+        if is_begun {
+            self.trace.record_attempt(pick);
         }
-        self.trace.record_attempt(pick);
-        if !self.may_retry_same_upstream(&report.end) {
+        if is_begun && !self.may_retry_same_upstream(&report.end) {
             self.tried.push(upstream);
         }
         match report.end {
--- a/crates/foxtide-gateway/src/forward/statements.rs
+++ b/crates/foxtide-gateway/src/forward/statements.rs
@@ -17,8 +17,8 @@
 /// section 15.6.4).
 const REJECTED_STATUS: u16 = 503;
 
-/// An exchange whose responses are examined.
-pub(super) struct Exchange<'a, D> {
+/// Examines the responses of one exchange with an upstream.
+pub(super) struct ResponseObserver<'a, D> {
     pub(super) shared: &'a Shared<D>,
     pub(super) request: &'a CallerRequest,
     pub(super) registration: &'a Registration,
@@ -26,7 +26,7 @@
     pub(super) sent_at: MonotonicTime,
 }
 
-impl<D: Dialect> Exchange<'_, D> {
+impl<D: Dialect> ResponseObserver<'_, D> {
     /// Records the statements in the head of a response, before its body is read.
     pub(super) fn record(&self, head: &ForwardedResponse) {
         let headers = self.shared.dialect.read_upstream_headers(head);
@@ -99,6 +99,7 @@
         }
     }
 
+    /// Tells whether the headers are those of the response to this request.
     fn is_response(&self, headers: &UpstreamHeaders) -> bool {
         headers.request_id == self.request.headers.request_id
     }
--- a/crates/foxtide-gateway/src/state/throttle.rs
+++ b/crates/foxtide-gateway/src/state/throttle.rs
@@ -48,10 +48,14 @@
         self.throttle.set_exhausted(upstream, time, now);
     }
 
-    /// Takes a token for a request to a picked upstream whose coordinator does not answer.
+    /// Takes a token for a request to a picked upstream whose coordinator does not answer;
+    /// returns whether there was one, which is always so without a limit.
     pub(crate) fn try_take_uncoordinated(&mut self, pick: &Pick) -> bool {
-        let now = self.clock.now();
         let registration = &pick.registration;
+        if !self.is_limited(registration) {
+            return true;
+        }
+        let now = self.clock.now();
         let instances = self.members.names();
         self.throttle.try_take_uncoordinated(
             &registration.upstream,
