Test that a stated drain counts in any response

Cause: statements are read from each head, and no test held errors, cut, unframed and interim responses, rejections, and one whose caller has left.

Change: a test over seven kinds of response; upstreams of the tests can send an interim response.

--- a/crates/foxtide-gateway/tests/gateway/support/upstream.rs
+++ b/crates/foxtide-gateway/tests/gateway/support/upstream.rs
@@ -49,6 +49,8 @@
     Stray,
     /// Responds without a length and ends with the connection.
     Unframed,
+    /// Sends an interim response with the additional header lines, then one without them.
+    Interim,
     /// Reads the request and never responds.
     Silent,
     /// Reads the request, then ends after a delay and accepts no more connections.
@@ -291,6 +293,10 @@
             stream.write_all(text.as_bytes()).await.unwrap();
             return false;
         }
+        Behaviour::Interim => format!(
+            "HTTP/1.1 100 x\r\n{lines}\r\nHTTP/1.1 200 x\r\nrequest: {request}\r\n\
+             signature: s\r\ncontent-length: 4\r\n\r\nfine"
+        ),
         Behaviour::Silent => {
             stream.closed_by_peer().await;
             *shared.cancelled.lock().unwrap() += 1;
--- a/crates/foxtide-gateway/tests/gateway/withdrawals.rs
+++ b/crates/foxtide-gateway/tests/gateway/withdrawals.rs
@@ -171,3 +171,34 @@
     assert!(response.head.lines.get("retry-after").is_some());
     assert_eq!(upstream.seen().len(), 1);
 }
+
+/// Guards against a statement that is missed because of the response that carries it: an error, a
+/// cut or unframed one, an interim one, or one whose caller has left.
+#[test]
+fn verify_a_drain_counts_in_any_response() {
+    let slow = Duration::from_millis(200);
+    for behaviour in [
+        Behaviour::Respond(500, "failed", Duration::ZERO),
+        Behaviour::Respond(404, "none", Duration::ZERO),
+        Behaviour::Full,
+        Behaviour::Cut,
+        Behaviour::Unframed,
+        Behaviour::Interim,
+        Behaviour::Respond(200, "fine", slow),
+    ] {
+        let fleet = Fleet::new();
+        let upstream = fleet.upstream("i-1", "khomas-a");
+        let instance = fleet.instance("edge-1", "khomas-a");
+        upstream.state(DRAINING);
+        upstream.always(behaviour.clone());
+        let mut caller = Caller::connect(instance.address());
+        caller.send("GET /once/ HTTP/1.1\r\nhost: a.example\r\nrequest: first\r\n\r\n");
+        eventually("the request arrives", || upstream.seen().len() == 1);
+        // Work that is not idempotent goes on after its caller has left.
+        drop(caller);
+        std::thread::sleep(slow * 2);
+        let response = instance.get("/safe/", "request: second\r\n");
+        assert_eq!(response.head.status, 503, "{behaviour:?}");
+        assert_eq!(upstream.seen().len(), 1, "{behaviour:?}");
+    }
+}
