Write the quarantine's longest due entry first

Cause: the next entry to write was whichever the hash table gave first, whose order differs from run to run: an entry could wait behind others due after it, and no run of the model repeated exactly. Change: the entry due for longest, by fingerprint among equals; the same for the oldest to evict. Measured: verify_the_entry_that_is_due_for_longest_is_written_first failed before ([3, 4, 5, 9] for [4, 9, 3, 5]) and passes.

--- a/crates/foxtide-core/src/poison/quarantine.rs
+++ b/crates/foxtide-core/src/poison/quarantine.rs
@@ -247,12 +247,13 @@
         }
     }
 
-    /// Returns an entry that is due to be written to the store.
+    /// Returns the entry that has been due to be written to the store for longest.
     pub fn next_write(&self, now: MonotonicTime) -> Option<(Fingerprint, QuarantineEntry)> {
         let is_due =
             |request: &QuarantinedRequest| request.index.is_none() && request.write_at <= now;
-        let mut entries = self.0.iter();
-        let (&fingerprint, request) = entries.find(|(_, request)| is_due(request))?;
+        let due = self.0.iter().filter(|(_, request)| is_due(request));
+        let (&fingerprint, request) =
+            due.min_by_key(|&(&fingerprint, request)| (request.write_at, fingerprint))?;
         Some((fingerprint, request.entry))
     }
 
@@ -276,7 +277,7 @@
             let oldest = self
                 .0
                 .iter()
-                .min_by_key(|(_, request)| request.quarantined_at);
+                .min_by_key(|&(&fingerprint, request)| (request.quarantined_at, fingerprint));
             if let Some(oldest) = oldest.map(|(&fingerprint, _)| fingerprint) {
                 self.0.remove(&oldest);
             }
--- a/crates/foxtide-core/tests/quarantine.rs
+++ b/crates/foxtide-core/tests/quarantine.rs
@@ -150,3 +150,22 @@
         assert!(wrong.parse::<Fingerprint>().is_err(), "{wrong}");
     }
 }
+
+/// Guards against a write that depends on the order of a hash table: an entry could wait for
+/// others that are due after it, and no run of the model repeated exactly.
+#[test]
+fn verify_the_entry_that_is_due_for_longest_is_written_first() {
+    for _ in 0..20 {
+        let mut quarantine = Quarantine::default();
+        for (hash, ms) in [(3, 20), (9, 10), (5, 30), (4, 10)] {
+            let other = Fingerprint::from_hash(hash);
+            quarantine.merge(other, entry(3, 0), Origin::Own, 0.5, at(ms));
+        }
+        let mut written = Vec::new();
+        while let Some((fingerprint, _)) = quarantine.next_write(at(50)) {
+            written.push(fingerprint.hash());
+            quarantine.record_write(fingerprint, at(50));
+        }
+        assert_eq!(written, [4, 9, 3, 5]);
+    }
+}
