Keep the spill-over limit in each window, not in the mean only

Cause: each request drew its region by itself from shares that keep the limit; windows exceed it by chance, the more often the fewer requests they hold. Change: an instance counts the requests for a service in the last 10 s and those that spilled; what would exceed the limit, less three standard deviations of the count, stays with its planned region. The monitor counted the share of the requests that were sent; the limit is one of all requests, as the contract's field and the scenarios' check say, so rejected ones count now.

--- a/crates/foxtide-core/src/promises/monitor.rs
+++ b/crates/foxtide-core/src/promises/monitor.rs
@@ -219,11 +219,13 @@
     after.row.iter().map(increase).collect()
 }
 
+/// Returns the share of all requests that spilled over.
 fn spilled_share(before: &ServiceSample, after: &ServiceSample) -> f64 {
     let spilled = after.sent_spilled.saturating_sub(before.sent_spilled);
     let planned = after.sent_planned.saturating_sub(before.sent_planned);
+    let rejected = after.rejected.saturating_sub(before.rejected);
     if spilled == 0 {
         return 0.0;
     }
-    spilled as f64 / (spilled + planned) as f64
+    spilled as f64 / (spilled + planned + rejected) as f64
 }
--- a/crates/foxtide-core/src/promises/sample.rs
+++ b/crates/foxtide-core/src/promises/sample.rs
@@ -31,6 +31,8 @@
     pub sent_planned: u64,
     /// The requests spilled over to another home since the process started.
     pub sent_spilled: u64,
+    /// The requests rejected since the process started.
+    pub rejected: u64,
 }
 
 /// The measurements of one region.
--- a/crates/foxtide-core/src/steering/decide.rs
+++ b/crates/foxtide-core/src/steering/decide.rs
@@ -74,6 +74,19 @@
         let Some(index) = self.names.service(service) else {
             return reject(RejectionReason::UnknownService, RETRY_AFTER_MAX);
         };
+        let admission = self.admit_service(origin, index, draw, waited, now);
+        self.origins[origin].services[index].record(&admission, now);
+        admission
+    }
+
+    fn admit_service(
+        &mut self,
+        origin: usize,
+        index: usize,
+        draw: f64,
+        waited: Duration,
+        now: MonotonicTime,
+    ) -> Admission {
         let ready = self.rows_are_current(now);
         let state = &mut self.origins[origin].services[index];
         if waited.is_zero() {
@@ -82,7 +95,7 @@
         if !ready || state.row.is_none() {
             return reject(RejectionReason::NotReady, self.options.startup_wait);
         }
-        let Some(drawn) = state.draw(draw) else {
+        let Some(drawn) = state.draw(draw, now) else {
             return reject_unserved(state);
         };
         match self.destinations.try_acquire(drawn.index, now) {
--- a/crates/foxtide-core/src/steering/engine.rs
+++ b/crates/foxtide-core/src/steering/engine.rs
@@ -210,6 +210,14 @@
         Some(self.names.named(&state.wanted))
     }
 
+    /// Returns how many requests for a service were rejected since the process started.
+    pub fn rejected(&self, service: &ServiceId) -> u64 {
+        let index = self.names.service(service);
+        let of_service = |index| self.origins.iter().map(move |one| &one.services[index]);
+        let services = index.into_iter().flat_map(of_service);
+        services.map(|service| service.rejected).sum()
+    }
+
     /// Returns the rate at which this instance may currently send to a region.
     pub fn usable_rate(&self, region: &RegionId) -> Option<RequestRate> {
         let index = self.names.region(region)?;
--- a/crates/foxtide-core/src/steering/mod.rs
+++ b/crates/foxtide-core/src/steering/mod.rs
@@ -21,6 +21,7 @@
 mod row_band;
 mod service;
 mod shift;
+mod spill_budget;
 mod steps;
 mod target;
 mod view;
--- a/crates/foxtide-core/src/steering/service.rs
+++ b/crates/foxtide-core/src/steering/service.rs
@@ -1,5 +1,6 @@
 //! The steering state of one service.
 
+use super::admission::Admission;
 use super::name_index::NameIndex;
 use super::options::{
     PriorityOptions,
@@ -12,6 +13,7 @@
     drop_region,
     step_towards, //
 };
+use super::spill_budget::SpillBudget;
 use super::target::{
     FreeCapacity,
     SpillLimit,
@@ -20,6 +22,7 @@
 };
 use crate::limits::Claim;
 use crate::organisation::Service;
+use crate::time::MonotonicTime;
 use crate::units::{
     RequestRate,
     Share, //
@@ -66,6 +69,9 @@
     cap_per_s: f64,
     band_share: f64,
     spill_limit_share: f64,
+    spill_budget: SpillBudget,
+    /// The requests rejected since the process started.
+    pub(crate) rejected: u64,
     planned: Option<Row>,
     planned_next: Row,
     arrivals: u32,
@@ -94,6 +100,8 @@
             cap_per_s,
             band_share: cap_per_s * options.peers_band.as_secs_f64(),
             spill_limit_share: contract.spill_limit_share.get(),
+            spill_budget: SpillBudget::default(),
+            rejected: 0,
             planned: None,
             planned_next: Row::new(),
             arrivals: 0,
@@ -124,6 +132,8 @@
     pub(crate) fn restore(&mut self, old: &Self, old_names: &NameIndex, names: &NameIndex) {
         self.demand_rps = old.demand_rps;
         self.arrivals = old.arrivals;
+        self.spill_budget.clone_from(&old.spill_budget);
+        self.rejected = old.rejected;
         let row = old.row.as_ref();
         self.row = row.map(|row| names.indexed(&old_names.named(row)));
         for (region, observed) in names.regions.iter().zip(&mut self.observed_health) {
@@ -225,8 +235,9 @@
         self.row = Some(vec![0.0; self.target.len()]);
     }
 
-    /// Selects a region by a draw from `[0, 1)`; `None` if the request is rejected.
-    pub(crate) fn draw(&self, draw: f64) -> Option<Drawn> {
+    /// Selects a region by a draw from `[0, 1)`; `None` if the request is rejected. What may not
+    /// spill over any more stays with its planned region.
+    pub(crate) fn draw(&self, draw: f64, now: MonotonicTime) -> Option<Drawn> {
         let mut remaining = draw;
         for (index, share) in self.row.as_ref()?.iter().enumerate() {
             if remaining < *share {
@@ -234,6 +245,10 @@
                 let wanted = self.wanted.get(index).copied().unwrap_or(*share);
                 let target = self.target.get(index).copied().unwrap_or(wanted);
                 let spilled = remaining >= wanted && target > wanted;
+                if spilled && !self.spill_budget.allows(self.spill_limit_share, now) {
+                    let position = (remaining - wanted) / (share - wanted);
+                    return self.draw_planned(position);
+                }
                 return Some(Drawn { index, spilled });
             }
             remaining -= share;
@@ -241,6 +256,34 @@
         None
     }
 
+    /// Selects among the regions that get less than planned, by a position from `[0, 1)`.
+    fn draw_planned(&self, position: f64) -> Option<Drawn> {
+        let row = self.row.as_ref()?;
+        let missing = |(wanted, share): (&f64, &f64)| (wanted - share).max(0.0);
+        let missing: Vec<f64> = self.wanted.iter().zip(row).map(missing).collect();
+        let mut remaining = position * missing.iter().sum::<f64>();
+        let index = missing.iter().position(|share| {
+            let is_drawn = remaining < *share;
+            remaining -= share;
+            is_drawn
+        });
+        let spilled = false;
+        index.map(|index| Drawn { index, spilled })
+    }
+
+    /// Records the decision on a request, unless the request waits for a later one.
+    pub(crate) fn record(&mut self, admission: &Admission, now: MonotonicTime) {
+        let is_spilled = match admission {
+            Admission::Wait { .. } => return,
+            Admission::Reject { .. } => {
+                self.rejected += 1;
+                false
+            }
+            Admission::Send { spilled, .. } => *spilled,
+        };
+        self.spill_budget.record(is_spilled, now);
+    }
+
     /// Returns the time until the row can serve all requests under the cap.
     pub(crate) fn time_to_full_service(&self) -> Duration {
         let served: f64 = self.row.iter().flatten().sum();
--- a/crates/foxtide-core/tests/promises.rs
+++ b/crates/foxtide-core/tests/promises.rs
@@ -41,6 +41,7 @@
     share_of_r2: f64,
     sent: u64,
     spilled: u64,
+    rejected: u64,
 }
 
 fn sample(measurement: &Measurement) -> Sample {
@@ -53,6 +54,7 @@
         row: row.into(),
         sent_planned: measurement.sent - measurement.spilled,
         sent_spilled: measurement.spilled,
+        rejected: measurement.rejected,
     };
     let region = RegionSample {
         allowed_rps: RequestRate::clamped(10.0),
@@ -84,6 +86,7 @@
         share_of_r2: 0.0,
         sent: second * 10,
         spilled: 0,
+        rejected: 0,
     }
 }
 
@@ -116,6 +119,21 @@
     assert_eq!(broken_after(&samples), [PromiseKind::SpillLimit]);
 }
 
+/// Guards against a limit on the requests that is compared with those alone that were sent.
+#[test]
+fn verify_the_spilled_share_is_of_all_requests() {
+    let spilling = |rejected: u64| -> Vec<Measurement> {
+        let measurement = |second| Measurement {
+            spilled: second * 3,
+            rejected: second * rejected,
+            ..steady(second)
+        };
+        (0..20).map(measurement).collect()
+    };
+    assert_eq!(broken_after(&spilling(4)), [PromiseKind::SpillLimit]);
+    assert_eq!(broken_after(&spilling(5)), []);
+}
+
 #[test]
 fn verify_sending_above_the_allowed_rate_is_reported() {
     let fast = |second: u64| Measurement {
--- a/crates/foxtide-core/tests/steering/main.rs
+++ b/crates/foxtide-core/tests/steering/main.rs
@@ -9,4 +9,5 @@
 mod rows;
 mod scenario;
 mod scenarios;
+mod spill;
 mod tally;
--- a/crates/foxtide/src/promises.rs
+++ b/crates/foxtide/src/promises.rs
@@ -159,6 +159,7 @@
         let row = steering.row(&service.service).unwrap_or_default();
         let entry = ServiceSample {
             row,
+            rejected: steering.rejected(&service.service),
             ..ServiceSample::default()
         };
         sample.services.insert(service.service.clone(), entry);
