--- a/crates/foxtide-core/src/steering/spill_budget.rs
+++ b/crates/foxtide-core/src/steering/spill_budget.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 /// The window in which the spilled share of the requests is limited.
-pub(crate) const SPILL_WINDOW: Duration = Duration::from_secs(10);
+const SPILL_WINDOW: Duration = Duration::from_secs(10);
 
 /// The resolution of the window. Monitors take samples up to one second apart.
 const SLOT: Duration = Duration::from_secs(1);
