Keep the second choice of a bound request in its region

Callers: a request that only another region may serve could run in the instance's own region, against its route's or its organisation's homes.

Cause: where an upstream is busy, its neighbour in the instance's own region was asked, without regard to the request's homes. That needs an upstream of another region that answers a request for a slot, which is so since slots of upstreams that limit their rate are asked for across regions.

With a rate limit stated, the new test failed on the code before: the upstream of the own region had got a request that is bound to the other one.

Change: the neighbour is looked for in the region of the pick. For upstreams of the own region nothing changes. Overflow, retries and statements of upstreams were read for the same fault: they choose among the request's homes.

--- a/crates/foxtide-gateway/src/forward/admit.rs
+++ b/crates/foxtide-gateway/src/forward/admit.rs
@@ -85,10 +85,10 @@
         }
     }
 
-    /// Takes a free slot of the next upstream of the own region in the object's order.
+    /// Takes a free slot of the next upstream of the same region in the object's order.
     ///
-    /// Upstreams of other regions are skipped: no slot can be asked for there, and in a region
-    /// that keeps few of its objects they would be most of the second choices.
+    /// Upstreams of other regions are skipped: the request may be bound to its region, and where a
+    /// region keeps few of its objects they would be most of the second choices.
     async fn second_choice(&mut self, own: &Pick) -> Option<Target<'a>> {
         let (end, target) = self.try_second_choice(own).await;
         self.trace.second_choice = end;
@@ -97,7 +97,7 @@
     }
 
     async fn try_second_choice(&mut self, own: &Pick) -> (SecondChoice, Option<Target<'a>>) {
-        let Ok(pick) = self.pick_neighbour(&own.registration.upstream) else {
+        let Ok(pick) = self.pick_neighbour(own) else {
             return (SecondChoice::Missing, None);
         };
         match self.admit(&pick, Patience::NoWait).await {
--- a/crates/foxtide-gateway/src/forward/attempt_loop.rs
+++ b/crates/foxtide-gateway/src/forward/attempt_loop.rs
@@ -149,13 +149,14 @@
         })
     }
 
-    /// Picks the object's next warm upstream of the own region besides `own`.
-    pub(super) fn pick_neighbour(&self, own: &UpstreamId) -> Result<Pick, NoUpstream> {
-        let tried: Vec<UpstreamId> = self.tried.iter().chain([own]).cloned().collect();
+    /// Picks the object's next warm upstream in the region of `own`.
+    pub(super) fn pick_neighbour(&self, own: &Pick) -> Result<Pick, NoUpstream> {
+        let own = &own.registration;
+        let tried: Vec<UpstreamId> = self.tried.iter().chain([&own.upstream]).cloned().collect();
         self.shared.state.lock().pick(&PickRequest {
             service: self.service,
             object: self.object,
-            regions: std::slice::from_ref(&self.shared.options.place.region),
+            regions: std::slice::from_ref(&own.region),
             tried: &tried,
             throttled: &self.throttled,
             requires_warm: true,
--- a/crates/foxtide-gateway/tests/gateway/organisations.rs
+++ b/crates/foxtide-gateway/tests/gateway/organisations.rs
@@ -282,6 +282,42 @@
     assert!(elsewhere.seen().is_empty());
 }
 
+/// Guards against second choices in the own region for requests that are bound to another one. A
+/// slot of another region is asked for where an upstream limits its rate.
+#[test]
+fn verify_second_choices_keep_to_homes() {
+    let fleet = Fleet::new();
+    let organisations = vec![homed("there", "k-there", "erongo")];
+    fleet.configure_for(2, routes(), Some(organisations));
+    let elsewhere = fleet.upstream("i-1", "khomas-a");
+    let home = fleet.upstream("i-2", "erongo-a");
+    let _coordinator = fleet.instance("edge-2", "erongo-a");
+    let instance = fleet.instance("edge-1", "khomas-a");
+    instance.wait_for_members_of("erongo", 1);
+    home.state_rate_limit(Some(1_000.0));
+    // Longer than the objective, so that no later request would wait for a slot.
+    home.always(Behaviour::Respond(200, "fine", Duration::from_secs(2)));
+    let lines = "request: r\r\nobject: o\r\nkey: k-there\r\n";
+    for _ in 0..2 {
+        eventually("the home serves a request", || {
+            status(&instance.get("/safe/", lines)) == 200
+        });
+    }
+    let callers: Vec<Caller> = (0..8)
+        .map(|_| {
+            let mut caller = Caller::connect(instance.address());
+            caller.send(&format!(
+                "GET /safe/ HTTP/1.1\r\nhost: a.example\r\n{lines}\r\n"
+            ));
+            caller
+        })
+        .collect();
+    for mut caller in callers {
+        caller.read();
+    }
+    assert!(elsewhere.seen().is_empty());
+}
+
 #[test]
 fn verify_a_quota_holds_over_all_instances_and_refuses_at_once() {
     let fleet = Fleet::new();
