Hold the spill-over limit as requests spill, not against later ones

Cause: the budget expected that later windows have fewer requests by three standard deviations of a Poisson-distributed demand. Callers that look up another instance make an instance's demand fall by more. No decision made before a window ends can hold a limit on the share of its requests: one spilled request that no other follows is a window that spilled whole.

Change: a request spills if the limit holds in each window that ends as it spills, however the monitor's samples lie. The monitor measures the share while requests spill and keeps the value until more do.

--- a/crates/foxtide-core/src/promises/monitor.rs
+++ b/crates/foxtide-core/src/promises/monitor.rs
@@ -108,17 +108,22 @@
         let (Some(first), Some(last)) = (self.window.front(), self.window.back()) else {
             return;
         };
+        let previous = self.window.iter().rev().nth(1).unwrap_or(last);
         // Over a shorter time every burst would exceed the rate.
         if last.taken_at.since(first.taken_at) < WINDOW {
             return;
         }
         let allowed_rps = self.largest_allowed_rps();
-        let values = compare(organisation, &allowed_rps, first, last);
+        let mut values = compare(organisation, &allowed_rps, first, last);
+        values.extend(spilled_shares(organisation, first, previous, last));
         self.measurements
             .retain(|key, _| values.iter().any(|(known, ..)| known == key));
         for (key, limit, value) in values {
             let measurement = self.measurements.entry(key).or_default();
             measurement.limit = limit;
+            let Some(value) = value else {
+                continue;
+            };
             measurement.now = value;
             measurement
                 .worst_of_limit
@@ -171,12 +176,15 @@
     }
 }
 
+/// A promise with its limit and its value; `None` if the last value stands.
+type Comparison = (Key, f64, Option<f64>);
+
 fn compare(
     organisation: &Organisation,
     allowed_rps: &BTreeMap<RegionId, f64>,
     first: &Sample,
     last: &Sample,
-) -> Vec<(Key, f64, f64)> {
+) -> Vec<Comparison> {
     let passed_s = last.taken_at.since(first.taken_at).as_secs_f64();
     let mut values = Vec::new();
     for service in &organisation.services {
@@ -187,11 +195,8 @@
         let cap = service.contract.shift_cap_share_per_s.get();
         for (region, increase) in share_increases(before, after) {
             let key = (PromiseKind::ShiftCap, Some(id.clone()), Some(region));
-            values.push((key, cap, increase / passed_s));
+            values.push((key, cap, Some(increase / passed_s)));
         }
-        let key = (PromiseKind::SpillLimit, Some(id.clone()), None);
-        let limit = service.contract.spill_limit_share.get();
-        values.push((key, limit, spilled_share(before, after)));
     }
     for (region, after) in &last.regions {
         let Some(before) = first.regions.get(region) else {
@@ -201,7 +206,7 @@
         let allowed_rps =
             allowed_rps.get(region).copied().unwrap_or(0.0) * (1.0 + BURST_TOLERANCE_SHARE);
         let key = (PromiseKind::SoldRate, None, Some(region.clone()));
-        values.push((key, allowed_rps, sent as f64 / passed_s));
+        values.push((key, allowed_rps, Some(sent as f64 / passed_s)));
     }
     values
 }
@@ -219,6 +224,33 @@
     after.row.iter().map(increase).collect()
 }
 
+/// Returns the spilled shares of the services, measured while requests spill over.
+///
+/// A share that rises since fewer requests follow stands as it was measured: an instance decides on
+/// each request before it knows how many follow, and one without requests can lower no share.
+fn spilled_shares(
+    organisation: &Organisation,
+    first: &Sample,
+    previous: &Sample,
+    last: &Sample,
+) -> Vec<Comparison> {
+    let compared = organisation.services.iter().filter_map(|service| {
+        let id = &service.service;
+        let before = first.services.get(id)?;
+        let after = last.services.get(id)?;
+        let spilled_before = previous
+            .services
+            .get(id)
+            .map_or(0, |sample| sample.sent_spilled);
+        let share = spilled_share(before, after);
+        let is_measured = share == 0.0 || after.sent_spilled > spilled_before;
+        let key = (PromiseKind::SpillLimit, Some(id.clone()), None);
+        let limit = service.contract.spill_limit_share.get();
+        Some((key, limit, is_measured.then_some(share)))
+    });
+    compared.collect()
+}
+
 /// Returns the share of all requests that spilled over.
 fn spilled_share(before: &ServiceSample, after: &ServiceSample) -> f64 {
     let spilled = after.sent_spilled.saturating_sub(before.sent_spilled);
--- a/crates/foxtide-core/src/steering/spill_budget.rs
+++ b/crates/foxtide-core/src/steering/spill_budget.rs
@@ -1,4 +1,5 @@
-//! Counts the requests that spill over, so that no window has more than the contract allows.
+//! Counts the requests that spill over, so that no window that ends as one spills has more of them
+//! than the contract allows.
 
 use crate::time::MonotonicTime;
 use std::collections::VecDeque;
@@ -7,15 +8,12 @@
 /// The window in which the spilled share of the requests is limited.
 const SPILL_WINDOW: Duration = Duration::from_secs(10);
 
-/// The resolution of the window. Monitors take samples up to one second apart.
-const SLOT: Duration = Duration::from_secs(1);
+/// The longest time between two samples of a monitor. The window in which it counts a request ends up
+/// to as much after the request, and may be longer by as much.
+const SAMPLE_INTERVAL_MAX: Duration = Duration::from_millis(1_500);
 
-/// The slots that touch a window.
-const SLOTS: u64 = SPILL_WINDOW.as_secs() / SLOT.as_secs() + 1;
-
-/// The standard deviations by which a later window may have fewer requests, as a Poisson-distributed
-/// count: what spilled counts there too.
-const RESERVE_DEVIATIONS: f64 = 3.0;
+/// The resolution of the counts.
+const SLOT: Duration = Duration::from_millis(250);
 
 /// The requests of one service in the last window.
 #[derive(Clone, Debug, Default)]
@@ -31,25 +29,35 @@
 }
 
 impl SpillBudget {
-    /// Tells whether one more request may spill over at a limit on the share of requests.
+    /// Tells whether one more request may spill over at a limit on the share of requests. All
+    /// windows in which it may be counted hold the requests that count here, and no more spilled
+    /// ones.
     pub(crate) fn allows(&self, limit_share: f64, now: MonotonicTime) -> bool {
-        let current = slot_number(now);
-        let in_window = |slot: &&Slot| slot.number + SLOTS > current;
-        let (mut requests, mut spilled) = (0.0, 0.0);
-        for slot in self.slots.iter().filter(in_window) {
-            requests += f64::from(slot.requests);
-            spilled += f64::from(slot.spilled);
+        let spilled_since = slots_before(now, SPILL_WINDOW + SAMPLE_INTERVAL_MAX);
+        let requests_after = slots_before(now, SPILL_WINDOW - SAMPLE_INTERVAL_MAX);
+        let (mut requests, mut spilled) = (1.0, 1.0);
+        for slot in &self.slots {
+            if slot.number >= spilled_since {
+                spilled += f64::from(slot.spilled);
+            }
+            if slot.number > requests_after {
+                requests += f64::from(slot.requests);
+            }
         }
-        let expected =
-            requests * (SPILL_WINDOW.as_secs_f64() / (SPILL_WINDOW + SLOT).as_secs_f64());
-        let certain = expected - RESERVE_DEVIATIONS * expected.sqrt();
-        spilled + 1.0 <= certain * limit_share
+        spilled <= requests * limit_share
     }
 
     /// Records a request that was sent or rejected.
     pub(crate) fn record(&mut self, is_spilled: bool, now: MonotonicTime) {
         let number = slot_number(now);
-        self.slots.retain(|slot| slot.number + SLOTS > number);
+        let kept_since = slots_before(now, SPILL_WINDOW + SAMPLE_INTERVAL_MAX);
+        while self
+            .slots
+            .front()
+            .is_some_and(|slot| slot.number < kept_since)
+        {
+            self.slots.pop_front();
+        }
         if self.slots.back().is_none_or(|last| last.number != number) {
             let (requests, spilled) = (0, 0);
             self.slots.push_back(Slot {
@@ -65,6 +73,11 @@
     }
 }
 
+/// Returns the number of the slot in which `time` before `now` lies.
+fn slots_before(now: MonotonicTime, time: Duration) -> u64 {
+    slot_number(now).saturating_sub(time.as_millis() as u64 / SLOT.as_millis() as u64)
+}
+
 fn slot_number(now: MonotonicTime) -> u64 {
     now.as_ms() / SLOT.as_millis() as u64
 }
--- a/crates/foxtide-core/tests/promises.rs
+++ b/crates/foxtide-core/tests/promises.rs
@@ -134,6 +134,25 @@
     assert_eq!(broken_after(&spilling(5)), []);
 }
 
+/// Guards against a spilled share that breaks the limit only since fewer requests follow: after
+/// second 10 five arrive each second, of which some spill, and after second 14 none.
+#[test]
+fn verify_requests_that_cease_raise_no_spilled_share() {
+    let ceasing = |spilled_per_s: u64, sent_per_s: u64| -> Vec<Measurement> {
+        let measurement = |second: u64| {
+            let late_s = second.clamp(10, 14) - 10;
+            Measurement {
+                sent: second.min(10) * sent_per_s + late_s * 5,
+                spilled: late_s * spilled_per_s,
+                ..steady(second)
+            }
+        };
+        (0..29).map(measurement).collect()
+    };
+    assert_eq!(broken_after(&ceasing(4, 10)), []);
+    assert_eq!(broken_after(&ceasing(5, 10)), [PromiseKind::SpillLimit]);
+}
+
 #[test]
 fn verify_sending_above_the_allowed_rate_is_reported() {
     let fast = |second: u64| Measurement {
