--- a/crates/foxtide/tests/explain_failures.rs
+++ b/crates/foxtide/tests/explain_failures.rs
@@ -14,6 +14,9 @@
 #[path = "../../../platform/examples/soak/instance.rs"]
 mod instance;
 #[allow(dead_code)]
+#[path = "../../../platform/examples/soak/loopback.rs"]
+mod loopback;
+#[allow(dead_code)]
 #[path = "../../../platform/examples/soak/organisations.rs"]
 mod organisations;
 #[allow(dead_code)]
