Hold a request while an end under the same content is unacknowledged

Callers: beside a cut, a request that ends its upstreams was sent up to 15 times after the third end where 3 are accepted; each send more is one upstream less for all others, for seconds.

Cause: an end becomes a verdict once a region fails to acknowledge it, after 0.4 s. Until then other requests of the same content were sent on, by the instance that saw the end and by its neighbours.

Change: the instance that saw an end holds other requests of the same content until its report is acknowledged or overdue; where a region has not acknowledged it within a round trip, its neighbours hold them too (`core::poison::Holds`). What the instance served before is not held. A held request takes no slot, and is rejected as soon as it is quarantined.

The gateway's new test failed before: the second request got 502 from a second upstream.

--- a/crates/foxtide-core/src/poison/mod.rs
+++ b/crates/foxtide-core/src/poison/mod.rs
@@ -17,11 +17,15 @@
 //! quarantined until an operator removes its key. A retry after an end is delayed by
 //! [`RETRY_DELAY`], so that a quarantine can arrive first.
 //!
+//! While a report is not acknowledged by a region, the instance that sent it holds other requests of
+//! the same content, and after [`HOLD_DELAY`] so do the others of its region ([`Holds`]).
+//!
 //! Ends are counted per content of a request ([`Fingerprint`]) rather than per object, since
 //! other requests for the same object are served.
 
 mod acknowledgements;
 mod fingerprint;
+mod holds;
 mod quarantine;
 mod served;
 mod suspects;
@@ -31,6 +35,11 @@
     Acknowledgements, //
 };
 pub use fingerprint::Fingerprint;
+pub use holds::{
+    HOLD_DELAY,
+    HOLD_TIMEOUT,
+    Holds, //
+};
 pub use quarantine::{
     Origin,
     Quarantine,
--- a/crates/foxtide-core/tests/poison_acknowledgements.rs
+++ b/crates/foxtide-core/tests/poison_acknowledgements.rs
@@ -6,6 +6,8 @@
     Acknowledgements,
     EndReport,
     Fingerprint,
+    HOLD_TIMEOUT,
+    Holds,
     Origin,
     Quarantine,
     QuarantineEntry,
@@ -151,3 +153,18 @@
     assert!(served.contains(request()));
     assert!(!served.contains(Fingerprint::from_hash(8)));
 }
+
+/// Guards against holds that outlive the reports that they wait for.
+#[test]
+fn verify_a_hold_ends_when_it_is_lifted_or_lapses() {
+    let mut holds = Holds::default();
+    let now = MonotonicTime::from_ms(1_000);
+    assert!(!holds.is_held(request(), now));
+    holds.hold(request(), now);
+    assert!(holds.is_held(request(), now));
+    assert!(!holds.is_held(Fingerprint::from_hash(8), now));
+    assert!(!holds.is_held(request(), now + HOLD_TIMEOUT));
+    assert!(holds.lift(request()));
+    assert!(!holds.is_held(request(), now));
+    assert!(!holds.lift(request()));
+}
--- a/crates/foxtide-core/tests/poison_model/simulation.rs
+++ b/crates/foxtide-core/tests/poison_model/simulation.rs
@@ -18,6 +18,8 @@
     Acknowledgements,
     EndReport,
     Fingerprint,
+    HOLD_DELAY,
+    Holds,
     Origin,
     Quarantine,
     QuarantineEntry,
@@ -104,6 +106,8 @@
         retries: bool,
     },
     Repeat(Attempt),
+    /// A held attempt looks whether it may be sent.
+    Resume(Attempt),
     Serve(u64),
     Message {
         to: usize,
@@ -117,6 +121,12 @@
         start: u32,
         report: EndReport,
     },
+    /// The region holds a request of which a region has yet to acknowledge the report.
+    Hold {
+        instance: usize,
+        start: u32,
+        fingerprint: Fingerprint,
+    },
     UpstreamEnds(usize),
     Kill(usize),
     Start(usize),
@@ -129,6 +139,8 @@
     Acknowledged(Fingerprint),
     Cleared(Fingerprint),
     Quarantined(Fingerprint, QuarantineEntry),
+    Held(Fingerprint),
+    Lifted(Fingerprint),
 }
 
 #[derive(Debug, Default)]
@@ -138,6 +150,7 @@
     suspects: Suspects,
     quarantine: Quarantine,
     acknowledgements: Acknowledgements,
+    holds: Holds,
     served: Served,
     reported: BTreeSet<u64>,
 }
@@ -149,6 +162,16 @@
     incarnation: u32,
 }
 
+impl Instance {
+    /// Tells whether a request waits for the acknowledgement of an end.
+    fn is_held(&self, request: u64, now: MonotonicTime) -> bool {
+        let fingerprint = Fingerprint::from_hash(request);
+        let is_awaited = self.acknowledgements.is_awaited(fingerprint);
+        let is_held = is_awaited || self.holds.is_held(fingerprint, now);
+        is_held && !self.served.contains(fingerprint)
+    }
+}
+
 /// The result of one run.
 #[derive(Debug, Default)]
 pub(crate) struct Outcome {
@@ -297,9 +320,11 @@
     fn handle(&mut self, event: Event) {
         // Events of a frozen instance are delayed until it runs again.
         let instance = match &event {
-            Event::Repeat(attempt) => Some(attempt.instance),
+            Event::Repeat(attempt) | Event::Resume(attempt) => Some(attempt.instance),
             Event::Message { to, .. } => Some(*to),
-            Event::Follow(instance) | Event::Overdue { instance, .. } => Some(*instance),
+            Event::Follow(instance)
+            | Event::Overdue { instance, .. }
+            | Event::Hold { instance, .. } => Some(*instance),
             _ => None,
         };
         if instance.is_some_and(|instance| self.is_frozen(instance)) {
@@ -309,6 +334,7 @@
         match event {
             Event::Arrive { request, retries } => self.arrive(request, retries),
             Event::Repeat(attempt) => self.repeat(attempt),
+            Event::Resume(attempt) => self.send(attempt),
             Event::Serve(number) => self.serve(number),
             Event::Message { to, from, message } => self.receive(to, from, message),
             Event::Follow(instance) => self.follow(instance),
@@ -317,6 +343,11 @@
                 start,
                 report,
             } => self.expire(instance, start, report),
+            Event::Hold {
+                instance,
+                start,
+                fingerprint,
+            } => self.hold_in_region(instance, start, fingerprint),
             Event::UpstreamEnds(upstream) => self.upstream_ends(upstream),
             Event::Kill(instance) => self.kill(instance),
             Event::Start(instance) => self.start(instance),
@@ -498,6 +529,11 @@
         if !instance.is_up || instance.start != attempt.start {
             return;
         }
+        if instance.is_held(attempt.request, at(self.now_ms)) {
+            let due_ms = self.now_ms + RECHECK_INTERVAL_MS;
+            self.schedule(due_ms, Event::Resume(attempt));
+            return;
+        }
         if !self.may_send(attempt.request, attempt.instance) {
             self.outcome.rejected += usize::from(attempt.request != POISON);
             return;
@@ -551,6 +587,7 @@
         target.acknowledgements.forget(fingerprint);
         target.served.record(fingerprint);
         let was_quarantined = target.quarantine.release(fingerprint);
+        self.lift_in_region(instance, fingerprint);
         if was_quarantined && self.reaches_store(instance) {
             self.store.remove(&fingerprint);
         }
@@ -614,8 +651,14 @@
         };
         self.send_to_aggregators(instance, request, &Message::End(report.clone()));
         self.aggregate(instance, instance, &report);
-        let due_ms = self.now_ms + ACKNOWLEDGEMENT_TIMEOUT.as_millis() as u64;
         let start = attempt.start;
+        let hold = Event::Hold {
+            instance,
+            start,
+            fingerprint,
+        };
+        self.schedule(self.now_ms + HOLD_DELAY.as_millis() as u64, hold);
+        let due_ms = self.now_ms + ACKNOWLEDGEMENT_TIMEOUT.as_millis() as u64;
         self.schedule(
             due_ms,
             Event::Overdue {
@@ -626,6 +669,23 @@
         );
     }
 
+    /// Makes the region hold a request if a region has yet to acknowledge an end under it.
+    fn hold_in_region(&mut self, instance: usize, start: u32, fingerprint: Fingerprint) {
+        let one = &self.instances[instance];
+        let is_same_start = one.is_up && one.start == start;
+        let is_awaited = one.acknowledgements.is_awaited(fingerprint);
+        if is_same_start && is_awaited && !one.served.contains(fingerprint) {
+            self.send_to_region(instance, &Message::Held(fingerprint));
+        }
+    }
+
+    /// Ends the hold of a request in the region, if there is one.
+    fn lift_in_region(&mut self, instance: usize, fingerprint: Fingerprint) {
+        if self.instances[instance].holds.lift(fingerprint) {
+            self.send_to_region(instance, &Message::Lifted(fingerprint));
+        }
+    }
+
     /// Reports an end again if a region has not acknowledged it.
     fn expire(&mut self, instance: usize, start: u32, report: EndReport) {
         let now = at(self.now_ms);
@@ -634,7 +694,11 @@
             return;
         }
         let missing = target.acknowledgements.expire(report.fingerprint, now);
-        if missing.is_empty() || target.served.contains(report.fingerprint) {
+        if missing.is_empty() {
+            return;
+        }
+        if target.served.contains(report.fingerprint) {
+            self.lift_in_region(instance, report.fingerprint);
             return;
         }
         let isolated = EndReport {
@@ -711,13 +775,20 @@
             }
             Message::Acknowledged(fingerprint) => {
                 let acknowledgements = &mut self.instances[to].acknowledgements;
-                acknowledgements.acknowledge(fingerprint, address(from));
+                if acknowledgements.acknowledge(fingerprint, address(from)) {
+                    self.lift_in_region(to, fingerprint);
+                }
             }
             Message::Cleared(fingerprint) => {
                 self.instances[to].suspects.clear(fingerprint);
                 self.instances[to].quarantine.release_isolated(fingerprint);
             }
+            Message::Held(fingerprint) => self.instances[to].holds.hold(fingerprint, now),
+            Message::Lifted(fingerprint) => {
+                self.instances[to].holds.lift(fingerprint);
+            }
             Message::Quarantined(fingerprint, entry) => {
+                self.instances[to].holds.lift(fingerprint);
                 let quarantine = &mut self.instances[to].quarantine;
                 quarantine.merge(fingerprint, entry, Origin::Peer, draw, now);
             }
@@ -748,8 +819,12 @@
         if is_evidence {
             self.write(instance, fingerprint, entry);
         }
-        for to in (0..INSTANCES).filter(|to| to % REGIONS == instance % REGIONS) {
-            self.send_message(instance, to, &Message::Quarantined(fingerprint, entry));
+        self.send_to_region(instance, &Message::Quarantined(fingerprint, entry));
+    }
+
+    fn send_to_region(&mut self, from: usize, message: &Message) {
+        for to in (0..INSTANCES).filter(|to| to % REGIONS == from % REGIONS) {
+            self.send_message(from, to, message);
         }
     }
 }
--- a/crates/foxtide-gateway/src/admission/server.rs
+++ b/crates/foxtide-gateway/src/admission/server.rs
@@ -56,8 +56,10 @@
             poison::receive_end_report(shared, from, number, &message)
         }
         Some(Body::EndAcknowledged(hash)) => {
-            poison::receive_acknowledgement(&shared.poison, from, hash);
+            poison::receive_acknowledgement(shared, from, hash);
         }
+        Some(Body::Held(hash)) => poison::receive_held(shared, hash),
+        Some(Body::Lifted(hash)) => poison::receive_lifted(shared, hash),
         Some(Body::Cleared(hash)) => poison::receive_cleared(shared, hash),
         Some(Body::Quarantine(message)) => poison::receive_quarantine(shared, from, &message),
         body => shared
--- a/crates/foxtide-gateway/src/datagram/mod.rs
+++ b/crates/foxtide-gateway/src/datagram/mod.rs
@@ -26,7 +26,7 @@
     /// The number of the request at the instance that asks.
     #[prost(fixed64, tag = "1")]
     pub(crate) number: u64,
-    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     pub(crate) body: Option<Body>,
 }
 
@@ -63,6 +63,12 @@
     /// The fingerprint of a request of which the end of an upstream was counted.
     #[prost(fixed64, tag = "11")]
     EndAcknowledged(u64),
+    /// The fingerprint of a request that is held until an end is acknowledged.
+    #[prost(fixed64, tag = "12")]
+    Held(u64),
+    /// The fingerprint of a request that is held no longer.
+    #[prost(fixed64, tag = "13")]
+    Lifted(u64),
 }
 
 impl Datagram {
@@ -74,7 +80,9 @@
                 Body::EndReport(_)
                 | Body::Cleared(_)
                 | Body::Quarantine(_)
-                | Body::EndAcknowledged(_),
+                | Body::EndAcknowledged(_)
+                | Body::Held(_)
+                | Body::Lifted(_),
             ) => TrafficKind::Poison,
             Some(Body::Ask(_) | Body::Notify(_) | Body::End(_) | Body::Answer(_)) | None => {
                 TrafficKind::Slots
@@ -120,6 +128,8 @@
             Datagram::quota_answer(3, QuotaAnswer::NotCoordinator),
             Datagram::end_report(4, &report),
             Datagram::end_acknowledged(4, report.fingerprint),
+            Datagram::held(6, report.fingerprint),
+            Datagram::lifted(6, report.fingerprint),
             Datagram::quarantine(
                 5,
                 Fingerprint::from_hash(9),
@@ -140,7 +150,14 @@
             Some(Body::QuotaAnswer(message)) => drop(message.answer()),
             Some(Body::EndReport(message)) => drop(message.report()),
             Some(Body::Quarantine(message)) => drop(message.entry()),
-            Some(Body::End(_) | Body::Cleared(_) | Body::EndAcknowledged(_)) | None => {}
+            Some(
+                Body::End(_)
+                | Body::Cleared(_)
+                | Body::EndAcknowledged(_)
+                | Body::Held(_)
+                | Body::Lifted(_),
+            )
+            | None => {}
         }
     }
 
--- a/crates/foxtide-gateway/src/datagram/poison.rs
+++ b/crates/foxtide-gateway/src/datagram/poison.rs
@@ -62,6 +62,22 @@
         }
     }
 
+    /// Returns the message that a request is held until an end is acknowledged.
+    pub(crate) fn held(number: u64, fingerprint: Fingerprint) -> Self {
+        Self {
+            number,
+            body: Some(Body::Held(fingerprint.hash())),
+        }
+    }
+
+    /// Returns the message that a request is held no longer.
+    pub(crate) fn lifted(number: u64, fingerprint: Fingerprint) -> Self {
+        Self {
+            number,
+            body: Some(Body::Lifted(fingerprint.hash())),
+        }
+    }
+
     /// Returns the message that a suspected request was served.
     pub(crate) fn cleared(number: u64, fingerprint: Fingerprint) -> Self {
         Self {
--- a/crates/foxtide-gateway/src/forward/attempt_loop.rs
+++ b/crates/foxtide-gateway/src/forward/attempt_loop.rs
@@ -106,6 +106,12 @@
     /// Makes attempts until there is a reply.
     pub(super) async fn run(&mut self) -> Reply {
         loop {
+            if self.is_held() {
+                self.wait_while_held().await;
+                if let Some(reply) = self.recheck() {
+                    return reply;
+                }
+            }
             let Target { pick, slot } = match self.acquire_target().await {
                 Ok(target) => target,
                 Err(reply) => return reply,
@@ -115,7 +121,7 @@
                 return reply;
             }
             let is_valid = self.shared.state.lock().is_pick_valid(&pick);
-            if !is_valid || self.lacks_grant(&pick, slot.as_ref()) {
+            if !is_valid || self.is_held() || self.lacks_grant(&pick, slot.as_ref()) {
                 continue;
             }
             let began_at = Instant::now();
--- a/crates/foxtide-gateway/src/forward/recheck.rs
+++ b/crates/foxtide-gateway/src/forward/recheck.rs
@@ -65,9 +65,31 @@
         Some(self.failure.clone().unwrap_or(refused))
     }
 
+    /// Tells whether the request is held and the attempt is not its trial.
+    pub(super) fn is_held(&self) -> bool {
+        let now = self.shared.clock.now();
+        !self.is_trial() && self.shared.poison.is_held(self.fingerprint, now)
+    }
+
+    /// Waits while the request is held, unless the caller disconnects or the deadline passes.
+    pub(super) async fn wait_while_held(&self) {
+        let began_at = Instant::now();
+        let lifted = poison::wait_while_held(self.shared, self.fingerprint);
+        let late = async {
+            Timer::at(self.deadline).await;
+        };
+        or(self.caller.disconnected(), or(lifted, late)).await;
+        let journal = &self.shared.journal;
+        journal.request_held(&self.trace, began_at.elapsed());
+    }
+
+    fn is_trial(&self) -> bool {
+        self.permit == SendPermit::Trial && self.sent_attempts == self.attempts_at_permit
+    }
+
     /// Returns the retry delay if the request is quarantined and the attempt is not its trial.
     fn quarantine_retry_after(&self) -> Option<Duration> {
-        if self.permit == SendPermit::Trial && self.sent_attempts == self.attempts_at_permit {
+        if self.is_trial() {
             return None;
         }
         let now = self.shared.clock.now();
--- a/crates/foxtide-gateway/src/journal/requests.rs
+++ b/crates/foxtide-gateway/src/journal/requests.rs
@@ -206,6 +206,19 @@
         }
     }
 
+    /// Logs and counts a request that waited for the acknowledgement of an end.
+    pub(crate) fn request_held(&self, trace: &RequestTrace, time: Duration) {
+        metrics::counter!("foxtide_requests_held_total").increment(1);
+        if self.may_log(LineKind::Step) {
+            log_event!(
+                EventCode::RequestHeld,
+                request = trace.request.as_str(),
+                fingerprint = trace.fingerprint.as_str(),
+                held_ms = time.as_millis() as u64
+            );
+        }
+    }
+
     /// Logs and counts a request that an upstream's rate limit excludes there.
     pub(crate) fn request_throttled(
         &self,
--- a/crates/foxtide-gateway/src/poison/mod.rs
+++ b/crates/foxtide-gateway/src/poison/mod.rs
@@ -10,6 +10,8 @@
     receive_acknowledgement,
     receive_cleared,
     receive_end_report,
+    receive_held,
+    receive_lifted,
     receive_quarantine,
     record_served,
     report_upstream_end,
@@ -25,6 +27,8 @@
 use foxtide_core::poison::{
     Acknowledgements,
     Fingerprint,
+    HOLD_TIMEOUT,
+    Holds,
     Origin,
     Quarantine,
     QuarantineEntry,
@@ -67,6 +71,8 @@
     reported: Mutex<HashMap<Fingerprint, MonotonicTime>>,
     /// The reports of this instance that regions have yet to acknowledge.
     acknowledgements: Mutex<Acknowledgements>,
+    /// The requests that wait for acknowledgements of a neighbour's report.
+    holds: Mutex<Holds>,
     /// Notified when the wait for acknowledgements of a report ends.
     acknowledged: Event,
     served: Served,
@@ -117,9 +123,25 @@
         drop(quarantine);
         if is_new {
             state_changes::quarantine_learnt(fingerprint, entry, from);
+            self.lift(fingerprint);
         }
     }
 
+    /// Tells whether a request is held since a region has yet to acknowledge an end under one of the
+    /// same content. One that this instance served before most likely was there by chance.
+    pub(crate) fn is_held(&self, fingerprint: Fingerprint, now: MonotonicTime) -> bool {
+        let is_awaited = self.acknowledgements.lock().is_awaited(fingerprint);
+        let is_held = is_awaited || self.holds.lock().is_held(fingerprint, now);
+        is_held && !self.served.contains(fingerprint)
+    }
+
+    /// Ends the hold of a request; returns whether it was held for the whole region.
+    fn lift(&self, fingerprint: Fingerprint) -> bool {
+        let was_held = self.holds.lock().lift(fingerprint);
+        self.acknowledged.notify(usize::MAX);
+        was_held
+    }
+
     /// Applies changes of the store; returns the newly quarantined requests.
     pub(crate) fn apply(&self, facts: &[Fact], now: MonotonicTime) -> Vec<Fingerprint> {
         let mut new = Vec::new();
@@ -234,6 +256,21 @@
     }
 }
 
+/// Waits while a request is held.
+pub(crate) async fn wait_while_held<D: Dialect>(shared: &Shared<D>, fingerprint: Fingerprint) {
+    let poison = &shared.poison;
+    loop {
+        let lifted = poison.acknowledged.listen();
+        if !poison.is_held(fingerprint, shared.clock.now()) {
+            return;
+        }
+        let lapsed = async {
+            Timer::after(HOLD_TIMEOUT).await;
+        };
+        or(lifted, lapsed).await;
+    }
+}
+
 /// Waits until all regions have acknowledged the last end of a request, or one has failed to; in
 /// that case claims the retry of the request that was at the upstream. Returns whether it may be
 /// sent although it is quarantined.
--- a/crates/foxtide-gateway/src/poison/reports.rs
+++ b/crates/foxtide-gateway/src/poison/reports.rs
@@ -1,6 +1,5 @@
 //! Exchanges reports of ended upstreams with the other instances.
 
-use super::Poison;
 use crate::datagram::{
     Datagram,
     QuarantineMessage,
@@ -14,6 +13,7 @@
     ACKNOWLEDGEMENT_TIMEOUT,
     EndReport,
     Fingerprint,
+    HOLD_DELAY,
     Origin,
     QuarantineEntry, //
 };
@@ -58,12 +58,50 @@
     send_report(shared, &report);
     let reporter = Arc::clone(shared);
     let expiry = async move {
-        Timer::after(ACKNOWLEDGEMENT_TIMEOUT).await;
+        Timer::after(HOLD_DELAY).await;
+        hold_in_region(&reporter, report.fingerprint);
+        Timer::after(ACKNOWLEDGEMENT_TIMEOUT - HOLD_DELAY).await;
         expire_acknowledgements(&reporter, report);
     };
     shared.executor.spawn(expiry).detach();
 }
 
+/// Makes the instances of the region hold a request if a region has yet to acknowledge an end under
+/// it.
+fn hold_in_region<D: Dialect>(shared: &Arc<Shared<D>>, fingerprint: Fingerprint) {
+    let poison = &shared.poison;
+    let now = shared.clock.now();
+    let is_awaited = poison.acknowledgements.lock().is_awaited(fingerprint);
+    if !is_awaited || poison.served.contains(fingerprint) {
+        return;
+    }
+    poison.holds.lock().hold(fingerprint, now);
+    let number = shared.admission.next_datagram_number();
+    let datagram = Datagram::held(number, fingerprint);
+    send_with_resends(shared, neighbours(shared), datagram);
+}
+
+/// Ends the hold of a request in the region, if there is one.
+fn lift_in_region<D: Dialect>(shared: &Arc<Shared<D>>, fingerprint: Fingerprint) {
+    if shared.poison.lift(fingerprint) {
+        let number = shared.admission.next_datagram_number();
+        let datagram = Datagram::lifted(number, fingerprint);
+        send_with_resends(shared, neighbours(shared), datagram);
+    }
+}
+
+/// Handles the notice that a request is held.
+pub(crate) fn receive_held<D: Dialect>(shared: &Shared<D>, hash: u64) {
+    let now = shared.clock.now();
+    let mut holds = shared.poison.holds.lock();
+    holds.hold(Fingerprint::from_hash(hash), now);
+}
+
+/// Handles the notice that a request is held no longer.
+pub(crate) fn receive_lifted<D: Dialect>(shared: &Shared<D>, hash: u64) {
+    shared.poison.lift(Fingerprint::from_hash(hash));
+}
+
 /// Reports an end again if a region has not acknowledged it.
 fn expire_acknowledgements<D: Dialect>(shared: &Arc<Shared<D>>, report: EndReport) {
     let poison = &shared.poison;
@@ -74,7 +112,9 @@
         .expire(report.fingerprint, now);
     if !silent.is_empty() {
         state_changes::end_unacknowledged(&report, &silent);
-        if !poison.served.contains(report.fingerprint) {
+        if poison.served.contains(report.fingerprint) {
+            lift_in_region(shared, report.fingerprint);
+        } else {
             let is_isolated = true;
             send_report(
                 shared,
@@ -127,7 +167,7 @@
     send_to_aggregators(shared, fingerprint, &datagram);
     poison.suspects.lock().clear(fingerprint);
     poison.acknowledgements.lock().forget(fingerprint);
-    poison.acknowledged.notify(usize::MAX);
+    lift_in_region(shared, fingerprint);
 }
 
 /// Handles and acknowledges an end report of another instance.
@@ -157,12 +197,17 @@
 }
 
 /// Handles the acknowledgement of an end report.
-pub(crate) fn receive_acknowledgement(poison: &Poison, from: SocketAddr, hash: u64) {
+pub(crate) fn receive_acknowledgement<D: Dialect>(
+    shared: &Arc<Shared<D>>,
+    from: SocketAddr,
+    hash: u64,
+) {
     let fingerprint = Fingerprint::from_hash(hash);
-    let mut acknowledgements = poison.acknowledgements.lock();
-    if acknowledgements.acknowledge(fingerprint, from) {
-        drop(acknowledgements);
-        poison.acknowledged.notify(usize::MAX);
+    let mut acknowledgements = shared.poison.acknowledgements.lock();
+    let is_complete = acknowledgements.acknowledge(fingerprint, from);
+    drop(acknowledgements);
+    if is_complete {
+        lift_in_region(shared, fingerprint);
     }
 }
 
--- a/crates/foxtide-gateway/tests/gateway/poison_isolation.rs
+++ b/crates/foxtide-gateway/tests/gateway/poison_isolation.rs
@@ -21,7 +21,8 @@
     fleet: Fleet,
     instances: [Instance; 2],
     upstreams: Vec<FakeUpstream>,
-    _silent: UdpSocket,
+    /// The socket of the other region's member.
+    silent: UdpSocket,
 }
 
 impl IsolatedFleet {
@@ -51,7 +52,7 @@
             fleet,
             instances,
             upstreams: upstreams.into(),
-            _silent: silent,
+            silent,
         }
     }
 
@@ -91,6 +92,23 @@
     assert_eq!(isolated.used_count(), 1);
 }
 
+/// Guards against requests of the same content that are sent before a region is known not to
+/// acknowledge the first end.
+#[test]
+fn verify_a_request_waits_while_an_end_under_the_same_content_is_unacknowledged() {
+    let isolated = IsolatedFleet::start();
+    isolated.all_behave(&ENDS);
+    isolated.fleet.store.set_unavailable(true);
+    std::thread::scope(|scope| {
+        let first = scope.spawn(|| send(&isolated.instances[0]));
+        // The report of the end; the other region gets no other datagram before it.
+        isolated.silent.recv_from(&mut [0; 512]).unwrap();
+        assert_eq!(send(&isolated.instances[0]).head.status, 503);
+        first.join().unwrap();
+    });
+    assert_eq!(isolated.used_count(), 1);
+}
+
 /// Guards against regions that are cut off from each other, each of which counts three ends.
 #[test]
 fn verify_regions_that_are_cut_off_send_a_request_again_only_if_the_store_grants_it() {
