Reject held requests at once where an aggregator quarantines them

The instance that counts the end quarantined the request and told its neighbours, whose holds end with that. Its own hold lasted for up to 0.4 s more, and so did the requests that waited there.

--- a/crates/foxtide-gateway/src/poison/reports.rs
+++ b/crates/foxtide-gateway/src/poison/reports.rs
@@ -255,6 +255,7 @@
     let mut quarantine = shared.poison.quarantine.lock();
     let is_new = quarantine.merge(fingerprint, entry, origin, draw, now);
     drop(quarantine);
+    shared.poison.lift(fingerprint);
     if is_new && is_evidence {
         shared.poison.store_writer.write();
     }
