--- a/crates/foxtide-core/src/steering/spill_budget.rs
+++ b/crates/foxtide-core/src/steering/spill_budget.rs
@@ -33,8 +33,8 @@
     /// windows in which it may be counted hold the requests that count here, and no more spilled
     /// ones.
     pub(crate) fn allows(&self, limit_share: f64, now: MonotonicTime) -> bool {
-        let spilled_since = slots_before(now, SPILL_WINDOW + SAMPLE_INTERVAL_MAX);
-        let requests_after = slots_before(now, SPILL_WINDOW - SAMPLE_INTERVAL_MAX);
+        let spilled_since = slot_before(now, SPILL_WINDOW + SAMPLE_INTERVAL_MAX);
+        let requests_after = slot_before(now, SPILL_WINDOW - SAMPLE_INTERVAL_MAX);
         let (mut requests, mut spilled) = (1.0, 1.0);
         for slot in &self.slots {
             if slot.number >= spilled_since {
@@ -50,7 +50,7 @@
     /// Records a request that was sent or rejected.
     pub(crate) fn record(&mut self, is_spilled: bool, now: MonotonicTime) {
         let number = slot_number(now);
-        let kept_since = slots_before(now, SPILL_WINDOW + SAMPLE_INTERVAL_MAX);
+        let kept_since = slot_before(now, SPILL_WINDOW + SAMPLE_INTERVAL_MAX);
         while self
             .slots
             .front()
@@ -74,7 +74,7 @@
 }
 
 /// Returns the number of the slot in which `time` before `now` lies.
-fn slots_before(now: MonotonicTime, time: Duration) -> u64 {
+fn slot_before(now: MonotonicTime, time: Duration) -> u64 {
     slot_number(now).saturating_sub(time.as_millis() as u64 / SLOT.as_millis() as u64)
 }
 
