Give each test of the program's output a settings file of its own

Cause: it shared its settings file with verify_unread_output_does_not_block_ requests. Tests run at the same time, and writing a file empties it first.

Evidence: the process's own line, a parse error at line 1, column 1 of platform-unread.toml, "missing field self", as of an empty file; no other test writes that file. The checks stay as they are.

--- a/crates/foxtide/tests/platform.rs
+++ b/crates/foxtide/tests/platform.rs
@@ -202,7 +202,7 @@
 #[test]
 fn verify_requests_do_not_wait_for_standard_output() {
     const REQUESTS: usize = 3_000;
-    let mut process = Process::start("platform-unread.toml");
+    let mut process = Process::start("platform-requests.toml");
     let started = process.wait_for_event("process-started");
     let callers: SocketAddr = started["callers"].as_str().unwrap().parse().unwrap();
     smol::block_on(async {
