Tell objects apart by kind of request, and carry kind and organisation with slot requests

Cause: upstreams cache an object separately for each kind of request. Both kinds hashed to one upstream, where short urgent requests queued behind long ones, and counted as cached.

Change: the key of an object includes the kind of the request, a hash of the route's name. Requests for slots carry the kind and the organisation, for decisions that follow.

--- a/crates/foxtide-core/src/admission/request.rs
+++ b/crates/foxtide-core/src/admission/request.rs
@@ -1,7 +1,11 @@
 //! Slot requests and their answers.
 
-use crate::ids::UpstreamId;
+use crate::ids::{
+    OrganisationId,
+    UpstreamId, //
+};
 use crate::placement::ObjectKey;
+use crate::routing::RequestKind;
 use crate::throttle::LimitReport;
 use crate::time::WallTime;
 use std::fmt;
@@ -33,6 +37,10 @@
     pub upstream: UpstreamId,
     /// When the upstream started, as far as the requester knows.
     pub born_at: Option<WallTime>,
+    /// The kind of the request.
+    pub kind: RequestKind,
+    /// The organisation of its caller, if it is known.
+    pub organisation: Option<OrganisationId>,
     /// The object that the request accesses, if any.
     pub object: Option<ObjectKey>,
     /// The priority of the request; 0 is the highest.
--- a/crates/foxtide-core/src/placement/affinity.rs
+++ b/crates/foxtide-core/src/placement/affinity.rs
@@ -1,6 +1,7 @@
 //! Ranks upstreams for an object by weighted rendezvous hashing.
 
 use crate::ids::UpstreamId;
+use crate::routing::RequestKind;
 use std::fmt;
 use xxhash_rust::xxh3::{
     xxh3_64,
@@ -17,6 +18,12 @@
         Self(xxh3_64(name))
     }
 
+    /// Returns the key of the object `name` for requests of one kind. Upstreams cache an object
+    /// separately for each kind of request.
+    pub fn of_kind(kind: RequestKind, name: &[u8]) -> Self {
+        Self(xxh3_64_with_seed(name, kind.hash()))
+    }
+
     /// Returns a random key for a request without an object.
     pub fn random(draw: u64) -> Self {
         Self(draw)
--- a/crates/foxtide-core/src/routing/document.rs
+++ b/crates/foxtide-core/src/routing/document.rs
@@ -1,6 +1,9 @@
 //! Configured routes, services, organisations and limits.
 
-use super::OrganisationEntry;
+use super::{
+    OrganisationEntry,
+    RequestKind, //
+};
 use crate::ids::{
     RegionId,
     ServiceId, //
@@ -52,6 +55,13 @@
     pub is_public: bool,
 }
 
+impl Route {
+    /// Returns the kind of the route's requests.
+    pub fn kind(&self) -> RequestKind {
+        RequestKind::of_route(&self.name)
+    }
+}
+
 /// A service and its weight in a route.
 #[derive(Clone, Debug, PartialEq)]
 pub struct WeightedService {
--- a/crates/foxtide-core/src/routing/mod.rs
+++ b/crates/foxtide-core/src/routing/mod.rs
@@ -4,6 +4,7 @@
 //! index.
 
 mod document;
+mod kind;
 mod organisations;
 mod table;
 mod weighted_round_robin;
@@ -15,6 +16,7 @@
     ServiceTerms,
     WeightedService, //
 };
+pub use kind::RequestKind;
 pub use organisations::{
     ApiKey,
     OrganisationEntry,
--- a/crates/foxtide-core/tests/admission.rs
+++ b/crates/foxtide-core/tests/admission.rs
@@ -10,6 +10,7 @@
     Ticket, //
 };
 use foxtide_core::placement::ObjectKey;
+use foxtide_core::routing::RequestKind;
 use foxtide_core::time::{
     MonotonicTime,
     WallTime, //
@@ -42,6 +43,8 @@
         ticket: ticket(number),
         upstream: "i-1".parse().unwrap(),
         born_at: None,
+        kind: RequestKind::default(),
+        organisation: None,
         object: Some(ObjectKey::from_hash(number)),
         priority: 1,
         objective_left: Duration::from_millis(600),
--- a/crates/foxtide-core/tests/throttle_model/fleet.rs
+++ b/crates/foxtide-core/tests/throttle_model/fleet.rs
@@ -18,6 +18,7 @@
     Members,
     StorePhase, //
 };
+use foxtide_core::routing::RequestKind;
 use foxtide_core::throttle::{
     LimitStatement,
     LocalThrottle, //
@@ -301,6 +302,8 @@
             },
             upstream: self.upstream.clone(),
             born_at: None,
+            kind: RequestKind::default(),
+            organisation: None,
             object: None,
             priority: 1,
             objective_left: Duration::from_millis(500),
--- a/crates/foxtide-gateway/src/admission/client.rs
+++ b/crates/foxtide-gateway/src/admission/client.rs
@@ -13,8 +13,10 @@
     SlotRequest,
     Ticket, //
 };
+use foxtide_core::ids::OrganisationId;
 use foxtide_core::placement::ObjectKey;
 use foxtide_core::registry::Registration;
+use foxtide_core::routing::RequestKind;
 use foxtide_core::throttle::LimitReport;
 use futures_lite::future::or;
 use parking_lot::Mutex;
@@ -44,6 +46,10 @@
 #[derive(Clone, Debug)]
 pub(crate) struct SlotTerms<'a> {
     pub(crate) registration: &'a Registration,
+    /// The kind of the request.
+    pub(crate) kind: RequestKind,
+    /// The organisation of its caller, if it is known.
+    pub(crate) organisation: Option<&'a OrganisationId>,
     /// The object that it concerns, if any.
     pub(crate) object: Option<ObjectKey>,
     /// Its priority; 0 is the highest.
@@ -259,6 +265,8 @@
             },
             upstream: terms.registration.upstream.clone(),
             born_at: terms.registration.born_at,
+            kind: terms.kind,
+            organisation: terms.organisation.cloned(),
             object: terms.object,
             priority: terms.priority,
             objective_left: terms.objective_at.saturating_duration_since(now),
--- a/crates/foxtide-gateway/src/datagram/slots.rs
+++ b/crates/foxtide-gateway/src/datagram/slots.rs
@@ -12,7 +12,9 @@
     SlotRequest,
     Ticket, //
 };
+use foxtide_core::ids::OrganisationId;
 use foxtide_core::placement::ObjectKey;
+use foxtide_core::routing::RequestKind;
 use foxtide_core::throttle::LimitReport;
 use foxtide_core::time::WallTime;
 use foxtide_core::units::RequestRate;
@@ -41,6 +43,12 @@
     born_ms: Option<u64>,
     #[prost(message, optional, tag = "9")]
     limit: Option<LimitMessage>,
+    /// The hash of the request's kind; 0 of an instance without kinds.
+    #[prost(fixed64, tag = "10")]
+    kind: u64,
+    /// The organisation of the caller; empty if it is not known.
+    #[prost(string, tag = "11")]
+    organisation: String,
 }
 
 /// What the requester has heard of the upstream's rate limit.
@@ -147,6 +155,11 @@
             patience: PatienceMessage::from(request.patience).into(),
             born_ms: request.born_at.map(WallTime::as_ms),
             limit: request.limit.map(LimitMessage::from),
+            kind: request.kind.hash(),
+            organisation: request
+                .organisation
+                .as_ref()
+                .map_or_else(String::new, OrganisationId::to_string),
         }
     }
 
@@ -154,15 +167,21 @@
     ///
     /// # Errors
     ///
-    /// Fails if the name of the upstream is invalid.
+    /// Fails if the name of the upstream or the organisation is invalid.
     pub(crate) fn request(
         &self,
         requester: SocketAddr,
         number: u64,
     ) -> foxtide_core::Result<SlotRequest> {
+        let organisation = match self.organisation.as_str() {
+            "" => None,
+            organisation => Some(organisation.parse()?),
+        };
         Ok(SlotRequest {
             ticket: Ticket { requester, number },
             upstream: self.upstream.parse()?,
+            kind: RequestKind::from_hash(self.kind),
+            organisation,
             object: self.object.map(ObjectKey::from_hash),
             priority: self.priority,
             objective_left: Duration::from_millis(self.objective_left_ms.into()),
--- a/crates/foxtide-gateway/src/forward/admit.rs
+++ b/crates/foxtide-gateway/src/forward/admit.rs
@@ -228,10 +228,13 @@
         or(asked, in_vain).await
     }
 
-    fn slot_terms<'b>(&self, pick: &'b Pick, patience: Patience) -> SlotTerms<'b> {
+    fn slot_terms<'b>(&'b self, pick: &'b Pick, patience: Patience) -> SlotTerms<'b> {
         let registration = &*pick.registration;
+        let organisation = self.route_match.caller.organisation();
         SlotTerms {
             registration,
+            kind: self.route.kind(),
+            organisation: organisation.map(|terms| &terms.organisation),
             object: self.object,
             priority: self.route_match.priority(),
             objective_at: self.objective_at,
--- a/crates/foxtide-gateway/src/forward/entry.rs
+++ b/crates/foxtide-gateway/src/forward/entry.rs
@@ -92,7 +92,7 @@
         let retry_after = RETRY_AFTER;
         return (Refusal::NotRun { retry_after }.into(), trace);
     };
-    let object = request.object().filter(|_| route.has_affinity);
+    let object = request.object(route);
     trace.object = object.map_or_else(String::new, |object| object.to_string());
     let mut attempt_loop = AttemptLoop {
         shared,
--- a/crates/foxtide-gateway/src/forward/request.rs
+++ b/crates/foxtide-gateway/src/forward/request.rs
@@ -84,8 +84,11 @@
         ])
     }
 
-    /// Returns the key of the object that the request concerns, if it names one.
-    pub(crate) fn object(&self) -> Option<ObjectKey> {
-        self.headers.object.as_deref().map(ObjectKey::new)
+    /// Returns the key of the object that the request concerns, if it names one and the route's
+    /// upstreams cache objects.
+    pub(crate) fn object(&self, route: &Route) -> Option<ObjectKey> {
+        let name = self.headers.object.as_deref();
+        let name = name.filter(|_| route.has_affinity)?;
+        Some(ObjectKey::of_kind(route.kind(), name))
     }
 }
--- a/crates/foxtide-gateway/tests/gateway/small_region.rs
+++ b/crates/foxtide-gateway/tests/gateway/small_region.rs
@@ -19,7 +19,10 @@
     rank, //
 };
 use foxtide_core::registry::Registration;
-use foxtide_core::routing::Route;
+use foxtide_core::routing::{
+    RequestKind,
+    Route, //
+};
 use foxtide_gateway::Fact;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -81,7 +84,7 @@
             .iter()
             .map(|one| Candidate::new(&one.upstream, weights.of(&one.region, one.slots)))
             .collect();
-        let order = rank(ObjectKey::new(object.as_bytes()), &candidates);
+        let order = rank(ObjectKey::of_kind(RequestKind::of_route("safe"), object.as_bytes()), &candidates);
         order
             .into_iter()
             .map(|index| &self.upstreams[index])
--- a/crates/foxtide-testing/src/load_model/slot_requests.rs
+++ b/crates/foxtide-testing/src/load_model/slot_requests.rs
@@ -26,6 +26,7 @@
     ObjectKey,
     lacks_capacity, //
 };
+use foxtide_core::routing::RequestKind;
 
 // Defaults of the gateway's settings.
 const ANSWER_TIMEOUT_MS: f64 = 40.0;
@@ -168,6 +169,8 @@
             ticket: ticket(id),
             upstream: self.fleet.upstream(request.upstream).clone(),
             born_at: None,
+            kind: RequestKind::default(),
+            organisation: None,
             object: Some(ObjectKey::new(&request.object.to_le_bytes())),
             priority: 1,
             objective_left: objective_at.since(self.now),
