Direct callers to the instances with the widest links that answer

Cause: look-ups named all instances alike. Most have narrow links, which a bulk response holds for up to 430 ms; coordinators' datagrams wait behind it.

Change: look-ups name the group of instances with the widest links while these answer probes and have capacity unused; the next group comes in otherwise. Decisions stand in foxtide_core::directory. Where links are alike, look-ups name all as before and nothing is probed.

--- a/crates/foxtide-core/src/events/code.rs
+++ b/crates/foxtide-core/src/events/code.rs
@@ -153,6 +153,7 @@
     3021 TimeLineCopyLost "time-line-copy-lost" Warn "Events were overwritten before they were copied to a peer."
     3022 MemberDoubted "member-doubted" Info "An instance's lease expired while the store was unavailable; the instance is kept for a grace period."
     3023 InstanceBytes "instance-bytes" Info "The bytes sent to other instances since the last such line, by purpose."
+    3024 LookupsChanged "lookups-changed" Info "Look-ups name other groups of a region's instances, or the number of instances in doubt changed; the fields give the numbers."
 
     4001 WeightsShifted "weights-shifted" Info "The weights of regions changed; the detail gives the new ones."
     4003 MoveStarted "move-started" Info "A planned move of traffic started."
--- a/crates/foxtide-core/src/lib.rs
+++ b/crates/foxtide-core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod blocks;
 pub mod choice;
+pub mod directory;
 pub mod dissemination;
 pub mod errors;
 pub mod events;
--- a/crates/foxtide-gateway/src/admission/server.rs
+++ b/crates/foxtide-gateway/src/admission/server.rs
@@ -47,7 +47,9 @@
 }
 
 fn handle_datagram<D: Dialect>(shared: &Arc<Shared<D>>, from: SocketAddr, datagram: Datagram) {
-    shared.quotas.record_contact(from, shared.clock.now());
+    let now = shared.clock.now();
+    shared.quotas.record_contact(from, now);
+    shared.guide.record_datagram(from, now);
     let number = datagram.number;
     match datagram.body {
         Some(Body::QuotaQuestion(message)) => quotas::answer(shared, from, number, &message),
@@ -62,6 +64,12 @@
         Some(Body::Lifted(hash)) => poison::receive_lifted(shared, hash),
         Some(Body::Cleared(hash)) => poison::receive_cleared(shared, hash),
         Some(Body::Quarantine(message)) => poison::receive_quarantine(shared, from, &message),
+        Some(Body::Probe(_)) => shared.admission.send(from, &shared.guide.condition()),
+        Some(Body::Condition(message)) => {
+            shared
+                .guide
+                .record_condition(from, message.utilisation(), now);
+        }
         body => shared
             .admission
             .handle_slot_message(from, number, body, &shared.state),
--- a/crates/foxtide-gateway/src/datagram/mod.rs
+++ b/crates/foxtide-gateway/src/datagram/mod.rs
@@ -1,9 +1,14 @@
 //! The datagrams between instances, as Protocol Buffers messages.
 
+mod condition;
 mod poison;
 mod quota;
 mod slots;
 
+pub(crate) use condition::{
+    ConditionMessage,
+    ProbeMessage, //
+};
 pub(crate) use poison::{
     QuarantineMessage,
     UpstreamEndMessage, //
@@ -26,7 +31,10 @@
     /// The number of the request at the instance that asks.
     #[prost(fixed64, tag = "1")]
     pub(crate) number: u64,
-    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    #[prost(
+        oneof = "Body",
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
+    )]
     pub(crate) body: Option<Body>,
 }
 
@@ -69,6 +77,12 @@
     /// The fingerprint of a request that is held no longer.
     #[prost(fixed64, tag = "13")]
     Lifted(u64),
+    /// Asks for the condition of an instance.
+    #[prost(message, tag = "14")]
+    Probe(ProbeMessage),
+    /// Answers a probe.
+    #[prost(message, tag = "15")]
+    Condition(ConditionMessage),
 }
 
 impl Datagram {
@@ -84,6 +98,7 @@
                 | Body::Held(_)
                 | Body::Lifted(_),
             ) => TrafficKind::Poison,
+            Some(Body::Probe(_) | Body::Condition(_)) => TrafficKind::Conditions,
             Some(Body::Ask(_) | Body::Notify(_) | Body::End(_) | Body::Answer(_)) | None => {
                 TrafficKind::Slots
             }
@@ -108,6 +123,7 @@
         QuotaAnswer,
         QuotaRequest, //
     };
+    use foxtide_core::units::Share;
     use prost::Message;
 
     fn samples() -> Vec<Datagram> {
@@ -135,6 +151,8 @@
                 Fingerprint::from_hash(9),
                 QuarantineEntry { ends: 3, trials: 1 },
             ),
+            Datagram::probe(),
+            Datagram::condition(Share::clamped(0.5)),
         ]
     }
 
@@ -150,12 +168,17 @@
             Some(Body::QuotaAnswer(message)) => drop(message.answer()),
             Some(Body::EndReport(message)) => drop(message.report()),
             Some(Body::Quarantine(message)) => drop(message.entry()),
+            Some(Body::Condition(message)) => {
+                let utilisation = message.utilisation().get();
+                assert!((0.0..=1.0).contains(&utilisation));
+            }
             Some(
                 Body::End(_)
                 | Body::Cleared(_)
                 | Body::EndAcknowledged(_)
                 | Body::Held(_)
-                | Body::Lifted(_),
+                | Body::Lifted(_)
+                | Body::Probe(_),
             )
             | None => {}
         }
--- a/crates/foxtide-gateway/src/directory.rs
+++ b/crates/foxtide-gateway/src/directory/mod.rs
@@ -1,5 +1,11 @@
 //! Answers look-ups of callers with the addresses of instances.
 
+mod guide;
+mod utilisation;
+
+pub(crate) use guide::Guide;
+pub(crate) use utilisation::UtilisationMeter;
+
 use crate::dialect::{
     Dialect,
     Lookup, //
@@ -27,22 +33,15 @@
 }
 
 fn addresses<D: Dialect>(shared: &Shared<D>, lookup: &Lookup) -> Vec<SocketAddr> {
-    let place = &shared.options.place;
     let is_ready = shared.is_ready();
-    let state = shared.state.lock();
-    let region = lookup.region.as_ref().unwrap_or(&place.region);
-    let is_own = |member: &&Member| member.instance == place.instance;
-    let mut members = state.members().nearest(region);
-    members.retain(|member| is_ready || !is_own(member));
-    // The own record tells of a cut once it has been written and read.
-    let reaches_upstreams = |member: &&Member| !is_own(member) && !member.is_cut_off;
-    if shared.reach.is_cut_off() && members.iter().any(reaches_upstreams) {
-        members.retain(|member| !is_own(member));
+    let region = lookup.region.as_ref();
+    let region = region.unwrap_or(&shared.options.place.region);
+    let members = serving_members(shared, region, is_ready);
+    let named = shared.guide.select(region, &members, shared.clock.now());
+    for peer in &named.probes {
+        shared.admission.send(*peer, &Guide::probe());
     }
-    let mut addresses: Vec<SocketAddr> = members
-        .into_iter()
-        .map(|member| member.caller_address)
-        .collect();
+    let mut addresses = named.addresses;
     // Until the store lists instances, only this one is known.
     if addresses.is_empty() && is_ready {
         addresses.push(shared.addresses.callers);
@@ -51,3 +50,22 @@
     addresses.truncate(ADDRESSES_MAX);
     addresses
 }
+
+/// Returns the instances that could serve the requests of a region's callers.
+fn serving_members<D>(
+    shared: &Shared<D>,
+    region: &foxtide_core::ids::RegionId,
+    is_ready: bool,
+) -> Vec<Member> {
+    let place = &shared.options.place;
+    let is_own = |member: &&Member| member.instance == place.instance;
+    let state = shared.state.lock();
+    let mut members = state.members().nearest(region);
+    members.retain(|member| is_ready || !is_own(member));
+    // The own record tells of a cut once it has been written and read.
+    let reaches_upstreams = |member: &&Member| !is_own(member) && !member.is_cut_off;
+    if shared.reach.is_cut_off() && members.iter().any(reaches_upstreams) {
+        members.retain(|member| !is_own(member));
+    }
+    members.into_iter().cloned().collect()
+}
--- a/crates/foxtide-gateway/src/front/connection.rs
+++ b/crates/foxtide-gateway/src/front/connection.rs
@@ -369,6 +369,7 @@
     }
 
     async fn send(&mut self, bytes: &[u8], close: bool) -> Next {
+        self.shared.guide.meter.count_sent(bytes.len());
         let late = async {
             Timer::after(REPLY_TIMEOUT).await;
             Err(std::io::ErrorKind::TimedOut.into())
--- a/crates/foxtide-gateway/src/gateway.rs
+++ b/crates/foxtide-gateway/src/gateway.rs
@@ -6,6 +6,10 @@
 };
 use crate::alarm::StoreAlarm;
 use crate::dialect::Dialect;
+use crate::directory::{
+    Guide,
+    UtilisationMeter, //
+};
 use crate::errors::Result;
 use crate::follow::follow;
 use crate::journal::Journal;
@@ -60,7 +64,10 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{
+    Duration,
+    Instant, //
+};
 
 /// The divisor of the process memory for request bodies: a body is held twice while it is
 /// forwarded, and responses take as much.
@@ -110,6 +117,8 @@
             datagrams: admission.address(),
         };
         let body_memory = ByteSize::from_bytes(options.memory.get() / BODY_MEMORY_DIVISOR);
+        let meter = UtilisationMeter::new(options.link_mbps);
+        let guide = Guide::new(admission.address(), meter);
         let options = Arc::new(options);
         let shared = Arc::new(Shared {
             dialect,
@@ -118,6 +127,7 @@
             state: Mutex::new(State::new(Arc::clone(&options), clock)),
             pool: Pool::default(),
             admission,
+            guide,
             quotas: Quotas::default(),
             poison: Poison::default(),
             stall: StallDetector::default(),
@@ -211,7 +221,9 @@
 
 async fn run_housekeeping<D: Dialect>(shared: Arc<Shared<D>>) {
     for round in 1_u32.. {
-        Timer::after(HOUSEKEEPING_PERIOD).await;
+        let due_at = Instant::now() + HOUSEKEEPING_PERIOD;
+        Timer::at(due_at).await;
+        shared.guide.meter.record_delay(due_at.elapsed());
         shared.heartbeat();
         if round.is_multiple_of(STORE_CALLS_LOG_ROUNDS) {
             shared.store_calls.log_summary();
@@ -225,6 +237,12 @@
         };
         shared.pool.prune(now, is_known);
         shared.admission.prune(now, is_known);
+        let peers: Vec<SocketAddr> = {
+            let state = shared.state.lock();
+            let members = state.members().all();
+            members.map(|member| member.datagram_address).collect()
+        };
+        shared.guide.prune(&peers);
         shared.quotas.prune(now);
         shared.poison.prune(now);
         shared.copies.prune(now);
--- a/crates/foxtide-gateway/src/journal/state_changes.rs
+++ b/crates/foxtide-gateway/src/journal/state_changes.rs
@@ -50,6 +50,17 @@
     );
 }
 
+/// Logs how many instances of a region look-ups name, and how many are in doubt.
+pub(crate) fn lookups_changed(region: &RegionId, wide: usize, narrow: usize, doubted: usize) {
+    log_event!(
+        EventCode::LookupsChanged,
+        region:% = region,
+        wide = wide,
+        narrow = narrow,
+        doubted = doubted
+    );
+}
+
 /// Logs that this instance reaches no upstream of a sample.
 pub(crate) fn upstreams_cut_off(probed: usize) {
     metrics::gauge!("foxtide_upstreams_cut_off").set(1.0);
--- a/crates/foxtide-gateway/src/shared.rs
+++ b/crates/foxtide-gateway/src/shared.rs
@@ -2,6 +2,7 @@
 
 use crate::admission::Admission;
 use crate::alarm::StoreAlarm;
+use crate::directory::Guide;
 use crate::journal::Journal;
 use crate::lifecycle::Lifecycle;
 use crate::memory::BodyMemory;
@@ -41,6 +42,7 @@
     pub(crate) state: Mutex<State>,
     pub(crate) pool: Pool,
     pub(crate) admission: Admission,
+    pub(crate) guide: Guide,
     pub(crate) quotas: Quotas,
     pub(crate) poison: Poison,
     pub(crate) stall: StallDetector,
--- a/crates/foxtide-gateway/src/traffic.rs
+++ b/crates/foxtide-gateway/src/traffic.rs
@@ -24,16 +24,19 @@
     Quotas,
     /// Reports of requests that end their upstreams.
     Poison,
+    /// Probes of instances that look-ups name, and their answers.
+    Conditions,
 }
 
 impl TrafficKind {
-    const ALL: [Self; 6] = [
+    const ALL: [Self; 7] = [
         Self::Changes,
         Self::Everything,
         Self::Question,
         Self::Slots,
         Self::Quotas,
         Self::Poison,
+        Self::Conditions,
     ];
 
     const fn as_str(self) -> &'static str {
@@ -44,6 +47,7 @@
             Self::Slots => "slots",
             Self::Quotas => "quotas",
             Self::Poison => "poison",
+            Self::Conditions => "conditions",
         }
     }
 }
@@ -66,9 +70,16 @@
 
     /// Logs the bytes that were sent since the last call, if any.
     pub(crate) fn report(&self) {
-        let [changes, everything, question, slots, quotas, poison] =
-            TrafficKind::ALL.map(|kind| self.unreported[kind as usize].swap(0, Ordering::Relaxed));
-        if changes + everything + question + slots + quotas + poison == 0 {
+        let [
+            changes,
+            everything,
+            question,
+            slots,
+            quotas,
+            poison,
+            conditions,
+        ] = TrafficKind::ALL.map(|kind| self.unreported[kind as usize].swap(0, Ordering::Relaxed));
+        if changes + everything + question + slots + quotas + poison + conditions == 0 {
             return;
         }
         log_event!(
@@ -78,7 +89,8 @@
             question = question,
             slots = slots,
             quotas = quotas,
-            poison = poison
+            poison = poison,
+            conditions = conditions
         );
     }
 }
--- a/crates/foxtide-gateway/tests/gateway/main.rs
+++ b/crates/foxtide-gateway/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod cut_off;
+mod directory;
 mod following;
 mod forwarding;
 mod homes;
--- a/crates/foxtide-gateway/tests/gateway/small_region.rs
+++ b/crates/foxtide-gateway/tests/gateway/small_region.rs
@@ -84,7 +84,10 @@
             .iter()
             .map(|one| Candidate::new(&one.upstream, weights.of(&one.region, one.slots)))
             .collect();
-        let order = rank(ObjectKey::of_kind(RequestKind::of_route("safe"), object.as_bytes()), &candidates);
+        let order = rank(
+            ObjectKey::of_kind(RequestKind::of_route("safe"), object.as_bytes()),
+            &candidates,
+        );
         order
             .into_iter()
             .map(|index| &self.upstreams[index])
--- a/crates/foxtide-gateway/tests/gateway/support/fleet.rs
+++ b/crates/foxtide-gateway/tests/gateway/support/fleet.rs
@@ -161,6 +161,17 @@
         Instance::start(options, store)
     }
 
+    /// Starts an instance with a link of this width and waits until it is ready.
+    pub(crate) fn instance_with_link(&self, name: &str, link_mbps: u32) -> Instance {
+        let options = GatewayOptions {
+            link_mbps,
+            ..options(name, "khomas-a")
+        };
+        let instance = Instance::start(options, self.store.client_for_another_instance());
+        eventually("the instance is ready", || instance.gateway().is_ready());
+        instance
+    }
+
     /// Starts an instance with the default timeouts for coordinators and waits until it is
     /// ready.
     pub(crate) fn instance_with_default_timeouts(&self, name: &str, zone: &str) -> Instance {
