Scale expected service times by the slowness that upstreams report

Cause: at any moment 15 % of the upstreams of two services take 2.5 times as long, for about 0.6 s. Coordinators expected the mean service time there, so requests waited for slow upstreams that would have been in time elsewhere.

Change: the fourth figure of X-Server-Load is decoded as the slowness of the upstream's machine. The end of a request carries it to the coordinator in a new datagram body (tag 16); without a figure the body stays the same. The coordinator believes the latest figure for 600 ms and scales the expected service times by 0.5 to 4. Recorded service times are divided by the factors that held while they ran. Figures are counted in foxtide_upstream_slowness and logged as the field slowness of answered requests. The load that another incarnation states is no longer taken for the upstream's own.

Measured: not yet under load. Tests: foxtide-core admission (16) and slowness (6), foxtide-gateway (18 and 119), foxtide-platform (32 and 4) pass.

--- a/crates/foxtide-core/src/admission/coordinator.rs
+++ b/crates/foxtide-core/src/admission/coordinator.rs
@@ -3,7 +3,7 @@
 use super::queue::SlotQueue;
 use super::request::{
     Answer,
-    Ending,
+    EndReport,
     SlotRequest,
     Ticket, //
 };
@@ -82,14 +82,14 @@
     pub fn end(
         &mut self,
         ticket: Ticket,
-        ending: Ending,
+        end: impl Into<EndReport>,
         now: MonotonicTime,
     ) -> Vec<AddressedAnswer> {
         let mut answers = Vec::new();
         let upstream = self.upstreams.remove(&ticket);
         let incarnation = upstream.and_then(|upstream| self.queues.get_mut(&upstream));
         if let Some(Incarnation { queue, .. }) = incarnation {
-            queue.end(ticket, ending, now, &mut answers);
+            queue.end(ticket, end.into(), now, &mut answers);
         }
         self.remove_rejected(&answers);
         answers
--- a/crates/foxtide-core/src/admission/mod.rs
+++ b/crates/foxtide-core/src/admission/mod.rs
@@ -22,6 +22,7 @@
 mod queue;
 mod request;
 mod service_times;
+mod slowness;
 
 pub use coordinator::{
     AddressedAnswer,
@@ -29,6 +30,7 @@
 };
 pub use request::{
     Answer,
+    EndReport,
     Ending,
     Patience,
     SlotRequest,
--- a/crates/foxtide-core/src/admission/queue.rs
+++ b/crates/foxtide-core/src/admission/queue.rs
@@ -3,6 +3,7 @@
 use super::objects::RecentObjects;
 use super::request::{
     Answer,
+    EndReport,
     Ending,
     Patience,
     SlotRequest,
@@ -12,6 +13,7 @@
     ObjectAccess,
     ServiceTimes, //
 };
+use super::slowness::RecentSlowness;
 use crate::placement::ObjectKey;
 use crate::throttle::Throttle;
 use crate::time::MonotonicTime;
@@ -86,6 +88,7 @@
     waiting: Vec<Waiting>,
     objects: RecentObjects,
     times: ServiceTimes,
+    slowness: RecentSlowness,
     throttle: Throttle,
 }
 
@@ -119,6 +122,7 @@
         now: MonotonicTime,
         answers: &mut Vec<(Ticket, Answer)>,
     ) {
+        self.slowness.advance(now);
         let ticket = request.ticket;
         if self.running.contains_key(&ticket) {
             answers.push((ticket, Answer::Granted));
@@ -227,13 +231,16 @@
     pub(super) fn end(
         &mut self,
         ticket: Ticket,
-        ending: Ending,
+        end: EndReport,
         now: MonotonicTime,
         answers: &mut Vec<(Ticket, Answer)>,
     ) {
+        self.slowness.advance(now);
         self.waiting.retain(|waiting| waiting.ticket != ticket);
+        // An unknown ticket may be of an earlier incarnation, whose figure says nothing here.
         if let Some(running) = self.running.remove(&ticket) {
-            self.record_completion(running, ending, now);
+            self.slowness.record(end.slowness, now);
+            self.record_completion(running, end.ending, now);
         }
         self.dispatch(now, answers);
     }
@@ -241,7 +248,8 @@
     fn record_completion(&mut self, running: Running, ending: Ending, now: MonotonicTime) {
         match ending {
             Ending::Served if running.is_measured => {
-                self.times.record(running.access, now - running.began_at);
+                let usual_time = self.slowness.usual_time(running.began_at, now);
+                self.times.record(running.access, usual_time);
             }
             Ending::NotServed if running.access == ObjectAccess::First => {
                 if let Some(object) = running.object {
@@ -277,7 +285,11 @@
         self.throttle.take(now);
         let access = self.access(waiting.object);
         let expires_at = match self.times.expected(access) {
-            Some(time) => (now + time * GRANT_TIMEOUT_FACTOR).min(waiting.deadline),
+            // A figure below the usual one may end before the request does.
+            Some(time) => {
+                let time = time.mul_f64(self.slowness.factor().max(1.0));
+                (now + time * GRANT_TIMEOUT_FACTOR).min(waiting.deadline)
+            }
             None => waiting.deadline,
         };
         let running = Running {
@@ -301,10 +313,11 @@
     fn reject_expired(&mut self, now: MonotonicTime, answers: &mut Vec<(Ticket, Answer)>) {
         let retry_after = self.retry_after();
         let times = self.times;
+        let factor = self.slowness.factor();
         let objects = &self.objects;
         self.waiting.retain(|waiting| {
             let access = access_of(objects, waiting.object);
-            let expected = times.expected(access).unwrap_or_default();
+            let expected = times.expected(access).unwrap_or_default().mul_f64(factor);
             let is_expired = now + expected > waiting.deadline;
             if is_expired {
                 answers.push((waiting.ticket, Answer::Rejected { retry_after }));
@@ -342,7 +355,8 @@
 
     fn expected(&self, waiting: &Waiting) -> Duration {
         let access = self.access(waiting.object);
-        self.times.expected(access).unwrap_or_default()
+        let usual_time = self.times.expected(access).unwrap_or_default();
+        usual_time.mul_f64(self.slowness.factor())
     }
 
     /// Returns the time in which the slots serve all waiting requests.
--- a/crates/foxtide-core/src/admission/request.rs
+++ b/crates/foxtide-core/src/admission/request.rs
@@ -4,7 +4,10 @@
     OrganisationId,
     UpstreamId, //
 };
-use crate::placement::ObjectKey;
+use crate::placement::{
+    ObjectKey,
+    Slowness, //
+};
 use crate::routing::RequestKind;
 use crate::throttle::LimitReport;
 use crate::time::WallTime;
@@ -97,3 +100,22 @@
     /// The upstream did not serve it; its duration is not recorded.
     NotServed,
 }
+
+/// What the end of a request tells its coordinator.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndReport {
+    /// How the request ended.
+    pub ending: Ending,
+    /// The slowness that the upstream reported in its response, if any.
+    pub slowness: Option<Slowness>,
+}
+
+impl From<Ending> for EndReport {
+    /// Returns the report of a request without a known slowness.
+    fn from(ending: Ending) -> Self {
+        Self {
+            ending,
+            slowness: None,
+        }
+    }
+}
--- a/crates/foxtide-core/src/placement/health.rs
+++ b/crates/foxtide-core/src/placement/health.rs
@@ -1,5 +1,6 @@
 //! Health of an upstream, from this instance's own attempts.
 
+use super::Slowness;
 use crate::time::MonotonicTime;
 use std::time::Duration;
 
@@ -32,6 +33,8 @@
     pub waiting: u32,
     /// Number of slots.
     pub slots: u32,
+    /// How long work takes on its machine at this moment; `None` if it is not reported.
+    pub slowness: Option<Slowness>,
 }
 
 /// Result of an attempt with respect to the upstream's health.
--- a/crates/foxtide-core/src/placement/mod.rs
+++ b/crates/foxtide-core/src/placement/mod.rs
@@ -10,6 +10,7 @@
 mod health;
 mod overflow;
 mod regions;
+mod slowness;
 
 pub use affinity::{
     Candidate,
@@ -37,3 +38,4 @@
     UpstreamWeights,
     region_shares, //
 };
+pub use slowness::Slowness;
--- a/crates/foxtide-gateway/src/admission/client.rs
+++ b/crates/foxtide-gateway/src/admission/client.rs
@@ -8,13 +8,17 @@
 };
 use foxtide_core::admission::{
     Answer,
+    EndReport,
     Ending,
     Patience,
     SlotRequest,
     Ticket, //
 };
 use foxtide_core::ids::OrganisationId;
-use foxtide_core::placement::ObjectKey;
+use foxtide_core::placement::{
+    ObjectKey,
+    Slowness, //
+};
 use foxtide_core::registry::Registration;
 use foxtide_core::routing::RequestKind;
 use foxtide_core::throttle::LimitReport;
@@ -135,7 +139,7 @@
     coordinator: SocketAddr,
     number: u64,
     answer: SlotAnswer,
-    ending: Ending,
+    end: EndReport,
 }
 
 impl Slot<'_> {
@@ -146,7 +150,12 @@
 
     /// Records that the upstream served the request.
     pub(crate) fn served(&mut self) {
-        self.ending = Ending::Served;
+        self.end.ending = Ending::Served;
+    }
+
+    /// Records the slowness that the upstream reported, if any.
+    pub(crate) fn record_slowness(&mut self, slowness: Option<Slowness>) {
+        self.end.slowness = slowness;
     }
 }
 
@@ -154,13 +163,13 @@
     fn drop(&mut self) {
         let admission = self.admission;
         admission.pending.lock().remove(&self.number);
-        let (number, ending) = (self.number, self.ending);
+        let (number, end) = (self.number, self.end);
         if self.coordinator == admission.address {
             let requester = admission.address;
             let ticket = Ticket { requester, number };
-            admission.with_coordinator(|own, now| own.end(ticket, ending, now));
+            admission.with_coordinator(|own, now| own.end(ticket, end, now));
         } else {
-            admission.send(self.coordinator, &Datagram::end(number, ending));
+            admission.send(self.coordinator, &Datagram::end(number, end));
         }
     }
 }
@@ -252,7 +261,7 @@
             coordinator,
             number: self.next_datagram_number(),
             answer: SlotAnswer::Notified,
-            ending: Ending::NotServed,
+            end: Ending::NotServed.into(),
         }
     }
 
--- a/crates/foxtide-gateway/src/admission/server.rs
+++ b/crates/foxtide-gateway/src/admission/server.rs
@@ -4,7 +4,8 @@
 use crate::datagram::{
     Body,
     Datagram,
-    RequestMessage, //
+    RequestMessage,
+    ending, //
 };
 use crate::dialect::Dialect;
 use crate::poison;
@@ -12,7 +13,7 @@
 use crate::shared::Shared;
 use crate::state::State;
 use foxtide_core::admission::{
-    Ending,
+    EndReport,
     Ticket, //
 };
 use parking_lot::Mutex;
@@ -97,22 +98,16 @@
                     );
                 }
             }
-            Some(Body::End(is_served)) => {
-                let ticket = Ticket {
-                    requester: from,
-                    number,
-                };
-                let ending = if is_served {
-                    Ending::Served
-                } else {
-                    Ending::NotServed
-                };
-                self.with_coordinator(|own, now| own.end(ticket, ending, now));
-            }
+            Some(Body::End(is_served)) => self.receive_end(from, number, ending(is_served).into()),
+            Some(Body::Ended(message)) => self.receive_end(from, number, message.report()),
             Some(Body::Answer(message)) => self.deliver(number, message.answer()),
             _ => {
                 log::debug!("a datagram from {from} has no known body");
             }
         }
     }
+    fn receive_end(&self, requester: SocketAddr, number: u64, end: EndReport) {
+        let ticket = Ticket { requester, number };
+        self.with_coordinator(|own, now| own.end(ticket, end, now));
+    }
 }
--- a/crates/foxtide-gateway/src/datagram/mod.rs
+++ b/crates/foxtide-gateway/src/datagram/mod.rs
@@ -14,7 +14,9 @@
 };
 pub(crate) use slots::{
     AnswerMessage,
-    RequestMessage, //
+    EndedMessage,
+    RequestMessage,
+    ending, //
 };
 
 use crate::traffic::TrafficKind;
@@ -26,7 +28,7 @@
     /// The number of the request at the instance that asks.
     #[prost(fixed64, tag = "1")]
     pub(crate) number: u64,
-    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 16")]
     pub(crate) body: Option<Body>,
 }
 
@@ -69,6 +71,9 @@
     /// The fingerprint of a request that is held no longer.
     #[prost(fixed64, tag = "13")]
     Lifted(u64),
+    /// A request has ended, and its upstream reported its slowness.
+    #[prost(message, tag = "16")]
+    Ended(EndedMessage),
 }
 
 impl Datagram {
@@ -84,9 +89,10 @@
                 | Body::Held(_)
                 | Body::Lifted(_),
             ) => TrafficKind::Poison,
-            Some(Body::Ask(_) | Body::Notify(_) | Body::End(_) | Body::Answer(_)) | None => {
-                TrafficKind::Slots
-            }
+            Some(
+                Body::Ask(_) | Body::Notify(_) | Body::End(_) | Body::Ended(_) | Body::Answer(_),
+            )
+            | None => TrafficKind::Slots,
         }
     }
 }
@@ -98,9 +104,14 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use foxtide_core::admission::Answer;
-    use foxtide_core::poison::{
+    use foxtide_core::admission::{
+        Answer,
         EndReport,
+        Ending, //
+    };
+    use foxtide_core::placement::Slowness;
+    use foxtide_core::poison::{
+        self,
         Fingerprint,
         QuarantineEntry, //
     };
@@ -110,13 +121,21 @@
     };
     use prost::Message;
 
+    /// Returns the end of a request that was served at a slowness in percent.
+    fn slow_end(percent: u32) -> EndReport {
+        EndReport {
+            ending: Ending::Served,
+            slowness: Slowness::from_percent(percent.into()).ok(),
+        }
+    }
+
     fn samples() -> Vec<Datagram> {
         let request = QuotaRequest {
             organisation: "acme".parse().unwrap(),
             priority: 2,
             wanted: 3,
         };
-        let report = EndReport {
+        let report = poison::EndReport {
             fingerprint: Fingerprint::from_hash(7),
             upstream: "i-1".parse().unwrap(),
             born_at: None,
@@ -126,6 +145,8 @@
             Datagram::quota_request(1, &request),
             Datagram::quota_answer(2, QuotaAnswer::Granted { tokens: 4 }),
             Datagram::quota_answer(3, QuotaAnswer::NotCoordinator),
+            Datagram::end(1, slow_end(250)),
+            Datagram::end(1, Ending::Served.into()),
             Datagram::end_report(4, &report),
             Datagram::end_acknowledged(4, report.fingerprint),
             Datagram::held(6, report.fingerprint),
@@ -146,6 +167,7 @@
                 drop(message.request(from, datagram.number));
             }
             Some(Body::Answer(message)) => drop(message.answer()),
+            Some(Body::Ended(message)) => drop(message.report()),
             Some(Body::QuotaQuestion(message)) => drop(message.request()),
             Some(Body::QuotaAnswer(message)) => drop(message.answer()),
             Some(Body::EndReport(message)) => drop(message.report()),
@@ -219,4 +241,25 @@
             QuotaAnswer::NotCoordinator
         );
     }
+    /// Instances that know no slowness must keep understanding the end of a request.
+    #[test]
+    fn verify_the_end_of_a_request_carries_the_slowness_if_it_is_known() {
+        for ending in [Ending::Served, Ending::NotServed] {
+            let is_served = ending == Ending::Served;
+            let unknown = Datagram::end(1, ending.into());
+            assert_eq!(unknown.body, Some(Body::End(is_served)));
+        }
+        let sent = slow_end(250);
+        let Some(Body::Ended(message)) = Datagram::end(1, sent).body else {
+            panic!("the slowness is not sent");
+        };
+        assert_eq!(message.report(), sent);
+        // A figure of 0 is no figure.
+        assert_eq!(EndedMessage::default().report(), Ending::NotServed.into());
+        let zero = EndedMessage {
+            slowness_percent: Some(0),
+            ..message
+        };
+        assert_eq!(zero.report(), Ending::Served.into());
+    }
 }
--- a/crates/foxtide-gateway/src/datagram/slots.rs
+++ b/crates/foxtide-gateway/src/datagram/slots.rs
@@ -7,13 +7,17 @@
 };
 use foxtide_core::admission::{
     Answer,
+    EndReport,
     Ending,
     Patience,
     SlotRequest,
     Ticket, //
 };
 use foxtide_core::ids::OrganisationId;
-use foxtide_core::placement::ObjectKey;
+use foxtide_core::placement::{
+    ObjectKey,
+    Slowness, //
+};
 use foxtide_core::routing::RequestKind;
 use foxtide_core::throttle::LimitReport;
 use foxtide_core::time::WallTime;
@@ -91,6 +95,17 @@
     is_not_coordinator: bool,
 }
 
+/// The end of a request, with more than [`Body::End`] tells.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub(crate) struct EndedMessage {
+    /// Whether the upstream served it.
+    #[prost(bool, tag = "1")]
+    pub(super) is_served: bool,
+    /// The slowness that the upstream reported, in percent.
+    #[prost(uint32, optional, tag = "2")]
+    pub(super) slowness_percent: Option<u32>,
+}
+
 /// Retry delay for an instance without support for rate limits, if the answering one is not the
 /// coordinator.
 const RETRY_AFTER_NOT_COORDINATOR: Duration = Duration::from_millis(200);
@@ -113,10 +128,19 @@
     }
 
     /// Returns the notice of a request's end.
-    pub(crate) fn end(number: u64, ending: Ending) -> Self {
+    pub(crate) fn end(number: u64, end: EndReport) -> Self {
+        let is_served = end.ending == Ending::Served;
+        let body = match end.slowness {
+            // Instances that know no slowness understand this one, too.
+            None => Body::End(is_served),
+            Some(slowness) => Body::Ended(EndedMessage {
+                is_served,
+                slowness_percent: Some(slowness.percent()),
+            }),
+        };
         Self {
             number,
-            body: Some(Body::End(ending == Ending::Served)),
+            body: Some(body),
         }
     }
 
@@ -211,6 +235,26 @@
     }
 }
 
+impl EndedMessage {
+    /// Returns the end of the request; an invalid slowness is unknown.
+    pub(crate) fn report(&self) -> EndReport {
+        let percent = self.slowness_percent.map(f64::from);
+        EndReport {
+            ending: ending(self.is_served),
+            slowness: percent.and_then(|percent| Slowness::from_percent(percent).ok()),
+        }
+    }
+}
+
+/// Returns how a request ended that an upstream served or did not serve.
+pub(crate) fn ending(is_served: bool) -> Ending {
+    if is_served {
+        Ending::Served
+    } else {
+        Ending::NotServed
+    }
+}
+
 impl From<LimitReport> for LimitMessage {
     fn from(report: LimitReport) -> Self {
         Self {
--- a/crates/foxtide-gateway/src/forward/attempt.rs
+++ b/crates/foxtide-gateway/src/forward/attempt.rs
@@ -12,7 +12,8 @@
 use crate::shared::Shared;
 use foxtide_core::placement::{
     AttemptResult,
-    LoadReport, //
+    LoadReport,
+    Slowness, //
 };
 use foxtide_core::registry::Registration;
 use foxtide_http::{
@@ -65,6 +66,11 @@
             has_ended: false,
         }
     }
+
+    /// Returns the slowness that the upstream reported, if any.
+    pub(super) fn slowness(&self) -> Option<Slowness> {
+        self.load.and_then(|load| load.slowness)
+    }
 }
 
 /// Sends a request to an upstream and reads the response.
@@ -260,7 +266,8 @@
     AttemptReport {
         end,
         result,
-        load: headers.load,
+        // Another incarnation speaks for itself only.
+        load: headers.load.filter(|_| !headers.is_other_incarnation),
         has_ended: false,
     }
 }
--- a/crates/foxtide-gateway/src/forward/attempt_loop.rs
+++ b/crates/foxtide-gateway/src/forward/attempt_loop.rs
@@ -141,6 +141,7 @@
             }
             let began_at = Instant::now();
             let report = self.send(&pick, slot).await;
+            self.trace.record_slowness(report.slowness());
             let has_ended = report.has_ended;
             if let Next::Reply(reply) = self.conclude(&pick, report, began_at.elapsed()) {
                 return reply;
@@ -271,6 +272,9 @@
             );
         }
         guard.end(&report);
+        if let Some(slot) = &mut slot {
+            slot.record_slowness(report.slowness());
+        }
         if let (Some(slot), AttemptResult::Answered { .. }) = (&mut slot, report.result) {
             slot.served();
         }
--- a/crates/foxtide-gateway/src/journal/requests.rs
+++ b/crates/foxtide-gateway/src/journal/requests.rs
@@ -16,6 +16,7 @@
     ServiceId,
     UpstreamId, //
 };
+use foxtide_core::placement::Slowness;
 use foxtide_core::throttle::LimitReport;
 use foxtide_core::units::RequestRate;
 use foxtide_events::{
@@ -98,6 +99,8 @@
         } else {
             LineKind::Failed
         };
+        // 0 if it is unknown.
+        let slowness_percent = trace.slowness.map_or(0, Slowness::percent);
         let objective_ms = trace.latency_objective.as_millis() as u64;
         if !self.may_log(kind) {
             return;
@@ -118,6 +121,7 @@
                 is_taken_over = trace.is_taken_over,
                 rank = trace.rank,
                 occupancy = trace.occupancy,
+                slowness = slowness_percent,
                 second_choice = trace.second_choice.as_str(),
                 slot = trace.slot.as_str(),
                 slot_wait_ms = slot_wait_ms,
--- a/crates/foxtide-gateway/src/outcome/trace.rs
+++ b/crates/foxtide-gateway/src/outcome/trace.rs
@@ -3,6 +3,7 @@
 use super::SecondChoice;
 use crate::admission::SlotAnswer;
 use crate::state::Pick;
+use foxtide_core::placement::Slowness;
 use std::time::Duration;
 
 /// What was decided on a request, logged with its reply.
@@ -35,6 +36,8 @@
     pub(crate) rank: usize,
     /// The occupancy of the upstream as known to this instance.
     pub(crate) occupancy: u32,
+    /// The slowness that the upstream of the last attempt reported.
+    pub(crate) slowness: Option<Slowness>,
     /// The version of the configuration in force.
     pub(crate) version: u64,
     /// The time since the store, or a peer in its place, last answered.
@@ -69,4 +72,11 @@
         self.rank = pick.rank;
         self.occupancy = pick.occupancy;
     }
+    /// Records the slowness that the upstream of the last attempt reported, and counts it.
+    pub(crate) fn record_slowness(&mut self, slowness: Option<Slowness>) {
+        self.slowness = slowness;
+        if let Some(slowness) = slowness {
+            metrics::histogram!("foxtide_upstream_slowness").record(slowness.ratio());
+        }
+    }
 }
--- a/crates/foxtide/src/telemetry/mod.rs
+++ b/crates/foxtide/src/telemetry/mod.rs
@@ -21,6 +21,9 @@
     0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.0, 1.5, 3.0, 6.0, 12.0,
 ];
 
+/// Upper bounds of the buckets for the slowness of upstreams; 1 is usual.
+const SLOWNESS_BUCKETS: [f64; 8] = [0.5, 0.8, 1.0, 1.25, 1.6, 2.0, 3.0, 4.0];
+
 static METRICS: OnceLock<PrometheusHandle> = OnceLock::new();
 
 /// Starts logging to standard error. Has no effect if logging is set up.
@@ -54,10 +57,12 @@
 pub fn start_metrics() -> PrometheusHandle {
     let start = || {
         let seconds = Matcher::Suffix("_seconds".to_owned());
+        let slowness = Matcher::Full("foxtide_upstream_slowness".to_owned());
         let builder = PrometheusBuilder::new();
         // Fails only if the bucket list is empty.
         let builder = builder
             .set_buckets_for_metric(seconds, &LATENCY_BUCKETS_S)
+            .and_then(|builder| builder.set_buckets_for_metric(slowness, &SLOWNESS_BUCKETS))
             .unwrap_or_default();
         let recorder = builder.build_recorder();
         let handle = recorder.handle();
