Hedge slow idempotent requests, off by default

A request that is already at a slow upstream waits there until the end, also if another upstream of the region is idle.

Change: an instance estimates the 95th percentile of its attempts for each kind and access, with the estimator of the other request path. An idempotent request that takes longer at its first upstream gets a second attempt at the next upstream of the region, if that grants a slot without waiting and the retry budget and the route's attempts allow it. The first response that is no server error is delivered and the other attempt is dropped. The condition on a request is one function for both request paths (retry::may_hedge). `hedging` in GatewayOptions enables it; foxtide_hedges_total counts the ends.

Measured: not yet under load.

--- a/crates/foxtide-core/src/retry/attempts.rs
+++ b/crates/foxtide-core/src/retry/attempts.rs
@@ -2,7 +2,8 @@
 
 use super::{
     RetryBudget,
-    RetryOptions, //
+    RetryOptions,
+    may_hedge, //
 };
 use crate::outcome::Outcome;
 use crate::time::MonotonicTime;
@@ -183,9 +184,9 @@
     }
 
     fn may_hedge(&self, now: MonotonicTime) -> bool {
-        let is_first = self.counted_attempts() == 1 && self.running == 1 && !self.hedged;
-        let has_attempt = self.counted_attempts() < self.options.attempts_max;
-        self.terms.idempotent && is_first && has_attempt && self.has_time(now)
+        let attempts_max = self.options.attempts_max;
+        let is_allowed = may_hedge(self.terms.idempotent, self.counted_attempts(), attempts_max);
+        is_allowed && self.running == 1 && !self.hedged && self.has_time(now)
     }
 
     /// Decides whether to send a hedge once the hedge delay has passed.
--- a/crates/foxtide-core/src/retry/hedge.rs
+++ b/crates/foxtide-core/src/retry/hedge.rs
@@ -1,4 +1,4 @@
-//! The delay before a hedged attempt.
+//! Hedged attempts and the delay before them.
 
 use std::time::Duration;
 
@@ -30,6 +30,13 @@
 }
 
 impl HedgeDelay {
+    /// Returns an estimate that begins at a latency.
+    pub fn starting_at(latency: Duration) -> Self {
+        Self {
+            estimate_us: (latency.as_micros() as f64).max(1.0),
+        }
+    }
+
     /// Records the latency of a response.
     pub fn record(&mut self, latency: Duration) {
         let slower = latency.as_micros() as f64 > self.estimate_us;
@@ -42,3 +49,9 @@
         Duration::from_micros(self.estimate_us as u64)
     }
 }
+
+/// Tells whether a request whose only attempt is running may get a second one beside it; `attempts`
+/// counts the running one.
+pub fn may_hedge(is_idempotent: bool, attempts: u32, attempts_max: u32) -> bool {
+    is_idempotent && attempts == 1 && attempts < attempts_max
+}
--- a/crates/foxtide-core/src/retry/mod.rs
+++ b/crates/foxtide-core/src/retry/mod.rs
@@ -10,7 +10,9 @@
 mod attempts;
 mod budget;
 mod hedge;
+mod hedge_delays;
 mod options;
+mod recent_accesses;
 
 pub use attempts::{
     AttemptId,
@@ -22,7 +24,14 @@
     Step, //
 };
 pub use budget::RetryBudget;
-pub use hedge::HedgeDelay;
+pub use hedge::{
+    HedgeDelay,
+    may_hedge, //
+};
+pub use hedge_delays::{
+    HedgeClass,
+    HedgeDelays, //
+};
 pub use options::{
     RetryBudgetOptions,
     RetryOptions, //
--- a/crates/foxtide-core/src/routing/kind.rs
+++ b/crates/foxtide-core/src/routing/kind.rs
@@ -16,7 +16,7 @@
     }
 
     /// Returns the kind with a hash from another instance.
-    pub fn from_hash(hash: u64) -> Self {
+    pub const fn from_hash(hash: u64) -> Self {
         Self(hash)
     }
 
--- /dev/null
+++ b/crates/foxtide-core/tests/hedge_delays.rs
@@ -0,0 +1,100 @@
+//! Delays of hedges by kind of request and access.
+
+use foxtide_core::admission::ObjectAccess;
+use foxtide_core::ids::UpstreamId;
+use foxtide_core::placement::ObjectKey;
+use foxtide_core::retry::{
+    HedgeClass,
+    HedgeDelays,
+    may_hedge, //
+};
+use foxtide_core::routing::RequestKind;
+use std::time::Duration;
+
+const CLASS: HedgeClass = HedgeClass {
+    kind: RequestKind::from_hash(1),
+    access: ObjectAccess::First,
+};
+
+fn milliseconds(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Hedges after a delay that few requests have shown would double the load of a new instance.
+#[test]
+fn verify_a_class_has_no_delay_before_it_has_enough_samples() {
+    let mut delays = HedgeDelays::default();
+    for _ in 0..99 {
+        delays.record(CLASS, milliseconds(360));
+        assert_eq!(delays.delay(CLASS), None);
+    }
+    delays.record(CLASS, milliseconds(360));
+    assert!(delays.delay(CLASS).is_some());
+    // Fast repeated accesses must not lower the delay of first ones, nor one kind that of another.
+    let repeated = HedgeClass {
+        access: ObjectAccess::Repeated,
+        ..CLASS
+    };
+    let other_kind = HedgeClass {
+        kind: RequestKind::from_hash(2),
+        ..CLASS
+    };
+    for class in [repeated, other_kind] {
+        assert_eq!(delays.delay(class), None);
+    }
+    let before = delays.delay(CLASS);
+    for _ in 0..200 {
+        delays.record(repeated, milliseconds(108));
+    }
+    assert_eq!(delays.delay(CLASS), before);
+    assert!(delays.delay(repeated) < before);
+}
+
+/// A delay that most requests exceed would spend the retry budget on usual requests.
+#[test]
+fn verify_about_5_in_100_requests_exceed_the_delay() {
+    let mut draws = fastrand::Rng::with_seed(3);
+    let mut delays = HedgeDelays::default();
+    let mut late_count = 0;
+    for number in 0..20_000 {
+        // Service times vary by some 15 %; 3 % of the requests take 7 times as long.
+        let factor = if draws.f64() < 0.03 { 7.0 } else { 1.0 };
+        let time = milliseconds(360).mul_f64(factor * (0.85 + 0.3 * draws.f64()));
+        if number >= 10_000 {
+            late_count += u32::from(delays.delay(CLASS).is_some_and(|delay| time > delay));
+        }
+        delays.record(CLASS, time);
+    }
+    assert!((200..=800).contains(&late_count), "{late_count} of 10,000");
+}
+
+/// An access counts as repeated only where the object was served, and not for ever.
+#[test]
+fn verify_accesses_are_repeated_at_the_upstream_that_served_the_object() {
+    let mut delays = HedgeDelays::default();
+    let upstream = |name: &str| name.parse::<UpstreamId>().unwrap();
+    let (own, other) = (upstream("i-1"), upstream("i-2"));
+    let object = ObjectKey::from_hash(7);
+    delays.record_served(&own, object);
+    let access = |delays: &HedgeDelays, upstream, object| {
+        delays
+            .class(RequestKind::default(), upstream, object)
+            .access
+    };
+    let accesses = [(&own, Some(object)), (&other, Some(object)), (&own, None)]
+        .map(|(upstream, object)| access(&delays, upstream, object));
+    let first = ObjectAccess::First;
+    assert_eq!(accesses, [ObjectAccess::Repeated, first, first]);
+    for number in 100..5_000 {
+        delays.record_served(&own, ObjectKey::from_hash(number));
+    }
+    assert_eq!(access(&delays, &own, Some(object)), first);
+}
+
+#[test]
+fn verify_only_the_first_attempt_of_an_idempotent_request_is_hedged() {
+    assert!(may_hedge(true, 1, 2));
+    assert!(!may_hedge(false, 1, 2), "would run twice");
+    assert!(!may_hedge(true, 1, 1), "exceeds the attempts of the route");
+    assert!(!may_hedge(true, 2, 3), "is a retry already");
+}
--- a/crates/foxtide-gateway/src/admission/client.rs
+++ b/crates/foxtide-gateway/src/admission/client.rs
@@ -320,3 +320,39 @@
     };
     or(async { answers.recv().await.ok() }, late).await
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::datagram::Body;
+    use crate::options::AdmissionOptions;
+    use foxtide_clock::SteadyClock;
+    use prost::Message;
+    use std::net::UdpSocket;
+    use std::sync::Arc;
+
+    /// The figure must reach the coordinator of another instance, also if the request failed.
+    #[test]
+    fn verify_the_end_of_a_slot_tells_the_slowness() {
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        let coordinator = UdpSocket::bind(any_port).unwrap();
+        let (options, clock) = (AdmissionOptions::default(), SteadyClock::default());
+        let admission = Admission::bind(any_port, options, clock, Arc::default()).unwrap();
+        let slowness = Slowness::from_percent(250.0).ok();
+        for ending in [Ending::Served, Ending::NotServed] {
+            let mut slot = admission.slot(coordinator.local_addr().unwrap());
+            slot.record_slowness(slowness);
+            if ending == Ending::Served {
+                slot.served();
+            }
+            drop(slot);
+            let mut bytes = [0; 512];
+            let size_bytes = coordinator.recv(&mut bytes).unwrap();
+            let datagram = Datagram::decode(&bytes[..size_bytes]).unwrap();
+            let Some(Body::Ended(message)) = datagram.body else {
+                panic!("not the end of a request: {datagram:?}");
+            };
+            assert_eq!(message.report(), EndReport { ending, slowness });
+        }
+    }
+}
--- a/crates/foxtide-gateway/src/forward/admit.rs
+++ b/crates/foxtide-gateway/src/forward/admit.rs
@@ -136,7 +136,7 @@
     }
 
     /// Acquires a slot of the picked upstream and checks the pick again.
-    async fn admit(&mut self, pick: &Pick, patience: Patience) -> Admitted<'a> {
+    pub(super) async fn admit(&mut self, pick: &Pick, patience: Patience) -> Admitted<'a> {
         let coordinator = self.coordinator(pick);
         let began_at = Instant::now();
         let asked = match &coordinator {
@@ -249,7 +249,7 @@
         }
     }
 
-    fn is_near(&self, pick: &Pick) -> bool {
+    pub(super) fn is_near(&self, pick: &Pick) -> bool {
         pick.registration.region == self.shared.options.place.region
     }
 
--- a/crates/foxtide-gateway/src/forward/attempt.rs
+++ b/crates/foxtide-gateway/src/forward/attempt.rs
@@ -67,6 +67,11 @@
         }
     }
 
+    /// Tells whether there is no response, or only an error of the upstream.
+    pub(super) fn is_failure(&self) -> bool {
+        !matches!(&self.end, AttemptEnd::Responded(response) if !is_server_error(response))
+    }
+
     /// Returns the slowness that the upstream reported, if any.
     pub(super) fn slowness(&self) -> Option<Slowness> {
         self.load.and_then(|load| load.slowness)
@@ -289,10 +294,15 @@
         let cause = "the response is not the upstream's own".to_owned();
         return (AttemptEnd::Unknown { cause }, AttemptResult::Faulty);
     }
-    let result = if response.head.status >= 500 {
+    let result = if is_server_error(&response) {
         AttemptResult::Faulty
     } else {
         AttemptResult::Answered { latency }
     };
     (AttemptEnd::Responded(Box::new(response)), result)
 }
+
+/// Tells whether an idempotent request with this response is sent again.
+pub(super) fn is_server_error(response: &WholeResponse) -> bool {
+    response.head.status >= 500
+}
--- a/crates/foxtide-gateway/src/forward/attempt_loop.rs
+++ b/crates/foxtide-gateway/src/forward/attempt_loop.rs
@@ -2,10 +2,10 @@
 
 use super::attempt::{
     AttemptReport,
-    attempt, //
+    is_server_error, //
 };
-use super::attempt_guard::AttemptGuard;
 use super::caller::CallerWatch;
+use super::hedge::EndedAttempt;
 use super::homes::Homes;
 use super::pass_on::PassOn;
 use super::request::CallerRequest;
@@ -22,10 +22,7 @@
     Reply,
     RequestTrace, //
 };
-use crate::poison::{
-    self,
-    SendPermit, //
-};
+use crate::poison::SendPermit;
 use crate::shared::Shared;
 use crate::state::{
     NoUpstream,
@@ -36,10 +33,7 @@
     ServiceId,
     UpstreamId, //
 };
-use foxtide_core::placement::{
-    AttemptResult,
-    ObjectKey, //
-};
+use foxtide_core::placement::ObjectKey;
 use foxtide_core::poison::Fingerprint;
 use foxtide_core::routing::Route;
 use foxtide_http::WholeResponse;
@@ -139,11 +133,10 @@
             {
                 continue;
             }
-            let began_at = Instant::now();
-            let report = self.send(&pick, slot).await;
+            let EndedAttempt { pick, report, took } = self.send(Target { pick, slot }).await;
             self.trace.record_slowness(report.slowness());
             let has_ended = report.has_ended;
-            if let Next::Reply(reply) = self.conclude(&pick, report, began_at.elapsed()) {
+            if let Next::Reply(reply) = self.conclude(&pick, report, took) {
                 return reply;
             }
             if has_ended {
@@ -186,7 +179,7 @@
 
     /// Tells whether the upstream has begun to limit its rate after the request was placed there
     /// without a grant.
-    fn lacks_grant(&self, pick: &Pick, slot: Option<&Slot<'_>>) -> bool {
+    pub(super) fn lacks_grant(&self, pick: &Pick, slot: Option<&Slot<'_>>) -> bool {
         let is_granted = slot.is_some_and(|slot| slot.answer() == SlotAnswer::Granted);
         !is_granted && !pick.is_limited && self.shared.state.lock().is_limited(&pick.registration)
     }
@@ -195,7 +188,7 @@
     ///
     /// However an upstream was chosen, this decides on the send. A pick that was made before the
     /// homes changed is made again; any other pick outside them is a fault of its chooser.
-    fn keeps_to_homes(&mut self, pick: &Pick, picked_version: u64) -> bool {
+    pub(super) fn keeps_to_homes(&mut self, pick: &Pick, picked_version: u64) -> bool {
         let region = &pick.registration.region;
         if self.homes.permit(region) {
             return true;
@@ -250,40 +243,6 @@
         self.failure.clone().unwrap_or_else(|| refused.into())
     }
 
-    async fn send(&self, pick: &Pick, mut slot: Option<Slot<'_>>) -> AttemptReport {
-        let guard = AttemptGuard::new(self.shared, &pick.registration);
-        let report = attempt(
-            self.shared,
-            self.request,
-            &self.route_match.caller,
-            &pick.registration,
-            self.route.is_idempotent,
-            self.deadline,
-        )
-        .await;
-        if report.has_ended {
-            let upstream = &pick.registration.upstream;
-            let in_flight = self.shared.state.lock().in_flight(upstream);
-            poison::report_upstream_end(
-                self.shared,
-                self.fingerprint,
-                &pick.registration,
-                in_flight,
-            );
-        }
-        guard.end(&report);
-        if let Some(slot) = &mut slot {
-            slot.record_slowness(report.slowness());
-        }
-        if let (Some(slot), AttemptResult::Answered { .. }) = (&mut slot, report.result) {
-            slot.served();
-        }
-        if matches!(report.result, AttemptResult::Answered { .. }) {
-            poison::record_served(self.shared, self.fingerprint);
-        }
-        report
-    }
-
     fn conclude(&mut self, pick: &Pick, report: AttemptReport, took: Duration) -> Next {
         let upstream = pick.registration.upstream.clone();
         let journal = &self.shared.journal;
@@ -328,6 +287,43 @@
         }
     }
 
+    /// Records an attempt that failed while another one runs, which decides on the reply.
+    pub(super) fn record_failure_beside(&mut self, pick: &Pick, end: AttemptEnd, took: Duration) {
+        let journal = &self.shared.journal;
+        journal.attempt_failed(&self.trace, pick, &end, took);
+        if matches!(end, AttemptEnd::Withdrawn) {
+            return;
+        }
+        self.trace.record_attempt(pick);
+        self.tried.push(pick.registration.upstream.clone());
+        match end {
+            AttemptEnd::NotSent { .. } => {
+                self.unsent_attempts += 1;
+                return;
+            }
+            AttemptEnd::Responded(response) => {
+                self.trace.reason = "upstream_error";
+                self.failure = Some(Reply::Response(response));
+            }
+            AttemptEnd::Unknown { .. } => {
+                self.trace.reason = "response_lost";
+                self.failure = Some(Refusal::Failed.into());
+            }
+            AttemptEnd::TimedOut => {
+                self.trace.reason = "time_up_at_upstream";
+                self.failure = Some(Refusal::TimedOut.into());
+            }
+            AttemptEnd::NotRun {
+                is_other_incarnation: true,
+            } => {
+                let mut state = self.shared.state.lock();
+                state.discard_reused_address(&pick.registration);
+            }
+            AttemptEnd::NotRun { .. } | AttemptEnd::Withdrawn => {}
+        }
+        self.sent_attempts += 1;
+    }
+
     /// Tells whether a retry may go to the same upstream: it refused although a slot was
     /// granted, so it is not full, and it knows the object.
     fn may_retry_same_upstream(&self, end: &AttemptEnd) -> bool {
@@ -343,7 +339,7 @@
     /// Replies with the response, unless it is a server error and another attempt follows.
     fn responded(&mut self, response: Box<WholeResponse>) -> Next {
         self.sent_attempts += 1;
-        let is_error = response.head.status >= 500;
+        let is_error = is_server_error(&response);
         if is_error {
             self.trace.reason = "upstream_error";
         }
--- a/crates/foxtide-gateway/src/forward/mod.rs
+++ b/crates/foxtide-gateway/src/forward/mod.rs
@@ -6,12 +6,14 @@
 mod attempt_loop;
 mod caller;
 mod entry;
+mod hedge;
 mod homes;
 mod pass_on;
 mod passed_on;
 mod recheck;
 mod request;
 mod route_match;
+mod sender;
 mod statements;
 mod target;
 
--- a/crates/foxtide-gateway/src/forward/recheck.rs
+++ b/crates/foxtide-gateway/src/forward/recheck.rs
@@ -112,7 +112,8 @@
         journal.request_held(&self.trace, began_at.elapsed());
     }
 
-    fn is_trial(&self) -> bool {
+    /// Tells whether the next attempt is the trial of a quarantined request.
+    pub(super) fn is_trial(&self) -> bool {
         self.permit == SendPermit::Trial && self.sent_attempts == self.attempts_at_permit
     }
 
--- a/crates/foxtide-gateway/src/gateway.rs
+++ b/crates/foxtide-gateway/src/gateway.rs
@@ -8,6 +8,7 @@
 use crate::dialect::Dialect;
 use crate::errors::Result;
 use crate::follow::follow;
+use crate::hedging::Hedging;
 use crate::journal::Journal;
 use crate::lifecycle::Lifecycle;
 use crate::listener::{
@@ -120,6 +121,7 @@
             admission,
             quotas: Quotas::default(),
             poison: Poison::default(),
+            hedging: Hedging::new(options.hedging),
             stall: StallDetector::default(),
             reach: Reach::default(),
             neighbours: Neighbours::default(),
--- a/crates/foxtide-gateway/src/lib.rs
+++ b/crates/foxtide-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod forward;
 mod front;
 mod gateway;
+mod hedging;
 mod journal;
 mod lifecycle;
 mod listener;
--- a/crates/foxtide-gateway/src/options.rs
+++ b/crates/foxtide-gateway/src/options.rs
@@ -32,6 +32,9 @@
     pub bounds: Bounds,
     /// The timeouts for coordinators of upstreams.
     pub admission: AdmissionOptions,
+    /// Whether slow idempotent requests get a second attempt beside the first one, within the retry
+    /// budget. Default: no.
+    pub hedging: bool,
 }
 
 /// The timeouts for coordinators of upstreams.
--- a/crates/foxtide-gateway/src/outcome/mod.rs
+++ b/crates/foxtide-gateway/src/outcome/mod.rs
@@ -1,11 +1,16 @@
 //! The outcomes of attempts and requests.
 
 mod attempt;
+mod hedge;
 mod reply;
 mod second_choice;
 mod trace;
 
 pub(crate) use attempt::AttemptEnd;
+pub(crate) use hedge::{
+    HedgeEnd,
+    SentHedge, //
+};
 pub(crate) use reply::{
     Refusal,
     Reply, //
--- a/crates/foxtide-gateway/src/outcome/trace.rs
+++ b/crates/foxtide-gateway/src/outcome/trace.rs
@@ -72,6 +72,13 @@
         self.rank = pick.rank;
         self.occupancy = pick.occupancy;
     }
+    /// Takes over how the slot of another attempt of the request was acquired.
+    pub(crate) fn adopt_slot(&mut self, other: &Self) {
+        self.slot = other.slot;
+        self.slot_wait = other.slot_wait;
+        self.coordinator.clone_from(&other.coordinator);
+    }
+
     /// Records the slowness that the upstream of the last attempt reported, and counts it.
     pub(crate) fn record_slowness(&mut self, slowness: Option<Slowness>) {
         self.slowness = slowness;
--- a/crates/foxtide-gateway/src/shared.rs
+++ b/crates/foxtide-gateway/src/shared.rs
@@ -2,6 +2,7 @@
 
 use crate::admission::Admission;
 use crate::alarm::StoreAlarm;
+use crate::hedging::Hedging;
 use crate::journal::Journal;
 use crate::lifecycle::Lifecycle;
 use crate::memory::BodyMemory;
@@ -43,6 +44,7 @@
     pub(crate) admission: Admission,
     pub(crate) quotas: Quotas,
     pub(crate) poison: Poison,
+    pub(crate) hedging: Hedging,
     pub(crate) stall: StallDetector,
     pub(crate) reach: Reach,
     pub(crate) neighbours: Neighbours,
--- a/crates/foxtide-gateway/tests/gateway/main.rs
+++ b/crates/foxtide-gateway/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod cut_off;
 mod following;
 mod forwarding;
+mod hedging;
 mod homes;
 mod many;
 mod organisations;
--- a/crates/foxtide-gateway/tests/gateway/support/fleet.rs
+++ b/crates/foxtide-gateway/tests/gateway/support/fleet.rs
@@ -173,6 +173,23 @@
         instance
     }
 
+    /// Starts an instance that hedges within a budget of `retry_burst`, and waits until it is ready.
+    pub(crate) fn hedging_instance(&self, name: &str, zone: &str, retry_burst: f64) -> Instance {
+        let options = options(name, zone);
+        let options = GatewayOptions {
+            hedging: true,
+            bounds: Bounds {
+                retry_ratio: 0.0,
+                retry_burst,
+                ..options.bounds
+            },
+            ..options
+        };
+        let instance = Instance::start(options, self.store.client_for_another_instance());
+        eventually("the instance is ready", || instance.gateway().is_ready());
+        instance
+    }
+
     /// Starts an instance.
     pub(crate) fn start_instance(&self, name: &str, zone: &str) -> Instance {
         Instance::start(
@@ -233,6 +250,7 @@
             answer_time: Duration::from_secs(10),
             ..AdmissionOptions::default()
         },
+        hedging: false,
     }
 }
 
