--- a/crates/foxtide-gateway/src/admission/client.rs
+++ b/crates/foxtide-gateway/src/admission/client.rs
@@ -8,13 +8,17 @@
 };
 use foxtide_core::admission::{
     Answer,
+    EndReport,
     Ending,
     Patience,
     SlotRequest,
     Ticket, //
 };
 use foxtide_core::ids::OrganisationId;
-use foxtide_core::placement::ObjectKey;
+use foxtide_core::placement::{
+    ObjectKey,
+    Slowness, //
+};
 use foxtide_core::registry::Registration;
 use foxtide_core::routing::RequestKind;
 use foxtide_core::throttle::LimitReport;
@@ -135,7 +139,7 @@
     coordinator: SocketAddr,
     number: u64,
     answer: SlotAnswer,
-    ending: Ending,
+    end: EndReport,
 }
 
 impl Slot<'_> {
@@ -146,7 +150,12 @@
 
     /// Records that the upstream served the request.
     pub(crate) fn served(&mut self) {
-        self.ending = Ending::Served;
+        self.end.ending = Ending::Served;
+    }
+
+    /// Records the slowness that the upstream reported, if any.
+    pub(crate) fn record_slowness(&mut self, slowness: Option<Slowness>) {
+        self.end.slowness = slowness;
     }
 }
 
@@ -154,13 +163,13 @@
     fn drop(&mut self) {
         let admission = self.admission;
         admission.pending.lock().remove(&self.number);
-        let (number, ending) = (self.number, self.ending);
+        let (number, end) = (self.number, self.end);
         if self.coordinator == admission.address {
             let requester = admission.address;
             let ticket = Ticket { requester, number };
-            admission.with_coordinator(|own, now| own.end(ticket, ending, now));
+            admission.with_coordinator(|own, now| own.end(ticket, end, now));
         } else {
-            admission.send(self.coordinator, &Datagram::end(number, ending));
+            admission.send(self.coordinator, &Datagram::end(number, end));
         }
     }
 }
@@ -252,7 +261,7 @@
             coordinator,
             number: self.next_datagram_number(),
             answer: SlotAnswer::Notified,
-            ending: Ending::NotServed,
+            end: Ending::NotServed.into(),
         }
     }
 
@@ -311,3 +320,39 @@
     };
     or(async { answers.recv().await.ok() }, late).await
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::datagram::Body;
+    use crate::options::AdmissionOptions;
+    use foxtide_clock::SteadyClock;
+    use prost::Message;
+    use std::net::UdpSocket;
+    use std::sync::Arc;
+
+    /// The figure must reach the coordinator of another instance, also if the request failed.
+    #[test]
+    fn verify_the_end_of_a_slot_tells_the_slowness() {
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        let coordinator = UdpSocket::bind(any_port).unwrap();
+        let (options, clock) = (AdmissionOptions::default(), SteadyClock::default());
+        let admission = Admission::bind(any_port, options, clock, Arc::default()).unwrap();
+        let slowness = Slowness::from_percent(250.0).ok();
+        for ending in [Ending::Served, Ending::NotServed] {
+            let mut slot = admission.slot(coordinator.local_addr().unwrap());
+            slot.record_slowness(slowness);
+            if ending == Ending::Served {
+                slot.served();
+            }
+            drop(slot);
+            let mut bytes = [0; 512];
+            let size_bytes = coordinator.recv(&mut bytes).unwrap();
+            let datagram = Datagram::decode(&bytes[..size_bytes]).unwrap();
+            let Some(Body::Ended(message)) = datagram.body else {
+                panic!("not the end of a request: {datagram:?}");
+            };
+            assert_eq!(message.report(), EndReport { ending, slowness });
+        }
+    }
+}
--- a/crates/foxtide-gateway/src/datagram/mod.rs
+++ b/crates/foxtide-gateway/src/datagram/mod.rs
@@ -19,7 +19,9 @@
 };
 pub(crate) use slots::{
     AnswerMessage,
-    RequestMessage, //
+    EndedMessage,
+    RequestMessage,
+    ending, //
 };
 
 use crate::traffic::TrafficKind;
@@ -33,7 +35,7 @@
     pub(crate) number: u64,
     #[prost(
         oneof = "Body",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16"
     )]
     pub(crate) body: Option<Body>,
 }
@@ -83,6 +85,9 @@
     /// Answers a probe.
     #[prost(message, tag = "15")]
     Condition(ConditionMessage),
+    /// A request has ended, and its upstream reported its slowness.
+    #[prost(message, tag = "16")]
+    Ended(EndedMessage),
 }
 
 impl Datagram {
@@ -99,9 +104,10 @@
                 | Body::Lifted(_),
             ) => TrafficKind::Poison,
             Some(Body::Probe(_) | Body::Condition(_)) => TrafficKind::Conditions,
-            Some(Body::Ask(_) | Body::Notify(_) | Body::End(_) | Body::Answer(_)) | None => {
-                TrafficKind::Slots
-            }
+            Some(
+                Body::Ask(_) | Body::Notify(_) | Body::End(_) | Body::Ended(_) | Body::Answer(_),
+            )
+            | None => TrafficKind::Slots,
         }
     }
 }
@@ -113,9 +119,14 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use foxtide_core::admission::Answer;
-    use foxtide_core::poison::{
+    use foxtide_core::admission::{
+        Answer,
         EndReport,
+        Ending, //
+    };
+    use foxtide_core::placement::Slowness;
+    use foxtide_core::poison::{
+        self,
         Fingerprint,
         QuarantineEntry, //
     };
@@ -126,13 +137,21 @@
     use foxtide_core::units::Share;
     use prost::Message;
 
+    /// Returns the end of a request that was served at a slowness in percent.
+    fn slow_end(percent: u32) -> EndReport {
+        EndReport {
+            ending: Ending::Served,
+            slowness: Slowness::from_percent(percent.into()).ok(),
+        }
+    }
+
     fn samples() -> Vec<Datagram> {
         let request = QuotaRequest {
             organisation: "acme".parse().unwrap(),
             priority: 2,
             wanted: 3,
         };
-        let report = EndReport {
+        let report = poison::EndReport {
             fingerprint: Fingerprint::from_hash(7),
             upstream: "i-1".parse().unwrap(),
             born_at: None,
@@ -142,6 +161,8 @@
             Datagram::quota_request(1, &request),
             Datagram::quota_answer(2, QuotaAnswer::Granted { tokens: 4 }),
             Datagram::quota_answer(3, QuotaAnswer::NotCoordinator),
+            Datagram::end(1, slow_end(250)),
+            Datagram::end(1, Ending::Served.into()),
             Datagram::end_report(4, &report),
             Datagram::end_acknowledged(4, report.fingerprint),
             Datagram::held(6, report.fingerprint),
@@ -164,6 +185,7 @@
                 drop(message.request(from, datagram.number));
             }
             Some(Body::Answer(message)) => drop(message.answer()),
+            Some(Body::Ended(message)) => drop(message.report()),
             Some(Body::QuotaQuestion(message)) => drop(message.request()),
             Some(Body::QuotaAnswer(message)) => drop(message.answer()),
             Some(Body::EndReport(message)) => drop(message.report()),
@@ -242,4 +264,25 @@
             QuotaAnswer::NotCoordinator
         );
     }
+    /// Instances that know no slowness must keep understanding the end of a request.
+    #[test]
+    fn verify_the_end_of_a_request_carries_the_slowness_if_it_is_known() {
+        for ending in [Ending::Served, Ending::NotServed] {
+            let is_served = ending == Ending::Served;
+            let unknown = Datagram::end(1, ending.into());
+            assert_eq!(unknown.body, Some(Body::End(is_served)));
+        }
+        let sent = slow_end(250);
+        let Some(Body::Ended(message)) = Datagram::end(1, sent).body else {
+            panic!("the slowness is not sent");
+        };
+        assert_eq!(message.report(), sent);
+        // A figure of 0 is no figure.
+        assert_eq!(EndedMessage::default().report(), Ending::NotServed.into());
+        let zero = EndedMessage {
+            slowness_percent: Some(0),
+            ..message
+        };
+        assert_eq!(zero.report(), Ending::Served.into());
+    }
 }
--- a/crates/foxtide-gateway/src/gateway.rs
+++ b/crates/foxtide-gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 };
 use crate::errors::Result;
 use crate::follow::follow;
+use crate::hedging::Hedging;
 use crate::journal::Journal;
 use crate::lifecycle::Lifecycle;
 use crate::listener::{
@@ -130,6 +131,7 @@
             guide,
             quotas: Quotas::default(),
             poison: Poison::default(),
+            hedging: Hedging::new(options.hedging),
             stall: StallDetector::default(),
             reach: Reach::default(),
             neighbours: Neighbours::default(),
--- a/crates/foxtide-gateway/src/shared.rs
+++ b/crates/foxtide-gateway/src/shared.rs
@@ -3,6 +3,7 @@
 use crate::admission::Admission;
 use crate::alarm::StoreAlarm;
 use crate::directory::Guide;
+use crate::hedging::Hedging;
 use crate::journal::Journal;
 use crate::lifecycle::Lifecycle;
 use crate::memory::BodyMemory;
@@ -45,6 +46,7 @@
     pub(crate) guide: Guide,
     pub(crate) quotas: Quotas,
     pub(crate) poison: Poison,
+    pub(crate) hedging: Hedging,
     pub(crate) stall: StallDetector,
     pub(crate) reach: Reach,
     pub(crate) neighbours: Neighbours,
--- a/crates/foxtide-gateway/tests/gateway/main.rs
+++ b/crates/foxtide-gateway/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod directory;
 mod following;
 mod forwarding;
+mod hedging;
 mod homes;
 mod many;
 mod organisations;
