Forecast the wait for a slot by what is served first

Cause: the expected wait of a request was the work of all waiting requests, so that an urgent request was rejected for lack of a slot because of less urgent ones that are served after it. The running requests did not count.

Change: a schedule of the slots takes what is left of the running requests and the waiting requests that are served before. A request that is not expected to be served before its deadline is rejected at once, the last in the order of service first, so that less urgent requests give way to urgent ones. A request that waits for its objective only becomes busy instead and may try another upstream. For the decision whether a request waits at its first choice, older requests of its priority and class count as well: newer ones will take their place. Tokens of a rate limit that less urgent requests wait for go to an urgent one. The queue's module is split.

--- a/crates/foxtide-core/src/admission/queue.rs
+++ b/crates/foxtide-core/src/admission/queue.rs
@@ -1,5 +1,9 @@
 //! The slots of one upstream and the requests that wait for them.
 
+mod forecast;
+mod schedule;
+mod waiting;
+
 use super::objects::RecentObjects;
 use super::request::{
     Answer,
@@ -13,11 +17,17 @@
     ServiceTimes, //
 };
 use crate::placement::ObjectKey;
+use crate::routing::RequestKind;
 use crate::throttle::Throttle;
 use crate::time::MonotonicTime;
 use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::time::Duration;
+use waiting::{
+    ServiceClass,
+    ServiceOrder,
+    Waiting, //
+};
 
 /// The number of requests admitted beyond the slots. They queue at the upstream and keep its slots
 /// busy while a release and the next grant are in transit. One beats none most where work is short;
@@ -29,20 +39,10 @@
 /// request in place of this costs busy days up to a hundredth of their worth.
 const GRANT_TIMEOUT_FACTOR: u32 = 4;
 
-/// Bounds of the retry delay in rejections.
-const RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
-const RETRY_AFTER_MAX: Duration = Duration::from_millis(1_000);
-
-/// The share of the latency objective within which a request must be expected to finish to wait at
-/// its preferred upstream; otherwise it tries another one. The rest covers network latency, varying
-/// service times and newer requests that are served first. Requests that wait for the whole
-/// objective pile up in regions short of upstreams; when demand falls they are served there alone,
-/// and the region's share of the traffic jumps.
-const OBJECTIVE_WAIT_SHARE: f64 = 0.5;
-
 /// A request that holds a slot.
 #[derive(Clone, Copy, Debug)]
 struct Running {
+    kind: RequestKind,
     object: Option<ObjectKey>,
     access: ObjectAccess,
     began_at: MonotonicTime,
@@ -53,31 +53,6 @@
     is_measured: bool,
 }
 
-/// A request that waits for a slot.
-#[derive(Clone, Debug)]
-struct Waiting {
-    ticket: Ticket,
-    object: Option<ObjectKey>,
-    priority: u32,
-    queued_at: MonotonicTime,
-    objective_at: MonotonicTime,
-    /// The latest expected completion at which it waits here rather than tries another
-    /// upstream.
-    wait_until: MonotonicTime,
-    deadline: MonotonicTime,
-}
-
-/// The order in which waiting requests of one priority are served, first to last.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum ServiceClass {
-    /// The answer is expected within the latency objective.
-    InTime,
-    /// The answer will be late, but later requests for the same object will be faster.
-    LateFirstAccess,
-    /// The answer will be late.
-    Late,
-}
-
 /// The slots and waiting requests of one upstream.
 #[derive(Clone, Debug, Default)]
 pub(super) struct SlotQueue {
@@ -128,48 +103,51 @@
             self.throttle.apply(report, now);
         }
         let is_waiting = self.waiting.iter().any(|one| one.ticket == ticket);
-        if let Some(answer) = self.throttled(is_waiting, now) {
+        if let Some(answer) = self.throttled(request, is_waiting, now) {
             self.waiting.retain(|one| one.ticket != ticket);
             answers.push((ticket, answer));
             return;
         }
         self.drop_expired_grants(now);
-        if request.patience == Patience::NoWait && !self.has_immediate_room(request.object) {
+        if request.patience == Patience::NoWait && !self.has_immediate_room(request) {
             answers.push((ticket, Answer::Busy));
             return;
         }
-        if !is_waiting {
-            self.waiting.push(Waiting {
-                ticket,
-                object: request.object,
-                priority: request.priority,
-                queued_at: now,
-                objective_at: now + request.objective_left,
-                wait_until: now + request.objective_left.mul_f64(OBJECTIVE_WAIT_SHARE),
-                deadline: now + request.time_left,
-            });
+        self.queue(request, now);
+        self.grant_free_slots(now, answers);
+        self.dismiss_busy(ticket, now, answers);
+        self.reject_hopeless(now, answers);
+        if self.waiting.iter().any(|one| one.ticket == ticket) {
+            answers.push((ticket, Answer::Waiting));
         }
-        self.dispatch(now, answers);
-        let Some(index) = self.waiting.iter().position(|one| one.ticket == ticket) else {
-            return;
-        };
-        let answer = self.decide(&self.waiting[index], request.patience, now);
-        if answer != Answer::Waiting {
-            self.waiting.remove(index);
+    }
+
+    /// Queues a request, or updates the patience of one that waits already.
+    fn queue(&mut self, request: &SlotRequest, now: MonotonicTime) {
+        let mut waiting = self.waiting.iter_mut();
+        match waiting.find(|one| one.ticket == request.ticket) {
+            Some(waiting) => waiting.patience = request.patience,
+            None => self.waiting.push(Waiting::new(request, now)),
         }
-        answers.push((ticket, answer));
     }
 
     /// Returns the answer to a request that the upstream's rate limit excludes. A waiting
-    /// request keeps its place, as new ones leave it a token.
-    fn throttled(&mut self, is_waiting: bool, now: MonotonicTime) -> Option<Answer> {
+    /// request keeps its place, as new ones that are not more urgent leave it a token.
+    fn throttled(
+        &mut self,
+        request: &SlotRequest,
+        is_waiting: bool,
+        now: MonotonicTime,
+    ) -> Option<Answer> {
         if !self.throttle.is_limited() {
             return None;
         }
         if !self.throttle.is_coordinating() {
             return Some(Answer::NotCoordinator);
         }
-        let retry_after = self.throttle.next_token_in(self.waiting.len(), now);
+        let waiting = self.waiting.iter();
+        let ahead = waiting.filter(|one| one.priority <= request.priority);
+        let retry_after = self.throttle.next_token_in(ahead.count(), now);
         let is_exhausted = !is_waiting && !retry_after.is_zero();
         is_exhausted.then_some(Answer::Throttled { retry_after })
     }
@@ -179,30 +157,35 @@
     /// A first access takes longer here than at the upstream that cached the object. It
     /// gets an idle slot only, so that objects do not spread to other upstreams that are
     /// equally busy.
-    fn has_immediate_room(&self, object: Option<ObjectKey>) -> bool {
-        let limit = match self.access(object) {
+    fn has_immediate_room(&self, request: &SlotRequest) -> bool {
+        let limit = match self.access(request.object) {
             ObjectAccess::Repeated => self.slots + UPSTREAM_BACKLOG,
             ObjectAccess::First => self.slots,
         };
         self.running.len() < limit
     }
 
-    /// Returns the answer to a request that has no slot yet.
-    fn decide(&self, waiting: &Waiting, patience: Patience, now: MonotonicTime) -> Answer {
-        let served_at = now + self.expected_wait() + self.expected(waiting);
-        let may_wait = match patience {
-            Patience::NoWait => false,
-            Patience::WithinObjective => served_at <= waiting.wait_until,
-            Patience::UntilDeadline => true,
+    /// Dismisses a waiting request whose wait would exceed its patience.
+    fn dismiss_busy(
+        &mut self,
+        ticket: Ticket,
+        now: MonotonicTime,
+        answers: &mut Vec<(Ticket, Answer)>,
+    ) {
+        let mut waiting = self.waiting.iter();
+        let Some(index) = waiting.position(|one| one.ticket == ticket) else {
+            return;
         };
-        if !may_wait {
-            return Answer::Busy;
-        }
-        if served_at > waiting.deadline {
-            let retry_after = self.retry_after();
-            return Answer::Rejected { retry_after };
+        let waiting = &self.waiting[index];
+        let is_busy = match waiting.patience {
+            Patience::NoWait => true,
+            Patience::WithinObjective => self.served_at(waiting, now) > waiting.wait_until,
+            Patience::UntilDeadline => false,
+        };
+        if is_busy {
+            self.waiting.remove(index);
+            answers.push((ticket, Answer::Busy));
         }
-        Answer::Waiting
     }
 
     /// Counts a request that is sent without a grant.
@@ -214,6 +197,7 @@
         self.throttle.take(now);
         let access = self.access(request.object);
         let running = Running {
+            kind: request.kind,
             object: request.object,
             access,
             began_at: now,
@@ -260,6 +244,11 @@
     /// deadline.
     fn dispatch(&mut self, now: MonotonicTime, answers: &mut Vec<(Ticket, Answer)>) {
         self.drop_expired_grants(now);
+        self.grant_free_slots(now, answers);
+        self.reject_hopeless(now, answers);
+    }
+
+    fn grant_free_slots(&mut self, now: MonotonicTime, answers: &mut Vec<(Ticket, Answer)>) {
         while self.running.len() < self.slots + UPSTREAM_BACKLOG
             && self.throttle.next_token_in(0, now).is_zero()
         {
@@ -270,17 +259,17 @@
             answers.push((next.ticket, Answer::Granted));
             self.grant(&next, now);
         }
-        self.reject_expired(now, answers);
     }
 
     fn grant(&mut self, waiting: &Waiting, now: MonotonicTime) {
         self.throttle.take(now);
         let access = self.access(waiting.object);
-        let expires_at = match self.times.expected(access) {
+        let expires_at = match self.expected_service(waiting.kind, access) {
             Some(time) => (now + time * GRANT_TIMEOUT_FACTOR).min(waiting.deadline),
             None => waiting.deadline,
         };
         let running = Running {
+            kind: waiting.kind,
             object: waiting.object,
             access,
             began_at: now,
@@ -298,38 +287,27 @@
         self.running.insert(ticket, running);
     }
 
-    fn reject_expired(&mut self, now: MonotonicTime, answers: &mut Vec<(Ticket, Answer)>) {
-        let retry_after = self.retry_after();
-        let times = self.times;
-        let objects = &self.objects;
-        self.waiting.retain(|waiting| {
-            let access = access_of(objects, waiting.object);
-            let expected = times.expected(access).unwrap_or_default();
-            let is_expired = now + expected > waiting.deadline;
-            if is_expired {
-                answers.push((waiting.ticket, Answer::Rejected { retry_after }));
-            }
-            !is_expired
-        });
+    /// Returns the index of the request to serve next.
+    fn next_waiting(&self, now: MonotonicTime) -> Option<usize> {
+        (0..self.waiting.len()).min_by_key(|&index| self.service_order(&self.waiting[index], now))
     }
 
-    /// Returns the index of the request to serve next: by priority, then class, then newest
-    /// first, since the newest has the latest deadline.
-    fn next_waiting(&self, now: MonotonicTime) -> Option<usize> {
-        (0..self.waiting.len()).min_by_key(|&index| {
-            let waiting = &self.waiting[index];
-            (
-                waiting.priority,
-                self.class_of(waiting, now),
-                Reverse(waiting.queued_at),
-            )
-        })
+    /// Returns the place of a waiting request in the order of service: by priority, then class,
+    /// then newest first.
+    fn service_order(&self, waiting: &Waiting, now: MonotonicTime) -> ServiceOrder {
+        ServiceOrder {
+            priority: waiting.priority,
+            class: self.class_of(waiting, now),
+            age: Reverse(waiting.queued_at),
+        }
     }
 
     fn class_of(&self, waiting: &Waiting, now: MonotonicTime) -> ServiceClass {
-        if now + self.expected(waiting) <= waiting.objective_at {
+        let access = self.access(waiting.object);
+        let service = self.expected_service(waiting.kind, access);
+        if now + service.unwrap_or_default() <= waiting.objective_at {
             ServiceClass::InTime
-        } else if self.access(waiting.object) == ObjectAccess::First {
+        } else if access == ObjectAccess::First {
             ServiceClass::LateFirstAccess
         } else {
             ServiceClass::Late
@@ -337,29 +315,14 @@
     }
 
     fn access(&self, object: Option<ObjectKey>) -> ObjectAccess {
-        access_of(&self.objects, object)
-    }
-
-    fn expected(&self, waiting: &Waiting) -> Duration {
-        let access = self.access(waiting.object);
-        self.times.expected(access).unwrap_or_default()
-    }
-
-    /// Returns the time in which the slots serve all waiting requests.
-    fn expected_wait(&self) -> Duration {
-        let work: Duration = self.waiting.iter().map(|one| self.expected(one)).sum();
-        work / self.slots.max(1) as u32
-    }
-
-    /// Returns the time after which a slot is expected to be free.
-    fn retry_after(&self) -> Duration {
-        self.expected_wait().clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX)
+        match object {
+            Some(object) if self.objects.contains(object) => ObjectAccess::Repeated,
+            _ => ObjectAccess::First,
+        }
     }
-}
 
-fn access_of(objects: &RecentObjects, object: Option<ObjectKey>) -> ObjectAccess {
-    match object {
-        Some(object) if objects.contains(object) => ObjectAccess::Repeated,
-        _ => ObjectAccess::First,
+    /// Returns the expected service time of a request, if any is known.
+    fn expected_service(&self, _kind: RequestKind, access: ObjectAccess) -> Option<Duration> {
+        self.times.expected(access)
     }
 }
--- /dev/null
+++ b/crates/foxtide-core/src/admission/queue/forecast.rs
@@ -0,0 +1,115 @@
+//! When waiting requests are expected to be served, and which of them cannot be in time.
+
+use super::schedule::Schedule;
+use super::waiting::Waiting;
+use super::{
+    Running,
+    SlotQueue, //
+};
+use crate::admission::request::{
+    Answer,
+    Patience,
+    Ticket, //
+};
+use crate::admission::service_times::ObjectAccess;
+use crate::time::MonotonicTime;
+use std::time::Duration;
+
+/// Bounds of the retry delay in rejections.
+const RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
+const RETRY_AFTER_MAX: Duration = Duration::from_millis(1_000);
+
+impl SlotQueue {
+    /// Rejects the waiting requests that are not expected to be served before their deadline
+    /// because of those that are served first. One that waits for its objective only may try
+    /// another upstream instead.
+    pub(super) fn reject_hopeless(
+        &mut self,
+        now: MonotonicTime,
+        answers: &mut Vec<(Ticket, Answer)>,
+    ) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        let mut schedule = self.schedule(now);
+        let order = |waiting| self.service_order(waiting, now);
+        let mut in_order: Vec<&Waiting> = self.waiting.iter().collect();
+        in_order.sort_by_key(|waiting| order(waiting));
+        let mut dismissed = Vec::new();
+        for waiting in in_order {
+            let service = self.service_after(&schedule, waiting);
+            if schedule.next_free() + service <= waiting.deadline {
+                schedule.place(waiting.object, service);
+                continue;
+            }
+            let answer = match waiting.patience {
+                Patience::UntilDeadline => Answer::Rejected {
+                    retry_after: self.retry_after(waiting.priority, now),
+                },
+                Patience::NoWait | Patience::WithinObjective => Answer::Busy,
+            };
+            dismissed.push((waiting.ticket, answer));
+        }
+        let is_dismissed =
+            |one: &Waiting| dismissed.iter().any(|(ticket, _)| *ticket == one.ticket);
+        self.waiting.retain(|one| !is_dismissed(one));
+        answers.extend(dismissed);
+    }
+
+    /// Returns when a waiting request is expected to be served.
+    ///
+    /// Requests of its priority and class count as served before it, also older ones: newer
+    /// requests will be served before it in their place.
+    pub(super) fn served_at(&self, waiting: &Waiting, now: MonotonicTime) -> MonotonicTime {
+        let order = self.service_order(waiting, now);
+        let schedule = self.schedule_of(now, |other| {
+            other.ticket != waiting.ticket && self.service_order(other, now).precedes(&order)
+        });
+        schedule.next_free() + self.service_after(&schedule, waiting)
+    }
+
+    /// Returns the expected service time of a waiting request once the schedule has begun.
+    fn service_after(&self, schedule: &Schedule, waiting: &Waiting) -> Duration {
+        let access = if schedule.accesses(waiting.object) {
+            ObjectAccess::Repeated
+        } else {
+            self.access(waiting.object)
+        };
+        self.expected_service(waiting.kind, access)
+            .unwrap_or_default()
+    }
+
+    /// Returns the schedule of the running requests and of those waiting ones that are served
+    /// before a request.
+    fn schedule_of(&self, now: MonotonicTime, is_before: impl Fn(&Waiting) -> bool) -> Schedule {
+        let mut schedule = self.schedule(now);
+        for waiting in self.waiting.iter().filter(|waiting| is_before(waiting)) {
+            let service = self.service_after(&schedule, waiting);
+            schedule.place(waiting.object, service);
+        }
+        schedule
+    }
+
+    /// Returns the schedule of what is left of the running requests.
+    fn schedule(&self, now: MonotonicTime) -> Schedule {
+        let left = |running: &Running| {
+            let service = self.expected_service(running.kind, running.access);
+            let ends_at = running.began_at + service.unwrap_or_default();
+            (running.began_at, ends_at.since(now))
+        };
+        let mut oldest_first: Vec<_> = self.running.values().map(left).collect();
+        oldest_first.sort_unstable();
+        let mut schedule = Schedule::new(self.slots, now);
+        for (_, left) in oldest_first {
+            schedule.place(None, left);
+        }
+        schedule
+    }
+
+    /// Returns the time after which a slot is expected to be free for a request of the priority.
+    fn retry_after(&self, priority: u32, now: MonotonicTime) -> Duration {
+        let schedule = self.schedule_of(now, |waiting| waiting.priority <= priority);
+        let free_in = schedule.next_free().since(now);
+        free_in.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX)
+    }
+}
