Keep service times by kind of request and access

Cause: one mean served all kinds of an upstream's requests, so that the forecast of short requests took long ones for short and short ones for long. The time that the request beyond the slots waits at the upstream counted as service time.

Change: means are kept for each kind and access; before the first sample of a kind, the mean of all kinds is used. The requests that hold a slot are kept in the order of their grants, and service begins when one is among the first of them.

--- a/crates/foxtide-core/src/admission/queue.rs
+++ b/crates/foxtide-core/src/admission/queue.rs
@@ -1,6 +1,7 @@
 //! The slots of one upstream and the requests that wait for them.
 
 mod forecast;
+mod running;
 mod schedule;
 mod waiting;
 
@@ -20,8 +21,11 @@
 use crate::routing::RequestKind;
 use crate::throttle::Throttle;
 use crate::time::MonotonicTime;
+use running::{
+    Running,
+    RunningRequests, //
+};
 use std::cmp::Reverse;
-use std::collections::HashMap;
 use std::time::Duration;
 use waiting::{
     ServiceClass,
@@ -39,25 +43,11 @@
 /// request in place of this costs busy days up to a hundredth of their worth.
 const GRANT_TIMEOUT_FACTOR: u32 = 4;
 
-/// A request that holds a slot.
-#[derive(Clone, Copy, Debug)]
-struct Running {
-    kind: RequestKind,
-    object: Option<ObjectKey>,
-    access: ObjectAccess,
-    began_at: MonotonicTime,
-    /// When the request stops counting if it is not released.
-    expires_at: MonotonicTime,
-    /// Whether its duration is a service time. A request sent without a grant may also wait
-    /// at the upstream.
-    is_measured: bool,
-}
-
 /// The slots and waiting requests of one upstream.
 #[derive(Clone, Debug, Default)]
 pub(super) struct SlotQueue {
     slots: usize,
-    running: HashMap<Ticket, Running>,
+    running: RunningRequests,
     waiting: Vec<Waiting>,
     objects: RecentObjects,
     times: ServiceTimes,
@@ -83,7 +73,7 @@
     /// Returns whether a request waits or holds a slot.
     pub(super) fn contains(&self, ticket: Ticket) -> bool {
         let is_waiting = self.waiting.iter().any(|waiting| waiting.ticket == ticket);
-        is_waiting || self.running.contains_key(&ticket)
+        is_waiting || self.running.contains(ticket)
     }
 
     /// Asks for a slot. Appends the answer to `answers`, with the answers to other requests
@@ -95,7 +85,7 @@
         answers: &mut Vec<(Ticket, Answer)>,
     ) {
         let ticket = request.ticket;
-        if self.running.contains_key(&ticket) {
+        if self.running.contains(ticket) {
             answers.push((ticket, Answer::Granted));
             return;
         }
@@ -197,14 +187,16 @@
         self.throttle.take(now);
         let access = self.access(request.object);
         let running = Running {
+            ticket: request.ticket,
             kind: request.kind,
             object: request.object,
             access,
-            began_at: now,
+            granted_at: now,
+            begun_at: None,
             expires_at: now + request.time_left,
             is_measured: false,
         };
-        self.begin(request.ticket, running);
+        self.begin(running, now);
     }
 
     /// Releases the slot of a request that ended or whose requester no longer waits.
@@ -216,7 +208,7 @@
         answers: &mut Vec<(Ticket, Answer)>,
     ) {
         self.waiting.retain(|waiting| waiting.ticket != ticket);
-        if let Some(running) = self.running.remove(&ticket) {
+        if let Some(running) = self.running.remove(ticket, self.slots, now) {
             self.record_completion(running, ending, now);
         }
         self.dispatch(now, answers);
@@ -225,7 +217,8 @@
     fn record_completion(&mut self, running: Running, ending: Ending, now: MonotonicTime) {
         match ending {
             Ending::Served if running.is_measured => {
-                self.times.record(running.access, now - running.began_at);
+                let service = running.served_for(now);
+                self.times.record(running.kind, running.access, service);
             }
             Ending::NotServed if running.access == ObjectAccess::First => {
                 if let Some(object) = running.object {
@@ -237,7 +230,7 @@
     }
 
     fn drop_expired_grants(&mut self, now: MonotonicTime) {
-        self.running.retain(|_, running| now < running.expires_at);
+        self.running.drop_expired(self.slots, now);
     }
 
     /// Grants free slots and rejects waiting requests that can no longer meet their
@@ -269,22 +262,24 @@
             None => waiting.deadline,
         };
         let running = Running {
+            ticket: waiting.ticket,
             kind: waiting.kind,
             object: waiting.object,
             access,
-            began_at: now,
+            granted_at: now,
+            begun_at: None,
             expires_at,
             is_measured: true,
         };
-        self.begin(waiting.ticket, running);
+        self.begin(running, now);
     }
 
     /// Counts a request as started; its object is cached at the upstream from then on.
-    fn begin(&mut self, ticket: Ticket, running: Running) {
+    fn begin(&mut self, running: Running, now: MonotonicTime) {
         if let Some(object) = running.object {
             self.objects.insert(object);
         }
-        self.running.insert(ticket, running);
+        self.running.insert(running, self.slots, now);
     }
 
     /// Returns the index of the request to serve next.
@@ -322,7 +317,7 @@
     }
 
     /// Returns the expected service time of a request, if any is known.
-    fn expected_service(&self, _kind: RequestKind, access: ObjectAccess) -> Option<Duration> {
-        self.times.expected(access)
+    fn expected_service(&self, kind: RequestKind, access: ObjectAccess) -> Option<Duration> {
+        self.times.expected(kind, access)
     }
 }
--- a/crates/foxtide-core/src/admission/queue/forecast.rs
+++ b/crates/foxtide-core/src/admission/queue/forecast.rs
@@ -1,11 +1,8 @@
 //! When waiting requests are expected to be served, and which of them cannot be in time.
 
+use super::SlotQueue;
 use super::schedule::Schedule;
 use super::waiting::Waiting;
-use super::{
-    Running,
-    SlotQueue, //
-};
 use crate::admission::request::{
     Answer,
     Patience,
@@ -92,15 +89,10 @@
 
     /// Returns the schedule of what is left of the running requests.
     fn schedule(&self, now: MonotonicTime) -> Schedule {
-        let left = |running: &Running| {
-            let service = self.expected_service(running.kind, running.access);
-            let ends_at = running.began_at + service.unwrap_or_default();
-            (running.began_at, ends_at.since(now))
-        };
-        let mut oldest_first: Vec<_> = self.running.values().map(left).collect();
-        oldest_first.sort_unstable();
         let mut schedule = Schedule::new(self.slots, now);
-        for (_, left) in oldest_first {
+        for running in self.running.iter() {
+            let service = self.expected_service(running.kind, running.access);
+            let left = running.left_of(service.unwrap_or_default(), now);
             schedule.place(None, left);
         }
         schedule
