Keep a request at its first choice where only that is in time

Cause: a request that was expected to end past half of its objective at its first choice took an idle slot of its second choice. It is a first access there, takes several times as long and is late, although it would often have been in time at the first choice.

Change: the answer "busy" tells when the request would have been served (AnswerMessage, tag 6). If that is within the objective, the second choice is asked for a slot only if the request is in time there as well (RequestMessage, tag 12), which its coordinator knows: it has the service times and the cached objects. Otherwise the request waits at its first choice until its deadline. A request that is late at its first choice takes an idle slot of the second as before, so that the objects of an upstream that is overloaded for long find a second place. An instance that knows neither field grants as before.

--- a/crates/foxtide-core/src/admission/queue.rs
+++ b/crates/foxtide-core/src/admission/queue.rs
@@ -43,6 +43,9 @@
 /// request in place of this costs busy days up to a hundredth of their worth.
 const GRANT_TIMEOUT_FACTOR: u32 = 4;
 
+/// The answer to a request that does not wait and gets no slot.
+const BUSY: Answer = Answer::Busy { served_in: None };
+
 /// The slots and waiting requests of one upstream.
 #[derive(Clone, Debug, Default)]
 pub(super) struct SlotQueue {
@@ -99,8 +102,15 @@
             return;
         }
         self.drop_expired_grants(now);
-        if request.patience == Patience::NoWait && !self.has_immediate_room(request) {
-            answers.push((ticket, Answer::Busy));
+        let has_room = match request.patience {
+            Patience::NoWait => self.has_immediate_room(request),
+            Patience::NoWaitInTime => {
+                self.has_immediate_room(request) && self.is_immediately_in_time(request, now)
+            }
+            Patience::WithinObjective | Patience::UntilDeadline => true,
+        };
+        if !has_room {
+            answers.push((ticket, BUSY));
             return;
         }
         self.queue(request, now);
@@ -167,15 +177,21 @@
             return;
         };
         let waiting = &self.waiting[index];
-        let is_busy = match waiting.patience {
-            Patience::NoWait => true,
-            Patience::WithinObjective => self.served_at(waiting, now) > waiting.wait_until,
-            Patience::UntilDeadline => false,
+        let answer = match waiting.patience {
+            Patience::NoWait | Patience::NoWaitInTime => BUSY,
+            Patience::UntilDeadline => return,
+            Patience::WithinObjective => {
+                let served_at = self.served_at(waiting, now);
+                if served_at <= waiting.wait_until {
+                    return;
+                }
+                let is_known = self.is_service_known(waiting);
+                let served_in = is_known.then(|| served_at.since(now));
+                Answer::Busy { served_in }
+            }
         };
-        if is_busy {
-            self.waiting.remove(index);
-            answers.push((ticket, Answer::Busy));
-        }
+        self.waiting.remove(index);
+        answers.push((ticket, answer));
     }
 
     /// Counts a request that is sent without a grant.
@@ -316,6 +332,11 @@
         }
     }
 
+    fn is_service_known(&self, waiting: &Waiting) -> bool {
+        let access = self.access(waiting.object);
+        self.expected_service(waiting.kind, access).is_some()
+    }
+
     /// Returns the expected service time of a request, if any is known.
     fn expected_service(&self, kind: RequestKind, access: ObjectAccess) -> Option<Duration> {
         self.times.expected(kind, access)
--- a/crates/foxtide-core/src/admission/queue/forecast.rs
+++ b/crates/foxtide-core/src/admission/queue/forecast.rs
@@ -6,6 +6,7 @@
 use crate::admission::request::{
     Answer,
     Patience,
+    SlotRequest,
     Ticket, //
 };
 use crate::admission::service_times::ObjectAccess;
@@ -43,7 +44,7 @@
                 Patience::UntilDeadline => Answer::Rejected {
                     retry_after: self.retry_after(waiting.priority, now),
                 },
-                Patience::NoWait | Patience::WithinObjective => Answer::Busy,
+                _ => Answer::Busy { served_in: None },
             };
             dismissed.push((waiting.ticket, answer));
         }
@@ -65,6 +66,15 @@
         schedule.next_free() + self.service_after(&schedule, waiting)
     }
 
+    /// Returns whether a request that gets a slot now is expected to be served within its
+    /// objective. One without known service times counts as in time.
+    pub(super) fn is_immediately_in_time(&self, request: &SlotRequest, now: MonotonicTime) -> bool {
+        let access = self.access(request.object);
+        let service = self.expected_service(request.kind, access);
+        let served_at = self.schedule(now).next_free() + service.unwrap_or_default();
+        served_at <= now + request.objective_left
+    }
+
     /// Returns the expected service time of a waiting request once the schedule has begun.
     fn service_after(&self, schedule: &Schedule, waiting: &Waiting) -> Duration {
         let access = if schedule.accesses(waiting.object) {
--- a/crates/foxtide-core/src/admission/request.rs
+++ b/crates/foxtide-core/src/admission/request.rs
@@ -60,12 +60,31 @@
 pub enum Patience {
     /// The request does not wait.
     NoWait,
+    /// It does not wait, and it takes a slot only if its response is expected within the latency
+    /// objective.
+    NoWaitInTime,
     /// It waits while its response is expected well within the latency objective.
     WithinObjective,
     /// It waits while it can be served before its deadline.
     UntilDeadline,
 }
 
+impl Patience {
+    /// Returns the patience at the second choice of a request whose first choice is busy.
+    ///
+    /// Where the first choice would serve it within the objective, the second choice serves it
+    /// only within the objective too: the object is new to most second choices, so that it would
+    /// be late there and take several times as long as at the first choice. Where it is late in
+    /// any case, it takes an idle slot: the first choice is overloaded, and later requests for the
+    /// object find it at the second choice.
+    pub fn at_second_choice(served_in: Option<Duration>, objective_left: Duration) -> Self {
+        match served_in {
+            Some(served_in) if served_in <= objective_left => Self::NoWaitInTime,
+            _ => Self::NoWait,
+        }
+    }
+}
+
 /// A coordinator's answer to a slot request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answer {
@@ -74,7 +93,11 @@
     /// All slots are taken; another answer follows.
     Waiting,
     /// The wait would exceed the patience of the request.
-    Busy,
+    Busy {
+        /// The time after which the upstream is expected to have served it, for a request that
+        /// may wait and whose service time is known.
+        served_in: Option<Duration>,
+    },
     /// The request cannot be served before its deadline.
     Rejected {
         /// When a slot is expected to be free.
--- a/crates/foxtide-core/tests/admission.rs
+++ b/crates/foxtide-core/tests/admission.rs
@@ -26,6 +26,9 @@
 const FIRST_MS: u64 = 800;
 const REPEATED_MS: u64 = 240;
 
+/// The answer to a request that does not wait.
+const BUSY: Answer = Answer::Busy { served_in: None };
+
 fn at(ms: u64) -> MonotonicTime {
     MonotonicTime::from_ms(ms)
 }
@@ -298,7 +301,8 @@
         assert_eq!(answers, [(ticket(number), Answer::Waiting)]);
     }
     let answers = coordinator.ask(&within_objective(3), SLOTS, at(5_000));
-    assert_eq!(answers, [(ticket(3), Answer::Busy)]);
+    let served_in = Some(Duration::from_millis(3 * REPEATED_MS));
+    assert_eq!(answers, [(ticket(3), Answer::Busy { served_in })]);
     // It is not queued: the released slot goes to another request.
     let answers = coordinator.end(ticket(200), Ending::Served, at(5_010));
     assert_eq!(granted(&answers).len(), 1);
@@ -319,7 +323,7 @@
     coordinator.end(ticket(1), Ending::Served, at(4_800));
     fill(&mut coordinator, at(5_000));
     let answers = coordinator.ask(&no_wait(2), SLOTS, at(5_000));
-    assert_eq!(answers, [(ticket(2), Answer::Busy)]);
+    assert_eq!(answers, [(ticket(2), BUSY)]);
 }
 
 /// A first access uses only an idle slot; a repeated one may also wait at the upstream.
@@ -335,13 +339,13 @@
         assert_eq!(granted(&answers), [number]);
     }
     let answers = coordinator.ask(&no_wait(4, 20), SLOTS, at(5_000));
-    assert_eq!(answers, [(ticket(4), Answer::Busy)]);
+    assert_eq!(answers, [(ticket(4), BUSY)]);
     assert_eq!(
         granted(&coordinator.ask(&no_wait(5, 1), SLOTS, at(5_000))),
         [5]
     );
     let answers = coordinator.ask(&no_wait(6, 1), SLOTS, at(5_000));
-    assert_eq!(answers, [(ticket(6), Answer::Busy)]);
+    assert_eq!(answers, [(ticket(6), BUSY)]);
 }
 
 /// A restarted upstream has all its slots free and no cached objects.
--- a/crates/foxtide-gateway/src/admission/client.rs
+++ b/crates/foxtide-gateway/src/admission/client.rs
@@ -79,7 +79,10 @@
     /// The request may be sent; `None` if no coordinator knows of it.
     Granted(Option<Slot<'a>>),
     /// The wait would be longer than the request may wait.
-    Busy,
+    Busy {
+        /// The time after which the upstream is expected to have served it, if it is known.
+        served_in: Option<Duration>,
+    },
     /// It cannot be served before its deadline.
     Refused {
         /// When a slot is expected to be free.
@@ -200,7 +203,7 @@
                     slot.answer = SlotAnswer::Granted;
                     return Admitted::Granted(Some(slot));
                 }
-                Some(Answer::Busy) => return Admitted::Busy,
+                Some(Answer::Busy { served_in }) => return Admitted::Busy { served_in },
                 Some(Answer::Rejected { retry_after }) => return Admitted::Refused { retry_after },
                 Some(Answer::Throttled { retry_after }) => {
                     return Admitted::Throttled { retry_after };
--- a/crates/foxtide-gateway/src/datagram/mod.rs
+++ b/crates/foxtide-gateway/src/datagram/mod.rs
@@ -110,6 +110,11 @@
     };
     use prost::Message;
 
+    const BUSY: Answer = Answer::Busy { served_in: None };
+    const BUSY_FOR_NOW: Answer = Answer::Busy {
+        served_in: Some(Duration::from_millis(140)),
+    };
+
     fn samples() -> Vec<Datagram> {
         let request = QuotaRequest {
             organisation: "acme".parse().unwrap(),
@@ -197,7 +202,8 @@
         for (sent, received) in [
             (Answer::Granted, Answer::Granted),
             (Answer::Waiting, Answer::Waiting),
-            (Answer::Busy, Answer::Busy),
+            (BUSY, BUSY),
+            (BUSY_FOR_NOW, BUSY_FOR_NOW),
             (
                 Answer::Rejected { retry_after },
                 Answer::Rejected { retry_after },
--- a/crates/foxtide-gateway/src/datagram/slots.rs
+++ b/crates/foxtide-gateway/src/datagram/slots.rs
@@ -49,6 +49,10 @@
     /// The organisation of the caller; empty if it is not known.
     #[prost(string, tag = "11")]
     organisation: String,
+    /// Whether a request that does not wait takes a slot only within its latency objective. An
+    /// instance that does not know the field grants any idle slot.
+    #[prost(bool, tag = "12")]
+    is_in_time_only: bool,
 }
 
 /// What the requester has heard of the upstream's rate limit.
@@ -89,6 +93,9 @@
     /// Whether the instance does not coordinate an upstream that limits its rate.
     #[prost(bool, tag = "5")]
     is_not_coordinator: bool,
+    /// The time after which a request would have been served whose wait would be too long.
+    #[prost(uint32, optional, tag = "6")]
+    expected_ms: Option<u32>,
 }
 
 /// Retry delay for an instance without support for rate limits, if the answering one is not the
@@ -127,17 +134,22 @@
             // Rounded up: a token is available at the end of the delay.
             Answer::Throttled { retry_after } => Some(milliseconds(retry_after).saturating_add(1)),
             Answer::NotCoordinator => Some(milliseconds(RETRY_AFTER_NOT_COORDINATOR)),
-            Answer::Granted | Answer::Waiting | Answer::Busy => None,
+            Answer::Granted | Answer::Waiting | Answer::Busy { .. } => None,
+        };
+        let expected_ms = match answer {
+            Answer::Busy { served_in } => served_in.map(milliseconds),
+            _ => None,
         };
         let is_granted = answer == Answer::Granted;
         Self {
             number,
             body: Some(Body::Answer(AnswerMessage {
                 is_granted,
-                is_busy: answer == Answer::Busy,
+                is_busy: matches!(answer, Answer::Busy { .. }),
                 is_throttled: matches!(answer, Answer::Throttled { .. }),
                 is_not_coordinator: answer == Answer::NotCoordinator,
                 retry_after_ms,
+                expected_ms,
             })),
         }
     }
@@ -160,6 +172,7 @@
                 .organisation
                 .as_ref()
                 .map_or_else(String::new, OrganisationId::to_string),
+            is_in_time_only: request.patience == Patience::NoWaitInTime,
         }
     }
 
@@ -186,7 +199,10 @@
             priority: self.priority,
             objective_left: Duration::from_millis(self.objective_left_ms.into()),
             time_left: Duration::from_millis(self.time_left_ms.into()),
-            patience: self.patience().into(),
+            patience: match self.patience().into() {
+                Patience::NoWait if self.is_in_time_only => Patience::NoWaitInTime,
+                patience => patience,
+            },
             born_at: self.born_ms.map(WallTime::from_ms),
             limit: self.limit.as_ref().map(LimitReport::from),
         })
@@ -205,7 +221,9 @@
             Some(retry_after) if self.is_throttled => Answer::Throttled { retry_after },
             Some(retry_after) => Answer::Rejected { retry_after },
             None if self.is_granted => Answer::Granted,
-            None if self.is_busy => Answer::Busy,
+            None if self.is_busy => Answer::Busy {
+                served_in: self.expected_ms.map(u64::from).map(Duration::from_millis),
+            },
             None => Answer::Waiting,
         }
     }
@@ -232,7 +250,7 @@
 impl From<Patience> for PatienceMessage {
     fn from(patience: Patience) -> Self {
         match patience {
-            Patience::NoWait => Self::None,
+            Patience::NoWait | Patience::NoWaitInTime => Self::None,
             Patience::WithinObjective => Self::WhileEarly,
             Patience::UntilDeadline => Self::ToTheEnd,
         }
--- a/crates/foxtide-gateway/src/forward/admit.rs
+++ b/crates/foxtide-gateway/src/forward/admit.rs
@@ -41,7 +41,10 @@
     /// Picks an upstream and waits for one of its slots.
     ///
     /// If the first choice of the object is busy, its second choice or another region with a
-    /// free slot serves the request.
+    /// free slot serves the request. A request that the first choice is expected to serve within
+    /// the objective goes to the second choice only if it is in time there too. Otherwise it waits
+    /// at the first choice until its deadline, also when newer requests delay it past its
+    /// objective, since it is late everywhere by then.
     ///
     /// # Errors
     ///
@@ -53,8 +56,10 @@
             }
             let own = self.pick().map_err(|reason| self.no_upstream(reason))?;
             let mut admitted = self.admit(&own, self.patience()).await;
-            if matches!(admitted, Admitted::Busy) {
-                if let Some(target) = self.second_choice(&own).await {
+            if let Admitted::Busy { served_in } = admitted {
+                let objective_left = self.objective_at.saturating_duration_since(Instant::now());
+                let patience = Patience::at_second_choice(served_in, objective_left);
+                if let Some(target) = self.second_choice(&own, patience).await {
                     return Ok(target);
                 }
                 if let Some(target) = self.overflow().await {
@@ -69,7 +74,7 @@
                     return overflow.ok_or_else(|| self.no_slot(&own, retry_after));
                 }
                 Admitted::PickAgain
-                | Admitted::Busy
+                | Admitted::Busy { .. }
                 | Admitted::Throttled { .. }
                 | Admitted::Uncoordinated => {}
             }
@@ -89,19 +94,25 @@
     ///
     /// Upstreams of other regions are skipped: the request may be bound to its region, and where a
     /// region keeps few of its objects they would be most of the second choices.
-    async fn second_choice(&mut self, own: &Pick) -> Option<Target<'a>> {
-        let (end, target) = self.try_second_choice(own).await;
+    async fn second_choice(&mut self, own: &Pick, patience: Patience) -> Option<Target<'a>> {
+        let (end, target) = self.try_second_choice(own, patience).await;
         self.trace.second_choice = end;
         metrics::counter!("foxtide_second_choices_total", "end" => end.as_str()).increment(1);
         target
     }
 
-    async fn try_second_choice(&mut self, own: &Pick) -> (SecondChoice, Option<Target<'a>>) {
+    async fn try_second_choice(
+        &mut self,
+        own: &Pick,
+        patience: Patience,
+    ) -> (SecondChoice, Option<Target<'a>>) {
         let Ok(pick) = self.pick_neighbour(own) else {
             return (SecondChoice::Missing, None);
         };
-        match self.admit(&pick, Patience::NoWait).await {
-            Admitted::Granted(slot) => (SecondChoice::Granted, Some(Target { pick, slot })),
+        match self.admit(&pick, patience).await {
+            Admitted::Granted(slot) if patience == Patience::NoWait || is_granted(&slot) => {
+                (SecondChoice::Granted, Some(Target { pick, slot }))
+            }
             _ => (SecondChoice::Busy, None),
         }
     }
@@ -267,3 +278,9 @@
         }
     }
 }
+
+/// Returns whether a coordinator granted the slot, rather than was notified or did not answer.
+fn is_granted(slot: &Option<Slot<'_>>) -> bool {
+    let answer = slot.as_ref().map(Slot::answer);
+    answer == Some(SlotAnswer::Granted)
+}
--- a/crates/foxtide-testing/src/load_model/callers.rs
+++ b/crates/foxtide-testing/src/load_model/callers.rs
@@ -16,6 +16,7 @@
     WINDOW_S, //
 };
 use foxtide_core::admission::Ending;
+use foxtide_core::admission::Patience;
 use foxtide_core::placement::ObjectKey;
 use foxtide_core::time::MonotonicTime;
 use rand::RngExt;
@@ -61,6 +62,7 @@
             is_impatient: draw < self.settings.impatient_share,
             order: Vec::new(),
             second_choice: None,
+            second_patience: Patience::NoWait,
             upstream: 0,
             refusals: 0,
             stage: Stage::FirstChoice,
--- a/crates/foxtide-testing/src/load_model/request.rs
+++ b/crates/foxtide-testing/src/load_model/request.rs
@@ -1,5 +1,6 @@
 //! State of a caller's attempt.
 
+use foxtide_core::admission::Patience;
 use foxtide_core::time::MonotonicTime;
 
 /// Identifies an attempt.
@@ -38,6 +39,8 @@
     pub(super) order: Vec<usize>,
     /// The best other upstream within the region.
     pub(super) second_choice: Option<usize>,
+    /// Patience at the second choice.
+    pub(super) second_patience: Patience,
     /// Current target.
     pub(super) upstream: usize,
     /// Number of refusals by upstreams.
--- a/crates/foxtide-testing/src/load_model/slot_requests.rs
+++ b/crates/foxtide-testing/src/load_model/slot_requests.rs
@@ -27,6 +27,7 @@
     lacks_capacity, //
 };
 use foxtide_core::routing::RequestKind;
+use std::time::Duration;
 
 // Defaults of the gateway's settings.
 const ANSWER_TIMEOUT_MS: f64 = 40.0;
@@ -50,7 +51,7 @@
         let (requester, upstream, region) = (request.instance, request.upstream, request.region);
         let patience = match request.stage {
             Stage::FirstChoice => Patience::WithinObjective,
-            Stage::SecondChoice => Patience::NoWait,
+            Stage::SecondChoice => request.second_patience,
             Stage::UntilDeadline => Patience::UntilDeadline,
             Stage::Sent | Stage::Ended => return,
         };
@@ -202,7 +203,7 @@
         match answer {
             Answer::Granted => self.send(id),
             Answer::Waiting => {}
-            Answer::Busy => self.handle_busy(id),
+            Answer::Busy { served_in } => self.handle_busy(id, served_in),
             // The model's upstreams state no rate limits.
             Answer::Throttled { .. } | Answer::NotCoordinator => {}
             Answer::Rejected { retry_after } => {
@@ -236,10 +237,15 @@
     }
 
     /// Tries the second choice, then overflow, then waits for the first choice.
-    pub(super) fn handle_busy(&mut self, id: RequestId) {
+    pub(super) fn handle_busy(&mut self, id: RequestId, served_in: Option<Duration>) {
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
+        if request.stage == Stage::FirstChoice {
+            let objective_at = request.arrived_at + self.settings.objective();
+            let objective_left = objective_at.since(self.now);
+            request.second_patience = Patience::at_second_choice(served_in, objective_left);
+        }
         match (request.stage, request.second_choice) {
             (Stage::FirstChoice, Some(second_choice)) => {
                 request.stage = Stage::SecondChoice;
