Reserve slots for urgent requests beside long work

Cause: priority orders only the requests that wait. An urgent request that finds all slots and the place beyond them taken by long, less urgent work is late before a slot is free.

Change: the coordinator measures the demand of each kind at an upstream over 5 s (arrivals times expected service time, with notices of requests that are sent without a grant). Against work of lower urgency, as many slots as the urgent demand keeps busy are reserved, rounded up and never all, if the second release of such work would take more than half of what an urgent request has left between its service time and its objective. Such work gets no place beyond the slots either. Without urgent demand or without known service times nothing is reserved. The gauge foxtide_reserved_slots is the sum over the upstreams that an instance coordinates.

--- a/crates/foxtide-core/src/admission/coordinator.rs
+++ b/crates/foxtide-core/src/admission/coordinator.rs
@@ -95,6 +95,13 @@
         answers
     }
 
+    /// Returns the number of slots that are reserved for urgent work, over all upstreams.
+    pub fn reserved_slots(&self, now: MonotonicTime) -> usize {
+        let queues = self.queues.values();
+        let reserved = queues.map(|incarnation| incarnation.queue.reserved_slots(now));
+        reserved.sum()
+    }
+
     /// Drops the queues whose upstream and start time `is_known` does not accept.
     pub fn retain(&mut self, is_known: impl Fn(&UpstreamId, Option<WallTime>) -> bool) {
         self.queues
--- a/crates/foxtide-core/src/admission/mod.rs
+++ b/crates/foxtide-core/src/admission/mod.rs
@@ -21,6 +21,7 @@
 mod objects;
 mod queue;
 mod request;
+mod reserve;
 mod service_times;
 
 pub use coordinator::{
--- a/crates/foxtide-core/src/admission/queue.rs
+++ b/crates/foxtide-core/src/admission/queue.rs
@@ -1,6 +1,7 @@
 //! The slots of one upstream and the requests that wait for them.
 
 mod forecast;
+mod room;
 mod running;
 mod schedule;
 mod waiting;
@@ -13,6 +14,7 @@
     SlotRequest,
     Ticket, //
 };
+use super::reserve::Reserve;
 use super::service_times::{
     ObjectAccess,
     ServiceTimes, //
@@ -55,6 +57,7 @@
     objects: RecentObjects,
     times: ServiceTimes,
     throttle: Throttle,
+    reserve: Reserve,
 }
 
 impl SlotQueue {
@@ -103,9 +106,9 @@
         }
         self.drop_expired_grants(now);
         let has_room = match request.patience {
-            Patience::NoWait => self.has_immediate_room(request),
+            Patience::NoWait => self.has_immediate_room(request, now),
             Patience::NoWaitInTime => {
-                self.has_immediate_room(request) && self.is_immediately_in_time(request, now)
+                self.has_immediate_room(request, now) && self.is_immediately_in_time(request, now)
             }
             Patience::WithinObjective | Patience::UntilDeadline => true,
         };
@@ -115,7 +118,10 @@
         }
         self.queue(request, now);
         self.grant_free_slots(now, answers);
-        self.dismiss_busy(ticket, now, answers);
+        let is_dismissed = self.dismiss_busy(ticket, now, answers);
+        if !is_waiting && !is_dismissed {
+            self.record_demand(request, now);
+        }
         self.reject_hopeless(now, answers);
         if self.waiting.iter().any(|one| one.ticket == ticket) {
             answers.push((ticket, Answer::Waiting));
@@ -152,38 +158,33 @@
         is_exhausted.then_some(Answer::Throttled { retry_after })
     }
 
-    /// Returns whether a request that does not wait may have a slot.
-    ///
-    /// A first access takes longer here than at the upstream that cached the object. It
-    /// gets an idle slot only, so that objects do not spread to other upstreams that are
-    /// equally busy.
-    fn has_immediate_room(&self, request: &SlotRequest) -> bool {
-        let limit = match self.access(request.object) {
-            ObjectAccess::Repeated => self.slots + UPSTREAM_BACKLOG,
-            ObjectAccess::First => self.slots,
-        };
-        self.running.len() < limit
+    /// Counts a request as demand of its kind at this upstream. One that is busy here is served
+    /// elsewhere or asks again.
+    fn record_demand(&mut self, request: &SlotRequest, now: MonotonicTime) {
+        let work = self.work_of_request(request);
+        self.reserve
+            .record(request.kind, work, request.objective_left, now);
     }
 
-    /// Dismisses a waiting request whose wait would exceed its patience.
+    /// Dismisses a waiting request whose wait would exceed its patience; returns whether it did.
     fn dismiss_busy(
         &mut self,
         ticket: Ticket,
         now: MonotonicTime,
         answers: &mut Vec<(Ticket, Answer)>,
-    ) {
+    ) -> bool {
         let mut waiting = self.waiting.iter();
         let Some(index) = waiting.position(|one| one.ticket == ticket) else {
-            return;
+            return false;
         };
         let waiting = &self.waiting[index];
         let answer = match waiting.patience {
             Patience::NoWait | Patience::NoWaitInTime => BUSY,
-            Patience::UntilDeadline => return,
+            Patience::UntilDeadline => return false,
             Patience::WithinObjective => {
                 let served_at = self.served_at(waiting, now);
                 if served_at <= waiting.wait_until {
-                    return;
+                    return false;
                 }
                 let is_known = self.is_service_known(waiting);
                 let served_in = is_known.then(|| served_at.since(now));
@@ -192,6 +193,7 @@
         };
         self.waiting.remove(index);
         answers.push((ticket, answer));
+        true
     }
 
     /// Counts a request that is sent without a grant.
@@ -201,10 +203,12 @@
             self.throttle.apply(report, now);
         }
         self.throttle.take(now);
+        self.record_demand(request, now);
         let access = self.access(request.object);
         let running = Running {
             ticket: request.ticket,
             kind: request.kind,
+            priority: request.priority,
             object: request.object,
             access,
             granted_at: now,
@@ -280,6 +284,7 @@
         let running = Running {
             ticket: waiting.ticket,
             kind: waiting.kind,
+            priority: waiting.priority,
             object: waiting.object,
             access,
             granted_at: now,
@@ -298,9 +303,11 @@
         self.running.insert(running, self.slots, now);
     }
 
-    /// Returns the index of the request to serve next.
+    /// Returns the index of the request to serve next, among those that there is room for.
     fn next_waiting(&self, now: MonotonicTime) -> Option<usize> {
-        (0..self.waiting.len()).min_by_key(|&index| self.service_order(&self.waiting[index], now))
+        let admissible = (0..self.waiting.len())
+            .filter(|&index| self.has_room(self.work_of(&self.waiting[index]), now));
+        admissible.min_by_key(|&index| self.service_order(&self.waiting[index], now))
     }
 
     /// Returns the place of a waiting request in the order of service: by priority, then class,
--- a/crates/foxtide-core/src/admission/queue/forecast.rs
+++ b/crates/foxtide-core/src/admission/queue/forecast.rs
@@ -1,6 +1,7 @@
 //! When waiting requests are expected to be served, and which of them cannot be in time.
 
 use super::SlotQueue;
+use super::running::Running;
 use super::schedule::Schedule;
 use super::waiting::Waiting;
 use crate::admission::request::{
@@ -36,13 +37,14 @@
         let mut dismissed = Vec::new();
         for waiting in in_order {
             let service = self.service_after(&schedule, waiting);
-            if schedule.next_free() + service <= waiting.deadline {
-                schedule.place(waiting.object, service);
+            let usable = self.usable_slots(self.work_of(waiting), now);
+            if schedule.next_free(usable) + service <= waiting.deadline {
+                schedule.place(waiting.object, service, usable);
                 continue;
             }
             let answer = match waiting.patience {
                 Patience::UntilDeadline => Answer::Rejected {
-                    retry_after: self.retry_after(waiting.priority, now),
+                    retry_after: self.retry_after(waiting, now),
                 },
                 _ => Answer::Busy { served_in: None },
             };
@@ -63,7 +65,8 @@
         let schedule = self.schedule_of(now, |other| {
             other.ticket != waiting.ticket && self.service_order(other, now).precedes(&order)
         });
-        schedule.next_free() + self.service_after(&schedule, waiting)
+        let usable = self.usable_slots(self.work_of(waiting), now);
+        schedule.next_free(usable) + self.service_after(&schedule, waiting)
     }
 
     /// Returns whether a request that gets a slot now is expected to be served within its
@@ -71,7 +74,8 @@
     pub(super) fn is_immediately_in_time(&self, request: &SlotRequest, now: MonotonicTime) -> bool {
         let access = self.access(request.object);
         let service = self.expected_service(request.kind, access);
-        let served_at = self.schedule(now).next_free() + service.unwrap_or_default();
+        let begins_at = self.schedule(now).next_free(self.slots);
+        let served_at = begins_at + service.unwrap_or_default();
         served_at <= now + request.objective_left
     }
 
@@ -92,26 +96,33 @@
         let mut schedule = self.schedule(now);
         for waiting in self.waiting.iter().filter(|waiting| is_before(waiting)) {
             let service = self.service_after(&schedule, waiting);
-            schedule.place(waiting.object, service);
+            let usable = self.usable_slots(self.work_of(waiting), now);
+            schedule.place(waiting.object, service, usable);
         }
         schedule
     }
 
-    /// Returns the schedule of what is left of the running requests.
+    /// Returns the schedule of what is left of the running requests. Those that may not use the
+    /// reserved slots come first, since these are the last slots.
     fn schedule(&self, now: MonotonicTime) -> Schedule {
         let mut schedule = Schedule::new(self.slots, now);
-        for running in self.running.iter() {
+        let mut running: Vec<&Running> = self.running.iter().collect();
+        running.sort_by_key(|one| (one.begun_at.is_none(), !self.is_restricted(one, now)));
+        for running in running {
             let service = self.expected_service(running.kind, running.access);
             let left = running.left_of(service.unwrap_or_default(), now);
-            schedule.place(None, left);
+            schedule.place(None, left, self.slots);
         }
         schedule
     }
 
-    /// Returns the time after which a slot is expected to be free for a request of the priority.
-    fn retry_after(&self, priority: u32, now: MonotonicTime) -> Duration {
-        let schedule = self.schedule_of(now, |waiting| waiting.priority <= priority);
-        let free_in = schedule.next_free().since(now);
+    /// Returns the time after which a slot is expected to be free for requests like a rejected one.
+    fn retry_after(&self, rejected: &Waiting, now: MonotonicTime) -> Duration {
+        let schedule = self.schedule_of(now, |waiting| {
+            waiting.ticket != rejected.ticket && waiting.priority <= rejected.priority
+        });
+        let usable = self.usable_slots(self.work_of(rejected), now);
+        let free_in = schedule.next_free(usable).since(now);
         free_in.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX)
     }
 }
--- a/crates/foxtide-core/src/admission/queue/running.rs
+++ b/crates/foxtide-core/src/admission/queue/running.rs
@@ -12,6 +12,7 @@
 pub(super) struct Running {
     pub(super) ticket: Ticket,
     pub(super) kind: RequestKind,
+    pub(super) priority: u32,
     pub(super) object: Option<ObjectKey>,
     pub(super) access: ObjectAccess,
     pub(super) granted_at: MonotonicTime,
--- a/crates/foxtide-core/src/admission/queue/schedule.rs
+++ b/crates/foxtide-core/src/admission/queue/schedule.rs
@@ -22,14 +22,14 @@
         }
     }
 
-    /// Returns when the next slot is free.
-    pub(super) fn next_free(&self) -> MonotonicTime {
-        self.free_at[self.next_slot()]
+    /// Returns when the next of the first `usable` slots is free.
+    pub(super) fn next_free(&self, usable: usize) -> MonotonicTime {
+        self.free_at[self.next_slot(usable)]
     }
 
-    /// Gives the next free slot to work that takes `service`.
-    pub(super) fn place(&mut self, object: Option<ObjectKey>, service: Duration) {
-        let slot = self.next_slot();
+    /// Gives the next free one of the first `usable` slots to work that takes `service`.
+    pub(super) fn place(&mut self, object: Option<ObjectKey>, service: Duration, usable: usize) {
+        let slot = self.next_slot(usable);
         self.free_at[slot] = self.free_at[slot] + service;
         self.objects.extend(object);
     }
@@ -39,8 +39,8 @@
         object.is_some_and(|object| self.objects.contains(&object))
     }
 
-    fn next_slot(&self) -> usize {
-        let slots = 0..self.free_at.len();
+    fn next_slot(&self, usable: usize) -> usize {
+        let slots = 0..usable.min(self.free_at.len());
         slots.min_by_key(|&slot| self.free_at[slot]).unwrap_or(0)
     }
 }
--- a/crates/foxtide-gateway/src/admission/mod.rs
+++ b/crates/foxtide-gateway/src/admission/mod.rs
@@ -134,6 +134,12 @@
         self.unresponsive.lock().retain(|_, until| now < *until);
     }
 
+    /// Sets the gauge of the slots that are reserved for urgent work.
+    pub(crate) fn report_reserved_slots(&self, now: MonotonicTime) {
+        let reserved = self.coordinator.lock().reserved_slots(now);
+        metrics::gauge!("foxtide_reserved_slots").set(reserved as f64);
+    }
+
     fn answer(&self, ticket: Ticket, answer: Answer) {
         if ticket.requester == self.address {
             self.deliver(ticket.number, answer);
--- a/crates/foxtide-gateway/src/gateway.rs
+++ b/crates/foxtide-gateway/src/gateway.rs
@@ -225,6 +225,7 @@
         };
         shared.pool.prune(now, is_known);
         shared.admission.prune(now, is_known);
+        shared.admission.report_reserved_slots(now);
         shared.quotas.prune(now);
         shared.poison.prune(now);
         shared.copies.prune(now);
