--- a/crates/foxtide-gateway/src/gateway.rs
+++ b/crates/foxtide-gateway/src/gateway.rs
@@ -245,6 +245,7 @@
             members.map(|member| member.datagram_address).collect()
         };
         shared.guide.prune(&peers);
+        shared.admission.report_reserved_slots(now);
         shared.quotas.prune(now);
         shared.poison.prune(now);
         shared.copies.prune(now);
