Share an upstream's slots fairly among organisations

Cause: waiting requests were served newest first whoever sent them, and the wait that one organisation's backlog caused had the requests of all others rejected.

Change: the coordinator adds up the service time that each organisation used at an upstream in the last 5 s. Among requests of one priority and class, the one whose organisation used least goes first, then the newest. The forecast leaves out requests that this order places later. An organisation 0.5 s above the mean does not get the place beyond the slots; while it holds slots, second choices of others may take that place for objects that are new there. foxtide_fair_share_debt_seconds shows the largest difference.

A lone organisation gets exactly what it gets without shares.

--- a/crates/foxtide-core/src/admission/coordinator.rs
+++ b/crates/foxtide-core/src/admission/coordinator.rs
@@ -13,6 +13,7 @@
     WallTime, //
 };
 use std::collections::HashMap;
+use std::time::Duration;
 
 /// An answer with the ticket of the request that it belongs to.
 pub type AddressedAnswer = (Ticket, Answer);
@@ -106,6 +107,14 @@
         });
     }
 
+    /// Returns the largest difference of the service time used in the last 5 s between two
+    /// organisations that wait for slots of the same upstream.
+    pub fn fair_share_debt(&self, now: MonotonicTime) -> Duration {
+        let queues = self.queues.values();
+        let debts = queues.map(|incarnation| incarnation.queue.fair_share_debt(now));
+        debts.max().unwrap_or_default()
+    }
+
     /// Returns the queue of the request's upstream. A later start time replaces the queue,
     /// since a restarted upstream has no requests in progress and no cached objects.
     fn queue_of(&mut self, request: &SlotRequest) -> &mut SlotQueue {
--- a/crates/foxtide-core/src/admission/mod.rs
+++ b/crates/foxtide-core/src/admission/mod.rs
@@ -18,6 +18,7 @@
 //! without a grant if the coordinator does not answer.
 
 mod coordinator;
+mod fair_share;
 mod objects;
 mod queue;
 mod request;
--- a/crates/foxtide-core/src/admission/queue.rs
+++ b/crates/foxtide-core/src/admission/queue.rs
@@ -1,5 +1,10 @@
 //! The slots of one upstream and the requests that wait for them.
 
+use super::fair_share::{
+    Charge,
+    FairShare,
+    OrganisationKey, //
+};
 use super::objects::RecentObjects;
 use super::request::{
     Answer,
@@ -51,12 +56,14 @@
     /// Whether its duration is a service time. A request sent without a grant may also wait
     /// at the upstream.
     is_measured: bool,
+    charge: Charge,
 }
 
 /// A request that waits for a slot.
 #[derive(Clone, Debug)]
 struct Waiting {
     ticket: Ticket,
+    organisation: OrganisationKey,
     object: Option<ObjectKey>,
     priority: u32,
     queued_at: MonotonicTime,
@@ -87,6 +94,7 @@
     objects: RecentObjects,
     times: ServiceTimes,
     throttle: Throttle,
+    shares: FairShare,
 }
 
 impl SlotQueue {
@@ -134,13 +142,16 @@
             return;
         }
         self.drop_expired_grants(now);
-        if request.patience == Patience::NoWait && !self.has_immediate_room(request.object) {
+        let organisation = OrganisationKey::of(request.organisation.as_ref());
+        self.shares.record_ask(organisation, now);
+        if request.patience == Patience::NoWait && !self.has_immediate_room(request.object, now) {
             answers.push((ticket, Answer::Busy));
             return;
         }
         if !is_waiting {
             self.waiting.push(Waiting {
                 ticket,
+                organisation,
                 object: request.object,
                 priority: request.priority,
                 queued_at: now,
@@ -178,18 +189,22 @@
     ///
     /// A first access takes longer here than at the upstream that cached the object. It
     /// gets an idle slot only, so that objects do not spread to other upstreams that are
-    /// equally busy.
-    fn has_immediate_room(&self, object: Option<ObjectKey>) -> bool {
+    /// equally busy. Beside an organisation that floods no slot is idle; the place beyond the
+    /// slots, which that organisation does not get, stands for one.
+    fn has_immediate_room(&self, object: Option<ObjectKey>, now: MonotonicTime) -> bool {
+        let used = self.shares.used(now);
+        let mut running = self.running.values();
+        let is_flooded = running.any(|one| used.is_excessive(one.charge.organisation));
         let limit = match self.access(object) {
-            ObjectAccess::Repeated => self.slots + UPSTREAM_BACKLOG,
-            ObjectAccess::First => self.slots,
+            ObjectAccess::First if !is_flooded => self.slots,
+            ObjectAccess::First | ObjectAccess::Repeated => self.slots + UPSTREAM_BACKLOG,
         };
         self.running.len() < limit
     }
 
     /// Returns the answer to a request that has no slot yet.
     fn decide(&self, waiting: &Waiting, patience: Patience, now: MonotonicTime) -> Answer {
-        let served_at = now + self.expected_wait() + self.expected(waiting);
+        let served_at = now + self.expected_wait_of(waiting, now) + self.expected(waiting);
         let may_wait = match patience {
             Patience::NoWait => false,
             Patience::WithinObjective => served_at <= waiting.wait_until,
@@ -219,6 +234,7 @@
             began_at: now,
             expires_at: now + request.time_left,
             is_measured: false,
+            charge: self.charge(OrganisationKey::of(request.organisation.as_ref()), access),
         };
         self.begin(request.ticket, running);
     }
@@ -233,6 +249,8 @@
     ) {
         self.waiting.retain(|waiting| waiting.ticket != ticket);
         if let Some(running) = self.running.remove(&ticket) {
+            self.shares
+                .settle(running.charge, now - running.began_at, now);
             self.record_completion(running, ending, now);
         }
         self.dispatch(now, answers);
@@ -286,6 +304,7 @@
             began_at: now,
             expires_at,
             is_measured: true,
+            charge: self.charge(waiting.organisation, access),
         };
         self.begin(waiting.ticket, running);
     }
@@ -295,6 +314,7 @@
         if let Some(object) = running.object {
             self.objects.insert(object);
         }
+        self.shares.charge(running.charge, running.began_at);
         self.running.insert(ticket, running);
     }
 
@@ -313,14 +333,20 @@
         });
     }
 
-    /// Returns the index of the request to serve next: by priority, then class, then newest
-    /// first, since the newest has the latest deadline.
+    /// Returns the index of the request to serve next: by priority, then class, then fair share,
+    /// then newest first, since the newest has the latest deadline.
     fn next_waiting(&self, now: MonotonicTime) -> Option<usize> {
-        (0..self.waiting.len()).min_by_key(|&index| {
+        let used = self.shares.used(now);
+        let is_backlog_only = self.running.len() >= self.slots;
+        let may_run = |organisation| !(is_backlog_only && used.is_excessive(organisation));
+        let candidates =
+            (0..self.waiting.len()).filter(|&index| may_run(self.waiting[index].organisation));
+        candidates.min_by_key(|&index| {
             let waiting = &self.waiting[index];
             (
                 waiting.priority,
                 self.class_of(waiting, now),
+                used.of(waiting.organisation),
                 Reverse(waiting.queued_at),
             )
         })
@@ -336,6 +362,13 @@
         }
     }
 
+    fn charge(&self, organisation: OrganisationKey, access: ObjectAccess) -> Charge {
+        Charge {
+            organisation,
+            expected: self.times.expected(access).unwrap_or_default(),
+        }
+    }
+
     fn access(&self, object: Option<ObjectKey>) -> ObjectAccess {
         access_of(&self.objects, object)
     }
@@ -351,6 +384,26 @@
         work / self.slots.max(1) as u32
     }
 
+    /// Returns the time in which the slots serve all waiting requests but those that fair shares
+    /// place after this one. An organisation that floods would otherwise have the requests of
+    /// all others rejected for a wait that they do not have.
+    fn expected_wait_of(&self, waiting: &Waiting, now: MonotonicTime) -> Duration {
+        let used = self.shares.used(now);
+        let order = |one: &Waiting| (one.priority, self.class_of(one, now));
+        let is_after = |one: &Waiting| {
+            used.of(one.organisation) > used.of(waiting.organisation)
+                && order(one) >= order(waiting)
+        };
+        let before = self.waiting.iter().filter(|one| !is_after(one));
+        before.map(|one| self.expected(one)).sum::<Duration>() / self.slots.max(1) as u32
+    }
+
+    /// Returns the largest difference of used service time between two waiting organisations.
+    pub(super) fn fair_share_debt(&self, now: MonotonicTime) -> Duration {
+        let organisations = self.waiting.iter().map(|waiting| waiting.organisation);
+        self.shares.used(now).spread(organisations)
+    }
+
     /// Returns the time after which a slot is expected to be free.
     fn retry_after(&self) -> Duration {
         self.expected_wait().clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX)
--- a/crates/foxtide-gateway/src/admission/mod.rs
+++ b/crates/foxtide-gateway/src/admission/mod.rs
@@ -134,6 +134,12 @@
         self.unresponsive.lock().retain(|_, until| now < *until);
     }
 
+    /// Returns the largest difference of used service time between two organisations that wait
+    /// for slots of an upstream that this instance coordinates.
+    pub(crate) fn fair_share_debt(&self, now: MonotonicTime) -> Duration {
+        self.coordinator.lock().fair_share_debt(now)
+    }
+
     fn answer(&self, ticket: Ticket, answer: Answer) {
         if ticket.requester == self.address {
             self.deliver(ticket.number, answer);
--- a/crates/foxtide-gateway/src/gateway.rs
+++ b/crates/foxtide-gateway/src/gateway.rs
@@ -225,6 +225,8 @@
         };
         shared.pool.prune(now, is_known);
         shared.admission.prune(now, is_known);
+        let debt = shared.admission.fair_share_debt(now);
+        metrics::gauge!("foxtide_fair_share_debt_seconds").set(debt.as_secs_f64());
         shared.quotas.prune(now);
         shared.poison.prune(now);
         shared.copies.prune(now);
