Show losses by organisation, route and region of the caller's instance

Cause: foxtidectl losses did not tell which organisation, route or callers' region lost requests, nor how many requests for slots had no answer. Request lines named the region of the upstream only.

Change: request-answered and request-failed have origin, the region of the instance that wrote the line. losses shows late, rejected (429 or 503 of an instance) and failed requests by organisation, route and origin, and requests for slots that were unanswered or skipped by origin and in total, as text and JSON. Lines without a field count under "-"; a request that was passed on counts at the instance that its caller sent it to.

--- a/crates/foxtide-gateway/src/gateway.rs
+++ b/crates/foxtide-gateway/src/gateway.rs
@@ -125,7 +125,7 @@
             neighbours: Neighbours::default(),
             body_memory: BodyMemory::new(body_memory),
             lifecycle: Lifecycle::default(),
-            journal: Journal::new(clock),
+            journal: Journal::new(clock, options.place.region.clone()),
             store_calls: StoreCalls::default(),
             traffic,
             copies: Copies::new(options.link_mbps),
--- a/crates/foxtide-gateway/src/journal/requests.rs
+++ b/crates/foxtide-gateway/src/journal/requests.rs
@@ -32,15 +32,18 @@
 #[derive(Debug)]
 pub(crate) struct Journal {
     clock: SteadyClock,
+    /// The region of this instance.
+    origin: RegionId,
     rate_limiter: Mutex<LogRateLimiter>,
     routes: RouteLabels,
 }
 
 impl Journal {
-    /// Returns a journal without suppressed lines.
-    pub(crate) fn new(clock: SteadyClock) -> Self {
+    /// Returns a journal without suppressed lines of an instance in the region `origin`.
+    pub(crate) fn new(clock: SteadyClock, origin: RegionId) -> Self {
         Self {
             clock,
+            origin,
             rate_limiter: Mutex::new(LogRateLimiter::new(clock.now())),
             routes: RouteLabels::default(),
         }
@@ -113,6 +116,7 @@
                 object = trace.object.as_str(),
                 upstream = trace.upstream.as_str(),
                 region = trace.region.as_str(),
+                origin = self.origin.as_str(),
                 attempts = trace.attempts,
                 passed_to = trace.passed_to.as_str(),
                 is_taken_over = trace.is_taken_over,
@@ -142,6 +146,7 @@
                 fingerprint = trace.fingerprint.as_str(),
                 upstream = trace.upstream.as_str(),
                 region = trace.region.as_str(),
+                origin = self.origin.as_str(),
                 attempts = trace.attempts,
                 passed_to = trace.passed_to.as_str(),
                 is_taken_over = trace.is_taken_over,
--- a/crates/foxtidectl/src/commands/log_lines.rs
+++ b/crates/foxtidectl/src/commands/log_lines.rs
@@ -80,6 +80,12 @@
         self.fields.get(name).and_then(Value::as_str) == Some(text)
     }
 
+    /// Returns whether an answered request exceeded its latency objective.
+    pub(crate) fn is_late(&self) -> bool {
+        let latency_ms = self.number("latency_ms").unwrap_or_default();
+        latency_ms > self.number("objective_ms").unwrap_or(f64::MAX)
+    }
+
     /// Returns the line as JSON.
     pub(crate) fn json(&self) -> Value {
         let mut fields = self.fields.clone();
--- a/crates/foxtidectl/src/commands/losses/mod.rs
+++ b/crates/foxtidectl/src/commands/losses/mod.rs
@@ -1,9 +1,11 @@
 //! `foxtidectl losses`: summarises late, refused and failed requests from log lines.
 
+mod groups;
 mod object_history;
 mod organisations;
 mod plot;
 mod report;
+mod slot_causes;
 mod store_calls;
 mod tally;
 
--- a/crates/foxtidectl/src/commands/losses/report.rs
+++ b/crates/foxtidectl/src/commands/losses/report.rs
@@ -35,6 +35,8 @@
     }));
     text.push_str(&reasons(&routes));
     text.push_str(&tally.organisations.text());
+    text.push_str(&tally.groups.text());
+    text.push_str(&tally.slot_causes.text());
     text.push_str(&tally.store_calls.text(tally.window_s));
     text.push_str(&footer(tally, unreadable));
     Report::new(text, to_json(tally, unreadable))
@@ -138,6 +140,8 @@
         "begins_s": tally.start_s,
         "rows": tally.counts.iter().map(row).collect::<Value>(),
         "organisations": tally.organisations.to_json(),
+        "groups": tally.groups.to_json(),
+        "slots_without_answer": tally.slot_causes.to_json(),
         "store_calls": tally.store_calls.to_json(),
         "callers_left": tally.cancelled,
         "lines_left_out": {"answered": tally.lines_omitted.0, "others": tally.lines_omitted.1},
--- a/crates/foxtidectl/src/commands/losses/tally.rs
+++ b/crates/foxtidectl/src/commands/losses/tally.rs
@@ -1,10 +1,12 @@
 //! Counts the outcomes of requests and attempts by service, route and time window.
 
+use super::groups::Groups;
 use super::object_history::{
     ObjectHistory,
     Placement, //
 };
 use super::organisations::Organisations;
+use super::slot_causes::SlotCauses;
 use super::store_calls::StoreCalls;
 use crate::commands::log_lines::LogLine;
 use std::collections::BTreeMap;
@@ -75,6 +77,8 @@
     pub(super) lines_dropped: u64,
     pub(super) store_calls: StoreCalls,
     pub(super) organisations: Organisations,
+    pub(super) groups: Groups,
+    pub(super) slot_causes: SlotCauses,
     objects: ObjectHistory,
 }
 
@@ -109,6 +113,8 @@
     fn add_event(&mut self, line: &LogLine) {
         if matches!(line.event.as_str(), "request-answered" | "request-failed") {
             self.organisations.add(line);
+            self.groups.add(line);
+            self.slot_causes.add(line);
         }
         match line.event.as_str() {
             "request-answered" => self.answered(line),
@@ -137,12 +143,10 @@
             self.objects.record_service(&service, &object, &upstream)
         };
         let counts = self.counts_of(line);
-        let latency_ms = line.number("latency_ms").unwrap_or_default();
-        let objective_ms = line.number("objective_ms").unwrap_or(f64::MAX);
-        if latency_ms <= objective_ms {
-            counts.in_time += 1;
-        } else {
+        if line.is_late() {
             counts.late += 1;
+        } else {
+            counts.in_time += 1;
         }
         match placement {
             Placement::Known => {}
--- a/crates/foxtidectl/tests/losses.rs
+++ b/crates/foxtidectl/tests/losses.rs
@@ -130,6 +130,38 @@
     assert_eq!(json["organisations"]["by_name"]["calm"]["answered"], 1);
 }
 
+/// Two regions: requests that were late, rejected, failed, passed on and sent without an answer
+/// for their slots, and a line of an instance that does not write `origin`.
+const ORIGINS: &str = r#"
+{"event":"request-answered","instance":"edge-1","time_s":100.0,"number":5030,"request":"a","status":200,"route":"r","organisation":"calm","origin":"khomas","region":"erongo","service":"viewer","object":"","upstream":"i-1","slot":"unanswered","objective_ms":600,"latency_ms":900.0}
+{"event":"request-answered","instance":"edge-1","time_s":100.1,"number":5030,"request":"b","status":200,"route":"r","organisation":"calm","origin":"khomas","region":"khomas","service":"viewer","object":"","upstream":"i-1","slot":"granted","objective_ms":600,"latency_ms":300.0}
+{"event":"request-failed","instance":"edge-1","time_s":100.2,"number":5031,"request":"c","status":503,"source":"instance","reason":"no_slot_in_time","route":"r","organisation":"hot","origin":"khomas","service":"viewer","slot":"skipped"}
+{"event":"request-failed","instance":"edge-1","time_s":100.3,"number":5031,"request":"d","status":429,"source":"instance","reason":"quota_reached","route":"s","organisation":"hot","origin":"khomas","service":"","slot":"not_asked"}
+{"event":"request-failed","instance":"edge-2","time_s":100.4,"number":5031,"request":"e","status":503,"source":"upstream","reason":"upstream_error","route":"r","organisation":"hot","origin":"erongo","service":"viewer","slot":"skipped"}
+{"event":"request-failed","instance":"edge-2","time_s":100.5,"number":5031,"request":"c","status":503,"source":"instance","reason":"no_slot_in_time","is_taken_over":true,"route":"r","organisation":"hot","origin":"erongo","service":"viewer","slot":"unanswered"}
+{"event":"request-answered","instance":"edge-3","time_s":100.6,"number":5030,"request":"f","status":200,"route":"r","service":"viewer","object":"","upstream":"i-1","slot":"granted","objective_ms":600,"latency_ms":900.0}
+"#;
+
+/// Losses of one region or organisation would disappear in those of all, or count twice.
+#[test]
+fn verify_losses_are_summed_up_by_organisation_route_and_origin() {
+    let (_, text) = losses("losses-origins.log", ORIGINS, &[]);
+    insta::assert_snapshot!(text);
+    let (_, text) = losses("losses-origins-json.log", ORIGINS, &["--json"]);
+    let json: Value = serde_json::from_str(&text).unwrap();
+    let groups = &json["groups"];
+    let outcomes = |requests, late, rejected, failed| serde_json::json!({"requests": requests, "late": late, "rejected": rejected, "failed": failed});
+    assert_eq!(groups["by_origin"]["khomas"], outcomes(4, 1, 2, 0));
+    assert_eq!(groups["by_origin"]["erongo"], outcomes(1, 0, 0, 1));
+    assert_eq!(groups["by_origin"]["-"], outcomes(1, 1, 0, 0));
+    assert_eq!(groups["by_organisation"]["hot"], outcomes(3, 0, 2, 1));
+    assert_eq!(groups["by_route"]["s"], outcomes(1, 0, 1, 0));
+    let slots = &json["slots_without_answer"];
+    assert_eq!(slots["by_origin"]["erongo"]["skipped"], 1);
+    let all = serde_json::json!({"requests": 6, "unanswered": 2, "skipped": 2});
+    assert_eq!(slots["all"], all);
+}
+
 #[test]
 fn verify_the_chart_shows_outcomes_and_regions_over_time() {
     let lines = r#"
