--- a/crates/foxtide-core/src/admission/queue.rs
+++ b/crates/foxtide-core/src/admission/queue.rs
@@ -6,6 +6,12 @@
 mod schedule;
 mod waiting;
 
+use super::fair_share::{
+    Charge,
+    FairShare,
+    OrganisationKey,
+    UsedTimes, //
+};
 use super::objects::RecentObjects;
 use super::request::{
     Answer,
@@ -61,6 +67,7 @@
     slowness: RecentSlowness,
     throttle: Throttle,
     reserve: Reserve,
+    shares: FairShare,
 }
 
 impl SlotQueue {
@@ -109,6 +116,8 @@
             return;
         }
         self.drop_expired_grants(now);
+        self.shares
+            .record_ask(OrganisationKey::of(request), request.organisation_rate, now);
         let has_room = match request.patience {
             Patience::NoWait => self.has_immediate_room(request, now),
             Patience::NoWaitInTime => {
@@ -219,6 +228,7 @@
             begun_at: None,
             expires_at: now + request.time_left,
             is_measured: false,
+            charge: self.charge(OrganisationKey::of(request), request.kind, access),
         };
         self.begin(running, now);
     }
@@ -236,6 +246,8 @@
         // An unknown ticket may be of an earlier incarnation, whose figure says nothing here.
         if let Some(running) = self.running.remove(ticket, self.slots, now) {
             self.slowness.record(end.slowness, now);
+            self.shares
+                .settle(running.charge, running.served_for(now), now);
             self.record_completion(running, end.ending, now);
         }
         self.dispatch(now, answers);
@@ -303,6 +315,7 @@
             begun_at: None,
             expires_at,
             is_measured: true,
+            charge: self.charge(waiting.organisation, waiting.kind, access),
         };
         self.begin(running, now);
     }
@@ -312,22 +325,52 @@
         if let Some(object) = running.object {
             self.objects.insert(object);
         }
+        self.shares.charge(running.charge, now);
         self.running.insert(running, self.slots, now);
     }
 
-    /// Returns the index of the request to serve next, among those that there is room for.
+    fn charge(
+        &self,
+        organisation: OrganisationKey,
+        kind: RequestKind,
+        access: ObjectAccess,
+    ) -> Charge {
+        Charge {
+            organisation,
+            expected: self.expected_service(kind, access).unwrap_or_default(),
+        }
+    }
+
+    /// Returns the index of the request to serve next, among those that there is room for. An
+    /// organisation that used clearly more than its fair share does not get the place beyond the
+    /// slots.
     fn next_waiting(&self, now: MonotonicTime) -> Option<usize> {
-        let admissible = (0..self.waiting.len())
-            .filter(|&index| self.has_room(self.work_of(&self.waiting[index]), now));
-        admissible.min_by_key(|&index| self.service_order(&self.waiting[index], now))
+        if self.waiting.is_empty() {
+            return None;
+        }
+        let used = self.shares.used(now);
+        let has_free_slot = self.running.len() < self.slots;
+        let is_admissible = |waiting: &Waiting| {
+            (has_free_slot || !used.is_excessive(waiting.organisation))
+                && self.has_room(self.work_of(waiting), now)
+        };
+        let admissible =
+            (0..self.waiting.len()).filter(|&index| is_admissible(&self.waiting[index]));
+        admissible.min_by_key(|&index| self.service_order(&self.waiting[index], &used, now))
     }
 
     /// Returns the place of a waiting request in the order of service: by priority, then class,
-    /// then newest first.
-    fn service_order(&self, waiting: &Waiting, now: MonotonicTime) -> ServiceOrder {
+    /// then fair share, then newest first.
+    fn service_order(
+        &self,
+        waiting: &Waiting,
+        used: &UsedTimes<'_>,
+        now: MonotonicTime,
+    ) -> ServiceOrder {
         ServiceOrder {
             priority: waiting.priority,
             class: self.class_of(waiting, now),
+            used: used.of(waiting.organisation),
             age: Reverse(waiting.queued_at),
         }
     }
@@ -356,6 +399,12 @@
         self.expected_service(waiting.kind, access).is_some()
     }
 
+    /// Returns the largest difference of used service time between two waiting organisations.
+    pub(super) fn fair_share_debt(&self, now: MonotonicTime) -> Duration {
+        let organisations = self.waiting.iter().map(|waiting| waiting.organisation);
+        self.shares.used(now).spread(organisations)
+    }
+
     /// Returns the expected service time of a request at the upstream's present speed, if any is
     /// known.
     fn expected_service(&self, kind: RequestKind, access: ObjectAccess) -> Option<Duration> {
--- a/crates/foxtide-core/src/admission/queue/forecast.rs
+++ b/crates/foxtide-core/src/admission/queue/forecast.rs
@@ -31,7 +31,8 @@
             return;
         }
         let mut schedule = self.schedule(now);
-        let order = |waiting| self.service_order(waiting, now);
+        let used = self.shares.used(now);
+        let order = |waiting| self.service_order(waiting, &used, now);
         let mut in_order: Vec<&Waiting> = self.waiting.iter().collect();
         in_order.sort_by_key(|waiting| order(waiting));
         let mut dismissed = Vec::new();
@@ -61,9 +62,10 @@
     /// Requests of its priority and class count as served before it, also older ones: newer
     /// requests will be served before it in their place.
     pub(super) fn served_at(&self, waiting: &Waiting, now: MonotonicTime) -> MonotonicTime {
-        let order = self.service_order(waiting, now);
+        let used = self.shares.used(now);
+        let order = self.service_order(waiting, &used, now);
         let schedule = self.schedule_of(now, |other| {
-            other.ticket != waiting.ticket && self.service_order(other, now).precedes(&order)
+            other.ticket != waiting.ticket && self.service_order(other, &used, now).precedes(&order)
         });
         let usable = self.usable_slots(self.work_of(waiting), now);
         schedule.next_free(usable) + self.service_after(&schedule, waiting)
--- a/crates/foxtide-core/src/admission/queue/room.rs
+++ b/crates/foxtide-core/src/admission/queue/room.rs
@@ -45,11 +45,15 @@
     ///
     /// A first access takes longer here than at the upstream that cached the object. It
     /// gets an idle slot only, so that objects do not spread to other upstreams that are
-    /// equally busy.
+    /// equally busy. Beside an organisation that floods no slot is idle; the place beyond the
+    /// slots, which that organisation does not get, stands for one.
     pub(super) fn has_immediate_room(&self, request: &SlotRequest, now: MonotonicTime) -> bool {
+        let used = self.shares.used(now);
+        let mut running = self.running.iter();
+        let is_flooded = running.any(|one| used.is_excessive(one.charge.organisation));
         let limit = match self.access(request.object) {
-            ObjectAccess::Repeated => self.slots + UPSTREAM_BACKLOG,
-            ObjectAccess::First => self.slots,
+            ObjectAccess::First if !is_flooded => self.slots,
+            ObjectAccess::First | ObjectAccess::Repeated => self.slots + UPSTREAM_BACKLOG,
         };
         self.running.len() < limit && self.has_room(self.work_of_request(request), now)
     }
--- a/crates/foxtide-core/src/admission/queue/running.rs
+++ b/crates/foxtide-core/src/admission/queue/running.rs
@@ -1,5 +1,6 @@
 //! Requests that hold a slot.
 
+use crate::admission::fair_share::Charge;
 use crate::admission::request::Ticket;
 use crate::admission::service_times::ObjectAccess;
 use crate::placement::ObjectKey;
@@ -23,6 +24,8 @@
     /// Whether its duration is a service time. A request sent without a grant may also wait
     /// at the upstream.
     pub(super) is_measured: bool,
+    /// What its organisation was charged for it.
+    pub(super) charge: Charge,
 }
 
 impl Running {
--- a/crates/foxtide-core/src/admission/queue/waiting.rs
+++ b/crates/foxtide-core/src/admission/queue/waiting.rs
@@ -1,5 +1,6 @@
 //! Requests that wait for a slot, and the order in which they are served.
 
+use crate::admission::fair_share::OrganisationKey;
 use crate::admission::request::{
     Patience,
     SlotRequest,
@@ -9,6 +10,7 @@
 use crate::routing::RequestKind;
 use crate::time::MonotonicTime;
 use std::cmp::Reverse;
+use std::time::Duration;
 
 /// The share of the latency objective within which a request must be expected to finish to wait at
 /// its preferred upstream; otherwise it tries another one. The rest covers network latency, varying
@@ -22,6 +24,7 @@
 pub(super) struct Waiting {
     pub(super) ticket: Ticket,
     pub(super) kind: RequestKind,
+    pub(super) organisation: OrganisationKey,
     pub(super) object: Option<ObjectKey>,
     pub(super) priority: u32,
     pub(super) queued_at: MonotonicTime,
@@ -39,6 +42,7 @@
         Self {
             ticket: request.ticket,
             kind: request.kind,
+            organisation: OrganisationKey::of(request),
             object: request.object,
             priority: request.priority,
             queued_at: now,
@@ -66,6 +70,8 @@
 pub(super) struct ServiceOrder {
     pub(super) priority: u32,
     pub(super) class: ServiceClass,
+    /// The service time that the organisation used, in relation to its weight.
+    pub(super) used: Duration,
     /// The newest is served first, since it has the latest deadline.
     pub(super) age: Reverse<MonotonicTime>,
 }
@@ -74,6 +80,6 @@
     /// Returns whether a request of this order is served before another one, or could be if it
     /// was as new.
     pub(super) fn precedes(&self, other: &Self) -> bool {
-        (self.priority, self.class) <= (other.priority, other.class)
+        (self.priority, self.class, self.used) <= (other.priority, other.class, other.used)
     }
 }
--- a/crates/foxtide-core/src/admission/request.rs
+++ b/crates/foxtide-core/src/admission/request.rs
@@ -11,6 +11,7 @@
 use crate::routing::RequestKind;
 use crate::throttle::LimitReport;
 use crate::time::WallTime;
+use crate::units::RequestRate;
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -44,6 +45,9 @@
     pub kind: RequestKind,
     /// The organisation of its caller, if it is known.
     pub organisation: Option<OrganisationId>,
+    /// The rate that was sold to that organisation, its weight among others; `None` if it is
+    /// unlimited.
+    pub organisation_rate: Option<RequestRate>,
     /// The object that the request accesses, if any.
     pub object: Option<ObjectKey>,
     /// The priority of the request; 0 is the highest.
--- a/crates/foxtide-core/tests/admission.rs
+++ b/crates/foxtide-core/tests/admission.rs
@@ -48,6 +48,7 @@
         born_at: None,
         kind: RequestKind::default(),
         organisation: None,
+        organisation_rate: None,
         object: Some(ObjectKey::from_hash(number)),
         priority: 1,
         objective_left: Duration::from_millis(600),
--- a/crates/foxtide-core/tests/admission_forecast.rs
+++ b/crates/foxtide-core/tests/admission_forecast.rs
@@ -42,6 +42,7 @@
         born_at: None,
         kind: RequestKind::of_route("stock"),
         organisation: None,
+        organisation_rate: None,
         object: Some(ObjectKey::from_hash(1)),
         priority: 2,
         objective_left: Duration::from_millis(2_000),
--- a/crates/foxtide-core/tests/admission_kinds.rs
+++ b/crates/foxtide-core/tests/admission_kinds.rs
@@ -33,6 +33,7 @@
         born_at: None,
         kind: RequestKind::of_route(route),
         organisation: None,
+        organisation_rate: None,
         object: None,
         priority: 1,
         objective_left: Duration::from_millis(time_left_ms),
--- a/crates/foxtide-core/tests/admission_reserve.rs
+++ b/crates/foxtide-core/tests/admission_reserve.rs
@@ -41,6 +41,7 @@
         born_at: None,
         kind: RequestKind::of_route("stock"),
         organisation: None,
+        organisation_rate: None,
         object: None,
         priority: 2,
         objective_left: Duration::from_millis(2_000),
--- a/crates/foxtide-core/tests/admission_second_choice.rs
+++ b/crates/foxtide-core/tests/admission_second_choice.rs
@@ -38,6 +38,7 @@
         born_at: None,
         kind: RequestKind::of_route("catalogue"),
         organisation: None,
+        organisation_rate: None,
         object: Some(ObjectKey::from_hash(object)),
         priority: 1,
         objective_left: OBJECTIVE,
--- a/crates/foxtide-core/tests/slowness.rs
+++ b/crates/foxtide-core/tests/slowness.rs
@@ -47,6 +47,7 @@
         born_at,
         kind: RequestKind::default(),
         organisation: None,
+        organisation_rate: None,
         object: Some(ObjectKey::from_hash(1)),
         priority: 1,
         objective_left: Duration::from_secs(10),
--- a/crates/foxtide-core/tests/throttle_model/fleet.rs
+++ b/crates/foxtide-core/tests/throttle_model/fleet.rs
@@ -304,6 +304,7 @@
             born_at: None,
             kind: RequestKind::default(),
             organisation: None,
+            organisation_rate: None,
             object: None,
             priority: 1,
             objective_left: Duration::from_millis(500),
--- a/crates/foxtide-gateway/src/admission/client.rs
+++ b/crates/foxtide-gateway/src/admission/client.rs
@@ -14,14 +14,17 @@
     SlotRequest,
     Ticket, //
 };
-use foxtide_core::ids::OrganisationId;
 use foxtide_core::placement::{
     ObjectKey,
     Slowness, //
 };
 use foxtide_core::registry::Registration;
-use foxtide_core::routing::RequestKind;
+use foxtide_core::routing::{
+    OrganisationTerms,
+    RequestKind, //
+};
 use foxtide_core::throttle::LimitReport;
+use foxtide_core::units::RequestRate;
 use futures_lite::future::or;
 use parking_lot::Mutex;
 use smol::Timer;
@@ -53,7 +56,7 @@
     /// The kind of the request.
     pub(crate) kind: RequestKind,
     /// The organisation of its caller, if it is known.
-    pub(crate) organisation: Option<&'a OrganisationId>,
+    pub(crate) organisation: Option<&'a OrganisationTerms>,
     /// The object that it concerns, if any.
     pub(crate) object: Option<ObjectKey>,
     /// Its priority; 0 is the highest.
@@ -278,7 +281,8 @@
             upstream: terms.registration.upstream.clone(),
             born_at: terms.registration.born_at,
             kind: terms.kind,
-            organisation: terms.organisation.cloned(),
+            organisation: terms.organisation.map(|terms| terms.organisation.clone()),
+            organisation_rate: organisation_rate(terms.organisation),
             object: terms.object,
             priority: terms.priority,
             objective_left: terms.objective_at.saturating_duration_since(now),
@@ -316,6 +320,11 @@
     }
 }
 
+/// Returns the rate that was sold to an organisation, if it is limited.
+fn organisation_rate(organisation: Option<&OrganisationTerms>) -> Option<RequestRate> {
+    Some(organisation?.quota?.rate)
+}
+
 async fn receive_within(time: Duration, answers: &Receiver<Answer>) -> Option<Answer> {
     let late = async {
         Timer::after(time).await;
--- a/crates/foxtide-gateway/src/admission/mod.rs
+++ b/crates/foxtide-gateway/src/admission/mod.rs
@@ -140,6 +140,12 @@
         metrics::gauge!("foxtide_reserved_slots").set(reserved as f64);
     }
 
+    /// Returns the largest difference of used service time between two organisations that wait
+    /// for slots of an upstream that this instance coordinates.
+    pub(crate) fn fair_share_debt(&self, now: MonotonicTime) -> Duration {
+        self.coordinator.lock().fair_share_debt(now)
+    }
+
     fn answer(&self, ticket: Ticket, answer: Answer) {
         if ticket.requester == self.address {
             self.deliver(ticket.number, answer);
--- a/crates/foxtide-gateway/src/datagram/slots.rs
+++ b/crates/foxtide-gateway/src/datagram/slots.rs
@@ -53,6 +53,9 @@
     /// The organisation of the caller; empty if it is not known.
     #[prost(string, tag = "11")]
     organisation: String,
+    /// The rate that was sold to the organisation, in requests a second.
+    #[prost(double, optional, tag = "13")]
+    organisation_rate_rps: Option<f64>,
     /// Whether a request that does not wait takes a slot only within its latency objective. An
     /// instance that does not know the field grants any idle slot.
     #[prost(bool, tag = "12")]
@@ -192,6 +195,7 @@
             born_ms: request.born_at.map(WallTime::as_ms),
             limit: request.limit.map(LimitMessage::from),
             kind: request.kind.hash(),
+            organisation_rate_rps: request.organisation_rate.map(RequestRate::get),
             organisation: request
                 .organisation
                 .as_ref()
@@ -219,6 +223,7 @@
             upstream: self.upstream.parse()?,
             kind: RequestKind::from_hash(self.kind),
             organisation,
+            organisation_rate: self.organisation_rate_rps.map(RequestRate::clamped),
             object: self.object.map(ObjectKey::from_hash),
             priority: self.priority,
             objective_left: Duration::from_millis(self.objective_left_ms.into()),
--- a/crates/foxtide-gateway/src/forward/admit.rs
+++ b/crates/foxtide-gateway/src/forward/admit.rs
@@ -245,7 +245,7 @@
         SlotTerms {
             registration,
             kind: self.route.kind(),
-            organisation: organisation.map(|terms| &terms.organisation),
+            organisation,
             object: self.object,
             priority: self.route_match.priority(),
             objective_at: self.objective_at,
--- a/crates/foxtide-gateway/src/gateway.rs
+++ b/crates/foxtide-gateway/src/gateway.rs
@@ -137,7 +137,7 @@
             neighbours: Neighbours::default(),
             body_memory: BodyMemory::new(body_memory),
             lifecycle: Lifecycle::default(),
-            journal: Journal::new(clock),
+            journal: Journal::new(clock, options.place.region.clone()),
             store_calls: StoreCalls::default(),
             traffic,
             copies: Copies::new(options.link_mbps),
@@ -246,6 +246,8 @@
         };
         shared.guide.prune(&peers);
         shared.admission.report_reserved_slots(now);
+        let debt = shared.admission.fair_share_debt(now);
+        metrics::gauge!("foxtide_fair_share_debt_seconds").set(debt.as_secs_f64());
         shared.quotas.prune(now);
         shared.poison.prune(now);
         shared.copies.prune(now);
--- a/crates/foxtide-testing/src/load_model/slot_requests.rs
+++ b/crates/foxtide-testing/src/load_model/slot_requests.rs
@@ -172,6 +172,7 @@
             born_at: None,
             kind: RequestKind::default(),
             organisation: None,
+            organisation_rate: None,
             object: Some(ObjectKey::new(&request.object.to_le_bytes())),
             priority: 1,
             objective_left: objective_at.since(self.now),
