Learn how many objects an upstream keeps

Cause: 32 objects counted as cached at every upstream, while upstreams keep 9 to 40. Beyond what it keeps, requests were expected to be fast and were slow, and their times counted as those of repeated accesses.

Change: a repeated access that takes nearer to the time of a first access than to that of a repeated one lowers the number by a quarter; one to an object deeper than the number that is fast raises it by one; it stays between 4 and 64, for each upstream. The two times are those of accesses that are certain: objects that are not remembered at all, and the four newest ones. Accesses that take more than 1.5 times as long as a first one teach nothing. Service times are recorded for the access that was observed.

--- a/crates/foxtide-core/src/admission/queue.rs
+++ b/crates/foxtide-core/src/admission/queue.rs
@@ -56,6 +56,8 @@
     waiting: Vec<Waiting>,
     objects: RecentObjects,
     times: ServiceTimes,
+    /// The times of accesses that are certain to be first or repeated ones.
+    certain_times: ServiceTimes,
     throttle: Throttle,
     reserve: Reserve,
 }
@@ -211,6 +213,7 @@
             priority: request.priority,
             object: request.object,
             access,
+            depth: request.object.and_then(|object| self.objects.depth(object)),
             granted_at: now,
             begun_at: None,
             expires_at: now + request.time_left,
@@ -238,7 +241,8 @@
         match ending {
             Ending::Served if running.is_measured => {
                 let service = running.served_for(now);
-                self.times.record(running.kind, running.access, service);
+                let access = self.observe_access(&running, service);
+                self.times.record(running.kind, access, service);
             }
             Ending::NotServed if running.access == ObjectAccess::First => {
                 if let Some(object) = running.object {
@@ -249,6 +253,26 @@
         }
     }
 
+    /// Learns from a service time how many objects the upstream keeps; returns whether it had the
+    /// request's object, as far as the time tells.
+    ///
+    /// The times that first and repeated accesses are told apart by are those of accesses that are
+    /// certain to be the one or the other.
+    fn observe_access(&mut self, running: &Running, service: Duration) -> ObjectAccess {
+        let kind = running.kind;
+        if let Some(access) = RecentObjects::certain_access(running.depth) {
+            self.certain_times.record(kind, access, service);
+            return access;
+        }
+        let mean = |access| self.certain_times.measured(kind, access);
+        let means = (mean(ObjectAccess::First), mean(ObjectAccess::Repeated));
+        let (Some(depth), (Some(first), Some(repeated))) = (running.depth, means) else {
+            return running.access;
+        };
+        let observed = self.objects.learn(depth, service, first, repeated);
+        observed.unwrap_or(running.access)
+    }
+
     fn drop_expired_grants(&mut self, now: MonotonicTime) {
         self.running.drop_expired(self.slots, now);
     }
@@ -287,6 +311,7 @@
             priority: waiting.priority,
             object: waiting.object,
             access,
+            depth: waiting.object.and_then(|object| self.objects.depth(object)),
             granted_at: now,
             begun_at: None,
             expires_at,
--- a/crates/foxtide-core/src/admission/queue/running.rs
+++ b/crates/foxtide-core/src/admission/queue/running.rs
@@ -1,5 +1,6 @@
 //! Requests that hold a slot.
 
+use crate::admission::objects::Depth;
 use crate::admission::request::Ticket;
 use crate::admission::service_times::ObjectAccess;
 use crate::placement::ObjectKey;
@@ -15,6 +16,8 @@
     pub(super) priority: u32,
     pub(super) object: Option<ObjectKey>,
     pub(super) access: ObjectAccess,
+    /// The depth at which its object was remembered.
+    pub(super) depth: Option<Depth>,
     pub(super) granted_at: MonotonicTime,
     /// When the upstream began to serve it; `None` while it waits there for a slot.
     pub(super) begun_at: Option<MonotonicTime>,
