Give retry delays by priority, and spread them

Change: the delay is the time until the running requests and those that wait with the priority of the rejected one, or a higher one, have begun, within the slots that it may use; between 100 ms and 1 s as before, lengthened by up to a quarter by a hash of the ticket.

Result: in tests/admission_forecast.rs, 50 urgent requests rejected behind running work of 400 ms come back after 400 to 500 ms, and a less urgent one behind a full queue after 1 to 1.25 s.

--- a/crates/foxtide-core/src/admission/queue.rs
+++ b/crates/foxtide-core/src/admission/queue.rs
@@ -1,6 +1,7 @@
 //! The slots of one upstream and the requests that wait for them.
 
 mod forecast;
+mod retry_after;
 mod room;
 mod running;
 mod schedule;
--- a/crates/foxtide-core/src/admission/queue/forecast.rs
+++ b/crates/foxtide-core/src/admission/queue/forecast.rs
@@ -14,10 +14,6 @@
 use crate::time::MonotonicTime;
 use std::time::Duration;
 
-/// Bounds of the retry delay in rejections.
-const RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
-const RETRY_AFTER_MAX: Duration = Duration::from_millis(1_000);
-
 impl SlotQueue {
     /// Rejects the waiting requests that are not expected to be served before their deadline
     /// because of those that are served first. One that waits for its objective only may try
@@ -92,7 +88,11 @@
 
     /// Returns the schedule of the running requests and of those waiting ones that are served
     /// before a request.
-    fn schedule_of(&self, now: MonotonicTime, is_before: impl Fn(&Waiting) -> bool) -> Schedule {
+    pub(super) fn schedule_of(
+        &self,
+        now: MonotonicTime,
+        is_before: impl Fn(&Waiting) -> bool,
+    ) -> Schedule {
         let mut schedule = self.schedule(now);
         for waiting in self.waiting.iter().filter(|waiting| is_before(waiting)) {
             let service = self.service_after(&schedule, waiting);
@@ -115,14 +115,4 @@
         }
         schedule
     }
-
-    /// Returns the time after which a slot is expected to be free for requests like a rejected one.
-    fn retry_after(&self, rejected: &Waiting, now: MonotonicTime) -> Duration {
-        let schedule = self.schedule_of(now, |waiting| {
-            waiting.ticket != rejected.ticket && waiting.priority <= rejected.priority
-        });
-        let usable = self.usable_slots(self.work_of(rejected), now);
-        let free_in = schedule.next_free(usable).since(now);
-        free_in.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX)
-    }
 }
--- a/crates/foxtide-core/tests/admission_forecast.rs
+++ b/crates/foxtide-core/tests/admission_forecast.rs
@@ -168,3 +168,37 @@
     let answers = coordinator.end(ticket(100), Ending::Served, at(now_ms));
     assert_eq!(answers[0], (ticket(1), Answer::Granted));
 }
+
+/// Asks for a request that cannot be served in time; returns the delay until a retry.
+fn retry_after(coordinator: &mut Coordinator, request: SlotRequest) -> Duration {
+    let too_short = SlotRequest {
+        time_left: Duration::from_millis(SERVICE_MS),
+        ..request
+    };
+    match coordinator.ask(&too_short, SLOTS, at(5_000))[..] {
+        [(_, Answer::Rejected { retry_after })] => retry_after,
+        ref other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against urgent requests that are told to stay away for as long as less urgent ones, and
+/// against requests that are rejected together and come back together.
+#[test]
+fn verify_retry_delays_follow_the_priority_and_are_spread() {
+    let mut coordinator = loaded_coordinator();
+    fill_queue(&mut coordinator);
+    let ms = |delay: Duration| delay.as_millis() as u64;
+    let urgent_ms: Vec<u64> = (1_000..1_050)
+        .map(|number| ms(retry_after(&mut coordinator, urgent(number))))
+        .collect();
+    // Running requests end after 400 ms. The queue of the less urgent ones is longer than the
+    // maximum of a second.
+    let (least, most) = (urgent_ms.iter().min(), urgent_ms.iter().max());
+    assert!((SERVICE_MS..SERVICE_MS + 20).contains(least.unwrap()));
+    assert!((SERVICE_MS + 80..=SERVICE_MS + 100).contains(most.unwrap()));
+    let patient_ms = ms(retry_after(&mut coordinator, patient(1_050)));
+    assert!((1_000..=1_250).contains(&patient_ms), "{patient_ms}");
+    // It depends on the ticket only.
+    let again_ms = ms(retry_after(&mut coordinator, urgent(1_000)));
+    assert_eq!(again_ms, urgent_ms[0]);
+}
