--- a/crates/foxtide-core/src/admission/queue/forecast.rs
+++ b/crates/foxtide-core/src/admission/queue/forecast.rs
@@ -27,9 +27,8 @@
             return;
         }
         let mut schedule = self.schedule(now);
-        let order = |waiting| self.service_order(waiting, now);
         let mut in_order: Vec<&Waiting> = self.waiting.iter().collect();
-        in_order.sort_by_key(|waiting| order(waiting));
+        in_order.sort_by_cached_key(|waiting| self.service_order(waiting, now));
         let mut dismissed = Vec::new();
         for waiting in in_order {
             let service = self.service_after(&schedule, waiting);
--- a/crates/foxtide-core/tests/admission_forecast.rs
+++ b/crates/foxtide-core/tests/admission_load/forecast.rs
@@ -1,61 +1,45 @@
 //! Urgent requests that arrive at an upstream whose slots and queue are taken by less urgent
 //! ones.
 
+use crate::support::{
+    ADMITTED_MAX,
+    SLOTS,
+    at,
+    is_granted,
+    is_rejected,
+    ms,
+    object,
+    request,
+    serve,
+    ticket, //
+};
 use foxtide_core::admission::{
     Answer,
     Coordinator,
     Ending,
     Patience,
-    SlotRequest,
-    Ticket, //
+    SlotRequest, //
 };
-use foxtide_core::placement::ObjectKey;
-use foxtide_core::routing::RequestKind;
 use foxtide_core::throttle::LimitReport;
-use foxtide_core::time::MonotonicTime;
 use foxtide_core::units::RequestRate;
 use std::time::Duration;
 
-const SLOTS: u32 = 3;
-
-/// The slots and one request that waits at the upstream.
-const ADMITTED_MAX: u64 = 4;
-
 const SERVICE_MS: u64 = 400;
 
-fn at(ms: u64) -> MonotonicTime {
-    MonotonicTime::from_ms(ms)
-}
-
-fn ticket(number: u64) -> Ticket {
-    Ticket {
-        requester: "127.0.0.1:7620".parse().unwrap(),
-        number,
-    }
-}
-
 /// A less urgent request with ample time.
 fn patient(number: u64) -> SlotRequest {
     SlotRequest {
-        ticket: ticket(number),
-        upstream: "i-1".parse().unwrap(),
-        born_at: None,
-        kind: RequestKind::of_route("stock"),
-        organisation: None,
-        object: Some(ObjectKey::from_hash(1)),
-        priority: 2,
-        objective_left: Duration::from_millis(2_000),
-        time_left: Duration::from_millis(3_000),
-        patience: Patience::UntilDeadline,
-        limit: None,
+        object: object(1),
+        time_left: ms(3_000),
+        ..request(number, "stock")
     }
 }
 
 fn urgent(number: u64) -> SlotRequest {
     SlotRequest {
         priority: 0,
-        objective_left: Duration::from_millis(700),
-        time_left: Duration::from_millis(3 * SERVICE_MS),
+        objective_left: ms(700),
+        time_left: ms(3 * SERVICE_MS),
         ..patient(number)
     }
 }
@@ -64,13 +48,12 @@
 /// requests as it admits, numbered from 100.
 fn loaded_coordinator() -> Coordinator {
     let mut coordinator = Coordinator::default();
-    for (number, ms) in [(98, 0), (99, 1_000)] {
-        coordinator.ask(&patient(number), SLOTS, at(ms));
-        coordinator.end(ticket(number), Ending::Served, at(ms + SERVICE_MS));
+    for (number, from_ms) in [(98, 0), (99, 1_000)] {
+        serve(&mut coordinator, &patient(number), from_ms, SERVICE_MS);
     }
     for number in 100..100 + ADMITTED_MAX {
         let answers = coordinator.ask(&patient(number), SLOTS, at(5_000));
-        assert_eq!(answers, [(ticket(number), Answer::Granted)]);
+        assert!(is_granted(&answers, number));
     }
     coordinator
 }
@@ -95,8 +78,8 @@
     assert!(fill_queue(&mut coordinator) > 9);
     let within_objective = SlotRequest {
         patience: Patience::WithinObjective,
-        objective_left: Duration::from_millis(4 * SERVICE_MS),
-        time_left: Duration::from_millis(4 * SERVICE_MS),
+        objective_left: ms(4 * SERVICE_MS),
+        time_left: ms(4 * SERVICE_MS),
         ..urgent(1)
     };
     let answers = coordinator.ask(&within_objective, SLOTS, at(5_000));
@@ -118,9 +101,7 @@
     for number in 1..=u64::from(SLOTS) {
         let answers = coordinator.ask(&urgent(number), SLOTS, at(5_000));
         assert!(answers.contains(&(ticket(number), Answer::Waiting)));
-        let rejected = answers
-            .iter()
-            .filter(|(_, answer)| matches!(answer, Answer::Rejected { .. }));
+        let rejected = answers.iter().filter(|one| is_rejected(one));
         dismissed.extend(rejected.map(|(ticket, _)| ticket.number));
     }
     // The urgent requests keep each slot busy once, so that the last request of each is rejected.
@@ -134,7 +115,7 @@
 fn verify_an_urgent_request_that_cannot_be_in_time_is_rejected_at_once() {
     let mut coordinator = loaded_coordinator();
     let too_short = SlotRequest {
-        time_left: Duration::from_millis(2 * SERVICE_MS - 1),
+        time_left: ms(2 * SERVICE_MS - 1),
         ..urgent(1)
     };
     let answers = coordinator.ask(&too_short, SLOTS, at(5_000));
@@ -172,7 +153,7 @@
 /// Asks for a request that cannot be served in time; returns the delay until a retry.
 fn retry_after(coordinator: &mut Coordinator, request: SlotRequest) -> Duration {
     let too_short = SlotRequest {
-        time_left: Duration::from_millis(SERVICE_MS),
+        time_left: ms(SERVICE_MS),
         ..request
     };
     match coordinator.ask(&too_short, SLOTS, at(5_000))[..] {
@@ -187,18 +168,18 @@
 fn verify_retry_delays_follow_the_priority_and_are_spread() {
     let mut coordinator = loaded_coordinator();
     fill_queue(&mut coordinator);
-    let ms = |delay: Duration| delay.as_millis() as u64;
+    let as_ms = |delay: Duration| delay.as_millis() as u64;
     let urgent_ms: Vec<u64> = (1_000..1_050)
-        .map(|number| ms(retry_after(&mut coordinator, urgent(number))))
+        .map(|number| as_ms(retry_after(&mut coordinator, urgent(number))))
         .collect();
     // Running requests end after 400 ms. The queue of the less urgent ones is longer than the
     // maximum of a second.
     let (least, most) = (urgent_ms.iter().min(), urgent_ms.iter().max());
     assert!((SERVICE_MS..SERVICE_MS + 20).contains(least.unwrap()));
     assert!((SERVICE_MS + 80..=SERVICE_MS + 100).contains(most.unwrap()));
-    let patient_ms = ms(retry_after(&mut coordinator, patient(1_050)));
+    let patient_ms = as_ms(retry_after(&mut coordinator, patient(1_050)));
     assert!((1_000..=1_250).contains(&patient_ms), "{patient_ms}");
     // It depends on the ticket only.
-    let again_ms = ms(retry_after(&mut coordinator, urgent(1_000)));
+    let again_ms = as_ms(retry_after(&mut coordinator, urgent(1_000)));
     assert_eq!(again_ms, urgent_ms[0]);
 }
--- a/crates/foxtide-core/tests/admission_kinds.rs
+++ b/crates/foxtide-core/tests/admission_load/kinds.rs
@@ -1,44 +1,27 @@
 //! Service times of the kinds of requests that share an upstream.
 
+use crate::support::{
+    at,
+    is_rejected,
+    ms,
+    request,
+    serve,
+    ticket, //
+};
 use foxtide_core::admission::{
     Answer,
     Coordinator,
     Ending,
     ObjectAccess,
-    Patience,
     ServiceTimes,
-    SlotRequest,
-    Ticket, //
+    SlotRequest, //
 };
 use foxtide_core::routing::RequestKind;
-use foxtide_core::time::MonotonicTime;
-use std::time::Duration;
-
-fn at(ms: u64) -> MonotonicTime {
-    MonotonicTime::from_ms(ms)
-}
-
-fn ticket(number: u64) -> Ticket {
-    Ticket {
-        requester: "127.0.0.1:7620".parse().unwrap(),
-        number,
-    }
-}
 
-/// A request without an object.
-fn request(number: u64, route: &str, time_left_ms: u64) -> SlotRequest {
+fn within(time_left_ms: u64, request: SlotRequest) -> SlotRequest {
     SlotRequest {
-        ticket: ticket(number),
-        upstream: "i-1".parse().unwrap(),
-        born_at: None,
-        kind: RequestKind::of_route(route),
-        organisation: None,
-        object: None,
-        priority: 1,
-        objective_left: Duration::from_millis(time_left_ms),
-        time_left: Duration::from_millis(time_left_ms),
-        patience: Patience::UntilDeadline,
-        limit: None,
+        time_left: ms(time_left_ms),
+        ..request
     }
 }
 
@@ -51,14 +34,14 @@
     );
     let mut times = ServiceTimes::default();
     assert_eq!(times.expected(stock, ObjectAccess::First), None);
-    times.record(stock, ObjectAccess::First, Duration::from_millis(1_440));
-    times.record(stock, ObjectAccess::Repeated, Duration::from_millis(430));
+    times.record(stock, ObjectAccess::First, ms(1_440));
+    times.record(stock, ObjectAccess::Repeated, ms(430));
     let expected_ms = |times: &ServiceTimes, kind, access| {
         let expected = times.expected(kind, access).unwrap();
         expected.as_millis()
     };
     assert_eq!(expected_ms(&times, receipt, ObjectAccess::First), 1_440);
-    times.record(receipt, ObjectAccess::First, Duration::from_millis(288));
+    times.record(receipt, ObjectAccess::First, ms(288));
     assert_eq!(expected_ms(&times, receipt, ObjectAccess::First), 288);
     assert_eq!(expected_ms(&times, receipt, ObjectAccess::Repeated), 430);
     assert_eq!(expected_ms(&times, stock, ObjectAccess::First), 1_440);
@@ -69,18 +52,17 @@
 #[test]
 fn verify_the_forecast_uses_the_service_time_of_each_kind() {
     let mut coordinator = Coordinator::default();
-    for (number, route, ms) in [(1, "stock", 1_440), (2, "receipt", 100)] {
-        coordinator.ask(&request(number, route, 5_000), 1, at(0));
-        coordinator.end(ticket(number), Ending::Served, at(ms));
+    for (number, route, service_ms) in [(1, "stock", 1_440), (2, "receipt", 100)] {
+        serve(&mut coordinator, &request(number, route), 0, service_ms);
     }
     // One is served and one waits at the upstream, until 5.2 s.
     for number in [3, 4] {
-        coordinator.ask(&request(number, "receipt", 5_000), 1, at(5_000));
+        coordinator.ask(&request(number, "receipt"), 1, at(5_000));
     }
-    let answers = coordinator.ask(&request(5, "receipt", 310), 1, at(5_000));
+    let answers = coordinator.ask(&within(310, request(5, "receipt")), 1, at(5_000));
     assert_eq!(answers, [(ticket(5), Answer::Waiting)]);
-    let answers = coordinator.ask(&request(6, "stock", 1_500), 1, at(5_000));
-    assert!(matches!(answers[..], [(_, Answer::Rejected { .. })]));
+    let answers = coordinator.ask(&within(1_500, request(6, "stock")), 1, at(5_000));
+    assert!(answers.len() == 1 && is_rejected(&answers[0]));
 }
 
 /// Guards against service times that include the wait at the upstream of the request beyond the
@@ -89,15 +71,15 @@
 fn verify_the_wait_at_the_upstream_is_no_service_time() {
     let mut coordinator = Coordinator::default();
     for number in [1, 2] {
-        coordinator.ask(&request(number, "receipt", 5_000), 1, at(0));
+        coordinator.ask(&request(number, "receipt"), 1, at(0));
     }
     coordinator.end(ticket(1), Ending::Served, at(100));
     coordinator.end(ticket(2), Ending::Served, at(200));
     for number in [3, 4] {
-        coordinator.ask(&request(number, "receipt", 5_000), 1, at(1_000));
+        coordinator.ask(&request(number, "receipt"), 1, at(1_000));
     }
-    let answers = coordinator.ask(&request(5, "receipt", 300), 1, at(1_000));
+    let answers = coordinator.ask(&within(300, request(5, "receipt")), 1, at(1_000));
     assert_eq!(answers, [(ticket(5), Answer::Waiting)]);
-    let answers = coordinator.ask(&request(6, "receipt", 399), 1, at(1_000));
-    assert!(matches!(answers[..], [(_, Answer::Rejected { .. })]));
+    let answers = coordinator.ask(&within(399, request(6, "receipt")), 1, at(1_000));
+    assert!(answers.len() == 1 && is_rejected(&answers[0]));
 }
--- a/crates/foxtide-core/tests/admission_objects.rs
+++ b/crates/foxtide-core/tests/admission_load/objects.rs
@@ -1,17 +1,18 @@
 //! How many objects an upstream keeps, learned from the times of repeated accesses.
 
+use crate::support::{
+    SLOTS,
+    at,
+    is_granted,
+    object,
+    request,
+    serve, //
+};
 use foxtide_core::admission::{
-    Answer,
     Coordinator,
-    Ending,
     Patience,
-    SlotRequest,
-    Ticket, //
+    SlotRequest, //
 };
-use foxtide_core::placement::ObjectKey;
-use foxtide_core::routing::RequestKind;
-use foxtide_core::time::MonotonicTime;
-use std::time::Duration;
 
 const FIRST_MS: u64 = 360;
 const REPEATED_MS: u64 = 108;
@@ -19,26 +20,10 @@
 /// Objects that are requested in turn, so that each has the depth of all others.
 const MANY: u64 = 24;
 
-fn at(ms: u64) -> MonotonicTime {
-    MonotonicTime::from_ms(ms)
-}
-
-fn request(number: u64, object: u64, patience: Patience) -> SlotRequest {
+fn object_request(number: u64, key: u64) -> SlotRequest {
     SlotRequest {
-        ticket: Ticket {
-            requester: "127.0.0.1:7620".parse().unwrap(),
-            number,
-        },
-        upstream: "i-1".parse().unwrap(),
-        born_at: None,
-        kind: RequestKind::of_route("catalogue"),
-        organisation: None,
-        object: Some(ObjectKey::from_hash(object)),
-        priority: 1,
-        objective_left: Duration::from_millis(300),
-        time_left: Duration::from_secs(10),
-        patience,
-        limit: None,
+        object: object(key),
+        ..request(number, "catalogue")
     }
 }
 
@@ -72,11 +57,13 @@
         self.recent.push(object);
         self.requests += 1;
         let now_ms = self.requests * 10_000;
-        let request = request(self.requests, object, Patience::UntilDeadline);
-        self.coordinator.ask(&request, 1, at(now_ms));
-        let ends_at = at(now_ms + service_ms * slowness);
-        self.coordinator
-            .end(request.ticket, Ending::Served, ends_at);
+        let request = object_request(self.requests, object);
+        serve(
+            &mut self.coordinator,
+            &request,
+            now_ms,
+            service_ms * slowness,
+        );
     }
 
     /// Serves each object twice in a row, so that some accesses are surely repeated ones.
@@ -92,14 +79,14 @@
     fn is_expected(&self, object: u64) -> bool {
         let mut coordinator = self.coordinator.clone();
         let now = at(self.requests * 10_000 + 5_000);
-        let running = SlotRequest {
-            object: None,
-            ..request(u64::MAX, 0, Patience::UntilDeadline)
+        for number in 0..u64::from(SLOTS) {
+            coordinator.record_ungranted(&request(u64::MAX - number, "stock"), SLOTS, now);
+        }
+        let probe = SlotRequest {
+            patience: Patience::NoWait,
+            ..object_request(0, object)
         };
-        coordinator.record_ungranted(&running, 1, now);
-        let probe = request(u64::MAX - 1, object, Patience::NoWait);
-        let answers = coordinator.ask(&probe, 1, now);
-        answers == [(probe.ticket, Answer::Granted)]
+        is_granted(&coordinator.ask(&probe, SLOTS, now), 0)
     }
 }
 
--- a/crates/foxtide-core/tests/admission_reserve.rs
+++ b/crates/foxtide-core/tests/admission_load/reserve.rs
@@ -1,94 +1,67 @@
 //! Urgent requests of 86 ms with an objective of 250 ms that share three slots with less urgent
 //! ones of 430 ms.
 
+use crate::support::{
+    ADMITTED_MAX,
+    SLOTS,
+    at,
+    is_granted,
+    ms,
+    request,
+    serve,
+    ticket, //
+};
 use foxtide_core::admission::{
     AddressedAnswer,
     Answer,
     Coordinator,
     Ending,
-    Patience,
-    SlotRequest,
-    Ticket, //
+    SlotRequest, //
 };
 use foxtide_core::routing::RequestKind;
-use foxtide_core::time::MonotonicTime;
 use std::collections::{
     BTreeMap,
     VecDeque, //
 };
-use std::time::Duration;
 
-const SLOTS: u32 = 3;
 const URGENT_MS: u64 = 86;
 const OBJECTIVE_MS: u64 = 250;
 const LONG_MS: u64 = 430;
 
-fn at(ms: u64) -> MonotonicTime {
-    MonotonicTime::from_ms(ms)
-}
-
-fn ticket(number: u64) -> Ticket {
-    Ticket {
-        requester: "127.0.0.1:7620".parse().unwrap(),
-        number,
-    }
-}
-
 fn long(number: u64) -> SlotRequest {
-    SlotRequest {
-        ticket: ticket(number),
-        upstream: "i-1".parse().unwrap(),
-        born_at: None,
-        kind: RequestKind::of_route("stock"),
-        organisation: None,
-        object: None,
-        priority: 2,
-        objective_left: Duration::from_millis(2_000),
-        time_left: Duration::from_millis(4_000),
-        patience: Patience::UntilDeadline,
-        limit: None,
-    }
+    request(number, "stock")
 }
 
 fn urgent(number: u64) -> SlotRequest {
     SlotRequest {
-        kind: RequestKind::of_route("receipt"),
         priority: 0,
-        objective_left: Duration::from_millis(OBJECTIVE_MS),
-        time_left: Duration::from_millis(1_000),
-        ..long(number)
+        objective_left: ms(OBJECTIVE_MS),
+        time_left: ms(1_000),
+        ..request(number, "receipt")
     }
 }
 
-fn is_granted(answers: &[AddressedAnswer], number: u64) -> bool {
-    answers.contains(&(ticket(number), Answer::Granted))
-}
-
 /// A coordinator that knows both service times and whose upstream is idle at 20 s, long after the
 /// last urgent request.
 fn trained_coordinator() -> Coordinator {
     let mut coordinator = Coordinator::default();
-    for (request, service_ms) in [(urgent(1), URGENT_MS), (long(2), LONG_MS)] {
-        coordinator.ask(&request, SLOTS, at(1_000));
-        coordinator.end(request.ticket, Ending::Served, at(1_000 + service_ms));
-    }
+    serve(&mut coordinator, &urgent(1), 1_000, URGENT_MS);
+    serve(&mut coordinator, &long(2), 2_000, LONG_MS);
     coordinator
 }
 
 /// Serves an urgent request at 20 s, so that a slot is reserved.
 fn serve_urgent(coordinator: &mut Coordinator) {
-    let answers = coordinator.ask(&urgent(9), SLOTS, at(20_000));
-    assert!(is_granted(&answers, 9));
-    coordinator.end(ticket(9), Ending::Served, at(20_000 + URGENT_MS));
+    serve(coordinator, &urgent(9), 20_000, URGENT_MS);
 }
 
 /// Asks for long requests; returns how many are granted.
-fn long_grants(coordinator: &mut Coordinator, ms: u64) -> usize {
+fn long_grants(coordinator: &mut Coordinator, now_ms: u64) -> u64 {
     let asked = (100..110).map(|number| {
-        let answers = coordinator.ask(&long(number), SLOTS, at(ms));
-        is_granted(&answers, number)
+        let answers = coordinator.ask(&long(number), SLOTS, at(now_ms));
+        u64::from(is_granted(&answers, number))
     });
-    asked.filter(|is_granted| *is_granted).count()
+    asked.sum()
 }
 
 /// An upstream that serves requests in the order of their grants, beside its coordinator.
@@ -108,7 +81,6 @@
 }
 
 impl Load {
-    /// Asks for a slot; `answer_at` tells the request's time on the queue.
     fn arrive(&mut self, request: &SlotRequest, now_ms: u64) {
         self.arrived_ms.insert(request.ticket.number, now_ms);
         let answers = self.coordinator.ask(request, SLOTS, at(now_ms));
@@ -147,7 +119,10 @@
     }
 
     fn share_in_time(&self) -> f64 {
-        let in_time = self.urgent_ms.iter().filter(|ms| **ms <= OBJECTIVE_MS);
+        let in_time = self
+            .urgent_ms
+            .iter()
+            .filter(|time_ms| **time_ms <= OBJECTIVE_MS);
         in_time.count() as f64 / self.urgent_ms.len() as f64
     }
 }
@@ -164,7 +139,7 @@
         // Not in step with the long requests.
         if now_ms % 331 == 0 {
             let request = SlotRequest {
-                objective_left: Duration::from_millis(objective_ms),
+                objective_left: ms(objective_ms),
                 ..urgent(2 * now_ms + 1)
             };
             load.arrive(&request, now_ms);
@@ -202,11 +177,11 @@
 fn verify_long_work_uses_all_slots_when_nobody_is_urgent() {
     let mut coordinator = trained_coordinator();
     assert_eq!(coordinator.reserved_slots(at(20_000)), 0);
-    assert_eq!(long_grants(&mut coordinator, 20_000), 4);
+    assert_eq!(long_grants(&mut coordinator, 20_000), ADMITTED_MAX);
     // Five seconds after the last urgent request, nothing is reserved any longer.
     let mut coordinator = trained_coordinator();
     serve_urgent(&mut coordinator);
-    assert_eq!(long_grants(&mut coordinator, 25_100), 4);
+    assert_eq!(long_grants(&mut coordinator, 25_100), ADMITTED_MAX);
 }
 
 /// Guards against long work in the last slot or in the place beyond the slots, where it delays
@@ -258,8 +233,7 @@
         kind: RequestKind::of_route("price"),
         ..long(number)
     };
-    coordinator.ask(&short(3), SLOTS, at(10_000));
-    coordinator.end(ticket(3), Ending::Served, at(10_100));
+    serve(&mut coordinator, &short(3), 10_000, 100);
     serve_urgent(&mut coordinator);
     for number in 100..104 {
         let answers = coordinator.ask(&short(number), SLOTS, at(21_000));
--- a/crates/foxtide-gateway/src/datagram/mod.rs
+++ b/crates/foxtide-gateway/src/datagram/mod.rs
@@ -98,7 +98,12 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use foxtide_core::admission::Answer;
+    use foxtide_core::admission::{
+        Answer,
+        Patience,
+        SlotRequest,
+        Ticket, //
+    };
     use foxtide_core::poison::{
         EndReport,
         Fingerprint,
@@ -115,6 +120,25 @@
         served_in: Some(Duration::from_millis(140)),
     };
 
+    fn slot_request(patience: Patience) -> SlotRequest {
+        SlotRequest {
+            ticket: Ticket {
+                requester: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
+                number: 7,
+            },
+            upstream: "i-1".parse().unwrap(),
+            born_at: None,
+            kind: foxtide_core::routing::RequestKind::of_route("safe"),
+            organisation: Some("acme".parse().unwrap()),
+            object: None,
+            priority: 1,
+            objective_left: Duration::from_millis(250),
+            time_left: Duration::from_millis(900),
+            patience,
+            limit: None,
+        }
+    }
+
     fn samples() -> Vec<Datagram> {
         let request = QuotaRequest {
             organisation: "acme".parse().unwrap(),
@@ -128,6 +152,8 @@
             is_isolated: true,
         };
         vec![
+            Datagram::ask(&slot_request(Patience::NoWaitInTime), 3),
+            Datagram::answer(7, BUSY_FOR_NOW),
             Datagram::quota_request(1, &request),
             Datagram::quota_answer(2, QuotaAnswer::Granted { tokens: 4 }),
             Datagram::quota_answer(3, QuotaAnswer::NotCoordinator),
@@ -195,6 +221,19 @@
             let read = Datagram::decode(sample.encode_to_vec().as_slice()).unwrap();
             assert_eq!(read, sample);
         }
+        for patience in [
+            Patience::NoWait,
+            Patience::NoWaitInTime,
+            Patience::WithinObjective,
+            Patience::UntilDeadline,
+        ] {
+            let sent = slot_request(patience);
+            let Some(Body::Ask(message)) = Datagram::ask(&sent, 3).body else {
+                panic!("not a question");
+            };
+            let ticket = sent.ticket;
+            assert_eq!(message.request(ticket.requester, ticket.number), Ok(sent));
+        }
         let retry_after = Duration::from_millis(30);
         let throttled = Answer::Throttled {
             retry_after: Duration::from_millis(31),
