--- a/crates/foxtide-gateway/src/forward/attempt_loop.rs
+++ b/crates/foxtide-gateway/src/forward/attempt_loop.rs
@@ -134,7 +134,7 @@
                 continue;
             }
             let EndedAttempt { pick, report, took } = self.send(Target { pick, slot }).await;
-            self.trace.record_slowness(report.slowness());
+            self.trace.slowness = report.slowness();
             let has_ended = report.has_ended;
             if let Next::Reply(reply) = self.conclude(&pick, report, took) {
                 return reply;
@@ -287,43 +287,6 @@
         }
     }
 
-    /// Records an attempt that failed while another one runs, which decides on the reply.
-    pub(super) fn record_failure_beside(&mut self, pick: &Pick, end: AttemptEnd, took: Duration) {
-        let journal = &self.shared.journal;
-        journal.attempt_failed(&self.trace, pick, &end, took);
-        if matches!(end, AttemptEnd::Withdrawn) {
-            return;
-        }
-        self.trace.record_attempt(pick);
-        self.tried.push(pick.registration.upstream.clone());
-        match end {
-            AttemptEnd::NotSent { .. } => {
-                self.unsent_attempts += 1;
-                return;
-            }
-            AttemptEnd::Responded(response) => {
-                self.trace.reason = "upstream_error";
-                self.failure = Some(Reply::Response(response));
-            }
-            AttemptEnd::Unknown { .. } => {
-                self.trace.reason = "response_lost";
-                self.failure = Some(Refusal::Failed.into());
-            }
-            AttemptEnd::TimedOut => {
-                self.trace.reason = "time_up_at_upstream";
-                self.failure = Some(Refusal::TimedOut.into());
-            }
-            AttemptEnd::NotRun {
-                is_other_incarnation: true,
-            } => {
-                let mut state = self.shared.state.lock();
-                state.discard_reused_address(&pick.registration);
-            }
-            AttemptEnd::NotRun { .. } | AttemptEnd::Withdrawn => {}
-        }
-        self.sent_attempts += 1;
-    }
-
     /// Tells whether a retry may go to the same upstream: it refused although a slot was
     /// granted, so it is not full, and it knows the object.
     fn may_retry_same_upstream(&self, end: &AttemptEnd) -> bool {
--- a/crates/foxtide-gateway/src/forward/hedge.rs
+++ b/crates/foxtide-gateway/src/forward/hedge.rs
@@ -10,7 +10,10 @@
 };
 use crate::dialect::Dialect;
 use crate::outcome::{
+    AttemptEnd,
     HedgeEnd,
+    Refusal,
+    Reply,
     RequestTrace,
     SentHedge, //
 };
@@ -111,7 +114,7 @@
         match or(ended(sent.as_mut()), other).await {
             Event::First(report) if report.is_failure() => {
                 let has_ended = report.has_ended;
-                self.failed_beside(first, report);
+                self.record_failure_beside(first, report.end);
                 self.trace.adopt_slot(hedge_trace);
                 let mut report = hedge_sent.await;
                 count.end = if report.is_failure() {
@@ -129,7 +132,7 @@
             Event::Other(report) if report.is_failure() => {
                 count.end = HedgeEnd::Failed;
                 let has_ended = report.has_ended;
-                self.failed_beside(second, report);
+                self.record_failure_beside(second, report.end);
                 let mut report = sent.await;
                 report.has_ended |= has_ended;
                 self.end(first, report)
@@ -220,10 +223,42 @@
         attempt.end(report)
     }
 
-    /// Records an attempt that failed while the other one runs.
-    fn failed_beside(&mut self, attempt: RunningAttempt, report: AttemptReport) {
-        let ended = attempt.end(report);
-        self.record_failure_beside(&ended.pick, ended.report.end, ended.took);
+    /// Records an attempt that failed while the other one runs, which decides on the reply.
+    fn record_failure_beside(&mut self, attempt: RunningAttempt, end: AttemptEnd) {
+        let RunningAttempt { pick, began_at, .. } = attempt;
+        let journal = &self.shared.journal;
+        journal.attempt_failed(&self.trace, &pick, &end, began_at.elapsed());
+        if matches!(end, AttemptEnd::Withdrawn) {
+            return;
+        }
+        self.trace.record_attempt(&pick);
+        self.tried.push(pick.registration.upstream.clone());
+        match end {
+            AttemptEnd::NotSent { .. } => {
+                self.unsent_attempts += 1;
+                return;
+            }
+            AttemptEnd::Responded(response) => {
+                self.trace.reason = "upstream_error";
+                self.failure = Some(Reply::Response(response));
+            }
+            AttemptEnd::Unknown { .. } => {
+                self.trace.reason = "response_lost";
+                self.failure = Some(Refusal::Failed.into());
+            }
+            AttemptEnd::TimedOut => {
+                self.trace.reason = "time_up_at_upstream";
+                self.failure = Some(Refusal::TimedOut.into());
+            }
+            AttemptEnd::NotRun {
+                is_other_incarnation: true,
+            } => {
+                let mut state = self.shared.state.lock();
+                state.discard_reused_address(&pick.registration);
+            }
+            AttemptEnd::NotRun { .. } | AttemptEnd::Withdrawn => {}
+        }
+        self.sent_attempts += 1;
     }
 }
 
--- a/crates/foxtide-gateway/src/forward/sender.rs
+++ b/crates/foxtide-gateway/src/forward/sender.rs
@@ -70,6 +70,9 @@
             poison::report_upstream_end(self.shared, self.fingerprint, &registration, in_flight);
         }
         guard.end(&report);
+        if let Some(slowness) = report.slowness() {
+            metrics::histogram!("foxtide_upstream_slowness").record(slowness.ratio());
+        }
         if let Some(slot) = &mut slot {
             slot.record_slowness(report.slowness());
         }
--- a/crates/foxtide-gateway/src/outcome/hedge.rs
+++ b/crates/foxtide-gateway/src/outcome/hedge.rs
@@ -9,7 +9,8 @@
     Lost,
     /// It got no usable response.
     Failed,
-    /// It was not sent, as no other upstream of the region granted a slot.
+    /// It was not sent, as no other upstream of the region granted a slot or the request may not be
+    /// sent any more.
     NoSlot,
     /// It was not sent, as the retry budget was spent.
     NoBudget,
--- a/crates/foxtide-gateway/src/outcome/trace.rs
+++ b/crates/foxtide-gateway/src/outcome/trace.rs
@@ -78,12 +78,4 @@
         self.slot_wait = other.slot_wait;
         self.coordinator.clone_from(&other.coordinator);
     }
-
-    /// Records the slowness that the upstream of the last attempt reported, and counts it.
-    pub(crate) fn record_slowness(&mut self, slowness: Option<Slowness>) {
-        self.slowness = slowness;
-        if let Some(slowness) = slowness {
-            metrics::histogram!("foxtide_upstream_slowness").record(slowness.ratio());
-        }
-    }
 }
