Test that the end of a request at a slow upstream releases its slot

Cause: no test covered the receiver of the new datagram body. If it ignored the body, slots would stay taken until their grants expire.

Change: a test sends more requests than an upstream has slots through each of two instances while the upstream reports its slowness.

--- a/crates/foxtide-gateway/tests/gateway/admission.rs
+++ b/crates/foxtide-gateway/tests/gateway/admission.rs
@@ -252,3 +252,20 @@
     let _sixth = send(ADMITTED);
     eventually("the second choice serves it", || other.seen().len() == 1);
 }
+
+/// The end of a request that tells the slowness of its upstream must release the slot.
+#[test]
+fn verify_slots_of_slow_upstreams_are_released() {
+    // One of the instances coordinates the upstream; the other one sends it datagrams.
+    for number in 0..2 {
+        let (_fleet, instances, upstream) = fleet_with_a_silent_upstream();
+        upstream.always(Behaviour::SUCCESS);
+        upstream.state("slowness: 250\r\n");
+        // Without an end, no service time is known, and a grant lasts as long as its request may.
+        let time_limits = [""; ADMITTED].into_iter().chain(["time-left-ms: 5000\r\n"]);
+        for time_limit in time_limits {
+            let response = instances[number].get("/safe/", &format!("request: r\r\n{time_limit}"));
+            assert_eq!(response.head.status, 200);
+        }
+    }
+}
