Choose the coordinators of upstreams by the bandwidth of links

Cause: coordinators were chosen among all members of a region with equal weights. The answers of a member with a narrow link wait behind the bulk responses on it, and requests then go on without a slot.

Change: Members::coordinator uses weighted rendezvous hashing with link_mbps as the weight (logarithmic method, shared with the placement of objects). Where all links of a region are equal or unknown, the choice is by hash alone and stays as it was. An unknown link among known ones counts as the widest. A changed link counts as a change of the members, so that a new coordinator of a limited upstream waits before it hands out the rate.

--- a/crates/foxtide-core/src/placement/affinity.rs
+++ b/crates/foxtide-core/src/placement/affinity.rs
@@ -92,12 +92,18 @@
 
 /// Returns an exponentially distributed value with the candidate's weight as its rate.
 fn distance(key: ObjectKey, candidate: &Candidate) -> f64 {
+    let hash = xxh3_64_with_seed(&candidate.name_hash.to_le_bytes(), key.0);
+    weighted_distance(hash, candidate.weight)
+}
+
+/// Returns the exponentially distributed value of a hash, with `weight` as its rate. The candidate
+/// with the least value is the first choice.
+pub(crate) fn weighted_distance(hash: u64, weight: f64) -> f64 {
     const BITS: u32 = 53;
-    if candidate.weight <= 0.0 {
+    if weight <= 0.0 {
         return f64::MAX;
     }
-    let hash = xxh3_64_with_seed(&candidate.name_hash.to_le_bytes(), key.0);
     // In (0, 1); an `f64` holds 53 bits exactly.
     let uniform = ((hash >> (64 - BITS)) as f64 + 0.5) / (1_u64 << BITS) as f64;
-    -uniform.ln() / candidate.weight
+    -uniform.ln() / weight
 }
--- a/crates/foxtide-core/src/placement/mod.rs
+++ b/crates/foxtide-core/src/placement/mod.rs
@@ -11,6 +11,7 @@
 mod overflow;
 mod regions;
 
+pub(crate) use affinity::weighted_distance;
 pub use affinity::{
     Candidate,
     ObjectKey,
--- a/crates/foxtide-core/src/registry/members.rs
+++ b/crates/foxtide-core/src/registry/members.rs
@@ -12,6 +12,7 @@
     Role,
     rank, //
 };
+use crate::placement::weighted_distance;
 use crate::poison::Fingerprint;
 use crate::time::MonotonicTime;
 use std::cmp::Reverse;
@@ -90,7 +91,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Members {
     entries: BTreeMap<InstanceId, Entry>,
-    /// When the members of each region last changed.
+    /// When the members of each region or their links last changed.
     changed_at: BTreeMap<RegionId, MonotonicTime>,
 }
 
@@ -101,12 +102,14 @@
             member: member.clone(),
             is_missing: false,
         };
-        let region = member.region.clone();
-        let is_new = self.entries.insert(member.instance, entry).is_none();
-        if is_new {
+        let (region, link_mbps) = (member.region.clone(), member.link_mbps);
+        let previous = self.entries.insert(member.instance, entry);
+        // The choice of coordinators follows the links.
+        let is_same_link = |previous: &Entry| previous.member.link_mbps == link_mbps;
+        if !previous.as_ref().is_some_and(is_same_link) {
             self.changed_at.insert(region, now);
         }
-        is_new
+        previous.is_none()
     }
 
     /// Handles the end of an instance's lease; returns whether the instance was
@@ -241,10 +244,28 @@
 
     /// Returns the member of `region` that coordinates the slots of an upstream; all
     /// instances with the same members choose the same one.
+    ///
+    /// A member's share of the upstreams is its share of the region's link bandwidth, since a
+    /// coordinator's answers wait for the bulk transfers of its own link. A member whose link is
+    /// unknown counts as one with the widest.
     pub fn coordinator(&self, upstream: &UpstreamId, region: &RegionId) -> Option<&Member> {
         let seed = xxh3_64(upstream.as_str().as_bytes());
-        let of_region = self.all().filter(|member| member.region == *region);
-        of_region.max_by_key(|member| xxh3_64_with_seed(member.instance.as_str().as_bytes(), seed))
+        let draw = |member: &Member| xxh3_64_with_seed(member.instance.as_str().as_bytes(), seed);
+        let of_region = || self.all().filter(|member| member.region == *region);
+        let widest_mbps = of_region().map(|member| member.link_mbps).max()?;
+        let weight_mbps = |member: &Member| match member.link_mbps {
+            0 => widest_mbps,
+            link_mbps => link_mbps,
+        };
+        if of_region().all(|member| weight_mbps(member) == widest_mbps) {
+            return of_region().max_by_key(|member| draw(member));
+        }
+        let weighted = of_region().map(|member| {
+            let weight = f64::from(weight_mbps(member));
+            (weighted_distance(draw(member), weight), member)
+        });
+        let nearest = weighted.min_by(|(one, _), (other, _)| one.total_cmp(other));
+        nearest.map(|(_, member)| member)
     }
 
     /// Returns the members that coordinate an organisation's quota, one of each region,
@@ -282,7 +303,7 @@
         chosen
     }
 
-    /// Returns when the members of a region last changed.
+    /// Returns when the members of a region or their links last changed.
     pub fn changed_at(&self, region: &RegionId) -> MonotonicTime {
         self.changed_at.get(region).copied().unwrap_or_default()
     }
