Follow the round-trip times of coordinators, and return late grants

Cause: an instance waited 40 ms for a coordinator's answer and skipped the coordinator for 500 ms after a single late one. A bulk response on the coordinator's link delays its answers by 72 to 430 ms, so that requests went on without slots although the coordinator worked. A grant that arrived after that kept its slot taken until it expired if the end of the request was lost or overtook it.

Change: admission::round_trips keeps the smoothed round-trip time and its deviation for each coordinator (RFC 6298); the time-out follows them between 40 and 250 ms. Late answers are measured, repeated asks are not. Three unanswered asks in a row make the instance skip the coordinator for 500 ms, and any answer ends this. Quota requests use the same times. Requests whose coordinator is skipped have the slot answer `skipped`. An instance that receives a grant or a place in the queue for a number that nobody waits for answers with the end of the request.

--- a/crates/foxtide-core/src/admission/mod.rs
+++ b/crates/foxtide-core/src/admission/mod.rs
@@ -21,6 +21,7 @@
 mod objects;
 mod queue;
 mod request;
+mod round_trips;
 mod service_times;
 
 pub use coordinator::{
@@ -34,6 +35,10 @@
     SlotRequest,
     Ticket, //
 };
+pub use round_trips::{
+    RoundTripOptions,
+    RoundTrips, //
+};
 pub use service_times::{
     ObjectAccess,
     ServiceTimes, //
--- a/crates/foxtide-gateway/src/admission/client.rs
+++ b/crates/foxtide-gateway/src/admission/client.rs
@@ -35,8 +35,8 @@
 /// coordinator expire lapsed grants.
 const ASK_AGAIN_PERIOD: Duration = Duration::from_millis(150);
 
-/// How often a coordinator is asked for a request to an upstream that limits its rate before it
-/// counts as unresponsive: single datagrams are lost.
+/// How often a coordinator is asked for a request to an upstream that limits its rate: single
+/// datagrams are lost.
 const LIMITED_ASKS_MAX: u32 = 2;
 
 /// The capacity for unread answers: one of each kind.
@@ -62,7 +62,7 @@
     pub(crate) patience: Patience,
     /// What is known of the upstream's rate limit.
     pub(crate) limit: Option<LimitReport>,
-    /// How long the coordinator may take to answer.
+    /// How long the coordinator may take to answer while its round-trip time is not known.
     pub(crate) answer_time: Duration,
 }
 
@@ -108,6 +108,8 @@
     Granted,
     /// The coordinator did not answer.
     Unanswered,
+    /// The coordinator was not asked, since it recently did not answer.
+    Skipped,
     /// The coordinator refused a slot, or the wait would be too long.
     Refused,
     /// The upstream's rate limit was exhausted.
@@ -122,6 +124,7 @@
             Self::Notified => "told",
             Self::Granted => "granted",
             Self::Unanswered => "unanswered",
+            Self::Skipped => "skipped",
             Self::Refused => "refused",
             Self::Throttled => "throttled",
         }
@@ -154,6 +157,7 @@
     fn drop(&mut self) {
         let admission = self.admission;
         admission.pending.lock().remove(&self.number);
+        admission.end_ask(self.number);
         let (number, ending) = (self.number, self.ending);
         if self.coordinator == admission.address {
             let requester = admission.address;
@@ -185,8 +189,8 @@
         pick: &Pick,
         state: &Mutex<State>,
     ) -> Admitted<'_> {
-        if self.is_unresponsive(coordinator) {
-            return self.unanswered(coordinator, terms);
+        if self.is_skipped(coordinator) {
+            return self.admit_unasked(coordinator, terms, SlotAnswer::Skipped);
         }
         let mut slot = self.slot(coordinator);
         let (answered, answers) = bounded(ANSWERS_MAX);
@@ -195,7 +199,8 @@
         loop {
             let request = self.request(slot.number, terms);
             self.send_ask(coordinator, &request, terms, state);
-            match self.receive_answer(&answers, terms.answer_time).await {
+            let timeout = self.timeout(coordinator, terms.answer_time);
+            match self.receive_answer(&answers, timeout).await {
                 Some(Answer::Granted) => {
                     slot.answer = SlotAnswer::Granted;
                     return Admitted::Granted(Some(slot));
@@ -209,23 +214,28 @@
                 Some(Answer::Waiting) if state.lock().is_pick_valid(pick) => {}
                 Some(Answer::Waiting) => return Admitted::PickAgain,
                 None => {
+                    self.record_timeout(slot.number);
                     unanswered_asks += 1;
                     if !terms.is_limited() || unanswered_asks >= LIMITED_ASKS_MAX {
-                        self.mark_unresponsive(coordinator);
-                        return self.unanswered(coordinator, terms);
+                        return self.admit_unasked(coordinator, terms, SlotAnswer::Unanswered);
                     }
                 }
             }
         }
     }
 
-    /// Returns the outcome for a request whose coordinator does not answer.
-    fn unanswered(&self, coordinator: SocketAddr, terms: &SlotTerms<'_>) -> Admitted<'_> {
+    /// Returns the outcome for a request whose coordinator does not answer or is skipped.
+    fn admit_unasked(
+        &self,
+        coordinator: SocketAddr,
+        terms: &SlotTerms<'_>,
+        answer: SlotAnswer,
+    ) -> Admitted<'_> {
         if terms.is_limited() {
             return Admitted::Uncoordinated;
         }
         let mut slot = self.notify(coordinator, terms);
-        slot.answer = SlotAnswer::Unanswered;
+        slot.answer = answer;
         Admitted::Granted(Some(slot))
     }
 
@@ -233,9 +243,9 @@
     async fn receive_answer(
         &self,
         answers: &Receiver<Answer>,
-        answer_time: Duration,
+        timeout: Duration,
     ) -> Option<Answer> {
-        let answer = receive_within(answer_time, answers).await?;
+        let answer = receive_within(timeout, answers).await?;
         if answer != Answer::Waiting {
             return Some(answer);
         }
@@ -287,6 +297,7 @@
         if coordinator == self.address {
             self.answer_ask(request, slots, state);
         } else {
+            self.record_ask(request.ticket.number, coordinator);
             self.send(coordinator, &Datagram::ask(request, slots));
         }
     }
--- a/crates/foxtide-gateway/src/admission/mod.rs
+++ b/crates/foxtide-gateway/src/admission/mod.rs
@@ -3,7 +3,7 @@
 //! Questions and answers are datagrams: each costs one system call, and a lost one costs only
 //! the answer timeout.
 //!
-//! Locks: at most one of `coordinator`, `pending` and `unresponsive` is held at a time. The
+//! Locks: at most one of `coordinator`, `pending` and `round_trips` is held at a time. The
 //! state may be locked while `coordinator` is held, never the other way round.
 
 mod client;
@@ -28,6 +28,8 @@
     AddressedAnswer,
     Answer,
     Coordinator,
+    RoundTripOptions,
+    RoundTrips,
     SlotRequest,
     Ticket, //
 };
@@ -63,8 +65,8 @@
     coordinator: Mutex<Coordinator>,
     /// The unanswered questions of this instance, by number.
     pending: Mutex<HashMap<u64, Sender<Answer>>>,
-    /// Coordinators that did not answer, and until when they are not asked.
-    unresponsive: Mutex<HashMap<SocketAddr, MonotonicTime>>,
+    /// The round-trip times with other instances, and which ones are skipped.
+    round_trips: Mutex<RoundTrips>,
     next_number: AtomicU64,
 }
 
@@ -81,6 +83,11 @@
         traffic: Arc<Traffic>,
     ) -> Result<Self> {
         let (socket, address) = socket::bind(address)?;
+        let round_trips = RoundTrips::new(RoundTripOptions {
+            timeout_min: options.answer_time,
+            skip_time: options.silent_time,
+            ..RoundTripOptions::default()
+        });
         Ok(Self {
             options,
             clock,
@@ -89,7 +96,7 @@
             address,
             coordinator: Mutex::default(),
             pending: Mutex::default(),
-            unresponsive: Mutex::default(),
+            round_trips: Mutex::new(round_trips),
             // A restarted process on the same address uses other numbers.
             next_number: AtomicU64::new(fastrand::u64(..)),
         })
@@ -123,15 +130,14 @@
         });
     }
 
-    /// Drops incarnations that `is_known` does not know, and unresponsive coordinators that may
-    /// be asked again.
+    /// Drops incarnations that `is_known` does not know, and outdated round-trip times.
     pub(crate) fn prune(
         &self,
         now: MonotonicTime,
         is_known: impl Fn(&UpstreamId, Option<WallTime>) -> bool,
     ) {
         self.coordinator.lock().retain(is_known);
-        self.unresponsive.lock().retain(|_, until| now < *until);
+        self.round_trips.lock().prune(now);
     }
 
     fn answer(&self, ticket: Ticket, answer: Answer) {
@@ -142,18 +148,23 @@
         }
     }
 
-    /// Returns how long an instance of the region may take to answer.
+    /// Returns how long an instance of the region may take to answer while its round-trip time
+    /// is not known.
     pub(crate) fn answer_time(&self) -> Duration {
         self.options.answer_time
     }
 
-    /// Delivers an answer to the request that waits for it, if any.
-    fn deliver(&self, number: u64, answer: Answer) {
-        if let Some(waiting) = self.pending.lock().get(&number)
-            && waiting.try_send(answer).is_err()
-        {
-            log::debug!("dropped slot answer {number}: its request has ended");
+    /// Delivers an answer to the request that waits for it; returns whether the request still
+    /// waits or holds its slot.
+    fn deliver(&self, number: u64, answer: Answer) -> bool {
+        let pending = self.pending.lock();
+        let Some(waiting) = pending.get(&number) else {
+            return false;
+        };
+        if waiting.try_send(answer).is_err() {
+            log::debug!("dropped slot answer {number}: its request has been answered");
         }
+        true
     }
 
     /// Sends a datagram to another instance.
@@ -171,18 +182,39 @@
         self.next_number.fetch_add(1, Ordering::Relaxed)
     }
 
-    /// Tells whether a coordinator recently failed to answer.
-    pub(crate) fn is_unresponsive(&self, coordinator: SocketAddr) -> bool {
+    /// Returns how long to wait for the answer of another instance, which is `initial` while its
+    /// round-trip time is not known.
+    pub(crate) fn timeout(&self, coordinator: SocketAddr, initial: Duration) -> Duration {
+        self.round_trips.lock().timeout(coordinator, initial)
+    }
+
+    /// Tells whether a coordinator is skipped, since it recently did not answer.
+    pub(crate) fn is_skipped(&self, coordinator: SocketAddr) -> bool {
+        let now = self.clock.now();
+        self.round_trips.lock().is_skipped(coordinator, now)
+    }
+
+    /// Records that another instance is asked, for the first time or again.
+    pub(crate) fn record_ask(&self, number: u64, coordinator: SocketAddr) {
+        let now = self.clock.now();
+        self.round_trips.lock().record_ask(number, coordinator, now);
+    }
+
+    /// Records the answer of another instance, which may be late.
+    pub(crate) fn record_answer(&self, number: u64, coordinator: SocketAddr) {
+        let now = self.clock.now();
+        let mut round_trips = self.round_trips.lock();
+        round_trips.record_answer(number, coordinator, now);
+    }
+
+    /// Records that an ask was not answered in time.
+    pub(crate) fn record_timeout(&self, number: u64) {
         let now = self.clock.now();
-        let unresponsive = self.unresponsive.lock();
-        unresponsive
-            .get(&coordinator)
-            .is_some_and(|until| now < *until)
+        self.round_trips.lock().record_timeout(number, now);
     }
 
-    /// Records that a coordinator failed to answer.
-    pub(crate) fn mark_unresponsive(&self, coordinator: SocketAddr) {
-        let until = self.clock.now() + self.options.silent_time;
-        self.unresponsive.lock().insert(coordinator, until);
+    /// Records that nobody waits for the answer to an ask.
+    pub(crate) fn end_ask(&self, number: u64) {
+        self.round_trips.lock().end_ask(number);
     }
 }
--- a/crates/foxtide-gateway/src/admission/server.rs
+++ b/crates/foxtide-gateway/src/admission/server.rs
@@ -12,6 +12,7 @@
 use crate::shared::Shared;
 use crate::state::State;
 use foxtide_core::admission::{
+    Answer,
     Ending,
     Ticket, //
 };
@@ -51,7 +52,10 @@
     let number = datagram.number;
     match datagram.body {
         Some(Body::QuotaQuestion(message)) => quotas::answer(shared, from, number, &message),
-        Some(Body::QuotaAnswer(message)) => shared.quotas.deliver(number, message.answer()),
+        Some(Body::QuotaAnswer(message)) => {
+            shared.admission.record_answer(number, from);
+            shared.quotas.deliver(number, message.answer());
+        }
         Some(Body::EndReport(message)) => {
             poison::receive_end_report(shared, from, number, &message)
         }
@@ -109,10 +113,22 @@
                 };
                 self.with_coordinator(|own, now| own.end(ticket, ending, now));
             }
-            Some(Body::Answer(message)) => self.deliver(number, message.answer()),
+            Some(Body::Answer(message)) => self.receive_answer_of(from, number, message.answer()),
             _ => {
                 log::debug!("a datagram from {from} has no known body");
             }
         }
     }
+
+    /// Handles the answer of a coordinator.
+    ///
+    /// A slot that nobody waits for is returned, and a place in the queue given up: the request
+    /// has gone on or ended, and the datagram that said so was lost or overtaken.
+    fn receive_answer_of(&self, coordinator: SocketAddr, number: u64, answer: Answer) {
+        self.record_answer(number, coordinator);
+        let is_awaited = self.deliver(number, answer);
+        if !is_awaited && matches!(answer, Answer::Granted | Answer::Waiting) {
+            self.send(coordinator, &Datagram::end(number, Ending::NotServed));
+        }
+    }
 }
--- a/crates/foxtide-gateway/src/options.rs
+++ b/crates/foxtide-gateway/src/options.rs
@@ -37,9 +37,10 @@
 /// The timeouts for coordinators of upstreams.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AdmissionOptions {
-    /// How long a request waits for a coordinator's answer before it is sent without one.
+    /// How long a request waits for a coordinator's answer before it is sent without one: at
+    /// least, and while the coordinator's round-trip time is not known.
     pub answer_time: Duration,
-    /// How long a coordinator that did not answer is skipped.
+    /// How long a coordinator that repeatedly did not answer is skipped.
     pub silent_time: Duration,
 }
 
--- a/crates/foxtide-gateway/src/quotas/ask.rs
+++ b/crates/foxtide-gateway/src/quotas/ask.rs
@@ -28,8 +28,7 @@
 /// Answer timeout of a coordinator in another region; the longest round trip is 110 ms.
 const ANSWER_TIMEOUT_OTHER_REGION: Duration = Duration::from_millis(250);
 
-/// How often a coordinator of the own region is asked before it counts as unresponsive: single
-/// datagrams are lost. An unresponsive one is not asked again for half a second.
+/// How often a coordinator of the own region is asked for one request: single datagrams are lost.
 const REQUESTS_OWN_REGION: u32 = 2;
 
 /// How long a refusal by a coordinator of another region is reused: each further request would
@@ -166,30 +165,26 @@
     if source.address == admission.address() {
         return Some(answer_locally(shared, request));
     }
-    if admission.is_unresponsive(source.address) {
+    if admission.is_skipped(source.address) {
         return None;
     }
     let now = shared.clock.now();
     if let Some(retry_after) = quotas.recent_refusal(&request.organisation, source.address, now) {
         return Some(QuotaAnswer::Rejected { retry_after });
     }
-    let (times, time) = if source.is_own_region {
+    let (times, initial_timeout) = if source.is_own_region {
         (REQUESTS_OWN_REGION, admission.answer_time())
     } else {
         (1, ANSWER_TIMEOUT_OTHER_REGION)
     };
-    let answer = exchange(shared, source.address, request, times, time).await;
-    match answer {
-        None => admission.mark_unresponsive(source.address),
-        Some(QuotaAnswer::Rejected { retry_after }) if !source.is_own_region => {
-            let until = shared.clock.now() + REFUSAL_TTL;
-            let key = (request.organisation.clone(), source.address);
-            quotas
-                .recent_refusals
-                .lock()
-                .insert(key, (until, retry_after));
-        }
-        Some(_) => {}
+    let answer = exchange(shared, source.address, request, times, initial_timeout).await;
+    if let Some(QuotaAnswer::Rejected { retry_after }) = answer
+        && !source.is_own_region
+    {
+        let until = shared.clock.now() + REFUSAL_TTL;
+        let key = (request.organisation.clone(), source.address);
+        let mut recent_refusals = quotas.recent_refusals.lock();
+        recent_refusals.insert(key, (until, retry_after));
     }
     answer
 }
@@ -200,22 +195,26 @@
     coordinator: SocketAddr,
     request: &QuotaRequest,
     times: u32,
-    time: Duration,
+    initial_timeout: Duration,
 ) -> Option<QuotaAnswer> {
-    let number = shared.admission.next_datagram_number();
+    let admission = &shared.admission;
+    let number = admission.next_datagram_number();
     let (answered, answers) = bounded(1);
     let _pending = Pending::new(shared, number, answered);
     let datagram = Datagram::quota_request(number, request);
     for _ in 0..times {
-        shared.admission.send(coordinator, &datagram);
+        admission.record_ask(number, coordinator);
+        admission.send(coordinator, &datagram);
+        let timeout = admission.timeout(coordinator, initial_timeout);
         let late = async {
-            Timer::after(time).await;
+            Timer::after(timeout).await;
             None
         };
         let answer = or(async { answers.recv().await.ok() }, late).await;
         if answer.is_some() {
             return answer;
         }
+        admission.record_timeout(number);
     }
     None
 }
@@ -236,6 +235,7 @@
 impl<D> Drop for Pending<'_, D> {
     fn drop(&mut self) {
         self.shared.quotas.pending.lock().remove(&self.number);
+        self.shared.admission.end_ask(self.number);
     }
 }
 
--- a/crates/foxtide-gateway/tests/gateway/support/fleet.rs
+++ b/crates/foxtide-gateway/tests/gateway/support/fleet.rs
@@ -164,8 +164,18 @@
     /// Starts an instance with the default timeouts for coordinators and waits until it is
     /// ready.
     pub(crate) fn instance_with_default_timeouts(&self, name: &str, zone: &str) -> Instance {
+        self.instance_with(name, zone, AdmissionOptions::default())
+    }
+
+    /// Starts an instance with these timeouts for coordinators and waits until it is ready.
+    pub(crate) fn instance_with(
+        &self,
+        name: &str,
+        zone: &str,
+        admission: AdmissionOptions,
+    ) -> Instance {
         let options = GatewayOptions {
-            admission: AdmissionOptions::default(),
+            admission,
             ..options(name, zone)
         };
         let instance = Instance::start(options, self.store.client_for_another_instance());
--- a/crates/foxtide-gateway/tests/gateway/support/mod.rs
+++ b/crates/foxtide-gateway/tests/gateway/support/mod.rs
@@ -1,6 +1,7 @@
 //! Test doubles of the platform: a store, upstreams and callers.
 
 mod caller;
+mod coordinator;
 mod dialect;
 mod fleet;
 mod path;
@@ -11,6 +12,7 @@
     CallError,
     Caller, //
 };
+pub(crate) use coordinator::FakeCoordinator;
 pub(crate) use dialect::PlainDialect;
 pub(crate) use fleet::{
     Fleet,
