Pace large responses on the instance's link

Cause: a response of 540 kB occupies a link of 10 Mbit/s for 430 ms, and all datagrams and small responses wait behind it.

Change: core::link gives bodies above 16 KiB turns on the link, one after the other, at nine tenths of link_mbps. A turn is one piece of 16 KiB, or as many as take 4 ms on a wide link. Bodies that are written have equal shares, a lone one has the whole rate. Replies to callers are written by front::write; in a stop, and where the link is unknown, they are not paced. The time limit for reading a reply does not count its wait for the link. The metric foxtide_link_backlog_bytes counts the bytes that wait. The reply is no longer held beside its encoded copy while it is written.

Result: in tests/link.rs 540 kB at 200 Mbit/s take at most 7 turns, the last of which begins before 24 ms; on 10 Mbit/s the queue of the link stays below 17.2 ms with six bodies, and three bodies of 540 kB end between 1,410 and 1,445 ms (1,440 at 9 Mbit/s).

--- a/crates/foxtide-core/src/lib.rs
+++ b/crates/foxtide-core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod idempotency;
 pub mod ids;
 pub mod limits;
+pub mod link;
 pub mod membership;
 pub mod organisation;
 pub mod outcome;
--- a/crates/foxtide-gateway/src/front/connection.rs
+++ b/crates/foxtide-gateway/src/front/connection.rs
@@ -6,6 +6,7 @@
     receive_body,
     receive_head, //
 };
+use super::write::ReplyWriter;
 use crate::dialect::Dialect;
 use crate::forward::{
     CallerRequest,
@@ -45,9 +46,6 @@
     Instant, //
 };
 
-/// How long a caller may take to read a reply.
-const REPLY_TIMEOUT: Duration = Duration::from_secs(20);
-
 /// Limits of reading the rest of a refused request, so that its sender reads the reply before
 /// the connection is reset.
 const DISCARD_MAX_BYTES: usize = 256 * 1_024;
@@ -218,8 +216,10 @@
             let version = routes.map_or(0, |routes| routes.version());
             line = format!("{PASSED_ON}: {version}\r\n");
         }
-        let bytes = reply.encode_with(&method, close, &line);
-        self.send(&bytes, close).await
+        let (bytes, body) = (reply.encode_with(&method, close, &line), reply.body_size());
+        // The body is held once while it waits for the link and the caller.
+        drop(reply);
+        self.send_reply(&bytes, body, close).await
     }
 
     /// Tells whether this instance takes a request that another one passes on: it reaches
@@ -368,12 +368,18 @@
         Next::Close
     }
 
+    /// Sends a reply without a body, or with a small one.
     async fn send(&mut self, bytes: &[u8], close: bool) -> Next {
-        let late = async {
-            Timer::after(REPLY_TIMEOUT).await;
-            Err(std::io::ErrorKind::TimedOut.into())
+        self.send_reply(bytes, ByteSize::default(), close).await
+    }
+
+    async fn send_reply(&mut self, bytes: &[u8], body: ByteSize, close: bool) -> Next {
+        let mut writer = ReplyWriter {
+            stream: &mut self.stream,
+            link: &self.shared.link,
+            lifecycle: &self.shared.lifecycle,
         };
-        match or(self.stream.write_all(bytes), late).await {
+        match writer.write(bytes, body).await {
             Ok(()) if close => {
                 self.linger().await;
                 Next::Close
--- a/crates/foxtide-gateway/src/front/mod.rs
+++ b/crates/foxtide-gateway/src/front/mod.rs
@@ -3,5 +3,6 @@
 mod connection;
 mod local;
 mod receive;
+mod write;
 
 pub(crate) use connection::serve_connection;
--- a/crates/foxtide-gateway/src/gateway.rs
+++ b/crates/foxtide-gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 use crate::follow::follow;
 use crate::journal::Journal;
 use crate::lifecycle::Lifecycle;
+use crate::link::Link;
 use crate::listener::{
     Listener,
     accept,
@@ -125,6 +126,7 @@
             neighbours: Neighbours::default(),
             body_memory: BodyMemory::new(body_memory),
             lifecycle: Lifecycle::default(),
+            link: Link::new(options.link_mbps, clock),
             journal: Journal::new(clock),
             store_calls: StoreCalls::default(),
             traffic,
--- a/crates/foxtide-gateway/src/lib.rs
+++ b/crates/foxtide-gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod gateway;
 mod journal;
 mod lifecycle;
+mod link;
 mod listener;
 mod membership;
 mod memory;
--- a/crates/foxtide-gateway/src/outcome/reply.rs
+++ b/crates/foxtide-gateway/src/outcome/reply.rs
@@ -1,5 +1,6 @@
 //! Replies to callers.
 
+use foxtide_core::units::ByteSize;
 use foxtide_http::WholeResponse;
 use std::time::Duration;
 
@@ -92,6 +93,14 @@
         }
     }
 
+    /// Returns the size of the body.
+    pub(crate) fn body_size(&self) -> ByteSize {
+        match self {
+            Self::Response(response) => ByteSize::from_bytes(response.body.len() as u64),
+            Self::Refused(_) => ByteSize::default(),
+        }
+    }
+
     /// Encodes the reply; `close` tells the caller that the connection ends.
     pub(crate) fn encode(&self, method: &str, close: bool) -> Vec<u8> {
         self.encode_with(method, close, "")
--- a/crates/foxtide-gateway/src/shared.rs
+++ b/crates/foxtide-gateway/src/shared.rs
@@ -4,6 +4,7 @@
 use crate::alarm::StoreAlarm;
 use crate::journal::Journal;
 use crate::lifecycle::Lifecycle;
+use crate::link::Link;
 use crate::memory::BodyMemory;
 use crate::neighbours::Neighbours;
 use crate::options::{
@@ -48,6 +49,7 @@
     pub(crate) neighbours: Neighbours,
     pub(crate) body_memory: BodyMemory,
     pub(crate) lifecycle: Lifecycle,
+    pub(crate) link: Link,
     pub(crate) journal: Journal,
     pub(crate) store_calls: StoreCalls,
     pub(crate) traffic: Arc<Traffic>,
--- a/crates/foxtide-gateway/tests/gateway/coordinators.rs
+++ b/crates/foxtide-gateway/tests/gateway/coordinators.rs
@@ -22,7 +22,9 @@
     let fleet = Fleet::new();
     let upstream = fleet.upstream("i-1", "khomas-a");
     let coordinator = FakeCoordinator::join(&fleet, "i-1", "edge-1");
-    let instance = fleet.instance_with("edge-1", "khomas-a", ADMISSION);
+    let instance = fleet.instance_with("edge-1", "khomas-a", |options| {
+        options.admission = ADMISSION;
+    });
     instance.wait_for_members(2);
     (fleet, upstream, coordinator, instance)
 }
--- a/crates/foxtide-gateway/tests/gateway/support/fleet.rs
+++ b/crates/foxtide-gateway/tests/gateway/support/fleet.rs
@@ -164,20 +164,20 @@
     /// Starts an instance with the default timeouts for coordinators and waits until it is
     /// ready.
     pub(crate) fn instance_with_default_timeouts(&self, name: &str, zone: &str) -> Instance {
-        self.instance_with(name, zone, AdmissionOptions::default())
+        self.instance_with(name, zone, |options| {
+            options.admission = AdmissionOptions::default();
+        })
     }
 
-    /// Starts an instance with these timeouts for coordinators and waits until it is ready.
+    /// Starts an instance with changed options and waits until it is ready.
     pub(crate) fn instance_with(
         &self,
         name: &str,
         zone: &str,
-        admission: AdmissionOptions,
+        change: impl FnOnce(&mut GatewayOptions),
     ) -> Instance {
-        let options = GatewayOptions {
-            admission,
-            ..options(name, zone)
-        };
+        let mut options = options(name, zone);
+        change(&mut options);
         let instance = Instance::start(options, self.store.client_for_another_instance());
         eventually("the instance is ready", || instance.gateway().is_ready());
         instance
