--- a/crates/foxtide-core/src/admission/mod.rs
+++ b/crates/foxtide-core/src/admission/mod.rs
@@ -23,6 +23,7 @@
 mod queue;
 mod request;
 mod reserve;
+mod round_trips;
 mod service_times;
 mod slowness;
 
@@ -38,6 +39,10 @@
     SlotRequest,
     Ticket, //
 };
+pub use round_trips::{
+    RoundTripOptions,
+    RoundTrips, //
+};
 pub use service_times::{
     ObjectAccess,
     ServiceTimes, //
--- a/crates/foxtide-core/src/placement/mod.rs
+++ b/crates/foxtide-core/src/placement/mod.rs
@@ -12,6 +12,7 @@
 mod regions;
 mod slowness;
 
+pub(crate) use affinity::weighted_distance;
 pub use affinity::{
     Candidate,
     ObjectKey,
--- a/crates/foxtide-gateway/src/gateway.rs
+++ b/crates/foxtide-gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use crate::hedging::Hedging;
 use crate::journal::Journal;
 use crate::lifecycle::Lifecycle;
+use crate::link::Link;
 use crate::listener::{
     Listener,
     accept,
@@ -137,6 +138,7 @@
             neighbours: Neighbours::default(),
             body_memory: BodyMemory::new(body_memory),
             lifecycle: Lifecycle::default(),
+            link: Link::new(options.link_mbps, clock),
             journal: Journal::new(clock, options.place.region.clone()),
             store_calls: StoreCalls::default(),
             traffic,
--- a/crates/foxtide-gateway/src/lib.rs
+++ b/crates/foxtide-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod hedging;
 mod journal;
 mod lifecycle;
+mod link;
 mod listener;
 mod membership;
 mod memory;
--- a/crates/foxtide-gateway/src/shared.rs
+++ b/crates/foxtide-gateway/src/shared.rs
@@ -6,6 +6,7 @@
 use crate::hedging::Hedging;
 use crate::journal::Journal;
 use crate::lifecycle::Lifecycle;
+use crate::link::Link;
 use crate::memory::BodyMemory;
 use crate::neighbours::Neighbours;
 use crate::options::{
@@ -52,6 +53,7 @@
     pub(crate) neighbours: Neighbours,
     pub(crate) body_memory: BodyMemory,
     pub(crate) lifecycle: Lifecycle,
+    pub(crate) link: Link,
     pub(crate) journal: Journal,
     pub(crate) store_calls: StoreCalls,
     pub(crate) traffic: Arc<Traffic>,
--- a/crates/foxtide-gateway/tests/gateway/main.rs
+++ b/crates/foxtide-gateway/tests/gateway/main.rs
@@ -1,6 +1,8 @@
 //! Tests instances with a fake store, fake upstreams and test callers.
 
 mod admission;
+mod bulk;
+mod coordinators;
 mod cut_off;
 mod directory;
 mod following;
