--- a/crates/foxtide-core/src/admission/coordinator.rs
+++ b/crates/foxtide-core/src/admission/coordinator.rs
@@ -3,7 +3,7 @@
 use super::queue::SlotQueue;
 use super::request::{
     Answer,
-    Ending,
+    EndReport,
     SlotRequest,
     Ticket, //
 };
@@ -13,6 +13,7 @@
     WallTime, //
 };
 use std::collections::HashMap;
+use std::time::Duration;
 
 /// An answer with the ticket of the request that it belongs to.
 pub type AddressedAnswer = (Ticket, Answer);
@@ -82,19 +83,26 @@
     pub fn end(
         &mut self,
         ticket: Ticket,
-        ending: Ending,
+        end: impl Into<EndReport>,
         now: MonotonicTime,
     ) -> Vec<AddressedAnswer> {
         let mut answers = Vec::new();
         let upstream = self.upstreams.remove(&ticket);
         let incarnation = upstream.and_then(|upstream| self.queues.get_mut(&upstream));
         if let Some(Incarnation { queue, .. }) = incarnation {
-            queue.end(ticket, ending, now, &mut answers);
+            queue.end(ticket, end.into(), now, &mut answers);
         }
         self.remove_rejected(&answers);
         answers
     }
 
+    /// Returns the number of slots that are reserved for urgent work, over all upstreams.
+    pub fn reserved_slots(&self, now: MonotonicTime) -> usize {
+        let queues = self.queues.values();
+        let reserved = queues.map(|incarnation| incarnation.queue.reserved_slots(now));
+        reserved.sum()
+    }
+
     /// Drops the queues whose upstream and start time `is_known` does not accept.
     pub fn retain(&mut self, is_known: impl Fn(&UpstreamId, Option<WallTime>) -> bool) {
         self.queues
@@ -106,6 +114,14 @@
         });
     }
 
+    /// Returns the largest difference of the service time used in the last 5 s between two
+    /// organisations that wait for slots of the same upstream.
+    pub fn fair_share_debt(&self, now: MonotonicTime) -> Duration {
+        let queues = self.queues.values();
+        let debts = queues.map(|incarnation| incarnation.queue.fair_share_debt(now));
+        debts.max().unwrap_or_default()
+    }
+
     /// Returns the queue of the request's upstream. A later start time replaces the queue,
     /// since a restarted upstream has no requests in progress and no cached objects.
     fn queue_of(&mut self, request: &SlotRequest) -> &mut SlotQueue {
--- a/crates/foxtide-core/src/admission/mod.rs
+++ b/crates/foxtide-core/src/admission/mod.rs
@@ -18,10 +18,14 @@
 //! without a grant if the coordinator does not answer.
 
 mod coordinator;
+mod fair_share;
 mod objects;
 mod queue;
 mod request;
+mod reserve;
+mod round_trips;
 mod service_times;
+mod slowness;
 
 pub use coordinator::{
     AddressedAnswer,
@@ -29,11 +33,16 @@
 };
 pub use request::{
     Answer,
+    EndReport,
     Ending,
     Patience,
     SlotRequest,
     Ticket, //
 };
+pub use round_trips::{
+    RoundTripOptions,
+    RoundTrips, //
+};
 pub use service_times::{
     ObjectAccess,
     ServiceTimes, //
--- a/crates/foxtide-core/src/admission/queue.rs
+++ b/crates/foxtide-core/src/admission/queue.rs
@@ -1,23 +1,48 @@
 //! The slots of one upstream and the requests that wait for them.
 
+mod forecast;
+mod retry_after;
+mod room;
+mod running;
+mod schedule;
+mod waiting;
+
+use super::fair_share::{
+    Charge,
+    FairShare,
+    OrganisationKey,
+    UsedTimes, //
+};
 use super::objects::RecentObjects;
 use super::request::{
     Answer,
+    EndReport,
     Ending,
     Patience,
     SlotRequest,
     Ticket, //
 };
+use super::reserve::Reserve;
 use super::service_times::{
     ObjectAccess,
     ServiceTimes, //
 };
+use super::slowness::RecentSlowness;
 use crate::placement::ObjectKey;
+use crate::routing::RequestKind;
 use crate::throttle::Throttle;
 use crate::time::MonotonicTime;
+use running::{
+    Running,
+    RunningRequests, //
+};
 use std::cmp::Reverse;
-use std::collections::HashMap;
 use std::time::Duration;
+use waiting::{
+    ServiceClass,
+    ServiceOrder,
+    Waiting, //
+};
 
 /// The number of requests admitted beyond the slots. They queue at the upstream and keep its slots
 /// busy while a release and the next grant are in transit. One beats none most where work is short;
@@ -29,64 +54,23 @@
 /// request in place of this costs busy days up to a hundredth of their worth.
 const GRANT_TIMEOUT_FACTOR: u32 = 4;
 
-/// Bounds of the retry delay in rejections.
-const RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
-const RETRY_AFTER_MAX: Duration = Duration::from_millis(1_000);
-
-/// The share of the latency objective within which a request must be expected to finish to wait at
-/// its preferred upstream; otherwise it tries another one. The rest covers network latency, varying
-/// service times and newer requests that are served first. Requests that wait for the whole
-/// objective pile up in regions short of upstreams; when demand falls they are served there alone,
-/// and the region's share of the traffic jumps.
-const OBJECTIVE_WAIT_SHARE: f64 = 0.5;
-
-/// A request that holds a slot.
-#[derive(Clone, Copy, Debug)]
-struct Running {
-    object: Option<ObjectKey>,
-    access: ObjectAccess,
-    began_at: MonotonicTime,
-    /// When the request stops counting if it is not released.
-    expires_at: MonotonicTime,
-    /// Whether its duration is a service time. A request sent without a grant may also wait
-    /// at the upstream.
-    is_measured: bool,
-}
-
-/// A request that waits for a slot.
-#[derive(Clone, Debug)]
-struct Waiting {
-    ticket: Ticket,
-    object: Option<ObjectKey>,
-    priority: u32,
-    queued_at: MonotonicTime,
-    objective_at: MonotonicTime,
-    /// The latest expected completion at which it waits here rather than tries another
-    /// upstream.
-    wait_until: MonotonicTime,
-    deadline: MonotonicTime,
-}
-
-/// The order in which waiting requests of one priority are served, first to last.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum ServiceClass {
-    /// The answer is expected within the latency objective.
-    InTime,
-    /// The answer will be late, but later requests for the same object will be faster.
-    LateFirstAccess,
-    /// The answer will be late.
-    Late,
-}
+/// The answer to a request that does not wait and gets no slot.
+const BUSY: Answer = Answer::Busy { served_in: None };
 
 /// The slots and waiting requests of one upstream.
 #[derive(Clone, Debug, Default)]
 pub(super) struct SlotQueue {
     slots: usize,
-    running: HashMap<Ticket, Running>,
+    running: RunningRequests,
     waiting: Vec<Waiting>,
     objects: RecentObjects,
     times: ServiceTimes,
+    /// The times of accesses that are certain to be first or repeated ones.
+    certain_times: ServiceTimes,
+    slowness: RecentSlowness,
     throttle: Throttle,
+    reserve: Reserve,
+    shares: FairShare,
 }
 
 impl SlotQueue {
@@ -108,7 +92,7 @@
     /// Returns whether a request waits or holds a slot.
     pub(super) fn contains(&self, ticket: Ticket) -> bool {
         let is_waiting = self.waiting.iter().any(|waiting| waiting.ticket == ticket);
-        is_waiting || self.running.contains_key(&ticket)
+        is_waiting || self.running.contains(ticket)
     }
 
     /// Asks for a slot. Appends the answer to `answers`, with the answers to other requests
@@ -119,8 +103,9 @@
         now: MonotonicTime,
         answers: &mut Vec<(Ticket, Answer)>,
     ) {
+        self.slowness.advance(now);
         let ticket = request.ticket;
-        if self.running.contains_key(&ticket) {
+        if self.running.contains(ticket) {
             answers.push((ticket, Answer::Granted));
             return;
         }
@@ -128,81 +113,103 @@
             self.throttle.apply(report, now);
         }
         let is_waiting = self.waiting.iter().any(|one| one.ticket == ticket);
-        if let Some(answer) = self.throttled(is_waiting, now) {
+        if let Some(answer) = self.throttled(request, is_waiting, now) {
             self.waiting.retain(|one| one.ticket != ticket);
             answers.push((ticket, answer));
             return;
         }
         self.drop_expired_grants(now);
-        if request.patience == Patience::NoWait && !self.has_immediate_room(request.object) {
-            answers.push((ticket, Answer::Busy));
+        self.shares
+            .record_ask(OrganisationKey::of(request), request.organisation_rate, now);
+        let has_room = match request.patience {
+            Patience::NoWait => self.has_immediate_room(request, now),
+            Patience::NoWaitInTime => {
+                self.has_immediate_room(request, now) && self.is_immediately_in_time(request, now)
+            }
+            Patience::WithinObjective | Patience::UntilDeadline => true,
+        };
+        if !has_room {
+            answers.push((ticket, BUSY));
             return;
         }
-        if !is_waiting {
-            self.waiting.push(Waiting {
-                ticket,
-                object: request.object,
-                priority: request.priority,
-                queued_at: now,
-                objective_at: now + request.objective_left,
-                wait_until: now + request.objective_left.mul_f64(OBJECTIVE_WAIT_SHARE),
-                deadline: now + request.time_left,
-            });
+        self.queue(request, now);
+        self.grant_free_slots(now, answers);
+        let is_dismissed = self.dismiss_busy(ticket, now, answers);
+        if !is_waiting && !is_dismissed {
+            self.record_demand(request, now);
         }
-        self.dispatch(now, answers);
-        let Some(index) = self.waiting.iter().position(|one| one.ticket == ticket) else {
-            return;
-        };
-        let answer = self.decide(&self.waiting[index], request.patience, now);
-        if answer != Answer::Waiting {
-            self.waiting.remove(index);
+        self.reject_hopeless(now, answers);
+        if self.waiting.iter().any(|one| one.ticket == ticket) {
+            answers.push((ticket, Answer::Waiting));
+        }
+    }
+
+    /// Queues a request, or updates the patience of one that waits already.
+    fn queue(&mut self, request: &SlotRequest, now: MonotonicTime) {
+        let mut waiting = self.waiting.iter_mut();
+        match waiting.find(|one| one.ticket == request.ticket) {
+            Some(waiting) => waiting.patience = request.patience,
+            None => self.waiting.push(Waiting::new(request, now)),
         }
-        answers.push((ticket, answer));
     }
 
     /// Returns the answer to a request that the upstream's rate limit excludes. A waiting
-    /// request keeps its place, as new ones leave it a token.
-    fn throttled(&mut self, is_waiting: bool, now: MonotonicTime) -> Option<Answer> {
+    /// request keeps its place, as new ones that are not more urgent leave it a token.
+    fn throttled(
+        &mut self,
+        request: &SlotRequest,
+        is_waiting: bool,
+        now: MonotonicTime,
+    ) -> Option<Answer> {
         if !self.throttle.is_limited() {
             return None;
         }
         if !self.throttle.is_coordinating() {
             return Some(Answer::NotCoordinator);
         }
-        let retry_after = self.throttle.next_token_in(self.waiting.len(), now);
+        let waiting = self.waiting.iter();
+        let ahead = waiting.filter(|one| one.priority <= request.priority);
+        let retry_after = self.throttle.next_token_in(ahead.count(), now);
         let is_exhausted = !is_waiting && !retry_after.is_zero();
         is_exhausted.then_some(Answer::Throttled { retry_after })
     }
 
-    /// Returns whether a request that does not wait may have a slot.
-    ///
-    /// A first access takes longer here than at the upstream that cached the object. It
-    /// gets an idle slot only, so that objects do not spread to other upstreams that are
-    /// equally busy.
-    fn has_immediate_room(&self, object: Option<ObjectKey>) -> bool {
-        let limit = match self.access(object) {
-            ObjectAccess::Repeated => self.slots + UPSTREAM_BACKLOG,
-            ObjectAccess::First => self.slots,
-        };
-        self.running.len() < limit
+    /// Counts a request as demand of its kind at this upstream. One that is busy here is served
+    /// elsewhere or asks again.
+    fn record_demand(&mut self, request: &SlotRequest, now: MonotonicTime) {
+        let work = self.work_of_request(request);
+        self.reserve
+            .record(request.kind, work, request.objective_left, now);
     }
 
-    /// Returns the answer to a request that has no slot yet.
-    fn decide(&self, waiting: &Waiting, patience: Patience, now: MonotonicTime) -> Answer {
-        let served_at = now + self.expected_wait() + self.expected(waiting);
-        let may_wait = match patience {
-            Patience::NoWait => false,
-            Patience::WithinObjective => served_at <= waiting.wait_until,
-            Patience::UntilDeadline => true,
+    /// Dismisses a waiting request whose wait would exceed its patience; returns whether it did.
+    fn dismiss_busy(
+        &mut self,
+        ticket: Ticket,
+        now: MonotonicTime,
+        answers: &mut Vec<(Ticket, Answer)>,
+    ) -> bool {
+        let mut waiting = self.waiting.iter();
+        let Some(index) = waiting.position(|one| one.ticket == ticket) else {
+            return false;
         };
-        if !may_wait {
-            return Answer::Busy;
-        }
-        if served_at > waiting.deadline {
-            let retry_after = self.retry_after();
-            return Answer::Rejected { retry_after };
-        }
-        Answer::Waiting
+        let waiting = &self.waiting[index];
+        let answer = match waiting.patience {
+            Patience::NoWait | Patience::NoWaitInTime => BUSY,
+            Patience::UntilDeadline => return false,
+            Patience::WithinObjective => {
+                let served_at = self.served_at(waiting, now);
+                if served_at <= waiting.wait_until {
+                    return false;
+                }
+                let is_known = self.is_service_known(waiting);
+                let served_in = is_known.then(|| served_at.since(now));
+                Answer::Busy { served_in }
+            }
+        };
+        self.waiting.remove(index);
+        answers.push((ticket, answer));
+        true
     }
 
     /// Counts a request that is sent without a grant.
@@ -212,28 +219,40 @@
             self.throttle.apply(report, now);
         }
         self.throttle.take(now);
+        self.record_demand(request, now);
         let access = self.access(request.object);
         let running = Running {
+            ticket: request.ticket,
+            kind: request.kind,
+            priority: request.priority,
             object: request.object,
             access,
-            began_at: now,
+            depth: request.object.and_then(|object| self.objects.depth(object)),
+            granted_at: now,
+            begun_at: None,
             expires_at: now + request.time_left,
             is_measured: false,
+            charge: self.charge(OrganisationKey::of(request), request.kind, access),
         };
-        self.begin(request.ticket, running);
+        self.begin(running, now);
     }
 
     /// Releases the slot of a request that ended or whose requester no longer waits.
     pub(super) fn end(
         &mut self,
         ticket: Ticket,
-        ending: Ending,
+        end: EndReport,
         now: MonotonicTime,
         answers: &mut Vec<(Ticket, Answer)>,
     ) {
+        self.slowness.advance(now);
         self.waiting.retain(|waiting| waiting.ticket != ticket);
-        if let Some(running) = self.running.remove(&ticket) {
-            self.record_completion(running, ending, now);
+        // An unknown ticket may be of an earlier incarnation, whose figure says nothing here.
+        if let Some(running) = self.running.remove(ticket, self.slots, now) {
+            self.slowness.record(end.slowness, now);
+            self.shares
+                .settle(running.charge, running.served_for(now), now);
+            self.record_completion(running, end.ending, now);
         }
         self.dispatch(now, answers);
     }
@@ -241,7 +260,10 @@
     fn record_completion(&mut self, running: Running, ending: Ending, now: MonotonicTime) {
         match ending {
             Ending::Served if running.is_measured => {
-                self.times.record(running.access, now - running.began_at);
+                let service = running.served_for(now);
+                let usual_time = self.slowness.usual_time(now.saturating_sub(service), now);
+                let access = self.observe_access(&running, usual_time);
+                self.times.record(running.kind, access, usual_time);
             }
             Ending::NotServed if running.access == ObjectAccess::First => {
                 if let Some(object) = running.object {
@@ -252,14 +274,39 @@
         }
     }
 
+    /// Learns from a service time how many objects the upstream keeps; returns whether it had the
+    /// request's object, as far as the time tells.
+    ///
+    /// The times that first and repeated accesses are told apart by are those of accesses that are
+    /// certain to be the one or the other.
+    fn observe_access(&mut self, running: &Running, service: Duration) -> ObjectAccess {
+        let kind = running.kind;
+        if let Some(access) = RecentObjects::certain_access(running.depth) {
+            self.certain_times.record(kind, access, service);
+            return access;
+        }
+        let mean = |access| self.certain_times.measured(kind, access);
+        let means = (mean(ObjectAccess::First), mean(ObjectAccess::Repeated));
+        let (Some(depth), (Some(first), Some(repeated))) = (running.depth, means) else {
+            return running.access;
+        };
+        let observed = self.objects.learn(depth, service, first, repeated);
+        observed.unwrap_or(running.access)
+    }
+
     fn drop_expired_grants(&mut self, now: MonotonicTime) {
-        self.running.retain(|_, running| now < running.expires_at);
+        self.running.drop_expired(self.slots, now);
     }
 
     /// Grants free slots and rejects waiting requests that can no longer meet their
     /// deadline.
     fn dispatch(&mut self, now: MonotonicTime, answers: &mut Vec<(Ticket, Answer)>) {
         self.drop_expired_grants(now);
+        self.grant_free_slots(now, answers);
+        self.reject_hopeless(now, answers);
+    }
+
+    fn grant_free_slots(&mut self, now: MonotonicTime, answers: &mut Vec<(Ticket, Answer)>) {
         while self.running.len() < self.slots + UPSTREAM_BACKLOG
             && self.throttle.next_token_in(0, now).is_zero()
         {
@@ -270,66 +317,96 @@
             answers.push((next.ticket, Answer::Granted));
             self.grant(&next, now);
         }
-        self.reject_expired(now, answers);
     }
 
     fn grant(&mut self, waiting: &Waiting, now: MonotonicTime) {
         self.throttle.take(now);
         let access = self.access(waiting.object);
-        let expires_at = match self.times.expected(access) {
-            Some(time) => (now + time * GRANT_TIMEOUT_FACTOR).min(waiting.deadline),
+        let expires_at = match self.times.expected(waiting.kind, access) {
+            // A figure below the usual one may end before the request does.
+            Some(time) => {
+                let time = time.mul_f64(self.slowness.factor().max(1.0));
+                (now + time * GRANT_TIMEOUT_FACTOR).min(waiting.deadline)
+            }
             None => waiting.deadline,
         };
         let running = Running {
+            ticket: waiting.ticket,
+            kind: waiting.kind,
+            priority: waiting.priority,
             object: waiting.object,
             access,
-            began_at: now,
+            depth: waiting.object.and_then(|object| self.objects.depth(object)),
+            granted_at: now,
+            begun_at: None,
             expires_at,
             is_measured: true,
+            charge: self.charge(waiting.organisation, waiting.kind, access),
         };
-        self.begin(waiting.ticket, running);
+        self.begin(running, now);
     }
 
     /// Counts a request as started; its object is cached at the upstream from then on.
-    fn begin(&mut self, ticket: Ticket, running: Running) {
+    fn begin(&mut self, running: Running, now: MonotonicTime) {
         if let Some(object) = running.object {
             self.objects.insert(object);
         }
-        self.running.insert(ticket, running);
+        self.shares.charge(running.charge, now);
+        self.running.insert(running, self.slots, now);
     }
 
-    fn reject_expired(&mut self, now: MonotonicTime, answers: &mut Vec<(Ticket, Answer)>) {
-        let retry_after = self.retry_after();
-        let times = self.times;
-        let objects = &self.objects;
-        self.waiting.retain(|waiting| {
-            let access = access_of(objects, waiting.object);
-            let expected = times.expected(access).unwrap_or_default();
-            let is_expired = now + expected > waiting.deadline;
-            if is_expired {
-                answers.push((waiting.ticket, Answer::Rejected { retry_after }));
-            }
-            !is_expired
-        });
+    fn charge(
+        &self,
+        organisation: OrganisationKey,
+        kind: RequestKind,
+        access: ObjectAccess,
+    ) -> Charge {
+        Charge {
+            organisation,
+            expected: self.expected_service(kind, access).unwrap_or_default(),
+        }
     }
 
-    /// Returns the index of the request to serve next: by priority, then class, then newest
-    /// first, since the newest has the latest deadline.
+    /// Returns the index of the request to serve next, among those that there is room for. An
+    /// organisation that used clearly more than its fair share does not get the place beyond the
+    /// slots.
     fn next_waiting(&self, now: MonotonicTime) -> Option<usize> {
-        (0..self.waiting.len()).min_by_key(|&index| {
-            let waiting = &self.waiting[index];
-            (
-                waiting.priority,
-                self.class_of(waiting, now),
-                Reverse(waiting.queued_at),
-            )
-        })
+        if self.waiting.is_empty() {
+            return None;
+        }
+        let used = self.shares.used(now);
+        let has_free_slot = self.running.len() < self.slots;
+        let is_admissible = |waiting: &Waiting| {
+            (has_free_slot || !used.is_excessive(waiting.organisation))
+                && self.has_room(self.work_of(waiting), now)
+        };
+        let admissible =
+            (0..self.waiting.len()).filter(|&index| is_admissible(&self.waiting[index]));
+        admissible.min_by_key(|&index| self.service_order(&self.waiting[index], &used, now))
+    }
+
+    /// Returns the place of a waiting request in the order of service: by priority, then class,
+    /// then fair share, then newest first.
+    fn service_order(
+        &self,
+        waiting: &Waiting,
+        used: &UsedTimes<'_>,
+        now: MonotonicTime,
+    ) -> ServiceOrder {
+        ServiceOrder {
+            priority: waiting.priority,
+            class: self.class_of(waiting, now),
+            used: used.of(waiting.organisation),
+            age: Reverse(waiting.queued_at),
+        }
     }
 
     fn class_of(&self, waiting: &Waiting, now: MonotonicTime) -> ServiceClass {
-        if now + self.expected(waiting) <= waiting.objective_at {
+        let access = self.access(waiting.object);
+        let service = self.expected_service(waiting.kind, access);
+        if now + service.unwrap_or_default() <= waiting.objective_at {
             ServiceClass::InTime
-        } else if self.access(waiting.object) == ObjectAccess::First {
+        } else if access == ObjectAccess::First {
             ServiceClass::LateFirstAccess
         } else {
             ServiceClass::Late
@@ -337,29 +414,27 @@
     }
 
     fn access(&self, object: Option<ObjectKey>) -> ObjectAccess {
-        access_of(&self.objects, object)
+        match object {
+            Some(object) if self.objects.contains(object) => ObjectAccess::Repeated,
+            _ => ObjectAccess::First,
+        }
     }
 
-    fn expected(&self, waiting: &Waiting) -> Duration {
+    fn is_service_known(&self, waiting: &Waiting) -> bool {
         let access = self.access(waiting.object);
-        self.times.expected(access).unwrap_or_default()
+        self.expected_service(waiting.kind, access).is_some()
     }
 
-    /// Returns the time in which the slots serve all waiting requests.
-    fn expected_wait(&self) -> Duration {
-        let work: Duration = self.waiting.iter().map(|one| self.expected(one)).sum();
-        work / self.slots.max(1) as u32
+    /// Returns the largest difference of used service time between two waiting organisations.
+    pub(super) fn fair_share_debt(&self, now: MonotonicTime) -> Duration {
+        let organisations = self.waiting.iter().map(|waiting| waiting.organisation);
+        self.shares.used(now).spread(organisations)
     }
 
-    /// Returns the time after which a slot is expected to be free.
-    fn retry_after(&self) -> Duration {
-        self.expected_wait().clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX)
-    }
-}
-
-fn access_of(objects: &RecentObjects, object: Option<ObjectKey>) -> ObjectAccess {
-    match object {
-        Some(object) if objects.contains(object) => ObjectAccess::Repeated,
-        _ => ObjectAccess::First,
+    /// Returns the expected service time of a request at the upstream's present speed, if any is
+    /// known.
+    fn expected_service(&self, kind: RequestKind, access: ObjectAccess) -> Option<Duration> {
+        let usual_time = self.times.expected(kind, access)?;
+        Some(usual_time.mul_f64(self.slowness.factor()))
     }
 }
--- a/crates/foxtide-core/src/placement/mod.rs
+++ b/crates/foxtide-core/src/placement/mod.rs
@@ -10,7 +10,9 @@
 mod health;
 mod overflow;
 mod regions;
+mod slowness;
 
+pub(crate) use affinity::weighted_distance;
 pub use affinity::{
     Candidate,
     ObjectKey,
@@ -37,3 +39,4 @@
     UpstreamWeights,
     region_shares, //
 };
+pub use slowness::Slowness;
--- a/crates/foxtide-gateway/src/admission/client.rs
+++ b/crates/foxtide-gateway/src/admission/client.rs
@@ -8,16 +8,23 @@
 };
 use foxtide_core::admission::{
     Answer,
+    EndReport,
     Ending,
     Patience,
     SlotRequest,
     Ticket, //
 };
-use foxtide_core::ids::OrganisationId;
-use foxtide_core::placement::ObjectKey;
+use foxtide_core::placement::{
+    ObjectKey,
+    Slowness, //
+};
 use foxtide_core::registry::Registration;
-use foxtide_core::routing::RequestKind;
+use foxtide_core::routing::{
+    OrganisationTerms,
+    RequestKind, //
+};
 use foxtide_core::throttle::LimitReport;
+use foxtide_core::units::RequestRate;
 use futures_lite::future::or;
 use parking_lot::Mutex;
 use smol::Timer;
@@ -35,8 +42,8 @@
 /// coordinator expire lapsed grants.
 const ASK_AGAIN_PERIOD: Duration = Duration::from_millis(150);
 
-/// How often a coordinator is asked for a request to an upstream that limits its rate before it
-/// counts as unresponsive: single datagrams are lost.
+/// How often a coordinator is asked for a request to an upstream that limits its rate: single
+/// datagrams are lost.
 const LIMITED_ASKS_MAX: u32 = 2;
 
 /// The capacity for unread answers: one of each kind.
@@ -49,7 +56,7 @@
     /// The kind of the request.
     pub(crate) kind: RequestKind,
     /// The organisation of its caller, if it is known.
-    pub(crate) organisation: Option<&'a OrganisationId>,
+    pub(crate) organisation: Option<&'a OrganisationTerms>,
     /// The object that it concerns, if any.
     pub(crate) object: Option<ObjectKey>,
     /// Its priority; 0 is the highest.
@@ -62,7 +69,7 @@
     pub(crate) patience: Patience,
     /// What is known of the upstream's rate limit.
     pub(crate) limit: Option<LimitReport>,
-    /// How long the coordinator may take to answer.
+    /// How long the coordinator may take to answer while its round-trip time is not known.
     pub(crate) answer_time: Duration,
 }
 
@@ -79,7 +86,10 @@
     /// The request may be sent; `None` if no coordinator knows of it.
     Granted(Option<Slot<'a>>),
     /// The wait would be longer than the request may wait.
-    Busy,
+    Busy {
+        /// The time after which the upstream is expected to have served it, if it is known.
+        served_in: Option<Duration>,
+    },
     /// It cannot be served before its deadline.
     Refused {
         /// When a slot is expected to be free.
@@ -108,6 +118,8 @@
     Granted,
     /// The coordinator did not answer.
     Unanswered,
+    /// The coordinator was not asked, since it recently did not answer.
+    Skipped,
     /// The coordinator refused a slot, or the wait would be too long.
     Refused,
     /// The upstream's rate limit was exhausted.
@@ -122,6 +134,7 @@
             Self::Notified => "told",
             Self::Granted => "granted",
             Self::Unanswered => "unanswered",
+            Self::Skipped => "skipped",
             Self::Refused => "refused",
             Self::Throttled => "throttled",
         }
@@ -135,7 +148,7 @@
     coordinator: SocketAddr,
     number: u64,
     answer: SlotAnswer,
-    ending: Ending,
+    end: EndReport,
 }
 
 impl Slot<'_> {
@@ -146,7 +159,12 @@
 
     /// Records that the upstream served the request.
     pub(crate) fn served(&mut self) {
-        self.ending = Ending::Served;
+        self.end.ending = Ending::Served;
+    }
+
+    /// Records the slowness that the upstream reported, if any.
+    pub(crate) fn record_slowness(&mut self, slowness: Option<Slowness>) {
+        self.end.slowness = slowness;
     }
 }
 
@@ -154,13 +172,14 @@
     fn drop(&mut self) {
         let admission = self.admission;
         admission.pending.lock().remove(&self.number);
-        let (number, ending) = (self.number, self.ending);
+        admission.end_ask(self.number);
+        let (number, end) = (self.number, self.end);
         if self.coordinator == admission.address {
             let requester = admission.address;
             let ticket = Ticket { requester, number };
-            admission.with_coordinator(|own, now| own.end(ticket, ending, now));
+            admission.with_coordinator(|own, now| own.end(ticket, end, now));
         } else {
-            admission.send(self.coordinator, &Datagram::end(number, ending));
+            admission.send(self.coordinator, &Datagram::end(number, end));
         }
     }
 }
@@ -185,8 +204,8 @@
         pick: &Pick,
         state: &Mutex<State>,
     ) -> Admitted<'_> {
-        if self.is_unresponsive(coordinator) {
-            return self.unanswered(coordinator, terms);
+        if self.is_skipped(coordinator) {
+            return self.admit_unasked(coordinator, terms, SlotAnswer::Skipped);
         }
         let mut slot = self.slot(coordinator);
         let (answered, answers) = bounded(ANSWERS_MAX);
@@ -195,12 +214,13 @@
         loop {
             let request = self.request(slot.number, terms);
             self.send_ask(coordinator, &request, terms, state);
-            match self.receive_answer(&answers, terms.answer_time).await {
+            let timeout = self.timeout(coordinator, terms.answer_time);
+            match self.receive_answer(&answers, timeout).await {
                 Some(Answer::Granted) => {
                     slot.answer = SlotAnswer::Granted;
                     return Admitted::Granted(Some(slot));
                 }
-                Some(Answer::Busy) => return Admitted::Busy,
+                Some(Answer::Busy { served_in }) => return Admitted::Busy { served_in },
                 Some(Answer::Rejected { retry_after }) => return Admitted::Refused { retry_after },
                 Some(Answer::Throttled { retry_after }) => {
                     return Admitted::Throttled { retry_after };
@@ -209,23 +229,28 @@
                 Some(Answer::Waiting) if state.lock().is_pick_valid(pick) => {}
                 Some(Answer::Waiting) => return Admitted::PickAgain,
                 None => {
+                    self.record_timeout(slot.number);
                     unanswered_asks += 1;
                     if !terms.is_limited() || unanswered_asks >= LIMITED_ASKS_MAX {
-                        self.mark_unresponsive(coordinator);
-                        return self.unanswered(coordinator, terms);
+                        return self.admit_unasked(coordinator, terms, SlotAnswer::Unanswered);
                     }
                 }
             }
         }
     }
 
-    /// Returns the outcome for a request whose coordinator does not answer.
-    fn unanswered(&self, coordinator: SocketAddr, terms: &SlotTerms<'_>) -> Admitted<'_> {
+    /// Returns the outcome for a request whose coordinator does not answer or is skipped.
+    fn admit_unasked(
+        &self,
+        coordinator: SocketAddr,
+        terms: &SlotTerms<'_>,
+        answer: SlotAnswer,
+    ) -> Admitted<'_> {
         if terms.is_limited() {
             return Admitted::Uncoordinated;
         }
         let mut slot = self.notify(coordinator, terms);
-        slot.answer = SlotAnswer::Unanswered;
+        slot.answer = answer;
         Admitted::Granted(Some(slot))
     }
 
@@ -233,9 +258,9 @@
     async fn receive_answer(
         &self,
         answers: &Receiver<Answer>,
-        answer_time: Duration,
+        timeout: Duration,
     ) -> Option<Answer> {
-        let answer = receive_within(answer_time, answers).await?;
+        let answer = receive_within(timeout, answers).await?;
         if answer != Answer::Waiting {
             return Some(answer);
         }
@@ -252,7 +277,7 @@
             coordinator,
             number: self.next_datagram_number(),
             answer: SlotAnswer::Notified,
-            ending: Ending::NotServed,
+            end: Ending::NotServed.into(),
         }
     }
 
@@ -266,7 +291,8 @@
             upstream: terms.registration.upstream.clone(),
             born_at: terms.registration.born_at,
             kind: terms.kind,
-            organisation: terms.organisation.cloned(),
+            organisation: terms.organisation.map(|terms| terms.organisation.clone()),
+            organisation_rate: organisation_rate(terms.organisation),
             object: terms.object,
             priority: terms.priority,
             objective_left: terms.objective_at.saturating_duration_since(now),
@@ -287,6 +313,7 @@
         if coordinator == self.address {
             self.answer_ask(request, slots, state);
         } else {
+            self.record_ask(request.ticket.number, coordinator);
             self.send(coordinator, &Datagram::ask(request, slots));
         }
     }
@@ -304,6 +331,11 @@
     }
 }
 
+/// Returns the rate that was sold to an organisation, if it is limited.
+fn organisation_rate(organisation: Option<&OrganisationTerms>) -> Option<RequestRate> {
+    Some(organisation?.quota?.rate)
+}
+
 async fn receive_within(time: Duration, answers: &Receiver<Answer>) -> Option<Answer> {
     let late = async {
         Timer::after(time).await;
@@ -311,3 +343,30 @@
     };
     or(async { answers.recv().await.ok() }, late).await
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::options::AdmissionOptions;
+    use foxtide_clock::SteadyClock;
+    use prost::Message;
+    use std::net::UdpSocket;
+    use std::sync::Arc;
+
+    /// The figure must reach the coordinator of another instance, also if the request failed.
+    #[test]
+    fn verify_the_end_of_a_slot_tells_the_slowness() {
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        let coordinator = UdpSocket::bind(any_port).unwrap();
+        let (options, clock) = (AdmissionOptions::default(), SteadyClock::default());
+        let admission = Admission::bind(any_port, options, clock, Arc::default()).unwrap();
+        let mut slot = admission.slot(coordinator.local_addr().unwrap());
+        slot.record_slowness(Slowness::from_percent(250.0).ok());
+        let sent = slot.end;
+        drop(slot);
+        let mut bytes = [0; 512];
+        let size_bytes = coordinator.recv(&mut bytes).unwrap();
+        let datagram = Datagram::decode(&bytes[..size_bytes]).unwrap();
+        assert_eq!(datagram, Datagram::end(datagram.number, sent));
+    }
+}
--- a/crates/foxtide-gateway/src/datagram/mod.rs
+++ b/crates/foxtide-gateway/src/datagram/mod.rs
@@ -19,7 +19,9 @@
 };
 pub(crate) use slots::{
     AnswerMessage,
-    RequestMessage, //
+    EndedMessage,
+    RequestMessage,
+    ending, //
 };
 
 use crate::traffic::TrafficKind;
@@ -33,7 +35,7 @@
     pub(crate) number: u64,
     #[prost(
         oneof = "Body",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16"
     )]
     pub(crate) body: Option<Body>,
 }
@@ -83,6 +85,9 @@
     /// Answers a probe.
     #[prost(message, tag = "15")]
     Condition(ConditionMessage),
+    /// A request has ended, and its upstream reported its slowness.
+    #[prost(message, tag = "16")]
+    Ended(EndedMessage),
 }
 
 impl Datagram {
@@ -99,9 +104,10 @@
                 | Body::Lifted(_),
             ) => TrafficKind::Poison,
             Some(Body::Probe(_) | Body::Condition(_)) => TrafficKind::Conditions,
-            Some(Body::Ask(_) | Body::Notify(_) | Body::End(_) | Body::Answer(_)) | None => {
-                TrafficKind::Slots
-            }
+            Some(
+                Body::Ask(_) | Body::Notify(_) | Body::End(_) | Body::Ended(_) | Body::Answer(_),
+            )
+            | None => TrafficKind::Slots,
         }
     }
 }
@@ -113,9 +119,17 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use foxtide_core::admission::Answer;
-    use foxtide_core::poison::{
+    use foxtide_core::admission::{
+        Answer,
         EndReport,
+        Ending,
+        Patience,
+        SlotRequest,
+        Ticket, //
+    };
+    use foxtide_core::placement::Slowness;
+    use foxtide_core::poison::{
+        self,
         Fingerprint,
         QuarantineEntry, //
     };
@@ -123,25 +137,60 @@
         QuotaAnswer,
         QuotaRequest, //
     };
-    use foxtide_core::units::Share;
+    use foxtide_core::units::{
+        RequestRate,
+        Share, //
+    };
     use prost::Message;
 
+    const BUSY: Answer = Answer::Busy { served_in: None };
+    const BUSY_FOR_NOW: Answer = Answer::Busy {
+        served_in: Some(Duration::from_millis(140)),
+    };
+
+    fn slot_request(patience: Patience) -> SlotRequest {
+        SlotRequest {
+            ticket: Ticket {
+                requester: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
+                number: 7,
+            },
+            upstream: "i-1".parse().unwrap(),
+            born_at: None,
+            kind: foxtide_core::routing::RequestKind::of_route("safe"),
+            organisation: Some("acme".parse().unwrap()),
+            organisation_rate: Some(RequestRate::clamped(40.0)),
+            object: None,
+            priority: 1,
+            objective_left: Duration::from_millis(250),
+            time_left: Duration::from_millis(900),
+            patience,
+            limit: None,
+        }
+    }
+
     fn samples() -> Vec<Datagram> {
         let request = QuotaRequest {
             organisation: "acme".parse().unwrap(),
             priority: 2,
             wanted: 3,
         };
-        let report = EndReport {
+        let slow_end = EndReport {
+            ending: Ending::NotServed,
+            slowness: Slowness::from_percent(250.0).ok(),
+        };
+        let report = poison::EndReport {
             fingerprint: Fingerprint::from_hash(7),
             upstream: "i-1".parse().unwrap(),
             born_at: None,
             is_isolated: true,
         };
         vec![
+            Datagram::ask(&slot_request(Patience::NoWaitInTime), 3),
+            Datagram::answer(7, BUSY_FOR_NOW),
             Datagram::quota_request(1, &request),
             Datagram::quota_answer(2, QuotaAnswer::Granted { tokens: 4 }),
             Datagram::quota_answer(3, QuotaAnswer::NotCoordinator),
+            Datagram::end(1, slow_end),
             Datagram::end_report(4, &report),
             Datagram::end_acknowledged(4, report.fingerprint),
             Datagram::held(6, report.fingerprint),
@@ -164,6 +213,7 @@
                 drop(message.request(from, datagram.number));
             }
             Some(Body::Answer(message)) => drop(message.answer()),
+            Some(Body::Ended(message)) => drop(message.report()),
             Some(Body::QuotaQuestion(message)) => drop(message.request()),
             Some(Body::QuotaAnswer(message)) => drop(message.answer()),
             Some(Body::EndReport(message)) => drop(message.report()),
@@ -213,6 +263,19 @@
             let read = Datagram::decode(sample.encode_to_vec().as_slice()).unwrap();
             assert_eq!(read, sample);
         }
+        for patience in [
+            Patience::NoWait,
+            Patience::NoWaitInTime,
+            Patience::WithinObjective,
+            Patience::UntilDeadline,
+        ] {
+            let sent = slot_request(patience);
+            let Some(Body::Ask(message)) = Datagram::ask(&sent, 3).body else {
+                panic!("not a question");
+            };
+            let ticket = sent.ticket;
+            assert_eq!(message.request(ticket.requester, ticket.number), Ok(sent));
+        }
         let retry_after = Duration::from_millis(30);
         let throttled = Answer::Throttled {
             retry_after: Duration::from_millis(31),
@@ -220,7 +283,8 @@
         for (sent, received) in [
             (Answer::Granted, Answer::Granted),
             (Answer::Waiting, Answer::Waiting),
-            (Answer::Busy, Answer::Busy),
+            (BUSY, BUSY),
+            (BUSY_FOR_NOW, BUSY_FOR_NOW),
             (
                 Answer::Rejected { retry_after },
                 Answer::Rejected { retry_after },
@@ -242,4 +306,17 @@
             QuotaAnswer::NotCoordinator
         );
     }
+
+    /// Instances that know no slowness must keep understanding the end of a request.
+    #[test]
+    fn verify_an_end_without_a_slowness_is_sent_as_before() {
+        let unknown = Datagram::end(1, Ending::Served.into());
+        assert_eq!(unknown.body, Some(Body::End(true)));
+        // A figure of 0 is no figure.
+        let zero = EndedMessage {
+            is_served: true,
+            slowness_percent: Some(0),
+        };
+        assert_eq!(zero.report(), Ending::Served.into());
+    }
 }
--- a/crates/foxtide-gateway/src/datagram/slots.rs
+++ b/crates/foxtide-gateway/src/datagram/slots.rs
@@ -7,13 +7,17 @@
 };
 use foxtide_core::admission::{
     Answer,
+    EndReport,
     Ending,
     Patience,
     SlotRequest,
     Ticket, //
 };
 use foxtide_core::ids::OrganisationId;
-use foxtide_core::placement::ObjectKey;
+use foxtide_core::placement::{
+    ObjectKey,
+    Slowness, //
+};
 use foxtide_core::routing::RequestKind;
 use foxtide_core::throttle::LimitReport;
 use foxtide_core::time::WallTime;
@@ -49,6 +53,13 @@
     /// The organisation of the caller; empty if it is not known.
     #[prost(string, tag = "11")]
     organisation: String,
+    /// The rate that was sold to the organisation, in requests a second.
+    #[prost(double, optional, tag = "13")]
+    organisation_rate_rps: Option<f64>,
+    /// Whether a request that does not wait takes a slot only within its latency objective. An
+    /// instance that does not know the field grants any idle slot.
+    #[prost(bool, tag = "12")]
+    is_in_time_only: bool,
 }
 
 /// What the requester has heard of the upstream's rate limit.
@@ -89,6 +100,20 @@
     /// Whether the instance does not coordinate an upstream that limits its rate.
     #[prost(bool, tag = "5")]
     is_not_coordinator: bool,
+    /// The time after which a request would have been served whose wait would be too long.
+    #[prost(uint32, optional, tag = "6")]
+    expected_ms: Option<u32>,
+}
+
+/// The end of a request, with more than [`Body::End`] tells.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub(crate) struct EndedMessage {
+    /// Whether the upstream served it.
+    #[prost(bool, tag = "1")]
+    pub(super) is_served: bool,
+    /// The slowness that the upstream reported, in percent.
+    #[prost(uint32, optional, tag = "2")]
+    pub(super) slowness_percent: Option<u32>,
 }
 
 /// Retry delay for an instance without support for rate limits, if the answering one is not the
@@ -113,10 +138,19 @@
     }
 
     /// Returns the notice of a request's end.
-    pub(crate) fn end(number: u64, ending: Ending) -> Self {
+    pub(crate) fn end(number: u64, end: EndReport) -> Self {
+        let is_served = end.ending == Ending::Served;
+        let body = match end.slowness {
+            // Instances that know no slowness understand this one, too.
+            None => Body::End(is_served),
+            Some(slowness) => Body::Ended(EndedMessage {
+                is_served,
+                slowness_percent: Some(slowness.percent()),
+            }),
+        };
         Self {
             number,
-            body: Some(Body::End(ending == Ending::Served)),
+            body: Some(body),
         }
     }
 
@@ -127,17 +161,22 @@
             // Rounded up: a token is available at the end of the delay.
             Answer::Throttled { retry_after } => Some(milliseconds(retry_after).saturating_add(1)),
             Answer::NotCoordinator => Some(milliseconds(RETRY_AFTER_NOT_COORDINATOR)),
-            Answer::Granted | Answer::Waiting | Answer::Busy => None,
+            Answer::Granted | Answer::Waiting | Answer::Busy { .. } => None,
+        };
+        let expected_ms = match answer {
+            Answer::Busy { served_in } => served_in.map(milliseconds),
+            _ => None,
         };
         let is_granted = answer == Answer::Granted;
         Self {
             number,
             body: Some(Body::Answer(AnswerMessage {
                 is_granted,
-                is_busy: answer == Answer::Busy,
+                is_busy: matches!(answer, Answer::Busy { .. }),
                 is_throttled: matches!(answer, Answer::Throttled { .. }),
                 is_not_coordinator: answer == Answer::NotCoordinator,
                 retry_after_ms,
+                expected_ms,
             })),
         }
     }
@@ -156,10 +195,12 @@
             born_ms: request.born_at.map(WallTime::as_ms),
             limit: request.limit.map(LimitMessage::from),
             kind: request.kind.hash(),
+            organisation_rate_rps: request.organisation_rate.map(RequestRate::get),
             organisation: request
                 .organisation
                 .as_ref()
                 .map_or_else(String::new, OrganisationId::to_string),
+            is_in_time_only: request.patience == Patience::NoWaitInTime,
         }
     }
 
@@ -182,11 +223,15 @@
             upstream: self.upstream.parse()?,
             kind: RequestKind::from_hash(self.kind),
             organisation,
+            organisation_rate: self.organisation_rate_rps.map(RequestRate::clamped),
             object: self.object.map(ObjectKey::from_hash),
             priority: self.priority,
             objective_left: Duration::from_millis(self.objective_left_ms.into()),
             time_left: Duration::from_millis(self.time_left_ms.into()),
-            patience: self.patience().into(),
+            patience: match self.patience().into() {
+                Patience::NoWait if self.is_in_time_only => Patience::NoWaitInTime,
+                patience => patience,
+            },
             born_at: self.born_ms.map(WallTime::from_ms),
             limit: self.limit.as_ref().map(LimitReport::from),
         })
@@ -205,12 +250,34 @@
             Some(retry_after) if self.is_throttled => Answer::Throttled { retry_after },
             Some(retry_after) => Answer::Rejected { retry_after },
             None if self.is_granted => Answer::Granted,
-            None if self.is_busy => Answer::Busy,
+            None if self.is_busy => Answer::Busy {
+                served_in: self.expected_ms.map(u64::from).map(Duration::from_millis),
+            },
             None => Answer::Waiting,
         }
     }
 }
 
+impl EndedMessage {
+    /// Returns the end of the request; an invalid slowness is unknown.
+    pub(crate) fn report(&self) -> EndReport {
+        let percent = self.slowness_percent.map(f64::from);
+        EndReport {
+            ending: ending(self.is_served),
+            slowness: percent.and_then(|percent| Slowness::from_percent(percent).ok()),
+        }
+    }
+}
+
+/// Returns how a request ended that an upstream served or did not serve.
+pub(crate) fn ending(is_served: bool) -> Ending {
+    if is_served {
+        Ending::Served
+    } else {
+        Ending::NotServed
+    }
+}
+
 impl From<LimitReport> for LimitMessage {
     fn from(report: LimitReport) -> Self {
         Self {
@@ -232,7 +299,7 @@
 impl From<Patience> for PatienceMessage {
     fn from(patience: Patience) -> Self {
         match patience {
-            Patience::NoWait => Self::None,
+            Patience::NoWait | Patience::NoWaitInTime => Self::None,
             Patience::WithinObjective => Self::WhileEarly,
             Patience::UntilDeadline => Self::ToTheEnd,
         }
--- a/crates/foxtide-gateway/src/forward/attempt.rs
+++ b/crates/foxtide-gateway/src/forward/attempt.rs
@@ -12,7 +12,8 @@
 use crate::shared::Shared;
 use foxtide_core::placement::{
     AttemptResult,
-    LoadReport, //
+    LoadReport,
+    Slowness, //
 };
 use foxtide_core::registry::Registration;
 use foxtide_http::{
@@ -65,6 +66,16 @@
             has_ended: false,
         }
     }
+
+    /// Tells whether there is no response, or only an error of the upstream.
+    pub(super) fn is_failure(&self) -> bool {
+        !matches!(&self.end, AttemptEnd::Responded(response) if !is_server_error(response))
+    }
+
+    /// Returns the slowness that the upstream reported, if any.
+    pub(super) fn slowness(&self) -> Option<Slowness> {
+        self.load.and_then(|load| load.slowness)
+    }
 }
 
 /// Sends a request to an upstream and reads the response.
@@ -260,7 +271,8 @@
     AttemptReport {
         end,
         result,
-        load: headers.load,
+        // Another incarnation speaks for itself only.
+        load: headers.load.filter(|_| !headers.is_other_incarnation),
         has_ended: false,
     }
 }
@@ -282,10 +294,15 @@
         let cause = "the response is not the upstream's own".to_owned();
         return (AttemptEnd::Unknown { cause }, AttemptResult::Faulty);
     }
-    let result = if response.head.status >= 500 {
+    let result = if is_server_error(&response) {
         AttemptResult::Faulty
     } else {
         AttemptResult::Answered { latency }
     };
     (AttemptEnd::Responded(Box::new(response)), result)
 }
+
+/// Tells whether an idempotent request with this response is sent again.
+pub(super) fn is_server_error(response: &WholeResponse) -> bool {
+    response.head.status >= 500
+}
--- a/crates/foxtide-gateway/src/gateway.rs
+++ b/crates/foxtide-gateway/src/gateway.rs
@@ -12,8 +12,10 @@
 };
 use crate::errors::Result;
 use crate::follow::follow;
+use crate::hedging::Hedging;
 use crate::journal::Journal;
 use crate::lifecycle::Lifecycle;
+use crate::link::Link;
 use crate::listener::{
     Listener,
     accept,
@@ -130,12 +132,14 @@
             guide,
             quotas: Quotas::default(),
             poison: Poison::default(),
+            hedging: Hedging::new(options.hedging),
             stall: StallDetector::default(),
             reach: Reach::default(),
             neighbours: Neighbours::default(),
             body_memory: BodyMemory::new(body_memory),
             lifecycle: Lifecycle::default(),
-            journal: Journal::new(clock),
+            link: Link::new(options.link_mbps, clock),
+            journal: Journal::new(clock, options.place.region.clone()),
             store_calls: StoreCalls::default(),
             traffic,
             copies: Copies::new(options.link_mbps),
@@ -243,6 +247,9 @@
             members.map(|member| member.datagram_address).collect()
         };
         shared.guide.prune(&peers);
+        shared.admission.report_reserved_slots(now);
+        let debt = shared.admission.fair_share_debt(now);
+        metrics::gauge!("foxtide_fair_share_debt_seconds").set(debt.as_secs_f64());
         shared.quotas.prune(now);
         shared.poison.prune(now);
         shared.copies.prune(now);
--- a/crates/foxtide-gateway/src/journal/requests.rs
+++ b/crates/foxtide-gateway/src/journal/requests.rs
@@ -16,6 +16,7 @@
     ServiceId,
     UpstreamId, //
 };
+use foxtide_core::placement::Slowness;
 use foxtide_core::throttle::LimitReport;
 use foxtide_core::units::RequestRate;
 use foxtide_events::{
@@ -32,15 +33,18 @@
 #[derive(Debug)]
 pub(crate) struct Journal {
     clock: SteadyClock,
+    /// The region of this instance.
+    origin: RegionId,
     rate_limiter: Mutex<LogRateLimiter>,
     routes: RouteLabels,
 }
 
 impl Journal {
-    /// Returns a journal without suppressed lines.
-    pub(crate) fn new(clock: SteadyClock) -> Self {
+    /// Returns a journal without suppressed lines of an instance in the region `origin`.
+    pub(crate) fn new(clock: SteadyClock, origin: RegionId) -> Self {
         Self {
             clock,
+            origin,
             rate_limiter: Mutex::new(LogRateLimiter::new(clock.now())),
             routes: RouteLabels::default(),
         }
@@ -98,6 +102,8 @@
         } else {
             LineKind::Failed
         };
+        // 0 if it is unknown.
+        let slowness_percent = trace.slowness.map_or(0, Slowness::percent);
         let objective_ms = trace.latency_objective.as_millis() as u64;
         if !self.may_log(kind) {
             return;
@@ -113,11 +119,13 @@
                 object = trace.object.as_str(),
                 upstream = trace.upstream.as_str(),
                 region = trace.region.as_str(),
+                origin = self.origin.as_str(),
                 attempts = trace.attempts,
                 passed_to = trace.passed_to.as_str(),
                 is_taken_over = trace.is_taken_over,
                 rank = trace.rank,
                 occupancy = trace.occupancy,
+                slowness = slowness_percent,
                 second_choice = trace.second_choice.as_str(),
                 slot = trace.slot.as_str(),
                 slot_wait_ms = slot_wait_ms,
@@ -142,6 +150,7 @@
                 fingerprint = trace.fingerprint.as_str(),
                 upstream = trace.upstream.as_str(),
                 region = trace.region.as_str(),
+                origin = self.origin.as_str(),
                 attempts = trace.attempts,
                 passed_to = trace.passed_to.as_str(),
                 is_taken_over = trace.is_taken_over,
--- a/crates/foxtide-gateway/src/options.rs
+++ b/crates/foxtide-gateway/src/options.rs
@@ -32,14 +32,18 @@
     pub bounds: Bounds,
     /// The timeouts for coordinators of upstreams.
     pub admission: AdmissionOptions,
+    /// Whether slow idempotent requests get a second attempt beside the first one, within the retry
+    /// budget. Default: no.
+    pub hedging: bool,
 }
 
 /// The timeouts for coordinators of upstreams.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AdmissionOptions {
-    /// How long a request waits for a coordinator's answer before it is sent without one.
+    /// How long a request waits for a coordinator's answer before it is sent without one: at
+    /// least, and while the coordinator's round-trip time is not known.
     pub answer_time: Duration,
-    /// How long a coordinator that did not answer is skipped.
+    /// How long a coordinator that repeatedly did not answer is skipped.
     pub silent_time: Duration,
 }
 
--- a/crates/foxtide-gateway/src/outcome/trace.rs
+++ b/crates/foxtide-gateway/src/outcome/trace.rs
@@ -3,6 +3,7 @@
 use super::SecondChoice;
 use crate::admission::SlotAnswer;
 use crate::state::Pick;
+use foxtide_core::placement::Slowness;
 use std::time::Duration;
 
 /// What was decided on a request, logged with its reply.
@@ -35,6 +36,8 @@
     pub(crate) rank: usize,
     /// The occupancy of the upstream as known to this instance.
     pub(crate) occupancy: u32,
+    /// The slowness that the upstream of the last attempt reported.
+    pub(crate) slowness: Option<Slowness>,
     /// The version of the configuration in force.
     pub(crate) version: u64,
     /// The time since the store, or a peer in its place, last answered.
@@ -69,4 +72,10 @@
         self.rank = pick.rank;
         self.occupancy = pick.occupancy;
     }
+    /// Takes over how the slot of another attempt of the request was acquired.
+    pub(crate) fn adopt_slot(&mut self, other: &Self) {
+        self.slot = other.slot;
+        self.slot_wait = other.slot_wait;
+        self.coordinator.clone_from(&other.coordinator);
+    }
 }
--- a/crates/foxtide-gateway/src/shared.rs
+++ b/crates/foxtide-gateway/src/shared.rs
@@ -3,8 +3,10 @@
 use crate::admission::Admission;
 use crate::alarm::StoreAlarm;
 use crate::directory::Guide;
+use crate::hedging::Hedging;
 use crate::journal::Journal;
 use crate::lifecycle::Lifecycle;
+use crate::link::Link;
 use crate::memory::BodyMemory;
 use crate::neighbours::Neighbours;
 use crate::options::{
@@ -45,11 +47,13 @@
     pub(crate) guide: Guide,
     pub(crate) quotas: Quotas,
     pub(crate) poison: Poison,
+    pub(crate) hedging: Hedging,
     pub(crate) stall: StallDetector,
     pub(crate) reach: Reach,
     pub(crate) neighbours: Neighbours,
     pub(crate) body_memory: BodyMemory,
     pub(crate) lifecycle: Lifecycle,
+    pub(crate) link: Link,
     pub(crate) journal: Journal,
     pub(crate) store_calls: StoreCalls,
     pub(crate) traffic: Arc<Traffic>,
--- a/crates/foxtide-gateway/tests/gateway/main.rs
+++ b/crates/foxtide-gateway/tests/gateway/main.rs
@@ -1,10 +1,13 @@
 //! Tests instances with a fake store, fake upstreams and test callers.
 
 mod admission;
+mod bulk;
+mod coordinators;
 mod cut_off;
 mod directory;
 mod following;
 mod forwarding;
+mod hedging;
 mod homes;
 mod many;
 mod organisations;
--- a/crates/foxtide-gateway/tests/gateway/support/fleet.rs
+++ b/crates/foxtide-gateway/tests/gateway/support/fleet.rs
@@ -175,9 +175,36 @@
     /// Starts an instance with the default timeouts for coordinators and waits until it is
     /// ready.
     pub(crate) fn instance_with_default_timeouts(&self, name: &str, zone: &str) -> Instance {
+        self.instance_with(name, zone, |options| {
+            options.admission = AdmissionOptions::default();
+        })
+    }
+
+    /// Starts an instance with changed options and waits until it is ready.
+    pub(crate) fn instance_with(
+        &self,
+        name: &str,
+        zone: &str,
+        change: impl FnOnce(&mut GatewayOptions),
+    ) -> Instance {
+        let mut options = options(name, zone);
+        change(&mut options);
+        let instance = Instance::start(options, self.store.client_for_another_instance());
+        eventually("the instance is ready", || instance.gateway().is_ready());
+        instance
+    }
+
+    /// Starts an instance that hedges within a budget of `retry_burst`, and waits until it is ready.
+    pub(crate) fn hedging_instance(&self, name: &str, zone: &str, retry_burst: f64) -> Instance {
+        let options = options(name, zone);
         let options = GatewayOptions {
-            admission: AdmissionOptions::default(),
-            ..options(name, zone)
+            hedging: true,
+            bounds: Bounds {
+                retry_ratio: 0.0,
+                retry_burst,
+                ..options.bounds
+            },
+            ..options
         };
         let instance = Instance::start(options, self.store.client_for_another_instance());
         eventually("the instance is ready", || instance.gateway().is_ready());
@@ -244,6 +271,7 @@
             answer_time: Duration::from_secs(10),
             ..AdmissionOptions::default()
         },
+        hedging: false,
     }
 }
 
