Compute regional shares from the demand of all regions

Cause: the shares of a region's requests follow the slots of the regions alone and assume equal and constant demand, for all kinds alike.

Change: placement::demand measures the demand of one instance's callers, sums it up over a region with ages, keeps what is known of all regions, and computes shares by kind: near up to 0.6 or the utilisation of all regions, tight objectives first, the rest by unused slots. Shares move at most 0.02 per second as a shift of the present shares, so changes of upstreams act as before. The demand is smoothed over 45 s first, since the window of 10 s and the pace alone do not keep a wave of 36 s from moving objects. Nothing uses the module yet.

--- a/crates/foxtide-core/src/placement/mod.rs
+++ b/crates/foxtide-core/src/placement/mod.rs
@@ -7,6 +7,7 @@
 
 mod affinity;
 mod cold;
+pub mod demand;
 mod health;
 mod overflow;
 mod regions;
--- a/crates/foxtide-core/src/placement/regions.rs
+++ b/crates/foxtide-core/src/placement/regions.rs
@@ -1,5 +1,6 @@
 //! Distributes the requests of each region over all regions.
 
+use super::demand::ShareShift;
 use crate::ids::RegionId;
 use std::collections::BTreeMap;
 
@@ -142,6 +143,14 @@
         }
     }
 
+    /// Returns the weights with shares that follow the demand.
+    pub fn shifted(self, shift: &ShareShift) -> Self {
+        Self {
+            shares: shift.apply(&self.shares),
+            slots: self.slots,
+        }
+    }
+
     /// Returns the shares of the requests by region.
     pub fn shares(&self) -> &RegionShares {
         &self.shares
--- a/crates/foxtide-core/src/registry/members.rs
+++ b/crates/foxtide-core/src/registry/members.rs
@@ -10,7 +10,8 @@
 };
 use crate::membership::{
     Role,
-    rank, //
+    rank,
+    weight, //
 };
 use crate::poison::Fingerprint;
 use crate::time::MonotonicTime;
@@ -42,6 +43,9 @@
 /// region of the smallest deployments has three or four.
 const AGGREGATORS_PER_REGION: usize = 4;
 
+/// Instances of a region that sum up its demand; the second stands in for the first.
+const DEMAND_AGGREGATORS_PER_REGION: usize = 2;
+
 /// An instance that accepts requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Member {
@@ -265,6 +269,19 @@
         self.best_per_region(fingerprint.hash(), AGGREGATORS_PER_REGION, own)
     }
 
+    /// Returns the members that sum up the demand of a region, the first choice first. Those
+    /// with the fastest links come first, since they answer all others.
+    pub fn demand_aggregators(&self, region: &RegionId) -> Vec<&Member> {
+        let of_region = self.all().filter(|member| member.region == *region);
+        let mut ranked: Vec<&Member> = of_region.collect();
+        ranked.sort_by_cached_key(|member| {
+            let draw = weight(Role::Aggregator, &member.instance);
+            (Reverse(member.link_mbps), Reverse(draw))
+        });
+        ranked.truncate(DEMAND_AGGREGATORS_PER_REGION);
+        ranked
+    }
+
     fn best_per_region(&self, seed: u64, count: usize, own: &RegionId) -> Vec<&Member> {
         let mut of_regions: BTreeMap<&RegionId, Vec<(u64, &Member)>> = BTreeMap::new();
         for member in self.all() {
--- a/crates/foxtide-core/src/routing/table.rs
+++ b/crates/foxtide-core/src/routing/table.rs
@@ -77,6 +77,11 @@
         routes.find(|route| path.starts_with(&route.path_prefix))
     }
 
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.by_host.values().flatten()
+    }
+
     /// Returns the organisations whose callers are accepted; `None` if callers need no
     /// key.
     pub fn organisations(&self) -> Option<&OrganisationTable> {
