Exchange the demand of all regions and follow it

Cause: the shares of a region's requests assume equal demand of all regions, so a region with little demand sends requests away that it has slots for.

Aggregators exchange the sums of their regions and answer with all of them. Placements follow the shares computed from these, by route, at most once a second. Homed requests and services in one region are placed as before, and a fleet without a service in several regions exchanges nothing.

--- a/crates/foxtide-core/src/placement/demand/pace.rs
+++ b/crates/foxtide-core/src/placement/demand/pace.rs
@@ -21,7 +21,7 @@
 /// The change of the shares from which the weights of upstreams are computed anew.
 const NOTICEABLE_STEP: f64 = 0.01;
 
-/// The difference up to which a target counts as reached.
+/// The difference up to which shares count as equal.
 const REACHED_DISTANCE: f64 = 1e-9;
 
 /// A change to regional shares; sums to 0.
@@ -37,6 +37,7 @@
         for (region, share) in base {
             *by_region.entry(region.clone()).or_default() -= share;
         }
+        by_region.retain(|_, change| change.abs() > REACHED_DISTANCE);
         Self { by_region }
     }
 
--- a/crates/foxtide-gateway/src/admission/server.rs
+++ b/crates/foxtide-gateway/src/admission/server.rs
@@ -6,6 +6,7 @@
     Datagram,
     RequestMessage, //
 };
+use crate::demand;
 use crate::dialect::Dialect;
 use crate::poison;
 use crate::quotas;
@@ -62,6 +63,8 @@
         Some(Body::Lifted(hash)) => poison::receive_lifted(shared, hash),
         Some(Body::Cleared(hash)) => poison::receive_cleared(shared, hash),
         Some(Body::Quarantine(message)) => poison::receive_quarantine(shared, from, &message),
+        Some(Body::DemandReport(message)) => demand::receive_report(&**shared, from, &message),
+        Some(Body::DemandSummary(message)) => demand::receive_summary(&**shared, from, &message),
         body => shared
             .admission
             .handle_slot_message(from, number, body, &shared.state),
--- a/crates/foxtide-gateway/src/datagram/mod.rs
+++ b/crates/foxtide-gateway/src/datagram/mod.rs
@@ -1,9 +1,15 @@
 //! The datagrams between instances, as Protocol Buffers messages.
 
+mod demand;
 mod poison;
 mod quota;
 mod slots;
 
+pub(crate) use demand::{
+    DemandReportMessage,
+    DemandSummaryMessage,
+    RegionSum, //
+};
 pub(crate) use poison::{
     QuarantineMessage,
     UpstreamEndMessage, //
@@ -26,7 +32,10 @@
     /// The number of the request at the instance that asks.
     #[prost(fixed64, tag = "1")]
     pub(crate) number: u64,
-    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    #[prost(
+        oneof = "Body",
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 17, 18"
+    )]
     pub(crate) body: Option<Body>,
 }
 
@@ -69,6 +78,12 @@
     /// The fingerprint of a request that is held no longer.
     #[prost(fixed64, tag = "13")]
     Lifted(u64),
+    /// Reports the demand of an instance's callers.
+    #[prost(message, tag = "17")]
+    DemandReport(DemandReportMessage),
+    /// Answers a report, or tells aggregators of other regions the sum of the own one.
+    #[prost(message, tag = "18")]
+    DemandSummary(DemandSummaryMessage),
 }
 
 impl Datagram {
@@ -76,6 +91,7 @@
     pub(crate) fn traffic_kind(&self) -> TrafficKind {
         match &self.body {
             Some(Body::QuotaQuestion(_) | Body::QuotaAnswer(_)) => TrafficKind::Quotas,
+            Some(Body::DemandReport(_) | Body::DemandSummary(_)) => TrafficKind::Demand,
             Some(
                 Body::EndReport(_)
                 | Body::Cleared(_)
@@ -99,6 +115,14 @@
 mod tests {
     use super::*;
     use foxtide_core::admission::Answer;
+    use foxtide_core::placement::demand::{
+        BusySlots,
+        DemandByService,
+        KindHash,
+        RegionHash,
+        ServiceDemand,
+        ServiceHash, //
+    };
     use foxtide_core::poison::{
         EndReport,
         Fingerprint,
@@ -122,7 +146,21 @@
             born_at: None,
             is_isolated: true,
         };
-        vec![
+        let kinds = [(KindHash::from_hash(6), BusySlots::clamped(1.5))];
+        let demand = ServiceDemand {
+            kinds: kinds.into(),
+            homed: [(RegionHash::from_hash(8), BusySlots::clamped(0.2))].into(),
+        };
+        let demand = DemandByService::from([(ServiceHash::from_hash(7), demand)]);
+        let region = RegionHash::from_hash(8);
+        let sum = RegionSum {
+            region,
+            age: Duration::from_millis(900),
+            demand: demand.clone(),
+        };
+        let mut samples = Datagram::demand_report(region, &demand);
+        samples.extend(Datagram::demand_summary([sum]));
+        samples.extend([
             Datagram::quota_request(1, &request),
             Datagram::quota_answer(2, QuotaAnswer::Granted { tokens: 4 }),
             Datagram::quota_answer(3, QuotaAnswer::NotCoordinator),
@@ -135,7 +173,8 @@
                 Fingerprint::from_hash(9),
                 QuarantineEntry { ends: 3, trials: 1 },
             ),
-        ]
+        ]);
+        samples
     }
 
     /// Decodes every kind of body, as the instance does.
@@ -150,6 +189,8 @@
             Some(Body::QuotaAnswer(message)) => drop(message.answer()),
             Some(Body::EndReport(message)) => drop(message.report()),
             Some(Body::Quarantine(message)) => drop(message.entry()),
+            Some(Body::DemandReport(message)) => drop(message.demand()),
+            Some(Body::DemandSummary(message)) => drop(message.sums().count()),
             Some(
                 Body::End(_)
                 | Body::Cleared(_)
--- a/crates/foxtide-gateway/src/forward/admit.rs
+++ b/crates/foxtide-gateway/src/forward/admit.rs
@@ -115,6 +115,7 @@
         }
         let request = PickRequest {
             service: self.service,
+            route: self.route,
             object: self.object,
             regions: &self.homes.regions,
             tried: &self.tried,
--- a/crates/foxtide-gateway/src/forward/attempt_loop.rs
+++ b/crates/foxtide-gateway/src/forward/attempt_loop.rs
@@ -213,6 +213,7 @@
     pub(super) fn pick(&self) -> Result<Pick, NoUpstream> {
         self.shared.state.lock().pick(&PickRequest {
             service: self.service,
+            route: self.route,
             object: self.object,
             regions: &self.homes.regions,
             tried: &self.tried,
@@ -227,6 +228,7 @@
         let tried: Vec<UpstreamId> = self.tried.iter().chain([&own.upstream]).cloned().collect();
         self.shared.state.lock().pick(&PickRequest {
             service: self.service,
+            route: self.route,
             object: self.object,
             regions: std::slice::from_ref(&own.region),
             tried: &tried,
@@ -271,6 +273,11 @@
             );
         }
         guard.end(&report);
+        if let AttemptResult::Answered { latency } = report.result {
+            let region = &pick.registration.region;
+            let mut state = self.shared.state.lock();
+            state.record_service_time(self.service, self.route.kind(), region, latency);
+        }
         if let (Some(slot), AttemptResult::Answered { .. }) = (&mut slot, report.result) {
             slot.served();
         }
--- a/crates/foxtide-gateway/src/forward/entry.rs
+++ b/crates/foxtide-gateway/src/forward/entry.rs
@@ -5,6 +5,7 @@
     RETRY_AFTER, //
 };
 use super::caller::CallerWatch;
+use super::homes::Homes;
 use super::pass_on::PassOn;
 use super::recheck::{
     NO_COMMON_HOME_REASON,
@@ -87,7 +88,7 @@
             return (Refusal::NotRun { retry_after }.into(), trace);
         }
     };
-    let Some(service) = begin(shared, route, passed_on.is_counted, &mut trace) else {
+    let Some(service) = begin(shared, route, &homes, passed_on.is_counted, &mut trace) else {
         trace.reason = "no_service_has_weight";
         let retry_after = RETRY_AFTER;
         return (Refusal::NotRun { retry_after }.into(), trace);
@@ -156,6 +157,7 @@
 fn begin<D>(
     shared: &Shared<D>,
     route: &Route,
+    homes: &Homes,
     is_counted: bool,
     trace: &mut RequestTrace,
 ) -> Option<ServiceId> {
@@ -165,6 +167,7 @@
     let service = state.pick_service(route)?;
     if !is_counted {
         state.count_request(&service);
+        state.record_demand(&service, route.kind(), &homes.regions);
     }
     trace.service = service.to_string();
     Some(service)
--- a/crates/foxtide-gateway/src/gateway.rs
+++ b/crates/foxtide-gateway/src/gateway.rs
@@ -5,6 +5,10 @@
     serve_admission, //
 };
 use crate::alarm::StoreAlarm;
+use crate::demand::{
+    DemandExchange,
+    exchange_demand, //
+};
 use crate::dialect::Dialect;
 use crate::errors::Result;
 use crate::follow::follow;
@@ -119,6 +123,7 @@
             pool: Pool::default(),
             admission,
             quotas: Quotas::default(),
+            demand: DemandExchange::default(),
             poison: Poison::default(),
             stall: StallDetector::default(),
             reach: Reach::default(),
@@ -146,6 +151,7 @@
         tasks.push(executor.spawn(quarantine));
         tasks.push(executor.spawn(run_housekeeping(Arc::clone(&shared))));
         tasks.push(executor.spawn(watch_reach(Arc::clone(&shared))));
+        tasks.push(executor.spawn(exchange_demand(Arc::clone(&shared))));
         let membership = executor.spawn(maintain_membership(Arc::clone(&shared), store));
         Ok(Self {
             shared,
--- a/crates/foxtide-gateway/src/journal/state_changes.rs
+++ b/crates/foxtide-gateway/src/journal/state_changes.rs
@@ -235,8 +235,9 @@
     }
 }
 
-/// Logs the shares of requests that the regions serve.
-pub(crate) fn region_shares_changed(service: &ServiceId, shares: &RegionShares) {
+/// Logs the shares of requests that the regions serve; `route` is empty for all routes of the
+/// service whose shares do not follow the demand.
+pub(crate) fn region_shares_changed(service: &ServiceId, route: &str, shares: &RegionShares) {
     let shares = shares
         .iter()
         .map(|(region, share)| format!("{region}={share:.3}"));
@@ -244,6 +245,7 @@
     log_event!(
         EventCode::WeightsShifted,
         service = service.as_str(),
+        route = route,
         shares = shares.as_str()
     );
 }
--- a/crates/foxtide-gateway/src/lib.rs
+++ b/crates/foxtide-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod alarm;
 mod connect;
 mod datagram;
+mod demand;
 mod dialect;
 mod directory;
 mod errors;
--- a/crates/foxtide-gateway/src/shared.rs
+++ b/crates/foxtide-gateway/src/shared.rs
@@ -2,6 +2,12 @@
 
 use crate::admission::Admission;
 use crate::alarm::StoreAlarm;
+use crate::datagram::Datagram;
+use crate::demand::{
+    DemandExchange,
+    DemandHost,
+    FleetView, //
+};
 use crate::journal::Journal;
 use crate::lifecycle::Lifecycle;
 use crate::memory::BodyMemory;
@@ -21,14 +27,20 @@
 use crate::traffic::Traffic;
 use event_listener::Event;
 use foxtide_clock::SteadyClock;
+use foxtide_core::placement::demand::{
+    KnownDemand,
+    RegionHash, //
+};
 use foxtide_core::records::Record;
 use foxtide_core::registry::Member;
+use foxtide_core::time::MonotonicTime;
 use foxtide_events::{
     EventCode,
     log_event, //
 };
 use parking_lot::Mutex;
 use smol::Executor;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// The parts of a running instance.
@@ -42,6 +54,7 @@
     pub(crate) pool: Pool,
     pub(crate) admission: Admission,
     pub(crate) quotas: Quotas,
+    pub(crate) demand: DemandExchange,
     pub(crate) poison: Poison,
     pub(crate) stall: StallDetector,
     pub(crate) reach: Reach,
@@ -98,3 +111,29 @@
         !self.lifecycle.is_stopping() && self.state.lock().routes().is_some()
     }
 }
+
+impl<D> DemandHost for Shared<D> {
+    fn exchange(&self) -> &DemandExchange {
+        &self.demand
+    }
+
+    fn now(&self) -> MonotonicTime {
+        self.clock.now()
+    }
+
+    fn region(&self) -> RegionHash {
+        RegionHash::of(&self.options.place.region)
+    }
+
+    fn fleet_view(&self) -> Option<FleetView> {
+        self.state.lock().fleet_view(self.addresses.datagrams)
+    }
+
+    fn follow_demand(&self, known: Option<&KnownDemand>) {
+        self.state.lock().follow_demand(known);
+    }
+
+    fn send(&self, to: SocketAddr, datagram: &Datagram) {
+        self.admission.send(to, datagram);
+    }
+}
--- a/crates/foxtide-gateway/src/state/mod.rs
+++ b/crates/foxtide-gateway/src/state/mod.rs
@@ -7,6 +7,8 @@
 mod homed;
 mod pick;
 mod placement;
+mod region_gauges;
+mod regional;
 mod stored;
 mod throttle;
 
@@ -28,7 +30,6 @@
 use foxtide_clock::SteadyClock;
 use foxtide_core::ids::{
     AvailabilityZoneId,
-    RegionId,
     ServiceId,
     UpstreamId, //
 };
@@ -70,7 +71,11 @@
 };
 use foxtide_core::withdrawal::Withdrawals;
 use homed::HomedTraffic;
-use placement::Placement;
+use placement::{
+    Placement,
+    PlacementKey, //
+};
+use regional::RegionalShares;
 use std::collections::{
     HashMap,
     HashSet, //
@@ -106,9 +111,9 @@
     pub(super) throttle: LocalThrottle,
     /// The upstreams that have told this instance to send them nothing.
     pub(super) withdrawals: Withdrawals,
-    /// Keyed by service and the regions that may serve.
-    pub(super) placements: HashMap<(ServiceId, Vec<RegionId>), Placement>,
+    pub(super) placements: HashMap<PlacementKey, Placement>,
     homed: HomedTraffic,
+    regional: RegionalShares,
     /// The records that this instance keeps for others.
     pub(super) registrar: Registrar,
     /// The peer that was last asked to keep this instance's record, and answered.
@@ -155,6 +160,7 @@
             started_at,
             placements: HashMap::new(),
             homed: HomedTraffic::default(),
+            regional: RegionalShares::default(),
             log: RecordLog::default(),
             is_store_followed: false,
             evacuations_kept_until: None,
--- a/crates/foxtide-gateway/src/state/pick.rs
+++ b/crates/foxtide-gateway/src/state/pick.rs
@@ -1,5 +1,6 @@
 //! Picks the upstream of an attempt.
 
+use super::placement::PlacementKey;
 use super::{
     State,
     Unavailability, //
@@ -19,6 +20,7 @@
     Registered,
     Registration, //
 };
+use foxtide_core::routing::Route;
 use foxtide_core::time::MonotonicTime;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -32,6 +34,7 @@
 #[derive(Debug)]
 pub(crate) struct PickRequest<'a> {
     pub(crate) service: &'a ServiceId,
+    pub(crate) route: &'a Route,
     /// The object that the request concerns, if any.
     pub(crate) object: Option<ObjectKey>,
     /// The regions that may serve it; empty for all.
@@ -115,7 +118,7 @@
     /// Fails if the own region is not short of upstreams, no other region has a free slot, or
     /// the budget is spent.
     pub(crate) fn pick_overflow(&mut self, request: &PickRequest<'_>) -> Result<Pick, NoUpstream> {
-        let key = (request.service.clone(), request.regions.to_vec());
+        let key = PlacementKey::new(request, &self.regional);
         let placement = self.placements.get(&key);
         if placement.is_none_or(|placement| !lacks_capacity(placement.own_share())) {
             return Err(NoUpstream::NoneRegistered);
@@ -150,9 +153,18 @@
         count: usize,
         now: MonotonicTime,
     ) -> Result<Pick, NoUpstream> {
-        let key = (request.service.clone(), request.regions.to_vec());
+        let key = PlacementKey::new(request, &self.regional);
+        let shift = key
+            .kind
+            .and_then(|kind| self.regional.shift(request.service, kind));
         let placement = self.placements.entry(key).or_default();
-        placement.refresh(request, &self.registry, &self.options.place, &self.homed);
+        placement.refresh(
+            request,
+            &self.registry,
+            &self.options.place,
+            &self.homed,
+            shift,
+        );
         let placed = placement.choices(order, count, now);
         if placed.is_empty() {
             return Err(NoUpstream::NoneRegistered);
--- a/crates/foxtide-gateway/src/state/placement.rs
+++ b/crates/foxtide-gateway/src/state/placement.rs
@@ -2,9 +2,17 @@
 
 use super::PickRequest;
 use super::homed::HomedTraffic;
+use super::regional::RegionalShares;
 use crate::journal::state_changes;
 use crate::options::Place;
-use foxtide_core::ids::RegionId;
+use foxtide_core::ids::{
+    RegionId,
+    ServiceId, //
+};
+use foxtide_core::placement::demand::{
+    KindHash,
+    ShareShift, //
+};
 use foxtide_core::placement::{
     Candidate,
     Demand,
@@ -28,11 +36,35 @@
 /// are usually promised as the largest shift.
 const LOGGED_SHARE_STEP: f64 = 0.05;
 
+/// The requests that one placement serves.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct PlacementKey {
+    service: ServiceId,
+    /// The regions that may serve; empty for all.
+    regions: Vec<RegionId>,
+    /// The kind, if its shares follow the demand; all others have the same shares.
+    pub(super) kind: Option<KindHash>,
+}
+
+impl PlacementKey {
+    /// Returns the key of the placement for a request.
+    pub(super) fn new(request: &PickRequest<'_>, shares: &RegionalShares) -> Self {
+        let kind = KindHash::of(request.route.kind());
+        let has_shift = request.regions.is_empty() && shares.shift(request.service, kind).is_some();
+        Self {
+            service: request.service.clone(),
+            regions: request.regions.to_vec(),
+            kind: has_shift.then_some(kind),
+        }
+    }
+}
+
 /// The upstreams of a service in the regions that may serve a route.
 #[derive(Debug, Default)]
 pub(crate) struct Placement {
-    /// The generations of the registry and of the homed load that this was computed from.
-    generation: Option<(u64, u64)>,
+    /// The generations of the registry, of the homed load and of the shift of the shares that this
+    /// was computed from.
+    generation: Option<(u64, u64, u64)>,
     upstreams: Vec<Registered>,
     /// The upstreams' weights, in the same order.
     candidates: Vec<Candidate>,
@@ -44,15 +76,18 @@
 }
 
 impl Placement {
-    /// Recomputes the weights if the registry or the homed load has changed.
+    /// Recomputes the weights if the registry, the homed load or the shift of the shares has
+    /// changed. The shift changes once a second at most.
     pub(super) fn refresh(
         &mut self,
         request: &PickRequest<'_>,
         registry: &Registry,
         place: &Place,
         homed: &HomedTraffic,
+        shift: Option<(&ShareShift, u64)>,
     ) {
-        let generation = Some((registry.generation(), homed.generation()));
+        let shift_generation = shift.map_or(0, |(_, generation)| generation);
+        let generation = Some((registry.generation(), homed.generation(), shift_generation));
         if self.generation == generation {
             return;
         }
@@ -63,11 +98,14 @@
         let eligible = registry.eligible(request.service).iter();
         self.upstreams = eligible.filter(is_allowed).cloned().collect();
         let demand = homed.demand(request.regions, place);
-        let weights = self.weights(place, &demand);
+        let mut weights = self.weights(place, &demand);
+        if let Some((shift, _)) = shift {
+            weights = weights.shifted(shift);
+        }
         self.candidates = self.weighted(&weights);
         let own_share = weights.shares().get(&place.region);
         self.own_share = own_share.copied().unwrap_or_default();
-        self.log_shares(request, weights.shares());
+        self.log_shares(request, shift.is_some(), weights.shares());
     }
 
     /// Returns the first `count` upstreams in the order of an object.
@@ -94,14 +132,17 @@
     }
 
     /// Logs the shares if one has moved by a step since they were last logged.
-    fn log_shares(&mut self, request: &PickRequest<'_>, shares: &RegionShares) {
+    ///
+    /// The line names the route if its shares differ from those of the service.
+    fn log_shares(&mut self, request: &PickRequest<'_>, is_of_kind: bool, shares: &RegionShares) {
+        let route = if is_of_kind { &request.route.name } else { "" };
         let logged = |region: &RegionId| self.logged_shares.get(region).copied().unwrap_or(0.0);
         let has_moved = |(region, share): (&RegionId, &f64)| {
             (share - logged(region)).abs() >= LOGGED_SHARE_STEP
         };
         // A single region always serves all requests.
         if shares.len() > 1 && shares.iter().any(has_moved) {
-            state_changes::region_shares_changed(request.service, shares);
+            state_changes::region_shares_changed(request.service, route, shares);
             self.logged_shares = shares.clone();
         }
     }
--- a/crates/foxtide-gateway/src/traffic.rs
+++ b/crates/foxtide-gateway/src/traffic.rs
@@ -24,16 +24,19 @@
     Quotas,
     /// Reports of requests that end their upstreams.
     Poison,
+    /// Reports and sums of demand.
+    Demand,
 }
 
 impl TrafficKind {
-    const ALL: [Self; 6] = [
+    const ALL: [Self; 7] = [
         Self::Changes,
         Self::Everything,
         Self::Question,
         Self::Slots,
         Self::Quotas,
         Self::Poison,
+        Self::Demand,
     ];
 
     const fn as_str(self) -> &'static str {
@@ -44,6 +47,7 @@
             Self::Slots => "slots",
             Self::Quotas => "quotas",
             Self::Poison => "poison",
+            Self::Demand => "demand",
         }
     }
 }
@@ -66,9 +70,9 @@
 
     /// Logs the bytes that were sent since the last call, if any.
     pub(crate) fn report(&self) {
-        let [changes, everything, question, slots, quotas, poison] =
+        let [changes, everything, question, slots, quotas, poison, demand] =
             TrafficKind::ALL.map(|kind| self.unreported[kind as usize].swap(0, Ordering::Relaxed));
-        if changes + everything + question + slots + quotas + poison == 0 {
+        if changes + everything + question + slots + quotas + poison + demand == 0 {
             return;
         }
         log_event!(
@@ -78,7 +82,8 @@
             question = question,
             slots = slots,
             quotas = quotas,
-            poison = poison
+            poison = poison,
+            demand = demand
         );
     }
 }
--- a/crates/foxtide-gateway/tests/gateway/main.rs
+++ b/crates/foxtide-gateway/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod organisations;
 mod poison;
 mod poison_isolation;
+mod region_demand;
 mod restored;
 mod small_region;
 mod stopping;
