Smooth the demand at the aggregators and let new instances adopt shares

Cause: each instance smoothed the sums by itself, so a new one followed the phase of a wave, and started from the shares by slots while the others of its region had moved. A fleet that starts reported the demand of its first seconds, which are mostly first accesses.

Change: the aggregator smooths the sum of its region and goes on with the mean of its predecessor. Instances report once they have measured for 5 s and ask for the sums until then. An instance that learns the demand within 3 s of its start takes over the shares without pace.

The tests of region_demand, of the modules demand, and of four instances over loopback pass.

--- a/crates/foxtide-core/src/placement/demand/knowledge.rs
+++ b/crates/foxtide-core/src/placement/demand/knowledge.rs
@@ -64,7 +64,16 @@
         })
     }
 
-    /// Returns the demand in `regions`; `None` unless the sums of all of these are recent.
+    /// Returns the latest sum of a region, unless it is too old.
+    pub fn of(&self, region: RegionHash, now: MonotonicTime) -> Option<DemandByService> {
+        let mut sums = self.with_ages(now);
+        let recent =
+            |(of, age, _): &(RegionHash, Duration, _)| *of == region && *age <= SUM_AGE_MAX;
+        sums.find(recent).map(|(_, _, demand)| demand)
+    }
+
+    /// Returns the demand in `regions`, in coarse steps, so that instances that received slightly
+    /// different sums compute the same shares; `None` unless the sums of all of these are recent.
     pub fn known(&self, regions: &BTreeSet<RegionHash>, now: MonotonicTime) -> Option<KnownDemand> {
         let is_recent = |region: &RegionHash| {
             let summed_at = self.regions.get(region);
@@ -78,7 +87,7 @@
             if regions.contains(&region) {
                 for (service, demand) in demand {
                     let origins = services.entry(service).or_default();
-                    origins.insert(region, demand);
+                    origins.insert(region, demand.rounded());
                 }
             }
         }
@@ -92,7 +101,7 @@
 /// The demand in all regions.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct KnownDemand {
-    pub(super) services: BTreeMap<ServiceHash, DemandByOrigin>,
+    services: BTreeMap<ServiceHash, DemandByOrigin>,
 }
 
 impl KnownDemand {
--- a/crates/foxtide-core/src/placement/demand/meter.rs
+++ b/crates/foxtide-core/src/placement/demand/meter.rs
@@ -29,6 +29,10 @@
 /// three times as long as a repeated one, so fewer samples than 20 vary too much.
 const SAMPLE_WEIGHT_MIN: f64 = 0.05;
 
+/// The seconds to measure before the first report. The first requests are first accesses to their
+/// objects, which take three times as long.
+const REPORT_AFTER_S: u64 = 5;
+
 /// How long a kind without requests is kept.
 const UNUSED_TTL: Duration = Duration::from_secs(60);
 
@@ -113,7 +117,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct DemandMeter {
     kinds: HashMap<ServiceId, HashMap<RequestKind, KindMeter>>,
-    /// When the first request arrived.
+    /// When measuring began.
     since: Option<MonotonicTime>,
 }
 
@@ -153,6 +157,12 @@
         meter.service_time.record(time, is_own_region);
     }
 
+    /// Tells whether the demand has been measured for long enough to be reported.
+    pub fn is_measured(&mut self, now: MonotonicTime) -> bool {
+        self.since.get_or_insert(now);
+        self.measured_s(now) >= REPORT_AFTER_S
+    }
+
     /// Returns the demand for a service, whose slots in each region are `slots`.
     pub fn demand(
         &mut self,
@@ -161,9 +171,7 @@
         now: MonotonicTime,
     ) -> ServiceDemand {
         let mut demand = ServiceDemand::default();
-        let measured = self.since.map_or(0, |since| {
-            whole_seconds(now).saturating_sub(whole_seconds(since))
-        });
+        let measured = self.measured_s(now);
         let now_s = whole_seconds(now);
         for (kind, meter) in self.kinds.get_mut(service).into_iter().flatten() {
             let busy = |rate_rps: f64| BusySlots::clamped(rate_rps * meter.service_time.mean_s);
@@ -186,6 +194,13 @@
         self.kinds.retain(|_, kinds| !kinds.is_empty());
     }
 
+    /// Returns the whole seconds for which requests have been counted.
+    fn measured_s(&self, now: MonotonicTime) -> u64 {
+        self.since.map_or(0, |since| {
+            whole_seconds(now).saturating_sub(whole_seconds(since) + 1)
+        })
+    }
+
     fn meter(&mut self, service: &ServiceId, kind: RequestKind) -> &mut KindMeter {
         if !self.kinds.contains_key(service) {
             self.kinds.insert(service.clone(), HashMap::new());
--- a/crates/foxtide-core/src/placement/demand/mod.rs
+++ b/crates/foxtide-core/src/placement/demand/mod.rs
@@ -1,9 +1,10 @@
 //! The demand of all regions, and the regional shares that follow from it.
 //!
 //! Each instance measures the demand of its own callers ([`DemandMeter`]) and reports it to an
-//! aggregator of its region, which sums it up ([`RegionAggregate`]) and exchanges sums with those
-//! of other regions ([`RegionSums`]). From the mean ([`SmoothedDemand`]), all instances of a region compute the same shares
-//! ([`demand_shares`]) and follow them at a limited pace ([`PacedShift`]).
+//! aggregator of its region, which sums it up ([`RegionAggregate`]), smooths the sum
+//! ([`SmoothedDemand`]) and exchanges it with those of other regions ([`RegionSums`]). All instances
+//! of a region compute the same shares ([`demand_shares`]) and follow them at a limited pace
+//! ([`PacedShift`]).
 
 mod aggregate;
 mod hashes;
--- a/crates/foxtide-core/src/placement/demand/pace.rs
+++ b/crates/foxtide-core/src/placement/demand/pace.rs
@@ -133,6 +133,15 @@
         }
     }
 
+    /// Takes over the target at once: other instances of the region have it in force already.
+    pub fn adopt(&mut self, target: &ShareShift, now: MonotonicTime) {
+        self.advanced_at = Some(now);
+        self.is_moving = false;
+        self.current = target.clone();
+        self.published = target.clone();
+        self.generation += 1;
+    }
+
     /// Returns the shift in force.
     pub fn shift(&self) -> &ShareShift {
         &self.published
--- a/crates/foxtide-core/src/placement/demand/smoothing.rs
+++ b/crates/foxtide-core/src/placement/demand/smoothing.rs
@@ -1,9 +1,9 @@
-//! Smooths the demand on which shares rest.
+//! Smooths the demand of a region.
 
 use super::{
     BusySlots,
-    DemandByOrigin,
-    KnownDemand,
+    DemandByService,
+    SUM_AGE_MAX,
     ServiceDemand, //
 };
 use crate::time::MonotonicTime;
@@ -19,58 +19,58 @@
 /// The mean at which demand that has ended is dropped.
 const NEGLIGIBLE_SLOTS: f64 = 1e-3;
 
-/// The exponential mean of the known demand.
+/// The exponential mean of a region's demand, kept by its aggregator.
 #[derive(Clone, Debug, Default)]
 pub struct SmoothedDemand {
-    mean: KnownDemand,
-    started_at: Option<MonotonicTime>,
-    advanced_at: MonotonicTime,
+    mean: DemandByService,
+    /// The time that the mean covers, up to the time constant.
+    covered: Duration,
+    advanced_at: Option<MonotonicTime>,
 }
 
 impl SmoothedDemand {
-    /// Takes the latest demand. Until the time constant has passed, the mean is that of all demand
-    /// so far.
-    pub fn advance(&mut self, latest: &KnownDemand, now: MonotonicTime) {
-        let Some(started_at) = self.started_at else {
-            self.started_at = Some(now);
-            self.advanced_at = now;
-            self.mean = latest.clone();
-            return;
-        };
-        let passed_s = (now - self.advanced_at).as_secs_f64();
-        let time_s = (now - started_at).min(TIME_CONSTANT).as_secs_f64();
-        self.advanced_at = now;
-        if time_s > 0.0 {
-            blend_known(&mut self.mean, latest, (passed_s / time_s).min(1.0));
+    /// Takes the latest sum and returns the mean. Until the time constant has passed, this is the
+    /// mean of all sums so far.
+    ///
+    /// An aggregator that has just begun, or has not summed up for a while, goes on with
+    /// `inherited`, the mean that another aggregator of the region has told last.
+    pub fn advance(
+        &mut self,
+        sum: &DemandByService,
+        inherited: Option<DemandByService>,
+        now: MonotonicTime,
+    ) -> &DemandByService {
+        let passed = self.advanced_at.map_or(Duration::MAX, |at| now - at);
+        self.advanced_at = Some(now);
+        if passed <= SUM_AGE_MAX {
+            self.covered = (self.covered + passed).min(TIME_CONSTANT);
+            self.blend(sum, passed);
+        } else if let Some(inherited) = inherited {
+            self.covered = TIME_CONSTANT;
+            self.mean = inherited;
+        } else {
+            self.covered = Duration::ZERO;
+            self.mean.clone_from(sum);
         }
+        &self.mean
     }
 
-    /// Returns the mean in coarse steps, so that instances that received slightly different sums
-    /// compute the same shares.
-    pub fn rounded(&self) -> KnownDemand {
-        let mut rounded = self.mean.clone();
-        for demand in rounded.services.values_mut().flat_map(BTreeMap::values_mut) {
-            *demand = demand.rounded();
+    fn blend(&mut self, sum: &DemandByService, passed: Duration) {
+        if self.covered.is_zero() {
+            return;
         }
-        rounded
-    }
-}
-
-fn blend_known(mean: &mut KnownDemand, latest: &KnownDemand, weight: f64) {
-    for (service, origins) in &latest.services {
-        let known: &mut DemandByOrigin = mean.services.entry(*service).or_default();
-        for region in origins.keys() {
-            known.entry(*region).or_default();
+        let weight = (passed.as_secs_f64() / self.covered.as_secs_f64()).min(1.0);
+        for service in sum.keys() {
+            self.mean.entry(*service).or_default();
         }
-    }
-    let none = ServiceDemand::default();
-    for (service, origins) in &mut mean.services {
-        for (region, demand) in origins.iter_mut() {
-            let latest = latest.of(*service).and_then(|origins| origins.get(region));
-            let latest = latest.unwrap_or(&none);
-            blend(&mut demand.kinds, &latest.kinds, weight);
-            blend(&mut demand.homed, &latest.homed, weight);
+        let none = ServiceDemand::default();
+        for (service, mean) in &mut self.mean {
+            let latest = sum.get(service).unwrap_or(&none);
+            blend(&mut mean.kinds, &latest.kinds, weight);
+            blend(&mut mean.homed, &latest.homed, weight);
         }
+        self.mean
+            .retain(|_, mean| !mean.kinds.is_empty() || !mean.homed.is_empty());
     }
 }
 
--- a/crates/foxtide-core/tests/region_demand/meter.rs
+++ b/crates/foxtide-core/tests/region_demand/meter.rs
@@ -41,7 +41,11 @@
 #[test]
 fn verify_demand_is_rate_times_service_time_of_the_own_region() {
     let mut meter = DemandMeter::default();
+    assert!(!meter.is_measured(MonotonicTime::from_ms(1_000)));
     record(&mut meter, 20, 5, &[]);
+    // The first requests, which take longest, are not reported.
+    assert!(!meter.is_measured(MonotonicTime::from_ms(6_900)));
+    assert!(meter.is_measured(MonotonicTime::from_ms(7_000)));
     assert!(busy_slots(&mut meter, 21_000).abs() < 1e-9);
     let time = |meter: &mut DemandMeter, ms, is_own| {
         let kind = RequestKind::of_route("stock");
--- a/crates/foxtide-gateway/src/datagram/demand.rs
+++ b/crates/foxtide-gateway/src/datagram/demand.rs
@@ -35,6 +35,9 @@
     region: u32,
     #[prost(message, repeated, tag = "2")]
     services: Vec<ServiceDemandMessage>,
+    /// Whether the instance has measured too little yet and only asks for the sums.
+    #[prost(bool, tag = "3")]
+    is_question: bool,
 }
 
 /// The demand of regions.
@@ -110,6 +113,14 @@
         pages.into_iter().map(Self::summary_page).collect()
     }
 
+    /// Returns the question for the sums of an instance without demand to report.
+    pub(crate) fn demand_question(region: RegionHash) -> Self {
+        Self::report_page(DemandReportMessage {
+            is_question: true,
+            ..DemandReportMessage::new(region)
+        })
+    }
+
     fn report_page(message: DemandReportMessage) -> Self {
         Self {
             number: 0,
@@ -164,9 +175,15 @@
         Self {
             region: region.get(),
             services: Vec::new(),
+            is_question: false,
         }
     }
 
+    /// Tells whether the message only asks for the sums.
+    pub(crate) fn is_question(&self) -> bool {
+        self.is_question
+    }
+
     /// Returns the region of the instance.
     pub(crate) fn region(&self) -> RegionHash {
         RegionHash::from_hash(self.region)
--- a/crates/foxtide-gateway/src/state/regional.rs
+++ b/crates/foxtide-gateway/src/state/regional.rs
@@ -19,7 +19,6 @@
     ServiceHash,
     ServiceLoad,
     ShareShift,
-    SmoothedDemand,
     demand_shares, //
 };
 use foxtide_core::placement::{
@@ -43,6 +42,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// The time from the start of an instance in which it takes over shares without pace, so that it
+/// sends objects to the same upstreams as the others. A whole fleet that starts knows no demand in
+/// this time, as none is reported before 5 s.
+const ADOPTION_TIME: Duration = Duration::from_secs(3);
+
 /// The shifts of the kinds of a service.
 type Shifts = HashMap<KindHash, PacedShift>;
 
@@ -50,13 +54,14 @@
 #[derive(Debug, Default)]
 pub(super) struct RegionalShares {
     meter: DemandMeter,
-    smoothed: SmoothedDemand,
     shifts: HashMap<ServiceId, Shifts>,
     /// The slots by region of the services that stand in several regions.
     slots: BTreeMap<ServiceId, BTreeMap<RegionId, u32>>,
     /// The generation of the registry from which `slots` was computed.
     generation: Option<u64>,
     gauges: RegionGauges,
+    /// When the shares first followed the demand.
+    since: Option<MonotonicTime>,
 }
 
 impl RegionalShares {
@@ -86,17 +91,21 @@
         self.shifts.retain(|service, _| slots.contains_key(service));
     }
 
-    /// Returns the demand of this instance's callers for services in several regions.
-    fn demand(&mut self, now: MonotonicTime) -> DemandByService {
+    /// Returns the demand of this instance's callers for services in several regions; `None` while
+    /// it has been measured too little.
+    fn demand(&mut self, now: MonotonicTime) -> Option<DemandByService> {
         self.meter.prune(now);
-        let meter = &mut self.meter;
-        let demand = self.slots.iter().map(|(service, slots)| {
-            let demand = meter.demand(service, slots, now);
-            (ServiceHash::of(service), demand)
-        });
-        demand
-            .filter(|(_, demand)| demand.total().get() > 0.0)
-            .collect()
+        if !self.meter.is_measured(now) {
+            return None;
+        }
+        let mut demand = DemandByService::new();
+        for (service, slots) in &self.slots {
+            let of_service = self.meter.demand(service, slots, now);
+            if of_service.total().get() > 0.0 {
+                demand.insert(ServiceHash::of(service), of_service);
+            }
+        }
+        Some(demand)
     }
 
     /// Moves the shares of all kinds towards those of the known demand, or towards those by slots.
@@ -108,10 +117,7 @@
         demand: &Demand,
         now: MonotonicTime,
     ) {
-        let smoothed = known.map(|known| {
-            self.smoothed.advance(known, now);
-            self.smoothed.rounded()
-        });
+        let since = *self.since.get_or_insert(now);
         let objectives = objectives_by_service(routes, &self.slots);
         for (service, slots) in &self.slots {
             let hash = ServiceHash::of(service);
@@ -119,7 +125,8 @@
                 place,
                 slots,
                 objectives: &objectives[service],
-                demand: smoothed.as_ref().and_then(|known| known.of(hash)),
+                demand: known.and_then(|known| known.of(hash)),
+                is_new: now - since <= ADOPTION_TIME,
             };
             let shifts = self.shifts.entry(service.clone()).or_default();
             of_service.advance(shifts, demand, now);
@@ -143,6 +150,8 @@
     slots: &'a BTreeMap<RegionId, u32>,
     objectives: &'a BTreeMap<KindHash, Duration>,
     demand: Option<&'a DemandByOrigin>,
+    /// Whether the instance has just started.
+    is_new: bool,
 }
 
 impl Kinds<'_> {
@@ -161,7 +170,12 @@
             let target = shares.as_ref().map_or_else(ShareShift::default, |shares| {
                 ShareShift::between(&base, shares.of(*kind))
             });
-            shifts.entry(*kind).or_default().advance(&target, now);
+            let paced = shifts.entry(*kind).or_default();
+            if self.is_new && self.demand.is_some() && paced.shift().is_none() {
+                paced.adopt(&target, now);
+            } else {
+                paced.advance(&target, now);
+            }
         }
     }
 
