--- a/crates/foxtide-core/src/placement/demand/knowledge.rs
+++ b/crates/foxtide-core/src/placement/demand/knowledge.rs
@@ -49,27 +49,34 @@
             .retain(|_, summed_at| now - *summed_at <= SUM_AGE_MAX);
     }
 
-    /// Returns the sum of each region with its age, for other instances.
+    /// Returns the sums of regions with their ages, for other instances. Services of a region that
+    /// are older than its newest sum are separate, so that no age shrinks on the way.
     pub fn with_ages(
         &self,
         now: MonotonicTime,
     ) -> impl Iterator<Item = (RegionHash, Duration, DemandByService)> {
-        self.regions.iter().map(move |(region, summed_at)| {
-            let first = (*region, ServiceHash::from_hash(0));
-            let last = (*region, ServiceHash::from_hash(u32::MAX));
-            let services = self.services.range(first..=last);
-            let recent = services.filter(|(_, (at, _))| now - *at <= SUM_AGE_MAX);
-            let demand = recent.map(|((_, service), (_, demand))| (*service, demand.clone()));
-            (*region, now - *summed_at, demand.collect())
-        })
+        let newest = self.regions.iter();
+        let mut sums: BTreeMap<(RegionHash, MonotonicTime), DemandByService> = newest
+            .map(|(region, summed_at)| ((*region, *summed_at), DemandByService::new()))
+            .collect();
+        for ((region, service), (summed_at, demand)) in &self.services {
+            if now - *summed_at <= SUM_AGE_MAX {
+                let sum = sums.entry((*region, *summed_at)).or_default();
+                sum.insert(*service, demand.clone());
+            }
+        }
+        let sums = sums.into_iter();
+        sums.map(move |((region, summed_at), demand)| (region, now - summed_at, demand))
     }
 
     /// Returns the latest sum of a region, unless it is too old.
     pub fn of(&self, region: RegionHash, now: MonotonicTime) -> Option<DemandByService> {
-        let mut sums = self.with_ages(now);
-        let recent =
-            |(of, age, _): &(RegionHash, Duration, _)| *of == region && *age <= SUM_AGE_MAX;
-        sums.find(recent).map(|(_, _, demand)| demand)
+        let newest = self.regions.get(&region)?;
+        if now - *newest > SUM_AGE_MAX {
+            return None;
+        }
+        let sums = self.with_ages(now).filter(|(of, ..)| *of == region);
+        Some(sums.flat_map(|(_, _, demand)| demand).collect())
     }
 
     /// Returns the demand in `regions`, in coarse steps, so that instances that received slightly
--- a/crates/foxtide-core/tests/region_demand/knowledge.rs
+++ b/crates/foxtide-core/tests/region_demand/knowledge.rs
@@ -79,6 +79,15 @@
     let demand = known(&sums, at(10)).unwrap();
     assert!((demand.slots_of(SERVICE, hash("erongo")).get() - 4.0).abs() < 1e-9);
     assert_eq!(demand.slots_of(SERVICE, hash("khomas")).get(), 0.0);
+    // A service that is missing from newer sums keeps its age.
+    sums.merge(hash("erongo"), at(12), DemandByService::new());
+    let ages: Vec<(u64, usize)> = sums
+        .with_ages(at(12))
+        .filter(|(region, ..)| *region == hash("erongo"))
+        .map(|(_, age, demand)| (age.as_secs(), demand.len()))
+        .collect();
+    assert_eq!(ages, [(2, 1), (0, 0)]);
+    assert_eq!(sums.of(hash("erongo"), at(12)), Some(report(4.0)));
     assert!(known(&sums, at(14)).is_some());
     assert_eq!(known(&sums, at(15)), None);
     sums.prune(at(30));
--- a/crates/foxtide-gateway/src/demand/exchange.rs
+++ b/crates/foxtide-gateway/src/demand/exchange.rs
@@ -32,7 +32,7 @@
     pub(crate) members: usize,
     /// The aggregators of its region, the first choice first.
     pub(crate) aggregators: Vec<SocketAddr>,
-    /// The aggregators of the other regions.
+    /// The aggregators of the other regions, if this instance is one of its own.
     pub(crate) other_aggregators: Vec<SocketAddr>,
     /// The regions that have instances.
     pub(crate) regions: BTreeSet<RegionHash>,
--- a/crates/foxtide-gateway/src/state/mod.rs
+++ b/crates/foxtide-gateway/src/state/mod.rs
@@ -4,6 +4,7 @@
 
 mod availability;
 mod facts;
+mod fleet_view;
 mod homed;
 mod pick;
 mod placement;
--- a/crates/foxtide-gateway/src/state/regional.rs
+++ b/crates/foxtide-gateway/src/state/regional.rs
@@ -2,7 +2,6 @@
 
 use super::State;
 use super::region_gauges::RegionGauges;
-use crate::demand::FleetView;
 use crate::options::Place;
 use foxtide_core::ids::{
     RegionId,
@@ -25,10 +24,7 @@
     Demand,
     region_shares, //
 };
-use foxtide_core::registry::{
-    Member,
-    Registry, //
-};
+use foxtide_core::registry::Registry;
 use foxtide_core::routing::{
     RequestKind,
     RouteTable, //
@@ -36,10 +32,8 @@
 use foxtide_core::time::MonotonicTime;
 use std::collections::{
     BTreeMap,
-    BTreeSet,
     HashMap, //
 };
-use std::net::SocketAddr;
 use std::time::Duration;
 
 /// The time from the start of an instance in which it takes over shares without pace, so that it
@@ -65,6 +59,11 @@
 }
 
 impl RegionalShares {
+    /// Tells whether any service stands in several regions.
+    pub(super) fn has_services(&self) -> bool {
+        !self.slots.is_empty()
+    }
+
     /// Returns the shift of a kind's shares with its generation; `None` if there is none.
     pub(super) fn shift(&self, service: &ServiceId, kind: KindHash) -> Option<(&ShareShift, u64)> {
         let paced = self.shifts.get(service)?.get(&kind)?;
@@ -72,7 +71,8 @@
         (!shift.is_none()).then(|| (shift, paced.generation()))
     }
 
-    fn update_slots(&mut self, registry: &Registry) {
+    /// Counts the slots of services anew if the registry has changed.
+    pub(super) fn update_slots(&mut self, registry: &Registry) {
         if self.generation == Some(registry.generation()) {
             return;
         }
@@ -93,7 +93,7 @@
 
     /// Returns the demand of this instance's callers for services in several regions; `None` while
     /// it has been measured too little.
-    fn demand(&mut self, now: MonotonicTime) -> Option<DemandByService> {
+    pub(super) fn demand(&mut self, now: MonotonicTime) -> Option<DemandByService> {
         self.meter.prune(now);
         if !self.meter.is_measured(now) {
             return None;
@@ -262,39 +262,6 @@
             .record_service_time(service, kind, time, is_own_region);
     }
 
-    /// Returns the fleet and the demand of this instance's callers; `None` if there is one region
-    /// or no service stands in several.
-    pub(crate) fn fleet_view(&mut self, own_address: SocketAddr) -> Option<FleetView> {
-        self.regional.update_slots(&self.registry);
-        let regions: BTreeSet<&RegionId> =
-            self.members.all().map(|member| &member.region).collect();
-        if self.regional.slots.is_empty() || regions.len() < 2 {
-            return None;
-        }
-        let demand = self.regional.demand(self.clock.now());
-        let own = &self.options.place.region;
-        let aggregators = |region: &RegionId| {
-            let members = self.members.demand_aggregators(region).into_iter();
-            let addresses: Vec<SocketAddr> =
-                members.map(|member| member.datagram_address).collect();
-            addresses
-        };
-        let is_near = |member: &&Member| member.region == *own;
-        Some(FleetView {
-            own_address,
-            region: RegionHash::of(own),
-            members: self.members.all().filter(is_near).count(),
-            aggregators: aggregators(own),
-            other_aggregators: regions
-                .iter()
-                .filter(|region| **region != own)
-                .flat_map(|region| aggregators(region))
-                .collect(),
-            regions: regions.into_iter().map(RegionHash::of).collect(),
-            demand,
-        })
-    }
-
     /// Moves the regional shares towards those of the demand, or towards those by slots if it is
     /// not known.
     pub(crate) fn follow_demand(&mut self, known: Option<&KnownDemand>) {
