--- a/crates/foxtide-core/src/admission/queue.rs
+++ b/crates/foxtide-core/src/admission/queue.rs
@@ -1,6 +1,7 @@
 //! The slots of one upstream and the requests that wait for them.
 
 mod forecast;
+mod order;
 mod retry_after;
 mod room;
 mod running;
@@ -10,8 +11,7 @@
 use super::fair_share::{
     Charge,
     FairShare,
-    OrganisationKey,
-    UsedTimes, //
+    OrganisationKey, //
 };
 use super::objects::RecentObjects;
 use super::request::{
@@ -36,13 +36,8 @@
     Running,
     RunningRequests, //
 };
-use std::cmp::Reverse;
 use std::time::Duration;
-use waiting::{
-    ServiceClass,
-    ServiceOrder,
-    Waiting, //
-};
+use waiting::Waiting;
 
 /// The number of requests admitted beyond the slots. They queue at the upstream and keep its slots
 /// busy while a release and the next grant are in transit. One beats none most where work is short;
@@ -367,52 +362,6 @@
         }
     }
 
-    /// Returns the index of the request to serve next, among those that there is room for. An
-    /// organisation that used clearly more than its fair share does not get the place beyond the
-    /// slots.
-    fn next_waiting(&self, now: MonotonicTime) -> Option<usize> {
-        if self.waiting.is_empty() {
-            return None;
-        }
-        let used = self.shares.used(now);
-        let has_free_slot = self.running.len() < self.slots;
-        let is_admissible = |waiting: &Waiting| {
-            (has_free_slot || !used.is_excessive(waiting.organisation))
-                && self.has_room(self.work_of(waiting), now)
-        };
-        let admissible =
-            (0..self.waiting.len()).filter(|&index| is_admissible(&self.waiting[index]));
-        admissible.min_by_key(|&index| self.service_order(&self.waiting[index], &used, now))
-    }
-
-    /// Returns the place of a waiting request in the order of service: by priority, then class,
-    /// then fair share, then newest first.
-    fn service_order(
-        &self,
-        waiting: &Waiting,
-        used: &UsedTimes<'_>,
-        now: MonotonicTime,
-    ) -> ServiceOrder {
-        ServiceOrder {
-            priority: waiting.priority,
-            class: self.class_of(waiting, now),
-            used: used.of(waiting.organisation),
-            age: Reverse(waiting.queued_at),
-        }
-    }
-
-    fn class_of(&self, waiting: &Waiting, now: MonotonicTime) -> ServiceClass {
-        let access = self.access(waiting.object);
-        let service = self.expected_service(waiting.kind, access);
-        if now + service.unwrap_or_default() <= waiting.objective_at {
-            ServiceClass::InTime
-        } else if access == ObjectAccess::First {
-            ServiceClass::LateFirstAccess
-        } else {
-            ServiceClass::Late
-        }
-    }
-
     fn access(&self, object: Option<ObjectKey>) -> ObjectAccess {
         match object {
             Some(object) if self.objects.contains(object) => ObjectAccess::Repeated,
@@ -425,12 +374,6 @@
         self.expected_service(waiting.kind, access).is_some()
     }
 
-    /// Returns the largest difference of used service time between two waiting organisations.
-    pub(super) fn fair_share_debt(&self, now: MonotonicTime) -> Duration {
-        let organisations = self.waiting.iter().map(|waiting| waiting.organisation);
-        self.shares.used(now).spread(organisations)
-    }
-
     /// Returns the expected service time of a request at the upstream's present speed, if any is
     /// known.
     fn expected_service(&self, kind: RequestKind, access: ObjectAccess) -> Option<Duration> {
