--- a/crates/foxtide-gateway/src/directory/mod.rs
+++ b/crates/foxtide-gateway/src/directory/mod.rs
@@ -11,6 +11,7 @@
     Lookup, //
 };
 use crate::shared::Shared;
+use foxtide_core::ids::RegionId;
 use foxtide_core::registry::Member;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -52,11 +53,7 @@
 }
 
 /// Returns the instances that could serve the requests of a region's callers.
-fn serving_members<D>(
-    shared: &Shared<D>,
-    region: &foxtide_core::ids::RegionId,
-    is_ready: bool,
-) -> Vec<Member> {
+fn serving_members<D>(shared: &Shared<D>, region: &RegionId, is_ready: bool) -> Vec<Member> {
     let place = &shared.options.place;
     let is_own = |member: &&Member| member.instance == place.instance;
     let state = shared.state.lock();
