Wait for the logged end of a request before its explanation is checked

The printed explanation says that the log lines do not contain the end of the request: the instance writes lines from a thread of its own, and the test read the file before the last one. The test does wait for the end, but by a text that foxtidectl no longer prints since its reports were reworded, so that it never waited.

Change: the wait looks for the text that is printed. What is checked is the same.

--- a/crates/foxtide/tests/explain_failures.rs
+++ b/crates/foxtide/tests/explain_failures.rs
@@ -125,7 +125,8 @@
             let (mut output, mut errors) = (Vec::new(), Vec::new());
             let status = foxtidectl::run(&arguments, &mut output, &mut errors);
             let text = String::from_utf8(output).unwrap();
-            (status == ExitStatus::Done && !text.contains("its end is not")).then_some(text)
+            let is_ended = !text.contains("do not contain the end of the request");
+            (status == ExitStatus::Done && is_ended).then_some(text)
         };
         wait_until("the request is explained", || explain().is_some());
         explain().unwrap()
