--- a/review/standins/case_1.rs
+++ b/review/standins/case_1.rs
@@ -11,8 +11,20 @@
 const HOST: &str = "jepu9.example";
 
 const PLACES: [Place; 2] = [
-    Place { name: "edge-khomas-a-1", zone: "khomas-a", region: "khomas" },
-    Place { name: "edge-erongo-a-1", zone: "erongo-a", region: "erongo" },
+    Place {
+        name: "edge-khomas-a-1",
+        zone: "khomas-a",
+        region: "khomas",
+        memory_mb: 260,
+        link_mbps: 1000,
+    },
+    Place {
+        name: "edge-erongo-a-1",
+        zone: "erongo-a",
+        region: "erongo",
+        memory_mb: 260,
+        link_mbps: 1000,
+    },
 ];
 
 const CONFIGURATION: &str = r#"{"configVersion":"r7","resources":[
@@ -48,16 +60,29 @@
     let store = Store::start(net.ip(2)).map_err(|error| format!("store: {error}"))?;
     store.put("op/config", CONFIGURATION);
     let runs = Runs::default();
-    let options = Options { slots: 3, queue: 1, work_ms: 120, ..Options::default() };
+    let options = Options {
+        slots: 3,
+        queue: 1,
+        work_ms: 120,
+        ..Options::default()
+    };
     let mut targets = Vec::new();
     for number in 0..TARGETS {
         let zone = ZONES[number % ZONES.len()];
         let id = format!("i-notices-{number}");
-        let target = Target::start(&id, "notices", zone, net.ip(101 + number as u8), options, &runs, record)?;
+        let target = Target::start(
+            &id,
+            "notices",
+            zone,
+            net.ip(101 + number as u8),
+            options,
+            &runs,
+            record,
+        )?;
         target.register(&store, "ready");
         targets.push(target);
     }
-    let deployment = Deployment::start(context, net, store, &PLACES)?;
+    let deployment = Deployment::start(context, net, &store, &PLACES)?;
     let sent: Arc<Mutex<Vec<Sent>>> = Arc::default();
     let until = Instant::now() + LENGTH;
     let clients: Vec<_> = (0..CLIENTS)
@@ -127,7 +152,10 @@
         let is_promise = matches!(one.status, Some(408 | 421 | 429 | 503));
         if is_promise && count > 0 {
             let status = one.status.unwrap_or_default();
-            broken.push(format!("REFUSED: {} was answered {status} and ran {count} times", one.id));
+            broken.push(format!(
+                "REFUSED: {} was answered {status} and ran {count} times",
+                one.id
+            ));
         }
     }
     for target in &targets {
@@ -142,8 +170,19 @@
         );
     }
     let statuses = |status| sent.iter().filter(|one| one.status == status).count();
-    println!("{} sent, {} answered 200, {} 503, {} no answer", sent.len(), statuses(Some(200)), statuses(Some(503)), statuses(None));
-    record.line(&format!("driver: {} sent, {} answered 200, {} answered 503", sent.len(), statuses(Some(200)), statuses(Some(503))));
+    println!(
+        "{} sent, {} answered 200, {} 503, {} no answer",
+        sent.len(),
+        statuses(Some(200)),
+        statuses(Some(503)),
+        statuses(None)
+    );
+    record.line(&format!(
+        "driver: {} sent, {} answered 200, {} answered 503",
+        sent.len(),
+        statuses(Some(200)),
+        statuses(Some(503))
+    ));
     Ok(broken)
 }
 
@@ -154,15 +193,22 @@
         let gives_second = number < TARGETS / 2 && std::env::var("SECOND").as_deref() != Ok("0");
         let each = if gives_second { SECOND_ANSWER_EACH } else { 0 };
         let shed = if number == 0 { SHED_PERCENT } else { 0 };
-        record.line(&format!("trouble: {} turns {shed} % away, second answer each {each}", target.id));
+        record.line(&format!(
+            "trouble: {} turns {shed} % away, second answer each {each}",
+            target.id
+        ));
         target.set_options(|options| {
             options.shed_percent = shed;
             options.second_answer_each = each;
         });
     }
     std::thread::sleep(SECOND_ANSWER_TIME);
-    targets.iter().for_each(|target| target.set_options(|options| options.second_answer_each = 0));
+    targets
+        .iter()
+        .for_each(|target| target.set_options(|options| options.second_answer_each = 0));
     std::thread::sleep(SHED_TIME - SECOND_ANSWER_TIME);
-    targets.iter().for_each(|target| target.set_options(|options| options.shed_percent = 0));
+    targets
+        .iter()
+        .for_each(|target| target.set_options(|options| options.shed_percent = 0));
     record.line("trouble: over");
 }
--- a/review/standins/case_2.rs
+++ b/review/standins/case_2.rs
@@ -12,8 +12,20 @@
 const HOST: &str = "jepu9.example";
 
 const PLACES: [Place; 2] = [
-    Place { name: "edge-khomas-a-1", zone: "khomas-a", region: "khomas" },
-    Place { name: "edge-erongo-a-1", zone: "erongo-a", region: "erongo" },
+    Place {
+        name: "edge-khomas-a-1",
+        zone: "khomas-a",
+        region: "khomas",
+        memory_mb: 260,
+        link_mbps: 1000,
+    },
+    Place {
+        name: "edge-erongo-a-1",
+        zone: "erongo-a",
+        region: "erongo",
+        memory_mb: 260,
+        link_mbps: 1000,
+    },
 ];
 
 const CONFIGURATION: &str = r#"{"configVersion":"r7","resources":[
@@ -46,17 +58,34 @@
     let store = Store::start(net.ip(2)).map_err(|error| format!("store: {error}"))?;
     store.put("op/config", CONFIGURATION);
     let runs = Runs::default();
-    let options = Options { slots: 2, queue: 4, work_ms: 2_200, ..Options::default() };
+    let options = Options {
+        slots: 2,
+        queue: 4,
+        work_ms: 2_200,
+        ..Options::default()
+    };
     let mut targets = Vec::new();
     for number in 0..TARGETS {
         let zone = ["khomas-a", "erongo-a"][number % 2];
         let id = format!("i-notices-{number}");
-        let target = Target::start(&id, "notices", zone, net.ip(101 + number as u8), options, &runs, record)?;
+        let target = Target::start(
+            &id,
+            "notices",
+            zone,
+            net.ip(101 + number as u8),
+            options,
+            &runs,
+            record,
+        )?;
         target.register(&store, "ready");
         targets.push(target);
     }
-    let mut deployment = Deployment::start(context, net, store, &PLACES)?;
-    let directories: Vec<SocketAddr> = deployment.instances.iter().map(|instance| instance.directory).collect();
+    let mut deployment = Deployment::start(context, net, &store, &PLACES)?;
+    let directories: Vec<SocketAddr> = deployment
+        .instances
+        .iter()
+        .map(|instance| instance.directory)
+        .collect();
     let cuts: Arc<Mutex<Vec<Cut>>> = Arc::default();
     let until = Instant::now() + BEFORE_STOP + AFTER_STOP;
     let clients: Vec<_> = (0..CLIENTS)
@@ -83,7 +112,10 @@
     for cut in cuts.lock().unwrap().iter() {
         let took_s = (cut.cut_at_ms - cut.sent_at_ms) as f64 / 1_000.0;
         let Some(stopped_at_ms) = stopped_at_ms.filter(|_| cut.instance == stopped) else {
-            broken.push(format!("LOST: {} was cut after {took_s} s without a stop", cut.id));
+            broken.push(format!(
+                "LOST: {} was cut after {took_s} s without a stop",
+                cut.id
+            ));
             continue;
         };
         let since_stop_s = (cut.cut_at_ms as f64 - stopped_at_ms as f64) / 1_000.0;
@@ -186,7 +218,10 @@
         let at = (number + offset) % directories.len();
         let region = PLACES[number % 2].region;
         let zone = PLACES[number % 2].zone;
-        let head = format!("GET /v1/resolve?name={HOST}&region={region}&zone={zone} HTTP/1.1\r\nHost: {}\r\n\r\n", directories[at]);
+        let head = format!(
+            "GET /v1/resolve?name={HOST}&region={region}&zone={zone} HTTP/1.1\r\nHost: {}\r\n\r\n",
+            directories[at]
+        );
         let Ok(mut client) = Client::open(directories[at]) else {
             continue;
         };
--- a/review/standins/clients.rs
+++ b/review/standins/clients.rs
@@ -21,7 +21,14 @@
 
 impl Request<'_> {
     pub fn encode(&self) -> Vec<u8> {
-        let Request { method, host, target, id, deadline_ms, body } = self;
+        let Request {
+            method,
+            host,
+            target,
+            id,
+            deadline_ms,
+            body,
+        } = self;
         let mut head = format!(
             "{method} {target} HTTP/1.1\r\nHost: {host}\r\nX-Request-Id: {id}\r\nX-Request-Deadline: {deadline_ms}\r\n"
         );
@@ -38,7 +45,9 @@
 impl Client {
     pub fn open(address: SocketAddr) -> io::Result<Self> {
         let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
-        Ok(Self { connection: Connection::new(stream) })
+        Ok(Self {
+            connection: Connection::new(stream),
+        })
     }
 
     pub fn send(&mut self, request: &Request<'_>) -> io::Result<()> {
@@ -48,7 +57,9 @@
     /// Reads one answer; an end of the connection before its first byte is an error.
     pub fn receive(&mut self, limit: Duration) -> io::Result<Message> {
         self.connection.stream.set_read_timeout(Some(limit))?;
-        self.connection.read(true)?.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
+        self.connection
+            .read(true)?
+            .ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
     }
 
     pub fn exchange(&mut self, request: &Request<'_>) -> io::Result<Message> {
@@ -67,7 +78,11 @@
     match answer {
         Ok(answer) => {
             let signature = answer.header("X-Response-Signature").unwrap_or("none");
-            format!("{} signature {signature} body {} bytes", answer.status(), answer.body.len())
+            format!(
+                "{} signature {signature} body {} bytes",
+                answer.status(),
+                answer.body.len()
+            )
         }
         Err(error) => format!("no answer: {:?}", error.kind()),
     }
--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -10,11 +10,8 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
-pub const SIGCONT: i32 = 18;
-pub const SIGSTOP: i32 = 19;
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
@@ -59,7 +56,10 @@
 impl Net {
     pub fn new() -> Self {
         let pid = std::process::id();
-        Self { a: 64 + (pid >> 8 & 63) as u8, b: (pid & 255) as u8 }
+        Self {
+            a: 64 + (pid >> 8 & 63) as u8,
+            b: (pid & 255) as u8,
+        }
     }
 
     pub fn ip(self, last: u8) -> IpAddr {
@@ -76,6 +76,8 @@
     pub name: &'static str,
     pub zone: &'static str,
     pub region: &'static str,
+    pub memory_mb: u32,
+    pub link_mbps: u32,
 }
 
 pub struct Instance {
@@ -83,9 +85,7 @@
     pub front: SocketAddr,
     pub ready: SocketAddr,
     pub directory: SocketAddr,
-    pub control: SocketAddr,
     child: Child,
-    pub started_at: Instant,
     record: Record,
 }
 
@@ -128,8 +128,18 @@
 /// The settings file, laid out as the users' page DEPLOY shows it, with the site's bounds.
 fn settings(place: &Place, ports: &Ports, seeds: &[SocketAddr], store: SocketAddr) -> String {
     let quoted: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
-    let zones: Vec<String> = ZONES.iter().map(|(zone, region)| format!("{zone} = \"{region}\"")).collect();
-    let Ports { ip, front, ready, control, directory, first_free } = ports;
+    let zones: Vec<String> = ZONES
+        .iter()
+        .map(|(zone, region)| format!("{zone} = \"{region}\""))
+        .collect();
+    let Ports {
+        ip,
+        front,
+        ready,
+        control,
+        directory,
+        first_free,
+    } = ports;
     format!(
         r#"[self]
 nodeName = "{name}"
@@ -145,9 +155,9 @@
 [self.limits]
 cpuShare = 0.2
 cores = 1
-memoryMb = 260
+memoryMb = {memory_mb}
 maxFds = 4100
-linkMbps = 1000.0
+linkMbps = {link_mbps}.0
 diskMb = 0
 
 [network]
@@ -210,6 +220,8 @@
         name = place.name,
         zone = place.zone,
         region = place.region,
+        memory_mb = place.memory_mb,
+        link_mbps = place.link_mbps,
         last_free = first_free.saturating_add(15),
         seeds = quoted.join(","),
         zones = zones.join("\n"),
@@ -221,7 +233,9 @@
     let file = root.join("deploy/system.toml");
     let text = fs::read_to_string(&file).map_err(|error| format!("deploy file: {error}"))?;
     let line = text.lines().find_map(|line| line.trim().strip_prefix("run = \""));
-    let command = line.and_then(|line| line.strip_suffix('"')).ok_or("no `run` in the deploy file")?;
+    let command = line
+        .and_then(|line| line.strip_suffix('"'))
+        .ok_or("no `run` in the deploy file")?;
     Ok(command.split(' ').map(str::to_owned).collect())
 }
 
@@ -233,7 +247,8 @@
         seeds: &[SocketAddr],
         store: &Store,
     ) -> Result<Self, String> {
-        let folder = std::env::temp_dir().join(format!("foxtide-review-{}-{}", std::process::id(), place.name));
+        let folder =
+            std::env::temp_dir().join(format!("foxtide-review-{}-{}", std::process::id(), place.name));
         fs::create_dir_all(&folder).map_err(|error| format!("temporary folder: {error}"))?;
         let file = folder.join("boot.toml");
         fs::write(&file, settings(place, ports, seeds, store.address)).map_err(|error| error.to_string())?;
@@ -261,7 +276,9 @@
                 Ok(())
             });
         }
-        let child = command.spawn().map_err(|error| format!("start {}: {error}", words[0]))?;
+        let child = command
+            .spawn()
+            .map_err(|error| format!("start {}: {error}", words[0]))?;
         STARTED.lock().unwrap().push((child.id(), folder));
         let address = |port| SocketAddr::new(ports.ip, port);
         let instance = Self {
@@ -269,12 +286,13 @@
             front: address(ports.front),
             ready: address(ports.ready),
             directory: address(ports.directory),
-            control: address(ports.control),
             child,
-            started_at: Instant::now(),
             record: context.record.clone(),
         };
-        context.record.line(&format!("platform: starts {} at {}", instance.name, instance.front));
+        context.record.line(&format!(
+            "platform: starts {} at {}",
+            instance.name, instance.front
+        ));
         Ok(instance)
     }
 
@@ -288,7 +306,8 @@
         let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
         let status = status.unwrap_or_default();
         let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+        line.and_then(|line| line.split_whitespace().next()?.parse().ok())
+            .unwrap_or(0)
     }
 
     /// Returns how the process ended, if it has.
@@ -313,7 +332,8 @@
         let until = Instant::now() + limit;
         while Instant::now() < until {
             if let Some(status) = self.ended() {
-                self.record.line(&format!("platform: {} has ended: {status}", self.name));
+                self.record
+                    .line(&format!("platform: {} has ended: {status}", self.name));
                 return Some(status);
             }
             std::thread::sleep(Duration::from_millis(5));
@@ -328,7 +348,9 @@
             Err(_) => return false,
         };
         let head = format!("GET /v1/ready HTTP/1.1\r\nHost: {}\r\n\r\n", self.ready);
-        client.exchange_raw(head.as_bytes(), Duration::from_secs(1)).is_ok_and(|answer| answer.status() == 200)
+        client
+            .exchange_raw(head.as_bytes(), Duration::from_secs(1))
+            .is_ok_and(|answer| answer.status() == 200)
     }
 
     pub fn wait_ready(&self, limit: Duration) -> Result<(), String> {
@@ -344,20 +366,20 @@
     }
 }
 
-/// A small deployment: a store, instances, and what the operator writes.
+/// A small deployment: instances that follow a store.
 pub struct Deployment {
-    pub store: Store,
     pub instances: Vec<Instance>,
-    pub net: Net,
 }
 
 impl Deployment {
-    pub fn start(context: &Context, net: Net, store: Store, places: &[Place]) -> Result<Self, String> {
-        let ports: Vec<Ports> = (0..places.len()).map(|number| Ports::new(net.ip(11 + number as u8))).collect();
+    pub fn start(context: &Context, net: Net, store: &Store, places: &[Place]) -> Result<Self, String> {
+        let ports: Vec<Ports> = (0..places.len())
+            .map(|number| Ports::new(net.ip(11 + number as u8)))
+            .collect();
         let seeds: Vec<SocketAddr> = ports.iter().take(3).map(Ports::control).collect();
         let mut instances = Vec::new();
         for (place, ports) in places.iter().zip(&ports) {
-            instances.push(Instance::start(context, place, ports, &seeds, &store)?);
+            instances.push(Instance::start(context, place, ports, &seeds, store)?);
         }
         for instance in &instances {
             instance.wait_ready(Duration::from_secs(15))?;
@@ -369,6 +391,6 @@
         }
         std::thread::sleep(Duration::from_secs(5));
         context.record.line("driver: the deployment runs");
-        Ok(Self { store, instances, net })
+        Ok(Self { instances })
     }
 }
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -14,7 +14,9 @@
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
         let mut lines = self.headers.iter();
-        lines.find(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
+        lines
+            .find(|(key, _)| key.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value.as_str())
     }
 
     pub fn method(&self) -> &str {
@@ -27,7 +29,11 @@
     }
 
     pub fn status(&self) -> u16 {
-        self.start.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0)
+        self.start
+            .split(' ')
+            .nth(1)
+            .and_then(|code| code.parse().ok())
+            .unwrap_or(0)
     }
 
     pub fn path(&self) -> &str {
@@ -38,7 +44,9 @@
     pub fn parameter(&self, name: &str) -> Option<String> {
         let query = self.target().split_once('?')?.1;
         let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        pairs.find(|(key, _)| *key == name).map(|(_, value)| decode(value))
+        pairs
+            .find(|(key, _)| *key == name)
+            .map(|(_, value)| decode(value))
     }
 }
 
@@ -66,7 +74,10 @@
 impl Connection {
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Self { stream, buffer: Vec::new() }
+        Self {
+            stream,
+            buffer: Vec::new(),
+        }
     }
 
     fn fill(&mut self) -> io::Result<usize> {
@@ -98,8 +109,14 @@
             .filter_map(|line| line.split_once(':'))
             .map(|(name, value)| (name.trim().to_owned(), value.trim().to_owned()))
             .collect();
-        let mut message = Message { start, headers, body: Vec::new() };
-        let length = message.header("content-length").and_then(|text| text.parse::<usize>().ok());
+        let mut message = Message {
+            start,
+            headers,
+            body: Vec::new(),
+        };
+        let length = message
+            .header("content-length")
+            .and_then(|text| text.parse::<usize>().ok());
         match length {
             Some(length) => {
                 while self.buffer.len() < length {
@@ -125,7 +142,10 @@
 
 /// Encodes a response with the given header lines (each ends with CRLF).
 pub fn response(status: &str, lines: &str, body: &[u8]) -> Vec<u8> {
-    let head = format!("HTTP/1.1 {status}\r\n{lines}Content-Length: {}\r\n\r\n", body.len());
+    let head = format!(
+        "HTTP/1.1 {status}\r\n{lines}Content-Length: {}\r\n\r\n",
+        body.len()
+    );
     let mut bytes = head.into_bytes();
     bytes.extend_from_slice(body);
     bytes
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -39,7 +39,9 @@
         fleet::kill_all();
         exit(2);
     });
-    context.record.line(&format!("driver: case {case}, trouble {trouble}"));
+    context
+        .record
+        .line(&format!("driver: case {case}, trouble {trouble}"));
     let result = match case.as_str() {
         "1" => case_1::run(&context),
         "2" => case_2::run(&context),
--- a/review/standins/record.rs
+++ b/review/standins/record.rs
@@ -22,7 +22,9 @@
             file,
             lines: Mutex::default(),
         };
-        Self { inner: Arc::new(inner) }
+        Self {
+            inner: Arc::new(inner),
+        }
     }
 
     pub fn now_ms(&self) -> u64 {
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -39,14 +39,27 @@
 impl State {
     fn put(&mut self, rev: u64, key: &str, value: Vec<u8>, lease: u64) {
         let created_rev = self.items.get(key).map_or(rev, |item| item.created_rev);
-        let item = Item { value, rev, created_rev, lease };
+        let item = Item {
+            value,
+            rev,
+            created_rev,
+            lease,
+        };
         self.items.insert(key.to_owned(), item.clone());
-        self.history.push(Event { key: key.to_owned(), rev, item: Some(item) });
+        self.history.push(Event {
+            key: key.to_owned(),
+            rev,
+            item: Some(item),
+        });
     }
 
     fn remove(&mut self, rev: u64, key: &str) {
         if self.items.remove(key).is_some() {
-            self.history.push(Event { key: key.to_owned(), rev, item: None });
+            self.history.push(Event {
+                key: key.to_owned(),
+                rev,
+                item: None,
+            });
         }
     }
 
@@ -84,8 +97,15 @@
     pub fn start(ip: std::net::IpAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind((ip, 0))?;
         let address = listener.local_addr()?;
-        let state = State { revision: 1, next_lease: 1_000, ..State::default() };
-        let store = Self { state: Arc::new((Mutex::new(state), Condvar::new())), address };
+        let state = State {
+            revision: 1,
+            next_lease: 1_000,
+            ..State::default()
+        };
+        let store = Self {
+            state: Arc::new((Mutex::new(state), Condvar::new())),
+            address,
+        };
         let serving = store.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -94,9 +114,11 @@
             }
         });
         let expiring = store.clone();
-        std::thread::spawn(move || loop {
-            std::thread::sleep(Duration::from_millis(25));
-            expiring.change(|state| state.expire(Instant::now()));
+        std::thread::spawn(move || {
+            loop {
+                std::thread::sleep(Duration::from_millis(25));
+                expiring.change(|state| state.expire(Instant::now()));
+            }
         });
         Ok(store)
     }
@@ -117,19 +139,15 @@
         });
     }
 
-    /// Removes a key as the operator or a target does.
-    pub fn delete(&self, key: &str) {
-        self.change(|state| {
-            state.revision += 1;
-            let rev = state.revision;
-            state.remove(rev, key);
-        });
-    }
-
     /// The keys under a prefix.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let state = self.state.0.lock().unwrap();
-        state.items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
+        state
+            .items
+            .keys()
+            .filter(|key| key.starts_with(prefix))
+            .cloned()
+            .collect()
     }
 
     fn serve(&self, stream: TcpStream) {
@@ -163,9 +181,15 @@
         match state.items.get(&key) {
             Some(item) => {
                 let fields = item_fields(&key, item);
-                ("200 OK", format!("{{{fields},\"storeRevision\":{}}}", state.revision))
+                (
+                    "200 OK",
+                    format!("{{{fields},\"storeRevision\":{}}}", state.revision),
+                )
             }
-            None => ("404 Not Found", format!("{{\"storeRevision\":{}}}", state.revision)),
+            None => (
+                "404 Not Found",
+                format!("{{\"storeRevision\":{}}}", state.revision),
+            ),
         }
     }
 
@@ -193,7 +217,11 @@
 
     fn watch(&self, request: &Message) -> (&'static str, String) {
         let prefix = request.parameter("pathPrefix").unwrap_or_default();
-        let number = |name| request.parameter(name).and_then(|text: String| text.parse::<u64>().ok());
+        let number = |name| {
+            request
+                .parameter(name)
+                .and_then(|text: String| text.parse::<u64>().ok())
+        };
         let after = number("after").unwrap_or(0);
         let wait = Duration::from_millis(number("waitMs").unwrap_or(0).min(30_000));
         let until = Instant::now() + wait;
@@ -244,14 +272,20 @@
                     .filter_map(|key| Some((key, state.items.get(key)?)))
                     .map(|(key, item)| format!("{{{}}}", item_fields(key, item)))
                     .collect();
-                return ("412 Precondition Failed", format!("{{\"items\":[{}]}}", rows.join(",")));
+                return (
+                    "412 Precondition Failed",
+                    format!("{{\"items\":[{}]}}", rows.join(",")),
+                );
             }
             let keys = body.list("puts").iter().filter_map(|put| put.text("key"));
             let deleted = body.list("deletes").iter().filter_map(|key| match key {
                 Value::Text(key) => Some(key.as_str()),
                 _ => None,
             });
-            if keys.chain(deleted).any(|key| key.starts_with("op/") || key.starts_with("servers/")) {
+            if keys
+                .chain(deleted)
+                .any(|key| key.starts_with("op/") || key.starts_with("servers/"))
+            {
                 return ("403 Forbidden", "{}".to_owned());
             }
             let lease_of = |put: &Value| put.number("lease").unwrap_or(0.0) as u64;
@@ -276,7 +310,10 @@
 
     fn lease(&self, request: &Message) -> (&'static str, String) {
         let body = json::parse(&request.body);
-        let ttl_s = body.and_then(|body| body.number("ttlS_time")).unwrap_or(1.0).clamp(1.0, 600.0);
+        let ttl_s = body
+            .and_then(|body| body.number("ttlS_time"))
+            .unwrap_or(1.0)
+            .clamp(1.0, 600.0);
         self.change(|state| {
             state.next_lease += 1;
             let (id, ttl) = (state.next_lease, Duration::from_secs_f64(ttl_s));
@@ -286,7 +323,11 @@
     }
 
     fn keep(&self, path: &str) -> (&'static str, String) {
-        let id = path.rsplit('/').next().and_then(|id| id.parse::<u64>().ok()).unwrap_or(0);
+        let id = path
+            .rsplit('/')
+            .next()
+            .and_then(|id| id.parse::<u64>().ok())
+            .unwrap_or(0);
         self.change(|state| match state.leases.get_mut(&id) {
             Some((ttl, ends_at)) => {
                 *ends_at = Instant::now() + *ttl;
@@ -297,7 +338,11 @@
     }
 
     fn end(&self, path: &str) -> (&'static str, String) {
-        let id = path.rsplit('/').next().and_then(|id| id.parse::<u64>().ok()).unwrap_or(0);
+        let id = path
+            .rsplit('/')
+            .next()
+            .and_then(|id| id.parse::<u64>().ok())
+            .unwrap_or(0);
         match self.change(|state| state.end_lease(id)) {
             true => ("200 OK", "{}".to_owned()),
             false => ("404 Not Found", "{}".to_owned()),
--- a/review/standins/targets.rs
+++ b/review/standins/targets.rs
@@ -54,7 +54,11 @@
     }
 
     fn arrive(&self, id: &str, at_ms: u64) {
-        self.arrivals.lock().unwrap().entry(id.to_owned()).or_insert(at_ms);
+        self.arrivals
+            .lock()
+            .unwrap()
+            .entry(id.to_owned())
+            .or_insert(at_ms);
     }
 
     fn begin(&self, id: &str) -> u32 {
@@ -180,11 +184,16 @@
             return response("200 OK", &format!("X-Instance-Id: {}\r\n", self.id), b"");
         }
         let echo = format!("X-Request-Id: {id}\r\n");
-        if request.header("X-Expected-Instance").is_some_and(|expected| expected != self.id) {
+        if request
+            .header("X-Expected-Instance")
+            .is_some_and(|expected| expected != self.id)
+        {
             return response("421 Misdirected Request", &echo, b"");
         }
         self.runs.arrive(&id, self.record.now_ms());
-        let deadline_ms = request.header("X-Request-Deadline").and_then(|text| text.parse().ok());
+        let deadline_ms = request
+            .header("X-Request-Deadline")
+            .and_then(|text| text.parse().ok());
         let deadline = Instant::now() + Duration::from_millis(deadline_ms.unwrap_or(60_000));
         if self.sheds() || !self.begin(deadline) {
             self.line(&format!("rejects {id}: full or too late (X-Not-Executed)"));
@@ -192,21 +201,39 @@
             return response("503 Service Unavailable", &lines, b"");
         }
         let count = self.runs.begin(&id);
-        self.line(&format!("runs {id} (run {count}) {} {}", request.method(), request.target()));
-        let work = Duration::from_millis(work_of(request.path()).unwrap_or(self.options().work_ms));
+        self.line(&format!(
+            "runs {id} (run {count}) {} {}",
+            request.method(),
+            request.target()
+        ));
+        let work_ms = work_of(request.path()).unwrap_or(self.options().work_ms);
+        let work = Duration::from_millis(work_ms);
         std::thread::sleep(work.min(deadline.saturating_duration_since(Instant::now())));
         self.end();
         let lines = format!("{echo}{}", self.load_line());
         if Instant::now() >= deadline {
-            return response("504 Gateway Timeout", &format!("{lines}X-Response-Signature: {}.{id}.504\r\n", self.id), b"");
+            return response(
+                "504 Gateway Timeout",
+                &format!("{lines}X-Response-Signature: {}.{id}.504\r\n", self.id),
+                b"",
+            );
         }
         let body = format!("answer to {id} by {}", self.id);
-        response("200 OK", &format!("{lines}X-Response-Signature: {}.{id}.200\r\n", self.id), body.as_bytes())
+        response(
+            "200 OK",
+            &format!("{lines}X-Response-Signature: {}.{id}.200\r\n", self.id),
+            body.as_bytes(),
+        )
     }
 
     fn load_line(&self) -> String {
         let load = self.load.0.lock().unwrap();
-        format!("X-Server-Load: {},{},{}\r\n", load.running, load.waiting, self.options().slots)
+        format!(
+            "X-Server-Load: {},{},{}\r\n",
+            load.running,
+            load.waiting,
+            self.options().slots
+        )
     }
 
     /// Tells whether the target turns the next request away, in even steps.
@@ -254,5 +281,6 @@
 
 /// The work that a path names, as in `/notices/work-250/7`.
 fn work_of(path: &str) -> Option<u64> {
-    path.split('/').find_map(|part| part.strip_prefix("work-")?.parse().ok())
+    path.split('/')
+        .find_map(|part| part.strip_prefix("work-")?.parse().ok())
 }
