Log the requests that are open when a planned stop ends

Change: each request records its present step; those that are open at the end of the grace time get F5051 with that step, and foxtide_requests_open_at_end_total counts them. The process goes on for 0.1 s at most, so that the lines are written. Nothing else changes.

--- a/crates/foxtide-gateway/src/forward/attempt_loop.rs
+++ b/crates/foxtide-gateway/src/forward/attempt_loop.rs
@@ -20,7 +20,8 @@
     AttemptEnd,
     Refusal,
     Reply,
-    RequestTrace, //
+    RequestTrace,
+    Step, //
 };
 use crate::poison::SendPermit;
 use crate::shared::Shared;
@@ -111,12 +112,14 @@
                 return reply;
             }
             if self.is_held() {
+                self.trace.step = Step::Hold;
                 self.wait_while_held().await;
                 if let Some(reply) = self.recheck() {
                     return reply;
                 }
             }
             let picked_version = self.homes.version;
+            self.trace.step = Step::Slot;
             let Target { pick, slot } = match self.acquire_target().await {
                 Ok(target) => target,
                 Err(reply) => return reply,
@@ -133,6 +136,7 @@
             {
                 continue;
             }
+            self.trace.step = Step::Upstream;
             let EndedAttempt { pick, report, took } = self.send(Target { pick, slot }).await;
             self.trace.slowness = report.slowness();
             let has_ended = report.has_ended;
@@ -140,6 +144,7 @@
                 return reply;
             }
             if has_ended {
+                self.trace.step = Step::Verdict;
                 self.wait_for_verdict().await;
             }
         }
@@ -174,6 +179,7 @@
             failure: self.failure.clone(),
             is_counted: true,
         };
+        self.trace.step = Step::PassedOn;
         pass_on.run(&mut self.trace).await
     }
 
--- a/crates/foxtide-gateway/src/forward/entry.rs
+++ b/crates/foxtide-gateway/src/forward/entry.rs
@@ -26,6 +26,10 @@
 use crate::shared::Shared;
 use foxtide_core::ids::ServiceId;
 use foxtide_core::routing::Route;
+use futures_lite::future::{
+    or,
+    pending, //
+};
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -117,7 +121,17 @@
         failure: None,
         trace,
     };
-    let reply = attempt_loop.run().await;
+    let ran = async { Some(attempt_loop.run().await) };
+    let ending = async {
+        shared.lifecycle.ending().await;
+        None
+    };
+    let Some(reply) = or(ran, ending).await else {
+        let age = shared.clock.now() - request.received_at;
+        let journal = &shared.journal;
+        journal.request_open_at_end(&attempt_loop.trace, age);
+        return pending().await;
+    };
     (reply, attempt_loop.trace)
 }
 
--- a/crates/foxtide-gateway/src/journal/requests.rs
+++ b/crates/foxtide-gateway/src/journal/requests.rs
@@ -165,6 +165,28 @@
         }
     }
 
+    /// Logs and counts a request that is open when the grace time of a stop ends.
+    pub(crate) fn request_open_at_end(&self, trace: &RequestTrace, age: Duration) {
+        let step = trace.step.as_str();
+        metrics::counter!("foxtide_requests_open_at_end_total", "step" => step).increment(1);
+        if !self.may_log(LineKind::Failed) {
+            return;
+        }
+        log_event!(
+            EventCode::RequestOpenAtEnd,
+            request = trace.request.as_str(),
+            route = trace.route.as_str(),
+            is_idempotent = trace.is_idempotent,
+            step = step,
+            attempts = trace.attempts,
+            upstream = trace.upstream.as_str(),
+            coordinator = trace.coordinator.as_str(),
+            second_choice = trace.second_choice.as_str(),
+            slot_wait_ms = trace.slot_wait.as_millis() as u64,
+            age_ms = age.as_millis() as u64
+        );
+    }
+
     /// Logs and counts an attempt without a usable response.
     pub(crate) fn attempt_failed(
         &self,
--- a/crates/foxtide-gateway/src/lifecycle.rs
+++ b/crates/foxtide-gateway/src/lifecycle.rs
@@ -25,11 +25,15 @@
 /// The time between the end of the process and the end of the grace time.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
 
+/// How long the process goes on for requests that are open at the end of the stop.
+const FINAL_REPLIES_TIME: Duration = Duration::from_millis(100);
+
 /// The open connections and the stop of an instance.
 #[derive(Debug, Default)]
 pub(crate) struct Lifecycle {
     is_stopping: AtomicBool,
     closes_idle: AtomicBool,
+    is_ending: AtomicBool,
     connections: AtomicUsize,
     changed: Event,
     stop: OnceLock<Stop>,
@@ -82,6 +86,12 @@
             .await;
     }
 
+    /// Waits until the process is about to end with open connections.
+    pub(crate) async fn ending(&self) {
+        self.until(|lifecycle| lifecycle.is_ending.load(Ordering::SeqCst))
+            .await;
+    }
+
     /// Counts a connection as open.
     pub(crate) fn open_connection(&self) -> OpenConnection<'_> {
         self.connections.fetch_add(1, Ordering::SeqCst);
@@ -97,11 +107,27 @@
         Timer::at(stop.began_at + stop.grace.mul_f64(IDLE_CLOSE_FRACTION)).await;
         self.closes_idle.store(true, Ordering::SeqCst);
         self.changed.notify(usize::MAX);
-        let none_open = self.until(|lifecycle| lifecycle.connections.load(Ordering::SeqCst) == 0);
+        let ends_at = stop.began_at + stop.ends_after();
+        if self.closes_all_by(ends_at).await {
+            return;
+        }
+        self.is_ending.store(true, Ordering::SeqCst);
+        self.changed.notify(usize::MAX);
+        self.closes_all_by(ends_at + FINAL_REPLIES_TIME).await;
+    }
+
+    /// Waits until no connection is open or the deadline passes; tells whether none is.
+    async fn closes_all_by(&self, deadline: Instant) -> bool {
+        let none_open = async {
+            self.until(|lifecycle| lifecycle.connections.load(Ordering::SeqCst) == 0)
+                .await;
+            true
+        };
         let timeout = async {
-            Timer::at(stop.began_at + stop.ends_after()).await;
+            Timer::at(deadline).await;
+            false
         };
-        or(none_open, timeout).await;
+        or(none_open, timeout).await
     }
 
     async fn until(&self, condition: impl Fn(&Self) -> bool) {
--- a/crates/foxtide-gateway/src/outcome/mod.rs
+++ b/crates/foxtide-gateway/src/outcome/mod.rs
@@ -4,6 +4,7 @@
 mod hedge;
 mod reply;
 mod second_choice;
+mod step;
 mod trace;
 
 pub(crate) use attempt::AttemptEnd;
@@ -16,4 +17,5 @@
     Reply, //
 };
 pub(crate) use second_choice::SecondChoice;
+pub(crate) use step::Step;
 pub(crate) use trace::RequestTrace;
--- a/crates/foxtide-gateway/src/outcome/trace.rs
+++ b/crates/foxtide-gateway/src/outcome/trace.rs
@@ -1,6 +1,9 @@
 //! The decisions on a request, for its log line.
 
-use super::SecondChoice;
+use super::{
+    SecondChoice,
+    Step, //
+};
 use crate::admission::SlotAnswer;
 use crate::state::Pick;
 use foxtide_core::placement::Slowness;
@@ -48,6 +51,8 @@
     pub(crate) second_choice: SecondChoice,
     /// The instance that coordinates the upstream's slots.
     pub(crate) coordinator: String,
+    /// What it waits for now.
+    pub(crate) step: Step,
     /// How long it waited for slots.
     pub(crate) slot_wait: Duration,
     /// Why the request failed; empty if it did not.
