Answer each request before a stopping instance ends

Cause: the end of the process was an input to one decision only, whether a request is accepted as it arrives. No wait of an accepted request ended with it, and no send asked for it. The wait for a slot ends with a slot, the deadline or the caller.

Change: the end of the process is a deadline of every request of the instance. - A request that may outlast the process is sent in the first 45 % of the grace time only, in which all are accepted as before, and waits no longer: for its quota, quarantine, slot or sync. It is then refused with 503 and Retry-After 20 ms, which is true: it was not sent. One that an earlier attempt may have run gets that attempt's failure. - The coordinator hears the shorter time with the next ask, within 0.15 s, and rejects at once what it does not expect to be served by then. What it expects to be served waits on: callers retry few times. - Requests at an upstream, or at an instance they were passed on to, when the grace time ends get 502 in place of a closed connection, and requests that are still arriving 503.

Why it works: all waits before a send are inside one future that ends with the send window, and the window is checked after it; what is sent has 0.55 of the grace time or ends by its own deadline. Without a stop nothing changes but one listener a request that waits.

Tests, all seen to fail before: verify_a_stop_answers_requests_that_wait_for_a_slot, verify_a_stop_answers_requests_that_it_cuts, verify_a_stop_refuses_a_request_that_is_still_arriving ("each request is answered before the process ends: Timeout") and verify_a_waiting_request_that_gets_less_time_is_rejected_at_once. verify_a_stop_serves_a_request_that_gets_a_slot_in_time passed before and guards the other side.

--- a/crates/foxtide-core/src/admission/queue.rs
+++ b/crates/foxtide-core/src/admission/queue.rs
@@ -139,11 +139,11 @@
         }
     }
 
-    /// Queues a request, or updates the patience of one that waits already.
+    /// Queues a request, or updates one that waits already.
     fn queue(&mut self, request: &SlotRequest, now: MonotonicTime) {
         let mut waiting = self.waiting.iter_mut();
         match waiting.find(|one| one.ticket == request.ticket) {
-            Some(waiting) => waiting.patience = request.patience,
+            Some(waiting) => waiting.update(request, now),
             None => self.waiting.push(Waiting::new(request, now)),
         }
     }
--- a/crates/foxtide-core/src/admission/queue/waiting.rs
+++ b/crates/foxtide-core/src/admission/queue/waiting.rs
@@ -52,6 +52,13 @@
             patience: request.patience,
         }
     }
+
+    /// Updates what a repeated request may have changed: its patience, and its deadline where its
+    /// instance stops before.
+    pub(super) fn update(&mut self, request: &SlotRequest, now: MonotonicTime) {
+        self.patience = request.patience;
+        self.deadline = self.deadline.min(now + request.time_left);
+    }
 }
 
 /// The order in which waiting requests of one priority are served, first to last.
--- a/crates/foxtide-core/src/admission/request.rs
+++ b/crates/foxtide-core/src/admission/request.rs
@@ -54,7 +54,8 @@
     pub priority: u32,
     /// The time left until the latency objective.
     pub objective_left: Duration,
-    /// The time left until the deadline of the caller or the route.
+    /// The time left until the deadline of the caller or the route, or until the end of an instance
+    /// that stops before.
     pub time_left: Duration,
     /// The limit of the wait for a slot.
     pub patience: Patience,
--- a/crates/foxtide-core/tests/admission.rs
+++ b/crates/foxtide-core/tests/admission.rs
@@ -247,6 +247,24 @@
     assert!(matches!(answers[0], (of, Answer::Rejected { .. }) if of == ticket(1)));
 }
 
+/// Guards against keeping a request waiting that its instance, which stops, will not outlive.
+#[test]
+fn verify_a_waiting_request_that_gets_less_time_is_rejected_at_once() {
+    let mut coordinator = warmed_coordinator();
+    fill(&mut coordinator, at(5_000));
+    assert_eq!(
+        coordinator.ask(&object_request(1, 1), SLOTS, at(5_000)),
+        [(ticket(1), Answer::Waiting)]
+    );
+    let less_time = SlotRequest {
+        time_left: Duration::from_millis(400),
+        ..object_request(1, 1)
+    };
+    // Its slot is expected to be free at 5,240 ms, and its answer at 5,480 ms.
+    let answers = coordinator.ask(&less_time, SLOTS, at(5_010));
+    assert!(matches!(answers[..], [(of, Answer::Rejected { .. })] if of == ticket(1)));
+}
+
 #[test]
 fn verify_an_unreleased_grant_expires() {
     let mut coordinator = warmed_coordinator();
--- a/crates/foxtide-gateway/src/admission/client.rs
+++ b/crates/foxtide-gateway/src/admission/client.rs
@@ -2,6 +2,7 @@
 
 use super::Admission;
 use crate::datagram::Datagram;
+use crate::lifecycle::Lifecycle;
 use crate::state::{
     Pick,
     State, //
@@ -65,6 +66,10 @@
     pub(crate) objective_at: Instant,
     /// The earlier of the time limits of its caller and its route.
     pub(crate) deadline: Instant,
+    /// The stop of the instance, which may leave it less time than its deadline.
+    pub(crate) lifecycle: &'a Lifecycle,
+    /// The recent latency of the upstream; zero if it is unknown.
+    pub(crate) response_time: Duration,
     /// How long it may wait.
     pub(crate) patience: Patience,
     /// What is known of the upstream's rate limit.
@@ -78,6 +83,12 @@
     pub(crate) fn is_limited(&self) -> bool {
         self.limit.is_some_and(|report| report.limit.is_some())
     }
+
+    /// Returns the time in which the request has to be served.
+    fn time_left(&self, now: Instant) -> Duration {
+        let served_by = self.lifecycle.served_by(self.deadline, self.response_time);
+        served_by.saturating_duration_since(now)
+    }
 }
 
 /// The result of asking for a slot.
@@ -296,7 +307,7 @@
             object: terms.object,
             priority: terms.priority,
             objective_left: terms.objective_at.saturating_duration_since(now),
-            time_left: terms.deadline.saturating_duration_since(now),
+            time_left: terms.time_left(now),
             patience: terms.patience,
             limit: terms.limit,
         }
--- a/crates/foxtide-gateway/src/forward/admit.rs
+++ b/crates/foxtide-gateway/src/forward/admit.rs
@@ -242,6 +242,11 @@
     fn slot_terms<'b>(&'b self, pick: &'b Pick, patience: Patience) -> SlotTerms<'b> {
         let registration = &*pick.registration;
         let organisation = self.route_match.caller.organisation();
+        let (limit, latency) = {
+            let state = self.shared.state.lock();
+            let latency = state.latency(&registration.upstream);
+            (state.limit_report(registration), latency)
+        };
         SlotTerms {
             registration,
             kind: self.route.kind(),
@@ -251,7 +256,9 @@
             objective_at: self.objective_at,
             deadline: self.deadline,
             patience,
-            limit: self.shared.state.lock().limit_report(registration),
+            lifecycle: &self.shared.lifecycle,
+            response_time: latency.unwrap_or_default(),
+            limit,
             answer_time: if self.is_near(pick) {
                 self.shared.admission.answer_time()
             } else {
--- a/crates/foxtide-gateway/src/forward/attempt.rs
+++ b/crates/foxtide-gateway/src/forward/attempt.rs
@@ -90,7 +90,12 @@
     deadline: Instant,
 ) -> AttemptReport {
     let started = Instant::now();
-    let opened = open(shared, registration, is_idempotent, deadline).await;
+    let opening = open(shared, registration, is_idempotent, deadline);
+    let ending = async {
+        shared.lifecycle.ending().await;
+        Err(process_ends())
+    };
+    let opened = or(opening, ending).await;
     let mut stream = match opened {
         Ok(stream) => stream,
         Err(error) => {
@@ -125,13 +130,21 @@
         Timer::at(deadline + DEADLINE_MARGIN).await;
         None
     };
-    let exchanged = or(async { Some(exchanged.await) }, timed).await;
+    let ending = async {
+        shared.lifecycle.ending().await;
+        Some(Err(MessageError::Io(process_ends())))
+    };
+    let exchanged = or(async { Some(exchanged.await) }, or(timed, ending)).await;
     let is_sent = stream.sent_bytes() > sent_before;
     match exchanged {
         Some(Ok((response, headers))) => {
             let latency = started.elapsed();
             evaluate_response(shared, registration, stream, response, &headers, latency)
         }
+        Some(Err(error)) if shared.lifecycle.is_ending() => AttemptReport {
+            result: AttemptResult::Abandoned,
+            ..failed_report(&error, is_sent)
+        },
         Some(Err(error)) => {
             if is_unacknowledged(&error) {
                 shared.pool.close_idle(&registration.upstream);
@@ -200,6 +213,11 @@
     Err(MessageError::TrailingBytes)
 }
 
+/// Returns the error of an attempt that is cut by the end of a stop.
+fn process_ends() -> io::Error {
+    io::Error::other("the instance stops")
+}
+
 /// Tells whether a connection failed because sent data stayed unacknowledged.
 fn is_unacknowledged(error: &MessageError) -> bool {
     matches!(error, MessageError::Io(error) if error.kind() == io::ErrorKind::TimedOut)
--- a/crates/foxtide-gateway/src/forward/attempt_loop.rs
+++ b/crates/foxtide-gateway/src/forward/attempt_loop.rs
@@ -16,6 +16,10 @@
     SlotAnswer, //
 };
 use crate::dialect::Dialect;
+use crate::lifecycle::{
+    STOP_RETRY_AFTER,
+    STOPPING_REASON, //
+};
 use crate::outcome::{
     AttemptEnd,
     Refusal,
@@ -111,33 +115,13 @@
             if let Some(reply) = self.pass_on().await {
                 return reply;
             }
-            if self.is_held() {
-                self.trace.step = Step::Hold;
-                self.wait_while_held().await;
-                if let Some(reply) = self.recheck() {
-                    return reply;
-                }
-            }
-            let picked_version = self.homes.version;
-            self.trace.step = Step::Slot;
-            let Target { pick, slot } = match self.acquire_target().await {
-                Ok(target) => target,
+            let target = match self.prepare_before_end().await {
+                Ok(Some(target)) => target,
+                Ok(None) => continue,
                 Err(reply) => return reply,
             };
-            self.shared.wait_until_synced().await;
-            if let Some(reply) = self.recheck() {
-                return reply;
-            }
-            let is_valid = self.shared.state.lock().is_pick_valid(&pick);
-            if !is_valid
-                || self.is_held()
-                || self.lacks_grant(&pick, slot.as_ref())
-                || !self.keeps_to_homes(&pick, picked_version)
-            {
-                continue;
-            }
             self.trace.step = Step::Upstream;
-            let EndedAttempt { pick, report, took } = self.send(Target { pick, slot }).await;
+            let EndedAttempt { pick, report, took } = self.send(target).await;
             self.trace.slowness = report.slowness();
             let has_ended = report.has_ended;
             if let Next::Reply(reply) = self.conclude(&pick, report, took) {
@@ -150,6 +134,54 @@
         }
     }
 
+    /// Prepares the next send, unless the request may outlast the process: no wait goes on past the
+    /// last moment at which a stopping instance sends it.
+    async fn prepare_before_end(&mut self) -> Result<Option<Target<'a>>, Reply> {
+        let (lifecycle, deadline) = (&self.shared.lifecycle, self.deadline);
+        let closed = async {
+            lifecycle.send_window_closed(deadline).await;
+            None
+        };
+        let prepared = or(async { Some(self.prepare().await) }, closed).await;
+        match prepared {
+            Some(Ok(target)) if target.is_none() || lifecycle.may_send(deadline) => Ok(target),
+            Some(Err(reply)) => Err(reply),
+            _ => Err(self.stopping()),
+        }
+    }
+
+    /// Waits until the request may be sent and returns its target; `None` if the choice has to be
+    /// made again.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reply if it may not be sent any more.
+    async fn prepare(&mut self) -> Result<Option<Target<'a>>, Reply> {
+        if self.is_held() {
+            self.trace.step = Step::Hold;
+            self.wait_while_held().await;
+            if let Some(reply) = self.recheck() {
+                return Err(reply);
+            }
+        }
+        let picked_version = self.homes.version;
+        self.trace.step = Step::Slot;
+        let Target { pick, slot } = self.acquire_target().await?;
+        self.shared.wait_until_synced().await;
+        if let Some(reply) = self.recheck() {
+            return Err(reply);
+        }
+        let is_valid = self.shared.state.lock().is_pick_valid(&pick);
+        if !is_valid
+            || self.is_held()
+            || self.lacks_grant(&pick, slot.as_ref())
+            || !self.keeps_to_homes(&pick, picked_version)
+        {
+            return Ok(None);
+        }
+        Ok(Some(Target { pick, slot }))
+    }
+
     /// Passes the request on if this instance reaches no upstream; returns the reply, if another
     /// instance is reachable. A request is passed on once at most.
     async fn pass_on(&mut self) -> Option<Reply> {
@@ -239,9 +271,24 @@
         self.tried.is_empty()
     }
 
-    /// Returns the reply if no slot becomes free before the deadline.
+    /// Returns the reply to a request that cannot be served before the process ends. Another
+    /// instance takes it at once.
+    fn stopping(&mut self) -> Reply {
+        if self.failure.is_none() {
+            self.trace.reason = STOPPING_REASON;
+        }
+        let refused = Refusal::NotRun {
+            retry_after: STOP_RETRY_AFTER,
+        };
+        self.failure.clone().unwrap_or_else(|| refused.into())
+    }
+
+    /// Returns the reply if no slot becomes free before the deadline, or before the process ends.
     pub(super) fn no_slot(&mut self, pick: &Pick, retry_after: Duration) -> Reply {
         self.trace.record_attempt(pick);
+        if self.shared.lifecycle.may_outlast_process(self.deadline) {
+            return self.stopping();
+        }
         if self.failure.is_none() {
             self.trace.reason = "no_slot_in_time";
         }
@@ -323,7 +370,11 @@
     /// Handles a lost response: only an idempotent request is retried.
     fn unknown(&mut self, refusal: Refusal) -> Next {
         self.sent_attempts += 1;
-        self.trace.reason = "response_lost";
+        self.trace.reason = if self.shared.lifecycle.is_ending() {
+            STOPPING_REASON
+        } else {
+            "response_lost"
+        };
         let reply = Reply::from(refusal);
         if !self.route.is_idempotent {
             return Next::Reply(reply);
--- a/crates/foxtide-gateway/src/forward/entry.rs
+++ b/crates/foxtide-gateway/src/forward/entry.rs
@@ -13,23 +13,28 @@
 use super::request::CallerRequest;
 use super::route_match::RouteMatch;
 use crate::dialect::Dialect;
+use crate::lifecycle::{
+    STOP_RETRY_AFTER,
+    STOPPING_REASON, //
+};
 use crate::outcome::{
     Refusal,
     Reply,
     RequestTrace, //
 };
-use crate::poison;
+use crate::poison::{
+    self,
+    SendPermit, //
+};
 use crate::quotas::{
     self,
     QuotaRefusal, //
 };
 use crate::shared::Shared;
 use foxtide_core::ids::ServiceId;
+use foxtide_core::poison::Fingerprint;
 use foxtide_core::routing::Route;
-use futures_lite::future::{
-    or,
-    pending, //
-};
+use futures_lite::future::or;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -75,20 +80,17 @@
             return (reply, trace);
         }
     }
-    if !passed_on.is_counted
-        && let Err(refusal) = take_token(shared, route_match).await
-    {
-        let retry_after = refusal.retry_after;
-        let refused = Refusal::OverQuota { retry_after };
-        trace.reason = refused.reason();
-        return (refused.into(), trace);
-    }
-    shared.wait_until_synced().await;
-    let permit = match poison::admit(shared, fingerprint).await {
+    let entering = enter(shared, route_match, fingerprint, passed_on.is_counted);
+    let closed = async {
+        shared.lifecycle.send_window_closed(deadline).await;
+        let retry_after = STOP_RETRY_AFTER;
+        Err((Refusal::NotRun { retry_after }, STOPPING_REASON))
+    };
+    let permit = match or(entering, closed).await {
         Ok(permit) => permit,
-        Err(retry_after) => {
-            trace.reason = QUARANTINED_REASON;
-            return (Refusal::NotRun { retry_after }.into(), trace);
+        Err((refused, reason)) => {
+            trace.reason = reason;
+            return (refused.into(), trace);
         }
     };
     let Some(service) = begin(shared, route, passed_on.is_counted, &mut trace) else {
@@ -121,20 +123,37 @@
         failure: None,
         trace,
     };
-    let ran = async { Some(attempt_loop.run().await) };
-    let ending = async {
-        shared.lifecycle.ending().await;
-        None
-    };
-    let Some(reply) = or(ran, ending).await else {
+    let reply = attempt_loop.run().await;
+    if shared.lifecycle.is_ending() {
         let age = shared.clock.now() - request.received_at;
         let journal = &shared.journal;
         journal.request_open_at_end(&attempt_loop.trace, age);
-        return pending().await;
-    };
+    }
     (reply, attempt_loop.trace)
 }
 
+/// Takes a token of the quota, unless another instance has counted the request, and a permit to
+/// send it.
+///
+/// # Errors
+///
+/// Fails with the refusal and its reason for logs.
+async fn enter<D: Dialect>(
+    shared: &Shared<D>,
+    route_match: &RouteMatch,
+    fingerprint: Fingerprint,
+    is_counted: bool,
+) -> Result<SendPermit, (Refusal, &'static str)> {
+    if !is_counted && let Err(refusal) = take_token(shared, route_match).await {
+        let retry_after = refusal.retry_after;
+        let refused = Refusal::OverQuota { retry_after };
+        return Err((refused, refused.reason()));
+    }
+    shared.wait_until_synced().await;
+    let permit = poison::admit(shared, fingerprint).await;
+    permit.map_err(|retry_after| (Refusal::NotRun { retry_after }, QUARANTINED_REASON))
+}
+
 /// Tells whether this instance reaches no upstream, and still has the configuration under which the
 /// request was matched.
 async fn is_cut_off<D: Dialect>(shared: &Shared<D>, route_match: &RouteMatch) -> bool {
--- a/crates/foxtide-gateway/src/forward/pass_on.rs
+++ b/crates/foxtide-gateway/src/forward/pass_on.rs
@@ -13,6 +13,10 @@
     connect_timeout, //
 };
 use crate::dialect::Dialect;
+use crate::lifecycle::{
+    STOP_RETRY_AFTER,
+    STOPPING_REASON, //
+};
 use crate::outcome::{
     Refusal,
     Reply,
@@ -29,6 +33,7 @@
 };
 use futures_lite::future::or;
 use smol::Timer;
+use std::io;
 use std::time::{
     Duration,
     Instant, //
@@ -101,6 +106,12 @@
             if self.caller.is_disconnected() || Instant::now() >= self.deadline {
                 break;
             }
+            if !self.shared.lifecycle.may_send(self.deadline) {
+                trace.reason = STOPPING_REASON;
+                let retry_after = STOP_RETRY_AFTER;
+                let refused = Refusal::NotRun { retry_after }.into();
+                return Some(self.failure.unwrap_or(refused));
+            }
             let exchanged = self.exchange(&neighbour).await;
             trace.passed_to = neighbour.instance.to_string();
             let end = match &exchanged {
@@ -209,7 +220,13 @@
             Timer::at(self.deadline + DEADLINE_MARGIN).await;
             None
         };
-        let exchanged = or(async { Some(exchanged.await) }, late).await;
+        let ending = async {
+            self.shared.lifecycle.ending().await;
+            Some(Err(MessageError::Io(io::Error::other(
+                "the instance stops",
+            ))))
+        };
+        let exchanged = or(async { Some(exchanged.await) }, or(late, ending)).await;
         match exchanged {
             Some(Ok(response)) => self.read_mark(response),
             Some(Err(_)) if stream.sent_bytes() == 0 => Err(ExchangeError::NotSent),
--- a/crates/foxtide-gateway/src/front/connection.rs
+++ b/crates/foxtide-gateway/src/front/connection.rs
@@ -18,6 +18,11 @@
     RouteMatch,
     forward, //
 };
+use crate::lifecycle::{
+    Lifecycle,
+    STOP_RETRY_AFTER,
+    STOPPING_REASON, //
+};
 use crate::outcome::{
     Refusal,
     Reply,
@@ -63,12 +68,6 @@
 const STARTUP_PERIOD: Duration = Duration::from_millis(1_000);
 const STARTUP_WAIT_MAX: Duration = Duration::from_millis(400);
 
-/// The time for a reply beyond the route's timeout.
-const REPLY_MARGIN: Duration = Duration::from_millis(200);
-
-/// Retry-After of an instance that is stopping: the caller connects to another one.
-const STOP_RETRY_AFTER: Duration = Duration::from_millis(20);
-
 /// How long a request that another instance passes on waits for its configuration.
 const NEWER_VERSION_WAIT: Duration = Duration::from_millis(200);
 
@@ -158,7 +157,9 @@
             let limit_bytes = limits.head.get().saturating_add(LINE_MAX_BYTES);
             head_limits.head = ByteSize::from_bytes(limit_bytes);
         }
-        let received = receive_head(&mut self.stream, &head_limits).await;
+        let lifecycle = &self.shared.lifecycle;
+        let receiving = receive_head(&mut self.stream, &head_limits);
+        let received = or(receiving, refuse_at_end(lifecycle)).await;
         let received_at = self.shared.clock.now();
         let mut head = match received {
             Ok(head) => head,
@@ -177,7 +178,9 @@
             return self.decline().await;
         }
         let memory = &self.shared.body_memory;
-        let (body, memory) = match receive_body(&mut self.stream, &head, &limits, memory).await {
+        let receiving = receive_body(&mut self.stream, &head, &limits, memory);
+        let received = or(receiving, refuse_at_end(&self.shared.lifecycle)).await;
+        let (body, memory) = match received {
             Ok(received) => received,
             Err(reason) => return self.reject(reason).await,
         };
@@ -281,13 +284,10 @@
             caller,
             version: routes.version(),
         };
-        if !self
-            .shared
-            .lifecycle
-            .has_time_for(route_match.route.timeout + REPLY_MARGIN)
-        {
+        let latest_deadline = Instant::now() + route_match.route.timeout;
+        if !self.shared.lifecycle.may_send(latest_deadline) {
             let retry_after = STOP_RETRY_AFTER;
-            let trace = RequestTrace::new(request.id(), "stopping");
+            let trace = RequestTrace::new(request.id(), STOPPING_REASON);
             return Some((Refusal::NotRun { retry_after }.into(), trace));
         }
         let gone = async {
@@ -410,6 +410,13 @@
     members.any(|member| member.caller_address.ip() == address.ip())
 }
 
+/// Refuses a request that has not arrived in full when the process ends.
+async fn refuse_at_end<T>(lifecycle: &Lifecycle) -> Result<T, ReceiveError> {
+    lifecycle.ending().await;
+    let retry_after = STOP_RETRY_AFTER;
+    Err(ReceiveError::Refused(Refusal::NotRun { retry_after }))
+}
+
 /// Returns the trace of a request that is refused before it is forwarded.
 fn refused(request: &CallerRequest, routes: &RouteTable, reason: &'static str) -> RequestTrace {
     let mut trace = RequestTrace::new(request.id(), reason);
--- a/crates/foxtide-gateway/src/journal/requests.rs
+++ b/crates/foxtide-gateway/src/journal/requests.rs
@@ -142,6 +142,7 @@
                 status = status,
                 source = source,
                 reason = trace.reason,
+                step = trace.step.as_str(),
                 route = trace.route.as_str(),
                 organisation = trace.organisation.as_str(),
                 is_idempotent = trace.is_idempotent,
--- a/crates/foxtide-gateway/src/lifecycle.rs
+++ b/crates/foxtide-gateway/src/lifecycle.rs
@@ -1,7 +1,10 @@
 //! Tracks open connections and the graceful stop of the instance.
 
 use event_listener::Event;
-use futures_lite::future::or;
+use futures_lite::future::{
+    or,
+    pending, //
+};
 use smol::Timer;
 use std::sync::OnceLock;
 use std::sync::atomic::{
@@ -18,15 +21,25 @@
 /// up other instances by then. The sooner the process ends, the sooner its successor serves.
 const IDLE_CLOSE_FRACTION: f64 = 0.25;
 
-/// The fraction of the grace time in which all requests are accepted, even those that may
+/// The fraction of the grace time in which all requests are accepted and sent, even those that may
 /// take longer than the time left: callers may not know of the stop yet.
 const ACCEPT_ALL_FRACTION: f64 = 0.45;
 
-/// The time between the end of the process and the end of the grace time.
+/// The time for a reply beyond the request's deadline.
+const REPLY_MARGIN: Duration = Duration::from_millis(200);
+
+/// Retry-After of an instance that is stopping: the caller connects to another one, where the
+/// request waits for a slot as a new one does.
+pub(crate) const STOP_RETRY_AFTER: Duration = Duration::from_millis(20);
+
+/// Log reason of a request that cannot be served before the process ends.
+pub(crate) const STOPPING_REASON: &str = "stopping";
+
+/// The time between the cut of open requests and the end of the grace time.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
 
-/// How long the process goes on for requests that are open at the end of the stop.
-const FINAL_REPLIES_TIME: Duration = Duration::from_millis(100);
+/// How long the process goes on for the replies to requests that are cut at the end of the stop.
+const FINAL_REPLIES_TIME: Duration = Duration::from_millis(200);
 
 /// The open connections and the stop of an instance.
 #[derive(Debug, Default)]
@@ -64,15 +77,45 @@
         self.is_stopping.load(Ordering::SeqCst)
     }
 
-    /// Tells whether a request that may take `time` is accepted; late in a stop, requests that
-    /// may outlast the process are refused.
-    pub(crate) fn has_time_for(&self, time: Duration) -> bool {
-        let Some(stop) = self.stop.get() else {
-            return true;
-        };
-        let passed = stop.began_at.elapsed();
-        let left = stop.ends_after().saturating_sub(passed);
-        passed < stop.grace.mul_f64(ACCEPT_ALL_FRACTION) || time < left
+    /// Tells whether a request with this deadline may be accepted and sent; late in a stop,
+    /// requests that may outlast the process may not.
+    pub(crate) fn may_send(&self, deadline: Instant) -> bool {
+        let limit = self.send_limit(deadline);
+        limit.is_none_or(|limit| Instant::now() < limit)
+    }
+
+    /// Waits until a request with this deadline may not be sent any more.
+    pub(crate) async fn send_window_closed(&self, deadline: Instant) {
+        self.stopping().await;
+        match self.send_limit(deadline) {
+            Some(limit) => {
+                Timer::at(limit).await;
+            }
+            None => pending().await,
+        }
+    }
+
+    /// Returns by when a request that takes `response_time` has to be served: its deadline, or
+    /// earlier if it would outlast the process.
+    pub(crate) fn served_by(&self, deadline: Instant, response_time: Duration) -> Instant {
+        match (self.stop.get(), self.send_limit(deadline)) {
+            (Some(stop), Some(limit)) => (limit + response_time).min(stop.ends_at()),
+            _ => deadline,
+        }
+    }
+
+    /// Tells whether the instance is stopping and a request with this deadline may outlast the
+    /// process.
+    pub(crate) fn may_outlast_process(&self, deadline: Instant) -> bool {
+        self.send_limit(deadline).is_some()
+    }
+
+    /// Returns until when a request may be sent that may outlast the process; `None` for one that
+    /// ends before.
+    fn send_limit(&self, deadline: Instant) -> Option<Instant> {
+        let stop = self.stop.get()?;
+        let may_outlast = deadline + REPLY_MARGIN >= stop.ends_at();
+        may_outlast.then(|| stop.began_at + stop.grace.mul_f64(ACCEPT_ALL_FRACTION))
     }
 
     /// Waits until the instance is stopping.
@@ -86,10 +129,15 @@
             .await;
     }
 
-    /// Waits until the process is about to end with open connections.
+    /// Tells whether the process is about to end with open connections.
+    pub(crate) fn is_ending(&self) -> bool {
+        self.is_ending.load(Ordering::SeqCst)
+    }
+
+    /// Waits until the process is about to end with open connections. What is open then gets its
+    /// reply at once.
     pub(crate) async fn ending(&self) {
-        self.until(|lifecycle| lifecycle.is_ending.load(Ordering::SeqCst))
-            .await;
+        self.until(Self::is_ending).await;
     }
 
     /// Counts a connection as open.
@@ -98,8 +146,8 @@
         OpenConnection(self)
     }
 
-    /// Closes idle connections after a fraction of the grace time, and waits until no
-    /// connection is open or the grace time is nearly over.
+    /// Closes idle connections after a fraction of the grace time, and waits until no connection is
+    /// open. Requests that are open when the grace time is nearly over are cut.
     pub(crate) async fn drained(&self) {
         let Some(stop) = self.stop.get() else {
             return;
@@ -107,7 +155,7 @@
         Timer::at(stop.began_at + stop.grace.mul_f64(IDLE_CLOSE_FRACTION)).await;
         self.closes_idle.store(true, Ordering::SeqCst);
         self.changed.notify(usize::MAX);
-        let ends_at = stop.began_at + stop.ends_after();
+        let ends_at = stop.ends_at();
         if self.closes_all_by(ends_at).await {
             return;
         }
@@ -145,9 +193,9 @@
 }
 
 impl Stop {
-    /// Returns the time after which the process ends even with open connections.
-    fn ends_after(self) -> Duration {
-        self.grace.saturating_sub(GRACE_MARGIN)
+    /// Returns when requests are cut that are still open.
+    fn ends_at(self) -> Instant {
+        self.began_at + self.grace.saturating_sub(GRACE_MARGIN)
     }
 }
 
--- a/crates/foxtide-gateway/tests/gateway/stopping.rs
+++ b/crates/foxtide-gateway/tests/gateway/stopping.rs
@@ -4,13 +4,50 @@
     Behaviour,
     CallError,
     Caller,
+    FakeCoordinator,
     FakeUpstream,
     Fleet,
     Instance,
     eventually, //
 };
+use foxtide_http::WholeResponse;
+use std::sync::mpsc::{
+    Receiver,
+    channel, //
+};
 use std::time::Duration;
 
+/// How long a reply may take to be read once the process has ended.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Returns a request on a route of the fleet.
+fn request_on(route: &str) -> String {
+    format!("GET /{route}/ HTTP/1.1\r\nhost: a.example\r\nrequest: {route}\r\n\r\n")
+}
+
+/// Reads the replies to requests that were sent.
+fn read_beside(callers: Vec<Caller>) -> Receiver<WholeResponse> {
+    let (answered, answers) = channel();
+    for mut caller in callers {
+        let answered = answered.clone();
+        std::thread::spawn(move || answered.send(caller.read()));
+    }
+    answers
+}
+
+/// Stops an instance and returns the replies that were sent before it ended.
+fn replies_of_stop(instance: Instance, callers: Vec<Caller>) -> Vec<WholeResponse> {
+    let count = callers.len();
+    let answers = read_beside(callers);
+    let mut instance = instance;
+    instance.stop();
+    let next = |_| {
+        let answer = answers.recv_timeout(REPLY_TIMEOUT);
+        answer.expect("each request is answered before the process ends")
+    };
+    (0..count).map(next).collect()
+}
+
 /// Sends a request that its upstream answers after `time`, and waits until it arrives.
 fn send_slow_request(instance: &Instance, upstream: &FakeUpstream, time: Duration) -> Caller {
     upstream.next(Behaviour::Respond(200, "late", time));
@@ -173,3 +210,94 @@
     let body = answers.recv_timeout(Duration::from_secs(5));
     assert_eq!(body.expect("the request is answered"), b"late");
 }
+
+/// Guards against closing the connections of requests that wait for a slot when the grace time
+/// ends: they have not run, and another instance takes them.
+#[test]
+fn verify_a_stop_answers_requests_that_wait_for_a_slot() {
+    let fleet = Fleet::new();
+    let upstream = fleet.upstream("i-1", "khomas-a");
+    let instance = fleet.instance("edge-1", "khomas-a");
+    let coordinator = FakeCoordinator::join(&fleet, "i-1", "edge-1");
+    instance.wait_for_members(2);
+    let callers: Vec<Caller> = ["safe", "once"]
+        .into_iter()
+        .map(|route| {
+            let asked = coordinator.asks().len();
+            let mut caller = Caller::connect(instance.address());
+            caller.send(&request_on(route));
+            coordinator.answer(coordinator.ask_after(asked), false);
+            caller
+        })
+        .collect();
+    for response in replies_of_stop(instance, callers) {
+        assert_eq!(response.head.status, 503);
+        assert!(response.head.lines.get("retry-after").is_some());
+        assert!(response.head.close);
+    }
+    assert!(upstream.seen().is_empty(), "a refused request has not run");
+}
+
+/// Guards against refusing requests that can be served before the process ends: callers retry few
+/// times.
+#[test]
+fn verify_a_stop_serves_a_request_that_gets_a_slot_in_time() {
+    let fleet = Fleet::new();
+    let _upstream = fleet.upstream("i-1", "khomas-a");
+    let mut instance = fleet.instance("edge-1", "khomas-a");
+    let coordinator = FakeCoordinator::join(&fleet, "i-1", "edge-1");
+    instance.wait_for_members(2);
+    let mut caller = Caller::connect(instance.address());
+    caller.send("GET /once/ HTTP/1.1\r\nhost: a.example\r\nrequest: r-1\r\n\r\n");
+    let number = coordinator.ask_after(0);
+    coordinator.answer(number, false);
+    let address = instance.address();
+    let stopping = std::thread::spawn(move || instance.stop());
+    eventually("the stop has begun", || {
+        Caller::connect(address).get("/ready", "").head.status == 503
+    });
+    coordinator.answer(number, true);
+    assert_eq!(caller.read().head.status, 200);
+    stopping.join().unwrap();
+}
+
+/// Guards against closing the connections of requests that their upstreams still work on when the
+/// grace time ends: their callers learn that they may have run.
+#[test]
+fn verify_a_stop_answers_requests_that_it_cuts() {
+    let fleet = Fleet::new();
+    let upstream = fleet.upstream("i-1", "khomas-a");
+    let instance = fleet.instance("edge-1", "khomas-a");
+    upstream.always(Behaviour::Silent);
+    let callers: Vec<Caller> = ["safe", "once"]
+        .into_iter()
+        .map(|route| {
+            let mut caller = Caller::connect(instance.address());
+            caller.send(&request_on(route));
+            caller
+        })
+        .collect();
+    eventually("the requests arrive", || upstream.seen().len() == 2);
+    for response in replies_of_stop(instance, callers) {
+        assert_eq!(response.head.status, 502);
+        assert!(response.head.close);
+    }
+    assert_eq!(upstream.seen().len(), 2, "no request is sent once more");
+}
+
+/// Guards against closing the connection of a request that has not arrived in full when the
+/// process ends.
+#[test]
+fn verify_a_stop_refuses_a_request_that_is_still_arriving() {
+    let fleet = Fleet::new();
+    let upstream = fleet.upstream("i-1", "khomas-a");
+    let instance = fleet.instance("edge-1", "khomas-a");
+    let mut caller = Caller::connect(instance.address());
+    let head = "POST /once/ HTTP/1.1\r\nhost: a.example\r\nrequest: r-1\r\ncontent-length: 9\r\n";
+    caller.send(&format!("{head}\r\nhalf"));
+    for response in replies_of_stop(instance, vec![caller]) {
+        assert_eq!(response.head.status, 503);
+        assert!(response.head.lines.get("retry-after").is_some());
+    }
+    assert!(upstream.seen().is_empty());
+}
