Log the connection of each attempt

Change: connections to upstreams are numbered and count their requests; F5032 gives both for the attempt. Nothing else changes.

--- a/crates/foxtide-core/src/events/code.rs
+++ b/crates/foxtide-core/src/events/code.rs
@@ -190,7 +190,7 @@
     5024 UpstreamDoubted "upstream-doubted" Info "A registration expired while the store was unavailable; the upstream is kept for a grace period."
     5030 RequestAnswered "request-answered" Info "A request got its upstream's response; the fields give the routing decision."
     5031 RequestFailed "request-failed" Info "A request got an error from its upstream or from the instance itself."
-    5032 AttemptFailed "attempt-failed" Info "An attempt at an upstream gave no response that could be delivered."
+    5032 AttemptFailed "attempt-failed" Info "An attempt at an upstream gave no response that could be delivered; `connection_requests` counts the requests of its connection."
     5033 RequestUnplaced "request-unplaced" Info "No upstream is available for a request; the fields give the reason."
     5034 ResponseStray "response-stray" Info "A response to another request arrived on a connection and was ignored."
     5035 UpstreamRestarted "upstream-restarted" Info "An upstream restarted under the same name; its previous state was discarded."
--- a/crates/foxtide-gateway/src/forward/attempt.rs
+++ b/crates/foxtide-gateway/src/forward/attempt.rs
@@ -10,6 +10,10 @@
 };
 use crate::outcome::AttemptEnd;
 use crate::shared::Shared;
+use crate::upstream_connection::{
+    ConnectionUse,
+    UpstreamConnection, //
+};
 use foxtide_core::placement::{
     AttemptResult,
     LoadReport,
@@ -55,6 +59,7 @@
     pub(super) load: Option<LoadReport>,
     /// Whether the upstream process ended while it worked on the request.
     pub(super) has_ended: bool,
+    pub(super) connection: ConnectionUse,
 }
 
 impl AttemptReport {
@@ -64,6 +69,7 @@
             result,
             load: None,
             has_ended: false,
+            connection: ConnectionUse::default(),
         }
     }
 
@@ -96,8 +102,8 @@
         Err(process_ends())
     };
     let opened = or(opening, ending).await;
-    let mut stream = match opened {
-        Ok(stream) => stream,
+    let mut connection = match opened {
+        Ok(connection) => connection,
         Err(error) => {
             let cause = format!("connect: {error}");
             return AttemptReport::new(AttemptEnd::NotSent { cause }, AttemptResult::Unreachable);
@@ -118,14 +124,15 @@
         .dialect
         .write_forward_headers(&mut head.lines, &values);
     let bytes = head.encode(&request.body);
-    let sent_before = stream.sent_bytes();
+    let sent_before = connection.stream.sent_bytes();
+    let connection_use = connection.begin_request();
     let observer = ResponseObserver {
         shared,
         request,
         registration,
         sent_at: shared.clock.now(),
     };
-    let exchanged = exchange(&observer, &mut stream, &bytes);
+    let exchanged = exchange(&observer, &mut connection.stream, &bytes);
     let timed = async {
         Timer::at(deadline + DEADLINE_MARGIN).await;
         None
@@ -135,11 +142,18 @@
         Some(Err(MessageError::Io(process_ends())))
     };
     let exchanged = or(async { Some(exchanged.await) }, or(timed, ending)).await;
-    let is_sent = stream.sent_bytes() > sent_before;
-    match exchanged {
+    let is_sent = connection.stream.sent_bytes() > sent_before;
+    let report = match exchanged {
         Some(Ok((response, headers))) => {
             let latency = started.elapsed();
-            evaluate_response(shared, registration, stream, response, &headers, latency)
+            evaluate_response(
+                shared,
+                registration,
+                connection,
+                response,
+                &headers,
+                latency,
+            )
         }
         Some(Err(error)) if shared.lifecycle.is_ending() => AttemptReport {
             result: AttemptResult::Abandoned,
@@ -164,6 +178,10 @@
             shared.pool.close_idle(&registration.upstream);
             AttemptReport::new(AttemptEnd::TimedOut, AttemptResult::Faulty)
         }
+    };
+    AttemptReport {
+        connection: connection_use,
+        ..report
     }
 }
 
@@ -172,12 +190,13 @@
     registration: &Registration,
     is_idempotent: bool,
     deadline: Instant,
-) -> io::Result<BufferedStream> {
+) -> io::Result<UpstreamConnection> {
     let now = shared.clock.now();
-    if let Some(stream) = shared.pool.take(registration, is_idempotent, now) {
-        return Ok(stream);
+    if let Some(connection) = shared.pool.take(registration, is_idempotent, now) {
+        return Ok(connection);
     }
-    shared.connect_upstream(registration, deadline).await
+    let stream = shared.connect_upstream(registration, deadline).await?;
+    Ok(shared.pool.open(stream))
 }
 
 /// Writes the request and reads the response that carries its identity.
@@ -269,12 +288,12 @@
 fn evaluate_response<D: Dialect>(
     shared: &Shared<D>,
     registration: &Registration,
-    stream: BufferedStream,
+    connection: UpstreamConnection,
     response: WholeResponse,
     headers: &UpstreamHeaders,
     latency: Duration,
 ) -> AttemptReport {
-    if response.keeps_connection() && stream.buffered().is_empty() {
+    if response.keeps_connection() && connection.stream.buffered().is_empty() {
         let keep_alive = response.head.keep_alive;
         let connections_max = shared
             .state
@@ -283,15 +302,13 @@
         let now = shared.clock.now();
         shared
             .pool
-            .put(registration, stream, keep_alive, connections_max, now);
+            .put(registration, connection, keep_alive, connections_max, now);
     }
     let (end, result) = classify_response(response, headers, latency);
     AttemptReport {
-        end,
-        result,
         // Another incarnation speaks for itself only.
         load: headers.load.filter(|_| !headers.is_other_incarnation),
-        has_ended: false,
+        ..AttemptReport::new(end, result)
     }
 }
 
--- a/crates/foxtide-gateway/src/forward/attempt_loop.rs
+++ b/crates/foxtide-gateway/src/forward/attempt_loop.rs
@@ -298,6 +298,7 @@
 
     fn conclude(&mut self, pick: &Pick, report: AttemptReport, took: Duration) -> Next {
         let upstream = pick.registration.upstream.clone();
+        self.trace.connection = report.connection;
         let journal = &self.shared.journal;
         journal.attempt_failed(&self.trace, pick, &report.end, took);
         let is_begun = !matches!(report.end, AttemptEnd::Withdrawn);
--- a/crates/foxtide-gateway/src/forward/hedge.rs
+++ b/crates/foxtide-gateway/src/forward/hedge.rs
@@ -114,7 +114,7 @@
         match or(ended(sent.as_mut()), other).await {
             Event::First(report) if report.is_failure() => {
                 let has_ended = report.has_ended;
-                self.record_failure_beside(first, report.end);
+                self.record_failure_beside(first, report);
                 self.trace.adopt_slot(hedge_trace);
                 let mut report = hedge_sent.await;
                 count.end = if report.is_failure() {
@@ -132,7 +132,7 @@
             Event::Other(report) if report.is_failure() => {
                 count.end = HedgeEnd::Failed;
                 let has_ended = report.has_ended;
-                self.record_failure_beside(second, report.end);
+                self.record_failure_beside(second, report);
                 let mut report = sent.await;
                 report.has_ended |= has_ended;
                 self.end(first, report)
@@ -224,8 +224,12 @@
     }
 
     /// Records an attempt that failed while the other one runs, which decides on the reply.
-    fn record_failure_beside(&mut self, attempt: RunningAttempt, end: AttemptEnd) {
+    fn record_failure_beside(&mut self, attempt: RunningAttempt, report: AttemptReport) {
         let RunningAttempt { pick, began_at, .. } = attempt;
+        let AttemptReport {
+            end, connection, ..
+        } = report;
+        self.trace.connection = connection;
         let journal = &self.shared.journal;
         journal.attempt_failed(&self.trace, &pick, &end, began_at.elapsed());
         if matches!(end, AttemptEnd::Withdrawn) {
--- a/crates/foxtide-gateway/src/journal/requests.rs
+++ b/crates/foxtide-gateway/src/journal/requests.rs
@@ -219,6 +219,8 @@
                 rank = pick.rank,
                 occupancy = pick.occupancy,
                 is_cold = pick.is_cold,
+                connection = trace.connection.number,
+                connection_requests = trace.connection.requests,
                 took_ms = took.as_secs_f64() * 1_000.0
             );
         }
--- a/crates/foxtide-gateway/src/lib.rs
+++ b/crates/foxtide-gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod store;
 mod store_calls;
 mod traffic;
+mod upstream_connection;
 
 pub use dialect::{
     CallerHeaders,
--- a/crates/foxtide-gateway/src/outcome/trace.rs
+++ b/crates/foxtide-gateway/src/outcome/trace.rs
@@ -6,6 +6,7 @@
 };
 use crate::admission::SlotAnswer;
 use crate::state::Pick;
+use crate::upstream_connection::ConnectionUse;
 use foxtide_core::placement::Slowness;
 use std::time::Duration;
 
@@ -31,6 +32,8 @@
     /// The region of that upstream.
     pub(crate) region: String,
     pub(crate) attempts: u32,
+    /// The connection of the last attempt.
+    pub(crate) connection: ConnectionUse,
     /// The instance to which the request was passed on last; empty for none.
     pub(crate) passed_to: String,
     /// Whether another instance has passed it on to this one.
--- a/crates/foxtide-gateway/src/pool.rs
+++ b/crates/foxtide-gateway/src/pool.rs
@@ -1,5 +1,6 @@
 //! Pools idle connections to upstreams, by incarnation.
 
+use crate::upstream_connection::UpstreamConnection;
 use foxtide_core::ids::UpstreamId;
 use foxtide_core::registry::Registration;
 use foxtide_core::time::{
@@ -12,6 +13,10 @@
 };
 use parking_lot::Mutex;
 use std::collections::HashMap;
+use std::sync::atomic::{
+    AtomicU64,
+    Ordering, //
+};
 use std::time::Duration;
 
 /// Idle timeout where the upstream does not state one; servers usually allow 5 s or more.
@@ -26,20 +31,34 @@
 
 #[derive(Debug)]
 struct IdleConnection {
-    stream: BufferedStream,
+    connection: UpstreamConnection,
     /// When the incarnation of the upstream started.
     born_at: Option<WallTime>,
     since: MonotonicTime,
     timeout: Duration,
 }
 
+impl IdleConnection {
+    fn is_idle(&self) -> bool {
+        self.connection.stream.idle_state() == IdleState::Idle
+    }
+}
+
 /// The idle connections to all upstreams.
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
     idle: Mutex<HashMap<UpstreamId, Vec<IdleConnection>>>,
+    /// The connections so far.
+    connections: AtomicU64,
 }
 
 impl Pool {
+    /// Numbers a new connection.
+    pub(crate) fn open(&self, stream: BufferedStream) -> UpstreamConnection {
+        let number = self.connections.fetch_add(1, Ordering::Relaxed) + 1;
+        UpstreamConnection::new(stream, number)
+    }
+
     /// Takes the most recently used connection that is open and has no unread data.
     ///
     /// Unread data may be a response to an earlier request; such a connection is closed.
@@ -48,7 +67,7 @@
         registration: &Registration,
         is_idempotent: bool,
         now: MonotonicTime,
-    ) -> Option<BufferedStream> {
+    ) -> Option<UpstreamConnection> {
         let share = if is_idempotent {
             1.0
         } else {
@@ -64,8 +83,8 @@
                 connections.push(connection);
                 return None;
             }
-            if connection.stream.idle_state() == IdleState::Idle {
-                return Some(connection.stream);
+            if connection.is_idle() {
+                return Some(connection.connection);
             }
         }
         None
@@ -76,7 +95,7 @@
     pub(crate) fn put(
         &self,
         registration: &Registration,
-        stream: BufferedStream,
+        connection: UpstreamConnection,
         keep_alive: Option<Duration>,
         connections_max: usize,
         now: MonotonicTime,
@@ -88,7 +107,7 @@
         let connections = idle.entry(registration.upstream.clone()).or_default();
         if connections.len() < connections_max {
             connections.push(IdleConnection {
-                stream,
+                connection,
                 born_at: registration.born_at,
                 since: now,
                 timeout,
@@ -117,9 +136,7 @@
         idle.retain(|upstream, connections| {
             connections.retain(|connection| {
                 let is_fresh = now - connection.since <= connection.timeout;
-                is_fresh
-                    && connection.stream.idle_state() == IdleState::Idle
-                    && is_known(upstream, connection.born_at)
+                is_fresh && connection.is_idle() && is_known(upstream, connection.born_at)
             });
             !connections.is_empty()
         });
