Repeat no request on a connection that has carried it

Cause: a response is matched to its send by the request's identity alone, and both sends of a request carry the same one. A request that its upstream turned away in a granted slot goes to the same upstream again and took the connection of its first send. A second response to the first send, which arrives in place of the next response, passed for the response to the retry while the upstream ran it.

No hedge, no second instance and no caller that sent again: one client line, one instance, route not idempotent. No rejection was false: the upstream counted one less than the instance.

Where no other connection is idle, the retry opens one.

Why it works: a second response can only arrive on the connection of its send, and there the identity is sent once. It is then a stray response, which is skipped. A caller that uses an identity again for another request is protected in the same way.

Tests, seen to fail before: verify_a_late_second_rejection_is_not_the_response_to_the_retry (503 while the upstream ran it), verify_a_late_second_response_is_not_delivered_to_a_request_of_the_ same_identity ("first" in place of "second"). verify_a_retry_leaves_its_first_connection_to_other_ requests bounds the price: one connection more.

--- a/crates/foxtide-gateway/src/forward/attempt.rs
+++ b/crates/foxtide-gateway/src/forward/attempt.rs
@@ -96,7 +96,7 @@
     deadline: Instant,
 ) -> AttemptReport {
     let started = Instant::now();
-    let opening = open(shared, registration, is_idempotent, deadline);
+    let opening = open(shared, request, registration, is_idempotent, deadline);
     let ending = async {
         shared.lifecycle.ending().await;
         Err(process_ends())
@@ -125,7 +125,7 @@
         .write_forward_headers(&mut head.lines, &values);
     let bytes = head.encode(&request.body);
     let sent_before = connection.stream.sent_bytes();
-    let connection_use = connection.begin_request();
+    let connection_use = connection.begin_request(request.headers.request_id.as_deref());
     let observer = ResponseObserver {
         shared,
         request,
@@ -187,12 +187,17 @@
 
 async fn open<D: Dialect>(
     shared: &Shared<D>,
+    request: &CallerRequest,
     registration: &Registration,
     is_idempotent: bool,
     deadline: Instant,
 ) -> io::Result<UpstreamConnection> {
     let now = shared.clock.now();
-    if let Some(connection) = shared.pool.take(registration, is_idempotent, now) {
+    let request_id = request.headers.request_id.as_deref();
+    let pooled = shared
+        .pool
+        .take(registration, request_id, is_idempotent, now);
+    if let Some(connection) = pooled {
         return Ok(connection);
     }
     let stream = shared.connect_upstream(registration, deadline).await?;
--- a/crates/foxtide-gateway/src/pool.rs
+++ b/crates/foxtide-gateway/src/pool.rs
@@ -59,12 +59,14 @@
         UpstreamConnection::new(stream, number)
     }
 
-    /// Takes the most recently used connection that is open and has no unread data.
+    /// Takes the most recently used connection that is open, has no unread data and may carry the
+    /// request.
     ///
     /// Unread data may be a response to an earlier request; such a connection is closed.
     pub(crate) fn take(
         &self,
         registration: &Registration,
+        request_id: Option<&str>,
         is_idempotent: bool,
         now: MonotonicTime,
     ) -> Option<UpstreamConnection> {
@@ -76,15 +78,21 @@
         let mut idle = self.idle.lock();
         let connections = idle.get_mut(&registration.upstream)?;
         connections.retain(|connection| connection.born_at == registration.born_at);
-        while let Some(connection) = connections.pop() {
-            let is_fresh = now - connection.since <= connection.timeout.mul_f64(share);
+        let mut index = connections.len();
+        while index > 0 {
+            index -= 1;
+            let candidate = &connections[index];
+            let is_fresh = now - candidate.since <= candidate.timeout.mul_f64(share);
             if !is_fresh {
                 // Older connections may still carry idempotent requests.
-                connections.push(connection);
                 return None;
             }
-            if connection.is_idle() {
-                return Some(connection.connection);
+            if !candidate.connection.may_carry(request_id) {
+                continue;
+            }
+            let candidate = connections.remove(index);
+            if candidate.is_idle() {
+                return Some(candidate.connection);
             }
         }
         None
--- a/crates/foxtide-gateway/src/upstream_connection.rs
+++ b/crates/foxtide-gateway/src/upstream_connection.rs
@@ -1,6 +1,9 @@
 //! A connection to an upstream.
 
-use foxtide_http::BufferedStream;
+use foxtide_http::{
+    BufferedStream,
+    CarriedRequests, //
+};
 
 /// A connection to an upstream, which carries one request at a time.
 #[derive(Debug)]
@@ -9,6 +12,7 @@
     /// Unique in this process.
     number: u64,
     requests: u32,
+    carried: CarriedRequests,
 }
 
 /// Which connection an attempt used, for its log line.
@@ -27,12 +31,22 @@
             stream,
             number,
             requests: 0,
+            carried: CarriedRequests::default(),
         }
     }
 
+    /// Tells whether a request may be sent on it. One of the same identity may not: a late second
+    /// response to the earlier one would pass for its response.
+    pub(crate) fn may_carry(&self, request_id: Option<&str>) -> bool {
+        request_id.is_none_or(|request_id| !self.carried.contains(request_id))
+    }
+
     /// Records that a request is sent on it.
-    pub(crate) fn begin_request(&mut self) -> ConnectionUse {
+    pub(crate) fn begin_request(&mut self, request_id: Option<&str>) -> ConnectionUse {
         self.requests += 1;
+        if let Some(request_id) = request_id {
+            self.carried.record(request_id);
+        }
         ConnectionUse {
             number: self.number,
             requests: self.requests,
--- a/crates/foxtide-gateway/tests/gateway/forwarding.rs
+++ b/crates/foxtide-gateway/tests/gateway/forwarding.rs
@@ -152,6 +152,50 @@
     assert_eq!(response.body, b"fine");
 }
 
+/// Guards against running a non-idempotent request twice, or refusing one that runs: the late second
+/// response of an upstream that rejected it must not pass for the response to the retry.
+#[test]
+fn verify_a_late_second_rejection_is_not_the_response_to_the_retry() {
+    let (fleet, upstream) = fleet_of_one();
+    let instance = fleet.instance("edge-1", "khomas-a");
+    // An instance that knows another one asks for slots.
+    let _other = fleet.instance("edge-2", "khomas-a");
+    instance.wait_for_members(2);
+    upstream.next(Behaviour::Twice(Box::new(Behaviour::Full)));
+    let response = instance.get("/once/", "request: r-1\r\n");
+    assert_eq!(upstream.seen().len(), 2, "one rejection, one run");
+    assert_eq!(response.head.status, 200);
+}
+
+/// Guards against delivering the late second response to a request as the response to another one,
+/// whose caller uses the same identity again.
+#[test]
+fn verify_a_late_second_response_is_not_delivered_to_a_request_of_the_same_identity() {
+    let (fleet, upstream) = fleet_of_one();
+    let instance = fleet.instance("edge-1", "khomas-a");
+    let first = Behaviour::Respond(200, "first", Duration::ZERO);
+    upstream.next(Behaviour::Twice(Box::new(first)));
+    upstream.next(Behaviour::Respond(200, "second", Duration::ZERO));
+    assert_eq!(instance.get("/once/", "request: r-1\r\n").body, b"first");
+    assert_eq!(instance.get("/once/", "request: r-1\r\n").body, b"second");
+}
+
+/// Guards against new connections for requests that no late response can be mistaken for.
+#[test]
+fn verify_a_retry_leaves_its_first_connection_to_other_requests() {
+    let (fleet, upstream) = fleet_of_one();
+    let instance = fleet.instance("edge-1", "khomas-a");
+    let _other = fleet.instance("edge-2", "khomas-a");
+    instance.wait_for_members(2);
+    upstream.next(Behaviour::Full);
+    for number in 0..10 {
+        let response = instance.get("/once/", &format!("request: r-{number}\r\n"));
+        assert_eq!(response.head.status, 200);
+    }
+    assert_eq!(upstream.seen().len(), 11);
+    assert!(upstream.connections() <= 2, "one more for the retry");
+}
+
 #[test]
 fn verify_a_response_that_ends_with_its_connection_is_whole() {
     let (fleet, upstream) = fleet_of_one();
--- a/crates/foxtide-gateway/tests/gateway/support/upstream.rs
+++ b/crates/foxtide-gateway/tests/gateway/support/upstream.rs
@@ -47,6 +47,8 @@
     Unsigned,
     /// Sends the response to another request, then the right one.
     Stray,
+    /// Responds, and sends the same response again once the next request has arrived.
+    Twice(Box<Behaviour>),
     /// Responds without a length and ends with the connection.
     Unframed,
     /// Sends an interim response with the additional header lines, then one without them.
@@ -203,6 +205,7 @@
 }
 
 async fn serve(shared: Arc<Shared>, mut stream: BufferedStream) {
+    let mut late_response: Option<(String, Behaviour)> = None;
     while let Ok(Some(bytes)) = read_head(&mut stream, 64 * 1_024).await {
         let head = ForwardedRequest::parse(&bytes).unwrap();
         let body = read_body(&mut stream, head.length, 1 << 20).await.unwrap();
@@ -224,9 +227,16 @@
         });
         let behaviour = shared.script.lock().unwrap().pop_front();
         let default_behaviour = shared.default_behaviour.lock().unwrap().clone();
-        let behaviour = behaviour
+        let mut behaviour = behaviour
             .or(default_behaviour)
             .unwrap_or(Behaviour::SUCCESS);
+        if let Some((request, behaviour)) = late_response.take() {
+            respond(&shared, &mut stream, &request, behaviour).await;
+        }
+        if let Behaviour::Twice(twice) = behaviour {
+            behaviour = *twice;
+            late_response = Some((request.clone(), behaviour.clone()));
+        }
         if !respond(&shared, &mut stream, &request, behaviour).await {
             return;
         }
@@ -297,6 +307,7 @@
             "HTTP/1.1 100 x\r\n{lines}\r\nHTTP/1.1 200 x\r\nrequest: {request}\r\n\
              signature: s\r\ncontent-length: 4\r\n\r\nfine"
         ),
+        Behaviour::Twice(_) => unreachable!("it is unwrapped before"),
         Behaviour::Silent => {
             stream.closed_by_peer().await;
             *shared.cancelled.lock().unwrap() += 1;
--- a/crates/foxtide-http/src/lib.rs
+++ b/crates/foxtide-http/src/lib.rs
@@ -3,6 +3,7 @@
 //! A message is read exactly to its last byte, so that following bytes belong
 //! to the next message.
 
+mod carried;
 mod chunked;
 mod exchange;
 mod forwarded;
@@ -11,6 +12,7 @@
 mod message;
 mod stream;
 
+pub use carried::CarriedRequests;
 pub use exchange::{
     WholeResponse,
     read_response,
