Repeat no request on a connection that has carried it, at the entry

Cause: the entry matches answers by request id as the gateway does, and a rejected request goes to the same upstream again where no other is left.

Change: its pools leave out connections that have carried a request of the same id.

Measured: verify_a_late_second_rejection_is_not_the_answer_to_the_retry fails before (the upstream runs the request twice; the caller gets one answer) and passes now.

--- a/crates/foxtide-entry/src/upstream/exchange.rs
+++ b/crates/foxtide-entry/src/upstream/exchange.rs
@@ -7,7 +7,8 @@
 use super::long_body::LongBody;
 use super::pool::{
     Freshness,
-    Pools, //
+    Pools,
+    UpstreamConnection, //
 };
 use crate::answer::{
     Answer,
@@ -75,7 +76,7 @@
 pub(crate) struct UpstreamAnswer {
     pub(crate) answer: Answer,
     /// Connection, if it can be reused.
-    pub(crate) connection: Option<BufferedStream>,
+    pub(crate) connection: Option<UpstreamConnection>,
 }
 
 /// Sends a request and reads the answer.
@@ -92,14 +93,15 @@
     request: &UpstreamRequest<'_>,
     now: MonotonicTime,
 ) -> Result<UpstreamAnswer, Failure> {
-    let mut stream = open(pools, request, now).await?;
-    let before_bytes = stream.sent_bytes();
-    let exchange = send_and_read(&mut stream, pools, limits, request);
+    let mut connection = open(pools, request, now).await?;
+    connection.carried.record(request.request);
+    let before_bytes = connection.stream.sent_bytes();
+    let exchange = send_and_read(&mut connection.stream, pools, limits, request);
     let answer = timeout(request.time_left, exchange).await;
     let answer = answer.unwrap_or(Err(FailureKind::TimedOut));
-    let sent_bytes = stream.sent_bytes() - before_bytes;
+    let sent_bytes = connection.stream.sent_bytes() - before_bytes;
     let answer = answer.map_err(|kind| request.failure(sent_bytes, kind))?;
-    Ok(answer.into_answer(stream, limits))
+    Ok(answer.into_answer(connection, limits))
 }
 
 /// Head of an answer and what was read of its body.
@@ -118,18 +120,19 @@
 }
 
 impl RawAnswer {
-    fn into_answer(self, stream: BufferedStream, limits: &Limits) -> UpstreamAnswer {
+    fn into_answer(self, connection: UpstreamConnection, limits: &Limits) -> UpstreamAnswer {
         let length = self.head.head.length;
         // Bytes that arrive later are detected when the connection is reused.
-        let reusable = !self.head.head.close && stream.buffered().is_empty();
+        let reusable = !self.head.head.close && connection.stream.buffered().is_empty();
         let (body, connection) = match self.body {
-            ReadBody::Whole(bytes) => (AnswerBody::Whole(bytes), reusable.then_some(stream)),
+            ReadBody::Whole(bytes) => (AnswerBody::Whole(bytes), reusable.then_some(connection)),
             ReadBody::Absent => {
                 let body = AnswerBody::Absent { stated: length };
-                (body, reusable.then_some(stream))
+                (body, reusable.then_some(connection))
             }
             ReadBody::Partial(reader, piece) => {
-                let body = LongBody::new(stream, reader, length, piece, limits.body_time);
+                let body =
+                    LongBody::new(connection.stream, reader, length, piece, limits.body_time);
                 (AnswerBody::Long(Box::new(body)), None)
             }
         };
@@ -163,9 +166,10 @@
     pools: &Pools,
     request: &UpstreamRequest<'_>,
     now: MonotonicTime,
-) -> Result<BufferedStream, Failure> {
-    if let Some(stream) = pools.take(request.address, request.freshness, now) {
-        return Ok(stream);
+) -> Result<UpstreamConnection, Failure> {
+    let pooled = pools.take(request.address, request.request, request.freshness, now);
+    if let Some(connection) = pooled {
+        return Ok(connection);
     }
     let unsent = |kind| Failure {
         step: Step::Connect,
@@ -175,7 +179,7 @@
     };
     let stream = connect(pools, request).await.map_err(unsent)?;
     match stream.idle_state() {
-        IdleState::Idle => Ok(stream),
+        IdleState::Idle => Ok(stream.into()),
         // Bytes before the request cannot belong to its answer.
         IdleState::Readable => Err(unsent(FailureKind::OtherRequest)),
     }
--- a/crates/foxtide-entry/src/upstream/pool.rs
+++ b/crates/foxtide-entry/src/upstream/pool.rs
@@ -7,6 +7,7 @@
 use foxtide_core::time::MonotonicTime;
 use foxtide_http::{
     BufferedStream,
+    CarriedRequests,
     IdleState, //
 };
 use parking_lot::{
@@ -33,9 +34,33 @@
     Recent,
 }
 
+/// Connection to an upstream, which carries one request at a time.
+#[derive(Debug)]
+pub(crate) struct UpstreamConnection {
+    pub(crate) stream: BufferedStream,
+    /// Requests that it has carried.
+    pub(crate) carried: CarriedRequests,
+}
+
+impl From<BufferedStream> for UpstreamConnection {
+    /// Wraps a new connection.
+    fn from(stream: BufferedStream) -> Self {
+        Self {
+            stream,
+            carried: CarriedRequests::default(),
+        }
+    }
+}
+
+impl UpstreamConnection {
+    fn is_idle(&self) -> bool {
+        self.stream.idle_state() == IdleState::Idle
+    }
+}
+
 #[derive(Debug)]
 struct IdleConnection {
-    stream: BufferedStream,
+    connection: UpstreamConnection,
     since: MonotonicTime,
 }
 
@@ -66,25 +91,34 @@
         &self.options
     }
 
-    /// Takes the most recently used connection that is open.
+    /// Takes the most recently used connection that is open and has not carried
+    /// a request of the same id, whose late second answer would pass for the
+    /// answer to this one.
     ///
     /// A connection with unread bytes is closed, because they may answer an
     /// earlier request.
     pub(crate) fn take(
         &self,
         address: SocketAddr,
+        request: &str,
         freshness: Freshness,
         now: MonotonicTime,
-    ) -> Option<BufferedStream> {
+    ) -> Option<UpstreamConnection> {
         let pool = Arc::clone(self.by_address.read().get(&address)?);
         let idle_time = match freshness {
             Freshness::Any => self.options.idle_time,
             Freshness::Recent => self.options.idle_time_non_idempotent,
         };
         let mut idle = pool.idle.lock();
-        while let Some(connection) = idle.pop_if(|last| now - last.since <= idle_time) {
-            if connection.stream.idle_state() == IdleState::Idle {
-                return Some(connection.stream);
+        let mut index = idle.len();
+        while index > 0 && now - idle[index - 1].since <= idle_time {
+            index -= 1;
+            if idle[index].connection.carried.contains(request) {
+                continue;
+            }
+            let candidate = idle.remove(index);
+            if candidate.connection.is_idle() {
+                return Some(candidate.connection);
             }
         }
         None
@@ -95,7 +129,7 @@
     pub(crate) fn put(
         &self,
         address: SocketAddr,
-        stream: BufferedStream,
+        connection: UpstreamConnection,
         limit: usize,
         now: MonotonicTime,
     ) {
@@ -103,7 +137,7 @@
         let mut idle = pool.idle.lock();
         if idle.len() < self.options.idle_connections.min(limit) {
             let since = now;
-            idle.push(IdleConnection { stream, since });
+            idle.push(IdleConnection { connection, since });
         }
     }
 
@@ -139,9 +173,9 @@
     pub(crate) fn prune(&self, now: MonotonicTime) {
         let pools: Vec<Arc<Pool>> = self.by_address.read().values().cloned().collect();
         for pool in pools {
-            pool.idle.lock().retain(|connection| {
-                let recent = now - connection.since <= self.options.idle_time;
-                recent && connection.stream.idle_state() == IdleState::Idle
+            pool.idle.lock().retain(|idle| {
+                let recent = now - idle.since <= self.options.idle_time;
+                recent && idle.connection.is_idle()
             });
         }
     }
--- a/crates/foxtide-entry/tests/failures.rs
+++ b/crates/foxtide-entry/tests/failures.rs
@@ -17,8 +17,10 @@
     TcpListener,
     TcpStream, //
 };
+use std::sync::Arc;
 use std::sync::atomic::{
     AtomicBool,
+    AtomicUsize,
     Ordering, //
 };
 use std::sync::mpsc::channel;
@@ -120,6 +122,39 @@
     assert!(caller.request(&get("/")).ends_with("hello"));
 }
 
+/// Guards against running a non-idempotent request twice: the late second answer of an upstream that
+/// rejected it must not pass for the answer to the retry.
+#[test]
+fn verify_a_late_second_rejection_is_not_the_answer_to_the_retry() {
+    const REJECTION: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nfoxtide-request-id: r-1\r\n\
+        foxtide-outcome: not-run\r\ncontent-length: 0\r\n\r\n";
+    const ANSWER: &[u8] =
+        b"HTTP/1.1 200 OK\r\nfoxtide-request-id: r-1\r\ncontent-length: 5\r\n\r\nhello";
+    let runs = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&runs);
+    let upstream = RawUpstream::start(move |mut stream, number| {
+        if number == 1 {
+            read_message(&mut stream);
+            stream.write_all(REJECTION).unwrap();
+        }
+        let mut is_late = number == 1;
+        while read_message(&mut stream).is_some() {
+            counted.fetch_add(1, Ordering::SeqCst);
+            if std::mem::take(&mut is_late) {
+                stream.write_all(REJECTION).unwrap();
+            }
+            stream.write_all(ANSWER).unwrap();
+        }
+    });
+    let harness = Harness::start(&[upstream.address]);
+    let answer = harness.caller().request(
+        "POST /hamutenya/viewer/ HTTP/1.1\r\nhost: x\r\nfoxtide-request-id: r-1\r\n\
+         content-length: 1\r\n\r\nx",
+    );
+    assert!(answer.ends_with("hello"), "{answer}");
+    assert_eq!(runs.load(Ordering::SeqCst), 1);
+}
+
 #[test]
 fn verify_an_answer_to_another_request_is_refused() {
     let upstream = RawUpstream::answering(
