--- a/crates/foxtide-gateway/src/forward/attempt.rs
+++ b/crates/foxtide-gateway/src/forward/attempt.rs
@@ -165,10 +165,8 @@
                 let now = shared.clock.now();
                 shared.reach.record_unreachable(&registration.upstream, now);
             }
-            let has_ended = is_sent
-                && is_closed_by_upstream(&error)
-                && refuses_connections(shared, registration).await
-                && shared.reaches_any_other(registration).await;
+            let has_ended =
+                is_sent && is_closed_by_upstream(&error) && is_ended(shared, registration).await;
             AttemptReport {
                 has_ended,
                 ..failed_report(&error, is_sent)
@@ -262,6 +260,19 @@
     }
 }
 
+/// Tells whether the upstream has ended, rather than the path to it.
+async fn is_ended<D: Dialect>(shared: &Shared<D>, registration: &Registration) -> bool {
+    let confirmed = async {
+        refuses_connections(shared, registration).await
+            && shared.reaches_any_other(registration).await
+    };
+    let ending = async {
+        shared.lifecycle.ending().await;
+        false
+    };
+    or(confirmed, ending).await
+}
+
 /// Tells whether the upstream's address refuses connections. An upstream that only closed one
 /// connection still accepts others.
 async fn refuses_connections<D>(shared: &Shared<D>, registration: &Registration) -> bool {
--- a/crates/foxtide-gateway/src/forward/recheck.rs
+++ b/crates/foxtide-gateway/src/forward/recheck.rs
@@ -127,7 +127,7 @@
     }
 
     /// Waits until a quarantine of the request can have become known, unless the caller
-    /// disconnects; permits the retry if the store grants it to an isolated instance.
+    /// disconnects or the instance stops before; permits the retry if the store grants it to an isolated instance.
     pub(super) async fn wait_for_verdict(&mut self) {
         let time_left = self.deadline.saturating_duration_since(Instant::now());
         let verdict = async {
@@ -138,11 +138,12 @@
             Timer::after(time_left).await;
             false
         };
-        let disconnected = async {
-            self.caller.disconnected().await;
+        let in_vain = async {
+            let closed = self.shared.lifecycle.send_window_closed(self.deadline);
+            or(self.caller.disconnected(), closed).await;
             false
         };
-        if or(disconnected, or(verdict, late)).await {
+        if or(in_vain, or(verdict, late)).await {
             self.permit = SendPermit::Trial;
             self.attempts_at_permit = self.sent_attempts;
         }
--- a/crates/foxtide-gateway/tests/gateway/cut_off.rs
+++ b/crates/foxtide-gateway/tests/gateway/cut_off.rs
@@ -106,6 +106,39 @@
     }
 }
 
+/// Guards against closing the connection of a request that another instance works on when the grace
+/// time of a stop ends.
+#[test]
+fn verify_a_stop_answers_a_request_that_it_has_passed_on() {
+    let Scene {
+        fleet: _fleet,
+        upstreams,
+        mut instance,
+        paths,
+        neighbour: _neighbour,
+    } = Scene::new();
+    for path in &paths {
+        path.cut(Cut::Reset);
+    }
+    eventually("a request is served through the neighbour", || {
+        status_of(&instance, "/safe/", "first") == 200
+    });
+    for upstream in &upstreams {
+        upstream.always(Behaviour::Silent);
+    }
+    let mut caller = Caller::connect(instance.address());
+    caller.send("GET /once/ HTTP/1.1\r\nhost: a.example\r\nrequest: r-1\r\n\r\n");
+    let seen = || upstreams.iter().flat_map(FakeUpstream::seen);
+    eventually("the request arrives", || {
+        seen().any(|seen| seen.request == "r-1")
+    });
+    let (answered, answers) = std::sync::mpsc::channel();
+    std::thread::spawn(move || answered.send(caller.read().head.status));
+    instance.stop();
+    let status = answers.recv_timeout(Duration::from_secs(5));
+    assert_eq!(status.expect("the request is answered"), 502);
+}
+
 /// Guards against callers that are directed to an instance that reaches no upstream, and against
 /// one that stays away from them for good.
 #[test]
