Bound the idle timeout that an upstream states

What callers saw: a connection ended without an answer where an upstream stated `Keep-Alive: timeout=` (told by the review, reproduced by the test).

Cause: the number became a time that the pool multiplies by 0.6 and by 1, which panics above the longest time that is representable, and the panic ends the task of the caller's connection.

Change: the time counts for an hour at most, where it is read.

Measured: verify_an_extreme_idle_timeout_ends_no_callers_connection fails before with that panic and passes now.

--- a/crates/foxtide-gateway/tests/gateway/forwarding.rs
+++ b/crates/foxtide-gateway/tests/gateway/forwarding.rs
@@ -371,6 +371,23 @@
     assert_eq!(third.read().head.status, 200);
 }
 
+/// Guards against a panic, which ends the connection of a caller, by a number that an upstream states.
+#[test]
+fn verify_an_extreme_idle_timeout_ends_no_callers_connection() {
+    for timeout_s in [0, 1, u64::from(u32::MAX), u64::MAX] {
+        let (fleet, upstream) = fleet_of_one();
+        let instance = fleet.instance("edge-1", "khomas-a");
+        upstream.state(&format!("keep-alive: timeout={timeout_s}\r\n"));
+        let mut caller = Caller::connect(instance.address());
+        for (number, path) in ["/safe/", "/once/", "/safe/"].into_iter().enumerate() {
+            let lines = format!("request: r-{number}\r\n");
+            let response = caller.try_get(path, &lines);
+            let status = response.map(|response| response.head.status);
+            assert_eq!(status, Ok(200), "{timeout_s} s");
+        }
+    }
+}
+
 #[test]
 fn verify_requests_of_a_route_without_affinity_are_spread() {
     let (fleet, one, two) = fleet_of_two();
--- a/crates/foxtide-http/src/forwarded.rs
+++ b/crates/foxtide-http/src/forwarded.rs
@@ -23,6 +23,10 @@
 const KEEP_ALIVE_TIMEOUT: &str = "timeout";
 const VERSION: &str = "HTTP/1.1";
 
+/// The longest stated idle timeout that counts. No connection is kept for that long, and sums of
+/// longer times may overflow.
+const KEEP_ALIVE_MAX: Duration = Duration::from_secs(60 * 60);
+
 /// Statuses whose responses have no body (RFC 9112, section 6.3).
 const NO_CONTENT: u16 = 204;
 const NOT_MODIFIED: u16 = 304;
@@ -279,14 +283,14 @@
     }
 }
 
-/// Returns the `timeout` parameter of a `Keep-Alive` header.
+/// Returns the `timeout` parameter of a `Keep-Alive` header, at most [`KEEP_ALIVE_MAX`].
 fn keep_alive_timeout(value: &[u8]) -> Option<Duration> {
     let text = std::str::from_utf8(value).ok()?;
     text.split(',')
         .filter_map(|parameter| parameter.split_once('='))
         .find(|(key, _)| key.trim().eq_ignore_ascii_case(KEEP_ALIVE_TIMEOUT))
         .and_then(|(_, seconds)| seconds.trim().parse().ok())
-        .map(Duration::from_secs)
+        .map(|seconds| Duration::from_secs(seconds).min(KEEP_ALIVE_MAX))
 }
 
 /// Returns the host of a request in lower case, without the port.
