Say plainly when a prepared send comes too late in a stop

Cause: the match on what was prepared needed a second reading. Change: three arms for the three cases; what they return is the same. Measured: 144 tests of the gateway pass.

--- a/crates/foxtide-gateway/src/forward/attempt_loop.rs
+++ b/crates/foxtide-gateway/src/forward/attempt_loop.rs
@@ -144,9 +144,9 @@
         };
         let prepared = or(async { Some(self.prepare().await) }, closed).await;
         match prepared {
-            Some(Ok(target)) if target.is_none() || lifecycle.may_send(deadline) => Ok(target),
-            Some(Err(reply)) => Err(reply),
-            _ => Err(self.stopping()),
+            Some(Ok(Some(_))) if !lifecycle.may_send(deadline) => Err(self.stopping()),
+            Some(prepared) => prepared,
+            None => Err(self.stopping()),
         }
     }
 
