Reserve memory for chunked bodies as they arrive

Cause: a body of unknown length was read whole before its memory was reserved, so that nothing bounded all of them together.

Evidence: the regression test on: two unfinished bodies of 600 KiB are both taken in with a memory of 1 MiB ("one of two unfinished bodies is refused: Timeout").

Change: the buffer grows by steps that are reserved before; without room the request is refused with 503, which is true, as it has not been sent.

Why it works: what is reserved is the capacity of the buffer. A refusal frees memory for the others, and a body that would fit alone gets through.

--- a/crates/foxtide-gateway/src/front/receive.rs
+++ b/crates/foxtide-gateway/src/front/receive.rs
@@ -6,12 +6,15 @@
 };
 use crate::outcome::Refusal;
 use foxtide_core::routing::CallerLimits;
+use foxtide_core::units::ByteSize;
 use foxtide_http::{
     BodyLength,
+    BodyReader,
     BufferedStream,
     ForwardedRequest,
     HeadError,
     MessageError,
+    Progress,
     read_body,
     read_head, //
 };
@@ -28,6 +31,14 @@
 /// Retry-After if there is no memory for a body.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// The most that one read adds to a body of unknown length.
+const READ_MAX_BYTES: usize = 8 * 1_024;
+
+/// The growth of the buffer of a body of unknown length: a fraction of the body, or at least this
+/// much.
+const GROWTH_MIN_BYTES: usize = 16 * 1_024;
+const GROWTH_DIVISOR: usize = 4;
+
 /// Why no request was received.
 #[derive(Debug)]
 pub(super) enum ReceiveError {
@@ -46,8 +57,7 @@
     stream: &mut BufferedStream,
     limits: &CallerLimits,
 ) -> Result<ForwardedRequest, ReceiveError> {
-    let limit_bytes = usize::try_from(limits.head.get()).unwrap_or(usize::MAX);
-    let reading = read_head(stream, limit_bytes);
+    let reading = read_head(stream, limit_bytes(limits.head));
     let read = with_timeout(limits.head_time, reading).await?;
     let Some(bytes) = read.map_err(receive_error)? else {
         return Err(ReceiveError::Disconnected);
@@ -55,7 +65,8 @@
     ForwardedRequest::parse(&bytes).map_err(bad_head)
 }
 
-/// Reads the body that belongs to a head, and reserves its memory.
+/// Reads the body that belongs to a head, and reserves its memory: before it arrives if its length
+/// is stated, else as it arrives.
 ///
 /// # Errors
 ///
@@ -66,45 +77,78 @@
     limits: &CallerLimits,
     memory: &BodyMemory,
 ) -> Result<(Vec<u8>, BodyReservation), ReceiveError> {
-    let stated_bytes = match head.length {
-        BodyLength::Fixed { size_bytes } if size_bytes <= limits.body.get() => size_bytes,
-        _ => 0,
+    let size_bytes = match head.length {
+        BodyLength::None => return Ok((Vec::new(), reserve(memory, 0)?)),
+        BodyLength::Fixed { size_bytes } => size_bytes,
+        BodyLength::Chunked | BodyLength::UntilClose => {
+            invite_body(stream, head).await?;
+            let reading = read_growing(stream, head.length, limits, memory);
+            return with_timeout(BODY_TIMEOUT, reading).await?;
+        }
     };
-    let reserved = reserve(memory, stated_bytes)?;
-    let body = read_whole(stream, head, limits).await?;
-    if body.len() as u64 == stated_bytes {
-        return Ok((body, reserved));
+    if size_bytes > limits.body.get() {
+        return Err(ReceiveError::Refused(Refusal::BodyTooLong));
     }
-    // The size of a chunked body is known only now.
-    let reserved = reserve(memory, body.len() as u64)?;
-    Ok((body, reserved))
+    let reserved = reserve(memory, size_bytes)?;
+    invite_body(stream, head).await?;
+    let reading = read_body(stream, head.length, limit_bytes(limits.body));
+    let read = with_timeout(BODY_TIMEOUT, reading).await?;
+    Ok((read.map_err(receive_error)?, reserved))
 }
 
-fn reserve(memory: &BodyMemory, size_bytes: u64) -> Result<BodyReservation, ReceiveError> {
-    let retry_after = MEMORY_RETRY_AFTER;
-    let refused = ReceiveError::Refused(Refusal::NotRun { retry_after });
-    memory.try_reserve(size_bytes).ok_or(refused)
+/// Reads a body of unknown length. Its buffer grows by steps, each of which is reserved before.
+async fn read_growing(
+    stream: &mut BufferedStream,
+    length: BodyLength,
+    limits: &CallerLimits,
+    memory: &BodyMemory,
+) -> Result<(Vec<u8>, BodyReservation), ReceiveError> {
+    let mut reader = BodyReader::new(length).map_err(receive_error)?;
+    let mut reserved = reserve(memory, 0)?;
+    let mut body = Vec::new();
+    let mut progress = Progress::More;
+    while progress == Progress::More {
+        let free_bytes = body.capacity() - body.len();
+        if free_bytes < READ_MAX_BYTES {
+            let step_bytes = GROWTH_MIN_BYTES.max(body.len() / GROWTH_DIVISOR);
+            if !reserved.try_grow(step_bytes as u64) {
+                return Err(no_memory());
+            }
+            body.reserve_exact(free_bytes + step_bytes);
+        }
+        let read = reader.read_some(stream, &mut body).await;
+        progress = read.map_err(receive_error)?;
+        if body.len() > limit_bytes(limits.body) {
+            return Err(ReceiveError::Refused(Refusal::BodyTooLong));
+        }
+    }
+    body.shrink_to_fit();
+    reserved.shrink_to(body.len() as u64);
+    Ok((body, reserved))
 }
 
-async fn read_whole(
+/// Tells a caller that waits for it to send the body (RFC 9110, section 10.1.1).
+async fn invite_body(
     stream: &mut BufferedStream,
     head: &ForwardedRequest,
-    limits: &CallerLimits,
-) -> Result<Vec<u8>, ReceiveError> {
-    let limit_bytes = usize::try_from(limits.body.get()).unwrap_or(usize::MAX);
-    if head.length == BodyLength::None {
-        return Ok(Vec::new());
-    }
-    if matches!(head.length, BodyLength::Fixed { size_bytes } if size_bytes > limits.body.get()) {
-        return Err(ReceiveError::Refused(Refusal::BodyTooLong));
-    }
+) -> Result<(), ReceiveError> {
     if head.expects_continue && stream.write_all(CONTINUE).await.is_err() {
         return Err(ReceiveError::Disconnected);
     }
-    let reading = read_body(stream, head.length, limit_bytes);
-    with_timeout(BODY_TIMEOUT, reading)
-        .await?
-        .map_err(receive_error)
+    Ok(())
+}
+
+fn reserve(memory: &BodyMemory, size_bytes: u64) -> Result<BodyReservation, ReceiveError> {
+    memory.try_reserve(size_bytes).ok_or_else(no_memory)
+}
+
+fn no_memory() -> ReceiveError {
+    let retry_after = MEMORY_RETRY_AFTER;
+    ReceiveError::Refused(Refusal::NotRun { retry_after })
+}
+
+fn limit_bytes(limit: ByteSize) -> usize {
+    usize::try_from(limit.get()).unwrap_or(usize::MAX)
 }
 
 async fn with_timeout<T>(
--- a/crates/foxtide-gateway/src/gateway.rs
+++ b/crates/foxtide-gateway/src/gateway.rs
@@ -253,6 +253,8 @@
         shared.quotas.prune(now);
         shared.poison.prune(now);
         shared.copies.prune(now);
+        let body_memory = shared.body_memory.used();
+        metrics::gauge!("foxtide_body_memory_bytes").set(body_memory.get() as f64);
     }
 }
 
--- a/crates/foxtide-gateway/tests/gateway/forwarding.rs
+++ b/crates/foxtide-gateway/tests/gateway/forwarding.rs
@@ -14,6 +14,7 @@
 };
 use foxtide_core::time::WallTime;
 use foxtide_gateway::Fact;
+use std::sync::mpsc::channel;
 use std::time::Duration;
 
 fn fleet_of_one() -> (Fleet, FakeUpstream) {
@@ -388,6 +389,31 @@
     }
 }
 
+/// Guards against chunked bodies that together exceed the memory of the process while they arrive.
+#[test]
+fn verify_chunked_bodies_take_a_bounded_part_of_the_memory() {
+    let (fleet, _upstream) = fleet_of_one();
+    let instance = fleet.instance("edge-1", "khomas-a");
+    let chunked = "POST /once/ HTTP/1.1\r\nhost: a.example\r\nrequest: r-1\r\n\
+                   transfer-encoding: chunked\r\n\r\n";
+    // The memory is 1 MiB.
+    let chunk = format!("96000\r\n{}", "x".repeat(0x9_6000));
+    let (answered, answers) = channel();
+    for _ in 0..2 {
+        let mut caller = Caller::connect(instance.address());
+        caller.send(&format!("{chunked}{chunk}"));
+        let answered = answered.clone();
+        std::thread::spawn(move || answered.send(caller.read()));
+    }
+    let refused = answers.recv_timeout(Duration::from_secs(10));
+    let response = refused.expect("one of two unfinished bodies is refused");
+    assert_eq!(response.head.status, 503);
+    assert!(response.head.lines.get("retry-after").is_some());
+    let mut small = Caller::connect(instance.address());
+    small.send(&format!("{chunked}3\r\nabc\r\n0\r\n\r\n"));
+    assert_eq!(small.read().head.status, 200);
+}
+
 #[test]
 fn verify_requests_of_a_route_without_affinity_are_spread() {
     let (fleet, one, two) = fleet_of_two();
