Answer look-ups and readiness checks at their own addresses alone

What callers saw: a request on a route whose paths are also those of look-ups or readiness checks got an answer of the instance in place of the upstream's (told by the review, reproduced by the test).

Cause: these paths were answered on every connection, whatever address had accepted it.

Change: a connection knows the address that accepted it; the paths are answered where the settings state the address for them. Where several are the same, as in most tests, nothing changes.

Measured: verify_look_ups_and_readiness_checks_are_answered_at_their_addresses_alone fails before (an empty answer in place of the upstream's) and passes now; the tests of the gateway's forwarding and of platform/ pass.

--- a/crates/foxtide-gateway/src/front/connection.rs
+++ b/crates/foxtide-gateway/src/front/connection.rs
@@ -45,6 +45,7 @@
     Sender,
     bounded, //
 };
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{
     Duration,
@@ -78,13 +79,18 @@
     Close,
 }
 
-/// Serves a connection until it closes.
-pub(crate) async fn serve_connection<D: Dialect>(shared: Arc<Shared<D>>, stream: BufferedStream) {
+/// Serves a connection that was accepted at an address of the instance until it closes.
+pub(crate) async fn serve_connection<D: Dialect>(
+    shared: Arc<Shared<D>>,
+    stream: BufferedStream,
+    accepted_at: SocketAddr,
+) {
     let _open = shared.lifecycle.open_connection();
     let is_from_instance = is_from_instance(&shared, &stream);
     let mut connection = Connection {
         shared: &shared,
         stream,
+        accepted_at,
         is_new: true,
         is_from_instance,
     };
@@ -98,6 +104,8 @@
 struct Connection<'a, D> {
     shared: &'a Arc<Shared<D>>,
     stream: BufferedStream,
+    /// The address of the instance that accepted it.
+    accepted_at: SocketAddr,
     /// Whether no request has arrived on it yet.
     is_new: bool,
     /// Whether it comes from the machine of another instance.
@@ -165,7 +173,7 @@
             Ok(head) => head,
             Err(reason) => return self.reject(reason).await,
         };
-        if let Some(reply) = answer_locally(self.shared, &head) {
+        if let Some(reply) = answer_locally(self.shared, self.accepted_at, &head) {
             return self.send(&reply, head.close).await;
         }
         // Anyone may write the line; only the word of other instances counts.
--- a/crates/foxtide-gateway/src/front/local.rs
+++ b/crates/foxtide-gateway/src/front/local.rs
@@ -4,16 +4,22 @@
 use crate::directory;
 use crate::shared::Shared;
 use foxtide_http::ForwardedRequest;
+use std::net::SocketAddr;
 
-/// Answers a look-up or a readiness check; `None` for other requests.
+/// Answers a look-up or a readiness check at its address; `None` for other requests. Elsewhere the
+/// same path may be a route's.
 pub(super) fn answer_locally<D: Dialect>(
     shared: &Shared<D>,
+    accepted_at: SocketAddr,
     head: &ForwardedRequest,
 ) -> Option<Vec<u8>> {
-    let dialect = &shared.dialect;
-    if dialect.is_readiness_check(head) {
+    let (dialect, addresses) = (&shared.dialect, &shared.addresses);
+    if accepted_at == addresses.readiness && dialect.is_readiness_check(head) {
         return Some(local_response(shared.is_ready(), b""));
     }
+    if accepted_at != addresses.directory {
+        return None;
+    }
     let lookup = dialect.lookup(head)?;
     metrics::counter!("foxtide_lookups_total").increment(1);
     let body = directory::answer(shared, &lookup);
--- a/crates/foxtide-gateway/src/listener.rs
+++ b/crates/foxtide-gateway/src/listener.rs
@@ -68,7 +68,7 @@
         match listener.socket.accept().await {
             Ok((socket, _)) => {
                 let stream = BufferedStream::new(socket);
-                let serving = serve_connection(Arc::clone(&shared), stream);
+                let serving = serve_connection(Arc::clone(&shared), stream, listener.address);
                 shared.executor.spawn(serving).detach();
             }
             Err(error) => {
--- a/crates/foxtide-gateway/tests/gateway/forwarding.rs
+++ b/crates/foxtide-gateway/tests/gateway/forwarding.rs
@@ -12,6 +12,7 @@
     Registration,
     UpstreamState, //
 };
+use foxtide_core::routing::Route;
 use foxtide_core::time::WallTime;
 use foxtide_gateway::Fact;
 use std::sync::mpsc::channel;
@@ -372,6 +373,36 @@
     assert_eq!(third.read().head.status, 200);
 }
 
+/// Guards against answering a caller in place of the upstream of its route, where the route's paths
+/// are also those of look-ups and readiness checks.
+#[test]
+fn verify_look_ups_and_readiness_checks_are_answered_at_their_addresses_alone() {
+    let (fleet, upstream) = fleet_of_one();
+    let everything = Route {
+        path_prefix: "/".to_owned(),
+        ..route("everything", true)
+    };
+    fleet.configure(2, vec![everything]);
+    let instance = fleet.instance_with("edge-1", "khomas-a", |options| {
+        options.addresses.readiness = "127.0.0.2:0".parse().unwrap();
+        options.addresses.directory = "127.0.0.3:0".parse().unwrap();
+    });
+    let gateway = instance.gateway();
+    let own = [
+        (gateway.readiness_address(), "/ready"),
+        (gateway.directory_address(), "/lookup?region=khomas"),
+    ];
+    for (address, path) in own {
+        assert_eq!(Caller::connect(address).get(path, "").head.status, 200);
+        assert!(upstream.seen().is_empty());
+    }
+    for (number, (_, path)) in own.into_iter().enumerate() {
+        let response = instance.get(path, &format!("request: r-{number}\r\n"));
+        assert_eq!(response.body, b"fine", "{path}");
+        assert_eq!(upstream.seen().len(), number + 1);
+    }
+}
+
 /// Guards against a panic, which ends the connection of a caller, by a number that an upstream states.
 #[test]
 fn verify_an_extreme_idle_timeout_ends_no_callers_connection() {
@@ -418,7 +449,7 @@
 fn verify_requests_of_a_route_without_affinity_are_spread() {
     let (fleet, one, two) = fleet_of_two();
     let instance = fleet.instance("edge-1", "khomas-a");
-    let spread = foxtide_core::routing::Route {
+    let spread = Route {
         has_affinity: false,
         ..route("spread", true)
     };
