Take the timeout of a route as a clock time in the check of a stop

Cause: the change of the stop adds the timeout to an instant, which panics for a timeout that the configuration allows and no instant can hold; before it only compared durations.

Change: the clock's time is used, which saturates.

Measured: verify_an_extreme_timeout_of_a_route_ends_no_callers_connection fails before with "overflow when adding duration to instant" and passes now.

--- a/crates/foxtide-gateway/src/front/connection.rs
+++ b/crates/foxtide-gateway/src/front/connection.rs
@@ -292,7 +292,8 @@
             caller,
             version: routes.version(),
         };
-        let latest_deadline = Instant::now() + route_match.route.timeout;
+        let clock = &self.shared.clock;
+        let latest_deadline = clock.instant(clock.now() + route_match.route.timeout);
         if !self.shared.lifecycle.may_send(latest_deadline) {
             let retry_after = STOP_RETRY_AFTER;
             let trace = RequestTrace::new(request.id(), STOPPING_REASON);
--- a/crates/foxtide-gateway/tests/gateway/forwarding.rs
+++ b/crates/foxtide-gateway/tests/gateway/forwarding.rs
@@ -420,6 +420,31 @@
     }
 }
 
+/// Guards against a panic, which ends the connection of a caller, by a timeout that overflows a time.
+#[test]
+fn verify_an_extreme_timeout_of_a_route_ends_no_callers_connection() {
+    let (fleet, _upstream) = fleet_of_one();
+    let instance = fleet.instance("edge-1", "khomas-a");
+    for (number, timeout) in [Duration::from_secs(u64::MAX), Duration::MAX]
+        .into_iter()
+        .enumerate()
+    {
+        let name = format!("patient-{number}");
+        let patient = Route {
+            timeout,
+            latency_objective: timeout,
+            ..route(&name, true)
+        };
+        fleet.configure(number as u64 + 2, vec![patient]);
+        let path = format!("/{name}/");
+        eventually("the route is served", || {
+            let mut caller = Caller::connect(instance.address());
+            let response = caller.try_get(&path, "request: r-1\r\n");
+            response.expect("an answer").head.status == 200
+        });
+    }
+}
+
 /// Guards against chunked bodies that together exceed the memory of the process while they arrive.
 #[test]
 fn verify_chunked_bodies_take_a_bounded_part_of_the_memory() {
