Log that a request is with another instance from its first pass on

Cause: F5031 of a request that is passed on before its first attempt had the step "entry". Change: its step is "passed_on" while it is. Measured: clippy and the tests of the gateway pass.

--- a/crates/foxtide-gateway/src/forward/attempt.rs
+++ b/crates/foxtide-gateway/src/forward/attempt.rs
@@ -59,6 +59,7 @@
     pub(super) load: Option<LoadReport>,
     /// Whether the upstream process ended while it worked on the request.
     pub(super) has_ended: bool,
+    /// The connection that it used.
     pub(super) connection: ConnectionUse,
 }
 
--- a/crates/foxtide-gateway/src/forward/entry.rs
+++ b/crates/foxtide-gateway/src/forward/entry.rs
@@ -20,7 +20,8 @@
 use crate::outcome::{
     Refusal,
     Reply,
-    RequestTrace, //
+    RequestTrace,
+    Step, //
 };
 use crate::poison::{
     self,
@@ -76,6 +77,7 @@
             failure: None,
             is_counted: false,
         };
+        trace.step = Step::PassedOn;
         if let Some(reply) = pass_on.run(&mut trace).await {
             return (reply, trace);
         }
