Log what became of each send of a request that failed

Cause: F5031 told the status and the reason of a failed request, and F5032 that an upstream "said so", but neither from which status a rejection was read nor what became of the sends that got a response. A promise given from an upstream's own error could not be told from the instance's own.

No decision changes.

--- a/crates/foxtide-core/src/lib.rs
+++ b/crates/foxtide-core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod dissemination;
 pub mod errors;
 pub mod events;
+pub mod execution;
 pub mod explain;
 pub mod idempotency;
 pub mod ids;
--- a/crates/foxtide-gateway/src/forward/attempt.rs
+++ b/crates/foxtide-gateway/src/forward/attempt.rs
@@ -337,6 +337,7 @@
     if headers.is_not_run {
         let is_other_incarnation = headers.is_other_incarnation;
         let end = AttemptEnd::NotRun {
+            status: response.head.status,
             is_other_incarnation,
         };
         return (end, AttemptResult::Full);
--- a/crates/foxtide-gateway/src/forward/attempt_loop.rs
+++ b/crates/foxtide-gateway/src/forward/attempt_loop.rs
@@ -313,6 +313,7 @@
             AttemptEnd::Responded(response) => self.responded(response),
             AttemptEnd::NotRun {
                 is_other_incarnation,
+                ..
             } => {
                 self.sent_attempts += 1;
                 if is_other_incarnation {
@@ -347,7 +348,8 @@
         let is_refused = matches!(
             end,
             AttemptEnd::NotRun {
-                is_other_incarnation: false
+                is_other_incarnation: false,
+                ..
             }
         );
         is_refused && self.trace.slot == SlotAnswer::Granted
--- a/crates/foxtide-gateway/src/forward/hedge.rs
+++ b/crates/foxtide-gateway/src/forward/hedge.rs
@@ -19,6 +19,7 @@
 };
 use crate::state::Pick;
 use foxtide_core::admission::Patience;
+use foxtide_core::execution::SendId;
 use foxtide_core::placement::AttemptResult;
 use foxtide_core::retry::{
     HedgeClass,
@@ -46,6 +47,7 @@
 /// An attempt in progress.
 struct RunningAttempt {
     pick: Pick,
+    send: SendId,
     /// The class of its latency; `None` if hedging is disabled.
     class: Option<HedgeClass>,
     began_at: Instant,
@@ -202,17 +204,19 @@
             && self.keeps_to_homes(pick, picked_version)
     }
 
-    fn begin(&self, pick: Pick) -> RunningAttempt {
+    fn begin(&mut self, pick: Pick) -> RunningAttempt {
         let upstream = &pick.registration.upstream;
         let hedging = &self.shared.hedging;
         RunningAttempt {
             class: hedging.class(self.route.kind(), upstream, self.object),
+            send: self.trace.sends.begin(upstream.as_str()),
             pick,
             began_at: Instant::now(),
         }
     }
 
-    fn end(&self, attempt: RunningAttempt, report: AttemptReport) -> EndedAttempt {
+    fn end(&mut self, attempt: RunningAttempt, report: AttemptReport) -> EndedAttempt {
+        self.trace.sends.end(attempt.send, report.end.send_end());
         let hedging = &self.shared.hedging;
         if let (Some(class), AttemptResult::Answered { latency }) = (attempt.class, report.result) {
             hedging.record(class, latency);
@@ -225,10 +229,16 @@
 
     /// Records an attempt that failed while the other one runs, which decides on the reply.
     fn record_failure_beside(&mut self, attempt: RunningAttempt, report: AttemptReport) {
-        let RunningAttempt { pick, began_at, .. } = attempt;
+        let RunningAttempt {
+            pick,
+            send,
+            began_at,
+            ..
+        } = attempt;
         let AttemptReport {
             end, connection, ..
         } = report;
+        self.trace.sends.end(send, end.send_end());
         self.trace.connection = connection;
         let journal = &self.shared.journal;
         journal.attempt_failed(&self.trace, &pick, &end, began_at.elapsed());
@@ -256,6 +266,7 @@
             }
             AttemptEnd::NotRun {
                 is_other_incarnation: true,
+                ..
             } => {
                 let mut state = self.shared.state.lock();
                 state.discard_reused_address(&pick.registration);
--- a/crates/foxtide-gateway/src/forward/pass_on.rs
+++ b/crates/foxtide-gateway/src/forward/pass_on.rs
@@ -23,6 +23,7 @@
     RequestTrace, //
 };
 use crate::shared::Shared;
+use foxtide_core::execution::SendEnd;
 use foxtide_core::registry::Member;
 use foxtide_core::routing::Route;
 use foxtide_http::{
@@ -112,7 +113,9 @@
                 let refused = Refusal::NotRun { retry_after }.into();
                 return Some(self.failure.unwrap_or(refused));
             }
+            let send = trace.sends.begin(neighbour.instance.as_str());
             let exchanged = self.exchange(&neighbour).await;
+            trace.sends.end(send, send_end(&exchanged));
             trace.passed_to = neighbour.instance.to_string();
             let end = match &exchanged {
                 Ok(_) => "replied",
@@ -269,6 +272,19 @@
     }
 }
 
+/// Returns what the end of an exchange tells about the execution of the request.
+fn send_end(exchanged: &Result<WholeResponse, ExchangeError>) -> SendEnd {
+    match exchanged {
+        Ok(response) if NOT_RUN_STATUSES.contains(&response.head.status) => SendEnd::Rejected,
+        Ok(response) => SendEnd::Responded {
+            status: response.head.status,
+        },
+        Err(ExchangeError::NotSent) => SendEnd::NotSent,
+        Err(ExchangeError::Declined) => SendEnd::Rejected,
+        Err(ExchangeError::Unknown | ExchangeError::TimedOut) => SendEnd::Lost,
+    }
+}
+
 /// Writes a request and reads the response. The other instance may respond, and close, before it
 /// has read the whole request.
 async fn exchange(
--- a/crates/foxtide-gateway/src/journal/requests.rs
+++ b/crates/foxtide-gateway/src/journal/requests.rs
@@ -136,6 +136,7 @@
                 latency_ms = latency_ms
             );
         } else {
+            let sends = trace.sends.to_string();
             log_event!(
                 EventCode::RequestFailed,
                 request = trace.request.as_str(),
@@ -143,6 +144,7 @@
                 source = source,
                 reason = trace.reason,
                 step = trace.step.as_str(),
+                sends = sends.as_str(),
                 route = trace.route.as_str(),
                 organisation = trace.organisation.as_str(),
                 is_idempotent = trace.is_idempotent,
@@ -196,9 +198,14 @@
         end: &AttemptEnd,
         took: Duration,
     ) {
+        // The status of the response; 0 for none.
+        let mut response_status = 0;
         let (outcome, cause) = match end {
             AttemptEnd::Responded(_) => return,
-            AttemptEnd::NotRun { .. } => ("not_run", "the upstream said so"),
+            AttemptEnd::NotRun { status, .. } => {
+                response_status = *status;
+                ("not_run", "the upstream said so")
+            }
             AttemptEnd::Withdrawn => ("not_sent", "the upstream wants no requests"),
             AttemptEnd::NotSent { cause } => ("not_sent", cause.as_str()),
             AttemptEnd::Unknown { cause } => ("unknown", cause.as_str()),
@@ -213,6 +220,7 @@
                 fingerprint = trace.fingerprint.as_str(),
                 service = trace.service.as_str(),
                 outcome = outcome,
+                status = response_status,
                 cause = cause,
                 upstream = pick.registration.upstream.as_str(),
                 zone = pick.registration.availability_zone.as_str(),
--- a/crates/foxtide-gateway/src/outcome/trace.rs
+++ b/crates/foxtide-gateway/src/outcome/trace.rs
@@ -7,6 +7,7 @@
 use crate::admission::SlotAnswer;
 use crate::state::Pick;
 use crate::upstream_connection::ConnectionUse;
+use foxtide_core::execution::SendLog;
 use foxtide_core::placement::Slowness;
 use std::time::Duration;
 
@@ -32,6 +33,8 @@
     /// The region of that upstream.
     pub(crate) region: String,
     pub(crate) attempts: u32,
+    /// Its sends to upstreams and to other instances.
+    pub(crate) sends: SendLog,
     /// The connection of the last attempt.
     pub(crate) connection: ConnectionUse,
     /// The instance to which the request was passed on last; empty for none.
--- a/crates/foxtidectl/src/commands/explain/request/cause.rs
+++ b/crates/foxtidectl/src/commands/explain/request/cause.rs
@@ -100,7 +100,8 @@
         "caller_too_slow" => "the caller took too long to send the request".to_owned(),
         other => format!("{other}; docs/OPERATIONS.md lists the reasons"),
     };
-    format!("status {status}: {reason}{}", outage_note(trace, end))
+    let (sends, outage) = (sends_note(end), outage_note(trace, end));
+    format!("status {status}: {reason}{sends}{outage}")
 }
 
 /// Describes an answered request, including delays, retries and a changed upstream.
@@ -159,6 +160,14 @@
     format!("; the instance used data of the store that was {age_s:.1} s old{since}")
 }
 
+/// Returns a note on what became of each send.
+fn sends_note(end: &LogLine) -> String {
+    match end.text("sends").as_str() {
+        "" | "-" => String::new(),
+        sends => format!("; its sends: {sends}"),
+    }
+}
+
 fn no_retry_note(end: &LogLine) -> &'static str {
     match end.boolean("is_idempotent") {
         Some(false) => "; it was not retried, since it must not run twice",
