Add failing tests of promises that a request has not run

A response with a status that callers take for a promise is delivered as it is, and the mark of a rejection is believed on any status.

Change: tests of both, of responses without an end, and of random responses of three upstreams, which also fail where a promise is withheld although each upstream rejected the request.

--- a/crates/foxtide-gateway/tests/gateway/main.rs
+++ b/crates/foxtide-gateway/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod organisations;
 mod poison;
 mod poison_isolation;
+mod promises;
 mod restored;
 mod small_region;
 mod stopping;
--- a/crates/foxtide-gateway/tests/gateway/support/upstream.rs
+++ b/crates/foxtide-gateway/tests/gateway/support/upstream.rs
@@ -45,6 +45,12 @@
     Cut,
     /// Responds without a signature.
     Unsigned,
+    /// Responds with this status, signed, and states that the request did not run.
+    Contradict(u16),
+    /// Closes the connection behind a proxy, which responds 503 in its place.
+    Hide,
+    /// Sends this, followed by the second text until the connection is closed.
+    Endless(&'static str, &'static str),
     /// Sends the response to another request, then the right one.
     Stray,
     /// Responds, and sends the same response again once the next request has arrived.
@@ -62,6 +68,15 @@
 impl Behaviour {
     /// Responds successfully at once.
     pub(crate) const SUCCESS: Self = Self::Respond(200, "fine", Duration::ZERO);
+
+    /// Tells whether a request runs.
+    fn runs(&self) -> bool {
+        match self {
+            Self::Full | Self::FullAfter(_) | Self::OtherIncarnation => false,
+            Self::Twice(twice) => twice.runs(),
+            _ => true,
+        }
+    }
 }
 
 /// A request that an upstream received.
@@ -86,6 +101,8 @@
     script: Mutex<VecDeque<Behaviour>>,
     default_behaviour: Mutex<Option<Behaviour>>,
     seen: Mutex<Vec<Seen>>,
+    /// The identities of the requests that ran.
+    runs: Mutex<Vec<String>>,
     connections: Mutex<usize>,
     ended: Event,
     cancelled: Mutex<usize>,
@@ -168,6 +185,12 @@
         self.shared.seen.lock().unwrap().clone()
     }
 
+    /// Returns how often a request ran.
+    pub(crate) fn runs(&self, request: &str) -> usize {
+        let runs = self.shared.runs.lock().unwrap();
+        runs.iter().filter(|run| *run == request).count()
+    }
+
     /// Returns the number of accepted connections.
     pub(crate) fn connections(&self) -> usize {
         *self.shared.connections.lock().unwrap()
@@ -230,6 +253,9 @@
         let mut behaviour = behaviour
             .or(default_behaviour)
             .unwrap_or(Behaviour::SUCCESS);
+        if behaviour.runs() {
+            shared.runs.lock().unwrap().push(request.clone());
+        }
         if let Some((request, behaviour)) = late_response.take() {
             respond(&shared, &mut stream, &request, behaviour).await;
         }
@@ -280,6 +306,24 @@
         Behaviour::OtherIncarnation => format!(
             "HTTP/1.1 421 x\r\nrequest: {request}\r\nother-incarnation: 1\r\ncontent-length: 0\r\n\r\n"
         ),
+        Behaviour::Contradict(status) => {
+            format!("HTTP/1.1 {status} x\r\n{signed}not-run: 1\r\ncontent-length: 4\r\n\r\nfine")
+        }
+        Behaviour::Hide => {
+            let text = "HTTP/1.1 503 x\r\ncontent-length: 0\r\n\r\n";
+            let _ = stream.write_all(text.as_bytes()).await;
+            return false;
+        }
+        Behaviour::Endless(begin, piece) => {
+            let begin = begin.replace("SIGNED", &signed);
+            let mut sent = stream.write_all(begin.as_bytes()).await;
+            while sent.is_ok() {
+                sent = stream.write_all(piece.as_bytes()).await;
+                smol::future::yield_now().await;
+            }
+            *shared.cancelled.lock().unwrap() += 1;
+            return false;
+        }
         Behaviour::Break => return false,
         Behaviour::End(delay) => {
             Timer::after(delay).await;
