Promise that a request has not run only if all its sends show it

What callers saw: a request that is not idempotent was answered 503, 429 or 408, which promise that it has not run, and had run once.

Cause: an upstream's response is delivered as it is, and an upstream's own error may bear a status that callers take for the promise. Whether a request may have run was concluded at each place that replies.

Change: every reply to a request that was matched to a route passes one place, which asks the log of its sends. A response that would promise what they do not show is replaced by 502 where the request is not idempotent, and logged (F5052); its own signature goes with it, as it belongs to another status. Callers of idempotent requests may repeat them after any failure and get the response unchanged. An instance's own refusal after a send that may have run fails debug builds.

Why it works: only a rejection that an upstream states itself, and a send of which no byte left, count as not run; all else withholds.

--- a/crates/foxtide-core/src/events/code.rs
+++ b/crates/foxtide-core/src/events/code.rs
@@ -210,6 +210,7 @@
     5049 UpstreamsCutOff "upstreams-cut-off" Warn "The instance can connect to no upstream; it passes requests on to other instances, and look-ups name it only where all are cut off."
     5050 UpstreamsReached "upstreams-reached" Info "The instance can connect to upstreams again; the field gives the time for which it could not."
     5051 RequestOpenAtEnd "request-open-at-end" Warn "The grace time of a planned stop ended while a request was open; `step` is what it waited for."
+    5052 PromiseWithheld "promise-withheld" Info "A reply would have promised that its request has not run, while `sends` shows that it may have; its caller got 502."
 
     6001 KeyReplayed "key-replayed" Info "A request with a known idempotency key got the stored response."
     6002 KeyInProgress "key-in-progress" Debug "A request was repeated while the first one with its idempotency key was running."
--- a/crates/foxtide-gateway/src/forward/entry.rs
+++ b/crates/foxtide-gateway/src/forward/entry.rs
@@ -6,6 +6,7 @@
 };
 use super::caller::CallerWatch;
 use super::pass_on::PassOn;
+use super::promise::keep_promise;
 use super::recheck::{
     NO_COMMON_HOME_REASON,
     QUARANTINED_REASON, //
@@ -45,6 +46,17 @@
     request: &CallerRequest,
     route_match: &RouteMatch,
     caller: &CallerWatch,
+) -> (Reply, RequestTrace) {
+    let (reply, trace) = forward_to_any(shared, request, route_match, caller).await;
+    (keep_promise(shared, reply, &trace), trace)
+}
+
+/// Forwards a request to an upstream, or to another instance.
+async fn forward_to_any<D: Dialect>(
+    shared: &Arc<Shared<D>>,
+    request: &CallerRequest,
+    route_match: &RouteMatch,
+    caller: &CallerWatch,
 ) -> (Reply, RequestTrace) {
     let route = &*route_match.route;
     let mut trace = RequestTrace::new(request.id(), "");
--- a/crates/foxtide-gateway/src/forward/mod.rs
+++ b/crates/foxtide-gateway/src/forward/mod.rs
@@ -10,6 +10,7 @@
 mod homes;
 mod pass_on;
 mod passed_on;
+mod promise;
 mod recheck;
 mod request;
 mod route_match;
--- a/crates/foxtide-gateway/src/forward/pass_on.rs
+++ b/crates/foxtide-gateway/src/forward/pass_on.rs
@@ -20,7 +20,8 @@
 use crate::outcome::{
     Refusal,
     Reply,
-    RequestTrace, //
+    RequestTrace,
+    is_promise, //
 };
 use crate::shared::Shared;
 use foxtide_core::execution::SendEnd;
@@ -49,9 +50,6 @@
 /// How long a reply is awaited past the deadline, when that of the other instance arrives.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(150);
 
-/// The statuses that promise that a request has not run and will not.
-const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
-
 /// Log reason of a request that no instance takes.
 const CUT_OFF_REASON: &str = "upstreams_cut_off";
 
@@ -127,7 +125,7 @@
             metrics::counter!("foxtide_requests_passed_on_total", "end" => end).increment(1);
             match exchanged {
                 Ok(response) => {
-                    let is_promise = NOT_RUN_STATUSES.contains(&response.head.status);
+                    let is_promise = is_promise(response.head.status);
                     if response.head.status >= 400 {
                         trace.reason = "failed_at_neighbour";
                     }
@@ -275,7 +273,7 @@
 /// Returns what the end of an exchange tells about the execution of the request.
 fn send_end(exchanged: &Result<WholeResponse, ExchangeError>) -> SendEnd {
     match exchanged {
-        Ok(response) if NOT_RUN_STATUSES.contains(&response.head.status) => SendEnd::Rejected,
+        Ok(response) if is_promise(response.head.status) => SendEnd::Rejected,
         Ok(response) => SendEnd::Responded {
             status: response.head.status,
         },
--- a/crates/foxtide-gateway/src/journal/requests.rs
+++ b/crates/foxtide-gateway/src/journal/requests.rs
@@ -88,10 +88,7 @@
     /// Logs and counts a request that has its reply.
     pub(crate) fn request_ended(&self, trace: &RequestTrace, reply: &Reply, latency: Duration) {
         let status = reply.status();
-        let source = match reply {
-            Reply::Response(_) => "upstream",
-            Reply::Refused(_) => "instance",
-        };
+        let source = reply.source();
         self.count_request(trace, status, source, latency);
         let latency_ms = latency.as_secs_f64() * 1_000.0;
         let slot_wait_ms = trace.slot_wait.as_millis() as u64;
@@ -168,6 +165,23 @@
         }
     }
 
+    /// Logs and counts a reply that is not delivered, as it promises that its request has not run
+    /// and a send may have run it.
+    pub(crate) fn promise_withheld(&self, trace: &RequestTrace, reply: &Reply) {
+        let (status, source) = (reply.status(), reply.source());
+        metrics::counter!("foxtide_promises_withheld_total", "source" => source).increment(1);
+        if self.may_log(LineKind::Step) {
+            let sends = trace.sends.to_string();
+            log_event!(
+                EventCode::PromiseWithheld,
+                request = trace.request.as_str(),
+                status = status,
+                source = source,
+                sends = sends.as_str()
+            );
+        }
+    }
+
     /// Logs and counts a request that is open when the grace time of a stop ends.
     pub(crate) fn request_open_at_end(&self, trace: &RequestTrace, age: Duration) {
         let step = trace.step.as_str();
--- a/crates/foxtide-gateway/src/outcome/mod.rs
+++ b/crates/foxtide-gateway/src/outcome/mod.rs
@@ -14,7 +14,8 @@
 };
 pub(crate) use reply::{
     Refusal,
-    Reply, //
+    Reply,
+    is_promise, //
 };
 pub(crate) use second_choice::SecondChoice;
 pub(crate) use step::Step;
--- a/crates/foxtide-gateway/src/outcome/reply.rs
+++ b/crates/foxtide-gateway/src/outcome/reply.rs
@@ -4,6 +4,14 @@
 use foxtide_http::WholeResponse;
 use std::time::Duration;
 
+/// The statuses that promise that a request has not run and will not.
+const PROMISING_STATUSES: [u16; 4] = [408, 421, 429, 503];
+
+/// Tells whether callers take a status for the promise that their request has not run and will not.
+pub(crate) fn is_promise(status: u16) -> bool {
+    PROMISING_STATUSES.contains(&status)
+}
+
 /// An error reply that the instance makes itself (RFC 9110, section 15).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Refusal {
@@ -93,6 +101,19 @@
         }
     }
 
+    /// Tells whether it promises that its request has not run and will not.
+    pub(crate) fn is_promise(&self) -> bool {
+        is_promise(self.status())
+    }
+
+    /// Returns where it comes from, for logs and metrics.
+    pub(crate) fn source(&self) -> &'static str {
+        match self {
+            Self::Response(_) => "upstream",
+            Self::Refused(_) => "instance",
+        }
+    }
+
     /// Returns the size of the body.
     pub(crate) fn body_size(&self) -> ByteSize {
         match self {
