Take a response for a rejection only with the status of one

What callers saw: a request that is not idempotent ran twice, or was refused as not run and had run, where a response both showed its run and stated that it had not run.

Cause: the statement was believed on any status. A success or an upstream's own 500 then counted as not run, and the request was sent again.

Change: only a client error or 503 rejects. With any other status the statement is logged as unreadable (F5042) and the response is treated as if it were not there: a signed success is delivered, an error too, and an unsigned success may have run.

Why it works: what rejects has one of these statuses by the protocol, and a contradiction leaves the request as one that may have run.

--- a/crates/foxtide-gateway/src/forward/attempt.rs
+++ b/crates/foxtide-gateway/src/forward/attempt.rs
@@ -147,14 +147,7 @@
     let report = match exchanged {
         Some(Ok((response, headers))) => {
             let latency = started.elapsed();
-            evaluate_response(
-                shared,
-                registration,
-                connection,
-                response,
-                &headers,
-                latency,
-            )
+            evaluate_response(&observer, connection, response, &headers, latency)
         }
         Some(Err(error)) if shared.lifecycle.is_ending() => AttemptReport {
             result: AttemptResult::Abandoned,
@@ -303,13 +296,18 @@
 
 /// Classifies a whole response and returns a reusable connection to the pool.
 fn evaluate_response<D: Dialect>(
-    shared: &Shared<D>,
-    registration: &Registration,
+    observer: &ResponseObserver<'_, D>,
     connection: UpstreamConnection,
     response: WholeResponse,
     headers: &UpstreamHeaders,
     latency: Duration,
 ) -> AttemptReport {
+    let ResponseObserver {
+        shared,
+        request,
+        registration,
+        ..
+    } = *observer;
     if response.keeps_connection() && connection.stream.buffered().is_empty() {
         let keep_alive = response.head.keep_alive;
         let connections_max = shared
@@ -321,6 +319,11 @@
             .pool
             .put(registration, connection, keep_alive, connections_max, now);
     }
+    if headers.is_not_run && !is_rejection(&response, headers) {
+        let upstream = &registration.upstream;
+        let journal = &shared.journal;
+        journal.statement_unreadable(request.id(), upstream, "not_run");
+    }
     let (end, result) = classify_response(response, headers, latency);
     AttemptReport {
         // Another incarnation speaks for itself only.
@@ -329,12 +332,20 @@
     }
 }
 
+/// Tells whether a response states that the upstream has rejected the request.
+///
+/// Upstreams reject with a client error or 503 (RFC 9110, sections 15.5 and 15.6.4). Any other
+/// status contradicts the statement, so that the request may have run.
+fn is_rejection(response: &WholeResponse, headers: &UpstreamHeaders) -> bool {
+    headers.is_not_run && matches!(response.head.status, 400..500 | 503)
+}
+
 fn classify_response(
     response: WholeResponse,
     headers: &UpstreamHeaders,
     latency: Duration,
 ) -> (AttemptEnd, AttemptResult) {
-    if headers.is_not_run {
+    if is_rejection(&response, headers) {
         let is_other_incarnation = headers.is_other_incarnation;
         let end = AttemptEnd::NotRun {
             status: response.head.status,
