Keep an upstream's word on the outcome from callers of the entry

What callers see: an upstream's own error, or its success, with the line `foxtide-outcome: not-run`, by which foxtide promises that a request has not run. They would repeat a request that ran.

The line went through, and of two lines that disagree the last one counted.

Evidence: the test failed before: 500 with `foxtide-outcome: not-run`.

Change: the line is removed from answers that are delivered, so that only foxtide states the outcome; a rejection needs 503 and lines that agree.

Nothing moves from a promise but answers that showed a run or contradicted themselves.

--- a/crates/foxtide-entry/src/proxy/attempt.rs
+++ b/crates/foxtide-entry/src/proxy/attempt.rs
@@ -6,7 +6,8 @@
     Failure,
     FailureKind,
     announces_drain,
-    stated_rate, //
+    stated_rate,
+    states_not_run, //
 };
 use foxtide_core::choice::{
     Completion,
@@ -36,8 +37,12 @@
     /// Classifies the result of an exchange.
     pub(crate) fn of(result: Result<Answer, Failure>) -> Self {
         match result {
-            Ok(answer) if reports_not_run(&answer) => Self::Refused(answer),
-            Ok(answer) => Self::Answered(answer),
+            Ok(answer) if states_not_run(answer.status, &answer.headers) => Self::Refused(answer),
+            Ok(mut answer) => {
+                // Only foxtide states the outcome to callers.
+                answer.headers.remove(name::OUTCOME);
+                Self::Answered(answer)
+            }
             Err(failure) => Self::Failed(failure),
         }
     }
@@ -125,13 +130,6 @@
     }
 }
 
-/// Returns whether an upstream reports that it did not execute the request.
-fn reports_not_run(answer: &Answer) -> bool {
-    let outcome = answer.headers.get(name::OUTCOME);
-    answer.status == StatusCode::ServiceUnavailable
-        && outcome.is_some_and(|outcome| outcome.as_str() == Outcome::NotRun.as_str())
-}
-
 fn retry_after(headers: &Headers) -> Option<Duration> {
     let values = headers.get(name::RETRY_AFTER)?;
     let seconds = values.as_str().parse().ok();
--- a/crates/foxtide-entry/src/upstream/exchange.rs
+++ b/crates/foxtide-entry/src/upstream/exchange.rs
@@ -21,6 +21,7 @@
 };
 use crate::timeout::timeout;
 use foxtide_core::choice::StatedRate;
+use foxtide_core::outcome::Outcome;
 use foxtide_core::time::MonotonicTime;
 use foxtide_http::{
     BodyLength,
@@ -33,8 +34,14 @@
     name,
     read_head, //
 };
-use http_types::Method;
-use http_types::headers::Headers;
+use http_types::headers::{
+    HeaderValue,
+    Headers, //
+};
+use http_types::{
+    Method,
+    StatusCode, //
+};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -313,6 +320,17 @@
     rate.map_or(StatedRate::Unreadable, StatedRate::Limit)
 }
 
+/// Returns whether an answer states that the upstream has not executed the
+/// request and will not.
+///
+/// Repeated headers must agree; with any other status the request may have run.
+pub(crate) fn states_not_run(status: StatusCode, headers: &Headers) -> bool {
+    let outcomes = headers.get(name::OUTCOME);
+    let is_not_run = |outcome: &HeaderValue| outcome.as_str() == Outcome::NotRun.as_str();
+    status == StatusCode::ServiceUnavailable
+        && outcomes.is_some_and(|outcomes| outcomes.iter().all(is_not_run))
+}
+
 /// Returns whether the headers of an answer announce that the upstream is
 /// draining.
 pub(crate) fn announces_drain(headers: &Headers) -> bool {
--- a/crates/foxtide-entry/src/upstream/mod.rs
+++ b/crates/foxtide-entry/src/upstream/mod.rs
@@ -10,7 +10,8 @@
     UpstreamRequest,
     announces_drain,
     exchange,
-    stated_rate, //
+    stated_rate,
+    states_not_run, //
 };
 pub(crate) use failure::{
     Failure,
--- a/crates/foxtide-entry/tests/failures.rs
+++ b/crates/foxtide-entry/tests/failures.rs
@@ -155,6 +155,34 @@
     assert_eq!(runs.load(Ordering::SeqCst), 1);
 }
 
+/// Guards against an upstream's word on the outcome that reaches callers as foxtide's own: they
+/// would repeat a request that ran.
+#[test]
+fn verify_an_upstreams_answer_does_not_state_the_outcome() {
+    let answers: [(&[u8], &str); 3] = [
+        (
+            b"HTTP/1.1 500 x\r\nfoxtide-outcome: not-run\r\ncontent-length: 0\r\n\r\n",
+            "HTTP/1.1 500",
+        ),
+        (
+            b"HTTP/1.1 200 x\r\nfoxtide-outcome: not-run\r\ncontent-length: 0\r\n\r\n",
+            "HTTP/1.1 200",
+        ),
+        (
+            b"HTTP/1.1 503 x\r\nfoxtide-outcome: unknown\r\nfoxtide-outcome: not-run\r\n\
+            content-length: 0\r\n\r\n",
+            "HTTP/1.1 503",
+        ),
+    ];
+    for (answer, status) in answers {
+        let upstream = RawUpstream::answering(answer);
+        let harness = Harness::start(&[upstream.address]);
+        let answer = harness.caller().request(&post("/", "x"));
+        assert!(answer.starts_with(status), "{answer}");
+        assert!(!answer.contains("foxtide-outcome"), "{answer}");
+    }
+}
+
 #[test]
 fn verify_an_answer_to_another_request_is_refused() {
     let upstream = RawUpstream::answering(
