Reuse no connection after a rejection without a request id

What callers see: a request that is not idempotent ran twice, or was refused as not run and ran, at an upstream that echoes no request ids and sends a rejection a second time, late.

Cause: the late second rejection passed for the answer to the next request on the connection. The mend of its identified form rests on the id, which such an upstream never sends.

Evidence: the test failed before: two requests ran three times.

Change: the entry closes a connection on which such a rejection came.

Why it works: a second rejection follows a first one on its connection, and nothing is awaited there any more. No promise is withheld for it.

Price: one new connection for each rejection by an upstream that echoes no ids; none for others.

--- a/crates/foxtide-entry/src/upstream/exchange.rs
+++ b/crates/foxtide-entry/src/upstream/exchange.rs
@@ -127,10 +127,19 @@
 }
 
 impl RawAnswer {
+    /// Returns whether this is a rejection without a request id. If it arrived
+    /// again on its connection, it would pass for that of the next request.
+    fn is_unidentified_rejection(&self) -> bool {
+        let headers = &self.head.head.headers;
+        states_not_run(self.head.status, headers) && headers.get(name::REQUEST_ID).is_none()
+    }
+
     fn into_answer(self, connection: UpstreamConnection, limits: &Limits) -> UpstreamAnswer {
         let length = self.head.head.length;
         // Bytes that arrive later are detected when the connection is reused.
-        let reusable = !self.head.head.close && connection.stream.buffered().is_empty();
+        let reusable = !self.head.head.close
+            && !self.is_unidentified_rejection()
+            && connection.stream.buffered().is_empty();
         let (body, connection) = match self.body {
             ReadBody::Whole(bytes) => (AnswerBody::Whole(bytes), reusable.then_some(connection)),
             ReadBody::Absent => {
--- a/crates/foxtide-entry/tests/failures.rs
+++ b/crates/foxtide-entry/tests/failures.rs
@@ -183,6 +183,37 @@
     }
 }
 
+/// Guards against running a non-idempotent request twice, or refusing one that ran: the late second
+/// rejection of an upstream that echoes no request ids passes for the answer to the next request.
+#[test]
+fn verify_a_late_second_rejection_without_an_id_reaches_no_other_request() {
+    const REJECTION: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nfoxtide-outcome: not-run\r\n\
+        content-length: 0\r\n\r\n";
+    let runs = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&runs);
+    let upstream = RawUpstream::start(move |mut stream, number| {
+        if number == 1 {
+            read_message(&mut stream);
+            stream.write_all(REJECTION).unwrap();
+        }
+        while read_message(&mut stream).is_some() {
+            counted.fetch_add(1, Ordering::SeqCst);
+            if number == 1 {
+                stream.write_all(REJECTION).unwrap();
+                return;
+            }
+            let close = b"HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 5\r\n\r\nhello";
+            stream.write_all(close).unwrap();
+        }
+    });
+    let harness = Harness::start(&[upstream.address]);
+    for requests in 1..=2 {
+        let answer = harness.caller().request(&post("/", "x"));
+        assert!(answer.ends_with("hello"), "{answer}");
+        assert_eq!(runs.load(Ordering::SeqCst), requests);
+    }
+}
+
 #[test]
 fn verify_an_answer_to_another_request_is_refused() {
     let upstream = RawUpstream::answering(
