Remember a rejected request for as long as its connection

What callers would see: a request that is not idempotent is refused as not run, or runs twice, where its retry waits while the connection of the rejected send carries more than 32 other requests, takes that connection and meets the late second rejection there. Found by reading; no run has shown it.

Cause: a connection remembers its last 32 identities, so that how long a promise holds rested on a bound of memory.

Change: identities that were rejected are remembered for good, and a connection that has seen 256 of them is closed. Both request paths.

Why it works: only a rejected request is sent again as one that has not run, and its identity is then never forgotten where its rejection may come again.

Price: 8 bytes for each rejection on a connection, 2 KiB at most; a new connection for each 256 rejections.

--- a/crates/foxtide-entry/src/upstream/exchange.rs
+++ b/crates/foxtide-entry/src/upstream/exchange.rs
@@ -108,6 +108,9 @@
     let answer = answer.unwrap_or(Err(FailureKind::TimedOut));
     let sent_bytes = connection.stream.sent_bytes() - before_bytes;
     let answer = answer.map_err(|kind| request.failure(sent_bytes, kind))?;
+    if states_not_run(answer.head.status, &answer.head.head.headers) {
+        connection.carried.record_rejected(request.request);
+    }
     Ok(answer.into_answer(connection, limits))
 }
 
@@ -139,6 +142,7 @@
         // Bytes that arrive later are detected when the connection is reused.
         let reusable = !self.head.head.close
             && !self.is_unidentified_rejection()
+            && !connection.carried.is_full()
             && connection.stream.buffered().is_empty();
         let (body, connection) = match self.body {
             ReadBody::Whole(bytes) => (AnswerBody::Whole(bytes), reusable.then_some(connection)),
--- a/crates/foxtide-gateway/src/forward/attempt.rs
+++ b/crates/foxtide-gateway/src/forward/attempt.rs
@@ -297,7 +297,7 @@
 /// Classifies a whole response and returns a reusable connection to the pool.
 fn evaluate_response<D: Dialect>(
     observer: &ResponseObserver<'_, D>,
-    connection: UpstreamConnection,
+    mut connection: UpstreamConnection,
     response: WholeResponse,
     headers: &UpstreamHeaders,
     latency: Duration,
@@ -308,7 +308,11 @@
         registration,
         ..
     } = *observer;
-    if response.keeps_connection() && connection.stream.buffered().is_empty() {
+    if is_rejection(&response, headers) {
+        connection.record_rejected(request.headers.request_id.as_deref());
+    }
+    let is_reusable = connection.is_reusable() && connection.stream.buffered().is_empty();
+    if response.keeps_connection() && is_reusable {
         let keep_alive = response.head.keep_alive;
         let connections_max = shared
             .state
--- a/crates/foxtide-gateway/src/upstream_connection.rs
+++ b/crates/foxtide-gateway/src/upstream_connection.rs
@@ -41,6 +41,18 @@
         request_id.is_none_or(|request_id| !self.carried.contains(request_id))
     }
 
+    /// Records that a request was rejected on it.
+    pub(crate) fn record_rejected(&mut self, request_id: Option<&str>) {
+        if let Some(request_id) = request_id {
+            self.carried.record_rejected(request_id);
+        }
+    }
+
+    /// Tells whether it may carry further requests after those that were rejected.
+    pub(crate) fn is_reusable(&self) -> bool {
+        !self.carried.is_full()
+    }
+
     /// Records that a request is sent on it.
     pub(crate) fn begin_request(&mut self, request_id: Option<&str>) -> ConnectionUse {
         self.requests += 1;
--- a/crates/foxtide-http/src/carried.rs
+++ b/crates/foxtide-http/src/carried.rs
@@ -7,10 +7,14 @@
     Hasher, //
 };
 
-/// Maximum number of requests that are remembered. A second response to a
-/// request arrives in place of one that follows, not many responses later.
+/// Maximum number of requests that are remembered unless they were rejected. A
+/// second response to a request arrives in place of one that follows, not many
+/// responses later.
 const REMEMBERED_MAX: usize = 32;
 
+/// Number of rejected requests after which a connection is not used again.
+const REJECTED_MAX: usize = 256;
+
 /// Identities of the latest requests on a connection.
 ///
 /// A response names its request by identity. On a connection that has carried
@@ -20,6 +24,9 @@
 pub struct CarriedRequests {
     /// Hashes of the identities, oldest first.
     hashes: VecDeque<u64>,
+    /// Hashes of the identities that were rejected. Their requests may be sent
+    /// again after any time, so that none of them is forgotten.
+    rejected: Vec<u64>,
 }
 
 impl CarriedRequests {
@@ -31,10 +38,22 @@
         self.hashes.push_back(hash(identity));
     }
 
+    /// Records that a request was rejected on the connection.
+    pub fn record_rejected(&mut self, identity: &str) {
+        self.rejected.push(hash(identity));
+    }
+
+    /// Returns whether the connection has carried as many rejected requests as
+    /// are remembered.
+    pub fn is_full(&self) -> bool {
+        self.rejected.len() >= REJECTED_MAX
+    }
+
     /// Returns whether the connection may have carried a request of this
     /// identity.
     pub fn contains(&self, identity: &str) -> bool {
-        self.hashes.contains(&hash(identity))
+        let hash = hash(identity);
+        self.hashes.contains(&hash) || self.rejected.contains(&hash)
     }
 }
 
