Believe no promise that an instance passes on from an upstream

What callers would see: 503 to a request that ran, during a rolling update, where an instance that reaches no upstream passes a request on to one of an earlier version, and the upstream there answers with a 503 of its own.

Evidence: the test failed before: 503 for 502.

Change: a signed response with such a status is an upstream's; the send to the other instance then counts as responded, not as rejected.

An instance's own refusal is still passed on, as the test shows.

--- a/crates/foxtide-gateway/src/forward/pass_on.rs
+++ b/crates/foxtide-gateway/src/forward/pass_on.rs
@@ -113,7 +113,7 @@
             }
             let send = trace.sends.begin(neighbour.instance.as_str());
             let exchanged = self.exchange(&neighbour).await;
-            trace.sends.end(send, send_end(&exchanged));
+            trace.sends.end(send, self.send_end(&exchanged));
             trace.passed_to = neighbour.instance.to_string();
             let end = match &exchanged {
                 Ok(_) => "replied",
@@ -237,6 +237,26 @@
         }
     }
 
+    /// Returns what the end of an exchange tells about the execution of the request.
+    fn send_end(&self, exchanged: &Result<WholeResponse, ExchangeError>) -> SendEnd {
+        match exchanged {
+            Ok(response) if self.is_refusal(response) => SendEnd::Rejected,
+            Ok(response) => SendEnd::Responded {
+                status: response.head.status,
+            },
+            Err(ExchangeError::NotSent) => SendEnd::NotSent,
+            Err(ExchangeError::Declined) => SendEnd::Rejected,
+            Err(ExchangeError::Unknown | ExchangeError::TimedOut) => SendEnd::Lost,
+        }
+    }
+
+    /// Tells whether a response is another instance's own promise that the request has not run. One
+    /// of an earlier version also passes an upstream's own error on, which is signed.
+    fn is_refusal(&self, response: &WholeResponse) -> bool {
+        let dialect = &self.shared.dialect;
+        is_promise(response.head.status) && !dialect.read_upstream_headers(&response.head).is_signed
+    }
+
     /// Encodes the request as its caller sent it, with the time that is left.
     fn encode(&self) -> Vec<u8> {
         let now = self.shared.clock.now();
@@ -270,19 +290,6 @@
     }
 }
 
-/// Returns what the end of an exchange tells about the execution of the request.
-fn send_end(exchanged: &Result<WholeResponse, ExchangeError>) -> SendEnd {
-    match exchanged {
-        Ok(response) if is_promise(response.head.status) => SendEnd::Rejected,
-        Ok(response) => SendEnd::Responded {
-            status: response.head.status,
-        },
-        Err(ExchangeError::NotSent) => SendEnd::NotSent,
-        Err(ExchangeError::Declined) => SendEnd::Rejected,
-        Err(ExchangeError::Unknown | ExchangeError::TimedOut) => SendEnd::Lost,
-    }
-}
-
 /// Writes a request and reads the response. The other instance may respond, and close, before it
 /// has read the whole request.
 async fn exchange(
--- a/crates/foxtide-gateway/tests/gateway/promises.rs
+++ b/crates/foxtide-gateway/tests/gateway/promises.rs
@@ -2,12 +2,16 @@
 
 use crate::support::{
     Behaviour,
+    Cut,
     FakeUpstream,
     Fleet,
     Instance,
-    eventually, //
+    eventually,
+    member, //
 };
 use fastrand::Rng;
+use foxtide_core::registry::Member;
+use foxtide_gateway::Fact;
 use std::time::Duration;
 
 /// The statuses that promise that a request has not run and will not.
@@ -82,6 +86,37 @@
     }
 }
 
+/// Guards against an upstream's own error that reaches the caller as a promise through another
+/// instance, of an earlier version, which delivers it unchanged.
+#[test]
+fn verify_an_instance_does_not_pass_on_a_promise_that_an_upstream_has_not_made() {
+    let fleet = Fleet::new();
+    let upstreams = ["i-1", "i-2", "i-3"].map(|name| fleet.upstream(name, "khomas-a"));
+    let all: Vec<&FakeUpstream> = upstreams.iter().collect();
+    let (instance, paths) = fleet.instance_behind_paths("edge-1", "khomas-a", &all);
+    let neighbour = FakeUpstream::start("edge-2", "erongo-a");
+    // It coordinates no upstream of the other region.
+    let joined = Member {
+        availability_zone: "erongo-a".parse().unwrap(),
+        region: "erongo".parse().unwrap(),
+        ..member("edge-2", neighbour.registration().address)
+    };
+    fleet.store.put("instance/edge-2", Fact::Joined(joined));
+    for path in &paths {
+        path.cut(Cut::Reset);
+    }
+    eventually("a request is served through the neighbour", || {
+        instance.get("/once/", "request: first\r\n").head.status == 200
+    });
+    neighbour.next(respond(503));
+    let response = instance.get("/once/", "request: r-1\r\n");
+    assert_eq!(neighbour.runs("r-1"), 1);
+    assert_eq!(response.head.status, 502);
+    neighbour.next(Behaviour::Full);
+    let response = instance.get("/once/", "request: r-2\r\n");
+    assert_eq!(response.head.status, 503, "the neighbour's own refusal");
+}
+
 /// Guards against responses without an end that are delivered as whole, taken for a rejection, or
 /// read for as long as the upstream sends.
 #[test]
--- a/crates/foxtide-gateway/tests/gateway/support/coordinator.rs
+++ b/crates/foxtide-gateway/tests/gateway/support/coordinator.rs
@@ -118,7 +118,8 @@
     }
 }
 
-fn member(name: &str, address: SocketAddr) -> Member {
+/// Returns an instance with one address for all, whose link is unknown.
+pub(crate) fn member(name: &str, address: SocketAddr) -> Member {
     Member {
         instance: name.parse().unwrap(),
         caller_address: address,
--- a/crates/foxtide-gateway/tests/gateway/support/mod.rs
+++ b/crates/foxtide-gateway/tests/gateway/support/mod.rs
@@ -12,7 +12,10 @@
     CallError,
     Caller, //
 };
-pub(crate) use coordinator::FakeCoordinator;
+pub(crate) use coordinator::{
+    FakeCoordinator,
+    member, //
+};
 pub(crate) use dialect::PlainDialect;
 pub(crate) use fleet::{
     Fleet,
