Bound the memory of responses that arrive

What callers would see: an instance that is killed for its memory, with all requests on it, where upstreams send bodies without an end.

Cause: a response may take 16 MiB, and no account counted what responses take together. Only request bodies had one.

Change: response bodies take their memory in steps, from an account of a sixth of the process's memory, as they arrive. Bodies of requests use the same reader and are still refused at once.

--- a/crates/foxtide-entry/src/serve/request.rs
+++ b/crates/foxtide-entry/src/serve/request.rs
@@ -110,6 +110,7 @@
     let (status, reason) = match error {
         MessageError::Io(_) => return ReceiveError::Disconnected,
         MessageError::Truncated => (StatusCode::BadRequest, "request-cut"),
+        MessageError::NoMemory => (StatusCode::ServiceUnavailable, "too-many-bodies"),
         MessageError::HeadTooLong => {
             let status = StatusCode::RequestHeaderFieldsTooLarge;
             (status, "head-too-long")
--- a/crates/foxtide-gateway/src/forward/attempt.rs
+++ b/crates/foxtide-gateway/src/forward/attempt.rs
@@ -145,7 +145,7 @@
     let exchanged = or(async { Some(exchanged.await) }, or(timed, ending)).await;
     let is_sent = connection.stream.sent_bytes() > sent_before;
     let report = match exchanged {
-        Some(Ok((response, headers))) => {
+        Some(Ok(Received { response, headers })) => {
             let latency = started.elapsed();
             evaluate_response(&observer, connection, response, &headers, latency)
         }
@@ -196,12 +196,18 @@
     Ok(shared.pool.open(stream))
 }
 
+/// The response to a request.
+struct Received {
+    response: WholeResponse,
+    headers: UpstreamHeaders,
+}
+
 /// Writes the request and reads the response that carries its identity.
 async fn exchange<D: Dialect>(
     observer: &ResponseObserver<'_, D>,
     stream: &mut BufferedStream,
     bytes: &[u8],
-) -> Result<(WholeResponse, UpstreamHeaders), MessageError> {
+) -> Result<Received, MessageError> {
     let ResponseObserver {
         shared, request, ..
     } = observer;
@@ -210,18 +216,21 @@
     // An upstream may respond and close before it has read the whole request.
     let written = stream.write_all(bytes).await;
     for _ in 0..STRAY_RESPONSES_MAX {
-        let read = read_response_observed(stream, method, RESPONSE_MAX_BYTES, observe).await;
-        let mut response = read.map_err(|error| match &written {
+        let mut memory = shared.response_memory.reservation();
+        let reading =
+            read_response_observed(stream, method, RESPONSE_MAX_BYTES, &mut memory, observe);
+        let mut response = reading.await.map_err(|error| match &written {
             Err(unwritten) => MessageError::Io(unwritten.kind().into()),
             Ok(()) => error,
         })?;
         response.head.close |= written.is_err();
         let headers = shared.dialect.read_upstream_headers(&response.head);
-        if headers.request_id.is_some() && headers.request_id == request.headers.request_id {
-            return Ok((response, headers));
-        }
-        if request.headers.request_id.is_none() && headers.is_not_run {
-            return Ok((response, headers));
+        let is_own = match &request.headers.request_id {
+            Some(_) => headers.request_id == request.headers.request_id,
+            None => headers.is_not_run,
+        };
+        if is_own {
+            return Ok(Received { response, headers });
         }
         let upstream = &observer.registration.upstream;
         shared.journal.stray_response(request.id(), upstream);
@@ -288,7 +297,12 @@
 fn failed_report(error: &MessageError, is_sent: bool) -> AttemptReport {
     let cause = error.to_string();
     if is_sent {
-        AttemptReport::new(AttemptEnd::Unknown { cause }, AttemptResult::Faulty)
+        let result = match error {
+            // The memory may be taken by the responses of other upstreams.
+            MessageError::NoMemory => AttemptResult::Abandoned,
+            _ => AttemptResult::Faulty,
+        };
+        AttemptReport::new(AttemptEnd::Unknown { cause }, result)
     } else {
         AttemptReport::new(AttemptEnd::NotSent { cause }, AttemptResult::Unreachable)
     }
--- a/crates/foxtide-gateway/src/forward/pass_on.rs
+++ b/crates/foxtide-gateway/src/forward/pass_on.rs
@@ -17,6 +17,7 @@
     STOP_RETRY_AFTER,
     STOPPING_REASON, //
 };
+use crate::memory::BodyReservation;
 use crate::outcome::{
     Refusal,
     Reply,
@@ -31,7 +32,7 @@
     BufferedStream,
     MessageError,
     WholeResponse,
-    read_response, //
+    read_response_observed, //
 };
 use futures_lite::future::or;
 use smol::Timer;
@@ -216,7 +217,8 @@
         let connected = connect(neighbour.caller_address, source, limit).await;
         let mut stream = connected.map_err(|_| ExchangeError::NotSent)?;
         let bytes = self.encode();
-        let exchanged = exchange(&mut stream, &self.request.head.method, &bytes);
+        let memory = self.shared.response_memory.reservation();
+        let exchanged = exchange(&mut stream, &self.request.head.method, &bytes, memory);
         let late = async {
             Timer::at(self.deadline + DEADLINE_MARGIN).await;
             None
@@ -296,10 +298,11 @@
     stream: &mut BufferedStream,
     method: &str,
     bytes: &[u8],
+    mut memory: BodyReservation,
 ) -> Result<WholeResponse, MessageError> {
     let written = stream.write_all(bytes).await;
-    let read = read_response(stream, method, RESPONSE_MAX_BYTES).await;
-    read.map_err(|error| match written {
+    let reading = read_response_observed(stream, method, RESPONSE_MAX_BYTES, &mut memory, |_| {});
+    reading.await.map_err(|error| match written {
         Err(unwritten) => MessageError::Io(unwritten),
         Ok(()) => error,
     })
--- a/crates/foxtide-gateway/src/front/receive.rs
+++ b/crates/foxtide-gateway/src/front/receive.rs
@@ -8,14 +8,14 @@
 use foxtide_core::routing::CallerLimits;
 use foxtide_core::units::ByteSize;
 use foxtide_http::{
+    BodyAllowance,
     BodyLength,
-    BodyReader,
     BufferedStream,
     ForwardedRequest,
     HeadError,
     MessageError,
-    Progress,
     read_body,
+    read_growing_body,
     read_head, //
 };
 use futures_lite::future::or;
@@ -31,14 +31,6 @@
 /// Retry-After if there is no memory for a body.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// The most that one read adds to a body of unknown length.
-const READ_MAX_BYTES: usize = 8 * 1_024;
-
-/// The growth of the buffer of a body of unknown length: a fraction of the body, or at least this
-/// much.
-const GROWTH_MIN_BYTES: usize = 16 * 1_024;
-const GROWTH_DIVISOR: usize = 4;
-
 /// Why no request was received.
 #[derive(Debug)]
 pub(super) enum ReceiveError {
@@ -96,37 +88,30 @@
     Ok((read.map_err(receive_error)?, reserved))
 }
 
-/// Reads a body of unknown length. Its buffer grows by steps, each of which is reserved before.
+/// Reads a body of unknown length, whose memory is reserved as it arrives.
 async fn read_growing(
     stream: &mut BufferedStream,
     length: BodyLength,
     limits: &CallerLimits,
     memory: &BodyMemory,
 ) -> Result<(Vec<u8>, BodyReservation), ReceiveError> {
-    let mut reader = BodyReader::new(length).map_err(receive_error)?;
-    let mut reserved = reserve(memory, 0)?;
-    let mut body = Vec::new();
-    let mut progress = Progress::More;
-    while progress == Progress::More {
-        let free_bytes = body.capacity() - body.len();
-        if free_bytes < READ_MAX_BYTES {
-            let step_bytes = GROWTH_MIN_BYTES.max(body.len() / GROWTH_DIVISOR);
-            if !reserved.try_grow(step_bytes as u64) {
-                return Err(no_memory());
-            }
-            body.reserve_exact(free_bytes + step_bytes);
-        }
-        let read = reader.read_some(stream, &mut body).await;
-        progress = read.map_err(receive_error)?;
-        if body.len() > limit_bytes(limits.body) {
-            return Err(ReceiveError::Refused(Refusal::BodyTooLong));
-        }
-    }
-    body.shrink_to_fit();
+    let mut reserved = memory.reservation();
+    let allowance = &mut AtOnce(&mut reserved);
+    let reading = read_growing_body(stream, length, limit_bytes(limits.body), allowance);
+    let body = reading.await.map_err(receive_error)?;
     reserved.shrink_to(body.len() as u64);
     Ok((body, reserved))
 }
 
+/// Grants the memory that is free: a request that cannot be received is refused at once.
+struct AtOnce<'a>(&'a mut BodyReservation);
+
+impl BodyAllowance for AtOnce<'_> {
+    async fn grow(&mut self, more_bytes: usize) -> bool {
+        self.0.try_grow(more_bytes as u64)
+    }
+}
+
 /// Tells a caller that waits for it to send the body (RFC 9110, section 10.1.1).
 async fn invite_body(
     stream: &mut BufferedStream,
@@ -167,6 +152,7 @@
         MessageError::Io(_) | MessageError::Truncated => ReceiveError::Disconnected,
         MessageError::HeadTooLong => ReceiveError::Refused(Refusal::HeadTooLong),
         MessageError::BodyTooLong => ReceiveError::Refused(Refusal::BodyTooLong),
+        MessageError::NoMemory => no_memory(),
         MessageError::BadChunk
         | MessageError::TrailingBytes
         | MessageError::UnknownLength
--- a/crates/foxtide-gateway/src/gateway.rs
+++ b/crates/foxtide-gateway/src/gateway.rs
@@ -71,8 +71,8 @@
     Instant, //
 };
 
-/// The divisor of the process memory for request bodies: a body is held twice while it is
-/// forwarded, and responses take as much.
+/// The divisor of the process memory for request bodies, which are held twice while they are
+/// forwarded, and for response bodies that arrive.
 const BODY_MEMORY_DIVISOR: u64 = 6;
 
 /// How often expired state is dropped.
@@ -137,6 +137,7 @@
             reach: Reach::default(),
             neighbours: Neighbours::default(),
             body_memory: BodyMemory::new(body_memory),
+            response_memory: BodyMemory::new(body_memory),
             lifecycle: Lifecycle::default(),
             link: Link::new(options.link_mbps, clock),
             journal: Journal::new(clock, options.place.region.clone()),
@@ -255,6 +256,8 @@
         shared.copies.prune(now);
         let body_memory = shared.body_memory.used();
         metrics::gauge!("foxtide_body_memory_bytes").set(body_memory.get() as f64);
+        let response_memory = shared.response_memory.used();
+        metrics::gauge!("foxtide_response_memory_bytes").set(response_memory.get() as f64);
     }
 }
 
--- a/crates/foxtide-gateway/src/shared.rs
+++ b/crates/foxtide-gateway/src/shared.rs
@@ -52,6 +52,7 @@
     pub(crate) reach: Reach,
     pub(crate) neighbours: Neighbours,
     pub(crate) body_memory: BodyMemory,
+    pub(crate) response_memory: BodyMemory,
     pub(crate) lifecycle: Lifecycle,
     pub(crate) link: Link,
     pub(crate) journal: Journal,
--- a/crates/foxtide-http/src/exchange.rs
+++ b/crates/foxtide-http/src/exchange.rs
@@ -3,8 +3,10 @@
 use crate::forwarded::ForwardedResponse;
 use crate::head::BodyLength;
 use crate::message::{
+    BodyAllowance,
     MessageError,
-    read_body,
+    UnlimitedAllowance,
+    read_growing_body,
     read_head, //
 };
 use crate::stream::BufferedStream;
@@ -45,11 +47,12 @@
     method: &str,
     limit_bytes: usize,
 ) -> Result<WholeResponse, MessageError> {
-    read_response_observed(stream, method, limit_bytes, |_| {}).await
+    let allowance = &mut UnlimitedAllowance;
+    read_response_observed(stream, method, limit_bytes, allowance, |_| {}).await
 }
 
-/// Reads a response like [`read_response`] and passes each head to `observe` as soon as it is
-/// read, also those of interim responses.
+/// Reads a response like [`read_response`], whose body takes its memory from `allowance`, and passes
+/// each head to `observe` as soon as it is read, also those of interim responses.
 ///
 /// # Errors
 ///
@@ -58,13 +61,12 @@
     stream: &mut BufferedStream,
     method: &str,
     limit_bytes: usize,
+    allowance: &mut impl BodyAllowance,
     observe: impl FnMut(&ForwardedResponse),
 ) -> Result<WholeResponse, MessageError> {
     let head = read_final_head(stream, observe).await?;
-    let body = match head.body_length(method) {
-        BodyLength::UntilClose => read_until_close(stream, limit_bytes).await?,
-        length => read_body(stream, length, limit_bytes).await?,
-    };
+    let length = head.body_length(method);
+    let body = read_growing_body(stream, length, limit_bytes, allowance).await?;
     Ok(WholeResponse { head, body })
 }
 
@@ -83,16 +85,3 @@
     }
     Err(MessageError::Truncated)
 }
-
-async fn read_until_close(
-    stream: &mut BufferedStream,
-    limit_bytes: usize,
-) -> Result<Vec<u8>, MessageError> {
-    while stream.fill().await? > 0 {
-        if stream.buffered().len() > limit_bytes {
-            return Err(MessageError::BodyTooLong);
-        }
-    }
-    let size_bytes = stream.buffered().len();
-    Ok(stream.consume(size_bytes))
-}
--- a/crates/foxtide-http/src/lib.rs
+++ b/crates/foxtide-http/src/lib.rs
@@ -34,10 +34,13 @@
     name, //
 };
 pub use message::{
+    BodyAllowance,
     BodyReader,
     MessageError,
     Progress,
+    UnlimitedAllowance,
     read_body,
+    read_growing_body,
     read_head, //
 };
 pub use stream::{
--- a/crates/foxtide-http/src/message.rs
+++ b/crates/foxtide-http/src/message.rs
@@ -9,8 +9,17 @@
     HeadError, //
 };
 use crate::stream::BufferedStream;
+use std::future::Future;
 use std::io;
 
+/// Maximum number of bytes that one read adds to a body, and to one of a stated length, which is
+/// read in larger pieces.
+const READ_MAX_BYTES: usize = 8 * 1_024;
+const READ_BULK_MAX_BYTES: usize = 68 * 1_024;
+
+/// Divisor of the size of a body for the next growth of its buffer.
+const GROWTH_DIVISOR: usize = 4;
+
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
 /// Reason why a message could not be read.
@@ -34,6 +43,9 @@
     /// Bytes follow the stated end of the body.
     #[error("bytes follow the stated end of the body")]
     TrailingBytes,
+    /// There is no memory for the body.
+    #[error("no memory for the body")]
+    NoMemory,
     /// The body has no stated end, so that truncation is undetectable.
     #[error("body has no stated length")]
     UnknownLength,
@@ -110,6 +122,72 @@
     Ok(body)
 }
 
+/// Memory for a body while it arrives.
+pub trait BodyAllowance: Send {
+    /// Asks for memory for `more_bytes` of the body, perhaps after a wait; returns whether it is
+    /// granted.
+    fn grow(&mut self, more_bytes: usize) -> impl Future<Output = bool> + Send;
+}
+
+/// An allowance without a bound.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct UnlimitedAllowance;
+
+impl BodyAllowance for UnlimitedAllowance {
+    async fn grow(&mut self, _more_bytes: usize) -> bool {
+        true
+    }
+}
+
+/// Reads a complete body of at most `limit_bytes`, with the chunked coding
+/// removed. Its buffer grows by steps, for each of which `allowance` is asked
+/// before.
+///
+/// A body without a stated length ends when the connection closes; a reset is
+/// an error.
+///
+/// # Errors
+///
+/// Returns an error if the body is too long, truncated or malformed, or if the
+/// allowance refuses a step.
+pub async fn read_growing_body(
+    stream: &mut BufferedStream,
+    length: BodyLength,
+    limit_bytes: usize,
+    allowance: &mut impl BodyAllowance,
+) -> Result<Vec<u8>, MessageError> {
+    // The size of the body if it is stated, and what one read adds to it at most.
+    let (stated_bytes, read_max_bytes) = match length {
+        BodyLength::None => (0, 0),
+        BodyLength::Fixed { size_bytes } if size_bytes > limit_bytes as u64 => {
+            return Err(MessageError::BodyTooLong);
+        }
+        BodyLength::Fixed { size_bytes } => (size_bytes as usize, READ_BULK_MAX_BYTES),
+        BodyLength::Chunked | BodyLength::UntilClose => (usize::MAX, READ_MAX_BYTES),
+    };
+    let mut reader = BodyReader::new(length).unwrap_or(BodyReader::UntilClose);
+    let mut body = Vec::new();
+    let mut progress = Progress::More;
+    while progress == Progress::More {
+        let left_bytes = stated_bytes - body.len();
+        let free_bytes = body.capacity() - body.len();
+        if free_bytes < left_bytes.min(read_max_bytes) {
+            let step_bytes = (2 * read_max_bytes).max(body.len() / GROWTH_DIVISOR);
+            let step_bytes = step_bytes.min(left_bytes - free_bytes);
+            if !allowance.grow(step_bytes).await {
+                return Err(MessageError::NoMemory);
+            }
+            body.reserve_exact(free_bytes + step_bytes);
+        }
+        progress = reader.read_some(stream, &mut body).await?;
+        if body.len() > limit_bytes {
+            return Err(MessageError::BodyTooLong);
+        }
+    }
+    body.shrink_to_fit();
+    Ok(body)
+}
+
 /// Whether a body has been read completely.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Progress {
@@ -129,6 +207,8 @@
     },
     /// Chunked body.
     Chunked(ChunkDecoder),
+    /// Body that ends when the connection closes.
+    UntilClose,
 }
 
 impl BodyReader {
@@ -163,10 +243,13 @@
         }
         let read_bytes = match self {
             Self::Fixed { left_bytes } => stream.fill_body(*left_bytes).await?,
-            Self::Chunked(_) => stream.fill().await?,
+            Self::Chunked(_) | Self::UntilClose => stream.fill().await?,
         };
         if read_bytes == 0 {
-            return Err(MessageError::Truncated);
+            return match self {
+                Self::UntilClose => Ok(Progress::End),
+                Self::Fixed { .. } | Self::Chunked(_) => Err(MessageError::Truncated),
+            };
         }
         self.take(stream, body)
     }
@@ -189,6 +272,11 @@
                     _ => Progress::More,
                 })
             }
+            Self::UntilClose => {
+                let size_bytes = stream.buffered().len();
+                append(body, stream.consume(size_bytes));
+                Ok(Progress::More)
+            }
             Self::Chunked(decoder) => {
                 let decoded = decoder.decode(stream.buffered(), body);
                 let (used_bytes, step) = decoded.map_err(|_| MessageError::BadChunk)?;
@@ -202,9 +290,9 @@
     }
 }
 
-/// Appends `piece`, without a copy if `body` is empty.
+/// Appends `piece`, without a copy if `body` holds no memory.
 fn append(body: &mut Vec<u8>, piece: Vec<u8>) {
-    if body.is_empty() {
+    if body.capacity() == 0 {
         *body = piece;
     } else {
         body.extend_from_slice(&piece);
--- a/crates/foxtide/tests/explain_failures.rs
+++ b/crates/foxtide/tests/explain_failures.rs
@@ -27,6 +27,9 @@
 #[path = "../../../platform/examples/soak/proxy.rs"]
 mod proxy;
 #[allow(dead_code)]
+#[path = "../../../platform/examples/soak/responses.rs"]
+mod responses;
+#[allow(dead_code)]
 #[path = "../../../platform/examples/soak/statements.rs"]
 mod statements;
 #[allow(dead_code)]
@@ -47,6 +50,7 @@
 use instance::Instance;
 use organisations::Organisation;
 use proxy::Proxy;
+use responses::Behaviour;
 use std::net::SocketAddr;
 use std::path::{
     Path,
@@ -61,10 +65,7 @@
     Store,
     StoreFault, //
 };
-use upstream::{
-    Behaviour,
-    Upstream, //
-};
+use upstream::Upstream;
 
 const TIMEOUT: Duration = Duration::from_secs(30);
 
