Log the identity of a request that is refused before it is whole

Cause: a request refused while its body arrives (503 for want of memory or at the end of a stop, 408, 413) left a line without its identity, so that nothing led from its id to who said "has not run".

Change: the identity is read from the head before the body. Tests of both ends of the trace with a real process: from the id of a refused body, and from the id of a withheld promise to its send.

--- a/crates/foxtide-gateway/src/front/connection.rs
+++ b/crates/foxtide-gateway/src/front/connection.rs
@@ -171,7 +171,7 @@
         let received_at = self.shared.clock.now();
         let mut head = match received {
             Ok(head) => head,
-            Err(reason) => return self.reject(reason).await,
+            Err(reason) => return self.reject(reason, None).await,
         };
         if let Some(reply) = answer_locally(self.shared, self.accepted_at, &head) {
             return self.send(&reply, head.close).await;
@@ -185,14 +185,14 @@
         {
             return self.decline().await;
         }
+        let headers = self.shared.dialect.read_caller_headers(&head.lines);
         let memory = &self.shared.body_memory;
         let receiving = receive_body(&mut self.stream, &head, &limits, memory);
         let received = or(receiving, refuse_at_end(&self.shared.lifecycle)).await;
         let (body, memory) = match received {
             Ok(received) => received,
-            Err(reason) => return self.reject(reason).await,
+            Err(reason) => return self.reject(reason, headers.request_id.as_deref()).await,
         };
-        let headers = self.shared.dialect.read_caller_headers(&head.lines);
         // `connection: close` concerns the connection of the caller alone.
         let close = std::mem::replace(&mut head.close, false);
         let request = CallerRequest {
@@ -362,12 +362,13 @@
         self.shared.executor.spawn(forwarding)
     }
 
-    async fn reject(&mut self, reason: ReceiveError) -> Next {
+    /// Replies to a request that was not received whole, whose identity may be known.
+    async fn reject(&mut self, reason: ReceiveError, request_id: Option<&str>) -> Next {
         let ReceiveError::Refused(refusal) = reason else {
             return Next::Close;
         };
         let reply = Reply::from(refusal);
-        let trace = RequestTrace::new("-", refusal.reason());
+        let trace = RequestTrace::new(request_id.unwrap_or("-"), refusal.reason());
         let journal = &self.shared.journal;
         journal.request_ended(&trace, &reply, Duration::ZERO);
         let bytes = reply.encode("GET", true);
--- a/crates/foxtide/tests/explain_failures.rs
+++ b/crates/foxtide/tests/explain_failures.rs
@@ -44,7 +44,10 @@
     send_request, //
 };
 use configuration::document;
-use foxtide_http::BufferedStream;
+use foxtide_http::{
+    BufferedStream,
+    read_response, //
+};
 use foxtidectl::ExitStatus;
 use history::History;
 use instance::Instance;
@@ -207,6 +210,44 @@
     );
 }
 
+/// Guards against a promise that is withheld and cannot be traced to the send that may have run.
+#[test]
+fn verify_an_error_of_an_upstreams_own_is_explained_by_its_sends() {
+    let fleet = Fleet::start("explain-own-error");
+    fleet.notices.set_behaviour(Behaviour::Errs(503));
+    let failed = (0..20)
+        .map(|number| format!("own-{number}"))
+        .find(|request| fleet.request(request, false) == Some(502));
+    let explanation = fleet.explanation(&failed.expect("an upstream fails"));
+    assert!(
+        explanation.contains("its sends: i-notices=responded_503"),
+        "{explanation}"
+    );
+}
+
+/// Guards against requests that are refused before their body is whole and leave no trace of their
+/// identity.
+#[test]
+fn verify_a_request_refused_for_its_body_is_explained() {
+    let fleet = Fleet::start("explain-body");
+    let head = "POST /once/7 HTTP/1.1\r\nhost: a.example\r\nx-request-id: long\r\n\
+                content-length: 99000000000\r\n\r\n";
+    let status = smol::block_on(async {
+        let mut stream = BufferedStream::connect(fleet.callers(), None)
+            .await
+            .unwrap();
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let response = read_response(&mut stream, "POST", 1 << 20).await.unwrap();
+        response.head.status
+    });
+    assert_eq!(status, 413);
+    let explanation = fleet.explanation("long");
+    assert!(
+        explanation.contains("the request exceeds the size limit"),
+        "{explanation}"
+    );
+}
+
 #[test]
 fn verify_a_decision_during_a_store_outage_is_explained() {
     let fleet = Fleet::start("explain-outage");
