Take no signed response for a rejection

What callers would see: a request that is not idempotent runs twice, or is refused and ran, where its upstream runs it, signs the response and states with a rejection's status that it did not run.

The status was asked, the signature was not.

Change: a signed response rejects nothing.

Why it works: the signature is the proof of what an upstream has run.

Result: the tests pass. An upstream that signs true rejections would have its promises withheld.

--- a/crates/foxtide-gateway/src/forward/attempt.rs
+++ b/crates/foxtide-gateway/src/forward/attempt.rs
@@ -352,10 +352,12 @@
 
 /// Tells whether a response states that the upstream has rejected the request.
 ///
-/// Upstreams reject with a client error or 503 (RFC 9110, sections 15.5 and 15.6.4). Any other
-/// status contradicts the statement, so that the request may have run.
+/// Upstreams reject with a client error or 503 (RFC 9110, sections 15.5 and 15.6.4), and sign what
+/// they have run. Any other status, or a signature, contradicts the statement, so that the request
+/// may have run.
 fn is_rejection(response: &WholeResponse, headers: &UpstreamHeaders) -> bool {
-    headers.is_not_run && matches!(response.head.status, 400..500 | 503)
+    let is_rejecting_status = matches!(response.head.status, 400..500 | 503);
+    headers.is_not_run && is_rejecting_status && !headers.is_signed
 }
 
 fn classify_response(
--- a/crates/foxtide-gateway/tests/gateway/promises.rs
+++ b/crates/foxtide-gateway/tests/gateway/promises.rs
@@ -76,12 +76,12 @@
 #[test]
 fn verify_a_response_that_shows_a_run_is_not_a_rejection() {
     let (_fleet, upstream, instance) = fleet_of_one();
-    for (number, status) in [200, 500].into_iter().enumerate() {
+    for (status, delivered) in [(200, 200), (500, 500), (404, 404), (429, 502), (503, 502)] {
         upstream.next(Behaviour::Contradict(status));
-        let request = format!("r-{number}");
+        let request = format!("r-{status}");
         let response = instance.get("/once/", &format!("request: {request}\r\n"));
-        assert_eq!(response.head.status, status);
-        assert_eq!(response.body, b"fine");
+        assert_eq!(response.head.status, delivered);
+        assert_eq!(response.body == b"fine", status == delivered);
         assert_eq!(upstream.runs(&request), 1);
     }
 }
@@ -174,7 +174,7 @@
 fn draw_response(random: &mut Rng) -> Behaviour {
     let statuses = [200, 404, 408, 429, 500, 503];
     match random.u32(..9) {
-        0 => Behaviour::Contradict([200, 500][random.usize(..2)]),
+        0 => Behaviour::Contradict(statuses[random.usize(..statuses.len())]),
         1 => Behaviour::Unsigned,
         2 => Behaviour::Break,
         3 => Behaviour::Cut,
