--- a/crates/foxtide-gateway/src/forward/entry.rs
+++ b/crates/foxtide-gateway/src/forward/entry.rs
@@ -6,7 +6,7 @@
 };
 use super::caller::CallerWatch;
 use super::pass_on::PassOn;
-use super::promise::keep_promise;
+use super::promise::withhold_untrue_promise;
 use super::recheck::{
     NO_COMMON_HOME_REASON,
     QUARANTINED_REASON, //
@@ -48,7 +48,7 @@
     caller: &CallerWatch,
 ) -> (Reply, RequestTrace) {
     let (reply, trace) = forward_to_any(shared, request, route_match, caller).await;
-    (keep_promise(shared, reply, &trace), trace)
+    (withhold_untrue_promise(shared, reply, &trace), trace)
 }
 
 /// Forwards a request to an upstream, or to another instance.
--- a/crates/foxtide-gateway/src/forward/promise.rs
+++ b/crates/foxtide-gateway/src/forward/promise.rs
@@ -14,7 +14,7 @@
 ///
 /// The caller of an idempotent request may repeat it after any failure, so that the response of its
 /// upstream is kept.
-pub(super) fn keep_promise<D: Dialect>(
+pub(super) fn withhold_untrue_promise<D: Dialect>(
     shared: &Shared<D>,
     reply: Reply,
     trace: &RequestTrace,
--- a/crates/foxtide-gateway/src/journal/mod.rs
+++ b/crates/foxtide-gateway/src/journal/mod.rs
@@ -7,6 +7,7 @@
 mod labels;
 mod requests;
 pub(crate) mod state_changes;
+mod statements;
 
 pub(crate) use change_lines::ChangeLines;
 pub(crate) use requests::Journal;
