--- a/crates/foxtide/tests/explain_failures.rs
+++ b/crates/foxtide/tests/explain_failures.rs
@@ -40,14 +40,12 @@
 mod upstream;
 
 use callers::{
+    BODY,
     Message,
     send_request, //
 };
 use configuration::document;
-use foxtide_http::{
-    BufferedStream,
-    read_response, //
-};
+use foxtide_http::BufferedStream;
 use foxtidectl::ExitStatus;
 use history::History;
 use instance::Instance;
@@ -146,13 +144,24 @@
 }
 
 async fn send(callers: SocketAddr, request: String, is_idempotent: bool) -> Option<u16> {
-    let mut stream = BufferedStream::connect(callers, None).await.ok()?;
     let path = if is_idempotent { "/safe/7" } else { "/once/7" };
+    send_stating(callers, request, path, BODY.len()).await
+}
+
+/// Sends a request that states this length for its body.
+async fn send_stating(
+    callers: SocketAddr,
+    request: String,
+    path: &str,
+    body_bytes: usize,
+) -> Option<u16> {
+    let mut stream = BufferedStream::connect(callers, None).await.ok()?;
     let message = Message {
         request_id: &request,
         path,
         affinity_key: 7,
         api_key: &Organisation::Unlimited.key(),
+        body_bytes,
     };
     let response = send_request(&mut stream, &message).await?;
     Some(response.head.status)
@@ -230,17 +239,9 @@
 #[test]
 fn verify_a_request_refused_for_its_body_is_explained() {
     let fleet = Fleet::start("explain-body");
-    let head = "POST /once/7 HTTP/1.1\r\nhost: a.example\r\nx-request-id: long\r\n\
-                content-length: 99000000000\r\n\r\n";
-    let status = smol::block_on(async {
-        let mut stream = BufferedStream::connect(fleet.callers(), None)
-            .await
-            .unwrap();
-        stream.write_all(head.as_bytes()).await.unwrap();
-        let response = read_response(&mut stream, "POST", 1 << 20).await.unwrap();
-        response.head.status
-    });
-    assert_eq!(status, 413);
+    let sent = send_stating(fleet.callers(), "long".to_owned(), "/once/7", usize::MAX);
+    let status = smol::block_on(sent);
+    assert_eq!(status, Some(413));
     let explanation = fleet.explanation("long");
     assert!(
         explanation.contains("the request exceeds the size limit"),
