--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the cases 4 to 6 with the standard library alone.
+set -euo pipefail
+cd "$(dirname "$0")"
+mkdir -p ../target/review
+rustc --edition 2024 -O -o ../target/review/stand-ins-2 stand-ins-2/main.rs
