Show that machines with narrow links never start with a large configuration

Case 4 has three instances on links of 10 Mbit/s, a configuration that grows three times by 1,400 routes to 1,016,990 bytes, and a kill of all processes. The first read of the store times out after 1 s and begins again, without end.

--- a/review/stand-ins-2/fleet.rs
+++ b/review/stand-ins-2/fleet.rs
@@ -12,8 +12,33 @@
 const PR_SET_PDEATHSIG: i32 = 1;
 const SIGKILL: u64 = 9;
 
+const RLIMIT_NOFILE: i32 = 7;
+
+/// `maxFds` of each machine.
+const MAX_FDS: u64 = 4_100;
+
+#[repr(C)]
+struct ResourceLimit {
+    soft: u64,
+    hard: u64,
+}
+
 unsafe extern "C" {
     fn prctl(option: i32, value: u64) -> i32;
+    fn getrlimit(resource: i32, limit: *mut ResourceLimit) -> i32;
+    fn setrlimit(resource: i32, limit: *const ResourceLimit) -> i32;
+}
+
+/// Sets the soft limit of descriptors, as far as the hard one allows it.
+pub fn limit_descriptors(count: u64) {
+    let mut limit = ResourceLimit { soft: 0, hard: 0 };
+    // SAFETY: the pointers are to a value that outlives the calls.
+    unsafe {
+        if getrlimit(RLIMIT_NOFILE, &mut limit) == 0 {
+            limit.soft = count.min(limit.hard);
+            setrlimit(RLIMIT_NOFILE, &limit);
+        }
+    }
 }
 
 /// What is the same for all instances.
@@ -68,10 +93,11 @@
         let errors = log.try_clone()?;
         let mut command = Command::new("target/release/foxtide");
         // The process ends with this one, also if this one is killed.
-        // SAFETY: the call is safe between fork and exec, and touches no memory.
+        // SAFETY: the calls are safe between fork and exec, and touch no memory of others.
         unsafe {
             command.pre_exec(|| {
                 prctl(PR_SET_PDEATHSIG, SIGKILL);
+                limit_descriptors(MAX_FDS);
                 Ok(())
             });
         }
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -8,7 +8,9 @@
 mod fleet;
 mod http;
 mod json;
+mod proxy;
 mod record;
+mod recover;
 mod smuggle;
 mod store;
 mod targets;
@@ -17,6 +19,9 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+/// The descriptors of this process: those of some thousand clients and as many targets' connections.
+const DESCRIPTORS: u64 = 16_384;
+
 /// What a case is run with.
 pub struct Setting {
     /// The root of the repository.
@@ -37,6 +42,7 @@
         eprintln!("usage: stand-ins-2 CASE ROOT RECORD");
         return ExitCode::from(2);
     };
+    fleet::limit_descriptors(DESCRIPTORS);
     let folder = std::env::temp_dir().join(format!("foxtide-review-2-{}", std::process::id()));
     if let Err(error) = std::fs::create_dir_all(&folder) {
         eprintln!("cannot create a folder: {error}");
@@ -50,6 +56,7 @@
     };
     let verdict = match case.as_str() {
         "smuggle" => smuggle::run(&setting),
+        "recover" => recover::run(&setting),
         other => Err(format!("no case {other}")),
     };
     let code = match &verdict {
