--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -5,9 +5,11 @@
 //! Exits with 1 if the rule of the case was broken, 0 if it held and 2 if the case could not run.
 //! With TROUBLE=0 in the environment the case runs without its disruption.
 
+mod clients;
 mod fleet;
 mod http;
 mod json;
+mod memory;
 mod proxy;
 mod record;
 mod recover;
@@ -55,6 +57,7 @@
         has_trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
     };
     let verdict = match case.as_str() {
+        "memory" => memory::run(&setting),
         "smuggle" => smuggle::run(&setting),
         "recover" => recover::run(&setting),
         other => Err(format!("no case {other}")),
