--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -15,6 +15,7 @@
 mod recover;
 mod smuggle;
 mod store;
+mod storm;
 mod targets;
 
 use record::Record;
@@ -60,6 +61,7 @@
         "memory" => memory::run(&setting),
         "smuggle" => smuggle::run(&setting),
         "recover" => recover::run(&setting),
+        "storm" => storm::run(&setting),
         other => Err(format!("no case {other}")),
     };
     let code = match &verdict {
